Whole path: gateway, agents, emulator and demo in one process

Change: gateway (admission, reservation before prefill, placement, relay), agent (leases, slots, transfer credit, at-most-once record, role ladder), signed bundles, emulated engine, service and platform, demo.

Found on the way: a decode agent that asked a prefill agent for transfer credit became owner of the attempt, and its next heartbeat (which does not list it) cancelled the KV cache: every transfer longer than a heartbeat (0.2 s) failed. Ruled out: the engine's time to keep a cache (3 s). Only orders that create an attempt own it now.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Every target builds the virtual environment first when it is missing.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint slopes bench clean
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/yokedock demo $(if $(KEEP),--keep,)
+
+test: $(VENV)/.ready
+	$(BIN)/python features/run_features.py
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+slopes: $(VENV)/.ready
+	$(BIN)/yokedock-emulator slopes
+
+bench: $(VENV)/.ready
+	$(BIN)/yokedock-emulator path-cost
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/yokedock/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection or one peer."""
--- /dev/null
+++ b/src/yokedock/connection/bundle_exchange.py
@@ -0,0 +1,118 @@
+"""Passes bundles between peers: whoever is behind fetches from whoever is ahead.
+
+Every heartbeat and its reply carry a stamp (version, digest). The dialling end fetches when it is
+behind and offers when it is ahead; the listening end that is offered a bundle asks for the sections
+it lacks over the same connection.
+"""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from yokedock.connection.peer_client import AgentPeerHandle
+from yokedock.connection.peer_listener import PeerConnection
+from yokedock.errors import BundleRejected, YokedockError
+from yokedock.messages import (
+    BundleEnvelope,
+    BundleSections,
+    BundleStamp,
+    FetchBundle,
+    FetchSections,
+    OfferBundle,
+)
+from yokedock.process.logs import logger
+from yokedock.version.bundle_codec import digest_of
+from yokedock.version.bundle_store import BundleStore
+
+_log = logger("bundle")
+FETCH_TIMEOUT_S = 2.0
+
+
+class BundleExchange:
+    """Keeps the store of one process level with its peers."""
+
+    def __init__(self, store: BundleStore) -> None:
+        """Exchange for ``store``."""
+        self._store = store
+        self._worker = ThreadPoolExecutor(1, "bundle exchange")
+        self._lock = threading.Lock()
+        self._fetching_version = 0
+        self._offered_envelope = b""
+
+    def stop(self) -> None:
+        """End the worker."""
+        self._worker.shutdown(wait=False, cancel_futures=True)
+
+    # --- Dialling end ---
+
+    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
+        """Fetch from a peer that is ahead; offer to one that is behind."""
+        own = self._store.stamp
+        if stamp.version > own.version:
+            with self._lock:
+                if self._fetching_version >= stamp.version:
+                    return
+                self._fetching_version = stamp.version
+            self._worker.submit(self._fetch, peer, b"")
+        elif stamp.version < own.version:
+            peer.notify(OfferBundle(self._store.signed.envelope))
+
+    def peer_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
+        """Consider an envelope that an agent handed over with a refusal."""
+        self._worker.submit(self._fetch, peer, envelope)
+
+    def _fetch(self, peer: AgentPeerHandle, envelope: bytes) -> None:
+        """Adopt what the peer has; runs on the worker."""
+        try:
+            if not envelope:
+                answer = peer.call(FetchBundle()).result(FETCH_TIMEOUT_S)
+                assert isinstance(answer, BundleEnvelope)
+                envelope = answer.envelope
+            self._store.offer(
+                envelope, lambda digests: self._fetch_sections(peer, digests), peer.name
+            )
+        except BundleRejected as error:
+            _log.error("peer's bundle rejected", peer=peer.name, error=error.message)
+        except (YokedockError, TimeoutError) as error:
+            _log.warning("peer's bundle not fetched", peer=peer.name, error=str(error))
+        finally:
+            with self._lock:
+                self._fetching_version = 0
+
+    def _fetch_sections(self, peer: AgentPeerHandle, digests: tuple[str, ...]) -> dict[str, bytes]:
+        answer = peer.call(FetchSections(digests)).result(FETCH_TIMEOUT_S)
+        assert isinstance(answer, BundleSections)
+        return sections_by_digest(answer.contents)
+
+    # --- Listening end ---
+
+    def gateway_offered(self, envelope: bytes, connection: PeerConnection) -> None:
+        """Ask the gateway for the sections that are lacking, or adopt at once."""
+        try:
+            missing = self._store.missing(envelope)
+            if missing:
+                with self._lock:
+                    self._offered_envelope = envelope
+                connection.send(FetchSections(missing))
+            else:
+                self._store.offer(envelope, lambda _digests: {}, connection.name)
+        except BundleRejected as error:
+            _log.error("peer's bundle rejected", peer=connection.name, error=error.message)
+
+    def sections_arrived(self, contents: tuple[bytes, ...]) -> None:
+        """Adopt the envelope whose sections these are."""
+        with self._lock:
+            envelope, self._offered_envelope = self._offered_envelope, b""
+        if not envelope:
+            return
+        sections = sections_by_digest(contents)
+        try:
+            self._store.offer(envelope, lambda _digests: sections, "peer")
+        except BundleRejected as error:
+            _log.error("peer's bundle rejected", error=error.message)
+
+
+def sections_by_digest(contents: tuple[bytes, ...]) -> dict[str, bytes]:
+    """Return sections by the digest of what they really contain."""
+    return {digest_of(content): content for content in contents if content}
--- /dev/null
+++ b/src/yokedock/connection/engine_protocol.py
@@ -0,0 +1,144 @@
+"""The published HTTP interface of model engines, as typed bodies.
+
+All orders are POST requests with JSON bodies and carry the sender's fencing token in the header
+``X-Fencing-Token``. An engine that checks it refuses a token below the highest it has seen (409).
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+FENCING_HEADER = "X-Fencing-Token"
+
+
+class PrefillOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/prefill``: compute the KV cache of ``prompt``; answers when it is ready."""
+
+    request: str
+    model: str
+    adapter: str
+    prompt: str
+    priority: int = 5
+
+
+class PrefillResult(msgspec.Struct, frozen=True):
+    """The cache is kept under ``handle`` for ``kept_ms`` and then thrown away."""
+
+    handle: str
+    prompt_tokens: int
+    cached_tokens: int
+    kv_bytes: int
+    kept_ms: int
+
+
+class ImportOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/kv/import``: pull a KV cache from another engine; answers when it is here."""
+
+    request: str
+    source_url: str
+    handle: str
+
+
+class PullOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/kv/pull``, engine to engine: answers when the bytes have crossed the link."""
+
+    handle: str
+
+
+class PullResult(msgspec.Struct, frozen=True):
+    """What was pulled."""
+
+    kv_bytes: int
+    tokens: int
+    computed_tokens: int
+
+
+class DecodeOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/decode``: generate from an imported cache. Tokens come on ``/v1/steps``.
+
+    ``text`` is the prompt with all tokens so far; ``first_sequence`` numbers the next token.
+    """
+
+    request: str
+    text: str
+    first_sequence: int
+    max_tokens: int
+    priority: int = 5
+
+
+class RequestOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/cancel`` and ``/v1/kv/release``: end a request, or free a kept cache."""
+
+    request: str = ""
+    handle: str = ""
+
+
+class ResumeOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/resume``: return the tokens from ``from_sequence`` on."""
+
+    request: str
+    from_sequence: int
+
+
+class ResumeResult(msgspec.Struct, frozen=True):
+    """Tokens from the asked sequence number on, and how the stream ended (empty: it goes on)."""
+
+    tokens: tuple[str, ...]
+    finish: str
+
+
+class StepToken(msgspec.Struct, frozen=True, array_like=True):
+    """One stream's token in one decode step."""
+
+    request: str
+    sequence: int
+    token: str
+    finish: str
+
+
+class Step(msgspec.Struct, frozen=True):
+    """One line of ``GET /v1/steps``: the tokens of one decode step."""
+
+    tokens: tuple[StepToken, ...]
+
+
+class RoleOrder(msgspec.Struct, frozen=True):
+    """``POST /v1/role``: change the engine's role."""
+
+    role: str
+
+
+class HeldItem(msgspec.Struct, frozen=True):
+    """Memory held by the engine: ``kind`` is prefill, export, import or decode."""
+
+    request: str
+    handle: str
+    kind: str
+    tokens: int
+
+
+class Held(msgspec.Struct, frozen=True):
+    """``GET /v1/held``: everything that holds memory, prefix cache aside."""
+
+    items: tuple[HeldItem, ...]
+
+
+class Load(msgspec.Struct, frozen=True):
+    """``GET /v1/load``: the engine's load, some time ago."""
+
+    role: str
+    slots: int
+    running: int
+    queued_prefill_tokens: int
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """``GET /v1/cache-events?after=N``: prompt blocks cached and evicted, late and with gaps.
+
+    ``complete`` is false when events between ``after`` and the first one were lost.
+    """
+
+    next: int
+    cached: tuple[int, ...]
+    evicted: tuple[int, ...]
+    complete: bool
--- /dev/null
+++ b/src/yokedock/connection/openai_format.py
@@ -0,0 +1,233 @@
+"""The callers' format: OpenAI chat completions and completions, streamed and whole."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import msgspec
+
+from yokedock.connection.http_server import HttpRequest, Write
+from yokedock.errors import BadRequest, ErrorResponse, YokedockError
+from yokedock.request.answer_stream import AnswerWriter
+
+DEFAULT_MAX_TOKENS = 256
+ADAPTER_SEPARATOR = ":"
+STREAM_END = b"data: [DONE]\n\n"
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class ContentPart(msgspec.Struct, frozen=True):
+    """One part of a message's content; only text is taken."""
+
+    type: str
+    text: str = ""
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str | list[ContentPart] | None = None
+
+
+class StreamOptions(msgspec.Struct, frozen=True):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class GenerationRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields that both kinds of completion share; unknown fields are ignored."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    stream_options: StreamOptions | None = None
+
+    def token_limit(self) -> int:
+        """Return the most tokens to generate."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+
+    def check(self) -> None:
+        """Raise ``BadRequest`` on values that cannot be served."""
+        if self.n not in (None, 1):
+            raise BadRequest("n must be 1; send one request for each answer")
+        for limit in (self.max_tokens, self.max_completion_tokens):
+            if limit is not None and limit < 1:
+                raise BadRequest("max_tokens must be at least 1; leave it out for the default")
+
+    def wants_usage(self) -> bool:
+        """Return whether a streamed answer ends with its usage."""
+        return self.stream_options is not None and self.stream_options.include_usage
+
+
+class ChatRequest(GenerationRequest, frozen=True, kw_only=True):
+    """``POST /v1/chat/completions``."""
+
+    messages: list[ChatMessage]
+
+    def prompt(self) -> str:
+        """Return the chat as one text in a plain template."""
+        if not self.messages:
+            raise BadRequest("messages is empty; send at least one message")
+        lines = [f"<|{message.role}|>\n{_content_text(message)}\n" for message in self.messages]
+        return "".join(lines) + "<|assistant|>\n"
+
+
+class CompletionRequest(GenerationRequest, frozen=True, kw_only=True):
+    """``POST /v1/completions``."""
+
+    prompt: str
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts of an answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """One line of ``GET /v1/models``."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "yokedock"
+    created: int = 0
+
+
+class ModelListing(msgspec.Struct, frozen=True):
+    """``GET /v1/models``."""
+
+    data: tuple[ModelEntry, ...]
+    object: str = "list"
+
+
+def split_adapter(model: str) -> tuple[str, str]:
+    """Split ``model:adapter``, the form in which callers name an adapter."""
+    name, _, adapter = model.partition(ADAPTER_SEPARATOR)
+    return name, adapter
+
+
+def _content_text(message: ChatMessage) -> str:
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    for part in message.content:
+        if part.type != "text":
+            raise BadRequest(f"content of type {part.type} is not taken; send text")
+    return "".join(part.text for part in message.content)
+
+
+class AnswerFormat:
+    """Builds the documents of one answer; chat and plain completions differ in a few fields."""
+
+    def __init__(self, request_id: str, model: str, is_chat: bool) -> None:
+        """Fix what is the same in every document of the answer."""
+        self._is_chat = is_chat
+        self._id = f"{'chatcmpl' if is_chat else 'cmpl'}-{request_id}"
+        self._model = model
+        self._created = int(time.time())
+        field = b'"delta":{"content":' if is_chat else b'"text":'
+        head = msgspec.json.encode(self._head(streamed=True))[:-1]
+        self._chunk_start = b"data: " + head + b',"choices":[{"index":0,' + field
+        self._chunk_end = b'},"finish_reason":' if is_chat else b',"finish_reason":'
+
+    def chunk(self, text: str, finish: str) -> bytes:
+        """Return one server-sent event with new text."""
+        reason = msgspec.json.encode(finish or None)
+        encoded = msgspec.json.encode(text)
+        return b"".join(
+            (self._chunk_start, encoded, self._chunk_end, reason, b',"logprobs":null}]}\n\n')
+        )
+
+    def opening(self) -> bytes:
+        """Return the event that opens a chat stream with the role."""
+        if not self._is_chat:
+            return b""
+        document = self._head(streamed=True)
+        delta = {"role": "assistant", "content": ""}
+        document["choices"] = [{"index": 0, "delta": delta, "finish_reason": None}]
+        return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+    def usage_event(self, usage: Usage) -> bytes:
+        """Return the event that closes a stream with its usage."""
+        document = self._head(streamed=True)
+        document["choices"] = []
+        document["usage"] = usage
+        return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+    def whole(self, text: str, finish: str, usage: Usage) -> dict[str, Any]:
+        """Return the document of a whole answer."""
+        document = self._head(streamed=False)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish, "logprobs": None}
+        if self._is_chat:
+            choice["message"] = {"role": "assistant", "content": text, "refusal": None}
+        else:
+            choice["text"] = text
+        document["choices"] = [choice]
+        document["usage"] = usage
+        return document
+
+    def _head(self, streamed: bool) -> dict[str, Any]:
+        kind = "text_completion"
+        if self._is_chat:
+            kind = "chat.completion.chunk" if streamed else "chat.completion"
+        return {"id": self._id, "object": kind, "created": self._created, "model": self._model}
+
+
+class EventStreamWriter(AnswerWriter):
+    """Streams an answer as server-sent events through WSGI's ``write``."""
+
+    def __init__(self, request: HttpRequest, answer_format: AnswerFormat, request_id: str) -> None:
+        """Answer ``request``; nothing is sent before the first token or the end."""
+        self._request = request
+        self._format = answer_format
+        self._request_id = request_id
+        self._write: Write | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Return whether a part of the answer went out."""
+        return self._write is not None
+
+    def write_tokens(self, tokens: tuple[str, ...], finish: str) -> None:
+        """Send one event with the joined tokens."""
+        event = self._format.chunk("".join(tokens), finish)
+        if self._write is None:
+            event = self._format.opening() + event
+        self._send(event)
+
+    def write_error(self, error: YokedockError) -> None:
+        """Send the error as the final event."""
+        self._send(b"data: " + msgspec.json.encode(ErrorResponse(error.body())) + b"\n\n")
+
+    def write_end(self, usage: Usage | None) -> None:
+        """Close the stream."""
+        event = self._format.usage_event(usage) if usage is not None else b""
+        self._send(event + STREAM_END)
+
+    def _send(self, data: bytes) -> None:
+        if self._write is None:
+            headers = [
+                ("Content-Type", "text/event-stream; charset=utf-8"),
+                ("Cache-Control", "no-cache"),
+                (REQUEST_ID_HEADER, self._request_id),
+            ]
+            self._write = self._request.start(200, headers)
+        self._write(data)
+
+
+class WholeAnswerWriter(AnswerWriter):
+    """Gathers nothing: the answer's text is read from the stream at its end."""
+
+    def write_tokens(self, tokens: tuple[str, ...], finish: str) -> None:
+        """Wait for the end."""
+
+    def write_error(self, error: YokedockError) -> None:
+        """The error is the whole answer; the request's thread sends it."""
--- /dev/null
+++ b/src/yokedock/process/admin_http.py
@@ -0,0 +1,73 @@
+"""What operators ask a daemon: health, readiness, status, histograms."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
+from yokedock.errors import NotReady
+from yokedock.process.histograms import Histograms
+
+ADMIN_THREADS = 4
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """One peer as a process sees it."""
+
+    name: str
+    connected: bool
+    role: str
+    ready: bool
+    leaving: bool
+    slots: int
+    slots_taken: int
+    version: int
+
+
+class ProcessStatus(msgspec.Struct, frozen=True):
+    """``GET /status``: what a process is and does."""
+
+    name: str
+    kind: str
+    zone: str
+    incarnation: int
+    version: int
+    digest: str
+    ready: bool
+    stopping: bool
+    in_flight: int
+    role: str = ""
+    peers: tuple[PeerStatus, ...] = ()
+
+
+class AdminServer:
+    """Answers operators on an address of its own, so that callers cannot crowd them out."""
+
+    def __init__(
+        self, listen: str, status: Callable[[], ProcessStatus], histograms: Histograms
+    ) -> None:
+        """Bind the address; raises ``SettingsInvalid`` if it is taken."""
+        self._status = status
+        self._histograms = histograms
+        router = HttpRouter()
+        router.add("GET", "/health", lambda request: HttpResponse.of("alive"))
+        router.add("GET", "/ready", self._ready)
+        router.add("GET", "/status", lambda request: HttpResponse.of(status()))
+        router.add("GET", "/histograms", lambda request: HttpResponse.of(histograms.encode()))
+        self._server = HttpServer(router, listen, ADMIN_THREADS)
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._server.close()
+
+    def _ready(self, request: HttpRequest) -> HttpResponse:
+        if not self._status().ready:
+            raise NotReady("the process is not ready: see /status for what it waits for", 1.0)
+        return HttpResponse.of("ready")
--- /dev/null
+++ b/src/yokedock/process/agent.py
@@ -0,0 +1,339 @@
+"""The agent: the only process that gives orders to the back end beside it."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import pykka
+
+from yokedock.connection.bundle_exchange import BundleExchange
+from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
+from yokedock.connection.engine_client import HttpEngineClient
+from yokedock.connection.engine_watch import Reconciler, StepReader
+from yokedock.connection.lease_holder import ExpireNow, Inbound, LeaseCheck, LeaseHolder
+from yokedock.connection.machine_list import STATE_LEAVING, Machine, MachineWatch
+from yokedock.connection.peer_client import (
+    AgentPeerHandle,
+    DemandSignal,
+    PeerIdentity,
+    PeerTiming,
+)
+from yokedock.connection.peer_listener import PeerConnection, PeerListener
+from yokedock.connection.service_client import ServiceClient
+from yokedock.errors import PeerTimeout, YokedockError
+from yokedock.messages import (
+    AnyMessage,
+    BundleStamp,
+    Decode,
+    Frame,
+    GrantTransfer,
+    TransferDone,
+)
+from yokedock.process.admin_http import AdminServer, ProcessStatus
+from yokedock.process.clock import left_s, wall_clock_ms
+from yokedock.process.histograms import Histograms
+from yokedock.process.logs import logger
+from yokedock.process.metrics import Metrics
+from yokedock.process.pause import PauseDetector
+from yokedock.process.peer_directory import PeerAddress, PeerDirectory
+from yokedock.process.role_manager import RoleManager
+from yokedock.process.settings import AgentSettings, bundle_key, deployment_key
+from yokedock.request.backend import Backend
+from yokedock.request.engine_backend import EngineBackend, EngineSetup
+from yokedock.request.home_check import BundleHomeCheck
+from yokedock.request.idempotency import IdempotencyRecord
+from yokedock.request.service_backend import ServiceBackend
+from yokedock.version.bundle import Bundle, Model
+from yokedock.version.bundle_store import BundleStore
+
+_log = logger("agent")
+
+LEASE_CHECK_S = 0.1
+SPARE_WORKERS = 32
+TRANSFER_PATIENCE_S = 2.0
+DRAIN_LIMIT_S = 120.0
+DRAIN_POLL_S = 0.05
+
+
+class Agent:
+    """Wires one agent together; ``start`` and ``stop`` are its life."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Bind the addresses; raises ``SettingsInvalid`` when one is taken."""
+        self.settings = settings
+        self.name = settings.process.name
+        self.incarnation_ms = wall_clock_ms()
+        self._key = deployment_key(settings.peers)
+        self.store = BundleStore(bundle_key(settings.platform))
+        self._exchange = BundleExchange(self.store)
+        self._metrics = Metrics(settings.metrics)
+        self._holders: dict[str, pykka.ActorRef[LeaseHolder]] = {}
+        self._holders_lock = threading.Lock()
+        self._demand: dict[str, tuple[float, DemandSignal]] = {}
+        self._stopping = threading.Event()
+        self._workers = ThreadPoolExecutor(
+            2 * settings.backend.slots + SPARE_WORKERS, "order worker"
+        )
+        self._pause = PauseDetector(settings.peers.lease_ms / 1000, self._paused)
+        self._listener = PeerListener(
+            settings.peers.listen,
+            self.name,
+            self.incarnation_ms,
+            self._key,
+            self._frame_arrived,
+            self._connection_closed,
+        )
+        self.address = self._listener.address
+        client = ConfigurationClient(settings.platform.configuration_url)
+        self._watch = ConfigurationWatch(client, self.store, settings.platform.watch_ms)
+        self._peers = PeerDirectory(
+            PeerIdentity(f"agent {self.name}", self.incarnation_ms, self._key),
+            PeerTiming(settings.peers.heartbeat_ms, settings.peers.lease_ms),
+            self,
+        )
+        self._threads: list[threading.Thread] = []
+        self._role_manager: RoleManager | None = None
+        self._engine_backend: EngineBackend | None = None
+        self.backend: Backend = self._make_backend()
+        self._admin = AdminServer(settings.admin.listen, self.status, Histograms())
+        self.admin_address = self._admin.address
+        self.store.on_adopt(self._adopted)
+
+    def _make_backend(self) -> Backend:
+        backend = self.settings.backend
+        if backend.kind == "service":
+            client = ServiceClient(backend.url, backend.connect_timeout_ms / 1000)
+            check = BundleHomeCheck(self.name, lambda: self._watch.confirmed_s, self._ask_agent)
+            record = IdempotencyRecord(self.incarnation_ms)
+            return ServiceBackend(self.name, client, record, self.store.current, check)
+        engine = HttpEngineClient(
+            backend.url,
+            self.incarnation_ms,
+            backend.connect_timeout_ms / 1000,
+            backend.order_timeout_ms / 1000,
+        )
+        setup = EngineSetup(
+            self.name,
+            backend.url,
+            self.address,
+            backend.slots,
+            backend.kept_ms / 1000,
+            backend.link_bytes_per_s,
+            backend.max_transfers,
+        )
+        model = Model()
+        engine_backend = EngineBackend(
+            setup, engine, model.prefill_tokens_per_s, model.step_ms, self._acquire_transfer
+        )
+        self._engine_backend = engine_backend
+        self._role_manager = RoleManager(self.name, engine, engine_backend, self._total_demand)
+        self._threads += [
+            StepReader(engine, engine_backend),
+            Reconciler(engine, engine_backend),
+            self._role_manager,
+        ]
+        return engine_backend
+
+    # --- Life ---
+
+    def start(self) -> None:
+        """Begin to serve."""
+        if self.settings.platform.machine_list_url:
+            interval_s = self.settings.platform.machine_poll_ms / 1000
+            url = self.settings.platform.machine_list_url
+            self._threads.append(MachineWatch(url, interval_s, self._machines_read))
+        self._pause.start()
+        self._watch.start()
+        for thread in self._threads:
+            thread.start()
+        threading.Thread(target=self._check_leases, name="lease check", daemon=True).start()
+        self._listener.start()
+        self._admin.start()
+        _log.info("started", name=self.name, address=self.address, admin=self.admin_address)
+
+    def drain(self, limit_s: float = DRAIN_LIMIT_S) -> bool:
+        """Planned stop: take no new work, let all work in flight end; return whether it did."""
+        self._stopping.set()
+        self.backend.set_leaving(True)
+        _log.info("draining", name=self.name, in_flight=self.backend.in_flight())
+        deadline_s = time.monotonic() + limit_s
+        while self.backend.in_flight() and left_s(deadline_s):
+            time.sleep(DRAIN_POLL_S)
+        return self.backend.in_flight() == 0
+
+    def stop(self) -> None:
+        """Stop at once: leases at this agent end."""
+        self._stopping.set()
+        for thread in [self._watch, *self._threads]:
+            stop: Callable[[], None] = getattr(thread, "stop")  # noqa: B009
+            stop()
+        self._pause.stop()
+        self._listener.close()
+        with self._holders_lock:
+            holders = list(self._holders.values())
+        for holder in holders:
+            holder.stop(block=False)
+        self._peers.stop()
+        self._exchange.stop()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+        self._admin.close()
+
+    def status(self) -> ProcessStatus:
+        """Return what operators see."""
+        stamp = self.store.stamp
+        load = self.backend.load() if stamp.version else None
+        return ProcessStatus(
+            name=self.name,
+            kind="agent",
+            zone=self.settings.process.zone,
+            incarnation=self.incarnation_ms,
+            version=stamp.version,
+            digest=stamp.digest,
+            ready=load is not None and load.ready and not self._stopping.is_set(),
+            stopping=self._stopping.is_set(),
+            in_flight=self.backend.in_flight(),
+            role=load.role if load else "",
+        )
+
+    # --- Frames from peers ---
+
+    def _frame_arrived(self, connection: PeerConnection, frame: Frame) -> None:
+        self.check_pause()
+        with self._holders_lock:
+            holder = self._holders.get(connection.name)
+            if holder is None or not holder.is_alive():
+                holder = LeaseHolder.start(connection.name, self.backend, self, self._workers)
+                self._holders[connection.name] = holder
+        holder.tell(Inbound(connection, frame))
+
+    def _connection_closed(self, connection: PeerConnection) -> None:
+        _log.debug("connection closed", peer=connection.name)
+
+    def _check_leases(self) -> None:
+        """Tell every holder to check its lease, again and again."""
+        while not self._stopping.wait(LEASE_CHECK_S) or self.backend.in_flight():
+            with self._holders_lock:
+                holders = list(self._holders.values())
+            for holder in holders:
+                if holder.is_alive():
+                    holder.tell(LeaseCheck())
+
+    def _paused(self, lost_s: float) -> None:
+        """The process was paused for longer than a lease: act on nothing it believed."""
+        _log.warning("paused", seconds=round(lost_s, 3))
+        self._listener.hang_up_all()
+        with self._holders_lock:
+            holders = list(self._holders.values())
+        for holder in holders:
+            if holder.is_alive():
+                holder.tell(ExpireNow())
+
+    # --- HolderContext and PeerContext ---
+
+    def stamp(self) -> BundleStamp:
+        """Return the stamp of the version in force."""
+        return self.store.stamp
+
+    def incarnation(self) -> int:
+        """Return this agent's incarnation: its start, ms since 1970."""
+        return self.incarnation_ms
+
+    def envelope(self) -> bytes:
+        """Return the signed envelope in force."""
+        return self.store.signed.envelope
+
+    def sections(self, digests: tuple[str, ...]) -> tuple[bytes, ...]:
+        """Return sections by digest."""
+        return self.store.sections(digests)
+
+    def gateway_offered(self, envelope: bytes, connection: PeerConnection) -> None:
+        """Consider an envelope from a gateway."""
+        self._exchange.gateway_offered(envelope, connection)
+
+    def bundle_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
+        """Consider an envelope from another agent."""
+        self._exchange.peer_offered(peer, envelope)
+
+    def sections_arrived(self, contents: tuple[bytes, ...]) -> None:
+        """Take sections that were asked for."""
+        self._exchange.sections_arrived(contents)
+
+    def check_pause(self) -> None:
+        """Handle a pause before acting."""
+        self._pause.check()
+
+    def demand_reported(self, peer: str, prefill: float, decode: float) -> None:
+        """Remember a gateway's demand signal for the role ladder."""
+        self._demand[peer] = (time.monotonic(), DemandSignal(prefill, decode))
+
+    def demand(self) -> DemandSignal:
+        """Agents demand nothing of each other."""
+        return DemandSignal()
+
+    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
+        """Compare versions with another agent."""
+        self._exchange.peer_stamp_seen(peer, stamp)
+
+    def _total_demand(self) -> DemandSignal:
+        """Return the demand of all gateways heard from lately."""
+        horizon = time.monotonic() - self.settings.peers.lease_ms / 1000
+        recent = [signal for at_s, signal in list(self._demand.values()) if at_s >= horizon]
+        return DemandSignal(
+            sum(signal.prefill for signal in recent), sum(signal.decode for signal in recent)
+        )
+
+    # --- Other agents ---
+
+    def _ask_agent(
+        self, name: str, address: str, message: AnyMessage, timeout_s: float
+    ) -> AnyMessage:
+        peer = self._connected_peer(name, address, timeout_s)
+        try:
+            reply: AnyMessage = peer.call(message).result(timeout_s)
+        except TimeoutError:
+            raise PeerTimeout(f"{name} did not answer; look at its logs") from None
+        return reply
+
+    def _connected_peer(self, name: str, address: str, timeout_s: float) -> AgentPeerHandle:
+        """Return the peer, waiting a moment for a new link to come up."""
+        peer = self._peers.get(PeerAddress(name, "", address))
+        deadline_s = time.monotonic() + timeout_s
+        while peer.view.load is None and left_s(deadline_s):
+            time.sleep(0.005)
+        return peer
+
+    def _acquire_transfer(self, order: Decode, patience_s: float) -> Callable[[bool], None]:
+        """Wait for the source's credit. An agent that cannot be asked does not stop a transfer."""
+        patience_s = min(patience_s, TRANSFER_PATIENCE_S)
+        name = order.source_agent
+        try:
+            self._ask_agent(
+                name,
+                name,
+                GrantTransfer(order.attempt, order.handle, order.kv_bytes, int(patience_s * 1000)),
+                patience_s,
+            )
+        except YokedockError as error:
+            _log.info("transfer without credit", attempt=order.attempt, reason=error.code)
+            return lambda imported: None
+        peer = self._peers.get(PeerAddress(name, "", name))
+        done = TransferDone(order.attempt, order.handle, True)
+        return lambda imported: peer.notify(done)
+
+    # --- Bundle and platform ---
+
+    def _adopted(self, bundle: Bundle) -> None:
+        engine = bundle.engines.get(self.name)
+        if engine is None or self._engine_backend is None or self._role_manager is None:
+            return
+        model = bundle.models[engine.model]
+        self._engine_backend.prefills.tokens_per_s = model.prefill_tokens_per_s
+        self._role_manager.set_bundle(bundle)
+
+    def _machines_read(self, machines: dict[str, Machine]) -> None:
+        own = machines.get(self.name)
+        leaving = own is not None and own.state == STATE_LEAVING
+        self.backend.set_leaving(leaving or self._stopping.is_set())
--- /dev/null
+++ b/src/yokedock/process/bundle_files.py
@@ -0,0 +1,74 @@
+"""Signed bundles as files: the form in which operators hand them to the configuration service.
+
+A directory holds ``bundle`` (the envelope) and ``section/DIGEST`` for each section, named as the
+keys under which they are published.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from pathlib import Path
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
+
+from yokedock.errors import BundleInvalid, BundleRejected
+from yokedock.version.bundle import Bundle
+from yokedock.version.bundle_codec import SignedBundle, assemble, open_envelope
+
+ENVELOPE_FILE = "bundle"
+SECTION_DIRECTORY = "section"
+
+
+def write_signed(signed: SignedBundle, directory: Path) -> None:
+    """Write sections first and the envelope last."""
+    sections = directory / SECTION_DIRECTORY
+    sections.mkdir(parents=True, exist_ok=True)
+    for digest, content in signed.sections.items():
+        (sections / digest).write_bytes(content)
+    (directory / ENVELOPE_FILE).write_bytes(signed.envelope)
+
+
+def read_signed(directory: Path) -> SignedBundle:
+    """Read what ``write_signed`` wrote; raises ``BundleInvalid``."""
+    try:
+        envelope = (directory / ENVELOPE_FILE).read_bytes()
+        files = sorted((directory / SECTION_DIRECTORY).iterdir())
+        return SignedBundle(envelope, {file.name: file.read_bytes() for file in files})
+    except OSError as error:
+        message = f"{directory} holds no signed bundle ({error.strerror}); run 'bundle sign' first"
+        raise BundleInvalid(message) from None
+
+
+def open_signed(signed: SignedBundle, key: Ed25519PublicKey) -> Bundle:
+    """Check the signature and return the bundle; raises ``BundleRejected``."""
+    return assemble(open_envelope(signed.envelope, key), signed.sections)
+
+
+def write_private_key(key: Ed25519PrivateKey, file: Path) -> None:
+    """Write a private key that only its owner may read."""
+    file.touch(mode=0o600, exist_ok=False)
+    file.write_text(base64.b64encode(key.private_bytes_raw()).decode() + "\n", encoding="ascii")
+
+
+def read_private_key(file: Path) -> Ed25519PrivateKey:
+    """Read a private key; raises ``BundleInvalid``."""
+    try:
+        return Ed25519PrivateKey.from_private_bytes(base64.b64decode(file.read_text()))
+    except (OSError, ValueError, binascii.Error):
+        message = f"{file} holds no private key; make one with 'bundle keygen'"
+        raise BundleInvalid(message) from None
+
+
+def parse_public_key(text: str) -> Ed25519PublicKey:
+    """Parse a public key in base64; raises ``BundleRejected``."""
+    try:
+        return Ed25519PublicKey.from_public_bytes(base64.b64decode(text, validate=True))
+    except (ValueError, binascii.Error):
+        message = "the public key is not the base64 form of 32 bytes; copy it from the settings"
+        raise BundleRejected(message) from None
+
+
+def public_text(key: Ed25519PublicKey) -> str:
+    """Return a public key as settings name it."""
+    return base64.b64encode(key.public_bytes_raw()).decode()
--- /dev/null
+++ b/src/yokedock/process/metrics.py
@@ -0,0 +1,33 @@
+"""Counters and timings to statsd over UDP; nothing is sent where no address is set."""
+
+from __future__ import annotations
+
+import statsd
+
+from yokedock.process.settings import MetricsSettings
+
+
+class Metrics:
+    """Sends metrics; never waits and never fails."""
+
+    def __init__(self, settings: MetricsSettings) -> None:
+        """Open the UDP socket if an address is set."""
+        self._client: statsd.StatsClient | None = None
+        if settings.statsd:
+            host, _, port = settings.statsd.rpartition(":")
+            self._client = statsd.StatsClient(host, int(port), prefix=settings.prefix)
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(name, value)
+
+    def timing_ms(self, name: str, value: float) -> None:
+        """Report a duration in milliseconds."""
+        if self._client is not None:
+            self._client.timing(name, value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Report a level."""
+        if self._client is not None:
+            self._client.gauge(name, value)
--- /dev/null
+++ b/src/yokedock/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/src/yokedock/request/admission.py
@@ -0,0 +1,92 @@
+"""Who may start a request now: limits of the gateway, of each class and of each tenant."""
+
+from __future__ import annotations
+
+import collections
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from yokedock.errors import ClassLimitReached, GatewayFull, NotReady, TenantLimitReached
+from yokedock.request.context import CallerIdentity
+from yokedock.version.bundle import Bundle
+
+RETRY_AFTER_S = 1.0
+
+
+class Admission:
+    """Counts requests in flight. Safe for use by several threads."""
+
+    def __init__(self, max_in_flight: int) -> None:
+        """Set the limit of the whole gateway."""
+        self._max_in_flight = max_in_flight
+        self._lock = threading.Lock()
+        self._total = 0
+        self._by_tenant: collections.Counter[str] = collections.Counter()
+        self._by_class: collections.Counter[str] = collections.Counter()
+        self._is_closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in flight."""
+        return self._total
+
+    def close(self) -> None:
+        """Admit nothing more: the gateway is stopping."""
+        self._is_closed = True
+
+    @contextmanager
+    def admitted(self, caller: CallerIdentity, bundle: Bundle) -> Iterator[None]:
+        """Hold a place for one request; raises a typed refusal at once when there is none."""
+        self._enter(caller, bundle)
+        try:
+            yield
+        finally:
+            self._leave(caller)
+
+    def _enter(self, caller: CallerIdentity, bundle: Bundle) -> None:
+        tenant_limit = bundle.tenants[caller.tenant].max_in_flight
+        class_limit = caller.request_class.max_in_flight
+        with self._lock:
+            if self._is_closed:
+                raise NotReady("this gateway is stopping; send the request again", RETRY_AFTER_S)
+            if self._total >= self._max_in_flight:
+                raise GatewayFull("this gateway is full; retry later", RETRY_AFTER_S)
+            if self._by_tenant[caller.tenant] >= tenant_limit:
+                message = f"{tenant_limit} requests of this tenant are in flight; retry later"
+                raise TenantLimitReached(message, RETRY_AFTER_S)
+            if self._by_class[caller.class_name] >= class_limit:
+                message = f"{class_limit} requests of this class are in flight; retry later"
+                raise ClassLimitReached(message, RETRY_AFTER_S)
+            self._total += 1
+            self._by_tenant[caller.tenant] += 1
+            self._by_class[caller.class_name] += 1
+
+    def _leave(self, caller: CallerIdentity) -> None:
+        with self._lock:
+            self._total -= 1
+            self._by_tenant[caller.tenant] -= 1
+            self._by_class[caller.class_name] -= 1
+
+
+class RetryBudget:
+    """Allows retries as a share of requests, so that a fault does not multiply the load."""
+
+    def __init__(self, reserve: float = 10.0) -> None:
+        """Start with ``reserve`` retries, which is also the most that can be saved up."""
+        self._most = reserve
+        self._left = reserve
+        self._lock = threading.Lock()
+
+    def request_arrived(self, share: float) -> None:
+        """Earn a share of a retry."""
+        with self._lock:
+            self._left = min(self._most, self._left + share)
+
+    def take(self) -> bool:
+        """Spend one retry; return whether there was one."""
+        with self._lock:
+            if self._left < 1:
+                return False
+            self._left -= 1
+            return True
--- /dev/null
+++ b/src/yokedock/request/prefix.py
@@ -0,0 +1,40 @@
+"""Hashes of prompt prefixes, as engines publish them in their cache events.
+
+A prompt is cut into blocks of ``BLOCK_BYTES``; a block's hash covers the prompt up to the block's
+end, so equal hashes mean equal prefixes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import xxhash
+
+BYTES_PER_TOKEN = 4
+"""Estimate for prompts whose tokens were not counted."""
+BLOCK_TOKENS = 64
+BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+def block_hashes(prompt: str) -> list[int]:
+    """Return the hash of each whole block of the prompt, the shortest prefix first."""
+    data = prompt.encode()
+    state = xxhash.xxh64()
+    hashes = []
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        state.update(data[start : start + BLOCK_BYTES])
+        hashes.append(state.intdigest())
+    return hashes
+
+
+def cached_prefix_blocks(hashes: list[int], is_cached: Callable[[int], bool]) -> int:
+    """Return how many leading blocks are cached."""
+    for position, block in enumerate(hashes):
+        if not is_cached(block):
+            return position
+    return len(hashes)
+
+
+def estimate_tokens(prompt: str) -> int:
+    """Return the estimated number of tokens of a prompt."""
+    return max(1, len(prompt.encode()) // BYTES_PER_TOKEN)
--- /dev/null
+++ b/src/yokedock/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the bundle."""
--- /dev/null
+++ b/src/yokedock_emulator/ledgers.py
@@ -0,0 +1,47 @@
+"""What the stand-ins' ledgers say: the judge of tests, independent of the system's own word."""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokedock.connection.engine_protocol import HeldItem
+
+
+class EngineLedger(msgspec.Struct, frozen=True):
+    """``GET /ledger``: what really happened, for the judge of tests alone."""
+
+    held: tuple[HeldItem, ...]
+    prefill_tokens: int
+    wasted_prefill_tokens: int
+    tokens_out: int
+    requests_started: tuple[str, ...]
+    orders_refused: int
+    seconds_since_last_order: float
+
+
+class HoldOrder(msgspec.Struct, frozen=True):
+    """``POST /test/hold``: hold every request at ``step`` until called with an empty step."""
+
+    step: str
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """One call that a plain service really ran."""
+
+    service: str
+    key: str
+    body: str
+
+
+class ServiceLedger(msgspec.Struct, frozen=True):
+    """``GET /ledger`` of a plain service. ``arrived`` counts calls that reached it."""
+
+    executions: tuple[Execution, ...]
+    arrived: int
+
+
+class PlatformLedger(msgspec.Struct, frozen=True):
+    """``GET /ledger`` of the platform stand-in: reads of the configuration service so far."""
+
+    reads: int
+    watches: int
