--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,30 @@
+"""Starts one deployment for each feature that asks for it, and heals it after each scenario."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from support.deployment import Deployment
+
+DEPLOYMENT_TAG = "deployment"
+NO_FENCING_TAG = "no-fencing"
+
+
+def before_feature(context, feature):
+    context.deployment = None
+    if DEPLOYMENT_TAG in feature.tags:
+        context.deployment = Deployment(checks_fencing=NO_FENCING_TAG not in feature.tags)
+
+
+def after_scenario(context, scenario):
+    if context.deployment is None:
+        return
+    if scenario.status.name in ("failed", "error"):
+        print(context.deployment.recent_logs())
+    context.deployment.heal()
+
+
+def after_feature(context, feature):
+    if context.deployment is not None:
+        context.deployment.close()
--- /dev/null
+++ b/features/support/deployment.py
@@ -0,0 +1,282 @@
+"""A whole deployment as real processes, with a relay before every agent and every engine."""
+
+import hashlib
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+from support.processes import (
+    BIN,
+    Node,
+    Ports,
+    command,
+    new_deployment_key,
+    post_json,
+    read_json,
+    write_ini,
+)
+from support.relay import Relay
+from yokedock.process.admin_http import ProcessStatus
+from yokedock.process.bundle_files import read_private_key, read_signed
+from yokedock_emulator.ledgers import EngineLedger, HoldOrder, ServiceLedger
+from yokedock_emulator.platform import Outage, PublishedValue
+
+MODEL = "hut-7b"
+SERVICE = "stay-confirmation"
+REPEATABLE = "price-list"
+TOKEN = "test-token"
+LEASE_S = 1.5
+READY_LIMIT_S = 30.0
+PREFILL = ("prefill-1", "prefill-2")
+DECODE = ("decode-1", "decode-2")
+HOMES = ("booking-1", "booking-2")
+LISTS = ("prices-1",)
+GATEWAYS = ("gateway-1", "gateway-2")
+
+
+class Deployment:
+    """Stand-ins, agents and gateways of one test worker."""
+
+    def __init__(self, checks_fencing=True, decode_slots=8):
+        self.directory = Path(tempfile.mkdtemp(prefix="yokedock-test-"))
+        self.ports = Ports()
+        self.checks_fencing = checks_fencing
+        self.decode_slots = decode_slots
+        self.deployment_key = new_deployment_key()
+        self.nodes = {}
+        self.urls = {}
+        self.admin = {}
+        self.agent_relays = {}
+        self.transfer_relays = {}
+        self.engine_relays = {}
+        self.version = 0
+        self.signed = None
+        self.key_file = self.directory / "key"
+        self.public_key = command("bundle", "keygen", self.key_file).strip()
+        self._start_all()
+
+    # --- Start ---
+
+    def _start_all(self):
+        self._add_stand_in("platform", ["platform"])
+        for name in (*PREFILL, *DECODE):
+            self._add_stand_in(f"engine {name}", ["engine", *self._engine_options(name)])
+        for name in (*HOMES, *LISTS):
+            self._add_stand_in(f"service {name}", ["service"])
+        for name in (*PREFILL, *DECODE, *HOMES, *LISTS):
+            self._add_agent(name)
+        for name in GATEWAYS:
+            self._add_gateway(name)
+        for node in self.nodes.values():
+            node.start()
+        for node in self.nodes.values():
+            node.wait_up()
+        self.publish()
+        self.wait_ready()
+
+    def _engine_options(self, name):
+        return [
+            "--role",
+            name.split("-")[0],
+            "--slots",
+            str(self.decode_slots),
+            "--step-base-ms",
+            "8",
+            "--prefill-tokens-per-s",
+            "20000",
+            "--checks-fencing" if self.checks_fencing else "--no-checks-fencing",
+        ]
+
+    def _add_stand_in(self, name, arguments):
+        address = self.ports.address()
+        self.urls[name] = f"http://{address}"
+        program = [str(BIN / "yokedock-emulator"), *arguments, "--listen", address]
+        file_name = name.replace(" ", "-")
+        self.nodes[name] = Node(file_name, program, f"http://{address}/ledger", self.directory)
+
+    def _add_agent(self, name):
+        kind = "engine" if name in PREFILL + DECODE else "service"
+        listen, admin = self.ports.address(), self.ports.address()
+        back_end = Relay(self.ports.address(), self.urls[f"{kind} {name}"].removeprefix("http://"))
+        self.engine_relays[name] = back_end
+        self.agent_relays[name] = Relay(self.ports.address(), listen)
+        self.transfer_relays[name] = Relay(self.ports.address(), listen)
+        advertised = self.transfer_relays[name].address
+        sections = {
+            "process": {"name": name, "zone": f"zone-{name[-1]}"},
+            "backend": {
+                "kind": kind,
+                "url": f"http://{back_end.address}",
+                "slots": str(self.decode_slots),
+            },
+            "peers": {**self._peer_options(), "listen": listen, "advertise": advertised},
+        }
+        self._add_daemon(name, "agent", sections, admin)
+
+    def _add_gateway(self, name):
+        listen, admin = self.ports.address(), self.ports.address()
+        self.urls[name] = f"http://{listen}"
+        sections = {
+            "process": {"name": name, "zone": f"zone-{name[-1]}"},
+            "caller": {"listen": listen, "max_in_flight": "64"},
+            "peers": self._peer_options(),
+        }
+        self._add_daemon(name, "gateway", sections, admin)
+
+    def _add_daemon(self, name, kind, sections, admin):
+        sections["admin"] = {"listen": admin}
+        sections["platform"] = {
+            "configuration_url": self.urls["platform"],
+            "machine_list_url": self.urls["platform"],
+            "bundle_public_key": self.public_key,
+            "machine_poll_ms": "200",
+        }
+        settings = write_ini(self.directory / f"{name}.ini", sections)
+        program = [str(BIN / "yokedock"), kind, "--settings", str(settings)]
+        self.admin[name] = admin
+        self.nodes[name] = Node(name, program, f"http://{admin}/health", self.directory)
+
+    def _peer_options(self):
+        return {
+            "deployment_key": self.deployment_key,
+            "heartbeat_ms": "100",
+            "lease_ms": str(int(LEASE_S * 1000)),
+        }
+
+    # --- Bundles ---
+
+    def bundle_sections(self, homes=HOMES):
+        sections = {
+            "limits": {"clock_skew_s": "0.2", "max_attempts": "6", "retry_share": "1"},
+            "class default": {"first_token_ms": "5000"},
+            "tenant tester": {"token_sha256": hashlib.sha256(TOKEN.encode()).hexdigest()},
+            f"model {MODEL}": {"prefill_tokens_per_s": "20000", "step_ms": "10"},
+            f"service {SERVICE}": {"repeatable": "no"},
+            f"service {REPEATABLE}": {"repeatable": "yes"},
+        }
+        for name in (*PREFILL, *DECODE):
+            sections[f"engine {name}"] = {
+                "pool": "main",
+                "zone": f"zone-{name[-1]}",
+                "agent": self.agent_relays[name].address,
+                "role": name.split("-")[0],
+                "model": MODEL,
+            }
+        for name in (*homes, *LISTS):
+            sections[f"replica {name}"] = {
+                "service": SERVICE if name in HOMES else REPEATABLE,
+                "zone": f"zone-{name[-1]}",
+                "agent": self.agent_relays[name].address,
+            }
+        return sections
+
+    def sign(self, version, sections=None):
+        """Sign a version by the command line; return it as it would be published."""
+        source = write_ini(self.directory / f"{version}.ini", sections or self.bundle_sections())
+        out = self.directory / f"signed-{version}"
+        shutil.rmtree(out, ignore_errors=True)
+        arguments = ["bundle", "sign", source, "--version", version, "--key", self.key_file]
+        if self.signed is not None and self.version < version:
+            arguments += ["--previous", self.signed]
+        command(*arguments, "--out", out)
+        return out
+
+    def publish(self, sections=None):
+        """Sign and publish the next version."""
+        out = self.sign(self.version + 1, sections)
+        self.version += 1
+        self.signed = out
+        self.publish_directory(out)
+
+    def publish_directory(self, directory):
+        signed = read_signed(directory)
+        for digest, content in signed.sections.items():
+            self.publish_value(f"section/{digest}", content)
+        self.publish_value("bundle", signed.envelope)
+
+    def publish_value(self, key, content):
+        post_json(f"{self.urls['platform']}/test/publish", PublishedValue(key, content))
+
+    def private_key(self):
+        return read_private_key(self.key_file)
+
+    # --- Looking ---
+
+    def status(self, name):
+        return read_json(f"http://{self.admin[name]}/status", ProcessStatus)
+
+    def ledger(self, name):
+        """Return what a stand-in says really happened."""
+        kind = EngineLedger if name.startswith("engine ") else ServiceLedger
+        return read_json(f"{self.urls[name]}/ledger", kind)
+
+    def engine_names(self):
+        return [f"engine {name}" for name in (*PREFILL, *DECODE)]
+
+    def hold(self, step, kind="engine "):
+        """Hold every stand-in of a kind at a step; the empty step lets all go on."""
+        for name, url in self.urls.items():
+            if name.startswith(kind) and self.nodes[name].is_alive():
+                post_json(f"{url}/test/hold", HoldOrder(step))
+
+    def set_outage(self, **what):
+        post_json(f"{self.urls['platform']}/test/outage", Outage(**what))
+
+    def daemons(self):
+        return [*PREFILL, *DECODE, *HOMES, *LISTS, *GATEWAYS]
+
+    def wait_ready(self, names=None):
+        """Wait until the gateways see every agent ready under the version in force."""
+        self.wait_for(lambda: all(map(self._sees_all, names or GATEWAYS)), READY_LIMIT_S, "ready")
+
+    def _sees_all(self, gateway):
+        status = self.status(gateway)
+        peers = [p for p in status.peers if p.connected and p.ready and p.version == self.version]
+        return status.ready and status.version == self.version and len(peers) == len(status.peers)
+
+    def wait_for(self, condition, limit_s, what):
+        give_up = time.monotonic() + limit_s
+        while time.monotonic() < give_up:
+            if condition():
+                return
+            time.sleep(0.02)
+        raise AssertionError(f"not {what} after {limit_s} s\n{self.recent_logs()}")
+
+    def recent_logs(self):
+        """Return the last lines of every log, for a failing scenario's report."""
+        tails = []
+        for node in self.nodes.values():
+            lines = [line[:400] for line in node.log_text().splitlines()[-6:]]
+            tails.append(f"--- {node.name}\n" + "\n".join(lines))
+        return "\n".join(tails)
+
+    # --- Healing and end ---
+
+    def heal(self):
+        """Undo every fault, start what is down, and wait until all is ready."""
+        for relays in (self.agent_relays, self.transfer_relays, self.engine_relays):
+            for relay in relays.values():
+                relay.heal()
+        down = [node for node in self.nodes.values() if not node.is_alive()]
+        for node in self.nodes.values():
+            if node.is_alive():
+                node.thaw()
+        for node in down:
+            node.start()
+        for node in down:
+            node.wait_up()
+        if any(node.name == "platform" for node in down):
+            self.publish_directory(self.signed)
+        self.set_outage()
+        self.hold("")
+        self.hold("", "service ")
+        self.wait_ready()
+
+    def close(self):
+        for node in self.nodes.values():
+            node.kill()
+        for relays in (self.agent_relays, self.transfer_relays, self.engine_relays):
+            for relay in relays.values():
+                relay.close()
+        shutil.rmtree(self.directory, ignore_errors=True)
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -118,7 +118,7 @@
         setup = EngineSetup(
             self.name,
             backend.url,
-            self.address,
+            self.settings.peers.advertise or self.address,
             backend.slots,
             backend.kept_ms / 1000,
             backend.link_bytes_per_s,
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -50,6 +50,7 @@
     """Links between the system's processes."""
 
     listen: str = option("agent only: address for peers, IP:port", "", None)
+    advertise: str = option("agent only: address other agents dial; empty: the listen one", "")
     deployment_key: str = option("base64 of 32 random bytes; may be empty on loopback only", "")
     heartbeat_ms: int = option("interval of heartbeats, ms", 1000, between(20, 60_000))
     lease_ms: int = option("how long a lease lasts, ms", 3000, between(60, 600_000))
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -41,6 +41,14 @@
 FINISHED_KEPT_S = 5.0
 STEP_QUEUE_LENGTH = 1000
 IDLE_LINE_S = 0.5
+HOLD_POLL_S = 0.005
+HOLD_PREFILLING = "prefilling"
+HOLD_PREFILLED = "prefilled"
+HOLD_TRANSFERRING = "transferring"
+HOLD_FIRST_TOKEN = "first-token"
+HOLD_DECODING = "decoding"
+HOLD_RELEASING = "releasing"
+TOKENS_BEFORE_DECODING_HOLD = 5
 
 
 class OrderRefused(YokedockError):
@@ -181,7 +189,7 @@
             if export is None or export.is_pulling:
                 raise Gone("the KV cache is not kept here any more; prefill again")
             export.is_pulling = True
-        self._wait_while_held("transferring")
+        self._wait_while_held(HOLD_TRANSFERRING, export.wanted)
         size = export.tokens * self.profile.kv_bytes_per_token
         arrived = self.link.transfer(size, export.wanted)
         with self._lock:
@@ -232,6 +240,9 @@
 
     def cancel(self, request: str) -> None:
         """End everything that runs or is held for a request."""
+        stream = self._streams.get(request)
+        if stream is not None and stream.finish:
+            self._wait_while_held(HOLD_RELEASING)
         with self._lock:
             job = self._prefills.pop(request, None)
             if job is not None:
@@ -329,7 +340,7 @@
         prompt = job.order.prompt
         total = count_tokens(prompt)
         cached = min(self._cache.cached_tokens(prompt), total - 1)
-        self._wait_while_held("prefilling", job.wanted)
+        self._wait_while_held(HOLD_PREFILLING, job.wanted)
         done = 0
         chunk = max(1, int(self.profile.prefill_tokens_per_s * PREFILL_CHUNK_S))
         while done < total - cached and job.wanted.is_set():
@@ -350,6 +361,7 @@
             self._exports[handle] = _Export(
                 job.order.request, handle, total, done, expires, job.wanted
             )
+        self._wait_while_held(HOLD_PREFILLED, job.wanted)
         size = total * self.profile.kv_bytes_per_token
         job.finished.put(PrefillResult(handle, total, cached, size, self.profile.kept_ms))
 
@@ -366,10 +378,19 @@
                 continue
             step_ms = self.profile.step_base_ms + self.profile.step_per_stream_ms * len(running)
             time.sleep(step_ms / 1000)
-            if self._held_step == "decoding" and any(s.tokens for s in running):
-                self._wait_while_held("decoding")
+            self._hold_streams(running)
             self._emit_step(running)
 
+    def _hold_streams(self, running: list[_Stream]) -> None:
+        """Hold the decode loop while a stream stands at the step that a test chose."""
+        least = {HOLD_FIRST_TOKEN: 1, HOLD_DECODING: TOKENS_BEFORE_DECODING_HOLD}
+        while (tokens := least.get(self._held_step)) is not None:
+            if not any(tokens <= len(s.tokens) for s in running if not s.finish):
+                return
+            if not any(s.order.request in self._streams for s in running):
+                return
+            time.sleep(HOLD_POLL_S)
+
     def _emit_step(self, running: list[_Stream]) -> None:
         tokens = []
         with self._lock:
@@ -431,4 +452,4 @@
 
     def _wait_while_held(self, step: str, wanted: threading.Event | None = None) -> None:
         while self._held_step == step and (wanted is None or wanted.is_set()):
-            time.sleep(0.005)
+            time.sleep(HOLD_POLL_S)
