Fault matrix (first form), bench of the path, slopes tool

Cause: the promises need a proof under every fault at every step.

Change: generated outlines of 8 steps x 38 faults of model requests and 4 steps x 22 faults of service calls, judged by ledgers; tools that measure path cost and slopes (not run yet). A daemon ends at once after its planned stop: before, workers waiting for a dead back end kept the process alive, and its pause detector, already stopped, reported 407 pauses.

--- a/features/run_features.py
+++ b/features/run_features.py
@@ -13,7 +13,8 @@
 
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
-WORKERS = 4
+LOGS = HERE.parent / "build" / "test-logs"
+WORKERS = 5
 FIRST_PORT = 11000
 PORTS_A_FEATURE = 200
 FEATURE_LIMIT_S = 3000
@@ -29,19 +30,21 @@
         **os.environ,
         "YOKEDOCK_TEST_PORT_BASE": str(FIRST_PORT + number * PORTS_A_FEATURE),
     }
+    log = LOGS / f"{path.stem}.log"
     try:
-        done = subprocess.run(
-            command,
-            cwd=HERE,
-            env=environment,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            timeout=FEATURE_LIMIT_S,
-        )
-        output, crashed = done.stdout, done.returncode not in (0, 1)
-    except subprocess.TimeoutExpired as error:
-        output, crashed = str(error.stdout), True
+        with log.open("w") as output_file:
+            done = subprocess.run(
+                command,
+                cwd=HERE,
+                env=environment,
+                stdout=output_file,
+                stderr=subprocess.STDOUT,
+                timeout=FEATURE_LIMIT_S,
+            )
+        crashed = done.returncode not in (0, 1)
+    except subprocess.TimeoutExpired:
+        crashed = True
+    output = log.read_text(errors="replace")
     passed, failed = read_report(report)
     if crashed or not passed + len(failed):
         failed.append(f"{path.name}: the run itself failed")
@@ -76,6 +79,7 @@
     names = sys.argv[1:]
     features = sorted(HERE.glob("*.feature"))
     chosen = [path for path in features if not names or path.stem in names]
+    LOGS.mkdir(parents=True, exist_ok=True)
     with ThreadPoolExecutor(WORKERS) as workers:
         results = list(workers.map(run_feature, enumerate(chosen)))
     passed, failed, red = 0, [], known_red()
--- /dev/null
+++ b/features/steps/matrix_steps.py
@@ -0,0 +1,204 @@
+from behave import given, then, when
+from support.caller import ServiceCaller, StreamCaller
+from support.deployment import DECODE, HOMES, PREFILL, SERVICE
+from support.faults import Cell, strike
+from support.judge import (
+    assert_answered_once,
+    assert_no_new_work,
+    assert_not_run_is_true,
+    assert_nothing_held,
+    assert_version_everywhere,
+    executions_of,
+)
+
+TOKENS = 30
+PROMPT = "Describe the ridge route between hut 7 and hut 9 for {}. "
+GATEWAY, OTHER_GATEWAY = "gateway-1", "gateway-2"
+MODEL_HOLDS = {
+    "prefilling": "prefilling",
+    "prefilled": "prefilled",
+    "transferring": "transferring",
+    "first token out": "first-token",
+    "decoding": "decoding",
+    "releasing": "releasing",
+}
+EVENTS_BEFORE = {"first token out": 1, "decoding": 5}
+
+
+@given("a model request at the step {step}")
+def model_request_at(context, step):
+    deployment = context.deployment
+    context.go_on = lambda: deployment.hold("")
+    if step == "admitted":
+        hold_relays(context, DECODE)
+    elif step == "reserved":
+        hold_relays(context, PREFILL)
+    else:
+        deployment.hold(MODEL_HOLDS[step])
+    context.request_id = f"cell-{deployment.version}-{id(context)}"
+    prompt = PROMPT.format(context.request_id) * 8
+    url = deployment.urls[GATEWAY]
+    headers = {"X-Request-Id": context.request_id}
+    caller = StreamCaller(url, prompt, TOKENS, headers)
+    wait_for_step(context, caller, step)
+    context.cell = Cell(deployment, GATEWAY, caller)
+
+
+def hold_relays(context, names):
+    relays = [context.deployment.agent_relays[name] for name in names]
+    for relay in relays:
+        relay.hold("forth")
+
+    def go_on():
+        for relay in relays:
+            relay.heal()
+
+    context.go_on = go_on
+
+
+def wait_for_step(context, caller, step):
+    deployment = context.deployment
+    if step in EVENTS_BEFORE:
+        caller.wait_events(EVENTS_BEFORE[step])
+        return
+    if step == "releasing":
+        caller.wait()
+        return
+    if step in ("admitted", "reserved"):
+        wait_in_flight(deployment)
+        return
+    kinds = {"prefilling": "prefill", "prefilled": "export", "transferring": "import"}
+    deployment.wait_for(lambda: kinds[step] in held_kinds(deployment), 10.0, f"at step {step}")
+
+
+def wait_in_flight(deployment):
+    deployment.wait_for(lambda: deployment.status(GATEWAY).in_flight, 10.0, "admitted")
+
+
+def held_kinds(deployment):
+    return {
+        item.kind for name in deployment.engine_names() for item in deployment.ledger(name).held
+    }
+
+
+@when("the fault strikes: {fault}")
+def fault_strikes(context, fault):
+    strike(context.cell, fault, context.go_on)
+
+
+@then("the caller has {what}")
+def caller_has(context, what):
+    caller = context.cell.caller.wait()
+    detail = f"{caller.status} {caller.data[-400:]!r} {caller.error}"
+    if what == "the whole answer":
+        assert caller.is_whole(), detail
+    elif what == "one final answer":
+        assert_answered_once(caller)
+    else:
+        assert what == "left", what
+        assert caller.is_prefix(), detail
+
+
+@then("the judge finds nothing wrong")
+def judge(context):
+    deployment = context.deployment
+    assert_nothing_held(deployment)
+    assert_not_run_is_true(deployment, context.cell.caller, context.request_id)
+    assert_version_everywhere(deployment)
+    leaving = getattr(context.cell, "leaving", None)
+    if leaving:
+        assert_no_new_work(context, leaving)
+
+
+# --- Calls that may not be repeated ---
+
+
+@given("a service call at the step {step}")
+def service_call_at(context, step):
+    deployment = context.deployment
+    context.go_on = lambda: deployment.hold("", "service ")
+    if step == "admitted":
+        hold_relays(context, HOMES)
+    elif step == "sent":
+        hold_engine_relays(context)
+    else:
+        deployment.hold(step, "service ")
+    url = deployment.urls[GATEWAY]
+    caller = ServiceCaller(url, SERVICE, b"confirm")
+    context.key, context.request_id = caller.key, ""
+    if step in ("admitted", "sent"):
+        wait_in_flight(deployment)
+    if step in ("executing", "executed"):
+        wait_arrived(context, step)
+    context.cell = Cell(deployment, GATEWAY, caller)
+
+
+def hold_engine_relays(context):
+    relays = [context.deployment.engine_relays[name] for name in HOMES]
+    for relay in relays:
+        relay.hold("forth")
+
+    def go_on():
+        for relay in relays:
+            relay.heal()
+
+    context.go_on = go_on
+
+
+def wait_arrived(context, step):
+    deployment = context.deployment
+    if step == "executed":
+        condition = lambda: executions_of(deployment, context.key)  # noqa: E731
+    else:
+        before = sum(deployment.ledger(f"service {name}").arrived for name in HOMES)
+        condition = lambda: before <= arrived(deployment) and busy_home(deployment)  # noqa: E731
+    deployment.wait_for(condition, 10.0, step)
+
+
+def arrived(deployment):
+    return sum(deployment.ledger(f"service {name}").arrived for name in HOMES)
+
+
+def busy_home(deployment):
+    return any(deployment.status(name).in_flight for name in HOMES)
+
+
+@when("the caller repeats the call through another gateway during the fault: {fault}")
+def repeat_during(context, fault):
+    url = context.deployment.urls[OTHER_GATEWAY]
+    context.repeats = []
+
+    def go_on():
+        context.repeats.append(ServiceCaller(url, SERVICE, b"confirm", context.key))
+        context.go_on()
+
+    strike(context.cell, fault, go_on)
+
+
+@when("repeats it again after the fault")
+def repeat_after(context):
+    url = context.deployment.urls[OTHER_GATEWAY]
+    for caller in context.repeats:
+        caller.wait()
+    context.repeats.append(ServiceCaller(url, SERVICE, b"confirm", context.key).wait())
+
+
+@then("the call ran at most once and every answer tells the truth")
+def at_most_once(context):
+    callers = [context.cell.caller.wait(), *context.repeats]
+    runs = executions_of(context.deployment, context.key)
+    detail = [(c.status, c.data[:200], c.error) for c in callers]
+    assert len(runs) <= 1, (runs, detail)
+    done = [caller for caller in callers if caller.status == 200]
+    assert not done or len(runs) == 1, (runs, detail)
+    assert len({caller.data for caller in done}) <= 1, detail
+    told = [caller.outcome() for caller in callers if caller.status not in (None, 200)]
+    if told and len(told) == len(callers) and set(told) == {"not_run"}:
+        assert not runs, (runs, detail)
+    assert_version_everywhere(context.deployment)
+
+
+@then("the last repeat got the answer")
+def last_repeat(context):
+    last = context.repeats[-1]
+    assert last.status == 200, (last.status, last.data)
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -7,20 +7,19 @@
 from pathlib import Path
 
 from support.processes import (
-    BIN,
-    Node,
-    Ports,
     command,
     new_deployment_key,
     post_json,
     read_json,
-    write_ini,
+    worker_ports,
 )
 from support.relay import Relay
+from yokedock.connection.machine_list import MachineList
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_files import read_private_key, read_signed
-from yokedock_emulator.ledgers import EngineLedger, HoldOrder, ServiceLedger
+from yokedock_emulator.ledgers import EngineLedger, HoldOrder, LinkState, ServiceLedger
 from yokedock_emulator.platform import Outage, PublishedValue
+from yokedock_emulator.process_group import Node, program, write_ini
 
 MODEL = "hut-7b"
 SERVICE = "stay-confirmation"
@@ -40,7 +39,7 @@
 
     def __init__(self, checks_fencing=True, decode_slots=8):
         self.directory = Path(tempfile.mkdtemp(prefix="yokedock-test-"))
-        self.ports = Ports()
+        self.ports = worker_ports()
         self.checks_fencing = checks_fencing
         self.decode_slots = decode_slots
         self.deployment_key = new_deployment_key()
@@ -91,9 +90,9 @@
     def _add_stand_in(self, name, arguments):
         address = self.ports.address()
         self.urls[name] = f"http://{address}"
-        program = [str(BIN / "yokedock-emulator"), *arguments, "--listen", address]
+        command_line = [program("yokedock-emulator"), *arguments, "--listen", address]
         file_name = name.replace(" ", "-")
-        self.nodes[name] = Node(file_name, program, f"http://{address}/ledger", self.directory)
+        self.nodes[name] = Node(file_name, command_line, f"http://{address}/ledger", self.directory)
 
     def _add_agent(self, name):
         kind = "engine" if name in PREFILL + DECODE else "service"
@@ -133,9 +132,9 @@
             "machine_poll_ms": "200",
         }
         settings = write_ini(self.directory / f"{name}.ini", sections)
-        program = [str(BIN / "yokedock"), kind, "--settings", str(settings)]
+        command_line = [program("yokedock"), kind, "--settings", str(settings)]
         self.admin[name] = admin
-        self.nodes[name] = Node(name, program, f"http://{admin}/health", self.directory)
+        self.nodes[name] = Node(name, command_line, f"http://{admin}/health", self.directory)
 
     def _peer_options(self):
         return {
@@ -220,6 +219,12 @@
             if name.startswith(kind) and self.nodes[name].is_alive():
                 post_json(f"{url}/test/hold", HoldOrder(step))
 
+    def stall(self, is_stalled):
+        """Let the engines' links stand still, or go on."""
+        for name in self.engine_names():
+            if self.nodes[name].is_alive():
+                post_json(f"{self.urls[name]}/test/link", LinkState(is_stalled))
+
     def set_outage(self, **what):
         post_json(f"{self.urls['platform']}/test/outage", Outage(**what))
 
@@ -271,8 +276,14 @@
         self.set_outage()
         self.hold("")
         self.hold("", "service ")
+        self.stall(False)
+        post_json(f"{self.urls['platform']}/test/machines", MachineList(()))
+        self.wait_for(lambda: not self._is_any_leaving(), READY_LIMIT_S, "live again")
         self.wait_ready()
 
+    def _is_any_leaving(self):
+        return any(peer.leaving for peer in self.status(GATEWAYS[0]).peers)
+
     def close(self):
         for node in self.nodes.values():
             node.kill()
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import threading
@@ -76,6 +77,9 @@
         pass
     daemon.stop()
     _log.info("stopped")
+    # Workers may still wait for a back end that does not answer; nothing waits for them any more.
+    sys.stderr.flush()
+    os._exit(0)
 
 
 @app.command
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import cyclopts
+import msgspec
 
 from yokedock.process.bundle_files import read_signed
 from yokedock.process.cli import run_app
@@ -36,6 +37,7 @@
     kept_ms: int = 3000,
     link_bytes_per_s: float = 2e9,
     checks_fencing: bool = True,
+    clock_tokens: bool = False,
 ) -> None:
     """Run a model engine."""
     from yokedock_emulator.model_engine import EngineProfile
@@ -50,6 +52,7 @@
         kept_ms=kept_ms,
         link_bytes_per_s=link_bytes_per_s,
         checks_fencing=checks_fencing,
+        clock_tokens=clock_tokens,
     )
     _serve("engine", ModelEngineServer(profile, listen).url).wait()
 
@@ -86,6 +89,59 @@
             published = signed.envelope
 
 
+@app.command
+def stream_load(
+    address: str,
+    *,
+    streams: int,
+    token: str,
+    model: str,
+    max_tokens: int = 4096,
+    opening_s: float = 4.0,
+    settle_s: float = 2.0,
+    window_s: float = 6.0,
+) -> None:
+    """Open many streams at a gateway (ADDRESS) and report the age of tokens as JSON."""
+    from yokedock_emulator.stream_load import StreamLoad
+
+    load = StreamLoad(address, token, model, max_tokens)
+    report = load.run(streams, opening_s, settle_s, window_s)
+    load.close()
+    print(msgspec.json.encode(report).decode())
+
+
+@app.command(name="path-cost")
+def path_cost(*, streams: str = "50,100,200,300,400,500", out: Path | None = None) -> None:
+    """Measure what one gateway costs, over several numbers of STREAMS."""
+    from yokedock_emulator.path_cost import measure_path_cost
+
+    measure_path_cost([int(count) for count in streams.split(",")], out)
+
+
+@app.command
+def slopes(*, out: Path | None = None) -> None:
+    """Measure the slopes on which docs/CAPACITY.md is built."""
+    from yokedock_emulator.slopes import measure_slopes
+
+    measure_slopes(out)
+
+
+@app.command(name="hollow-agents")
+def hollow_agents(*, count: int) -> None:
+    """Run COUNT agents without back ends in one process, and print their addresses."""
+    from yokedock_emulator.hollow import run_hollow_agents
+
+    run_hollow_agents(count)
+
+
+@app.command(name="hollow-gateways")
+def hollow_gateways(address: str, *, count: int, heartbeat_ms: int = 1000) -> None:
+    """Run the links of COUNT gateways to one agent (ADDRESS) in one process."""
+    from yokedock_emulator.hollow import run_hollow_gateways
+
+    run_hollow_gateways(address, count, heartbeat_ms)
+
+
 def main() -> None:
     """Entry point of ``yokedock-emulator``."""
     run_app(app)
--- a/src/yokedock_emulator/ledgers.py
+++ b/src/yokedock_emulator/ledgers.py
@@ -25,6 +25,12 @@
     step: str
 
 
+class LinkState(msgspec.Struct, frozen=True):
+    """``POST /test/link``: let an engine's link stand still, or go on."""
+
+    is_stalled: bool
+
+
 class Execution(msgspec.Struct, frozen=True):
     """One call that a plain service really ran."""
 
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -82,6 +82,8 @@
     cache_event_gap_share: float = 0.02
     load_lag_ms: float = 500.0
     checks_fencing: bool = True
+    clock_tokens: bool = False
+    """Make each token's text the time at which it was made, for measuring what it goes through."""
 
 
 class _Prefill:
@@ -400,6 +402,8 @@
                     continue
                 sequence = order.first_sequence + len(stream.tokens)
                 token = stream.source.next_token()
+                if self.profile.clock_tokens:
+                    token = f"@{time.monotonic_ns() // 1000}"
                 stream.tokens.append(token)
                 if len(stream.tokens) >= order.max_tokens:
                     stream.finish = "length"
--- a/src/yokedock_emulator/model_engine_http.py
+++ b/src/yokedock_emulator/model_engine_http.py
@@ -18,7 +18,7 @@
 )
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.errors import BadRequest
-from yokedock_emulator.ledgers import HoldOrder
+from yokedock_emulator.ledgers import HoldOrder, LinkState
 from yokedock_emulator.model_engine import EngineProfile, Gone, ModelEngine
 
 PULL_TIMEOUT_S = 30.0
@@ -46,6 +46,7 @@
         router.add("GET", "/v1/cache-events", self._cache_events)
         router.add("GET", "/ledger", lambda request: HttpResponse.of(self.engine.ledger()))
         router.add("POST", "/test/hold", self._hold)
+        router.add("POST", "/test/link", self._link)
         self._server = HttpServer(router, address, HTTP_THREADS)
         self.url = self._server.url
         self._server.start()
@@ -114,6 +115,10 @@
     def _cache_events(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse.of(self.engine.cache_events(int(request.query("after", "0"))))
 
+    def _link(self, request: HttpRequest) -> HttpResponse:
+        self.engine.link.is_stalled = request.json(LinkState).is_stalled
+        return HttpResponse.of(None)
+
     def _hold(self, request: HttpRequest) -> HttpResponse:
         self.engine.hold_at(request.json(HoldOrder).step)
         return HttpResponse.of(None)
--- /dev/null
+++ b/src/yokedock_emulator/process_group.py
@@ -0,0 +1,146 @@
+"""Starts and ends real processes of one deployment, for tests and benches.
+
+The system itself starts no process; this is the operator's hand in an emulation.
+"""
+
+from __future__ import annotations
+
+import configparser
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import urllib3
+
+from yokedock.errors import YokedockError
+
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 30.0
+POLL_S = 0.02
+CLOCK_TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class ProcessNotUp(YokedockError):
+    """A process did not start to answer in time."""
+
+    code = "process_not_up"
+
+
+class Ports:
+    """Hands out free ports below the ephemeral range, so that a restart finds its port free."""
+
+    def __init__(self, first: int) -> None:
+        """Start above ``first``."""
+        self._next = first
+
+    def address(self) -> str:
+        """Return a loopback address with a free port."""
+        while True:
+            self._next += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", self._next))
+                except OSError:
+                    continue
+            return f"127.0.0.1:{self._next}"
+
+
+def program(name: str) -> str:
+    """Return the path of a console script of this installation."""
+    return str(Path(sys.executable).parent / name)
+
+
+def write_ini(path: Path, sections: dict[str, dict[str, str]]) -> Path:
+    """Write an INI file and return its path."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict(sections)
+    with path.open("w", encoding="utf-8") as file:
+        parser.write(file)
+    return path
+
+
+class Node:
+    """One process that can be started again with the same arguments."""
+
+    def __init__(
+        self, name: str, arguments: Sequence[str], health_url: str, directory: Path
+    ) -> None:
+        """Prepare the process; it is up once ``health_url`` answers."""
+        self.name = name
+        self._arguments = list(arguments)
+        self._health_url = health_url
+        self._log = directory / f"{name}.log"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> subprocess.Popen[bytes]:
+        """Return the process; raises ``ProcessNotUp`` before the first start."""
+        if self.process is None:
+            raise ProcessNotUp(f"{self.name} was never started; call start first")
+        return self.process
+
+    def start(self) -> None:
+        """Start the process."""
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(self._arguments, stdout=log, stderr=log)
+
+    def wait_up(self) -> None:
+        """Wait until the process answers; raises ``ProcessNotUp``."""
+        give_up_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < give_up_s and self.is_alive():
+            if self._answers():
+                return
+            time.sleep(POLL_S)
+        raise ProcessNotUp(f"{self.name} did not start:\n{self.log_text()[-3000:]}")
+
+    def _answers(self) -> bool:
+        try:
+            urllib3.request("GET", self._health_url, timeout=1.0, retries=False)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    def is_alive(self) -> bool:
+        """Return whether the process runs (a frozen one does)."""
+        return self.process is not None and self.process.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.is_alive():
+            self.running.kill()
+            self.running.wait()
+
+    def freeze(self) -> None:
+        """Stop the process until ``thaw``."""
+        self.running.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.running.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask for a planned stop."""
+        self.running.send_signal(signal.SIGTERM)
+
+    def wait_exit(self) -> int:
+        """Wait for the end of the process; return its exit status."""
+        return self.running.wait(STOP_LIMIT_S)
+
+    def log_text(self) -> str:
+        """Return everything the process has logged."""
+        return self._log.read_text(errors="replace") if self._log.exists() else ""
+
+    def processor_s(self) -> float:
+        """Return the processor time used so far, seconds (Linux: /proc/PID/stat)."""
+        fields = Path(f"/proc/{self.running.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_A_SECOND
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory, bytes (Linux: /proc/PID/statm)."""
+        return int(Path(f"/proc/{self.running.pid}/statm").read_text().split()[1]) * PAGE_BYTES
