--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -27,7 +27,12 @@
 from yokedock.process.settings import GatewaySettings, bundle_key, deployment_key
 from yokedock.request.admission import Admission, RetryBudget
 from yokedock.request.model_request import DemandMeter, ModelRequests
-from yokedock.request.placement import CorrectedLoadPolicy, PlacementPolicy
+from yokedock.request.placement import (
+    CorrectedLoadPolicy,
+    LeastLoadedPolicy,
+    PlacementPolicy,
+    RoundRobinPolicy,
+)
 from yokedock.request.service_request import ServiceRequests
 from yokedock.request.watchdog import Watchdog
 from yokedock.version.bundle import Bundle
@@ -72,7 +77,7 @@
         self.models = ModelRequests(
             self.store,
             self._peers_of_model,
-            policy or CorrectedLoadPolicy(settings.process.zone),
+            policy or make_policy(settings),
             budget,
             self.histograms,
             self._demand_meter,
@@ -262,6 +267,21 @@
         ]
 
 
+def make_policy(settings: GatewaySettings) -> PlacementPolicy:
+    """Return the placement policy that the settings name."""
+    placement = settings.placement
+    if placement.policy == "least_loaded":
+        return LeastLoadedPolicy()
+    if placement.policy == "round_robin":
+        return RoundRobinPolicy()
+    return CorrectedLoadPolicy(
+        settings.process.zone,
+        reserves=placement.reserve,
+        uses_prefix=placement.prefix_affinity,
+        corrects=placement.correct_load,
+    )
+
+
 def _peer_status(peer: AgentPeerHandle) -> PeerStatus:
     load = peer.view.load
     if load is None:
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -68,6 +68,20 @@
     watch_ms: int = option("how long one watch waits, ms", 30_000, between(50, 300_000))
 
 
+@dataclasses.dataclass(frozen=True)
+class PlacementSettings:
+    """How a gateway chooses engines. The switches exist to measure what each mechanism brings."""
+
+    policy: str = option(
+        "corrected_load (the product's), least_loaded or round_robin (baselines)",
+        "corrected_load",
+        one_of("corrected_load", "least_loaded", "round_robin"),
+    )
+    reserve: bool = option("reserve decode room before prefill", True)
+    prefix_affinity: bool = option("prefer engines that cache the prompt's prefix", True)
+    correct_load: bool = option("add what was sent since an engine's last report", True)
+
+
 @dataclasses.dataclass(frozen=True)
 class MetricsSettings:
     """Where metrics go."""
@@ -108,6 +122,7 @@
     platform: PlatformSettings
     metrics: MetricsSettings
     log: LogSettings
+    placement: PlacementSettings = dataclasses.field(default_factory=PlacementSettings)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,9 +146,10 @@
     "peers": PeerSettings,
     "platform": PlatformSettings,
     "metrics": MetricsSettings,
+    "placement": PlacementSettings,
     "log": LogSettings,
 }
-_OPTIONAL = frozenset({"admin", "peers", "metrics", "log"})
+_OPTIONAL = frozenset({"admin", "peers", "metrics", "placement", "log"})
 
 
 def read_gateway_settings(path: Path) -> GatewaySettings:
--- a/src/yokedock/request/placement.py
+++ b/src/yokedock/request/placement.py
@@ -97,10 +97,19 @@
 class CorrectedLoadPolicy(PlacementPolicy):
     """The product's policy: corrected load, cached prefix, own zone first, random ties."""
 
-    def __init__(self, zone: str, seed: int | None = None) -> None:
-        """``zone`` is the gateway's own."""
+    def __init__(
+        self,
+        zone: str,
+        reserves: bool = True,
+        uses_prefix: bool = True,
+        corrects: bool = True,
+    ) -> None:
+        """``zone`` is the gateway's own; the switches turn single mechanisms off."""
         self._zone = zone
-        self._random = random.Random(seed)
+        self.reserves = reserves
+        self._uses_prefix = uses_prefix
+        self._corrects = corrects
+        self._random = random.Random()
         self._slots_sent = SentSinceReport()
         self._tokens_sent = SentSinceReport()
 
@@ -117,11 +126,13 @@
 
     def decode_sent(self, peer: AgentPeerHandle) -> None:
         """Note that a stream was placed on the peer."""
-        self._slots_sent.add(peer, 1)
+        if self._corrects:
+            self._slots_sent.add(peer, 1)
 
     def prefill_sent(self, peer: AgentPeerHandle, tokens: int) -> None:
         """Note that a prefill was placed on the peer."""
-        self._tokens_sent.add(peer, tokens)
+        if self._corrects:
+            self._tokens_sent.add(peer, tokens)
 
     def _fullness(self, peer: AgentPeerHandle) -> float:
         load = peer.view.load
@@ -132,7 +143,9 @@
         return taken / load.slots + penalty
 
     def _finish_s(self, peer: AgentPeerHandle, blocks: list[int], tokens: int) -> float:
-        cached = cached_prefix_blocks(blocks, peer.view.caches) * BLOCK_TOKENS
+        cached = 0
+        if self._uses_prefix:
+            cached = cached_prefix_blocks(blocks, peer.view.caches) * BLOCK_TOKENS
         uncached = max(1, tokens - cached)
         penalty = 0.0 if peer.view.zone == self._zone else OTHER_ZONE_PENALTY_S
         return predict_prefill_s(peer, uncached, self._tokens_sent.amount(peer)) + penalty
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -33,6 +33,7 @@
     role: str = "decode",
     slots: int = 32,
     step_base_ms: float = 15.0,
+    step_per_stream_ms: float = 0.2,
     prefill_tokens_per_s: float = 8000.0,
     kept_ms: int = 3000,
     link_bytes_per_s: float = 2e9,
@@ -48,6 +49,7 @@
         role=role,
         slots=slots,
         step_base_ms=step_base_ms,
+        step_per_stream_ms=step_per_stream_ms,
         prefill_tokens_per_s=prefill_tokens_per_s,
         kept_ms=kept_ms,
         link_bytes_per_s=link_bytes_per_s,
@@ -126,6 +128,42 @@
     measure_slopes(out)
 
 
+@app.command
+def experiment(
+    *,
+    users: str = "jabal-rest,tinlliw",
+    policies: str = "corrected_load,least_loaded,round_robin",
+    loads: str = "0.7,1.0,1.3",
+    seeds: str = "1",
+    duration_s: float = 30.0,
+    out: Path | None = None,
+) -> None:
+    """Run policies side by side for both users and report goodput and wasted prefill."""
+    from yokedock_emulator.experiment import ExperimentPlan, check_plan
+    from yokedock_emulator.experiment_suite import run_suite
+
+    plans = [
+        ExperimentPlan(user, policy, number(load, "loads"), int(number(seed, "seeds")), duration_s)
+        for user in users.split(",")
+        for load in loads.split(",")
+        for seed in seeds.split(",")
+        for policy in policies.split(",")
+    ]
+    for plan in plans:
+        check_plan(plan)
+    run_suite(plans, out)
+
+
+def number(text: str, option: str) -> float:
+    """Return a number of a list option; raises ``ExperimentInvalid``."""
+    from yokedock_emulator.experiment import ExperimentInvalid
+
+    try:
+        return float(text)
+    except ValueError:
+        raise ExperimentInvalid(f"--{option} has {text!r}; write numbers by commas") from None
+
+
 @app.command(name="hollow-agents")
 def hollow_agents(*, count: int) -> None:
     """Run COUNT agents without back ends in one process, and print their addresses."""
--- a/src/yokedock_emulator/path_cost.py
+++ b/src/yokedock_emulator/path_cost.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import subprocess
 import tempfile
 import time
@@ -15,20 +14,14 @@
 
 import msgspec
 import urllib3
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from yokedock.connection.engine_protocol import DecodeOrder, ImportOrder, PrefillOrder
-from yokedock.process.bundle_files import public_text
-from yokedock.process.clock import wall_clock_ms
 from yokedock.process.tables import format_table
-from yokedock.version.bundle_codec import sign_bundle
-from yokedock.version.bundle_source import read_bundle_source
-from yokedock_emulator.platform import PublishedValue
-from yokedock_emulator.process_group import Node, Ports, program, write_ini
+from yokedock_emulator.bench_deployment import TOKEN, BenchDeployment, BenchEngine, BenchPlan
+from yokedock_emulator.process_group import program
 from yokedock_emulator.stream_load import LoadReport
 
 MODEL = "hut-7b"
-TOKEN = "bench-token"
 STEP_MS = 26
 SLOTS = 64
 DECODE_ENGINES = 8
@@ -73,111 +66,29 @@
     bytes_a_stream: float
 
 
-class Bench:
-    """The processes of one measurement."""
-
-    def __init__(self, directory: Path) -> None:
-        """Start everything."""
-        self._directory = directory
-        self._ports = Ports(FIRST_PORT)
-        self._key = Ed25519PrivateKey.generate()
-        self.nodes: list[Node] = []
-        self.engine_urls: dict[str, str] = {}
-        self._platform = self._stand_in("platform", ["platform"])
-        self._agents: dict[str, str] = {}
-        for number in range(PREFILL_ENGINES + DECODE_ENGINES):
-            self._add_engine("prefill" if number < PREFILL_ENGINES else "decode", number)
-        self.gateway_address = self._ports.address()
-        self.gateway = self._add_gateway()
-        for node in self.nodes:
-            node.start()
-        for node in self.nodes:
-            node.wait_up()
-        self._publish()
-        self._wait_ready()
-
-    def close(self) -> None:
-        """End everything."""
-        for node in self.nodes:
-            node.kill()
-
-    def _stand_in(self, name: str, arguments: list[str]) -> str:
-        address = self._ports.address()
-        command = [program("yokedock-emulator"), *arguments, "--listen", address]
-        self.nodes.append(Node(name, command, f"http://{address}/ledger", self._directory))
-        return f"http://{address}"
-
-    def _add_engine(self, role: str, number: int) -> None:
-        name = f"{role}-{number}"
-        options = ["--role", role, "--slots", str(SLOTS), "--step-base-ms", str(STEP_MS)]
-        url = self._stand_in(f"engine-{name}", ["engine", *options, "--clock-tokens"])
-        self.engine_urls[name] = url
-        self._agents[name] = self._ports.address()
-        backend = {"kind": "engine", "url": url, "slots": str(SLOTS)}
-        self._daemon(name, "agent", {"backend": backend, "peers": {"listen": self._agents[name]}})
-
-    def _add_gateway(self) -> Node:
-        caller = {"listen": self.gateway_address, "max_in_flight": "600"}
-        return self._daemon("gateway", "gateway", {"caller": caller, "peers": {}})
-
-    def _daemon(self, name: str, kind: str, sections: dict[str, dict[str, str]]) -> Node:
-        admin = self._ports.address()
-        settings = {
-            **sections,
-            "process": {"name": name, "zone": "zone-1"},
-            "admin": {"listen": admin},
-            "platform": {
-                "configuration_url": self._platform,
-                "bundle_public_key": public_text(self._key.public_key()),
-            },
-        }
-        path = write_ini(self._directory / f"{name}.ini", settings)
-        command = [program("yokedock"), kind, "--settings", str(path)]
-        node = Node(name, command, f"http://{admin}/health", self._directory)
-        self.nodes.append(node)
-        return node
-
-    def _publish(self) -> None:
-        sections = {
-            "limits": {"max_output_tokens": "16384"},
-            "class default": {"first_token_ms": "5000"},
-            "tenant bench": {
-                "token_sha256": hashlib.sha256(TOKEN.encode()).hexdigest(),
-                "max_in_flight": "1000",
-            },
-            f"model {MODEL}": {"step_ms": str(STEP_MS)},
-        }
-        for name, agent in self._agents.items():
-            sections[f"engine {name}"] = {
-                "pool": "main",
-                "zone": "zone-1",
-                "agent": agent,
-                "role": name.split("-")[0],
-                "model": MODEL,
-            }
-        source = write_ini(self._directory / "bundle.ini", sections)
-        signed = sign_bundle(read_bundle_source(source), 1, wall_clock_ms(), self._key)
-        for digest, content in signed.sections.items():
-            self._publish_value(f"section/{digest}", content)
-        self._publish_value("bundle", signed.envelope)
-
-    def _publish_value(self, key: str, content: bytes) -> None:
-        body = msgspec.json.encode(PublishedValue(key, content))
-        urllib3.request("POST", f"{self._platform}/test/publish", body=body)
-
-    def _wait_ready(self) -> None:
-        while urllib3.request("GET", f"http://{self.gateway_address}/ready").status != 200:
-            time.sleep(0.05)
-        time.sleep(SETTLE_S)
+def bench_plan() -> BenchPlan:
+    """Return the engines of the measurement: wide decode batches at a step of 26 ms."""
+    options = ("--slots", str(SLOTS), "--step-base-ms", str(STEP_MS), "--clock-tokens")
+    backend = {"slots": str(SLOTS)}
+    roles = ["prefill"] * PREFILL_ENGINES + ["decode"] * DECODE_ENGINES
+    engines = tuple(
+        BenchEngine(f"{role}-{number}", "zone-1", role, options, backend)
+        for number, role in enumerate(roles)
+    )
+    bundle = {
+        "limits": {"max_output_tokens": "16384"},
+        "class default": {"first_token_ms": "5000"},
+    }
+    return BenchPlan(MODEL, {"step_ms": str(STEP_MS)}, engines, bundle)
 
 
 def measure_path_cost(counts: list[int], out: Path | None) -> PathCostReport:
     """Measure the curve, print it as a table, and write JSON to ``out`` if given."""
     directory = Path(tempfile.mkdtemp(prefix="yokedock-bench-"))
-    bench = Bench(directory)
+    bench = BenchDeployment(bench_plan(), directory, FIRST_PORT)
     try:
         first_token = _first_token_cost(bench)
-        idle_bytes = bench.gateway.resident_bytes()
+        idle_bytes = bench.gateway_node().resident_bytes()
         points = []
         for count in counts:
             points.append(_measure_point(bench, count))
@@ -193,10 +104,10 @@
     return report
 
 
-def _measure_point(bench: Bench, streams: int) -> CurvePoint:
+def _measure_point(bench: BenchDeployment, streams: int) -> CurvePoint:
     """Run the load generators at one number of streams."""
     shares = [streams // GENERATORS + (n < streams % GENERATORS) for n in range(GENERATORS)]
-    command = [program("yokedock-emulator"), "stream-load", bench.gateway_address]
+    command = [program("yokedock-emulator"), "stream-load", bench.gateways[0]]
     options = ["--token", TOKEN, "--model", MODEL, "--max-tokens", "16384"]
     options += ["--opening-s", str(OPENING_S), "--settle-s", str(SETTLE_S)]
     options += ["--window-s", str(WINDOW_S)]
@@ -206,10 +117,10 @@
         if share
     ]
     time.sleep(OPENING_S + SETTLE_S + 1.0)
-    before_s, started_s = bench.gateway.processor_s(), time.monotonic()
+    before_s, started_s = bench.gateway_node().processor_s(), time.monotonic()
     time.sleep(WINDOW_S - 1.0)
-    cores = (bench.gateway.processor_s() - before_s) / (time.monotonic() - started_s)
-    resident_mb = bench.gateway.resident_bytes() / 1e6
+    cores = (bench.gateway_node().processor_s() - before_s) / (time.monotonic() - started_s)
+    resident_mb = bench.gateway_node().resident_bytes() / 1e6
     outputs = [generator.communicate()[0] for generator in generators]
     reports = [msgspec.json.decode(output, type=LoadReport) for output in outputs]
     tokens_per_s = sum(report.tokens for report in reports) / WINDOW_S
@@ -227,7 +138,7 @@
     )
 
 
-def _first_token_cost(bench: Bench) -> FirstTokenCost:
+def _first_token_cost(bench: BenchDeployment) -> FirstTokenCost:
     """Compare an idle path: through the gateway, and by hand at two engines, in turn."""
     through, direct = [], []
     for number in range(FIRST_TOKEN_SAMPLES):
@@ -241,12 +152,12 @@
     )
 
 
-def _first_token_through(bench: Bench, number: int) -> float:
+def _first_token_through(bench: BenchDeployment, number: int) -> float:
     body = {"model": MODEL, "prompt": f"first {number} " * 64, "max_tokens": 2, "stream": True}
     started_s = time.monotonic()
     response = urllib3.request(
         "POST",
-        f"http://{bench.gateway_address}/v1/completions",
+        f"http://{bench.gateways[0]}/v1/completions",
         body=msgspec.json.encode(body),
         headers={"Authorization": f"Bearer {TOKEN}"},
         preload_content=False,
@@ -257,7 +168,7 @@
     return elapsed_ms
 
 
-def _first_token_direct(bench: Bench, number: int) -> float:
+def _first_token_direct(bench: BenchDeployment, number: int) -> float:
     """Give the engines the same orders by hand: prefill, import, decode, read one step."""
     prefill_url = next(url for name, url in bench.engine_urls.items() if "prefill" in name)
     decode_url = next(url for name, url in bench.engine_urls.items() if "decode" in name)
