A request that was begun is never told 'not run'; a started answer waits 5 s for room

Cause: a request whose first attempt had been prefilled and whose next attempt was refused got that refusal's outcome, not_run, although an engine had worked for it. In mid-stream with no engine left the caller waited until its deadline (60 s).

Ruled out: a wrong ledger (engines record the attempt's start themselves). The matrix had shown six cells as 'told not_run', but its request ids repeated between scenarios, so four of those said nothing; ids are now unique and the check is as strict.

Change: the context remembers that an order was handed over; a refusal after that becomes answer_lost, outcome unknown. Waiting for room after a loss ends after 5 s.

--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -1,3 +1,5 @@
+import uuid
+
 from behave import given, then, when
 from support.caller import ServiceCaller, StreamCaller
 from support.deployment import DECODE, HOMES, PREFILL, SERVICE
@@ -35,7 +37,7 @@
         hold_relays(context, PREFILL)
     else:
         deployment.hold(MODEL_HOLDS[step])
-    context.request_id = f"cell-{deployment.version}-{id(context)}"
+    context.request_id = f"cell-{uuid.uuid4().hex[:12]}"
     prompt = PROMPT.format(context.request_id) * 8
     url = deployment.urls[GATEWAY]
     headers = {"X-Request-Id": context.request_id}
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -215,6 +215,13 @@
     http_status = 502
 
 
+class AnswerLost(YokedockError):
+    """Work for the request was started, was lost, and cannot be done again now."""
+
+    code = "answer_lost"
+    http_status = 503
+
+
 class CallerGone(YokedockError):
     """The caller closed its connection."""
 
--- a/src/yokedock/request/context.py
+++ b/src/yokedock/request/context.py
@@ -38,6 +38,8 @@
         self.arrived_s = arrived_s
         self.deadline_s = deadline_s
         self.attempts = 0
+        self.may_have_run = False
+        """Whether an engine may have worked for the request: "not run" must not be told then."""
         self.ended: YokedockError | None = None
         self._lock = threading.Lock()
         self._waiting_for: Future[Any] | None = None
--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -10,11 +10,14 @@
 
 from yokedock.connection.peer_client import AgentPeerHandle
 from yokedock.errors import (
+    AnswerLost,
     AttemptLost,
     NoBackend,
     NoDecodeRoom,
     NoPrefillRoom,
     NotReady,
+    Outcome,
+    PeerNeverReached,
     PeerUnreachable,
     Refused,
     RetryBudgetSpent,
@@ -32,6 +35,7 @@
     StepFrame,
 )
 from yokedock.messages import Resume as ResumeOrder
+from yokedock.process.clock import deadline_in, left_s
 from yokedock.process.histograms import Histograms, Measure
 from yokedock.process.logs import logger
 from yokedock.request.admission import RetryBudget
@@ -52,6 +56,8 @@
 PREFILL_GRACE_S = 1.0
 RESUME_PATIENCE_S = 0.6
 RESUME_RETRY_S = 0.05
+ROOM_PATIENCE_S = 5.0
+"""How long a started answer waits for room after a loss before it is given up."""
 STALE_RETRIES = 20
 STALE_RETRY_S = 0.05
 RESERVATION_MARGIN_MS = 2000
@@ -120,12 +126,25 @@
     ) -> list[Placed]:
         """Produce the whole answer into ``stream``; raises a typed error if that cannot be done.
 
-        Returns where the attempts were placed.
+        Returns where the attempts were placed. An error says "not run" only if that is certain.
         """
+        try:
+            return self._serve(context, order, stream)
+        except YokedockError as error:
+            if error.outcome is Outcome.NOT_RUN and context.may_have_run:
+                message = f"the answer was lost and could not be done again: {error.message}"
+                raise AnswerLost(message, error.retry_after_s) from None
+            raise
+
+    def _serve(
+        self, context: RequestContext, order: ModelOrder, stream: AnswerStream
+    ) -> list[Placed]:
+        """Make attempts until one completes the answer."""
         bundle = self._store.current()
         self._budget.request_arrived(bundle.limits.retry_share)
         self._note_demand(order, bundle)
         placed: list[Placed] = []
+        room_until_s = 0.0
         while True:
             context.check()
             attempt = context.next_attempt()
@@ -144,7 +163,8 @@
             except Refused as error:
                 if not stream.tokens or error.code not in _TRY_AGAIN:
                     raise
-                self._wait_for_room(context, error)
+                room_until_s = room_until_s or deadline_in(ROOM_PATIENCE_S * 1000)
+                self._wait_for_room(context, error, room_until_s)
 
     def _check_retry(self, context: RequestContext, bundle: Bundle, error: YokedockError) -> None:
         """Raise unless another attempt is allowed."""
@@ -153,9 +173,11 @@
             message = f"the request was lost {context.attempts} times ({error.message}); retry"
             raise RetryBudgetSpent(message, 1.0) from None
 
-    def _wait_for_room(self, context: RequestContext, error: Refused) -> None:
-        """A started answer waits for room elsewhere; a loss must not end it while time is left."""
+    def _wait_for_room(self, context: RequestContext, error: Refused, room_until_s: float) -> None:
+        """A started answer waits a while for room elsewhere: a loss must not end it at once."""
         context.check()
+        if left_s(room_until_s) <= 0:
+            raise error
         context.attempts -= 1
         time.sleep(min(max(error.retry_after_s or 0.0, STALE_RETRY_S), 0.25))
 
@@ -296,6 +318,7 @@
             self._hold(choice.peer)
             self._policy.prefill_sent(choice.peer, self._tokens)
             finish_by_ms = self._finish_by_ms(choice.predicted_s)
+            had_run, self._context.may_have_run = self._context.may_have_run, True
             try:
                 prefilled = self._requests.call(
                     self._context,
@@ -304,7 +327,8 @@
                     finish_by_ms / 1000 + PREFILL_GRACE_S,
                     self._attempt,
                 )
-            except Refused as error:
+            except (Refused, PeerNeverReached) as error:
+                self._context.may_have_run = had_run
                 self._let_go(choice.peer)
                 refusal = error
                 continue
