Sockets are closed only by the thread that reads; a resume's reply is taken as a reply

Cause 1: the socket library aborts the process (nng panic: pthread_mutex_lock) when a socket is closed while another thread enters recv, and when its own shutdown runs under threads that receive. Ruled out: closing a connection (pipe) from other threads (1,500 times, no panic), closing with no reader (800, no panic). In the running daemons themselves 2,400 closes under traffic showed no abort before the change, so there it was rare, if it happened at all.

Change 1: a peer's reader alone closes its socket, after its receive returned; a lost link gets a new reader at once. The listener closes its socket on its own thread. Processes end without the interpreter's shutdown.

Cause 2: after a lost link was back, a stream flowed on and yet was placed anew 1 s later: the reply to Resume is a step frame, which was taken as stream tokens instead of as the reply. Ruled out: slow redial (81 ms to the next five tokens).

Change 2: a frame that belongs to a call is its reply.

Before: hollow gateways end with -6, the stream over a flapping link is placed anew (1 of 2 scenarios). A scenario now also fails when a process dies that nobody ended.

--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -256,6 +256,11 @@
             tails.append(f"--- {node.name}\n" + "\n".join(lines))
         return "\n".join(tails)
 
+    def died_report(self, name):
+        """Return the last lines of a process that ended by itself."""
+        node = next(node for node in self.nodes.values() if node.name == name)
+        return f"{name}: status {node.process.returncode}\n{node.log_text()[-2000:]}"
+
     # --- Healing and end ---
 
     def heal(self):
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import random
 import threading
@@ -18,6 +19,7 @@
 import pykka
 import pynng
 
+from yokedock.connection.peer_socket import PeerSocket
 from yokedock.connection.secure_session import (
     Hello,
     Sealed,
@@ -56,12 +58,6 @@
 
 REDIAL_MIN_MS = 50
 REDIAL_MAX_MS = 2000
-NO_AUTOMATIC_REDIAL_MS = 3_600_000
-"""The library's own redial is put out of reach: a new connection needs a new handshake."""
-SEND_TIMEOUT_MS = 1000
-RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
-BUFFERED_FRAMES = 1024
-"""A peer that leaves more frames than this unread is taken as lost."""
 
 
 class StreamSink(Protocol):
@@ -140,9 +136,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class LinkUp:
-    """The reader has a new connection."""
+    """The reader has a connection."""
 
-    socket: pynng.Pair1
+    reader: PeerReader
     session: SecureSession
     incarnation: int
 
@@ -151,14 +147,14 @@
 class LinkDown:
     """The reader's connection is gone."""
 
-    socket: pynng.Pair1 | None
+    reader: PeerReader
 
 
 @dataclasses.dataclass(frozen=True)
 class FrameArrived:
     """The reader read a frame from its connection."""
 
-    socket: pynng.Pair1
+    reader: PeerReader
     frame: Frame
 
 
@@ -200,14 +196,13 @@
         self._timing = timing
         self._context = context
         self._view = view
-        self._socket: pynng.Pair1 | None = None
         self._session: SecureSession | None = None
         self._incarnation = 0
         self._next_call = 1
         self._pending: dict[int, Future[Any]] = {}
         self._held: dict[str, StreamSink | None] = {}
         self._pending_parts: dict[str, list[StreamTokens]] = {}
-        self._reader = PeerReader(address, identity, timing, self.actor_ref)
+        self._reader = self._new_reader()
 
     def on_start(self) -> None:
         """Start reading."""
@@ -216,7 +211,10 @@
     def on_stop(self) -> None:
         """Stop reading and fail whatever waits."""
         self._reader.stop()
-        self._link_down(LinkDown(self._socket))
+        self._drop_link()
+
+    def _new_reader(self) -> PeerReader:
+        return PeerReader(self._address, self._identity, self._timing, self.actor_ref)
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message; a failure is logged, since the link must outlive it."""
@@ -259,12 +257,11 @@
 
     def _send(self, frame: Frame) -> None:
         assert self._session is not None
-        assert self._socket is not None
         try:
             with self._session.send_lock:
-                self._socket.send(self._session.seal(frame))
+                self._reader.socket.send(self._session.seal(frame))
         except pynng.NNGException:
-            self._link_down(LinkDown(self._socket))
+            self._link_down(LinkDown(self._reader))
 
     def _drop_attempt(self, attempt: str) -> None:
         if attempt not in self._held:
@@ -295,10 +292,12 @@
             del self._pending[number]
 
     def _frame_arrived(self, arrived: FrameArrived) -> None:
-        if arrived.socket is not self._socket:
+        if arrived.reader is not self._reader:
             return
         message = arrived.frame.message
-        if isinstance(message, StepFrame):
+        if arrived.frame.call:
+            self._replied(arrived.frame.call, message)
+        elif isinstance(message, StepFrame):
             for part in message.streams:
                 self._pending_parts.setdefault(part.attempt, []).append(part)
         elif isinstance(message, HeartbeatReply):
@@ -307,8 +306,6 @@
             self._context.bundle_offered(self._view.handle(), message.envelope)
         elif isinstance(message, FetchSections):
             self._send(Frame(0, BundleSections(self._context.sections(message.digests))))
-        else:
-            self._replied(arrived.frame.call, message)
 
     def _deliver_parts(self) -> None:
         """Hand on what has gathered; a stream that is behind gets its parts joined."""
@@ -338,18 +335,24 @@
             settle(future, message)
 
     def _link_up(self, link: LinkUp) -> None:
-        self._socket = link.socket
+        if link.reader is not self._reader:
+            return
         self._session = link.session
         self._incarnation = link.incarnation
         self._view.connected(link.incarnation)
         self._heartbeat()
 
     def _link_down(self, link: LinkDown) -> None:
-        if link.socket is not self._socket:
+        """Dial again at once with a new reader; the old one ends by itself."""
+        if link.reader is not self._reader:
             return
-        if self._socket is not None:
-            self._socket.close()
-        self._socket = None
+        self._reader.stop()
+        self._reader = self._new_reader()
+        self._drop_link()
+        self._reader.start()
+
+    def _drop_link(self) -> None:
+        """Fail whatever waits for the link."""
         self._session = None
         self._view.disconnected()
         error = PeerUnreachable(f"the link to {self._name} broke; look at the agent's logs")
@@ -377,7 +380,7 @@
 
 
 class PeerReader(threading.Thread):
-    """Dials one address and reads from it, again and again until stopped."""
+    """Dials one address until it is connected, and reads until that connection is gone."""
 
     def __init__(
         self, address: str, identity: PeerIdentity, timing: PeerTiming, owner: pykka.ActorRef[Any]
@@ -389,59 +392,62 @@
         self._timing = timing
         self._owner = owner
         self._stopping = threading.Event()
+        self.socket = PeerSocket()
 
     def stop(self) -> None:
-        """Ask the thread to end after its present connection."""
+        """Ask the thread to end; it does so within a lease."""
         self._stopping.set()
 
     def run(self) -> None:
-        """Dial, shake hands, read until the link is lost, pause, and begin again."""
+        """Dial until connected, with growing random pauses; then read one connection."""
         pause_ms = REDIAL_MIN_MS
-        while not self._stopping.is_set():
-            socket = self._new_socket()
-            try:
-                self._read_connection(socket)
-                pause_ms = REDIAL_MIN_MS
-            except (pynng.NNGException, PeerNotAuthenticated) as error:
-                if isinstance(error, PeerNotAuthenticated):
-                    _log.warning("peer refused", peer=self._url, error=error.message)
-            finally:
-                self._tell(LinkDown(socket))
-                socket.close()
-            self._stopping.wait(random.uniform(0, pause_ms) / 1000)
+        while not self._stopping.wait(random.uniform(0, pause_ms) / 1000):
+            session = self._connect()
+            if session is not None:
+                self._read(session)
+                break
+            self.socket.close()
+            self.socket = PeerSocket()
             pause_ms = min(pause_ms * 2, REDIAL_MAX_MS)
+        self.socket.close()
 
-    def _new_socket(self) -> pynng.Pair1:
-        return pynng.Pair1(
-            polyamorous=True,
-            send_timeout=SEND_TIMEOUT_MS,
-            recv_timeout=self._timing.lease_ms,
-            recv_max_size=RECEIVE_LIMIT_BYTES,
-            send_buffer_size=BUFFERED_FRAMES,
-            recv_buffer_size=BUFFERED_FRAMES,
-            reconnect_time_min=NO_AUTOMATIC_REDIAL_MS,
-            reconnect_time_max=NO_AUTOMATIC_REDIAL_MS,
-        )
-
-    def _read_connection(self, socket: pynng.Pair1) -> None:
-        """Read one connection until it is lost; silence for a whole lease counts as lost."""
-        socket.dial(self._url, block=True)
+    def _connect(self) -> SecureSession | None:
+        """Dial and shake hands; return the session, None if that failed."""
+        socket = self.socket
         hello = Hello(new_nonce(), self._identity.name, self._identity.incarnation)
-        socket.send(encode_packet(hello))
-        welcome = decode_packet(socket.recv())
+        try:
+            socket.dial(self._url)
+            socket.send(encode_packet(hello))
+            welcome = decode_packet(socket.receive())
+        except pynng.NNGException:
+            return None
+        except PeerNotAuthenticated as error:
+            _log.warning("peer refused", peer=self._url, error=error.message)
+            return None
         if not isinstance(welcome, Welcome):
-            raise PeerNotAuthenticated("the peer did not answer the handshake; check the address")
+            return None
         session = SecureSession(self._identity.key, hello, welcome, dialer=True)
-        socket.add_post_pipe_remove_cb(lambda _pipe: self._tell(LinkDown(socket)))
-        self._tell(LinkUp(socket, session, welcome.incarnation))
-        while not self._stopping.is_set():
-            packet = decode_packet(socket.recv())
-            if isinstance(packet, Sealed):
-                self._tell(FrameArrived(socket, session.open(packet)))
+        socket.allow_silence(self._timing.lease_ms)
+        socket.on_lost(lambda: self._tell(LinkDown(self)))
+        self._tell(LinkUp(self, session, welcome.incarnation))
+        return session
+
+    def _read(self, session: SecureSession) -> None:
+        """Read until the connection is lost; silence for a whole lease counts as lost."""
+        try:
+            while not self._stopping.is_set():
+                packet = decode_packet(self.socket.receive())
+                if isinstance(packet, Sealed):
+                    self._tell(FrameArrived(self, session.open(packet)))
+        except pynng.NNGException:
+            pass
+        except PeerNotAuthenticated as error:
+            _log.warning("peer refused", peer=self._url, error=error.message)
+        self._tell(LinkDown(self))
 
     def _tell(self, message: Any) -> None:
         """Tell the owner, unless it has ended."""
-        if self._owner.is_alive():
+        with contextlib.suppress(pykka.ActorDeadError):
             self._owner.tell(message)
 
 
--- a/src/yokedock/connection/peer_listener.py
+++ b/src/yokedock/connection/peer_listener.py
@@ -14,6 +14,11 @@
 
 import pynng
 
+from yokedock.connection.peer_socket import (
+    BUFFERED_FRAMES,
+    RECEIVE_LIMIT_BYTES,
+    SEND_TIMEOUT_MS,
+)
 from yokedock.connection.secure_session import (
     Hello,
     Sealed,
@@ -29,10 +34,8 @@
 
 _log = logger("listener")
 
-SEND_TIMEOUT_MS = 1000
-RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
-BUFFERED_FRAMES = 1024
-"""A peer that leaves more frames than this unread is taken as lost."""
+STOP_CHECK_MS = 500
+"""How often the listening thread looks whether it is to stop."""
 
 
 class PeerConnection:
@@ -104,9 +107,11 @@
         self._on_closed = on_closed
         self._connections: dict[int, PeerConnection] = {}
         self._numbers = itertools.count(1)
+        self._stopping = threading.Event()
         self._socket = pynng.Pair1(
             polyamorous=True,
             send_timeout=SEND_TIMEOUT_MS,
+            recv_timeout=STOP_CHECK_MS,
             recv_max_size=RECEIVE_LIMIT_BYTES,
             send_buffer_size=BUFFERED_FRAMES,
             recv_buffer_size=BUFFERED_FRAMES,
@@ -131,15 +136,17 @@
             connection.hang_up()
 
     def close(self) -> None:
-        """Close all connections and free the address."""
-        self._socket.close()
+        """Close all connections and free the address, within ``STOP_CHECK_MS``."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def _run(self) -> None:
-        while True:
+        while not self._stopping.is_set():
             try:
                 message = self._socket.recv_msg()
-            except pynng.NNGException:
-                return
+            except pynng.Timeout:
+                continue
             try:
                 self._packet_arrived(message.pipe, message.bytes)
             except PeerNotAuthenticated as error:
@@ -147,6 +154,8 @@
                 close_pipe(message.pipe)
             except Exception:
                 _log.exception("packet failed")
+        # Only the thread that receives may close the socket: see peer_socket.
+        self._socket.close()
 
     def _packet_arrived(self, pipe: pynng.nng.Pipe, data: bytes) -> None:
         packet = decode_packet(data)
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import sys
 import threading
@@ -27,6 +26,7 @@
     write_signed,
 )
 from yokedock.process.clock import wall_clock_ms
+from yokedock.process.exit import exit_now
 from yokedock.process.histograms import EncodedHistogram, Histograms
 from yokedock.process.logs import logger, set_up_logs
 from yokedock.process.settings import (
@@ -77,9 +77,7 @@
         pass
     daemon.stop()
     _log.info("stopped")
-    # Workers may still wait for a back end that does not answer; nothing waits for them any more.
-    sys.stderr.flush()
-    os._exit(0)
+    exit_now(0)
 
 
 @app.command
@@ -107,7 +105,7 @@
     """Run everything in one process on loopback, send requests, and check what happened."""
     from yokedock_emulator.demo import run_demo
 
-    sys.exit(run_demo(keep))
+    exit_now(run_demo(keep))
 
 
 @settings_app.command(name="check")
--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -54,7 +54,7 @@
 RESERVE_TIMEOUT_S = 0.5
 DECODE_TIMEOUT_S = 10.0
 PREFILL_GRACE_S = 1.0
-RESUME_PATIENCE_S = 0.6
+RESUME_PATIENCE_S = 1.0
 RESUME_RETRY_S = 0.05
 ROOM_PATIENCE_S = 5.0
 """How long a started answer waits for room after a loss before it is given up."""
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -11,6 +11,7 @@
 
 from yokedock.process.bundle_files import read_signed
 from yokedock.process.cli import run_app
+from yokedock.process.exit import exit_now
 from yokedock.process.logs import set_up_logs
 
 app = cyclopts.App(name="yokedock-emulator", help="Stand-ins, load and experiments.")
@@ -126,6 +127,7 @@
     from yokedock_emulator.slopes import measure_slopes
 
     measure_slopes(out)
+    exit_now(0)
 
 
 @app.command
@@ -172,6 +174,14 @@
     run_hollow_agents(count)
 
 
+@app.command(name="link-churn")
+def link_churn(*, peers: int = 100, rounds: int = 5) -> None:
+    """Connect to PEERS hollow agents and leave them in mid-traffic, ROUNDS times."""
+    from yokedock_emulator.hollow import run_link_churn
+
+    run_link_churn(peers, rounds)
+
+
 @app.command(name="hollow-gateways")
 def hollow_gateways(address: str, *, count: int, heartbeat_ms: int = 1000) -> None:
     """Run the links of COUNT gateways to one agent (ADDRESS) in one process."""
--- a/src/yokedock_emulator/hollow.py
+++ b/src/yokedock_emulator/hollow.py
@@ -15,6 +15,7 @@
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
 from yokedock.connection.secure_session import LOOPBACK_KEY
 from yokedock.messages import AnyMessage, BundleStamp, Done, Frame, LoadReport
+from yokedock.process.exit import exit_now
 from yokedock.process.logs import set_up_logs
 from yokedock.process.peer_directory import PeerAddress, PeerDirectory
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
@@ -22,6 +23,8 @@
 ANY_PORT = "127.0.0.1:0"
 LEASE_MS = 10_000
 WORKERS = 4
+CHURN_HEARTBEAT_MS = 20
+CHURN_TRAFFIC_S = 0.3
 
 
 class HollowBackend(Backend):
@@ -158,6 +161,7 @@
         print(agent.address)
     print(flush=True)
     sys.stdin.read()
+    exit_now(0)
 
 
 def run_hollow_gateways(address: str, count: int, heartbeat_ms: int) -> None:
@@ -170,3 +174,19 @@
         threading.Event().wait(0.05)
     print("connected", flush=True)
     sys.stdin.read()
+    exit_now(0)
+
+
+def run_link_churn(peers: int, rounds: int) -> None:
+    """Connect to many agents and leave them again in mid-traffic, round after round."""
+    set_up_logs("error")
+    agents = [HollowAgent(f"agent-{number}") for number in range(peers)]
+    gateway = HollowGateway("gateway", CHURN_HEARTBEAT_MS)
+    for number in range(rounds):
+        handles = gateway.connect([agent.address for agent in agents])
+        while not all(handle.view.is_connected for handle in handles):
+            threading.Event().wait(0.02)
+        threading.Event().wait(CHURN_TRAFFIC_S)
+        gateway.connect([])
+        print(f"round {number + 1} of {rounds}", flush=True)
+    exit_now(0)
--- a/src/yokedock_emulator/path_cost.py
+++ b/src/yokedock_emulator/path_cost.py
@@ -68,7 +68,14 @@
 
 def bench_plan() -> BenchPlan:
     """Return the engines of the measurement: wide decode batches at a step of 26 ms."""
-    options = ("--slots", str(SLOTS), "--step-base-ms", str(STEP_MS), "--step-per-stream-ms", "0")
+    options: tuple[str, ...] = (
+        "--slots",
+        str(SLOTS),
+        "--step-base-ms",
+        str(STEP_MS),
+        "--step-per-stream-ms",
+        "0",
+    )
     options += ("--clock-tokens", "--no-checks-fencing")
     backend = {"slots": str(SLOTS)}
     roles = ["prefill"] * PREFILL_ENGINES + ["decode"] * DECODE_ENGINES
--- a/src/yokedock_emulator/process_group.py
+++ b/src/yokedock_emulator/process_group.py
@@ -77,6 +77,7 @@
         self._health_url = health_url
         self._log = directory / f"{name}.log"
         self.process: subprocess.Popen[bytes] | None = None
+        self._may_end = True
 
     @property
     def running(self) -> subprocess.Popen[bytes]:
@@ -87,6 +88,7 @@
 
     def start(self) -> None:
         """Start the process."""
+        self._may_end = False
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(self._arguments, stdout=log, stderr=log)
 
@@ -110,8 +112,13 @@
         """Return whether the process runs (a frozen one does)."""
         return self.process is not None and self.process.poll() is None
 
+    def has_died(self) -> bool:
+        """Return whether the process ended although nobody ended it."""
+        return not self._may_end and not self.is_alive()
+
     def kill(self) -> None:
         """End the process at once."""
+        self._may_end = True
         if self.is_alive():
             self.running.kill()
             self.running.wait()
@@ -126,6 +133,7 @@
 
     def terminate(self) -> None:
         """Ask for a planned stop."""
+        self._may_end = True
         self.running.send_signal(signal.SIGTERM)
 
     def wait_exit(self) -> int:
