--- a/src/yokedock_emulator/slopes.py
+++ b/src/yokedock_emulator/slopes.py
@@ -8,6 +8,7 @@
 
 import subprocess
 import time
+import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 
@@ -41,6 +42,7 @@
 WINDOW_S = 10.0
 AIM_TENANTS, AIM_ENGINES, AIM_MODELS = 560, 610, 13
 REPEATS = 2000
+STORES = 20
 
 
 class Slope(msgspec.Struct, frozen=True):
@@ -211,12 +213,12 @@
     signed = sign_bundle(bundle, 1, 1, key)
     changed = sign_bundle(_with_changed_tenant(bundle), 2, 2, key)
     moved = [c for d, c in changed.sections.items() if d not in signed.sections]
-    before = resident_bytes()
-    stores = [BundleStore(key.public_key()) for _ in range(5)]
+    stores = [BundleStore(key.public_key()) for _ in range(STORES)]
+    _offer(BundleStore(key.public_key()), signed)
     adopt_us = 0.0
     for store in stores:
         adopt_us += time_each_us(lambda store=store: _offer(store, signed), 1) / len(stores)  # type: ignore[misc]
-    grown = (resident_bytes() - before) / len(stores) / 1024
+    grown = _traced_kib(lambda: _offer(BundleStore(key.public_key()), signed))
     change_us = sum(time_each_us(lambda s=s: _offer(s, changed), 1) for s in stores) / len(stores)  # type: ignore[misc]
     whole = sum(len(content) for content in signed.sections.values())
     how = f"{AIM_TENANTS} tenants, {AIM_ENGINES} engines, {AIM_MODELS} models"
@@ -227,7 +229,7 @@
         Slope("bundle: moved by one change", sum(map(len, moved)) / 1024, "KiB", "one tenant"),
         Slope("bundle: adopt all", adopt_us / 1000, "ms", how),
         Slope("bundle: adopt one change", change_us / 1000, "ms", "one tenant"),
-        Slope("bundle: memory", grown, "KiB", how),
+        Slope("bundle: memory at adoption", grown, "KiB", "peak, traced"),
     ]
 
 
@@ -256,6 +258,15 @@
     )
 
 
+def _traced_kib(action: Callable[[], object]) -> float:
+    """Return the memory that an action leaves allocated at its peak, KiB."""
+    tracemalloc.start()
+    action()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak / 1024
+
+
 def _offer(store: BundleStore, signed: SignedBundle) -> bool:
     return store.offer(
         signed.envelope, lambda digests: {d: signed.sections[d] for d in digests}, "slopes"
