Prefills run by deadline and are refused at once when they could not be in time

Ruled out: decode room (batch-checks that were whole had waited in prefill: first token p50 1,666 ms); transfers (no waste, link at half its rate).

Change: the agent keeps its own queue by deadline and lets two prefills at a time into the engine. A prefill is accepted only if it and all accepted before it are predicted to finish in time; the deadline is the first-token target since arrival less transfer, backlog and first step. A prompt too long for any engine gets 1.25 of its idle time.

--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -100,7 +100,11 @@
 
 
 class Prefill(Message, frozen=True):
-    """Gateway to prefill agent: compute the KV cache of ``prompt`` by ``finish_by_ms``."""
+    """Gateway to prefill agent: compute the KV cache of ``prompt``.
+
+    ``first_token_by_ms`` is when the caller should see its first token; the agent refuses at once
+    if prefill and transfer cannot be over by then.
+    """
 
     attempt: str
     version: int
@@ -108,7 +112,7 @@
     adapter: str
     prompt: str
     priority: int
-    finish_by_ms: int
+    first_token_by_ms: int
 
 
 class Prefilled(Message, frozen=True):
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -331,6 +331,7 @@
             return
         model = bundle.models[engine.model]
         self._engine_backend.prefills.tokens_per_s = model.prefill_tokens_per_s
+        self._engine_backend.kv_bytes_per_token = model.kv_bytes_per_token
         self._role_manager.set_bundle(bundle)
 
     def _machines_read(self, machines: dict[str, Machine]) -> None:
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -50,8 +50,9 @@
 from yokedock.process.clock import deadline_in, left_s
 from yokedock.process.logs import logger
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
-from yokedock.request.prefill_queue import KnownBlocks, PrefillQueue
-from yokedock.request.prefix import block_hashes
+from yokedock.request.known_blocks import KnownBlocks
+from yokedock.request.prefill_queue import PrefillQueue
+from yokedock.request.prefix import block_hashes, estimate_tokens
 from yokedock.request.releaser import Releaser
 from yokedock.request.slots import SlotTable
 from yokedock.request.transfer_credit import TransferCredit
@@ -63,6 +64,11 @@
 MAX_BLOCKS_A_REPORT = 256
 """Changed prompt blocks that one heartbeat reply carries at most (about 2.3 KB)."""
 TRANSFER_TIMEOUT_S = 30.0
+PREFILL_TIMEOUT_S = 60.0
+FIRST_STEP_S = 0.04
+"""Of the time to the first token, kept for the first decode step and the links."""
+IDLE_SLACK = 1.25
+"""How much longer than on an idle engine a prefill may take whose target cannot be met."""
 ENGINE_LOST = "engine_lost"
 """The ``finish`` of a stream whose engine was lost."""
 LEAVING_RETRY_S = 1.0
@@ -117,6 +123,7 @@
         self.role = ""
         self.is_ready = False
         self.is_engine_up = False
+        self.kv_bytes_per_token = 0
         self._is_leaving = False
         self.slots = SlotTable(setup.slots, step_ms)
         self.known_blocks = KnownBlocks()
@@ -159,6 +166,7 @@
             known.is_streaming = False
             must_cancel = known.is_ordered
         self.credit.give_back(attempt)
+        self.prefills.cancel(attempt)
         if must_cancel:
             self._releaser.submit(attempt)
         else:
@@ -209,20 +217,41 @@
         self._require(ROLE_PREFILL, NoPrefillRoom)
         if self.credit.backlog_s() > self._setup.kept_s / 2:
             raise NoPrefillRoom("the link is behind; a result could not be sent in time", 0.5)
-        finish_by_s = deadline_in(order.finish_by_ms)
-        self.prefills.enter(order.attempt, order.prompt, order.priority, finish_by_s)
+        service_s = self.prefills.service_s(order.prompt)
+        self.prefills.enter(order.attempt, service_s, self._finish_by(order, service_s))
+        with self._lock:
+            self._attempts.setdefault(order.attempt, EngineAttempt(order.attempt))
         try:
+            self.prefills.wait_turn(order.attempt)
             result = self._ordered(order.attempt, guard, lambda: self._order_prefill(order))
         finally:
             self.prefills.leave(order.attempt)
         self.known_blocks.learn(block_hashes(order.prompt))
         return result
 
+    def _finish_by(self, order: Prefill, service_s: float) -> float:
+        """Return when the prefill must be over for the first token to come in time.
+
+        A prompt so long that even an idle engine would be late gets the time it needs.
+        """
+        now = time.monotonic()
+        transfer_s = (
+            estimate_tokens(order.prompt) * self.kv_bytes_per_token / self._setup.link_bytes_per_s
+        )
+        finish_by_s = (
+            deadline_in(order.first_token_by_ms)
+            - transfer_s
+            - self.credit.backlog_s()
+            - FIRST_STEP_S
+        )
+        idle_s = service_s * IDLE_SLACK + FIRST_STEP_S
+        return max(finish_by_s, now + idle_s)
+
     def _order_prefill(self, order: Prefill) -> Prefilled:
         engine_order = PrefillOrder(
             order.attempt, order.model, order.adapter, order.prompt, order.priority
         )
-        result = self._engine.prefill(engine_order, order.finish_by_ms / 1000 + TRANSFER_TIMEOUT_S)
+        result = self._engine.prefill(engine_order, PREFILL_TIMEOUT_S)
         return Prefilled(
             result.handle,
             self._setup.url,
--- a/src/yokedock/request/prefill_queue.py
+++ b/src/yokedock/request/prefill_queue.py
@@ -1,13 +1,18 @@
-"""Predicts when a prefill would finish, so that one that cannot finish in time is never started."""
+"""Orders the prefills of one engine by deadline, and refuses those that could not finish in time.
+
+A prefill is accepted only if it, and every one accepted before it, is predicted to finish by its
+deadline when they run in the order of their deadlines. So a refusal comes at once, nothing that was
+accepted is overtaken into lateness, and no prefill is started whose result would come too late.
+"""
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import threading
 import time
 
-from yokedock.errors import NoPrefillRoom
+from yokedock.errors import AttemptLost, NoPrefillRoom
+from yokedock.request.known_blocks import KnownBlocks
 from yokedock.request.prefix import (
     BLOCK_TOKENS,
     block_hashes,
@@ -15,129 +20,114 @@
     estimate_tokens,
 )
 
-MAX_KNOWN_BLOCKS = 100_000
+ENGINE_DEPTH = 2
+"""Prefills at the engine at one time: one runs, one waits there, so the engine never idles."""
 MIN_RETRY_AFTER_S = 0.1
+LATE_TOLERANCE_S = 0.05
+"""A prefill whose turn comes this much too late is refused instead of started."""
 
 
 @dataclasses.dataclass
 class QueuedPrefill:
-    """One prefill that was ordered and has not finished."""
-
-    uncached_tokens: int
-    priority: int
-    started_s: float
-
-
-class KnownBlocks:
-    """The prompt blocks that the engine is believed to cache, and what changed since the last take.
-
-    Learned from cache events and from the prefills that this agent ordered itself.
-    """
-
-    def __init__(self) -> None:
-        """Start with no block."""
-        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
-        self._added: dict[int, None] = {}
-        self._removed: dict[int, None] = {}
-        self._lock = threading.Lock()
-        self._is_complete = True
-
-    def learn(self, blocks: tuple[int, ...] | list[int]) -> None:
-        """Note blocks as cached."""
-        with self._lock:
-            for block in blocks:
-                if block not in self._blocks:
-                    self._added[block] = None
-                    self._removed.pop(block, None)
-                self._blocks[block] = None
-                self._blocks.move_to_end(block)
-            while len(self._blocks) > MAX_KNOWN_BLOCKS:
-                self._remove(next(iter(self._blocks)))
-
-    def forget(self, blocks: tuple[int, ...]) -> None:
-        """Note blocks as evicted."""
-        with self._lock:
-            for block in blocks:
-                self._remove(block)
-
-    def forget_all(self) -> None:
-        """Events were lost: believe nothing."""
-        with self._lock:
-            self._blocks.clear()
-            self._added.clear()
-            self._removed.clear()
-            self._is_complete = False
-
-    def is_cached(self, block: int) -> bool:
-        """Return whether the block is believed to be cached."""
-        return block in self._blocks
-
-    def take_changes(self, most: int) -> tuple[tuple[int, ...], tuple[int, ...], bool]:
-        """Return at most ``most`` added and removed blocks, and whether nothing was lost before."""
-        with self._lock:
-            added = tuple(list(self._added)[:most])
-            removed = tuple(list(self._removed)[:most])
-            for block in added:
-                del self._added[block]
-            for block in removed:
-                del self._removed[block]
-            complete, self._is_complete = self._is_complete, True
-            return added, removed, complete
-
-    def _remove(self, block: int) -> None:
-        if self._blocks.pop(block, self) is None:
-            self._removed[block] = None
-            self._added.pop(block, None)
+    """One accepted prefill; times are monotonic seconds."""
+
+    attempt: str
+    service_s: float
+    finish_by_s: float
+    ordered_s: float | None = None
+    is_cancelled: bool = False
 
 
 class PrefillQueue:
-    """What is queued at the engine, by this agent's own record."""
+    """The accepted prefills of one engine. Safe for use by several threads."""
 
     def __init__(self, tokens_per_s: float, known: KnownBlocks) -> None:
         """Set the engine's prefill speed."""
         self.tokens_per_s = tokens_per_s
         self._known = known
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
         self._jobs: dict[str, QueuedPrefill] = {}
 
-    def uncached_tokens(self, prompt: str) -> int:
-        """Return the tokens of the prompt that the engine would have to compute."""
+    def service_s(self, prompt: str) -> float:
+        """Return how long the engine would compute what it does not cache of the prompt."""
         cached = cached_prefix_blocks(block_hashes(prompt), self._known.is_cached)
-        return max(1, estimate_tokens(prompt) - cached * BLOCK_TOKENS)
+        return max(1, estimate_tokens(prompt) - cached * BLOCK_TOKENS) / self.tokens_per_s
 
-    def enter(self, attempt: str, prompt: str, priority: int, finish_by_s: float) -> None:
-        """Note a prefill that is about to be ordered; raises ``NoPrefillRoom``."""
-        uncached = self.uncached_tokens(prompt)
+    def enter(self, attempt: str, service_s: float, finish_by_s: float) -> None:
+        """Accept a prefill, or raise ``NoPrefillRoom`` with the time until there may be room."""
         now = time.monotonic()
-        with self._lock:
-            wait_s = self._wait_s(now, priority)
-            finish_s = now + wait_s + uncached / self.tokens_per_s
-            if finish_s > finish_by_s:
-                message = "the prefill cannot finish in time, so it was not started; retry later"
-                raise NoPrefillRoom(message, max(MIN_RETRY_AFTER_S, finish_s - finish_by_s))
-            self._jobs[attempt] = QueuedPrefill(uncached, priority, now)
+        job = QueuedPrefill(attempt, service_s, finish_by_s)
+        with self._changed:
+            before = self._finish_times(now, list(self._jobs.values()))
+            after = self._finish_times(now, [*self._jobs.values(), job])
+            for name, finish_s in after.items():
+                limit_s = finish_by_s if name == attempt else self._jobs[name].finish_by_s
+                was_late = name in before and before[name] > limit_s
+                if finish_s > limit_s and not was_late:
+                    message = "the prefill cannot finish in time, so it was not started; retry"
+                    raise NoPrefillRoom(message, max(MIN_RETRY_AFTER_S, finish_s - limit_s))
+            self._jobs[attempt] = job
+
+    def wait_turn(self, attempt: str) -> None:
+        """Wait until the prefill is to be ordered from the engine.
+
+        Raises ``AttemptLost`` when it is cancelled meanwhile, ``NoPrefillRoom`` when its turn comes
+        too late for it to be of use.
+        """
+        with self._changed:
+            job = self._jobs[attempt]
+            while not job.is_cancelled and not self._is_next(job):
+                self._changed.wait()
+            if job.is_cancelled:
+                raise AttemptLost("the prefill was given up before it was started")
+            now = time.monotonic()
+            if now + job.service_s > job.finish_by_s + LATE_TOLERANCE_S:
+                message = "the prefill's turn came too late, so it was not started; retry"
+                raise NoPrefillRoom(message, MIN_RETRY_AFTER_S)
+            job.ordered_s = now
+
+    def cancel(self, attempt: str) -> None:
+        """Give up a prefill that waits for its turn."""
+        with self._changed:
+            job = self._jobs.get(attempt)
+            if job is not None:
+                job.is_cancelled = True
+                self._changed.notify_all()
 
     def leave(self, attempt: str) -> None:
         """Note that a prefill ended, in whatever way."""
-        with self._lock:
+        with self._changed:
             self._jobs.pop(attempt, None)
-            first = min(self._jobs.values(), key=lambda job: job.started_s, default=None)
+            first = min(self._ordered(), key=lambda job: job.ordered_s or 0.0, default=None)
             if first is not None:
-                first.started_s = time.monotonic()
+                first.ordered_s = time.monotonic()
+            self._changed.notify_all()
 
     def queued_tokens(self) -> int:
-        """Return the uncached tokens that are queued."""
-        with self._lock:
-            return sum(job.uncached_tokens for job in self._jobs.values())
-
-    def _wait_s(self, now: float, priority: int) -> float:
-        """Return the time until everything that goes before a new job has ended."""
-        ahead = [job for job in self._jobs.values() if job.priority >= priority]
-        total = sum(job.uncached_tokens for job in ahead) / self.tokens_per_s
-        if not self._jobs:
-            return 0.0
-        running = min(self._jobs.values(), key=lambda job: job.started_s)
-        if running not in ahead:
-            total += running.uncached_tokens / self.tokens_per_s
-        elapsed = min(now - running.started_s, running.uncached_tokens / self.tokens_per_s)
-        return max(0.0, total - elapsed)
+        """Return the uncached tokens that are accepted and not finished."""
+        with self._changed:
+            return int(sum(job.service_s for job in self._jobs.values()) * self.tokens_per_s)
+
+    def _ordered(self) -> list[QueuedPrefill]:
+        return [job for job in self._jobs.values() if job.ordered_s is not None]
+
+    def _is_next(self, job: QueuedPrefill) -> bool:
+        waiting = [j for j in self._jobs.values() if j.ordered_s is None and not j.is_cancelled]
+        first = min(waiting, key=lambda j: j.finish_by_s)
+        return first is job and len(self._ordered()) < ENGINE_DEPTH
+
+    def _finish_times(self, now: float, jobs: list[QueuedPrefill]) -> dict[str, float]:
+        """Return when each job would finish: those at the engine first, then by deadline."""
+        ordered = sorted(
+            (j for j in jobs if j.ordered_s is not None), key=lambda j: j.ordered_s or 0
+        )
+        waiting = sorted((j for j in jobs if j.ordered_s is None), key=lambda j: j.finish_by_s)
+        times: dict[str, float] = {}
+        at_s = now
+        for position, job in enumerate([*ordered, *waiting]):
+            service_s = job.service_s
+            if position == 0 and job.ordered_s is not None:
+                service_s = max(0.0, service_s - (now - job.ordered_s))
+            at_s += service_s
+            times[job.attempt] = at_s
+        return times
--- a/src/yokedock_emulator/demo.py
+++ b/src/yokedock_emulator/demo.py
@@ -27,6 +27,8 @@
 TOKEN = "demo-token"
 PROMPT_WORDS = (20, 400, 2000)
 MAX_TOKENS = 24
+FIRST_TOKEN_MS = 5000
+"""Generous: the demonstration must end the same way on a slow machine."""
 CANCEL_AFTER_EVENTS = 3
 CANCEL_TOKENS = 400
 RELEASE_LIMIT_S = 4.0
@@ -55,7 +57,7 @@
         (ServicePlace("booking-1", "zone-1", SERVICE),),
         MODEL,
         Model(),
-        {"default": RequestClass()},
+        {"default": RequestClass(first_token_ms=FIRST_TOKEN_MS)},
         {"demo": tenant(TOKEN)},
         {SERVICE: Service(repeatable=False)},
         limits=Limits(clock_skew_s=KEY_SKEW_S),
