Try: reservations take a slot only while their stream is expected to run

Change: a reservation names when it is needed; the slot table grants it if at no moment of its expected run more streams than slots would run.

--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -299,6 +299,7 @@
         return Reserve(
             self._attempt,
             version,
+            predicted_ms,
             ready_by_ms,
             max(ready_by_ms, predicted_ms) + RESERVATION_MARGIN_MS,
             self._stream.tokens_left(),
