Every gateway learns all changes of an engine's prefix cache

Change: changes are numbered; each lease holder remembers what its peer was last told. Within one report only a block's latest state counts.

Before: a property over generated orders failed (learn, forget, learn of one block in one report).

--- a/features/properties.feature
+++ b/features/properties.feature
@@ -15,5 +15,6 @@
       | a fresh key names the time it was made                       |
       | a key runs at most once whatever the order of calls          |
       | slots never promise more than there are                      |
+      | every gateway learns all changes of a prefix cache           |
       | a prefix's blocks are a prefix of the blocks                 |
       | joined parts carry the same tokens                           |
--- a/features/support/properties.py
+++ b/features/support/properties.py
@@ -16,6 +16,7 @@
     key_time_ms,
     new_key,
 )
+from yokedock.request.known_blocks import KnownBlocks
 from yokedock.request.prefix import block_hashes
 from yokedock.request.slots import SlotTable
 from yokedock.version.bundle import Bundle, Engine, Limits, Model, RequestClass, Tenant
@@ -190,6 +191,32 @@
     assert granted == min(slots, asked) == table.taken()
 
 
+@searched(
+    steps=st.lists(st.tuples(st.sampled_from(["learn", "forget"]), st.integers(0, 1)), max_size=40),
+    most=st.integers(1, 5),
+)
+def readers_learn_all(steps, most):
+    """Two readers that ask at different times end up knowing the same blocks as the source."""
+    known, readers = KnownBlocks(), [(0, set()), (0, set())]
+    for number, (step, block) in enumerate(steps):
+        getattr(known, step)((block,))
+        readers[number % 2] = told(known, *readers[number % 2], most)
+    for _ in range(len(steps) + 1):
+        readers = [told(known, *reader, most) for reader in readers]
+    truth = {block for block in range(10) if known.is_cached(block)}
+    assert [blocks for _, blocks in readers] == [truth, truth]
+
+
+def told(known, position, blocks, most):
+    changes = known.changes_after(position, most)
+    assert changes.is_complete
+    for change in changes.cached:
+        blocks.add(change)
+    for change in changes.evicted:
+        blocks.discard(change)
+    return changes.last_number, blocks
+
+
 @searched(prompt=st.text(max_size=3000), more=st.text(max_size=3000))
 def blocks_are_prefix(prompt, more):
     first, second = block_hashes(prompt), block_hashes(prompt + more)
@@ -223,6 +250,7 @@
     "a fresh key names the time it was made": key_names_time,
     "a key runs at most once whatever the order of calls": key_runs_once,
     "slots never promise more than there are": slots_hold,
+    "every gateway learns all changes of a prefix cache": readers_learn_all,
     "a prefix's blocks are a prefix of the blocks": blocks_are_prefix,
     "joined parts carry the same tokens": parts_join,
 }
--- a/src/yokedock/connection/lease_holder.py
+++ b/src/yokedock/connection/lease_holder.py
@@ -129,6 +129,7 @@
         self._workers = workers
         self._connection: PeerConnection | None = None
         self._lease = Lease(context.check_pause)
+        self._told_change = 0
 
     def on_receive(self, message: Any) -> Any:
         """Handle one message; a failure is logged, since the leases must outlive it."""
@@ -185,6 +186,7 @@
         if connection.incarnation > present.incarnation:
             self._expire("the peer restarted")
         self._connection = connection
+        self._told_change = 0
         return True
 
     def _heartbeat(self, connection: PeerConnection, heartbeat: Heartbeat) -> None:
@@ -194,7 +196,18 @@
         lost = tuple(a for a in heartbeat.held if not self._backend.holds(a))
         self._context.demand_reported(self._name, heartbeat.prefill_demand, heartbeat.decode_demand)
         stamp, load = self._context.stamp(), self._backend.load()
-        connection.send(HeartbeatReply(stamp, self._context.incarnation(), load, lost))
+        changes = self._backend.block_changes(self._told_change)
+        self._told_change = changes.last_number
+        reply = HeartbeatReply(
+            stamp,
+            self._context.incarnation(),
+            load,
+            lost,
+            changes.cached,
+            changes.evicted,
+            changes.is_complete,
+        )
+        connection.send(reply)
 
     def _order(self, connection: PeerConnection, frame: Frame) -> None:
         order = frame.message
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -317,7 +317,7 @@
                     sink.offer(part)
 
     def _heartbeat_replied(self, reply: HeartbeatReply) -> None:
-        self._view.update(reply.load, reply.stamp, reply.incarnation)
+        self._view.update(reply)
         for attempt in reply.lost:
             sink = self._held.get(attempt)
             if sink is not None:
@@ -485,17 +485,17 @@
         self.is_connected = False
         self.load = None
 
-    def update(self, load: LoadReport, stamp: BundleStamp, incarnation: int) -> None:
-        """Take over a load report."""
-        if incarnation != self.incarnation or not load.cache_complete:
+    def update(self, reply: HeartbeatReply) -> None:
+        """Take over what a heartbeat's reply says."""
+        if reply.incarnation != self.incarnation or not reply.cache_complete:
             self._cached_blocks.clear()
-        self.incarnation = incarnation
-        self.load = load
+        self.incarnation = reply.incarnation
+        self.load = reply.load
         self.load_at_s = time.monotonic()
-        self.stamp = stamp
-        for block in load.evicted_blocks:
+        self.stamp = reply.stamp
+        for block in reply.evicted_blocks:
             self._cached_blocks.pop(block, None)
-        for block in load.cached_blocks:
+        for block in reply.cached_blocks:
             self._cached_blocks[block] = None
 
     def caches(self, block: int) -> bool:
--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -39,12 +39,7 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """An agent's view of its back end at the time of sending.
-
-    ``cached_blocks`` and ``evicted_blocks`` are prompt-block hashes (see ``request.prefix``) that
-    entered and left the prefix cache since the last report; ``cache_complete`` is false when
-    events were missed, and the receiver forgets what it knew.
-    """
+    """An agent's view of its back end at the time of sending."""
 
     role: str
     ready: bool
@@ -53,18 +48,23 @@
     slots_taken: int
     queued_prefill_tokens: int
     prefill_tokens_per_s: float
-    cached_blocks: tuple[int, ...] = ()
-    evicted_blocks: tuple[int, ...] = ()
-    cache_complete: bool = True
 
 
 class HeartbeatReply(Message, frozen=True):
-    """Agent to gateway: its load, and which of the attempts named as held it does not know."""
+    """Agent to gateway: its load, and which of the attempts named as held it does not know.
+
+    ``cached_blocks`` and ``evicted_blocks`` are prompt-block hashes (see ``request.prefix``) that
+    entered and left the prefix cache since the last reply; ``cache_complete`` is false when
+    changes were missed, and the receiver forgets what it knew.
+    """
 
     stamp: BundleStamp
     incarnation: int
     load: LoadReport
     lost: tuple[str, ...]
+    cached_blocks: tuple[int, ...] = ()
+    evicted_blocks: tuple[int, ...] = ()
+    cache_complete: bool = True
 
 
 class Failure(Message, frozen=True):
--- a/src/yokedock/request/backend.py
+++ b/src/yokedock/request/backend.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from yokedock.messages import AnyMessage, LoadReport, StepFrame
+from yokedock.request.known_blocks import BlockChanges
 
 SendFrame = Callable[[StepFrame], None]
 """Sends tokens to the gateway that owns a stream."""
@@ -42,6 +43,10 @@
     def load(self) -> LoadReport:
         """Return the present load."""
 
+    def block_changes(self, after: int) -> BlockChanges:
+        """Return cached and evicted prompt blocks after a change's number; none by default."""
+        return BlockChanges(after, (), (), True)
+
     @abc.abstractmethod
     def in_flight(self) -> int:
         """Return how many attempts are held or running."""
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -50,7 +50,7 @@
 from yokedock.process.clock import deadline_in, left_s
 from yokedock.process.logs import logger
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
-from yokedock.request.known_blocks import KnownBlocks
+from yokedock.request.known_blocks import BlockChanges, KnownBlocks
 from yokedock.request.prefill_queue import PrefillQueue
 from yokedock.request.prefix import block_hashes, estimate_tokens
 from yokedock.request.releaser import Releaser
@@ -61,8 +61,8 @@
 _log = logger("engine")
 Result = TypeVar("Result")
 
-MAX_BLOCKS_A_REPORT = 256
-"""Changed prompt blocks that one heartbeat reply carries at most (about 2.3 KB)."""
+MAX_BLOCKS_A_REPORT = 64
+"""Changed prompt blocks that one heartbeat reply carries at most (9 B each)."""
 TRANSFER_TIMEOUT_S = 30.0
 PREFILL_TIMEOUT_S = 60.0
 FIRST_STEP_S = 0.04
@@ -179,7 +179,6 @@
 
     def load(self) -> LoadReport:
         """Return the load by the agent's own record, which is newer than the engine's report."""
-        added, removed, complete = self.known_blocks.take_changes(MAX_BLOCKS_A_REPORT)
         return LoadReport(
             role=self.role,
             ready=self.is_ready and self.is_engine_up,
@@ -188,11 +187,12 @@
             slots_taken=self.slots.taken(),
             queued_prefill_tokens=self.prefills.queued_tokens(),
             prefill_tokens_per_s=self.prefills.tokens_per_s,
-            cached_blocks=added,
-            evicted_blocks=removed,
-            cache_complete=complete,
         )
 
+    def block_changes(self, after: int) -> BlockChanges:
+        """Return which prompt blocks entered and left the engine's cache."""
+        return self.known_blocks.changes_after(after, MAX_BLOCKS_A_REPORT)
+
     def in_flight(self) -> int:
         """Return how many attempts are not over, confirmations included."""
         return len(self._attempts)
--- a/src/yokedock/request/known_blocks.py
+++ b/src/yokedock/request/known_blocks.py
@@ -1,70 +1,94 @@
-"""The prompt blocks that an engine is believed to cache: a hint, never a fact."""
+"""The prompt blocks that an engine is believed to cache: a hint, never a fact.
+
+Learned from cache events and from the prefills that the agent ordered itself. Every change gets a
+number, and each gateway is told what changed since the number it was last told.
+"""
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 import threading
 
 MAX_KNOWN_BLOCKS = 100_000
+MAX_CHANGES = 4096
 
 
-class KnownBlocks:
-    """The prompt blocks that the engine is believed to cache, and what changed since the last take.
+@dataclasses.dataclass(frozen=True)
+class BlockChange:
+    """One block that entered or left the cache."""
+
+    number: int
+    block: int
+    is_cached: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class BlockChanges:
+    """What changed after some number; ``is_complete`` is false when changes in between are lost."""
+
+    last_number: int
+    cached: tuple[int, ...]
+    evicted: tuple[int, ...]
+    is_complete: bool
 
-    Learned from cache events and from the prefills that this agent ordered itself.
-    """
+
+class KnownBlocks:
+    """The blocks and their latest changes. Safe for use by several threads."""
 
     def __init__(self) -> None:
         """Start with no block."""
-        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
-        self._added: dict[int, None] = {}
-        self._removed: dict[int, None] = {}
         self._lock = threading.Lock()
-        self._is_complete = True
+        self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self._changes: collections.deque[BlockChange] = collections.deque(maxlen=MAX_CHANGES)
+        self._last_number = 0
 
     def learn(self, blocks: tuple[int, ...] | list[int]) -> None:
         """Note blocks as cached."""
         with self._lock:
             for block in blocks:
                 if block not in self._blocks:
-                    self._added[block] = None
-                    self._removed.pop(block, None)
+                    self._change(block, True)
                 self._blocks[block] = None
                 self._blocks.move_to_end(block)
             while len(self._blocks) > MAX_KNOWN_BLOCKS:
-                self._remove(next(iter(self._blocks)))
+                evicted, _ = self._blocks.popitem(last=False)
+                self._change(evicted, False)
 
     def forget(self, blocks: tuple[int, ...]) -> None:
         """Note blocks as evicted."""
         with self._lock:
             for block in blocks:
-                self._remove(block)
+                if block in self._blocks:
+                    del self._blocks[block]
+                    self._change(block, False)
 
     def forget_all(self) -> None:
         """Events were lost: believe nothing."""
         with self._lock:
             self._blocks.clear()
-            self._added.clear()
-            self._removed.clear()
-            self._is_complete = False
+            self._changes.clear()
+            self._last_number += 1
 
     def is_cached(self, block: int) -> bool:
         """Return whether the block is believed to be cached."""
         return block in self._blocks
 
-    def take_changes(self, most: int) -> tuple[tuple[int, ...], tuple[int, ...], bool]:
-        """Return at most ``most`` added and removed blocks, and whether nothing was lost before."""
+    def changes_after(self, number: int, most: int) -> BlockChanges:
+        """Return at most ``most`` changes after ``number``: for each block its latest state."""
         with self._lock:
-            added = tuple(list(self._added)[:most])
-            removed = tuple(list(self._removed)[:most])
-            for block in added:
-                del self._added[block]
-            for block in removed:
-                del self._removed[block]
-            complete, self._is_complete = self._is_complete, True
-            return added, removed, complete
-
-    def _remove(self, block: int) -> None:
-        if self._blocks.pop(block, self) is None:
-            self._removed[block] = None
-            self._added.pop(block, None)
+            oldest = self._changes[0].number if self._changes else self._last_number + 1
+            is_complete = number + 1 >= oldest
+            found = [change for change in self._changes if change.number > number][:most]
+            last_number = found[-1].number if found else self._last_number
+        latest = {change.block: change.is_cached for change in found}
+        return BlockChanges(
+            last_number,
+            tuple(block for block, is_cached in latest.items() if is_cached),
+            tuple(block for block, is_cached in latest.items() if not is_cached),
+            is_complete,
+        )
+
+    def _change(self, block: int, is_cached: bool) -> None:
+        self._last_number += 1
+        self._changes.append(BlockChange(self._last_number, block, is_cached))
