--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -88,6 +88,17 @@
     strike(context.cell, fault, context.go_on)
 
 
+@when("two faults strike: {first} and then {second}")
+def two_faults(context, first, second):
+    """Strike the second while the first lasts; the same fault twice comes one after the other."""
+    cell = context.cell
+    if first == second:
+        strike(cell, first, context.go_on)
+        strike(cell, second, lambda: None)
+    else:
+        strike(cell, first, lambda: strike(cell, second, context.go_on))
+
+
 @then("the caller has {what}")
 def caller_has(context, what):
     caller = context.cell.caller.wait()
