--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint slopes bench clean
+.PHONY: demo test matrix lint slopes bench clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,6 +17,9 @@
 test: $(VENV)/.ready
 	$(BIN)/python features/run_features.py
 
+matrix: $(VENV)/.ready
+	$(BIN)/python features/run_features.py 'matrix_*'
+
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -16,5 +16,7 @@
       | a key runs at most once whatever the order of calls          |
       | slots never promise more than there are                      |
       | every gateway learns all changes of a prefix cache           |
+      | an answer has one gap fewer than tokens, joined or not       |
+      | every kind of refusal says when to come back                 |
       | a prefix's blocks are a prefix of the blocks                 |
       | joined parts carry the same tokens                           |
--- a/features/run_features.py
+++ b/features/run_features.py
@@ -1,6 +1,7 @@
 """Runs all features in parallel behave processes and ends with ``N passed, N failed``.
 
-Scenarios named in KNOWN-RED.txt are run and printed, and do not fail the run.
+Arguments are names of feature files without their ending; ``*`` stands for anything. Scenarios
+named in KNOWN-RED.txt are run and printed, and do not fail the run.
 """
 
 import json
@@ -78,7 +79,8 @@
 def main():
     names = sys.argv[1:]
     features = sorted(HERE.glob("*.feature"))
-    chosen = [path for path in features if not names or path.stem in names]
+    wanted = [f"{name}.feature" for name in names] or ["*.feature"]
+    chosen = [path for path in features if any(path.match(name) for name in wanted)]
     LOGS.mkdir(parents=True, exist_ok=True)
     with ThreadPoolExecutor(WORKERS) as workers:
         results = list(workers.map(run_feature, enumerate(chosen)))
--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -130,6 +130,7 @@
 def service_call_at(context, step):
     deployment = context.deployment
     context.go_on = lambda: deployment.hold("", "service ")
+    context.key = deployment.fresh_key()
     if step == "admitted":
         hold_relays(context, HOMES)
     elif step == "sent":
@@ -137,8 +138,8 @@
     else:
         deployment.hold(step, "service ")
     url = deployment.urls[GATEWAY]
-    caller = ServiceCaller(url, SERVICE, b"confirm")
-    context.key, context.request_id = caller.key, ""
+    caller = ServiceCaller(url, SERVICE, b"confirm", context.key)
+    context.request_id = ""
     if step in ("admitted", "sent"):
         wait_in_flight(deployment)
     if step in ("executing", "executed"):
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -147,7 +147,7 @@
 @when("a service call is sent through {gateway}")
 def service_call(context, gateway):
     url = context.deployment.urls[gateway]
-    context.key = fresh_key(context)
+    context.key = context.deployment.fresh_key()
     context.service_callers = [ServiceCaller(url, SERVICE, b"hut 7", context.key).wait()]
 
 
@@ -157,11 +157,6 @@
     context.service_callers.append(ServiceCaller(url, SERVICE, b"hut 7", context.key).wait())
 
 
-def fresh_key(context):
-    """Return a key made after every home's start plus the allowed difference of clocks."""
-    return new_key(wall_clock_ms())
-
-
 @then("both got the same answer")
 def same_answer(context):
     first, second = context.service_callers
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -7,8 +7,6 @@
 import urllib3
 
 from support.deployment import MODEL, TOKEN
-from yokedock.process.clock import wall_clock_ms
-from yokedock.request.idempotency import new_key
 from yokedock_emulator.tokens import expected_text
 
 END_LIMIT_S = 40.0
@@ -118,7 +116,6 @@
 class ServiceCaller(Caller):
     """A call to a plain service."""
 
-    def __init__(self, url, service, body, key=None, deadline_ms=8000):
-        self.key = key or new_key(wall_clock_ms())
-        headers = {"Idempotency-Key": self.key, "X-Deadline-Ms": str(deadline_ms)}
+    def __init__(self, url, service, body, key, deadline_ms=8000):
+        headers = {"Idempotency-Key": key, "X-Deadline-Ms": str(deadline_ms)}
         super().__init__(url, f"/v1/services/{service}", body, headers)
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -17,6 +17,8 @@
 from yokedock.connection.machine_list import MachineList
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_files import read_private_key, read_signed
+from yokedock.process.clock import wall_clock_ms
+from yokedock.request.idempotency import new_key
 from yokedock_emulator.ledgers import EngineLedger, HoldOrder, LinkState, ServiceLedger
 from yokedock_emulator.platform import Outage, PublishedValue
 from yokedock_emulator.process_group import Node, program, write_ini
@@ -26,6 +28,7 @@
 REPEATABLE = "price-list"
 TOKEN = "test-token"
 LEASE_S = 1.5
+CLOCK_SKEW_MS = 200
 READY_LIMIT_S = 30.0
 PREFILL = ("prefill-1", "prefill-2")
 DECODE = ("decode-1", "decode-2")
@@ -147,7 +150,11 @@
 
     def bundle_sections(self, homes=HOMES):
         sections = {
-            "limits": {"clock_skew_s": "0.2", "max_attempts": "6", "retry_share": "1"},
+            "limits": {
+                "clock_skew_s": str(CLOCK_SKEW_MS / 1000),
+                "max_attempts": "6",
+                "retry_share": "1",
+            },
             "class default": {"first_token_ms": "5000"},
             "tenant tester": {"token_sha256": hashlib.sha256(TOKEN.encode()).hexdigest()},
             f"model {MODEL}": {"prefill_tokens_per_s": "20000", "step_ms": "10"},
@@ -228,6 +235,16 @@
     def set_outage(self, **what):
         post_json(f"{self.urls['platform']}/test/outage", Outage(**what))
 
+    def fresh_key(self):
+        """Return a key made after every home's start plus the allowed difference of clocks.
+
+        A home that has just started rightly refuses older keys, so this waits until none would.
+        """
+        started = max(self.status(name).incarnation for name in HOMES)
+        while wall_clock_ms() <= started + CLOCK_SKEW_MS + 1:
+            time.sleep(0.01)
+        return new_key(wall_clock_ms())
+
     def daemons(self):
         return [*PREFILL, *DECODE, *HOMES, *LISTS, *GATEWAYS]
 
--- a/features/support/properties.py
+++ b/features/support/properties.py
@@ -7,9 +7,11 @@
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
+from yokedock.connection.http_server import error_response
 from yokedock.connection.peer_client import join_parts
-from yokedock.errors import BundleRejected, NoDecodeRoom, YokedockError
+from yokedock.errors import BundleRejected, NoDecodeRoom, Refused, YokedockError
 from yokedock.messages import StreamTokens
+from yokedock.request.answer_stream import StreamClock
 from yokedock.request.idempotency import (
     IdempotencyRecord,
     RecordLimits,
@@ -244,6 +246,27 @@
         assert all(t == f"t{part.sequence + n}" for n, t in enumerate(part.tokens))
 
 
+@searched(sizes=st.lists(st.integers(1, 5), min_size=1, max_size=20), known_case={"sizes": [2]})
+def one_gap_fewer(sizes):
+    clock = StreamClock()
+    for size in sizes:
+        clock.arrived(size)
+    assert sum(count for _, count in clock.gaps) == sum(sizes) - 1
+
+
+def refusals_say_when():
+    kinds, found = [Refused], []
+    while kinds:
+        kind = kinds.pop()
+        kinds += kind.__subclasses__()
+        found.append(kind)
+    for kind in found:
+        for asked in (None, 0.0, 0.2, 3.0):
+            headers = dict(error_response(kind("why; what to do", asked)).headers)
+            assert int(headers["Retry-After"]) >= 1, (kind, asked, headers)
+    assert len(found) > 5
+
+
 PROPERTIES = {
     "a signed bundle opens to what was signed": signed_opens,
     "an envelope with any altered byte is rejected or unchanged": altered_rejected,
@@ -256,6 +279,8 @@
     "a key runs at most once whatever the order of calls": key_runs_once,
     "slots never promise more than there are": slots_hold,
     "every gateway learns all changes of a prefix cache": readers_learn_all,
+    "an answer has one gap fewer than tokens, joined or not": one_gap_fewer,
+    "every kind of refusal says when to come back": refusals_say_when,
     "a prefix's blocks are a prefix of the blocks": blocks_are_prefix,
     "joined parts carry the same tokens": parts_join,
 }
--- a/src/yokedock/connection/bundle_exchange.py
+++ b/src/yokedock/connection/bundle_exchange.py
@@ -10,8 +10,8 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from yokedock.connection.peer_client import AgentPeerHandle
 from yokedock.connection.peer_listener import PeerConnection
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import BundleRejected, YokedockError
 from yokedock.messages import (
     BundleEnvelope,
--- a/src/yokedock/connection/caller_http.py
+++ b/src/yokedock/connection/caller_http.py
@@ -36,8 +36,9 @@
 from yokedock.process.metrics import Metrics
 from yokedock.request.admission import Admission
 from yokedock.request.answer_stream import AnswerStream
+from yokedock.request.attempt import ModelOrder
 from yokedock.request.context import CallerIdentity, RequestContext
-from yokedock.request.model_request import ModelOrder, ModelRequests
+from yokedock.request.model_request import ModelRequests
 from yokedock.request.prefix import estimate_tokens
 from yokedock.request.service_request import ServiceOrder, ServiceRequests
 from yokedock.request.watchdog import Watchdog
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -7,45 +7,38 @@
 
 from __future__ import annotations
 
-import contextlib
-import dataclasses
-import random
 import threading
-import time
 from collections.abc import Callable
-from concurrent.futures import Future, InvalidStateError
-from typing import Any, Protocol
+from concurrent.futures import Future
+from typing import Any
 
 import pykka
 import pynng
 
-from yokedock.connection.peer_socket import PeerSocket
-from yokedock.connection.secure_session import (
-    Hello,
-    Sealed,
-    SecureSession,
-    Welcome,
-    decode_packet,
-    encode_packet,
-    new_nonce,
-)
-from yokedock.errors import (
-    PeerNeverReached,
-    PeerNotAuthenticated,
-    PeerUnreachable,
-    YokedockError,
-    error_from_code,
+from yokedock.connection.peer_reader import PeerReader
+from yokedock.connection.peer_types import (
+    DropAttempt,
+    FrameArrived,
+    HeartbeatDue,
+    LinkDown,
+    LinkUp,
+    PeerContext,
+    PeerIdentity,
+    PeerTiming,
+    SendCall,
+    StreamSink,
+    settle,
 )
+from yokedock.connection.peer_view import AgentPeerHandle, PeerView
+from yokedock.connection.secure_session import SecureSession
+from yokedock.errors import PeerNeverReached, PeerUnreachable, error_from_code
 from yokedock.messages import (
-    AnyMessage,
     BundleSections,
-    BundleStamp,
     Failure,
     FetchSections,
     Frame,
     Heartbeat,
     HeartbeatReply,
-    LoadReport,
     Message,
     OfferBundle,
     Release,
@@ -56,123 +49,6 @@
 
 _log = logger("peer")
 
-REDIAL_MIN_MS = 50
-REDIAL_MAX_MS = 2000
-
-
-class StreamSink(Protocol):
-    """Receives what one attempt's stream brings. Called from the peer's task."""
-
-    def offer(self, part: StreamTokens) -> None:
-        """Take the stream's next tokens."""
-
-    def lost(self, error: YokedockError) -> None:
-        """The stream cannot go on over this link as it is."""
-
-
-@dataclasses.dataclass(frozen=True)
-class PeerIdentity:
-    """Who this process is, towards its peers."""
-
-    name: str
-    incarnation: int
-    key: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class PeerTiming:
-    """Heartbeat interval and lease, in milliseconds."""
-
-    heartbeat_ms: int
-    lease_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class DemandSignal:
-    """What this gateway asked for in the last interval: seconds of prefill, slots of decode."""
-
-    prefill: float = 0.0
-    decode: float = 0.0
-
-
-class PeerContext(Protocol):
-    """What a peer's task needs from its process."""
-
-    def stamp(self) -> BundleStamp:
-        """Return the stamp of the version in force here."""
-
-    def demand(self) -> DemandSignal:
-        """Return the demand signal to send."""
-
-    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
-        """Compare a peer's version with the one in force here."""
-
-    def bundle_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
-        """Consider an envelope that a peer handed over."""
-
-    def sections(self, digests: tuple[str, ...]) -> tuple[bytes, ...]:
-        """Return sections by digest."""
-
-
-@dataclasses.dataclass(frozen=True)
-class SendCall:
-    """Send a message; ``reply`` is None where no reply is wanted.
-
-    ``attempt`` names an attempt to hold from now on, ``sink`` receives its stream.
-    """
-
-    message: AnyMessage
-    reply: Future[Any] | None = None
-    attempt: str = ""
-    sink: StreamSink | None = None
-
-
-@dataclasses.dataclass(frozen=True)
-class DropAttempt:
-    """The attempt is over here: stop holding it and tell the agent."""
-
-    attempt: str
-
-
-@dataclasses.dataclass(frozen=True)
-class LinkUp:
-    """The reader has a connection."""
-
-    reader: PeerReader
-    session: SecureSession
-    incarnation: int
-
-
-@dataclasses.dataclass(frozen=True)
-class LinkDown:
-    """The reader's connection is gone."""
-
-    reader: PeerReader
-
-
-@dataclasses.dataclass(frozen=True)
-class FrameArrived:
-    """The reader read a frame from its connection."""
-
-    reader: PeerReader
-    frame: Frame
-
-
-@dataclasses.dataclass(frozen=True)
-class HeartbeatDue:
-    """The process's ticker says that it is time for a heartbeat."""
-
-
-def settle(future: Future[Any], result: Any = None, error: BaseException | None = None) -> None:
-    """Give a future its result or error; do nothing if it has one already."""
-    try:
-        if error is not None:
-            future.set_exception(error)
-        else:
-            future.set_result(result)
-    except InvalidStateError:
-        pass
-
 
 class AgentPeer(pykka.ThreadingActor):
     """The task of one agent as seen from a process that dials it."""
@@ -379,173 +255,6 @@
     return joined
 
 
-class PeerReader(threading.Thread):
-    """Dials one address until it is connected, and reads until that connection is gone."""
-
-    def __init__(
-        self, address: str, identity: PeerIdentity, timing: PeerTiming, owner: pykka.ActorRef[Any]
-    ) -> None:
-        """Prepare the thread; frames and losses are told to ``owner``."""
-        super().__init__(name=f"reader {address}", daemon=True)
-        self._url = f"tcp://{address}"
-        self._identity = identity
-        self._timing = timing
-        self._owner = owner
-        self._stopping = threading.Event()
-        self.socket = PeerSocket()
-
-    def stop(self) -> None:
-        """Ask the thread to end; it does so within a lease."""
-        self._stopping.set()
-
-    def run(self) -> None:
-        """Dial until connected, with growing random pauses; then read one connection."""
-        pause_ms = REDIAL_MIN_MS
-        while not self._stopping.wait(random.uniform(0, pause_ms) / 1000):
-            session = self._connect()
-            if session is not None:
-                self._read(session)
-                break
-            self.socket.close()
-            self.socket = PeerSocket()
-            pause_ms = min(pause_ms * 2, REDIAL_MAX_MS)
-        self.socket.close()
-
-    def _connect(self) -> SecureSession | None:
-        """Dial and shake hands; return the session, None if that failed."""
-        socket = self.socket
-        hello = Hello(new_nonce(), self._identity.name, self._identity.incarnation)
-        try:
-            socket.dial(self._url)
-            socket.send(encode_packet(hello))
-            welcome = decode_packet(socket.receive())
-        except pynng.NNGException:
-            return None
-        except PeerNotAuthenticated as error:
-            _log.warning("peer refused", peer=self._url, error=error.message)
-            return None
-        if not isinstance(welcome, Welcome):
-            return None
-        session = SecureSession(self._identity.key, hello, welcome, dialer=True)
-        socket.allow_silence(self._timing.lease_ms)
-        socket.on_lost(lambda: self._tell(LinkDown(self)))
-        self._tell(LinkUp(self, session, welcome.incarnation))
-        return session
-
-    def _read(self, session: SecureSession) -> None:
-        """Read until the connection is lost; silence for a whole lease counts as lost."""
-        try:
-            while not self._stopping.is_set():
-                packet = decode_packet(self.socket.receive())
-                if isinstance(packet, Sealed):
-                    self._tell(FrameArrived(self, session.open(packet)))
-        except pynng.NNGException:
-            pass
-        except PeerNotAuthenticated as error:
-            _log.warning("peer refused", peer=self._url, error=error.message)
-        self._tell(LinkDown(self))
-
-    def _tell(self, message: Any) -> None:
-        """Tell the owner, unless it has ended."""
-        with contextlib.suppress(pykka.ActorDeadError):
-            self._owner.tell(message)
-
-
-class PeerView:
-    """What is known of a peer, readable from any thread: updated only by the peer's task."""
-
-    def __init__(self, name: str, zone: str) -> None:
-        """Start as not connected."""
-        self.name = name
-        self.zone = zone
-        self.is_connected = False
-        self.load: LoadReport | None = None
-        self.load_at_s = 0.0
-        self.stamp = BundleStamp(0, "")
-        self.incarnation = 0
-        self._handle: AgentPeerHandle | None = None
-        self._cached_blocks: dict[int, None] = {}
-
-    def attach(self, handle: AgentPeerHandle) -> None:
-        """Remember the handle through which the peer is called."""
-        self._handle = handle
-
-    def handle(self) -> AgentPeerHandle:
-        """Return the handle through which the peer is called."""
-        assert self._handle is not None
-        return self._handle
-
-    def connected(self, incarnation: int) -> None:
-        """Note a new connection."""
-        self.is_connected = True
-        self.incarnation = incarnation
-
-    def disconnected(self) -> None:
-        """Note the loss of the connection; the old load report is worth nothing now."""
-        self.is_connected = False
-        self.load = None
-
-    def update(self, reply: HeartbeatReply) -> None:
-        """Take over what a heartbeat's reply says."""
-        if reply.incarnation != self.incarnation or not reply.cache_complete:
-            self._cached_blocks.clear()
-        self.incarnation = reply.incarnation
-        self.load = reply.load
-        self.load_at_s = time.monotonic()
-        self.stamp = reply.stamp
-        for block in reply.evicted_blocks:
-            self._cached_blocks.pop(block, None)
-        for block in reply.cached_blocks:
-            self._cached_blocks[block] = None
-
-    def caches(self, block: int) -> bool:
-        """Return whether the peer's engine is thought to cache the block: a hint, never a fact."""
-        return block in self._cached_blocks
-
-
-class AgentPeerHandle:
-    """Calls one agent from any thread."""
-
-    def __init__(self, view: PeerView, address: str, reference: pykka.ActorRef[Any]) -> None:
-        """Wrap the peer's actor."""
-        self.view = view
-        self.name = view.name
-        self.address = address
-        self._reference = reference
-
-    def call(
-        self, message: AnyMessage, attempt: str = "", sink: StreamSink | None = None
-    ) -> Future[Any]:
-        """Send ``message``; the future gets the reply or a typed error."""
-        future: Future[Any] = Future()
-        self._tell(SendCall(message, future, attempt, sink), future)
-        return future
-
-    def notify(self, message: AnyMessage) -> None:
-        """Send ``message`` without waiting for a reply."""
-        self._tell(SendCall(message), None)
-
-    def drop(self, attempt: str) -> None:
-        """Stop holding ``attempt`` at the agent."""
-        self._tell(DropAttempt(attempt), None)
-
-    def heartbeat(self) -> None:
-        """Send a heartbeat now."""
-        self._tell(HeartbeatDue(), None)
-
-    def stop(self) -> None:
-        """End the peer's task."""
-        self._reference.stop(block=False)
-
-    def _tell(self, message: Any, future: Future[Any] | None) -> None:
-        try:
-            self._reference.tell(message)
-        except pykka.ActorDeadError:
-            if future is not None:
-                error = PeerNeverReached(f"{self.name} was removed from the bundle; retry", 1.0)
-                settle(future, error=error)
-
-
 def start_peer(
     name: str,
     zone: str,
--- /dev/null
+++ b/src/yokedock/connection/peer_reader.py
@@ -0,0 +1,108 @@
+"""The thread that dials one agent, shakes hands and reads one connection."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import threading
+from typing import Any
+
+import pykka
+import pynng
+
+from yokedock.connection.peer_socket import PeerSocket
+from yokedock.connection.peer_types import (
+    FrameArrived,
+    LinkDown,
+    LinkUp,
+    PeerIdentity,
+    PeerTiming,
+)
+from yokedock.connection.secure_session import (
+    Hello,
+    Sealed,
+    SecureSession,
+    Welcome,
+    decode_packet,
+    encode_packet,
+    new_nonce,
+)
+from yokedock.errors import PeerNotAuthenticated
+from yokedock.process.logs import logger
+
+_log = logger("peer")
+
+REDIAL_MIN_MS = 50
+REDIAL_MAX_MS = 2000
+
+
+class PeerReader(threading.Thread):
+    """Dials one address until it is connected, and reads until that connection is gone."""
+
+    def __init__(
+        self, address: str, identity: PeerIdentity, timing: PeerTiming, owner: pykka.ActorRef[Any]
+    ) -> None:
+        """Prepare the thread; frames and losses are told to ``owner``."""
+        super().__init__(name=f"reader {address}", daemon=True)
+        self._url = f"tcp://{address}"
+        self._identity = identity
+        self._timing = timing
+        self._owner = owner
+        self._stopping = threading.Event()
+        self.socket = PeerSocket()
+
+    def stop(self) -> None:
+        """Ask the thread to end; it does so within a lease."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Dial until connected, with growing random pauses; then read one connection."""
+        pause_ms = REDIAL_MIN_MS
+        while not self._stopping.wait(random.uniform(0, pause_ms) / 1000):
+            session = self._connect()
+            if session is not None:
+                self._read(session)
+                break
+            self.socket.close()
+            self.socket = PeerSocket()
+            pause_ms = min(pause_ms * 2, REDIAL_MAX_MS)
+        self.socket.close()
+
+    def _connect(self) -> SecureSession | None:
+        """Dial and shake hands; return the session, None if that failed."""
+        socket = self.socket
+        hello = Hello(new_nonce(), self._identity.name, self._identity.incarnation)
+        try:
+            socket.dial(self._url)
+            socket.send(encode_packet(hello))
+            welcome = decode_packet(socket.receive())
+        except pynng.NNGException:
+            return None
+        except PeerNotAuthenticated as error:
+            _log.warning("peer refused", peer=self._url, error=error.message)
+            return None
+        if not isinstance(welcome, Welcome):
+            return None
+        session = SecureSession(self._identity.key, hello, welcome, dialer=True)
+        socket.allow_silence(self._timing.lease_ms)
+        socket.on_lost(lambda: self._tell(LinkDown(self)))
+        self._tell(LinkUp(self, session, welcome.incarnation))
+        return session
+
+    def _read(self, session: SecureSession) -> None:
+        """Read until the connection is lost; silence for a whole lease counts as lost."""
+        try:
+            while not self._stopping.is_set():
+                packet = decode_packet(self.socket.receive())
+                if isinstance(packet, Sealed):
+                    self._tell(FrameArrived(self, session.open(packet)))
+        except pynng.NNGException:
+            pass
+        except PeerNotAuthenticated as error:
+            _log.warning("peer refused", peer=self._url, error=error.message)
+        self._tell(LinkDown(self))
+
+    def _tell(self, message: Any) -> None:
+        """Tell the owner, unless it has ended."""
+        with contextlib.suppress(pykka.ActorDeadError):
+            self._owner.tell(message)
--- /dev/null
+++ b/src/yokedock/connection/peer_types.py
@@ -0,0 +1,129 @@
+"""What the parts of a peer's task share: who speaks, how often, and the messages of its inbox."""
+
+from __future__ import annotations
+
+import dataclasses
+from concurrent.futures import Future, InvalidStateError
+from typing import TYPE_CHECKING, Any, Protocol
+
+from yokedock.connection.secure_session import SecureSession
+from yokedock.errors import YokedockError
+from yokedock.messages import AnyMessage, BundleStamp, Frame, StreamTokens
+
+if TYPE_CHECKING:
+    from yokedock.connection.peer_reader import PeerReader
+    from yokedock.connection.peer_view import AgentPeerHandle
+
+
+class StreamSink(Protocol):
+    """Receives what one attempt's stream brings. Called from the peer's task."""
+
+    def offer(self, part: StreamTokens) -> None:
+        """Take the stream's next tokens."""
+
+    def lost(self, error: YokedockError) -> None:
+        """The stream cannot go on over this link as it is."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerIdentity:
+    """Who this process is, towards its peers."""
+
+    name: str
+    incarnation: int
+    key: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerTiming:
+    """Heartbeat interval and lease, in milliseconds."""
+
+    heartbeat_ms: int
+    lease_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class DemandSignal:
+    """What this gateway asked for in the last interval: seconds of prefill, slots of decode."""
+
+    prefill: float = 0.0
+    decode: float = 0.0
+
+
+class PeerContext(Protocol):
+    """What a peer's task needs from its process."""
+
+    def stamp(self) -> BundleStamp:
+        """Return the stamp of the version in force here."""
+
+    def demand(self) -> DemandSignal:
+        """Return the demand signal to send."""
+
+    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
+        """Compare a peer's version with the one in force here."""
+
+    def bundle_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
+        """Consider an envelope that a peer handed over."""
+
+    def sections(self, digests: tuple[str, ...]) -> tuple[bytes, ...]:
+        """Return sections by digest."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SendCall:
+    """Send a message; ``reply`` is None where no reply is wanted.
+
+    ``attempt`` names an attempt to hold from now on, ``sink`` receives its stream.
+    """
+
+    message: AnyMessage
+    reply: Future[Any] | None = None
+    attempt: str = ""
+    sink: StreamSink | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class DropAttempt:
+    """The attempt is over here: stop holding it and tell the agent."""
+
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkUp:
+    """The reader has a connection."""
+
+    reader: PeerReader
+    session: SecureSession
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkDown:
+    """The reader's connection is gone."""
+
+    reader: PeerReader
+
+
+@dataclasses.dataclass(frozen=True)
+class FrameArrived:
+    """The reader read a frame from its connection."""
+
+    reader: PeerReader
+    frame: Frame
+
+
+@dataclasses.dataclass(frozen=True)
+class HeartbeatDue:
+    """The process's ticker says that it is time for a heartbeat."""
+
+
+def settle(future: Future[Any], result: Any = None, error: BaseException | None = None) -> None:
+    """Give a future its result or error; do nothing if it has one already."""
+    try:
+        if error is not None:
+            future.set_exception(error)
+        else:
+            future.set_result(result)
+    except InvalidStateError:
+        pass
--- /dev/null
+++ b/src/yokedock/connection/peer_view.py
@@ -0,0 +1,114 @@
+"""What is known of a peer, and the handle by which any thread calls it."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from yokedock.connection.peer_types import (
+    DropAttempt,
+    HeartbeatDue,
+    SendCall,
+    StreamSink,
+    settle,
+)
+from yokedock.errors import PeerNeverReached
+from yokedock.messages import AnyMessage, BundleStamp, HeartbeatReply, LoadReport
+
+
+class PeerView:
+    """What is known of a peer, readable from any thread: updated only by the peer's task."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        """Start as not connected."""
+        self.name = name
+        self.zone = zone
+        self.is_connected = False
+        self.load: LoadReport | None = None
+        self.load_at_s = 0.0
+        self.stamp = BundleStamp(0, "")
+        self.incarnation = 0
+        self._handle: AgentPeerHandle | None = None
+        self._cached_blocks: dict[int, None] = {}
+
+    def attach(self, handle: AgentPeerHandle) -> None:
+        """Remember the handle through which the peer is called."""
+        self._handle = handle
+
+    def handle(self) -> AgentPeerHandle:
+        """Return the handle through which the peer is called."""
+        assert self._handle is not None
+        return self._handle
+
+    def connected(self, incarnation: int) -> None:
+        """Note a new connection."""
+        self.is_connected = True
+        self.incarnation = incarnation
+
+    def disconnected(self) -> None:
+        """Note the loss of the connection; the old load report is worth nothing now."""
+        self.is_connected = False
+        self.load = None
+
+    def update(self, reply: HeartbeatReply) -> None:
+        """Take over what a heartbeat's reply says."""
+        if reply.incarnation != self.incarnation or not reply.cache_complete:
+            self._cached_blocks.clear()
+        self.incarnation = reply.incarnation
+        self.load = reply.load
+        self.load_at_s = time.monotonic()
+        self.stamp = reply.stamp
+        for block in reply.evicted_blocks:
+            self._cached_blocks.pop(block, None)
+        for block in reply.cached_blocks:
+            self._cached_blocks[block] = None
+
+    def caches(self, block: int) -> bool:
+        """Return whether the peer's engine is thought to cache the block: a hint, never a fact."""
+        return block in self._cached_blocks
+
+
+class AgentPeerHandle:
+    """Calls one agent from any thread."""
+
+    def __init__(self, view: PeerView, address: str, reference: pykka.ActorRef[Any]) -> None:
+        """Wrap the peer's actor."""
+        self.view = view
+        self.name = view.name
+        self.address = address
+        self._reference = reference
+
+    def call(
+        self, message: AnyMessage, attempt: str = "", sink: StreamSink | None = None
+    ) -> Future[Any]:
+        """Send ``message``; the future gets the reply or a typed error."""
+        future: Future[Any] = Future()
+        self._tell(SendCall(message, future, attempt, sink), future)
+        return future
+
+    def notify(self, message: AnyMessage) -> None:
+        """Send ``message`` without waiting for a reply."""
+        self._tell(SendCall(message), None)
+
+    def drop(self, attempt: str) -> None:
+        """Stop holding ``attempt`` at the agent."""
+        self._tell(DropAttempt(attempt), None)
+
+    def heartbeat(self) -> None:
+        """Send a heartbeat now."""
+        self._tell(HeartbeatDue(), None)
+
+    def stop(self) -> None:
+        """End the peer's task."""
+        self._reference.stop(block=False)
+
+    def _tell(self, message: Any, future: Future[Any] | None) -> None:
+        try:
+            self._reference.tell(message)
+        except pykka.ActorDeadError:
+            if future is not None:
+                error = PeerNeverReached(f"{self.name} was removed from the bundle; retry", 1.0)
+                settle(future, error=error)
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -120,12 +120,16 @@
 
 
 class Refused(YokedockError):
-    """Base of refusals before any work."""
+    """Base of refusals before any work; each says when to come back."""
 
     code = "refused"
     http_status = 503
     outcome = Outcome.NOT_RUN
 
+    def __init__(self, message: str, retry_after_s: float | None = None) -> None:
+        """Keep the message, and the time in seconds after which a retry may succeed."""
+        super().__init__(message, retry_after_s or DEFAULT_RETRY_AFTER_S)
+
 
 class TenantLimitReached(Refused):
     """The tenant has its maximum of requests in flight."""
@@ -208,6 +212,12 @@
     http_status = 502
 
 
+class StreamGap(AttemptLost):
+    """Tokens are missing in a stream that may still run: it can be resumed."""
+
+    code = "stream_gap"
+
+
 class RetryBudgetSpent(YokedockError):
     """The request was lost more often than its retry budget allows."""
 
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -15,13 +15,9 @@
 from yokedock.connection.engine_watch import Reconciler, StepReader
 from yokedock.connection.lease_holder import ExpireNow, Inbound, LeaseCheck, LeaseHolder
 from yokedock.connection.machine_list import STATE_LEAVING, Machine, MachineWatch
-from yokedock.connection.peer_client import (
-    AgentPeerHandle,
-    DemandSignal,
-    PeerIdentity,
-    PeerTiming,
-)
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
+from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.connection.service_client import ServiceClient
 from yokedock.errors import PeerTimeout, YokedockError
 from yokedock.messages import (
@@ -42,7 +38,8 @@
 from yokedock.process.role_manager import RoleManager
 from yokedock.process.settings import AgentSettings, bundle_key, deployment_key
 from yokedock.request.backend import Backend
-from yokedock.request.engine_backend import EngineBackend, EngineSetup
+from yokedock.request.engine_attempt import EngineSetup
+from yokedock.request.engine_backend import EngineBackend
 from yokedock.request.home_check import BundleHomeCheck
 from yokedock.request.idempotency import IdempotencyRecord
 from yokedock.request.service_backend import ServiceBackend
--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -10,12 +10,8 @@
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.connection.machine_list import Machine, MachineWatch
-from yokedock.connection.peer_client import (
-    AgentPeerHandle,
-    DemandSignal,
-    PeerIdentity,
-    PeerTiming,
-)
+from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import NotReady
 from yokedock.messages import BundleStamp
 from yokedock.process.admin_http import AdminServer, PeerStatus, ProcessStatus
@@ -26,6 +22,7 @@
 from yokedock.process.peer_directory import PeerAddress, PeerDirectory
 from yokedock.process.settings import GatewaySettings, bundle_key, deployment_key
 from yokedock.request.admission import Admission, RetryBudget
+from yokedock.request.attempt import AttemptServices
 from yokedock.request.model_request import DemandMeter, ModelRequests
 from yokedock.request.placement import (
     CorrectedLoadPolicy,
@@ -74,20 +71,19 @@
         timing = PeerTiming(settings.peers.heartbeat_ms, settings.peers.lease_ms)
         self.peers = PeerDirectory(identity, timing, self)
         budget = RetryBudget()
-        self.models = ModelRequests(
+        services = AttemptServices(
             self.store,
             self._peers_of_model,
             policy or make_policy(settings),
-            budget,
             self.histograms,
-            self._demand_meter,
         )
-        services = ServiceRequests(self.store, self.peers.find, budget)
+        self.models = ModelRequests(services, budget, self._demand_meter)
+        service_requests = ServiceRequests(self.store, self.peers.find, budget)
         callers = CallerInterface(
             self.store,
             self._admission,
             self.models,
-            services,
+            service_requests,
             self._watchdog,
             self.histograms,
             self.metrics,
--- a/src/yokedock/process/peer_directory.py
+++ b/src/yokedock/process/peer_directory.py
@@ -5,14 +5,9 @@
 import dataclasses
 import threading
 
-from yokedock.connection.peer_client import (
-    AgentPeerHandle,
-    HeartbeatTicker,
-    PeerContext,
-    PeerIdentity,
-    PeerTiming,
-    start_peer,
-)
+from yokedock.connection.peer_client import HeartbeatTicker, start_peer
+from yokedock.connection.peer_types import PeerContext, PeerIdentity, PeerTiming
+from yokedock.connection.peer_view import AgentPeerHandle
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yokedock/process/role_manager.py
+++ b/src/yokedock/process/role_manager.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from yokedock.connection.engine_client import EngineDialect
-from yokedock.connection.peer_client import DemandSignal
+from yokedock.connection.peer_types import DemandSignal
 from yokedock.errors import YokedockError
 from yokedock.process.logs import logger
 from yokedock.request.engine_backend import EngineBackend
--- a/src/yokedock/request/answer_stream.py
+++ b/src/yokedock/request/answer_stream.py
@@ -10,11 +10,9 @@
 import threading
 import time
 
-from yokedock.errors import AttemptLost, CallerGone, YokedockError
+from yokedock.errors import AttemptLost, CallerGone, StreamGap, YokedockError
 from yokedock.messages import StreamTokens
 
-LINK_LOST = "link_lost"
-
 
 class AnswerWriter(abc.ABC):
     """Passes an answer on to its caller in the caller's format."""
@@ -38,12 +36,12 @@
         self.gaps: list[tuple[float, int]] = []
 
     def arrived(self, count: int) -> None:
-        """Note that ``count`` tokens arrived now."""
+        """Note that ``count`` tokens arrived now; tokens that come joined share the gap."""
         now = time.monotonic()
         if self.first_s is None:
-            self.first_s = now
+            self.first_s = self.last_s = now
             count -= 1
-        if count > 0 and self.last_s:
+        if count > 0:
             self.gaps.append(((now - self.last_s) / count, count))
         self.last_s = now
 
@@ -94,7 +92,7 @@
                 return
             have = len(self.tokens)
             if part.sequence > have:
-                self._stop(AttemptLost("tokens are missing in the stream; it is resumed"))
+                self._stop(StreamGap("tokens are missing in the stream; it is resumed"))
                 return
             fresh = part.tokens[have - part.sequence :]
             finish = part.finish if part.finish in ("stop", "length") else ""
--- /dev/null
+++ b/src/yokedock/request/attempt.py
@@ -0,0 +1,333 @@
+"""One attempt of a model request, straight down: reserve, prefill, decode, wait for the end."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import time
+from collections.abc import Callable
+from typing import Any
+
+from yokedock.connection.peer_view import AgentPeerHandle
+from yokedock.errors import (
+    AttemptLost,
+    NoDecodeRoom,
+    NoPrefillRoom,
+    NotReady,
+    PeerNeverReached,
+    PeerUnreachable,
+    Refused,
+    StaleVersion,
+    StreamGap,
+    YokedockError,
+)
+from yokedock.messages import (
+    AnyMessage,
+    Decode,
+    Done,
+    Prefill,
+    Prefilled,
+    Reserve,
+    Reserved,
+    Resume,
+    StepFrame,
+)
+from yokedock.process.histograms import Histograms, Measure
+from yokedock.request.answer_stream import AnswerStream
+from yokedock.request.context import RequestContext
+from yokedock.request.placement import PlacementPolicy, PrefillChoice, candidates
+from yokedock.request.prefix import block_hashes, estimate_tokens
+from yokedock.version.bundle import ROLE_DECODE, ROLE_PREFILL
+from yokedock.version.bundle_store import BundleStore
+
+DECODE_CANDIDATES = 3
+"""Decode engines asked for room before the request is refused."""
+PREFILL_CANDIDATES = 2
+RESERVE_TIMEOUT_S = 0.5
+DECODE_TIMEOUT_S = 10.0
+PREFILL_GRACE_S = 2.0
+RESUME_PATIENCE_S = 1.0
+RESUME_RETRY_S = 0.05
+STALE_RETRIES = 20
+STALE_RETRY_S = 0.05
+RESERVATION_MARGIN_MS = 2000
+"""A reservation outlives the predicted prefill by this, for the transfer and delays."""
+FIRST_STEP_MARGIN_MS = 60
+"""Of the time to the first token, kept for transfer and first decode step."""
+LONGEST_EARLY_PREFILL_S = 1.0
+"""A prefill is begun so that its result waits for its slot no longer than this."""
+NEVER_S = float("inf")
+
+
+@dataclasses.dataclass(frozen=True)
+class ModelOrder:
+    """What the caller wants generated."""
+
+    model: str
+    adapter: str
+    prompt: str
+    max_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """Where one attempt was placed, for logs and the demo's report."""
+
+    attempt: str
+    prefill: str
+    decode: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptServices:
+    """What all attempts of a gateway share.
+
+    ``peers_of_model`` returns the agents of a model's engines in the gateway's subset.
+    """
+
+    store: BundleStore
+    peers_of_model: Callable[[str], list[AgentPeerHandle]]
+    policy: PlacementPolicy
+    histograms: Histograms
+
+
+class Attempt:
+    """One attempt of a model request."""
+
+    def __init__(
+        self,
+        services: AttemptServices,
+        context: RequestContext,
+        order: ModelOrder,
+        stream: AnswerStream,
+        attempt: str,
+        placed: list[Placed],
+    ) -> None:
+        """Prepare the attempt with the id ``attempt``; it appends itself to ``placed``."""
+        self._services = services
+        self._policy = services.policy
+        self._context = context
+        self._order = order
+        self._stream = stream
+        self._attempt = attempt
+        self._placed = placed
+        self._text = order.prompt + stream.text()
+        self._blocks = block_hashes(self._text)
+        self._tokens = estimate_tokens(self._text)
+        self._first_sequence = len(stream.tokens)
+        self._started_s = context.arrived_s if not stream.tokens else time.monotonic()
+        self._held_at: list[AgentPeerHandle] = []
+
+    def run(self) -> None:
+        """Reserve, prefill, decode; whatever happens, nothing stays held."""
+        self._stream.begin_attempt(self._attempt)
+        try:
+            peers = self._services.peers_of_model(self._order.model)
+            choices = self._policy.order_prefill(
+                candidates(peers, ROLE_PREFILL), self._blocks, self._tokens
+            )
+            decode_peers = self._policy.order_decode(candidates(peers, ROLE_DECODE))
+            decode_peer, free_s = self._reserve(decode_peers, choices[0].predicted_s)
+            self._wait_until_useful(free_s, choices[0].predicted_s)
+            prefill_peer, prefilled = self._prefill(choices)
+            self._placed.append(Placed(self._attempt, prefill_peer.name, decode_peer.name))
+            self._decode(decode_peer, prefilled)
+            self._let_go(prefill_peer)
+            self._finish(decode_peer)
+        finally:
+            for peer in list(self._held_at):
+                self._let_go(peer)
+
+    def _reserve(
+        self, peers: list[AgentPeerHandle], predicted_s: float
+    ) -> tuple[AgentPeerHandle, float]:
+        """Reserve a slot at the first engine that has room in time."""
+        refusal: YokedockError = NoDecodeRoom("no decode engine is left to ask; retry later")
+        soonest_s = NEVER_S
+        for peer in peers[:DECODE_CANDIDATES]:
+            self._hold(peer)
+            self._policy.decode_sent(peer)
+            try:
+                reserved = self._call(
+                    peer,
+                    lambda version: self._reserve_message(version, predicted_s),
+                    RESERVE_TIMEOUT_S,
+                )
+            except (Refused, PeerUnreachable) as error:
+                self._let_go(peer)
+                refusal = error
+                soonest_s = min(soonest_s, error.retry_after_s or NEVER_S)
+                continue
+            assert isinstance(reserved, Reserved)
+            return peer, reserved.free_in_ms / 1000
+        if isinstance(refusal, Refused) and soonest_s < NEVER_S:
+            refusal.retry_after_s = soonest_s
+        raise refusal
+
+    def _reserve_message(self, version: int, predicted_s: float) -> Reserve:
+        predicted_ms = int(predicted_s * 1000)
+        first_token_ms = self._context.caller.request_class.first_token_ms
+        waited_ms = int((time.monotonic() - self._started_s) * 1000)
+        latest_ms = first_token_ms - waited_ms - FIRST_STEP_MARGIN_MS
+        ready_by_ms = max(predicted_ms, latest_ms)
+        if not self._policy.reserves:
+            ready_by_ms = self._context.left_ms()
+        return Reserve(
+            self._attempt,
+            version,
+            ready_by_ms,
+            max(ready_by_ms, predicted_ms) + RESERVATION_MARGIN_MS,
+            self._stream.tokens_left(),
+            self._context.priority,
+        )
+
+    def _wait_until_useful(self, free_s: float, predicted_s: float) -> None:
+        """Do not prefill long before the slot is free: the result is kept for seconds only."""
+        early_s = free_s - predicted_s - LONGEST_EARLY_PREFILL_S
+        if early_s > 0 and self._policy.reserves:
+            time.sleep(min(early_s, self._context.left_ms() / 1000))
+            self._context.check()
+
+    def _prefill(self, choices: list[PrefillChoice]) -> tuple[AgentPeerHandle, Prefilled]:
+        """Prefill on the first engine that can finish in time."""
+        refusal: YokedockError = NoPrefillRoom("no prefill engine is left to ask; retry later")
+        for choice in choices[:PREFILL_CANDIDATES]:
+            self._hold(choice.peer)
+            self._policy.prefill_sent(choice.peer, self._tokens)
+            first_token_by_ms = self._first_token_by_ms()
+            had_run, self._context.may_have_run = self._context.may_have_run, True
+            try:
+                prefilled = self._call(
+                    choice.peer,
+                    functools.partial(self._prefill_message, first_token_by_ms),
+                    self._prefill_timeout_s(choice.predicted_s),
+                )
+            except (Refused, PeerNeverReached) as error:
+                self._context.may_have_run = had_run
+                self._let_go(choice.peer)
+                refusal = error
+                continue
+            assert isinstance(prefilled, Prefilled)
+            computed = prefilled.prompt_tokens - prefilled.cached_tokens
+            self._record(Measure.PREFILL_TOKENS, computed)
+            return choice.peer, prefilled
+        raise refusal
+
+    def _first_token_by_ms(self) -> int:
+        """Return the time left until the first token of this attempt is due."""
+        if not self._policy.reserves:
+            return self._context.left_ms()
+        target_ms = self._context.caller.request_class.first_token_ms
+        waited_ms = int((time.monotonic() - self._started_s) * 1000)
+        return max(0, min(target_ms - waited_ms, self._context.left_ms()))
+
+    def _prefill_timeout_s(self, predicted_s: float) -> float:
+        """Return how long the agent may take: it answers by itself when it cannot be in time."""
+        target_s = self._context.caller.request_class.first_token_ms / 1000
+        if not self._policy.reserves:
+            target_s = self._context.left_ms() / 1000
+        return max(target_s, 2 * predicted_s) + PREFILL_GRACE_S
+
+    def _prefill_message(self, first_token_by_ms: int, version: int) -> Prefill:
+        return Prefill(
+            self._attempt,
+            version,
+            self._order.model,
+            self._order.adapter,
+            self._text,
+            self._context.priority,
+            first_token_by_ms,
+        )
+
+    def _decode(self, peer: AgentPeerHandle, prefilled: Prefilled) -> None:
+        """Hand the prefill's result to the decode engine and start the stream."""
+        self._hold(peer)
+        computed = prefilled.prompt_tokens - prefilled.cached_tokens
+        try:
+            reply = self._call(
+                peer,
+                lambda version: self._decode_message(version, prefilled),
+                DECODE_TIMEOUT_S,
+                self._stream,
+            )
+        except YokedockError:
+            self._record(Measure.WASTED_PREFILL_TOKENS, computed)
+            raise
+        assert isinstance(reply, Done)
+
+    def _decode_message(self, version: int, prefilled: Prefilled) -> Decode:
+        return Decode(
+            self._attempt,
+            version,
+            self._order.model,
+            self._order.adapter,
+            self._text,
+            prefilled.handle,
+            prefilled.source_url,
+            prefilled.source_agent,
+            prefilled.kv_bytes,
+            self._first_sequence,
+            self._stream.tokens_left(),
+            self._context.priority,
+            self._context.left_ms(),
+        )
+
+    def _finish(self, peer: AgentPeerHandle) -> None:
+        """Wait for the end of the stream; resume it where it runs when only the link was lost."""
+        while True:
+            try:
+                self._stream.wait_end()
+                return
+            except (PeerUnreachable, StreamGap):
+                self._resume(peer)
+
+    def _resume(self, peer: AgentPeerHandle) -> None:
+        """Continue the same attempt; raises ``AttemptLost`` when it does not run any more."""
+        give_up_s = time.monotonic() + RESUME_PATIENCE_S
+        while True:
+            self._context.check()
+            message = Resume(self._attempt, len(self._stream.tokens))
+            try:
+                self._stream.clear_loss()
+                future = peer.call(message, self._attempt, self._stream)
+                reply = self._context.wait(future, RESUME_PATIENCE_S)
+            except (PeerUnreachable, Refused) as error:
+                if time.monotonic() > give_up_s:
+                    raise AttemptLost(f"the stream cannot be resumed: {error.message}") from None
+                time.sleep(RESUME_RETRY_S)
+                continue
+            assert isinstance(reply, StepFrame)
+            for part in reply.streams:
+                self._stream.offer(part)
+            return
+
+    def _hold(self, peer: AgentPeerHandle) -> None:
+        if peer not in self._held_at:
+            self._held_at.append(peer)
+
+    def _let_go(self, peer: AgentPeerHandle) -> None:
+        if peer in self._held_at:
+            self._held_at.remove(peer)
+            peer.drop(self._attempt)
+
+    def _call(
+        self,
+        peer: AgentPeerHandle,
+        make: Callable[[int], AnyMessage],
+        timeout_s: float,
+        stream: AnswerStream | None = None,
+    ) -> Any:
+        """Call a peer under the version in force; adopt and try again when the peer is ahead."""
+        for _ in range(STALE_RETRIES):
+            message = make(self._services.store.stamp.version)
+            try:
+                future = peer.call(message, self._attempt, stream)
+                return self._context.wait(future, timeout_s)
+            except StaleVersion:
+                time.sleep(STALE_RETRY_S)
+        raise NotReady("the bundle in force is being exchanged; retry shortly", 1.0)
+
+    def _record(self, measure: Measure, tokens: int) -> None:
+        """Record computed or wasted prefill tokens."""
+        caller = self._context.caller
+        self._services.histograms.record(caller.tenant, caller.class_name, measure, tokens)
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import threading
 import time
 from collections.abc import Callable
@@ -50,6 +49,7 @@
 from yokedock.process.clock import deadline_in, left_s
 from yokedock.process.logs import logger
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
+from yokedock.request.engine_attempt import EngineAttempt, EngineSetup, TransferFunction
 from yokedock.request.known_blocks import BlockChanges, KnownBlocks
 from yokedock.request.prefill_queue import PrefillQueue
 from yokedock.request.prefix import block_hashes, estimate_tokens
@@ -74,35 +74,6 @@
 LEAVING_RETRY_S = 1.0
 
 
-@dataclasses.dataclass
-class EngineAttempt:
-    """One attempt at this engine."""
-
-    attempt: str
-    is_ordered: bool = False
-    is_released: bool = False
-    is_streaming: bool = False
-    next_sequence: int = 0
-    send: SendFrame | None = None
-
-
-@dataclasses.dataclass(frozen=True)
-class EngineSetup:
-    """What is fixed for the life of the agent."""
-
-    name: str
-    url: str
-    agent_address: str
-    slots: int
-    kept_s: float
-    link_bytes_per_s: float
-    max_transfers: int
-
-
-TransferFunction = Callable[[Decode, float], Callable[[bool], None]]
-"""Waits for transfer credit at the source's agent; returns the function that gives it back."""
-
-
 class EngineBackend(Backend):
     """Carries out the orders for one engine."""
 
--- a/src/yokedock/request/placement.py
+++ b/src/yokedock/request/placement.py
@@ -13,7 +13,7 @@
 import threading
 from collections.abc import Callable
 
-from yokedock.connection.peer_client import AgentPeerHandle
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import NoBackend
 from yokedock.request.prefix import BLOCK_TOKENS, cached_prefix_blocks
 from yokedock.version.bundle import ROLE_DECODE, ROLE_PREFILL
--- a/src/yokedock/request/service_request.py
+++ b/src/yokedock/request/service_request.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from yokedock.connection.peer_client import AgentPeerHandle
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import (
     BadIdempotencyKey,
     NoBackend,
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -42,7 +42,7 @@
     clock_tokens: bool = False,
 ) -> None:
     """Run a model engine."""
-    from yokedock_emulator.model_engine import EngineProfile
+    from yokedock_emulator.engine_state import EngineProfile
     from yokedock_emulator.model_engine_http import ModelEngineServer
 
     set_up_logs("warning")
--- a/src/yokedock_emulator/cluster.py
+++ b/src/yokedock_emulator/cluster.py
@@ -37,7 +37,7 @@
     Tenant,
 )
 from yokedock.version.bundle_codec import sign_bundle, with_previous_pools
-from yokedock_emulator.model_engine import EngineProfile
+from yokedock_emulator.engine_state import EngineProfile
 from yokedock_emulator.model_engine_http import ModelEngineServer
 from yokedock_emulator.plain_service import PlainService
 from yokedock_emulator.platform import Platform
--- a/src/yokedock_emulator/demo.py
+++ b/src/yokedock_emulator/demo.py
@@ -19,7 +19,7 @@
 from yokedock.version.bundle import Limits, Model, RequestClass, Service
 from yokedock_emulator.cluster import Cluster, ClusterPlan, EnginePlace, ServicePlace
 from yokedock_emulator.cluster import tenant_with_token as tenant
-from yokedock_emulator.model_engine import EngineProfile
+from yokedock_emulator.engine_state import EngineProfile
 from yokedock_emulator.tokens import expected_text
 
 MODEL = "hut-7b"
--- a/src/yokedock_emulator/hollow.py
+++ b/src/yokedock_emulator/hollow.py
@@ -11,8 +11,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from yokedock.connection.lease_holder import Inbound, LeaseHolder
-from yokedock.connection.peer_client import AgentPeerHandle, DemandSignal, PeerIdentity, PeerTiming
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
+from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
+from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.connection.secure_session import LOOPBACK_KEY
 from yokedock.messages import AnyMessage, BundleStamp, Done, Frame, LoadReport
 from yokedock.process.exit import exit_now
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import heapq
 import itertools
 import queue
@@ -32,10 +31,18 @@
     StepToken,
 )
 from yokedock.errors import YokedockError
+from yokedock_emulator.engine_state import (
+    EngineProfile,
+    Gone,
+    KeptCache,
+    OrderRefused,
+    PrefillJob,
+    RunningStream,
+)
 from yokedock_emulator.ledgers import EngineLedger
 from yokedock_emulator.link import SharedLink
 from yokedock_emulator.prefix_cache import PrefixCache
-from yokedock_emulator.tokens import TokenSource, count_tokens
+from yokedock_emulator.tokens import count_tokens
 
 PREFILL_CHUNK_S = 0.02
 FINISHED_KEPT_S = 5.0
@@ -51,76 +58,6 @@
 TOKENS_BEFORE_DECODING_HOLD = 5
 
 
-class OrderRefused(YokedockError):
-    """The engine does not take the order."""
-
-    code = "order_refused"
-    http_status = 409
-
-
-class Gone(YokedockError):
-    """The named request or cache is not (or no longer) here."""
-
-    code = "gone"
-    http_status = 410
-
-
-@dataclasses.dataclass(frozen=True)
-class EngineProfile:
-    """Sizes and speeds of an emulated engine."""
-
-    role: str = "decode"
-    slots: int = 32
-    step_base_ms: float = 15.0
-    step_per_stream_ms: float = 0.2
-    prefill_tokens_per_s: float = 8000.0
-    kv_bytes_per_token: int = 131_072
-    link_bytes_per_s: float = 2e9
-    kept_ms: int = 3000
-    cache_tokens: int = 200_000
-    cache_event_lag_ms: float = 300.0
-    cache_event_gap_share: float = 0.02
-    load_lag_ms: float = 500.0
-    checks_fencing: bool = True
-    clock_tokens: bool = False
-    """Make each token's text the time at which it was made, for measuring what it goes through."""
-
-
-class _Prefill:
-    """One prefill job."""
-
-    def __init__(self, order: PrefillOrder) -> None:
-        self.order = order
-        self.wanted = threading.Event()
-        self.wanted.set()
-        self.finished: queue.SimpleQueue[PrefillResult | YokedockError] = queue.SimpleQueue()
-
-
-@dataclasses.dataclass
-class _Export:
-    """A computed KV cache that is kept for a few seconds."""
-
-    request: str
-    handle: str
-    tokens: int
-    computed_tokens: int
-    expires_s: float
-    wanted: threading.Event
-    is_pulling: bool = False
-
-
-class _Stream:
-    """One running or finished generation."""
-
-    def __init__(self, order: DecodeOrder, imported: PullResult) -> None:
-        self.order = order
-        self.imported = imported
-        self.source = TokenSource(order.text)
-        self.tokens: list[str] = []
-        self.finish = ""
-        self.finished_s = 0.0
-
-
 class ModelEngine:
     """The engine's state and its loops."""
 
@@ -138,14 +75,14 @@
         self.link = SharedLink(profile.link_bytes_per_s)
         self._highest_token = 0
         self._order_numbers = itertools.count()
-        self._prefill_queue: list[tuple[int, int, _Prefill]] = []
+        self._prefill_queue: list[tuple[int, int, PrefillJob]] = []
         self._prefill_ready = threading.Condition(self._lock)
-        self._prefills: dict[str, _Prefill] = {}
-        self._exports: dict[str, _Export] = {}
+        self._prefills: dict[str, PrefillJob] = {}
+        self._exports: dict[str, KeptCache] = {}
         self._imports: dict[str, PullResult] = {}
         self._importing: dict[str, threading.Event] = {}
-        self._waiting: list[_Stream] = []
-        self._streams: dict[str, _Stream] = {}
+        self._waiting: list[RunningStream] = []
+        self._streams: dict[str, RunningStream] = {}
         self._subscribers: list[queue.Queue[bytes]] = []
         self._held_step = ""
         self._load_history: list[tuple[float, Load]] = []
@@ -172,7 +109,7 @@
     def prefill(self, order: PrefillOrder) -> PrefillResult:
         """Compute a KV cache; wait until it is ready."""
         self._require_role("prefill")
-        job = _Prefill(order)
+        job = PrefillJob(order)
         with self._lock:
             self._started.append(order.request)
             self._prefills[order.request] = job
@@ -226,7 +163,7 @@
             if held is None:
                 raise Gone("no KV cache was imported for this request; import it first")
             self._started.append(order.request)
-            stream = _Stream(order, held)
+            stream = RunningStream(order, held)
             self._streams[order.request] = stream
             self._waiting.append(stream)
             self._waiting.sort(key=lambda waiting: -waiting.order.priority)
@@ -338,7 +275,7 @@
                 _, _, job = heapq.heappop(self._prefill_queue)
             self._run_prefill(job)
 
-    def _run_prefill(self, job: _Prefill) -> None:
+    def _run_prefill(self, job: PrefillJob) -> None:
         prompt = job.order.prompt
         total = count_tokens(prompt)
         cached = min(self._cache.cached_tokens(prompt), total - 1)
@@ -360,7 +297,7 @@
             self._cache.insert(prompt)
             handle = uuid.uuid4().hex
             expires = time.monotonic() + self.profile.kept_ms / 1000
-            self._exports[handle] = _Export(
+            self._exports[handle] = KeptCache(
                 job.order.request, handle, total, done, expires, job.wanted
             )
         self._wait_while_held(HOLD_PREFILLED, job.wanted)
@@ -383,7 +320,7 @@
             self._hold_streams(running)
             self._emit_step(running)
 
-    def _hold_streams(self, running: list[_Stream]) -> None:
+    def _hold_streams(self, running: list[RunningStream]) -> None:
         """Hold the decode loop while a stream stands at the step that a test chose."""
         least = {HOLD_FIRST_TOKEN: 1, HOLD_DECODING: TOKENS_BEFORE_DECODING_HOLD}
         while (tokens := least.get(self._held_step)) is not None:
@@ -393,7 +330,7 @@
                 return
             time.sleep(HOLD_POLL_S)
 
-    def _emit_step(self, running: list[_Stream]) -> None:
+    def _emit_step(self, running: list[RunningStream]) -> None:
         tokens = []
         with self._lock:
             for stream in running:
@@ -428,7 +365,7 @@
                 if stream.finish and stream.finished_s + FINISHED_KEPT_S <= now:
                     del self._streams[request]
 
-    def _drop_export(self, export: _Export) -> None:
+    def _drop_export(self, export: KeptCache) -> None:
         export.wanted.clear()
         self._wasted_tokens += export.computed_tokens
         self._exports.pop(export.handle, None)
--- a/src/yokedock_emulator/model_engine_http.py
+++ b/src/yokedock_emulator/model_engine_http.py
@@ -18,8 +18,9 @@
 )
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.errors import BadRequest
+from yokedock_emulator.engine_state import EngineProfile, Gone
 from yokedock_emulator.ledgers import HoldOrder, LinkState
-from yokedock_emulator.model_engine import EngineProfile, Gone, ModelEngine
+from yokedock_emulator.model_engine import ModelEngine
 
 PULL_TIMEOUT_S = 30.0
 HTTP_THREADS = 128
