--- a/features/run_features.py
+++ b/features/run_features.py
@@ -15,7 +15,7 @@
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
-WORKERS = 5
+WORKERS = 3
 FIRST_PORT = 11000
 PORTS_A_FEATURE = 200
 FEATURE_LIMIT_S = 3000
