--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -32,9 +32,9 @@
     deployment = context.deployment
     context.go_on = lambda: deployment.hold("")
     if step == "admitted":
-        hold_relays(context, DECODE)
+        hold_relays(context, deployment.agent_relays, DECODE)
     elif step == "reserved":
-        hold_relays(context, PREFILL)
+        hold_relays(context, deployment.agent_relays, PREFILL)
     else:
         deployment.hold(MODEL_HOLDS[step])
     context.request_id = f"cell-{uuid.uuid4().hex[:12]}"
@@ -46,8 +46,9 @@
     context.cell = Cell(deployment, GATEWAY, caller)
 
 
-def hold_relays(context, names):
-    relays = [context.deployment.agent_relays[name] for name in names]
+def hold_relays(context, relays_by_name, names):
+    """Hold what goes forth to ``names``, and let it go on with the step."""
+    relays = [relays_by_name[name] for name in names]
     for relay in relays:
         relay.hold("forth")
 
@@ -132,9 +133,9 @@
     context.go_on = lambda: deployment.hold("", "service ")
     context.key = deployment.fresh_key()
     if step == "admitted":
-        hold_relays(context, HOMES)
+        hold_relays(context, deployment.agent_relays, HOMES)
     elif step == "sent":
-        hold_engine_relays(context)
+        hold_relays(context, deployment.engine_relays, HOMES)
     else:
         deployment.hold(step, "service ")
     url = deployment.urls[GATEWAY]
@@ -147,18 +148,6 @@
     context.cell = Cell(deployment, GATEWAY, caller)
 
 
-def hold_engine_relays(context):
-    relays = [context.deployment.engine_relays[name] for name in HOMES]
-    for relay in relays:
-        relay.hold("forth")
-
-    def go_on():
-        for relay in relays:
-            relay.heal()
-
-    context.go_on = go_on
-
-
 def wait_arrived(context, step):
     deployment = context.deployment
     if step == "executed":
