A request whose work was lost before its first token waits for room, too

Cause: after a lost attempt without tokens the next attempt's refusal (no engine for a moment) ended the request at once with 503 answer_lost and the outcome unknown, although most of its deadline was left. Only answers with tokens waited.

Ruled out: waiting for requests for which nothing was begun; those are still refused at once with a time to come back.

Change: what decides is whether work was begun, not whether tokens went out.

--- a/features/failover.feature
+++ b/features/failover.feature
@@ -7,6 +7,12 @@
     Then the caller has one final answer with the outcome unknown
     And nothing stays held
 
+  Scenario: Every decode agent dies after the prefill and is replaced: the answer is done again
+    Given a model request at the step prefilled
+    When both decode agents are killed, the step goes on, and both are replaced
+    Then the caller has the whole answer
+    And nothing stays held
+
   Scenario: Every decode engine dies in mid-stream: one typed error is the final event
     Given a model request at the step decoding
     When both decode engines are killed and the step goes on
--- a/features/steps/failover_steps.py
+++ b/features/steps/failover_steps.py
@@ -14,6 +14,14 @@
     context.go_on()
 
 
+@when("both decode agents are killed, the step goes on, and both are replaced")
+def replace_decode_agents(context):
+    kill_all(context, DECODE)
+    context.go_on()
+    for name in DECODE:
+        context.deployment.nodes[name].start()
+
+
 @when("both decode engines are killed and the step goes on")
 def kill_decode_engines(context):
     kill_all(context, [f"engine {name}" for name in DECODE])
--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -29,11 +29,11 @@
 _log = logger("request")
 
 ROOM_PATIENCE_S = 5.0
-"""How long a started answer waits for room after a loss before it is given up."""
+"""How long a request whose work was lost waits for room before it is given up."""
 ROOM_RETRY_MIN_S = 0.05
 ROOM_RETRY_MAX_S = 0.25
 _WAIT_FOR_ROOM = (NoDecodeRoom, NoPrefillRoom, NoBackend, LeaseExpired)
-"""Refusals after which a started answer waits for room elsewhere."""
+"""Refusals after which a request whose work was lost waits for room elsewhere."""
 
 
 class DemandMeter:
@@ -104,7 +104,7 @@
                 )
                 self._check_retry(context, bundle, error)
             except Refused as error:
-                if not stream.tokens or not isinstance(error, _WAIT_FOR_ROOM):
+                if not context.may_have_run or not isinstance(error, _WAIT_FOR_ROOM):
                     raise
                 room_until_s = room_until_s or deadline_in(ROOM_PATIENCE_S * 1000)
                 self._wait_for_room(context, error, room_until_s)
@@ -117,7 +117,10 @@
             raise RetryBudgetSpent(message, 1.0) from None
 
     def _wait_for_room(self, context: RequestContext, error: Refused, room_until_s: float) -> None:
-        """A started answer waits a while for room elsewhere: a loss must not end it at once."""
+        """Wait a while for room elsewhere: a loss must not end a request that was begun at once.
+
+        A request for which nothing was begun does not wait: it is refused with a time to come back.
+        """
         context.check()
         if left_s(room_until_s) <= 0:
             raise error
