Fault matrix: an engine gets another role while it works

Cause: a change of role under way was not in the matrix, and the stand-in engine refused a change while it held work, so that a missing drain could not have shown.

Ruled out: judging by the caller's answer alone; the product continues elsewhere and hides what was dropped.

Change: 8 steps x 2 roles; a told engine now drops what it holds and its ledger names it; every cell of the matrix asserts that nothing was dropped.

--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -8,6 +8,7 @@
     assert_answered_once,
     assert_no_new_work,
     assert_not_run_is_true,
+    assert_nothing_dropped,
     assert_nothing_held,
     assert_version_everywhere,
     executions_of,
@@ -117,6 +118,7 @@
 def judge(context):
     deployment = context.deployment
     assert_nothing_held(deployment)
+    assert_nothing_dropped(deployment)
     assert_not_run_is_true(deployment, context.cell.caller, context.request_id)
     assert_version_everywhere(deployment)
     leaving = getattr(context.cell, "leaving", None)
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -14,6 +14,7 @@
     worker_ports,
 )
 from support.relay import Relay
+from yokedock.connection.engine_protocol import Load
 from yokedock.connection.machine_list import MachineList
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_files import (
@@ -155,7 +156,9 @@
 
     # --- Bundles ---
 
-    def bundle_sections(self, homes=HOMES):
+    def bundle_sections(self, homes=HOMES, roles=None):
+        """Return the bundle's source; ``roles`` gives engines another role than their name's."""
+        roles = roles or {}
         sections = {
             "limits": {
                 "clock_skew_s": str(CLOCK_SKEW_MS / 1000),
@@ -173,7 +176,7 @@
                 "pool": "main",
                 "zone": f"zone-{name[-1]}",
                 "agent": self.agent_relays[name].address,
-                "role": name.split("-")[0],
+                "role": roles.get(name, name.split("-")[0]),
                 "model": MODEL,
             }
         for name in (*homes, *LISTS):
@@ -235,6 +238,10 @@
         kind = EngineLedger if name.startswith("engine ") else ServiceLedger
         return read_json(f"{self.urls[name]}/ledger", kind)
 
+    def engine_role(self, name):
+        """Return the role that the engine itself has now."""
+        return read_json(f"{self.urls[f'engine {name}']}/v1/load", Load).role
+
     def engine_names(self):
         return [f"engine {name}" for name in (*PREFILL, *DECODE)]
 
--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -8,6 +8,7 @@
 
 PAST_LEASE_S = LEASE_S + 0.7
 """A freeze or a cut lasts longer than every lease."""
+ROLE_LIMIT_S = 20.0
 
 
 class Cell:
@@ -169,6 +170,29 @@
     node.wait_up()
 
 
+def _role_change(cell, target, go_on):
+    """Give the request's engine the other role while it works: it must drain first."""
+    deployment = cell.deployment
+    name = {"prefill": cell.prefill, "decode": cell.decode}[target]
+    other = {"prefill": "decode", "decode": "prefill"}[target]
+    deployment.publish(deployment.bundle_sections(roles={name: other}))
+    deployment.wait_for(
+        lambda: deployment.status(name).version == deployment.version, 9.0, "adopted"
+    )
+    go_on()
+    cell.caller.wait()
+    wait_role(deployment, name, other)
+    deployment.publish()
+    wait_role(deployment, name, target)
+
+
+def wait_role(deployment, name, role):
+    """Wait until the engine itself says that it has the role."""
+    deployment.wait_for(
+        lambda: deployment.engine_role(name) == role, ROLE_LIMIT_S, f"{name} a {role} engine"
+    )
+
+
 def _stall(cell, target, go_on):
     """The engines' link stands still for longer than a lease."""
     cell.deployment.stall(True)
@@ -191,4 +215,5 @@
     "leaving": _leaving,
     "planned stop": _stop,
     "stall": _stall,
+    "role change": _role_change,
 }
--- a/features/support/judge.py
+++ b/features/support/judge.py
@@ -28,6 +28,13 @@
     )
 
 
+def assert_nothing_dropped(deployment):
+    """Fail if an engine was told to change its role while it still worked."""
+    for name in deployment.engine_names():
+        dropped = deployment.ledger(name).dropped_by_role_change
+        assert not dropped, f"{name} dropped {dropped} at a change of its role"
+
+
 def assert_answer_or_refusal(caller):
     """Fail unless the caller got its whole answer, or a refusal with a time to come back."""
     if caller.status == 200:
--- a/src/yokedock_emulator/ledgers.py
+++ b/src/yokedock_emulator/ledgers.py
@@ -17,6 +17,8 @@
     requests_started: tuple[str, ...]
     orders_refused: int
     seconds_since_last_order: float
+    dropped_by_role_change: tuple[str, ...] = ()
+    """Requests whose work ended because the engine was told to change its role."""
 
 
 class HoldOrder(msgspec.Struct, frozen=True):
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -91,6 +91,7 @@
         self._tokens_out = 0
         self._started: list[str] = []
         self._orders_refused = 0
+        self._dropped: list[str] = []
         self._last_order_s = time.monotonic()
         for loop in (self._prefill_loop, self._decode_loop):
             threading.Thread(target=loop, name=loop.__name__, daemon=True).start()
@@ -200,11 +201,13 @@
             self._waiting = [s for s in self._waiting if s.order.request != request]
 
     def change_role(self, role: str) -> None:
-        """Change the role; refused while work of the old one is held."""
+        """Change the role; whatever is held is dropped, so the agent must drain first."""
         with self._lock:
-            if self._held_items():
-                raise OrderRefused("the engine still holds requests; drain it first")
+            held = {item.request for item in self._held_items()}
             self.role = role
+        self._dropped += held
+        for request in held:
+            self.cancel(request)
 
     # --- Reports ---
 
@@ -258,6 +261,7 @@
                 tuple(self._started),
                 self._orders_refused,
                 time.monotonic() - self._last_order_s,
+                tuple(self._dropped),
             )
 
     def hold_at(self, step: str) -> None:
