Seeded soak, matrix as a table, counts of what callers were told

Cause: the promises were tried one fault at a time or in pairs; nothing ran requests, cancels, kills, freezes, cuts, rolls, role changes and outages in a random order. A run did not tell how often callers hear 'unknown'.

--- a/features/environment.py
+++ b/features/environment.py
@@ -27,7 +27,15 @@
     context.deployment.heal()
     assert not died, f"processes died by themselves: {died}\n{reports}"
 
+    if DEPLOYMENT_TAG not in context.feature.tags:
+        close_deployment(context)
+
 
 def after_feature(context, feature):
+    close_deployment(context)
+
+
+def close_deployment(context):
     if context.deployment is not None:
         context.deployment.close()
+        context.deployment = None
--- a/features/run_features.py
+++ b/features/run_features.py
@@ -4,6 +4,7 @@
 named in KNOWN-RED.txt are run and printed, and do not fail the run.
 """
 
+import dataclasses
 import json
 import os
 import subprocess
@@ -12,6 +13,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from support.matrix_table import matrix_tables, told_counts
+
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
@@ -21,8 +24,36 @@
 FEATURE_LIMIT_S = 3000
 
 
+@dataclasses.dataclass(frozen=True)
+class ScenarioResult:
+    """One scenario of a run."""
+
+    feature: str
+    scenario: str
+    is_passed: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class FeatureResult:
+    """One feature file of a run, with everything it printed."""
+
+    name: str
+    scenarios: list[ScenarioResult]
+    output: str
+
+    @property
+    def passed(self):
+        """Return how many scenarios passed."""
+        return sum(scenario.is_passed for scenario in self.scenarios)
+
+    @property
+    def failed(self):
+        """Return the names of all scenarios that did not pass."""
+        return [f"{s.feature}: {s.scenario}" for s in self.scenarios if not s.is_passed]
+
+
 def run_feature(numbered):
-    """Run one feature file; return (name, passed, failed scenario names, output)."""
+    """Run one feature file; return its results."""
     number, path = numbered
     report = Path(tempfile.mkdtemp()) / "report.json"
     command = [sys.executable, "-m", "behave", "--no-capture", "-f", "json", "-o", str(report)]
@@ -46,27 +77,24 @@
     except subprocess.TimeoutExpired:
         crashed = True
     output = log.read_text(errors="replace")
-    passed, failed = read_report(report)
-    if crashed or not passed + len(failed):
-        failed.append(f"{path.name}: the run itself failed")
-    print(f"{path.name}: {passed} passed, {len(failed)} failed", flush=True)
-    return path.name, passed, failed, output
+    scenarios = read_report(report)
+    if crashed or not scenarios:
+        scenarios.append(ScenarioResult(path.name, "the run itself failed", False))
+    result = FeatureResult(path.name, scenarios, output)
+    print(f"{path.name}: {result.passed} passed, {len(result.failed)} failed", flush=True)
+    return result
 
 
 def read_report(report):
-    """Return how many scenarios passed, and the names of all others."""
+    """Return the result of every scenario in a behave report."""
     if not report.exists():
-        return 0, []
-    passed, failed = 0, []
-    for feature in json.loads(report.read_text() or "[]"):
-        for element in feature.get("elements", []):
-            if element["type"] == "background":
-                continue
-            if element.get("status") == "passed":
-                passed += 1
-            else:
-                failed.append(f"{feature['name']}: {element['name']}")
-    return passed, failed
+        return []
+    return [
+        ScenarioResult(feature["name"], element["name"], element.get("status") == "passed")
+        for feature in json.loads(report.read_text() or "[]")
+        for element in feature.get("elements", [])
+        if element["type"] != "background"
+    ]
 
 
 def known_red():
@@ -84,20 +112,37 @@
     LOGS.mkdir(parents=True, exist_ok=True)
     with ThreadPoolExecutor(WORKERS) as workers:
         results = list(workers.map(run_feature, enumerate(chosen)))
-    passed, failed, red = 0, [], known_red()
-    for name, count, failures, output in results:
-        passed += count
-        fresh = [failure for failure in failures if failure not in red]
-        failed += fresh
-        if fresh:
-            print(f"=== {name}\n{output}")
-        for failure in set(failures) & set(red):
-            print(f"known red: {failure}")
+    failed = print_failures(results)
+    print_matrix(results)
     for failure in failed:
         print(f"FAILED {failure}")
-    print(f"{passed} passed, {len(failed)} failed")
+    print(f"{sum(result.passed for result in results)} passed, {len(failed)} failed")
     sys.exit(1 if failed else 0)
 
 
+def print_failures(results):
+    """Print the output of every feature with a failure; return all that is not known red."""
+    failed, red = [], known_red()
+    for result in results:
+        fresh = [name for name in result.failed if name not in red]
+        failed += fresh
+        if fresh:
+            print(f"=== {result.name}\n{result.output}")
+        for name in set(result.failed) & set(red):
+            print(f"known red: {name}")
+    return failed
+
+
+def print_matrix(results):
+    """Print the fault matrix as a table, and how often callers were told what."""
+    cells = [(s.scenario, s.is_passed) for result in results for s in result.scenarios]
+    tables = matrix_tables(cells)
+    if tables:
+        print(tables)
+        told = told_counts([result.output for result in results])
+        counts = ", ".join(f"{outcome} {count}" for outcome, count in told.most_common())
+        print(f"callers in the cells were told: {counts}")
+
+
 if __name__ == "__main__":
     main()
--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -12,6 +12,7 @@
     assert_nothing_held,
     assert_version_everywhere,
     executions_of,
+    note_told,
 )
 
 TOKENS = 30
@@ -117,6 +118,7 @@
 @then("the judge finds nothing wrong")
 def judge(context):
     deployment = context.deployment
+    note_told(context.cell.caller)
     assert_nothing_held(deployment)
     assert_nothing_dropped(deployment)
     assert_not_run_is_true(deployment, context.cell.caller, context.request_id)
@@ -193,6 +195,8 @@
     callers = [context.cell.caller.wait(), *context.repeats]
     runs = executions_of(context.deployment, context.key)
     detail = [(c.status, c.data[:200], c.error) for c in callers]
+    for caller in callers:
+        note_told(caller)
     assert len(runs) <= 1, (runs, detail)
     done = [caller for caller in callers if caller.status == 200]
     assert not done or len(runs) == 1, (runs, detail)
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -65,6 +65,10 @@
         give_up = time.monotonic() + END_LIMIT_S
         while self.response is None and self._thread.is_alive() and time.monotonic() < give_up:
             time.sleep(0.005)
+        self.close()
+
+    def close(self):
+        """Close the connection if an answer has begun."""
         if self.response is not None:
             self.response.close()
 
--- a/features/support/judge.py
+++ b/features/support/judge.py
@@ -76,6 +76,16 @@
     )
 
 
+def note_told(caller):
+    """Print what the caller was told, for the count of outcomes at the end of a run."""
+    if caller.json_error() is not None:
+        print(f"told: {caller.outcome()}")
+    elif caller.error is not None or caller.status is None:
+        print("told: nothing")
+    else:
+        print("told: answer")
+
+
 def executions_of(deployment, key):
     """Return what the services really ran for a key."""
     names = [name for name in deployment.urls if name.startswith("service ")]
--- /dev/null
+++ b/features/support/soak.py
@@ -0,0 +1,193 @@
+"""A randomized run: requests and faults in an order that a seed decides.
+
+The seed decides what is sent and what strikes, in which order; how these meet in time is the
+machine's, so a failing seed is worth running several times.
+"""
+
+import dataclasses
+import random
+import time
+import uuid
+
+from support.caller import ServiceCaller, StreamCaller
+from support.deployment import DECODE, GATEWAYS, HOMES, LEASE_S, PREFILL, SERVICE
+from support.faults import PAST_LEASE_S
+from yokedock.process.clock import wall_clock_ms
+from yokedock.request.idempotency import new_key
+
+MOST_PAUSE_S = 0.12
+REQUESTS_BETWEEN_FAULTS = 5
+SHARE_OF_CALLS = 0.3
+SHARE_REPEATED = 0.5
+SHARE_LEFT = 0.15
+BROKEN_SLACK_S = 2 * LEASE_S
+"""A connection may break so long after its gateway was struck."""
+
+
+@dataclasses.dataclass
+class SentStream:
+    """One streamed request of the run."""
+
+    caller: StreamCaller
+    request_id: str
+    gateway: str
+    sent_s: float
+    has_left: bool = False
+
+
+@dataclasses.dataclass
+class SentCall:
+    """One call that may not be repeated, and its repeats with the same key."""
+
+    callers: list
+    key: str
+    gateways: list
+
+
+class Soak:
+    """One randomized run on one deployment."""
+
+    def __init__(self, deployment, seed):
+        self._deployment = deployment
+        self._random = random.Random(seed)
+        self.streams = []
+        self.calls = []
+        self.struck = []
+        """Every fault: when it began, and what it was."""
+        self._gateway_kills = []
+        self._faults = [
+            self._kill_agent,
+            self._kill_engine,
+            self._kill_gateway,
+            self._freeze,
+            self._cut,
+            self._roll,
+            self._change_role,
+            self._outage,
+            self._stop_agent,
+        ]
+
+    def run(self, requests):
+        """Send ``requests`` requests, with a fault after every few; wait for all answers."""
+        for number in range(requests):
+            self._send(number)
+            if number % REQUESTS_BETWEEN_FAULTS == REQUESTS_BETWEEN_FAULTS - 1:
+                fault = self._random.choice(self._faults)
+                fault()
+            time.sleep(self._random.uniform(0, MOST_PAUSE_S))
+        self._deployment.heal()
+        for caller in self.all_callers():
+            caller.wait()
+
+    def all_callers(self):
+        """Return every caller of the run."""
+        calls = [caller for call in self.calls for caller in call.callers]
+        return [stream.caller for stream in self.streams] + calls
+
+    # --- Requests ---
+
+    def _send(self, number):
+        gateway = self._random.choice(GATEWAYS)
+        url = self._deployment.urls[gateway]
+        if self._random.random() < SHARE_OF_CALLS:
+            self._send_call(gateway, url)
+        else:
+            self._send_stream(number, gateway, url)
+        self._maybe_leave()
+
+    def _send_call(self, gateway, url):
+        if self.calls and self._random.random() < SHARE_REPEATED:
+            call = self._random.choice(self.calls[-4:])
+        else:
+            call = SentCall([], new_key(wall_clock_ms()), [])
+            self.calls.append(call)
+        call.callers.append(ServiceCaller(url, SERVICE, b"confirm", call.key))
+        call.gateways.append(gateway)
+
+    def _send_stream(self, number, gateway, url):
+        request_id = f"soak-{number}-{uuid.uuid4().hex[:8]}"
+        prompt = f"request {number} of the soak: " * self._random.randint(1, 60)
+        tokens = self._random.randint(1, 80)
+        caller = StreamCaller(url, prompt, tokens, {"X-Request-Id": request_id})
+        self.streams.append(SentStream(caller, request_id, gateway, time.monotonic()))
+
+    def _maybe_leave(self):
+        waiting = [s for s in self.streams if s.caller.is_waiting() and not s.has_left]
+        if waiting and self._random.random() < SHARE_LEFT:
+            stream = self._random.choice(waiting)
+            stream.has_left = True
+            stream.caller.close()
+
+    # --- Faults ---
+
+    def _note(self, what):
+        self.struck.append((round(time.monotonic(), 2), what))
+
+    def _restart(self, name):
+        self._note(f"kill {name}")
+        node = self._deployment.nodes[name]
+        node.kill()
+        node.start()
+        node.wait_up()
+
+    def _kill_agent(self):
+        self._restart(self._random.choice((*PREFILL, *DECODE, *HOMES)))
+
+    def _kill_engine(self):
+        self._restart(f"engine {self._random.choice((*PREFILL, *DECODE))}")
+
+    def _kill_gateway(self):
+        name = self._random.choice(GATEWAYS)
+        self._gateway_kills.append((name, time.monotonic()))
+        self._restart(name)
+
+    def _freeze(self):
+        name = self._random.choice((*PREFILL, *DECODE, *HOMES, *GATEWAYS))
+        self._note(f"freeze {name}")
+        node = self._deployment.nodes[name]
+        node.freeze()
+        time.sleep(PAST_LEASE_S)
+        node.thaw()
+
+    def _cut(self):
+        deployment = self._deployment
+        kinds = (deployment.agent_relays, deployment.transfer_relays, deployment.engine_relays)
+        relay = self._random.choice(kinds)[self._random.choice((*PREFILL, *DECODE, *HOMES))]
+        direction = self._random.choice((("forth",), ("back",), ("forth", "back")))
+        self._note(f"hold {direction} of {relay.address}")
+        relay.hold(*direction)
+        time.sleep(PAST_LEASE_S)
+        relay.heal()
+
+    def _roll(self):
+        self._note("roll")
+        self._deployment.publish()
+
+    def _change_role(self):
+        name = self._random.choice((*PREFILL, *DECODE))
+        other = "decode" if name in PREFILL else "prefill"
+        self._note(f"{name} becomes {other}")
+        self._deployment.publish(self._deployment.bundle_sections(roles={name: other}))
+
+    def _outage(self):
+        what = self._random.choice(("down", "stale"))
+        self._note(f"configuration {what}")
+        self._deployment.set_outage(**{what: True})
+        time.sleep(self._random.uniform(0, 1))
+        self._deployment.set_outage()
+
+    def _stop_agent(self):
+        name = self._random.choice((*PREFILL, *DECODE))
+        self._note(f"planned stop {name}")
+        node = self._deployment.nodes[name]
+        node.terminate()
+        assert node.wait_exit() == 0, f"{name} exited with an error"
+        node.start()
+        node.wait_up()
+
+    # --- Judging ---
+
+    def may_break(self, gateway, sent_s):
+        """Return whether a connection to ``gateway`` may have been broken by a kill."""
+        kills = [at_s for name, at_s in self._gateway_kills if name == gateway]
+        return any(at_s + BROKEN_SLACK_S >= sent_s for at_s in kills)
