--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -41,7 +41,9 @@
     HeartbeatReply,
     Message,
     OfferBundle,
+    Prefilled,
     Release,
+    Reserved,
     StepFrame,
     StreamTokens,
 )
@@ -208,6 +210,8 @@
             error = error_from_code(message.code, message.text, message.retry_after_s)
             settle(future, error=error)
         else:
+            if isinstance(message, Reserved | Prefilled) and message.load is not None:
+                self._view.update_load(message.load)
             settle(future, message)
 
     def _link_up(self, link: LinkUp) -> None:
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -58,14 +58,18 @@
         if reply.incarnation != self.incarnation or not reply.cache_complete:
             self._cached_blocks.clear()
         self.incarnation = reply.incarnation
-        self.load = reply.load
-        self.load_at_s = time.monotonic()
+        self.update_load(reply.load)
         self.stamp = reply.stamp
         for block in reply.evicted_blocks:
             self._cached_blocks.pop(block, None)
         for block in reply.cached_blocks:
             self._cached_blocks[block] = None
 
+    def update_load(self, load: LoadReport) -> None:
+        """Take over a newer load report."""
+        self.load = load
+        self.load_at_s = time.monotonic()
+
     def caches(self, block: int) -> bool:
         """Return whether the peer's engine is thought to cache the block: a hint, never a fact."""
         return block in self._cached_blocks
--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -94,9 +94,14 @@
 
 
 class Reserved(Message, frozen=True):
-    """The slot is promised; it will be free in ``free_in_ms`` at the latest."""
+    """The slot is promised; it will be free in ``free_in_ms`` at the latest.
+
+    ``load`` is the agent's load with this reservation, so that the sender need not wait for the
+    next heartbeat to learn it.
+    """
 
     free_in_ms: int
+    load: LoadReport | None = None
 
 
 class Prefill(Message, frozen=True):
@@ -116,7 +121,10 @@
 
 
 class Prefilled(Message, frozen=True):
-    """The KV cache is ready to be exported from the engine at ``source_url``."""
+    """The KV cache is ready to be exported from the engine at ``source_url``.
+
+    ``load`` is the agent's load after this prefill.
+    """
 
     handle: str
     source_url: str
@@ -124,6 +132,7 @@
     prompt_tokens: int
     cached_tokens: int
     kv_bytes: int
+    load: LoadReport | None = None
 
 
 class GrantTransfer(Message, frozen=True):
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+import msgspec
+
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.connection.engine_protocol import (
     DecodeOrder,
@@ -182,7 +184,7 @@
         free_at_s = self.slots.reserve(order.attempt, ready_by_s, expires_s, order.output_tokens)
         with self._lock:
             self._attempts.setdefault(order.attempt, EngineAttempt(order.attempt))
-        return Reserved(max(0, int((free_at_s - now) * 1000)))
+        return Reserved(max(0, int((free_at_s - now) * 1000)), self.load())
 
     def _prefill(self, order: Prefill, guard: OrderGuard) -> Prefilled:
         self._require(ROLE_PREFILL, NoPrefillRoom)
@@ -198,7 +200,7 @@
         finally:
             self.prefills.leave(order.attempt)
         self.known_blocks.learn(block_hashes(order.prompt))
-        return result
+        return msgspec.structs.replace(result, load=self.load())
 
     def _finish_by(self, order: Prefill, service_s: float) -> float:
         """Return when the prefill must be over for the first token to come in time.
--- a/src/yokedock_emulator/bench_deployment.py
+++ b/src/yokedock_emulator/bench_deployment.py
@@ -26,13 +26,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class BenchEngine:
-    """One engine: its name, zone and role, and the options of its emulator."""
+    """One engine: its name, zone and role, and the options of its emulator.
+
+    ``role`` is what it plays first; where ``is_flexible``, the bundle lets it change.
+    """
 
     name: str
     zone: str
     role: str
     options: tuple[str, ...]
     backend: dict[str, str]
+    is_flexible: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +62,8 @@
         self._key = Ed25519PrivateKey.generate()
         self.nodes: dict[str, Node] = {}
         self.engine_urls: dict[str, str] = {}
+        self.admin: dict[str, str] = {}
+        self._version = 0
         self._agents: dict[str, str] = {}
         self._platform = self._stand_in("platform", ["platform"])
         for engine in plan.engines:
@@ -67,7 +73,7 @@
             node.start()
         for node in self.nodes.values():
             node.wait_up()
-        self._publish()
+        self.publish({})
         self._wait_ready()
 
     def close(self) -> None:
@@ -103,6 +109,7 @@
 
     def _daemon(self, name: str, zone: str, kind: str, sections: IniSections) -> None:
         admin = self._ports.address()
+        self.admin[name] = admin
         settings = {
             **sections,
             "process": {"name": name, "zone": zone},
@@ -116,7 +123,9 @@
         command = [program("yokedock"), kind, "--settings", str(path)]
         self.nodes[name] = Node(name, command, f"http://{admin}/health", self._directory)
 
-    def _publish(self) -> None:
+    def publish(self, roles: dict[str, str]) -> None:
+        """Publish the next version; ``roles`` gives engines another fixed role."""
+        self._version += 1
         sections: IniSections = {
             **self._plan.bundle,
             "tenant bench": {
@@ -130,11 +139,12 @@
                 "pool": "main",
                 "zone": engine.zone,
                 "agent": self._agents[engine.name],
-                "role": engine.role,
+                "role": roles.get(engine.name, "flexible" if engine.is_flexible else engine.role),
                 "model": self._plan.model,
             }
         source = write_ini(self._directory / "bundle.ini", sections)
-        signed = sign_bundle(read_bundle_source(source), 1, wall_clock_ms(), self._key)
+        bundle = read_bundle_source(source)
+        signed = sign_bundle(bundle, self._version, wall_clock_ms(), self._key)
         for digest, content in signed.sections.items():
             self._publish_value(f"section/{digest}", content)
         self._publish_value("bundle", signed.envelope)
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -156,6 +156,30 @@
     run_suite(plans, out)
 
 
+@app.command
+def day(
+    *,
+    users: str = "jabal-rest,tinlliw",
+    ways: str = "fixed,ladder,schedule",
+    peak: float = 0.9,
+    seeds: str = "1",
+    duration_s: float = 120.0,
+    out: Path = Path("bench-results"),
+) -> None:
+    """Run a compressed day with each way of giving engines their roles; plots go to OUT."""
+    from yokedock_emulator.day import DayPlan, check_day, run_days
+
+    plans = [
+        DayPlan(user, way, peak, int(number(seed, "seeds")), duration_s)
+        for user in users.split(",")
+        for seed in seeds.split(",")
+        for way in ways.split(",")
+    ]
+    for plan in plans:
+        check_day(plan)
+    run_days(plans, out)
+
+
 def number(text: str, option: str) -> float:
     """Return a number of a list option; raises ``ExperimentInvalid``."""
     from yokedock_emulator.experiment import ExperimentInvalid
--- a/src/yokedock_emulator/experiment.py
+++ b/src/yokedock_emulator/experiment.py
@@ -109,19 +109,20 @@
     bound = fluid_limit(user).requests_per_s
     arrivals = schedule(user, plan.load * bound, plan.duration_s, plan.seed)
     with tempfile.TemporaryDirectory(prefix="yokedock-bench-") as directory:
-        bench = BenchDeployment(_bench_plan(user, plan.policy), Path(directory), FIRST_PORT)
+        bench = BenchDeployment(bench_plan(user, plan.policy), Path(directory), FIRST_PORT)
         try:
             name = f"{plan.user} {plan.policy} load {plan.load} seed {plan.seed}"
             results = OpenLoop(bench.gateways, MODEL, lambda text: print(f"{name}: {text}")).run(
                 arrivals
             )
-            computed, wasted = _prefill_work(bench)
+            computed, wasted = prefill_work(bench)
         finally:
             bench.close()
     return _report(plan, user, bound, results, wasted / max(1, computed))
 
 
-def _bench_plan(user: User, policy: str) -> BenchPlan:
+def bench_plan(user: User, policy: str, flexible: int = 0, dwell_s: float = 60.0) -> BenchPlan:
+    """Return what to start for a user; ``flexible`` engines may change their role."""
     options = [
         *("--slots", str(SLOTS), "--step-base-ms", str(STEP_BASE_MS)),
         *("--step-per-stream-ms", str(STEP_PER_STREAM_MS)),
@@ -130,11 +131,20 @@
     ]
     backend = {"slots": str(SLOTS), "link_bytes_per_s": str(LINK_BYTES_PER_S)}
     roles = ["prefill"] * user.prefill_engines + ["decode"] * user.decode_engines
+    first_flexible = user.prefill_engines - (flexible + 1) // 2
     engines = tuple(
-        BenchEngine(f"{role}-{n}", user.zones[n % len(user.zones)], role, tuple(options), backend)
-        for n, role in enumerate(roles)
+        BenchEngine(
+            f"engine-{number}",
+            user.zones[number % len(user.zones)],
+            role,
+            tuple(options),
+            backend,
+            first_flexible <= number < first_flexible + flexible,
+        )
+        for number, role in enumerate(roles)
     )
     bundle: IniSections = {f"class {c.name}": _class_options(c) for c in user.classes}
+    bundle["limits"] = {"role_dwell_s": str(dwell_s)}
     step_ms = STEP_BASE_MS + STEP_PER_STREAM_MS * SLOTS
     model = {
         "prefill_tokens_per_s": str(PREFILL_TOKENS_PER_S),
@@ -153,7 +163,7 @@
     }
 
 
-def _prefill_work(bench: BenchDeployment) -> tuple[int, int]:
+def prefill_work(bench: BenchDeployment) -> tuple[int, int]:
     """Return computed and wasted prefill tokens, by the engines' ledgers."""
     computed = wasted = 0
     for url in bench.engine_urls.values():
@@ -188,7 +198,7 @@
 
 
 def _class_report(traffic: TrafficClass, results: list[RequestResult]) -> ClassReport:
-    own = [result for result in results if result.arrival.traffic is traffic]
+    own = [result for result in results if result.arrival.traffic.name == traffic.name]
     whole = [result for result in own if result.is_whole]
     refused = [result for result in own if result.status in (429, 503)]
     first = [result.first_token_ms for result in whole]
--- a/src/yokedock_emulator/open_loop.py
+++ b/src/yokedock_emulator/open_loop.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
+import itertools
 import re
 import selectors
 import socket
@@ -34,6 +36,8 @@
     is_cut: bool = False
     ended_s: float = 0.0
     retry_after_s: int = 0
+    is_return: bool = False
+    """Whether the request was sent again, once, at the time its refusal named."""
 
     @property
     def first_token_ms(self) -> float:
@@ -59,31 +63,51 @@
 class OpenLoop:
     """Sends a schedule to gateways in turn and reads all answers in one loop."""
 
-    def __init__(self, addresses: list[str], model: str, progress: Callable[[str], None]) -> None:
-        """Send to the gateways at ``addresses``."""
+    def __init__(
+        self,
+        addresses: list[str],
+        model: str,
+        progress: Callable[[str], None],
+        returns: bool = False,
+    ) -> None:
+        """Send to the gateways at ``addresses``; ``returns``: a refused caller comes back once."""
         self._addresses = addresses
         self._model = model
         self._progress = progress
         self._selector = selectors.DefaultSelector()
         self._open = 0
+        self._returns = returns
+        self._due: list[tuple[float, int, Arrival]] = []
+        self._due_numbers = itertools.count()
+        self.results: list[RequestResult] = []
 
     def run(self, arrivals: list[Arrival]) -> list[RequestResult]:
         """Send everything at its time, wait for all answers, and return what became of each."""
         started_s = time.monotonic()
-        results: list[RequestResult] = []
         next_progress_s = started_s + PROGRESS_S
         for number, arrival in enumerate(arrivals):
             due_s = started_s + arrival.at_s
             while (left_s := due_s - time.monotonic()) > 0:
                 self._poll(min(left_s, 0.02))
-            results.append(self._send(arrival, self._addresses[number % len(self._addresses)]))
+            self.results.append(self._send(arrival, self._address(number)))
             if time.monotonic() > next_progress_s:
                 next_progress_s += PROGRESS_S
                 self._progress(f"{number + 1}/{len(arrivals)} sent, {self._open} open")
         give_up_s = time.monotonic() + DRAIN_LIMIT_S
-        while self._open and time.monotonic() < give_up_s:
+        while (self._open or self._due) and time.monotonic() < give_up_s:
             self._poll(0.05)
-        return results
+        return self.results
+
+    def _address(self, number: int) -> str:
+        return self._addresses[number % len(self._addresses)]
+
+    def _send_returns(self) -> None:
+        """Send again what was refused, at the time that the refusal named."""
+        while self._due and self._due[0][0] <= time.monotonic():
+            _, number, arrival = heapq.heappop(self._due)
+            result = self._send(arrival, self._address(number))
+            result.is_return = True
+            self.results.append(result)
 
     def _send(self, arrival: Arrival, address: str) -> RequestResult:
         body = msgspec.json.encode(
@@ -111,6 +135,7 @@
     def _poll(self, timeout_s: float) -> None:
         for key, _ in self._selector.select(timeout_s):
             self._read(key.fileobj, key.data)  # type: ignore[arg-type]
+        self._send_returns()
 
     def _read(self, connection: socket.socket, result: RequestResult) -> None:
         try:
@@ -134,6 +159,9 @@
             self._selector.unregister(connection)
             connection.close()
             self._open -= 1
+            if self._returns and result.retry_after_s and not result.is_return:
+                due_s = now + result.retry_after_s
+                heapq.heappush(self._due, (due_s, next(self._due_numbers), result.arrival))
 
 
 def _patience_ms(arrival: Arrival) -> int:
