Heartbeats to peers at which nothing is held may be rare

Cause: every peer got a heartbeat each interval although a gateway of the aim's size holds something at some 60 of its 156 peers; with a heartbeat of 8 s and leases of 24 s for all, control traffic was over 7 KB/s and losses were noticed late.

Ruled out: leaving the heartbeat to orders alone (at the aim an order passes each peer every 2 to 4 s only).

Change: idle_heartbeat_ms. A peer is idle when nothing is held there and its last report is settled (ready, same version); before an order to a peer not heard of lately a heartbeat goes out on the same link, so the order finds a lease. An agent tells its gateways at once when its state changes (role, leaving, planned stop). A heartbeat unanswered for a lease less an interval ends the link.

--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -48,12 +48,13 @@
 class Deployment:
     """Stand-ins, agents and gateways of one test worker."""
 
-    def __init__(self, checks_fencing=True, decode_slots=8, lease_s=LEASE_S):
+    def __init__(self, checks_fencing=True, decode_slots=8, lease_s=LEASE_S, idle_heartbeat_s=0):
         self.directory = Path(tempfile.mkdtemp(prefix="yokedock-test-"))
         self.ports = worker_ports()
         self.checks_fencing = checks_fencing
         self.decode_slots = decode_slots
         self.lease_s = lease_s
+        self.idle_heartbeat_s = idle_heartbeat_s
         self.deployment_key = new_deployment_key()
         self.nodes = {}
         self.urls = {}
@@ -65,7 +66,11 @@
         self.signed = None
         self.key_file = self.directory / "key"
         self.public_key = command("bundle", "keygen", self.key_file).strip()
-        self._start_all()
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
 
     # --- Start ---
 
@@ -153,6 +158,7 @@
             "deployment_key": self.deployment_key,
             "heartbeat_ms": "100",
             "lease_ms": str(int(self.lease_s * 1000)),
+            "idle_heartbeat_ms": str(self.idle_heartbeat_s * 1000),
         }
 
     # --- Bundles ---
--- a/src/yokedock/connection/lease_holder.py
+++ b/src/yokedock/connection/lease_holder.py
@@ -102,6 +102,11 @@
     """The process's ticker asks whether the lease has expired."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportNow:
+    """The back end's state has changed: tell the peer, which may not ask for a while."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ExpireNow:
     """The process was paused: the lease counts as expired."""
@@ -164,6 +169,8 @@
                 return self._check_lease()
             case ExpireNow():
                 self._expire("paused")
+            case ReportNow():
+                self._report(())
         return None
 
     def on_stop(self) -> None:
@@ -176,7 +183,7 @@
         message = frame.message
         match message:
             case Heartbeat():
-                self._heartbeat(connection, message)
+                self._heartbeat(message)
             case Release():
                 self._release(message.attempt)
             case FetchBundle():
@@ -211,12 +218,18 @@
             soon_s = time.monotonic() + RECONNECT_S
             self._lease.expires_s = min(self._lease.expires_s, soon_s)
 
-    def _heartbeat(self, connection: PeerConnection, heartbeat: Heartbeat) -> None:
+    def _heartbeat(self, heartbeat: Heartbeat) -> None:
         self._lease.expires_s = time.monotonic() + heartbeat.lease_ms / 1000
         for attempt in self._lease.attempts - set(heartbeat.held):
             self._release(attempt)
         lost = tuple(a for a in heartbeat.held if not self._backend.holds(a))
         self._context.demand_reported(self._name, heartbeat.prefill_demand, heartbeat.decode_demand)
+        self._report(lost)
+
+    def _report(self, lost: tuple[str, ...]) -> None:
+        """Tell the peer this agent's load, version and cache changes, and what it has lost."""
+        if self._connection is None:
+            return
         stamp, load = self._context.stamp(), self._backend.load()
         changes = self._backend.block_changes(self._told_change)
         self._told_change = changes.last_number
@@ -229,7 +242,7 @@
             changes.evicted,
             changes.is_complete,
         )
-        connection.send(reply)
+        self._connection.send(reply)
 
     def _order(self, connection: PeerConnection, frame: Frame) -> None:
         order = frame.message
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
@@ -20,6 +21,7 @@
     DropAttempt,
     FrameArrived,
     HeartbeatDue,
+    HeartbeatNow,
     LinkDown,
     LinkUp,
     PeerContext,
@@ -80,6 +82,9 @@
         self._pending: dict[int, Future[Any]] = {}
         self._held: dict[str, StreamSink | None] = {}
         self._pending_parts: dict[str, list[StreamTokens]] = {}
+        self._heartbeat_s = 0.0
+        self._unanswered_s = 0.0
+        """When the oldest heartbeat since the last frame was sent; 0: none is unanswered."""
         self._reader = self._new_reader()
 
     def on_start(self) -> None:
@@ -110,6 +115,8 @@
             case DropAttempt():
                 self._drop_attempt(message.attempt)
             case HeartbeatDue():
+                self._tick()
+            case HeartbeatNow():
                 self._heartbeat()
             case LinkUp():
                 self._link_up(message)
@@ -119,8 +126,10 @@
             self._deliver_parts()
 
     def _send_call(self, call: SendCall) -> None:
+        self._renew_before_order()
         if call.attempt:
             self._held[call.attempt] = call.sink or self._held.get(call.attempt)
+            self._view.tick_due_s = self._heartbeat_due_s()
         if self._session is None:
             if call.reply is not None:
                 message = f"{self._name} at {self._address} is not connected; retry shortly"
@@ -133,6 +142,12 @@
             self._pending[number] = call.reply
         self._send(Frame(number, call.message))
 
+    def _renew_before_order(self) -> None:
+        """An idle peer's lease may have ended: renew it ahead of the order, on the same link."""
+        age_s = time.monotonic() - self._heartbeat_s
+        if not self._held and age_s * 1000 > self._timing.heartbeat_ms:
+            self._heartbeat()
+
     def _send(self, frame: Frame) -> None:
         assert self._session is not None
         try:
@@ -149,10 +164,36 @@
         if self._session is not None:
             self._send(Frame(0, Release(attempt)))
 
+    def _tick(self) -> None:
+        """Send a heartbeat if one is due; a peer that leaves one unanswered too long is lost."""
+        if self._session is None:
+            return
+        now = time.monotonic()
+        patience_ms = self._timing.lease_ms - self._timing.heartbeat_ms
+        if self._unanswered_s and (now - self._unanswered_s) * 1000 > patience_ms:
+            self._link_down(LinkDown(self._reader))
+            return
+        if now >= self._heartbeat_due_s():
+            self._heartbeat()
+
+    def _heartbeat_due_s(self) -> float:
+        """Return when the next heartbeat is due; half an interval early, since ticks are coarse."""
+        interval_ms = self._timing.heartbeat_ms
+        if not self._held and self._is_settled():
+            interval_ms = self._timing.longest_heartbeat_ms
+        return self._heartbeat_s + (interval_ms - self._timing.heartbeat_ms / 2) / 1000
+
+    def _is_settled(self) -> bool:
+        """Return whether the peer is ready under the version in force: nothing new is awaited."""
+        load = self._view.load
+        return load is not None and load.ready and self._view.stamp == self._context.stamp()
+
     def _heartbeat(self) -> None:
         self._forget_settled()
         if self._session is None:
             return
+        self._heartbeat_s = time.monotonic()
+        self._unanswered_s = self._unanswered_s or self._heartbeat_s
         demand = self._context.demand()
         heartbeat = Heartbeat(
             self._context.stamp(),
@@ -172,6 +213,7 @@
     def _frame_arrived(self, arrived: FrameArrived) -> None:
         if arrived.reader is not self._reader:
             return
+        self._unanswered_s = 0.0
         message = arrived.frame.message
         if arrived.frame.call:
             self._replied(arrived.frame.call, message)
@@ -196,6 +238,7 @@
 
     def _heartbeat_replied(self, reply: HeartbeatReply) -> None:
         self._view.update(reply)
+        self._view.tick_due_s = self._heartbeat_due_s()
         for attempt in reply.lost:
             sink = self._held.get(attempt)
             if sink is not None:
@@ -234,6 +277,7 @@
     def _drop_link(self) -> None:
         """Fail whatever waits for the link."""
         self._session = None
+        self._unanswered_s = 0.0
         self._view.disconnected()
         error = PeerUnreachable(f"the link to {self._name} broke; look at the agent's logs")
         pending, self._pending = self._pending, {}
@@ -296,5 +340,6 @@
             if not peers:
                 self._stopping.wait(self._interval_s)
             for peer in peers:
-                peer.heartbeat()
+                if time.monotonic() >= peer.view.tick_due_s:
+                    peer.tick()
                 self._stopping.wait(self._interval_s / len(peers))
--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -92,13 +92,13 @@
         if not isinstance(welcome, Welcome):
             return None
         session = SecureSession(self._identity.key, hello, welcome, dialer=True)
-        socket.allow_silence(self._timing.lease_ms)
+        socket.allow_silence(self._timing.silence_ms)
         socket.on_lost(lambda: self._tell(LinkDown(self)))
         self._tell(LinkUp(self, session, welcome.incarnation))
         return session
 
     def _read(self, session: SecureSession) -> None:
-        """Read until the connection is lost; silence for a whole lease counts as lost."""
+        """Read until the connection is lost; a link that stays silent counts as lost."""
         try:
             while not self._stopping.is_set():
                 packet = decode_packet(self.socket.receive())
--- a/src/yokedock/connection/peer_types.py
+++ b/src/yokedock/connection/peer_types.py
@@ -36,10 +36,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerTiming:
-    """Heartbeat interval and lease, in milliseconds."""
+    """Heartbeat intervals and lease, in milliseconds.
+
+    ``idle_heartbeat_ms`` holds for peers at which nothing is held; 0 stands for ``heartbeat_ms``.
+    """
 
     heartbeat_ms: int
     lease_ms: int
+    idle_heartbeat_ms: int = 0
+
+    @property
+    def longest_heartbeat_ms(self) -> int:
+        """Return the longest time between two heartbeats to one peer."""
+        return max(self.heartbeat_ms, self.idle_heartbeat_ms)
+
+    @property
+    def silence_ms(self) -> int:
+        """Return how long a link may be silent while nothing is held over it."""
+        return self.longest_heartbeat_ms + self.lease_ms
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,7 +129,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class HeartbeatDue:
-    """The process's ticker says that it is time for a heartbeat."""
+    """The process's ticker passes by: send a heartbeat if it is time for one."""
+
+
+@dataclasses.dataclass(frozen=True)
+class HeartbeatNow:
+    """Send a heartbeat at once: there is a new version to tell of."""
 
 
 def settle(future: Future[Any], result: Any = None, error: BaseException | None = None) -> None:
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -11,6 +11,7 @@
 from yokedock.connection.peer_types import (
     DropAttempt,
     HeartbeatDue,
+    HeartbeatNow,
     SendCall,
     StreamSink,
     settle,
@@ -31,6 +32,8 @@
         self.load_at_s = 0.0
         self.stamp = BundleStamp(0, "")
         self.incarnation = 0
+        self.tick_due_s = 0.0
+        """When the peer's task wants to be woken for a heartbeat, monotonic seconds."""
         self._handle: AgentPeerHandle | None = None
         self._cached_blocks: dict[int, None] = {}
 
@@ -52,6 +55,7 @@
         """Note the loss of the connection; the old load report is worth nothing now."""
         self.is_connected = False
         self.load = None
+        self.tick_due_s = 0.0
 
     def update(self, reply: HeartbeatReply) -> None:
         """Take over what a heartbeat's reply says."""
@@ -101,10 +105,14 @@
         """Stop holding ``attempt`` at the agent."""
         self._tell(DropAttempt(attempt), None)
 
-    def heartbeat(self) -> None:
-        """Send a heartbeat now."""
+    def tick(self) -> None:
+        """Send a heartbeat if it is time for one."""
         self._tell(HeartbeatDue(), None)
 
+    def heartbeat_now(self) -> None:
+        """Send a heartbeat at once."""
+        self._tell(HeartbeatNow(), None)
+
     def stop(self) -> None:
         """End the peer's task."""
         self._reference.stop(block=False)
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -19,10 +19,11 @@
     Inbound,
     LeaseCheck,
     LeaseHolder,
+    ReportNow,
 )
 from yokedock.connection.machine_list import STATE_LEAVING, Machine, MachineWatch
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
-from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
+from yokedock.connection.peer_types import DemandSignal, PeerIdentity
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.connection.service_client import ServiceClient
 from yokedock.errors import PeerTimeout, YokedockError
@@ -40,7 +41,7 @@
 from yokedock.process.logs import logger
 from yokedock.process.metrics import Metrics
 from yokedock.process.pause import PauseDetector
-from yokedock.process.peer_directory import PeerAddress, PeerDirectory
+from yokedock.process.peer_directory import PeerAddress, PeerDirectory, peer_timing
 from yokedock.process.role_manager import RoleManager
 from yokedock.process.settings import AgentSettings, bundle_key, deployment_key
 from yokedock.request.backend import Backend
@@ -77,6 +78,7 @@
         self._holders_lock = threading.Lock()
         self._demand: dict[str, tuple[float, DemandSignal]] = {}
         self._stopping = threading.Event()
+        self._is_listed_leaving = False
         self._workers = ThreadPoolExecutor(
             2 * settings.backend.slots + SPARE_WORKERS, "order worker"
         )
@@ -94,7 +96,7 @@
         self._watch = ConfigurationWatch(client, self.store, settings.platform.watch_ms)
         self._peers = PeerDirectory(
             PeerIdentity(f"agent {self.name}", self.incarnation_ms, self._key),
-            PeerTiming(settings.peers.heartbeat_ms, settings.peers.lease_ms),
+            peer_timing(settings.peers),
             self,
         )
         self._threads: list[threading.Thread] = []
@@ -132,7 +134,9 @@
             setup, engine, model.prefill_tokens_per_s, model.step_ms, self._acquire_transfer
         )
         self._engine_backend = engine_backend
-        self._role_manager = RoleManager(self.name, engine, engine_backend, self._total_demand)
+        self._role_manager = RoleManager(
+            self.name, engine, engine_backend, self._total_demand, self._announce
+        )
         self._threads += [
             StepReader(engine, engine_backend),
             Reconciler(engine, engine_backend),
@@ -161,6 +165,7 @@
         """Planned stop: take no new work, let all work in flight end; return whether it did."""
         self._stopping.set()
         self.backend.set_leaving(True)
+        self._announce()
         _log.info("draining", name=self.name, in_flight=self.backend.in_flight())
         deadline_s = time.monotonic() + limit_s
         while self.backend.in_flight() and left_s(deadline_s):
@@ -222,21 +227,24 @@
     def _check_leases(self) -> None:
         """Tell every holder to check its lease, again and again."""
         while not self._stopping.wait(LEASE_CHECK_S) or self.backend.in_flight():
-            with self._holders_lock:
-                holders = list(self._holders.values())
-            for holder in holders:
-                if holder.is_alive():
-                    holder.tell(LeaseCheck())
+            self._tell_holders(LeaseCheck())
 
     def _paused(self, lost_s: float) -> None:
         """The process was paused for longer than a lease: act on nothing it believed."""
         _log.warning("paused", seconds=round(lost_s, 3))
         self._listener.hang_up_all()
+        self._tell_holders(ExpireNow())
+
+    def _announce(self) -> None:
+        """Tell every gateway at once that the back end's state has changed."""
+        self._tell_holders(ReportNow())
+
+    def _tell_holders(self, message: ExpireNow | ReportNow | LeaseCheck) -> None:
         with self._holders_lock:
             holders = list(self._holders.values())
         for holder in holders:
             if holder.is_alive():
-                holder.tell(ExpireNow())
+                holder.tell(message)
 
     # --- HolderContext and PeerContext ---
 
@@ -286,7 +294,7 @@
 
     def _total_demand(self) -> DemandSignal:
         """Return the demand of all gateways heard from lately."""
-        horizon = time.monotonic() - self.settings.peers.lease_ms / 1000
+        horizon = time.monotonic() - peer_timing(self.settings.peers).silence_ms / 1000
         recent = [signal for at_s, signal in list(self._demand.values()) if at_s >= horizon]
         return DemandSignal(
             sum(signal.prefill for signal in recent), sum(signal.decode for signal in recent)
@@ -344,4 +352,7 @@
     def _machines_read(self, machines: dict[str, Machine]) -> None:
         own = machines.get(self.name)
         leaving = own is not None and own.state == STATE_LEAVING
+        was_leaving, self._is_listed_leaving = self._is_listed_leaving, leaving
         self.backend.set_leaving(leaving or self._stopping.is_set())
+        if leaving != was_leaving:
+            self._announce()
--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -10,7 +10,7 @@
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.connection.machine_list import Machine, MachineWatch
-from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
+from yokedock.connection.peer_types import DemandSignal, PeerIdentity
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import NotReady
 from yokedock.messages import BundleStamp
@@ -19,7 +19,7 @@
 from yokedock.process.histograms import Histograms
 from yokedock.process.logs import logger
 from yokedock.process.metrics import Metrics
-from yokedock.process.peer_directory import PeerAddress, PeerDirectory
+from yokedock.process.peer_directory import PeerAddress, PeerDirectory, peer_timing
 from yokedock.process.settings import GatewaySettings, bundle_key, deployment_key
 from yokedock.request.admission import Admission, RetryBudget
 from yokedock.request.attempt import AttemptServices
@@ -68,7 +68,7 @@
         self._demand_meter = DemandMeter()
         self._demand_signal = DemandSignal()
         identity = PeerIdentity(self.name, self.incarnation_ms, deployment_key(settings.peers))
-        timing = PeerTiming(settings.peers.heartbeat_ms, settings.peers.lease_ms)
+        timing = peer_timing(settings.peers)
         self.peers = PeerDirectory(identity, timing, self)
         budget = RetryBudget()
         services = AttemptServices(
--- a/src/yokedock/process/peer_directory.py
+++ b/src/yokedock/process/peer_directory.py
@@ -8,6 +8,12 @@
 from yokedock.connection.peer_client import HeartbeatTicker, start_peer
 from yokedock.connection.peer_types import PeerContext, PeerIdentity, PeerTiming
 from yokedock.connection.peer_view import AgentPeerHandle
+from yokedock.process.settings import PeerSettings
+
+
+def peer_timing(settings: PeerSettings) -> PeerTiming:
+    """Return how often the settings want heartbeats sent, and how long a lease lasts."""
+    return PeerTiming(settings.heartbeat_ms, settings.lease_ms, settings.idle_heartbeat_ms)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +68,7 @@
     def heartbeat_now(self) -> None:
         """Send a heartbeat to every peer at once."""
         for peer in self.all():
-            peer.heartbeat()
+            peer.heartbeat_now()
 
     def stop(self) -> None:
         """End all tasks."""
--- a/src/yokedock/process/role_manager.py
+++ b/src/yokedock/process/role_manager.py
@@ -35,13 +35,18 @@
         engine: EngineDialect,
         backend: EngineBackend,
         demand: Callable[[], DemandSignal],
+        announce: Callable[[], None],
     ) -> None:
-        """Prepare the thread; ``demand`` returns the sum of all gateways' signals."""
+        """Prepare the thread.
+
+        ``demand`` returns the sum of all gateways' signals; ``announce`` tells them of a change.
+        """
         super().__init__(name="role manager", daemon=True)
         self._name = name
         self._engine = engine
         self._backend = backend
         self._demand = demand
+        self._announce = announce
         self._stopping = threading.Event()
         self._plan: EnginePlan | None = None
         self._position: LadderPosition | None = None
@@ -86,6 +91,7 @@
     def _change(self, role: str) -> None:
         """Drain, order the change, announce: grants stop before and start after."""
         self._backend.is_ready = False
+        self._announce()
         try:
             while self._backend.in_flight() and not self._stopping.wait(CHECK_S / 5):
                 pass
@@ -97,3 +103,4 @@
             _log.warning("role not changed", engine=self._name, role=role, error=error.message)
         finally:
             self._backend.is_ready = True
+            self._announce()
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -53,6 +53,11 @@
     advertise: str = option("agent only: address other agents dial; empty: the listen one", "")
     deployment_key: str = option("base64 of 32 random bytes; may be empty on loopback only", "")
     heartbeat_ms: int = option("interval of heartbeats, ms", 1000, between(20, 60_000))
+    idle_heartbeat_ms: int = option(
+        "interval of heartbeats to peers at which nothing is held, ms; 0: as heartbeat_ms",
+        0,
+        between(0, 600_000),
+    )
     lease_ms: int = option("how long a lease lasts, ms", 3000, between(60, 600_000))
     subset_size: int = option("most engines of a model a gateway talks to", 40, between(2, 1000))
 
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -122,11 +122,11 @@
 
 
 @app.command
-def slopes(*, out: Path | None = None) -> None:
-    """Measure the slopes on which docs/CAPACITY.md is built."""
-    from yokedock_emulator.slopes import measure_slopes
+def slopes(*, names: str = "", out: Path | None = None) -> None:
+    """Measure the slopes on which docs/CAPACITY.md is built; all of them if none is named."""
+    from yokedock_emulator.slopes import MEASUREMENTS, measure_slopes
 
-    measure_slopes(out)
+    measure_slopes(names.split(",") if names else list(MEASUREMENTS), out)
     exit_now(0)
 
 
--- a/src/yokedock_emulator/hollow.py
+++ b/src/yokedock_emulator/hollow.py
@@ -122,10 +122,11 @@
 class HollowGateway:
     """The dialling end of a gateway: the real peer tasks, and no callers."""
 
-    def __init__(self, name: str, heartbeat_ms: int) -> None:
+    def __init__(self, name: str, heartbeat_ms: int, idle_heartbeat_ms: int = 0) -> None:
         """Start without peers."""
         identity = PeerIdentity(name, 1, LOOPBACK_KEY)
-        self.peers = PeerDirectory(identity, PeerTiming(heartbeat_ms, LEASE_MS), self)
+        timing = PeerTiming(heartbeat_ms, LEASE_MS, idle_heartbeat_ms)
+        self.peers = PeerDirectory(identity, timing, self)
 
     def connect(self, addresses: list[str]) -> list[AgentPeerHandle]:
         """Talk to the agents at ``addresses``."""
--- a/src/yokedock_emulator/slopes.py
+++ b/src/yokedock_emulator/slopes.py
@@ -31,6 +31,7 @@
 from yokedock.version.bundle import Bundle, Engine, Limits, Model, RequestClass, Tenant
 from yokedock.version.bundle_codec import SignedBundle, sign_bundle
 from yokedock.version.bundle_store import BundleStore
+from yokedock_emulator.experiment import ExperimentInvalid
 from yokedock_emulator.hollow import HollowAgent, HollowGateway
 from yokedock_emulator.process_group import PAGE_BYTES, program
 
@@ -38,6 +39,7 @@
 HELD_COUNTS = (0, 100, 400)
 HELD_PEERS = 20
 HEARTBEAT_MS = 1000
+IDLE_HEARTBEAT_MS = 8000
 SETTLE_S = 2.0
 WINDOW_S = 10.0
 AIM_TENANTS, AIM_ENGINES, AIM_MODELS = 560, 610, 13
@@ -96,10 +98,27 @@
 
 def gateway_per_peer() -> list[Slope]:
     """A gateway's cost of one peer at one heartbeat a second."""
+    shares, memory = _gateway_usage(0)
+    how = f"{max(PEER_COUNTS)} hollow agents, {HEARTBEAT_MS} ms"
+    return [
+        Slope("gateway: processor per peer", fit(shares), "us/s", how),
+        Slope("gateway: memory per peer", fit(memory), "KiB", how),
+    ]
+
+
+def gateway_per_idle_peer() -> list[Slope]:
+    """A gateway's cost of one peer at which nothing is held, heard of rarely."""
+    shares, _ = _gateway_usage(IDLE_HEARTBEAT_MS)
+    how = f"{max(PEER_COUNTS)} hollow agents, {HEARTBEAT_MS} ms, idle {IDLE_HEARTBEAT_MS} ms"
+    return [Slope("gateway: processor per idle peer", fit(shares), "us/s", how)]
+
+
+def _gateway_usage(idle_ms: int) -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    """Return processor time (us/s) and memory (KiB) of a gateway by its number of peers."""
     shares, memory = [], []
     for count in PEER_COUNTS:
         child, addresses = _hollow_agents(count)
-        gateway = HollowGateway("gateway", HEARTBEAT_MS)
+        gateway = HollowGateway("gateway", HEARTBEAT_MS, idle_ms)
         before = resident_bytes()
         gateway.connect(addresses)
         time.sleep(SETTLE_S)
@@ -109,11 +128,7 @@
         gateway.peers.stop()
         _end(child)
         time.sleep(0.5)
-    how = f"{max(PEER_COUNTS)} hollow agents, {HEARTBEAT_MS} ms"
-    return [
-        Slope("gateway: processor per peer", fit(shares), "us/s", how),
-        Slope("gateway: memory per peer", fit(memory), "KiB", how),
-    ]
+    return shares, memory
 
 
 def agent_per_gateway() -> list[Slope]:
@@ -315,6 +330,7 @@
 
 MEASUREMENTS: dict[str, Callable[[], list[Slope]]] = {
     "gateway-per-peer": gateway_per_peer,
+    "gateway-per-idle-peer": gateway_per_idle_peer,
     "agent-per-gateway": agent_per_gateway,
     "per-held-attempt": per_held_attempt,
     "per-step-frame": per_step_frame,
@@ -324,13 +340,20 @@
 }
 
 
-def measure_slopes(out: Path | None) -> list[Slope]:
-    """Run every measurement, print a table, and write JSON to ``out`` if given."""
+def measure_slopes(names: list[str], out: Path | None) -> list[Slope]:
+    """Run the named measurements, print a table, and write JSON to ``out`` if given.
+
+    Raises ``ExperimentInvalid`` for a name that is not known.
+    """
+    unknown = set(names) - set(MEASUREMENTS)
+    if unknown:
+        known = ", ".join(MEASUREMENTS)
+        raise ExperimentInvalid(f"no slope {', '.join(sorted(unknown))}; choose from {known}")
     set_up_logs("error")
     slopes: list[Slope] = []
-    for name, measurement in MEASUREMENTS.items():
+    for name in names:
         print(f"measuring {name}", flush=True)
-        slopes += measurement()
+        slopes += MEASUREMENTS[name]()
     rows = [(s.name, f"{s.value:.3g}", s.unit, s.how) for s in slopes]
     print(format_table(("slope", "value", "unit", "how"), rows))
     if out is not None:
