Experiment tool: an engine killed at half time, refused callers that come back, prefills kept shorter

Cause: the figures asked for after a loss at the peak, for callers who obey Retry-After, and in a setting that provokes wasted prefill could not be taken.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test matrix lint slopes bench clean
+.PHONY: demo test matrix lint slopes bench day path-cost clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,12 @@
 	$(BIN)/yokedock-emulator slopes
 
 bench: $(VENV)/.ready
+	$(BIN)/yokedock-emulator experiment --policies corrected_load,least_loaded --seeds 1,2,3 --out bench-results/experiment.json
+
+day: $(VENV)/.ready
+	$(BIN)/yokedock-emulator day
+
+path-cost: $(VENV)/.ready
 	$(BIN)/yokedock-emulator path-cost
 
 clean:
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -138,14 +138,24 @@
     loads: str = "0.7,1.0,1.3",
     seeds: str = "1",
     duration_s: float = 30.0,
+    kept_ms: int = 3000,
+    kills_engine: bool = False,
+    returns: bool = False,
     out: Path | None = None,
 ) -> None:
-    """Run policies side by side for both users and report goodput and wasted prefill."""
+    """Run policies side by side for both users and report goodput and wasted prefill.
+
+    KEPT_MS is how long engines keep a prefill; KILLS_ENGINE kills a decode engine at half time;
+    with RETURNS, refused callers come back once, when they were told to.
+    """
     from yokedock_emulator.experiment import ExperimentPlan, check_plan
     from yokedock_emulator.experiment_suite import run_suite
 
     plans = [
-        ExperimentPlan(user, policy, number(load, "loads"), int(number(seed, "seeds")), duration_s)
+        ExperimentPlan(
+            *(user, policy, number(load, "loads"), int(number(seed, "seeds")), duration_s),
+            *(kept_ms, kills_engine, returns),
+        )
         for user in users.split(",")
         for load in loads.split(",")
         for seed in seeds.split(",")
--- a/src/yokedock_emulator/experiment.py
+++ b/src/yokedock_emulator/experiment.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import tempfile
+import threading
 from pathlib import Path
 
 import msgspec
@@ -50,13 +51,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class ExperimentPlan:
-    """One run."""
+    """One run.
+
+    ``kept_ms``: how long engines keep a prefill. ``kills_engine``: a decode engine is killed at
+    half time and stays down. ``returns``: a refused caller comes back once, when it was told to.
+    """
 
     user: str
     policy: str
     load: float
     seed: int
     duration_s: float
+    kept_ms: int = 3000
+    kills_engine: bool = False
+    returns: bool = False
 
 
 class ClassReport(msgspec.Struct, frozen=True):
@@ -87,6 +95,10 @@
     goodput_per_s: float
     goodput_vs_bound: float
     wasted_prefill: float
+    goodput_vs_bound_left: float
+    """After the kill of an engine, over the bound of what is left; 0 where none was killed."""
+    returned: int
+    returned_whole: int
     classes: tuple[ClassReport, ...]
 
 
@@ -109,27 +121,44 @@
     bound = fluid_limit(user).requests_per_s
     arrivals = schedule(user, plan.load * bound, plan.duration_s, plan.seed)
     with tempfile.TemporaryDirectory(prefix="yokedock-bench-") as directory:
-        bench = BenchDeployment(bench_plan(user, plan.policy), Path(directory), FIRST_PORT)
+        setup = bench_plan(user, plan.policy, kept_ms=plan.kept_ms)
+        bench = BenchDeployment(setup, Path(directory), FIRST_PORT)
+        if plan.kills_engine:
+            _kill_at(bench, setup.engines[-1].name, plan.duration_s / 2)
         try:
             name = f"{plan.user} {plan.policy} load {plan.load} seed {plan.seed}"
-            results = OpenLoop(bench.gateways, MODEL, lambda text: print(f"{name}: {text}")).run(
-                arrivals
+            loop = OpenLoop(
+                bench.gateways, MODEL, lambda text: print(f"{name}: {text}"), plan.returns
             )
+            results = loop.run(arrivals)
             computed, wasted = prefill_work(bench)
         finally:
             bench.close()
     return _report(plan, user, bound, results, wasted / max(1, computed))
 
 
-def bench_plan(user: User, policy: str, flexible: int = 0, dwell_s: float = 60.0) -> BenchPlan:
+def _kill_at(bench: BenchDeployment, engine: str, after_s: float) -> None:
+    """Kill an engine, not its agent, after some time."""
+    timer = threading.Timer(after_s, bench.nodes[f"engine-{engine}"].kill)
+    timer.daemon = True
+    timer.start()
+
+
+def bench_plan(
+    user: User, policy: str, flexible: int = 0, dwell_s: float = 60.0, kept_ms: int = 3000
+) -> BenchPlan:
     """Return what to start for a user; ``flexible`` engines may change their role."""
     options = [
         *("--slots", str(SLOTS), "--step-base-ms", str(STEP_BASE_MS)),
         *("--step-per-stream-ms", str(STEP_PER_STREAM_MS)),
         *("--prefill-tokens-per-s", str(PREFILL_TOKENS_PER_S)),
-        *("--link-bytes-per-s", str(LINK_BYTES_PER_S)),
+        *("--link-bytes-per-s", str(LINK_BYTES_PER_S), "--kept-ms", str(kept_ms)),
     ]
-    backend = {"slots": str(SLOTS), "link_bytes_per_s": str(LINK_BYTES_PER_S)}
+    backend = {
+        "slots": str(SLOTS),
+        "link_bytes_per_s": str(LINK_BYTES_PER_S),
+        "kept_ms": str(kept_ms),
+    }
     roles = ["prefill"] * user.prefill_engines + ["decode"] * user.decode_engines
     first_flexible = user.prefill_engines - (flexible + 1) // 2
     engines = tuple(
@@ -166,7 +195,9 @@
 def prefill_work(bench: BenchDeployment) -> tuple[int, int]:
     """Return computed and wasted prefill tokens, by the engines' ledgers."""
     computed = wasted = 0
-    for url in bench.engine_urls.values():
+    for name, url in bench.engine_urls.items():
+        if not bench.nodes[f"engine-{name}"].is_alive():
+            continue
         data = urllib3.request("GET", f"{url}/ledger").data
         ledger = msgspec.json.decode(data, type=EngineLedger)
         computed += ledger.prefill_tokens
@@ -177,8 +208,10 @@
 def _report(
     plan: ExperimentPlan, user: User, bound: float, results: list[RequestResult], wasted: float
 ) -> ExperimentReport:
-    """Count what arrived after the warm-up."""
-    counted = [result for result in results if result.arrival.at_s >= WARM_UP_S]
+    """Count what arrived after the warm-up; who came back after a refusal counts apart."""
+    first_tries = [result for result in results if not result.is_return]
+    counted = [result for result in first_tries if result.arrival.at_s >= WARM_UP_S]
+    returned = [result for result in results if result.is_return]
     window_s = plan.duration_s - WARM_UP_S
     good = sum(result.is_good() for result in counted)
     offered = len(counted) / window_s
@@ -193,10 +226,22 @@
         round(good / window_s, 3),
         round(good / window_s / reachable, 3),
         round(wasted, 4),
+        _goodput_vs_bound_left(plan, user, counted) if plan.kills_engine else 0.0,
+        len(returned),
+        sum(result.is_whole for result in returned),
         tuple(_class_report(c, counted) for c in user.classes),
     )
 
 
+def _goodput_vs_bound_left(plan: ExperimentPlan, user: User, counted: list[RequestResult]) -> float:
+    """Return the goodput of what arrived after the kill, over what the other engines carry."""
+    left = fluid_limit(dataclasses.replace(user, decode_engines=user.decode_engines - 1))
+    window_s = plan.duration_s / 2
+    after = [result for result in counted if result.arrival.at_s >= window_s]
+    reachable = min(left.requests_per_s, len(after) / window_s)
+    return round(sum(result.is_good() for result in after) / window_s / reachable, 3)
+
+
 def _class_report(traffic: TrafficClass, results: list[RequestResult]) -> ClassReport:
     own = [result for result in results if result.arrival.traffic.name == traffic.name]
     whole = [result for result in own if result.is_whole]
@@ -231,16 +276,18 @@
     header = (
         *("user", "load", "policy", "class", "sent", "good", "whole", "refused", "failed"),
         *("first p50", "p95 ms", "between p95", "refusal p99", "goodput/bound", "wasted"),
+        *("of bound left", "returned", "whole"),
     )
     rows: list[tuple[object, ...]] = []
     for r in reports:
-        blank = ("",) * (len(header) - 5)
-        rows.append((r.user, r.load, r.policy, *blank, r.goodput_vs_bound, r.wasted_prefill))
+        blank = ("",) * (len(header) - 8)
+        totals = (r.goodput_vs_bound, r.wasted_prefill, r.goodput_vs_bound_left)
+        rows.append((r.user, r.load, r.policy, *blank, *totals, r.returned, r.returned_whole))
         rows += [
             (
                 *("", "", "", c.name, c.sent, c.good, c.whole, c.refused, c.failed),
                 *(c.first_token_p50_ms, c.first_token_p95_ms, c.between_tokens_p95_ms),
-                *(c.refusal_p99_ms, "", ""),
+                *(c.refusal_p99_ms, "", "", "", "", ""),
             )
             for c in r.classes
         ]
--- a/src/yokedock_emulator/experiment_suite.py
+++ b/src/yokedock_emulator/experiment_suite.py
@@ -36,6 +36,7 @@
         reports.append(run_experiment(plan))
     print_reports(reports)
     if out is not None:
+        out.parent.mkdir(parents=True, exist_ok=True)
         out.write_bytes(msgspec.json.format(msgspec.json.encode(reports)))
     for comparison in compare(reports):
         print(msgspec.json.encode(comparison).decode())
