Sampling parameters and stop sequences reach the engine

Cause: temperature, top_p, seed, penalties and stop were read and silently ignored, so a caller got another answer than it asked for.

Ruled out: refusing them; OpenAI clients send them as a matter of course. Cutting at the gateway: the engine would go on and hold its slot.

Change: they are checked (400 with the remedy), passed on in the order to decode, and an engine ends a stream before a stop sequence with an empty last token.

Before: the stop scenario got 30 tokens and finish 'length'; bad values got 200. Huge headers are refused with 431 (scenario new, was so before).

Not covered: a stop sequence that begins in tokens passed on before an engine was lost and ends after.

--- a/features/path.feature
+++ b/features/path.feature
@@ -21,6 +21,21 @@
     And the OpenAI client chats through gateway-1, streamed and whole
     And the OpenAI client gets a typed error for an unknown model through gateway-1
 
+  Scenario: A stop sequence ends the answer before it, streamed and whole
+    When a caller asks through gateway-1 for an answer that stops before its 8th token
+    Then the answer ends there, streamed and whole
+    And nothing stays held
+
+  Scenario: How to sample reaches the engine that decodes
+    When a caller asks through gateway-1 with a temperature and a seed
+    Then the engine that decoded was told both
+
+  Scenario: Huge headers are refused and take nothing from others
+    When a caller sends 500000 bytes of headers through gateway-1
+    Then the headers are refused
+    And a caller streams 5 tokens through gateway-1
+    And the answer is whole
+
   Scenario: A caller who leaves frees every engine
     When a caller streams 400 tokens through gateway-1
     And the caller leaves after 3 events
@@ -62,6 +77,8 @@
       | an unknown path                | 404    | not_found           |
       | a wrong method                 | 405    | method_not_allowed  |
       | an oversized body              | 413    | payload_too_large   |
+      | a temperature out of range     | 400    | bad_request         |
+      | an empty stop sequence         | 400    | bad_request         |
       | too many tokens                | 413    | payload_too_large   |
       | no token                       | 401    | unauthorized        |
       | a bad token                    | 401    | unauthorized        |
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -98,6 +98,62 @@
     assert document["usage"]["completion_tokens"] == context.count, document
 
 
+@when("a caller asks through {gateway} for an answer that stops before its {count:d}th token")
+def ask_with_stop(context, gateway, count):
+    context.wanted = expected_text(PROMPT, count - 1)
+    stop = expected_text(PROMPT, count)[len(context.wanted) :]
+    assert stop not in context.wanted
+    client = openai_client(context, gateway)
+    asked = {"model": MODEL, "prompt": PROMPT, "max_tokens": 30, "stop": [stop]}
+    context.whole = client.completions.create(**asked)
+    context.chunks = list(client.completions.create(**asked, stream=True))
+
+
+@then("the answer ends there, streamed and whole")
+def ends_there(context):
+    choice = context.whole.choices[0]
+    assert (choice.text, choice.finish_reason) == (context.wanted, "stop"), choice
+    streamed = "".join(chunk.choices[0].text for chunk in context.chunks)
+    assert streamed == context.wanted, streamed
+    assert context.chunks[-1].choices[0].finish_reason == "stop", context.chunks[-1]
+
+
+@when("a caller asks through {gateway} with a temperature and a seed")
+def ask_with_sampling(context, gateway):
+    client = openai_client(context, gateway)
+    client.completions.create(
+        model=MODEL, prompt=PROMPT, max_tokens=3, temperature=0.25, seed=77, top_p=0.5
+    )
+
+
+@then("the engine that decoded was told both")
+def told_sampling(context):
+    deployment = context.deployment
+    told = [
+        sampling
+        for name in deployment.engine_names()
+        for sampling in deployment.ledger(name).samplings
+        if sampling.seed == 77
+    ]
+    assert [(s.temperature, s.top_p) for s in told] == [(0.25, 0.5)], told
+
+
+@when("a caller sends {size:d} bytes of headers through {gateway}")
+def huge_headers(context, size, gateway):
+    headers = {"Authorization": f"Bearer {TOKEN}", "X-Filler": "x" * size}
+    url = context.deployment.urls[gateway] + "/v1/completions"
+    context.refusal = None
+    try:
+        context.refusal = urllib3.request("POST", url, headers=headers, retries=False).status
+    except urllib3.exceptions.HTTPError as error:
+        context.error = error
+
+
+@then("the headers are refused")
+def headers_refused(context):
+    assert context.refusal == 431, (context.refusal, getattr(context, "error", None))
+
+
 # --- The OpenAI client ---
 
 
@@ -205,6 +261,8 @@
         "an unknown path": ("POST", "/v1/nothing", b"", token),
         "a wrong method": ("GET", chat, b"", token),
         "an oversized body": ("POST", chat, b" " * 1_000_000, token),
+        "a temperature out of range": ("POST", chat, encode({**good, "temperature": 9}), token),
+        "an empty stop sequence": ("POST", chat, encode({**good, "stop": [""]}), token),
         "too many tokens": ("POST", chat, encode({**good, "max_tokens": 10**6}), token),
         "no token": ("POST", chat, encode(good), {}),
         "a bad token": ("POST", chat, encode(good), {"Authorization": "Bearer wrong"}),
--- a/src/yokedock/connection/caller_http.py
+++ b/src/yokedock/connection/caller_http.py
@@ -203,7 +203,7 @@
             raise PayloadTooLarge(
                 f"the prompt is over {bundle.limits.max_prompt_bytes} bytes; send a shorter one"
             )
-        return ModelOrder(name, adapter, prompt, body.token_limit())
+        return ModelOrder(name, adapter, prompt, body.token_limit(), body.sampling())
 
     def _usage(self, order: ModelOrder, stream: AnswerStream) -> Usage:
         prompt_tokens = estimate_tokens(order.prompt)
--- a/src/yokedock/connection/engine_protocol.py
+++ b/src/yokedock/connection/engine_protocol.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from yokedock.messages import Sampling
+
 FENCING_HEADER = "X-Fencing-Token"
 
 
@@ -64,6 +66,7 @@
     first_sequence: int
     max_tokens: int
     priority: int = 5
+    sampling: Sampling = Sampling()
 
 
 class RequestOrder(msgspec.Struct, frozen=True):
@@ -88,7 +91,10 @@
 
 
 class StepToken(msgspec.Struct, frozen=True, array_like=True):
-    """One stream's token in one decode step."""
+    """One stream's token in one decode step.
+
+    The token is empty where a stream ends before a stop sequence; it counts as none then.
+    """
 
     request: str
     sequence: int
--- a/src/yokedock/connection/openai_format.py
+++ b/src/yokedock/connection/openai_format.py
@@ -9,12 +9,15 @@
 
 from yokedock.connection.http_server import HttpRequest, Write
 from yokedock.errors import BadRequest, ErrorResponse, YokedockError
+from yokedock.messages import Sampling
 from yokedock.request.answer_stream import AnswerWriter
 
 DEFAULT_MAX_TOKENS = 256
 ADAPTER_SEPARATOR = ":"
 STREAM_END = b"data: [DONE]\n\n"
 REQUEST_ID_HEADER = "X-Request-Id"
+MOST_STOPS = 4
+"""Stop sequences that one request may name, as in the OpenAI interface."""
 
 
 class ContentPart(msgspec.Struct, frozen=True):
@@ -45,6 +48,12 @@
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
     n: int | None = None
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+    stop: str | list[str] | None = None
     stream_options: StreamOptions | None = None
 
     def token_limit(self) -> int:
@@ -58,6 +67,29 @@
         for limit in (self.max_tokens, self.max_completion_tokens):
             if limit is not None and limit < 1:
                 raise BadRequest("max_tokens must be at least 1; leave it out for the default")
+        _check_range("temperature", self.temperature, 0, 2)
+        _check_range("top_p", self.top_p, 0, 1)
+        _check_range("presence_penalty", self.presence_penalty, -2, 2)
+        _check_range("frequency_penalty", self.frequency_penalty, -2, 2)
+        stops = self._stops()
+        if len(stops) > MOST_STOPS or not all(stops):
+            raise BadRequest(f"stop must be 1 to {MOST_STOPS} texts, none of them empty")
+
+    def sampling(self) -> Sampling:
+        """Return how tokens are to be chosen, for the engine."""
+        return Sampling(
+            self.temperature,
+            self.top_p,
+            self.seed,
+            self.presence_penalty,
+            self.frequency_penalty,
+            self._stops(),
+        )
+
+    def _stops(self) -> tuple[str, ...]:
+        if self.stop is None:
+            return ()
+        return (self.stop,) if isinstance(self.stop, str) else tuple(self.stop)
 
     def wants_usage(self) -> bool:
         """Return whether a streamed answer ends with its usage."""
@@ -113,6 +145,12 @@
     return name, adapter
 
 
+def _check_range(name: str, value: float | None, lowest: float, highest: float) -> None:
+    """Raise ``BadRequest`` when a given number lies outside."""
+    if value is not None and not lowest <= value <= highest:
+        raise BadRequest(f"{name} must be from {lowest} to {highest}; leave it out for the default")
+
+
 def _content_text(message: ChatMessage) -> str:
     if message.content is None:
         return ""
--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -155,6 +155,20 @@
     imported: bool
 
 
+class Sampling(msgspec.Struct, frozen=True, omit_defaults=True):
+    """How the caller wants tokens chosen, in the OpenAI form; None: the engine's default.
+
+    The answer ends before the first of the ``stop`` sequences.
+    """
+
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+    stop: tuple[str, ...] = ()
+
+
 class Decode(Message, frozen=True):
     """Gateway to decode agent: import the KV cache and generate."""
 
@@ -171,6 +185,7 @@
     output_tokens: int
     priority: int
     deadline_ms: int
+    sampling: Sampling = Sampling()
 
 
 class Resume(Message, frozen=True):
--- a/src/yokedock/request/attempt.py
+++ b/src/yokedock/request/attempt.py
@@ -30,6 +30,7 @@
     Reserve,
     Reserved,
     Resume,
+    Sampling,
     StepFrame,
 )
 from yokedock.process.histograms import Histograms, Measure
@@ -67,6 +68,7 @@
     adapter: str
     prompt: str
     max_tokens: int
+    sampling: Sampling = dataclasses.field(default_factory=Sampling)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -270,6 +272,7 @@
             self._stream.tokens_left(),
             self._context.priority,
             self._context.left_ms(),
+            self._order.sampling,
         )
 
     def _finish(self, peer: AgentPeerHandle) -> None:
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -265,6 +265,7 @@
                 order.first_sequence,
                 order.output_tokens,
                 order.priority,
+                order.sampling,
             )
         )
 
@@ -332,9 +333,10 @@
                 continue
             if token.sequence < known.next_sequence:
                 continue
-            known.next_sequence = token.sequence + 1
-            self.slots.progressed(token.request, 1)
-            part = StreamTokens(token.request, token.sequence, (token.token,), token.finish)
+            texts = (token.token,) if token.token else ()
+            known.next_sequence = token.sequence + len(texts)
+            self.slots.progressed(token.request, len(texts))
+            part = StreamTokens(token.request, token.sequence, texts, token.finish)
             frames.setdefault(known.send, []).append(part)
             if token.finish:
                 finished.append(token.request)
--- a/src/yokedock_emulator/engine_state.py
+++ b/src/yokedock_emulator/engine_state.py
@@ -86,3 +86,13 @@
         self.tokens: list[str] = []
         self.finish = ""
         self.finished_s = 0.0
+
+    def next_token(self) -> str:
+        """Return the next token; what goes before a stop sequence in it ends the stream."""
+        token = self.source.next_token()
+        done = "".join(self.tokens)
+        found = [at for stop in self.order.sampling.stop if (at := (done + token).find(stop)) >= 0]
+        if not found:
+            return token
+        self.finish = "stop"
+        return (done + token)[len(done) : min(found)]
--- a/src/yokedock_emulator/ledgers.py
+++ b/src/yokedock_emulator/ledgers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from yokedock.connection.engine_protocol import HeldItem
+from yokedock.messages import Sampling
 
 
 class EngineLedger(msgspec.Struct, frozen=True):
@@ -19,6 +20,8 @@
     seconds_since_last_order: float
     dropped_by_role_change: tuple[str, ...] = ()
     """Requests whose work ended because the engine was told to change its role."""
+    samplings: tuple[Sampling, ...] = ()
+    """What the orders to decode said of how to choose tokens, where they said anything."""
 
 
 class HoldOrder(msgspec.Struct, frozen=True):
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -31,6 +31,7 @@
     StepToken,
 )
 from yokedock.errors import YokedockError
+from yokedock.messages import Sampling
 from yokedock_emulator.engine_state import (
     EngineProfile,
     Gone,
@@ -92,6 +93,7 @@
         self._started: list[str] = []
         self._orders_refused = 0
         self._dropped: list[str] = []
+        self._samplings: list[Sampling] = []
         self._last_order_s = time.monotonic()
         for loop in (self._prefill_loop, self._decode_loop):
             threading.Thread(target=loop, name=loop.__name__, daemon=True).start()
@@ -166,6 +168,8 @@
             self._started.append(order.request)
             stream = RunningStream(order, held)
             self._streams[order.request] = stream
+            if order.sampling != Sampling():
+                self._samplings.append(order.sampling)
             self._waiting.append(stream)
             self._waiting.sort(key=lambda waiting: -waiting.order.priority)
 
@@ -262,6 +266,7 @@
                 self._orders_refused,
                 time.monotonic() - self._last_order_s,
                 tuple(self._dropped),
+                tuple(self._samplings),
             )
 
     def hold_at(self, step: str) -> None:
@@ -342,12 +347,14 @@
                 if order.request not in self._streams:
                     continue
                 sequence = order.first_sequence + len(stream.tokens)
-                token = stream.source.next_token()
+                token = stream.next_token()
                 if self.profile.clock_tokens:
                     token = f"@{time.monotonic_ns() // 1000}"
-                stream.tokens.append(token)
-                if len(stream.tokens) >= order.max_tokens:
+                if token:
+                    stream.tokens.append(token)
+                if not stream.finish and len(stream.tokens) >= order.max_tokens:
                     stream.finish = "length"
+                if stream.finish:
                     stream.finished_s = time.monotonic()
                 tokens.append(StepToken(order.request, sequence, token, stream.finish))
             self._tokens_out += len(tokens)
