Prefills go to the engine one by one, the next 30 ms before the last is through

Cause: two prefills were at the engine at any time, and what is there cannot be overtaken: a short prompt with a target of 630 ms waited for up to two long ones of 0.65 s each and was refused.

Ruled out: relying on the engine's own priorities; it does not stop a prefill that runs.

Change: the next prefill is ordered when the predicted rest of the engine's work is 30 ms.

--- a/src/yokedock/request/prefill_queue.py
+++ b/src/yokedock/request/prefill_queue.py
@@ -21,7 +21,12 @@
 )
 
 ENGINE_DEPTH = 2
-"""Prefills at the engine at one time: one runs, one waits there, so the engine never idles."""
+"""Prefills at the engine at one time: one runs, one may wait there, so the engine never idles."""
+ENGINE_BACKLOG_S = 0.03
+"""The next prefill is ordered this long before the engine is predicted to be through.
+
+What is at the engine cannot be overtaken, so an urgent short prompt would wait for it.
+"""
 MIN_RETRY_AFTER_S = 0.1
 LATE_TOLERANCE_S = 0.05
 """A prefill whose turn comes this much too late is refused instead of started."""
@@ -76,8 +81,11 @@
         """
         with self._changed:
             job = self._jobs[attempt]
-            while not job.is_cancelled and not self._is_next(job):
-                self._changed.wait()
+            while not job.is_cancelled:
+                wait_s = self._turn_in_s(job, time.monotonic())
+                if wait_s is not None and wait_s <= 0:
+                    break
+                self._changed.wait(wait_s)
             if job.is_cancelled:
                 raise AttemptLost("the prefill was given up before it was started")
             now = time.monotonic()
@@ -85,6 +93,7 @@
                 message = "the prefill's turn came too late, so it was not started; retry"
                 raise NoPrefillRoom(message, MIN_RETRY_AFTER_S)
             job.ordered_s = now
+            self._changed.notify_all()
 
     def cancel(self, attempt: str) -> None:
         """Give up a prefill that waits for its turn."""
@@ -111,10 +120,15 @@
     def _ordered(self) -> list[QueuedPrefill]:
         return [job for job in self._jobs.values() if job.ordered_s is not None]
 
-    def _is_next(self, job: QueuedPrefill) -> bool:
+    def _turn_in_s(self, job: QueuedPrefill, now: float) -> float | None:
+        """Return how long the job must still wait; None while it waits for another to go first."""
         waiting = [j for j in self._jobs.values() if j.ordered_s is None and not j.is_cancelled]
         first = min(waiting, key=lambda j: j.finish_by_s)
-        return first is job and len(self._ordered()) < ENGINE_DEPTH
+        ordered = self._ordered()
+        if first is not job or len(ordered) >= ENGINE_DEPTH:
+            return None
+        times = self._finish_times(now, ordered)
+        return max(times.values(), default=now) - now - ENGINE_BACKLOG_S
 
     def _finish_times(self, now: float, jobs: list[QueuedPrefill]) -> dict[str, float]:
         """Return when each job would finish: those at the engine first, then by deadline."""
