Slots: reservations replay who takes which slot when, and urgent work finds room

Cause 1: at load 1.3 half of jabal-rest's bunk-checks were refused while digests of 600 tokens filled the slots; priorities ruled the queue but not who gets a slot. Cause 2: a waiting reservation was taken to hold its slot until it expired, a stream that waits at the engine as if it ran; promises were late or not given.

Change: an agent holds back as many slots as higher priorities are expected to ask for within 0.5 s, from streams longer than theirs; a reservation says when its prefill will be over, the table replays all streams in that order, and refuses what would come late or make an earlier promise late.

--- a/features/properties.feature
+++ b/features/properties.feature
@@ -15,6 +15,10 @@
       | a fresh key names the time it was made                       |
       | a key runs at most once whatever the order of calls          |
       | slots never promise more than there are                      |
+      | room is held back for higher priorities, and only for them   |
+      | work shorter than the urgent is not held back                |
+      | no later reservation makes an earlier one late               |
+      | promised times are those at which slots are free             |
       | every gateway learns all changes of a prefix cache           |
       | an answer has one gap fewer than tokens, joined or not       |
       | every kind of refusal says when to come back                 |
--- a/features/support/properties.py
+++ b/features/support/properties.py
@@ -20,7 +20,7 @@
 )
 from yokedock.request.known_blocks import KnownBlocks
 from yokedock.request.prefix import block_hashes
-from yokedock.request.slots import SlotTable
+from yokedock.request.slots import SlotEntry, SlotTable
 from yokedock.version.bundle import Bundle, Engine, Limits, Model, RequestClass, Tenant
 from yokedock.version.bundle_codec import assemble, open_envelope, sign_bundle
 from yokedock.version.bundle_store import BundleStore
@@ -190,13 +190,94 @@
     now, granted = time.monotonic(), 0
     for number in range(asked):
         try:
-            table.reserve(f"a{number}", now, now + 60, tokens)
+            table.reserve(asked_slot(f"a{number}", tokens, 5, now))
             granted += 1
         except NoDecodeRoom as refusal:
             assert refusal.retry_after_s > 0
     assert granted == min(slots, asked) == table.taken()
 
 
+@searched(slots=st.integers(4, 32), urgent=st.integers(0, 60), low=st.integers(1, 40))
+def headroom_is_kept(slots, urgent, low):
+    """Long work of low priority never takes the slots held back; urgent work may take them all."""
+    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    for _ in range(urgent):
+        table.reserve(asked_slot("urgent", 100, 8, now))
+        table.free("urgent")
+    granted = grant(table, low, 3, tokens=300)
+    assert granted >= min(low, slots // 2 if urgent else slots)
+    if urgent >= 20:
+        assert granted < slots, "nothing was held back"
+    assert granted + grant(table, slots, 8, tokens=100) == slots
+
+
+@searched(slots=st.integers(1, 32), urgent=st.integers(0, 60))
+def short_work_passes(slots, urgent):
+    """Work that is shorter than the urgent is not held back."""
+    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    for _ in range(urgent):
+        table.reserve(asked_slot("urgent", 100, 8, now))
+        table.free("urgent")
+    assert grant(table, slots, 3, tokens=50) == slots
+
+
+@searched(
+    slots=st.integers(1, 6),
+    lengths=st.lists(st.integers(1, 50), max_size=30),
+    started=st.integers(0, 30),
+)
+def promises_add_up(slots, lengths, started):
+    """Each promised time is when a slot really is free if every stream takes its longest."""
+    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    free = [0.0] * slots
+    for number, length in enumerate(lengths):
+        promised_s = table.reserve(asked_slot(f"a{number}", length, 5, now + 10_000)) - now
+        if number < min(started, slots):
+            table.start(f"a{number}")
+            table.progressed(f"a{number}", 0)
+        free.sort()
+        assert abs(promised_s - free[0]) < 1.0, (promised_s, free)
+        free[0] += length
+
+
+@searched(
+    slots=st.integers(1, 4),
+    asked=st.lists(st.tuples(st.integers(0, 50), st.integers(1, 50), st.integers(0, 50))),
+)
+def promises_are_kept(slots, asked):
+    """No later reservation makes an earlier one late, in whatever order they get ready."""
+    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    latest_s = {}
+    for number, (ready_s, tokens, slack_s) in enumerate(asked):
+        latest = now + ready_s + slack_s + 1
+        entry = SlotEntry(f"a{number}", 5, tokens, now + ready_s, latest, now + 10_000)
+        try:
+            table.reserve(entry)
+            latest_s[entry.attempt] = latest
+        except NoDecodeRoom:
+            continue
+    starts = table.expected_starts(time.monotonic())
+    late = {a: start_s - latest_s[a] for a, start_s in starts.items() if start_s > latest_s[a]}
+    assert not late, late
+
+
+def asked_slot(attempt, tokens, priority, latest_s):
+    """Return a reservation whose prefill is over at once."""
+    return SlotEntry(attempt, priority, tokens, 0.0, latest_s, latest_s + 10_000)
+
+
+def grant(table, asked, priority, tokens):
+    """Ask for ``asked`` slots at once; return how many were granted."""
+    now, granted = time.monotonic(), 0
+    for number in range(asked):
+        try:
+            table.reserve(asked_slot(f"p{priority} a{number}", tokens, priority, now))
+            granted += 1
+        except NoDecodeRoom:
+            continue
+    return granted
+
+
 @searched(
     known_case={"steps": [("learn", 0), ("forget", 0), ("learn", 0)], "most": 5},
     steps=st.lists(st.tuples(st.sampled_from(["learn", "forget"]), st.integers(0, 1)), max_size=40),
@@ -278,6 +359,10 @@
     "a fresh key names the time it was made": key_names_time,
     "a key runs at most once whatever the order of calls": key_runs_once,
     "slots never promise more than there are": slots_hold,
+    "room is held back for higher priorities, and only for them": headroom_is_kept,
+    "work shorter than the urgent is not held back": short_work_passes,
+    "no later reservation makes an earlier one late": promises_are_kept,
+    "promised times are those at which slots are free": promises_add_up,
     "every gateway learns all changes of a prefix cache": readers_learn_all,
     "an answer has one gap fewer than tokens, joined or not": one_gap_fewer,
     "every kind of refusal says when to come back": refusals_say_when,
--- a/src/yokedock/messages.py
+++ b/src/yokedock/messages.py
@@ -83,10 +83,14 @@
 
 
 class Reserve(Message, frozen=True):
-    """Gateway to decode agent: hold a slot from ``ready_by_ms`` until ``expires_ms``."""
+    """Gateway to decode agent: hold a slot from ``ready_by_ms`` until ``expires_ms``.
+
+    The prefill is predicted to be over in ``prefilled_in_ms``; a slot is of no use before.
+    """
 
     attempt: str
     version: int
+    prefilled_in_ms: int
     ready_by_ms: int
     expires_ms: int
     output_tokens: int
--- a/src/yokedock/request/attempt.py
+++ b/src/yokedock/request/attempt.py
@@ -177,6 +177,7 @@
         return Reserve(
             self._attempt,
             version,
+            predicted_ms,
             ready_by_ms,
             max(ready_by_ms, predicted_ms) + RESERVATION_MARGIN_MS,
             self._stream.tokens_left(),
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -56,7 +56,7 @@
 from yokedock.request.prefill_queue import PrefillQueue
 from yokedock.request.prefix import block_hashes, estimate_tokens
 from yokedock.request.releaser import Releaser
-from yokedock.request.slots import SlotTable
+from yokedock.request.slots import SlotEntry, SlotTable
 from yokedock.request.transfer_credit import TransferCredit
 from yokedock.version.bundle import ROLE_DECODE, ROLE_PREFILL
 
@@ -179,9 +179,15 @@
     def _reserve(self, order: Reserve) -> Reserved:
         self._require(ROLE_DECODE, NoDecodeRoom)
         now = time.monotonic()
-        ready_by_s = deadline_in(order.ready_by_ms)
-        expires_s = deadline_in(order.expires_ms)
-        free_at_s = self.slots.reserve(order.attempt, ready_by_s, expires_s, order.output_tokens)
+        entry = SlotEntry(
+            order.attempt,
+            order.priority,
+            order.output_tokens,
+            ready_s=deadline_in(order.prefilled_in_ms),
+            latest_s=deadline_in(order.ready_by_ms),
+            expires_s=deadline_in(order.expires_ms),
+        )
+        free_at_s = self.slots.reserve(entry)
         with self._lock:
             self._attempts.setdefault(order.attempt, EngineAttempt(order.attempt))
         return Reserved(max(0, int((free_at_s - now) * 1000)), self.load())
