--- a/src/yokedock_emulator/experiment_suite.py
+++ b/src/yokedock_emulator/experiment_suite.py
@@ -33,16 +33,23 @@
     reports = []
     for position, plan in enumerate(plans, 1):
         print(f"run {position} of {len(plans)}", flush=True)
-        reports.append(run_experiment(plan))
+        report = run_experiment(plan)
+        reports.append(report)
+        print(f"goodput over the bound: {report.goodput_vs_bound}", flush=True)
+        _write(reports, out)
     print_reports(reports)
-    if out is not None:
-        out.parent.mkdir(parents=True, exist_ok=True)
-        out.write_bytes(msgspec.json.format(msgspec.json.encode(reports)))
     for comparison in compare(reports):
         print(msgspec.json.encode(comparison).decode())
     return reports
 
 
+def _write(reports: list[ExperimentReport], out: Path | None) -> None:
+    """Write what there is after every run, so that a long suite may be cut off."""
+    if out is not None:
+        out.parent.mkdir(parents=True, exist_ok=True)
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(reports)))
+
+
 def compare(reports: list[ExperimentReport]) -> list[Comparison]:
     """Return one comparison for each user and load at which both policies ran."""
     comparisons = []
