--- a/src/yokedock/process/role_manager.py
+++ b/src/yokedock/process/role_manager.py
@@ -51,7 +51,8 @@
         self._plan: EnginePlan | None = None
         self._position: LadderPosition | None = None
         self._mean_share: float | None = None
-        self._changed_s = float("-inf")
+        self._changed_s = time.monotonic()
+        """A starting agent keeps the role it finds for a dwell time: its demand signal is young."""
 
     def set_bundle(self, bundle: Bundle) -> None:
         """Take over what the bundle says of this engine."""
