Each feature has room for the ports of several deployments; an idle-peer scenario that held too long

Cause 2: a scenario held an engine for 2.2 s, more than the 2.0 s after which a stream that stands still is continued elsewhere, and then asserted that nothing was continued; the scenario was wrong, the product right.

Change: 600 ports a feature; the scenario now waits with nothing held, and checks the same: an idle peer takes orders at once, nothing is refused or lost. That a held stream keeps its link alive is checked by the outline after it.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -16,10 +16,7 @@
 
   Scenario: Peers that are rarely heard of while idle take orders at once
     Given a deployment with heartbeats to idle peers every 60 s
-    And a model request at the step decoding
     And nothing was sent for longer than a lease
-    When the step goes on
-    Then the caller has the whole answer
     When a caller streams 20 tokens through gateway-2
     Then the answer is whole
     When a service call is sent through gateway-2
--- a/features/run_features.py
+++ b/features/run_features.py
@@ -20,7 +20,8 @@
 LOGS = HERE.parent / "build" / "test-logs"
 WORKERS = 3
 FIRST_PORT = 11000
-PORTS_A_FEATURE = 200
+PORTS_A_FEATURE = 600
+"""A feature may start several deployments; the ports of an ended one stay taken for a while."""
 FEATURE_LIMIT_S = 3000
 
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -24,11 +24,6 @@
     time.sleep(LEASE_S + 0.5)
 
 
-@when("the step goes on")
-def step_goes_on(context):
-    context.go_on()
-
-
 @then("nothing was refused or lost at any gateway")
 def nothing_refused(context):
     for name in GATEWAYS:
