--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -20,6 +20,7 @@
 SHARE_OF_CALLS = 0.3
 SHARE_REPEATED = 0.5
 SHARE_LEFT = 0.15
+RECENT_CALLS = 4
 BROKEN_SLACK_S = 2 * LEASE_S
 """A connection may break so long after its gateway was struck."""
 
@@ -41,7 +42,6 @@
 
     callers: list
     key: str
-    gateways: list
 
 
 class Soak:
@@ -57,6 +57,7 @@
         self._gateway_kills = []
         self._faults = [
             self._kill_agent,
+            self._kill_home,
             self._kill_engine,
             self._kill_gateway,
             self._freeze,
@@ -90,19 +91,18 @@
         gateway = self._random.choice(GATEWAYS)
         url = self._deployment.urls[gateway]
         if self._random.random() < SHARE_OF_CALLS:
-            self._send_call(gateway, url)
+            self._send_call(url)
         else:
             self._send_stream(number, gateway, url)
         self._maybe_leave()
 
-    def _send_call(self, gateway, url):
+    def _send_call(self, url):
         if self.calls and self._random.random() < SHARE_REPEATED:
-            call = self._random.choice(self.calls[-4:])
+            call = self._random.choice(self.calls[-RECENT_CALLS:])
         else:
-            call = SentCall([], new_key(wall_clock_ms()), [])
+            call = SentCall([], new_key(wall_clock_ms()))
             self.calls.append(call)
         call.callers.append(ServiceCaller(url, SERVICE, b"confirm", call.key))
-        call.gateways.append(gateway)
 
     def _send_stream(self, number, gateway, url):
         request_id = f"soak-{number}-{uuid.uuid4().hex[:8]}"
@@ -131,7 +131,14 @@
         node.wait_up()
 
     def _kill_agent(self):
-        self._restart(self._random.choice((*PREFILL, *DECODE, *HOMES)))
+        self._restart(self._random.choice((*PREFILL, *DECODE)))
+
+    def _kill_home(self):
+        """Kill an agent that keeps the record of keys, and repeat the latest calls at once."""
+        self._restart(self._random.choice(HOMES))
+        url = self._deployment.urls[self._random.choice(GATEWAYS)]
+        for call in self.calls[-RECENT_CALLS:]:
+            call.callers.append(ServiceCaller(url, SERVICE, b"confirm", call.key))
 
     def _kill_engine(self):
         self._restart(f"engine {self._random.choice((*PREFILL, *DECODE))}")
