Lease and heartbeat ticker in modules of their own

Cause: two modules held two jobs each (lease holder and lease, peer task and the thread that wakes all peers). Moved without a change.

--- a/src/yokedock/connection/lease_holder.py
+++ b/src/yokedock/connection/lease_holder.py
@@ -13,6 +13,7 @@
 
 import pykka
 
+from yokedock.connection.lease import Lease
 from yokedock.connection.peer_listener import PeerConnection
 from yokedock.errors import LeaseExpired, NotReady, StaleVersion, YokedockError
 from yokedock.messages import (
@@ -35,7 +36,7 @@
     StepFrame,
 )
 from yokedock.process.logs import logger
-from yokedock.request.backend import Backend, OrderGuard
+from yokedock.request.backend import Backend
 
 _log = logger("lease")
 
@@ -112,26 +113,6 @@
     """The process was paused: the lease counts as expired."""
 
 
-class Lease(OrderGuard):
-    """When the peer's lease ends and which attempts hang on it; read by worker threads."""
-
-    def __init__(self, check_pause: Any) -> None:
-        """Start expired: the first heartbeat renews."""
-        self.expires_s = 0.0
-        self.attempts: set[str] = set()
-        self._check_pause = check_pause
-
-    def is_valid(self) -> bool:
-        """Return whether the lease has not expired."""
-        return time.monotonic() < self.expires_s
-
-    def check(self, attempt: str) -> None:
-        """Raise ``LeaseExpired`` when the order may not be given any more."""
-        self._check_pause()
-        if not self.is_valid() or attempt not in self.attempts:
-            raise LeaseExpired("the sender's lease ended or it gave the attempt up; send it again")
-
-
 class LeaseHolder(pykka.ThreadingActor):
     """The task of one peer that gives orders to this agent."""
 
--- a/src/yokedock/process/peer_directory.py
+++ b/src/yokedock/process/peer_directory.py
@@ -5,7 +5,8 @@
 import dataclasses
 import threading
 
-from yokedock.connection.peer_client import HeartbeatTicker, start_peer
+from yokedock.connection.heartbeat_ticker import HeartbeatTicker
+from yokedock.connection.peer_client import start_peer
 from yokedock.connection.peer_types import PeerContext, PeerIdentity, PeerTiming
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.process.settings import PeerSettings
