--- a/features/path.feature
+++ b/features/path.feature
@@ -47,7 +47,7 @@
     And nothing stays held
 
   Scenario: More streams than slots: those without room are told so at once
-    When 40 callers stream 200 tokens each through both gateways
+    When 60 callers stream 200 tokens each through both gateways
     Then every answer is whole or a refusal that says when to come back
     And nothing stays held
 
