--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -215,7 +215,16 @@
 
 
 def reserve():
-    return Frame(1, Reserve("stranger.1", 1, 1000, 5000, 10, 5))
+    order = Reserve(
+        attempt="stranger.1",
+        version=1,
+        prefilled_in_ms=0,
+        ready_by_ms=1000,
+        expires_ms=5000,
+        output_tokens=10,
+        priority=5,
+    )
+    return Frame(1, order)
 
 
 def heartbeat():
