Reading the change again: one restart, one look-up of executions, holds of the engine in a module, dead code gone

Change: Node.restart, executions_of, RequestResult.is_refused; engine_hold.py takes the holds of steps. No check, bound or expectation changes.

--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -136,10 +136,7 @@
 
 @when("{name} is killed and started again")
 def restart(context, name):
-    node = context.deployment.nodes[name]
-    node.kill()
-    node.start()
-    node.wait_up()
+    context.deployment.nodes[name].restart()
 
 
 @when("a new version reaches only some processes before the service goes down")
--- a/features/steps/failover_steps.py
+++ b/features/steps/failover_steps.py
@@ -51,21 +51,14 @@
     first = busy(deployment, DECODE)
     second = next(name for name in DECODE if name != first)
     events = caller.data.count(b"\n\n")
-    restart(deployment, f"engine {first}")
+    deployment.nodes[f"engine {first}"].restart()
     context.go_on()
     caller.wait_events(events + 2)
     deployment.hold("decoding")
-    restart(deployment, f"engine {second}")
+    deployment.nodes[f"engine {second}"].restart()
     deployment.hold("")
 
 
-def restart(deployment, name):
-    node = deployment.nodes[name]
-    node.kill()
-    node.start()
-    node.wait_up()
-
-
 @then("the caller has one final answer with the outcome unknown")
 def outcome_unknown(context):
     caller = context.cell.caller.wait()
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -4,7 +4,7 @@
 from behave import step, then, when
 from support.caller import Caller, ServiceCaller, StreamCaller
 from support.deployment import MODEL, REPEATABLE, SERVICE, TOKEN
-from support.judge import assert_answer_or_refusal, assert_nothing_held
+from support.judge import assert_answer_or_refusal, assert_nothing_held, executions_of
 
 from yokedock.process.clock import wall_clock_ms
 from yokedock.request.idempotency import new_key
@@ -222,12 +222,7 @@
 
 @then("the service ran the key {count:d} times")
 def ran_times(context, count):
-    ledgers = [
-        context.deployment.ledger(name)
-        for name in context.deployment.urls
-        if name.startswith("service ")
-    ]
-    runs = [e for ledger in ledgers for e in ledger.executions if e.key == context.key]
+    runs = executions_of(context.deployment, context.key)
     assert len(runs) == count, runs
 
 
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -125,10 +125,7 @@
 
     def _restart(self, name):
         self._note(f"kill {name}")
-        node = self._deployment.nodes[name]
-        node.kill()
-        node.start()
-        node.wait_up()
+        self._deployment.nodes[name].restart()
 
     def _kill_agent(self):
         self._restart(self._random.choice((*PREFILL, *DECODE)))
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -75,7 +75,6 @@
         self._context = context
         self._view = view
         self._session: SecureSession | None = None
-        self._incarnation = 0
         self._next_call = 1
         self._pending: dict[int, Future[Any]] = {}
         self._held: dict[str, StreamSink | None] = {}
@@ -259,7 +258,6 @@
         if link.reader is not self._reader:
             return
         self._session = link.session
-        self._incarnation = link.incarnation
         self._view.connected(link.incarnation)
         self._heartbeat()
 
--- a/src/yokedock/request/slots.py
+++ b/src/yokedock/request/slots.py
@@ -112,12 +112,6 @@
             self._drop_expired(time.monotonic())
             return len(self._entries)
 
-    def holds(self, attempt: str) -> bool:
-        """Return whether the attempt has a slot."""
-        with self._lock:
-            self._drop_expired(time.monotonic())
-            return attempt in self._entries
-
     def _headroom(self, entry: SlotEntry, now: float) -> int:
         """Return how many slots are held back from a stream of this priority and length."""
         urgent = self._rates.above(entry.priority, now)
--- a/src/yokedock_emulator/day.py
+++ b/src/yokedock_emulator/day.py
@@ -173,7 +173,7 @@
     plan: DayPlan, results: list[RequestResult], sampler: RoleSampler, wasted: float
 ) -> DayReport:
     good = sum(result.is_good() for result in results)
-    refused = sum(result.status in (429, 503) for result in results)
+    refused = sum(result.is_refused for result in results)
     return DayReport(
         plan.user,
         plan.way,
@@ -200,7 +200,7 @@
                 begin_s,
                 len(own) / BIN_S,
                 sum(r.is_good() for r in own) / BIN_S,
-                sum(r.status in (429, 503) for r in own) / BIN_S,
+                sum(r.is_refused for r in own) / BIN_S,
             )
         )
     return tuple(bins)
--- a/src/yokedock_emulator/experiment.py
+++ b/src/yokedock_emulator/experiment.py
@@ -245,7 +245,7 @@
 def _class_report(traffic: TrafficClass, results: list[RequestResult]) -> ClassReport:
     own = [result for result in results if result.arrival.traffic.name == traffic.name]
     whole = [result for result in own if result.is_whole]
-    refused = [result for result in own if result.status in (429, 503)]
+    refused = [result for result in own if result.is_refused]
     first = [result.first_token_ms for result in whole]
     between = [result.between_tokens_ms for result in whole]
     refusals = [(result.ended_s - result.sent_s) * 1000 for result in refused]
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -32,6 +32,13 @@
 )
 from yokedock.errors import YokedockError
 from yokedock.messages import Sampling
+from yokedock_emulator.engine_hold import (
+    HOLD_PREFILLED,
+    HOLD_PREFILLING,
+    HOLD_RELEASING,
+    HOLD_TRANSFERRING,
+    StepHold,
+)
 from yokedock_emulator.engine_state import (
     EngineProfile,
     Gone,
@@ -49,14 +56,6 @@
 FINISHED_KEPT_S = 5.0
 STEP_QUEUE_LENGTH = 1000
 IDLE_LINE_S = 0.5
-HOLD_POLL_S = 0.005
-HOLD_PREFILLING = "prefilling"
-HOLD_PREFILLED = "prefilled"
-HOLD_TRANSFERRING = "transferring"
-HOLD_FIRST_TOKEN = "first-token"
-HOLD_DECODING = "decoding"
-HOLD_RELEASING = "releasing"
-TOKENS_BEFORE_DECODING_HOLD = 5
 
 
 class ModelEngine:
@@ -85,7 +84,7 @@
         self._waiting: list[RunningStream] = []
         self._streams: dict[str, RunningStream] = {}
         self._subscribers: list[queue.Queue[bytes]] = []
-        self._held_step = ""
+        self._hold = StepHold()
         self._load_history: list[tuple[float, Load]] = []
         self._prefill_tokens = 0
         self._wasted_tokens = 0
@@ -131,7 +130,7 @@
             if export is None or export.is_pulling:
                 raise Gone("the KV cache is not kept here any more; prefill again")
             export.is_pulling = True
-        self._wait_while_held(HOLD_TRANSFERRING, export.wanted)
+        self._hold.wait(HOLD_TRANSFERRING, export.wanted)
         size = export.tokens * self.profile.kv_bytes_per_token
         arrived = self.link.transfer(size, export.wanted)
         with self._lock:
@@ -186,7 +185,7 @@
         """End everything that runs or is held for a request."""
         stream = self._streams.get(request)
         if stream is not None and stream.finish:
-            self._wait_while_held(HOLD_RELEASING)
+            self._hold.wait(HOLD_RELEASING)
         with self._lock:
             job = self._prefills.pop(request, None)
             if job is not None:
@@ -271,7 +270,7 @@
 
     def hold_at(self, step: str) -> None:
         """Hold every request at ``step``; the empty step lets all go on."""
-        self._held_step = step
+        self._hold.hold_at(step)
 
     # --- Loops ---
 
@@ -288,7 +287,7 @@
         prompt = job.order.prompt
         total = count_tokens(prompt)
         cached = min(self._cache.cached_tokens(prompt), total - 1)
-        self._wait_while_held(HOLD_PREFILLING, job.wanted)
+        self._hold.wait(HOLD_PREFILLING, job.wanted)
         done = 0
         chunk = max(1, int(self.profile.prefill_tokens_per_s * PREFILL_CHUNK_S))
         while done < total - cached and job.wanted.is_set():
@@ -309,7 +308,7 @@
             self._exports[handle] = KeptCache(
                 job.order.request, handle, total, done, expires, job.wanted
             )
-        self._wait_while_held(HOLD_PREFILLED, job.wanted)
+        self._hold.wait(HOLD_PREFILLED, job.wanted)
         size = total * self.profile.kv_bytes_per_token
         job.finished.put(PrefillResult(handle, total, cached, size, self.profile.kept_ms))
 
@@ -326,19 +325,9 @@
                 continue
             step_ms = self.profile.step_base_ms + self.profile.step_per_stream_ms * len(running)
             time.sleep(step_ms / 1000)
-            self._hold_streams(running)
+            self._hold.wait_streams(running, self._streams)
             self._emit_step(running)
 
-    def _hold_streams(self, running: list[RunningStream]) -> None:
-        """Hold the decode loop while a stream stands at the step that a test chose."""
-        least = {HOLD_FIRST_TOKEN: 1, HOLD_DECODING: TOKENS_BEFORE_DECODING_HOLD}
-        while (tokens := least.get(self._held_step)) is not None:
-            if not any(tokens <= len(s.tokens) for s in running if not s.finish):
-                return
-            if not any(s.order.request in self._streams for s in running):
-                return
-            time.sleep(HOLD_POLL_S)
-
     def _emit_step(self, running: list[RunningStream]) -> None:
         tokens = []
         with self._lock:
@@ -401,7 +390,3 @@
             with self._lock:
                 self._orders_refused += 1
             raise OrderRefused(f"the engine's role is {self.role}, not {role}")
-
-    def _wait_while_held(self, step: str, wanted: threading.Event | None = None) -> None:
-        while self._held_step == step and (wanted is None or wanted.is_set()):
-            time.sleep(HOLD_POLL_S)
--- a/src/yokedock_emulator/open_loop.py
+++ b/src/yokedock_emulator/open_loop.py
@@ -20,6 +20,7 @@
 RECEIVE_BYTES = 65_536
 DRAIN_LIMIT_S = 40.0
 PROGRESS_S = 5.0
+REFUSAL_STATUSES = (429, 503)
 
 
 @dataclasses.dataclass
@@ -50,6 +51,11 @@
         gaps = self.arrival.output_tokens - 1
         return (self.last_s - self.first_s) * 1000 / gaps if gaps > 0 else 0.0
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether the request was refused before any work."""
+        return self.status in REFUSAL_STATUSES
+
     def is_good(self) -> bool:
         """Return whether the answer was whole and met both targets of its class."""
         traffic = self.arrival.traffic
--- a/src/yokedock_emulator/process_group.py
+++ b/src/yokedock_emulator/process_group.py
@@ -123,6 +123,12 @@
             self.running.kill()
             self.running.wait()
 
+    def restart(self) -> None:
+        """End the process at once and start it again; raises ``ProcessNotUp``."""
+        self.kill()
+        self.start()
+        self.wait_up()
+
     def freeze(self) -> None:
         """Stop the process until ``thaw``."""
         self.running.send_signal(signal.SIGSTOP)
