--- /dev/null
+++ b/src/yokedock/connection/backend_connection.py
@@ -0,0 +1,199 @@
+"""One HTTP connection to a backend: sends one request at a time and reads its answer.
+
+h11 parses and frames. Every exchange gets a fresh parser, so that bytes left over from an earlier
+answer are seen: an answer to an earlier request is read and dropped, and whatever stands behind a
+whole answer makes the connection unfit for reuse.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+
+import h11
+
+from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
+from yokedock.errors import BackendBroken, BackendUnreachable
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+UNSENT_LIMIT_MS = 2_500
+"""A peer that acknowledges nothing for this long counts as gone (TCP_USER_TIMEOUT)."""
+LONGEST_REST_S = 4.0
+"""A connection that rested longer is not used again."""
+REST_MARGIN = 0.7
+"""Share of the backend's own keep-alive time for which a resting connection is used."""
+
+IsOurs = Callable[[AnswerHead], bool]
+
+
+class BackendConnection:
+    """A connection to one backend address."""
+
+    def __init__(
+        self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Wrap an open connection; use ``connect`` to open one."""
+        self.address = address
+        self.uses = 0
+        self._reader = reader
+        self._writer = writer
+        self._parser: h11.Connection | None = None
+        self._rests_since_s = time.monotonic()
+        self._rest_until_s = self._rests_since_s + LONGEST_REST_S
+        self._is_fit = True
+
+    @classmethod
+    async def connect(cls, address: str, timeout_s: float) -> BackendConnection:
+        """Open a connection; raises ``BackendUnreachable``: then nothing was sent."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, int(port), limit=READ_BYTES)
+        except TimeoutError:
+            raise BackendUnreachable(f"{address} did not accept in {timeout_s:.2f} s") from None
+        except OSError as error:
+            raise BackendUnreachable(f"{address}: {error.strerror or error}") from None
+        own_socket = writer.get_extra_info("socket")
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNSENT_LIMIT_MS)
+        return cls(address, reader, writer)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent: whole answer read, nothing behind it."""
+        if not self._is_fit or self._reader.at_eof() or self._writer.is_closing():
+            return False
+        has_stray_bytes = bool(getattr(self._reader, "_buffer", b""))
+        return not has_stray_bytes and time.monotonic() < self._rest_until_s
+
+    def rested_s(self) -> float:
+        """Return how long the connection has rested, in seconds."""
+        return time.monotonic() - self._rests_since_s
+
+    async def send(self, head: RequestHead, headers: list[Header], body: bytes) -> None:
+        """Send one request; the body is written while the answer may already be read."""
+        self.uses += 1
+        self._is_fit = False
+        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        framed = [*headers]
+        if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
+            framed.append((b"Content-Length", str(len(body)).encode()))
+        request = h11.Request(method=head.method, target=head.target, headers=framed)
+        data = parser.send(request)
+        if body:
+            data += parser.send(h11.Data(data=body))
+        data += parser.send(h11.EndOfMessage()) or b""
+        self._parser = parser
+        try:
+            self._writer.write(data)
+        except (OSError, RuntimeError) as error:
+            raise BackendBroken(f"{self.address}: {error}") from None
+
+    async def read_head(self, is_ours: IsOurs) -> AnswerHead:
+        """Return the head of the answer to the request sent last.
+
+        Answers for which ``is_ours`` is false belong to earlier requests: they are dropped.
+        Raises ``BackendBroken`` when the connection ends or the bytes are no answer.
+        """
+        while True:
+            head = await self._next_head()
+            if is_ours(head):
+                return head
+            await self._drop_foreign_answer()
+
+    async def body_parts(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they come; raises ``BackendBroken`` if it is cut off."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+            else:
+                raise BackendBroken(f"{self.address}: the answer was cut off")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole body; raises ``BackendBroken`` if it is cut off or over ``limit``."""
+        parts = []
+        size = 0
+        async for part in self.body_parts():
+            size += len(part)
+            if size > limit:
+                raise BackendBroken(f"{self.address}: the answer has more than {limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+    def abort(self) -> None:
+        """Close at once; the backend sees a reset and may stop its work."""
+        self._is_fit = False
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Close in order."""
+        self._is_fit = False
+        self._writer.close()
+
+    async def _next_head(self) -> AnswerHead:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                headers = tuple(event.headers.raw_items())
+                self._note_rest(headers)
+                return AnswerHead(headers, event.status_code, bytes(event.reason))
+            raise BackendBroken(f"{self.address}: the connection ended without an answer")
+
+    async def _next_event(self) -> object:
+        assert self._parser is not None
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BackendBroken(f"{self.address}: not an answer ({error})") from None
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError as error:
+                raise BackendBroken(f"{self.address}: {error.strerror or error}") from None
+            try:
+                self._parser.receive_data(data)
+            except (h11.RemoteProtocolError, RuntimeError) as error:
+                raise BackendBroken(f"{self.address}: not an answer ({error})") from None
+
+    async def _drop_foreign_answer(self) -> None:
+        """Read an earlier request's answer to its end and go on behind it."""
+        assert self._parser is not None
+        while not isinstance(await self._next_event(), h11.EndOfMessage):
+            pass
+        rest = self._parser.trailing_data[0]
+        if self._parser.their_state is not h11.DONE:
+            raise BackendBroken(f"{self.address}: closed after another request's answer")
+        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        parser.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
+        parser.send(h11.EndOfMessage())
+        parser.receive_data(rest) if rest else None
+        self._parser = parser
+
+    def _note_rest(self, headers: tuple[Header, ...]) -> None:
+        head = AnswerHead(headers, 0)
+        rest_s = LONGEST_REST_S
+        for part in (head.get(b"keep-alive") or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                rest_s = min(rest_s, int(value) * REST_MARGIN)
+        self._rest_until_s = time.monotonic() + rest_s
+
+    def _finish(self) -> None:
+        """Keep the connection for reuse if both sides are done and nothing stands behind."""
+        assert self._parser is not None
+        states = (self._parser.our_state, self._parser.their_state)
+        is_whole = states == (h11.DONE, h11.DONE) and not self._parser.trailing_data[0]
+        has_unsent = self._writer.transport.get_write_buffer_size() > 0
+        self._is_fit = is_whole and not has_unsent
+        self._rests_since_s = time.monotonic()
--- /dev/null
+++ b/src/yokedock/connection/backend_pool.py
@@ -0,0 +1,53 @@
+"""Connections to backends that rest between requests, by address."""
+
+from __future__ import annotations
+
+from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
+
+
+class BackendPool:
+    """Hands out connections: a resting one if it is sound, else a new one."""
+
+    def __init__(self) -> None:
+        """Start with no connection."""
+        self._resting: dict[str, list[BackendConnection]] = {}
+        self.opened = 0
+
+    async def take(
+        self, address: str, timeout_s: float, longest_rest_s: float = LONGEST_REST_S
+    ) -> BackendConnection:
+        """Return a connection that rested for at most ``longest_rest_s``, or a new one.
+
+        Raises ``BackendUnreachable`` when none can be opened.
+        """
+        resting = self._resting.get(address, [])
+        while resting:
+            connection = resting.pop()
+            if connection.is_reusable and connection.rested_s() <= longest_rest_s:
+                return connection
+            connection.close()
+        self.opened += 1
+        return await BackendConnection.connect(address, timeout_s)
+
+    def give_back(self, connection: BackendConnection) -> None:
+        """Let a connection rest, or close it when it cannot be used again."""
+        if connection.is_reusable:
+            self._resting.setdefault(connection.address, []).append(connection)
+        else:
+            connection.close()
+
+    def forget(self, address: str) -> None:
+        """Close what rests at ``address``."""
+        for connection in self._resting.pop(address, []):
+            connection.close()
+
+    def drop_stale(self) -> None:
+        """Close resting connections that may not be used again."""
+        for address, resting in list(self._resting.items()):
+            kept = [connection for connection in resting if connection.is_reusable]
+            for connection in resting:
+                if connection not in kept:
+                    connection.close()
+            self._resting[address] = kept
+            if not kept:
+                del self._resting[address]
--- /dev/null
+++ b/src/yokedock/connection/dialect.py
@@ -0,0 +1,251 @@
+"""What callers' and backends' headers mean: one narrow interface, and an implementation by names.
+
+The router decides in the terms of this module. A dialect only translates between them and the
+headers of one side; ``HeaderDialect`` does so from a table of names.
+"""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+
+import msgspec
+
+from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
+from yokedock.errors import BadRequest, EngineRejected
+
+
+@dataclasses.dataclass(frozen=True)
+class PromptPart:
+    """One part of a prompt: an identifier that other prompts may share, and its tokens."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class GenerationTerms:
+    """What a caller says about a generation; tokens of the prompt and the most to be made."""
+
+    model: str
+    prompt_tokens: int
+    most_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+    output_hint: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallTerms:
+    """What the head of a request says besides its route."""
+
+    request_id: str
+    deadline_s: float | None
+    """Seconds that the caller will wait, None if it does not say."""
+    last_event_id: int | None = None
+    generation: GenerationTerms | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendOrder:
+    """What the router adds to a request for one backend."""
+
+    instance: str
+    """Only this incarnation of the backend may run the request."""
+    deadline_ms: int | None = None
+    is_prefill: bool = False
+    kv_source: str | None = None
+    """Address and handle of the engine that holds the prompt's memory."""
+    last_event_id: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendLoad:
+    """A backend's own count of its work."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerNotes:
+    """What the head of an answer says about the run."""
+
+    request_id: str | None
+    is_not_run: bool
+    """The backend states that it did not and will not run the request."""
+    is_signed: bool
+    load: BackendLoad | None = None
+
+
+class PrefillResult(msgspec.Struct, frozen=True):
+    """What an engine answers to a prefill; ``handle`` names the memory that it keeps."""
+
+    handle: str
+    tokens: int = 0
+
+
+class Dialect(abc.ABC):
+    """Translates heads of requests and answers."""
+
+    @abc.abstractmethod
+    def call_terms(self, head: RequestHead) -> CallTerms:
+        """Return what a caller asks; raises ``BadRequest`` for what makes no sense."""
+
+    @abc.abstractmethod
+    def backend_headers(self, head: RequestHead, order: BackendOrder) -> list[Header]:
+        """Return the headers of the request as one backend gets it."""
+
+    @abc.abstractmethod
+    def answer_notes(self, head: AnswerHead) -> AnswerNotes:
+        """Return what an answer says about the run."""
+
+    @abc.abstractmethod
+    def prefill_result(self, body: bytes) -> PrefillResult:
+        """Parse the answer to a prefill; raises ``EngineRejected`` if it is none."""
+
+    @abc.abstractmethod
+    def release_target(self, handle: str) -> bytes:
+        """Return the path at which DELETE releases what a prefill keeps."""
+
+
+@dataclasses.dataclass(frozen=True)
+class HeaderNames:
+    """Names of headers; the defaults are the product's own."""
+
+    request_id: str = "X-Request-Id"
+    deadline_ms: str = "X-Deadline-Ms"
+    last_event_id: str = "Last-Event-Id"
+    model: str = "X-Model"
+    tokens: str = "X-Tokens"
+    parts: str = "X-Prompt-Parts"
+    output_hint: str = "X-Output-Hint"
+    instance: str = "X-Expected-Backend"
+    stage: str = "X-Stage"
+    kv_source: str = "X-Kv-Source"
+    not_run: str = "X-Not-Run"
+    signature: str = "X-Signature"
+    load: str = "X-Backend-Load"
+    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source")
+    prefill_stage: str = "prefill"
+    handle_field: str = "handle"
+    tokens_field: str = "tokens"
+    release_path: str = "/prefills/"
+
+
+NOT_RUN_STATUS = 421
+"""Misdirected: the backend is not the one that was meant, and does not run the request."""
+MAX_DEADLINE_MS = 3_600_000
+
+
+class HeaderDialect(Dialect):
+    """A dialect in which everything stands in headers whose names are given."""
+
+    def __init__(self, names: HeaderNames | None = None) -> None:
+        """Prepare look-ups from the table of names."""
+        self._names = names or HeaderNames()
+        self._keys = {
+            field.name: getattr(self._names, field.name).lower().encode()
+            for field in dataclasses.fields(self._names)
+            if isinstance(getattr(self._names, field.name), str)
+        }
+        own = {name.lower().encode() for name in self._names.set_by_router}
+        self._dropped = frozenset(own)
+
+    def call_terms(self, head: RequestHead) -> CallTerms:
+        """Return what a caller asks; raises ``BadRequest`` for what makes no sense."""
+        deadline_ms = self._number(head, "deadline_ms")
+        if deadline_ms is not None and not 0 < deadline_ms <= MAX_DEADLINE_MS:
+            raise BadRequest(f"{self._names.deadline_ms} must be 1 to {MAX_DEADLINE_MS}")
+        return CallTerms(
+            request_id=head.get(self._keys["request_id"]) or "",
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+            last_event_id=self._number(head, "last_event_id"),
+            generation=self._generation(head),
+        )
+
+    def backend_headers(self, head: RequestHead, order: BackendOrder) -> list[Header]:
+        """Return the headers of the request as one backend gets it."""
+        replaced = {self._keys["deadline_ms"]}
+        if order.last_event_id is not None:
+            replaced.add(self._keys["last_event_id"])
+        headers = head.passed_on(self._dropped | replaced)
+        names = self._names
+        added = [(names.instance, order.instance)]
+        if order.deadline_ms is not None:
+            added.append((names.deadline_ms, str(order.deadline_ms)))
+        if order.is_prefill:
+            added.append((names.stage, names.prefill_stage))
+        if order.kv_source is not None:
+            added.append((names.kv_source, order.kv_source))
+        if order.last_event_id is not None:
+            added.append((names.last_event_id, str(order.last_event_id)))
+        return headers + [(name.encode(), value.encode()) for name, value in added]
+
+    def answer_notes(self, head: AnswerHead) -> AnswerNotes:
+        """Return what an answer says about the run."""
+        is_not_run = head.status == NOT_RUN_STATUS
+        return AnswerNotes(
+            request_id=head.get(self._keys["request_id"]),
+            is_not_run=is_not_run or head.get(self._keys["not_run"]) is not None,
+            is_signed=head.get(self._keys["signature"]) is not None,
+            load=_load(head.get(self._keys["load"])),
+        )
+
+    def prefill_result(self, body: bytes) -> PrefillResult:
+        """Parse the answer to a prefill; raises ``EngineRejected`` if it is none."""
+        try:
+            fields = msgspec.json.decode(body, type=dict[str, object])
+        except (msgspec.MsgspecError, RecursionError):
+            fields = {}
+        handle = fields.get(self._names.handle_field)
+        tokens = fields.get(self._names.tokens_field, 0)
+        if not isinstance(handle, str) or not isinstance(tokens, int):
+            raise EngineRejected("the engine's answer to a prefill names no handle")
+        return PrefillResult(handle, tokens)
+
+    def release_target(self, handle: str) -> bytes:
+        """Return the path at which DELETE releases what a prefill keeps."""
+        return f"{self._names.release_path}{handle}".encode()
+
+    def _generation(self, head: RequestHead) -> GenerationTerms | None:
+        tokens = head.get(self._keys["tokens"])
+        if tokens is None:
+            return None
+        prompt, _, most = tokens.partition(",")
+        if not _is_number(prompt) or not _is_number(most):
+            raise BadRequest(f"{self._names.tokens} must be PROMPT,MOST; send two whole numbers")
+        parts = self._parts(head.get(self._keys["parts"]) or "")
+        hint = self._number(head, "output_hint")
+        model = head.get(self._keys["model"]) or ""
+        return GenerationTerms(model, int(prompt), int(most), parts, hint)
+
+    def _parts(self, text: str) -> tuple[PromptPart, ...]:
+        found = []
+        for part in filter(None, text.split(",")):
+            part_id, _, tokens = part.strip().rpartition(":")
+            if not _is_number(tokens):
+                raise BadRequest(f"{self._names.parts} must list ID:TOKENS; mend {part!r}")
+            found.append(PromptPart(part_id, int(tokens)))
+        return tuple(found)
+
+    def _number(self, head: RequestHead, name: str) -> int | None:
+        text = head.get(self._keys[name])
+        if text is None:
+            return None
+        try:
+            return round(float(text))
+        except (ValueError, OverflowError):
+            raise BadRequest(f"{name} cannot be {text!r}; send a number") from None
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.strip().isdigit()
+
+
+def _load(text: str | None) -> BackendLoad | None:
+    parts = (text or "").split(",")
+    if len(parts) != 3 or not all(_is_number(part) for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return BackendLoad(running, waiting, slots)
--- /dev/null
+++ b/src/yokedock/connection/http_heads.py
@@ -0,0 +1,85 @@
+"""Heads of HTTP messages as the router passes them on: names, order and bytes unchanged."""
+
+from __future__ import annotations
+
+import dataclasses
+
+Header = tuple[bytes, bytes]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+FRAMING = frozenset({b"content-length", b"expect"})
+"""Headers that the router writes anew, since it holds the whole body."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Headers of a message: raw names and values, and a look-up by lower-case name."""
+
+    headers: tuple[Header, ...]
+
+    def get(self, name: bytes) -> str | None:
+        """Return the first value of header ``name`` (lower case), None if absent."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value.decode("latin-1").strip()
+        return None
+
+    def has_token(self, name: bytes, token: str) -> bool:
+        """Return whether the comma-separated header ``name`` lists ``token``."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                tokens = value.decode("latin-1").lower().split(",")
+                if token in (part.strip() for part in tokens):
+                    return True
+        return False
+
+    def passed_on(self, without: frozenset[bytes] = frozenset()) -> list[Header]:
+        """Return the end-to-end headers, less framing, ``without`` and what Connection names."""
+        named = self.get(b"connection") or ""
+        listed = {part.strip().lower().encode("latin-1") for part in named.split(",")}
+        dropped = HOP_BY_HOP | FRAMING | without | listed
+        return [(name, value) for name, value in self.headers if name.lower() not in dropped]
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestHead(Head):
+    """Head of a request; ``target`` is path and query as they were sent."""
+
+    method: bytes
+    target: bytes
+    version: bytes = b"1.1"
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerHead(Head):
+    """Head of an answer."""
+
+    status: int
+    reason: bytes = b""
+
+
+def whole_answer(
+    status: int, body: bytes, headers: list[tuple[str, str]] | None = None
+) -> tuple[AnswerHead, bytes]:
+    """Return an answer of the router's own, with a JSON body."""
+    own = [(name.encode(), value.encode()) for name, value in headers or []]
+    own.append((b"Content-Type", b"application/json"))
+    return AnswerHead(tuple(own), status), body
--- /dev/null
+++ b/src/yokedock/connection/router_gossip.py
@@ -0,0 +1,178 @@
+"""What routers tell each other: small datagrams, sent on every change and at least now and then.
+
+A datagram holds one router's whole state, so a lost one needs no repair. Addresses of routers
+spread with them: a router that knows one other soon knows all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from yokedock.connection.router_state import RouterState
+from yokedock.process.logs import logger
+
+_log = logger("gossip")
+
+INTERVAL_S = 0.3
+"""A router speaks at least this often."""
+LEAST_GAP_S = 0.01
+"""Changes within this time go out in one datagram."""
+SILENT_S = 1.5
+"""A router that was silent for this long counts as gone."""
+FORGOTTEN_S = 60.0
+"""A router that was silent for this long is no longer called."""
+CALL_SILENT_S = 1.0
+"""Silent routers are called this often."""
+MOST_NAMED = 12
+"""Addresses of other routers in one datagram."""
+
+
+@dataclasses.dataclass
+class OtherRouter:
+    """What is known of another router, by its address."""
+
+    address: str
+    heard_s: float = 0.0
+    called_s: float = 0.0
+    known_s: float = 0.0
+    state: RouterState | None = None
+
+
+class RouterGossip(asyncio.DatagramProtocol):
+    """Sends this router's state to all others and takes in theirs."""
+
+    def __init__(
+        self,
+        own_address: str,
+        port: int,
+        seeds: tuple[str, ...],
+        make_state: Callable[[int, tuple[str, ...]], RouterState],
+        on_state: Callable[[OtherRouter], None],
+        on_silent: Callable[[OtherRouter], None],
+    ) -> None:
+        """``make_state`` gets a sequence number and the addresses that are heard."""
+        self._own_address = own_address
+        self._port = port
+        self._make_state = make_state
+        self._on_state = on_state
+        self._on_silent = on_silent
+        self._others: dict[str, OtherRouter] = {}
+        self._seeds = seeds
+        self._sequence = 0
+        self._sent_s = 0.0
+        self._is_sending = False
+        self._transport: asyncio.DatagramTransport | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(RouterState)
+
+    async def start(self) -> None:
+        """Bind the port and begin to speak."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._own_address, self._port)
+        )
+        for seed in self._seeds:
+            self._know(seed)
+
+    async def run(self) -> None:
+        """Speak at intervals, and notice who fell silent."""
+        while True:
+            self._notice_silence()
+            self._speak()
+            await asyncio.sleep(INTERVAL_S)
+
+    def fleet_size(self) -> int:
+        """Return how many routers are alive, this one included."""
+        return 1 + len(self.alive())
+
+    def alive(self) -> list[OtherRouter]:
+        """Return the routers heard a moment ago."""
+        oldest_s = time.monotonic() - SILENT_S
+        return [other for other in self._others.values() if other.heard_s >= oldest_s]
+
+    def change(self) -> None:
+        """Tell the others soon that something has changed."""
+        if self._is_sending or self._transport is None:
+            return
+        self._is_sending = True
+        gap_s = max(0.0, self._sent_s + LEAST_GAP_S - time.monotonic())
+        asyncio.get_running_loop().call_later(gap_s, self._speak)
+
+    # --- asyncio.DatagramProtocol ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in another router's state; what is not understood is dropped."""
+        try:
+            state = self._decoder.decode(data)
+        except msgspec.MsgspecError:
+            _log.warning("not understood", address=addr[0])
+            return
+        other = self._know(addr[0])
+        if other is None:
+            return
+        is_new = other.heard_s < time.monotonic() - SILENT_S
+        if not is_new and other.state is not None and _order(state) <= _order(other.state):
+            return
+        other.heard_s = time.monotonic()
+        other.state = state
+        for address in state.routers:
+            self._know(address)
+        if is_new:
+            _log.info("router heard", address=other.address, name=state.name)
+            self.change()
+        self._on_state(other)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore: a router that is down is called again later."""
+
+    # --- Speaking ---
+
+    def _know(self, address: str) -> OtherRouter | None:
+        if address == self._own_address:
+            return None
+        other = self._others.get(address)
+        if other is None:
+            other = OtherRouter(address, known_s=time.monotonic())
+            self._others[address] = other
+        return other
+
+    def _speak(self) -> None:
+        self._is_sending = False
+        if self._transport is None:
+            return
+        now_s = time.monotonic()
+        self._sent_s = now_s
+        self._sequence += 1
+        heard = tuple(other.address for other in self.alive()[:MOST_NAMED])
+        data = self._encoder.encode(self._make_state(self._sequence, heard))
+        for other in self._others.values():
+            is_silent = other.heard_s < now_s - SILENT_S
+            if is_silent and now_s - other.called_s < CALL_SILENT_S * 0.9:
+                continue
+            other.called_s = now_s
+            self._transport.sendto(data, (other.address, self._port))
+
+    def _notice_silence(self) -> None:
+        now_s = time.monotonic()
+        for other in list(self._others.values()):
+            last_s = max(other.heard_s, other.known_s)
+            if other.state is not None and other.heard_s < now_s - SILENT_S:
+                _log.info("router silent", address=other.address, name=other.state.name)
+                self._on_silent(other)
+                other.state = None
+            if last_s < now_s - FORGOTTEN_S and other.address not in self._seeds:
+                del self._others[other.address]
+
+
+def _order(state: RouterState) -> tuple[int, int]:
+    return (state.incarnation, state.sequence)
--- /dev/null
+++ b/src/yokedock/connection/state_source.py
@@ -0,0 +1,55 @@
+"""Where the router learns its routes and backends: a narrow interface and its typed answers."""
+
+from __future__ import annotations
+
+import abc
+
+import msgspec
+
+from yokedock.version.route_table import RouteTable
+
+
+class BackendEntry(msgspec.Struct, frozen=True):
+    """One live backend as its registry lists it."""
+
+    instance: str
+    """Identifier of this incarnation."""
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    is_leaving: bool = False
+    role: str = ""
+    """``prefill`` or ``decode`` for a model engine, else empty."""
+
+
+class StateSnapshot(msgspec.Struct, frozen=True):
+    """All that the source knows at ``position``, which only grows."""
+
+    position: int
+    table: RouteTable | None
+    backends: dict[str, BackendEntry]
+
+
+class StateChanges(msgspec.Struct, frozen=True):
+    """What has changed since an earlier position."""
+
+    position: int
+    table: RouteTable | None = None
+    changed: tuple[BackendEntry, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+class StateSource(abc.ABC):
+    """Reads state. Every call raises ``PlatformUnavailable`` when there is no sound answer."""
+
+    @abc.abstractmethod
+    async def read(self) -> StateSnapshot:
+        """Return everything."""
+
+    @abc.abstractmethod
+    async def wait(self, position: int) -> StateChanges:
+        """Return what has changed after ``position``, or nothing after a while.
+
+        Raises ``HistoryGone`` when the source no longer knows what came after ``position``.
+        """
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -232,6 +232,13 @@
     http_status = 503
 
 
+class BackendAnswerLost(YokedockError):
+    """A backend may have run the request, and its answer was lost."""
+
+    code = "backend_answer_lost"
+    http_status = 502
+
+
 class CallerGone(YokedockError):
     """The caller closed its connection."""
 
@@ -309,6 +316,40 @@
     code = "engine_lost"
 
 
+class BackendRefused(EngineRejected):
+    """The backend stated that it did not run the request and will not run it."""
+
+    code = "backend_refused"
+    http_status = 503
+
+
+class BackendUnreachable(EngineUnavailable):
+    """No connection to the backend could be opened: nothing was sent."""
+
+    code = "backend_unreachable"
+
+
+class BackendBroken(EngineLost):
+    """The connection to the backend ended, or sent what is no answer, after the request went out."""
+
+    code = "backend_broken"
+    http_status = 502
+
+
+class HeaderTooLarge(BadRequest):
+    """The head of a request is larger than the configuration allows."""
+
+    code = "header_too_large"
+    http_status = 431
+
+
+class RequestTimeout(BadRequest):
+    """The request did not arrive whole in the time that the configuration allows."""
+
+    code = "request_timeout"
+    http_status = 408
+
+
 # --- Errors in what operators wrote. ---
 
 
@@ -336,6 +377,12 @@
     code = "platform_unavailable"
 
 
+class HistoryGone(PlatformUnavailable):
+    """The source has dropped the changes since a position; everything must be read anew."""
+
+    code = "history_gone"
+
+
 _BY_CODE: dict[str, type[YokedockError]] = {}
 
 
--- /dev/null
+++ b/src/yokedock/platform/headers.py
@@ -0,0 +1,36 @@
+"""Names of the platform's headers."""
+
+from __future__ import annotations
+
+from yokedock.connection.dialect import HeaderNames
+
+PLATFORM_HEADERS = HeaderNames(
+    request_id="X-Yokedock-Attempt-Id",
+    deadline_ms="X-Yokedock-Deadline-Ms",
+    last_event_id="Last-Event-Id",
+    model="X-Yokedock-Model",
+    tokens="X-Yokedock-Token-Usage",
+    parts="X-Yokedock-Prompt-Prefix",
+    output_hint="X-Yokedock-Length-Hint",
+    instance="X-Yokedock-Expected-Instance",
+    stage="X-Yokedock-Serving-Stage",
+    kv_source="X-Yokedock-Kv-Source",
+    not_run="X-Yokedock-Not-Executed",
+    signature="X-Yokedock-Response-Seal",
+    load="X-Yokedock-Instance-Load",
+    set_by_router=(
+        "X-Yokedock-Expected-Instance",
+        "X-Yokedock-Expected-Version",
+        "X-Yokedock-Serving-Stage",
+        "X-Yokedock-Kv-Source",
+        "X-Yokedock-Kv-Retention",
+        "X-Yokedock-Kv-Backup",
+        "X-Yokedock-Request-Priority",
+        "X-Yokedock-Pin-Ms",
+        "Kv-Fetch",
+    ),
+    prefill_stage="prefill",
+    handle_field="kvHandle",
+    tokens_field="tokenCount",
+    release_path="/kv-handle/",
+)
--- /dev/null
+++ b/src/yokedock/platform/store.py
@@ -0,0 +1,129 @@
+"""The platform's metadata store: its reading calls, as a source of routes and backends."""
+
+from __future__ import annotations
+
+import base64
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from yokedock.connection.http_get import GetAnswer, HttpGetter
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
+from yokedock.errors import HistoryGone, PlatformUnavailable
+from yokedock.platform.documents import backend_entry, route_table
+from yokedock.version.route_table import RouteTable
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+Document = TypeVar("Document")
+EVERYTHING = ""
+OK = 200
+HISTORY_GONE = 410
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 1.0
+WATCH_MS = 2_000
+WATCH_TIMEOUT_S = 2.4
+
+
+class StoredItem(msgspec.Struct, frozen=True):
+    """One item, or that it is gone."""
+
+    key: str = msgspec.field(name="privateKey")
+    value: str = ""
+    revision: int = 0
+    gone: bool = False
+
+
+class RangePage(msgspec.Struct, frozen=True):
+    """One page of items."""
+
+    items: tuple[StoredItem, ...] = ()
+    more: bool = False
+    at: int = 0
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """What has changed."""
+
+    events: tuple[StoredItem, ...] = ()
+    at: int = 0
+
+
+class PlatformStore(StateSource):
+    """Reads ``op/config`` and ``servers/`` from the store."""
+
+    def __init__(self, address: str) -> None:
+        """Read from ``address`` (IP:port)."""
+        self._getter = HttpGetter(address, CONNECT_TIMEOUT_S)
+
+    async def read(self) -> StateSnapshot:
+        """Return the newest configuration and all servers."""
+        items: dict[str, StoredItem] = {}
+        position = None
+        after = ""
+        while True:
+            target = f"/kv-range?pathPrefix={EVERYTHING}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            page = _decode(await self._getter.get(target, READ_TIMEOUT_S), RangePage)
+            position = page.at if position is None else min(position, page.at)
+            items |= {item.key: item for item in page.items}
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        changes = _translate(tuple(items.values()), position)
+        backends = {entry.instance: entry for entry in changes.changed}
+        return StateSnapshot(position, changes.table, backends)
+
+    async def wait(self, position: int) -> StateChanges:
+        """Return what has changed after ``position``, or nothing after two seconds."""
+        target = f"/kv-watch?pathPrefix={EVERYTHING}&after={position}&waitMs={WATCH_MS}"
+        answer = await self._getter.get(target, WATCH_TIMEOUT_S)
+        if answer.status == HISTORY_GONE:
+            raise HistoryGone("the store has dropped its history")
+        watched = _decode(answer, WatchAnswer)
+        return _translate(watched.events, max(position, watched.at))
+
+
+def _decode(answer: GetAnswer, kind: type[Document]) -> Document:
+    if answer.status != OK:
+        raise PlatformUnavailable(f"the store answered {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise PlatformUnavailable(f"the store's answer is not understood: {error}") from None
+
+
+def _translate(items: tuple[StoredItem, ...], position: int) -> StateChanges:
+    """Turn items into changes; an item that is not understood changes nothing."""
+    table: RouteTable | None = None
+    last: dict[str, BackendEntry | None] = {}
+    for item in items:
+        if item.key == CONFIGURATION_KEY and not item.gone:
+            table = _decoded_table(item) or table
+        elif item.key.startswith(SERVERS_PREFIX):
+            instance = item.key[len(SERVERS_PREFIX) :]
+            last[instance] = None if item.gone else _decoded_entry(instance, item)
+    changed = tuple(entry for entry in last.values() if entry is not None)
+    gone = tuple(instance for instance, entry in last.items() if entry is None)
+    return StateChanges(position, table, changed, gone)
+
+
+def _decoded_table(item: StoredItem) -> RouteTable | None:
+    try:
+        return route_table(base64.b64decode(item.value))
+    except (ValueError, msgspec.MsgspecError):
+        return None
+
+
+def _decoded_entry(instance: str, item: StoredItem) -> BackendEntry | None:
+    try:
+        return backend_entry(instance, base64.b64decode(item.value))
+    except (ValueError, msgspec.MsgspecError):
+        return None
--- /dev/null
+++ b/src/yokedock/process/router.py
@@ -0,0 +1,317 @@
+"""The router: takes callers' requests on routes and sees each through to one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.caller_connection import AnswerWriter, CallerConnection, CallerRequest
+from yokedock.connection.dialect import Dialect
+from yokedock.connection.http_get import HttpGetter
+from yokedock.connection.http_heads import whole_answer
+from yokedock.connection.router_gossip import OtherRouter, RouterGossip
+from yokedock.connection.router_state import RouterState
+from yokedock.connection.state_source import StateSnapshot, StateSource
+from yokedock.errors import (
+    BackendAnswerLost,
+    BadRequest,
+    NotFound,
+    NotReady,
+    PlatformUnavailable,
+    YokedockError,
+)
+from yokedock.process.clock import wall_clock_ms
+from yokedock.process.logs import logger
+from yokedock.process.router_settings import RouterSettings
+from yokedock.process.state_follower import StateFollower
+from yokedock.request.backend_exchange import BackendExchanges
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.engine_ledger import EngineLedger
+from yokedock.request.engine_placement import LedgerPlacement
+from yokedock.request.generation_call import GenerationCalls
+from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
+from yokedock.request.routed_call import RoutedCall
+from yokedock.version.route_table import CallerLimits, Route, RouteTable, ServiceSpec
+
+_log = logger("router")
+
+Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+STATE_PATH = "/state"
+STATE_TIMEOUT_S = 1.0
+COME_BACK_S = 0.5
+BACKLOG = 512
+UPKEEP_S = 1.0
+LAST_CONNECTIONS_S = 2.5
+"""After this part of a planned stop the balancer sends no more connections."""
+LAST_ANSWERS_S = 0.8
+"""This long before the end of a planned stop, whoever still waits gets a final answer."""
+STOP_POLL_S = 0.05
+
+
+class Router:
+    """Wires one router together; ``run`` is its life."""
+
+    def __init__(self, settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
+        """Prepare; nothing is bound yet."""
+        self.settings = settings
+        self._incarnation_ms = wall_clock_ms()
+        self._registry = BackendRegistry(settings.process.zone)
+        self._follower = StateFollower(source, self._registry)
+        self._ledger = EngineLedger()
+        own_address, _, port = settings.fleet.address.rpartition(":")
+        self._fleet_address = own_address
+        self._fleet_port = int(port)
+        seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
+        self._gossip = RouterGossip(
+            own_address, int(port), seeds, self._state, self._heard, self._silent
+        )
+        bounds = RetryBounds(
+            settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
+        )
+        allowance = RetryAllowance(bounds, self._gossip.fleet_size)
+        self._pool = BackendPool()
+        exchanges = BackendExchanges(self._pool, dialect)
+        placement = LedgerPlacement(self._registry, self._ledger, settings.process.zone)
+        self._generations = GenerationCalls(placement, self._ledger, exchanges, allowance)
+        self._opaque = OpaqueCalls(self._registry, exchanges, allowance)
+        self._dialect = dialect
+        self._random = random.Random()
+        self._connections: set[CallerConnection] = set()
+        self._active = 0
+        self._is_stopping = False
+        self._is_ending = False
+        self._fetching = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ledger.on_change = self._gossip.change
+        self._registry.on_change = lambda: self._ledger.on_room()
+
+    # --- Life ---
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then make a planned stop."""
+        await self._gossip.start()
+        callers = self.settings.callers
+        servers = [
+            await self._listen(callers.listen, self._accept_caller),
+            await self._listen(callers.ready_listen, self._accept_ready),
+            await self._listen(self.settings.fleet.address, self._accept_router),
+        ]
+        for work in (self._follower.run(), self._gossip.run(), self._upkeep()):
+            self._start(work)
+        _log.info("started", name=self.settings.process.name, listen=callers.listen)
+        await stop.wait()
+        await self._stop_in_order()
+        for server in servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        _log.info("stopped", name=self.settings.process.name)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        return self._follower.is_known and not self._is_stopping
+
+    async def _stop_in_order(self) -> None:
+        """Let what is in flight end; who still waits near the end gets a final answer."""
+        self._is_stopping = True
+        self._gossip.change()
+        started_s = time.monotonic()
+        _log.info("stopping", active=self._active, connections=len(self._connections))
+        for connection in self._connections:
+            connection.is_closing = True
+        await asyncio.sleep(LAST_CONNECTIONS_S)
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        last_s = started_s + self.settings.stop.grace_s - LAST_ANSWERS_S
+        while self._active and time.monotonic() < last_s:
+            await asyncio.sleep(STOP_POLL_S)
+        self._is_ending = True
+        for connection in list(self._connections):
+            connection.cancel_work()
+        await asyncio.sleep(STOP_POLL_S)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            self._pool.drop_stale()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task ended", error=repr(task.exception()))
+
+    # --- Listening ---
+
+    async def _listen(self, address: str, accept: Accept) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        return await asyncio.start_server(
+            accept,
+            host,
+            int(port),
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    async def _accept_caller(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = CallerConnection(reader, writer, self._answer, self._limits)
+        connection.is_closing = self._is_stopping
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    async def _accept_ready(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await CallerConnection(reader, writer, self._answer_ready, CallerLimits).serve()
+
+    async def _accept_router(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await CallerConnection(reader, writer, self._answer_router, CallerLimits).serve()
+
+    def _limits(self) -> CallerLimits:
+        index = self._follower.index
+        return index.table.limits if index is not None else CallerLimits()
+
+    async def _answer_ready(self, request: CallerRequest, answer: AnswerWriter) -> None:
+        status = 200 if self.is_ready else NotReady.http_status
+        await answer.whole(*whole_answer(status, b""))
+
+    async def _answer_router(self, request: CallerRequest, answer: AnswerWriter) -> None:
+        """Give another router what this one knows."""
+        if request.head.path != STATE_PATH:
+            raise NotFound(f"there is no {request.head.path}; ask for {STATE_PATH}")
+        body = msgspec.msgpack.encode(self._follower.snapshot())
+        await answer.whole(*whole_answer(200, body))
+
+    # --- Requests ---
+
+    async def _answer(self, request: CallerRequest, answer: AnswerWriter) -> None:
+        """Route one request and see it through."""
+        self._active += 1
+        call: RoutedCall | None = None
+        outcome = "answered"
+        try:
+            call = self._route(request, answer)
+            await self._serve(call)
+        except asyncio.CancelledError:
+            if not self._is_ending or answer.has_started:
+                outcome = "caller gone"
+                raise
+            outcome = "ended"
+            raise self._ending_error(call) from None
+        except YokedockError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._active -= 1
+            self._log_end(request, answer, call, outcome)
+
+    async def _serve(self, call: RoutedCall) -> None:
+        if call.service.engine is not None and call.terms.generation is not None:
+            await self._generations.serve(call)
+        else:
+            await self._opaque.serve(call)
+
+    def _route(self, request: CallerRequest, answer: AnswerWriter) -> RoutedCall:
+        index = self._follower.index
+        if index is None:
+            raise NotReady("no routes are known yet; retry later", COME_BACK_S)
+        host = request.head.get(b"host")
+        if host is None:
+            raise BadRequest("no Host header; send one")
+        route = index.find(host, request.head.path)
+        if route is None:
+            raise NotFound(f"no route for {host}{request.head.path}; look at the configuration")
+        terms = self._dialect.call_terms(request.head)
+        return RoutedCall(request, answer, terms, route, self._service(index.table, route))
+
+    def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
+        """Choose one of the route's services by weight."""
+        targets = [target for target in route.targets if target.weight > 0]
+        if not targets:
+            raise NotReady(f"route {route.name} has no service; retry later", COME_BACK_S)
+        weights = [target.weight for target in targets]
+        chosen = self._random.choices(targets, weights)[0].service
+        return table.services.get(chosen) or ServiceSpec(chosen)
+
+    def _ending_error(self, call: RoutedCall | None) -> YokedockError:
+        if call is not None and call.may_have_run:
+            return BackendAnswerLost("the router stopped before the answer came; look it up first")
+        return NotReady("the router is stopping; retry at once", 0.0)
+
+    def _log_end(
+        self,
+        request: CallerRequest,
+        answer: AnswerWriter,
+        call: RoutedCall | None,
+        outcome: str,
+    ) -> None:
+        _log.info(
+            "request",
+            request=call.request_id if call else "",
+            route=call.route.name if call else request.head.path,
+            outcome=outcome,
+            status=answer.status,
+            runs=call.runs if call else 0,
+            arrivals=call.arrivals if call else 0,
+            held_ms=round((time.monotonic() - request.arrived_s) * 1000),
+        )
+
+    # --- Other routers ---
+
+    def _state(self, sequence: int, heard: tuple[str, ...]) -> RouterState:
+        return RouterState(
+            self.settings.process.name,
+            self._incarnation_ms,
+            sequence,
+            self._follower.version,
+            self._follower.position,
+            self._is_stopping,
+            0,
+            self._ledger.shares(),
+            heard,
+        )
+
+    def _heard(self, other: OtherRouter) -> None:
+        assert other.state is not None
+        self._ledger.heard(other.address, other.state.shares)
+        is_newer = other.state.table_version > self._follower.version
+        is_ahead = other.state.position > self._follower.position
+        if (is_newer or is_ahead) and not self._fetching:
+            self._fetching = True
+            self._start(self._fetch_from(other.address))
+
+    def _silent(self, other: OtherRouter) -> None:
+        self._ledger.forget(other.address)
+
+    async def _fetch_from(self, address: str) -> None:
+        """Take over the newer state of another router."""
+        try:
+            getter = HttpGetter(f"{address}:{self._fleet_port}", STATE_TIMEOUT_S)
+            answer = await getter.get(STATE_PATH, STATE_TIMEOUT_S)
+            snapshot = msgspec.msgpack.decode(answer.body, type=StateSnapshot)
+            self._follower.adopt(snapshot)
+            _log.info("state taken over", router=address, position=snapshot.position)
+        except (PlatformUnavailable, msgspec.MsgspecError) as error:
+            _log.info("state not taken over", router=address, reason=str(error))
+        finally:
+            self._fetching = False
--- /dev/null
+++ b/src/yokedock/process/router_main.py
@@ -0,0 +1,30 @@
+"""The thin daemon around a router: signals, logs, the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+from yokedock.connection.dialect import Dialect
+from yokedock.connection.state_source import StateSource
+from yokedock.process.logs import logger, set_up_logs
+from yokedock.process.router import Router
+from yokedock.process.router_settings import RouterSettings
+
+_log = logger("main")
+
+
+def run_router(settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
+    """Serve until SIGTERM or SIGINT. SIGHUP is noted: addresses do not change while it runs."""
+    set_up_logs(settings.log.level, sys.stdout)
+    asyncio.run(_run(settings, source, dialect))
+
+
+async def _run(settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings may have changed"))
+    await Router(settings, source, dialect).run(stop)
--- /dev/null
+++ b/src/yokedock/process/state_follower.py
@@ -0,0 +1,110 @@
+"""Follows routes and backends: reads all once, then waits for changes; takes over what is newer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from yokedock.connection.state_source import StateSnapshot, StateSource
+from yokedock.errors import HistoryGone, PlatformUnavailable
+from yokedock.process.logs import logger
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.version.route_table import RouteIndex, RouteTable
+
+_log = logger("state")
+
+RETRY_S = 0.15
+LONGEST_RETRY_S = 1.0
+
+
+class StateFollower:
+    """Keeps the route table and the registry current. Versions never go back."""
+
+    def __init__(self, source: StateSource, registry: BackendRegistry) -> None:
+        """Follow ``source``."""
+        self._source = source
+        self._registry = registry
+        self._random = random.Random()
+        self._heard_s = 0.0
+        self.index: RouteIndex | None = None
+        self.position = 0
+        self.on_table: Callable[[RouteTable], None] = lambda table: None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 if none is known."""
+        return self.index.table.version if self.index else 0
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether routes and backends are known."""
+        return self.index is not None and self.position > 0
+
+    def silent_s(self) -> float:
+        """Return for how long the source has not answered, in seconds."""
+        return time.monotonic() - self._heard_s
+
+    def snapshot(self) -> StateSnapshot:
+        """Return what is known, for another router."""
+        table = self.index.table if self.index else None
+        return StateSnapshot(self.position, table, self._registry.entries())
+
+    def adopt(self, snapshot: StateSnapshot) -> None:
+        """Take over what another router knows, where it is newer."""
+        self._adopt_table(snapshot.table)
+        if snapshot.position > self.position:
+            self.position = snapshot.position
+            self._registry.replace_all(snapshot.backends)
+
+    async def run(self) -> None:
+        """Follow the source for ever."""
+        wait_s = RETRY_S
+        must_read = True
+        while True:
+            try:
+                if must_read:
+                    self._take_all(await self._source.read())
+                    must_read = False
+                    _log.info("state read", position=self.position, version=self.version)
+                await self._follow()
+                wait_s = RETRY_S
+            except HistoryGone:
+                _log.info("history gone", position=self.position)
+                must_read = True
+            except PlatformUnavailable as error:
+                _log.info("source silent", reason=error.message, position=self.position)
+                must_read = must_read or self.index is None
+                await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.0))
+                wait_s = min(2 * wait_s, LONGEST_RETRY_S)
+
+    async def _follow(self) -> None:
+        changes = await self._source.wait(self.position)
+        self._heard_s = time.monotonic()
+        self._adopt_table(changes.table)
+        if changes.position < self.position:
+            return
+        self.position = changes.position
+        if changes.changed or changes.gone:
+            self._registry.update(changes.changed, changes.gone)
+            _log.info(
+                "backends changed",
+                position=self.position,
+                changed=[f"{e.instance}:{e.role}:{e.is_leaving}" for e in changes.changed],
+                gone=list(changes.gone),
+            )
+
+    def _take_all(self, snapshot: StateSnapshot) -> None:
+        self._heard_s = time.monotonic()
+        self._adopt_table(snapshot.table)
+        if snapshot.position >= self.position:
+            self.position = snapshot.position
+            self._registry.replace_all(snapshot.backends)
+
+    def _adopt_table(self, table: RouteTable | None) -> None:
+        if table is None or table.version <= self.version:
+            return
+        self.index = RouteIndex(table)
+        _log.info("table adopted", version=table.version, routes=len(table.routes))
+        self.on_table(table)
--- /dev/null
+++ b/src/yokedock/request/backend_exchange.py
@@ -0,0 +1,143 @@
+"""One request at one backend: connect, send, read; the state tells what may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+from yokedock.connection.backend_connection import BackendConnection
+from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.dialect import BackendOrder, Dialect
+from yokedock.connection.http_heads import AnswerHead
+from yokedock.errors import BackendBroken, BackendRefused, BackendUnreachable
+from yokedock.request.backend_registry import Backend
+from yokedock.request.routed_call import RoutedCall, RunState, WholeAnswer
+
+CONNECT_TIMEOUT_S = 0.25
+SHORT_REST_S = 0.8
+"""What may not be repeated uses only connections that rested for less: fewer are closed by then."""
+MAX_WHOLE_ANSWER_BYTES = 16_777_216
+SERVER_ERROR = 500
+
+
+class BackendExchange:
+    """A request that is being sent to, or answered by, one backend."""
+
+    def __init__(
+        self, connection: BackendConnection, dialect: Dialect, backend: Backend, call: RoutedCall
+    ) -> None:
+        """Wrap a connection that is ready to send."""
+        self.backend = backend
+        self.state = RunState.NOT_SENT
+        self.is_whole = False
+        self._connection = connection
+        self._dialect = dialect
+        self._call = call
+        self._sent_s = 0.0
+
+    async def send(self, order: BackendOrder) -> None:
+        """Send the request."""
+        call = self._call
+        headers = self._dialect.backend_headers(call.request.head, order)
+        self.state = RunState.SENT
+        self._sent_s = time.monotonic()
+        await self._connection.send(call.request.head, headers, call.request.body)
+
+    async def read_head(self, timeout_s: float) -> AnswerHead:
+        """Return the head of the answer.
+
+        Raises ``BackendRefused`` if the backend states that it does not run the request,
+        ``BackendBroken`` if there is no sound answer within ``timeout_s``.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await self._connection.read_head(self._is_ours)
+        except TimeoutError:
+            self.backend.health.note_silence(time.monotonic())
+            message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
+            raise BackendBroken(message) from None
+        notes = self._dialect.answer_notes(head)
+        self.backend.load = notes.load or self.backend.load
+        if notes.is_not_run:
+            self.state = RunState.REFUSED
+            raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
+        if notes.request_id is None and head.status < SERVER_ERROR:
+            raise BackendBroken(f"{self.backend.name}: the answer names no request")
+        if head.get(b"content-encoding") is not None:
+            raise BackendBroken(f"{self.backend.name}: the answer is encoded")
+        if head.status < 300 and not notes.is_signed:
+            raise BackendBroken(f"{self.backend.name}: the answer is not signed")
+        return head
+
+    async def read_whole(self, timeout_s: float) -> WholeAnswer:
+        """Return head and body, read whole; raises as ``read_head``."""
+        until_s = time.monotonic() + timeout_s
+        head = await self.read_head(timeout_s)
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + until_s - time.monotonic()
+            ):
+                body = await self._connection.read_body(MAX_WHOLE_ANSWER_BYTES)
+        except TimeoutError:
+            raise BackendBroken(f"{self.backend.name}: the answer was not whole in time") from None
+        self.finish(is_failure=head.status >= SERVER_ERROR)
+        return WholeAnswer(head, body)
+
+    def body_parts(self) -> AsyncIterator[bytes]:
+        """Return the parts of the body as they come."""
+        return self._connection.body_parts()
+
+    def finish(self, is_failure: bool = False) -> None:
+        """Note that the answer was read whole."""
+        self.state = RunState.ANSWERED
+        self.is_whole = True
+        now_s = time.monotonic()
+        self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
+
+    def _is_ours(self, head: AnswerHead) -> bool:
+        """Tell our answer from one to an earlier request on the same connection."""
+        named = self._dialect.answer_notes(head).request_id
+        return named is None or named == self._call.request_id
+
+
+class BackendExchanges:
+    """Opens exchanges with backends."""
+
+    def __init__(self, pool: BackendPool, dialect: Dialect) -> None:
+        """Share the pool and dialect of the process."""
+        self.pool = pool
+        self.dialect = dialect
+
+    @contextlib.asynccontextmanager
+    async def open(self, backend: Backend, call: RoutedCall) -> AsyncIterator[BackendExchange]:
+        """Connect to a backend; raises ``BackendUnreachable`` if nothing could be sent.
+
+        The connection rests afterwards if its answer was read whole, else it is closed at once,
+        so that the backend stops working on what nobody waits for.
+        """
+        rest_s = {} if call.route.may_repeat else {"longest_rest_s": SHORT_REST_S}
+        timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
+        try:
+            connection = await self.pool.take(backend.entry.address, timeout_s, **rest_s)
+        except BackendUnreachable:
+            backend.health.note_silence(time.monotonic())
+            self.pool.forget(backend.entry.address)
+            raise
+        exchange = BackendExchange(connection, self.dialect, backend, call)
+        backend.outstanding += 1
+        try:
+            yield exchange
+        except BackendRefused:
+            backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
+            raise
+        except BackendBroken:
+            backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
+            raise
+        finally:
+            backend.outstanding -= 1
+            if exchange.is_whole:
+                self.pool.give_back(connection)
+            else:
+                connection.abort()
--- /dev/null
+++ b/src/yokedock/request/backend_registry.py
@@ -0,0 +1,199 @@
+"""All backends that the router knows, and what their answers showed of them.
+
+The registry follows the platform's list; health is learned from answers alone, without probes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable, Iterable
+
+from yokedock.connection.dialect import BackendLoad
+from yokedock.connection.state_source import BackendEntry
+
+GONE_GRACE_S = 1.0
+"""A backend that vanished from the list without notice may still be used for this long, as a last
+resort: entries that lapsed with the list itself are back soon."""
+LEAVING_GRACE_S = 1.0
+"""The same for one that says it is leaving, where nothing else is left."""
+SUSPECT_S = 1.0
+"""A backend that did not accept or fell silent is avoided for this long, doubled each time."""
+LONGEST_SUSPECT_S = 4.0
+FAILURE_WEIGHT = 0.25
+"""Weight of the newest answer in the share of failures."""
+FAILURE_HALF_LIFE_S = 4.0
+"""Without answers, the share of failures halves in this time, so that a backend is tried again."""
+FAILURE_COST = 8.0
+LATENCY_WEIGHT = 0.2
+LATENCY_HALF_LIFE_S = 6.0
+DEFAULT_LATENCY_S = 0.1
+JITTER = 0.05
+OTHER_ZONE_COST = 1.05
+
+
+@dataclasses.dataclass
+class Health:
+    """What answers showed: failures, latency, silence. Times are monotonic seconds."""
+
+    failures: float = 0.0
+    latency_s: float | None = None
+    noted_s: float = 0.0
+    suspect_until_s: float = 0.0
+    suspect_for_s: float = SUSPECT_S
+
+    def failure_share(self, now_s: float) -> float:
+        """Return the share of failures, faded since the last answer."""
+        return float(self.failures * 0.5 ** ((now_s - self.noted_s) / FAILURE_HALF_LIFE_S))
+
+    def expected_latency_s(self, now_s: float, typical_s: float) -> float:
+        """Return the latency to expect: the measured one, fading to the service's typical one."""
+        if self.latency_s is None:
+            return typical_s
+        trust = float(0.5 ** ((now_s - self.noted_s) / LATENCY_HALF_LIFE_S))
+        return typical_s + (self.latency_s - typical_s) * trust
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Return whether the backend was silent a moment ago."""
+        return now_s < self.suspect_until_s
+
+    def note_answer(self, now_s: float, latency_s: float, is_failure: bool) -> None:
+        """Note an answer; a failure's latency says nothing about speed."""
+        share = self.failure_share(now_s)
+        self.failures = share + FAILURE_WEIGHT * (float(is_failure) - share)
+        if not is_failure:
+            before = self.latency_s if self.latency_s is not None else latency_s
+            self.latency_s = before + LATENCY_WEIGHT * (latency_s - before)
+            self.suspect_until_s = 0.0
+            self.suspect_for_s = SUSPECT_S
+        self.noted_s = now_s
+
+    def note_silence(self, now_s: float) -> None:
+        """Note that the backend could not be reached or gave no answer."""
+        if not self.is_suspect(now_s):
+            self.suspect_until_s = now_s + self.suspect_for_s
+            self.suspect_for_s = min(2 * self.suspect_for_s, LONGEST_SUSPECT_S)
+        share = self.failure_share(now_s)
+        self.failures = share + FAILURE_WEIGHT * (1.0 - share)
+        self.noted_s = now_s
+
+
+class Backend:
+    """One incarnation of a backend."""
+
+    def __init__(self, entry: BackendEntry) -> None:
+        """Start with what the list says."""
+        self.entry = entry
+        self.health = Health()
+        self.outstanding = 0
+        """Requests that this process has at the backend."""
+        self.load: BackendLoad | None = None
+        self.leaving_since_s: float | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the identifier of the incarnation."""
+        return self.entry.instance
+
+    def may_take_as_last_resort(self, now_s: float) -> bool:
+        """Return whether a backend that is leaving may still be used."""
+        if self.leaving_since_s is None:
+            return True
+        return now_s - self.leaving_since_s < min(LEAVING_GRACE_S, GONE_GRACE_S)
+
+
+class BackendRegistry:
+    """Backends by identifier. ``on_change`` is called after every change of the list."""
+
+    def __init__(self, zone: str, clock: Callable[[], float] = time.monotonic) -> None:
+        """Start empty; ``zone`` is the router's own."""
+        self._zone = zone
+        self._clock = clock
+        self._random = random.Random()
+        self._backends: dict[str, Backend] = {}
+        self.on_change: Callable[[], None] = lambda: None
+
+    def replace_all(self, entries: dict[str, BackendEntry]) -> None:
+        """Take over a whole list: what it does not name is gone."""
+        gone = [name for name in self._backends if name not in entries]
+        self.update(entries.values(), gone)
+
+    def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
+        """Take over changes."""
+        now_s = self._clock()
+        for entry in changed:
+            self._put(entry, now_s)
+        for name in gone:
+            backend = self._backends.get(name)
+            if backend is not None and backend.leaving_since_s is None:
+                backend.leaving_since_s = now_s
+        self._forget_gone(now_s)
+        self.on_change()
+
+    def get(self, name: str) -> Backend | None:
+        """Return a backend by identifier."""
+        return self._backends.get(name)
+
+    def entries(self) -> dict[str, BackendEntry]:
+        """Return all entries that are listed now."""
+        listed = self._backends.items()
+        return {name: b.entry for name, b in listed if b.leaving_since_s is None}
+
+    def usable(self, service: str, role: str | None = None) -> list[Backend]:
+        """Return the backends of a service that may be used, sound ones if there are any."""
+        now_s = self._clock()
+        found = [
+            backend
+            for backend in self._backends.values()
+            if backend.entry.service == service and role in (None, backend.entry.role)
+        ]
+        staying = [backend for backend in found if backend.leaving_since_s is None]
+        sound = [backend for backend in staying if not backend.health.is_suspect(now_s)]
+        return sound or staying or [b for b in found if b.may_take_as_last_resort(now_s)]
+
+    def cheapest(self, service: str, without: frozenset[str] = frozenset()) -> Backend | None:
+        """Return the backend that should answer soonest, None if there is none."""
+        usable = [b for b in self.usable(service) if b.name not in without]
+        if not usable:
+            return None
+        typical_s = typical_latency_s(usable)
+        return min(usable, key=lambda backend: self._cost(backend, typical_s))
+
+    def _cost(self, backend: Backend, typical_s: float) -> float:
+        now_s = self._clock()
+        health = backend.health
+        queued = backend.outstanding
+        if backend.load is not None:
+            queued = max(queued, backend.load.waiting + backend.load.running)
+        rounds = max(1.0, (queued + 1) / max(1, backend.entry.slots))
+        crowding = 1.0 + 0.3 * queued / max(1, backend.entry.slots)
+        cost = health.expected_latency_s(now_s, typical_s) * rounds * crowding
+        cost *= 1.0 + FAILURE_COST * health.failure_share(now_s)
+        if backend.entry.zone != self._zone:
+            cost *= OTHER_ZONE_COST
+        return cost * (1.0 + self._random.random() * JITTER)
+
+    def _put(self, entry: BackendEntry, now_s: float) -> None:
+        backend = self._backends.get(entry.instance)
+        if backend is None:
+            backend = Backend(entry)
+            self._backends[entry.instance] = backend
+        backend.entry = entry
+        if entry.is_leaving:
+            backend.leaving_since_s = backend.leaving_since_s or now_s
+        else:
+            backend.leaving_since_s = None
+
+    def _forget_gone(self, now_s: float) -> None:
+        """Drop what has been gone for long; leaving ones go when the list drops them."""
+        for name, backend in list(self._backends.items()):
+            since_s = backend.leaving_since_s
+            if since_s is not None and now_s - since_s > 60.0 and not backend.outstanding:
+                del self._backends[name]
+
+
+def typical_latency_s(backends: list[Backend]) -> float:
+    """Return the median of measured latencies, in seconds."""
+    measured = sorted(b.health.latency_s for b in backends if b.health.latency_s is not None)
+    return measured[len(measured) // 2] if measured else DEFAULT_LATENCY_S
--- /dev/null
+++ b/src/yokedock/request/generation_call.py
@@ -0,0 +1,289 @@
+"""Generations: the prompt is read on one engine, the answer made on another and passed on.
+
+Room for the answer is promised in the ledger before the prompt is read. What breaks before or in
+the middle of the stream goes on elsewhere where the route allows it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+
+from yokedock.connection.dialect import BackendOrder
+from yokedock.connection.http_heads import RequestHead
+from yokedock.errors import (
+    BackendAnswerLost,
+    BackendBroken,
+    BackendRefused,
+    BackendUnreachable,
+    DeadlineExceeded,
+    EngineRejected,
+    NoDecodeRoom,
+    Refused,
+    YokedockError,
+)
+from yokedock.process.logs import logger
+from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
+from yokedock.request.backend_registry import Backend
+from yokedock.request.engine_ledger import EngineLedger, StreamDemand
+from yokedock.request.engine_placement import EnginePlacement, Placement, stream_demand
+from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.request.stream_relay import StreamRelay
+
+_log = logger("generation")
+
+PREFILL_PATIENCE = 3.0
+"""A prefill that takes this many times its prediction is given up."""
+LEAST_PREFILL_PATIENCE_S = 0.4
+STALL_S = 1.2
+"""A resumable stream that is silent for this long goes on at another engine."""
+LEAST_USEFUL_S = 0.1
+COME_BACK_S = 1.0
+ENOUGH_REFUSALS = 3
+KEPT_SHARE = 0.8
+"""Share of the time that an engine keeps a prompt's memory for which it is still used."""
+RELEASE_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass
+class Progress:
+    """How far one generation has come over all its attempts."""
+
+    relay: StreamRelay
+    refused_by: set[str] = dataclasses.field(default_factory=set)
+    source: str | None = None
+    """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
+    source_until_s: float = 0.0
+    prefills: int = 0
+
+    def kept_source(self) -> str | None:
+        """Return the prompt's memory if it is still kept."""
+        return self.source if time.monotonic() < self.source_until_s else None
+
+
+class GenerationCalls:
+    """Serves generations over separate prefill and decode engines."""
+
+    def __init__(
+        self,
+        placement: EnginePlacement,
+        ledger: EngineLedger,
+        exchanges: BackendExchanges,
+        allowance: RetryAllowance,
+    ) -> None:
+        """Share the process's placement, promises, connections and retry budget."""
+        self._placement = placement
+        self._ledger = ledger
+        self._exchanges = exchanges
+        self._allowance = allowance
+        self._releases: set[asyncio.Task[None]] = set()
+
+    async def serve(self, call: RoutedCall) -> None:
+        """Answer the request; errors that are raised go to the caller."""
+        self._allowance.note_request(call.service.name)
+        progress = Progress(StreamRelay(call.answer, call.terms.last_event_id))
+        try:
+            async with asyncio.timeout(call.left_s()):
+                await self._serve(call, progress)
+        except TimeoutError:
+            raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
+        finally:
+            if progress.source is not None:
+                self._release(progress.source)
+
+    async def _serve(self, call: RoutedCall, progress: Progress) -> None:
+        while True:
+            traits = call.service.engine
+            made = progress.relay.events * (traits.tokens_per_event if traits else 1)
+            try:
+                avoid = frozenset(progress.refused_by)
+                placement = await self._placement.place(call, made, avoid)
+                await self._attempt(call, progress, placement, made)
+                return
+            except BackendUnreachable as error:
+                if not self._may_go_on(call, is_arrival=False):
+                    raise self._final(call, error) from None
+            except BackendRefused as error:
+                is_enough = len(progress.refused_by) >= ENOUGH_REFUSALS
+                if is_enough or not self._may_go_on(call):
+                    raise self._final(call, error) from None
+                _log.info("again", request=call.request_id, reason=error.message)
+            except (BackendBroken, EngineRejected) as error:
+                if not self._may_go_on(call):
+                    raise self._final(call, error) from None
+                _log.info("again", request=call.request_id, reason=error.message)
+            except Refused as error:
+                raise self._final(call, error) from None
+
+    async def _attempt(
+        self, call: RoutedCall, progress: Progress, placement: Placement, made: int
+    ) -> None:
+        """Read the prompt, then make the answer, with room promised all the while."""
+        assert call.terms.generation is not None
+        demand = stream_demand(placement.decode.name, call.terms.generation, made)
+        key = self._ledger.open_stream(demand)
+        try:
+            if progress.kept_source() is None and placement.prefill is not None:
+                await self._prefill(call, progress, placement.prefill, placement.tokens)
+            await self._decode(call, progress, placement.decode, demand)
+        finally:
+            self._ledger.close_stream(key)
+
+    async def _prefill(
+        self, call: RoutedCall, progress: Progress, engine: Backend, tokens: int
+    ) -> None:
+        """Have the prompt read, and note where its memory is kept."""
+        key = self._ledger.open_prefill(engine.name, tokens)
+        is_done = False
+        try:
+            async with self._exchanges.open(engine, call) as exchange:
+                if progress.prefills:
+                    self._allowance.note_extra(call.service.name)
+                progress.prefills += 1
+                order = BackendOrder(engine.name, call.backend_deadline_ms(), is_prefill=True)
+                await exchange.send(order)
+                answer = await exchange.read_whole(self._prefill_patience_s(call, engine))
+            if answer.head.status >= SERVER_ERROR:
+                raise EngineRejected(f"{engine.name} answered {answer.head.status} to a prefill")
+            result = self._exchanges.dialect.prefill_result(answer.body)
+            is_done = True
+            traits = call.service.engine
+            kept_s = traits.handle_s if traits else 0.0
+            progress.source = f"{engine.entry.address}/{result.handle}"
+            progress.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
+        except BackendRefused:
+            progress.refused_by.add(engine.name)
+            raise
+        finally:
+            self._ledger.close_prefill(key, is_done)
+
+    def _prefill_patience_s(self, call: RoutedCall, engine: Backend) -> float:
+        predicted_s = self._ledger.prefill_backlog(engine.name) / self._ledger.prefill_rate
+        patience_s = max(LEAST_PREFILL_PATIENCE_S, PREFILL_PATIENCE * predicted_s)
+        return min(call.left_s(), patience_s)
+
+    async def _decode(
+        self,
+        call: RoutedCall,
+        progress: Progress,
+        engine: Backend,
+        demand: StreamDemand,
+    ) -> None:
+        """Have the answer made and pass it on."""
+        relay = progress.relay
+        async with self._exchanges.open(engine, call) as exchange:
+            if call.arrivals:
+                self._allowance.note_extra(call.service.name)
+            call.arrivals += 1
+            order = BackendOrder(
+                engine.name,
+                call.backend_deadline_ms(),
+                kv_source=progress.kept_source(),
+                last_event_id=relay.last_id if relay.events else None,
+            )
+            was_run = call.may_have_run
+            call.may_have_run = True
+            call.runs += 1
+            try:
+                await exchange.send(order)
+                await self._relay(call, progress, exchange, demand)
+            except BackendRefused:
+                call.may_have_run = was_run
+                call.runs -= 1
+                progress.refused_by.add(engine.name)
+                raise
+
+    async def _relay(
+        self,
+        call: RoutedCall,
+        progress: Progress,
+        exchange: BackendExchange,
+        demand: StreamDemand,
+    ) -> None:
+        """Pass the engine's events on until the stream is whole."""
+        relay = progress.relay
+        relay.begin_run()
+        is_resumable = call.route.resumable and call.runs < call.route.max_attempts
+        patience_s = STALL_S if is_resumable else call.left_s()
+        head = await exchange.read_head(patience_s)
+        progress.source = None
+        if head.status != 200:
+            await self._pass_failure(call, exchange, WholeAnswer(head, b""))
+            return
+        parts = exchange.body_parts()
+        traits = call.service.engine
+        per_event = traits.tokens_per_event if traits else 1
+        while True:
+            try:
+                async with asyncio.timeout(patience_s):
+                    part = await anext(parts, None)
+            except TimeoutError:
+                exchange.backend.health.note_silence(time.monotonic())
+                raise BackendBroken(f"{exchange.backend.name}: the stream stalled") from None
+            if part is None:
+                break
+            await relay.feed(head, part)
+            demand.made = relay.events * per_event
+        await relay.end(head)
+        exchange.finish()
+
+    async def _pass_failure(
+        self, call: RoutedCall, exchange: BackendExchange, answer: WholeAnswer
+    ) -> None:
+        """Pass an engine's own failure on, or have the request made elsewhere."""
+        parts = [part async for part in exchange.body_parts()]
+        exchange.finish(is_failure=answer.head.status >= SERVER_ERROR)
+        if call.answer.has_started or (
+            answer.head.status >= SERVER_ERROR and self._may_go_on(call)
+        ):
+            raise BackendBroken(f"{exchange.backend.name} answered {answer.head.status}")
+        await call.answer.whole(answer.head, b"".join(parts))
+
+    def _may_go_on(self, call: RoutedCall, is_arrival: bool = True) -> bool:
+        """Return whether another engine may be tried."""
+        if call.left_s() < LEAST_USEFUL_S or not call.may_run_again():
+            return False
+        return not is_arrival or self._allowance.may_spend(call.service.name)
+
+    def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
+        """Return what the caller is told: "not run" only if that is certain."""
+        _log.info(
+            "given up",
+            request=call.request_id,
+            runs=call.runs,
+            arrivals=call.arrivals,
+            may_have_run=call.may_have_run,
+            held_ms=round((time.monotonic() - call.arrived_s) * 1000),
+            reason=error.message,
+        )
+        if not call.may_have_run:
+            if isinstance(error, Refused):
+                return error
+            return NoDecodeRoom(f"{error.message}; it was not run, retry later", COME_BACK_S)
+        if isinstance(error, DeadlineExceeded):
+            return error
+        return BackendAnswerLost("the answer was lost and it may have run; look it up first")
+
+    def _release(self, source: str) -> None:
+        """Release what a prefill keeps, in the background: it lapses soon in any case."""
+        address, _, handle = source.partition("/")
+        task = asyncio.create_task(self._send_release(address, handle))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _send_release(self, address: str, handle: str) -> None:
+        target = self._exchanges.dialect.release_target(handle)
+        head = RequestHead(((b"Host", address.encode()),), b"DELETE", target)
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                connection = await self._exchanges.pool.take(address, RELEASE_TIMEOUT_S)
+                try:
+                    await connection.send(head, list(head.headers), b"")
+                    await connection.read_head(lambda _: True)
+                    await connection.read_body(1 << 16)
+                finally:
+                    self._exchanges.pool.give_back(connection)
+        except (YokedockError, TimeoutError):
+            return
--- /dev/null
+++ b/src/yokedock/request/opaque_call.py
@@ -0,0 +1,127 @@
+"""Calls to plain services: passed on unchanged, answered whole, repeated only where allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from yokedock.connection.dialect import BackendOrder
+from yokedock.errors import (
+    BackendAnswerLost,
+    BackendBroken,
+    BackendRefused,
+    BackendUnreachable,
+    DeadlineExceeded,
+    NoBackend,
+    YokedockError,
+)
+from yokedock.process.logs import logger
+from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchanges
+from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.routed_call import RoutedCall, WholeAnswer
+
+_log = logger("call")
+
+REFUSE_WITHIN = 0.22
+"""Share of the target within which a refusal is early."""
+POLL_S = 0.02
+FIRST_TRY_SHARE = 0.45
+"""Share of the route's time-out that one attempt may be silent where another may follow."""
+LEAST_USEFUL_S = 0.03
+"""A second attempt with less time left cannot finish."""
+COME_BACK_S = 0.4
+"""When to come back after a refusal for want of a backend."""
+
+
+class OpaqueCalls:
+    """Serves calls to services without model engines."""
+
+    def __init__(
+        self, registry: BackendRegistry, exchanges: BackendExchanges, allowance: RetryAllowance
+    ) -> None:
+        """Share the process's backends, connections and retry budget."""
+        self._registry = registry
+        self._exchanges = exchanges
+        self._allowance = allowance
+
+    async def serve(self, call: RoutedCall) -> None:
+        """Answer the call: with a backend's answer, or with the error that says what is known."""
+        self._allowance.note_request(call.service.name)
+        tried: set[str] = set()
+        kept: WholeAnswer | None = None
+        while True:
+            try:
+                backend = await self._next_backend(call, frozenset(tried))
+                tried.add(backend.name)
+                answer = await self._attempt(call, backend)
+            except BackendUnreachable as error:
+                if not self._may_go_on(call, is_arrival=False):
+                    raise self._final(call, error) from None
+                continue
+            except (BackendRefused, BackendBroken, NoBackend) as error:
+                if isinstance(error, NoBackend) or not self._may_go_on(call):
+                    if kept is not None:
+                        break
+                    raise self._final(call, error) from None
+                _log.info("retry", request=call.request_id, reason=error.message)
+                continue
+            if answer.head.status < SERVER_ERROR:
+                kept = answer
+                break
+            kept = answer
+            if not self._may_go_on(call):
+                break
+            _log.info("retry", request=call.request_id, reason=f"status {answer.head.status}")
+        await call.answer.whole(kept.head, kept.body)
+
+    async def _next_backend(self, call: RoutedCall, tried: frozenset[str]) -> Backend:
+        """Return the backend to try next; waits for one while a refusal would still be early."""
+        wait_until_s = call.arrived_s + REFUSE_WITHIN * call.route.target_s
+        while True:
+            name = call.service.name
+            backend = self._registry.cheapest(name, tried) or self._registry.cheapest(name)
+            if backend is not None:
+                return backend
+            if time.monotonic() >= wait_until_s:
+                raise NoBackend(f"no backend of {name} is listed; retry later", COME_BACK_S)
+            await asyncio.sleep(POLL_S)
+
+    async def _attempt(self, call: RoutedCall, backend: Backend) -> WholeAnswer:
+        """Send the call once and return the answer, read whole."""
+        async with self._exchanges.open(backend, call) as exchange:
+            if call.arrivals:
+                self._allowance.note_extra(call.service.name)
+            call.arrivals += 1
+            order = BackendOrder(backend.name, call.backend_deadline_ms())
+            was_run = call.may_have_run
+            call.may_have_run = True
+            call.runs += 1
+            try:
+                await exchange.send(order)
+                return await exchange.read_whole(self._patience_s(call))
+            except BackendRefused:
+                call.may_have_run = was_run
+                call.runs -= 1
+                raise
+
+    def _patience_s(self, call: RoutedCall) -> float:
+        """Return how long to wait for an answer before another attempt, or until the deadline."""
+        left_s = call.left_s()
+        if call.may_run_again() and self._allowance.may_spend(call.service.name):
+            return min(left_s, FIRST_TRY_SHARE * call.route.timeout_s)
+        return left_s
+
+    def _may_go_on(self, call: RoutedCall, is_arrival: bool = True) -> bool:
+        """Return whether another backend may be tried."""
+        if call.left_s() < LEAST_USEFUL_S or not call.may_run_again():
+            return False
+        return not is_arrival or self._allowance.may_spend(call.service.name)
+
+    def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
+        """Return what the caller is told: "not run" only if that is certain."""
+        if not call.may_have_run:
+            return NoBackend(f"{error.message}; it was not run, retry later", COME_BACK_S)
+        if call.left_s() <= 0:
+            return DeadlineExceeded("no answer came in time, and it may have run; look it up")
+        return BackendAnswerLost("the answer was lost and it may have run; look it up first")
--- /dev/null
+++ b/src/yokedock/request/retry_allowance.py
@@ -0,0 +1,68 @@
+"""The retry budget of the whole fleet: each router spends only its own share of it.
+
+What counts is every arrival at a service beyond the first of each request, in any window.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+from collections.abc import Callable
+
+SAFETY = 0.75
+"""Share of the budget that is used: routers come and go, and windows slide."""
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryBounds:
+    """In every window: extra arrivals <= ``ratio`` * requests + ``allowance``, over the fleet."""
+
+    ratio: float = 0.2
+    window_s: float = 10.0
+    allowance: float = 50.0
+
+
+class RetryAllowance:
+    """Counts requests and extra arrivals of this router by service."""
+
+    def __init__(
+        self,
+        bounds: RetryBounds,
+        fleet_size: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """``fleet_size`` returns how many routers share the allowance, this one included."""
+        self._bounds = bounds
+        self._fleet_size = fleet_size
+        self._clock = clock
+        self._requests: dict[str, collections.deque[float]] = {}
+        self._extras: dict[str, collections.deque[float]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request."""
+        self._requests.setdefault(service, collections.deque()).append(self._clock())
+
+    def may_spend(self, service: str, reserve: float = 0.0) -> bool:
+        """Return whether one more extra arrival fits; ``reserve`` of the share is left for others.
+
+        ``reserve`` is a share from 0 to 1.
+        """
+        requests = self._count(self._requests, service)
+        extras = self._count(self._extras, service)
+        share = self._bounds.ratio * requests
+        share += self._bounds.allowance / max(1, self._fleet_size())
+        return extras + 1 <= SAFETY * (1.0 - reserve) * share
+
+    def note_extra(self, service: str) -> None:
+        """Count an arrival beyond the first of a request."""
+        self._extras.setdefault(service, collections.deque()).append(self._clock())
+
+    def _count(self, counted: dict[str, collections.deque[float]], service: str) -> int:
+        times = counted.get(service)
+        if not times:
+            return 0
+        oldest_s = self._clock() - self._bounds.window_s
+        while times and times[0] < oldest_s:
+            times.popleft()
+        return len(times)
--- /dev/null
+++ b/src/yokedock/request/routed_call.py
@@ -0,0 +1,91 @@
+"""One routed request: what is known of it from its arrival to its answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import time
+
+from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
+from yokedock.connection.dialect import CallTerms
+from yokedock.connection.http_heads import AnswerHead
+from yokedock.version.route_table import Route, ServiceSpec
+
+MIN_DEADLINE_MS = 1
+
+
+class RunState(enum.IntEnum):
+    """How far an attempt has come: what may be told to the caller follows from it."""
+
+    NOT_SENT = 0
+    """Nothing left this process."""
+    REFUSED = 1
+    """The backend stated that it did not and will not run it."""
+    SENT = 2
+    """It may run, or have run."""
+    ANSWERED = 3
+    """It ran and its answer is known."""
+
+
+@dataclasses.dataclass
+class RoutedCall:
+    """A caller's request with its route. Times are monotonic seconds."""
+
+    request: CallerRequest
+    answer: AnswerWriter
+    terms: CallTerms
+    route: Route
+    service: ServiceSpec
+    runs: int = 0
+    """Attempts that may have run, each at a backend of its own."""
+    arrivals: int = 0
+    """Requests that reached a backend, refused ones included."""
+    may_have_run: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Return the caller's id of this attempt."""
+        return self.terms.request_id
+
+    @property
+    def arrived_s(self) -> float:
+        """Return the arrival."""
+        return self.request.arrived_s
+
+    @property
+    def deadline_s(self) -> float:
+        """Return when the caller gives up, or the route's time-out, whichever is first."""
+        limit_s = self.route.timeout_s
+        if self.terms.deadline_s is not None:
+            limit_s = min(limit_s, self.terms.deadline_s)
+        return self.arrived_s + limit_s
+
+    @property
+    def target_s(self) -> float:
+        """Return the time until which an answer, or a first event, is in time."""
+        return self.arrived_s + self.route.target_s
+
+    def left_s(self) -> float:
+        """Return the seconds until the deadline, at least 0."""
+        return max(0.0, self.deadline_s - time.monotonic())
+
+    def backend_deadline_ms(self) -> int | None:
+        """Return the deadline that a backend is given: what the caller has left."""
+        if self.terms.deadline_s is None:
+            return max(MIN_DEADLINE_MS, int(self.left_s() * 1000))
+        left_s = self.arrived_s + self.terms.deadline_s - time.monotonic()
+        return max(MIN_DEADLINE_MS, int(left_s * 1000))
+
+    def may_run_again(self) -> bool:
+        """Return whether one more attempt that may run is allowed."""
+        if self.runs >= self.route.max_attempts:
+            return False
+        return self.route.may_repeat or not self.may_have_run
+
+
+@dataclasses.dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that was read whole."""
+
+    head: AnswerHead
+    body: bytes
--- /dev/null
+++ b/src/yokedock/request/stream_relay.py
@@ -0,0 +1,58 @@
+"""Passes a stream of events on to the caller, over the engines that make it one after another."""
+
+from __future__ import annotations
+
+from yokedock.connection.caller_connection import AnswerWriter
+from yokedock.connection.event_stream import EventSplitter, StreamEvent
+from yokedock.connection.http_heads import AnswerHead
+from yokedock.errors import BackendBroken
+
+
+class StreamRelay:
+    """One caller's stream: its head, and whole events in order, each once."""
+
+    def __init__(self, answer: AnswerWriter, last_event_id: int | None) -> None:
+        """Go on behind ``last_event_id`` where the caller has had events already."""
+        self._answer = answer
+        self._first_id = last_event_id
+        self.last_id = last_event_id
+        self.events = 0
+        """Events passed on."""
+        self._splitter = EventSplitter()
+
+    def begin_run(self) -> None:
+        """Start with another engine: what the last one left unfinished is dropped."""
+        self._splitter = EventSplitter()
+
+    async def feed(self, head: AnswerHead, data: bytes) -> None:
+        """Pass whole events on; the head goes out with the first one.
+
+        Raises ``BackendBroken`` if an event is missing.
+        """
+        for event in self._splitter.feed(data):
+            if not self._is_next(event):
+                continue
+            if not self._answer.has_started:
+                self._answer.start(head)
+            await self._answer.write(event.data)
+            self.events += 1
+            if event.event_id is not None:
+                self.last_id = event.event_id
+
+    async def end(self, head: AnswerHead) -> None:
+        """End the stream; raises ``BackendBroken`` if it ended within an event."""
+        if self._splitter.rest.strip():
+            raise BackendBroken("the stream ended within an event")
+        if not self._answer.has_started:
+            self._answer.start(head)
+        await self._answer.end()
+
+    def _is_next(self, event: StreamEvent) -> bool:
+        """Return False for an event the caller already has; raise if one is missing."""
+        if event.event_id is None or self.last_id is None:
+            return True
+        if event.event_id <= self.last_id:
+            return False
+        if event.event_id > self.last_id + 1:
+            raise BackendBroken(f"event {self.last_id + 1} is missing")
+        return True
