--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -193,9 +193,9 @@
         limits = self._limits()
         self._has_data = bool(self._parser.trailing_data[0])
         event = self._next_event()
-        if event is h11.NEED_DATA and not self._has_data:
-            if not await self._receive(limits.idle_timeout_s):
-                return None
+        is_silent = event is h11.NEED_DATA and not self._has_data
+        if is_silent and not await self._receive(limits.idle_timeout_s):
+            return None
         arrived_s = time.monotonic()
         self._has_data = True
         head = await self._read_head(event, arrived_s + limits.header_timeout_s)
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -330,7 +330,7 @@
 
 
 class BackendBroken(EngineLost):
-    """The connection to the backend ended, or sent what is no answer, after the request went out."""
+    """The connection ended, or sent what is no answer, after the request went out."""
 
     code = "backend_broken"
     http_status = 502
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -9,7 +9,7 @@
 
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.backend_pool import BackendPool
-from yokedock.connection.dialect import BackendOrder, Dialect
+from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.errors import BackendBroken, BackendRefused, BackendUnreachable
 from yokedock.request.backend_registry import Backend
@@ -19,7 +19,10 @@
 SHORT_REST_S = 0.8
 """What may not be repeated uses only connections that rested for less: fewer are closed by then."""
 MAX_WHOLE_ANSWER_BYTES = 16_777_216
+FIRST_REDIRECT = 300
 SERVER_ERROR = 500
+SILENT_S = 1.0
+"""A backend that says nothing for this long is avoided for a while."""
 
 
 class BackendExchange:
@@ -36,12 +39,14 @@
         self._dialect = dialect
         self._call = call
         self._sent_s = 0.0
+        self._is_prefill = False
 
     async def send(self, order: BackendOrder) -> None:
         """Send the request."""
         call = self._call
         headers = self._dialect.backend_headers(call.request.head, order)
         self.state = RunState.SENT
+        self._is_prefill = order.is_prefill
         self._sent_s = time.monotonic()
         await self._connection.send(call.request.head, headers, call.request.body)
 
@@ -55,7 +60,8 @@
             async with asyncio.timeout(timeout_s):
                 head = await self._connection.read_head(self._is_ours)
         except TimeoutError:
-            self.backend.health.note_silence(time.monotonic())
+            if timeout_s >= SILENT_S:
+                self.backend.health.note_silence(time.monotonic())
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendBroken(message) from None
         notes = self._dialect.answer_notes(head)
@@ -63,12 +69,10 @@
         if notes.is_not_run:
             self.state = RunState.REFUSED
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
-        if notes.request_id is None and head.status < SERVER_ERROR:
-            raise BackendBroken(f"{self.backend.name}: the answer names no request")
         if head.get(b"content-encoding") is not None:
             raise BackendBroken(f"{self.backend.name}: the answer is encoded")
-        if head.status < 300 and not notes.is_signed:
-            raise BackendBroken(f"{self.backend.name}: the answer is not signed")
+        if head.status < SERVER_ERROR and not self._is_prefill:
+            self._check_origin(head, notes)
         return head
 
     async def read_whole(self, timeout_s: float) -> WholeAnswer:
@@ -76,9 +80,7 @@
         until_s = time.monotonic() + timeout_s
         head = await self.read_head(timeout_s)
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + until_s - time.monotonic()
-            ):
+            async with asyncio.timeout(until_s - time.monotonic()):
                 body = await self._connection.read_body(MAX_WHOLE_ANSWER_BYTES)
         except TimeoutError:
             raise BackendBroken(f"{self.backend.name}: the answer was not whole in time") from None
@@ -96,6 +98,13 @@
         now_s = time.monotonic()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
 
+    def _check_origin(self, head: AnswerHead, notes: AnswerNotes) -> None:
+        """Raise unless the answer names the request and a success carries a signature."""
+        if notes.request_id is None:
+            raise BackendBroken(f"{self.backend.name}: the answer names no request")
+        if head.status < FIRST_REDIRECT and not notes.is_signed:
+            raise BackendBroken(f"{self.backend.name}: the answer is not signed")
+
     def _is_ours(self, head: AnswerHead) -> bool:
         """Tell our answer from one to an earlier request on the same connection."""
         named = self._dialect.answer_notes(head).request_id
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -111,11 +111,8 @@
         prefills = self._registry.usable(call.service.name, PREFILL_ROLE)
         prefills = [backend for backend in prefills if backend.name not in avoid]
         pairs = [(p, d) for p in prefills for d in roomy]
-        best = min(
-            pairs,
-            key=lambda pair: self._pair_cost_s(pair[0], pair[1], tokens, traits),
-            default=None,
-        )
+        costs_s = [self._pair_cost_s(prefill, decode, tokens, traits) for prefill, decode in pairs]
+        best = pairs[costs_s.index(min(costs_s))] if pairs else None
         alone = min(roomy, key=lambda d: self._alone_cost_s(d, tokens, traits))
         if best is None:
             return Placement(alone, None, tokens)
