--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -79,7 +79,10 @@
         allowance = RetryAllowance(bounds, self._gossip.fleet_size)
         self._pool = BackendPool()
         exchanges = BackendExchanges(self._pool, dialect)
-        placement = LedgerPlacement(self._registry, self._ledger, settings.process.zone)
+        placement = LedgerPlacement(
+            self._registry, self._ledger, settings.process.zone, self._waiting_elsewhere
+        )
+        self._placement = placement
         self._generations = GenerationCalls(placement, self._ledger, exchanges, allowance)
         self._opaque = OpaqueCalls(self._registry, exchanges, allowance)
         self._dialect = dialect
@@ -286,11 +289,14 @@
             self._follower.version,
             self._follower.position,
             self._is_stopping,
-            0,
+            self._placement.waiting_in_time(),
             self._ledger.shares(),
             heard,
         )
 
+    def _waiting_elsewhere(self) -> int:
+        return sum(other.state.waiting for other in self._gossip.alive() if other.state)
+
     def _heard(self, other: OtherRouter) -> None:
         assert other.state is not None
         self._ledger.heard(other.address, other.state.shares)
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -9,7 +9,9 @@
 import asyncio
 import dataclasses
 import random
+import sys
 import time
+from collections.abc import Callable
 
 from yokedock.connection.dialect import GenerationTerms
 from yokedock.errors import NoDecodeRoom
@@ -33,17 +35,27 @@
 WAIT_MARGIN_S = 0.1
 COME_BACK_S = 1.5
 JITTER_S = 0.012
+RECHECK_S = 0.1
+"""Waiting requests look for room at least this often."""
+LEAST_SILENCE_S = 2.0
+"""Callers wait at least this long for the first event (the platform's figure)."""
+WAIT_SHARE_OF_SILENCE = 0.85
+WAIT_SHARE_OF_LIMIT = 0.45
+"""Longest wait for room, as a share of the caller's patience and of the request's whole time."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Placement:
-    """Where a request is read and where its answer is made."""
+    """Where a request is read and where its answer is made; its memory is promised."""
 
     decode: Backend
     prefill: Backend | None
     """None: the decode engine reads the prompt itself."""
     tokens: int
     """Prompt tokens to be read, including those already made."""
+    demand: StreamDemand
+    promise: int
+    """Key of the promise in the ledger; whoever gets the placement closes it."""
 
 
 class EnginePlacement(abc.ABC):
@@ -56,49 +68,130 @@
         ``made`` tokens were made earlier by an engine that was lost.
         """
 
+    @abc.abstractmethod
+    def waiting_in_time(self) -> int:
+        """Return how many requests wait for room that can still meet their target."""
+
+
+@dataclasses.dataclass
+class Waiter:
+    """One request that waits for room."""
+
+    call: RoutedCall
+    made: int
+    avoid: frozenset[str]
+    in_time_until_s: float
+    """Placed by then, its first token is in time."""
+    placed: asyncio.Future[Placement]
+
 
 class LedgerPlacement(EnginePlacement):
-    """Places by promised memory and reading backlog."""
+    """Places by promised memory and reading backlog.
 
-    def __init__(self, registry: BackendRegistry, ledger: EngineLedger, zone: str) -> None:
-        """``zone`` is the router's own."""
+    Requests that can still meet their target go first, in the order of their arrival; those that
+    cannot take what room is left, and wait until their caller would give up.
+    """
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        ledger: EngineLedger,
+        zone: str,
+        waiting_elsewhere: Callable[[], int],
+    ) -> None:
+        """``waiting_elsewhere`` counts requests at other routers that can still be in time."""
         self._registry = registry
         self._ledger = ledger
         self._zone = zone
+        self._waiting_elsewhere = waiting_elsewhere
         self._random = random.Random()
-        self._room = asyncio.Event()
-        ledger.on_room = self._room.set
+        self._waiters: list[Waiter] = []
+        self._is_pump_due = False
+        ledger.on_room = self._pump_soon
 
     async def place(self, call: RoutedCall, made: int, avoid: frozenset[str]) -> Placement:
         """Return where the request goes; waits for room, raises ``NoDecodeRoom`` in the end."""
-        until_s = self._wait_until_s(call, made)
-        while True:
-            placement = self._choose(call, made, avoid)
-            if placement is not None:
-                return placement
-            left_s = until_s - time.monotonic()
-            if left_s <= 0:
-                message = f"no engine of {call.service.name} has room; retry later"
-                raise NoDecodeRoom(message, COME_BACK_S)
-            await self._wait_for_room(left_s)
-
-    def _wait_until_s(self, call: RoutedCall, made: int) -> float:
-        """Return until when waiting may still meet the target for the first token."""
+        placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(call, made, avoid, self._in_time_until_s(call, made), placed)
+        self._waiters.append(waiter)
+        self._pump()
+        try:
+            async with asyncio.timeout(self._patience_s(call)):
+                while True:
+                    done, _ = await asyncio.wait({placed}, timeout=RECHECK_S)
+                    if done:
+                        return placed.result()
+                    self._pump()
+        except TimeoutError:
+            message = f"no engine of {call.service.name} has room; retry later"
+            raise NoDecodeRoom(message, COME_BACK_S) from None
+        finally:
+            self._leave(waiter)
+
+    def waiting_in_time(self) -> int:
+        """Return how many requests wait for room that can still meet their target."""
+        now_s = time.monotonic()
+        return sum(1 for waiter in self._waiters if waiter.in_time_until_s >= now_s)
+
+    def _in_time_until_s(self, call: RoutedCall, made: int) -> float:
+        """Return until when a placement still meets the target for the first token."""
         if made:
-            return min(call.deadline_s, time.monotonic() + call.route.target_s)
+            return time.monotonic() + call.route.target_s
         prompt = call.terms.generation.prompt_tokens if call.terms.generation else 0
-        takes_s = prompt / self._ledger.prefill_rate + START_S + WAIT_MARGIN_S
-        return min(call.deadline_s, call.target_s - takes_s)
+        return call.target_s - prompt / self._ledger.prefill_rate - START_S - WAIT_MARGIN_S
 
-    async def _wait_for_room(self, left_s: float) -> None:
-        """Wait until room may have come free; a moment of chance keeps routers from colliding."""
-        self._room.clear()
-        try:
-            async with asyncio.timeout(left_s):
-                await self._room.wait()
-                await asyncio.sleep(self._random.random() * JITTER_S)
-        except TimeoutError:
+    def _patience_s(self, call: RoutedCall) -> float:
+        """Return how long waiting makes sense: callers give up on a silent stream."""
+        route = call.route
+        silence_s = max(LEAST_SILENCE_S, 4 * route.target_s, 8 * route.gap_target_s)
+        waited_s = time.monotonic() - call.arrived_s
+        limit_s = min(WAIT_SHARE_OF_SILENCE * silence_s, WAIT_SHARE_OF_LIMIT * call.limit_s)
+        return min(call.left_s(), max(0.0, limit_s - waited_s))
+
+    def _leave(self, waiter: Waiter) -> None:
+        """Take a waiter off the list; a placement that nobody takes is given back."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        placed = waiter.placed
+        was_cut_short = sys.exc_info()[0] is not None
+        if was_cut_short and placed.done() and not placed.cancelled():
+            self._ledger.close_stream(placed.result().promise)
+
+    def _pump_soon(self) -> None:
+        """Look for room soon; a moment of chance keeps routers from colliding."""
+        if self._is_pump_due or not self._waiters:
             return
+        self._is_pump_due = True
+        delay_s = self._random.random() * JITTER_S
+        asyncio.get_running_loop().call_later(delay_s, self._pump_now)
+
+    def _pump_now(self) -> None:
+        self._is_pump_due = False
+        self._pump()
+
+    def _pump(self) -> None:
+        """Give room to waiters in their order; the first that does not fit ends it."""
+        now_s = time.monotonic()
+        in_time = [waiter for waiter in self._waiters if waiter.in_time_until_s >= now_s]
+        late = [waiter for waiter in self._waiters if waiter.in_time_until_s < now_s]
+        for waiter in in_time:
+            if not self._try(waiter):
+                return
+        if self._waiting_elsewhere():
+            return
+        for waiter in late:
+            if not self._try(waiter):
+                return
+
+    def _try(self, waiter: Waiter) -> bool:
+        if waiter.placed.done():
+            return True
+        placement = self._choose(waiter.call, waiter.made, waiter.avoid)
+        if placement is None:
+            return False
+        self._waiters.remove(waiter)
+        waiter.placed.set_result(placement)
+        return True
 
     def _choose(self, call: RoutedCall, made: int, avoid: frozenset[str]) -> Placement | None:
         terms, traits = call.terms.generation, call.service.engine
@@ -114,12 +207,19 @@
         costs_s = [self._pair_cost_s(prefill, decode, tokens, traits) for prefill, decode in pairs]
         best = pairs[costs_s.index(min(costs_s))] if pairs else None
         alone = min(roomy, key=lambda d: self._alone_cost_s(d, tokens, traits))
-        if best is None:
-            return Placement(alone, None, tokens)
-        pair_s = self._pair_cost_s(best[0], best[1], tokens, traits)
-        if self._alone_cost_s(alone, tokens, traits) + SELF_PREFILL_HANDICAP_S < pair_s:
-            return Placement(alone, None, tokens)
-        return Placement(best[1], best[0], tokens)
+        if best is not None:
+            handicap_s = SELF_PREFILL_HANDICAP_S
+            if min(costs_s) <= self._alone_cost_s(alone, tokens, traits) + handicap_s:
+                return self._promise(best[1], best[0], terms, made)
+        return self._promise(alone, None, terms, made)
+
+    def _promise(
+        self, decode: Backend, prefill: Backend | None, terms: GenerationTerms, made: int
+    ) -> Placement:
+        """Promise memory at the chosen engine."""
+        demand = stream_demand(decode.name, terms, made)
+        promise = self._ledger.open_stream(demand)
+        return Placement(decode, prefill, terms.prompt_tokens + made, demand, promise)
 
     def _roomy(
         self, service: str, traits: EngineTraits, need: int, avoid: frozenset[str]
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -27,7 +27,7 @@
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
-from yokedock.request.engine_placement import EnginePlacement, Placement, stream_demand
+from yokedock.request.engine_placement import EnginePlacement, Placement
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
@@ -100,7 +100,7 @@
             try:
                 avoid = frozenset(progress.refused_by)
                 placement = await self._placement.place(call, made, avoid)
-                await self._attempt(call, progress, placement, made)
+                await self._attempt(call, progress, placement)
                 return
             except BackendUnreachable as error:
                 if not self._may_go_on(call, is_arrival=False):
@@ -117,19 +117,14 @@
             except Refused as error:
                 raise self._final(call, error) from None
 
-    async def _attempt(
-        self, call: RoutedCall, progress: Progress, placement: Placement, made: int
-    ) -> None:
+    async def _attempt(self, call: RoutedCall, progress: Progress, placement: Placement) -> None:
         """Read the prompt, then make the answer, with room promised all the while."""
-        assert call.terms.generation is not None
-        demand = stream_demand(placement.decode.name, call.terms.generation, made)
-        key = self._ledger.open_stream(demand)
         try:
             if progress.kept_source() is None and placement.prefill is not None:
                 await self._prefill(call, progress, placement.prefill, placement.tokens)
-            await self._decode(call, progress, placement.decode, demand)
+            await self._decode(call, progress, placement.decode, placement.demand)
         finally:
-            self._ledger.close_stream(key)
+            self._ledger.close_stream(placement.promise)
 
     async def _prefill(
         self, call: RoutedCall, progress: Progress, engine: Backend, tokens: int
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -52,13 +52,17 @@
         """Return the arrival."""
         return self.request.arrived_s
 
+    @property
+    def limit_s(self) -> float:
+        """Return how long the request may take: the caller's time or the route's time-out."""
+        if self.terms.deadline_s is None:
+            return self.route.timeout_s
+        return min(self.route.timeout_s, self.terms.deadline_s)
+
     @property
     def deadline_s(self) -> float:
-        """Return when the caller gives up, or the route's time-out, whichever is first."""
-        limit_s = self.route.timeout_s
-        if self.terms.deadline_s is not None:
-            limit_s = min(limit_s, self.terms.deadline_s)
-        return self.arrived_s + limit_s
+        """Return when the request's time is over."""
+        return self.arrived_s + self.limit_s
 
     @property
     def target_s(self) -> float:
