One router leads and keeps few engines reading prompts

Change: routers name a leader in what they tell each other; a vote moves only long after a lease; the leader changes roles, above all before traffic starts.

--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -78,6 +78,26 @@
     load: BackendLoad | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class RoleOrder:
+    """An order to an engine to change its role."""
+
+    instance: str
+    role: str
+    holder: str
+    token: int
+    """Fencing token: never lower than in an earlier order."""
+
+
+@dataclasses.dataclass(frozen=True)
+class EncodedOrder:
+    """An order as it is sent, by POST."""
+
+    target: bytes
+    headers: list[Header]
+    body: bytes
+
+
 class PrefillResult(msgspec.Struct, frozen=True):
     """What an engine answers to a prefill; ``handle`` names the memory that it keeps."""
 
@@ -104,6 +124,10 @@
     def prefill_result(self, body: bytes) -> PrefillResult:
         """Parse the answer to a prefill; raises ``EngineRejected`` if it is none."""
 
+    @abc.abstractmethod
+    def role_order(self, order: RoleOrder) -> EncodedOrder:
+        """Return an order to change a role as it is sent."""
+
     @abc.abstractmethod
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
@@ -131,6 +155,12 @@
     handle_field: str = "handle"
     tokens_field: str = "tokens"
     release_path: str = "/prefills/"
+    order_path: str = "/orders"
+    order_kind_field: str = "order"
+    order_kind: str = "role"
+    role_field: str = "role"
+    holder_field: str = "holder"
+    token_field: str = "token"
 
 
 NOT_RUN_STATUS = 421
@@ -204,6 +234,21 @@
             raise EngineRejected("the engine's answer to a prefill names no handle")
         return PrefillResult(handle, tokens)
 
+    def role_order(self, order: RoleOrder) -> EncodedOrder:
+        """Return an order to change a role as it is sent."""
+        names = self._names
+        fields = {
+            names.order_kind_field: names.order_kind,
+            names.role_field: order.role,
+            names.holder_field: order.holder,
+            names.token_field: order.token,
+        }
+        headers = [
+            (names.instance.encode(), order.instance.encode()),
+            (b"Content-Type", b"application/json"),
+        ]
+        return EncodedOrder(names.order_path.encode(), headers, msgspec.json.encode(fields))
+
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
         return f"{self._names.release_path}{handle}".encode()
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -91,6 +91,10 @@
         """Return how many routers are alive, this one included."""
         return 1 + len(self.alive())
 
+    def known(self) -> int:
+        """Return how many routers are known, this one and those that were silent for long too."""
+        return 1 + len(self._others)
+
     def alive(self) -> list[OtherRouter]:
         """Return the routers heard a moment ago."""
         oldest_s = time.monotonic() - SILENT_S
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -24,5 +24,11 @@
     is_leaving: bool
     waiting: int
     shares: dict[str, EngineShare]
+    leader: str
+    """Address of the router that it names as leader, empty if none."""
+    token: int
+    """Highest fencing token that it knows of."""
+    changing: tuple[str, ...]
+    """Engines whose role it is changing."""
     routers: tuple[str, ...]
     """Addresses (IP) of routers that it hears."""
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -33,4 +33,10 @@
     handle_field="kvHandle",
     tokens_field="tokenCount",
     release_path="/kv-handle/",
+    order_path="/order",
+    order_kind_field="operation",
+    order_kind="stage",
+    role_field="stage",
+    holder_field="holder",
+    token_field="fencingToken",
 )
--- /dev/null
+++ b/src/yokedock/process/role_balancer.py
@@ -0,0 +1,153 @@
+"""The leading router keeps the roles of each service's engines as the plan wants them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.dialect import Dialect, RoleOrder
+from yokedock.connection.http_heads import RequestHead
+from yokedock.errors import YokedockError
+from yokedock.process.logs import logger
+from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.engine_ledger import EngineLedger
+from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
+from yokedock.request.role_plan import EngineRole, next_change
+from yokedock.version.route_table import RouteTable, ServiceSpec
+
+_log = logger("roles")
+
+CHECK_S = 0.25
+SETTLED_S = 1.0
+"""Engines must have been listed unchanged for this long before roles are changed."""
+MISSING_READER_S = 8.0
+"""A lost prefill engine is replaced only after this long: most come back sooner."""
+CHANGE_MARGIN_S = 12.0
+"""A change that takes longer than the engine's own time by this is taken for lost."""
+ORDER_TIMEOUT_S = 1.0
+FENCED = 412
+FENCED_PAUSE_S = 10.0
+MAX_ANSWER_BYTES = 65_536
+
+
+class RoleBalancer:
+    """Gives the orders of one router while it leads."""
+
+    def __init__(
+        self,
+        holder: str,
+        registry: BackendRegistry,
+        ledger: EngineLedger,
+        pool: BackendPool,
+        dialect: Dialect,
+        token: Callable[[], int | None],
+    ) -> None:
+        """``token`` returns the fencing token while this router leads, else None."""
+        self._holder = holder
+        self._registry = registry
+        self._ledger = ledger
+        self._pool = pool
+        self._dialect = dialect
+        self._token = token
+        self._changing: dict[str, tuple[str, float]] = {}
+        self._settled_since: dict[str, tuple[frozenset[tuple[str, str]], float]] = {}
+        self._paused_until_s = 0.0
+
+    def changing(self) -> tuple[str, ...]:
+        """Return the engines that are changing their role by this router's order."""
+        now_s = time.monotonic()
+        for name, (role, until_s) in list(self._changing.items()):
+            backend = self._registry.get(name)
+            if now_s > until_s or backend is None or backend.entry.role == role:
+                del self._changing[name]
+        names = tuple(self._changing)
+        self._registry.set_changing("", names)
+        return names
+
+    async def run(self, table: Callable[[], RouteTable | None]) -> None:
+        """Look at the roles at intervals, for ever."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            current = table()
+            if current is None or time.monotonic() < self._paused_until_s:
+                continue
+            for service in current.services.values():
+                if service.engine is not None and self._token() is not None:
+                    await self._balance(service)
+
+    async def _balance(self, service: ServiceSpec) -> None:
+        """Give at most one order for a service."""
+        engines = [b for b in self._registry.usable(service.name) if b.entry.role]
+        changing = self.changing()
+        if any(engine.name in changing for engine in engines) and not self._may_overlap(engines):
+            return
+        settled_s = self._settled_s(service.name, engines)
+        if settled_s < SETTLED_S:
+            return
+        roles = [self._role(engine) for engine in engines]
+        change = next_change(roles, PREFILL_ROLE, DECODE_ROLE)
+        if change is None or change.name in changing:
+            return
+        if change.role == PREFILL_ROLE and settled_s < MISSING_READER_S:
+            return
+        backend = self._registry.get(change.name)
+        assert backend is not None and service.engine is not None
+        await self._order(backend, change.role, service.engine.switch_s)
+
+    def _may_overlap(self, engines: list[Backend]) -> bool:
+        """Return whether several may change at once: only while nothing is being made."""
+        return all(self._ledger.streams(engine.name) == 0 for engine in engines)
+
+    def _role(self, engine: Backend) -> EngineRole:
+        load = self._ledger.memory_tokens(engine.name) + self._ledger.prefill_backlog(engine.name)
+        role = engine.entry.role
+        if engine.name in self._changing:
+            role = self._changing[engine.name][0]
+        return EngineRole(engine.name, role, load)
+
+    def _settled_s(self, service: str, engines: list[Backend]) -> float:
+        """Return for how long the same engines have had the same roles, in seconds."""
+        now_s = time.monotonic()
+        seen = frozenset((engine.name, engine.entry.role) for engine in engines)
+        before, since_s = self._settled_since.get(service, (frozenset(), now_s))
+        if before != seen:
+            self._settled_since[service] = (seen, now_s)
+            return 0.0
+        return now_s - since_s
+
+    async def _order(self, backend: Backend, role: str, switch_s: float) -> None:
+        token = self._token()
+        if token is None:
+            return
+        order = self._dialect.role_order(RoleOrder(backend.name, role, self._holder, token))
+        until_s = time.monotonic() + switch_s + CHANGE_MARGIN_S
+        self._changing[backend.name] = (role, until_s)
+        _log.info("role ordered", engine=backend.name, role=role, token=token)
+        status = await self._send(backend, order.target, order.headers, order.body)
+        _log.info("role order answered", engine=backend.name, role=role, status=status)
+        if status not in (200, 202, None):
+            del self._changing[backend.name]
+        if status == FENCED:
+            self._paused_until_s = time.monotonic() + FENCED_PAUSE_S
+
+    async def _send(
+        self, backend: Backend, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> int | None:
+        """Send an order once; None when its answer is not known."""
+        address = backend.entry.address
+        head = RequestHead((), b"POST", target)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                connection = await self._pool.take(address, ORDER_TIMEOUT_S, 0.0)
+                try:
+                    host = (b"Host", address.encode())
+                    await connection.send(head, [host, *headers], body)
+                    answer = await connection.read_head(lambda _: True)
+                    await connection.read_body(MAX_ANSWER_BYTES)
+                    return answer.status
+                finally:
+                    connection.abort()
+        except (YokedockError, TimeoutError):
+            return None
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -27,7 +27,9 @@
     YokedockError,
 )
 from yokedock.process.clock import wall_clock_ms
+from yokedock.process.leadership import Leadership, Vote
 from yokedock.process.logs import logger
+from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.backend_exchange import BackendExchanges
@@ -93,6 +95,19 @@
         self._is_ending = False
         self._fetching = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._leadership = Leadership(
+            own_address, settings.fleet.lease_s, settings.fleet.is_first_start
+        )
+        self._highest_token = 0
+        self._own_token: int | None = None
+        self._roles = RoleBalancer(
+            settings.process.name,
+            self._registry,
+            self._ledger,
+            self._pool,
+            dialect,
+            self._leading_token,
+        )
         self._ledger.on_change = self._gossip.change
         self._registry.on_change = lambda: self._ledger.on_room()
 
@@ -107,7 +122,8 @@
             await self._listen(callers.ready_listen, self._accept_ready),
             await self._listen(self.settings.fleet.address, self._accept_router),
         ]
-        for work in (self._follower.run(), self._gossip.run(), self._upkeep()):
+        roles = self._roles.run(self._table)
+        for work in (self._follower.run(), self._gossip.run(), roles, self._upkeep()):
             self._start(work)
         _log.info("started", name=self.settings.process.name, listen=callers.listen)
         await stop.wait()
@@ -126,6 +142,7 @@
     async def _stop_in_order(self) -> None:
         """Let what is in flight end; who still waits near the end gets a final answer."""
         self._is_stopping = True
+        self._leadership.resign()
         self._gossip.change()
         started_s = time.monotonic()
         _log.info("stopping", active=self._active, connections=len(self._connections))
@@ -190,9 +207,13 @@
     ) -> None:
         await CallerConnection(reader, writer, self._answer_router, CallerLimits).serve()
 
-    def _limits(self) -> CallerLimits:
+    def _table(self) -> RouteTable | None:
         index = self._follower.index
-        return index.table.limits if index is not None else CallerLimits()
+        return index.table if index is not None else None
+
+    def _limits(self) -> CallerLimits:
+        table = self._table()
+        return table.limits if table is not None else CallerLimits()
 
     async def _answer_ready(self, request: CallerRequest, answer: AnswerWriter) -> None:
         status = 200 if self.is_ready else NotReady.http_status
@@ -291,6 +312,9 @@
             self._is_stopping,
             self._placement.waiting_in_time(),
             self._ledger.shares(),
+            "" if self._is_stopping else self._leadership.vote(),
+            self._highest_token,
+            self._roles.changing(),
             heard,
         )
 
@@ -299,14 +323,30 @@
 
     def _heard(self, other: OtherRouter) -> None:
         assert other.state is not None
-        self._ledger.heard(other.address, other.state.shares)
+        state = other.state
+        self._ledger.heard(other.address, state.shares)
+        self._highest_token = max(self._highest_token, state.token)
+        self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
+        self._registry.set_changing(other.address, state.changing)
         is_newer = other.state.table_version > self._follower.version
         is_ahead = other.state.position > self._follower.position
         if (is_newer or is_ahead) and not self._fetching:
             self._fetching = True
             self._start(self._fetch_from(other.address))
 
+    def _leading_token(self) -> int | None:
+        """Return this router's fencing token while it leads; a new one each time it begins to."""
+        if self._is_stopping or not self._leadership.leads(self._gossip.known()):
+            self._own_token = None
+            return None
+        if self._own_token is None:
+            self._own_token = max(self._highest_token + 1, wall_clock_ms())
+            self._highest_token = self._own_token
+            _log.info("leads", token=self._own_token, known=self._gossip.known())
+        return self._own_token
+
     def _silent(self, other: OtherRouter) -> None:
+        self._registry.set_changing(other.address, ())
         self._ledger.forget(other.address)
 
     async def _fetch_from(self, address: str) -> None:
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -33,6 +33,8 @@
 
     address: str = option("this router's own IP number and its port for others", check=address)
     seeds: tuple[str, ...] = option("IP:port of some routers; the port is not used", ())
+    lease_s: float = option("no two routers lead within this time, s", 3.0, between(0.1, 600))
+    is_first_start: bool = option("the whole system starts for the first time", False)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -112,8 +112,17 @@
         self._clock = clock
         self._random = random.Random()
         self._backends: dict[str, Backend] = {}
+        self._changing: dict[str, tuple[str, ...]] = {}
         self.on_change: Callable[[], None] = lambda: None
 
+    def set_changing(self, router: str, engines: tuple[str, ...]) -> None:
+        """Note which engines change their role by an order of ``router``."""
+        self._changing[router] = engines
+
+    def is_changing(self, name: str) -> bool:
+        """Return whether an engine is changing its role."""
+        return any(name in engines for engines in self._changing.values())
+
     def replace_all(self, entries: dict[str, BackendEntry]) -> None:
         """Take over a whole list: what it does not name is gone."""
         gone = [name for name in self._backends if name not in entries]
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -202,7 +202,7 @@
         if not roomy:
             return None
         prefills = self._registry.usable(call.service.name, PREFILL_ROLE)
-        prefills = [backend for backend in prefills if backend.name not in avoid]
+        prefills = [backend for backend in prefills if self._is_open(backend, avoid)]
         pairs = [(p, d) for p in prefills for d in roomy]
         costs_s = [self._pair_cost_s(prefill, decode, tokens, traits) for prefill, decode in pairs]
         best = pairs[costs_s.index(min(costs_s))] if pairs else None
@@ -229,11 +229,14 @@
         return [
             backend
             for backend in usable
-            if backend.name not in avoid
+            if self._is_open(backend, avoid)
             and self._ledger.streams(backend.name) < traits.slots
             and self._fits(backend.name, traits, need)
         ]
 
+    def _is_open(self, backend: Backend, avoid: frozenset[str]) -> bool:
+        return backend.name not in avoid and not self._registry.is_changing(backend.name)
+
     def _fits(self, engine: str, traits: EngineTraits, need: int) -> bool:
         promised = self._ledger.memory_tokens(engine)
         return promised == 0 or promised + need <= FILL * traits.memory_tokens
