--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -57,6 +57,16 @@
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
     prefills: int = 0
+    engines: list[str] = dataclasses.field(default_factory=list)
+    """Where it was placed, one ``prefill>decode`` for each attempt."""
+    placed_s: float = 0.0
+    read_s: float = 0.0
+
+    def note_placement(self, placement: Placement) -> None:
+        """Note a placement for the logs."""
+        prefill = placement.prefill.name if placement.prefill else ""
+        self.engines.append(f"{prefill}>{placement.decode.name}")
+        self.placed_s = time.monotonic()
 
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
@@ -92,6 +102,7 @@
         finally:
             if progress.source is not None:
                 self._release(progress.source)
+            _log_stream(call, progress)
 
     async def _serve(self, call: RoutedCall, progress: Progress) -> None:
         while True:
@@ -100,6 +111,7 @@
             try:
                 avoid = frozenset(progress.refused_by)
                 placement = await self._placement.place(call, made, avoid)
+                progress.note_placement(placement)
                 await self._attempt(call, progress, placement)
                 return
             except BackendUnreachable as error:
@@ -144,6 +156,7 @@
                 raise EngineRejected(f"{engine.name} answered {answer.head.status} to a prefill")
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
+            progress.read_s = time.monotonic()
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
             progress.source = f"{engine.entry.address}/{result.handle}"
@@ -282,3 +295,23 @@
                     self._exchanges.pool.give_back(connection)
         except (YokedockError, TimeoutError):
             return
+
+
+def _log_stream(call: RoutedCall, progress: Progress) -> None:
+    """Tell how a stream went: when it was placed, read and begun, and its longest pause."""
+    relay = progress.relay
+    _log.info(
+        "stream",
+        request=call.request_id,
+        engines=progress.engines,
+        placed_ms=_since_ms(call, progress.placed_s),
+        read_ms=_since_ms(call, progress.read_s),
+        first_ms=_since_ms(call, relay.first_s or 0.0),
+        gap_ms=round(relay.longest_gap_s * 1000),
+        events=relay.events,
+    )
+
+
+def _since_ms(call: RoutedCall, then_s: float) -> int | None:
+    """Return the milliseconds from the arrival to ``then_s``, None if that never came."""
+    return round((then_s - call.arrived_s) * 1000) if then_s else None
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from yokedock.connection.caller_connection import AnswerWriter
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
 from yokedock.connection.http_heads import AnswerHead
@@ -18,6 +20,10 @@
         self.last_id = last_event_id
         self.events = 0
         """Events passed on."""
+        self.first_s: float | None = None
+        """When the first event was passed on (monotonic s)."""
+        self.longest_gap_s = 0.0
+        self._last_s = 0.0
         self._splitter = EventSplitter()
 
     def begin_run(self) -> None:
@@ -35,10 +41,19 @@
             if not self._answer.has_started:
                 self._answer.start(head)
             await self._answer.write(event.data)
-            self.events += 1
+            self._note_time()
             if event.event_id is not None:
                 self.last_id = event.event_id
 
+    def _note_time(self) -> None:
+        now_s = time.monotonic()
+        self.events += 1
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_s)
+        self._last_s = now_s
+
     async def end(self, head: AnswerHead) -> None:
         """End the stream; raises ``BackendBroken`` if it ended within an event."""
         if self._splitter.rest.strip():
