Reading on decode engines is promised in the ledger and weighed by how full they are

Cause: under scarcity many prompts were read on decode engines beside an idle prefill engine, which slows every stream there.

--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -98,7 +98,9 @@
     def close_prefill(self, key: int, is_done: bool) -> None:
         """Note that the prompt is read, or was given up; learn the pace from what was read."""
         demand = self._prefills.pop(key, None)
-        if demand is not None and is_done:
+        if demand is None:
+            return
+        if is_done:
             took_s = max(0.001, self._clock() - demand.started_s)
             rate = (demand.tokens + demand.ahead_tokens) / took_s
             self._rate += RATE_WEIGHT * (rate - self._rate)
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -28,8 +28,10 @@
 """How much later an engine in the same zone may be before one in another zone is better."""
 SELF_PREFILL_SLOWNESS = 2.0
 """A decode engine reads prompts this much slower than a prefill engine (the platform's figure)."""
-SELF_PREFILL_HANDICAP_S = 0.15
-"""How much sooner reading on the decode engine must be, since it slows the streams there."""
+SELF_PREFILL_HANDICAP_S = 0.1
+FULL_HANDICAP_S = 0.6
+"""How much sooner reading on the decode engine must be, on an empty and on a full engine: it slows
+all streams there, and so the rate at which room comes free."""
 START_S = 0.08
 """From the end of a prefill to the first token: transfer and first step."""
 WAIT_MARGIN_S = 0.1
@@ -208,7 +210,8 @@
         best = pairs[costs_s.index(min(costs_s))] if pairs else None
         alone = min(roomy, key=lambda d: self._alone_cost_s(d, tokens, traits))
         if best is not None:
-            handicap_s = SELF_PREFILL_HANDICAP_S
+            fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
+            handicap_s = SELF_PREFILL_HANDICAP_S + FULL_HANDICAP_S * fullness
             if min(costs_s) <= self._alone_cost_s(alone, tokens, traits) + handicap_s:
                 return self._promise(best[1], best[0], terms, made)
         return self._promise(alone, None, terms, made)
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -132,9 +132,13 @@
     async def _attempt(self, call: RoutedCall, progress: Progress, placement: Placement) -> None:
         """Read the prompt, then make the answer, with room promised all the while."""
         try:
-            if progress.kept_source() is None and placement.prefill is not None:
+            if progress.kept_source() is not None:
+                await self._decode(call, progress, placement.decode, placement.demand)
+            elif placement.prefill is not None:
                 await self._prefill(call, progress, placement.prefill, placement.tokens)
-            await self._decode(call, progress, placement.decode, placement.demand)
+                await self._decode(call, progress, placement.decode, placement.demand)
+            else:
+                await self._decode_alone(call, progress, placement)
         finally:
             self._ledger.close_stream(placement.promise)
 
@@ -172,6 +176,18 @@
         patience_s = max(LEAST_PREFILL_PATIENCE_S, PREFILL_PATIENCE * predicted_s)
         return min(call.left_s(), patience_s)
 
+    async def _decode_alone(
+        self, call: RoutedCall, progress: Progress, placement: Placement
+    ) -> None:
+        """Have one engine read the prompt and make the answer."""
+        name = placement.decode.name
+        reading = self._ledger.open_prefill(name, placement.tokens)
+        progress.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
+        try:
+            await self._decode(call, progress, placement.decode, placement.demand)
+        finally:
+            self._ledger.close_prefill(reading, is_done=False)
+
     async def _decode(
         self,
         call: RoutedCall,
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from yokedock.connection.caller_connection import AnswerWriter
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
@@ -23,12 +24,16 @@
         self.first_s: float | None = None
         """When the first event was passed on (monotonic s)."""
         self.longest_gap_s = 0.0
+        self.on_first: Callable[[], None] = lambda: None
+        """Called when the first event of a run has come."""
+        self._is_first_of_run = True
         self._last_s = 0.0
         self._splitter = EventSplitter()
 
     def begin_run(self) -> None:
         """Start with another engine: what the last one left unfinished is dropped."""
         self._splitter = EventSplitter()
+        self._is_first_of_run = True
 
     async def feed(self, head: AnswerHead, data: bytes) -> None:
         """Pass whole events on; the head goes out with the first one.
@@ -36,6 +41,9 @@
         Raises ``BackendBroken`` if an event is missing.
         """
         for event in self._splitter.feed(data):
+            if self._is_first_of_run:
+                self._is_first_of_run = False
+                self.on_first()
             if not self._is_next(event):
                 continue
             if not self._answer.has_started:
