--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -32,6 +32,8 @@
 FULL_HANDICAP_S = 0.6
 """How much sooner reading on the decode engine must be, on an empty and on a full engine: it slows
 all streams there, and so the rate at which room comes free."""
+TARGET_MARGIN_S = 0.25
+"""A pair predicted to be later than this before the target is no better than reading alone."""
 START_S = 0.08
 """From the end of a prefill to the first token: transfer and first step."""
 WAIT_MARGIN_S = 0.1
@@ -210,9 +212,12 @@
         best = pairs[costs_s.index(min(costs_s))] if pairs else None
         alone = min(roomy, key=lambda d: self._alone_cost_s(d, tokens, traits))
         if best is not None:
-            fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
-            handicap_s = SELF_PREFILL_HANDICAP_S + FULL_HANDICAP_S * fullness
-            if min(costs_s) <= self._alone_cost_s(alone, tokens, traits) + handicap_s:
+            pair_s = min(costs_s)
+            handicap_s = SELF_PREFILL_HANDICAP_S
+            if time.monotonic() + pair_s < call.target_s - TARGET_MARGIN_S:
+                fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
+                handicap_s += FULL_HANDICAP_S * fullness
+            if pair_s <= self._alone_cost_s(alone, tokens, traits) + handicap_s:
                 return self._promise(best[1], best[0], terms, made)
         return self._promise(alone, None, terms, made)
 
