A stopping router takes no stream that would outlast it; requests wait a moment for unknown routes

A router that has just started answered 503 at once although routes are known 10 ms later. Ruled out: closing the listening socket (callers spend their one retry on a reset).

--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -56,6 +56,14 @@
 LAST_ANSWERS_S = 0.8
 """This long before the end of a planned stop, whoever still waits gets a final answer."""
 STOP_POLL_S = 0.05
+UNKNOWN_WAIT_S = 0.2
+"""A request waits this long for routes that are not known yet: most starts need less."""
+UNKNOWN_COME_BACK_S = 1.0
+AT_ONCE_S = 0.05
+"""When to come back to another router."""
+STREAM_START_S = 0.5
+TOKEN_S = 0.006
+"""What a stream is reckoned to take to its start and for each token, when stopping."""
 
 
 class Router:
@@ -93,6 +101,8 @@
         self._active = 0
         self._is_stopping = False
         self._is_ending = False
+        self._last_answers_s = 0.0
+        """When, in a planned stop, whoever still waits gets a final answer (monotonic s)."""
         self._fetching = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._leadership = Leadership(
@@ -144,20 +154,21 @@
         self._is_stopping = True
         self._leadership.resign()
         self._gossip.change()
-        started_s = time.monotonic()
+        self._last_answers_s = time.monotonic() + self.settings.stop.grace_s - LAST_ANSWERS_S
         _log.info("stopping", active=self._active, connections=len(self._connections))
         for connection in self._connections:
             connection.is_closing = True
         await asyncio.sleep(LAST_CONNECTIONS_S)
         for connection in list(self._connections):
             connection.close_if_idle()
-        last_s = started_s + self.settings.stop.grace_s - LAST_ANSWERS_S
-        while self._active and time.monotonic() < last_s:
+        while self._active and time.monotonic() < self._last_answers_s:
             await asyncio.sleep(STOP_POLL_S)
         self._is_ending = True
         for connection in list(self._connections):
             connection.cancel_work()
         await asyncio.sleep(STOP_POLL_S)
+        for connection in list(self._connections):
+            connection.abort()
 
     async def _upkeep(self) -> None:
         while True:
@@ -234,7 +245,9 @@
         call: RoutedCall | None = None
         outcome = "answered"
         try:
+            await self._follower.wait_known(UNKNOWN_WAIT_S)
             call = self._route(request, answer)
+            self._refuse_late_work(call)
             await self._serve(call)
         except asyncio.CancelledError:
             if not self._is_ending or answer.has_started:
@@ -258,7 +271,7 @@
     def _route(self, request: CallerRequest, answer: AnswerWriter) -> RoutedCall:
         index = self._follower.index
         if index is None:
-            raise NotReady("no routes are known yet; retry later", COME_BACK_S)
+            raise NotReady("no routes are known yet; retry later", UNKNOWN_COME_BACK_S)
         host = request.head.get(b"host")
         if host is None:
             raise BadRequest("no Host header; send one")
@@ -268,6 +281,16 @@
         terms = self._dialect.call_terms(request.head)
         return RoutedCall(request, answer, terms, route, self._service(index.table, route))
 
+    def _refuse_late_work(self, call: RoutedCall) -> None:
+        """Refuse a stream that would not end before this router must."""
+        if not self._is_stopping or call.terms.generation is None:
+            return
+        terms = call.terms.generation
+        tokens = terms.output_hint or terms.most_output_tokens
+        end_s = time.monotonic() + STREAM_START_S + tokens * TOKEN_S
+        if end_s > self._last_answers_s:
+            raise NotReady("the router is stopping; retry at once", AT_ONCE_S)
+
     def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
         """Choose one of the route's services by weight."""
         targets = [target for target in route.targets if target.weight > 0]
@@ -280,7 +303,7 @@
     def _ending_error(self, call: RoutedCall | None) -> YokedockError:
         if call is not None and call.may_have_run:
             return BackendAnswerLost("the router stopped before the answer came; look it up first")
-        return NotReady("the router is stopping; retry at once", 0.0)
+        return NotReady("the router is stopping; retry at once", AT_ONCE_S)
 
     def _log_end(
         self,
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
 
 from yokedock.connection.state_source import StateSnapshot, StateSource
 from yokedock.errors import HistoryGone, PlatformUnavailable
@@ -30,7 +29,7 @@
         self._heard_s = 0.0
         self.index: RouteIndex | None = None
         self.position = 0
-        self.on_table: Callable[[RouteTable], None] = lambda table: None
+        self._known = asyncio.Event()
 
     @property
     def version(self) -> int:
@@ -42,6 +41,20 @@
         """Return whether routes and backends are known."""
         return self.index is not None and self.position > 0
 
+    async def wait_known(self, timeout_s: float) -> bool:
+        """Wait until routes and backends are known; return whether they are."""
+        if not self.is_known and timeout_s > 0:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._known.wait()
+            except TimeoutError:
+                return False
+        return self.is_known
+
+    def _note_known(self) -> None:
+        if self.is_known:
+            self._known.set()
+
     def silent_s(self) -> float:
         """Return for how long the source has not answered, in seconds."""
         return time.monotonic() - self._heard_s
@@ -57,6 +70,7 @@
         if snapshot.position > self.position:
             self.position = snapshot.position
             self._registry.replace_all(snapshot.backends)
+        self._note_known()
 
     async def run(self) -> None:
         """Follow the source for ever."""
@@ -101,10 +115,11 @@
         if snapshot.position >= self.position:
             self.position = snapshot.position
             self._registry.replace_all(snapshot.backends)
+        self._note_known()
 
     def _adopt_table(self, table: RouteTable | None) -> None:
         if table is None or table.version <= self.version:
             return
         self.index = RouteIndex(table)
         _log.info("table adopted", version=table.version, routes=len(table.routes))
-        self.on_table(table)
+        self._note_known()
