A stream that broke goes on where its prompt is still cached

Change: the next placement knows which engines read the prompt and prefers them; prompts have a home among prefill engines by rendezvous hashing, so that a caller's own retry finds it; silent engines are avoided.

--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -336,6 +336,12 @@
     http_status = 502
 
 
+class BackendSilent(BackendBroken):
+    """The backend has the request and says nothing: it may be dark or cut off."""
+
+    code = "backend_silent"
+
+
 class HeaderTooLarge(BadRequest):
     """The head of a request is larger than the configuration allows."""
 
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -11,7 +11,7 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
-from yokedock.errors import BackendBroken, BackendRefused, BackendUnreachable
+from yokedock.errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 from yokedock.request.backend_registry import Backend
 from yokedock.request.routed_call import RoutedCall, RunState, WholeAnswer
 
@@ -63,7 +63,7 @@
             if timeout_s >= SILENT_S:
                 self.backend.health.note_silence(time.monotonic())
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
-            raise BackendBroken(message) from None
+            raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
         self.backend.load = notes.load or self.backend.load
         if notes.is_not_run:
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -18,6 +18,7 @@
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.routed_call import RoutedCall
+from yokedock.version.homes import home_of
 from yokedock.version.route_table import EngineTraits
 
 PREFILL_ROLE = "prefill"
@@ -34,6 +35,9 @@
 all streams there, and so the rate at which room comes free."""
 TARGET_MARGIN_S = 0.25
 """A pair predicted to be later than this before the target is no better than reading alone."""
+CACHED_BONUS_S = 0.5
+"""What an engine that read the prompt a moment ago may cost more: reading again is waste."""
+HOME_BONUS_S = 0.1
 START_S = 0.08
 """From the end of a prefill to the first token: transfer and first step."""
 WAIT_MARGIN_S = 0.1
@@ -48,6 +52,18 @@
 """Longest wait for room, as a share of the caller's patience and of the request's whole time."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """What earlier attempts of a request left behind, as far as it bears on the next placement."""
+
+    made: int = 0
+    """Tokens made, and passed on, by an engine that was lost."""
+    avoid: frozenset[str] = frozenset()
+    """Engines that refused it."""
+    cached_at: frozenset[str] = frozenset()
+    """Engines that read its prompt a moment ago and may still keep it in their prefix cache."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """Where a request is read and where its answer is made; its memory is promised."""
@@ -66,11 +82,8 @@
     """Chooses engines for a generation."""
 
     @abc.abstractmethod
-    async def place(self, call: RoutedCall, made: int, avoid: frozenset[str]) -> Placement:
-        """Return where the request goes; waits for room, raises ``Refused`` if none will come.
-
-        ``made`` tokens were made earlier by an engine that was lost.
-        """
+    async def place(self, call: RoutedCall, progress: Progress) -> Placement:
+        """Return where the request goes; waits for room, raises ``Refused`` if none will come."""
 
     @abc.abstractmethod
     def waiting_in_time(self) -> int:
@@ -82,13 +95,26 @@
     """One request that waits for room."""
 
     call: RoutedCall
-    made: int
-    avoid: frozenset[str]
+    progress: Progress
     in_time_until_s: float
     """Placed by then, its first token is in time."""
     placed: asyncio.Future[Placement]
 
 
+@dataclasses.dataclass(frozen=True)
+class Sought:
+    """What a placement is sought for."""
+
+    terms: GenerationTerms
+    progress: Progress
+    traits: EngineTraits
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens to be read."""
+        return self.terms.prompt_tokens + self.progress.made
+
+
 class LedgerPlacement(EnginePlacement):
     """Places by promised memory and reading backlog.
 
@@ -113,10 +139,10 @@
         self._is_pump_due = False
         ledger.on_room = self._pump_soon
 
-    async def place(self, call: RoutedCall, made: int, avoid: frozenset[str]) -> Placement:
+    async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Return where the request goes; waits for room, raises ``NoDecodeRoom`` in the end."""
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(call, made, avoid, self._in_time_until_s(call, made), placed)
+        waiter = Waiter(call, progress, self._in_time_until_s(call, progress), placed)
         self._waiters.append(waiter)
         self._pump()
         try:
@@ -137,9 +163,9 @@
         now_s = time.monotonic()
         return sum(1 for waiter in self._waiters if waiter.in_time_until_s >= now_s)
 
-    def _in_time_until_s(self, call: RoutedCall, made: int) -> float:
+    def _in_time_until_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return until when a placement still meets the target for the first token."""
-        if made:
+        if progress.made:
             return time.monotonic() + call.route.target_s
         prompt = call.terms.generation.prompt_tokens if call.terms.generation else 0
         return call.target_s - prompt / self._ledger.prefill_rate - START_S - WAIT_MARGIN_S
@@ -190,79 +216,96 @@
     def _try(self, waiter: Waiter) -> bool:
         if waiter.placed.done():
             return True
-        placement = self._choose(waiter.call, waiter.made, waiter.avoid)
+        placement = self._choose(waiter.call, waiter.progress)
         if placement is None:
             return False
         self._waiters.remove(waiter)
         waiter.placed.set_result(placement)
         return True
 
-    def _choose(self, call: RoutedCall, made: int, avoid: frozenset[str]) -> Placement | None:
+    def _choose(self, call: RoutedCall, progress: Progress) -> Placement | None:
+        """Return the cheaper of a pair of engines and one that does both, None if none has room."""
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
-        tokens = terms.prompt_tokens + made
-        need = stream_demand("", terms, made).memory_tokens()
-        roomy = self._roomy(call.service.name, traits, need, avoid)
+        sought = Sought(terms, progress, traits)
+        roomy = self._roomy(call.service.name, sought)
         if not roomy:
             return None
         prefills = self._registry.usable(call.service.name, PREFILL_ROLE)
-        prefills = [backend for backend in prefills if self._is_open(backend, avoid)]
+        prefills = [backend for backend in prefills if self._is_open(backend, sought)]
         pairs = [(p, d) for p in prefills for d in roomy]
-        costs_s = [self._pair_cost_s(prefill, decode, tokens, traits) for prefill, decode in pairs]
-        best = pairs[costs_s.index(min(costs_s))] if pairs else None
-        alone = min(roomy, key=lambda d: self._alone_cost_s(d, tokens, traits))
-        if best is not None:
+        alone = min(roomy, key=lambda decode: self._alone_cost_s(decode, sought))
+        if pairs:
+            costs_s = [self._pair_cost_s(prefill, decode, sought) for prefill, decode in pairs]
             pair_s = min(costs_s)
-            handicap_s = SELF_PREFILL_HANDICAP_S
-            if time.monotonic() + pair_s < call.target_s - TARGET_MARGIN_S:
-                fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
-                handicap_s += FULL_HANDICAP_S * fullness
-            if pair_s <= self._alone_cost_s(alone, tokens, traits) + handicap_s:
-                return self._promise(best[1], best[0], terms, made)
-        return self._promise(alone, None, terms, made)
-
-    def _promise(
-        self, decode: Backend, prefill: Backend | None, terms: GenerationTerms, made: int
-    ) -> Placement:
+            alone_s = self._alone_cost_s(alone, sought) + self._handicap_s(call, alone, pair_s)
+            if pair_s <= alone_s:
+                prefill, decode = pairs[costs_s.index(pair_s)]
+                return self._promise(decode, prefill, sought)
+        return self._promise(alone, None, sought)
+
+    def _handicap_s(self, call: RoutedCall, alone: Backend, pair_s: float) -> float:
+        """Return how much sooner reading alone must be: more on a full engine."""
+        if time.monotonic() + pair_s >= call.target_s - TARGET_MARGIN_S:
+            return SELF_PREFILL_HANDICAP_S
+        traits = call.service.engine
+        assert traits is not None
+        fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
+        return SELF_PREFILL_HANDICAP_S + FULL_HANDICAP_S * fullness
+
+    def _promise(self, decode: Backend, prefill: Backend | None, sought: Sought) -> Placement:
         """Promise memory at the chosen engine."""
-        demand = stream_demand(decode.name, terms, made)
+        demand = stream_demand(decode.name, sought.terms, sought.progress.made)
         promise = self._ledger.open_stream(demand)
-        return Placement(decode, prefill, terms.prompt_tokens + made, demand, promise)
+        return Placement(decode, prefill, sought.tokens, demand, promise)
 
-    def _roomy(
-        self, service: str, traits: EngineTraits, need: int, avoid: frozenset[str]
-    ) -> list[Backend]:
-        """Return the decode engines with room for ``need`` tokens and one more stream."""
+    def _roomy(self, service: str, sought: Sought) -> list[Backend]:
+        """Return the decode engines with room for one more stream and its memory."""
+        need = stream_demand("", sought.terms, sought.progress.made).memory_tokens()
+        traits = sought.traits
         usable = self._registry.usable(service, DECODE_ROLE)
         return [
             backend
             for backend in usable
-            if self._is_open(backend, avoid)
+            if self._is_open(backend, sought)
             and self._ledger.streams(backend.name) < traits.slots
             and self._fits(backend.name, traits, need)
         ]
 
-    def _is_open(self, backend: Backend, avoid: frozenset[str]) -> bool:
-        return backend.name not in avoid and not self._registry.is_changing(backend.name)
+    def _is_open(self, backend: Backend, sought: Sought) -> bool:
+        is_avoided = backend.name in sought.progress.avoid
+        return not is_avoided and not self._registry.is_changing(backend.name)
 
     def _fits(self, engine: str, traits: EngineTraits, need: int) -> bool:
         promised = self._ledger.memory_tokens(engine)
         return promised == 0 or promised + need <= FILL * traits.memory_tokens
 
-    def _pair_cost_s(
-        self, prefill: Backend, decode: Backend, tokens: int, traits: EngineTraits
-    ) -> float:
+    def _pair_cost_s(self, prefill: Backend, decode: Backend, sought: Sought) -> float:
         """Return the predicted time to the first token, with what should weigh against the pair."""
-        backlog = self._ledger.prefill_backlog(prefill.name)
-        cost_s = (backlog + tokens) / self._ledger.prefill_rate
+        cost_s = self._read_cost_s(prefill, sought)
         if prefill.entry.zone != decode.entry.zone:
             cost_s += OTHER_ZONE_COST_S
-        return cost_s + self._decode_cost_s(decode, traits) + self._risk_s(prefill)
-
-    def _alone_cost_s(self, decode: Backend, tokens: int, traits: EngineTraits) -> float:
-        backlog = self._ledger.prefill_backlog(decode.name)
-        read_s = SELF_PREFILL_SLOWNESS * (backlog + tokens) / self._ledger.prefill_rate
-        return read_s + self._decode_cost_s(decode, traits)
+        if self._is_home(prefill, sought):
+            cost_s -= HOME_BONUS_S
+        return cost_s + self._decode_cost_s(decode, sought.traits) + self._risk_s(prefill)
+
+    def _alone_cost_s(self, decode: Backend, sought: Sought) -> float:
+        read_s = SELF_PREFILL_SLOWNESS * self._read_cost_s(decode, sought)
+        return read_s + self._decode_cost_s(decode, sought.traits)
+
+    def _read_cost_s(self, engine: Backend, sought: Sought) -> float:
+        """Return the predicted time to read the prompt; less where it was read a moment ago."""
+        backlog_s = self._ledger.prefill_backlog(engine.name) / self._ledger.prefill_rate
+        if engine.name in sought.progress.cached_at:
+            return backlog_s - CACHED_BONUS_S
+        return backlog_s + sought.tokens / self._ledger.prefill_rate
+
+    def _is_home(self, prefill: Backend, sought: Sought) -> bool:
+        """Return whether a prompt that comes again, at any router, should go to this engine."""
+        if not sought.terms.parts:
+            return False
+        names = [b.name for b in self._registry.usable(prefill.entry.service, PREFILL_ROLE)]
+        return home_of(sought.terms.parts[-1].part_id, names) == prefill.name
 
     def _decode_cost_s(self, decode: Backend, traits: EngineTraits) -> float:
         """Return what speaks against a decode engine: how full it is, and its failures."""
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -16,6 +16,7 @@
     BackendAnswerLost,
     BackendBroken,
     BackendRefused,
+    BackendSilent,
     BackendUnreachable,
     DeadlineExceeded,
     EngineRejected,
@@ -27,7 +28,7 @@
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
-from yokedock.request.engine_placement import EnginePlacement, Placement
+from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
@@ -48,7 +49,7 @@
 
 
 @dataclasses.dataclass
-class Progress:
+class GenerationState:
     """How far one generation has come over all its attempts."""
 
     relay: StreamRelay
@@ -57,6 +58,8 @@
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
     prefills: int = 0
+    read_at: set[str] = dataclasses.field(default_factory=set)
+    """Engines that have read the prompt."""
     engines: list[str] = dataclasses.field(default_factory=list)
     """Where it was placed, one ``prefill>decode`` for each attempt."""
     placed_s: float = 0.0
@@ -68,6 +71,19 @@
         self.engines.append(f"{prefill}>{placement.decode.name}")
         self.placed_s = time.monotonic()
 
+    def note_silent(self, placement: Placement) -> None:
+        """Avoid the engine that fell silent: the decode engine, once the prompt was read."""
+        prefill = placement.prefill
+        is_read = prefill is None or prefill.name in self.read_at
+        silent = placement.decode if prefill is None or is_read else prefill
+        self.refused_by.add(silent.name)
+
+    def progress(self, call: RoutedCall) -> Progress:
+        """Return what bears on the next placement."""
+        traits = call.service.engine
+        made = self.relay.events * (traits.tokens_per_event if traits else 1)
+        return Progress(made, frozenset(self.refused_by), frozenset(self.read_at))
+
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
         return self.source if time.monotonic() < self.source_until_s else None
@@ -93,66 +109,67 @@
     async def serve(self, call: RoutedCall) -> None:
         """Answer the request; errors that are raised go to the caller."""
         self._allowance.note_request(call.service.name)
-        progress = Progress(StreamRelay(call.answer, call.terms.last_event_id))
+        state = GenerationState(StreamRelay(call.answer, call.terms.last_event_id))
         try:
             async with asyncio.timeout(call.left_s()):
-                await self._serve(call, progress)
+                await self._serve(call, state)
         except TimeoutError:
             raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
         finally:
-            if progress.source is not None:
-                self._release(progress.source)
-            _log_stream(call, progress)
+            if state.source is not None:
+                self._release(state.source)
+            _log_stream(call, state)
 
-    async def _serve(self, call: RoutedCall, progress: Progress) -> None:
+    async def _serve(self, call: RoutedCall, state: GenerationState) -> None:
         while True:
-            traits = call.service.engine
-            made = progress.relay.events * (traits.tokens_per_event if traits else 1)
             try:
-                avoid = frozenset(progress.refused_by)
-                placement = await self._placement.place(call, made, avoid)
-                progress.note_placement(placement)
-                await self._attempt(call, progress, placement)
+                placement = await self._placement.place(call, state.progress(call))
+                state.note_placement(placement)
+                await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
                 if not self._may_go_on(call, is_arrival=False):
                     raise self._final(call, error) from None
             except BackendRefused as error:
-                is_enough = len(progress.refused_by) >= ENOUGH_REFUSALS
+                is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
                 if is_enough or not self._may_go_on(call):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except (BackendBroken, EngineRejected) as error:
+                if isinstance(error, BackendSilent):
+                    state.note_silent(placement)
                 if not self._may_go_on(call):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except Refused as error:
                 raise self._final(call, error) from None
 
-    async def _attempt(self, call: RoutedCall, progress: Progress, placement: Placement) -> None:
+    async def _attempt(
+        self, call: RoutedCall, state: GenerationState, placement: Placement
+    ) -> None:
         """Read the prompt, then make the answer, with room promised all the while."""
         try:
-            if progress.kept_source() is not None:
-                await self._decode(call, progress, placement.decode, placement.demand)
+            if state.kept_source() is not None:
+                await self._decode(call, state, placement.decode, placement.demand)
             elif placement.prefill is not None:
-                await self._prefill(call, progress, placement.prefill, placement.tokens)
-                await self._decode(call, progress, placement.decode, placement.demand)
+                await self._prefill(call, state, placement.prefill, placement.tokens)
+                await self._decode(call, state, placement.decode, placement.demand)
             else:
-                await self._decode_alone(call, progress, placement)
+                await self._decode_alone(call, state, placement)
         finally:
             self._ledger.close_stream(placement.promise)
 
     async def _prefill(
-        self, call: RoutedCall, progress: Progress, engine: Backend, tokens: int
+        self, call: RoutedCall, state: GenerationState, engine: Backend, tokens: int
     ) -> None:
         """Have the prompt read, and note where its memory is kept."""
         key = self._ledger.open_prefill(engine.name, tokens)
         is_done = False
         try:
             async with self._exchanges.open(engine, call) as exchange:
-                if progress.prefills:
+                if state.prefills:
                     self._allowance.note_extra(call.service.name)
-                progress.prefills += 1
+                state.prefills += 1
                 order = BackendOrder(engine.name, call.backend_deadline_ms(), is_prefill=True)
                 await exchange.send(order)
                 answer = await exchange.read_whole(self._prefill_patience_s(call, engine))
@@ -160,13 +177,14 @@
                 raise EngineRejected(f"{engine.name} answered {answer.head.status} to a prefill")
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
-            progress.read_s = time.monotonic()
+            state.read_s = time.monotonic()
+            state.read_at.add(engine.name)
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
-            progress.source = f"{engine.entry.address}/{result.handle}"
-            progress.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
+            state.source = f"{engine.entry.address}/{result.handle}"
+            state.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
         except BackendRefused:
-            progress.refused_by.add(engine.name)
+            state.refused_by.add(engine.name)
             raise
         finally:
             self._ledger.close_prefill(key, is_done)
@@ -177,26 +195,26 @@
         return min(call.left_s(), patience_s)
 
     async def _decode_alone(
-        self, call: RoutedCall, progress: Progress, placement: Placement
+        self, call: RoutedCall, state: GenerationState, placement: Placement
     ) -> None:
         """Have one engine read the prompt and make the answer."""
         name = placement.decode.name
         reading = self._ledger.open_prefill(name, placement.tokens)
-        progress.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
+        state.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
         try:
-            await self._decode(call, progress, placement.decode, placement.demand)
+            await self._decode(call, state, placement.decode, placement.demand)
         finally:
             self._ledger.close_prefill(reading, is_done=False)
 
     async def _decode(
         self,
         call: RoutedCall,
-        progress: Progress,
+        state: GenerationState,
         engine: Backend,
         demand: StreamDemand,
     ) -> None:
         """Have the answer made and pass it on."""
-        relay = progress.relay
+        relay = state.relay
         async with self._exchanges.open(engine, call) as exchange:
             if call.arrivals:
                 self._allowance.note_extra(call.service.name)
@@ -204,7 +222,7 @@
             order = BackendOrder(
                 engine.name,
                 call.backend_deadline_ms(),
-                kv_source=progress.kept_source(),
+                kv_source=state.kept_source(),
                 last_event_id=relay.last_id if relay.events else None,
             )
             was_run = call.may_have_run
@@ -212,27 +230,29 @@
             call.runs += 1
             try:
                 await exchange.send(order)
-                await self._relay(call, progress, exchange, demand)
+                state.read_at.add(engine.name)
+                await self._relay(call, state, exchange, demand)
             except BackendRefused:
                 call.may_have_run = was_run
                 call.runs -= 1
-                progress.refused_by.add(engine.name)
+                state.refused_by.add(engine.name)
+                state.read_at.discard(engine.name)
                 raise
 
     async def _relay(
         self,
         call: RoutedCall,
-        progress: Progress,
+        state: GenerationState,
         exchange: BackendExchange,
         demand: StreamDemand,
     ) -> None:
         """Pass the engine's events on until the stream is whole."""
-        relay = progress.relay
+        relay = state.relay
         relay.begin_run()
         is_resumable = call.route.resumable and call.runs < call.route.max_attempts
         patience_s = STALL_S if is_resumable else call.left_s()
         head = await exchange.read_head(patience_s)
-        progress.source = None
+        state.source = None
         if head.status != 200:
             await self._pass_failure(call, exchange, WholeAnswer(head, b""))
             return
@@ -245,7 +265,7 @@
                     part = await anext(parts, None)
             except TimeoutError:
                 exchange.backend.health.note_silence(time.monotonic())
-                raise BackendBroken(f"{exchange.backend.name}: the stream stalled") from None
+                raise BackendSilent(f"{exchange.backend.name}: the stream stalled") from None
             if part is None:
                 break
             await relay.feed(head, part)
@@ -313,15 +333,15 @@
             return
 
 
-def _log_stream(call: RoutedCall, progress: Progress) -> None:
+def _log_stream(call: RoutedCall, state: GenerationState) -> None:
     """Tell how a stream went: when it was placed, read and begun, and its longest pause."""
-    relay = progress.relay
+    relay = state.relay
     _log.info(
         "stream",
         request=call.request_id,
-        engines=progress.engines,
-        placed_ms=_since_ms(call, progress.placed_s),
-        read_ms=_since_ms(call, progress.read_s),
+        engines=state.engines,
+        placed_ms=_since_ms(call, state.placed_s),
+        read_ms=_since_ms(call, state.read_s),
         first_ms=_since_ms(call, relay.first_s or 0.0),
         gap_ms=round(relay.longest_gap_s * 1000),
         events=relay.events,
