--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -11,14 +11,12 @@
 from collections.abc import Callable
 
 from yokedock.connection.router_state import EngineShare
+from yokedock.request.engine_pace import EnginePace
 
 GROWTH_SHARE = 0.75
 """Share of the output still expected that is counted: not all streams are longest at once."""
 LONGER_THAN_EXPECTED = 0.35
 """A stream beyond its expected length is expected to go on for this share of what it has made."""
-FIRST_PREFILL_RATE = 40_000.0
-"""Prompt tokens an engine reads in a second, before any was measured."""
-RATE_WEIGHT = 0.1
 REMOTE_LIFETIME_S = 2.0
 """What a router that fell silent had promised is dropped after this time."""
 
@@ -60,18 +58,13 @@
         self._demands: dict[int, StreamDemand] = {}
         self._prefills: dict[int, PrefillDemand] = {}
         self._remote: dict[str, tuple[float, dict[str, EngineShare]]] = {}
-        self._rate = FIRST_PREFILL_RATE
+        self.pace = EnginePace(clock)
         self._next_key = 0
         self.on_change: Callable[[], None] = lambda: None
         """Called when this router's promises change."""
         self.on_room: Callable[[], None] = lambda: None
         """Called when room may have come free, here or elsewhere."""
 
-    @property
-    def prefill_rate(self) -> float:
-        """Return how many prompt tokens an engine reads in a second, as measured."""
-        return self._rate
-
     # --- This router's promises ---
 
     def open_stream(self, demand: StreamDemand) -> int:
@@ -101,9 +94,8 @@
         if demand is None:
             return
         if is_done:
-            took_s = max(0.001, self._clock() - demand.started_s)
-            rate = (demand.tokens + demand.ahead_tokens) / took_s
-            self._rate += RATE_WEIGHT * (rate - self._rate)
+            took_s = self._clock() - demand.started_s
+            self.pace.note_read(demand.engine, demand.tokens + demand.ahead_tokens, took_s)
         self.on_change()
 
     def shares(self) -> dict[str, EngineShare]:
@@ -146,6 +138,10 @@
         own = sum(p.tokens for p in self._prefills.values() if p.engine == engine)
         return own + sum(share.prefill_tokens for share in self._remote_shares(engine))
 
+    def backlog_s(self, engine: str) -> float:
+        """Return how long ``engine`` needs to read what waits there, in seconds."""
+        return self.prefill_backlog(engine) / self.pace.read_rate(engine)
+
     def _remote_shares(self, engine: str) -> list[EngineShare]:
         oldest_s = self._clock() - REMOTE_LIFETIME_S
         return [
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -17,6 +17,7 @@
 from yokedock.errors import NoDecodeRoom
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
+from yokedock.request.engine_pace import FIRST_READ_RATE
 from yokedock.request.routed_call import RoutedCall
 from yokedock.version.homes import home_of
 from yokedock.version.route_table import EngineTraits
@@ -38,6 +39,13 @@
 CACHED_BONUS_S = 0.5
 """What an engine that read the prompt a moment ago may cost more: reading again is waste."""
 HOME_BONUS_S = 0.1
+FULL_COST_S = 0.1
+SLOW_COST_S = 0.3
+"""What an engine costs that makes tokens half as fast as is typical, above what is tolerated."""
+TOLERATED_SLOWNESS = 1.15
+PAUSE_SHARE = 0.92
+"""Share of the longest pause that is allowed which reading beside streams may bring about."""
+DISTURBANCE_COST_S = 0.5
 START_S = 0.08
 """From the end of a prefill to the first token: transfer and first step."""
 WAIT_MARGIN_S = 0.1
@@ -168,7 +176,7 @@
         if progress.made:
             return time.monotonic() + call.route.target_s
         prompt = call.terms.generation.prompt_tokens if call.terms.generation else 0
-        return call.target_s - prompt / self._ledger.prefill_rate - START_S - WAIT_MARGIN_S
+        return call.target_s - prompt / FIRST_READ_RATE - START_S - WAIT_MARGIN_S
 
     def _patience_s(self, call: RoutedCall) -> float:
         """Return how long waiting makes sense: callers give up on a silent stream."""
@@ -239,6 +247,8 @@
             costs_s = [self._pair_cost_s(prefill, decode, sought) for prefill, decode in pairs]
             pair_s = min(costs_s)
             alone_s = self._alone_cost_s(alone, sought) + self._handicap_s(call, alone, pair_s)
+            if self._would_disturb(call, alone):
+                alone_s += DISTURBANCE_COST_S
             if pair_s <= alone_s:
                 prefill, decode = pairs[costs_s.index(pair_s)]
                 return self._promise(decode, prefill, sought)
@@ -253,6 +263,12 @@
         fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
         return SELF_PREFILL_HANDICAP_S + FULL_HANDICAP_S * fullness
 
+    def _would_disturb(self, call: RoutedCall, alone: Backend) -> bool:
+        """Return whether reading on ``alone`` makes pauses there longer than the target."""
+        longest_s = PAUSE_SHARE * call.route.gap_target_s
+        is_slow = self._ledger.pace.reading_pause_s(alone.name) > longest_s > 0
+        return is_slow and self._ledger.streams(alone.name) > 0
+
     def _promise(self, decode: Backend, prefill: Backend | None, sought: Sought) -> Placement:
         """Promise memory at the chosen engine."""
         demand = stream_demand(decode.name, sought.terms, sought.progress.made)
@@ -295,10 +311,10 @@
 
     def _read_cost_s(self, engine: Backend, sought: Sought) -> float:
         """Return the predicted time to read the prompt; less where it was read a moment ago."""
-        backlog_s = self._ledger.prefill_backlog(engine.name) / self._ledger.prefill_rate
+        backlog_s = self._ledger.backlog_s(engine.name)
         if engine.name in sought.progress.cached_at:
             return backlog_s - CACHED_BONUS_S
-        return backlog_s + sought.tokens / self._ledger.prefill_rate
+        return backlog_s + sought.tokens / self._ledger.pace.read_rate(engine.name)
 
     def _is_home(self, prefill: Backend, sought: Sought) -> bool:
         """Return whether a prompt that comes again, at any router, should go to this engine."""
@@ -310,7 +326,10 @@
     def _decode_cost_s(self, decode: Backend, traits: EngineTraits) -> float:
         """Return what speaks against a decode engine: how full it is, and its failures."""
         fullness = self._ledger.memory_tokens(decode.name) / traits.memory_tokens
-        return START_S + 0.1 * fullness + self._risk_s(decode)
+        slow_s = SLOW_COST_S * max(
+            0.0, self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
+        )
+        return START_S + FULL_COST_S * fullness + slow_s + self._risk_s(decode)
 
     def _risk_s(self, backend: Backend) -> float:
         return backend.health.failure_share(time.monotonic())
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -190,7 +190,7 @@
             self._ledger.close_prefill(key, is_done)
 
     def _prefill_patience_s(self, call: RoutedCall, engine: Backend) -> float:
-        predicted_s = self._ledger.prefill_backlog(engine.name) / self._ledger.prefill_rate
+        predicted_s = self._ledger.backlog_s(engine.name)
         patience_s = max(LEAST_PREFILL_PATIENCE_S, PREFILL_PATIENCE * predicted_s)
         return min(call.left_s(), patience_s)
 
@@ -269,10 +269,17 @@
             if part is None:
                 break
             await relay.feed(head, part)
+            self._note_pace(exchange.backend.name, relay)
             demand.made = relay.events * per_event
         await relay.end(head)
         exchange.finish()
 
+    def _note_pace(self, engine: str, relay: StreamRelay) -> None:
+        """Note the pause before the newest event, and whether a prompt was being read then."""
+        is_reading = self._ledger.prefill_backlog(engine) > 0
+        if relay.pause_s is not None:
+            self._ledger.pace.note_pause(engine, relay.pause_s, is_reading)
+
     async def _pass_failure(
         self, call: RoutedCall, exchange: BackendExchange, answer: WholeAnswer
     ) -> None:
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -27,6 +27,8 @@
         self.on_first: Callable[[], None] = lambda: None
         """Called when the first event of a run has come."""
         self._is_first_of_run = True
+        self.pause_s: float | None = None
+        """Pause before the newest event of the run, None for its first."""
         self._last_s = 0.0
         self._splitter = EventSplitter()
 
@@ -34,6 +36,7 @@
         """Start with another engine: what the last one left unfinished is dropped."""
         self._splitter = EventSplitter()
         self._is_first_of_run = True
+        self.pause_s = None
 
     async def feed(self, head: AnswerHead, data: bytes) -> None:
         """Pass whole events on; the head goes out with the first one.
@@ -41,7 +44,8 @@
         Raises ``BackendBroken`` if an event is missing.
         """
         for event in self._splitter.feed(data):
-            if self._is_first_of_run:
+            is_first = self._is_first_of_run
+            if is_first:
                 self._is_first_of_run = False
                 self.on_first()
             if not self._is_next(event):
@@ -49,17 +53,18 @@
             if not self._answer.has_started:
                 self._answer.start(head)
             await self._answer.write(event.data)
-            self._note_time()
+            self._note_time(is_first)
             if event.event_id is not None:
                 self.last_id = event.event_id
 
-    def _note_time(self) -> None:
+    def _note_time(self, is_first_of_run: bool) -> None:
         now_s = time.monotonic()
         self.events += 1
         if self.first_s is None:
             self.first_s = now_s
         else:
             self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_s)
+        self.pause_s = None if is_first_of_run else now_s - self._last_s
         self._last_s = now_s
 
     async def end(self, head: AnswerHead) -> None:
