--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -11,6 +11,10 @@
     memory_tokens: int = 0
     streams: int = 0
     prefill_tokens: int = 0
+    pause_ms: int = 0
+    """Pause between events there as measured a moment ago, 0 if it was not."""
+    read_tokens_per_ms: int = 0
+    """Pace of reading prompts there as measured a moment ago, 0 if it was not."""
 
 
 class RouterState(msgspec.Struct, array_like=True):
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -107,6 +107,8 @@
             share.streams += 1
         for prefill in self._prefills.values():
             shares.setdefault(prefill.engine, EngineShare()).prefill_tokens += prefill.tokens
+        for engine, share in shares.items():
+            share.pause_ms, share.read_tokens_per_ms = self.pace.recent(engine)
         return shares
 
     # --- What others promised ---
@@ -114,6 +116,8 @@
     def heard(self, router: str, shares: dict[str, EngineShare]) -> None:
         """Take over what another router has at each engine."""
         self._remote[router] = (self._clock(), shares)
+        for engine, share in shares.items():
+            self.pace.heard(engine, share.pause_ms, share.read_tokens_per_ms)
         self.on_room()
 
     def forget(self, router: str) -> None:
