Decode engines are homes of prompts too; a caller that resumes goes there

Cause: after power was lost everywhere callers resume, and their prompts were read anew although the decode engine where they ran still keeps them. Ruled out: asking engines for lists of what they keep (priced, stalls their work). Change: rendezvous hashing of the last part over decode engines, by which any router, also one that has just started, finds the same engine; requests with Last-Event-Id prefer it.

--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -70,6 +70,8 @@
     """Engines that refused it."""
     cached_at: frozenset[str] = frozenset()
     """Engines that read its prompt a moment ago and may still keep it in their prefix cache."""
+    is_resumed: bool = False
+    """The caller goes on with a stream that broke: its home has read the prompt."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -303,33 +305,38 @@
             cost_s += OTHER_ZONE_COST_S
         if self._is_home(prefill, sought):
             cost_s -= HOME_BONUS_S
-        return cost_s + self._decode_cost_s(decode, sought.traits) + self._risk_s(prefill)
+        return cost_s + self._decode_cost_s(decode, sought) + self._risk_s(prefill)
 
     def _alone_cost_s(self, decode: Backend, sought: Sought) -> float:
         read_s = SELF_PREFILL_SLOWNESS * self._read_cost_s(decode, sought)
-        return read_s + self._decode_cost_s(decode, sought.traits)
+        return read_s + self._decode_cost_s(decode, sought)
 
     def _read_cost_s(self, engine: Backend, sought: Sought) -> float:
         """Return the predicted time to read the prompt; less where it was read a moment ago."""
         backlog_s = self._ledger.backlog_s(engine.name)
-        if engine.name in sought.progress.cached_at:
+        is_resumed = sought.progress.is_resumed and self._is_home(engine, sought)
+        if engine.name in sought.progress.cached_at or is_resumed:
             return backlog_s - CACHED_BONUS_S
         return backlog_s + sought.tokens / self._ledger.pace.read_rate(engine.name)
 
-    def _is_home(self, prefill: Backend, sought: Sought) -> bool:
-        """Return whether a prompt that comes again, at any router, should go to this engine."""
+    def _is_home(self, engine: Backend, sought: Sought) -> bool:
+        """Return whether a prompt goes to this engine of its role, at whichever router it comes.
+
+        When it comes again, its home may still keep it in its prefix cache.
+        """
         if not sought.terms.parts:
             return False
-        names = [b.name for b in self._registry.usable(prefill.entry.service, PREFILL_ROLE)]
-        return home_of(sought.terms.parts[-1].part_id, names) == prefill.name
-
-    def _decode_cost_s(self, decode: Backend, traits: EngineTraits) -> float:
-        """Return what speaks against a decode engine: how full it is, and its failures."""
-        fullness = self._ledger.memory_tokens(decode.name) / traits.memory_tokens
-        slow_s = SLOW_COST_S * max(
-            0.0, self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
-        )
-        return START_S + FULL_COST_S * fullness + slow_s + self._risk_s(decode)
+        names = [b.name for b in self._registry.usable(engine.entry.service, engine.entry.role)]
+        return home_of(sought.terms.parts[-1].part_id, names) == engine.name
+
+    def _decode_cost_s(self, decode: Backend, sought: Sought) -> float:
+        """Return what speaks against a decode engine: how full and slow it is, its failures."""
+        fullness = self._ledger.memory_tokens(decode.name) / sought.traits.memory_tokens
+        slowness = self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
+        cost_s = START_S + FULL_COST_S * fullness + SLOW_COST_S * max(0.0, slowness)
+        if self._is_home(decode, sought):
+            cost_s -= HOME_BONUS_S
+        return cost_s + self._risk_s(decode)
 
     def _risk_s(self, backend: Backend) -> float:
         return backend.health.failure_share(time.monotonic())
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -82,7 +82,8 @@
         """Return what bears on the next placement."""
         traits = call.service.engine
         made = self.relay.events * (traits.tokens_per_event if traits else 1)
-        return Progress(made, frozenset(self.refused_by), frozenset(self.read_at))
+        is_resumed = call.terms.last_event_id is not None
+        return Progress(made, frozenset(self.refused_by), frozenset(self.read_at), is_resumed)
 
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
