Scenarios of the router in one process, with a stand-in that speaks the product's own dialect

One scenario failed first for a real fault: a call that every backend had refused went round them again until the retry budget was spent (9 knocks).

--- /dev/null
+++ b/features/router_state.feature
@@ -0,0 +1,33 @@
+Feature: Routers follow versions and backends, from their source and from each other
+
+  Background:
+    Given a plain backend "a"
+
+  Scenario: A router that knows no routes is not ready and answers 503, never 404
+    Given a router whose source is silent
+    When a client sends POST on "repeat" with body "abc"
+    Then the client gets 503
+    And the answer has a fractional Retry-After
+    And the router is no longer ready
+
+  Scenario: A router that starts while its source is silent learns from another
+    Given a router that knows them
+    And a second router whose source is silent
+    When a client sends POST on "repeat" to the second router once it is ready
+    Then the client gets 200 with the body of a backend
+
+  Scenario: A newer version spreads, an older one is never taken
+    Given a router that knows them
+    And a second router whose source is silent
+    When the first router's source tells of version 7
+    Then the second router has version 7
+    When the first router's source tells of version 3
+    Then the first router has version 7
+    And the second router has version 7
+
+  Scenario: A backend that comes back under its old name is used again
+    Given a router that knows them
+    When the list says that "a" is gone
+    And the list says that "a" is back
+    And a client sends POST on "repeat" with body "abc"
+    Then the client gets 200 with the body of a backend
--- /dev/null
+++ b/features/router_streams.feature
@@ -0,0 +1,59 @@
+Feature: Streams are read on one engine, made on another, and pass event by event, each once
+
+  Background:
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a decode engine "e"
+    And a router that knows them
+
+  Scenario: The prompt is read on one engine and the answer made on another
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And engine "p" read the prompt once
+    And one decode engine ran it with the memory kept at "p"
+
+  Scenario Outline: A resumable stream that breaks goes on without a missing or doubled event
+    Given every decode engine's next fault is "<fault>" at the first that runs
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the second run went on behind event <last>
+
+    Examples:
+      | fault                 | last |
+      | break within event 4  | 3    |
+      | break within event 2  | 1    |
+      | lose event 3          | 2    |
+      | wait after event 2    | 2    |
+
+  Scenario: A stream that may not be resumed is cut off and never looks complete
+    Given every decode engine's next fault is "break within event 4" at the first that runs
+    When a client streams on "talk"
+    Then the client gets 3 events and no end
+    And the decode engines ran 1 request
+
+  Scenario: A decode engine that refuses costs neither the prompt nor the promise
+    Given every decode engine's next fault is "refuse" at the first that runs
+    When a client streams on "talk"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And engine "p" read the prompt once
+
+  Scenario: Without a prefill engine the decode engine reads the prompt itself
+    When the list says that "p" is gone
+    And a client streams on "talk" a while later
+    Then the client gets 6 events, each once and in order, and a whole end
+
+  Scenario: A prefill whose caller left is released
+    Given the decode engines refuse everything
+    When a client streams on "talk"
+    Then the client gets 503
+    And engine "p" was told to release what it kept
+
+  Scenario: A client who leaves in the middle frees the decode engine
+    Given every decode engine's next fault is "wait after event 2" at the first that runs
+    When a client streams on "talk" and leaves after 2 events
+    Then the decode engine that ran it sees its connection closed
+
+  Scenario: A stopping router takes no stream that would outlast it
+    When the router with 2 s of grace is told to stop and a client streams on "chat"
+    Then the client gets 503
+    And the decode engines ran 0 requests
--- /dev/null
+++ b/features/support/router_world.py
@@ -0,0 +1,257 @@
+"""A router, its backends and callers in one event loop on a thread of its own."""
+
+import asyncio
+import socket
+import threading
+
+from support.stand_in_backend import StandInBackend
+from yokedock.connection.dialect import HeaderDialect
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
+from yokedock.errors import PlatformUnavailable
+from yokedock.process.router import Router
+from yokedock.process.router_settings import (
+    FleetSettings,
+    RetrySettings,
+    RouterCallerSettings,
+    RouterLogSettings,
+    RouterProcessSettings,
+    RouterSettings,
+    StateSettings,
+    StopSettings,
+)
+from yokedock.version.route_table import (
+    CallerLimits,
+    EngineTraits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceSpec,
+    WeightedTarget,
+)
+
+HOST = "hut.example"
+LIMIT_S = 20.0
+TRAITS = EngineTraits(slots=4, memory_tokens=1000, token_bytes=1.0, link_mbps=1000.0)
+
+
+def free_address():
+    """Return an address on loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def route(name, service, kind, **options):
+    """Return a route with the prefix of its own name."""
+    targets = (WeightedTarget(service),)
+    options = {"timeout_s": 10.0, "target_s": 2.0, "max_attempts": 2, **options}
+    return Route(name, HOST, f"/{name}/", RouteKind(kind), targets=targets, **options)
+
+
+def table(version, **limits):
+    """Return a table with a route of each kind."""
+    routes = (
+        route("repeat", "plain", "repeatable"),
+        route("once", "plain", "once", max_attempts=1),
+        route("chat", "llm", "stream", resumable=True),
+        route("talk", "llm", "stream", max_attempts=1),
+        route("brief", "plain", "once", timeout_s=0.4),
+    )
+    services = {"plain": ServiceSpec("plain"), "llm": ServiceSpec("llm", engine=TRAITS)}
+    return RouteTable(version, routes, services, CallerLimits(**limits))
+
+
+class ScriptedState(StateSource):
+    """A source that knows what a scenario tells it, and may be silent."""
+
+    def __init__(self, first):
+        self.snapshot = first
+        self.is_silent = False
+        self._changes = asyncio.Queue()
+
+    async def read(self):
+        if self.is_silent or self.snapshot is None:
+            raise PlatformUnavailable("silent")
+        return self.snapshot
+
+    async def wait(self, position):
+        if self.is_silent:
+            raise PlatformUnavailable("silent")
+        return await self._changes.get()
+
+    def tell(self, changes):
+        self._changes.put_nowait(changes)
+
+
+class RouterWorld:
+    """Starts and stops everything; ``run`` executes a coroutine in the loop."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+        self.backends = {}
+        self.position = 1
+        self._life = []
+
+    def run(self, work):
+        """Run ``work`` in the loop and return its result."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(LIMIT_S)
+
+    def add_backend(self, name, service, role="", slots=4):
+        """Start a backend."""
+
+        async def start():
+            self.backends[name] = StandInBackend(name, service, role, slots)
+            await self.backends[name].start()
+
+        self.run(start())
+
+    def entry(self, name, is_leaving=False):
+        """Return a backend's entry as a registry lists it."""
+        backend = self.backends[name]
+        return BackendEntry(
+            name,
+            backend.service,
+            backend.address,
+            slots=backend.slots,
+            role=backend.role,
+            is_leaving=is_leaving,
+        )
+
+    def snapshot(self, version=1, **limits):
+        """Return everything that is listed."""
+        entries = {name: self.entry(name) for name in self.backends}
+        return StateSnapshot(self.position, table(version, **limits), entries)
+
+    def start_router(self, snapshot, seeds=(), address="", grace_s=8.0):
+        """Start a router; return it."""
+        settings = RouterSettings(
+            RouterProcessSettings("router"),
+            RouterCallerSettings(free_address(), free_address()),
+            FleetSettings(address or free_address(), seeds),
+            StateSettings(free_address()),
+            RetrySettings(),
+            StopSettings(grace_s),
+            RouterLogSettings(),
+        )
+
+        async def start():
+            source = ScriptedState(snapshot)
+            router = Router(settings, source, HeaderDialect())
+            router.source = source
+            router.stop_event = asyncio.Event()
+            router.life = asyncio.create_task(router.run(router.stop_event))
+            self._life.append(router)
+            while not router.is_listening:
+                if router.life.done():
+                    router.life.result()
+                await asyncio.sleep(0.005)
+            return router
+
+        return self.run(start())
+
+    def wait_for(self, check, what):
+        """Wait in the loop until ``check`` holds."""
+
+        async def poll():
+            async with asyncio.timeout(LIMIT_S):
+                while not check():
+                    await asyncio.sleep(0.005)
+
+        try:
+            self.run(poll())
+        except TimeoutError:
+            raise AssertionError(f"never: {what}") from None
+
+    def tell(self, router, changed=(), gone=(), new_table=None):
+        """Tell a router of changes through its source, and wait until it knows them."""
+        self.position += 1
+        changes = StateChanges(self.position, new_table, tuple(changed), tuple(gone))
+        self.loop.call_soon_threadsafe(router.source.tell, changes)
+        self.wait_for(lambda: router.position >= self.position, "changes taken over")
+
+    def close(self):
+        """End everything."""
+
+        async def end():
+            for router in self._life:
+                router.life.cancel()
+            for backend in self.backends.values():
+                await backend.stop()
+            others = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
+        self.run(end())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+        self.loop.close()
+
+
+class RawCaller:
+    """A caller that writes bytes and reads answers, so that nothing is hidden."""
+
+    def __init__(self, world, address):
+        self._world = world
+
+        async def connect():
+            host, _, port = address.rpartition(":")
+            return await asyncio.open_connection(host, int(port))
+
+        self._reader, self._writer = world.run(connect())
+
+    def send(self, data):
+        """Write bytes."""
+        self._world.loop.call_soon_threadsafe(self._writer.write, data)
+
+    def read_answer(self):
+        """Return (status, headers, body, is_whole) of one answer."""
+        return self._world.run(self._read_answer())
+
+    def read_until(self, mark):
+        """Return the bytes up to and with ``mark``."""
+        return self._world.run(self._reader.readuntil(mark))
+
+    def read_all(self):
+        """Return what comes until the connection ends."""
+        return self._world.run(self._reader.read())
+
+    def leave(self):
+        """Close at once."""
+        self._world.loop.call_soon_threadsafe(self._writer.transport.abort)
+
+    async def _read_answer(self):
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        status = int(head[0].split(" ")[1])
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in head[1:] if line)}
+        if "content-length" in headers:
+            body = await self._reader.readexactly(int(headers["content-length"]))
+            return status, headers, body, True
+        body, is_whole = b"", False
+        try:
+            while True:
+                size = int(await self._reader.readuntil(b"\r\n"), 16)
+                chunk = await self._reader.readexactly(size + 2)
+                body += chunk[:-2]
+                if not size:
+                    is_whole = True
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            body += getattr(error, "partial", b"")
+        return status, headers, body, is_whole
+
+
+def request_bytes(name, method="POST", path="x?y=%2F&z", body=b"", headers=(), request_id="r-1"):
+    """Return one request on a route."""
+    lines = [f"{method} /{name}/{path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {request_id}"]
+    lines += [f"{key}: {value}" for key, value in headers]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/features/support/stand_in_backend.py
@@ -0,0 +1,168 @@
+"""A backend that speaks the product's own dialect and keeps a ledger of what it was asked.
+
+What it does wrong is set by ``faults``: names of faults that are taken one a request, in order.
+"""
+
+import asyncio
+import dataclasses
+import json
+
+PIECES = 6
+
+
+@dataclasses.dataclass
+class Arrival:
+    """One request as it came."""
+
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    was_closed: bool = False
+
+    def header(self, name):
+        """Return the first value of a header, None if absent."""
+        return next((v for n, v in self.headers if n.lower() == name.lower()), None)
+
+
+class StandInBackend:
+    """One listening backend; ``arrivals`` is its ledger."""
+
+    def __init__(self, name, service, role="", slots=4):
+        self.name, self.service, self.role, self.slots = name, service, role, slots
+        self.arrivals = []
+        self.faults = []
+        self.answer_status = 200
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.pieces = PIECES
+        self.connections = 0
+        self._late_answer = b""
+        self._writers = set()
+
+    async def start(self):
+        """Listen on any free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self):
+        """Close everything at once."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def runs(self):
+        """Return the arrivals that were run: neither refused nor only read."""
+        return [a for a in self.arrivals if a.header("X-Stage") is None]
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _one(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return False
+        lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        headers = [tuple(line.split(": ", 1)) for line in lines[1:] if line]
+        arrival = Arrival(method, target, headers, b"")
+        length = int(arrival.header("Content-Length") or 0)
+        arrival.body = await reader.readexactly(length)
+        self.arrivals.append(arrival)
+        if method == "DELETE":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
+        watch = asyncio.create_task(self._watch(reader, arrival))
+        try:
+            return await self._answer(arrival, writer)
+        finally:
+            watch.cancel()
+
+    async def _watch(self, reader, arrival):
+        """Note when the caller closes while the request is worked on."""
+        await reader.read(1)
+        arrival.was_closed = True
+
+    async def _answer(self, arrival, writer):
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "reset":
+            writer.transport.abort()
+            return False
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        if fault == "refuse":
+            return self._plain(writer, arrival, 503, b"full", [("X-Not-Run", "1")])
+        if arrival.header("X-Expected-Backend") not in (None, self.name):
+            return self._plain(writer, arrival, 421, b"", [])
+        if fault == "late answer to another":
+            self._plain(writer, arrival, 200, b"foreign", [], request_id="somebody-else")
+        if fault == "error":
+            return self._plain(writer, arrival, 500, b"broken", [("X-Signature", self.name)])
+        await self.gate.wait()
+        if arrival.header("X-Stage") == "prefill":
+            body = json.dumps({"handle": f"h{len(self.arrivals)}", "tokens": 5}).encode()
+            return self._plain(writer, arrival, 200, body, [], signed=False)
+        if self.role:
+            return await self._stream(arrival, writer, fault)
+        return await self._whole(arrival, writer, fault)
+
+    def _head(self, arrival, status, extra, signed=True, request_id=None):
+        named = request_id or arrival.header("X-Request-Id")
+        lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {named}"]
+        lines += [f"X-Signature: {self.name}"] if signed else []
+        lines += [f"{name}: {value}" for name, value in extra]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def _plain(self, writer, arrival, status, body, extra, signed=True, request_id=None):
+        signed = signed and status == 200
+        extra = [*extra, ("Content-Length", str(len(body)))]
+        writer.write(self._head(arrival, status, extra, signed, request_id) + body)
+        return True
+
+    async def _whole(self, arrival, writer, fault):
+        body = b"answer of " + self.name.encode()
+        if fault == "cut":
+            writer.write(self._head(arrival, 200, [("Content-Length", "100")]) + body)
+            await writer.drain()
+            writer.transport.abort()
+            return False
+        if fault == "ends with the connection":
+            writer.write(self._head(arrival, 200, [("Connection", "close")]) + body)
+            await writer.drain()
+            return False
+        if fault == "encoded":
+            return self._plain(writer, arrival, 200, body, [("Content-Encoding", "gzip")])
+        self._plain(writer, arrival, self.answer_status, body, [("X-Own", "kept")])
+        if fault == "bytes behind":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+        return True
+
+    async def _stream(self, arrival, writer, fault):
+        first = int(arrival.header("Last-Event-Id") or 0) + 1
+        writer.write(self._head(arrival, 200, [("Transfer-Encoding", "chunked")]))
+        for number in range(first, self.pieces + 1):
+            event = f"id: {number}\ndata: piece {number} of {self.name}\n\n".encode()
+            if fault == f"break within event {number}":
+                writer.write(b"%x\r\n%s" % (len(event), event[:9]))
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            if fault == f"lose event {number}":
+                continue
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0)
+            if fault == f"wait after event {number}":
+                await asyncio.sleep(3600)
+        writer.write(b"0\r\n\r\n")
+        return True
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -99,6 +99,7 @@
         self._random = random.Random()
         self._connections: set[CallerConnection] = set()
         self._active = 0
+        self.is_listening = False
         self._is_stopping = False
         self._is_ending = False
         self._last_answers_s = 0.0
@@ -132,6 +133,7 @@
             await self._listen(callers.ready_listen, self._accept_ready),
             await self._listen(self.settings.fleet.address, self._accept_router),
         ]
+        self.is_listening = True
         roles = self._roles.run(self._table)
         for work in (self._follower.run(), self._gossip.run(), roles, self._upkeep()):
             self._start(work)
@@ -144,6 +146,16 @@
             task.cancel()
         _log.info("stopped", name=self.settings.process.name)
 
+    @property
+    def position(self) -> int:
+        """Return how far the state is known."""
+        return self._follower.position
+
+    @property
+    def version(self) -> int:
+        """Return the version of the route table in force, 0 if none is known."""
+        return self._follower.version
+
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -60,7 +60,10 @@
                     raise self._final(call, error) from None
                 continue
             except (BackendRefused, BackendBroken, NoBackend) as error:
-                if isinstance(error, NoBackend) or not self._may_go_on(call):
+                is_last = isinstance(error, NoBackend) or (
+                    isinstance(error, BackendRefused) and not self._has_untried(call, tried)
+                )
+                if is_last or not self._may_go_on(call):
                     if kept is not None:
                         break
                     raise self._final(call, error) from None
@@ -112,6 +115,11 @@
             return min(left_s, FIRST_TRY_SHARE * call.route.timeout_s)
         return left_s
 
+    def _has_untried(self, call: RoutedCall, tried: set[str]) -> bool:
+        """Return whether a backend is left that was not asked: knocking again spends the budget."""
+        usable = self._registry.usable(call.service.name)
+        return any(backend.name not in tried for backend in usable)
+
     def _may_go_on(self, call: RoutedCall, is_arrival: bool = True) -> bool:
         """Return whether another backend may be tried."""
         if call.left_s() < LEAST_USEFUL_S or not call.may_run_again():
