Imports point one way, the platform's words stay in its package: two checks in make lint

Cause: connection, request and process imported each other in both directions, two peer modules formed a circle. Change: what everyone uses (clock, logs, options, histograms, metrics) is a package of its own, base; the callers' interface, leases and the engine watch moved to the process, the OpenAI form to the request; events of a link stand with their reader. tools/check_layers.py and tools/check_platform_words.py run in make lint.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/python tools/check_layers.py
+	$(BIN)/python tools/check_platform_words.py
 
 slopes: $(VENV)/.ready
 	$(BIN)/yokedock-emulator slopes
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -5,8 +5,8 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from support.judge import assert_version_everywhere
 
+from yokedock.base.clock import wall_clock_ms
 from yokedock.process.bundle_files import read_signed
-from yokedock.process.clock import wall_clock_ms
 from yokedock.version.bundle_codec import Envelope, SignedBundle, sign_bundle
 from yokedock.version.bundle_source import read_bundle_source
 
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -9,6 +9,7 @@
 from support.faults import busy
 from support.processes import command
 
+from yokedock.base.histograms import HistogramRow
 from yokedock.connection.secure_session import (
     Hello,
     SecureSession,
@@ -17,7 +18,6 @@
     new_nonce,
 )
 from yokedock.messages import BundleStamp, Frame, Heartbeat, Reserve
-from yokedock.process.histograms import HistogramRow
 from yokedock_emulator.process_group import Node, program, write_ini
 
 SILENCE_MS = 700
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -6,7 +6,7 @@
 from support.deployment import MODEL, REPEATABLE, SERVICE, TOKEN
 from support.judge import assert_answer_or_refusal, assert_nothing_held, executions_of
 
-from yokedock.process.clock import wall_clock_ms
+from yokedock.base.clock import wall_clock_ms
 from yokedock.request.idempotency import new_key
 from yokedock_emulator.tokens import expected_text
 
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -14,6 +14,7 @@
     worker_ports,
 )
 from support.relay import Relay
+from yokedock.base.clock import wall_clock_ms
 from yokedock.connection.engine_protocol import Load
 from yokedock.connection.machine_list import MachineList
 from yokedock.process.admin_http import ProcessStatus
@@ -23,7 +24,6 @@
     read_signed,
     write_signed,
 )
-from yokedock.process.clock import wall_clock_ms
 from yokedock.request.idempotency import new_key
 from yokedock.version.bundle_codec import sign_bundle, with_previous_pools
 from yokedock.version.bundle_source import read_bundle_source
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -12,7 +12,7 @@
 from support.caller import ServiceCaller, StreamCaller
 from support.deployment import DECODE, GATEWAYS, HOMES, LEASE_S, PREFILL, SERVICE
 from support.faults import PAST_LEASE_S
-from yokedock.process.clock import wall_clock_ms
+from yokedock.base.clock import wall_clock_ms
 from yokedock.request.idempotency import new_key
 
 MOST_PAUSE_S = 0.12
--- /dev/null
+++ b/src/yokedock/base/__init__.py
@@ -0,0 +1,1 @@
+"""What every other package may use: clock, logs, options, histograms and metrics."""
--- a/src/yokedock/process/metrics.py
+++ b/src/yokedock/base/metrics.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import statsd
 
-from yokedock.process.settings import MetricsSettings
+from yokedock.base.options import option
+
+
+@dataclasses.dataclass(frozen=True)
+class MetricsSettings:
+    """Where metrics go."""
+
+    statsd: str = option("address of statsd (UDP), IP:port; empty: none", "")
+    prefix: str = option("prefix of all metric names", "yokedock")
 
 
 class Metrics:
--- a/src/yokedock/connection/bundle_exchange.py
+++ b/src/yokedock/connection/bundle_exchange.py
@@ -10,6 +10,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
+from yokedock.base.logs import logger
 from yokedock.connection.peer_listener import PeerConnection
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import BundleRejected, YokedockError
@@ -21,7 +22,6 @@
     FetchSections,
     OfferBundle,
 )
-from yokedock.process.logs import logger
 from yokedock.version.bundle_codec import digest_of
 from yokedock.version.bundle_store import BundleStore
 
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -16,6 +16,7 @@
 import h11
 import msgspec
 
+from yokedock.base.logs import logger
 from yokedock.connection.http_heads import AnswerHead, RequestHead, whole_answer
 from yokedock.errors import (
     BadRequest,
@@ -25,7 +26,6 @@
     RequestTimeout,
     YokedockError,
 )
-from yokedock.process.logs import logger
 from yokedock.version.route_table import CallerLimits
 
 _log = logger("caller")
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -9,8 +9,8 @@
 
 import urllib3
 
+from yokedock.base.logs import logger
 from yokedock.errors import BundleRejected, PlatformUnavailable
-from yokedock.process.logs import logger
 from yokedock.version.bundle_codec import (
     ENVELOPE_KEY,
     MAX_ENVELOPE_BYTES,
--- a/src/yokedock/connection/http_server.py
+++ b/src/yokedock/connection/http_server.py
@@ -12,6 +12,7 @@
 import waitress.server
 from waitress.channel import ClientDisconnected
 
+from yokedock.base.logs import logger
 from yokedock.errors import (
     BadRequest,
     CallerGone,
@@ -24,7 +25,6 @@
     SettingsInvalid,
     YokedockError,
 )
-from yokedock.process.logs import logger
 
 _log = logger("http")
 Body = TypeVar("Body")
--- a/src/yokedock/connection/machine_list.py
+++ b/src/yokedock/connection/machine_list.py
@@ -9,7 +9,7 @@
 import msgspec
 import urllib3
 
-from yokedock.process.logs import logger
+from yokedock.base.logs import logger
 
 _log = logger("machines")
 
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -14,22 +14,19 @@
 import pykka
 import pynng
 
-from yokedock.connection.peer_reader import PeerReader
+from yokedock.base.logs import logger
+from yokedock.connection.peer_reader import FrameArrived, LinkDown, LinkUp, PeerReader
 from yokedock.connection.peer_types import (
     DropAttempt,
-    FrameArrived,
     HeartbeatDue,
     HeartbeatNow,
-    LinkDown,
-    LinkUp,
-    PeerContext,
     PeerIdentity,
     PeerTiming,
     SendCall,
     StreamSink,
     settle,
 )
-from yokedock.connection.peer_view import AgentPeerHandle, PeerView
+from yokedock.connection.peer_view import AgentPeerHandle, PeerContext, PeerView
 from yokedock.connection.secure_session import SecureSession
 from yokedock.errors import PeerNeverReached, PeerUnreachable, error_from_code
 from yokedock.messages import (
@@ -47,7 +44,6 @@
     StepFrame,
     StreamTokens,
 )
-from yokedock.process.logs import logger
 
 _log = logger("peer")
 
--- a/src/yokedock/connection/peer_listener.py
+++ b/src/yokedock/connection/peer_listener.py
@@ -14,6 +14,7 @@
 
 import pynng
 
+from yokedock.base.logs import logger
 from yokedock.connection.peer_socket import (
     BUFFERED_FRAMES,
     RECEIVE_LIMIT_BYTES,
@@ -30,7 +31,6 @@
 )
 from yokedock.errors import PeerNotAuthenticated, SettingsInvalid
 from yokedock.messages import Frame, Message
-from yokedock.process.logs import logger
 
 _log = logger("listener")
 
--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import random
 import threading
 from typing import Any
@@ -10,14 +11,9 @@
 import pykka
 import pynng
 
+from yokedock.base.logs import logger
 from yokedock.connection.peer_socket import PeerSocket
-from yokedock.connection.peer_types import (
-    FrameArrived,
-    LinkDown,
-    LinkUp,
-    PeerIdentity,
-    PeerTiming,
-)
+from yokedock.connection.peer_types import PeerIdentity, PeerTiming
 from yokedock.connection.secure_session import (
     Hello,
     Sealed,
@@ -28,7 +24,7 @@
     new_nonce,
 )
 from yokedock.errors import PeerNotAuthenticated
-from yokedock.process.logs import logger
+from yokedock.messages import Frame
 
 _log = logger("peer")
 
@@ -42,6 +38,30 @@
 """
 
 
+@dataclasses.dataclass(frozen=True)
+class LinkUp:
+    """The reader has a connection."""
+
+    reader: PeerReader
+    session: SecureSession
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkDown:
+    """The reader's connection is gone."""
+
+    reader: PeerReader
+
+
+@dataclasses.dataclass(frozen=True)
+class FrameArrived:
+    """The reader read a frame from its connection."""
+
+    reader: PeerReader
+    frame: Frame
+
+
 class PeerReader(threading.Thread):
     """Dials one address until it is connected, and reads until that connection is gone."""
 
--- a/src/yokedock/connection/peer_types.py
+++ b/src/yokedock/connection/peer_types.py
@@ -4,15 +4,10 @@
 
 import dataclasses
 from concurrent.futures import Future, InvalidStateError
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
-from yokedock.connection.secure_session import SecureSession
 from yokedock.errors import YokedockError
-from yokedock.messages import AnyMessage, BundleStamp, Frame, StreamTokens
-
-if TYPE_CHECKING:
-    from yokedock.connection.peer_reader import PeerReader
-    from yokedock.connection.peer_view import AgentPeerHandle
+from yokedock.messages import AnyMessage, StreamTokens
 
 
 class StreamSink(Protocol):
@@ -64,25 +59,6 @@
     decode: float = 0.0
 
 
-class PeerContext(Protocol):
-    """What a peer's task needs from its process."""
-
-    def stamp(self) -> BundleStamp:
-        """Return the stamp of the version in force here."""
-
-    def demand(self) -> DemandSignal:
-        """Return the demand signal to send."""
-
-    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
-        """Compare a peer's version with the one in force here."""
-
-    def bundle_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
-        """Consider an envelope that a peer handed over."""
-
-    def sections(self, digests: tuple[str, ...]) -> tuple[bytes, ...]:
-        """Return sections by digest."""
-
-
 @dataclasses.dataclass(frozen=True)
 class SendCall:
     """Send a message; ``reply`` is None where no reply is wanted.
@@ -103,30 +79,6 @@
     attempt: str
 
 
-@dataclasses.dataclass(frozen=True)
-class LinkUp:
-    """The reader has a connection."""
-
-    reader: PeerReader
-    session: SecureSession
-    incarnation: int
-
-
-@dataclasses.dataclass(frozen=True)
-class LinkDown:
-    """The reader's connection is gone."""
-
-    reader: PeerReader
-
-
-@dataclasses.dataclass(frozen=True)
-class FrameArrived:
-    """The reader read a frame from its connection."""
-
-    reader: PeerReader
-    frame: Frame
-
-
 @dataclasses.dataclass(frozen=True)
 class HeartbeatDue:
     """The process's ticker passes by: send a heartbeat if it is time for one."""
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -4,11 +4,12 @@
 
 import time
 from concurrent.futures import Future
-from typing import Any
+from typing import Any, Protocol
 
 import pykka
 
 from yokedock.connection.peer_types import (
+    DemandSignal,
     DropAttempt,
     HeartbeatDue,
     HeartbeatNow,
@@ -124,3 +125,22 @@
             if future is not None:
                 error = PeerNeverReached(f"{self.name} was removed from the bundle; retry", 1.0)
                 settle(future, error=error)
+
+
+class PeerContext(Protocol):
+    """What a peer's task needs from its process."""
+
+    def stamp(self) -> BundleStamp:
+        """Return the stamp of the version in force here."""
+
+    def demand(self) -> DemandSignal:
+        """Return the demand signal to send."""
+
+    def peer_stamp_seen(self, peer: AgentPeerHandle, stamp: BundleStamp) -> None:
+        """Compare a peer's version with the one in force here."""
+
+    def bundle_offered(self, peer: AgentPeerHandle, envelope: bytes) -> None:
+        """Consider an envelope that a peer handed over."""
+
+    def sections(self, digests: tuple[str, ...]) -> tuple[bytes, ...]:
+        """Return sections by digest."""
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
+from yokedock.base.logs import logger
 from yokedock.connection.router_state import RouterState
-from yokedock.process.logs import logger
 
 _log = logger("gossip")
 
--- a/src/yokedock/process/admin_http.py
+++ b/src/yokedock/process/admin_http.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from yokedock.base.histograms import Histograms
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.errors import NotReady
-from yokedock.process.histograms import Histograms
 
 ADMIN_THREADS = 4
 
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -9,18 +9,13 @@
 
 import pykka
 
+from yokedock.base.clock import left_s, wall_clock_ms
+from yokedock.base.histograms import Histograms
+from yokedock.base.logs import logger
+from yokedock.base.metrics import Metrics
 from yokedock.connection.bundle_exchange import BundleExchange
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.engine_client import HttpEngineClient
-from yokedock.connection.engine_watch import Reconciler, StepReader
-from yokedock.connection.lease_holder import (
-    ConnectionClosed,
-    ExpireNow,
-    Inbound,
-    LeaseCheck,
-    LeaseHolder,
-    ReportNow,
-)
 from yokedock.connection.machine_list import STATE_LEAVING, Machine, MachineWatch
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
 from yokedock.connection.peer_types import DemandSignal, PeerIdentity
@@ -36,10 +31,15 @@
     TransferDone,
 )
 from yokedock.process.admin_http import AdminServer, ProcessStatus
-from yokedock.process.clock import left_s, wall_clock_ms
-from yokedock.process.histograms import Histograms
-from yokedock.process.logs import logger
-from yokedock.process.metrics import Metrics
+from yokedock.process.engine_watch import Reconciler, StepReader
+from yokedock.process.lease_holder import (
+    ConnectionClosed,
+    ExpireNow,
+    Inbound,
+    LeaseCheck,
+    LeaseHolder,
+    ReportNow,
+)
 from yokedock.process.pause import PauseDetector
 from yokedock.process.peer_directory import PeerAddress, PeerDirectory, peer_timing
 from yokedock.process.role_manager import RoleManager
--- a/src/yokedock/connection/caller_http.py
+++ b/src/yokedock/process/caller_http.py
@@ -7,20 +7,10 @@
 import uuid
 from typing import Any
 
+from yokedock.base.histograms import Histograms, Measure
+from yokedock.base.logs import logger
+from yokedock.base.metrics import Metrics
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, error_response
-from yokedock.connection.openai_format import (
-    REQUEST_ID_HEADER,
-    AnswerFormat,
-    ChatRequest,
-    CompletionRequest,
-    EventStreamWriter,
-    GenerationRequest,
-    ModelEntry,
-    ModelListing,
-    Usage,
-    WholeAnswerWriter,
-    split_adapter,
-)
 from yokedock.errors import (
     BadRequest,
     CallerGone,
@@ -31,14 +21,24 @@
     Unauthorized,
     YokedockError,
 )
-from yokedock.process.histograms import Histograms, Measure
-from yokedock.process.logs import logger
-from yokedock.process.metrics import Metrics
 from yokedock.request.admission import Admission
 from yokedock.request.answer_stream import AnswerStream
 from yokedock.request.attempt import ModelOrder
 from yokedock.request.context import CallerIdentity, RequestContext
 from yokedock.request.model_request import ModelRequests
+from yokedock.request.openai_format import (
+    REQUEST_ID_HEADER,
+    AnswerFormat,
+    ChatRequest,
+    CompletionRequest,
+    EventStreamWriter,
+    GenerationRequest,
+    ModelEntry,
+    ModelListing,
+    Usage,
+    WholeAnswerWriter,
+    split_adapter,
+)
 from yokedock.request.prefix import estimate_tokens
 from yokedock.request.service_request import ServiceOrder, ServiceRequests
 from yokedock.request.watchdog import Watchdog
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -13,6 +13,9 @@
 import urllib3
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from yokedock.base.clock import wall_clock_ms
+from yokedock.base.histograms import EncodedHistogram, Histograms
+from yokedock.base.logs import logger, set_up_logs
 from yokedock.errors import PlatformUnavailable, YokedockError
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_diff import diff_bundles
@@ -25,10 +28,7 @@
     write_private_key,
     write_signed,
 )
-from yokedock.process.clock import wall_clock_ms
 from yokedock.process.exit import exit_now
-from yokedock.process.histograms import EncodedHistogram, Histograms
-from yokedock.process.logs import logger, set_up_logs
 from yokedock.process.settings import (
     read_agent_settings,
     read_any_settings,
--- a/src/yokedock/connection/engine_watch.py
+++ b/src/yokedock/process/engine_watch.py
@@ -5,9 +5,9 @@
 import threading
 import time
 
+from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.errors import YokedockError
-from yokedock.process.logs import logger
 from yokedock.request.engine_backend import EngineBackend
 
 _log = logger("engine")
--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -5,8 +5,11 @@
 import threading
 import time
 
+from yokedock.base.clock import left_s, wall_clock_ms
+from yokedock.base.histograms import Histograms
+from yokedock.base.logs import logger
+from yokedock.base.metrics import Metrics
 from yokedock.connection.bundle_exchange import BundleExchange
-from yokedock.connection.caller_http import CallerInterface
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.connection.machine_list import Machine, MachineWatch
@@ -15,10 +18,7 @@
 from yokedock.errors import NotReady
 from yokedock.messages import BundleStamp
 from yokedock.process.admin_http import AdminServer, PeerStatus, ProcessStatus
-from yokedock.process.clock import left_s, wall_clock_ms
-from yokedock.process.histograms import Histograms
-from yokedock.process.logs import logger
-from yokedock.process.metrics import Metrics
+from yokedock.process.caller_http import CallerInterface
 from yokedock.process.peer_directory import PeerAddress, PeerDirectory, peer_timing
 from yokedock.process.settings import GatewaySettings, bundle_key, deployment_key
 from yokedock.request.admission import Admission, RetryBudget
--- a/src/yokedock/connection/lease_holder.py
+++ b/src/yokedock/process/lease_holder.py
@@ -13,7 +13,7 @@
 
 import pykka
 
-from yokedock.connection.lease import Lease
+from yokedock.base.logs import logger
 from yokedock.connection.peer_listener import PeerConnection
 from yokedock.errors import LeaseExpired, NotReady, StaleVersion, YokedockError
 from yokedock.messages import (
@@ -35,7 +35,7 @@
     ServiceCall,
     StepFrame,
 )
-from yokedock.process.logs import logger
+from yokedock.process.lease import Lease
 from yokedock.request.backend import Backend
 
 _log = logger("lease")
--- a/src/yokedock/process/peer_directory.py
+++ b/src/yokedock/process/peer_directory.py
@@ -7,8 +7,8 @@
 
 from yokedock.connection.heartbeat_ticker import HeartbeatTicker
 from yokedock.connection.peer_client import start_peer
-from yokedock.connection.peer_types import PeerContext, PeerIdentity, PeerTiming
-from yokedock.connection.peer_view import AgentPeerHandle
+from yokedock.connection.peer_types import PeerIdentity, PeerTiming
+from yokedock.connection.peer_view import AgentPeerHandle, PeerContext
 from yokedock.process.settings import PeerSettings
 
 
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -6,11 +6,11 @@
 import time
 from collections.abc import Callable
 
+from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, RoleOrder
 from yokedock.connection.http_heads import RequestHead
 from yokedock.errors import YokedockError
-from yokedock.process.logs import logger
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
--- a/src/yokedock/process/role_manager.py
+++ b/src/yokedock/process/role_manager.py
@@ -11,10 +11,10 @@
 import time
 from collections.abc import Callable
 
+from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.connection.peer_types import DemandSignal
 from yokedock.errors import YokedockError
-from yokedock.process.logs import logger
 from yokedock.request.engine_backend import EngineBackend
 from yokedock.version.bundle import ROLE_DECODE, ROLE_FLEXIBLE, Bundle
 from yokedock.version.role_ladder import EnginePlan, LadderPosition, ladder_position, wanted_role
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from yokedock.base.clock import wall_clock_ms
+from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import AnswerWriter, CallerConnection, CallerRequest
 from yokedock.connection.dialect import Dialect
@@ -26,9 +28,7 @@
     PlatformUnavailable,
     YokedockError,
 )
-from yokedock.process.clock import wall_clock_ms
 from yokedock.process.leadership import Leadership, Vote
-from yokedock.process.logs import logger
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.state_follower import StateFollower
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -6,9 +6,9 @@
 import signal
 import sys
 
+from yokedock.base.logs import logger, set_up_logs
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.state_source import StateSource
-from yokedock.process.logs import logger, set_up_logs
 from yokedock.process.router import Router
 from yokedock.process.router_settings import RouterSettings
 
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 from typing import Any
 
+from yokedock.base.options import Problems, address, between, one_of, option, read_ini
+from yokedock.base.options import read_section as read_options
 from yokedock.errors import SettingsInvalid
-from yokedock.process.options import Problems, address, between, one_of, option, read_ini
-from yokedock.process.options import read_section as read_options
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -11,10 +11,11 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
+from yokedock.base.metrics import MetricsSettings
+from yokedock.base.options import Problems, address, between, one_of, option, read_ini
+from yokedock.base.options import read_section as read_options
 from yokedock.connection.secure_session import KEY_BYTES, LOOPBACK_KEY
 from yokedock.errors import SettingsInvalid
-from yokedock.process.options import Problems, address, between, one_of, option, read_ini
-from yokedock.process.options import read_section as read_options
 
 LEASE_IN_HEARTBEATS = 3
 """A lease lasts at least this many heartbeats, so that one lost heartbeat does not end it."""
@@ -87,14 +88,6 @@
     correct_load: bool = option("add what was sent since an engine's last report", True)
 
 
-@dataclasses.dataclass(frozen=True)
-class MetricsSettings:
-    """Where metrics go."""
-
-    statsd: str = option("address of statsd (UDP), IP:port; empty: none", "")
-    prefix: str = option("prefix of all metric names", "yokedock")
-
-
 @dataclasses.dataclass(frozen=True)
 class LogSettings:
     """What is logged."""
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -6,9 +6,9 @@
 import random
 import time
 
+from yokedock.base.logs import logger
 from yokedock.connection.state_source import StateSnapshot, StateSource
 from yokedock.errors import HistoryGone, PlatformUnavailable
-from yokedock.process.logs import logger
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.version.route_table import RouteIndex, RouteTable
 
--- a/src/yokedock/request/attempt.py
+++ b/src/yokedock/request/attempt.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from yokedock.base.histograms import Histograms, Measure
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import (
     AttemptLost,
@@ -33,7 +34,6 @@
     Sampling,
     StepFrame,
 )
-from yokedock.process.histograms import Histograms, Measure
 from yokedock.request.answer_stream import AnswerStream
 from yokedock.request.context import RequestContext
 from yokedock.request.placement import PlacementPolicy, PrefillChoice, candidates
--- a/src/yokedock/request/context.py
+++ b/src/yokedock/request/context.py
@@ -7,9 +7,9 @@
 from concurrent.futures import Future
 from typing import Any
 
+from yokedock.base.clock import left_ms, left_s
 from yokedock.connection.peer_types import settle
 from yokedock.errors import DeadlineExceeded, PeerTimeout, YokedockError
-from yokedock.process.clock import left_ms, left_s
 from yokedock.version.bundle import RequestClass
 
 
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from yokedock.base.clock import deadline_in, left_s
+from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.connection.engine_protocol import (
     DecodeOrder,
@@ -48,8 +50,6 @@
     StreamTokens,
     TransferDone,
 )
-from yokedock.process.clock import deadline_in, left_s
-from yokedock.process.logs import logger
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
 from yokedock.request.engine_attempt import EngineAttempt, EngineSetup, TransferFunction
 from yokedock.request.known_blocks import BlockChanges, KnownBlocks
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -10,6 +10,7 @@
 import dataclasses
 import time
 
+from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.http_heads import RequestHead
 from yokedock.errors import (
@@ -24,7 +25,6 @@
     Refused,
     YokedockError,
 )
-from yokedock.process.logs import logger
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -4,6 +4,8 @@
 
 import time
 
+from yokedock.base.clock import deadline_in, left_s
+from yokedock.base.logs import logger
 from yokedock.errors import (
     AnswerLost,
     AttemptLost,
@@ -17,8 +19,6 @@
     RetryBudgetSpent,
     YokedockError,
 )
-from yokedock.process.clock import deadline_in, left_s
-from yokedock.process.logs import logger
 from yokedock.request.admission import RetryBudget
 from yokedock.request.answer_stream import AnswerStream
 from yokedock.request.attempt import Attempt, AttemptServices, ModelOrder, Placed
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.errors import (
     BackendAnswerLost,
@@ -15,7 +16,6 @@
     NoBackend,
     YokedockError,
 )
-from yokedock.process.logs import logger
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchanges
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.retry_allowance import RetryAllowance
--- a/src/yokedock/request/releaser.py
+++ b/src/yokedock/request/releaser.py
@@ -5,9 +5,9 @@
 import threading
 from collections.abc import Callable
 
+from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.errors import YokedockError
-from yokedock.process.logs import logger
 
 _log = logger("releaser")
 RETRY_S = 0.2
--- a/src/yokedock/request/service_backend.py
+++ b/src/yokedock/request/service_backend.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from yokedock.base.clock import deadline_in, left_s, wall_clock_ms
 from yokedock.connection.service_client import ServiceClient
 from yokedock.errors import (
     BadRequest,
@@ -28,7 +29,6 @@
     Tombstone,
     TombstoneSet,
 )
-from yokedock.process.clock import deadline_in, left_s, wall_clock_ms
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
 from yokedock.request.idempotency import IdempotencyRecord, KeyRecord, KeyState, RecordLimits
 from yokedock.version.bundle import Bundle, Service
--- a/src/yokedock/request/service_request.py
+++ b/src/yokedock/request/service_request.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from yokedock.base.clock import wall_clock_ms
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import (
     BadIdempotencyKey,
@@ -21,7 +22,6 @@
     YokedockError,
 )
 from yokedock.messages import AnyMessage, ServiceAnswer, ServiceCall, Tombstone, TombstoneSet
-from yokedock.process.clock import wall_clock_ms
 from yokedock.request.admission import RetryBudget
 from yokedock.request.context import RequestContext
 from yokedock.request.idempotency import check_key_window
--- a/src/yokedock/request/watchdog.py
+++ b/src/yokedock/request/watchdog.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from yokedock.base.logs import logger
 from yokedock.connection.http_server import HttpRequest
 from yokedock.errors import AttemptLost, CallerGone, DeadlineExceeded
-from yokedock.process.logs import logger
 from yokedock.request.answer_stream import AnswerStream
 from yokedock.request.context import RequestContext
 
--- a/src/yokedock/version/bundle.py
+++ b/src/yokedock/version/bundle.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from yokedock.process.options import address, between, one_of, option
+from yokedock.base.options import address, between, one_of, option
 
 ROLE_PREFILL = "prefill"
 ROLE_DECODE = "decode"
--- a/src/yokedock/version/bundle_source.py
+++ b/src/yokedock/version/bundle_source.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 from typing import Any
 
+from yokedock.base.options import Problems, read_ini, read_section
 from yokedock.errors import BundleInvalid
-from yokedock.process.options import Problems, read_ini, read_section
 from yokedock.version.bundle import KINDS, ROLE_DECODE, ROLE_PREFILL, Bundle, Limits
 
 _NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$")
--- a/src/yokedock/version/bundle_store.py
+++ b/src/yokedock/version/bundle_store.py
@@ -7,9 +7,9 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
+from yokedock.base.logs import logger
 from yokedock.errors import BundleRejected, NotReady
 from yokedock.messages import BundleStamp
-from yokedock.process.logs import logger
 from yokedock.version.bundle import Bundle
 from yokedock.version.bundle_codec import (
     Manifest,
--- a/src/yokedock_emulator/bench_deployment.py
+++ b/src/yokedock_emulator/bench_deployment.py
@@ -11,8 +11,8 @@
 import urllib3
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from yokedock.base.clock import wall_clock_ms
 from yokedock.process.bundle_files import public_text
-from yokedock.process.clock import wall_clock_ms
 from yokedock.version.bundle_codec import sign_bundle
 from yokedock.version.bundle_source import read_bundle_source
 from yokedock_emulator.platform import PublishedValue
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -9,10 +9,10 @@
 import cyclopts
 import msgspec
 
+from yokedock.base.logs import set_up_logs
 from yokedock.process.bundle_files import read_signed
 from yokedock.process.cli import run_app
 from yokedock.process.exit import exit_now
-from yokedock.process.logs import set_up_logs
 
 app = cyclopts.App(name="yokedock-emulator", help="Stand-ins, load and experiments.")
 REREAD_S = 0.5
--- a/src/yokedock_emulator/cluster.py
+++ b/src/yokedock_emulator/cluster.py
@@ -9,9 +9,10 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from yokedock.base.clock import wall_clock_ms
+from yokedock.base.metrics import MetricsSettings
 from yokedock.errors import YokedockError
 from yokedock.process.agent import Agent
-from yokedock.process.clock import wall_clock_ms
 from yokedock.process.gateway import Gateway
 from yokedock.process.settings import (
     AdminSettings,
@@ -20,7 +21,6 @@
     CallerSettings,
     GatewaySettings,
     LogSettings,
-    MetricsSettings,
     PeerSettings,
     PlatformSettings,
     ProcessSettings,
--- a/src/yokedock_emulator/demo.py
+++ b/src/yokedock_emulator/demo.py
@@ -11,11 +11,11 @@
 import msgspec
 import urllib3
 
-from yokedock.connection.openai_format import STREAM_END
-from yokedock.process.clock import wall_clock_ms
-from yokedock.process.logs import set_up_logs
+from yokedock.base.clock import wall_clock_ms
+from yokedock.base.logs import set_up_logs
 from yokedock.process.tables import format_table
 from yokedock.request.idempotency import new_key
+from yokedock.request.openai_format import STREAM_END
 from yokedock.version.bundle import Limits, Model, RequestClass, Service
 from yokedock_emulator.cluster import Cluster, ClusterPlan, EnginePlace, ServicePlace
 from yokedock_emulator.cluster import tenant_with_token as tenant
--- a/src/yokedock_emulator/hollow.py
+++ b/src/yokedock_emulator/hollow.py
@@ -10,14 +10,14 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from yokedock.connection.lease_holder import Inbound, LeaseHolder
+from yokedock.base.logs import set_up_logs
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
 from yokedock.connection.peer_types import DemandSignal, PeerIdentity, PeerTiming
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.connection.secure_session import LOOPBACK_KEY
 from yokedock.messages import AnyMessage, BundleStamp, Done, Frame, LoadReport
 from yokedock.process.exit import exit_now
-from yokedock.process.logs import set_up_logs
+from yokedock.process.lease_holder import Inbound, LeaseHolder
 from yokedock.process.peer_directory import PeerAddress, PeerDirectory
 from yokedock.request.backend import Backend, OrderGuard, SendFrame
 
--- a/src/yokedock_emulator/slopes.py
+++ b/src/yokedock_emulator/slopes.py
@@ -15,6 +15,8 @@
 import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from yokedock.base.histograms import Histograms, Measure
+from yokedock.base.logs import set_up_logs
 from yokedock.connection.secure_session import Hello, SecureSession, Welcome, new_nonce
 from yokedock.messages import (
     BundleStamp,
@@ -25,8 +27,6 @@
     StepFrame,
     StreamTokens,
 )
-from yokedock.process.histograms import Histograms, Measure
-from yokedock.process.logs import set_up_logs
 from yokedock.process.tables import format_table
 from yokedock.version.bundle import Bundle, Engine, Limits, Model, RequestClass, Tenant
 from yokedock.version.bundle_codec import SignedBundle, sign_bundle
