--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -59,6 +59,8 @@
 UNKNOWN_WAIT_S = 0.2
 """A request waits this long for routes that are not known yet: most starts need less."""
 UNKNOWN_COME_BACK_S = 1.0
+ELSEWHERE_S = 1.0
+"""When to come back for a stream that a stopping router refused: others may be stopping too."""
 AT_ONCE_S = 0.05
 """When to come back to another router."""
 STREAM_START_S = 0.5
@@ -301,7 +303,7 @@
         tokens = terms.output_hint or terms.most_output_tokens
         end_s = time.monotonic() + STREAM_START_S + tokens * TOKEN_S
         if end_s > self._last_answers_s:
-            raise NotReady("the router is stopping; retry at once", AT_ONCE_S)
+            raise NotReady("the router is stopping; retry elsewhere", ELSEWHERE_S)
 
     def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
         """Choose one of the route's services by weight."""
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -15,7 +15,7 @@
 from yokedock.request.backend_registry import Backend
 from yokedock.request.routed_call import RoutedCall, RunState, WholeAnswer
 
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.15
 SHORT_REST_S = 0.8
 """What may not be repeated uses only connections that rested for less: fewer are closed by then."""
 MAX_WHOLE_ANSWER_BYTES = 16_777_216
