--- /dev/null
+++ b/src/yokedock/connection/routes_file.py
@@ -0,0 +1,201 @@
+"""Routes, services and backends from an INI file: the product's own source of state.
+
+The file is read again when it changes; its version must rise with every change of a route.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from pathlib import Path
+from typing import Any
+
+from yokedock.base.options import Problems, address, between, one_of, option, read_ini, read_section
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
+from yokedock.errors import HistoryGone, PlatformUnavailable, SettingsInvalid
+from yokedock.version.route_table import (
+    CallerLimits,
+    EngineTraits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceSpec,
+    WeightedTarget,
+)
+
+POLL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class TableOptions:
+    """The version, and the limits for callers."""
+
+    version: int = option("version; raise it with every change", check=between(1, 1 << 53))
+    max_body_bytes: int = option("largest body, bytes", 4_194_304, between(1, 1 << 40))
+    idle_timeout_s: float = option("longest rest of a connection, s", 15.0, between(0.1, 86_400))
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteOptions:
+    """One route; its name is the section's."""
+
+    host: str = option("host name")
+    prefix: str = option("path prefix that begins and ends with a slash")
+    kind: str = option("what may be repeated", check=one_of(*RouteKind))
+    services: tuple[str, ...] = option("services, each as NAME or NAME:WEIGHT")
+    timeout_s: float = option("longest time a request is held, s", 60.0, between(0.01, 86_400))
+    target_s: float = option("time to an answer or first event that is in time, s", 1.0)
+    max_attempts: int = option("most backends a request may run on", 1, between(1, 10))
+    resumable: bool = option("a stream may go on at another engine", False)
+    pause_s: float = option("longest pause between events that is in time, s; 0: any", 0.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceOptions:
+    """One service; an engine's memory makes it a pool of model engines."""
+
+    memory_tokens: int = option("memory of each engine, tokens; 0: no model engines", 0)
+    slots: int = option("requests at once of each engine", 1, between(1, 100_000))
+    tokens_per_event: int = option("tokens in one event", 1, between(1, 1000))
+    handle_s: float = option("how long a prefill is kept, s", 0.5)
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendOptions:
+    """One backend; its name is the section's."""
+
+    service: str = option("service it belongs to")
+    address: str = option("IP:port", check=address)
+    zone: str = option("zone it stands in", "")
+    slots: int = option("requests at once", 1, between(1, 100_000))
+    role: str = option("prefill or decode for a model engine", "", one_of("", "prefill", "decode"))
+    leaving: bool = option("it gets nothing new", False)
+
+
+def read_routes(path: Path) -> StateSnapshot:
+    """Read and check a routes file; raises ``SettingsInvalid`` that lists every error."""
+    problems = Problems()
+    parser = read_ini(path, problems)
+    kinds: dict[str, Any] = {
+        "route": RouteOptions,
+        "service": ServiceOptions,
+        "backend": BackendOptions,
+    }
+    found: dict[str, dict[str, Any]] = {kind: {} for kind in kinds}
+    table: TableOptions | None = None
+    for title in parser.sections():
+        kind, _, name = title.partition(" ")
+        if title == "table":
+            table = read_section(TableOptions, title, parser[title], problems)
+        elif kind in kinds and name:
+            found[kind][name] = read_section(kinds[kind], title, parser[title], problems)
+        else:
+            remedy = "use [table], [route NAME], [service NAME] or [backend NAME]"
+            problems.add(f"[{title}]", "unknown section", remedy)
+    if not problems.lines and table is None:
+        problems.add("[table]", "missing section", "add it with a version")
+    _check_services(found, problems)
+    if problems.lines or table is None:
+        raise SettingsInvalid(problems.text())
+    return StateSnapshot(
+        table.version,
+        _table(table, found),
+        {name: _entry(name, options) for name, options in found["backend"].items()},
+    )
+
+
+class RoutesFile(StateSource):
+    """Follows a routes file."""
+
+    def __init__(self, path: Path) -> None:
+        """Read from ``path``."""
+        self._path = path
+        self._changed_ns = 0
+
+    async def read(self) -> StateSnapshot:
+        """Return what the file says; its version is the position."""
+        try:
+            self._changed_ns = self._path.stat().st_mtime_ns
+            return read_routes(self._path)
+        except (OSError, SettingsInvalid) as error:
+            raise PlatformUnavailable(f"{self._path}: {error}") from None
+
+    async def wait(self, position: int) -> StateChanges:
+        """Return nothing while the file stays as it is; raises ``HistoryGone`` when it changed."""
+        await asyncio.sleep(POLL_S)
+        try:
+            if self._path.stat().st_mtime_ns != self._changed_ns:
+                raise HistoryGone(f"{self._path} has changed")
+        except OSError as error:
+            raise PlatformUnavailable(f"{self._path}: {error}") from None
+        return StateChanges(position)
+
+
+def _check_services(found: dict[str, dict[str, Any]], problems: Problems) -> None:
+    for name, options in found["backend"].items():
+        if options is not None and options.service not in found["service"]:
+            remedy = f"add [service {options.service}]"
+            problems.add(f"[backend {name}] service", "unknown service", remedy)
+    for name, options in found["route"].items():
+        for target in options.services if options is not None else ():
+            service = target.partition(":")[0]
+            if service not in found["service"]:
+                remedy = f"add [service {service}]"
+                problems.add(f"[route {name}] services", f"unknown service {service}", remedy)
+
+
+def _table(table: TableOptions, found: dict[str, dict[str, Any]]) -> RouteTable:
+    limits = CallerLimits(body_bytes=table.max_body_bytes, idle_timeout_s=table.idle_timeout_s)
+    routes = tuple(_route(name, options) for name, options in found["route"].items())
+    services = {name: _service(name, options) for name, options in found["service"].items()}
+    return RouteTable(table.version, routes, services, limits)
+
+
+def _route(name: str, options: RouteOptions) -> Route:
+    targets = []
+    for text in options.services:
+        service, _, weight = text.partition(":")
+        targets.append(WeightedTarget(service, float(weight or 1)))
+    return Route(
+        name,
+        options.host,
+        options.prefix,
+        RouteKind(options.kind),
+        options.timeout_s,
+        options.target_s,
+        tuple(targets),
+        max_attempts=options.max_attempts,
+        resumable=options.resumable,
+        gap_target_s=options.pause_s,
+    )
+
+
+def _service(name: str, options: ServiceOptions) -> ServiceSpec:
+    traits = None
+    if options.memory_tokens:
+        traits = EngineTraits(
+            slots=options.slots,
+            memory_tokens=options.memory_tokens,
+            token_bytes=0.0,
+            link_mbps=0.0,
+            tokens_per_event=options.tokens_per_event,
+            handle_s=options.handle_s,
+        )
+    return ServiceSpec(name, engine=traits)
+
+
+def _entry(name: str, options: BackendOptions) -> BackendEntry:
+    return BackendEntry(
+        name,
+        options.service,
+        options.address,
+        options.zone,
+        options.slots,
+        options.leaving,
+        options.role,
+    )
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -16,6 +16,7 @@
 from yokedock.base.clock import wall_clock_ms
 from yokedock.base.histograms import EncodedHistogram, Histograms
 from yokedock.base.logs import logger, set_up_logs
+from yokedock.base.options import Problems, read_ini
 from yokedock.errors import PlatformUnavailable, YokedockError
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_diff import diff_bundles
@@ -100,6 +101,18 @@
     run_daemon(Agent(checked))
 
 
+@app.command
+def router(settings: SettingsOption) -> None:
+    """Run a router on its own routes file: passes requests on by host and path."""
+    from yokedock.connection.dialect import HeaderDialect
+    from yokedock.connection.routes_file import RoutesFile
+    from yokedock.process.router_main import run_router
+    from yokedock.process.router_settings import read_router_settings
+
+    checked = read_router_settings(settings)
+    run_router(checked, RoutesFile(Path(checked.state.source)), HeaderDialect())
+
+
 @app.command
 def demo(*, keep: bool = False) -> None:
     """Run everything in one process on loopback, send requests, and check what happened."""
@@ -110,8 +123,18 @@
 
 @settings_app.command(name="check")
 def check_settings(file: Path) -> None:
-    """Check a settings file and print every error with its remedy."""
-    read_any_settings(file)
+    """Check a settings or routes file and print every error with its remedy."""
+    sections = read_ini(file, Problems()).sections()
+    if "table" in sections:
+        from yokedock.connection.routes_file import read_routes
+
+        read_routes(file)
+    elif "callers" in sections:
+        from yokedock.process.router_settings import read_router_settings
+
+        read_router_settings(file)
+    else:
+        read_any_settings(file)
     print(f"{file}: no errors")
 
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -30,6 +30,7 @@
 )
 from yokedock.process.leadership import Leadership, Vote
 from yokedock.process.role_balancer import RoleBalancer
+from yokedock.process.router_metrics import RouterMetrics
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.backend_exchange import BackendExchanges
@@ -47,6 +48,7 @@
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 STATE_PATH = "/state"
+METRICS_PATH = "/metrics"
 STATE_TIMEOUT_S = 1.0
 COME_BACK_S = 0.5
 BACKLOG = 512
@@ -98,6 +100,7 @@
         self._generations = GenerationCalls(placement, self._ledger, exchanges, allowance)
         self._opaque = OpaqueCalls(self._registry, exchanges, allowance)
         self._dialect = dialect
+        self._metrics = RouterMetrics()
         self._random = random.Random()
         self._connections: set[CallerConnection] = set()
         self._active = 0
@@ -245,12 +248,30 @@
         await answer.whole(*whole_answer(status, b""))
 
     async def _answer_router(self, request: CallerRequest, answer: AnswerWriter) -> None:
-        """Give another router what this one knows."""
-        if request.head.path != STATE_PATH:
-            raise NotFound(f"there is no {request.head.path}; ask for {STATE_PATH}")
-        body = msgspec.msgpack.encode(self._follower.snapshot())
+        """Give another router what this one knows, or an operator its figures."""
+        if request.head.path == STATE_PATH:
+            body = msgspec.msgpack.encode(self._follower.snapshot())
+        elif request.head.path == METRICS_PATH:
+            body = self._metrics.text(self._levels())
+        else:
+            message = f"there is no {request.head.path}; ask for {STATE_PATH} or {METRICS_PATH}"
+            raise NotFound(message)
         await answer.whole(*whole_answer(200, body))
 
+    def _levels(self) -> dict[str, float]:
+        """Return what operators see of this moment."""
+        return {
+            "active": self._active,
+            "connections": len(self._connections),
+            "waiting_in_time": self._placement.waiting_in_time(),
+            "routers_known": self._gossip.known(),
+            "routers_heard": self._gossip.fleet_size(),
+            "table_version": self._follower.version,
+            "state_position": self._follower.position,
+            "state_silent_s": self._follower.silent_s(),
+            "connections_opened": self._pool.opened,
+        }
+
     # --- Requests ---
 
     async def _answer(self, request: CallerRequest, answer: AnswerWriter) -> None:
@@ -326,6 +347,10 @@
         call: RoutedCall | None,
         outcome: str,
     ) -> None:
+        route = call.route.name if call else "none"
+        held_s = time.monotonic() - request.arrived_s
+        self._metrics.count(route, outcome)
+        self._metrics.record(route, "held", held_s)
         _log.info(
             "request",
             request=call.request_id if call else "",
@@ -334,7 +359,7 @@
             status=answer.status,
             runs=call.runs if call else 0,
             arrivals=call.arrivals if call else 0,
-            held_ms=round((time.monotonic() - request.arrived_s) * 1000),
+            held_ms=round(held_s * 1000),
         )
 
     # --- Other routers ---
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -104,7 +104,7 @@
                 problems.add(f"[{title}]", "unknown section", remedy)
         for name, kind in _KINDS.items():
             if name not in parser and name not in _OPTIONAL:
-                problems.add(f"[{name}]", "missing section", "add it; see deploy/router.ini")
+                problems.add(f"[{name}]", "missing section", "add it; see examples/router.ini")
                 continue
             values = parser[name] if parser.has_section(name) else {}
             sections[name] = read_options(kind, name, values, problems)
