--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -30,8 +30,8 @@
 """How much later an engine in the same zone may be before one in another zone is better."""
 SELF_PREFILL_SLOWNESS = 2.0
 """A decode engine reads prompts this much slower than a prefill engine (the platform's figure)."""
-SELF_PREFILL_HANDICAP_S = -0.05
-FULL_HANDICAP_S = 0.75
+SELF_PREFILL_HANDICAP_S = 0.1
+FULL_HANDICAP_S = 0.6
 """How much sooner reading on the decode engine must be, on an empty and on a full engine: it slows
 all streams there, and so the rate at which room comes free."""
 TARGET_MARGIN_S = 0.25
