Lines of logs are bounded and counted; the router as a real process under test

Cause: nothing bounded the volume of logs, and the daemon itself (routes file, figures, SIGTERM, checked settings) had no scenario. Change: a budget of lines a second, warnings always written, the next line tells what was dropped; two scenarios with a real process.

--- /dev/null
+++ b/features/router_process.feature
@@ -0,0 +1,36 @@
+Feature: The router as a process, on its own routes file
+
+  Scenario: It serves, tells its figures, follows its file and ends with 0 on SIGTERM
+    Given a plain backend "a"
+    And a router process on a routes file that lists it as version 1
+    When a client sends POST on "booking" to the process
+    Then the client gets 200 with the body of a backend
+    And its figures count 1 answered request of "booking"
+    When the routes file becomes version 2 with the prefix "/lodging/"
+    Then a client who sends POST on "lodging" to the process gets 200 after a while
+    And a client who sends POST on "booking" to the process gets 404 after a while
+    When the process gets SIGTERM
+    Then it ends with 0
+
+  Scenario: Every error of a settings or routes file is told at once with its remedy
+    Then checking this file fails and tells "unknown section" and "missing" and "write"
+      """
+      [callers]
+      listen = nowhere
+      [fleets]
+      address = 127.0.0.1:1
+      """
+    And checking this file fails and tells "unknown service" and "write one of" and "write a number"
+      """
+      [table]
+      version = 1
+      [backend a]
+      service = nowhere
+      address = 127.0.0.1:1
+      [route r]
+      host = h
+      prefix = /r/
+      kind = sometimes
+      services = x
+      timeout_s = long
+      """
--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -15,3 +15,5 @@
       | changes of roles end at the wanted split                      |
       | the longest prefix finds the route                            |
       | documents of the platform become routes and backends          |
+      | lines stay within their budget                                |
+      | a line tells how many were dropped                            |
--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -1,6 +1,7 @@
 """Properties of the router's pure parts, searched the same way every time."""
 
 import base64
+import io
 import itertools
 import json
 import random
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from support.search import searched
+from yokedock.base.logs import BoundedJsonLinesHandler, LineBudget, logger
 from yokedock.connection.event_stream import EventSplitter
 from yokedock.connection.router_state import EngineShare
 from yokedock.platform.documents import backend_entry, route_table
@@ -239,7 +241,41 @@
     assert set(changes.gone) == {"i-3"}
 
 
+@searched(gaps=st.lists(st.floats(0, 0.5), min_size=1, max_size=200))
+def lines_stay_within_their_budget(gaps):
+    """In no second more than twice the allowed lines are written, and all others are counted."""
+    clock = Clock()
+    budget = LineBudget(5.0, clock)
+    written, dropped = [], 0
+    for gap_s in gaps:
+        clock.now_s += gap_s
+        if budget.may_write():
+            written.append(clock.now_s)
+            dropped += budget.take_dropped()
+    dropped += budget.take_dropped()
+    assert len(written) + dropped == len(gaps)
+    for start_s in written:
+        assert sum(1 for at_s in written if start_s <= at_s < start_s + 1) <= 10
+
+
+def a_line_tells_how_many_were_dropped():
+    """The first line after the budget was spent tells the count; warnings are always written."""
+    stream = io.StringIO()
+    budget = LineBudget(2.0, Clock())
+    handler = BoundedJsonLinesHandler(stream, "INFO", budget)
+    log = logger("test")
+    with handler.applicationbound():
+        for number in range(5):
+            log.info("line", number=number)
+        log.warning("look")
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line.get("number") for line in lines] == [0, 1, None]
+    assert lines[-1]["event"] == "look" and lines[-1]["lines_dropped"] == 3
+
+
 ROUTER_PROPERTIES = {
+    "lines stay within their budget": lines_stay_within_their_budget,
+    "a line tells how many were dropped": a_line_tells_how_many_were_dropped,
     "two leaders are a lease apart": two_leaders_are_a_lease_apart,
     "a quiet fleet soon has one leader": a_quiet_fleet_soon_has_one_leader,
     "the fleet keeps the retry budget": the_fleet_keeps_the_retry_budget,
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -17,7 +17,7 @@
 
 def run_router(settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
     """Serve until SIGTERM or SIGINT. SIGHUP is noted: addresses do not change while it runs."""
-    set_up_logs(settings.log.level, sys.stdout)
+    set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
     asyncio.run(_run(settings, source, dialect))
 
 
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -65,6 +65,9 @@
     """Logs, as JSON lines on standard output."""
 
     level: str = option("lowest level", "info", one_of("debug", "info", "warning", "error"))
+    lines_per_s: float = option(
+        "most lines in a second; others are counted", 200.0, between(1, 1e6)
+    )
 
 
 @dataclasses.dataclass(frozen=True)
