Replaced engines are gone at once, no endless knocking, a router that stops says so last

The scenario for it hung: with every backend unreachable a call went round them without a pause until its deadline. Change: an answer that another incarnation has the address takes the backend out at once; rounds of knocking have pauses and an early end; a last datagram with empty promises.

--- a/features/router.feature
+++ b/features/router.feature
@@ -118,6 +118,13 @@
     And a client sends POST on "repeat" 8 times on one connection
     Then every answer is 200 with the body of "b"
 
+  Scenario: A backend whose address another incarnation has is used no more
+    Given backend "a" was replaced at its address by "z", unknown to the list
+    And backend "b" has died
+    When a client sends POST on "repeat" 4 times on one connection
+    Then every answer is 503
+    And the newcomer was asked once
+
   Scenario: A planned stop lets what is in flight end, and tells callers to go elsewhere
     Given the backends hold their answers
     When a client sends POST on "repeat" and the router is told to stop
--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -53,6 +53,13 @@
     Then the client gets 503
     And engine "p" was told to release what it kept
 
+  Scenario: Engines that cannot be reached end in an honest refusal, not in knocking for ever
+    Given backend "d" has died
+    And backend "e" has died
+    And backend "p" has died
+    When a client streams on "chat"
+    Then the client gets 503
+
   Scenario: A client who leaves in the middle frees the decode engine
     Given every decode engine's next fault is "wait after event 2" at the first that runs
     When a client streams on "talk" and leaves after 2 events
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -94,6 +94,22 @@
     context.world.run(context.world.backends[name].stop())
 
 
+@given('backend "{name}" was replaced at its address by "{newcomer}", unknown to the list')
+def replaced(context, name, newcomer):
+    context.newcomer = context.world.backends[name]
+    context.newcomer.name = newcomer
+
+
+@then("the newcomer was asked once")
+def asked_once(context):
+    assert len(context.newcomer.arrivals) == 1, context.newcomer.arrivals
+
+
+@then("every answer is {status:d}")
+def every_status(context, status):
+    assert [answer[0] for answer in context.answers] == [status] * len(context.answers)
+
+
 @given("the backends hold their answers")
 def hold(context):
     for backend in context.world.backends.values():
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -75,6 +75,8 @@
     is_not_run: bool
     """The backend states that it did not and will not run the request."""
     is_signed: bool
+    is_elsewhere: bool = False
+    """Another incarnation has the address: the one that was meant is gone."""
     load: BackendLoad | None = None
 
 
@@ -163,8 +165,8 @@
     token_field: str = "token"
 
 
-NOT_RUN_STATUS = 421
-"""Misdirected: the backend is not the one that was meant, and does not run the request."""
+MISDIRECTED_STATUS = 421
+"""The backend is not the one that was meant, and does not run the request (RFC 9110)."""
 MAX_DEADLINE_MS = 3_600_000
 
 
@@ -214,11 +216,12 @@
 
     def answer_notes(self, head: AnswerHead) -> AnswerNotes:
         """Return what an answer says about the run."""
-        is_not_run = head.status == NOT_RUN_STATUS
+        is_elsewhere = head.status == MISDIRECTED_STATUS
         return AnswerNotes(
             request_id=head.get(self._keys["request_id"]),
-            is_not_run=is_not_run or head.get(self._keys["not_run"]) is not None,
+            is_not_run=is_elsewhere or head.get(self._keys["not_run"]) is not None,
             is_signed=head.get(self._keys["signature"]) is not None,
+            is_elsewhere=is_elsewhere,
             load=_load(head.get(self._keys["load"])),
         )
 
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -113,6 +113,10 @@
         gap_s = max(0.0, self._sent_s + LEAST_GAP_S - time.monotonic())
         asyncio.get_running_loop().call_later(gap_s, self._speak)
 
+    def tell_last(self) -> None:
+        """Tell the others a last time, at once: this router holds nothing any more."""
+        self._speak()
+
     # --- asyncio.DatagramProtocol ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -186,6 +186,8 @@
         await asyncio.sleep(STOP_POLL_S)
         for connection in list(self._connections):
             connection.abort()
+        await asyncio.sleep(0)
+        self._gossip.tell_last()
 
     async def _upkeep(self) -> None:
         while True:
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -66,6 +66,8 @@
             raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
         self.backend.load = notes.load or self.backend.load
+        if notes.is_elsewhere:
+            self.backend.note_gone(time.monotonic())
         if notes.is_not_run:
             self.state = RunState.REFUSED
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -96,6 +96,10 @@
         """Return the identifier of the incarnation."""
         return self.entry.instance
 
+    def note_gone(self, now_s: float) -> None:
+        """Note that another incarnation has the address: this one is gone already."""
+        self.leaving_since_s = now_s - GONE_GRACE_S
+
     def may_take_as_last_resort(self, now_s: float) -> bool:
         """Return whether a backend that is leaving may still be used."""
         if self.leaving_since_s is None:
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -43,6 +43,9 @@
 LEAST_USEFUL_S = 0.1
 COME_BACK_S = 1.0
 ENOUGH_REFUSALS = 3
+KNOCK_S = 0.02
+KNOCK_TARGETS = 2.0
+"""Engines that cannot be reached are tried again at this interval, for so many times the target."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
 RELEASE_TIMEOUT_S = 1.0
@@ -129,8 +132,10 @@
                 await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
-                if not self._may_go_on(call, is_arrival=False):
+                is_over = time.monotonic() > call.arrived_s + KNOCK_TARGETS * call.route.target_s
+                if is_over or not self._may_go_on(call, is_arrival=False):
                     raise self._final(call, error) from None
+                await asyncio.sleep(KNOCK_S)
             except BackendRefused as error:
                 is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
                 if is_enough or not self._may_go_on(call):
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -56,7 +56,8 @@
                 tried.add(backend.name)
                 answer = await self._attempt(call, backend)
             except BackendUnreachable as error:
-                if not self._may_go_on(call, is_arrival=False):
+                is_over = not self._may_go_on(call, is_arrival=False)
+                if is_over or not await self._may_knock_again(call, tried):
                     raise self._final(call, error) from None
                 continue
             except (BackendRefused, BackendBroken, NoBackend) as error:
@@ -115,6 +116,16 @@
             return min(left_s, FIRST_TRY_SHARE * call.route.timeout_s)
         return left_s
 
+    async def _may_knock_again(self, call: RoutedCall, tried: set[str]) -> bool:
+        """Return whether to go on after a backend could not be reached.
+
+        Once all were tried, wait a moment between rounds, while a refusal would still be early.
+        """
+        if self._has_untried(call, tried):
+            return True
+        await asyncio.sleep(POLL_S)
+        return time.monotonic() < call.arrived_s + REFUSE_WITHIN * call.route.target_s
+
     def _has_untried(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether a backend is left that was not asked: knocking again spends the budget."""
         usable = self._registry.usable(call.service.name)
