Requests are routed in a module of their own

Change: RequestIntake routes and sees requests through, StopState tells both how far a planned stop has come.

--- /dev/null
+++ b/src/yokedock/process/request_intake.py
@@ -0,0 +1,156 @@
+"""From a caller's connection to the part that serves: one request is routed and seen through."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from yokedock.base.logs import logger
+from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
+from yokedock.connection.dialect import Dialect
+from yokedock.errors import BackendAnswerLost, BadRequest, NotFound, NotReady, YokedockError
+from yokedock.process.router_metrics import RouterMetrics
+from yokedock.process.state_follower import StateFollower
+from yokedock.request.generation_call import GenerationCalls
+from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.routed_call import RoutedCall
+from yokedock.version.route_table import Route, RouteTable, ServiceSpec
+
+_log = logger("router")
+
+COME_BACK_S = 0.5
+UNKNOWN_WAIT_S = 0.2
+"""A request waits this long for routes that are not known yet: most starts need less."""
+UNKNOWN_COME_BACK_S = 1.0
+ELSEWHERE_S = 1.0
+"""When to come back for a stream that a stopping router refused: others may be stopping too."""
+AT_ONCE_S = 0.05
+"""When to come back to another router."""
+STREAM_START_S = 0.5
+TOKEN_S = 0.006
+"""What a stream is reckoned to take to its start and for each token, when stopping."""
+
+
+@dataclasses.dataclass
+class StopState:
+    """How far a planned stop has come."""
+
+    is_stopping: bool = False
+    is_ending: bool = False
+    """Whoever still waits gets a final answer now."""
+    last_answers_s: float = 0.0
+    """When that will be (monotonic s)."""
+
+
+class RequestIntake:
+    """Routes requests and hands each to the part that serves its kind."""
+
+    def __init__(
+        self,
+        follower: StateFollower,
+        dialect: Dialect,
+        generations: GenerationCalls,
+        opaque: OpaqueCalls,
+        metrics: RouterMetrics,
+        stop: StopState,
+    ) -> None:
+        """Share the process's state and parts."""
+        self._follower = follower
+        self._dialect = dialect
+        self._generations = generations
+        self._opaque = opaque
+        self._metrics = metrics
+        self._stop = stop
+        self._random = random.Random()
+        self.active = 0
+        """Requests that are being served."""
+
+    async def answer(self, request: CallerRequest, answer: AnswerWriter) -> None:
+        """Route one request and see it through."""
+        self.active += 1
+        call: RoutedCall | None = None
+        outcome = "answered"
+        try:
+            await self._follower.wait_known(UNKNOWN_WAIT_S)
+            call = self._route(request, answer)
+            self._refuse_late_work(call)
+            await self._serve(call)
+        except asyncio.CancelledError:
+            if not self._stop.is_ending or answer.has_started:
+                outcome = "caller gone"
+                raise
+            outcome = "ended"
+            raise self._ending_error(call) from None
+        except YokedockError as error:
+            outcome = error.code
+            raise
+        finally:
+            self.active -= 1
+            self._log_end(request, answer, call, outcome)
+
+    async def _serve(self, call: RoutedCall) -> None:
+        if call.service.engine is not None and call.terms.generation is not None:
+            await self._generations.serve(call)
+        else:
+            await self._opaque.serve(call)
+
+    def _route(self, request: CallerRequest, answer: AnswerWriter) -> RoutedCall:
+        index = self._follower.index
+        if index is None:
+            raise NotReady("no routes are known yet; retry later", UNKNOWN_COME_BACK_S)
+        host = request.head.get(b"host")
+        if host is None:
+            raise BadRequest("no Host header; send one")
+        route = index.find(host, request.head.path)
+        if route is None:
+            raise NotFound(f"no route for {host}{request.head.path}; look at the configuration")
+        terms = self._dialect.call_terms(request.head)
+        return RoutedCall(request, answer, terms, route, self._service(index.table, route))
+
+    def _refuse_late_work(self, call: RoutedCall) -> None:
+        """Refuse a stream that would not end before this router must."""
+        if not self._stop.is_stopping or call.terms.generation is None:
+            return
+        terms = call.terms.generation
+        tokens = terms.output_hint or terms.most_output_tokens
+        end_s = time.monotonic() + STREAM_START_S + tokens * TOKEN_S
+        if end_s > self._stop.last_answers_s:
+            raise NotReady("the router is stopping; retry elsewhere", ELSEWHERE_S)
+
+    def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
+        """Choose one of the route's services by weight."""
+        targets = [target for target in route.targets if target.weight > 0]
+        if not targets:
+            raise NotReady(f"route {route.name} has no service; retry later", COME_BACK_S)
+        weights = [target.weight for target in targets]
+        chosen = self._random.choices(targets, weights)[0].service
+        return table.services.get(chosen) or ServiceSpec(chosen)
+
+    def _ending_error(self, call: RoutedCall | None) -> YokedockError:
+        if call is not None and call.may_have_run:
+            return BackendAnswerLost("the router stopped before the answer came; look it up first")
+        return NotReady("the router is stopping; retry at once", AT_ONCE_S)
+
+    def _log_end(
+        self,
+        request: CallerRequest,
+        answer: AnswerWriter,
+        call: RoutedCall | None,
+        outcome: str,
+    ) -> None:
+        route = call.route.name if call else "none"
+        held_s = time.monotonic() - request.arrived_s
+        self._metrics.count(route, outcome)
+        self._metrics.record(route, "held", held_s)
+        _log.info(
+            "request",
+            request=call.request_id if call else "",
+            route=call.route.name if call else request.head.path,
+            outcome=outcome,
+            status=answer.status,
+            runs=call.runs if call else 0,
+            arrivals=call.arrivals if call else 0,
+            held_ms=round(held_s * 1000),
+        )
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -21,14 +20,12 @@
 from yokedock.connection.router_state import RouterState
 from yokedock.connection.state_source import StateSnapshot, StateSource
 from yokedock.errors import (
-    BackendAnswerLost,
-    BadRequest,
     NotFound,
     NotReady,
     PlatformUnavailable,
-    YokedockError,
 )
 from yokedock.process.leadership import Leadership, Vote
+from yokedock.process.request_intake import RequestIntake, StopState
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_metrics import RouterMetrics
 from yokedock.process.router_settings import RouterSettings
@@ -40,8 +37,7 @@
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
-from yokedock.request.routed_call import RoutedCall
-from yokedock.version.route_table import CallerLimits, Route, RouteTable, ServiceSpec
+from yokedock.version.route_table import CallerLimits, RouteTable
 
 _log = logger("router")
 
@@ -50,7 +46,6 @@
 STATE_PATH = "/state"
 METRICS_PATH = "/metrics"
 STATE_TIMEOUT_S = 1.0
-COME_BACK_S = 0.5
 BACKLOG = 512
 UPKEEP_S = 1.0
 LAST_CONNECTIONS_S = 2.5
@@ -58,16 +53,6 @@
 LAST_ANSWERS_S = 0.8
 """This long before the end of a planned stop, whoever still waits gets a final answer."""
 STOP_POLL_S = 0.05
-UNKNOWN_WAIT_S = 0.2
-"""A request waits this long for routes that are not known yet: most starts need less."""
-UNKNOWN_COME_BACK_S = 1.0
-ELSEWHERE_S = 1.0
-"""When to come back for a stream that a stopping router refused: others may be stopping too."""
-AT_ONCE_S = 0.05
-"""When to come back to another router."""
-STREAM_START_S = 0.5
-TOKEN_S = 0.006
-"""What a stream is reckoned to take to its start and for each token, when stopping."""
 
 
 class Router:
@@ -97,18 +82,18 @@
             self._registry, self._ledger, settings.process.zone, self._waiting_elsewhere
         )
         self._placement = placement
-        self._generations = GenerationCalls(placement, self._ledger, exchanges, allowance)
-        self._opaque = OpaqueCalls(self._registry, exchanges, allowance)
-        self._dialect = dialect
         self._metrics = RouterMetrics()
-        self._random = random.Random()
+        self._stop = StopState()
+        self._intake = RequestIntake(
+            self._follower,
+            dialect,
+            GenerationCalls(placement, self._ledger, exchanges, allowance),
+            OpaqueCalls(self._registry, exchanges, allowance),
+            self._metrics,
+            self._stop,
+        )
         self._connections: set[CallerConnection] = set()
-        self._active = 0
         self.is_listening = False
-        self._is_stopping = False
-        self._is_ending = False
-        self._last_answers_s = 0.0
-        """When, in a planned stop, whoever still waits gets a final answer (monotonic s)."""
         self._fetching = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._leadership = Leadership(
@@ -164,23 +149,23 @@
     @property
     def is_ready(self) -> bool:
         """Return whether new connections are welcome."""
-        return self._follower.is_known and not self._is_stopping
+        return self._follower.is_known and not self._stop.is_stopping
 
     async def _stop_in_order(self) -> None:
         """Let what is in flight end; who still waits near the end gets a final answer."""
-        self._is_stopping = True
+        self._stop.is_stopping = True
         self._leadership.resign()
         self._gossip.change()
-        self._last_answers_s = time.monotonic() + self.settings.stop.grace_s - LAST_ANSWERS_S
-        _log.info("stopping", active=self._active, connections=len(self._connections))
+        self._stop.last_answers_s = time.monotonic() + self.settings.stop.grace_s - LAST_ANSWERS_S
+        _log.info("stopping", active=self._intake.active, connections=len(self._connections))
         for connection in self._connections:
             connection.is_closing = True
         await asyncio.sleep(LAST_CONNECTIONS_S)
         for connection in list(self._connections):
             connection.close_if_idle()
-        while self._active and time.monotonic() < self._last_answers_s:
+        while self._intake.active and time.monotonic() < self._stop.last_answers_s:
             await asyncio.sleep(STOP_POLL_S)
-        self._is_ending = True
+        self._stop.is_ending = True
         for connection in list(self._connections):
             connection.cancel_work()
         await asyncio.sleep(STOP_POLL_S)
@@ -219,8 +204,8 @@
     async def _accept_caller(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = CallerConnection(reader, writer, self._answer, self._limits)
-        connection.is_closing = self._is_stopping
+        connection = CallerConnection(reader, writer, self._intake.answer, self._limits)
+        connection.is_closing = self._stop.is_stopping
         self._connections.add(connection)
         try:
             await connection.serve()
@@ -263,7 +248,7 @@
     def _levels(self) -> dict[str, float]:
         """Return what operators see of this moment."""
         return {
-            "active": self._active,
+            "active": self._intake.active,
             "connections": len(self._connections),
             "waiting_in_time": self._placement.waiting_in_time(),
             "routers_known": self._gossip.known(),
@@ -274,96 +259,6 @@
             "connections_opened": self._pool.opened,
         }
 
-    # --- Requests ---
-
-    async def _answer(self, request: CallerRequest, answer: AnswerWriter) -> None:
-        """Route one request and see it through."""
-        self._active += 1
-        call: RoutedCall | None = None
-        outcome = "answered"
-        try:
-            await self._follower.wait_known(UNKNOWN_WAIT_S)
-            call = self._route(request, answer)
-            self._refuse_late_work(call)
-            await self._serve(call)
-        except asyncio.CancelledError:
-            if not self._is_ending or answer.has_started:
-                outcome = "caller gone"
-                raise
-            outcome = "ended"
-            raise self._ending_error(call) from None
-        except YokedockError as error:
-            outcome = error.code
-            raise
-        finally:
-            self._active -= 1
-            self._log_end(request, answer, call, outcome)
-
-    async def _serve(self, call: RoutedCall) -> None:
-        if call.service.engine is not None and call.terms.generation is not None:
-            await self._generations.serve(call)
-        else:
-            await self._opaque.serve(call)
-
-    def _route(self, request: CallerRequest, answer: AnswerWriter) -> RoutedCall:
-        index = self._follower.index
-        if index is None:
-            raise NotReady("no routes are known yet; retry later", UNKNOWN_COME_BACK_S)
-        host = request.head.get(b"host")
-        if host is None:
-            raise BadRequest("no Host header; send one")
-        route = index.find(host, request.head.path)
-        if route is None:
-            raise NotFound(f"no route for {host}{request.head.path}; look at the configuration")
-        terms = self._dialect.call_terms(request.head)
-        return RoutedCall(request, answer, terms, route, self._service(index.table, route))
-
-    def _refuse_late_work(self, call: RoutedCall) -> None:
-        """Refuse a stream that would not end before this router must."""
-        if not self._is_stopping or call.terms.generation is None:
-            return
-        terms = call.terms.generation
-        tokens = terms.output_hint or terms.most_output_tokens
-        end_s = time.monotonic() + STREAM_START_S + tokens * TOKEN_S
-        if end_s > self._last_answers_s:
-            raise NotReady("the router is stopping; retry elsewhere", ELSEWHERE_S)
-
-    def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
-        """Choose one of the route's services by weight."""
-        targets = [target for target in route.targets if target.weight > 0]
-        if not targets:
-            raise NotReady(f"route {route.name} has no service; retry later", COME_BACK_S)
-        weights = [target.weight for target in targets]
-        chosen = self._random.choices(targets, weights)[0].service
-        return table.services.get(chosen) or ServiceSpec(chosen)
-
-    def _ending_error(self, call: RoutedCall | None) -> YokedockError:
-        if call is not None and call.may_have_run:
-            return BackendAnswerLost("the router stopped before the answer came; look it up first")
-        return NotReady("the router is stopping; retry at once", AT_ONCE_S)
-
-    def _log_end(
-        self,
-        request: CallerRequest,
-        answer: AnswerWriter,
-        call: RoutedCall | None,
-        outcome: str,
-    ) -> None:
-        route = call.route.name if call else "none"
-        held_s = time.monotonic() - request.arrived_s
-        self._metrics.count(route, outcome)
-        self._metrics.record(route, "held", held_s)
-        _log.info(
-            "request",
-            request=call.request_id if call else "",
-            route=call.route.name if call else request.head.path,
-            outcome=outcome,
-            status=answer.status,
-            runs=call.runs if call else 0,
-            arrivals=call.arrivals if call else 0,
-            held_ms=round(held_s * 1000),
-        )
-
     # --- Other routers ---
 
     def _state(self, sequence: int, heard: tuple[str, ...]) -> RouterState:
@@ -373,10 +268,10 @@
             sequence,
             self._follower.version,
             self._follower.position,
-            self._is_stopping,
+            self._stop.is_stopping,
             self._placement.waiting_in_time(),
             self._ledger.shares(),
-            "" if self._is_stopping else self._leadership.vote(),
+            "" if self._stop.is_stopping else self._leadership.vote(),
             self._highest_token,
             self._roles.changing(),
             heard,
@@ -400,7 +295,7 @@
 
     def _leading_token(self) -> int | None:
         """Return this router's fencing token while it leads; a new one each time it begins to."""
-        if self._is_stopping or not self._leadership.leads(self._gossip.known()):
+        if self._stop.is_stopping or not self._leadership.leads(self._gossip.known()):
             self._own_token = None
             return None
         if self._own_token is None:
