--- a/features/run_features.py
+++ b/features/run_features.py
@@ -50,7 +50,7 @@
     @property
     def failed(self):
         """Return the names of all scenarios that did not pass."""
-        return [f"{s.feature}: {s.scenario}" for s in self.scenarios if not s.is_passed]
+        return [f"{s.feature}: {s.scenario}".strip() for s in self.scenarios if not s.is_passed]
 
 
 def run_feature(numbered):
