One place counts runs; what was measured of engines that are gone is dropped

Cause: read again as a newcomer: the same five lines in two modules decided what may have run, an enumeration of run states was written and never read, and pace of replaced engines was kept for ever. Change: RoutedCall.one_run; the enumeration is gone; EnginePace.keep_only follows the list.

--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -164,6 +164,8 @@
     assert pace.slowness("a") == 1.0 and pace.slowness("slow") > 3.5
     clock.now_s += 60
     assert 1.0 < pace.slowness("slow") < 1.5
+    pace.keep_only({"a", "b", "c"})
+    assert pace.slowness("slow") == 1.0
 
 
 @searched(reading=st.integers(0, 12), making=st.integers(0, 12))
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -110,7 +110,7 @@
             self._leading_token,
         )
         self._ledger.on_change = self._gossip.change
-        self._registry.on_change = lambda: self._ledger.on_room()
+        self._registry.on_change = self._backends_changed
 
     # --- Life ---
 
@@ -259,7 +259,11 @@
             "connections_opened": self._pool.opened,
         }
 
-    # --- Other routers ---
+    # --- Backends and other routers ---
+
+    def _backends_changed(self) -> None:
+        self._ledger.pace.keep_only(self._registry.names())
+        self._ledger.on_room()
 
     def _state(self, sequence: int, heard: tuple[str, ...]) -> RouterState:
         return RouterState(
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -1,4 +1,4 @@
-"""One request at one backend: connect, send, read; the state tells what may have run."""
+"""One request at one backend: connect, send, read."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 from yokedock.request.backend_registry import Backend
-from yokedock.request.routed_call import RoutedCall, RunState, WholeAnswer
+from yokedock.request.routed_call import RoutedCall, WholeAnswer
 
 CONNECT_TIMEOUT_S = 0.15
 SHORT_REST_S = 0.8
@@ -33,7 +33,6 @@
     ) -> None:
         """Wrap a connection that is ready to send."""
         self.backend = backend
-        self.state = RunState.NOT_SENT
         self.is_whole = False
         self._connection = connection
         self._dialect = dialect
@@ -45,7 +44,6 @@
         """Send the request."""
         call = self._call
         headers = self._dialect.backend_headers(call.request.head, order)
-        self.state = RunState.SENT
         self._is_prefill = order.is_prefill
         self._sent_s = time.monotonic()
         await self._connection.send(call.request.head, headers, call.request.body)
@@ -69,7 +67,6 @@
         if notes.is_elsewhere:
             self.backend.note_gone(time.monotonic())
         if notes.is_not_run:
-            self.state = RunState.REFUSED
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
         if head.get(b"content-encoding") is not None:
             raise BackendBroken(f"{self.backend.name}: the answer is encoded")
@@ -95,7 +92,6 @@
 
     def finish(self, is_failure: bool = False) -> None:
         """Note that the answer was read whole."""
-        self.state = RunState.ANSWERED
         self.is_whole = True
         now_s = time.monotonic()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -148,6 +148,10 @@
         """Return a backend by identifier."""
         return self._backends.get(name)
 
+    def names(self) -> set[str]:
+        """Return the identifiers of all backends, those that left a moment ago included."""
+        return set(self._backends)
+
     def entries(self) -> dict[str, BackendEntry]:
         """Return all entries that are listed now."""
         listed = self._backends.items()
--- a/src/yokedock/request/engine_pace.py
+++ b/src/yokedock/request/engine_pace.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 FIRST_READ_RATE = 40_000.0
 """Prompt tokens an engine reads in a second, before any was measured."""
@@ -86,11 +86,11 @@
         pause_s = self._faded(self._pauses, engine, typical, PAUSE_HALF_LIFE_S)
         return pause_s * self._reading_ratio
 
-    def forget(self, engines: Iterable[str]) -> None:
-        """Drop what was measured of engines that are gone."""
-        for engine in engines:
-            self._read_rates.pop(engine, None)
-            self._pauses.pop(engine, None)
+    def keep_only(self, engines: Collection[str]) -> None:
+        """Drop what was measured of all other engines: they are gone."""
+        for table in (self._read_rates, self._pauses):
+            for engine in [name for name in table if name not in engines]:
+                del table[engine]
 
     def recent(self, engine: str) -> tuple[int, int]:
         """Return the pause (ms) and read rate (tokens/ms) measured a moment ago, 0 for none."""
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -231,16 +231,12 @@
                 kv_source=state.kept_source(),
                 last_event_id=relay.last_id if relay.events else None,
             )
-            was_run = call.may_have_run
-            call.may_have_run = True
-            call.runs += 1
             try:
-                await exchange.send(order)
-                state.read_at.add(engine.name)
-                await self._relay(call, state, exchange, demand)
+                with call.one_run():
+                    await exchange.send(order)
+                    state.read_at.add(engine.name)
+                    await self._relay(call, state, exchange, demand)
             except BackendRefused:
-                call.may_have_run = was_run
-                call.runs -= 1
                 state.refused_by.add(engine.name)
                 state.read_at.discard(engine.name)
                 raise
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -98,16 +98,9 @@
                 self._allowance.note_extra(call.service.name)
             call.arrivals += 1
             order = BackendOrder(backend.name, call.backend_deadline_ms())
-            was_run = call.may_have_run
-            call.may_have_run = True
-            call.runs += 1
-            try:
+            with call.one_run():
                 await exchange.send(order)
                 return await exchange.read_whole(self._patience_s(call))
-            except BackendRefused:
-                call.may_have_run = was_run
-                call.runs -= 1
-                raise
 
     def _patience_s(self, call: RoutedCall) -> float:
         """Return how long to wait for an answer before another attempt, or until the deadline."""
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -2,31 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
-import enum
 import time
+from collections.abc import Iterator
 
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import CallTerms
 from yokedock.connection.http_heads import AnswerHead
+from yokedock.errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
 MIN_DEADLINE_MS = 1
 
 
-class RunState(enum.IntEnum):
-    """How far an attempt has come: what may be told to the caller follows from it."""
-
-    NOT_SENT = 0
-    """Nothing left this process."""
-    REFUSED = 1
-    """The backend stated that it did not and will not run it."""
-    SENT = 2
-    """It may run, or have run."""
-    ANSWERED = 3
-    """It ran and its answer is known."""
-
-
 @dataclasses.dataclass
 class RoutedCall:
     """A caller's request with its route. Times are monotonic seconds."""
@@ -80,6 +69,19 @@
         left_s = self.arrived_s + self.terms.deadline_s - time.monotonic()
         return max(MIN_DEADLINE_MS, int(left_s * 1000))
 
+    @contextlib.contextmanager
+    def one_run(self) -> Iterator[None]:
+        """Count an attempt that may run from now on, unless the backend states that it did not."""
+        was_run_before = self.may_have_run
+        self.may_have_run = True
+        self.runs += 1
+        try:
+            yield
+        except BackendRefused:
+            self.may_have_run = was_run_before
+            self.runs -= 1
+            raise
+
     def may_run_again(self) -> bool:
         """Return whether one more attempt that may run is allowed."""
         if self.runs >= self.route.max_attempts:
