Two names that nothing used are gone

Cause: read once more as a newcomer: RouteIndex.services_of and Router._fleet_address were never read. Change: both removed; behaviour stays as it is.

--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -66,7 +66,6 @@
         self._follower = StateFollower(source, self._registry)
         self._ledger = EngineLedger()
         own_address, _, port = settings.fleet.address.rpartition(":")
-        self._fleet_address = own_address
         self._fleet_port = int(port)
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
--- a/src/yokedock/version/route_table.py
+++ b/src/yokedock/version/route_table.py
@@ -108,7 +108,3 @@
             if path.startswith(route.prefix):
                 return route
         return None
-
-    def services_of(self, route: Route) -> tuple[str, ...]:
-        """Return every service that ``route`` may send to."""
-        return tuple(target.service for target in route.targets if target.weight > 0)
