--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -17,3 +17,12 @@
       | documents of the platform become routes and backends          |
       | lines stay within their budget                                |
       | a line tells how many were dropped                            |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: streams that fell silent
+      | property                                            |
+      | a stream that broke late waits for room             |
+      | an engine whose streams are all silent is avoided   |
+      | a process that stood still accuses no engine        |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -1,8 +1,11 @@
 from behave import then
 from support.properties import PROPERTIES
 from support.router_properties import ROUTER_PROPERTIES
+from support.stream_properties import STREAM_PROPERTIES
+
+ALL_PROPERTIES = PROPERTIES | ROUTER_PROPERTIES | STREAM_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
 def holds(context, name):
-    (PROPERTIES | ROUTER_PROPERTIES)[name]()
+    ALL_PROPERTIES[name]()
--- /dev/null
+++ b/features/support/stream_properties.py
@@ -0,0 +1,146 @@
+"""Properties of what decides about streams that fell silent, without sockets."""
+
+import asyncio
+import time
+
+from yokedock.connection.dialect import CallTerms, GenerationTerms
+from yokedock.connection.state_source import BackendEntry
+from yokedock.errors import BackendSilent, NoDecodeRoom
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.engine_ledger import EngineLedger, StreamDemand
+from yokedock.request.engine_placement import LedgerPlacement, Progress
+from yokedock.request.routed_call import RoutedCall
+from yokedock.request.stream_watch import DARK_S, LOST_S, StreamWatch
+from yokedock.version.route_table import EngineTraits, Route, RouteKind, ServiceSpec, WeightedTarget
+
+TRAITS = EngineTraits(slots=4, memory_tokens=1000, token_bytes=1.0, link_mbps=1000.0)
+STEP_S = 0.1
+
+
+class Clock:
+    """A clock that only moves when told."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def registry(*names):
+    """Return a registry of decode engines."""
+    found = BackendRegistry("zone")
+    found.update([BackendEntry(name, "llm", "127.0.0.1:1", role="decode") for name in names], ())
+    return found
+
+
+class CallStub:
+    """The little of a caller's request that placement looks at."""
+
+    def __init__(self, arrived_s):
+        self.arrived_s = arrived_s
+
+
+def generation(arrived_s, prompt_tokens=100):
+    """Return a call for a generation that arrived then; its callers wait 3.6 s for an event."""
+    route = Route(
+        "chat", "h", "/", RouteKind.STREAM, 14.0, 0.9, (WeightedTarget("llm"),), gap_target_s=0.3
+    )
+    terms = CallTerms("r", 14.0, generation=GenerationTerms("m", prompt_tokens, 100))
+    return RoutedCall(CallStub(arrived_s), None, terms, route, ServiceSpec("llm", engine=TRAITS))
+
+
+def a_stream_that_broke_late_waits_for_room():
+    """Patience counts from the newest event, not from the request's arrival."""
+
+    async def play():
+        now_s = time.monotonic()
+        ledger = EngineLedger()
+        placement = LedgerPlacement(registry("d"), ledger, "zone", lambda: 0)
+        taken = ledger.open_stream(StreamDemand("d", 1000, 0, 0))
+        asyncio.get_running_loop().call_later(0.05, ledger.close_stream, taken)
+        late = Progress(made=10, silent_since_s=now_s - 1.0)
+        placed = await placement.place(generation(now_s - 5.0), late)
+        assert placed.decode.name == "d"
+        try:
+            await placement.place(generation(now_s - 5.0), Progress(silent_since_s=now_s - 4.0))
+        except NoDecodeRoom:
+            return
+        raise AssertionError("waited longer than its caller does")
+
+    asyncio.run(play())
+
+
+def an_engine_whose_streams_are_all_silent_is_avoided():
+    """One event of any stream shows that the engine lives; all silent, it does not."""
+
+    async def play():
+        clock = Clock()
+        watch = StreamWatch(clock)
+        backends = registry("d", "e")
+        engine = backends.get("d")
+        begun, other, waiting = (watch.open(engine, may_move=True) for _ in range(3))
+        for stream in (begun, other):
+            watch.heard(stream)
+        awaited = [asyncio.create_task(wait_on(stream)) for stream in (begun, waiting)]
+        await asyncio.sleep(0)
+        for _ in range(20):
+            clock.now_s += STEP_S
+            watch.heard(other)
+            watch.check()
+        await asyncio.sleep(0)
+        assert not any(task.done() for task in awaited) and not is_avoided(backends)
+        await let_pass(clock, watch, DARK_S)
+        assert is_avoided(backends)
+        assert awaited[1].done() and not awaited[0].done(), "only what has not begun moves"
+        await let_pass(clock, watch, LOST_S - DARK_S)
+        assert awaited[0].done()
+
+    asyncio.run(play())
+
+
+def a_process_that_stood_still_accuses_no_engine():
+    """After a freeze of the process itself, silence is counted anew."""
+
+    async def play():
+        clock = Clock()
+        watch = StreamWatch(clock)
+        backends = registry("d", "e")
+        watch.heard(watch.open(backends.get("d"), may_move=True))
+        clock.now_s += 5.0
+        watch.check()
+        assert not is_avoided(backends)
+
+    asyncio.run(play())
+
+
+async def wait_on(stream):
+    """Wait on a stream for long; return whether it was given up as silent."""
+    try:
+        await stream.within(60.0, asyncio.Event().wait())
+    except BackendSilent:
+        return True
+    return False
+
+
+async def let_pass(clock, watch, seconds):
+    """Let time pass in the steps of the checks, and whoever was woken run."""
+    for _ in range(round(seconds / STEP_S) + 1):
+        clock.now_s += STEP_S
+        watch.check()
+    for _ in range(5):
+        await asyncio.sleep(0.001)
+
+
+def is_avoided(backends):
+    """Return whether new work goes to the other engine only."""
+    return [backend.name for backend in backends.usable("llm", "decode")] == ["e"]
+
+
+STREAM_PROPERTIES = {
+    "a stream that broke late waits for room": a_stream_that_broke_late_waits_for_room,
+    "an engine whose streams are all silent is avoided": (
+        an_engine_whose_streams_are_all_silent_is_avoided
+    ),
+    "a process that stood still accuses no engine": a_process_that_stood_still_accuses_no_engine,
+}
--- a/src/yokedock/connection/peer_listener.py
+++ b/src/yokedock/connection/peer_listener.py
@@ -66,7 +66,7 @@
             if self._closed or len(self._unsent) >= BUFFERED_FRAMES:
                 self._closed = True
                 return False
-            self._unsent.append(Frame(call, message))
+            self._unsent.append(Frame(call, message))  # type: ignore[arg-type]
             return self._send_waiting()
 
     def packets_taken(self, count: int) -> None:
@@ -81,7 +81,7 @@
             while self._unsent and self._under_way < PACKETS_UNDER_WAY:
                 packet = self._session.seal(self._unsent.popleft())
                 self._under_way += 1
-                self._pipe.send(packet)  # type: ignore[arg-type]
+                self._pipe.send(packet)
         except pynng.NNGException:
             self._closed = True
         return not self._closed
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -72,6 +72,8 @@
     """Engines that read its prompt a moment ago and may still keep it in their prefix cache."""
     is_resumed: bool = False
     """The caller goes on with a stream that broke: its home has read the prompt."""
+    silent_since_s: float | None = None
+    """Since when the caller has heard nothing (monotonic s), None for since it asked."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,7 +158,7 @@
         self._waiters.append(waiter)
         self._pump()
         try:
-            async with asyncio.timeout(self._patience_s(call)):
+            async with asyncio.timeout(self._patience_s(call, progress)):
                 while True:
                     done, _ = await asyncio.wait({placed}, timeout=RECHECK_S)
                     if done:
@@ -180,11 +182,11 @@
         prompt = call.terms.generation.prompt_tokens if call.terms.generation else 0
         return call.target_s - prompt / FIRST_READ_RATE - START_S - WAIT_MARGIN_S
 
-    def _patience_s(self, call: RoutedCall) -> float:
+    def _patience_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return how long waiting makes sense: callers give up on a silent stream."""
         route = call.route
         silence_s = max(LEAST_SILENCE_S, 4 * route.target_s, 8 * route.gap_target_s)
-        waited_s = time.monotonic() - call.arrived_s
+        waited_s = time.monotonic() - (progress.silent_since_s or call.arrived_s)
         limit_s = min(WAIT_SHARE_OF_SILENCE * silence_s, WAIT_SHARE_OF_LIMIT * call.limit_s)
         return min(call.left_s(), max(0.0, limit_s - waited_s))
 
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -32,6 +32,7 @@
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
+from yokedock.request.stream_watch import StreamWatch
 
 _log = logger("generation")
 
@@ -83,10 +84,17 @@
 
     def progress(self, call: RoutedCall) -> Progress:
         """Return what bears on the next placement."""
-        traits = call.service.engine
-        made = self.relay.events * (traits.tokens_per_event if traits else 1)
-        is_resumed = call.terms.last_event_id is not None
-        return Progress(made, frozenset(self.refused_by), frozenset(self.read_at), is_resumed)
+        return Progress(
+            made=self.relay.events * _tokens_per_event(call),
+            avoid=frozenset(self.refused_by),
+            cached_at=frozenset(self.read_at),
+            is_resumed=call.terms.last_event_id is not None,
+            silent_since_s=self.silent_since_s(call),
+        )
+
+    def silent_since_s(self, call: RoutedCall) -> float:
+        """Return since when the caller has heard nothing (monotonic s)."""
+        return self.relay.last_s or call.arrived_s
 
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
@@ -108,6 +116,7 @@
         self._ledger = ledger
         self._exchanges = exchanges
         self._allowance = allowance
+        self._watch = StreamWatch()
         self._releases: set[asyncio.Task[None]] = set()
 
     async def serve(self, call: RoutedCall) -> None:
@@ -132,7 +141,8 @@
                 await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
-                is_over = time.monotonic() > call.arrived_s + KNOCK_TARGETS * call.route.target_s
+                silent_s = time.monotonic() - state.silent_since_s(call)
+                is_over = silent_s > KNOCK_TARGETS * call.route.target_s
                 if is_over or not self._may_go_on(call, is_arrival=False):
                     raise self._final(call, error) from None
                 await asyncio.sleep(KNOCK_S)
@@ -253,26 +263,21 @@
         relay.begin_run()
         is_resumable = call.route.resumable and call.runs < call.route.max_attempts
         patience_s = STALL_S if is_resumable else call.left_s()
-        head = await exchange.read_head(patience_s)
-        state.source = None
-        if head.status != 200:
-            await self._pass_failure(call, exchange, WholeAnswer(head, b""))
-            return
-        parts = exchange.body_parts()
-        traits = call.service.engine
-        per_event = traits.tokens_per_event if traits else 1
-        while True:
-            try:
-                async with asyncio.timeout(patience_s):
-                    part = await anext(parts, None)
-            except TimeoutError:
-                exchange.backend.health.note_silence(time.monotonic())
-                raise BackendSilent(f"{exchange.backend.name}: the stream stalled") from None
-            if part is None:
-                break
-            await relay.feed(head, part)
-            self._note_pace(exchange.backend.name, relay)
-            demand.made = relay.events * per_event
+        stream = self._watch.open(exchange.backend, is_resumable)
+        try:
+            head = await stream.within(patience_s, exchange.read_head(call.left_s()))
+            state.source = None
+            if head.status != 200:
+                await self._pass_failure(call, exchange, WholeAnswer(head, b""))
+                return
+            parts = exchange.body_parts()
+            while (part := await stream.within(patience_s, anext(parts, None))) is not None:
+                self._watch.heard(stream)
+                await relay.feed(head, part)
+                self._note_pace(exchange.backend.name, relay)
+                demand.made = relay.events * _tokens_per_event(call)
+        finally:
+            self._watch.close(stream)
         await relay.end(head)
         exchange.finish()
 
@@ -342,6 +347,10 @@
             return
 
 
+def _tokens_per_event(call: RoutedCall) -> int:
+    return call.service.engine.tokens_per_event if call.service.engine else 1
+
+
 def _log_stream(call: RoutedCall, state: GenerationState) -> None:
     """Tell how a stream went: when it was placed, read and begun, and its longest pause."""
     relay = state.relay
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -29,7 +29,8 @@
         self._is_first_of_run = True
         self.pause_s: float | None = None
         """Pause before the newest event of the run, None for its first."""
-        self._last_s = 0.0
+        self.last_s = 0.0
+        """When the newest event was passed on (monotonic s), 0 if none was."""
         self._splitter = EventSplitter()
 
     def begin_run(self) -> None:
@@ -63,9 +64,9 @@
         if self.first_s is None:
             self.first_s = now_s
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_s)
-        self.pause_s = None if is_first_of_run else now_s - self._last_s
-        self._last_s = now_s
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self.last_s)
+        self.pause_s = None if is_first_of_run else now_s - self.last_s
+        self.last_s = now_s
 
     async def end(self, head: AnswerHead) -> None:
         """End the stream; raises ``BackendBroken`` if it ended within an event."""
