--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from yokedock.connection.http_get import GetAnswer, HttpGetter
+from yokedock.connection.http_get import HttpGetter
+from yokedock.connection.short_call import ShortAnswer
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -91,7 +92,7 @@
         return translate(watched.events, max(position, watched.at))
 
 
-def _decode(answer: GetAnswer, kind: type[Document]) -> Document:
+def _decode(answer: ShortAnswer, kind: type[Document]) -> Document:
     if answer.status != OK:
         raise PlatformUnavailable(f"the store answered {answer.status}")
     try:
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -8,9 +8,9 @@
 
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
-from yokedock.connection.dialect import Dialect, RoleOrder
-from yokedock.connection.http_heads import RequestHead
-from yokedock.errors import YokedockError
+from yokedock.connection.dialect import Dialect, EncodedOrder, RoleOrder
+from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.errors import BackendBroken, BackendUnreachable
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
@@ -29,7 +29,6 @@
 ORDER_TIMEOUT_S = 1.0
 FENCED = 412
 FENCED_PAUSE_S = 10.0
-MAX_ANSWER_BYTES = 65_536
 
 
 class RoleBalancer:
@@ -125,29 +124,18 @@
         until_s = time.monotonic() + switch_s + CHANGE_MARGIN_S
         self._changing[backend.name] = (role, until_s)
         _log.info("role ordered", engine=backend.name, role=role, token=token)
-        status = await self._send(backend, order.target, order.headers, order.body)
+        status = await self._send(backend, order)
         _log.info("role order answered", engine=backend.name, role=role, status=status)
         if status not in (200, 202, None):
             del self._changing[backend.name]
         if status == FENCED:
             self._paused_until_s = time.monotonic() + FENCED_PAUSE_S
 
-    async def _send(
-        self, backend: Backend, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
-    ) -> int | None:
-        """Send an order once; None when its answer is not known."""
-        address = backend.entry.address
-        head = RequestHead((), b"POST", target)
+    async def _send(self, backend: Backend, order: EncodedOrder) -> int | None:
+        """Send an order once, on a new connection; None when its answer is not known."""
+        call = ShortCall(b"POST", order.target, tuple(order.headers), order.body)
+        limits = CallLimits(ORDER_TIMEOUT_S, ORDER_TIMEOUT_S, longest_rest_s=0.0)
         try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                connection = await self._pool.take(address, ORDER_TIMEOUT_S, 0.0)
-                try:
-                    host = (b"Host", address.encode())
-                    await connection.send(head, [host, *headers], body)
-                    answer = await connection.read_head(lambda _: True)
-                    await connection.read_body(MAX_ANSWER_BYTES)
-                    return answer.status
-                finally:
-                    connection.abort()
-        except (YokedockError, TimeoutError):
+            return (await short_call(self._pool, backend.entry.address, call, limits)).status
+        except (BackendUnreachable, BackendBroken):
             return None
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
-from yokedock.connection.http_heads import RequestHead
+from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.errors import (
     BackendAnswerLost,
     BackendBroken,
@@ -332,19 +333,10 @@
         task.add_done_callback(self._releases.discard)
 
     async def _send_release(self, address: str, handle: str) -> None:
-        target = self._exchanges.dialect.release_target(handle)
-        head = RequestHead(((b"Host", address.encode()),), b"DELETE", target)
-        try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                connection = await self._exchanges.pool.take(address, RELEASE_TIMEOUT_S)
-                try:
-                    await connection.send(head, list(head.headers), b"")
-                    await connection.read_head(lambda _: True)
-                    await connection.read_body(1 << 16)
-                finally:
-                    self._exchanges.pool.give_back(connection)
-        except (YokedockError, TimeoutError):
-            return
+        call = ShortCall(b"DELETE", self._exchanges.dialect.release_target(handle))
+        limits = CallLimits(RELEASE_TIMEOUT_S, RELEASE_TIMEOUT_S)
+        with contextlib.suppress(BackendUnreachable, BackendBroken):
+            await short_call(self._exchanges.pool, address, call, limits)
 
 
 def _tokens_per_event(call: RoutedCall) -> int:
