--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -69,3 +69,34 @@
     When the router with 2 s of grace is told to stop and a client streams on "chat"
     Then the client gets 503
     And the decode engines ran 0 requests
+
+  Scenario: A caller who goes on through another router is sent to the engine that keeps its prompt
+    Given engine "e" keeps 50 tokens of part "ab"
+    When a client goes on with a stream on "chat" behind event 2
+    Then the client gets events 3 to 6, each once and in order, and a whole end
+    And engine "e" ran it alone and no other engine was asked to
+
+  Scenario: A prompt that only a prefill engine keeps is copied, not read
+    Given engine "p" keeps 50 tokens of part "ab"
+    When a client goes on with a stream on "chat" behind event 2
+    Then the client gets events 3 to 6, each once and in order, and a whole end
+    And one decode engine ran it with the prompt copied from "p"
+
+  Scenario Outline: A prompt that nobody keeps is read again, whoever does not answer when asked
+    Given engine "e" <what it keeps>
+    When a client goes on with a stream on "chat" behind event 2
+    Then the client gets events 3 to 6, each once and in order, and a whole end
+    And engine "p" read the prompt once
+
+    Examples:
+      | what it keeps                |
+      | keeps 20 tokens of part "ab" |
+      | keeps 50 tokens of part "cd" |
+      | does not tell what it keeps  |
+
+  Scenario: A prompt read a moment ago is not read again when its decode engine breaks
+    Given every decode engine's next fault is "break within event 4" at the first that runs
+    And the engine that breaks accepts nothing more
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And engine "p" read the prompt once
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -8,6 +8,7 @@
 import json
 
 PIECES = 6
+CACHE_PATH = "/cache"
 
 
 @dataclasses.dataclass
@@ -36,6 +37,9 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.pieces = PIECES
+        self.dies_when_broken = False
+        self.cache = {}
+        """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
         self.connections = 0
         self._late_answer = b""
         self._writers = set()
@@ -78,6 +82,8 @@
         arrival = Arrival(method, target, headers, b"")
         length = int(arrival.header("Content-Length") or 0)
         arrival.body = await reader.readexactly(length)
+        if target == CACHE_PATH:
+            return await self._list_cache(arrival, writer)
         self.arrivals.append(arrival)
         if method == "DELETE":
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -87,6 +93,13 @@
             return await self._answer(arrival, writer)
         finally:
             watch.cancel()
+            await asyncio.wait({watch})
+
+    async def _list_cache(self, arrival, writer):
+        if self.cache is None:
+            await asyncio.sleep(3600)
+        held = [["", part, tokens, "m"] for part, tokens in self.cache.items()]
+        return self._plain(writer, arrival, 200, json.dumps({"held": held}).encode(), [])
 
     async def _watch(self, reader, arrival):
         """Note when the caller closes while the request is worked on."""
@@ -155,6 +168,8 @@
             if fault == f"break within event {number}":
                 writer.write(b"%x\r\n%s" % (len(event), event[:9]))
                 await writer.drain()
+                if self.dies_when_broken:
+                    self._server.close()
                 writer.transport.abort()
                 return False
             if fault == f"lose event {number}":
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
+from yokedock.connection.short_call import ShortCall
 from yokedock.errors import BadRequest, EngineRejected
 
 
@@ -55,6 +56,8 @@
     is_prefill: bool = False
     kv_source: str | None = None
     """Address and handle of the engine that holds the prompt's memory."""
+    fetch_from: str | None = None
+    """Address of an engine that keeps the prompt in its prefix cache: it is copied, not read."""
     last_event_id: int | None = None
 
 
@@ -107,6 +110,14 @@
     tokens: int = 0
 
 
+class CachedPart(msgspec.Struct, frozen=True, array_like=True):
+    """One part of prompts that an engine keeps ``tokens`` of."""
+
+    tenant: str
+    part_id: str
+    tokens: int
+
+
 class Dialect(abc.ABC):
     """Translates heads of requests and answers."""
 
@@ -130,6 +141,17 @@
     def role_order(self, order: RoleOrder) -> EncodedOrder:
         """Return an order to change a role as it is sent."""
 
+    @abc.abstractmethod
+    def cache_list_call(self) -> ShortCall:
+        """Return the call that asks an engine what its prefix cache keeps."""
+
+    @abc.abstractmethod
+    def cached_parts(self, body: bytes) -> dict[str, int]:
+        """Return the tokens kept of each part, by the answer to that call.
+
+        Raises ``EngineRejected`` if it is none.
+        """
+
     @abc.abstractmethod
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
@@ -149,10 +171,11 @@
     instance: str = "X-Expected-Backend"
     stage: str = "X-Stage"
     kv_source: str = "X-Kv-Source"
+    fetch_from: str = "X-Kv-Fetch"
     not_run: str = "X-Not-Run"
     signature: str = "X-Signature"
     load: str = "X-Backend-Load"
-    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source")
+    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Kv-Fetch")
     prefill_stage: str = "prefill"
     handle_field: str = "handle"
     tokens_field: str = "tokens"
@@ -163,6 +186,8 @@
     role_field: str = "role"
     holder_field: str = "holder"
     token_field: str = "token"
+    cache_list_path: str = "/cache"
+    cache_list_field: str = "held"
 
 
 MISDIRECTED_STATUS = 421
@@ -210,6 +235,8 @@
             added.append((names.stage, names.prefill_stage))
         if order.kv_source is not None:
             added.append((names.kv_source, order.kv_source))
+        elif order.fetch_from is not None:
+            added.append((names.fetch_from, order.fetch_from))
         if order.last_event_id is not None:
             added.append((names.last_event_id, str(order.last_event_id)))
         return headers + [(name.encode(), value.encode()) for name, value in added]
@@ -252,6 +279,21 @@
         ]
         return EncodedOrder(names.order_path.encode(), headers, msgspec.json.encode(fields))
 
+    def cache_list_call(self) -> ShortCall:
+        """Return the call that asks an engine what its prefix cache keeps."""
+        return ShortCall(b"GET", self._names.cache_list_path.encode())
+
+    def cached_parts(self, body: bytes) -> dict[str, int]:
+        """Return the tokens kept of each part, by the answer to that call."""
+        try:
+            fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+            parts = msgspec.json.decode(
+                fields[self._names.cache_list_field], type=tuple[CachedPart, ...]
+            )
+        except (msgspec.MsgspecError, RecursionError, KeyError):
+            raise EngineRejected("the engine's list of its cache is not understood") from None
+        return {part.part_id: part.tokens for part in parts}
+
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
         return f"{self._names.release_path}{handle}".encode()
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -15,6 +15,7 @@
     instance="X-Yokedock-Expected-Instance",
     stage="X-Yokedock-Serving-Stage",
     kv_source="X-Yokedock-Kv-Source",
+    fetch_from="Kv-Fetch",
     not_run="X-Yokedock-Not-Executed",
     signature="X-Yokedock-Response-Seal",
     load="X-Yokedock-Instance-Load",
@@ -39,4 +40,6 @@
     role_field="stage",
     holder_field="holder",
     token_field="fencingToken",
+    cache_list_path="/kv-list",
+    cache_list_field="held",
 )
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -32,6 +32,7 @@
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import LedgerPlacement
 from yokedock.request.generation_call import GenerationCalls
@@ -86,7 +87,13 @@
         self._intake = RequestIntake(
             self._follower,
             dialect,
-            GenerationCalls(placement, self._ledger, exchanges, allowance),
+            GenerationCalls(
+                placement,
+                self._ledger,
+                exchanges,
+                allowance,
+                CacheLookup(self._registry, self._pool, dialect),
+            ),
             OpaqueCalls(self._registry, exchanges, allowance),
             self._metrics,
             self._stop,
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -36,8 +36,8 @@
 all streams there, and so the rate at which room comes free."""
 TARGET_MARGIN_S = 0.25
 """A pair predicted to be later than this before the target is no better than reading alone."""
-CACHED_BONUS_S = 0.5
-"""What an engine that read the prompt a moment ago may cost more: reading again is waste."""
+FETCH_COST_S = 0.25
+"""How much later an engine that keeps the prompt may be before it is copied to another."""
 HOME_BONUS_S = 0.1
 FULL_COST_S = 0.1
 SLOW_COST_S = 0.3
@@ -70,8 +70,6 @@
     """Engines that refused it."""
     cached_at: frozenset[str] = frozenset()
     """Engines that read its prompt a moment ago and may still keep it in their prefix cache."""
-    is_resumed: bool = False
-    """The caller goes on with a stream that broke: its home has read the prompt."""
     silent_since_s: float | None = None
     """Since when the caller has heard nothing (monotonic s), None for since it asked."""
 
@@ -88,6 +86,8 @@
     demand: StreamDemand
     promise: int
     """Key of the promise in the ledger; whoever gets the placement closes it."""
+    fetch_from: Backend | None = None
+    """An engine that keeps the prompt, where the decode engine does not."""
 
 
 class EnginePlacement(abc.ABC):
@@ -221,6 +221,8 @@
                 return
         if self._waiting_elsewhere():
             return
+        # What was read for a prompt would be lost without room for its answer.
+        late.sort(key=lambda waiter: not waiter.progress.cached_at)
         for waiter in late:
             if not self._try(waiter):
                 return
@@ -243,6 +245,9 @@
         roomy = self._roomy(call.service.name, sought)
         if not roomy:
             return None
+        keepers = self._keepers(call.service.name, sought)
+        if keepers:
+            return self._promise_kept(roomy, keepers, sought)
         prefills = self._registry.usable(call.service.name, PREFILL_ROLE)
         prefills = [backend for backend in prefills if self._is_open(backend, sought)]
         pairs = [(p, d) for p in prefills for d in roomy]
@@ -258,6 +263,36 @@
                 return self._promise(decode, prefill, sought)
         return self._promise(alone, None, sought)
 
+    def _keepers(self, service: str, sought: Sought) -> list[Backend]:
+        """Return the engines that keep the prompt in their prefix cache."""
+        now_s = time.monotonic()
+        return [
+            backend
+            for backend in self._registry.usable(service)
+            if backend.name in sought.progress.cached_at
+            and self._is_open(backend, sought)
+            and not backend.health.is_suspect(now_s)
+        ]
+
+    def _promise_kept(
+        self, roomy: list[Backend], keepers: list[Backend], sought: Sought
+    ) -> Placement:
+        """Promise memory where the prompt is kept, or near to there: it is not read again."""
+
+        def cost_s(decode: Backend, keeper: Backend) -> float:
+            cost_s = self._ledger.backlog_s(decode.name) + self._decode_cost_s(decode, sought)
+            if decode is not keeper:
+                cost_s += FETCH_COST_S
+                if decode.entry.zone != keeper.entry.zone:
+                    cost_s += OTHER_ZONE_COST_S
+            return cost_s
+
+        pairs = [(decode, keeper) for decode in roomy for keeper in keepers]
+        decode, keeper = min(pairs, key=lambda pair: cost_s(*pair))
+        placement = self._promise(decode, None, sought)
+        fetch_from = None if decode is keeper else keeper
+        return dataclasses.replace(placement, fetch_from=fetch_from)
+
     def _handicap_s(self, call: RoutedCall, alone: Backend, pair_s: float) -> float:
         """Return how much sooner reading alone must be: more on a full engine."""
         if time.monotonic() + pair_s >= call.target_s - TARGET_MARGIN_S:
@@ -314,11 +349,8 @@
         return read_s + self._decode_cost_s(decode, sought)
 
     def _read_cost_s(self, engine: Backend, sought: Sought) -> float:
-        """Return the predicted time to read the prompt; less where it was read a moment ago."""
+        """Return the predicted time to read the prompt."""
         backlog_s = self._ledger.backlog_s(engine.name)
-        is_resumed = sought.progress.is_resumed and self._is_home(engine, sought)
-        if engine.name in sought.progress.cached_at or is_resumed:
-            return backlog_s - CACHED_BONUS_S
         return backlog_s + sought.tokens / self._ledger.pace.read_rate(engine.name)
 
     def _is_home(self, engine: Backend, sought: Sought) -> bool:
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -28,6 +28,7 @@
 )
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
+from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
 from yokedock.request.retry_allowance import RetryAllowance
@@ -51,6 +52,8 @@
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
 RELEASE_TIMEOUT_S = 1.0
+CACHED_S = 1.0
+"""An engine that used a prompt so long ago may have dropped it from its prefix cache."""
 
 
 @dataclasses.dataclass
@@ -63,8 +66,8 @@
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
     prefills: int = 0
-    read_at: set[str] = dataclasses.field(default_factory=set)
-    """Engines that have read the prompt."""
+    read_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    """Engines that have read the prompt, and when they last used it (monotonic s)."""
     engines: list[str] = dataclasses.field(default_factory=list)
     """Where it was placed, one ``prefill>decode`` for each attempt."""
     placed_s: float = 0.0
@@ -72,8 +75,8 @@
 
     def note_placement(self, placement: Placement) -> None:
         """Note a placement for the logs."""
-        prefill = placement.prefill.name if placement.prefill else ""
-        self.engines.append(f"{prefill}>{placement.decode.name}")
+        reader = placement.prefill or placement.fetch_from
+        self.engines.append(f"{reader.name if reader else ''}>{placement.decode.name}")
         self.placed_s = time.monotonic()
 
     def note_silent(self, placement: Placement) -> None:
@@ -88,11 +91,19 @@
         return Progress(
             made=self.relay.events * _tokens_per_event(call),
             avoid=frozenset(self.refused_by),
-            cached_at=frozenset(self.read_at),
-            is_resumed=call.terms.last_event_id is not None,
+            cached_at=self._cached_at(),
             silent_since_s=self.silent_since_s(call),
         )
 
+    def note_prompt_at(self, *engines: str) -> None:
+        """Note that engines keep the prompt now."""
+        self.read_at |= dict.fromkeys(engines, time.monotonic())
+
+    def _cached_at(self) -> frozenset[str]:
+        """Return the engines that used the prompt so lately that they should still keep it."""
+        oldest_s = time.monotonic() - CACHED_S
+        return frozenset(name for name, used_s in self.read_at.items() if used_s >= oldest_s)
+
     def silent_since_s(self, call: RoutedCall) -> float:
         """Return since when the caller has heard nothing (monotonic s)."""
         return self.relay.last_s or call.arrived_s
@@ -111,12 +122,14 @@
         ledger: EngineLedger,
         exchanges: BackendExchanges,
         allowance: RetryAllowance,
+        lookup: CacheLookup,
     ) -> None:
-        """Share the process's placement, promises, connections and retry budget."""
+        """Share the process's placement, promises, connections, budget and look-up of prompts."""
         self._placement = placement
         self._ledger = ledger
         self._exchanges = exchanges
         self._allowance = allowance
+        self._lookup = lookup
         self._watch = StreamWatch()
         self._releases: set[asyncio.Task[None]] = set()
 
@@ -126,6 +139,8 @@
         state = GenerationState(StreamRelay(call.answer, call.terms.last_event_id))
         try:
             async with asyncio.timeout(call.left_s()):
+                if call.terms.last_event_id is not None:
+                    state.note_prompt_at(*await self._lookup.engines_with_prompt(call))
                 await self._serve(call, state)
         except TimeoutError:
             raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
@@ -167,10 +182,10 @@
         """Read the prompt, then make the answer, with room promised all the while."""
         try:
             if state.kept_source() is not None:
-                await self._decode(call, state, placement.decode, placement.demand)
+                await self._decode(call, state, placement)
             elif placement.prefill is not None:
                 await self._prefill(call, state, placement.prefill, placement.tokens)
-                await self._decode(call, state, placement.decode, placement.demand)
+                await self._decode(call, state, placement)
             else:
                 await self._decode_alone(call, state, placement)
         finally:
@@ -195,7 +210,7 @@
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
             state.read_s = time.monotonic()
-            state.read_at.add(engine.name)
+            state.note_prompt_at(engine.name)
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
             state.source = f"{engine.entry.address}/{result.handle}"
@@ -219,19 +234,13 @@
         reading = self._ledger.open_prefill(name, placement.tokens)
         state.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
         try:
-            await self._decode(call, state, placement.decode, placement.demand)
+            await self._decode(call, state, placement)
         finally:
             self._ledger.close_prefill(reading, is_done=False)
 
-    async def _decode(
-        self,
-        call: RoutedCall,
-        state: GenerationState,
-        engine: Backend,
-        demand: StreamDemand,
-    ) -> None:
+    async def _decode(self, call: RoutedCall, state: GenerationState, placement: Placement) -> None:
         """Have the answer made and pass it on."""
-        relay = state.relay
+        relay, engine, keeper = state.relay, placement.decode, placement.fetch_from
         async with self._exchanges.open(engine, call) as exchange:
             if call.arrivals:
                 self._allowance.note_extra(call.service.name)
@@ -240,16 +249,16 @@
                 engine.name,
                 call.backend_deadline_ms(),
                 kv_source=state.kept_source(),
+                fetch_from=keeper.entry.address if keeper is not None else None,
                 last_event_id=relay.last_id if relay.events else None,
             )
             try:
                 with call.one_run():
                     await exchange.send(order)
-                    state.read_at.add(engine.name)
-                    await self._relay(call, state, exchange, demand)
+                    await self._relay(call, state, exchange, placement.demand)
             except BackendRefused:
                 state.refused_by.add(engine.name)
-                state.read_at.discard(engine.name)
+                state.read_at.pop(engine.name, None)
                 raise
 
     async def _relay(
@@ -274,6 +283,7 @@
             parts = exchange.body_parts()
             while (part := await stream.within(patience_s, anext(parts, None))) is not None:
                 self._watch.heard(stream)
+                state.note_prompt_at(exchange.backend.name)
                 await relay.feed(head, part)
                 self._note_pace(exchange.backend.name, relay)
                 demand.made = relay.events * _tokens_per_event(call)
