--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -26,3 +26,5 @@
       | a stream that broke late waits for room             |
       | an engine whose streams are all silent is avoided   |
       | a process that stood still accuses no engine        |
+      | whoever waits too long is told early                |
+      | room is forecast from how long streams lasted       |
--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -10,6 +10,7 @@
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import LedgerPlacement, Progress
 from yokedock.request.routed_call import RoutedCall
+from yokedock.request.stream_turnover import StreamTurnover
 from yokedock.request.stream_watch import DARK_S, LOST_S, StreamWatch
 from yokedock.version.route_table import EngineTraits, Route, RouteKind, ServiceSpec, WeightedTarget
 
@@ -41,12 +42,12 @@
         self.arrived_s = arrived_s
 
 
-def generation(arrived_s, prompt_tokens=100):
+def generation(arrived_s, prompt_tokens=100, deadline_s=14.0):
     """Return a call for a generation that arrived then; its callers wait 3.6 s for an event."""
     route = Route(
         "chat", "h", "/", RouteKind.STREAM, 14.0, 0.9, (WeightedTarget("llm"),), gap_target_s=0.3
     )
-    terms = CallTerms("r", 14.0, generation=GenerationTerms("m", prompt_tokens, 100))
+    terms = CallTerms("r", deadline_s, generation=GenerationTerms("m", prompt_tokens, 100))
     return RoutedCall(CallStub(arrived_s), None, terms, route, ServiceSpec("llm", engine=TRAITS))
 
 
@@ -71,6 +72,47 @@
     asyncio.run(play())
 
 
+def whoever_waits_too_long_is_told_early():
+    """Fresh callers get a time to come back; those that came back wait and go first."""
+
+    async def play():
+        now_s = time.monotonic()
+        ledger = EngineLedger()
+        placement = LedgerPlacement(registry("d"), ledger, "zone", lambda: 3)
+        taken = ledger.open_stream(StreamDemand("d", 1000, 0, 0))
+        fresh = asyncio.create_task(placement.place(generation(now_s), Progress()))
+        back = asyncio.create_task(
+            placement.place(generation(now_s + 0.001, 800, deadline_s=10.0), Progress())
+        )
+        try:
+            await fresh
+        except NoDecodeRoom as error:
+            assert "has room only in" in error.message, error.message
+            assert 2.0 <= error.retry_after_s <= 4.5, error.retry_after_s
+        else:
+            raise AssertionError("held though its turn came too late")
+        later = asyncio.create_task(placement.place(generation(now_s, 800), Progress(made=1)))
+        await asyncio.sleep(0)
+        assert not back.done()
+        ledger.close_stream(taken)
+        assert (await back).decode.name == "d"
+        assert not later.done()
+        later.cancel()
+
+    asyncio.run(play())
+
+
+def room_is_forecast_from_how_long_streams_lasted():
+    """Twice the streams free room twice as often; what ended at once teaches nothing."""
+    turnover = StreamTurnover()
+    for _ in range(200):
+        turnover.note(4.0)
+        turnover.note(0.01)
+    assert 3.9 < turnover.wait_s(1, 0) < 4.1
+    assert 0.39 < turnover.wait_s(20, 1) < 0.41
+    assert turnover.wait_s(0, 0) == turnover.wait_s(1, 0)
+
+
 def an_engine_whose_streams_are_all_silent_is_avoided():
     """One event of any stream shows that the engine lives; all silent, it does not."""
 
@@ -138,6 +180,8 @@
 
 
 STREAM_PROPERTIES = {
+    "whoever waits too long is told early": whoever_waits_too_long_is_told_early,
+    "room is forecast from how long streams lasted": room_is_forecast_from_how_long_streams_lasted,
     "a stream that broke late waits for room": a_stream_that_broke_late_waits_for_room,
     "an engine whose streams are all silent is avoided": (
         an_engine_whose_streams_are_all_silent_is_avoided
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -12,6 +12,7 @@
 
 from yokedock.connection.router_state import EngineShare
 from yokedock.request.engine_pace import EnginePace
+from yokedock.request.stream_turnover import StreamTurnover
 
 GROWTH_SHARE = 0.75
 """Share of the output still expected that is counted: not all streams are longest at once."""
@@ -59,6 +60,8 @@
         self._prefills: dict[int, PrefillDemand] = {}
         self._remote: dict[str, tuple[float, dict[str, EngineShare]]] = {}
         self.pace = EnginePace(clock)
+        self.turnover = StreamTurnover()
+        self._opened_s: dict[int, float] = {}
         self._next_key = 0
         self.on_change: Callable[[], None] = lambda: None
         """Called when this router's promises change."""
@@ -71,12 +74,14 @@
         """Promise memory to a stream; return the key to close it with."""
         key = self._new_key()
         self._demands[key] = demand
+        self._opened_s[key] = self._clock()
         self.on_change()
         return key
 
     def close_stream(self, key: int) -> None:
         """Take the promise back."""
-        self._demands.pop(key, None)
+        if self._demands.pop(key, None) is not None:
+            self.turnover.note(self._clock() - self._opened_s.pop(key))
         self.on_change()
         self.on_room()
 
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -8,6 +8,7 @@
 import abc
 import asyncio
 import dataclasses
+import math
 import random
 import sys
 import time
@@ -50,6 +51,19 @@
 """From the end of a prefill to the first token: transfer and first step."""
 WAIT_MARGIN_S = 0.1
 COME_BACK_S = 1.5
+DECIDE_SHARE = 0.18
+"""Share of the target after which whoever still waits is told if its turn will come too late."""
+EARLY_SHARE = 0.22
+"""Share of the target within which a refusal is early."""
+DOUBT = 1.6
+"""How much longer than predicted a wait may be before a caller is held for it."""
+SOONEST_RETURN_S = 2.0
+LATEST_RETURN_S = 4.5
+"""When early refused callers come back: spread, since a peak lasts some seconds."""
+RETURN_SHARE_OF_LEFT = 0.3
+"""Callers heed a time to come back up to a share of the time that they have left."""
+FRESH_SHARE = 0.95
+"""A caller with less of the route's time than this has been refused before."""
 JITTER_S = 0.012
 RECHECK_S = 0.1
 """Waiting requests look for room at least this often."""
@@ -111,6 +125,13 @@
     in_time_until_s: float
     """Placed by then, its first token is in time."""
     placed: asyncio.Future[Placement]
+    decide_s: float
+    """When it is told if its turn will come too late."""
+
+    def turn(self) -> float:
+        """Return its place among those in time: who has the least time left goes first."""
+        deadline_s = self.call.terms.deadline_s
+        return self.call.arrived_s + (self.call.limit_s if deadline_s is None else deadline_s)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,22 +175,45 @@
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Return where the request goes; waits for room, raises ``NoDecodeRoom`` in the end."""
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(call, progress, self._in_time_until_s(call, progress), placed)
+        in_time_s = self._in_time_until_s(call, progress)
+        waiter = Waiter(call, progress, in_time_s, placed, _decide_s(call, progress))
         self._waiters.append(waiter)
         self._pump()
         try:
             async with asyncio.timeout(self._patience_s(call, progress)):
                 while True:
-                    done, _ = await asyncio.wait({placed}, timeout=RECHECK_S)
+                    look_s = max(0.0, waiter.decide_s - time.monotonic())
+                    done, _ = await asyncio.wait({placed}, timeout=min(RECHECK_S, look_s))
                     if done:
                         return placed.result()
                     self._pump()
+                    if not placed.done():
+                        self._refuse_if_too_late(waiter)
         except TimeoutError:
             message = f"no engine of {call.service.name} has room; retry later"
             raise NoDecodeRoom(message, COME_BACK_S) from None
         finally:
             self._leave(waiter)
 
+    def _refuse_if_too_late(self, waiter: Waiter) -> None:
+        """Tell a caller early that its turn will come too late, and when to come back."""
+        now_s, call = time.monotonic(), waiter.call
+        if now_s < waiter.decide_s:
+            return
+        waiter.decide_s = math.inf
+        if now_s > call.arrived_s + EARLY_SHARE * call.route.target_s:
+            return
+        own = sum(1 for other in self._waiters if other.turn() < waiter.turn())
+        engines = self._registry.usable(call.service.name, DECODE_ROLE)
+        streams = sum(self._ledger.streams(engine.name) for engine in engines)
+        wait_s = self._ledger.turnover.wait_s(streams, own + self._waiting_elsewhere() / 2)
+        if now_s + DOUBT * wait_s <= waiter.in_time_until_s:
+            return
+        longest_s = min(LATEST_RETURN_S, RETURN_SHARE_OF_LEFT * call.left_s())
+        return_s = self._random.uniform(min(SOONEST_RETURN_S, longest_s), longest_s)
+        message = f"{call.service.name} has room only in {wait_s:.1f} s; retry later"
+        raise NoDecodeRoom(message, return_s)
+
     def waiting_in_time(self) -> int:
         """Return how many requests wait for room that can still meet their target."""
         now_s = time.monotonic()
@@ -215,6 +259,7 @@
         """Give room to waiters in their order; the first that does not fit ends it."""
         now_s = time.monotonic()
         in_time = [waiter for waiter in self._waiters if waiter.in_time_until_s >= now_s]
+        in_time.sort(key=Waiter.turn)
         late = [waiter for waiter in self._waiters if waiter.in_time_until_s < now_s]
         for waiter in in_time:
             if not self._try(waiter):
@@ -376,6 +421,16 @@
         return backend.health.failure_share(time.monotonic())
 
 
+def _decide_s(call: RoutedCall, progress: Progress) -> float:
+    """Return when a request may be refused early; never one that has begun or came back."""
+    deadline_s = call.terms.deadline_s
+    is_back = deadline_s is not None and deadline_s < FRESH_SHARE * call.route.timeout_s
+    has_begun = bool(progress.made or progress.cached_at or call.arrivals)
+    if is_back or has_begun or call.terms.last_event_id is not None:
+        return math.inf
+    return call.arrived_s + DECIDE_SHARE * call.route.target_s
+
+
 def stream_demand(engine: str, terms: GenerationTerms, made: int) -> StreamDemand:
     """Return the memory a generation is expected to take at ``engine``."""
     expected = terms.output_hint if terms.output_hint is not None else terms.most_output_tokens / 2
