--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -5,13 +5,15 @@
 
 from yokedock.connection.dialect import CallTerms, GenerationTerms
 from yokedock.connection.state_source import BackendEntry
-from yokedock.errors import BackendSilent, NoDecodeRoom
+from yokedock.errors import NoDecodeRoom
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
-from yokedock.request.engine_placement import LedgerPlacement, Progress
+from yokedock.request.engine_placement import Progress
+from yokedock.request.placement_queue import QueuedPlacement
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.stream_turnover import StreamTurnover
 from yokedock.request.stream_watch import DARK_S, LOST_S, StreamWatch
+from yokedock.router_errors import BackendSilent
 from yokedock.version.route_table import EngineTraits, Route, RouteKind, ServiceSpec, WeightedTarget
 
 TRAITS = EngineTraits(slots=4, memory_tokens=1000, token_bytes=1.0, link_mbps=1000.0)
@@ -57,7 +59,7 @@
     async def play():
         now_s = time.monotonic()
         ledger = EngineLedger()
-        placement = LedgerPlacement(registry("d"), ledger, "zone", lambda: 0)
+        placement = QueuedPlacement(registry("d"), ledger, lambda: 0)
         taken = ledger.open_stream(StreamDemand("d", 1000, 0, 0))
         asyncio.get_running_loop().call_later(0.05, ledger.close_stream, taken)
         late = Progress(made=10, silent_since_s=now_s - 1.0)
@@ -78,7 +80,7 @@
     async def play():
         now_s = time.monotonic()
         ledger = EngineLedger()
-        placement = LedgerPlacement(registry("d"), ledger, "zone", lambda: 3)
+        placement = QueuedPlacement(registry("d"), ledger, lambda: 3)
         taken = ledger.open_stream(StreamDemand("d", 1000, 0, 0))
         fresh = asyncio.create_task(placement.place(generation(now_s), Progress()))
         back = asyncio.create_task(
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -15,7 +15,7 @@
 import h11
 
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
-from yokedock.errors import BackendBroken, BackendUnreachable
+from yokedock.router_errors import BackendBroken, BackendUnreachable
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -18,14 +18,8 @@
 
 from yokedock.base.logs import logger
 from yokedock.connection.http_heads import AnswerHead, RequestHead, whole_answer
-from yokedock.errors import (
-    BadRequest,
-    ErrorResponse,
-    HeaderTooLarge,
-    PayloadTooLarge,
-    RequestTimeout,
-    YokedockError,
-)
+from yokedock.errors import BadRequest, ErrorResponse, PayloadTooLarge, YokedockError
+from yokedock.router_errors import HeaderTooLarge, RequestTimeout
 from yokedock.version.route_table import CallerLimits
 
 _log = logger("caller")
--- a/src/yokedock/connection/http_get.py
+++ b/src/yokedock/connection/http_get.py
@@ -4,7 +4,8 @@
 
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.short_call import CallLimits, ShortAnswer, ShortCall, short_call
-from yokedock.errors import BackendBroken, BackendUnreachable, PlatformUnavailable
+from yokedock.errors import PlatformUnavailable
+from yokedock.router_errors import BackendBroken, BackendUnreachable
 
 
 class HttpGetter:
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -17,7 +17,8 @@
     StateSnapshot,
     StateSource,
 )
-from yokedock.errors import HistoryGone, PlatformUnavailable, SettingsInvalid
+from yokedock.errors import PlatformUnavailable, SettingsInvalid
+from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import (
     CallerLimits,
     EngineTraits,
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -10,7 +10,7 @@
 from yokedock.connection.backend_connection import LONGEST_REST_S
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.http_heads import Header, RequestHead
-from yokedock.errors import BackendSilent
+from yokedock.router_errors import BackendSilent
 
 MAX_ANSWER_BYTES = 16_777_216
 
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -37,6 +37,9 @@
     error: ErrorBody
 
 
+_BY_CODE: dict[str, type[YokedockError]] = {}
+
+
 class YokedockError(Exception):
     """Base of all typed errors.
 
@@ -48,6 +51,11 @@
     http_status = 500
     outcome = Outcome.UNKNOWN
 
+    def __init_subclass__(cls) -> None:
+        """Add a kind with a code of its own to the table of codes."""
+        if "code" in cls.__dict__:
+            _BY_CODE[cls.code] = cls
+
     def __init__(self, message: str, retry_after_s: float | None = None) -> None:
         """Keep the message, and the time in seconds after which a retry may succeed."""
         super().__init__(message)
@@ -232,13 +240,6 @@
     http_status = 503
 
 
-class BackendAnswerLost(YokedockError):
-    """A backend may have run the request, and its answer was lost."""
-
-    code = "backend_answer_lost"
-    http_status = 502
-
-
 class CallerGone(YokedockError):
     """The caller closed its connection."""
 
@@ -316,46 +317,6 @@
     code = "engine_lost"
 
 
-class BackendRefused(EngineRejected):
-    """The backend stated that it did not run the request and will not run it."""
-
-    code = "backend_refused"
-    http_status = 503
-
-
-class BackendUnreachable(EngineUnavailable):
-    """No connection to the backend could be opened: nothing was sent."""
-
-    code = "backend_unreachable"
-
-
-class BackendBroken(EngineLost):
-    """The connection ended, or sent what is no answer, after the request went out."""
-
-    code = "backend_broken"
-    http_status = 502
-
-
-class BackendSilent(BackendBroken):
-    """The backend has the request and says nothing: it may be dark or cut off."""
-
-    code = "backend_silent"
-
-
-class HeaderTooLarge(BadRequest):
-    """The head of a request is larger than the configuration allows."""
-
-    code = "header_too_large"
-    http_status = 431
-
-
-class RequestTimeout(BadRequest):
-    """The request did not arrive whole in the time that the configuration allows."""
-
-    code = "request_timeout"
-    http_status = 408
-
-
 # --- Errors in what operators wrote. ---
 
 
@@ -383,25 +344,6 @@
     code = "platform_unavailable"
 
 
-class HistoryGone(PlatformUnavailable):
-    """The source has dropped the changes since a position; everything must be read anew."""
-
-    code = "history_gone"
-
-
-_BY_CODE: dict[str, type[YokedockError]] = {}
-
-
-def _register(kind: type[YokedockError]) -> None:
-    """Add a kind and all kinds below it to the table of codes."""
-    _BY_CODE[kind.code] = kind
-    for below in kind.__subclasses__():
-        _register(below)
-
-
-_register(YokedockError)
-
-
 def error_from_code(code: str, message: str, retry_after_s: float | None = None) -> YokedockError:
     """Rebuild a typed error that crossed a process boundary by its code."""
     kind = _BY_CODE.get(code, YokedockError)
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -16,8 +16,9 @@
     StateSnapshot,
     StateSource,
 )
-from yokedock.errors import HistoryGone, PlatformUnavailable
+from yokedock.errors import PlatformUnavailable
 from yokedock.platform.documents import backend_entry, route_table
+from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteTable
 
 CONFIGURATION_KEY = "op/config"
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -10,12 +10,13 @@
 from yokedock.base.logs import logger
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import Dialect
-from yokedock.errors import BackendAnswerLost, BadRequest, NotFound, NotReady, YokedockError
+from yokedock.errors import BadRequest, NotFound, NotReady, YokedockError
 from yokedock.process.router_metrics import RouterMetrics
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
 from yokedock.request.routed_call import RoutedCall
+from yokedock.router_errors import BackendAnswerLost
 from yokedock.version.route_table import Route, RouteTable, ServiceSpec
 
 _log = logger("router")
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -10,11 +10,11 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, EncodedOrder, RoleOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
-from yokedock.errors import BackendBroken, BackendUnreachable
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock.request.role_plan import EngineRole, next_change
+from yokedock.router_errors import BackendBroken, BackendUnreachable
 from yokedock.version.route_table import RouteTable, ServiceSpec
 
 _log = logger("roles")
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -34,9 +34,9 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
-from yokedock.request.engine_placement import LedgerPlacement
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.placement_queue import QueuedPlacement
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.version.route_table import CallerLimits, RouteTable
 
@@ -78,9 +78,7 @@
         allowance = RetryAllowance(bounds, self._gossip.fleet_size)
         self._pool = BackendPool()
         exchanges = BackendExchanges(self._pool, dialect)
-        placement = LedgerPlacement(
-            self._registry, self._ledger, settings.process.zone, self._waiting_elsewhere
-        )
+        placement = QueuedPlacement(self._registry, self._ledger, self._waiting_elsewhere)
         self._placement = placement
         self._metrics = RouterMetrics()
         self._stop = StopState()
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -8,8 +8,9 @@
 
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import StateSnapshot, StateSource
-from yokedock.errors import HistoryGone, PlatformUnavailable
+from yokedock.errors import PlatformUnavailable
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteIndex, RouteTable
 
 _log = logger("state")
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -11,9 +11,9 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
-from yokedock.errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 from yokedock.request.backend_registry import Backend
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.router_errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 
 CONNECT_TIMEOUT_S = 0.15
 SHORT_REST_S = 0.8
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -13,9 +13,10 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, PromptPart
 from yokedock.connection.short_call import CallLimits, short_call
-from yokedock.errors import BackendBroken, BackendUnreachable, EngineRejected
+from yokedock.errors import EngineRejected
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.routed_call import RoutedCall
+from yokedock.router_errors import BackendBroken, BackendUnreachable
 
 _log = logger("cache")
 
--- /dev/null
+++ b/src/yokedock/request/engine_choice.py
@@ -0,0 +1,210 @@
+"""Chooses the engines of one generation from what all routers promised, if any has room."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+from yokedock.connection.dialect import GenerationTerms
+from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.engine_ledger import EngineLedger, StreamDemand
+from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Placement, Progress
+from yokedock.request.routed_call import RoutedCall
+from yokedock.version.homes import home_of
+from yokedock.version.route_table import EngineTraits
+
+FILL = 0.98
+"""Share of an engine's memory that is promised."""
+OTHER_ZONE_COST_S = 0.05
+"""How much later an engine in the same zone may be before one in another zone is better."""
+SELF_PREFILL_SLOWNESS = 2.0
+"""A decode engine reads prompts this much slower than a prefill engine (the platform's figure)."""
+SELF_PREFILL_HANDICAP_S = 0.1
+FULL_HANDICAP_S = 0.6
+"""How much sooner reading on the decode engine must be, on an empty and on a full engine: it slows
+all streams there, and so the rate at which room comes free."""
+TARGET_MARGIN_S = 0.25
+"""A pair predicted to be later than this before the target is no better than reading alone."""
+FETCH_COST_S = 0.25
+"""How much later an engine that keeps the prompt may be before it is copied to another."""
+HOME_BONUS_S = 0.1
+FULL_COST_S = 0.1
+SLOW_COST_S = 0.3
+"""What an engine costs that makes tokens half as fast as is typical, above what is tolerated."""
+TOLERATED_SLOWNESS = 1.15
+PAUSE_SHARE = 0.92
+"""Share of the longest pause that is allowed which reading beside streams may bring about."""
+DISTURBANCE_COST_S = 0.5
+START_S = 0.08
+"""From the end of a prefill to the first token: transfer and first step."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Sought:
+    """What a placement is sought for."""
+
+    terms: GenerationTerms
+    progress: Progress
+    traits: EngineTraits
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens to be read."""
+        return self.terms.prompt_tokens + self.progress.made
+
+
+class EngineChoice:
+    """Weighs engines by promised memory, reading backlog, pace and failures."""
+
+    def __init__(self, registry: BackendRegistry, ledger: EngineLedger) -> None:
+        """Share the process's backends and promises."""
+        self._registry = registry
+        self._ledger = ledger
+
+    def choose(self, call: RoutedCall, progress: Progress) -> Placement | None:
+        """Return the cheaper of a pair of engines and one that does both, its memory promised.
+
+        Returns None if no engine has room.
+        """
+        terms, traits = call.terms.generation, call.service.engine
+        assert terms is not None and traits is not None
+        sought = Sought(terms, progress, traits)
+        roomy = self._roomy(call.service.name, sought)
+        if not roomy:
+            return None
+        keepers = self._keepers(call.service.name, sought)
+        if keepers:
+            return self._promise_kept(roomy, keepers, sought)
+        prefills = self._registry.usable(call.service.name, PREFILL_ROLE)
+        prefills = [backend for backend in prefills if self._is_open(backend, sought)]
+        pairs = [(p, d) for p in prefills for d in roomy]
+        alone = min(roomy, key=lambda decode: self._alone_cost_s(decode, sought))
+        if pairs:
+            costs_s = [self._pair_cost_s(prefill, decode, sought) for prefill, decode in pairs]
+            pair_s = min(costs_s)
+            alone_s = self._alone_cost_s(alone, sought) + self._handicap_s(call, alone, pair_s)
+            if self._would_disturb(call, alone):
+                alone_s += DISTURBANCE_COST_S
+            if pair_s <= alone_s:
+                prefill, decode = pairs[costs_s.index(pair_s)]
+                return self._promise(decode, prefill, sought)
+        return self._promise(alone, None, sought)
+
+    def _keepers(self, service: str, sought: Sought) -> list[Backend]:
+        """Return the engines that keep the prompt in their prefix cache."""
+        now_s = time.monotonic()
+        return [
+            backend
+            for backend in self._registry.usable(service)
+            if backend.name in sought.progress.cached_at
+            and self._is_open(backend, sought)
+            and not backend.health.is_suspect(now_s)
+        ]
+
+    def _promise_kept(
+        self, roomy: list[Backend], keepers: list[Backend], sought: Sought
+    ) -> Placement:
+        """Promise memory where the prompt is kept, or near to there: it is not read again."""
+
+        def cost_s(decode: Backend, keeper: Backend) -> float:
+            cost_s = self._ledger.backlog_s(decode.name) + self._decode_cost_s(decode, sought)
+            if decode is not keeper:
+                cost_s += FETCH_COST_S
+                if decode.entry.zone != keeper.entry.zone:
+                    cost_s += OTHER_ZONE_COST_S
+            return cost_s
+
+        pairs = [(decode, keeper) for decode in roomy for keeper in keepers]
+        decode, keeper = min(pairs, key=lambda pair: cost_s(*pair))
+        placement = self._promise(decode, None, sought)
+        fetch_from = None if decode is keeper else keeper
+        return dataclasses.replace(placement, fetch_from=fetch_from)
+
+    def _handicap_s(self, call: RoutedCall, alone: Backend, pair_s: float) -> float:
+        """Return how much sooner reading alone must be: more on a full engine."""
+        if time.monotonic() + pair_s >= call.target_s - TARGET_MARGIN_S:
+            return SELF_PREFILL_HANDICAP_S
+        traits = call.service.engine
+        assert traits is not None
+        fullness = self._ledger.memory_tokens(alone.name) / traits.memory_tokens
+        return SELF_PREFILL_HANDICAP_S + FULL_HANDICAP_S * fullness
+
+    def _would_disturb(self, call: RoutedCall, alone: Backend) -> bool:
+        """Return whether reading on ``alone`` makes pauses there longer than the target."""
+        longest_s = PAUSE_SHARE * call.route.gap_target_s
+        is_slow = self._ledger.pace.reading_pause_s(alone.name) > longest_s > 0
+        return is_slow and self._ledger.streams(alone.name) > 0
+
+    def _promise(self, decode: Backend, prefill: Backend | None, sought: Sought) -> Placement:
+        """Promise memory at the chosen engine."""
+        demand = stream_demand(decode.name, sought.terms, sought.progress.made)
+        promise = self._ledger.open_stream(demand)
+        return Placement(decode, prefill, sought.tokens, demand, promise)
+
+    def _roomy(self, service: str, sought: Sought) -> list[Backend]:
+        """Return the decode engines with room for one more stream and its memory."""
+        need = stream_demand("", sought.terms, sought.progress.made).memory_tokens()
+        traits = sought.traits
+        usable = self._registry.usable(service, DECODE_ROLE)
+        return [
+            backend
+            for backend in usable
+            if self._is_open(backend, sought)
+            and self._ledger.streams(backend.name) < traits.slots
+            and self._fits(backend.name, traits, need)
+        ]
+
+    def _is_open(self, backend: Backend, sought: Sought) -> bool:
+        is_avoided = backend.name in sought.progress.avoid
+        return not is_avoided and not self._registry.is_changing(backend.name)
+
+    def _fits(self, engine: str, traits: EngineTraits, need: int) -> bool:
+        promised = self._ledger.memory_tokens(engine)
+        return promised == 0 or promised + need <= FILL * traits.memory_tokens
+
+    def _pair_cost_s(self, prefill: Backend, decode: Backend, sought: Sought) -> float:
+        """Return the predicted time to the first token, with what should weigh against the pair."""
+        cost_s = self._read_cost_s(prefill, sought)
+        if prefill.entry.zone != decode.entry.zone:
+            cost_s += OTHER_ZONE_COST_S
+        if self._is_home(prefill, sought):
+            cost_s -= HOME_BONUS_S
+        return cost_s + self._decode_cost_s(decode, sought) + self._risk_s(prefill)
+
+    def _alone_cost_s(self, decode: Backend, sought: Sought) -> float:
+        read_s = SELF_PREFILL_SLOWNESS * self._read_cost_s(decode, sought)
+        return read_s + self._decode_cost_s(decode, sought)
+
+    def _read_cost_s(self, engine: Backend, sought: Sought) -> float:
+        """Return the predicted time to read the prompt."""
+        backlog_s = self._ledger.backlog_s(engine.name)
+        return backlog_s + sought.tokens / self._ledger.pace.read_rate(engine.name)
+
+    def _is_home(self, engine: Backend, sought: Sought) -> bool:
+        """Return whether a prompt goes to this engine of its role, at whichever router it comes.
+
+        When it comes again, its home may still keep it in its prefix cache.
+        """
+        if not sought.terms.parts:
+            return False
+        names = [b.name for b in self._registry.usable(engine.entry.service, engine.entry.role)]
+        return home_of(sought.terms.parts[-1].part_id, names) == engine.name
+
+    def _decode_cost_s(self, decode: Backend, sought: Sought) -> float:
+        """Return what speaks against a decode engine: how full and slow it is, its failures."""
+        fullness = self._ledger.memory_tokens(decode.name) / sought.traits.memory_tokens
+        slowness = self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
+        cost_s = START_S + FULL_COST_S * fullness + SLOW_COST_S * max(0.0, slowness)
+        if self._is_home(decode, sought):
+            cost_s -= HOME_BONUS_S
+        return cost_s + self._risk_s(decode)
+
+    def _risk_s(self, backend: Backend) -> float:
+        return backend.health.failure_share(time.monotonic())
+
+
+def stream_demand(engine: str, terms: GenerationTerms, made: int) -> StreamDemand:
+    """Return the memory a generation is expected to take at ``engine``."""
+    expected = terms.output_hint if terms.output_hint is not None else terms.most_output_tokens / 2
+    expected = min(expected, terms.most_output_tokens)
+    return StreamDemand(engine, terms.prompt_tokens, expected, terms.most_output_tokens, made)
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -14,18 +14,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
-from yokedock.errors import (
-    BackendAnswerLost,
-    BackendBroken,
-    BackendRefused,
-    BackendSilent,
-    BackendUnreachable,
-    DeadlineExceeded,
-    EngineRejected,
-    NoDecodeRoom,
-    Refused,
-    YokedockError,
-)
+from yokedock.errors import DeadlineExceeded, EngineRejected, NoDecodeRoom, Refused, YokedockError
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
 from yokedock.request.cache_lookup import CacheLookup
@@ -35,6 +24,13 @@
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.stream_watch import StreamWatch
+from yokedock.router_errors import (
+    BackendAnswerLost,
+    BackendBroken,
+    BackendRefused,
+    BackendSilent,
+    BackendUnreachable,
+)
 
 _log = logger("generation")
 
@@ -159,18 +155,20 @@
             except BackendUnreachable as error:
                 silent_s = time.monotonic() - state.silent_since_s(call)
                 is_over = silent_s > KNOCK_TARGETS * call.route.target_s
-                if is_over or not self._may_go_on(call, is_arrival=False):
+                if is_over or not self._allowance.may_try_again(
+                    call, LEAST_USEFUL_S, is_arrival=False
+                ):
                     raise self._final(call, error) from None
                 await asyncio.sleep(KNOCK_S)
             except BackendRefused as error:
                 is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
-                if is_enough or not self._may_go_on(call):
+                if is_enough or not self._allowance.may_try_again(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except (BackendBroken, EngineRejected) as error:
                 if isinstance(error, BackendSilent):
                     state.note_silent(placement)
-                if not self._may_go_on(call):
+                if not self._allowance.may_try_again(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except Refused as error:
@@ -305,17 +303,12 @@
         parts = [part async for part in exchange.body_parts()]
         exchange.finish(is_failure=answer.head.status >= SERVER_ERROR)
         if call.answer.has_started or (
-            answer.head.status >= SERVER_ERROR and self._may_go_on(call)
+            answer.head.status >= SERVER_ERROR
+            and self._allowance.may_try_again(call, LEAST_USEFUL_S)
         ):
             raise BackendBroken(f"{exchange.backend.name} answered {answer.head.status}")
         await call.answer.whole(answer.head, b"".join(parts))
 
-    def _may_go_on(self, call: RoutedCall, is_arrival: bool = True) -> bool:
-        """Return whether another engine may be tried."""
-        if call.left_s() < LEAST_USEFUL_S or not call.may_run_again():
-            return False
-        return not is_arrival or self._allowance.may_spend(call.service.name)
-
     def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
         """Return what the caller is told: "not run" only if that is certain."""
         _log.info(
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -7,19 +7,17 @@
 
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
-from yokedock.errors import (
+from yokedock.errors import DeadlineExceeded, NoBackend, YokedockError
+from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchanges
+from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.router_errors import (
     BackendAnswerLost,
     BackendBroken,
     BackendRefused,
     BackendUnreachable,
-    DeadlineExceeded,
-    NoBackend,
-    YokedockError,
 )
-from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchanges
-from yokedock.request.backend_registry import Backend, BackendRegistry
-from yokedock.request.retry_allowance import RetryAllowance
-from yokedock.request.routed_call import RoutedCall, WholeAnswer
 
 _log = logger("call")
 
@@ -56,7 +54,7 @@
                 tried.add(backend.name)
                 answer = await self._attempt(call, backend)
             except BackendUnreachable as error:
-                is_over = not self._may_go_on(call, is_arrival=False)
+                is_over = not self._allowance.may_try_again(call, LEAST_USEFUL_S, is_arrival=False)
                 if is_over or not await self._may_knock_again(call, tried):
                     raise self._final(call, error) from None
                 continue
@@ -64,7 +62,7 @@
                 is_last = isinstance(error, NoBackend) or (
                     isinstance(error, BackendRefused) and not self._has_untried(call, tried)
                 )
-                if is_last or not self._may_go_on(call):
+                if is_last or not self._allowance.may_try_again(call, LEAST_USEFUL_S):
                     if kept is not None:
                         break
                     raise self._final(call, error) from None
@@ -74,7 +72,7 @@
                 kept = answer
                 break
             kept = answer
-            if not self._may_go_on(call):
+            if not self._allowance.may_try_again(call, LEAST_USEFUL_S):
                 break
             _log.info("retry", request=call.request_id, reason=f"status {answer.head.status}")
         await call.answer.whole(kept.head, kept.body)
@@ -124,12 +122,6 @@
         usable = self._registry.usable(call.service.name)
         return any(backend.name not in tried for backend in usable)
 
-    def _may_go_on(self, call: RoutedCall, is_arrival: bool = True) -> bool:
-        """Return whether another backend may be tried."""
-        if call.left_s() < LEAST_USEFUL_S or not call.may_run_again():
-            return False
-        return not is_arrival or self._allowance.may_spend(call.service.name)
-
     def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
         """Return what the caller is told: "not run" only if that is certain."""
         if not call.may_have_run:
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Callable
 
+from yokedock.request.routed_call import RoutedCall
+
 SAFETY = 0.75
 """Share of the budget that is used: routers come and go, and windows slide."""
 
@@ -54,6 +56,16 @@
         share += self._bounds.allowance / max(1, self._fleet_size())
         return extras + 1 <= SAFETY * (1.0 - reserve) * share
 
+    def may_try_again(self, call: RoutedCall, least_left_s: float, is_arrival: bool = True) -> bool:
+        """Return whether another backend may be tried for ``call``.
+
+        Not with less than ``least_left_s`` left; ``is_arrival``: the last try reached a backend, so
+        that the next one spends the allowance.
+        """
+        if call.left_s() < least_left_s or not call.may_run_again():
+            return False
+        return not is_arrival or self.may_spend(call.service.name)
+
     def note_extra(self, service: str) -> None:
         """Count an arrival beyond the first of a request."""
         self._extras.setdefault(service, collections.deque()).append(self._clock())
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -10,7 +10,7 @@
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import CallTerms
 from yokedock.connection.http_heads import AnswerHead
-from yokedock.errors import BackendRefused
+from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
 MIN_DEADLINE_MS = 1
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -8,7 +8,7 @@
 from yokedock.connection.caller_connection import AnswerWriter
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
 from yokedock.connection.http_heads import AnswerHead
-from yokedock.errors import BackendBroken
+from yokedock.router_errors import BackendBroken
 
 
 class StreamRelay:
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -13,8 +13,8 @@
 from typing import TypeVar
 
 from yokedock.base.logs import logger
-from yokedock.errors import BackendSilent
 from yokedock.request.backend_registry import Backend
+from yokedock.router_errors import BackendSilent
 
 _log = logger("streams")
 
