--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -100,3 +100,11 @@
     When a client streams on "chat"
     Then the client gets 6 events, each once and in order, and a whole end
     And engine "p" read the prompt once
+
+  Scenario: After a break the prompt is fetched from who still keeps it
+    Given every decode engine's next fault is "break within event 4" at the first that runs
+    And the engine that breaks forgets what it kept
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And engine "p" read the prompt once
+    And the second run fetched the prompt from "p"
--- a/features/steps/router_cache_steps.py
+++ b/features/steps/router_cache_steps.py
@@ -19,6 +19,12 @@
         backend.dies_when_broken = True
 
 
+@given("the engine that breaks forgets what it kept")
+def forgets(context):
+    for backend in decode_engines(context):
+        backend.forgets_when_broken = True
+
+
 @when('a client goes on with a stream on "{name}" behind event {last:d}')
 def go_on(context, name, last):
     context.caller = caller(context)
@@ -48,3 +54,10 @@
     address = context.world.backends[name].address
     assert [a.header("X-Kv-Fetch") for a in runs] == [address], runs
     assert not context.world.backends[name].arrivals
+
+
+@then('the second run fetched the prompt from "{name}"')
+def fetched(context, name):
+    runs = [a for b in decode_engines(context) for a in b.runs() if a.header("Last-Event-Id")]
+    address = context.world.backends[name].address
+    assert [a.header("X-Kv-Fetch") for a in runs] == [address], runs
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -38,6 +38,7 @@
         self.gate.set()
         self.pieces = PIECES
         self.dies_when_broken = False
+        self.forgets_when_broken = False
         self.cache = {}
         """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
         self.connections = 0
@@ -95,6 +96,11 @@
             watch.cancel()
             await asyncio.wait({watch})
 
+    def _keep_prompt(self, arrival):
+        parts = (part.split(":") for part in (arrival.header("X-Prompt-Parts") or "").split(","))
+        if self.cache is not None:
+            self.cache.update({name: int(tokens) for name, tokens in parts})
+
     async def _list_cache(self, arrival, writer):
         if self.cache is None:
             await asyncio.sleep(3600)
@@ -122,6 +128,8 @@
         if fault == "error":
             return self._plain(writer, arrival, 500, b"broken", [("X-Signature", self.name)])
         await self.gate.wait()
+        if self.role:
+            self._keep_prompt(arrival)
         if arrival.header("X-Stage") == "prefill":
             body = json.dumps({"handle": f"h{len(self.arrivals)}", "tokens": 5}).encode()
             return self._plain(writer, arrival, 200, body, [], signed=False)
@@ -170,6 +178,8 @@
                 await writer.drain()
                 if self.dies_when_broken:
                     self._server.close()
+                if self.forgets_when_broken:
+                    self.cache.clear()
                 writer.transport.abort()
                 return False
             if fault == f"lose event {number}":
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -136,7 +136,7 @@
         try:
             async with asyncio.timeout(call.left_s()):
                 if call.terms.last_event_id is not None:
-                    state.note_prompt_at(*await self._lookup.engines_with_prompt(call))
+                    await self._seek_prompt(call, state)
                 await self._serve(call, state)
         except TimeoutError:
             raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
@@ -171,9 +171,16 @@
                 if not self._allowance.may_try_again(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
+                if state.relay.events:
+                    await self._seek_prompt(call, state)
             except Refused as error:
                 raise self._final(call, error) from None
 
+    async def _seek_prompt(self, call: RoutedCall, state: GenerationState) -> None:
+        """Learn which engines keep the prompt now: one that broke may be gone."""
+        state.read_at.clear()
+        state.note_prompt_at(*await self._lookup.engines_with_prompt(call))
+
     async def _attempt(
         self, call: RoutedCall, state: GenerationState, placement: Placement
     ) -> None:
