--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -6,13 +6,14 @@
 import dataclasses
 import random
 import threading
+import time
 from typing import Any
 
 import pykka
 import pynng
 
 from yokedock.base.logs import logger
-from yokedock.connection.peer_socket import PeerSocket
+from yokedock.connection.peer_socket import TAKEN_WITHIN_S, PeerSocket
 from yokedock.connection.peer_types import PeerIdentity, PeerTiming
 from yokedock.connection.secure_session import (
     Hello,
@@ -77,6 +78,10 @@
         self._stopping = threading.Event()
         self._handshake_ms = min(HANDSHAKE_MIN_MS, timing.lease_ms)
         self.socket = PeerSocket(self._handshake_ms)
+        self._packet_s = 0.0
+        """When the newest packet came (monotonic s)."""
+        self._untold = 0
+        """Packets read that the other end was not told of."""
 
     def stop(self) -> None:
         """Ask the thread to end; it does so within a lease."""
@@ -132,9 +137,16 @@
         self._tell(LinkDown(self))
 
     def _say_taken(self, session: SecureSession) -> None:
-        """Tell the other end that a packet was read, so that it may send the next."""
+        """Tell the other end that packets were read, unless they come rarely."""
+        now_s = time.monotonic()
+        is_rare = now_s - self._packet_s >= TAKEN_WITHIN_S
+        self._packet_s = now_s
+        self._untold = 1 if is_rare else self._untold + 1
+        if is_rare:
+            return
         with session.send_lock:
-            self.socket.send(session.seal(Frame(0, PacketsTaken(1))))
+            self.socket.send(session.seal(Frame(0, PacketsTaken(self._untold))))
+        self._untold = 0
 
     def _tell(self, message: Any) -> None:
         """Tell the owner, unless it has ended."""
