--- a/features/steps/router_cache_steps.py
+++ b/features/steps/router_cache_steps.py
@@ -45,14 +45,14 @@
     arrivals = {b.name: b.arrivals for b in context.world.backends.values() if b.arrivals}
     assert list(arrivals) == [name] and len(arrivals[name]) == 1, arrivals
     run = arrivals[name][0]
-    assert run.header("X-Kv-Source") is None and run.header("X-Kv-Fetch") is None, run
+    assert run.header("X-Kv-Source") is None and run.header("X-Copy-From") is None, run
 
 
 @then('one decode engine ran it with the prompt copied from "{name}"')
 def ran_with_copy(context, name):
     runs = [a for b in decode_engines(context) for a in b.arrivals]
     address = context.world.backends[name].address
-    assert [a.header("X-Kv-Fetch") for a in runs] == [address], runs
+    assert [a.header("X-Copy-From") for a in runs] == [address], runs
     assert not context.world.backends[name].arrivals
 
 
@@ -60,4 +60,4 @@
 def fetched(context, name):
     runs = [a for b in decode_engines(context) for a in b.runs() if a.header("Last-Event-Id")]
     address = context.world.backends[name].address
-    assert [a.header("X-Kv-Fetch") for a in runs] == [address], runs
+    assert [a.header("X-Copy-From") for a in runs] == [address], runs
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -171,11 +171,11 @@
     instance: str = "X-Expected-Backend"
     stage: str = "X-Stage"
     kv_source: str = "X-Kv-Source"
-    fetch_from: str = "X-Kv-Fetch"
+    fetch_from: str = "X-Copy-From"
     not_run: str = "X-Not-Run"
     signature: str = "X-Signature"
     load: str = "X-Backend-Load"
-    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Kv-Fetch")
+    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Copy-From")
     prefill_stage: str = "prefill"
     handle_field: str = "handle"
     tokens_field: str = "tokens"
