--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -43,7 +43,7 @@
 COME_BACK_S = 1.0
 ENOUGH_REFUSALS = 3
 KNOCK_S = 0.02
-KNOCK_TARGETS = 2.0
+KNOCK_TARGETS = 3.4
 """Engines that cannot be reached are tried again at this interval, for so many times the target."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
