--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -46,6 +46,8 @@
     terms: GenerationTerms
     progress: Progress
     traits: EngineTraits
+    homes: frozenset[str]
+    """Where the prompt goes, at whichever router it comes: one engine of each role."""
 
     @property
     def tokens(self) -> int:
@@ -68,7 +70,7 @@
         """
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
-        sought = Sought(terms, progress, traits)
+        sought = Sought(terms, progress, traits, self._homes(call.service.name, terms))
         roomy = self._roomy(call.service.name, sought)
         if not roomy:
             return None
@@ -167,7 +169,7 @@
         cost_s = self._read_cost_s(prefill, sought)
         if prefill.entry.zone != decode.entry.zone:
             cost_s += OTHER_ZONE_COST_S
-        if self._is_home(prefill, sought):
+        if prefill.name in sought.homes:
             cost_s -= HOME_BONUS_S
         return cost_s + self._decode_cost_s(decode, sought) + self._risk_s(prefill)
 
@@ -180,22 +182,21 @@
         backlog_s = self._ledger.backlog_s(engine.name)
         return backlog_s + sought.tokens / self._ledger.pace.read_rate(engine.name)
 
-    def _is_home(self, engine: Backend, sought: Sought) -> bool:
-        """Return whether a prompt goes to this engine of its role, at whichever router it comes.
-
-        When it comes again, its home may still keep it in its prefix cache.
-        """
-        if not sought.terms.parts:
-            return False
-        names = [b.name for b in self._registry.usable(engine.entry.service, engine.entry.role)]
-        return home_of(sought.terms.parts[-1].part_id, names) == engine.name
+    def _homes(self, service: str, terms: GenerationTerms) -> frozenset[str]:
+        """Return the homes of a prompt, by rendezvous hashing of its last part."""
+        if not terms.parts:
+            return frozenset()
+        part_id = terms.parts[-1].part_id
+        roles = [self._registry.usable(service, role) for role in (PREFILL_ROLE, DECODE_ROLE)]
+        homes = [home_of(part_id, [backend.name for backend in engines]) for engines in roles]
+        return frozenset(home for home in homes if home is not None)
 
     def _decode_cost_s(self, decode: Backend, sought: Sought) -> float:
         """Return what speaks against a decode engine: how full and slow it is, its failures."""
         fullness = self._ledger.memory_tokens(decode.name) / sought.traits.memory_tokens
         slowness = self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
         cost_s = START_S + FULL_COST_S * fullness + SLOW_COST_S * max(0.0, slowness)
-        if self._is_home(decode, sought):
+        if decode.name in sought.homes:
             cost_s -= HOME_BONUS_S
         return cost_s + self._risk_s(decode)
 
