--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -13,4 +13,4 @@
   Scenario: A peer that reads nothing any more is given up after a bounded backlog
     Given a link between two processes, the dialling end reads nothing
     When the listening end sends frames until it is told that the link is of no use
-    Then it had sent 1027 frames
+    Then it had sent 1026 frames
--- a/src/yokedock/connection/peer_listener.py
+++ b/src/yokedock/connection/peer_listener.py
@@ -11,7 +11,6 @@
 import contextlib
 import itertools
 import threading
-import time
 from collections.abc import Callable
 
 import pynng
@@ -22,7 +21,6 @@
     PACKETS_UNDER_WAY,
     RECEIVE_LIMIT_BYTES,
     SEND_TIMEOUT_MS,
-    TAKEN_WITHIN_S,
 )
 from yokedock.connection.secure_session import (
     Hello,
@@ -55,9 +53,8 @@
         self._pipe = pipe
         self._session = session
         self._closed = False
-        self._under_way: collections.deque[float] = collections.deque()
-        """When packets were sent that the other end has not said it took (monotonic s); guarded by
-        the session's lock."""
+        self._under_way = 0
+        """Packets sent that the other end has not said it took; guarded by the session's lock."""
         self._unsent: collections.deque[Frame] = collections.deque()
 
     def send(self, message: Message, call: int = 0) -> bool:
@@ -75,19 +72,15 @@
     def packets_taken(self, count: int) -> None:
         """Note that the other end took ``count`` packets, and send what waited for that."""
         with self._session.send_lock:
-            for _ in range(min(count, len(self._under_way))):
-                self._under_way.popleft()
+            self._under_way = max(0, self._under_way - count)
             self._send_waiting()
 
     def _send_waiting(self) -> bool:
         """Send what may go now; return whether the connection is still of use."""
-        now_s = time.monotonic()
-        while self._under_way and self._under_way[0] < now_s - TAKEN_WITHIN_S:
-            self._under_way.popleft()
         try:
-            while self._unsent and len(self._under_way) < PACKETS_UNDER_WAY:
+            while self._unsent and self._under_way < PACKETS_UNDER_WAY:
                 packet = self._session.seal(self._unsent.popleft())
-                self._under_way.append(now_s)
+                self._under_way += 1
                 self._pipe.send(packet)
         except pynng.NNGException:
             self._closed = True
--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -6,14 +6,13 @@
 import dataclasses
 import random
 import threading
-import time
 from typing import Any
 
 import pykka
 import pynng
 
 from yokedock.base.logs import logger
-from yokedock.connection.peer_socket import TAKEN_WITHIN_S, PeerSocket
+from yokedock.connection.peer_socket import PACKETS_UNDER_WAY, PeerSocket
 from yokedock.connection.peer_types import PeerIdentity, PeerTiming
 from yokedock.connection.secure_session import (
     Hello,
@@ -78,8 +77,6 @@
         self._stopping = threading.Event()
         self._handshake_ms = min(HANDSHAKE_MIN_MS, timing.lease_ms)
         self.socket = PeerSocket(self._handshake_ms)
-        self._packet_s = 0.0
-        """When the newest packet came (monotonic s)."""
         self._untold = 0
         """Packets read that the other end was not told of."""
 
@@ -137,12 +134,9 @@
         self._tell(LinkDown(self))
 
     def _say_taken(self, session: SecureSession) -> None:
-        """Tell the other end that packets were read, unless they come rarely."""
-        now_s = time.monotonic()
-        is_rare = now_s - self._packet_s >= TAKEN_WITHIN_S
-        self._packet_s = now_s
-        self._untold = 1 if is_rare else self._untold + 1
-        if is_rare:
+        """Tell the other end when as many packets were read as it may have under way."""
+        self._untold += 1
+        if self._untold < PACKETS_UNDER_WAY:
             return
         with session.send_lock:
             self.socket.send(session.seal(Frame(0, PacketsTaken(self._untold))))
--- a/src/yokedock/connection/peer_socket.py
+++ b/src/yokedock/connection/peer_socket.py
@@ -19,12 +19,10 @@
 RECEIVE_LIMIT_BYTES = 16 * 1024 * 1024
 BUFFERED_FRAMES = 1024
 """A peer that leaves more frames than this unread is taken as lost."""
-TAKEN_WITHIN_S = 2.0
-"""A packet that stands alone for this long needs no word that it was taken: rare heartbeats cost
-nothing more."""
-PACKETS_UNDER_WAY = 3
-"""Packets that a listening socket may have under way to one peer: the library writes one and queues
-two for each connection of a socket with many, and drops the next one without a word."""
+PACKETS_UNDER_WAY = 2
+"""Packets that a listening socket may have under way to one peer: the library queues two for each
+connection of a socket with many, and drops the next one without a word. It writes a third, but a
+peer may have read that one before the library takes the next from its queue."""
 
 
 class PeerSocket:
