--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -30,9 +30,9 @@
         return self.now_s
 
 
-def registry(*names):
+def registry(*names, clock=time.monotonic):
     """Return a registry of decode engines."""
-    found = BackendRegistry("zone")
+    found = BackendRegistry("zone", clock)
     found.update([BackendEntry(name, "llm", "127.0.0.1:1", role="decode") for name in names], ())
     return found
 
@@ -121,7 +121,7 @@
     async def play():
         clock = Clock()
         watch = StreamWatch(clock)
-        backends = registry("d", "e")
+        backends = registry("d", "e", clock=clock)
         engine = backends.get("d")
         begun, other, waiting = (watch.open(engine, may_move=True) for _ in range(3))
         for stream in (begun, other):
@@ -149,7 +149,7 @@
     async def play():
         clock = Clock()
         watch = StreamWatch(clock)
-        backends = registry("d", "e")
+        backends = registry("d", "e", clock=clock)
         watch.heard(watch.open(backends.get("d"), may_move=True))
         clock.now_s += 5.0
         watch.check()
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -36,6 +36,7 @@
     engine: Backend
     may_move: bool
     """Whether the request may be sent to another engine."""
+    clock: Callable[[], float]
     has_begun: bool = False
     limit: asyncio.Timeout | None = None
     """Patience with what is awaited now."""
@@ -46,7 +47,7 @@
             async with asyncio.timeout(patience_s) as self.limit:
                 return await awaited
         except TimeoutError:
-            self.engine.health.note_silence(time.monotonic())
+            self.engine.health.note_silence(self.clock())
             raise BackendSilent(f"{self.engine.name}: the stream stalled") from None
         finally:
             self.limit = None
@@ -70,7 +71,7 @@
 
     def open(self, engine: Backend, may_move: bool) -> WatchedStream:
         """Watch a stream that was sent to ``engine``."""
-        stream = WatchedStream(engine, may_move)
+        stream = WatchedStream(engine, may_move, self._clock)
         if not self._streams:
             self._checked_s = self._clock()
         self._streams.add(stream)
