--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -28,3 +28,4 @@
       | a process that stood still accuses no engine        |
       | whoever waits too long is told early                |
       | room is forecast from how long streams lasted       |
+      | a caller who leaves spoils no other look-up         |
--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -3,10 +3,11 @@
 import asyncio
 import time
 
-from yokedock.connection.dialect import CallTerms, GenerationTerms
+from yokedock.connection.dialect import CallTerms, GenerationTerms, PromptPart
 from yokedock.connection.state_source import BackendEntry
 from yokedock.errors import NoDecodeRoom
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import Progress
 from yokedock.request.placement_queue import QueuedPlacement
@@ -181,7 +182,39 @@
     return [backend.name for backend in backends.usable("llm", "decode")] == ["e"]
 
 
+class HeldLookup(CacheLookup):
+    """A look-up whose engines answer when told."""
+
+    def __init__(self):
+        super().__init__(registry("d"), None, None)
+        self.may_answer = asyncio.Event()
+
+    async def _ask(self, engine):
+        await self.may_answer.wait()
+        return {"ab": 100}
+
+
+def a_caller_who_leaves_spoils_no_other_look_up():
+    """One list serves several requests: the end of one must not end it for the others."""
+
+    async def play():
+        lookup = HeldLookup()
+        call = generation(0.0)
+        terms = GenerationTerms("m", 100, 100, (PromptPart("ab", 100),))
+        call.terms = CallTerms("r", 14.0, generation=terms)
+        first = asyncio.create_task(lookup.engines_with_prompt(call))
+        second = asyncio.create_task(lookup.engines_with_prompt(call))
+        await asyncio.sleep(0)
+        first.cancel()
+        await asyncio.sleep(0)
+        lookup.may_answer.set()
+        assert await second == {"d"}
+
+    asyncio.run(play())
+
+
 STREAM_PROPERTIES = {
+    "a caller who leaves spoils no other look-up": a_caller_who_leaves_spoils_no_other_look_up,
     "whoever waits too long is told early": whoever_waits_too_long_is_told_early,
     "room is forecast from how long streams lasted": room_is_forecast_from_how_long_streams_lasted,
     "a stream that broke late waits for room": a_stream_that_broke_late_waits_for_room,
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -60,7 +60,8 @@
         if terms is None or not terms.parts:
             return set()
         engines = self._registry.usable(call.service.name)
-        lists = await asyncio.gather(*(self._list_of(engine) for engine in engines))
+        # Others wait for the same lists: a caller who leaves must not end them.
+        lists = await asyncio.gather(*(asyncio.shield(self._list_of(engine)) for engine in engines))
         least = KEPT_SHARE * terms.prompt_tokens
         found = {
             engine.name
