Callers wait in the kernel's queue while the router loads

Ruled out: leaving TLS out of the event loop (12 ms): logbook loads it too.

Change: deploy/main.py listens for callers before it loads the program. The router's small types are msgspec structs (35 of 44 dataclasses, each of which compiles its methods at every start).

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -1,10 +1,21 @@
 """Entry point on the users' machines: the sources beside this file, the libraries of the build."""
 
+import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
-from yokedock.platform.main import main
 
-main()
+def run():
+    """Listen first, then load the program: callers may be waiting for this machine."""
+    sys.path.insert(0, os.path.join(ROOT, "src"))
+    from yokedock.base.early_sockets import listen_early
+    from yokedock.platform.settings_variable import SETTINGS_VARIABLE
+
+    sockets = listen_early(os.environ[SETTINGS_VARIABLE])
+    from yokedock.platform.main import main
+
+    main(sockets)
+
+
+run()
--- a/features/router_process.feature
+++ b/features/router_process.feature
@@ -34,3 +34,15 @@
       services = x
       timeout_s = long
       """
+
+  Scenario: Callers who come while the program is loaded wait and are served
+    Given a plain backend "a"
+    And a settings file whose addresses for callers listen before the program is loaded
+    When a client sends POST on "once" to the address for callers
+    And the router is started with these addresses
+    Then the waiting client gets 200
+    And the address for readiness answers 200
+
+  Scenario: Settings that cannot be read or bound early stop nothing
+    Then listening early for a file that does not exist gives no address
+    And listening early for addresses that are no addresses gives no address
--- a/features/steps/router_process_steps.py
+++ b/features/steps/router_process_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from support.router_world import HOST, RawCaller, free_address, request_bytes
 
+from yokedock.base.early_sockets import listen_early
 from yokedock_emulator.process_group import program
 
 SETTINGS = """
@@ -136,3 +137,51 @@
     assert done.returncode == 1, done
     for told in (first, second, third):
         assert told in done.stderr, done.stderr
+
+
+def early_settings(listen, ready):
+    file = Path(tempfile.mkdtemp()) / "early.ini"
+    addresses = f"listen = {listen}\nready_listen = {ready}\n"
+    file.write_text(f"[process]\nname = listen\n[callers]\n{addresses}[fleet]\nlisten = x\n")
+    return str(file)
+
+
+@given("a settings file whose addresses for callers listen before the program is loaded")
+def listen_before(context):
+    context.listen, context.ready = free_address(), free_address()
+    context.sockets = listen_early(early_settings(context.listen, context.ready))
+    assert list(context.sockets) == [context.listen, context.ready]
+
+
+@when('a client sends POST on "{name}" to the address for callers')
+def send_early(context, name):
+    context.caller = RawCaller(context.world, context.listen)
+    context.caller.send(request_bytes(name, body=b"abc"))
+
+
+@when("the router is started with these addresses")
+def start_with(context):
+    context.router = context.world.start_router(context.world.snapshot(), sockets=context.sockets)
+
+
+@then("the waiting client gets {status:d}")
+def waiting_gets(context, status):
+    assert context.caller.read_answer()[0] == status
+
+
+@then("the address for readiness answers 200")
+def ready_answers(context):
+    context.world.wait_for(lambda: context.router.is_ready, "ready")
+    caller = RawCaller(context.world, context.ready)
+    caller.send(f"GET /ready HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+    assert caller.read_answer()[0] == 200
+
+
+@then("listening early for a file that does not exist gives no address")
+def no_file(context):
+    assert listen_early("/nowhere/router.ini") == {}
+
+
+@then("listening early for addresses that are no addresses gives no address")
+def no_addresses(context):
+    assert listen_early(early_settings("nowhere", "127.0.0.1:port")) == {}
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -136,11 +136,12 @@
         entries = {name: self.entry(name) for name in self.backends}
         return StateSnapshot(self.position, table(version, **limits), entries)
 
-    def start_router(self, snapshot, seeds=(), address="", grace_s=8.0):
-        """Start a router; return it."""
+    def start_router(self, snapshot, seeds=(), address="", grace_s=8.0, sockets=None):
+        """Start a router; return it. ``sockets`` listen already, callers' first, by address."""
+        callers = list(sockets or (free_address(), free_address()))
         settings = RouterSettings(
             RouterProcessSettings("router"),
-            RouterCallerSettings(free_address(), free_address()),
+            RouterCallerSettings(*callers),
             FleetSettings(address or free_address(), seeds),
             StateSettings(free_address()),
             RetrySettings(),
@@ -150,7 +151,7 @@
 
         async def start():
             source = ScriptedState(snapshot)
-            router = Router(settings, source, HeaderDialect())
+            router = Router(settings, source, HeaderDialect(), sockets)
             router.source = source
             router.stop_event = asyncio.Event()
             router.life = asyncio.create_task(router.run(router.stop_event))
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -32,8 +31,7 @@
 """Bytes of later requests that are read while one is answered."""
 
 
-@dataclasses.dataclass(frozen=True)
-class CallerRequest:
+class CallerRequest(msgspec.Struct, frozen=True):
     """One request, read whole."""
 
     head: RequestHead
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import abc
-import dataclasses
 
 import msgspec
 
@@ -16,16 +15,14 @@
 from yokedock.errors import BadRequest, EngineRejected
 
 
-@dataclasses.dataclass(frozen=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """One part of a prompt: an identifier that other prompts may share, and its tokens."""
 
     part_id: str
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True)
-class GenerationTerms:
+class GenerationTerms(msgspec.Struct, frozen=True):
     """What a caller says about a generation; tokens of the prompt and the most to be made."""
 
     model: str
@@ -35,8 +32,7 @@
     output_hint: int | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class CallTerms:
+class CallTerms(msgspec.Struct, frozen=True):
     """What the head of a request says besides its route."""
 
     request_id: str
@@ -46,8 +42,7 @@
     generation: GenerationTerms | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class BackendOrder:
+class BackendOrder(msgspec.Struct, frozen=True):
     """What the router adds to a request for one backend."""
 
     instance: str
@@ -61,8 +56,7 @@
     last_event_id: int | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class BackendLoad:
+class BackendLoad(msgspec.Struct, frozen=True):
     """A backend's own count of its work."""
 
     running: int
@@ -70,8 +64,7 @@
     slots: int
 
 
-@dataclasses.dataclass(frozen=True)
-class AnswerNotes:
+class AnswerNotes(msgspec.Struct, frozen=True):
     """What the head of an answer says about the run."""
 
     request_id: str | None
@@ -83,8 +76,7 @@
     load: BackendLoad | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class RoleOrder:
+class RoleOrder(msgspec.Struct, frozen=True):
     """An order to an engine to change its role."""
 
     instance: str
@@ -94,8 +86,7 @@
     """Fencing token: never lower than in an earlier order."""
 
 
-@dataclasses.dataclass(frozen=True)
-class EncodedOrder:
+class EncodedOrder(msgspec.Struct, frozen=True):
     """An order as it is sent, by POST."""
 
     target: bytes
@@ -157,8 +148,7 @@
         """Return the path at which DELETE releases what a prefill keeps."""
 
 
-@dataclasses.dataclass(frozen=True)
-class HeaderNames:
+class HeaderNames(msgspec.Struct, frozen=True):
     """Names of headers; the defaults are the product's own."""
 
     request_id: str = "X-Request-Id"
@@ -202,9 +192,9 @@
         """Prepare look-ups from the table of names."""
         self._names = names or HeaderNames()
         self._keys = {
-            field.name: getattr(self._names, field.name).lower().encode()
-            for field in dataclasses.fields(self._names)
-            if isinstance(getattr(self._names, field.name), str)
+            name: getattr(self._names, name).lower().encode()
+            for name in self._names.__struct_fields__
+            if isinstance(getattr(self._names, name), str)
         }
         own = {name.lower().encode() for name in self._names.set_by_router}
         self._dropped = frozenset(own)
--- a/src/yokedock/connection/event_stream.py
+++ b/src/yokedock/connection/event_stream.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 import re
 
+import msgspec
+
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 
 
-@dataclasses.dataclass(frozen=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """One whole event: its bytes with the blank line, and its id if it has a whole number."""
 
     data: bytes
--- a/src/yokedock/connection/http_heads.py
+++ b/src/yokedock/connection/http_heads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 Header = tuple[bytes, bytes]
 
@@ -24,8 +24,7 @@
 """Headers that the router writes anew, since it holds the whole body."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Head:
+class Head(msgspec.Struct, frozen=True):
     """Headers of a message: raw names and values, and a look-up by lower-case name."""
 
     headers: tuple[Header, ...]
@@ -54,8 +53,7 @@
         return [(name, value) for name, value in self.headers if name.lower() not in dropped]
 
 
-@dataclasses.dataclass(frozen=True)
-class RequestHead(Head):
+class RequestHead(Head, frozen=True):
     """Head of a request; ``target`` is path and query as they were sent."""
 
     method: bytes
@@ -68,8 +66,7 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
-@dataclasses.dataclass(frozen=True)
-class AnswerHead(Head):
+class AnswerHead(Head, frozen=True):
     """Head of an answer."""
 
     status: int
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Callable
 from typing import cast
@@ -36,8 +35,7 @@
 """Addresses of other routers in one datagram."""
 
 
-@dataclasses.dataclass
-class OtherRouter:
+class OtherRouter(msgspec.Struct):
     """What is known of another router, by its address."""
 
     address: str
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 import msgspec
 
@@ -15,8 +14,7 @@
 MAX_ANSWER_BYTES = 16_777_216
 
 
-@dataclasses.dataclass(frozen=True)
-class ShortCall:
+class ShortCall(msgspec.Struct, frozen=True):
     """What is sent; the Host header and the length are added."""
 
     method: bytes
@@ -32,8 +30,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True)
-class CallLimits:
+class CallLimits(msgspec.Struct, frozen=True):
     """Seconds to connect, and from then on to the whole answer."""
 
     connect_s: float
--- a/src/yokedock/process/leadership.py
+++ b/src/yokedock/process/leadership.py
@@ -10,18 +10,18 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from collections.abc import Callable
 
+import msgspec
+
 VOTE_S = 1.0
 FIRST_VOTE_S = 1.5
 """Where nobody can have led before, the first vote waits only until others were heard."""
 MOVE_MARGIN_S = 2.5
 
 
-@dataclasses.dataclass(frozen=True)
-class Vote:
+class Vote(msgspec.Struct, frozen=True):
     """What another router said last: whom it names, and when it was heard (monotonic s)."""
 
     voter: str
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import functools
 import random
 import time
 
+import msgspec
+
 from yokedock.base.logs import logger
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import Dialect
@@ -35,8 +36,7 @@
 """What a stream is reckoned to take to its start and for each token, when stopping."""
 
 
-@dataclasses.dataclass
-class StopState:
+class StopState(msgspec.Struct):
     """How far a planned stop has come."""
 
     is_stopping: bool = False
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -10,6 +11,7 @@
 import msgspec
 
 from yokedock.base.clock import wall_clock_ms
+from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import AnswerWriter, CallerConnection, CallerRequest
@@ -48,7 +50,6 @@
 STATE_PATH = "/state"
 METRICS_PATH = "/metrics"
 STATE_TIMEOUT_S = 1.0
-BACKLOG = 512
 RESTART_S = 0.5
 """A lasting task that failed goes on after this time, so that a fault that stays cannot spin."""
 LAST_CONNECTIONS_S = 2.5
@@ -61,8 +62,15 @@
 class Router:
     """Wires one router together; ``run`` is its life."""
 
-    def __init__(self, settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
-        """Prepare; nothing is bound yet."""
+    def __init__(
+        self,
+        settings: RouterSettings,
+        source: StateSource,
+        dialect: Dialect,
+        sockets: dict[str, socket.socket] | None = None,
+    ) -> None:
+        """Prepare; nothing is bound yet but ``sockets``, which listen by address."""
+        self._sockets = sockets or {}
         self.settings = settings
         self._incarnation_ms = wall_clock_ms()
         self._registry = BackendRegistry(settings.process.zone)
@@ -221,13 +229,12 @@
     # --- Listening ---
 
     async def _listen(self, address: str, accept: Accept) -> asyncio.Server:
+        early = self._sockets.get(address)
+        if early is not None:
+            return await asyncio.start_server(accept, sock=early, backlog=BACKLOG)
         host, _, port = address.rpartition(":")
         return await asyncio.start_server(
-            accept,
-            host,
-            int(port),
-            backlog=BACKLOG,
-            reuse_address=True,
+            accept, host, int(port), backlog=BACKLOG, reuse_address=True
         )
 
     async def _accept_caller(
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 import sys
 from typing import Any
 
@@ -16,20 +17,28 @@
 _log = logger("main")
 
 
-def run_router(settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
-    """Serve until SIGTERM or SIGINT. SIGHUP is noted: addresses do not change while it runs."""
+def run_router(
+    settings: RouterSettings,
+    source: StateSource,
+    dialect: Dialect,
+    sockets: dict[str, socket.socket] | None = None,
+) -> None:
+    """Serve until SIGTERM or SIGINT. SIGHUP is noted: addresses do not change while it runs.
+
+    ``sockets`` listen already, by address.
+    """
     set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
-    asyncio.run(_run(settings, source, dialect))
+    asyncio.run(_run(Router(settings, source, dialect, sockets)))
 
 
-async def _run(settings: RouterSettings, source: StateSource, dialect: Dialect) -> None:
+async def _run(router: Router) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_unhandled)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings may have changed"))
-    await Router(settings, source, dialect).run(stop)
+    await router.run(stop)
 
 
 def _log_unhandled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/src/yokedock/process/router_upkeep.py
+++ b/src/yokedock/process/router_upkeep.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.router_gossip import RouterGossip
 from yokedock.process.leadership import Leadership
@@ -23,8 +24,7 @@
 UPKEEP_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class KeptTables:
+class KeptTables(msgspec.Struct, frozen=True):
     """The parts of a router that keep something by engine, router, service or route."""
 
     follower: StateFollower
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import time
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from yokedock.connection.dialect import BackendLoad
 from yokedock.connection.state_source import BackendEntry
 
@@ -35,8 +36,7 @@
 OTHER_ZONE_COST = 1.05
 
 
-@dataclasses.dataclass
-class Health:
+class Health(msgspec.Struct):
     """What answers showed: failures, latency, silence. Times are monotonic seconds."""
 
     failures: float = 0.0
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 
+import msgspec
+
 from yokedock.connection.dialect import GenerationTerms
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
@@ -39,8 +40,7 @@
 """From the end of a prefill to the first token: transfer and first step."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Sought:
+class Sought(msgspec.Struct, frozen=True):
     """What a placement is sought for."""
 
     terms: GenerationTerms
@@ -120,7 +120,7 @@
         decode, keeper = min(pairs, key=lambda pair: cost_s(*pair))
         placement = self._promise(decode, None, sought)
         fetch_from = None if decode is keeper else keeper
-        return dataclasses.replace(placement, fetch_from=fetch_from)
+        return msgspec.structs.replace(placement, fetch_from=fetch_from)
 
     def _handicap_s(self, call: RoutedCall, alone: Backend, pair_s: float) -> float:
         """Return how much sooner reading alone must be: more on a full engine."""
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from yokedock.connection.router_state import EngineShare
 from yokedock.request.engine_pace import EnginePace
 from yokedock.request.stream_turnover import StreamTurnover
@@ -22,8 +23,7 @@
 """What a router that fell silent had promised is dropped after this time."""
 
 
-@dataclasses.dataclass
-class StreamDemand:
+class StreamDemand(msgspec.Struct):
     """Memory that one stream takes and will take, in tokens."""
 
     engine: str
@@ -40,8 +40,7 @@
         return round(self.prompt_tokens + self.made + GROWTH_SHARE * max(0.0, to_come))
 
 
-@dataclasses.dataclass
-class PrefillDemand:
+class PrefillDemand(msgspec.Struct):
     """One prompt that is being read."""
 
     engine: str
--- a/src/yokedock/request/engine_pace.py
+++ b/src/yokedock/request/engine_pace.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from collections.abc import Callable, Collection, Iterable
 
+import msgspec
+
 FIRST_READ_RATE = 40_000.0
 """Prompt tokens an engine reads in a second, before any was measured."""
 FIRST_READING_RATIO = 5.0
@@ -25,8 +26,7 @@
 MS_A_SECOND = 1000
 
 
-@dataclasses.dataclass
-class Measured:
+class Measured(msgspec.Struct):
     """A smoothed figure and when it was last measured (monotonic s)."""
 
     value: float
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import abc
-import dataclasses
+
+import msgspec
 
 from yokedock.request.backend_registry import Backend
 from yokedock.request.engine_ledger import StreamDemand
@@ -16,8 +17,7 @@
 DECODE_ROLE = "decode"
 
 
-@dataclasses.dataclass(frozen=True)
-class Progress:
+class Progress(msgspec.Struct, frozen=True):
     """What earlier attempts of a request left behind, as far as it bears on the next placement."""
 
     made: int = 0
@@ -30,8 +30,7 @@
     """Since when the caller has heard nothing (monotonic s), None for since it asked."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """Where a request is read and where its answer is made; its memory is promised."""
 
     decode: Backend
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import time
 
+import msgspec
+
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
@@ -52,19 +53,18 @@
 """An engine that used a prompt so long ago may have dropped it from its prefix cache."""
 
 
-@dataclasses.dataclass
-class GenerationState:
+class GenerationState(msgspec.Struct, eq=False):
     """How far one generation has come over all its attempts."""
 
     relay: StreamRelay
-    refused_by: set[str] = dataclasses.field(default_factory=set)
+    refused_by: set[str] = msgspec.field(default_factory=set)
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
     prefills: int = 0
-    read_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    read_at: dict[str, float] = msgspec.field(default_factory=dict)
     """Engines that have read the prompt, and when they last used it (monotonic s)."""
-    engines: list[str] = dataclasses.field(default_factory=list)
+    engines: list[str] = msgspec.field(default_factory=list)
     """Where it was placed, one ``prefill>decode`` for each attempt."""
     placed_s: float = 0.0
     read_s: float = 0.0
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import math
 import random
 import sys
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from yokedock.errors import NoDecodeRoom
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_choice import START_S, EngineChoice
@@ -46,8 +47,7 @@
 """Longest wait for room, as a share of the caller's patience and of the request's whole time."""
 
 
-@dataclasses.dataclass
-class Waiter:
+class Waiter(msgspec.Struct, eq=False):
     """One request that waits for room."""
 
     call: RoutedCall
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -6,18 +6,18 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from yokedock.request.routed_call import RoutedCall
 
 SAFETY = 0.75
 """Share of the budget that is used: routers come and go, and windows slide."""
 
 
-@dataclasses.dataclass(frozen=True)
-class RetryBounds:
+class RetryBounds(msgspec.Struct, frozen=True):
     """In every window: extra arrivals <= ``ratio`` * requests + ``allowance``, over the fleet."""
 
     ratio: float = 0.2
--- a/src/yokedock/request/role_plan.py
+++ b/src/yokedock/request/role_plan.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 PREFILL_SHARE = 0.2
 """Share of the engines that read prompts; decode engines read what these cannot keep up with."""
 
 
-@dataclasses.dataclass(frozen=True)
-class EngineRole:
+class EngineRole(msgspec.Struct, frozen=True):
     """One engine as the plan sees it."""
 
     name: str
@@ -18,8 +17,7 @@
     """Promised tokens."""
 
 
-@dataclasses.dataclass(frozen=True)
-class RoleChange:
+class RoleChange(msgspec.Struct, frozen=True):
     """One engine that should change its role."""
 
     name: str
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import time
 from collections.abc import Iterator
 
+import msgspec
+
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import CallTerms
 from yokedock.connection.http_heads import AnswerHead
@@ -16,8 +17,7 @@
 MIN_DEADLINE_MS = 1
 
 
-@dataclasses.dataclass
-class RoutedCall:
+class RoutedCall(msgspec.Struct, eq=False):
     """A caller's request with its route. Times are monotonic seconds."""
 
     request: CallerRequest
@@ -89,8 +89,7 @@
         return self.route.may_repeat or not self.may_have_run
 
 
-@dataclasses.dataclass(frozen=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True):
     """An answer that was read whole."""
 
     head: AnswerHead
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import msgspec
+
 from yokedock.base.logs import logger
 from yokedock.request.backend_registry import Backend
 from yokedock.router_errors import BackendSilent
@@ -29,8 +30,7 @@
 Result = TypeVar("Result")
 
 
-@dataclasses.dataclass(eq=False)
-class WatchedStream:
+class WatchedStream(msgspec.Struct, eq=False):
     """One stream at one engine."""
 
     engine: Backend
--- a/src/yokedock_emulator/deployed_router.py
+++ b/src/yokedock_emulator/deployed_router.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from yokedock.platform.main import SETTINGS_VARIABLE
+from yokedock.platform.settings_variable import SETTINGS_VARIABLE
 
 DEPLOY_FILE = Path("deploy/system.toml")
 BUILD_LIMIT_S = 900.0
