Calls wait while an answer could be in time, and not long for a backend that fell silent

Cause: calls without a backend were refused after 0.22 of the target and told to come back in 0.4 s whatever had happened; a call that may be repeated waited 0.45 of its route's time-out for a silent backend (1.8 s of 4).

Change: a call looks for a backend while an answer could still meet its target. An attempt is given up after six times the latency expected of the backend (0.3 s at least) where another may follow and the budget allows; such a backend is avoided for a while. An outage is taken to last as long again as it has lasted (0.3 to 3 s): that is when callers are told to come back.

--- a/features/router.feature
+++ b/features/router.feature
@@ -149,3 +149,19 @@
     When a client sends POST on "nowhere" with body "abc"
     Then the client gets 404
     And the router has counted 2 failures of telemetry
+
+  Scenario: A call that may be repeated does not wait long for a backend that fell silent
+    Given every backend's next fault is "silent" at one backend
+    When a client sends POST on "repeat" with body "abc"
+    Then the client gets 200 with the body of a backend
+    And the silent backend is avoided
+
+  Scenario: Callers are told to come back later the longer nothing answers
+    Given backend "a" has died
+    And backend "b" has died
+    When a client sends POST on "once" with body "abc"
+    Then the client gets 503
+    And the answer tells to come back after 0.3 to 0.5 s
+    When a client sends POST on "once" with body "abc"
+    Then the client gets 503
+    And the answer tells to come back after 1.7 to 4.5 s
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -508,3 +508,16 @@
 def ran_once_each(context):
     runs = {b.name: len(b.runs()) for b in decode_engines(context)}
     assert set(runs.values()) == {1}, runs
+
+
+@then("the silent backend is avoided")
+def silent_avoided(context):
+    usable = {backend.name for backend in context.router._registry.usable("plain")}
+    asked = {b.name for b in context.world.backends.values() if b.arrivals}
+    assert len(asked) == 2 and len(usable) == 1, (usable, asked)
+
+
+@then("the answer tells to come back after {least:g} to {most:g} s")
+def come_back_after(context, least, most):
+    told_s = float(context.answer[1]["retry-after"])
+    assert least <= told_s <= most, told_s
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -34,6 +34,11 @@
 DEFAULT_LATENCY_S = 0.1
 JITTER = 0.05
 OTHER_ZONE_COST = 1.05
+PATIENCE = 6.0
+"""An answer that takes this many times the expected latency is not waited for where another backend
+may be asked: work of one in a hundred takes five times the mean on the users' services."""
+LEAST_PATIENCE_S = 0.3
+"""Shorter silences happen on every machine: two of its processor quotas and a lost packet."""
 
 
 class Health(msgspec.Struct):
@@ -133,9 +138,10 @@
         """Return whether an engine is changing its role."""
         return any(name in engines for engines in self._changing.values())
 
-    def replace_all(self, entries: dict[str, BackendEntry]) -> None:
-        """Take over a whole list: what it does not name is gone."""
-        gone = [name for name in self._backends if name not in entries]
+    def replace_all(self, entries: dict[str, BackendEntry], unchanged: Iterable[str] = ()) -> None:
+        """Take over a whole list: what neither it nor ``unchanged`` names is gone."""
+        kept = entries.keys() | set(unchanged)
+        gone = [name for name in self._backends if name not in kept]
         self.update(entries.values(), gone)
 
     def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
@@ -194,6 +200,16 @@
         typical_s = typical_latency_s(usable)
         return min(usable, key=lambda backend: self._cost(backend, typical_s))
 
+    def typical_latency_s(self, service: str) -> float:
+        """Return the latency to expect of a service's backends, in seconds."""
+        return typical_latency_s(self.usable(service))
+
+    def patience_s(self, backend: Backend) -> float:
+        """Return the time after which a backend's silence says that no answer will come."""
+        typical_s = self.typical_latency_s(backend.entry.service)
+        expected_s = backend.health.expected_latency_s(self._clock(), typical_s)
+        return max(LEAST_PATIENCE_S, PATIENCE * expected_s)
+
     def _cost(self, backend: Backend, typical_s: float) -> float:
         now_s = self._clock()
         health = backend.health
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
+import msgspec
+
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.errors import DeadlineExceeded, NoBackend, YokedockError
-from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchanges
+from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
@@ -16,20 +19,31 @@
     BackendAnswerLost,
     BackendBroken,
     BackendRefused,
+    BackendSilent,
     BackendUnreachable,
 )
 
 _log = logger("call")
 
-REFUSE_WITHIN = 0.22
-"""Share of the target within which a refusal is early."""
 POLL_S = 0.02
-FIRST_TRY_SHARE = 0.45
-"""Share of the route's time-out that one attempt may be silent where another may follow."""
+"""A caller without any backend looks again at this interval."""
 LEAST_USEFUL_S = 0.03
 """A second attempt with less time left cannot finish."""
-COME_BACK_S = 0.4
-"""When to come back after a refusal for want of a backend."""
+SHORTEST_RETURN_S = 0.3
+LONGEST_RETURN_S = 3.0
+"""Bounds of the time to come back: an outage is taken to last as long again as it has lasted."""
+FORGOTTEN_S = 10.0
+"""An outage that no call has met for so long is over or of no interest."""
+RETURN_SPREAD = 1.5
+"""Callers come back after one to so many times that, evenly spread."""
+
+
+class Outage(msgspec.Struct):
+    """A time in which no backend of a service was found (monotonic s)."""
+
+    since_s: float
+    last_s: float = 0.0
+    """When a call met it last."""
 
 
 class OpaqueCalls:
@@ -42,6 +56,9 @@
         self._registry = registry
         self._exchanges = exchanges
         self._allowance = allowance
+        self._outages: dict[str, Outage] = {}
+        """By service, those in which no backend was found for a call."""
+        self._random = random.Random()
 
     async def serve(self, call: RoutedCall) -> None:
         """Answer the call: with a backend's answer, or with the error that says what is known."""
@@ -78,15 +95,14 @@
         await call.answer.whole(kept.head, kept.body)
 
     async def _next_backend(self, call: RoutedCall, tried: frozenset[str]) -> Backend:
-        """Return the backend to try next; waits for one while a refusal would still be early."""
-        wait_until_s = call.arrived_s + REFUSE_WITHIN * call.route.target_s
+        """Return the backend to try next; waits for one while an answer could be in time."""
         while True:
             name = call.service.name
             backend = self._registry.cheapest(name, tried) or self._registry.cheapest(name)
             if backend is not None:
                 return backend
-            if time.monotonic() >= wait_until_s:
-                raise NoBackend(f"no backend of {name} is listed; retry later", COME_BACK_S)
+            if not self._could_be_in_time(call):
+                raise NoBackend(f"no backend of {name} is listed; retry later")
             await asyncio.sleep(POLL_S)
 
     async def _attempt(self, call: RoutedCall, backend: Backend) -> WholeAnswer:
@@ -98,34 +114,63 @@
             order = BackendOrder(backend.name, call.backend_deadline_ms())
             with call.one_run():
                 await exchange.send(order)
-                return await exchange.read_whole(self._patience_s(call))
-
-    def _patience_s(self, call: RoutedCall) -> float:
+                answer = await self._read(exchange, call)
+        self._outages.pop(call.service.name, None)
+        return answer
+
+    async def _read(self, exchange: BackendExchange, call: RoutedCall) -> WholeAnswer:
+        """Read the answer; a backend that is silent for longer than patience allows is avoided."""
+        backend = exchange.backend
+        patience_s = self._patience_s(call, backend)
+        try:
+            return await exchange.read_whole(patience_s)
+        except BackendSilent:
+            if patience_s >= self._registry.patience_s(backend):
+                backend.health.note_silence(time.monotonic())
+            raise
+
+    def _patience_s(self, call: RoutedCall, backend: Backend) -> float:
         """Return how long to wait for an answer before another attempt, or until the deadline."""
         left_s = call.left_s()
         if call.may_run_again() and self._allowance.may_spend(call.service.name):
-            return min(left_s, FIRST_TRY_SHARE * call.route.timeout_s)
+            return min(left_s, self._registry.patience_s(backend))
         return left_s
 
+    def _could_be_in_time(self, call: RoutedCall) -> bool:
+        """Return whether an attempt that begins now could still meet the target."""
+        expected_s = self._registry.typical_latency_s(call.service.name)
+        return time.monotonic() + expected_s < call.target_s
+
     async def _may_knock_again(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether to go on after a backend could not be reached.
 
-        Once all were tried, wait a moment between rounds, while a refusal would still be early.
+        Once all were tried, wait a moment between rounds, while an answer could be in time.
         """
         if self._has_untried(call, tried):
             return True
         await asyncio.sleep(POLL_S)
-        return time.monotonic() < call.arrived_s + REFUSE_WITHIN * call.route.target_s
+        return self._could_be_in_time(call)
 
     def _has_untried(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether a backend is left that was not asked: knocking again spends the budget."""
         usable = self._registry.usable(call.service.name)
         return any(backend.name not in tried for backend in usable)
 
+    def _return_after_s(self, service: str) -> float:
+        """Return when a caller for whom no backend was found should come back."""
+        now_s = time.monotonic()
+        for name in [n for n, o in self._outages.items() if now_s - o.last_s > FORGOTTEN_S]:
+            del self._outages[name]
+        outage = self._outages.setdefault(service, Outage(now_s))
+        outage.last_s = now_s
+        expected_s = min(max(now_s - outage.since_s, SHORTEST_RETURN_S), LONGEST_RETURN_S)
+        return expected_s * self._random.uniform(1.0, RETURN_SPREAD)
+
     def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
         """Return what the caller is told: "not run" only if that is certain."""
         if not call.may_have_run:
-            return NoBackend(f"{error.message}; it was not run, retry later", COME_BACK_S)
+            message = f"{error.message}; it was not run, retry later"
+            return NoBackend(message, self._return_after_s(call.service.name))
         if call.left_s() <= 0:
             return DeadlineExceeded("no answer came in time, and it may have run; look it up")
         return BackendAnswerLost("the answer was lost and it may have run; look it up first")
