Logs tell where requests lost their time; nothing that is not understood is dropped in silence

yokedock logs explain FILE: for windows of two seconds and each route, how many requests were in time, late or unserved, and where each lost its time or its answer; and how well waits for room were predicted. Requests tell their targets in the log, streams their placement, so that a router that dies leaves a trace.

An entry or configuration of the store that cannot be decoded is logged with its reason and counted (router_state_undecoded). In a whole list it no longer ends the backend it names: what was known stays in force.

Engines that cannot be reached are tried again until the caller gives up, not for 3.4 targets. A release that was lost is logged.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -41,6 +41,7 @@
       | property                                           |
       | backends that left are dropped                     |
       | a listed backend that leaves slowly is kept        |
+      | an entry that is not understood changes nothing    |
       | the retry window holds no more than the window     |
       | votes of routers that left are dropped             |
       | engines whose change ended are not kept            |
--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -238,6 +238,7 @@
     gone = StoredItem("servers/i-3", gone=True)
     changes = translate((good, bad, gone, StoredItem("op/config", "!!")), 9)
     assert changes.position == 9 and changes.table is None
+    assert changes.undecoded == ("i-2", "op/config")
     assert [entry.instance for entry in changes.changed] == ["i-1"]
     assert set(changes.gone) == {"i-3"}
 
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -144,8 +144,8 @@
             await self._close_gently()
         except (BadRequest, PayloadTooLarge) as error:
             await self._reject(error)
-        except OSError:
-            pass
+        except OSError as error:
+            _log.debug("connection lost", reason=repr(error))
         finally:
             self._writer.transport.abort() if self._has_unread() else self._writer.close()
 
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -144,7 +144,8 @@
         self._on_state(other)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore: a router that is down is called again later."""
+        """Go on: a router that is down is called again later."""
+        _log.debug("datagram refused", reason=repr(exc))
 
     # --- Speaking ---
 
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -29,6 +29,8 @@
     position: int
     table: RouteTable | None
     backends: dict[str, BackendEntry]
+    undecoded: tuple[str, ...] = ()
+    """Items that were not understood; what was known of them before stays in force."""
 
 
 class StateChanges(msgspec.Struct, frozen=True):
@@ -38,6 +40,8 @@
     table: RouteTable | None = None
     changed: tuple[BackendEntry, ...] = ()
     gone: tuple[str, ...] = ()
+    undecoded: tuple[str, ...] = ()
+    """Items that were not understood; what was known of them before stays in force."""
 
 
 class StateSource(abc.ABC):
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from yokedock.base.logs import logger
 from yokedock.connection.http_get import HttpGetter
 from yokedock.connection.short_call import ShortAnswer
 from yokedock.connection.state_source import (
@@ -21,6 +22,8 @@
 from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteTable
 
+_log = logger("store")
+
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 RANGE_PATH = "/kv-range"
@@ -83,7 +86,7 @@
             after = page.items[-1].key
         changes = translate(tuple(items.values()), position)
         backends = {entry.instance: entry for entry in changes.changed}
-        return StateSnapshot(position, changes.table, backends)
+        return StateSnapshot(position, changes.table, backends, changes.undecoded)
 
     async def wait(self, position: int) -> StateChanges:
         """Return what has changed after ``position``, or nothing after two seconds."""
@@ -105,31 +108,44 @@
 
 
 def translate(items: tuple[StoredItem, ...], position: int) -> StateChanges:
-    """Turn items into changes; an item that is not understood changes nothing."""
+    """Turn items into changes; an item that is not understood changes nothing and is counted."""
     table: RouteTable | None = None
+    undecoded: list[str] = []
     last: dict[str, BackendEntry | None] = {}
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.gone:
-            table = _decoded_table(item) or table
+            decoded = _decoded_table(item)
+            if decoded is None:
+                undecoded.append(CONFIGURATION_KEY)
+            table = decoded or table
         elif item.key.startswith(SERVERS_PREFIX):
             instance = item.key[len(SERVERS_PREFIX) :]
             entry = None if item.gone else _decoded_entry(instance, item)
             if item.gone or entry is not None:
                 last[instance] = entry
+            else:
+                undecoded.append(instance)
     changed = tuple(entry for entry in last.values() if entry is not None)
     gone = tuple(instance for instance, entry in last.items() if entry is None)
-    return StateChanges(position, table, changed, gone)
+    return StateChanges(position, table, changed, gone, tuple(undecoded))
 
 
 def _decoded_table(item: StoredItem) -> RouteTable | None:
     try:
         return route_table(base64.b64decode(item.value))
-    except (ValueError, msgspec.MsgspecError):
+    except (ValueError, msgspec.MsgspecError) as error:
+        _log_undecoded(item, error)
         return None
 
 
 def _decoded_entry(instance: str, item: StoredItem) -> BackendEntry | None:
     try:
         return backend_entry(instance, base64.b64decode(item.value))
-    except (ValueError, msgspec.MsgspecError):
+    except (ValueError, msgspec.MsgspecError) as error:
+        _log_undecoded(item, error)
         return None
+
+
+def _log_undecoded(item: StoredItem, error: Exception) -> None:
+    """Tell of an item that is not understood: what was known before stays in force."""
+    _log.warning("not understood", key=item.key, revision=item.revision, reason=str(error))
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -41,8 +41,10 @@
 
 app = cyclopts.App(name="yokedock", help="Router for language-model traffic.")
 settings_app = cyclopts.App(name="settings", help="Check settings files.")
+logs_app = cyclopts.App(name="logs", help="Read structured logs.")
 bundle_app = cyclopts.App(name="bundle", help="Check, sign and read bundles.")
 app.command(settings_app)
+app.command(logs_app)
 app.command(bundle_app)
 
 _log = logger("main")
@@ -253,6 +255,24 @@
     print(format_table(header, table))
 
 
+@logs_app.command
+def explain(*files: Path, window_s: float = 2.0) -> None:
+    """Tell where requests lost their time or their answer, from the logs of routers (FILES).
+
+    Prints a row for each window of WINDOW_S seconds and route, and how well waits were predicted.
+    """
+    from yokedock.process.log_explain import LogBook, prediction_text, window_table
+
+    book = LogBook()
+    for file in files:
+        with file.open(encoding="utf-8", errors="replace") as lines:
+            book.read(lines)
+    print(window_table(book.explained(), window_s))
+    print(prediction_text(book))
+    if book.skipped:
+        print(f"{book.skipped} lines are none of a router's and were passed over")
+
+
 def _query(address: str, path: str, kind: Any) -> Any:
     """Read one JSON document from a daemon's admin address."""
     url = f"http://{address}{path}"
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -156,4 +156,6 @@
             runs=call.runs if call else 0,
             arrivals=call.arrivals if call else 0,
             held_ms=round(held_s * 1000),
+            target_ms=round(call.route.target_s * 1000) if call else 0,
+            gap_target_ms=round(call.route.gap_target_s * 1000) if call else 0,
         )
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -295,6 +295,7 @@
             "routers_heard": self._gossip.fleet_size(),
             "table_version": self._follower.version,
             "state_position": self._follower.position,
+            "state_undecoded": self._follower.undecoded,
             "state_silent_s": self._follower.silent_s(),
             "connections_opened": self._pool.opened,
             **self._upkeep.sizes(),
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -28,6 +28,8 @@
         self._registry = registry
         self._random = random.Random()
         self._heard_s = 0.0
+        self.undecoded = 0
+        """Items of the source that were not understood, since the start."""
         self.index: RouteIndex | None = None
         self.position = 0
         self._known = asyncio.Event()
@@ -97,6 +99,7 @@
     async def _follow(self) -> None:
         changes = await self._source.wait(self.position)
         self._heard_s = time.monotonic()
+        self.undecoded += len(changes.undecoded)
         self._adopt_table(changes.table)
         if changes.position < self.position:
             return
@@ -112,10 +115,11 @@
 
     def _take_all(self, snapshot: StateSnapshot) -> None:
         self._heard_s = time.monotonic()
+        self.undecoded += len(snapshot.undecoded)
         self._adopt_table(snapshot.table)
         if snapshot.position >= self.position:
             self.position = snapshot.position
-            self._registry.replace_all(snapshot.backends)
+            self._registry.replace_all(snapshot.backends, snapshot.undecoded)
         self._note_known()
 
     def _adopt_table(self, table: RouteTable | None) -> None:
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -52,6 +52,10 @@
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Return where the request goes; waits for room, raises ``Refused`` if none will come."""
 
+    @abc.abstractmethod
+    def gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
+        """Return when the caller of a silent stream gives up (monotonic s)."""
+
     @abc.abstractmethod
     def return_after_s(self, call: RoutedCall) -> float:
         """Return when a caller who is refused now should come back, in seconds."""
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 
 import msgspec
@@ -44,8 +43,7 @@
 LEAST_USEFUL_S = 0.1
 ENOUGH_REFUSALS = 3
 KNOCK_S = 0.02
-KNOCK_TARGETS = 3.4
-"""Engines that cannot be reached are tried again at this interval, for so many times the target."""
+"""Engines that cannot be reached are tried again at this interval, until the caller gives up."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
 RELEASE_TIMEOUT_S = 1.0
@@ -152,12 +150,12 @@
             try:
                 placement = await self._placement.place(call, state.progress(call))
                 state.note_placement(placement)
+                _log_placed(call, state)
                 await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
-                silent_s = time.monotonic() - state.silent_since_s(call)
-                is_over = silent_s > KNOCK_TARGETS * call.route.target_s
-                is_over = is_over or not self._mechanisms.reconnects
+                gives_up_s = self._placement.gives_up_s(call, state.progress(call))
+                is_over = time.monotonic() > gives_up_s or not self._mechanisms.reconnects
                 if is_over or not self._allowance.may_try_again(
                     call, LEAST_USEFUL_S, is_arrival=False
                 ):
@@ -354,14 +352,22 @@
     async def _send_release(self, address: str, handle: str) -> None:
         call = ShortCall(b"DELETE", self._exchanges.dialect.release_target(handle))
         limits = CallLimits(RELEASE_TIMEOUT_S, RELEASE_TIMEOUT_S)
-        with contextlib.suppress(BackendUnreachable, BackendBroken):
+        try:
             await short_call(self._exchanges.pool, address, call, limits)
+        except (BackendUnreachable, BackendBroken) as error:
+            _log.info("release lost, the memory lapses", address=address, reason=error.message)
 
 
 def _tokens_per_event(call: RoutedCall) -> int:
     return call.service.engine.tokens_per_event if call.service.engine else 1
 
 
+def _log_placed(call: RoutedCall, state: GenerationState) -> None:
+    """Tell where a stream goes, so that one whose router dies leaves a trace."""
+    engine = state.engines[-1]
+    _log.info("placed", request=call.request_id, route=call.route.name, engines=[engine])
+
+
 def _log_stream(call: RoutedCall, state: GenerationState) -> None:
     """Tell how a stream went: when it was placed, read and begun, and its longest pause."""
     relay = state.relay
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -96,7 +96,7 @@
         service = call.service.name
         self._note_arrival(service)
         waiter = self._waiter(call, progress)
-        if waiter.since_s >= self._gives_up_s(call, progress):
+        if waiter.since_s >= self.gives_up_s(call, progress):
             raise self._no_room(waiter, "its caller has waited as long as callers do")
         queue = self._queues.setdefault(service, [])
         queue.append(waiter)
@@ -141,12 +141,12 @@
             call,
             progress,
             in_time_until_s,
-            self._gives_up_s(call, progress) - first_token_s,
+            self.gives_up_s(call, progress) - first_token_s,
             asyncio.get_running_loop().create_future(),
             now_s,
         )
 
-    def _gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
+    def gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return when the caller of a silent stream gives up."""
         route = call.route
         silence_s = max(
