--- a/features/run_features.py
+++ b/features/run_features.py
@@ -18,7 +18,7 @@
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
-WORKERS = 3
+WORKERS = 6
 FIRST_PORT = 11000
 PORTS_A_FEATURE = 600
 """A feature may start several deployments; the ports of an ended one stay taken for a while."""
