The waits of late callers are forecast apart from those in time

Waits were predicted without bias (waited / predicted 0.94 in the middle), but one learned error stood for those in time, whose waits are predicted well, and for the late, whom newcomers overtake.

Change: two learned errors, and a new prediction when a caller becomes late.

--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -205,8 +205,9 @@
     """Where waits are always ``factor`` times as long as predicted, the forecast follows."""
     forecast = RoomForecast(StreamTurnover())
     for bare_s in waits:
-        forecast.note(bare_s * forecast.error_factor, bare_s * factor)
-    assert abs(math.log(forecast.error_factor / factor)) < 0.05
+        forecast.note(bare_s * forecast.error_factor(), bare_s * factor)
+    assert abs(math.log(forecast.error_factor() / factor)) < 0.05
+    assert forecast.error_factor(is_late=True) == 1.0, "the late are forecast apart"
 
 
 def an_engine_whose_streams_are_all_silent_is_avoided():
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -55,8 +55,10 @@
     placed: asyncio.Future[Placement]
     since_s: float
     predicted_s: float = 0.0
-    """The wait that was predicted first."""
-    was_in_time: bool = True
+    """The wait that was predicted last, at ``predicted_at_s``."""
+    predicted_at_s: float = 0.0
+    is_late: bool = False
+    """Whether that prediction was for a turn behind all that are in time."""
 
     def turn(self) -> float:
         """Return its place among those in time: who has the least time left goes first."""
@@ -127,7 +129,7 @@
 
     def return_after_s(self, call: RoutedCall) -> float:
         """Return when room is predicted for a caller who is refused now, spread by chance."""
-        return self._return_after_s(self._wait_s(self._waiter(call, Progress())))
+        return self._return_after_s(self._waiter(call, Progress()))
 
     # --- One waiter ---
 
@@ -169,10 +171,10 @@
             if waiter.placed.done():
                 continue
             if now_s >= waiter.gives_up_s:
-                self._forecast.note(waiter.predicted_s, now_s - waiter.since_s)
+                waited_s = now_s - waiter.predicted_at_s
+                self._forecast.note(waiter.predicted_s, waited_s, waiter.is_late)
                 raise self._no_room(waiter, "no room came in time")
-            if waiter.was_in_time and not waiter.is_in_time(now_s):
-                waiter.was_in_time = False
+            if not waiter.is_late and not waiter.is_in_time(now_s):
                 self._refuse_if_hopeless(waiter)
 
     def _refuse_if_hopeless(self, waiter: Waiter) -> None:
@@ -180,12 +182,14 @@
 
         Not one for which work was done already: a prediction is no reason to lose it.
         """
-        wait_s = self._wait_s(waiter)
-        waiter.predicted_s = waiter.predicted_s or wait_s
+        waiter.predicted_at_s = time.monotonic()
+        ahead = self._ahead(waiter)
+        wait_s = self._forecast.wait_s(ahead)
+        waiter.predicted_s, waiter.is_late = wait_s, ahead.is_late
         if not self._mechanisms.refuse_hopeless:
             return
         has_begun = bool(waiter.progress.made or waiter.progress.cached_at)
-        if not has_begun and time.monotonic() + wait_s > waiter.gives_up_s:
+        if not has_begun and waiter.predicted_at_s + wait_s > waiter.gives_up_s:
             raise self._no_room(waiter, f"room comes only in {wait_s:.1f} s")
 
     def _no_room(self, waiter: Waiter, reason: str) -> NoDecodeRoom:
@@ -193,21 +197,23 @@
             "no room",
             request=waiter.call.request_id,
             predicted_ms=round(waiter.predicted_s * 1000),
-            waited_ms=round((time.monotonic() - waiter.since_s) * 1000),
+            waited_ms=round((time.monotonic() - waiter.predicted_at_s) * 1000),
+            is_late=waiter.is_late,
             reason=reason,
         )
         message = f"{waiter.call.service.name}: {reason}; retry later"
-        return NoDecodeRoom(message, self._return_after_s(self._wait_s(waiter)))
+        return NoDecodeRoom(message, self._return_after_s(waiter))
 
     def _note_wait(self, waiter: Waiter, now_s: float) -> None:
         """Learn and log how well the wait was predicted."""
-        waited_s = now_s - waiter.since_s
-        self._forecast.note(waiter.predicted_s, waited_s)
+        waited_s = now_s - waiter.predicted_at_s
+        self._forecast.note(waiter.predicted_s, waited_s, waiter.is_late)
         _log.info(
             "room",
             request=waiter.call.request_id,
             predicted_ms=round(waiter.predicted_s * 1000),
             waited_ms=round(waited_s * 1000),
+            is_late=waiter.is_late,
         )
 
     def _leave(self, waiter: Waiter) -> None:
@@ -225,8 +231,8 @@
 
     # --- Prediction ---
 
-    def _wait_s(self, waiter: Waiter) -> float:
-        """Return the predicted wait: in time if its turn comes so soon, else behind newcomers."""
+    def _ahead(self, waiter: Waiter) -> QueueAhead:
+        """Return what goes before a waiter: those in time, and newcomers too if it will be late."""
         now_s = time.monotonic()
         service = waiter.call.service.name
         engines = self._registry.usable(service, DECODE_ROLE)
@@ -237,16 +243,16 @@
             before = [w for w in others if w.is_in_time(now_s) and w.turn() < waiter.turn()]
             # Of those at other routers as many go before it as behind it.
             ahead = QueueAhead(streams, len(before) + elsewhere.in_time / 2)
-            wait_s = self._forecast.wait_s(ahead)
-            if now_s + wait_s <= waiter.in_time_until_s:
-                return wait_s
+            if now_s + self._forecast.wait_s(ahead) <= waiter.in_time_until_s:
+                return ahead
         in_time = [w for w in others if w.is_in_time(now_s)]
         late = [w for w in others if not w.is_in_time(now_s) and w.since_s < waiter.since_s]
         arrivals_per_s = self._arrivals_per_s(service) + elsewhere.arrivals_per_s
-        ahead = QueueAhead(streams, len(in_time) + elsewhere.in_time, len(late), arrivals_per_s)
-        return self._forecast.wait_s(ahead)
+        ahead_in_time = len(in_time) + elsewhere.in_time
+        return QueueAhead(streams, ahead_in_time, len(late), arrivals_per_s, is_late=True)
 
-    def _return_after_s(self, wait_s: float) -> float:
+    def _return_after_s(self, waiter: Waiter) -> float:
+        wait_s = self._forecast.wait_s(self._ahead(waiter))
         return self._random.uniform(wait_s, LATEST_RETURN * wait_s)
 
     def _note_arrival(self, service: str) -> None:
--- a/src/yokedock/request/room_forecast.py
+++ b/src/yokedock/request/room_forecast.py
@@ -37,6 +37,8 @@
     """Generations before it that are late, if it is late itself."""
     arrivals_per_s: float = 0.0
     """Newcomers that will go before it, if it is late."""
+    is_late: bool = False
+    """Whether it goes behind all that are in time."""
 
 
 class RoomForecast:
@@ -45,24 +47,25 @@
     def __init__(self, turnover: StreamTurnover) -> None:
         """Learn the mean time of a stream from ``turnover``."""
         self._turnover = turnover
-        self._log_error = 0.0
+        self._log_errors = {False: 0.0, True: 0.0}
+        """For those in time and for the late: the late depend on what newcomers leave over."""
 
     def wait_s(self, ahead: QueueAhead) -> float:
         """Return the seconds until room comes to whoever has ``ahead`` before it."""
         freed_per_s = max(1, ahead.streams) / self._turnover.mean_s
         left_over = freed_per_s - ahead.arrivals_per_s
         rate = max(left_over, LEAST_LEFT_OVER * freed_per_s)
-        return (ahead.in_time + ahead.late + 1.0) / rate * math.exp(self._log_error)
+        return (ahead.in_time + ahead.late + 1.0) / rate * self.error_factor(ahead.is_late)
 
-    def note(self, predicted_s: float, waited_s: float) -> None:
+    def note(self, predicted_s: float, waited_s: float, is_late: bool = False) -> None:
         """Learn from a wait that ended, or that was longer than ``waited_s``."""
         if min(predicted_s, waited_s) < LEAST_WAIT_S:
             return
-        error = self._log_error + math.log(waited_s / predicted_s)
+        before = self._log_errors[is_late]
+        error = before + math.log(waited_s / predicted_s)
         error = max(-LARGEST_ERROR, min(LARGEST_ERROR, error))
-        self._log_error += ERROR_WEIGHT * (error - self._log_error)
+        self._log_errors[is_late] = before + ERROR_WEIGHT * (error - before)
 
-    @property
-    def error_factor(self) -> float:
+    def error_factor(self, is_late: bool = False) -> float:
         """Return by what the bare prediction is multiplied now."""
-        return math.exp(self._log_error)
+        return math.exp(self._log_errors[is_late])
