--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test matrix lint slopes bench day path-cost clean
+.PHONY: demo test matrix lint slopes bench day long-run path-cost clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,9 @@
 day: $(VENV)/.ready
 	$(BIN)/yokedock-emulator day
 
+long-run: $(VENV)/.ready
+	$(BIN)/yokedock-emulator long-run
+
 path-cost: $(VENV)/.ready
 	$(BIN)/yokedock-emulator path-cost
 
--- a/features/steps/deployed_steps.py
+++ b/features/steps/deployed_steps.py
@@ -1,5 +1,7 @@
 import asyncio
 import importlib.util
+import os
+import select
 import shutil
 import tempfile
 from pathlib import Path
@@ -35,14 +37,29 @@
     context.router.build()
 
 
+@given("its log goes to a pipe that nobody reads")
+def unread_pipe(context):
+    context.reading, context.output = os.pipe()
+    context.add_cleanup(os.close, context.reading)
+    context.add_cleanup(os.close, context.output)
+
+
 @when("callers send {count:d} requests while backends and routes come and go")
 def long_run(context, count):
     plan = LongRunPlan(requests=count, duration_s=600.0, routes=ROUTES, sample_s=2.0)
-    with (context.folder / "router.log").open("wb") as output:
-        run = LongRun(plan, context.router, output.fileno())
+    with (context.folder / "router.log").open("wb") as file:
+        output = getattr(context, "output", file.fileno())
+        run = LongRun(plan, context.router, output)
         context.report = asyncio.run(run.run())
 
 
+@then("the pipe is full")
+def pipe_is_full(context):
+    poll = select.poll()
+    poll.register(context.output, select.POLLOUT)
+    assert poll.poll(0) == [], "the router has written less than a pipe takes"
+
+
 @then("every answer was as it should be")
 def as_it_should_be(context):
     print(context.report.answers)
--- a/src/yokedock_emulator/header_backend.py
+++ b/src/yokedock_emulator/header_backend.py
@@ -16,6 +16,7 @@
     PlainRequest,
     answer_head,
     chunk,
+    listen,
     read_request,
     whole_answer,
 )
@@ -39,9 +40,7 @@
 
     async def start(self) -> None:
         """Listen on any free port of the loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
 
     def stop(self) -> None:
         """Accept no more connections and close those that are open."""
--- a/src/yokedock_emulator/plain_http.py
+++ b/src/yokedock_emulator/plain_http.py
@@ -8,6 +8,9 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,6 +23,13 @@
     body: bytes
 
 
+async def listen(serve: Serve) -> tuple[asyncio.Server, str]:
+    """Serve connections on any free port of the loopback; return the server and its address."""
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"{host}:{port}"
+
+
 async def read_request(reader: asyncio.StreamReader) -> PlainRequest | None:
     """Return the next request, None when the connection ended between requests."""
     try:
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -22,7 +22,7 @@
     StoredItem,
     WatchAnswer,
 )
-from yokedock_emulator.plain_http import PlainRequest, read_request, whole_answer
+from yokedock_emulator.plain_http import PlainRequest, listen, read_request, whole_answer
 
 MS_A_SECOND = 1000
 
@@ -41,9 +41,7 @@
 
     async def start(self) -> None:
         """Listen on any free port of the loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
 
     def stop(self) -> None:
         """Accept no more connections."""
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -4,7 +4,8 @@
 
 PLAYER is the users' program that plays a day of a deployment (``run SITE DAY --report F``).
 Each variant is played in a scratch clone of this repository whose deployed settings switch one
-mechanism off; the clones are made below --folder and keep what the program writes there.
+mechanism off; the clones are made below --folder and keep what the program writes there. A run that
+was cut off goes on where it stopped; name a new folder after a change of the code.
 """
 
 import argparse
@@ -35,61 +36,55 @@
 
 
 def play(player, clone, play_key):
-    """Play one day; return the report, None if there is none."""
-    variant, site, day, seed = play_key
+    """Return the report of one day, played now or by an earlier run; None if there is none."""
+    variant, site, seed, day = play_key
     report = clone / "target" / f"{Path(site).stem}-{day}-{seed}.json"
     report.parent.mkdir(exist_ok=True)
-    command = [player, "run", site, day, "--seed", seed, "--no-cpu", "--report", str(report)]
-    command += ["--why", f"Ablation: {variant}"]
-    done = subprocess.run(command, cwd=clone, capture_output=True, text=True)
     if not report.exists():
-        print(f"no report: {play_key}: {done.stdout[-300:]} {done.stderr[-300:]}", flush=True)
-        return None
+        command = [player, "run", site, day, "--seed", seed, "--no-cpu", "--report", str(report)]
+        command += ["--why", f"Ablation: {variant}"]
+        done = subprocess.run(command, cwd=clone, capture_output=True, text=True)
+        if not report.exists():
+            print(f"no report: {play_key}: {done.stdout[-300:]} {done.stderr[-300:]}", flush=True)
+            return None
     return json.loads(report.read_text())
 
 
-def summary(reports):
-    """Return (worth, served, price of wasted prefill, broken rules) over the days of a variant."""
-    found = [report for report in reports if report]
-    if not found:
-        return None
-    wasted = [dict((p[0], p[2]) for p in r["prices"]).get(WASTED, 0.0) for r in found]
-    return (
-        statistics.mean(r["G"] for r in found),
-        statistics.mean(r["all"]["worth"] for r in found),
-        statistics.mean(wasted),
-        sorted({rule for r in found for rule in r["breaks"]}),
-    )
-
-
-def seed_spread(by_seed, reference):
-    """Return the spread between seeds of the difference to all on: its standard deviation."""
-    pairs = [(summary(by_seed[seed]), summary(reference[seed])) for seed in by_seed]
-    gaps = [mine[0] - theirs[0] for mine, theirs in pairs if mine and theirs]
-    return statistics.stdev(gaps) if len(gaps) > 1 else 0.0
-
-
-def table(results, sites, variants, seeds):
-    """Return the table as Markdown."""
+def wasted(report):
+    """Return the price of prompts that were read for nothing."""
+    return dict((price[0], price[2]) for price in report["prices"]).get(WASTED, 0.0)
+
+
+def cell(mine, base):
+    """Return what one variant is worth at one site, over the days that both have.
+
+    ``mine`` and ``base`` are reports by (seed, day). The spread is the standard deviation of the
+    difference between seeds, 0 for one seed.
+    """
+    both = [key for key in mine if mine[key] and base.get(key)]
+    if not both:
+        return "not played"
+    by_seed = {}
+    for key in both:
+        by_seed.setdefault(key[0], []).append(mine[key]["G"] - base[key]["G"])
+    gaps = [statistics.mean(values) for values in by_seed.values()]
+    spread = statistics.stdev(gaps) if len(gaps) > 1 else 0.0
+    served = statistics.mean(mine[key]["served"] for key in both)
+    lost = statistics.mean(wasted(mine[key]) for key in both)
+    broken = sorted({rule for key in both for rule in mine[key]["breaks"]})
+    text = f"{statistics.mean(gaps):+.3f} ± {spread:.3f}"
+    if mine is base:
+        text = f"{statistics.mean(mine[key]['G'] for key in both):.3f}"
+    told = f"; broke {', '.join(broken)}" if broken else ""
+    return f"{text} (served {served:.3f}, wasted {lost:.3f}, {len(both)} days{told})"
+
+
+def table(results, sites, variants):
+    """Return the table as Markdown: worth of all on, and the difference with each one off."""
     lines = ["| mechanism off | " + " | ".join(Path(site).stem for site in sites) + " |"]
     lines.append("|---" * (len(sites) + 1) + "|")
     for variant in variants:
-        cells = []
-        for site in sites:
-            by_seed = {s: results.get((variant, site, s), []) for s in seeds}
-            whole = summary([r for reports in by_seed.values() for r in reports])
-            reference = {s: results.get((ALL, site, s), []) for s in seeds}
-            base = summary([r for reports in reference.values() for r in reports])
-            if whole is None or base is None:
-                cells.append("not played")
-                continue
-            text = f"{whole[0] - base[0]:+.3f} ± {seed_spread(by_seed, reference):.3f}"
-            if variant == ALL:
-                text = f"{whole[0]:.3f}"
-            cells.append(
-                f"{text}; day {whole[1]:.3f}; wasted {whole[2]:.3f}"
-                + (f"; broke {', '.join(whole[3])}" if whole[3] else "")
-            )
+        cells = [cell(results[variant, site], results[ALL, site]) for site in sites]
         lines.append(f"| {variant} | " + " | ".join(cells) + " |")
     return "\n".join(lines) + "\n"
 
@@ -110,20 +105,20 @@
     variants = [ALL, *names]
     clones = {variant: make_clone(options.folder, variant) for variant in variants}
     keys = [
-        (variant, site, day, seed)
+        (variant, site, seed, day)
+        for seed in options.seeds
         for variant in variants
         for site in options.sites
-        for seed in options.seeds
         for day in options.days
     ]
     for clone in clones.values():
         subprocess.run([options.player, "build"], cwd=clone, check=True, capture_output=True)
     with ThreadPoolExecutor(options.jobs) as pool:
         reports = list(pool.map(lambda key: play(options.player, clones[key[0]], key), keys))
-    results = {}
-    for (variant, site, _, seed), report in zip(keys, reports, strict=True):
-        results.setdefault((variant, site, seed), []).append(report)
-    text = table(results, options.sites, variants, options.seeds)
+    results = {(variant, site): {} for variant in variants for site in options.sites}
+    for (variant, site, seed, day), report in zip(keys, reports, strict=True):
+        results[variant, site][seed, day] = report
+    text = table(results, options.sites, variants)
     options.out.parent.mkdir(parents=True, exist_ok=True)
     options.out.write_text(text)
     print(text)
