--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -70,6 +70,11 @@
     Then the client gets 503
     And the decode engines ran 0 requests
 
+  Scenario: A router that has been stopping for a while trusts no estimate of a stream's length
+    When 3 s into a stop a client streams on "chat" with a short estimate
+    Then the client gets 503
+    And the decode engines ran 0 requests
+
   Scenario: A caller who goes on through another router is sent to the engine that keeps its prompt
     Given engine "e" keeps 50 tokens of part "ab"
     When a client goes on with a stream on "chat" behind event 2
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -292,6 +292,17 @@
     context.answer = context.caller.read_answer()
 
 
+@when('{late_s:g} s into a stop a client streams on "{name}" with a short estimate')
+def stop_and_stream_late(context, late_s, name):
+    context.caller = caller(context)
+    context.world.loop.call_soon_threadsafe(context.router.stop_event.set)
+    context.world.wait_for(lambda: not context.router.is_ready, "stopping")
+    context.router._stop.since_s -= late_s
+    headers = [("X-Model", "m"), ("X-Tokens", "50,5000"), ("X-Output-Hint", "1")]
+    context.caller.send(request_bytes(name, headers=headers))
+    context.answer = context.caller.read_answer()
+
+
 # --- The list ---
 
 
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -31,6 +31,9 @@
 """When to come back for a stream that a stopping router refused: others may be stopping too."""
 AT_ONCE_S = 0.05
 """When to come back to another router."""
+ESTIMATES_TRUSTED_S = 2.5
+"""Streams that came so soon after a planned stop began may be cut at its end (the platform's figure
+is 3 s from the client's sending)."""
 STREAM_START_S = 0.5
 TOKEN_S = 0.006
 """What a stream is reckoned to take to its start and for each token, when stopping."""
@@ -40,6 +43,8 @@
     """How far a planned stop has come."""
 
     is_stopping: bool = False
+    since_s: float = 0.0
+    """When the stop began (monotonic s)."""
     is_ending: bool = False
     """Whoever still waits gets a final answer now."""
     last_answers_s: float = 0.0
@@ -113,12 +118,18 @@
         return RoutedCall(request, answer, terms, route, self._service(index.table, route))
 
     def _refuse_late_work(self, call: RoutedCall) -> None:
-        """Refuse a stream that would not end before this router must."""
+        """Refuse a stream that would not end before this router must.
+
+        Callers' estimates of a stream's length are often far off: later in the stop they are not
+        trusted, since what is taken then may not be cut.
+        """
         if not self._stop.is_stopping or call.terms.generation is None:
             return
-        terms = call.terms.generation
-        tokens = terms.output_hint or terms.most_output_tokens
-        end_s = time.monotonic() + STREAM_START_S + tokens * TOKEN_S
+        terms, now_s = call.terms.generation, time.monotonic()
+        tokens = terms.most_output_tokens
+        if now_s - self._stop.since_s < ESTIMATES_TRUSTED_S:
+            tokens = terms.output_hint or tokens
+        end_s = now_s + STREAM_START_S + tokens * TOKEN_S
         if end_s > self._stop.last_answers_s:
             raise NotReady("the router is stopping; retry elsewhere", ELSEWHERE_S)
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -186,7 +186,7 @@
 
     async def _stop_in_order(self) -> None:
         """Let what is in flight end; who still waits near the end gets a final answer."""
-        self._stop.is_stopping = True
+        self._stop.is_stopping, self._stop.since_s = True, time.monotonic()
         self._leadership.resign()
         self._gossip.change()
         self._stop.last_answers_s = time.monotonic() + self.settings.stop.grace_s - LAST_ANSWERS_S
