--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -290,21 +290,20 @@
         now_s = time.monotonic()
         queue = self._queues.get(service, [])
         if not self._mechanisms.deadline_order:
-            all(self._try(waiter) for waiter in sorted(queue, key=lambda waiter: waiter.since_s))
+            self._try_in_order(sorted(queue, key=lambda waiter: waiter.since_s))
             return
         in_time = [waiter for waiter in queue if waiter.is_in_time(now_s)]
-        in_time.sort(key=Waiter.turn)
         late = [waiter for waiter in queue if not waiter.is_in_time(now_s)]
-        for waiter in in_time:
-            if not self._try(waiter):
-                return
+        if not self._try_in_order(sorted(in_time, key=Waiter.turn)):
+            return
         if self._elsewhere(service).in_time:
             return
         # What was read for a prompt would be lost without room for its answer.
-        late.sort(key=lambda waiter: not waiter.progress.cached_at)
-        for waiter in late:
-            if not self._try(waiter):
-                return
+        self._try_in_order(sorted(late, key=lambda waiter: not waiter.progress.cached_at))
+
+    def _try_in_order(self, waiters: list[Waiter]) -> bool:
+        """Place waiters up to the first that does not fit; return whether all were placed."""
+        return all(self._try(waiter) for waiter in waiters)
 
     def _try(self, waiter: Waiter) -> bool:
         if waiter.placed.done():
