Whoever comes in a stopping router's last moment is told so, not cut off

Change: once the end has begun nothing is passed on: 503, not run, come back at once. The scenario fails before (200) and passes.

--- a/features/router.feature
+++ b/features/router.feature
@@ -165,3 +165,10 @@
     When a client sends POST on "once" with body "abc"
     Then the client gets 503
     And the answer tells to come back after 1.7 to 4.5 s
+
+  Scenario: Whoever comes in a router's last moment is told so, and nothing is passed on
+    Given the router is in the last moment of a planned stop
+    When a client sends POST on "once" with body "abc"
+    Then the client gets 503
+    And the answer has a fractional Retry-After
+    And no backend was asked
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -532,3 +532,13 @@
 def come_back_after(context, least, most):
     told_s = float(context.answer[1]["retry-after"])
     assert least <= told_s <= most, told_s
+
+
+@given("the router is in the last moment of a planned stop")
+def last_moment(context):
+    context.router._stop.is_stopping = context.router._stop.is_ending = True
+
+
+@then("no backend was asked")
+def no_backend_asked(context):
+    assert not any(backend.arrivals for backend in context.world.backends.values())
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -46,7 +46,7 @@
     since_s: float = 0.0
     """When the stop began (monotonic s)."""
     is_ending: bool = False
-    """Whoever still waits gets a final answer now."""
+    """Whoever still waits, or comes, gets a final answer now: nothing more is passed on."""
     last_answers_s: float = 0.0
     """When that will be (monotonic s)."""
 
@@ -80,6 +80,8 @@
         call: RoutedCall | None = None
         outcome = "answered"
         try:
+            if self._stop.is_ending:
+                raise self._ending_error(None)
             await self._follower.wait_known(UNKNOWN_WAIT_S)
             call = self._route(request, answer)
             self._refuse_late_work(call)
