One piece of code for what stood twice: early sockets, a process's figures, pages read

Found on reading the change again. socket.create_server does what the early sockets did by hand (the event loop makes them non-blocking itself); the long run read /proc as the process group does, and asked for a page in two places; a log line got its end only to lose it again in the other handler.

--- a/src/yokedock/base/early_sockets.py
+++ b/src/yokedock/base/early_sockets.py
@@ -25,7 +25,7 @@
     for address in _addresses(settings_path):
         host, _, port = address.rpartition(":")
         try:
-            sockets[address] = _listening(host, int(port))
+            sockets[address] = socket.create_server((host, int(port)), backlog=BACKLOG)
         except (OSError, ValueError):
             continue
     return sockets
@@ -45,16 +45,3 @@
     except (OSError, UnicodeDecodeError):
         return []
     return found
-
-
-def _listening(host: str, port: int) -> socket.socket:
-    early = socket.socket()
-    try:
-        early.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        early.bind((host, port))
-        early.listen(BACKLOG)
-        early.setblocking(False)
-    except OSError:
-        early.close()
-        raise
-    return early
--- a/src/yokedock/base/logs.py
+++ b/src/yokedock/base/logs.py
@@ -100,7 +100,7 @@
     line.update(record.extra)
     if record.formatted_exception:
         line["traceback"] = record.formatted_exception[-LONGEST_TRACEBACK:]
-    return msgspec.json.encode(line, enc_hook=str) + b"\n"
+    return msgspec.json.encode(line, enc_hook=str)
 
 
 class JsonLinesHandler(logbook.StreamHandler):  # type: ignore[misc]
@@ -108,7 +108,7 @@
 
     def format(self, record: Any) -> str:
         """Return the record as JSON."""
-        return json_line(record).decode().rstrip("\n")
+        return json_line(record).decode()
 
 
 class LineBudget:
@@ -172,7 +172,7 @@
         try:
             if self._refused:
                 record.extra["lines_dropped"] = self._refused
-            is_written = self._write(json_line(record))
+            is_written = self._write(json_line(record) + b"\n")
         except Exception:
             is_written = False
         self._refused = 0 if is_written else self._refused + 1
--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -36,7 +36,7 @@
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.header_backend import HeaderBackend
-from yokedock_emulator.process_group import CLOCK_TICKS_A_SECOND, PAGE_BYTES
+from yokedock_emulator.process_group import processor_s, resident_bytes
 from yokedock_emulator.state_store import StateStore
 
 HOST = "long.example"
@@ -252,12 +252,9 @@
         assert self._process is not None
         assert self._process.poll() is None, "the router ended; look at its log"
         try:
-            exchange = await RawExchange.connect(self._ready)
+            status, _ = await _get(self._ready, "/readiness")
         except OSError:
             return False
-        exchange.send(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-        status, _ = await exchange.read()
-        exchange.leave()
         return status == 200
 
     async def _every(self, interval_s: float, work: Callable[[], Awaitable[None]]) -> None:
@@ -382,33 +379,28 @@
         levels = await self._metrics_levels()
         assert self._process is not None
         pid = self._process.pid
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        processor_s = (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_A_SECOND
-        resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
-        sent_before, processor_before_s = self._last_sampled
+        used_s = processor_s(pid)
+        sent_before, used_before_s = self._last_sampled
         done = max(1, self._sent - sent_before)
         held_ms = sorted(self._held_ms) or [0.0]
         self._samples.append(
             LongRunSample(
                 round(time.monotonic() - self._started_s, 1),
                 self._sent,
-                round(resident / MB, 2),
+                round(resident_bytes(pid) / MB, 2),
                 len(os.listdir(f"/proc/{pid}/fd")),
-                round((processor_s - processor_before_s) / done * MB, 1),
+                round((used_s - used_before_s) / done * MB, 1),
                 round(held_ms[len(held_ms) // 2], 3),
                 levels,
             )
         )
-        self._last_sampled = (self._sent, processor_s)
+        self._last_sampled = (self._sent, used_s)
         self._held_ms.clear()
 
     async def _metrics_levels(self) -> dict[str, float]:
         """Read the metrics page; return the router's own levels, by name."""
         self._pages += 1
-        exchange = await RawExchange.connect(self._fleet)
-        exchange.send(f"GET {METRICS_PATH} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
-        status, body = await exchange.read()
-        exchange.leave()
+        status, body = await _get(self._fleet, METRICS_PATH)
         if status != 200:
             self._failed_pages += 1
             return {}
@@ -420,6 +412,16 @@
         return levels
 
 
+async def _get(address: str, path: str) -> tuple[int, bytes]:
+    """Read one page on a connection of its own; return status and body."""
+    exchange = await RawExchange.connect(address)
+    exchange.send(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+    try:
+        return await exchange.read()
+    finally:
+        exchange.leave()
+
+
 def _route_name(kind: str, version: int, number: int) -> str:
     return f"{kind}-{version}-{number}"
 
--- a/src/yokedock_emulator/process_group.py
+++ b/src/yokedock_emulator/process_group.py
@@ -65,6 +65,17 @@
     return path
 
 
+def processor_s(pid: int) -> float:
+    """Return the processor time that a process has used so far, seconds (Linux: /proc/PID/stat)."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_A_SECOND
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process, bytes (Linux: /proc/PID/statm)."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
 class Node:
     """One process that can be started again with the same arguments."""
 
@@ -152,9 +163,8 @@
 
     def processor_s(self) -> float:
         """Return the processor time used so far, seconds (Linux: /proc/PID/stat)."""
-        fields = Path(f"/proc/{self.running.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_A_SECOND
+        return processor_s(self.running.pid)
 
     def resident_bytes(self) -> int:
         """Return the resident memory, bytes (Linux: /proc/PID/statm)."""
-        return int(Path(f"/proc/{self.running.pid}/statm").read_text().split()[1]) * PAGE_BYTES
+        return resident_bytes(self.running.pid)
