The long run, the waiter and the explanations of logs in modules by job

Dead pieces are gone: a constant nobody used, keys for lines that were then left out, a random source. A long run whose router does not start ends what it has started; before it left it.

Nothing else changes: names, figures, assertions as before.

--- a/src/yokedock/process/log_explain.py
+++ b/src/yokedock/process/log_explain.py
@@ -18,8 +18,6 @@
 from yokedock.process.tables import format_table
 
 SERVER_ERROR = 500
-OK = 200
-WINDOW_S = 2.0
 MS_A_SECOND = 1000
 REFUSALS = frozenset({"no_decode_room", "no_backend", "not_ready"})
 LOST = frozenset({"backend_answer_lost", "backend_broken", "backend_silent"})
@@ -127,7 +125,7 @@
 
     def explained(self) -> list[Explained]:
         """Return all requests in the order of their arrival."""
-        found = [self._explain(at_s, end) for at_s, end in self.ends.values() if end.request]
+        found = [self._explain(at_s, end) for at_s, end in self.ends.values()]
         for request, (at_s, placed) in self.placed.items():
             if request not in self.ends:
                 found.append(Explained(at_s, placed.route, False, Cause.ROUTER_GONE))
@@ -138,7 +136,8 @@
         at_s = line.time.timestamp()
         if line.event == "request":
             end = msgspec.json.decode(data, type=RequestLine)
-            self.ends[end.request or f"at {at_s}"] = (at_s - end.held_ms / MS_A_SECOND, end)
+            if end.request:
+                self.ends[end.request] = (at_s - end.held_ms / MS_A_SECOND, end)
         elif line.event == "stream":
             stream = msgspec.json.decode(data, type=StreamLine)
             self.streams[stream.request] = stream
@@ -154,21 +153,22 @@
         stream = self.streams.get(end.request)
         is_served = end.outcome == "answered" and end.status is not None
         is_served = is_served and (end.status or 0) < SERVER_ERROR
-        cause = _cause_late(end, stream) if is_served else self._cause_unserved(end, stream)
+        cause = _cause_late(end, stream) if is_served else _cause_unserved(end, stream)
         return Explained(arrived_s, end.route, is_served, cause)
 
-    def _cause_unserved(self, end: RequestLine, stream: StreamLine | None) -> Cause:
-        if end.outcome == "caller gone":
-            return Cause.CALLER_GONE
-        if end.outcome == "ended":
-            return Cause.ROUTER_GONE
-        if end.outcome in REFUSALS:
-            return Cause.REFUSED
-        if end.outcome == "answered":
-            return Cause.ENGINE_ERROR
-        if end.outcome in LOST or (stream is not None and len(stream.engines) > 1):
-            return Cause.BROKEN
-        return Cause.DEADLINE if end.outcome == "deadline_exceeded" else Cause.OTHER
+
+def _cause_unserved(end: RequestLine, stream: StreamLine | None) -> Cause:
+    if end.outcome == "caller gone":
+        return Cause.CALLER_GONE
+    if end.outcome == "ended":
+        return Cause.ROUTER_GONE
+    if end.outcome in REFUSALS:
+        return Cause.REFUSED
+    if end.outcome == "answered":
+        return Cause.ENGINE_ERROR
+    if end.outcome in LOST or (stream is not None and len(stream.engines) > 1):
+        return Cause.BROKEN
+    return Cause.DEADLINE if end.outcome == "deadline_exceeded" else Cause.OTHER
 
 
 def _cause_late(end: RequestLine, stream: StreamLine | None) -> Cause | None:
@@ -198,7 +198,7 @@
     return max(parts, key=lambda cause: parts[cause])
 
 
-def window_table(explained: list[Explained], window_s: float = WINDOW_S) -> str:
+def window_table(explained: list[Explained], window_s: float) -> str:
     """Return a table: window, route, asked, in time, late, unserved, and the causes."""
     if not explained:
         return "no request in these logs"
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -14,8 +14,6 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import QueueShare
 from yokedock.errors import NoDecodeRoom
@@ -26,6 +24,7 @@
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.room_forecast import LATEST_RETURN, QueueAhead, RoomForecast
 from yokedock.request.routed_call import RoutedCall
+from yokedock.request.waiter import Waiter
 
 _log = logger("queue")
 
@@ -43,33 +42,6 @@
 """Arrivals of this time count as the present rate."""
 
 
-class Waiter(msgspec.Struct, eq=False):
-    """One generation that waits for room. Times are monotonic seconds."""
-
-    call: RoutedCall
-    progress: Progress
-    in_time_until_s: float
-    """Placed by then, its first token is in time."""
-    gives_up_s: float
-    """Placed by then, its first token still finds its caller."""
-    placed: asyncio.Future[Placement]
-    since_s: float
-    predicted_s: float = 0.0
-    """The wait that was predicted last, at ``predicted_at_s``."""
-    predicted_at_s: float = 0.0
-    is_late: bool = False
-    """Whether that prediction was for a turn behind all that are in time."""
-
-    def turn(self) -> float:
-        """Return its place among those in time: who has the least time left goes first."""
-        deadline_s = self.call.terms.deadline_s
-        return self.call.arrived_s + (self.call.limit_s if deadline_s is None else deadline_s)
-
-    def is_in_time(self, now_s: float) -> bool:
-        """Return whether a placement now would meet the target."""
-        return self.in_time_until_s >= now_s
-
-
 class QueuedPlacement(EnginePlacement):
     """Lets generations wait for room in a fair order, as long as waiting makes sense."""
 
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -217,7 +217,8 @@
     Backends are replaced, routes renamed, callers come and go; prints what it holds, by sample.
     Run in the root of the repository. The router's log goes to LOG, the report as JSON to OUT.
     """
-    from yokedock_emulator.long_run import LongRunPlan, print_report, run_long
+    from yokedock_emulator.long_run import LongRunPlan, run_long
+    from yokedock_emulator.long_run_report import print_report
 
     log.parent.mkdir(parents=True, exist_ok=True)
     plan = LongRunPlan(
--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -19,47 +19,22 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-import msgspec
-
-from yokedock.platform.documents import (
-    ONCE_KIND,
-    REPEATABLE_KIND,
-    STREAM_KIND,
-    StoredConfiguration,
-    StoredEngine,
-    StoredRoute,
-    StoredServer,
-    StoredService,
-)
 from yokedock.platform.headers import PLATFORM_HEADERS
 from yokedock.process.router import METRICS_PATH
-from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.deployed_router import DeployedRouter
-from yokedock_emulator.header_backend import HeaderBackend
+from yokedock_emulator.long_run_operator import HOST, LongRunOperator
+from yokedock_emulator.long_run_report import LongRunReport, LongRunSample
 from yokedock_emulator.process_group import processor_s, resident_bytes
-from yokedock_emulator.state_store import StateStore
+from yokedock_emulator.raw_exchange import RawExchange, get_page
 
-HOST = "long.example"
-TARGET_MS = 10.0
 KINDS = {"once": 0.5, "repeat": 0.2, "chat": 0.15, "idle": 0.1, "unknown": 0.05}
 """Kinds of requests and their shares. No backend serves ``idle``, no route matches ``unknown``."""
 EXPECTED = {"once": 200, "repeat": 200, "chat": 200, "idle": 503, "unknown": 404}
-SERVICES = {"once": "plain", "repeat": "plain", "chat": "model", "idle": "nobody"}
-STORED_KINDS = {
-    "once": ONCE_KIND,
-    "idle": ONCE_KIND,
-    "repeat": REPEATABLE_KIND,
-    "chat": STREAM_KIND,
-}
 LEAVING_SHARE = 0.01
 """Share of requests whose caller leaves before the answer."""
 MOST_A_CONNECTION = 40
-KEPT_VERSIONS = 3
-"""Versions of the configuration whose routes stand in each."""
 STARTED_LIMIT_S = 20.0
 POLL_S = 0.05
-OLD_BACKEND_S = 1.5
-"""A replaced backend goes on serving for this long after its entry went."""
 MS_A_SECOND = 1000
 MB = 1_000_000
 
@@ -81,68 +56,6 @@
     seed: int = 1
 
 
-class LongRunSample(msgspec.Struct, frozen=True):
-    """What was seen at one moment. ``tables`` holds the router's own counts of what it keeps."""
-
-    at_s: float
-    """Seconds since the beginning."""
-    requests: int
-    resident_mb: float
-    descriptors: int
-    processor_us_a_request: float
-    median_ms: float
-    tables: dict[str, float]
-
-
-class LongRunReport(msgspec.Struct, frozen=True):
-    """The whole run."""
-
-    answers: dict[str, int]
-    """Answers by kind and status."""
-    unexpected: list[str]
-    """The first answers that were not as they should be."""
-    metrics_pages: int
-    failed_metrics_pages: int
-    samples: list[LongRunSample]
-
-
-class RawExchange:
-    """One connection of a caller; sends a request and reads the whole answer."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Wrap an open connection; use ``connect``."""
-        self._reader = reader
-        self._writer = writer
-
-    @classmethod
-    async def connect(cls, address: str) -> RawExchange:
-        """Open a connection to ``address`` (IP:port)."""
-        host, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
-
-    def send(self, data: bytes) -> None:
-        """Send the bytes of one request."""
-        self._writer.write(data)
-
-    async def read(self) -> tuple[int, bytes]:
-        """Return status and body of one answer."""
-        head = (await self._reader.readuntil(b"\r\n\r\n")).lower()
-        status = int(head[9:12])
-        length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
-        if length:
-            return status, await self._reader.readexactly(int(length))
-        body = b""
-        while size := int(await self._reader.readuntil(b"\r\n"), 16):
-            body += await self._reader.readexactly(size)
-            await self._reader.readexactly(2)
-        await self._reader.readexactly(2)
-        return status, body
-
-    def leave(self) -> None:
-        """Close at once."""
-        self._writer.transport.abort()
-
-
 class LongRun:
     """One run; ``run`` is its life."""
 
@@ -151,11 +64,7 @@
         self._plan = plan
         self._router = router
         self._output = output
-        self._random = random.Random(plan.seed)
-        self._store = StateStore()
-        self._backends: dict[str, HeaderBackend] = {}
-        self._version = 0
-        self._next_backend = 0
+        self._operator = LongRunOperator(plan.routes)
         self._answers: collections.Counter[str] = collections.Counter()
         self._unexpected: list[str] = []
         self._held_ms: list[float] = []
@@ -170,8 +79,8 @@
 
     async def run(self) -> LongRunReport:
         """Run to the end; raises ``AssertionError`` if the router does not start."""
-        await self._set_up()
         try:
+            await self._set_up()
             await self._drive()
         finally:
             await self._tear_down()
@@ -184,14 +93,7 @@
         )
 
     async def _set_up(self) -> None:
-        await self._store.start()
-        for _ in range(4):
-            await self._add_backend("plain", "")
-        await self._add_backend("model", PREFILL_ROLE)
-        for _ in range(3):
-            await self._add_backend("model", DECODE_ROLE)
-        self._publish()
-        self._publish()
+        await self._operator.start()
         self._start_router()
         async with asyncio.timeout(STARTED_LIMIT_S):
             while not await self._is_ready():
@@ -200,8 +102,8 @@
     async def _drive(self) -> None:
         plan = self._plan
         background = [
-            asyncio.create_task(self._every(plan.configuration_s, self._republish)),
-            asyncio.create_task(self._every(plan.replace_s, self._replace_backend)),
+            asyncio.create_task(self._every(plan.configuration_s, self._operator.publish)),
+            asyncio.create_task(self._every(plan.replace_s, self._operator.replace_backend)),
             asyncio.create_task(self._every(plan.sample_s, self._sample)),
         ]
         callers = [asyncio.create_task(self._call(number)) for number in range(plan.callers)]
@@ -220,11 +122,9 @@
         if self._process is not None:
             self._process.terminate()
             await asyncio.to_thread(self._process.wait)
-        for backend in self._backends.values():
-            backend.stop()
-        self._store.stop()
+        self._operator.stop()
 
-    # --- What the operator and the platform do ---
+    # --- The router ---
 
     def _start_router(self) -> None:
         ports = _free_ports(3)
@@ -237,7 +137,7 @@
             "internalPortRange": [ports[2], ports[2]],
             "seedNodes": [],
             "bootstrap": True,
-            "platform": {"address": self._store.address},
+            "platform": {"address": self._operator.store_address},
             "bounds": {
                 "leaseMs": 3000,
                 "retryBudgetRatio": 0.2,
@@ -252,7 +152,7 @@
         assert self._process is not None
         assert self._process.poll() is None, "the router ended; look at its log"
         try:
-            status, _ = await _get(self._ready, "/readiness")
+            status, _ = await get_page(self._ready, "/readiness")
         except OSError:
             return False
         return status == 200
@@ -262,66 +162,6 @@
             await asyncio.sleep(interval_s)
             await work()
 
-    async def _add_backend(self, service: str, role: str) -> str:
-        self._next_backend += 1
-        instance = f"i-{self._next_backend}"
-        backend = HeaderBackend(instance, PLATFORM_HEADERS, role)
-        await backend.start()
-        self._backends[instance] = backend
-        server = StoredServer(service, backend.address, "zone-1", 64, "ready", role)
-        self._store.put_server(instance, server)
-        return instance
-
-    async def _replace_backend(self) -> None:
-        """Replace the oldest backend that is no prefill engine by one of another name."""
-        instance, old = next(
-            (name, backend)
-            for name, backend in self._backends.items()
-            if backend.role != PREFILL_ROLE
-        )
-        await self._add_backend("model" if old.role else "plain", old.role)
-        del self._backends[instance]
-        self._store.remove_server(instance)
-        asyncio.get_running_loop().call_later(OLD_BACKEND_S, old.stop)
-
-    async def _republish(self) -> None:
-        self._publish()
-
-    def _publish(self) -> None:
-        """Publish a configuration with the routes of this version and of those before.
-
-        Callers use the routes of the version before the newest, which stand in the configuration
-        before, in this one and in the next: a request on its way when one of them comes into force
-        still finds its route.
-        """
-        self._version += 1
-        versions = range(self._version - KEPT_VERSIONS + 1, self._version + 1)
-        routes = [route for version in versions for route in self._routes(version)]
-        engine = StoredEngine(slot_count=64, kv_capacity=1_000_000, kv_token_bytes=1.0)
-        services = (
-            StoredService("plain"),
-            StoredService("model", engine=engine),
-            StoredService("nobody"),
-        )
-        self._store.publish(StoredConfiguration(self._version, tuple(routes), services))
-
-    def _routes(self, version: int) -> list[StoredRoute]:
-        return [
-            StoredRoute(
-                name=_route_name(kind, version, number),
-                host=HOST,
-                path_prefix=f"/{_route_name(kind, version, number)}/",
-                route_type=STORED_KINDS[kind],
-                timeout_ms=10_000.0,
-                target_latency_ms=TARGET_MS,
-                service=service,
-                max_attempts=2,
-                resumable=kind == "chat",
-            )
-            for kind, service in SERVICES.items()
-            for number in range(self._plan.routes)
-        ]
-
     # --- What callers do ---
 
     async def _call(self, number: int) -> None:
@@ -355,7 +195,7 @@
         return True
 
     def _request(self, kind: str, number: int) -> bytes:
-        path = f"/{_route_name(kind, self._version - 1, number)}/x"
+        path = f"/{self._operator.route_in_use(kind, number)}/x"
         names = PLATFORM_HEADERS
         lines = [
             f"POST {path} HTTP/1.1",
@@ -400,7 +240,7 @@
     async def _metrics_levels(self) -> dict[str, float]:
         """Read the metrics page; return the router's own levels, by name."""
         self._pages += 1
-        status, body = await _get(self._fleet, METRICS_PATH)
+        status, body = await get_page(self._fleet, METRICS_PATH)
         if status != 200:
             self._failed_pages += 1
             return {}
@@ -412,20 +252,6 @@
         return levels
 
 
-async def _get(address: str, path: str) -> tuple[int, bytes]:
-    """Read one page on a connection of its own; return status and body."""
-    exchange = await RawExchange.connect(address)
-    exchange.send(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
-    try:
-        return await exchange.read()
-    finally:
-        exchange.leave()
-
-
-def _route_name(kind: str, version: int, number: int) -> str:
-    return f"{kind}-{version}-{number}"
-
-
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     try:
@@ -443,28 +269,3 @@
         router = DeployedRouter(repository, Path(folder))
         router.build()
         return asyncio.run(LongRun(plan, router, output.fileno()).run())
-
-
-TABLES = ("backends", "pace", "promises", "resting_connections", "retry_times", "histograms")
-"""The tables that are printed; the report has all."""
-
-
-def print_report(report: LongRunReport) -> None:
-    """Print the answers and one line a sample."""
-    print(f"answers: {report.answers}")
-    print(f"not as they should be: {report.unexpected or 'none'}")
-    print(f"metrics pages: {report.metrics_pages}, failed {report.failed_metrics_pages}")
-    header = ("s", "requests", "MB", "descriptors", "us/request", "median ms", *TABLES)
-    print("  ".join(f"{name:>12}" for name in header))
-    for sample in report.samples:
-        sizes = [sample.tables.get(f"router_table_{name}", 0.0) for name in TABLES]
-        row = (
-            sample.at_s,
-            sample.requests,
-            sample.resident_mb,
-            sample.descriptors,
-            sample.processor_us_a_request,
-            sample.median_ms,
-            *sizes,
-        )
-        print("  ".join(f"{value:>12g}" for value in row))
