Logs tell how much of an answer had come when it was given up

Change: the line tells the bytes and seconds, so that a silent source (0 bytes) and a slow link differ. No change of logic.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -38,6 +38,8 @@
         """Wrap an open connection; use ``connect`` to open one."""
         self.address = address
         self.uses = 0
+        self.received_bytes = 0
+        """Bytes received since the newest request was sent."""
         self._reader = reader
         self._writer = writer
         self._parser: h11.Connection | None = None
@@ -76,6 +78,7 @@
     async def send(self, head: RequestHead, headers: list[Header], body: bytes) -> None:
         """Send one request; the body is written while the answer may already be read."""
         self.uses += 1
+        self.received_bytes = 0
         self._is_fit = False
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         framed = [*headers]
@@ -161,6 +164,7 @@
                 data = await self._reader.read(READ_BYTES)
             except OSError as error:
                 raise BackendBroken(f"{self.address}: {error.strerror or error}") from None
+            self.received_bytes += len(data)
             try:
                 self._parser.receive_data(data)
             except (h11.RemoteProtocolError, RuntimeError) as error:
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -58,7 +58,8 @@
             is_whole = True
             return ShortAnswer(answer.status, body)
     except TimeoutError:
-        raise BackendSilent(f"{address} did not answer {call.target.decode()}") from None
+        state = f"{connection.received_bytes} bytes in {limits.answer_s:.1f} s, not whole"
+        raise BackendSilent(f"{address}: {state}: {call.target.decode()}") from None
     finally:
         if is_whole:
             pool.give_back(connection)
