A read of the state is given up when it stalls, not by the clock

Cause: a whole read, another router's state and a watch had 1.0, 1.0 and 2.4 s to be whole, whatever their size, and began again at nothing. A configuration of 1.4 MB needs 2.2 s on a link of 5 Mbit/s that nothing else uses; with two reads at once it never arrived. Ruled out: a silent source (the links were full), a slow core (1 to 4% of it used), longer fixed times (right for one size and one link only). Change: the head of an answer has the old times; the rest may take as long as it flows: a part every 1.5 s, 20 s in all. Small calls keep their fixed times. Two reads still share the link, and what piles up is still read whole.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -107,11 +107,18 @@
                 return head
             await self._drop_foreign_answer()
 
-    async def body_parts(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they come; raises ``BackendBroken`` if it is cut off."""
+    async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they come.
+
+        Raises ``BackendBroken`` if it is cut off or has more than ``limit`` bytes.
+        """
+        size = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                size += len(event.data)
+                if limit is not None and size > limit:
+                    raise BackendBroken(f"{self.address}: the answer has more than {limit} bytes")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
@@ -121,14 +128,7 @@
 
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body; raises ``BackendBroken`` if it is cut off or over ``limit``."""
-        parts = []
-        size = 0
-        async for part in self.body_parts():
-            size += len(part)
-            if size > limit:
-                raise BackendBroken(f"{self.address}: the answer has more than {limit} bytes")
-            parts.append(part)
-        return b"".join(parts)
+        return b"".join([part async for part in self.body_parts(limit)])
 
     def abort(self) -> None:
         """Close at once; the backend sees a reset and may stop its work."""
--- a/src/yokedock/connection/http_get.py
+++ b/src/yokedock/connection/http_get.py
@@ -3,10 +3,21 @@
 from __future__ import annotations
 
 from yokedock.connection.backend_pool import BackendPool
-from yokedock.connection.short_call import CallLimits, ShortAnswer, ShortCall, short_call
+from yokedock.connection.short_call import (
+    AnswerProgress,
+    CallLimits,
+    ShortAnswer,
+    ShortCall,
+    short_call,
+)
 from yokedock.errors import PlatformUnavailable
 from yokedock.router_errors import BackendBroken, BackendUnreachable
 
+DOCUMENT_PROGRESS = AnswerProgress(stall_s=1.5, longest_s=20.0)
+"""A document of a megabyte takes 2.2 s on a link of 5 Mbit/s that nothing else uses. The stall is
+longer than a lost packet's second retransmission (0.2 + 0.4 s, Linux) and its round trips; 20 s is
+how long a source keeps its history: what takes longer is out of date when it arrives."""
+
 
 class HttpGetter:
     """Reads documents from one address. A connection with a lost answer is never used again."""
@@ -17,9 +28,12 @@
         self._connect_timeout_s = connect_timeout_s
         self._pool = BackendPool()
 
-    async def get(self, target: str, timeout_s: float) -> ShortAnswer:
-        """Return the answer; raises ``PlatformUnavailable`` if there is none in time."""
-        limits = CallLimits(self._connect_timeout_s, timeout_s)
+    async def get(self, target: str, head_timeout_s: float) -> ShortAnswer:
+        """Return the answer, which may take long as long as it flows.
+
+        Raises ``PlatformUnavailable`` if its head is not there in time or it stalls.
+        """
+        limits = CallLimits(self._connect_timeout_s, head_timeout_s, progress=DOCUMENT_PROGRESS)
         call = ShortCall(b"GET", target.encode())
         try:
             return await short_call(self._pool, self._address, call, limits)
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -1,12 +1,19 @@
-"""One short call on a connection of a pool: connect, send, read the whole answer, keep or drop."""
+"""One call on a connection of a pool: connect, send, read the whole answer, keep or drop.
+
+A small answer must be whole within a fixed time. One that may be large is limited by its progress
+instead: how long it takes depends on its size and on the link, and a read that is given up while it
+flows begins again at nothing, so that on a narrow link it would never end.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import msgspec
 
-from yokedock.connection.backend_connection import LONGEST_REST_S
+from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.http_heads import Header, RequestHead
 from yokedock.router_errors import BackendSilent
@@ -30,13 +37,24 @@
     body: bytes
 
 
+class AnswerProgress(msgspec.Struct, frozen=True):
+    """Limits for an answer that may be large, once its head has come."""
+
+    stall_s: float
+    """Seconds without any byte after which the answer is given up."""
+    longest_s: float
+    """Seconds from the sending after which it is given up although it flows."""
+
+
 class CallLimits(msgspec.Struct, frozen=True):
     """Seconds to connect, and from then on to the whole answer."""
 
     connect_s: float
     answer_s: float
+    """To the whole answer; to its head where ``progress`` limits the rest."""
     longest_rest_s: float = LONGEST_REST_S
     """A kept connection that rested for longer is not used."""
+    progress: AnswerProgress | None = None
 
 
 async def short_call(
@@ -47,19 +65,41 @@
     Raises ``BackendUnreachable`` if nothing was sent, ``BackendBroken`` if there is no whole answer
     (``BackendSilent`` if there is none in time).
     """
+    async with _connection(pool, address, limits) as connection:
+        sent_s = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout_at(sent_s + limits.answer_s) as time_limit:
+                head = RequestHead((), call.method, call.target)
+                await connection.send(head, [(b"Host", address.encode()), *call.headers], call.body)
+                answer = await connection.read_head(lambda _: True)
+                parts = []
+                async for part in connection.body_parts(MAX_ANSWER_BYTES):
+                    parts.append(part)
+                    _extend(time_limit, sent_s, limits.progress)
+                return ShortAnswer(answer.status, b"".join(parts))
+        except TimeoutError:
+            took_s = asyncio.get_running_loop().time() - sent_s
+            state = f"{connection.received_bytes} bytes in {took_s:.1f} s, not whole"
+            raise BackendSilent(f"{address}: {state}: {call.target.decode()}") from None
+
+
+def _extend(time_limit: asyncio.Timeout, sent_s: float, progress: AnswerProgress | None) -> None:
+    """Give an answer that has just made progress its time to the next part."""
+    if progress is not None:
+        now_s = asyncio.get_running_loop().time()
+        time_limit.reschedule(min(now_s + progress.stall_s, sent_s + progress.longest_s))
+
+
+@contextlib.asynccontextmanager
+async def _connection(
+    pool: BackendPool, address: str, limits: CallLimits
+) -> AsyncIterator[BackendConnection]:
+    """Take a connection from the pool; it goes back only if its answer was read whole."""
     connection = await pool.take(address, limits.connect_s, limits.longest_rest_s)
     is_whole = False
     try:
-        async with asyncio.timeout(limits.answer_s):
-            head = RequestHead((), call.method, call.target)
-            await connection.send(head, [(b"Host", address.encode()), *call.headers], call.body)
-            answer = await connection.read_head(lambda _: True)
-            body = await connection.read_body(MAX_ANSWER_BYTES)
-            is_whole = True
-            return ShortAnswer(answer.status, body)
-    except TimeoutError:
-        state = f"{connection.received_bytes} bytes in {limits.answer_s:.1f} s, not whole"
-        raise BackendSilent(f"{address}: {state}: {call.target.decode()}") from None
+        yield connection
+        is_whole = True
     finally:
         if is_whole:
             pool.give_back(connection)
