Of many versions that have piled up only the newest is read

Cause: a watch from far behind answers with every version since, each whole: a router that is behind gets further behind while versions come faster than its link carries them. Ruled out: reading the configuration's item alone at every change (one more call a version). Change: a watch whose head announces more than 1.5 times the bytes of the last whole read is given up, and everything is read once: one version. Conclusion: kept for its bound; it costs one call when a configuration has grown by half.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -15,7 +15,7 @@
 import h11
 
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
-from yokedock.router_errors import BackendBroken, BackendUnreachable
+from yokedock.router_errors import AnswerTooLong, BackendBroken, BackendUnreachable
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -110,7 +110,8 @@
     async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they come.
 
-        Raises ``BackendBroken`` if it is cut off or has more than ``limit`` bytes.
+        Raises ``BackendBroken`` if it is cut off, ``AnswerTooLong`` if it has more than ``limit``
+        bytes.
         """
         size = 0
         while True:
@@ -118,7 +119,7 @@
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if limit is not None and size > limit:
-                    raise BackendBroken(f"{self.address}: the answer has more than {limit} bytes")
+                    raise AnswerTooLong(f"{self.address}: the answer has more than {limit} bytes")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
--- a/src/yokedock/connection/http_get.py
+++ b/src/yokedock/connection/http_get.py
@@ -4,6 +4,7 @@
 
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.short_call import (
+    MAX_ANSWER_BYTES,
     AnswerProgress,
     CallLimits,
     ShortAnswer,
@@ -11,7 +12,7 @@
     short_call,
 )
 from yokedock.errors import PlatformUnavailable
-from yokedock.router_errors import BackendBroken, BackendUnreachable
+from yokedock.router_errors import AnswerTooLong, BackendBroken, BackendUnreachable
 
 DOCUMENT_PROGRESS = AnswerProgress(stall_s=1.5, longest_s=20.0)
 """A document of a megabyte takes 2.2 s on a link of 5 Mbit/s that nothing else uses. The stall is
@@ -28,14 +29,24 @@
         self._connect_timeout_s = connect_timeout_s
         self._pool = BackendPool()
 
-    async def get(self, target: str, head_timeout_s: float) -> ShortAnswer:
+    async def get(
+        self, target: str, head_timeout_s: float, most_bytes: int = MAX_ANSWER_BYTES
+    ) -> ShortAnswer:
         """Return the answer, which may take long as long as it flows.
 
-        Raises ``PlatformUnavailable`` if its head is not there in time or it stalls.
+        Raises ``PlatformUnavailable`` if its head is not there in time or it stalls,
+        ``AnswerTooLong`` if it has more than ``most_bytes``.
         """
-        limits = CallLimits(self._connect_timeout_s, head_timeout_s, progress=DOCUMENT_PROGRESS)
+        limits = CallLimits(
+            self._connect_timeout_s,
+            head_timeout_s,
+            progress=DOCUMENT_PROGRESS,
+            most_bytes=most_bytes,
+        )
         call = ShortCall(b"GET", target.encode())
         try:
             return await short_call(self._pool, self._address, call, limits)
+        except AnswerTooLong:
+            raise
         except (BackendUnreachable, BackendBroken) as error:
             raise PlatformUnavailable(error.message) from None
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -15,8 +15,8 @@
 
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
-from yokedock.connection.http_heads import Header, RequestHead
-from yokedock.router_errors import BackendSilent
+from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
+from yokedock.router_errors import AnswerTooLong, BackendSilent
 
 MAX_ANSWER_BYTES = 16_777_216
 
@@ -55,6 +55,8 @@
     longest_rest_s: float = LONGEST_REST_S
     """A kept connection that rested for longer is not used."""
     progress: AnswerProgress | None = None
+    most_bytes: int = MAX_ANSWER_BYTES
+    """An answer that announces or has more is given up (``AnswerTooLong``)."""
 
 
 async def short_call(
@@ -72,8 +74,9 @@
                 head = RequestHead((), call.method, call.target)
                 await connection.send(head, [(b"Host", address.encode()), *call.headers], call.body)
                 answer = await connection.read_head(lambda _: True)
+                _check_size(address, answer, limits.most_bytes)
                 parts = []
-                async for part in connection.body_parts(MAX_ANSWER_BYTES):
+                async for part in connection.body_parts(limits.most_bytes):
                     parts.append(part)
                     _extend(time_limit, sent_s, limits.progress)
                 return ShortAnswer(answer.status, b"".join(parts))
@@ -83,6 +86,13 @@
             raise BackendSilent(f"{address}: {state}: {call.target.decode()}") from None
 
 
+def _check_size(address: str, head: AnswerHead, most_bytes: int) -> None:
+    """Raise ``AnswerTooLong`` before the body is read if the head announces too much."""
+    announced = head.get(b"content-length") or ""
+    if announced.isdigit() and int(announced) > most_bytes:
+        raise AnswerTooLong(f"{address}: the answer has {announced} bytes, over {most_bytes}")
+
+
 def _extend(time_limit: asyncio.Timeout, sent_s: float, progress: AnswerProgress | None) -> None:
     """Give an answer that has just made progress its time to the next part."""
     if progress is not None:
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -19,7 +19,7 @@
 )
 from yokedock.errors import PlatformUnavailable
 from yokedock.platform.documents import backend_entry, route_table
-from yokedock.router_errors import HistoryGone
+from yokedock.router_errors import AnswerTooLong, HistoryGone
 from yokedock.version.route_table import RouteTable
 
 _log = logger("store")
@@ -36,6 +36,11 @@
 READ_TIMEOUT_S = 1.0
 WATCH_MS = 2_000
 WATCH_TIMEOUT_S = 2.4
+MOST_CHANGES = 1.5
+"""Changes may have this many times the bytes of everything read at once: a watch from far behind
+brings every version since, each whole, and all but the newest are of no use."""
+ALWAYS_READ_BYTES = 65_536
+"""Changes up to this size are always read: 0.1 s on a link of 5 Mbit/s."""
 
 
 class StoredItem(msgspec.Struct, frozen=True):
@@ -68,22 +73,28 @@
     def __init__(self, address: str) -> None:
         """Read from ``address`` (IP:port)."""
         self._getter = HttpGetter(address, CONNECT_TIMEOUT_S)
+        self._whole_bytes = 0
+        """Size of the newest whole read."""
 
     async def read(self) -> StateSnapshot:
         """Return the newest configuration and all servers."""
         items: dict[str, StoredItem] = {}
         position = None
+        size = 0
         after = ""
         while True:
             target = f"{RANGE_PATH}?pathPrefix={EVERYTHING}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            page = _decode(await self._getter.get(target, READ_TIMEOUT_S), RangePage)
+            answer = await self._getter.get(target, READ_TIMEOUT_S)
+            page = _decode(answer, RangePage)
+            size += len(answer.body)
             position = page.at if position is None else min(position, page.at)
             items |= {item.key: item for item in page.items}
             if not page.more or not page.items:
                 break
             after = page.items[-1].key
+        self._whole_bytes = size
         changes = translate(tuple(items.values()), position)
         backends = {entry.instance: entry for entry in changes.changed}
         return StateSnapshot(position, changes.table, backends, changes.undecoded)
@@ -91,7 +102,11 @@
     async def wait(self, position: int) -> StateChanges:
         """Return what has changed after ``position``, or nothing after two seconds."""
         target = f"{WATCH_PATH}?pathPrefix={EVERYTHING}&after={position}&waitMs={WATCH_MS}"
-        answer = await self._getter.get(target, WATCH_TIMEOUT_S)
+        most_bytes = max(ALWAYS_READ_BYTES, round(MOST_CHANGES * self._whole_bytes))
+        try:
+            answer = await self._getter.get(target, WATCH_TIMEOUT_S, most_bytes)
+        except AnswerTooLong as error:
+            raise HistoryGone(f"all at once is less than what has changed: {error}") from None
         if answer.status == HISTORY_GONE:
             raise HistoryGone("the store has dropped its history")
         watched = _decode(answer, WatchAnswer)
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -87,8 +87,8 @@
                     _log.info("state read", position=self.position, version=self.version)
                 await self._follow()
                 wait_s = RETRY_S
-            except HistoryGone:
-                _log.info("history gone", position=self.position)
+            except HistoryGone as error:
+                _log.info("must read all", reason=error.message, position=self.position)
                 must_read = True
             except PlatformUnavailable as error:
                 _log.info("source silent", reason=error.message, position=self.position)
--- a/src/yokedock/router_errors.py
+++ b/src/yokedock/router_errors.py
@@ -39,6 +39,12 @@
     http_status = 502
 
 
+class AnswerTooLong(BackendBroken):
+    """The answer has more bytes than the caller of it can use."""
+
+    code = "answer_too_long"
+
+
 class HeaderTooLarge(BadRequest):
     """The head of a request is larger than the configuration allows."""
 
@@ -54,7 +60,7 @@
 
 
 class HistoryGone(PlatformUnavailable):
-    """The source has dropped the changes since a position; everything must be read anew."""
+    """The changes since a position are gone or too many; everything must be read anew."""
 
     code = "history_gone"
 
