Newer state is taken from other routers, packed, and the overtaken read is given up

Cause: a router on a narrow link fetched a version from its source and from another router at once, both whole and unpacked (1.4 MB and 0.9 MB), each halving the other; and it asked again whenever another router was ahead in anything, backends included. Ruled out: packing alone (the source's answer still fills the link for seconds). Change: StateExchange. A router that stays behind for 0.1 to 0.2 s asks one of those that are ahead, chosen at random, naming the version it knows; the answer leaves out a known table and packs a newer one (69 kB for 4,200 routes, 2.3 ms at zlib's fastest level, once a version). A read of the source that would bring the same is given up. Routers of versions before this one answer without a packed table: their state is not taken over (logged), the source is read as ever.

--- a/features/router_narrow_links.feature
+++ b/features/router_narrow_links.feature
@@ -29,3 +29,21 @@
     When the store gets version 2, which the link carries in 3.2 s
     Then the second router has version 2 within 1.0 s
     And within 3.0 s the link has carried less than half of that version
+
+  Scenario: A router that starts alone on a narrow link becomes ready
+    Given the store holds version 2, which the link carries in 3.2 s
+    When a router starts that reads the store over a narrow link
+    Then it is ready within 4.5 s
+
+  Scenario: A router that starts on a narrow link beside another is ready soon
+    Given the store holds version 2, which the link carries in 3.2 s
+    And a router that reads the store
+    When a second router starts that reads the store over a narrow link
+    Then it is ready within 1.0 s
+
+  Scenario: Who knows a version is given what else has changed, without its routes
+    Given the store holds version 2, which the link carries in 3.2 s
+    And a router that reads the store
+    Then the router gives its state in less than 60000 bytes to one that knows version 1
+    And in less than 1000 bytes to one that knows version 2
+    And one that asks for what is no version gets 400
--- a/features/steps/router_narrow_steps.py
+++ b/features/steps/router_narrow_steps.py
@@ -3,7 +3,7 @@
 
 from behave import given, then, when
 from support.narrow_link import NarrowLink
-from support.router_world import HOST, free_address
+from support.router_world import HOST, RawCaller, free_address
 
 from yokedock.platform.documents import (
     REPEATABLE_KIND,
@@ -69,11 +69,54 @@
     context.world.run(context.link.start())
     source = PlatformStore(context.link.address)
     address = address or free_address()
+    started_s = time.monotonic()
     router = context.world.start_router(None, seeds, address, source=source)
     context.world.wait_for(lambda: router.is_ready, "ready")
+    context.ready_after_s = time.monotonic() - started_s
     return router
 
 
+@given("the store holds version {version:d}, which the link carries in {seconds:g} s")
+def holds(context, version, seconds):
+    in_loop(context, context.store.publish, configuration(version, seconds))
+
+
+@when("a router starts that reads the store over a narrow link")
+def narrow_starts(context):
+    context.router = start_narrow(context)
+
+
+@when("a second router starts that reads the store over a narrow link")
+def second_narrow_starts(context):
+    second_narrow_router(context)
+
+
+@then("it is ready within {limit_s:g} s")
+def ready_within(context, limit_s):
+    assert context.ready_after_s <= limit_s, context.ready_after_s
+
+
+def ask_state(context, version):
+    """Return status and body of a router's answer to another router."""
+    request = f"GET /state?version={version} HTTP/1.1\r\nHost: router\r\n\r\n"
+    caller = RawCaller(context.world, context.router.settings.fleet.address)
+    caller.send(request.encode())
+    status, _, body, _ = caller.read_answer()
+    return status, body
+
+
+@then("the router gives its state in less than {most:d} bytes to one that knows version {known:d}")
+@then("in less than {most:d} bytes to one that knows version {known:d}")
+def state_size(context, most, known):
+    status, body = ask_state(context, known)
+    assert status == 200 and len(body) < most, (status, len(body))
+
+
+@then("one that asks for what is no version gets 400")
+def bad_version(context):
+    assert ask_state(context, "newest")[0] == 400
+
+
 @when("the store gets version {version:d}, which the link carries in {seconds:g} s")
 def publish(context, version, seconds):
     context.seconds, context.published_s = seconds, time.monotonic()
--- a/src/yokedock/connection/http_heads.py
+++ b/src/yokedock/connection/http_heads.py
@@ -65,6 +65,11 @@
         """Return the path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def query(self) -> str:
+        """Return what stands behind the question mark, empty if there is none."""
+        return self.target.partition(b"?")[2].decode("latin-1")
+
 
 class AnswerHead(Head, frozen=True):
     """Head of an answer."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -8,23 +8,19 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-import msgspec
-
 from yokedock.base.clock import wall_clock_ms
 from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import AnswerWriter, CallerConnection, CallerRequest
 from yokedock.connection.dialect import Dialect
-from yokedock.connection.http_get import HttpGetter
 from yokedock.connection.http_heads import whole_answer
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.router_state import QueueShare, RouterState
-from yokedock.connection.state_source import StateSnapshot, StateSource
+from yokedock.connection.state_source import StateSource
 from yokedock.errors import (
     NotFound,
     NotReady,
-    PlatformUnavailable,
 )
 from yokedock.process.leadership import Leadership, Vote
 from yokedock.process.request_intake import RequestIntake, StopState
@@ -32,6 +28,7 @@
 from yokedock.process.router_metrics import RouterMetrics
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.router_upkeep import KeptTables, RouterUpkeep
+from yokedock.process.state_exchange import STATE_PATH, StateExchange
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_registry import BackendRegistry
@@ -47,9 +44,7 @@
 
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
-STATE_PATH = "/state"
 METRICS_PATH = "/metrics"
-STATE_TIMEOUT_S = 1.0
 RESTART_S = 0.5
 """A lasting task that failed goes on after this time, so that a fault that stays cannot spin."""
 LAST_CONNECTIONS_S = 2.5
@@ -78,11 +73,11 @@
         mechanisms = settings.mechanisms
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
-        self._fleet_port = int(port)
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
             own_address, int(port), seeds, self._state, self._heard, self._silent
         )
+        self._exchange = StateExchange(self._follower, int(port), self._gossip.alive)
         bounds = RetryBounds(
             settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
         )
@@ -112,7 +107,6 @@
         )
         self._connections: set[CallerConnection] = set()
         self.is_listening = False
-        self._fetching = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._leadership = Leadership(
             own_address, settings.fleet.lease_s, settings.fleet.is_first_start
@@ -165,6 +159,7 @@
         await self._stop_in_order()
         for server in servers:
             server.close()
+        self._exchange.stop()
         for task in self._tasks:
             task.cancel()
         _log.info("stopped", name=self.settings.process.name)
@@ -277,7 +272,7 @@
     async def _answer_router(self, request: CallerRequest, answer: AnswerWriter) -> None:
         """Give another router what this one knows, or an operator its figures."""
         if request.head.path == STATE_PATH:
-            body = msgspec.msgpack.encode(self._follower.snapshot())
+            body = self._exchange.answer(request.head.query)
         elif request.head.path == METRICS_PATH:
             body = await self._metrics.text(self._levels())
         else:
@@ -339,11 +334,7 @@
         self._highest_token = max(self._highest_token, state.token)
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
-        is_newer = other.state.table_version > self._follower.version
-        is_ahead = other.state.position > self._follower.position
-        if (is_newer or is_ahead) and not self._fetching:
-            self._fetching = True
-            self._start(self._fetch_from(other.address))
+        self._exchange.heard()
 
     def _leading_token(self) -> int | None:
         """Return this router's fencing token while it leads; a new one each time it begins to."""
@@ -359,16 +350,3 @@
     def _silent(self, other: OtherRouter) -> None:
         self._registry.set_changing(other.address, ())
         self._ledger.forget(other.address)
-
-    async def _fetch_from(self, address: str) -> None:
-        """Take over the newer state of another router."""
-        try:
-            getter = HttpGetter(f"{address}:{self._fleet_port}", STATE_TIMEOUT_S)
-            answer = await getter.get(STATE_PATH, STATE_TIMEOUT_S)
-            snapshot = msgspec.msgpack.decode(answer.body, type=StateSnapshot)
-            self._follower.adopt(snapshot)
-            _log.info("state taken over", router=address, position=snapshot.position)
-        except (PlatformUnavailable, msgspec.MsgspecError) as error:
-            _log.info("state not taken over", router=address, reason=str(error))
-        finally:
-            self._fetching = False
--- /dev/null
+++ b/src/yokedock/process/state_exchange.py
@@ -0,0 +1,170 @@
+"""Routers take over newer state from each other: packed, and only what the asker does not know.
+
+The state's source sends every version whole. Another router sends a table of 4,200 routes in 69 kB
+instead of 1.4 MB (measured): 0.1 s instead of 2.2 s on a link of 5 Mbit/s, from whoever has a wider
+link or a source that answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import msgspec
+
+from yokedock.base.logs import logger
+from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.http_get import DOCUMENT_PROGRESS
+from yokedock.connection.router_gossip import OtherRouter
+from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.connection.state_source import BackendEntry, StateSnapshot
+from yokedock.errors import BadRequest
+from yokedock.process.state_follower import StateFollower
+from yokedock.router_errors import BackendBroken, BackendUnreachable
+from yokedock.version.route_table import RouteTable
+
+_log = logger("exchange")
+
+STATE_PATH = "/state"
+VERSION_FIELD = "version"
+LIMITS = CallLimits(connect_s=0.5, answer_s=1.0, longest_rest_s=0.0, progress=DOCUMENT_PROGRESS)
+"""One round trip between zones is 3 ms; a busy weak core answers within some hundred ms."""
+SHORTEST_WAIT_S = 0.1
+LONGEST_WAIT_S = 0.2
+"""A router that is behind waits so long for its own source, which tells all routers at once. The
+spread keeps a fleet from asking the first router that knows, all at the same moment."""
+RETRY_S = 0.1
+"""Pause before another router is asked."""
+OK = 200
+FASTEST = 1
+"""Level of zlib: 2.3 ms and 69 kB for 4,200 routes; the default level takes 3.8 ms for 62 kB."""
+
+
+class PackedState(msgspec.Struct, array_like=True):
+    """What a router answers another one that asks for its state."""
+
+    position: int
+    backends: dict[str, BackendEntry]
+    packed_table: bytes = b""
+    """The route table in MessagePack, packed by zlib; empty if the asker knows it."""
+
+
+class StateMark(msgspec.Struct, frozen=True):
+    """How far a state goes."""
+
+    version: int
+    position: int
+
+    def is_reached_by(self, other: StateMark) -> bool:
+        """Return whether ``other`` goes at least as far."""
+        return other.version >= self.version and other.position >= self.position
+
+
+class StateExchange:
+    """Gives other routers this one's state and fetches theirs when they are ahead."""
+
+    def __init__(
+        self, follower: StateFollower, port: int, alive: Callable[[], list[OtherRouter]]
+    ) -> None:
+        """``alive`` returns the routers heard a moment ago; all listen on ``port``."""
+        self._follower = follower
+        self._port = port
+        self._alive = alive
+        self._pool = BackendPool()
+        self._random = random.Random()
+        self._packed = (0, b"")
+        """The newest version that was asked for, and its packed table."""
+        self._task: asyncio.Task[None] | None = None
+
+    # --- Giving ---
+
+    def answer(self, query: str) -> bytes:
+        """Return the state for a router that asked with ``query``; raises ``BadRequest``."""
+        asked = parse_qs(query).get(VERSION_FIELD, ["0"])[0]
+        if not asked.isdigit():
+            raise BadRequest(f"{VERSION_FIELD}={asked!r} is no version; send a whole number")
+        known = self._follower.snapshot()
+        packed = b""
+        if known.table is not None and known.table.version > int(asked):
+            packed = self._pack(known.table)
+        return msgspec.msgpack.encode(PackedState(known.position, known.backends, packed))
+
+    def _pack(self, table: RouteTable) -> bytes:
+        if self._packed[0] != table.version:
+            self._packed = table.version, zlib.compress(msgspec.msgpack.encode(table), FASTEST)
+        return self._packed[1]
+
+    # --- Fetching ---
+
+    def heard(self) -> None:
+        """Catch up with the routers that are ahead, unless that is under way."""
+        if self._task is None and self._ahead_of(self._mark()):
+            self._task = asyncio.create_task(self._catch_up())
+            self._task.add_done_callback(self._done)
+
+    def stop(self) -> None:
+        """Fetch no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._task = None
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task ended", error=repr(task.exception()))
+
+    def _mark(self) -> StateMark:
+        return StateMark(self._follower.version, self._follower.position)
+
+    def _ahead_of(self, mark: StateMark) -> list[OtherRouter]:
+        """Return the routers that know something that a state up to ``mark`` lacks."""
+        return [
+            other
+            for other in self._alive()
+            if other.state is not None
+            and not StateMark(other.state.table_version, other.state.position).is_reached_by(mark)
+        ]
+
+    async def _catch_up(self) -> None:
+        """Fetch from routers that are ahead of what is known now, until it is reached."""
+        seen = self._mark()
+        if self._follower.is_known:
+            await asyncio.sleep(self._random.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S))
+        while seen == self._mark() and (ahead := self._ahead_of(seen)):
+            if not await self._fetch_from(self._random.choice(ahead).address):
+                await asyncio.sleep(RETRY_S)
+
+    async def _fetch_from(self, address: str) -> bool:
+        """Take over the state of another router; return whether it could be had."""
+        target = f"{STATE_PATH}?{VERSION_FIELD}={self._follower.version}"
+        peer = f"{address}:{self._port}"
+        try:
+            answer = await short_call(self._pool, peer, ShortCall(b"GET", target.encode()), LIMITS)
+            if answer.status != OK:
+                raise BackendBroken(f"{peer} answered {answer.status}")
+            snapshot = unpack(answer.body)
+        except (BackendUnreachable, BackendBroken, msgspec.MsgspecError, zlib.error) as error:
+            _log.info("state not taken over", router=address, reason=str(error))
+            return False
+        finally:
+            self._pool.forget(peer)
+        self._follower.adopt(snapshot)
+        _log.info(
+            "state taken over",
+            router=address,
+            position=snapshot.position,
+            version=self._follower.version,
+            bytes=len(answer.body),
+        )
+        return True
+
+
+def unpack(body: bytes) -> StateSnapshot:
+    """Return the state that another router gave; raises ``MsgspecError`` or ``zlib.error``."""
+    packed = msgspec.msgpack.decode(body, type=PackedState)
+    table = None
+    if packed.packed_table:
+        table = msgspec.msgpack.decode(zlib.decompress(packed.packed_table), type=RouteTable)
+    return StateSnapshot(packed.position, table, packed.backends)
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -5,6 +5,8 @@
 import asyncio
 import random
 import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import StateSnapshot, StateSource
@@ -17,6 +19,7 @@
 
 RETRY_S = 0.15
 LONGEST_RETRY_S = 1.0
+Answer = TypeVar("Answer")
 
 
 class StateFollower:
@@ -33,6 +36,10 @@
         self.index: RouteIndex | None = None
         self.position = 0
         self._known = asyncio.Event()
+        self._reading: asyncio.Task[Any] | None = None
+        """The read of the source that is under way."""
+        self._is_overtaken = False
+        """Another router has brought what that read would bring."""
 
     @property
     def version(self) -> int:
@@ -68,8 +75,14 @@
         return StateSnapshot(self.position, table, self._registry.entries())
 
     def adopt(self, snapshot: StateSnapshot) -> None:
-        """Take over what another router knows, where it is newer."""
-        self._adopt_table(snapshot.table)
+        """Take over what another router knows, where it is newer.
+
+        With a newer table, a read of the source that is under way is given up: it would bring the
+        same table over the same link, and hold up what comes after it.
+        """
+        if self._adopt_table(snapshot.table) and self._reading is not None:
+            self._is_overtaken = True
+            self._reading.cancel()
         if snapshot.position > self.position:
             self.position = snapshot.position
             self._registry.replace_all(snapshot.backends)
@@ -82,9 +95,8 @@
         while True:
             try:
                 if must_read:
-                    self._take_all(await self._source.read())
+                    await self._read_all()
                     must_read = False
-                    _log.info("state read", position=self.position, version=self.version)
                 await self._follow()
                 wait_s = RETRY_S
             except HistoryGone as error:
@@ -96,8 +108,32 @@
                 await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.0))
                 wait_s = min(2 * wait_s, LONGEST_RETRY_S)
 
+    async def _read_all(self) -> None:
+        snapshot = await self._unless_overtaken(self._source.read())
+        if snapshot is not None:
+            self._take_all(snapshot)
+            _log.info("state read", position=self.position, version=self.version)
+
+    async def _unless_overtaken(self, read: Coroutine[Any, Any, Answer]) -> Answer | None:
+        """Return what the source answers, None once another router has brought it."""
+        reading = asyncio.create_task(read)
+        self._reading = reading
+        self._is_overtaken = False
+        try:
+            return await reading
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if not self._is_overtaken or (task is not None and task.cancelling()):
+                raise
+            _log.info("read overtaken", position=self.position, version=self.version)
+            return None
+        finally:
+            self._reading = None
+
     async def _follow(self) -> None:
-        changes = await self._source.wait(self.position)
+        changes = await self._unless_overtaken(self._source.wait(self.position))
+        if changes is None:
+            return
         self._heard_s = time.monotonic()
         self.undecoded += len(changes.undecoded)
         self._adopt_table(changes.table)
@@ -122,9 +158,11 @@
             self._registry.replace_all(snapshot.backends, snapshot.undecoded)
         self._note_known()
 
-    def _adopt_table(self, table: RouteTable | None) -> None:
+    def _adopt_table(self, table: RouteTable | None) -> bool:
+        """Put a newer table in force; return whether it was newer."""
         if table is None or table.version <= self.version:
-            return
+            return False
         self.index = RouteIndex(table)
         _log.info("table adopted", version=table.version, routes=len(table.routes))
         self._note_known()
+        return True
