Failing scenario: an answer that flows is given up by the clock and made twice

A backend that sends 11 bytes in 1.1 s was given up after 0.3 s and the request ran a second time elsewhere, at the retry budget's cost.

--- a/features/router_narrow_links.feature
+++ b/features/router_narrow_links.feature
@@ -47,3 +47,11 @@
     Then the router gives its state in less than 60000 bytes to one that knows version 1
     And in less than 1000 bytes to one that knows version 2
     And one that asks for what is no version gets 400
+
+  Scenario: An answer that flows is not given up by the clock, nor made twice
+    Given a plain backend "b"
+    And a router that knows them
+    And every backend's next fault is "flows slowly"
+    When a client sends POST on "repeat" with body "abc"
+    Then the client gets 200 with the body of a backend
+    And the backends ran 1 request
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -8,6 +8,8 @@
 import json
 
 PIECES = 6
+SLOW_PIECE_S = 0.1
+"""Pause before each byte of an answer that flows slowly: eleven bytes take 1.1 s."""
 CACHE_PATH = "/cache"
 
 
@@ -157,6 +159,13 @@
             await writer.drain()
             writer.transport.abort()
             return False
+        if fault == "flows slowly":
+            writer.write(self._head(arrival, 200, [("Content-Length", str(len(body)))]))
+            for byte in body:
+                await writer.drain()
+                await asyncio.sleep(SLOW_PIECE_S)
+                writer.write(bytes([byte]))
+            return True
         if fault == "ends with the connection":
             writer.write(self._head(arrival, 200, [("Connection", "close")]) + body)
             await writer.drain()
