Scenarios take their ports from a range of their own

Cause, traced from the log: a scenario of the router failed once because another process had taken the port between the kernel's choice and the router's bind (errno 98). Change: ports from the worker's own range below the kernel's, checked for TCP and UDP.

--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -1,9 +1,12 @@
 """A router, its backends and callers in one event loop on a thread of its own."""
 
 import asyncio
+import itertools
+import os
 import socket
 import threading
 
+from support.processes import DEFAULT_PORT_BASE, PORT_BASE_VARIABLE
 from support.stand_in_backend import StandInBackend
 from yokedock.connection.dialect import HeaderDialect
 from yokedock.connection.state_source import (
@@ -37,16 +40,36 @@
 
 HOST = "hut.example"
 LIMIT_S = 20.0
+PORTS_A_WORKER = 600
+_port_numbers = itertools.count()
 PAIRS = Mechanisms(decode_reads_when_calm=False)
 """Scenarios have few streams at a time, and most are about pairs of engines."""
 TRAITS = EngineTraits(slots=4, memory_tokens=1000, token_bytes=1.0, link_mbps=1000.0)
 
 
 def free_address():
-    """Return an address on loopback that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address on loopback that nobody listens on, of this worker's own range.
+
+    A port that the kernel picks may be taken by a connection of another worker before it is bound.
+    """
+    first = int(os.environ.get(PORT_BASE_VARIABLE, DEFAULT_PORT_BASE))
+    for _ in range(PORTS_A_WORKER):
+        port = first + next(_port_numbers) % PORTS_A_WORKER
+        if _is_free(port):
+            return f"127.0.0.1:{port}"
+    raise AssertionError(f"no port is free from {first} on; wait for other test runs to end")
+
+
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            if kind == socket.SOCK_STREAM:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def route(name, service, kind, **options):
