An answer that flows is waited for

Cause: the patience for a first byte was the limit of the whole answer, and of a prefill's. Change: patience is the longest silence, before the head and between two parts; the caller's deadline stays the bound.

--- a/features/support/narrow_link.py
+++ b/features/support/narrow_link.py
@@ -6,6 +6,9 @@
 PIECE_BYTES = 4_096
 """What is passed on at a time: a small window, as on a real link."""
 
+QUEUE_S = 0.2
+"""What a link has queued goes out without a pause, also while this process has no processor."""
+
 
 class NarrowLink:
     """Listens on ``address``; all connections share ``bytes_per_s`` towards the router."""
@@ -48,6 +51,6 @@
     async def _take_turn(self, size):
         """Wait until the link has carried everything before and these bytes."""
         now_s = asyncio.get_running_loop().time()
-        self._free_s = max(self._free_s, now_s) + size / self._bytes_per_s
+        self._free_s = max(self._free_s, now_s - QUEUE_S) + size / self._bytes_per_s
         self.passed_bytes += size
         await asyncio.sleep(self._free_s - now_s)
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -74,17 +74,25 @@
             self._check_origin(head, notes)
         return head
 
-    async def read_whole(self, timeout_s: float) -> WholeAnswer:
-        """Return head and body, read whole; raises as ``read_head``."""
-        until_s = time.monotonic() + timeout_s
-        head = await self.read_head(timeout_s)
+    async def read_whole(self, patience_s: float) -> WholeAnswer:
+        """Return head and body, read whole; raises as ``read_head``.
+
+        ``patience_s`` is the longest silence, before the head and between two parts: an answer that
+        flows is the backend's work done, and asking elsewhere would have it done twice.
+        """
+        head = await self.read_head(patience_s)
+        clock = asyncio.get_running_loop().time
+        deadline_s = clock() + self._call.left_s()
+        parts = []
         try:
-            async with asyncio.timeout(until_s - time.monotonic()):
-                body = await self._connection.read_body(MAX_WHOLE_ANSWER_BYTES)
+            async with asyncio.timeout_at(min(clock() + patience_s, deadline_s)) as time_limit:
+                async for part in self._connection.body_parts(MAX_WHOLE_ANSWER_BYTES):
+                    parts.append(part)
+                    time_limit.reschedule(min(clock() + patience_s, deadline_s))
         except TimeoutError:
             raise BackendBroken(f"{self.backend.name}: the answer was not whole in time") from None
         self.finish(is_failure=head.status >= SERVER_ERROR)
-        return WholeAnswer(head, body)
+        return WholeAnswer(head, b"".join(parts))
 
     def body_parts(self) -> AsyncIterator[bytes]:
         """Return the parts of the body as they come."""
