Changes of the state are gathered for 0.2 s

Cause: each change of a backend ends the watch of every router at once; at a start of 38 backends within 4 s that is 38 calls a router. Change: after a change a router waits 0.2 s before it asks for more; another router's state is asked for only behind that time. A single change is known as soon as ever.

--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -22,7 +22,7 @@
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
 from yokedock.errors import BadRequest
-from yokedock.process.state_follower import StateFollower
+from yokedock.process.state_follower import GATHER_S, StateFollower
 from yokedock.router_errors import BackendBroken, BackendUnreachable
 from yokedock.version.route_table import RouteTable
 
@@ -32,10 +32,10 @@
 VERSION_FIELD = "version"
 LIMITS = CallLimits(connect_s=0.5, answer_s=1.0, longest_rest_s=0.0, progress=DOCUMENT_PROGRESS)
 """One round trip between zones is 3 ms; a busy weak core answers within some hundred ms."""
-SHORTEST_WAIT_S = 0.1
-LONGEST_WAIT_S = 0.2
-"""A router that is behind waits so long for its own source, which tells all routers at once. The
-spread keeps a fleet from asking the first router that knows, all at the same moment."""
+SHORTEST_WAIT_S = GATHER_S
+LONGEST_WAIT_S = GATHER_S + 0.1
+"""A router that is behind waits so long for its own source, which tells all routers within the time
+in which they gather changes. The spread keeps a fleet from asking at the same moment."""
 RETRY_S = 0.1
 """Pause before another router is asked."""
 OK = 200
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -19,6 +19,11 @@
 
 RETRY_S = 0.15
 LONGEST_RETRY_S = 1.0
+"""Pauses after a failed read: the first one, doubled up to the longest, each shortened by up to a
+half at random so that routers do not return together."""
+GATHER_S = 0.2
+"""Pause after a change before the next ones are asked for. Every call to the source is paid for by
+the whole fleet at once: changes that follow each other come in one answer."""
 Answer = TypeVar("Answer")
 
 
@@ -97,7 +102,8 @@
                 if must_read:
                     await self._read_all()
                     must_read = False
-                await self._follow()
+                if await self._follow():
+                    await asyncio.sleep(GATHER_S)
                 wait_s = RETRY_S
             except HistoryGone as error:
                 _log.info("must read all", reason=error.message, position=self.position)
@@ -130,15 +136,16 @@
         finally:
             self._reading = None
 
-    async def _follow(self) -> None:
+    async def _follow(self) -> bool:
+        """Wait for changes and take them over; return whether there were any."""
         changes = await self._unless_overtaken(self._source.wait(self.position))
         if changes is None:
-            return
+            return False
         self._heard_s = time.monotonic()
         self.undecoded += len(changes.undecoded)
         self._adopt_table(changes.table)
         if changes.position < self.position:
-            return
+            return False
         self.position = changes.position
         if changes.changed or changes.gone:
             self._registry.update(changes.changed, changes.gone)
@@ -148,6 +155,7 @@
                 changed=[f"{e.instance}:{e.role}:{e.is_leaving}" for e in changes.changed],
                 gone=list(changes.gone),
             )
+        return changes.table is not None or bool(changes.changed or changes.gone)
 
     def _take_all(self, snapshot: StateSnapshot) -> None:
         self._heard_s = time.monotonic()
