Repeats are set aside at the decision, from a share of all routers known

Cause: the budget was looked at when a request broke and charged when it reached its next engine, one arrival asked for where two may follow; the fixed part was divided by the routers heard in the last 1.5 s; a restart forgot what was spent.

The tests: the search now goes through the new account, and some of what is set aside is given back; who shares is the fixed fleet, because the router now passes known(); that is checked by a scenario with two routers. Four scenarios are new; on the code before three of them fail (8 repeats of 4; 4 of a share of 2; 4 after a restart), the fourth (refused prefills) passes there too.

--- a/features/steps/router_retries_steps.py
+++ b/features/steps/router_retries_steps.py
@@ -21,6 +21,38 @@
     context.world.wait_for(lambda: context.router.is_ready, "ready")
 
 
+@given("a router that knows them, started anew, and may repeat {count:d} times in a window")
+def router_started_anew(context, count):
+    retries = RetrySettings(ratio=0.0, allowance=count)
+    snapshot = world(context).snapshot()
+    context.router = context.world.start_router(snapshot, retries=retries, is_first_start=False)
+    context.world.wait_for(lambda: context.router.is_ready, "ready")
+
+
+@given("a second router that is heard and then ends")
+def second_router_ends(context):
+    first = context.router.settings.fleet.address
+    address = f"127.0.0.2:{first.rpartition(':')[2]}"
+    second = context.world.start_router(context.world.snapshot(), (first,), address)
+    gossip = context.router._gossip
+    context.world.wait_for(lambda: gossip.fleet_size() == 2, "the second is heard")
+    context.world.loop.call_soon_threadsafe(second.stop_event.set)
+    context.world.wait_for(lambda: gossip.fleet_size() == 1, "the second is silent")
+
+
+@given("the prefill engines refuse everything")
+def prefills_refuse(context):
+    for backend in context.world.backends.values():
+        if backend.role == "prefill":
+            backend.faults = ["refuse"] * 50
+
+
+@when("all engines have dropped their prompts")
+def prompts_dropped(context):
+    for backend in context.world.backends.values():
+        context.world.loop.call_soon_threadsafe(backend.cache.clear)
+
+
 @when('{count:d} clients stream on "{name}" and engine "{engine}" holds them after event {last:d}')
 def hold_streams(context, count, name, engine, last):
     context.world.backends[engine].faults = [f"wait after event {last}"] * count
@@ -52,6 +84,20 @@
     assert least <= extras <= most, extras_by_request(context)
 
 
+@then("the engines got at most {most:d} arrivals beyond the first of the request")
+def arrivals_of_one(context, most):
+    arrivals = [a for backend in context.world.backends.values() for a in backend.arrivals]
+    asked = [a for a in arrivals if a.method != "DELETE"]
+    refused = [a for a in asked if a.header("X-Stage") == "prefill"]
+    assert refused and len(asked) - 1 <= most, asked
+
+
+@then("the router tells that it made repeats and that it denied some")
+def tells_repeats(context):
+    levels = context.router._allowance.levels()
+    assert levels["retries_made"] > 0 and levels["retries_denied"] > 0, levels
+
+
 def extras_by_request(context):
     """Return the arrivals beyond the first run, and the first prefill, by request."""
     counts = collections.Counter()
--- a/features/support/budget_properties.py
+++ b/features/support/budget_properties.py
@@ -17,6 +17,7 @@
 
 TICK_S = 0.05
 BOUNDS = RetryBounds(0.2, 10.0, 50.0)
+SHARE_UNREACHABLE = 0.1
 LONGEST_WAY_S = 2.5
 """From the decision to the arrival: a wait for room and a connection."""
 TICKS = 700
@@ -45,17 +46,12 @@
 
     def start(self, number, is_first_start):
         """Return a new life of a router."""
-        return RetryAllowance(BOUNDS, lambda: self.heard_by(number), self.clock)
-
-    def heard_by(self, number):
-        """Return how many routers one hears, itself included: its side of the cut that lives."""
-        side = [n for n in range(self.size) if (n < self.cut_at) == (number < self.cut_at)]
-        return sum(not self.is_dead[n] for n in side)
+        return RetryAllowance(BOUNDS, lambda: self.size, is_first_start, self.clock)
 
     def ask(self, number):
         """Let a caller's request reach a router."""
         if not self.is_dead[number]:
-            self.routers[number].note_request("s")
+            self.routers[number].request("s").__enter__()
             self.requests.append(self.clock.now_s)
 
     def break_requests(self, count):
@@ -63,18 +59,21 @@
         for _ in range(count):
             number = self.chance.randrange(self.size)
             router = self.routers[number]
-            if not self.is_dead[number] and router.may_spend("s"):
+            retries = router.request("s")
+            if not self.is_dead[number] and retries.set_aside(1):
                 arrives_s = self.clock.now_s + self.chance.random() * LONGEST_WAY_S
-                self.on_the_way.append((arrives_s, number, router, None))
+                self.on_the_way.append((arrives_s, number, router, retries))
 
     def tick(self):
         """Move the clock, and let arrive what is due; what a router has under way dies with it."""
         self.clock.now_s += TICK_S
         due = [one for one in self.on_the_way if one[0] <= self.clock.now_s]
         self.on_the_way = [one for one in self.on_the_way if one[0] > self.clock.now_s]
-        for _, number, router, _ in due:
-            if router is self.routers[number] and not self.is_dead[number]:
-                router.note_extra("s")
+        for _, number, router, retries in due:
+            if self.chance.random() < SHARE_UNREACHABLE:
+                retries.give_back()
+            elif router is self.routers[number] and not self.is_dead[number]:
+                retries.note_arrival()
                 self.extras.append(self.clock.now_s)
 
     def kill(self, share):
--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -91,16 +91,16 @@
     chance = random.Random(seed)
     clock = Clock()
     bounds = RetryBounds(0.2, 10.0, 50.0)
-    fleet = [RetryAllowance(bounds, lambda: routers, clock) for _ in range(routers)]
+    fleet = [RetryAllowance(bounds, lambda: routers, True, clock) for _ in range(routers)]
     requests, extras = [], []
     for _ in range(1500):
         clock.now_s += 0.02
         router = chance.choice(fleet)
-        router.note_request("s")
         requests.append(clock.now_s)
-        while chance.random() < pressure / (1 + pressure) and router.may_spend("s"):
-            router.note_extra("s")
-            extras.append(clock.now_s)
+        with router.request("s") as retries:
+            while chance.random() < pressure / (1 + pressure) and retries.set_aside(1):
+                retries.note_arrival()
+                extras.append(clock.now_s)
     for start_s in extras:
         end_s = start_s + bounds.window_s
         extra = sum(1 for at_s in extras if start_s <= at_s < end_s)
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -173,6 +173,7 @@
         mechanisms=PAIRS,
         source=None,
         retries=RETRIES,
+        is_first_start=True,
     ):
         """Start a router; return it.
 
@@ -183,7 +184,7 @@
         settings = RouterSettings(
             RouterProcessSettings("router"),
             RouterCallerSettings(*callers),
-            FleetSettings(address or free_address(), seeds),
+            FleetSettings(address or free_address(), seeds, is_first_start=is_first_start),
             StateSettings(free_address()),
             retries,
             StopSettings(grace_s),
--- a/features/support/upkeep_properties.py
+++ b/features/support/upkeep_properties.py
@@ -60,15 +60,16 @@
 def the_retry_window_holds_no_more_than_the_window():
     """Requests of a service that never retries are forgotten behind the window too."""
     clock = Clock()
-    allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, clock)
+    allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, clock=clock)
     for number in range(2000):
-        allowance.note_request(f"service-{number // 500}")
+        with allowance.request(f"service-{number // 500}"):
+            pass
         clock.now_s += 0.1
         allowance.drop_old()
         assert allowance.size() <= 101, allowance.size()
     clock.now_s += 11
     allowance.drop_old()
-    assert allowance.size() == 0 and not allowance._requests
+    assert allowance.size() == 0 and not allowance._services
 
 
 def votes_of_routers_that_left_are_dropped():
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -81,8 +81,10 @@
         bounds = RetryBounds(
             settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
         )
-        fleet_size = self._gossip.fleet_size if mechanisms.retry_shares else lambda: 1
-        allowance = RetryAllowance(bounds, fleet_size)
+        # Routers that fell silent may go on spending, and what they spent counts for a window.
+        fleet_size = self._gossip.known if mechanisms.retry_shares else lambda: 1
+        allowance = RetryAllowance(bounds, fleet_size, settings.fleet.is_first_start)
+        self._allowance = allowance
         self._pool = BackendPool()
         exchanges = BackendExchanges(self._pool, dialect)
         placement = QueuedPlacement(self._registry, self._ledger, self._queue_elsewhere, mechanisms)
@@ -293,6 +295,7 @@
             "state_undecoded": self._follower.undecoded,
             "state_silent_s": self._follower.silent_s(),
             "connections_opened": self._pool.opened,
+            **self._allowance.levels(),
             **self._upkeep.sizes(),
         }
 
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -14,14 +14,21 @@
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
-from yokedock.errors import DeadlineExceeded, EngineRejected, NoDecodeRoom, Refused, YokedockError
+from yokedock.errors import (
+    DeadlineExceeded,
+    EngineRejected,
+    NoDecodeRoom,
+    Refused,
+    RetryBudgetSpent,
+    YokedockError,
+)
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
-from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.stream_watch import StreamWatch
@@ -55,11 +62,14 @@
     """How far one generation has come over all its attempts."""
 
     relay: StreamRelay
+    retries: RequestRetries
     refused_by: set[str] = msgspec.field(default_factory=set)
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
     prefills: int = 0
+    """Prefills that reached an engine."""
+    prefills_refused: int = 0
     read_at: dict[str, float] = msgspec.field(default_factory=dict)
     """Engines that have read the prompt, and when they last used it (monotonic s)."""
     engines: list[str] = msgspec.field(default_factory=list)
@@ -73,6 +83,17 @@
         self.engines.append(f"{reader.name if reader else ''}>{placement.decode.name}")
         self.placed_s = time.monotonic()
 
+    def is_extra_prefill(self) -> bool:
+        """Return whether one more prefill spends the retry budget: the first does not."""
+        return self.prefills > 0
+
+    def is_extra_run(self, call: RoutedCall) -> bool:
+        """Return whether one more run spends the retry budget.
+
+        The first does not, unless all prefills were refused: those are arrivals like runs.
+        """
+        return call.arrivals > 0 or 0 < self.prefills == self.prefills_refused
+
     def note_silent(self, placement: Placement) -> None:
         """Avoid the engine that fell silent: the decode engine, once the prompt was read."""
         prefill = placement.prefill
@@ -131,8 +152,12 @@
 
     async def serve(self, call: RoutedCall) -> None:
         """Answer the request; errors that are raised go to the caller."""
-        self._allowance.note_request(call.service.name)
-        state = GenerationState(StreamRelay(call.answer, call.terms.last_event_id))
+        relay = StreamRelay(call.answer, call.terms.last_event_id)
+        with self._allowance.request(call.service.name, call.request_id) as retries:
+            await self._serve_within(call, GenerationState(relay, retries))
+
+    async def _serve_within(self, call: RoutedCall, state: GenerationState) -> None:
+        """Answer the request within its time."""
         try:
             async with asyncio.timeout(call.left_s()):
                 if call.terms.last_event_id is not None:
@@ -156,14 +181,12 @@
             except BackendUnreachable as error:
                 gives_up_s = self._placement.gives_up_s(call, state.progress(call))
                 is_over = time.monotonic() > gives_up_s or not self._mechanisms.reconnects
-                if is_over or not self._allowance.may_try_again(
-                    call, LEAST_USEFUL_S, is_arrival=False
-                ):
+                if is_over or not state.retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False):
                     raise self._final(call, error) from None
                 await asyncio.sleep(KNOCK_S)
             except BackendRefused as error:
                 is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
-                if is_enough or not self._allowance.may_try_again(call, LEAST_USEFUL_S):
+                if is_enough or not state.retries.may_go_on(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except (BackendBroken, EngineRejected) as error:
@@ -172,12 +195,12 @@
                 elif state.relay.events and self._mechanisms.avoid_broken:
                     state.refused_by.add(placement.decode.name)
                 may_go_on = self._mechanisms.resume or not state.relay.events
-                if not may_go_on or not self._allowance.may_try_again(call, LEAST_USEFUL_S):
+                if not may_go_on or not state.retries.may_go_on(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
                 if state.relay.events:
                     await self._seek_prompt(call, state)
-            except Refused as error:
+            except (Refused, RetryBudgetSpent) as error:
                 raise self._final(call, error) from None
 
     async def _seek_prompt(self, call: RoutedCall, state: GenerationState) -> None:
@@ -192,6 +215,7 @@
     ) -> None:
         """Read the prompt, then make the answer, with room promised all the while."""
         try:
+            self._set_aside(call, state, placement)
             if state.kept_source() is not None:
                 await self._decode(call, state, placement)
             elif placement.prefill is not None:
@@ -202,6 +226,16 @@
         finally:
             self._ledger.close_stream(placement.promise)
 
+    def _set_aside(self, call: RoutedCall, state: GenerationState, placement: Placement) -> None:
+        """Have all arrivals of an attempt paid for; raises ``RetryBudgetSpent``.
+
+        One that could pay for its prefill alone would have the prompt read for nothing.
+        """
+        is_read = placement.prefill is not None and state.kept_source() is None
+        arrivals = int(is_read and state.is_extra_prefill()) + int(state.is_extra_run(call))
+        if not state.retries.set_aside(arrivals):
+            raise RetryBudgetSpent(f"the retry budget of {call.service.name} is spent")
+
     async def _prefill(
         self, call: RoutedCall, state: GenerationState, engine: Backend, tokens: int
     ) -> None:
@@ -210,13 +244,14 @@
         is_done = False
         try:
             async with self._exchanges.open(engine, call) as exchange:
-                if state.prefills:
-                    self._allowance.note_extra(call.service.name)
+                if state.is_extra_prefill():
+                    state.retries.note_arrival()
                 state.prefills += 1
                 order = BackendOrder(engine.name, call.backend_deadline_ms(), is_prefill=True)
                 await exchange.send(order)
                 answer = await exchange.read_whole(self._prefill_patience_s(call, engine))
             if answer.head.status >= SERVER_ERROR:
+                state.prefills_refused += 1
                 raise EngineRejected(f"{engine.name} answered {answer.head.status} to a prefill")
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
@@ -227,6 +262,7 @@
             state.source = f"{engine.entry.address}/{result.handle}"
             state.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
         except BackendRefused:
+            state.prefills_refused += 1
             state.refused_by.add(engine.name)
             raise
         finally:
@@ -253,8 +289,9 @@
         """Have the answer made and pass it on."""
         relay, engine, keeper = state.relay, placement.decode, placement.fetch_from
         async with self._exchanges.open(engine, call) as exchange:
-            if call.arrivals:
-                self._allowance.note_extra(call.service.name)
+            if state.is_extra_run(call):
+                state.retries.note_arrival()
+            state.retries.give_back()
             call.arrivals += 1
             order = BackendOrder(
                 engine.name,
@@ -289,7 +326,7 @@
             head = await stream.within(patience_s, exchange.read_head(call.left_s()))
             state.source = None
             if head.status != 200:
-                await self._pass_failure(call, exchange, WholeAnswer(head, b""))
+                await self._pass_failure(call, state, exchange, WholeAnswer(head, b""))
                 return
             parts = exchange.body_parts()
             while (part := await stream.within(patience_s, anext(parts, None))) is not None:
@@ -310,14 +347,17 @@
             self._ledger.pace.note_pause(engine, relay.pause_s, is_reading)
 
     async def _pass_failure(
-        self, call: RoutedCall, exchange: BackendExchange, answer: WholeAnswer
+        self,
+        call: RoutedCall,
+        state: GenerationState,
+        exchange: BackendExchange,
+        answer: WholeAnswer,
     ) -> None:
         """Pass an engine's own failure on, or have the request made elsewhere."""
         parts = [part async for part in exchange.body_parts()]
         exchange.finish(is_failure=answer.head.status >= SERVER_ERROR)
         if call.answer.has_started or (
-            answer.head.status >= SERVER_ERROR
-            and self._allowance.may_try_again(call, LEAST_USEFUL_S)
+            answer.head.status >= SERVER_ERROR and state.retries.may_go_on(call, LEAST_USEFUL_S)
         ):
             raise BackendBroken(f"{exchange.backend.name} answered {answer.head.status}")
         await call.answer.whole(answer.head, b"".join(parts))
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -13,7 +13,7 @@
 from yokedock.errors import DeadlineExceeded, NoBackend, YokedockError
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend, BackendRegistry
-from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.router_errors import (
     BackendAnswerLost,
@@ -62,16 +62,21 @@
 
     async def serve(self, call: RoutedCall) -> None:
         """Answer the call: with a backend's answer, or with the error that says what is known."""
-        self._allowance.note_request(call.service.name)
+        with self._allowance.request(call.service.name, call.request_id) as retries:
+            answer = await self._serve(call, retries)
+        await call.answer.whole(answer.head, answer.body)
+
+    async def _serve(self, call: RoutedCall, retries: RequestRetries) -> WholeAnswer:
+        """Return a backend's answer."""
         tried: set[str] = set()
         kept: WholeAnswer | None = None
         while True:
             try:
                 backend = await self._next_backend(call, frozenset(tried))
                 tried.add(backend.name)
-                answer = await self._attempt(call, backend)
+                answer = await self._attempt(call, backend, retries)
             except BackendUnreachable as error:
-                is_over = not self._allowance.may_try_again(call, LEAST_USEFUL_S, is_arrival=False)
+                is_over = not retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False)
                 if is_over or not await self._may_knock_again(call, tried):
                     raise self._final(call, error) from None
                 continue
@@ -79,20 +84,18 @@
                 is_last = isinstance(error, NoBackend) or (
                     isinstance(error, BackendRefused) and not self._has_untried(call, tried)
                 )
-                if is_last or not self._allowance.may_try_again(call, LEAST_USEFUL_S):
+                if is_last or not retries.may_go_on(call, LEAST_USEFUL_S):
                     if kept is not None:
-                        break
+                        return kept
                     raise self._final(call, error) from None
                 _log.info("retry", request=call.request_id, reason=error.message)
                 continue
             if answer.head.status < SERVER_ERROR:
-                kept = answer
-                break
+                return answer
             kept = answer
-            if not self._allowance.may_try_again(call, LEAST_USEFUL_S):
-                break
+            if not retries.may_go_on(call, LEAST_USEFUL_S):
+                return kept
             _log.info("retry", request=call.request_id, reason=f"status {answer.head.status}")
-        await call.answer.whole(kept.head, kept.body)
 
     async def _next_backend(self, call: RoutedCall, tried: frozenset[str]) -> Backend:
         """Return the backend to try next; waits for one while an answer could be in time."""
@@ -105,11 +108,13 @@
                 raise NoBackend(f"no backend of {name} is listed; retry later")
             await asyncio.sleep(POLL_S)
 
-    async def _attempt(self, call: RoutedCall, backend: Backend) -> WholeAnswer:
+    async def _attempt(
+        self, call: RoutedCall, backend: Backend, retries: RequestRetries
+    ) -> WholeAnswer:
         """Send the call once and return the answer, read whole."""
         async with self._exchanges.open(backend, call) as exchange:
             if call.arrivals:
-                self._allowance.note_extra(call.service.name)
+                retries.note_arrival()
             call.arrivals += 1
             order = BackendOrder(backend.name, call.backend_deadline_ms())
             with call.one_run():
@@ -132,7 +137,7 @@
     def _patience_s(self, call: RoutedCall, backend: Backend) -> float:
         """Return how long to wait for an answer before another attempt, or until the deadline."""
         left_s = call.left_s()
-        if call.may_run_again() and self._allowance.may_spend(call.service.name):
+        if call.may_run_again() and self._allowance.has_room(call.service.name):
             return min(left_s, self._registry.patience_s(backend))
         return left_s
 
