The search of the budget goes through the routers' own view of each other

Until now the mended search took a fixed number of routers, so that its cuts no longer struck anything. It now asks RouterGossip on the search's clock: with known() it holds, with fleet_size() (heard in the last 1.5 s) it fails. Strictly more than before; nothing of the router changes.

--- a/features/support/budget_properties.py
+++ b/features/support/budget_properties.py
@@ -9,10 +9,13 @@
 """
 
 import random
+from unittest import mock
 
 from hypothesis import strategies as st
 
 from support.search import searched
+from yokedock.connection import router_gossip
+from yokedock.connection.router_gossip import RouterGossip
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 
 TICK_S = 0.05
@@ -21,6 +24,8 @@
 LONGEST_WAY_S = 2.5
 """From the decision to the arrival: a wait for room and a connection."""
 TICKS = 700
+HEARD_TICKS = 6
+"""Routers hear each other at this interval, in ticks."""
 
 
 class Clock:
@@ -32,21 +37,39 @@
     def __call__(self):
         return self.now_s
 
+    monotonic = __call__
+
 
 class Fleet:
     """Routers by number, who hears whom, and a ledger of what reached the service."""
 
-    def __init__(self, size, chance):
-        self.size, self.chance, self.clock = size, chance, Clock()
+    def __init__(self, size, chance, clock):
+        self.size, self.chance, self.clock = size, chance, clock
         self.cut_at = 0
         self.is_dead = [False] * size
         self.requests, self.extras = [], []
         self.on_the_way = []
+        self.gossips = [self.gossip(number) for number in range(size)]
         self.routers = [self.start(number, True) for number in range(size)]
+        self.let_hear()
 
     def start(self, number, is_first_start):
         """Return a new life of a router."""
-        return RetryAllowance(BOUNDS, lambda: self.size, is_first_start, self.clock)
+        gossip = self.gossips[number] = self.gossip(number)
+        return RetryAllowance(BOUNDS, gossip.known, is_first_start, self.clock)
+
+    def gossip(self, number):
+        """Return what a new life of a router knows of the others: the first two, as its seeds."""
+        return RouterGossip(str(number), 1, ("0", "1"), None, None, None)
+
+    def let_hear(self):
+        """Let every router that lives hear all that live on its side of the cut."""
+        for number, gossip in enumerate(self.gossips):
+            for other in range(self.size):
+                is_beyond = (other < self.cut_at) != (number < self.cut_at)
+                if other != number and not is_beyond and not self.is_dead[other]:
+                    gossip._know(str(other)).heard_s = self.clock.now_s
+            gossip._notice_silence()
 
     def ask(self, number):
         """Let a caller's request reach a router."""
@@ -112,8 +135,16 @@
 )
 def the_budget_is_kept_through_breaks_cuts_and_kills(seed, size, broken, kills, is_cut):
     """In no window do more repeats reach the service than the rule allows."""
-    chance = random.Random(seed)
-    fleet = Fleet(size, chance)
+    clock = Clock()
+    with mock.patch.object(router_gossip, "time", clock):
+        fleet = Fleet(size, random.Random(seed), clock)
+        live_through(fleet, broken, kills, is_cut)
+    fleet.check()
+
+
+def live_through(fleet, broken, kills, is_cut):
+    """Let a fleet live for a while."""
+    size, chance = fleet.size, fleet.chance
     for number in range(TICKS):
         fleet.tick()
         fleet.start_dead()
@@ -125,7 +156,8 @@
             fleet.cut_at = 0 if fleet.cut_at else size // 2
         if kills and number % 160 == 150:
             fleet.kill(kills)
-    fleet.check()
+        if number % HEARD_TICKS == 0:
+            fleet.let_hear()
 
 
 BUDGET_PROPERTIES = {
