--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import socket
+import struct
 import threading
 
 from support.processes import DEFAULT_PORT_BASE, PORT_BASE_VARIABLE
@@ -288,6 +289,24 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return
 
+    def close(self):
+        """Close in order, from within the loop."""
+        self._writer.close()
+
+    def reset(self):
+        """Close with a reset, from within the loop."""
+        own_socket = self._writer.get_extra_info("socket")
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._writer.transport.abort()
+
+    def end_sending(self):
+        """Close the sending side alone, from within the loop."""
+        self._writer.write_eof()
+
+    def stop_reading(self):
+        """Leave what comes in the kernel's buffers, from within the loop."""
+        self._writer.transport.pause_reading()
+
     async def _read_answer(self):
         head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         status = int(head[0].split(" ")[1])
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -22,6 +22,8 @@
     headers: list
     body: bytes
     was_closed: bool = False
+    has_ended: bool = False
+    """Whether the work for it has ended, in whatever way."""
 
     def header(self, name):
         """Return the first value of a header, None if absent."""
@@ -39,18 +41,25 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.pieces = PIECES
+        self.padding = ""
+        """Text at the end of each piece."""
+        self.pieces_written = 0
         self.dies_when_broken = False
         self.forgets_when_broken = False
         self.cache = {}
         """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
         self.connections = 0
         self._late_answer = b""
+        self._port = 0
         self._writers = set()
 
     async def start(self):
-        """Listen on any free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        """Listen on any free port, after a stop on the same."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self._port, reuse_address=True
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
 
     async def stop(self):
         """Close everything at once."""
@@ -95,6 +104,7 @@
         try:
             return await self._answer(arrival, writer)
         finally:
+            arrival.has_ended = True
             watch.cancel()
             await asyncio.wait({watch})
 
@@ -181,7 +191,7 @@
         first = int(arrival.header("Last-Event-Id") or 0) + 1
         writer.write(self._head(arrival, 200, [("Transfer-Encoding", "chunked")]))
         for number in range(first, self.pieces + 1):
-            event = f"id: {number}\ndata: piece {number} of {self.name}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number} of {self.name}{self.padding}\n\n".encode()
             if fault == f"break within event {number}":
                 writer.write(b"%x\r\n%s" % (len(event), event[:9]))
                 await writer.drain()
@@ -197,6 +207,7 @@
                 event += event
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+            self.pieces_written += 1
             await asyncio.sleep(0)
             if fault == f"wait after event {number}":
                 await asyncio.sleep(3600)
