Before every send the kernel is asked whether the caller is still there

Cause: the task that reads on while a request is answered starts behind the handler, and reading sees an end only behind the bytes before it. A router that was busy read requests of callers who had closed long before, sent them over resting connections at once and cut them off a moment later. Ruled out: starting the watch first (data and end come in two reads, the handler still runs between them); a pause before each request (costs every caller). Change: caller_presence.has_left asks for the state of the TCP connection (one system call): when a request comes to its handler, and before each send to a backend, so also after waits, connects and retries. A connection that was taken and not used rests again. Close, reset and an end of sending are one thing, written down there.

--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -46,6 +46,22 @@
       | 3      | closes           |
       | 3      | ends its sending |
 
+  Scenario Outline: A request whose caller left before the router read it is sent to nobody
+    Given a plain backend "a"
+    And a decode engine "d"
+    And a router that knows them
+    And 4 connections to the backends of "<route>" rest
+    When the router is busy while 40 clients send on "<route>" and each <leaves>
+    Then no backend was asked for it, at once or later
+
+    Examples:
+      | route  | leaves           |
+      | repeat | closes           |
+      | repeat | resets           |
+      | repeat | ends its sending |
+      | once   | closes           |
+      | chat   | closes           |
+
   Scenario: A request on a kept connection that closed before it was read is sent to nobody
     Given a plain backend "a"
     And a router that knows them
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -16,8 +16,9 @@
 import msgspec
 
 from yokedock.base.logs import logger
+from yokedock.connection.caller_presence import has_left
 from yokedock.connection.http_heads import AnswerHead, RequestHead, whole_answer
-from yokedock.errors import BadRequest, ErrorResponse, PayloadTooLarge, YokedockError
+from yokedock.errors import BadRequest, CallerGone, ErrorResponse, PayloadTooLarge, YokedockError
 from yokedock.router_errors import HeaderTooLarge, RequestTimeout
 from yokedock.version.route_table import CallerLimits
 
@@ -92,6 +93,11 @@
         body = msgspec.json.encode(ErrorResponse(error.body()))
         await self.whole(*whole_answer(error.http_status, body, headers))
 
+    def require_caller(self) -> None:
+        """Raise ``CallerGone`` if the caller has left, also when that was not read yet."""
+        if self._connection.has_left():
+            raise CallerGone("the caller has left")
+
     def break_off(self) -> None:
         """Close the connection in the middle of the answer, which then cannot look complete."""
         self._connection.abort()
@@ -159,6 +165,10 @@
         if data:
             self._writer.write(data)
 
+    def has_left(self) -> bool:
+        """Return whether the caller has left."""
+        return has_left(self._writer.get_extra_info("socket"))
+
     async def drain(self) -> None:
         """Wait while the caller reads slowly."""
         await self._writer.drain()
@@ -285,14 +295,14 @@
     async def _run_handler(self, request: CallerRequest, answer: AnswerWriter) -> None:
         try:
             await self._handle(request, answer)
-        except OSError:
+        except (OSError, CallerGone):
             self.abort()
 
     async def _handle(self, request: CallerRequest, answer: AnswerWriter) -> None:
-        """Run the handler; raises ``OSError`` when the caller can no longer be written to."""
+        """Run the handler; raises ``OSError`` or ``CallerGone`` when nobody waits any more."""
         try:
             await self._handler(request, answer)
-        except OSError:
+        except (OSError, CallerGone):
             raise
         except YokedockError as error:
             await self._tell(answer, error)
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -12,7 +12,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.caller_connection import AnswerWriter, CallerRequest
 from yokedock.connection.dialect import Dialect
-from yokedock.errors import BadRequest, NotFound, NotReady, YokedockError
+from yokedock.errors import BadRequest, CallerGone, NotFound, NotReady, YokedockError
 from yokedock.process.router_metrics import NO_ROUTE, RouterMetrics
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.generation_call import GenerationCalls
@@ -80,6 +80,8 @@
         call: RoutedCall | None = None
         outcome = "answered"
         try:
+            # A busy router reads requests of callers who have left meanwhile.
+            answer.require_caller()
             if self._stop.is_ending:
                 raise self._ending_error(None)
             await self._follower.wait_known(UNKNOWN_WAIT_S)
@@ -92,6 +94,9 @@
                 raise
             outcome = "ended"
             raise self._ending_error(call) from None
+        except CallerGone:
+            outcome = "caller gone"
+            raise
         except YokedockError as error:
             outcome = error.code
             raise
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -34,6 +34,7 @@
         """Wrap a connection that is ready to send."""
         self.backend = backend
         self.is_whole = False
+        self.is_sent = False
         self._connection = connection
         self._dialect = dialect
         self._call = call
@@ -41,11 +42,13 @@
         self._is_prefill = False
 
     async def send(self, order: BackendOrder) -> None:
-        """Send the request."""
+        """Send the request; raises ``CallerGone`` instead if nobody waits for it any more."""
         call = self._call
+        call.answer.require_caller()
         headers = self._dialect.backend_headers(call.request.head, order)
         self._is_prefill = order.is_prefill
         self._sent_s = time.monotonic()
+        self.is_sent = True
         await self._connection.send(call.request.head, headers, call.request.body)
 
     async def read_head(self, timeout_s: float) -> AnswerHead:
@@ -152,7 +155,7 @@
             raise
         finally:
             backend.outstanding -= 1
-            if exchange.is_whole:
+            if exchange.is_whole or not exchange.is_sent:
                 self.pool.give_back(connection)
             else:
                 connection.abort()
