A caller who has sent much ahead is watched by asking the kernel

Cause: as in the red scenario: reading ahead ends at its limit, and with it the watch. Ruled out: reading on without a limit (memory for each connection); breaking such callers off (their requests are proper). Change: behind the limit the state of the connection is asked ten times a second. Two more rows of the outline (reset, end of sending), both red before. An end behind more than the kernel's buffer holds has not reached the machine; it is seen as soon as it has.

--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -46,6 +46,8 @@
       | 3      | closes           |
       | 3      | ends its sending |
       | 600000 | closes           |
+      | 600000 | resets           |
+      | 600000 | ends its sending |
 
   Scenario Outline: A request whose caller left before the router read it is sent to nobody
     Given a plain backend "a"
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -30,6 +30,9 @@
 UNSENT_LIMIT_MS = 10_000
 READ_AHEAD_BYTES = 262_144
 """Bytes of later requests that are read while one is answered."""
+PRESENCE_POLL_S = 0.1
+"""Once so much was read ahead, this often the kernel is asked whether the caller left: engines are
+to be free half a second after that (the platform's figure)."""
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -330,9 +333,11 @@
                 ahead += len(data)
                 self._parser.receive_data(data)
             else:
-                return
-        except OSError:
-            pass
+                # An end behind unread bytes cannot be read.
+                while not self.has_left():
+                    await asyncio.sleep(PRESENCE_POLL_S)
+        except OSError as error:
+            _log.debug("connection lost", reason=repr(error))
         task.cancel()
 
     # --- Ending ---
