--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -72,6 +72,15 @@
     When 4 clients with answers ask again on "repeat" and close while the router is busy
     Then the backends ran 4 requests
 
+  Scenario: A call that breaks when its caller has left is not made again
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And 4 connections to the backends of "repeat" rest
+    And the backends hold their answers
+    When a client on "repeat" leaves while the router is busy and its backend breaks off
+    Then the backends ran 1 request
+
   Scenario Outline: A caller who leaves before its backend can be reached is not sent there later
     Given a plain backend "a"
     And a router that knows them
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -187,6 +187,18 @@
     time.sleep(LATER_S)
 
 
+@when('a client on "{name}" leaves while the router is busy and its backend breaks off')
+def leave_and_break(context, name):
+    sender = connect(context)
+    sender.sendall(request_bytes(name, body=b"abc"))
+    context.world.wait_for(lambda: asked(context), "it is at work")
+    asked_one = next(b for b in backends(context) if b.arrivals)
+    # The break comes first: the router learns of both at once, and of the break before.
+    with busy(context, asked_one.break_off):
+        sender.close()
+    time.sleep(LATER_S)
+
+
 @given('{count:d} connections to the backends of "{name}" rest')
 def rest(context, count, name):
     headers = STREAM_HEADERS if name == "chat" else []
@@ -206,9 +218,14 @@
 
 
 @contextlib.contextmanager
-def busy(context):
+def busy(context, do_first=lambda: None):
     """Keep the router's loop from running for a while; what happens meanwhile it sees at once."""
-    context.world.loop.call_soon_threadsafe(time.sleep, BUSY_S)
+
+    def begin():
+        do_first()
+        context.world.loop.call_soon(time.sleep, BUSY_S)
+
+    context.world.loop.call_soon_threadsafe(begin)
     time.sleep(0.05)
     began_s = time.monotonic()
     yield
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -64,6 +64,10 @@
     async def stop(self):
         """Close everything at once."""
         self._server.close()
+        self.break_off()
+
+    def break_off(self):
+        """Reset all connections, and listen on; from within the loop."""
         for writer in list(self._writers):
             writer.transport.abort()
 
