The retry budget keeps a fifth in reserve

Cause: the search of the budget at a reserve of a tenth still came to 1.04 of it with bursts of 1 s every 7.5 s and repeats 2.5 s late; one arrival too many breaks the promise for all callers. A router that started anew may use a fifth instead of a tenth. The scenario on restarts asks for the same with 10 repeats a window instead of 20: a fifth of 10 is the bound of 2 that a tenth of 20 was; 4 streams break, as before. Before the mend it failed with either number (7 of 10 were allowed). router_retries, router_properties: 39 passed, 0 failed.

--- a/features/router_retries.feature
+++ b/features/router_retries.feature
@@ -33,7 +33,7 @@
   Scenario: A router that started anew leaves room for what its life before may have spent
     Given a prefill engine "p"
     And a decode engine "d"
-    And a router that knows them, started anew, and may repeat 20 times in a window
+    And a router that knows them, started anew, and may repeat 10 times in a window
     When 4 clients stream on "chat" and engine "d" holds them after event 2
     And a decode engine "e" is listed and "d" breaks them all at one moment
     Then all clients have an end
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -20,7 +20,7 @@
 
 _log = logger("retries")
 
-SAFETY = 0.9
+SAFETY = 0.8
 """Share of the budget that is used. Arrivals are counted one by one; the rest is for requests, that
 a router may count in another window than its arrivals: docs/DESIGN.md has the arithmetic."""
 SETTLE_S = 1.0
