Scenarios: kept connections to backends go silent while new ones work

The stand-in accepts bytes on the connections that were open and sends nothing more; it serves new ones. Red: a call that may be repeated (two backends, silent kept connections at both) got no answer within 20 s; its repeat goes out on the second backend's kept connection and waits for the route's time-out.

--- /dev/null
+++ b/features/silent_connections.feature
@@ -0,0 +1,46 @@
+Feature: Open connections to backends go silent for good while new ones work
+
+  Scenario: A call that may be repeated meets silent connections everywhere and is answered in time
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And clients have used 3 connections to each backend with calls on "repeat"
+    And the open connections to every backend have gone silent
+    When a client sends POST on "repeat" and its time is taken
+    Then the client gets 200 with the body of a backend
+    And the answer came within 1 s
+    And 1 request was left unanswered
+
+  Scenario: Nothing is dropped and nothing opened while every connection answers
+    Given a plain backend "a"
+    And a router that knows them
+    And clients have used 4 connections to each backend with calls on "repeat"
+    When a client sends POST on "repeat" 20 times on one connection
+    Then every answer is 200 with the body of a backend
+    And backend "a" accepted 4 connections
+
+  Scenario: A prompt goes to another engine's connection when the one to the prefill engine is silent
+    Given a prefill engine "p"
+    And a prefill engine "q"
+    And a decode engine "d"
+    And a router that knows them
+    And clients have used 2 connections to each prefill engine with streams on "talk"
+    And the open connections to every prefill engine have gone silent
+    When a client streams on "talk" and its time is taken
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the answer came within 1.5 s
+    And 1 request was left unanswered
+
+  Scenario: A stream that may not be repeated ends honestly at its deadline, and the next ones run
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a router that knows them
+    And clients have used 3 connections to each decode engine with streams on "talk"
+    And the open connections to every decode engine have gone silent
+    When a client with 2 s streams on "talk" and its time is taken
+    Then the client gets 504
+    And the answer came within 2.3 s
+    When a client streams on "talk" and its time is taken
+    Then the client gets 6 events, each once and in order, and a whole end
+    And 1 request was left unanswered
+    And no request ran twice
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -25,6 +25,8 @@
     was_closed: bool = False
     has_ended: bool = False
     """Whether the work for it has ended, in whatever way."""
+    was_unanswered: bool = False
+    """It came on a connection that had gone silent: nothing was sent back."""
 
     def header(self, name):
         """Return the first value of a header, None if absent."""
@@ -49,6 +51,9 @@
         self.padding = ""
         """Text at the end of each piece."""
         self.pieces_written = 0
+        self.event_gap_s = 0.0
+        self.on_event = lambda number: None
+        """Called with the number of each event that was sent."""
         self.dies_when_broken = False
         self.forgets_when_broken = False
         self.cache = {}
@@ -57,6 +62,7 @@
         self._late_answer = b""
         self._port = 0
         self._writers = set()
+        self._silent = set()
 
     async def start(self):
         """Listen on any free port, after a stop on the same."""
@@ -76,6 +82,18 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def go_silent(self):
+        """Send nothing more on the connections that are open now; new ones work."""
+        self._silent |= self._writers
+
+    def open_connections(self):
+        """Return the connections that are open now."""
+        return set(self._writers)
+
+    def unanswered(self):
+        """Return the arrivals on connections that had gone silent."""
+        return [arrival for arrival in self.arrivals if arrival.was_unanswered]
+
     def runs(self):
         """Return the arrivals that were run: neither refused nor only read."""
         return [a for a in self.arrivals if a.header("X-Stage") is None]
@@ -90,6 +108,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._silent.discard(writer)
             writer.close()
 
     async def _one(self, reader, writer):
@@ -105,9 +124,16 @@
         self.heads_read += 1
         await self.body_gate.wait()
         arrival.body = await reader.readexactly(length)
+        if target == CACHE_PATH and writer in self._silent:
+            await reader.read(1)
+            return False
         if target == CACHE_PATH:
             return await self._list_cache(arrival, writer)
         self.arrivals.append(arrival)
+        if writer in self._silent:
+            arrival.was_unanswered = True
+            await self._watch(reader, arrival)
+            return False
         if method == "DELETE":
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
@@ -217,11 +243,18 @@
                 continue
             if fault == f"double event {number}":
                 event += event
+            if writer in self._silent:
+                await asyncio.sleep(3600)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             self.pieces_written += 1
             await asyncio.sleep(0)
             if fault == f"wait after event {number}":
                 await asyncio.sleep(3600)
+            if fault == f"fall silent after event {number}":
+                self._silent.add(writer)
+            self.on_event(number)
+            if self.event_gap_s:
+                await asyncio.sleep(self.event_gap_s)
         writer.write(b"0\r\n\r\n")
         return True
