A repeat takes no connection as quiet as the silent one, and those that rest beside it are dropped

Cause: after silence on a kept connection the repeat went out on another kept connection, which had fallen silent at the same time; and further calls used the kept ones one after the other. Ruled out: a new connection for every call (its price is paid when nothing is wrong); keep-alive probes (least interval 1 s, and a connection rests for at most 4 s, 0.8 s for what may not be repeated). Change: after a silence only connections that brought something in the later half of the wait carry the repeat, at any backend; the others at the silent address are closed. ETIMEDOUT counts as silence. Before: no answer in 20 s (repeatable call; resumable stream before and after its first event), and the second of two single calls lost too.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -11,6 +11,19 @@
     And the answer came within 1 s
     And 1 request was left unanswered
 
+  Scenario: A call that may run once is lost with its connection, honestly, and no second one is
+    Given a plain backend "a"
+    And a router that knows them
+    And clients have used 4 connections to each backend with calls on "repeat"
+    And the open connections to every backend have gone silent
+    When a client sends POST on "brief" and its time is taken
+    Then the client gets 504
+    And the answer came within 0.6 s
+    When a client sends POST on "brief" 5 times on one connection
+    Then every answer is 200 with the body of a backend
+    And 1 request was left unanswered
+    And no request ran twice
+
   Scenario: Nothing is dropped and nothing opened while every connection answers
     Given a plain backend "a"
     And a router that knows them
@@ -31,6 +44,30 @@
     And the answer came within 1.5 s
     And 1 request was left unanswered
 
+  Scenario: A resumable stream that meets silent decode connections everywhere is answered in time
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a decode engine "e"
+    And a router that knows them
+    And clients have used 2 connections to each decode engine with streams on "chat"
+    And the open connections to every decode engine have gone silent
+    When a client streams on "chat" and its time is taken
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the answer came within 2 s
+    And 1 request was left unanswered
+
+  Scenario: A resumable stream whose connection falls silent goes on over a new one, all others silent
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a decode engine "e"
+    And a router that knows them
+    And clients have used 2 connections to each decode engine with streams on "chat"
+    When a client streams on "chat" and all connections fall silent after event 3
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the answer came within 2 s
+    And the decode engines ran 2 requests
+    And 0 requests were left unanswered
+
   Scenario: A stream that may not be repeated ends honestly at its deadline, and the next ones run
     Given a prefill engine "p"
     And a decode engine "d"
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -16,7 +16,12 @@
 import h11
 
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
-from yokedock.router_errors import AnswerTooLong, BackendBroken, BackendUnreachable
+from yokedock.router_errors import (
+    AnswerTooLong,
+    BackendBroken,
+    BackendSilent,
+    BackendUnreachable,
+)
 
 READ_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -40,9 +45,14 @@
     ) -> None:
         """Wrap an open connection; use ``connect`` to open one."""
         self.address = address
-        self.uses = 0
         self.received_bytes = 0
         """Bytes received since the newest request was sent."""
+        self.heard_s = time.monotonic()
+        """When the peer last accepted the connection or sent something (monotonic s)."""
+        self.has_spoken = False
+        """Whether the peer has ever sent something on it."""
+        self.sent_s = 0.0
+        """When the newest request was sent (monotonic s)."""
         self._reader = reader
         self._writer = writer
         self._parser: h11.Connection | None = None
@@ -78,10 +88,14 @@
         """Return how long the connection has rested, in seconds."""
         return time.monotonic() - self._rests_since_s
 
+    def awaited_since_s(self) -> float:
+        """Return since when the peer has been silent while something was asked of it."""
+        return max(self.sent_s, self.heard_s)
+
     async def send(self, head: RequestHead, headers: list[Header], body: bytes) -> None:
         """Send one request; the body is written while the answer may already be read."""
-        self.uses += 1
         self.received_bytes = 0
+        self.sent_s = time.monotonic()
         self._is_fit = False
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         framed = [*headers]
@@ -172,9 +186,15 @@
                 return event
             try:
                 data = await self._reader.read(READ_BYTES)
+            except TimeoutError:
+                # Nothing that was sent has been acknowledged: the kernel gave the connection up.
+                raise BackendSilent(f"{self.address} acknowledges nothing") from None
             except OSError as error:
                 raise BackendBroken(f"{self.address}: {error.strerror or error}") from None
             self.received_bytes += len(data)
+            if data:
+                self.heard_s = time.monotonic()
+                self.has_spoken = True
             try:
                 self._parser.receive_data(data)
             except (h11.RemoteProtocolError, RuntimeError) as error:
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -14,16 +14,23 @@
         self.opened = 0
 
     async def take(
-        self, address: str, timeout_s: float, longest_rest_s: float = LONGEST_REST_S
+        self,
+        address: str,
+        timeout_s: float,
+        longest_rest_s: float = LONGEST_REST_S,
+        heard_after_s: float = 0.0,
     ) -> BackendConnection:
         """Return a connection that rested for at most ``longest_rest_s``, or a new one.
 
+        A resting one must have brought something after ``heard_after_s`` (monotonic).
+
         Raises ``BackendUnreachable`` when none can be opened.
         """
         resting = self._resting.get(address, [])
         while resting:
             connection = resting.pop()
-            if connection.is_reusable and connection.rested_s() <= longest_rest_s:
+            is_proven = connection.heard_s > heard_after_s
+            if connection.is_reusable and connection.rested_s() <= longest_rest_s and is_proven:
                 return connection
             connection.close()
         self.opened += 1
@@ -41,6 +48,16 @@
         for connection in self._resting.pop(address, []):
             connection.close()
 
+    def drop_quiet(self, address: str, since_s: float) -> None:
+        """Close what rests at ``address`` and has brought nothing since ``since_s`` (monotonic)."""
+        resting = self._resting.pop(address, [])
+        kept = [connection for connection in resting if connection.heard_s > since_s]
+        for connection in resting:
+            if connection not in kept:
+                connection.close()
+        if kept:
+            self._resting[address] = kept
+
     def size(self) -> int:
         """Return how many connections rest."""
         return sum(len(resting) for resting in self._resting.values())
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import AsyncIterator
 
-from yokedock.connection.backend_connection import BackendConnection
+from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
@@ -135,13 +135,14 @@
         The connection rests afterwards if its answer was read whole, else it is closed at once,
         so that the backend stops working on what nobody waits for.
         """
-        rest_s = {} if call.route.may_repeat else {"longest_rest_s": SHORT_REST_S}
+        rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
         timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
+        address = backend.entry.address
         try:
-            connection = await self.pool.take(backend.entry.address, timeout_s, **rest_s)
+            connection = await self.pool.take(address, timeout_s, rest_s, call.heard_after_s)
         except BackendUnreachable:
             backend.health.note_silence(time.monotonic())
-            self.pool.forget(backend.entry.address)
+            self.pool.forget(address)
             raise
         exchange = BackendExchange(connection, self.dialect, backend, call)
         backend.outstanding += 1
@@ -150,7 +151,9 @@
         except BackendRefused:
             backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
             raise
-        except BackendBroken:
+        except BackendBroken as error:
+            if isinstance(error, BackendSilent):
+                self._suspect_quiet(connection, call)
             backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
             raise
         finally:
@@ -159,3 +162,12 @@
                 self.pool.give_back(connection)
             else:
                 connection.abort()
+
+    def _suspect_quiet(self, connection: BackendConnection, call: RoutedCall) -> None:
+        """Drop the connections that may have gone silent with this one, and repeat on no such one.
+
+        Whatever brought something in the later half of the wait has outlived the silence.
+        """
+        heard_after_s = (connection.awaited_since_s() + time.monotonic()) / 2
+        call.heard_after_s = max(call.heard_after_s, heard_after_s)
+        self.pool.drop_quiet(connection.address, heard_after_s)
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -30,6 +30,8 @@
     arrivals: int = 0
     """Requests that reached a backend, refused ones included."""
     may_have_run: bool = False
+    heard_after_s: float = 0.0
+    """Only connections on which something came later may carry it (monotonic s)."""
 
     @property
     def request_id(self) -> str:
