Scenario: while a call that may run once waits on a silent connection, others use new ones

Red: the second call takes the next kept connection and gets 504 too; a wait that ends with the route's time-out tells of the silence only then.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -24,6 +24,16 @@
     And 1 request was left unanswered
     And no request ran twice
 
+  Scenario: While a call that may run once still waits, others use new connections
+    Given a plain backend "a"
+    And a router that knows them
+    And clients have used 4 connections to each backend with calls on "repeat"
+    And the open connections to every backend have gone silent
+    When a client sends POST on "once" and waits for 0.5 s
+    And a client sends POST on "brief" 5 times on one connection
+    Then every answer is 200 with the body of a backend
+    And 1 request was left unanswered
+
   Scenario: Nothing is dropped and nothing opened while every connection answers
     Given a plain backend "a"
     And a router that knows them
