A kept connection is suspected while its request still waits

Cause: a request that may not be repeated waits to its end, and the silence was noted only then; all calls until then met the next silent connection. Ruled out: ending the wait sooner (the request may be at work: its answer would be thrown away). Change: after the patience that a repeatable call would have had (plain: six times the expected latency, at least 0.3 s; streams: 1.2 s) the connections resting beside it are dropped while the wait goes on. The scenario's waiting caller was closed too early by the test itself; it is held now (red without the change: 504 for the second call).

--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -96,7 +96,8 @@
 
 @when('a client sends POST on "{name}" and waits for {wait_s:g} s')
 def send_and_wait(context, name, wait_s):
-    caller(context).send(request_bytes(name, body=b"abc", request_id="t-1"))
+    context.waiting = caller(context)
+    context.waiting.send(request_bytes(name, body=b"abc", request_id="t-1"))
     time.sleep(wait_s)
 
 
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
@@ -35,6 +35,9 @@
         self.backend = backend
         self.is_whole = False
         self.is_sent = False
+        self.on_quiet: Callable[[], None] = lambda: None
+        """Called when ``suspect_after`` says so."""
+        self._quiet_check: asyncio.TimerHandle | None = None
         self._connection = connection
         self._dialect = dialect
         self._call = call
@@ -51,6 +54,23 @@
         self.is_sent = True
         await self._connection.send(call.request.head, headers, call.request.body)
 
+    def suspect_after(self, quiet_s: float) -> None:
+        """Suspect the connection, while the wait goes on, once nothing has come for ``quiet_s``.
+
+        A request that may not be repeated waits to its end; others must not meet the same silence.
+        """
+        due_s = quiet_s - (time.monotonic() - self._connection.awaited_since_s())
+        if due_s <= 0:
+            self.on_quiet()
+            return
+        loop = asyncio.get_running_loop()
+        self._quiet_check = loop.call_later(due_s, self.suspect_after, quiet_s)
+
+    def close(self) -> None:
+        """End watching for silence."""
+        if self._quiet_check is not None:
+            self._quiet_check.cancel()
+
     async def read_head(self, timeout_s: float) -> AnswerHead:
         """Return the head of the answer.
 
@@ -145,6 +165,7 @@
             self.pool.forget(address)
             raise
         exchange = BackendExchange(connection, self.dialect, backend, call)
+        exchange.on_quiet = lambda: self._suspect_quiet(connection, call)
         backend.outstanding += 1
         try:
             yield exchange
@@ -157,6 +178,7 @@
             backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
             raise
         finally:
+            exchange.close()
             backend.outstanding -= 1
             if exchange.is_whole or not exchange.is_sent:
                 self.pool.give_back(connection)
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -127,6 +127,7 @@
         """Read the answer; a backend that is silent for longer than patience allows is avoided."""
         backend = exchange.backend
         patience_s = self._patience_s(call, backend)
+        exchange.suspect_after(self._registry.patience_s(backend))
         try:
             return await exchange.read_whole(patience_s)
         except BackendSilent:
