Scenario: an engine that answers on other connections is not avoided for one silent connection

Red: while three streams bring events, the engine of the fourth is avoided for a second after its one connection fell silent in the middle of a stream.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -91,3 +91,13 @@
     Then the client gets 6 events, each once and in order, and a whole end
     And 1 request was left unanswered
     And no request ran twice
+
+  Scenario: An engine that answers on other connections is not avoided for one that fell silent
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a decode engine "e"
+    And a router that knows them
+    And clients have used 2 connections to each decode engine with streams on "chat"
+    When one of 4 long streams on "chat" falls silent after event 3
+    Then it goes on at another engine
+    And every decode engine is still offered new streams
