--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -101,3 +101,11 @@
     When one of 4 long streams on "chat" falls silent after event 3
     Then it goes on at another engine
     And every decode engine is still offered new streams
+
+  Scenario: What a backend never acknowledges ends a wait in time, and makes no promise
+    Given a plain backend "a"
+    And backend "a" accepts connections and reads nothing
+    And a router that knows them
+    When a client sends POST on "once" with 900000 bytes and its time is taken
+    Then the client gets 502
+    And the answer came within 4 s
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -3,6 +3,7 @@
 from behave import given, step, then, when
 from router_steps import STREAM_HEADERS, caller, decode_engines, event_ids
 from support.router_world import request_bytes
+from support.unreading_backend import UnreadingBackend
 
 ROUNDS = 5
 EVENT_GAP_S = 0.05
@@ -81,6 +82,13 @@
         context.world.loop.call_soon_threadsafe(backend.go_silent)
 
 
+@given('backend "{name}" accepts connections and reads nothing')
+def reads_nothing(context, name):
+    unreading = UnreadingBackend()
+    context.add_cleanup(unreading.close)
+    context.world.backends[name].address = unreading.address
+
+
 def timed(context, data, router=None):
     context.caller = caller(context, router)
     sent_s = time.monotonic()
@@ -94,6 +102,11 @@
     timed(context, request_bytes(name, body=b"abc", request_id="t-1"))
 
 
+@when('a client sends POST on "{name}" with {size:d} bytes and its time is taken')
+def send_long_timed(context, name, size):
+    timed(context, request_bytes(name, body=b"x" * size, request_id="t-1"))
+
+
 @when('a client sends POST on "{name}" and waits for {wait_s:g} s')
 def send_and_wait(context, name, wait_s):
     context.waiting = caller(context)
