Sparing an engine for one silent connection is taken back: it cost more than it gave

Tried: not avoiding an engine that is heard on other connections. Conclusion: engines that lose some of their answers look like silent connections.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -49,8 +49,6 @@
         """Bytes received since the newest request was sent."""
         self.heard_s = time.monotonic()
         """When the peer last accepted the connection or sent something (monotonic s)."""
-        self.has_spoken = False
-        """Whether the peer has ever sent something on it."""
         self.sent_s = 0.0
         """When the newest request was sent (monotonic s)."""
         self._reader = reader
@@ -194,7 +192,6 @@
             self.received_bytes += len(data)
             if data:
                 self.heard_s = time.monotonic()
-                self.has_spoken = True
             try:
                 self._parser.receive_data(data)
             except (h11.RemoteProtocolError, RuntimeError) as error:
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -66,14 +66,6 @@
         loop = asyncio.get_running_loop()
         self._quiet_check = loop.call_later(due_s, self.suspect_after, quiet_s)
 
-    def has_spoken(self) -> bool:
-        """Return whether the connection has brought something, for this request or an earlier."""
-        return self._connection.has_spoken
-
-    def note_quiet(self, quiet_s: float) -> None:
-        """Note that the backend sent nothing on this connection for ``quiet_s``."""
-        self.backend.health.note_quiet(time.monotonic(), quiet_s, self.has_spoken())
-
     def close(self) -> None:
         """End watching for silence."""
         if self._quiet_check is not None:
@@ -90,7 +82,7 @@
                 head = await self._connection.read_head(self._is_ours)
         except TimeoutError:
             if timeout_s >= SILENT_S:
-                self.note_quiet(timeout_s)
+                self.backend.health.note_silence(time.monotonic())
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
@@ -133,7 +125,6 @@
         """Note that the answer was read whole."""
         self.is_whole = True
         now_s = time.monotonic()
-        self.backend.health.heard_s = now_s
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
 
     def _check_origin(self, head: AnswerHead, notes: AnswerNotes) -> None:
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -24,9 +24,6 @@
 SUSPECT_S = 1.0
 """A backend that did not accept or fell silent is avoided for this long, doubled each time."""
 LONGEST_SUSPECT_S = 4.0
-SPARED_AGAIN_S = 4.0
-"""A backend whose connections fall silent more often is avoided though it answers on others: kept
-connections rest no longer than this, so that a second such silence is not left from the first."""
 FAILURE_WEIGHT = 0.25
 """Weight of the newest answer in the share of failures."""
 FAILURE_HALF_LIFE_S = 4.0
@@ -52,10 +49,6 @@
     noted_s: float = 0.0
     suspect_until_s: float = 0.0
     suspect_for_s: float = SUSPECT_S
-    heard_s: float = float("-inf")
-    """When something came from the backend, on any connection."""
-    spared_s: float = float("-inf")
-    """When the silence of a connection was last not held against the backend."""
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of failures, faded since the last answer."""
@@ -83,20 +76,6 @@
             self.suspect_for_s = SUSPECT_S
         self.noted_s = now_s
 
-    def note_quiet(self, now_s: float, quiet_s: float, has_spoken: bool) -> None:
-        """Note that a connection has brought nothing for ``quiet_s`` though something was due.
-
-        One that ``has_spoken`` before is at fault itself if the backend was heard on another since:
-        open connections can fall silent for good while new ones work.
-        """
-        is_heard = self.heard_s > now_s - quiet_s / 2
-        is_same_time = now_s - quiet_s <= self.spared_s
-        is_rare = now_s - self.spared_s > SPARED_AGAIN_S
-        if not (has_spoken and is_heard and (is_same_time or is_rare)):
-            self.note_silence(now_s)
-        elif is_rare:
-            self.spared_s = now_s
-
     def note_silence(self, now_s: float) -> None:
         """Note that the backend could not be reached or gave no answer."""
         if not self.is_suspect(now_s):
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -322,7 +322,7 @@
         is_resumable = call.route.resumable and call.runs < call.route.max_attempts
         patience_s = STALL_S if is_resumable else call.left_s()
         exchange.suspect_after(STALL_S)
-        stream = self._watch.open(exchange.backend, is_resumable, exchange.has_spoken())
+        stream = self._watch.open(exchange.backend, is_resumable)
         try:
             head = await stream.within(patience_s, exchange.read_head(call.left_s()))
             state.source = None
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -132,7 +132,7 @@
             return await exchange.read_whole(patience_s)
         except BackendSilent:
             if patience_s >= self._registry.patience_s(backend):
-                exchange.note_quiet(patience_s)
+                backend.health.note_silence(time.monotonic())
             raise
 
     def _patience_s(self, call: RoutedCall, backend: Backend) -> float:
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -37,8 +37,6 @@
     may_move: bool
     """Whether the request may be sent to another engine."""
     clock: Callable[[], float]
-    has_spoken: bool = False
-    """Whether its connection had brought something before."""
     has_begun: bool = False
     limit: asyncio.Timeout | None = None
     """Patience with what is awaited now."""
@@ -49,8 +47,7 @@
             async with asyncio.timeout(patience_s) as self.limit:
                 return await awaited
         except TimeoutError:
-            has_spoken = self.has_spoken or self.has_begun
-            self.engine.health.note_quiet(self.clock(), patience_s, has_spoken)
+            self.engine.health.note_silence(self.clock())
             raise BackendSilent(f"{self.engine.name}: the stream stalled") from None
         finally:
             self.limit = None
@@ -73,9 +70,9 @@
         self._checked_s = 0.0
         self._is_check_due = False
 
-    def open(self, engine: Backend, may_move: bool, has_spoken: bool = False) -> WatchedStream:
-        """Watch a stream that was sent to ``engine``; ``has_spoken``: its connection was used."""
-        stream = WatchedStream(engine, may_move, self._clock, has_spoken)
+    def open(self, engine: Backend, may_move: bool) -> WatchedStream:
+        """Watch a stream that was sent to ``engine``."""
+        stream = WatchedStream(engine, may_move, self._clock)
         if not self._streams:
             self._checked_s = self._clock()
         self._streams.add(stream)
@@ -85,7 +82,7 @@
     def heard(self, stream: WatchedStream) -> None:
         """Note that something came from the stream's engine."""
         stream.has_begun = True
-        self._heard_s[stream.engine.name] = stream.engine.health.heard_s = self._clock()
+        self._heard_s[stream.engine.name] = self._clock()
 
     def close(self, stream: WatchedStream) -> None:
         """End watching."""
