Routers name each other once a second instead of in every datagram

Cause: 120 of the 237 bytes of a usual datagram were addresses that hardly ever change; with twenty routers gossip is most of the bytes between zones. Only the first twelve were ever named. Change: addresses go out once a second, and at once to whoever is new or while a router is young; each time those behind the ones named before.

--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -32,7 +32,10 @@
 CALL_SILENT_S = 0.9
 """Silent routers are called this often."""
 MOST_NAMED = 12
-"""Addresses of other routers in one datagram."""
+"""Addresses of other routers in one datagram; the next one names those behind them."""
+NAMED_INTERVAL_S = 1.0
+"""Addresses are half of a datagram (120 of 237 bytes measured) and seldom new: they are sent this
+often, and at once to whoever is new or while this router is."""
 
 
 class OtherRouter(msgspec.Struct):
@@ -57,7 +60,7 @@
         on_state: Callable[[OtherRouter], None],
         on_silent: Callable[[OtherRouter], None],
     ) -> None:
-        """``make_state`` gets a sequence number and the addresses that are heard."""
+        """``make_state`` gets a sequence number and the addresses to name."""
         self._own_address = own_address
         self._port = port
         self._make_state = make_state
@@ -67,6 +70,8 @@
         self._seeds = seeds
         self._sequence = 0
         self._sent_s = 0.0
+        self._named_s = 0.0
+        self._first_named = 0
         self._is_sending = False
         self._started_s = time.monotonic()
         self._transport: asyncio.DatagramTransport | None = None
@@ -140,6 +145,7 @@
             self._know(address)
         if is_new:
             _log.info("router heard", address=other.address, name=state.name)
+            self._named_s = 0.0
             self.change()
         self._on_state(other)
 
@@ -165,8 +171,7 @@
         now_s = time.monotonic()
         self._sent_s = now_s
         self._sequence += 1
-        heard = tuple(other.address for other in self.alive()[:MOST_NAMED])
-        data = self._encoder.encode(self._make_state(self._sequence, heard))
+        data = self._encoder.encode(self._make_state(self._sequence, self._named(now_s)))
         for other in self._others.values():
             is_silent = other.heard_s < now_s - SILENT_S
             is_young = now_s - self._started_s < FIRST_CALLS_S
@@ -175,6 +180,17 @@
             other.called_s = now_s
             self._transport.sendto(data, (other.address, self._port))
 
+    def _named(self, now_s: float) -> tuple[str, ...]:
+        """Return the addresses to name now: some of the routers that are heard, or none."""
+        is_young = now_s - self._started_s < FIRST_CALLS_S
+        if not is_young and now_s - self._named_s < NAMED_INTERVAL_S:
+            return ()
+        self._named_s = now_s
+        alive = self.alive()
+        first = self._first_named % len(alive) if alive else 0
+        self._first_named = first + MOST_NAMED
+        return tuple(other.address for other in (alive[first:] + alive[:first])[:MOST_NAMED])
+
     def _notice_silence(self) -> None:
         now_s = time.monotonic()
         for other in list(self._others.values()):
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -44,6 +44,6 @@
     changing: tuple[str, ...]
     """Engines whose role it is changing."""
     routers: tuple[str, ...]
-    """Addresses (IP) of routers that it hears."""
+    """Addresses (IP) of some routers that it hears; named now and then."""
     queues: dict[str, QueueShare] = {}
     """By service; a router of an older version tells none."""
