The metrics page tells how many routers serve by an older version

Sight for the configuration incident: nothing told how long a version takes to be in force everywhere. router_routers_behind counts routers heard a moment ago with an older version; its scenario is new.

--- a/features/router_narrow_links.feature
+++ b/features/router_narrow_links.feature
@@ -30,6 +30,13 @@
     Then the second router has version 2 within 1.0 s
     And within 3.0 s the link has carried less than half of that version
 
+  Scenario: A router tells operators how many others serve by an older version
+    Given a router that reads the store
+    And a second router that hears it and reads nothing
+    When the store gets version 2, which the second router may not take over
+    Then the router's figures tell within 1.0 s that 1 router is behind
+    And they tell that 0 routers are behind 1.0 s after the second may take it over
+
   Scenario: A router that starts alone on a narrow link becomes ready
     Given the store holds version 2, which the link carries in 3.2 s
     When a router starts that reads the store over a narrow link
--- a/features/steps/router_narrow_steps.py
+++ b/features/steps/router_narrow_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import re
 import time
 
 from behave import given, then, when
@@ -131,6 +132,44 @@
         publish(context, version, context.seconds)
 
 
+@given("a second router that hears it and reads nothing")
+def second_reads_nothing(context):
+    first = context.router.settings.fleet.address
+    address = f"127.0.0.2:{first.rpartition(':')[2]}"
+    context.second = context.world.start_router(None, (first,), address)
+    context.world.wait_for(lambda: context.second.is_ready, "ready")
+
+
+@when("the store gets version {version:d}, which the second router may not take over")
+def publish_unshared(context, version):
+    context.taking = context.second._exchange.heard
+    context.second._exchange.heard = lambda: None
+    in_loop(context, context.store.publish, configuration(version))
+
+
+def wait_for_behind(context, count, limit_s):
+    until_s = time.monotonic() + limit_s
+    behind = None
+    while behind != count and time.monotonic() < until_s:
+        request = b"GET /metrics HTTP/1.1\r\nHost: router\r\n\r\n"
+        caller = RawCaller(context.world, context.router.settings.fleet.address)
+        caller.send(request)
+        page = caller.read_answer()[2].decode()
+        behind = int(float(re.search(r"^router_routers_behind (\S+)$", page, re.M)[1]))
+    assert behind == count, behind
+
+
+@then("the router's figures tell within {limit_s:g} s that {count:d} router is behind")
+def some_behind(context, limit_s, count):
+    wait_for_behind(context, count, limit_s)
+
+
+@then("they tell that {count:d} routers are behind {limit_s:g} s after the second may take it over")
+def none_behind(context, count, limit_s):
+    context.second._exchange.heard = context.taking
+    wait_for_behind(context, count, limit_s)
+
+
 def has_version_within(context, router, version, limit_s):
     left_s = context.published_s + limit_s - time.monotonic()
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -290,6 +290,7 @@
             "waiting_in_time": self._placement.waiting_in_time(),
             "routers_known": self._gossip.known(),
             "routers_heard": self._gossip.fleet_size(),
+            "routers_behind": self._exchange.behind(),
             "table_version": self._follower.version,
             "state_position": self._follower.position,
             "state_undecoded": self._follower.undecoded,
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -97,6 +97,11 @@
             self._packed = table.version, zlib.compress(msgspec.msgpack.encode(table), FASTEST)
         return self._packed[1]
 
+    def behind(self) -> int:
+        """Return how many routers heard a moment ago serve by an older version than this one."""
+        states = [other.state for other in self._alive() if other.state is not None]
+        return sum(state.table_version < self._follower.version for state in states)
+
     # --- Fetching ---
 
     def heard(self) -> None:
