Whether a router is behind is checked against the one heard, not against all

Each datagram went through the states of all other routers: n datagrams of n routers make n * n looks. Now each looks at its own sender. Behaviour is unchanged; router_narrow_links, router_state pass.

--- a/features/steps/router_narrow_steps.py
+++ b/features/steps/router_narrow_steps.py
@@ -143,7 +143,7 @@
 @when("the store gets version {version:d}, which the second router may not take over")
 def publish_unshared(context, version):
     context.taking = context.second._exchange.heard
-    context.second._exchange.heard = lambda: None
+    context.second._exchange.heard = lambda state: None
     in_loop(context, context.store.publish, configuration(version))
 
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -340,7 +340,7 @@
         self._highest_token = max(self._highest_token, state.token)
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
-        self._exchange.heard()
+        self._exchange.heard(state)
 
     def _leading_token(self) -> int | None:
         """Return this router's fencing token while it leads; a new one each time it begins to."""
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -19,6 +19,7 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.http_get import DOCUMENT_PROGRESS
 from yokedock.connection.router_gossip import OtherRouter
+from yokedock.connection.router_state import RouterState
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
 from yokedock.errors import BadRequest
@@ -106,9 +107,9 @@
 
     # --- Fetching ---
 
-    def heard(self) -> None:
-        """Catch up with the routers that are ahead, unless that is under way."""
-        if self._task is None and self._ahead_of(self._mark()):
+    def heard(self, state: RouterState) -> None:
+        """Catch up with the routers that are ahead if this one is, unless that is under way."""
+        if self._task is None and not _mark_of(state).is_reached_by(self._mark()):
             self._task = asyncio.create_task(self._catch_up())
             self._task.add_done_callback(self._done)
 
@@ -130,8 +131,7 @@
         return [
             other
             for other in self._alive()
-            if other.state is not None
-            and not StateMark(other.state.table_version, other.state.position).is_reached_by(mark)
+            if other.state is not None and not _mark_of(other.state).is_reached_by(mark)
         ]
 
     async def _catch_up(self) -> None:
@@ -168,6 +168,10 @@
         return True
 
 
+def _mark_of(state: RouterState) -> StateMark:
+    return StateMark(state.table_version, state.position)
+
+
 def unpack(body: bytes) -> StateSnapshot:
     """Return the state that another router gave; raises ``MsgspecError`` or ``zlib.error``."""
     packed = msgspec.msgpack.decode(body, type=PackedState)
