--- /dev/null
+++ b/features/router_soak.feature
@@ -0,0 +1,55 @@
+Feature: Four routers as deployed, in faults and planned work that overlap
+
+  Scenario Outline: <seconds> seconds of faults and planned work, drawn with the seed <seed>
+    Given routers built by the deploy file's own build line
+    When four of them are soaked for <seconds> seconds with the seed <seed>
+    Then clients and backends have seen no rule broken
+    And routers were stopped, frozen and told of new configurations meanwhile
+
+    Examples:
+      | seed | seconds |
+      | 1    | 20      |
+      | 2    | 20      |
+      | 3    | 20      |
+
+  Scenario Outline: The judge finds what is wrong: <fault>
+    Given a history in which <fault>
+    Then the judge finds a broken rule "<rule>" and nothing else
+
+    Examples: requests
+      | fault                                                           | rule    |
+      | a request that may run once ran at two backends                 | TWICE   |
+      | a refused request had run                                       | REFUSED |
+      | a request was cut in a router that was stopping                 | LOST    |
+      | a request that was passed on was cut                            | LOST    |
+      | no answer came by the deadline                                  | LOST    |
+      | a sound backend's answer was given up                           | ANSWER  |
+      | a failure came that no backend gave                             | ANSWER  |
+      | a proper request was rejected                                   | ANSWER  |
+      | the answer has a fault of its own                               | MIXED   |
+      | a backend ran what nobody sent                                  | UNASKED |
+      | the body was changed on its way                                 | UNASKED |
+      | another service than the route's ran it                         | ROUTE   |
+
+    Examples: time bounds
+      | fault                                                           | rule    |
+      | a backend listed as leaving got a request                       | DRAIN   |
+      | an old configuration was in force for too long                  | CONFIG  |
+      | a router went back to an older configuration                    | CONFIG  |
+      | extra arrivals went over the budget                             | BUDGET  |
+      | a process ended by itself                                       | ENDED   |
+      | a process did not stop in its grace                             | ENDED   |
+      | a router held a request at the end                              | HELD    |
+
+  Scenario Outline: The judge binds nobody to what nobody promised: <history>
+    Given a history in which <history>
+    Then the judge finds no broken rule
+
+    Examples:
+      | history                                                         |
+      | nothing went wrong                                              |
+      | a killed router cut a request                                   |
+      | a request crossed the close of its connection                   |
+      | a backend broke off a stream                                    |
+      | a backend listed as leaving got a request from a frozen router  |
+      | an old configuration was in force while the store was silent    |
--- /dev/null
+++ b/features/support/soak_histories.py
@@ -0,0 +1,194 @@
+"""Made-up histories of a soak, each with one thing that its judge must find, or must not."""
+
+from yokedock_emulator.router_soak.soak_records import (
+    Arrival,
+    ClientRecord,
+    RouterLife,
+    SoakHistory,
+    SoakRoute,
+)
+
+START_S = 1000.0
+
+
+class Made:
+    """A history with one router and five configurations, the newest long confirmed."""
+
+    def __init__(self):
+        self.life = RouterLife(0, 1, START_S - 100.0, START_S - 99.0)
+        self.history = SoakHistory(lives={(0, 1): self.life})
+        self.history.published_s = {v: START_S - 60.0 + 10.0 * v for v in range(1, 6)}
+        self.history.at_end = {0: {"router_active": 0.0, "router_table_promises": 0.0}}
+
+    def request(self, kind="once", version=4, at_s=0.0, took_s=0.1, status=200, outcome="answered"):
+        """Add a request that was seen through."""
+        name = f"r{len(self.history.records)}"
+        record = ClientRecord(name, SoakRoute(kind, version, 0), 0, 1, b"abc", START_S + at_s)
+        record.end_s, record.status, record.outcome = record.sent_s + took_s, status, outcome
+        self.history.records[name] = record
+        return record
+
+    def arrival(self, record, instance="i-1", outcome="whole", late_s=0.01):
+        """Add an arrival of a request."""
+        target = f"/{record.route.name}/x?of={record.request_id}"
+        arrival = Arrival(
+            record.request_id,
+            instance,
+            record.route.service,
+            "POST",
+            target,
+            record.body,
+            record.sent_s + late_s,
+            False,
+            outcome,
+        )
+        self.history.arrivals.append(arrival)
+        return arrival
+
+
+def nothing(made):
+    made.arrival(made.request())
+
+
+def ran_twice(made):
+    record = made.request()
+    made.arrival(record, "i-1", "broken")
+    made.arrival(record, "i-2")
+
+
+def refused_had_run(made):
+    made.arrival(made.request(status=503))
+
+
+def cut_while_stopping(made):
+    made.life.terminated_s, made.life.ended_s, made.life.exit_code = START_S, START_S + 3.0, 0
+    made.request(outcome="cut", status=None, took_s=0.5)
+
+
+def passed_on_and_cut(made):
+    made.arrival(made.request(outcome="cut", status=None), outcome="broken")
+
+
+def gave_up(made):
+    made.request(outcome="gave up", status=None, took_s=10.0)
+
+
+def given_up(made):
+    made.arrival(made.request("repeat", status=502, took_s=0.3), outcome="broken")
+
+
+def own_failure(made):
+    made.arrival(made.request(status=500))
+
+
+def rejected(made):
+    made.request(status=400)
+
+
+def faulty_answer(made):
+    record = made.request()
+    record.problems.append("the body is not the backend's")
+    made.arrival(record)
+
+
+def unasked(made):
+    record = made.request()
+    made.arrival(record)
+    made.arrival(record).request_id = "nobody's"
+
+
+def changed_body(made):
+    made.arrival(made.request()).body = b"abd"
+
+
+def other_service(made):
+    made.arrival(made.request()).service = "plain-b"
+
+
+def late_to_leaving(made):
+    made.history.leaving_s["i-1"] = START_S - 3.5
+    made.arrival(made.request())
+
+
+def old_version(made):
+    made.arrival(made.request(version=2))
+
+
+def went_back(made):
+    made.history.published_s |= {5: START_S - 2.0}
+    made.arrival(made.request(version=5, at_s=-1.5))
+    made.request(version=5, at_s=-1.0, status=404)
+
+
+def over_budget(made):
+    for number in range(14):
+        record = made.request("repeat", at_s=0.1 * number)
+        made.arrival(record, "i-1", "failed")
+        made.arrival(record, "i-2")
+
+
+def ended_itself(made):
+    made.life.ended_s, made.life.exit_code = START_S, 1
+
+
+def outstayed(made):
+    made.life.terminated_s, made.life.killed_s = START_S, START_S + 8.1
+    made.life.ended_s, made.life.exit_code = START_S + 8.2, -9
+
+
+def held(made):
+    made.history.at_end[0]["router_active"] = 1.0
+
+
+def killed_and_cut(made):
+    made.life.killed_s, made.life.ended_s, made.life.exit_code = START_S + 0.1, START_S + 0.1, -9
+    made.arrival(made.request(outcome="cut", status=None, took_s=0.2), outcome="broken")
+
+
+def crossed(made):
+    made.request(outcome="cut", status=None, took_s=0.1)
+
+
+def backend_broke_off(made):
+    record = made.request("talk", outcome="cut")
+    made.arrival(record, outcome="broken").is_own_end = True
+
+
+def late_from_frozen(made):
+    made.life.freezes.append((START_S - 3.0, START_S - 0.5))
+    late_to_leaving(made)
+
+
+def old_while_silent(made):
+    made.history.published_s[5] = START_S - 6.0
+    made.history.store_silent_s.append((START_S - 5.5, START_S - 1.0))
+    made.arrival(made.request(version=2))
+
+
+HISTORIES = {
+    "nothing went wrong": nothing,
+    "a request that may run once ran at two backends": ran_twice,
+    "a refused request had run": refused_had_run,
+    "a request was cut in a router that was stopping": cut_while_stopping,
+    "a request that was passed on was cut": passed_on_and_cut,
+    "no answer came by the deadline": gave_up,
+    "a sound backend's answer was given up": given_up,
+    "a failure came that no backend gave": own_failure,
+    "a proper request was rejected": rejected,
+    "the answer has a fault of its own": faulty_answer,
+    "a backend ran what nobody sent": unasked,
+    "the body was changed on its way": changed_body,
+    "another service than the route's ran it": other_service,
+    "a backend listed as leaving got a request": late_to_leaving,
+    "an old configuration was in force for too long": old_version,
+    "a router went back to an older configuration": went_back,
+    "extra arrivals went over the budget": over_budget,
+    "a process ended by itself": ended_itself,
+    "a process did not stop in its grace": outstayed,
+    "a router held a request at the end": held,
+    "a killed router cut a request": killed_and_cut,
+    "a request crossed the close of its connection": crossed,
+    "a backend broke off a stream": backend_broke_off,
+    "a backend listed as leaving got a request from a frozen router": late_from_frozen,
+    "an old configuration was in force while the store was silent": old_while_silent,
+}
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -234,6 +234,27 @@
     print_report(report)
 
 
+@app.command(name="router-soak")
+def router_soak(
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    seeds: int = 1,
+    out: Path = Path("build/test-logs"),
+) -> None:
+    """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
+
+    Run in the root of the repository. Ends with status 1 if a rule was broken; the schedule, the
+    stories and the logs are then kept in OUT.
+    """
+    from yokedock_emulator.router_soak.router_soak import run_soaks
+
+    reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out)
+    broken = [report.seed for report in reports if report.violations]
+    print(f"{len(reports) - len(broken)} passed, {len(broken)} failed {broken}")
+    raise SystemExit(1 if broken else 0)
+
+
 @app.command(name="hollow-agents")
 def hollow_agents(*, count: int) -> None:
     """Run COUNT agents without back ends in one process, and print their addresses."""
--- a/src/yokedock_emulator/deployed_router.py
+++ b/src/yokedock_emulator/deployed_router.py
@@ -55,7 +55,7 @@
 
         Its logs go to the descriptor ``output``.
         """
-        settings = self._folder / "router.ini"
+        settings = self._folder / f"{fields['nodeName']}.ini"
         settings.write_text(fill(self._template.read_text(), fields))
         environment = _environment()
         environment["PYTHONPATH"] = str(self._folder / "target" / "deps")
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -0,0 +1,140 @@
+"""One soak from its start to its judgement."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+from yokedock_emulator.deployed_router import DeployedRouter
+from yokedock_emulator.router_soak.soak_clients import SoakClients
+from yokedock_emulator.router_soak.soak_fleet import SoakFleet
+from yokedock_emulator.router_soak.soak_judge import judge
+from yokedock_emulator.router_soak.soak_operator import SoakOperator
+from yokedock_emulator.router_soak.soak_plan import (
+    LARGE_ROUTES,
+    ROUTER_FAULTS,
+    ROUTERS,
+    SoakEvent,
+    draw_plan,
+)
+from yokedock_emulator.router_soak.soak_records import SoakHistory
+from yokedock_emulator.router_soak.soak_report import (
+    SoakReport,
+    keep_report,
+    make_report,
+    print_report,
+)
+
+CALM_S = 1.0
+"""Callers go on for so long after the last event."""
+EMPTY_LIMIT_S = 3.0
+"""What is left of the work must be gone by then."""
+TICK_S = 0.05
+STOOD_STILL_S = 0.4
+"""A tick that comes so late shows that this process itself did not run."""
+
+
+class RouterSoak:
+    """One soak; ``run`` is its life."""
+
+    def __init__(self, seed: int, seconds: float, router: DeployedRouter, folder: Path) -> None:
+        """Run routers that are built already; logs go to ``folder``."""
+        self._seed = seed
+        self._seconds = seconds
+        self._folder = folder
+        self._router = router
+        self._history = SoakHistory()
+        self._operator = SoakOperator(self._history)
+        self._began_s = 0.0
+
+    async def run(self) -> SoakReport:
+        """Run to the end and judge; raises ``TimeoutError`` if routers do not get ready."""
+        ticks = asyncio.create_task(self._tick())
+        await self._operator.start()
+        fleet = SoakFleet(
+            self._router, self._operator.store.address, self._folder, self._seed, self._history
+        )
+        try:
+            await fleet.start()
+            await self._drive(fleet)
+            await self._look_at_end(fleet)
+            await fleet.stop()
+        finally:
+            fleet.close()
+            self._operator.stop()
+            ticks.cancel()
+        violations = judge(self._history)
+        return make_report(self._seed, self._seconds, self._began_s, self._history, violations)
+
+    async def _drive(self, fleet: SoakFleet) -> None:
+        clients = SoakClients(self._seed, fleet, self._operator, self._history)
+        self._began_s = time.monotonic()
+        calls = asyncio.create_task(clients.run())
+        for event in draw_plan(self._seed, self._seconds):
+            await asyncio.sleep(self._began_s + event.at_s - time.monotonic())
+            done = await self._strike(fleet, event)
+            if done:
+                self._history.tell(time.monotonic(), done)
+        await asyncio.sleep(self._began_s + self._seconds + CALM_S - time.monotonic())
+        clients.stop()
+        await calls
+
+    async def _strike(self, fleet: SoakFleet, event: SoakEvent) -> str:
+        """Do what the plan says; return what was done, empty if it was not possible."""
+        operator = self._operator
+        if event.kind in ROUTER_FAULTS:
+            return fleet.strike(event)
+        if event.kind in ("configuration", "large configuration"):
+            operator.publish(LARGE_ROUTES if event.kind.startswith("large") else 0)
+            return f"{event.kind} {operator.version}"
+        if event.kind == "store silent":
+            operator.silence_store(event.length_s)
+            return f"store silent {event.length_s:.2f}"
+        if event.kind == "store connection silent":
+            return event.kind if operator.store.silence_connection(event.target) else ""
+        return f"{event.kind} {await operator.strike(event)} {event.length_s:.2f}"
+
+    async def _look_at_end(self, fleet: SoakFleet) -> None:
+        """Read what routers still hold once nobody calls."""
+        await fleet.settle()
+        for router in range(ROUTERS):
+            until_s = time.monotonic() + EMPTY_LIMIT_S
+            while True:
+                levels = await fleet.levels(router)
+                self._history.at_end[router] = levels
+                if not levels["router_active"] or time.monotonic() > until_s:
+                    break
+                await asyncio.sleep(TICK_S)
+
+    async def _tick(self) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            while True:
+                before_s = time.monotonic()
+                await asyncio.sleep(TICK_S)
+                now_s = time.monotonic()
+                if now_s - before_s > STOOD_STILL_S:
+                    self._history.stood_still_s.append((before_s, now_s))
+
+
+def run_soak(seed: int, seconds: float, router: DeployedRouter, out: Path) -> SoakReport:
+    """Run one soak of routers that are built already; a folder in ``out`` gets logs and report."""
+    kept = out / f"router-soak-{seed}"
+    kept.mkdir(parents=True, exist_ok=True)
+    report = asyncio.run(RouterSoak(seed, seconds, router, kept).run())
+    keep_report(report, kept)
+    print_report(report, kept)
+    return report
+
+
+def run_soaks(
+    seeds: Iterable[int], seconds: float, repository: Path, out: Path
+) -> list[SoakReport]:
+    """Build the router once and run a soak for each seed."""
+    with tempfile.TemporaryDirectory() as folder:
+        router = DeployedRouter(repository, Path(folder))
+        router.build()
+        return [run_soak(seed, seconds, router, out) for seed in seeds]
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -0,0 +1,169 @@
+"""A backend of the soak: plain service or model engine, with a ledger and with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import msgspec
+
+from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
+from yokedock.request.engine_placement import PREFILL_ROLE
+from yokedock_emulator.plain_http import (
+    PlainRequest,
+    answer_head,
+    chunk,
+    read_request,
+    whole_answer,
+)
+from yokedock_emulator.router_soak.soak_records import (
+    Arrival,
+    SoakHistory,
+    answer_body,
+    event,
+    event_count,
+)
+
+LONG_SHARE = 0.08
+"""Share of plain requests that take ``LONG_S`` instead of ``SHORT_S``."""
+SHORT_S = (0.001, 0.08)
+LONG_S = (0.3, 1.5)
+PREFILL_S = (0.003, 0.03)
+STEP_S = (0.008, 0.04)
+"""Pause before each event of a stream."""
+OWN_CALLS = ("GET", "DELETE")
+Headers = list[tuple[str, str]]
+
+
+class SoakBackend:
+    """One incarnation. ``mode`` is ``normal``, ``errors`` or ``refusals``."""
+
+    def __init__(self, instance: str, service: str, role: str, history: SoakHistory) -> None:
+        """Prepare; ``start`` listens. What arrives is noted in ``history``."""
+        self.instance = instance
+        self.service = service
+        self.role = role
+        self.mode = "normal"
+        self.is_leaving = False
+        self.is_dead = False
+        self.address = ""
+        self._history = history
+        self._choices = random.Random(instance)
+        self._server: asyncio.Server | None = None
+        self._working: dict[asyncio.StreamWriter, Arrival | None] = {}
+
+    async def start(self, address: str = "127.0.0.1:0") -> None:
+        """Listen at ``address``."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def kill(self) -> None:
+        """End at once: what is under way is broken off."""
+        self.is_dead = True
+        if self._server is not None:
+            self._server.close()
+        for writer, arrival in list(self._working.items()):
+            if arrival is not None and arrival.outcome == "working":
+                arrival.outcome, arrival.is_own_end = "broken", True
+            writer.transport.abort()
+
+    async def end(self, patience_s: float) -> None:
+        """End in order: take no more connections, and let what is under way end."""
+        if self._server is not None:
+            self._server.close()
+        until_s = time.monotonic() + patience_s
+        while any(self._working.values()) and time.monotonic() < until_s:
+            await asyncio.sleep(0.02)
+        self.kill()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._working[writer] = None
+        try:
+            while (request := await read_request(reader)) is not None and not self.is_dead:
+                await self._one(request, writer)
+                self._working[writer] = None
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            arrival = self._working[writer]
+            if arrival is not None and arrival.outcome == "working":
+                arrival.outcome = "broken"
+        finally:
+            del self._working[writer]
+            writer.close()
+
+    async def _one(self, request: PlainRequest, writer: asyncio.StreamWriter) -> None:
+        headers = request.headers
+        request_id = headers.get(NAMES.request_id.lower(), "")
+        head: Headers = [(NAMES.request_id, request_id)] if request_id else []
+        if self.is_leaving:
+            head.append(("Connection", "close"))
+        if headers.get(NAMES.instance.lower(), self.instance) != self.instance:
+            writer.write(whole_answer(421, [*head, (NAMES.not_run, "1")], b""))
+            return
+        if request.method in OWN_CALLS or request.target == NAMES.order_path:
+            writer.write(whole_answer(200, head, b'{"held":[]}'))
+            return
+        is_prefill = headers.get(NAMES.stage.lower()) == NAMES.prefill_stage
+        arrival = Arrival(
+            request_id,
+            self.instance,
+            self.service,
+            request.method,
+            request.target,
+            request.body,
+            time.monotonic(),
+            is_prefill,
+        )
+        self._working[writer] = arrival
+        self._history.arrivals.append(arrival)
+        await self._answer(request, arrival, head, writer)
+        await writer.drain()
+        if arrival.outcome == "working":
+            arrival.outcome = "whole"
+
+    async def _answer(
+        self, request: PlainRequest, arrival: Arrival, head: Headers, writer: asyncio.StreamWriter
+    ) -> None:
+        signed = [*head, (NAMES.signature, f"{self.instance}.{arrival.request_id}")]
+        is_wrong_stage = self.role == PREFILL_ROLE and not arrival.is_prefill
+        if is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
+            arrival.outcome = "refused"
+            status = 421 if is_wrong_stage else 503
+            writer.write(whole_answer(status, [*head, (NAMES.not_run, "1")], b""))
+        elif self.mode == "errors" and self._choices.random() < 0.7:
+            arrival.outcome = "failed"
+            writer.write(whole_answer(500, signed, b"failed"))
+        elif arrival.is_prefill:
+            await asyncio.sleep(self._choices.uniform(*PREFILL_S))
+            result = {NAMES.handle_field: f"h-{arrival.request_id}", NAMES.tokens_field: 100}
+            writer.write(whole_answer(200, head, msgspec.json.encode(result)))
+        elif self.role:
+            first = int(request.headers.get(NAMES.last_event_id.lower(), "0")) + 1
+            await self._stream(request.body, first, signed, writer)
+        else:
+            await self._whole(answer_body(arrival.request_id, request.target), signed, writer)
+
+    async def _whole(self, body: bytes, head: Headers, writer: asyncio.StreamWriter) -> None:
+        is_long = self._choices.random() < LONG_SHARE
+        pause_s = self._choices.uniform(*(LONG_S if is_long else SHORT_S))
+        answer = whole_answer(200, head, body)
+        cut = self._choices.randrange(len(answer))
+        await asyncio.sleep(pause_s * 0.7)
+        writer.write(answer[:cut])
+        await asyncio.sleep(pause_s * 0.3)
+        writer.write(answer[cut:])
+
+    async def _stream(
+        self, prompt: bytes, first: int, head: Headers, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(answer_head(200, [*head, ("Transfer-Encoding", "chunked")]))
+        for number in range(first, event_count(prompt) + 1):
+            await asyncio.sleep(self._choices.uniform(*STEP_S))
+            data = event(prompt, number)
+            cut = self._choices.randrange(1, len(data))
+            writer.write(chunk(data[:cut]))
+            await writer.drain()
+            writer.write(chunk(data[cut:]))
+        writer.write(chunk(b""))
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -0,0 +1,220 @@
+"""Callers of the soak: they keep connections until the process is gone, and note what they see."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
+from yokedock_emulator.router_soak.soak_connection import SoakAnswer, SoakConnection
+from yokedock_emulator.router_soak.soak_fleet import SoakFleet
+from yokedock_emulator.router_soak.soak_operator import HOST, SoakOperator
+from yokedock_emulator.router_soak.soak_plan import ROUTERS
+from yokedock_emulator.router_soak.soak_records import (
+    KINDS,
+    LIVES_IN,
+    ROUTES_A_KIND,
+    STREAMS,
+    ClientRecord,
+    SoakHistory,
+    SoakRoute,
+    answer_body,
+    event,
+    event_count,
+)
+
+CALLERS = 32
+KEPT_SHARE = 0.75
+"""Share of callers that keep a connection for as long as it lasts; others send a few requests."""
+FEW = (1, 6)
+THINK_S = (0.0, 0.15)
+LEAVING_SHARE = 0.03
+LEAVES_AFTER_S = (0.0, 0.3)
+OTHER_ROUTE_SHARE = 0.15
+"""Share of requests on a route of the newest configuration, or of one that is gone."""
+DEADLINE_MS = 8000
+PATIENCE_S = 10.0
+"""Longer than the deadline: a caller sees also what comes late."""
+CONNECT_LIMIT_S = 1.0
+GOES_ON_SHARE = 0.8
+"""Share of broken streams that may be resumed whose callers take them up again."""
+MOST_BODY_BYTES = 3000
+
+
+class SoakClients:
+    """All callers; ``run`` ends when ``stop`` was called and each has its last answer."""
+
+    def __init__(
+        self, seed: int, fleet: SoakFleet, operator: SoakOperator, history: SoakHistory
+    ) -> None:
+        """Call the routers of ``fleet`` on the routes that ``operator`` has published."""
+        self._seed = seed
+        self._fleet = fleet
+        self._operator = operator
+        self._history = history
+        self._is_stopping = False
+        self._sent = 0
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._is_stopping = True
+
+    async def run(self) -> None:
+        """Call until stopped."""
+        await asyncio.gather(*(self._call(number) for number in range(CALLERS)))
+
+    async def _call(self, number: int) -> None:
+        choices = random.Random(f"{self._seed}-{number}")
+        keeps = number < CALLERS * KEPT_SHARE
+        broken: ClientRecord | None = None
+        while not self._is_stopping:
+            router = choices.randrange(ROUTERS)
+            connection = await self._connect(router)
+            if connection is None:
+                await asyncio.sleep(0.02)
+                continue
+            most = 1_000_000 if keeps else choices.randint(*FEW)
+            broken = await self._use(connection, router, most, choices, broken)
+            connection.leave()
+
+    async def _connect(self, router: int) -> SoakConnection | None:
+        if not self._fleet.takes_new(router):
+            return None
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                return await SoakConnection.connect(self._fleet.callers_address(router))
+        except (OSError, TimeoutError):
+            return None
+
+    async def _use(
+        self,
+        connection: SoakConnection,
+        router: int,
+        most: int,
+        choices: random.Random,
+        broken: ClientRecord | None,
+    ) -> ClientRecord | None:
+        """Send requests on one connection; return a stream that broke and shall be resumed."""
+        life = self._fleet.life(router)
+        for _ in range(most):
+            if self._is_stopping:
+                return None
+            record = self._next_record(router, life, choices, broken)
+            connection.send(_request(record))
+            self._history.records[record.request_id] = record
+            await self._answer(connection, record, choices)
+            record.end_s = time.monotonic()
+            if record.outcome != "answered" or record.closes:
+                goes_on = record.outcome == "cut" and record.events and record.route.kind == "chat"
+                return record if goes_on and choices.random() < GOES_ON_SHARE else None
+            broken = None
+            stray = await connection.rest(choices.uniform(*THINK_S))
+            if stray is None:
+                return None
+            if stray:
+                record.problems.append(f"bytes behind the answer: {stray[:60]!r}")
+                return None
+        return None
+
+    def _next_record(
+        self, router: int, life: int, choices: random.Random, broken: ClientRecord | None
+    ) -> ClientRecord:
+        self._sent += 1
+        request_id = f"r{self._seed}-{self._sent}"
+        route = self._route(choices)
+        now_s = time.monotonic()
+        if broken is not None:
+            route = SoakRoute("chat", self._operator.version - 1, route.number)
+            return ClientRecord(
+                request_id, route, router, life, broken.body, now_s, broken.events, events=0
+            )
+        body = f"{request_id} ".encode()
+        body += b"x" * choices.randrange(MOST_BODY_BYTES)
+        return ClientRecord(request_id, route, router, life, body, now_s)
+
+    def _route(self, choices: random.Random) -> SoakRoute:
+        """Return a route of the configuration before the newest: any that may be in force has it.
+
+        At times, one that shows which configuration is in force.
+        """
+        newest = self._operator.version
+        version = newest - 1
+        if choices.random() < OTHER_ROUTE_SHARE:
+            version = choices.choice((newest, newest - LIVES_IN, newest - LIVES_IN - 1))
+        kind = choices.choices(KINDS, (0.4, 0.3, 0.1, 0.2))[0]
+        return SoakRoute(kind, max(1, version), choices.randrange(ROUTES_A_KIND))
+
+    async def _answer(
+        self, connection: SoakConnection, record: ClientRecord, choices: random.Random
+    ) -> None:
+        leaves = choices.random() < LEAVING_SHARE
+        patience_s = choices.uniform(*LEAVES_AFTER_S) if leaves else PATIENCE_S
+        answer = SoakAnswer()
+        try:
+            async with asyncio.timeout(patience_s):
+                await connection.read(answer)
+            record.outcome = "answered"
+        except TimeoutError:
+            record.outcome = "left" if leaves else "gave up"
+        except (OSError, EOFError):
+            record.outcome = "cut"
+        except ValueError as error:
+            record.outcome = "cut"
+            record.problems.append(str(error))
+        _note(record, answer)
+
+
+def _request(record: ClientRecord) -> bytes:
+    lines = [
+        f"POST {_target(record)} HTTP/1.1",
+        f"Host: {HOST}",
+        f"{NAMES.request_id}: {record.request_id}",
+        f"{NAMES.deadline_ms}: {DEADLINE_MS}",
+        f"Content-Length: {len(record.body)}",
+    ]
+    if record.route.kind in STREAMS:
+        part = f"{record.request_id.encode().hex()}:90"
+        lines += [f"{NAMES.model}: m", f"{NAMES.tokens}: 90,40", f"{NAMES.parts}: {part}"]
+    if record.last_event_id:
+        lines.append(f"{NAMES.last_event_id}: {record.last_event_id}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + record.body
+
+
+def _target(record: ClientRecord) -> str:
+    return f"/{record.route.name}/x?of={record.request_id}"
+
+
+def _note(record: ClientRecord, answer: SoakAnswer) -> None:
+    """Note the answer, and what is wrong with it by itself."""
+    record.status = answer.status
+    record.closes = answer.headers.get("connection", "").lower() == "close"
+    if answer.status is None:
+        return
+    seal = answer.headers.get(NAMES.signature.lower(), "")
+    named = answer.headers.get(NAMES.request_id.lower(), record.request_id)
+    if named != record.request_id or (seal and seal.rpartition(".")[2] != record.request_id):
+        record.problems.append(f"the answer of another request: {named} {seal}")
+    if answer.status >= 300:
+        return
+    if not seal:
+        record.problems.append("a success without a signature")
+    if record.route.kind in STREAMS:
+        _note_stream(record, answer)
+    elif answer.is_whole and bytes(answer.body) != answer_body(record.request_id, _target(record)):
+        record.problems.append("the body is not the backend's")
+
+
+def _note_stream(record: ClientRecord, answer: SoakAnswer) -> None:
+    """Compare the events that came with those of the prompt, in order."""
+    last, rest = event_count(record.body), bytes(answer.body)
+    number = record.last_event_id
+    while number < last and rest.startswith(event(record.body, number + 1)):
+        number += 1
+        rest = rest[len(event(record.body, number)) :]
+    record.events = number
+    is_part = number < last and event(record.body, number + 1).startswith(rest)
+    if rest and (not is_part or answer.is_whole):
+        record.problems.append(f"behind event {number} comes {rest[:60]!r}")
+    if answer.is_whole and number < last:
+        record.problems.append(f"the stream ends as whole at event {number} of {last}")
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -0,0 +1,229 @@
+"""The router processes of the soak: started, struck and started again under the same addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import time
+from pathlib import Path
+from typing import Any
+
+from yokedock_emulator.deployed_router import DeployedRouter
+from yokedock_emulator.raw_exchange import get_page
+from yokedock_emulator.router_soak.soak_plan import ROUTERS, SoakEvent
+from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
+
+GRACE_S = 8.0
+"""Time from SIGTERM to SIGKILL, as on the platform."""
+WATCH_S = 0.03
+READY_LIMIT_S = 15.0
+READY_POLL_S = 0.1
+TAKES_NEW_S = 2.0
+"""The platform's balancer sends a router new connections until it has missed two questions, one a
+second."""
+MOST_DOWN = 2
+"""Routers that are down or frozen at the same time, at most."""
+RETRY_RATIO = 0.1
+RETRY_WINDOW_S = 10.0
+RETRY_ALLOWANCE = 12
+"""The retry budget: small, so that the faults reach its limit."""
+
+
+class SoakFleet:
+    """All routers; ``lives`` in the history tells what became of each process."""
+
+    def __init__(
+        self, router: DeployedRouter, store: str, folder: Path, seed: int, history: SoakHistory
+    ) -> None:
+        """Run routers that are built already; the log of each goes to a file in ``folder``."""
+        self._router = router
+        self._store = store
+        self._history = history
+        self._hosts = [f"127.{64 + os.getpid() % 128}.{seed % 256}.{n + 1}" for n in range(ROUTERS)]
+        self._ports = _free_ports(self._hosts)
+        self._logs = [(folder / f"router-{n}.log").open("wb") for n in range(ROUTERS)]
+        self._processes: dict[int, subprocess.Popen[bytes]] = {}
+        self._lives: dict[int, RouterLife] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_ending = False
+
+    async def start(self) -> None:
+        """Start all and wait until they are ready."""
+        for router in range(ROUTERS):
+            self._start(router, is_first=True)
+        async with asyncio.timeout(READY_LIMIT_S):
+            while any(life.ready_s is None for life in self._lives.values()):
+                await asyncio.sleep(READY_POLL_S)
+
+    async def settle(self) -> None:
+        """Wait until no process is stopping, starting or frozen."""
+        async with asyncio.timeout(GRACE_S + READY_LIMIT_S):
+            while any(self._is_struck(router) for router in range(ROUTERS)):
+                await asyncio.sleep(READY_POLL_S)
+
+    async def stop(self) -> None:
+        """Stop all processes in order and wait until they are gone."""
+        self._is_ending = True
+        for router in range(ROUTERS):
+            self._terminate(router)
+        while any(life.ended_s is None for life in self._lives.values()):
+            await asyncio.sleep(WATCH_S)
+
+    def close(self) -> None:
+        """End whatever still runs."""
+        self._is_ending = True
+        for task in self._tasks:
+            task.cancel()
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+        for log in self._logs:
+            log.close()
+
+    # --- For callers ---
+
+    def callers_address(self, router: int) -> str:
+        """Return where a router takes callers."""
+        return f"{self._hosts[router]}:{self._ports[0]}"
+
+    def life(self, router: int) -> int:
+        """Return the number of a router's process."""
+        return self._lives[router].number
+
+    def takes_new(self, router: int) -> bool:
+        """Return whether the balancer sends new connections there."""
+        life = self._lives[router]
+        if life.ready_s is None or life.ended_s is not None:
+            return False
+        terminated_s = life.terminated_s
+        return terminated_s is None or time.monotonic() - terminated_s < TAKES_NEW_S
+
+    async def levels(self, router: int) -> dict[str, float]:
+        """Return the figures without labels of a router's metrics page."""
+        _, body = await get_page(f"{self._hosts[router]}:{self._ports[2]}", "/metrics")
+        pairs = (line.rpartition(" ") for line in body.decode().splitlines())
+        return {name: float(value) for name, _, value in pairs if "{" not in name}
+
+    # --- What strikes routers ---
+
+    def strike(self, event: SoakEvent) -> str:
+        """Let something happen to a router; return what was done, empty if nothing."""
+        router = event.target
+        life, process = self._lives[router], self._processes[router]
+        down = sum(self._is_struck(other) for other in range(ROUTERS))
+        if life.ended_s is not None or (down >= MOST_DOWN and not self._is_struck(router)):
+            return ""
+        if event.kind == "hang-up":
+            process.send_signal(signal.SIGHUP)
+        elif event.kind == "freeze":
+            self._after(self._freeze(router, event.length_s))
+        elif event.kind == "kill":
+            life.killed_s = time.monotonic()
+            process.kill()
+        elif life.terminated_s is None:
+            self._terminate(router)
+        else:
+            return ""
+        return f"router {router} life {life.number}: {event.kind} {event.length_s:.2f}"
+
+    def _is_struck(self, router: int) -> bool:
+        life = self._lives[router]
+        is_frozen = any(until_s > time.monotonic() for _, until_s in life.freezes)
+        return is_frozen or None in (life.ready_s,) or _is_ending(life)
+
+    def _terminate(self, router: int) -> None:
+        life, process = self._lives[router], self._processes[router]
+        if life.terminated_s is None and life.ended_s is None:
+            life.terminated_s = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+
+    async def _freeze(self, router: int, length_s: float) -> None:
+        life, process = self._lives[router], self._processes[router]
+        now_s = time.monotonic()
+        life.freezes.append((now_s, now_s + length_s))
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        process.send_signal(signal.SIGCONT)
+        life.freezes[-1] = (now_s, time.monotonic())
+
+    # --- Lives ---
+
+    def _start(self, router: int, is_first: bool) -> None:
+        number = self._lives[router].number + 1 if router in self._lives else 1
+        life = RouterLife(router, number, time.monotonic())
+        self._processes[router] = self._router.start(
+            self._fields(router, is_first), self._logs[router].fileno()
+        )
+        self._lives[router] = self._history.lives[life.key] = life
+        self._after(self._watch(life, self._processes[router]))
+        self._after(self._wait_ready(life))
+
+    async def _watch(self, life: RouterLife, process: subprocess.Popen[bytes]) -> None:
+        """See a process to its end, and start the next."""
+        while process.poll() is None:
+            await asyncio.sleep(WATCH_S)
+            since_s = time.monotonic() - (life.terminated_s or time.monotonic())
+            if since_s > GRACE_S and life.killed_s is None:
+                life.killed_s = time.monotonic()
+                process.kill()
+        life.ended_s, life.exit_code = time.monotonic(), process.returncode
+        self._history.tell(life.ended_s, f"router {life.router} life {life.number}: ended")
+        if not self._is_ending:
+            await asyncio.sleep(0.3)
+            self._start(life.router, is_first=False)
+
+    async def _wait_ready(self, life: RouterLife) -> None:
+        address = f"{self._hosts[life.router]}:{self._ports[1]}"
+        while life.ended_s is None and life.ready_s is None:
+            await asyncio.sleep(READY_POLL_S)
+            try:
+                async with asyncio.timeout(1.0):
+                    status, _ = await get_page(address, "/readiness")
+            except (OSError, EOFError, TimeoutError):
+                continue
+            if status == 200:
+                life.ready_s = time.monotonic()
+
+    def _after(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _fields(self, router: int, is_first: bool) -> dict[str, Any]:
+        host, (callers, ready, fleet) = self._hosts[router], self._ports
+        return {
+            "nodeName": f"router-{router}",
+            "zone": "zone-1",
+            "listenAddrs": {"frontend": f"{host}:{callers}", "ready": f"{host}:{ready}"},
+            "ipAddress": host,
+            "internalPortRange": [fleet, fleet],
+            "seedNodes": [f"{each}:{fleet}" for each in self._hosts[:3]],
+            "bootstrap": is_first,
+            "platform": {"address": self._store},
+            "bounds": {
+                "leaseMs": 3000,
+                "retryBudgetRatio": RETRY_RATIO,
+                "retryWindowS": RETRY_WINDOW_S,
+                "retryAllowance": RETRY_ALLOWANCE,
+                "graceS": GRACE_S,
+            },
+        }
+
+
+def _is_ending(life: RouterLife) -> bool:
+    return life.terminated_s is not None or life.killed_s is not None or life.ended_s is not None
+
+
+def _free_ports(hosts: list[str]) -> list[int]:
+    """Return three ports that are free on the first of ``hosts``, as on all: they are our own."""
+    sockets = [socket.socket() for _ in range(3)]
+    try:
+        for each in sockets:
+            each.bind((hosts[0], 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -0,0 +1,210 @@
+"""Judges a soak from what clients and backends have seen, rule by rule.
+
+Where a rule has a time bound, it binds a router that was in touch for so long: neither frozen nor
+starting, with a store that answers, while the soak's own process ran.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import signal
+
+from yokedock_emulator.router_soak.soak_budget import budget_violations
+from yokedock_emulator.router_soak.soak_records import (
+    BOUND_S,
+    RUN_ONCE,
+    STREAMS,
+    Arrival,
+    ClientRecord,
+    RouterLife,
+    SoakHistory,
+)
+from yokedock_emulator.router_soak.soak_versions import version_violations
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""A promise that the request has not run and never will."""
+OWN_FAILURES = (429, 502, 503, 504)
+"""Statuses with which a router may end a proper request by itself; 404 is judged by versions."""
+CROSSED_S = 0.2
+"""A request that is not passed on may cross the close of its connection within this time."""
+LAST_SIXTH_S = 8.0 / 6
+GRACE_S = 8.0
+DEADLINE_S = 7.9
+"""From here on the deadline explains whatever came of a request."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Violation:
+    """One broken rule."""
+
+    rule: str
+    text: str
+    request_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """One request with everything that bears on it."""
+
+    record: ClientRecord
+    life: RouterLife
+    arrivals: list[Arrival]
+    met_kill: bool
+    """A backend of its service was killed while it was under way."""
+
+    def runs(self) -> list[Arrival]:
+        """Return the arrivals that ran."""
+        return [arrival for arrival in self.arrivals if arrival.has_run]
+
+
+def judge(history: SoakHistory) -> list[Violation]:
+    """Return every broken rule."""
+    by_id: dict[str, list[Arrival]] = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        by_id[arrival.request_id].append(arrival)
+    found: list[Violation] = []
+    for record in history.records.values():
+        found += _one(_case(history, record, by_id[record.request_id]))
+    found += _unasked(history)
+    found += [Violation("DRAIN", *each) for each in _late_arrivals(history)]
+    found += [Violation("CONFIG", *each) for each in version_violations(history)]
+    found += [Violation("BUDGET", text) for text in budget_violations(history)]
+    found += _processes(history)
+    return found
+
+
+def _case(history: SoakHistory, record: ClientRecord, arrivals: list[Arrival]) -> Case:
+    met_kill = any(
+        service == record.route.service and record.sent_s - CROSSED_S <= at_s <= record.end_s
+        for service, at_s in history.killed_s
+    )
+    return Case(record, history.lives[record.router, record.life], arrivals, met_kill)
+
+
+def _one(case: Case) -> list[Violation]:
+    record = case.record
+    name = record.request_id
+    found = [Violation("MIXED", problem, name) for problem in record.problems]
+    runs = case.runs()
+    if record.route.kind in RUN_ONCE and len(runs) > 1:
+        places = [run.instance for run in runs]
+        found.append(Violation("TWICE", f"{record.route.kind} ran at {places}", name))
+    if record.status in NOT_RUN_STATUSES and runs:
+        found.append(Violation("REFUSED", f"told {record.status}, yet it ran", name))
+    if record.outcome == "cut" and not _may_be_cut(case):
+        took_s = record.end_s - record.sent_s
+        text = f"{record.route.kind} cut after {took_s:.3f} s, status {record.status}, "
+        found.append(Violation("LOST", f"{text}{len(case.arrivals)} arrivals", name))
+    if record.outcome == "gave up" and not _was_frozen(case):
+        found.append(Violation("LOST", "no answer by its deadline", name))
+    if record.outcome == "answered":
+        found += [Violation("ANSWER", text, name) for text in _wrong_status(case)]
+    return found
+
+
+def _may_be_cut(case: Case) -> bool:
+    record, life = case.record, case.life
+    if life.killed_s is not None and life.killed_s <= record.end_s:
+        return True
+    if not case.arrivals and record.end_s - record.sent_s <= CROSSED_S:
+        return True
+    if record.end_s - record.sent_s >= DEADLINE_S or _was_frozen(case):
+        return True
+    has_begun = record.route.kind in STREAMS and record.status == 200
+    return has_begun and any(_is_backends_fault(arrival) for arrival in case.arrivals)
+
+
+def _is_backends_fault(arrival: Arrival) -> bool:
+    return arrival.outcome in ("failed", "refused") or arrival.is_own_end
+
+
+def _was_frozen(case: Case) -> bool:
+    """Return whether its router was frozen while the request was under way, or shortly before."""
+    record = case.record
+    return any(
+        start_s <= record.end_s and end_s + BOUND_S >= record.sent_s
+        for start_s, end_s in case.life.freezes
+    )
+
+
+def _wrong_status(case: Case) -> list[str]:
+    status = case.record.status
+    if status == 500:
+        is_backends = any(arrival.outcome == "failed" for arrival in case.arrivals)
+        return [] if is_backends else ["500 though no backend answered so"]
+    if status in (502, 504) and not _may_be_unanswered(case):
+        outcomes = [(arrival.instance, arrival.outcome) for arrival in case.arrivals]
+        return [f"{status} though nothing harmed it: {outcomes}"]
+    if status not in (200, 404, *OWN_FAILURES):
+        return [f"status {status} for a proper request"]
+    return []
+
+
+def _may_be_unanswered(case: Case) -> bool:
+    """Return whether a request that may have run may be told just that."""
+    record, life = case.record, case.life
+    if record.end_s - record.sent_s >= DEADLINE_S or _was_frozen(case):
+        return True
+    if case.met_kill or any(_is_backends_fault(arrival) for arrival in case.arrivals):
+        return True
+    last_s = (life.terminated_s or record.end_s) + GRACE_S - LAST_SIXTH_S
+    return record.end_s >= last_s and life.terminated_s is not None
+
+
+def _unasked(history: SoakHistory) -> list[Violation]:
+    found = []
+    for arrival in history.arrivals:
+        record = history.records.get(arrival.request_id)
+        if record is None:
+            found.append(Violation("UNASKED", f"nobody sent {arrival.request_id!r}"))
+            continue
+        target = f"/{record.route.name}/x?of={record.request_id}"
+        if (arrival.method, arrival.target, arrival.body) != ("POST", target, record.body):
+            text = f"changed to {arrival.method} {arrival.target}"
+            found.append(Violation("UNASKED", text, record.request_id))
+        if arrival.service != record.route.service:
+            text = f"came to {arrival.service}, not {record.route.service}"
+            found.append(Violation("ROUTE", text, record.request_id))
+    return found
+
+
+def _late_arrivals(history: SoakHistory) -> list[tuple[str, str]]:
+    """Return requests that reached a backend which had been leaving for too long."""
+    found = []
+    for arrival in history.arrivals:
+        leaving_s = history.leaving_s.get(arrival.instance)
+        record = history.records.get(arrival.request_id)
+        if leaving_s is None or record is None or arrival.at_s < leaving_s:
+            continue
+        life = history.lives[record.router, record.life]
+        if history.was_in_touch(life, leaving_s, arrival.at_s):
+            late_s = arrival.at_s - leaving_s
+            text = f"reached {arrival.instance} {late_s:.2f} s after it was listed as leaving"
+            found.append((text, record.request_id))
+    return found
+
+
+def _stopped_at_start(life: RouterLife) -> bool:
+    """Return whether SIGTERM came before the program could take signals: nothing was read then."""
+    return life.ready_s is None and life.exit_code == -signal.SIGTERM
+
+
+def _processes(history: SoakHistory) -> list[Violation]:
+    found = []
+    for life in history.lives.values():
+        name = f"router {life.router} life {life.number}"
+        if life.ended_s is not None and life.killed_s is None:
+            if life.terminated_s is None:
+                found.append(Violation("ENDED", f"{name} ended by itself: {life.exit_code}"))
+            elif life.exit_code != 0 and not _stopped_at_start(life):
+                found.append(Violation("ENDED", f"{name}: status {life.exit_code} at its end"))
+        if life.terminated_s is not None and life.killed_s is not None and not life.freezes:
+            held_s = life.killed_s - life.terminated_s
+            if held_s >= GRACE_S:
+                found.append(Violation("ENDED", f"{name} did not stop in its grace"))
+    for router, levels in history.at_end.items():
+        held = {name: levels.get(name, -1.0) for name in ("router_active", "router_table_promises")}
+        if any(held.values()):
+            found.append(Violation("HELD", f"router {router} holds {held} at the end"))
+    return found
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -0,0 +1,203 @@
+"""Operator and platform of the soak: configurations, and backends that come, leave and fail."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from yokedock.platform.documents import (
+    DRAINING,
+    ONCE_KIND,
+    REPEATABLE_KIND,
+    STREAM_KIND,
+    StoredConfiguration,
+    StoredEngine,
+    StoredRoute,
+    StoredServer,
+    StoredService,
+)
+from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
+from yokedock_emulator.router_soak.soak_backend import SoakBackend
+from yokedock_emulator.router_soak.soak_plan import SoakEvent
+from yokedock_emulator.router_soak.soak_records import (
+    KINDS,
+    LIVES_IN,
+    ROUTES_A_KIND,
+    SoakHistory,
+    SoakRoute,
+)
+from yokedock_emulator.router_soak.soak_store import SoakStore
+
+HOST = "soak.example"
+STORED_KINDS = {
+    "once": ONCE_KIND,
+    "repeat": REPEATABLE_KIND,
+    "talk": STREAM_KIND,
+    "chat": STREAM_KIND,
+}
+POOLS = [("plain-a", "", 3), ("plain-b", "", 3), ("model", PREFILL_ROLE, 2)]
+POOLS.append(("model", DECODE_ROLE, 3))
+"""Service, role and number of backends."""
+SERVES_ON_S = 5.0
+"""A backend that leaves goes on serving for so long: whoever still comes to it is seen."""
+ENDS_S = 4.0
+"""What is under way then has so long to end."""
+UNLISTED_S = 2.0
+"""The entry of a backend that was killed goes after this time."""
+SLOTS = 64
+VERSION_STEP = 7
+"""Versions of the operator's configurations rise by more than one."""
+
+
+class SoakOperator:
+    """Writes the store and owns all backends."""
+
+    def __init__(self, history: SoakHistory) -> None:
+        """Start with nothing."""
+        self.store = SoakStore()
+        self.version = 0
+        """Newest configuration, counted from 1."""
+        self._history = history
+        self._serving: list[SoakBackend] = []
+        """Those listed and not leaving."""
+        self._all: list[SoakBackend] = []
+        self._next = 0
+        self._later: set[asyncio.Task[Any]] = set()
+
+    async def start(self) -> None:
+        """Start the store and the backends, and publish what the first requests need."""
+        await self.store.start()
+        for service, role, count in POOLS:
+            for _ in range(count):
+                await self._add(service, role)
+        for _ in range(LIVES_IN):
+            self.publish()
+
+    def stop(self) -> None:
+        """End everything."""
+        for task in self._later:
+            task.cancel()
+        for backend in self._all:
+            backend.kill()
+        self.store.stop()
+
+    # --- Configurations ---
+
+    def publish(self, more_routes: int = 0) -> None:
+        """Publish the next configuration: its own routes and those of the two before."""
+        self.version += 1
+        routes = [
+            _stored(SoakRoute(kind, version, number))
+            for version in range(max(1, self.version - LIVES_IN + 1), self.version + 1)
+            for kind in KINDS
+            for number in range(ROUTES_A_KIND)
+        ]
+        fill = [_stored(SoakRoute("once", self.version, 1000 + n)) for n in range(more_routes)]
+        engine = StoredEngine(slot_count=SLOTS, kv_capacity=1_000_000, kv_token_bytes=1.0)
+        services = (
+            StoredService("plain-a"),
+            StoredService("plain-b"),
+            StoredService("model", engine=engine),
+        )
+        number = self.version * VERSION_STEP
+        self.store.publish(StoredConfiguration(number, tuple(routes + fill), services))
+        self._history.published_s[self.version] = time.monotonic()
+
+    # --- The store's faults ---
+
+    def silence_store(self, length_s: float) -> None:
+        """Let the store answer nobody for a while."""
+        now_s = time.monotonic()
+        self._history.store_silent_s.append((now_s, now_s + length_s))
+        self.store.fall_silent()
+        asyncio.get_running_loop().call_later(length_s, self.store.speak_again)
+
+    # --- Backends ---
+
+    async def strike(self, soak_event: SoakEvent) -> str:
+        """Let something happen to a backend; return its name."""
+        backend = self._serving[soak_event.target % len(self._serving)]
+        if soak_event.kind in ("errors", "refusals"):
+            backend.mode = soak_event.kind
+            self._after(soak_event.length_s, self._recover(backend))
+            return backend.instance
+        if soak_event.kind != "replace":
+            await self._add(backend.service, backend.role)
+        self._serving.remove(backend)
+        if soak_event.kind == "drain":
+            self._drain(backend)
+        elif soak_event.kind == "remove":
+            self._unlist(backend)
+            backend.is_leaving = True
+            self._after(SERVES_ON_S, backend.end(ENDS_S))
+        else:
+            backend.kill()
+            self._history.killed_s.append((backend.service, time.monotonic()))
+            self._after(UNLISTED_S, self._unlist_later(backend))
+        if soak_event.kind == "replace":
+            await self._add(backend.service, backend.role, backend.address)
+        return backend.instance
+
+    async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
+        self._next += 1
+        backend = SoakBackend(f"i-{self._next}", service, role, self._history)
+        await backend.start(address)
+        self._serving.append(backend)
+        self._all.append(backend)
+        self._list(backend, "ready")
+
+    def _list(self, backend: SoakBackend, state: str) -> None:
+        server = StoredServer(
+            backend.service, backend.address, "zone-1", SLOTS, state, backend.role
+        )
+        self.store.put_server(backend.instance, server)
+
+    def _drain(self, backend: SoakBackend) -> None:
+        self._list(backend, DRAINING)
+        self._history.leaving_s[backend.instance] = time.monotonic()
+        backend.is_leaving = True
+        self._after(SERVES_ON_S, self._end_drained(backend))
+
+    async def _end_drained(self, backend: SoakBackend) -> None:
+        await backend.end(ENDS_S)
+        self._unlist(backend)
+
+    async def _recover(self, backend: SoakBackend) -> None:
+        backend.mode = "normal"
+
+    async def _unlist_later(self, backend: SoakBackend) -> None:
+        self._unlist(backend)
+
+    def _unlist(self, backend: SoakBackend) -> None:
+        self.store.remove_server(backend.instance)
+        self._history.leaving_s.setdefault(backend.instance, time.monotonic())
+
+    def _after(self, delay_s: float, work: Coroutine[Any, Any, None]) -> None:
+        async def run() -> None:
+            try:
+                await asyncio.sleep(delay_s)
+            except asyncio.CancelledError:
+                work.close()
+                raise
+            await work
+
+        task = asyncio.create_task(run())
+        self._later.add(task)
+        task.add_done_callback(self._later.discard)
+
+
+def _stored(route: SoakRoute) -> StoredRoute:
+    return StoredRoute(
+        name=route.name,
+        host=HOST,
+        path_prefix=f"/{route.name}/",
+        route_type=STORED_KINDS[route.kind],
+        timeout_ms=10_000.0,
+        target_latency_ms=1_000.0,
+        service=route.service,
+        max_attempts=3,
+        resumable=route.kind == "chat",
+        itl_target_ms=300.0,
+    )
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -0,0 +1,96 @@
+"""What happens during one soak and when: drawn by a seed, before anything runs."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+ROUTERS = 4
+FIRST_S = 1.5
+"""Nothing happens before, so that each seed begins with a fleet at work."""
+LARGE_ROUTES = 1400
+"""Routes that the one large configuration adds: about 0.3 MB in the store."""
+ROUTER_FAULTS = {"terminate": 0.35, "kill": 0.2, "hang-up": 0.15, "freeze": 0.3}
+"""Kinds of what strikes a router, and their shares."""
+BACKEND_FAULTS = {
+    "drain": 0.25,
+    "remove": 0.2,
+    "replace": 0.15,
+    "kill-backend": 0.15,
+    "errors": 0.15,
+    "refusals": 0.1,
+}
+PAUSES_S = {
+    "router": (0.6, 2.2),
+    "backend": (0.5, 1.6),
+    "configuration": (1.2, 4.5),
+    "store": (5.0, 9.0),
+    "store connection": (3.0, 7.0),
+}
+"""Shortest and longest time between two events of one sort: several are under way at any time."""
+FREEZE_S = (0.5, 4.0)
+BACKEND_FAULT_S = (0.5, 2.5)
+STORE_SILENT_S = (1.0, 4.0)
+BURST_SHARE = 0.25
+"""Share of configurations that are followed by the next within ``BURST_S``."""
+BURST_S = (0.02, 0.4)
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakEvent:
+    """One fault or piece of planned work."""
+
+    at_s: float
+    """Seconds after the callers began."""
+    kind: str
+    target: int = 0
+    """Number of a router; for backends, a place in the list of those that serve then."""
+    length_s: float = 0.0
+
+
+def draw_plan(seed: int, seconds: float) -> list[SoakEvent]:
+    """Return the events of one soak in order of time; the same for the same arguments."""
+    choices = random.Random(f"router-soak-{seed}")
+    draws: dict[str, Callable[[random.Random, float], list[SoakEvent]]] = {
+        "router": _router_event,
+        "backend": _backend_event,
+        "configuration": _configuration_events,
+        "store": _store_event,
+        "store connection": _store_connection_event,
+    }
+    events = [SoakEvent(seconds * choices.uniform(0.3, 0.7), "large configuration")]
+    for sort, draw in draws.items():
+        at_s = FIRST_S + choices.uniform(0.0, PAUSES_S[sort][1])
+        while at_s < seconds:
+            events += draw(choices, at_s)
+            at_s += choices.uniform(*PAUSES_S[sort])
+    return sorted(events, key=lambda event: event.at_s)
+
+
+def _router_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    kind = choices.choices(list(ROUTER_FAULTS), list(ROUTER_FAULTS.values()))[0]
+    target = choices.randrange(ROUTERS)
+    length_s = choices.uniform(*FREEZE_S) if kind == "freeze" else choices.uniform(0.1, 0.8)
+    return [SoakEvent(at_s, kind, target, length_s)]
+
+
+def _backend_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    kind = choices.choices(list(BACKEND_FAULTS), list(BACKEND_FAULTS.values()))[0]
+    target = choices.randrange(1000)
+    return [SoakEvent(at_s, kind, target, choices.uniform(*BACKEND_FAULT_S))]
+
+
+def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    events = [SoakEvent(at_s, "configuration")]
+    if choices.random() < BURST_SHARE:
+        events.append(SoakEvent(at_s + choices.uniform(*BURST_S), "configuration"))
+    return events
+
+
+def _store_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    return [SoakEvent(at_s, "store silent", 0, choices.uniform(*STORE_SILENT_S))]
+
+
+def _store_connection_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    return [SoakEvent(at_s, "store connection silent", choices.randrange(1000))]
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -0,0 +1,170 @@
+"""What clients and backends have seen on their sockets, as the judge reads it.
+
+Times are of the steady clock, in seconds. What an answer must be follows from its request alone.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+
+KINDS = ("once", "repeat", "talk", "chat")
+"""Kinds of requests: ``talk`` is a stream that may not be resumed, ``chat`` one that may."""
+RUN_ONCE = ("once", "talk")
+STREAMS = ("talk", "chat")
+SERVICES = {"once": ("plain-a", "plain-b"), "repeat": ("plain-a", "plain-b")}
+MODEL_SERVICE = "model"
+LIVES_IN = 3
+"""A route stands in the configuration it is named after and in the two behind it."""
+ROUTES_A_KIND = 2
+BOUND_S = 3.0
+"""A router in touch acts on what the store has confirmed within this time."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakRoute:
+    """A route; ``version`` counts configurations from 1, without gaps."""
+
+    kind: str
+    version: int
+    number: int
+
+    @property
+    def name(self) -> str:
+        """Return its name."""
+        return f"{self.kind}-{self.version}-{self.number}"
+
+    @property
+    def service(self) -> str:
+        """Return the service that its requests go to."""
+        if self.kind in STREAMS:
+            return MODEL_SERVICE
+        return SERVICES[self.kind][(self.version + self.number) % 2]
+
+    def is_in(self, version: int) -> bool:
+        """Return whether a configuration has this route."""
+        return self.version <= version < self.version + LIVES_IN
+
+
+@dataclasses.dataclass
+class ClientRecord:
+    """One client attempt, from the last byte sent to the end of its answer."""
+
+    request_id: str
+    route: SoakRoute
+    router: int
+    life: int
+    """Which process of the router's address, counted from 1."""
+    body: bytes
+    sent_s: float
+    last_event_id: int = 0
+    """Events that the client has had from an earlier attempt."""
+    end_s: float = 0.0
+    outcome: str = "waiting"
+    """``answered``, ``cut``, ``left`` (by the client itself) or ``gave up``."""
+    status: int | None = None
+    events: int = 0
+    """Number of the last event that came."""
+    closes: bool = False
+    """The answer announced that the connection ends."""
+    problems: list[str] = dataclasses.field(default_factory=list)
+    """What is wrong with the answer by itself."""
+
+
+@dataclasses.dataclass
+class Arrival:
+    """One request at a backend. What gets 421 and calls without a request are not noted."""
+
+    request_id: str
+    instance: str
+    service: str
+    method: str
+    target: str
+    body: bytes
+    at_s: float
+    is_prefill: bool
+    outcome: str = "working"
+    """``whole``, ``refused``, ``failed`` (a 500) or ``broken`` (the backend ended or was killed,
+    or the connection did)."""
+    is_own_end: bool = False
+    """The backend itself broke off."""
+
+    @property
+    def has_run(self) -> bool:
+        """Return whether the request was run, at least in part."""
+        return not self.is_prefill and self.outcome != "refused"
+
+
+@dataclasses.dataclass
+class RouterLife:
+    """One process of a router."""
+
+    router: int
+    number: int
+    started_s: float
+    ready_s: float | None = None
+    terminated_s: float | None = None
+    killed_s: float | None = None
+    ended_s: float | None = None
+    exit_code: int | None = None
+    freezes: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+
+    @property
+    def key(self) -> tuple[int, int]:
+        """Return what names this life in the clients' records."""
+        return self.router, self.number
+
+
+@dataclasses.dataclass
+class SoakHistory:
+    """Everything that the judge looks at."""
+
+    records: dict[str, ClientRecord] = dataclasses.field(default_factory=dict)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    lives: dict[tuple[int, int], RouterLife] = dataclasses.field(default_factory=dict)
+    published_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    """When each configuration was confirmed."""
+    killed_s: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    """Services whose backend was killed, and when: what it had not read yet is not noted."""
+    leaving_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    """When each backend was first listed as draining, or gone."""
+    store_silent_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    """Spans in which the soak's own process did not run: nothing is known of them."""
+    at_end: dict[int, dict[str, float]] = dataclasses.field(default_factory=dict)
+    """Levels of each router's metrics page once all callers are gone."""
+    story: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    """What was done and when."""
+
+    def was_in_touch(self, life: RouterLife, since_s: float, until_s: float) -> bool:
+        """Return whether nothing struck a router for longer than the bound, between these times."""
+        cursor_s = max(since_s, until_s if life.ready_s is None else life.ready_s)
+        struck = [*life.freezes, *self.store_silent_s, *self.stood_still_s]
+        if life.terminated_s is not None:
+            struck.append((life.terminated_s, until_s))
+        for start_s, end_s in sorted(struck):
+            if min(start_s, until_s) - cursor_s > BOUND_S:
+                return True
+            cursor_s = max(cursor_s, end_s)
+        return until_s - cursor_s > BOUND_S
+
+    def tell(self, now_s: float, text: str) -> None:
+        """Note what was done."""
+        self.story.append((now_s, text))
+
+
+def answer_body(request_id: str, target: str) -> bytes:
+    """Return the whole answer of a plain backend."""
+    line = f"{request_id} {target}\n".encode()
+    return line * (1 + zlib.crc32(line) % 400)
+
+
+def event_count(body: bytes) -> int:
+    """Return how many events the stream for a prompt has."""
+    return 4 + zlib.crc32(body) % 30
+
+
+def event(body: bytes, number: int) -> bytes:
+    """Return one event of the stream for a prompt."""
+    data = f"{zlib.crc32(body)}.{number} ".encode() * (1 + number % 5)
+    return b"id: %d\ndata: %s\n\n" % (number, data)
