--- a/features/router_process.feature
+++ b/features/router_process.feature
@@ -12,6 +12,13 @@
     When the process gets SIGTERM
     Then it ends with 0
 
+  Scenario: SIGHUP ends no process: not while the program is loaded, nor at its end
+    Given a router started by the deployed entry point
+    When it gets SIGHUP as soon as it listens for callers
+    Then it is loaded and answers whether it is ready
+    When it gets SIGTERM, and SIGHUP again and again until it has ended
+    Then it ends with 0
+
   Scenario: Every error of a settings or routes file is told at once with its remedy
     Then checking this file fails and tells "unknown section" and "missing" and "write"
       """
--- a/features/steps/router_process_steps.py
+++ b/features/steps/router_process_steps.py
@@ -1,17 +1,22 @@
 import asyncio
 import http.client
+import os
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 
 from behave import given, then, when
 from support.router_world import HOST, RawCaller, free_address, request_bytes
 
 from yokedock.base.early_sockets import listen_early
+from yokedock.platform.settings_variable import SETTINGS_VARIABLE
 from yokedock_emulator.process_group import program
 
+ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = """
 [process]
 name = router-1
@@ -67,6 +72,46 @@
     context.world.wait_for(lambda: ask_ready(context) == 200, "the process is ready")
 
 
+@given("a router started by the deployed entry point")
+def deployed_entry(context):
+    folder = Path(tempfile.mkdtemp())
+    settings = folder / "router.ini"
+    context.listen, context.ready, fleet = (free_address() for _ in range(3))
+    settings.write_text(
+        SETTINGS.format(
+            listen=context.listen, ready=context.ready, fleet=fleet, routes=free_address()
+        )
+    )
+    environment = {**os.environ, SETTINGS_VARIABLE: str(settings)}
+    command = [sys.executable, str(ROOT / "deploy" / "main.py")]
+    context.process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
+    context.add_cleanup(context.process.kill)
+
+
+@when("it gets SIGHUP as soon as it listens for callers")
+def hang_up_early(context):
+    until_s = time.monotonic() + 20.0
+    while not listens(context.listen):
+        assert time.monotonic() < until_s, "it does not listen"
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("it is loaded and answers whether it is ready")
+def answers_ready(context):
+    context.process.poll()
+    assert context.process.returncode is None, "the signal has ended it"
+    assert ask_ready(context) == 503
+
+
+@when("it gets SIGTERM, and SIGHUP again and again until it has ended")
+def hang_up_late(context):
+    context.process.send_signal(signal.SIGTERM)
+    until_s = time.monotonic() + 20.0
+    while context.process.poll() is None and time.monotonic() < until_s:
+        context.process.send_signal(signal.SIGHUP)
+        time.sleep(0.002)
+
+
 def listens(address):
     host, _, port = address.rpartition(":")
     with socket.socket() as probe:
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -118,7 +118,8 @@
     stories = []
     for story in report.stories:
         request_id = story.split("\n")[0].rpartition(" ")[2]
-        stories.append("\n".join([story, *_log_lines(logs, request_id)]))
+        lines = _log_lines(logs, request_id) if request_id else []
+        stories.append("\n".join([story, *lines]))
     (folder / "stories.txt").write_text("\n\n".join(stories) + "\n")
 
 
