--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -39,6 +39,9 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings may have changed"))
     await router.run(stop)
+    # The loop gives the signal its default action back when it is closed: it would end the process
+    # as though it had failed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 def _log_unhandled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
