--- a/deploy/main.py
+++ b/deploy/main.py
@@ -9,7 +9,7 @@
 
 def run():
     """Listen first, then load the program: callers may be waiting for this machine."""
-    # Loading takes a while, and new settings must not end the process meanwhile: it reads them later.
+    # Loading takes a while, and news of new settings must not end the process meanwhile.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.path.insert(0, os.path.join(ROOT, "src"))
     from yokedock.base.early_sockets import listen_early
