--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -99,10 +99,8 @@
         head: Headers = [(NAMES.request_id, request_id)] if request_id else []
         if self.is_leaving:
             head.append(("Connection", "close"))
-        if headers.get(NAMES.instance.lower(), self.instance) != self.instance:
-            writer.write(whole_answer(421, [*head, (NAMES.not_run, "1")], b""))
-            return
-        if request.method in OWN_CALLS or request.target == NAMES.order_path:
+        is_meant = headers.get(NAMES.instance.lower(), self.instance) == self.instance
+        if is_meant and (request.method in OWN_CALLS or request.target == NAMES.order_path):
             writer.write(whole_answer(200, head, b'{"held":[]}'))
             return
         is_prefill = headers.get(NAMES.stage.lower()) == NAMES.prefill_stage
@@ -117,7 +115,12 @@
             is_prefill,
         )
         self._working[writer] = arrival
-        self._history.arrivals.append(arrival)
+        if request_id:
+            self._history.arrivals.append(arrival)
+        if not is_meant:
+            arrival.outcome = "misdirected"
+            writer.write(whole_answer(421, [*head, (NAMES.not_run, "1")], b""))
+            return
         await self._answer(request, arrival, head, writer)
         await writer.drain()
         if arrival.outcome == "working":
--- a/src/yokedock_emulator/router_soak/soak_budget.py
+++ b/src/yokedock_emulator/router_soak/soak_budget.py
@@ -59,11 +59,12 @@
 
     The first call that only has the prompt read is none.
     """
+    services = {record.request_id: record.route.service for record in history.records.values()}
     seen: set[tuple[str, bool]] = set()
     extras: dict[str, list[float]] = collections.defaultdict(list)
     for arrival in history.arrivals:
         key = (arrival.request_id, arrival.is_prefill)
         if key in seen:
-            extras[arrival.service].append(arrival.at_s)
+            extras[services.get(arrival.request_id, arrival.service)].append(arrival.at_s)
         seen.add(key)
     return extras
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -116,7 +116,7 @@
 
 
 def _is_backends_fault(arrival: Arrival) -> bool:
-    return arrival.outcome in ("failed", "refused") or arrival.is_own_end
+    return arrival.outcome in ("failed", "refused", "misdirected") or arrival.is_own_end
 
 
 def _was_frozen(case: Case) -> bool:
@@ -163,7 +163,8 @@
         if (arrival.method, arrival.target, arrival.body) != ("POST", target, record.body):
             text = f"changed to {arrival.method} {arrival.target}"
             found.append(Violation("UNASKED", text, record.request_id))
-        if arrival.service != record.route.service:
+        is_taken = arrival.outcome != "misdirected"
+        if is_taken and arrival.service != record.route.service:
             text = f"came to {arrival.service}, not {record.route.service}"
             found.append(Violation("ROUTE", text, record.request_id))
     return found
@@ -177,6 +178,8 @@
         record = history.records.get(arrival.request_id)
         if leaving_s is None or record is None or arrival.at_s < leaving_s:
             continue
+        if arrival.outcome == "misdirected":
+            continue
         life = history.lives[record.router, record.life]
         if history.was_in_touch(life, leaving_s, arrival.at_s):
             late_s = arrival.at_s - leaving_s
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -73,7 +73,7 @@
 
 @dataclasses.dataclass
 class Arrival:
-    """One request at a backend. What gets 421 and calls without a request are not noted."""
+    """One request at a backend. Calls that belong to no request are not noted."""
 
     request_id: str
     instance: str
@@ -84,15 +84,15 @@
     at_s: float
     is_prefill: bool
     outcome: str = "working"
-    """``whole``, ``refused``, ``failed`` (a 500) or ``broken`` (the backend ended or was killed,
-    or the connection did)."""
+    """``whole``, ``refused``, ``misdirected`` (421: another one was meant), ``failed`` (a 500) or
+    ``broken`` (the backend ended or was killed, or the connection did)."""
     is_own_end: bool = False
     """The backend itself broke off."""
 
     @property
     def has_run(self) -> bool:
         """Return whether the request was run, at least in part."""
-        return not self.is_prefill and self.outcome != "refused"
+        return not self.is_prefill and self.outcome not in ("refused", "misdirected")
 
 
 @dataclasses.dataclass
