--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -38,6 +38,7 @@
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
       | a process ended by itself                                       | ENDED   |
+      | SIGHUP ended a process that was being loaded                    | ENDED   |
       | a process did not stop in its grace                             | ENDED   |
       | a router held a request at the end                              | HELD    |
 
@@ -51,5 +52,6 @@
       | a killed router cut a request                                   |
       | a request crossed the close of its connection                   |
       | a backend broke off a stream                                    |
+      | SIGHUP ended a process before its first line                    |
       | a backend listed as leaving got a request from a frozen router  |
       | an old configuration was in force while the store was silent    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -131,6 +131,13 @@
     made.life.ended_s, made.life.exit_code = START_S, 1
 
 
+def hung_up(made, after_s):
+    """Let SIGHUP end a process that has run for so long, and was frozen for two seconds."""
+    life = made.life
+    life.ready_s, life.freezes = None, [(life.started_s + 0.01, life.started_s + 2.01)]
+    life.ended_s, life.exit_code = life.started_s + 2.0 + after_s, -1
+
+
 def outstayed(made):
     made.life.terminated_s, made.life.killed_s = START_S, START_S + 8.1
     made.life.ended_s, made.life.exit_code = START_S + 8.2, -9
@@ -184,6 +191,8 @@
     "a router went back to an older configuration": went_back,
     "extra arrivals went over the budget": over_budget,
     "a process ended by itself": ended_itself,
+    "SIGHUP ended a process that was being loaded": lambda made: hung_up(made, 0.2),
+    "SIGHUP ended a process before its first line": lambda made: hung_up(made, 0.05),
     "a process did not stop in its grace": outstayed,
     "a router held a request at the end": held,
     "a killed router cut a request": killed_and_cut,
