--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -53,5 +53,6 @@
       | a request crossed the close of its connection                   |
       | a backend broke off a stream                                    |
       | SIGHUP ended a process before its first line                    |
+      | all backends were silent with the soak itself, and a stream was cut |
       | a backend listed as leaving got a request from a frozen router  |
       | an old configuration was in force while the store was silent    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -161,6 +161,11 @@
     made.arrival(record, outcome="broken").is_own_end = True
 
 
+def all_silent(made):
+    made.history.stood_still_s.append((START_S + 0.1, START_S + 0.9))
+    made.arrival(made.request("talk", outcome="cut", took_s=1.2), outcome="broken")
+
+
 def late_from_frozen(made):
     made.life.freezes.append((START_S - 3.0, START_S - 0.5))
     late_to_leaving(made)
@@ -198,6 +203,7 @@
     "a killed router cut a request": killed_and_cut,
     "a request crossed the close of its connection": crossed,
     "a backend broke off a stream": backend_broke_off,
+    "all backends were silent with the soak itself, and a stream was cut": all_silent,
     "a backend listed as leaving got a request from a frozen router": late_from_frozen,
     "an old configuration was in force while the store was silent": old_while_silent,
 }
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -54,6 +54,8 @@
     arrivals: list[Arrival]
     met_kill: bool
     """A backend of its service was killed while it was under way."""
+    stood_still: bool
+    """All backends were silent for a moment: the soak's own process did not run."""
 
     def runs(self) -> list[Arrival]:
         """Return the arrivals that ran."""
@@ -81,7 +83,12 @@
         service == record.route.service and record.sent_s - CROSSED_S <= at_s <= record.end_s
         for service, at_s in history.killed_s
     )
-    return Case(record, history.lives[record.router, record.life], arrivals, met_kill)
+    stood_still = any(
+        start_s <= record.end_s and end_s >= record.sent_s
+        for start_s, end_s in history.stood_still_s
+    )
+    life = history.lives[record.router, record.life]
+    return Case(record, life, arrivals, met_kill, stood_still)
 
 
 def _one(case: Case) -> list[Violation]:
@@ -114,7 +121,8 @@
     if record.end_s - record.sent_s >= DEADLINE_S or _was_frozen(case):
         return True
     has_begun = record.route.kind in STREAMS and record.status == 200
-    return has_begun and any(_is_backends_fault(arrival) for arrival in case.arrivals)
+    is_harmed = case.stood_still or any(_is_backends_fault(each) for each in case.arrivals)
+    return has_begun and is_harmed
 
 
 def _is_backends_fault(arrival: Arrival) -> bool:
@@ -148,7 +156,11 @@
     record, life = case.record, case.life
     if record.end_s - record.sent_s >= DEADLINE_S or _was_frozen(case):
         return True
-    if case.met_kill or any(_is_backends_fault(arrival) for arrival in case.arrivals):
+    if (
+        case.met_kill
+        or case.stood_still
+        or any(_is_backends_fault(arrival) for arrival in case.arrivals)
+    ):
         return True
     last_s = (life.terminated_s or record.end_s) + GRACE_S - LAST_SIXTH_S
     return record.end_s >= last_s and life.terminated_s is not None
