What has come while a process stood still is read before its sender is given up

Causes, each with a scenario that failed before (router_patience.feature): - A timer and a readable socket fall due in the same round of the event loop after a freeze, and the timer won: streams that lay ready were given up. Patience strikes two rounds later (streams, heads and bodies of answers, short calls). - The patience with a slow backend was chosen while the retry budget had room, and not looked at again when others had spent it: a repeatable call got 502 after 0.3 s of its 8 s. Now it waits on where nobody else can be asked, as long as the connection is open.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -82,6 +82,11 @@
         has_stray_bytes = bool(getattr(self._reader, "_buffer", b""))
         return not has_stray_bytes and time.monotonic() < self._rest_until_s
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether neither side has ended the connection."""
+        return not self._writer.is_closing()
+
     def rested_s(self) -> float:
         """Return how long the connection has rested, in seconds."""
         return time.monotonic() - self._rests_since_s
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from yokedock.base.patience import Patience
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
@@ -70,7 +71,7 @@
     async with _connection(pool, address, limits) as connection:
         sent_s = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout_at(sent_s + limits.answer_s) as time_limit:
+            async with Patience(limits.answer_s) as time_limit:
                 head = RequestHead((), call.method, call.target)
                 await connection.send(head, [(b"Host", address.encode()), *call.headers], call.body)
                 answer = await connection.read_head(lambda _: True)
@@ -93,7 +94,7 @@
         raise AnswerTooLong(f"{address}: the answer has {announced} bytes, over {most_bytes}")
 
 
-def _extend(time_limit: asyncio.Timeout, sent_s: float, progress: AnswerProgress | None) -> None:
+def _extend(time_limit: Patience, sent_s: float, progress: AnswerProgress | None) -> None:
     """Give an answer that has just made progress its time to the next part."""
     if progress is not None:
         now_s = asyncio.get_running_loop().time()
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
+from yokedock.base.patience import Patience
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
@@ -44,6 +45,11 @@
         self._sent_s = 0.0
         self._is_prefill = False
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether an answer may still come on the connection."""
+        return self._connection.is_open
+
     async def send(self, order: BackendOrder) -> None:
         """Send the request; raises ``CallerGone`` instead if nobody waits for it any more."""
         call = self._call
@@ -78,7 +84,7 @@
         ``BackendBroken`` if there is no sound answer within ``timeout_s``.
         """
         try:
-            async with asyncio.timeout(timeout_s):
+            async with Patience(timeout_s):
                 head = await self._connection.read_head(self._is_ours)
         except TimeoutError:
             if timeout_s >= SILENT_S:
@@ -108,7 +114,7 @@
         deadline_s = clock() + self._call.left_s()
         parts = []
         try:
-            async with asyncio.timeout_at(min(clock() + patience_s, deadline_s)) as time_limit:
+            async with Patience(min(patience_s, self._call.left_s())) as time_limit:
                 async for part in self._connection.body_parts(MAX_WHOLE_ANSWER_BYTES):
                     parts.append(part)
                     time_limit.reschedule(min(clock() + patience_s, deadline_s))
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -124,21 +124,32 @@
         return answer
 
     async def _read(self, exchange: BackendExchange, call: RoutedCall) -> WholeAnswer:
-        """Read the answer; a backend that is silent for longer than patience allows is avoided."""
+        """Read the answer; a backend that is silent for longer than patience allows is avoided.
+
+        It is waited for on where nobody else can be asked: the budget that its patience was chosen
+        by may have been spent by others meanwhile.
+        """
         backend = exchange.backend
         patience_s = self._patience_s(call, backend)
         exchange.suspect_after(self._registry.patience_s(backend))
-        try:
-            return await exchange.read_whole(patience_s)
-        except BackendSilent:
-            if patience_s >= self._registry.patience_s(backend):
-                backend.health.note_silence(time.monotonic())
-            raise
+        while True:
+            try:
+                return await exchange.read_whole(patience_s)
+            except BackendSilent:
+                if patience_s >= self._registry.patience_s(backend):
+                    backend.health.note_silence(time.monotonic())
+                is_over = not exchange.is_open or call.left_s() <= 0
+                if is_over or self._may_ask_another(call):
+                    raise
+                patience_s = call.left_s()
+
+    def _may_ask_another(self, call: RoutedCall) -> bool:
+        return call.may_run_again() and self._allowance.has_room(call.service.name)
 
     def _patience_s(self, call: RoutedCall, backend: Backend) -> float:
         """Return how long to wait for an answer before another attempt, or until the deadline."""
         left_s = call.left_s()
-        if call.may_run_again() and self._allowance.has_room(call.service.name):
+        if self._may_ask_another(call):
             return min(left_s, self._registry.patience_s(backend))
         return left_s
 
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from yokedock.base.logs import logger
+from yokedock.base.patience import Patience
 from yokedock.request.backend_registry import Backend
 from yokedock.router_errors import BackendSilent
 
@@ -38,13 +39,13 @@
     """Whether the request may be sent to another engine."""
     clock: Callable[[], float]
     has_begun: bool = False
-    limit: asyncio.Timeout | None = None
+    limit: Patience | None = None
     """Patience with what is awaited now."""
 
     async def within(self, patience_s: float, awaited: Awaitable[Result]) -> Result:
         """Wait for ``awaited``; raises ``BackendSilent`` if it does not come in time."""
         try:
-            async with asyncio.timeout(patience_s) as self.limit:
+            async with Patience(patience_s) as self.limit:
                 return await awaited
         except TimeoutError:
             self.engine.health.note_silence(self.clock())
