Red: a router that has less to give than it says is asked without a pause

It happens when a router is started anew with an earlier time of day: its first datagrams count as old.

--- a/features/router_state.feature
+++ b/features/router_state.feature
@@ -44,3 +44,8 @@
   Scenario: Hearing a router costs about the same in a large fleet
     Given a router that knows them
     Then hearing one of 369 costs it less than 4 times what one of 9 costs
+
+  Scenario: A router that has less to give than it says is not asked without a pause
+    Given a router that knows them
+    And the router hears a second that is ahead by its word and has nothing to give
+    Then the router asks it at most 20 times in 1.0 s
--- a/features/steps/router_peers_steps.py
+++ b/features/steps/router_peers_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from router_narrow_steps import configuration, in_loop
 from support.router_world import table
-from support.slow_peer import SlowPeer, peer_state
+from support.slow_peer import EmptyPeer, SlowPeer, peer_state
 
 from yokedock.connection.state_source import StateSnapshot
 
@@ -76,3 +76,19 @@
     small = min(context.world.run(measure(few)) for _ in range(3))
     large = min(context.world.run(measure(many)) for _ in range(3))
     assert large < times * small, f"{large * 1e6:.0f} of {small * 1e6:.0f} microseconds"
+
+
+@given("the router hears a second that is ahead by its word and has nothing to give")
+def empty_second(context):
+    address = second_address(context, "127.0.0.3")
+    context.peer = EmptyPeer(address, context.router.settings.fleet.address)
+    context.world.run(context.peer.start())
+    context.world.wait_for(lambda: context.peer.asked, "the second router is asked")
+
+
+@then("the router asks it at most {most:d} times in {span_s:g} s")
+def asks_at_most(context, most, span_s):
+    before = context.peer.asked
+    time.sleep(span_s)
+    asked = context.peer.asked - before
+    assert 0 < asked <= most, asked
--- a/features/support/slow_peer.py
+++ b/features/support/slow_peer.py
@@ -1,4 +1,7 @@
-"""A stand-in of another router that says it is ahead and gives its state a byte at a time."""
+"""Stand-ins of another router that says it is ahead.
+
+One gives its state a byte at a time, the other has less to give than it says.
+"""
 
 import asyncio
 import contextlib
@@ -6,6 +9,7 @@
 import msgspec
 
 from yokedock.connection.router_state import RouterState
+from yokedock.process.state_exchange import PackedState
 
 SPEAKS_EVERY_S = 0.2
 BYTE_EVERY_S = 0.5
@@ -44,6 +48,7 @@
             await asyncio.sleep(SPEAKS_EVERY_S)
 
     async def _serve(self, reader, writer):
+        """Answer one request, a byte at a time."""
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await reader.readuntil(b"\r\n\r\n")
             self.asked += 1
@@ -51,3 +56,15 @@
             while not writer.is_closing():
                 writer.write(b"\0")
                 await asyncio.sleep(BYTE_EVERY_S)
+
+
+class EmptyPeer(SlowPeer):
+    """Knows nothing: as a router started anew whose last life is still believed."""
+
+    async def _serve(self, reader, writer):
+        body = msgspec.msgpack.encode(PackedState(0, {}))
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.asked += 1
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
