--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -140,11 +140,12 @@
         if self._follower.is_known:
             await asyncio.sleep(self._random.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S))
         while seen == self._mark() and (ahead := self._ahead_of(seen)):
-            if not await self._fetch_from(self._random.choice(ahead).address):
-                await asyncio.sleep(RETRY_S)
+            await self._fetch_from(self._random.choice(ahead).address)
+            # Also after an answer: it may hold less than the other router's datagrams told.
+            await asyncio.sleep(RETRY_S)
 
-    async def _fetch_from(self, address: str) -> bool:
-        """Take over the state of another router; return whether it could be had."""
+    async def _fetch_from(self, address: str) -> None:
+        """Take over the state of another router, if it can be had."""
         target = f"{STATE_PATH}?{VERSION_FIELD}={self._follower.version}"
         peer = f"{address}:{self._port}"
         try:
@@ -154,7 +155,7 @@
             snapshot = unpack(answer.body)
         except (BackendUnreachable, BackendBroken, msgspec.MsgspecError, zlib.error) as error:
             _log.info("state not taken over", router=address, reason=str(error))
-            return False
+            return
         finally:
             self._pool.forget(peer)
         self._follower.adopt(snapshot)
@@ -165,7 +166,6 @@
             version=self._follower.version,
             bytes=len(answer.body),
         )
-        return True
 
 
 def _mark_of(state: RouterState) -> StateMark:
