Red: a read begins again for an older version; one slow router holds the only fetch

Cause: (1) adopt gives up the read of the source for any newer table, also one older than what the read is about to bring: version 5, carried in 3.2 s, was not there after 4.5 s because version 4 came from another router 2.3 s into the read. (2) The exchange has one fetch, limited by progress up to 20 s: a router that gave a byte every 0.5 s kept version 7 of a second one away for more than 5 s.

--- a/features/router_narrow_links.feature
+++ b/features/router_narrow_links.feature
@@ -62,3 +62,10 @@
     When a client sends POST on "repeat" with body "abc"
     Then the client gets 200 with the body of a backend
     And the backends ran 1 request
+
+  Scenario: A version older than the one that is on its way does not make its read begin again
+    Given a router that reads the store over a narrow link
+    And a second router that knows version 1
+    When the store gets version 4 and at once version 5, which the link carries in 3.2 s
+    And 2.0 s later the second router learns of version 4
+    Then the router has version 5 within 4.5 s
--- a/features/router_state.feature
+++ b/features/router_state.feature
@@ -49,3 +49,10 @@
     Given a router that knows them
     And the router hears a second that is ahead by its word and has nothing to give
     Then the router asks it at most 20 times in 1.0 s
+
+  Scenario: A router whose answer hardly flows does not keep a newer state of others away
+    Given a router that knows them
+    And a second router whose source is silent
+    And the second router hears a third that is ahead and whose answer hardly flows
+    When the first router's source tells of version 7
+    Then the second router has version 7 within 5.0 s
