--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -186,6 +186,21 @@
         assert sum(e.role == "prefill" for e in engines) == wanted_prefills(len(engines))
 
 
+@searched(settled_s=st.floats(0, 60), waiting=st.integers(0, 50))
+def no_decode_engine_is_taken_from_who_waits(settled_s, waiting):
+    """Seen: one of three decode engines was taken to read prompts in the middle of a burst.
+
+    Half of the streams of ten seconds were late or refused. Cause: the order looked at the roles
+    alone, not at who waited for decode room.
+    """
+    from yokedock.request import role_plan
+
+    may_stop = role_plan.may_stop_decoding(settled_s, waiting)
+    assert not (may_stop and waiting and settled_s < 20.0), "taken while callers wait"
+    assert may_stop or waiting or settled_s < 8.0, "nobody waits, and prompts lack a reader"
+    assert may_stop or settled_s < 20.0, "an overload would keep itself up"
+
+
 @searched(prefixes=st.lists(st.lists(st.sampled_from("ab"), max_size=3), min_size=1, max_size=6))
 def the_longest_prefix_finds_the_route(prefixes):
     """The route with the longest prefix that begins the path is found, on its host alone."""
@@ -288,6 +303,7 @@
     "promises of a silent router are dropped": promises_of_a_silent_router_are_dropped,
     "a slow engine is known and forgiven": a_slow_engine_is_known_and_forgiven,
     "changes of roles end at the wanted split": changes_of_roles_end_at_the_wanted_split,
+    "no decode engine is taken from who waits": no_decode_engine_is_taken_from_who_waits,
     "the longest prefix finds the route": the_longest_prefix_finds_the_route,
     "documents of the platform become routes and backends": (
         documents_of_the_platform_become_routes_and_backends
