--- a/src/yokedock/request/role_plan.py
+++ b/src/yokedock/request/role_plan.py
@@ -7,6 +7,12 @@
 PREFILL_SHARE = 0.2
 """Share of the engines that read prompts; decode engines read what these cannot keep up with."""
 
+MISSING_READER_S = 8.0
+"""A lost prefill engine is replaced only after this long: most come back sooner."""
+LONGEST_DELAY_S = 20.0
+"""So long after the loss it is replaced whoever waits: without one, decode engines read prompts at
+half the pace, so that a lasting overload would keep itself up."""
+
 
 class EngineRole(msgspec.Struct, frozen=True):
     """One engine as the plan sees it."""
@@ -43,3 +49,15 @@
         least = min(making, key=lambda engine: (engine.load, engine.name))
         return RoleChange(least.name, prefill)
     return None
+
+
+def may_stop_decoding(settled_s: float, waiting: int) -> bool:
+    """Return whether a decode engine may be taken away to read prompts.
+
+    ``settled_s``: for how long the engines have been as they are, in seconds. ``waiting``: requests
+    that wait for decode room and can still be in time. An engine is away for seconds while it
+    changes its role, and its decode memory is what they wait for.
+    """
+    if settled_s < MISSING_READER_S:
+        return False
+    return waiting == 0 or settled_s >= LONGEST_DELAY_S
