--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -54,6 +54,8 @@
         self._dialect = dialect
         self._token = token
         self._waiting = waiting
+        self._waited_s: dict[str, float] = {}
+        """By service, when a request was last seen to wait (monotonic s)."""
         self._changing: dict[str, tuple[str, float]] = {}
         self._settled_since: dict[str, tuple[frozenset[tuple[str, str]], float]] = {}
         self._paused_until_s = 0.0
@@ -79,12 +81,15 @@
             gone = self._settled_since.keys() - current.services.keys()
             for name in gone:
                 del self._settled_since[name]
+                self._waited_s.pop(name, None)
             for service in current.services.values():
                 if service.engine is not None and self._token() is not None:
                     await self._balance(service)
 
     async def _balance(self, service: ServiceSpec) -> None:
         """Give at most one order for a service."""
+        if self._waiting(service.name):
+            self._waited_s[service.name] = time.monotonic()
         engines = [b for b in self._registry.usable(service.name) if b.entry.role]
         changing = self.changing()
         if any(engine.name in changing for engine in engines) and not self._may_overlap(engines):
@@ -96,8 +101,8 @@
         change = next_change(roles, PREFILL_ROLE, DECODE_ROLE)
         if change is None or change.name in changing:
             return
-        waiting = self._waiting(service.name)
-        if change.role == PREFILL_ROLE and not may_stop_decoding(settled_s, waiting):
+        calm_s = time.monotonic() - self._waited_s.get(service.name, 0.0)
+        if change.role == PREFILL_ROLE and not may_stop_decoding(settled_s, calm_s):
             return
         backend = self._registry.get(change.name)
         assert backend is not None and service.engine is not None
--- a/src/yokedock/request/role_plan.py
+++ b/src/yokedock/request/role_plan.py
@@ -9,6 +9,8 @@
 
 MISSING_READER_S = 8.0
 """A lost prefill engine is replaced only after this long: most come back sooner."""
+CALM_S = 5.0
+"""Queues come and go within a burst: nobody must have waited for this long, about one stream."""
 LONGEST_DELAY_S = 20.0
 """So long after the loss it is replaced whoever waits: without one, decode engines read prompts at
 half the pace, so that a lasting overload would keep itself up."""
@@ -51,13 +53,13 @@
     return None
 
 
-def may_stop_decoding(settled_s: float, waiting: int) -> bool:
+def may_stop_decoding(settled_s: float, calm_s: float) -> bool:
     """Return whether a decode engine may be taken away to read prompts.
 
-    ``settled_s``: for how long the engines have been as they are, in seconds. ``waiting``: requests
-    that wait for decode room and can still be in time. An engine is away for seconds while it
-    changes its role, and its decode memory is what they wait for.
+    ``settled_s``: for how long the engines have been as they are, ``calm_s``: for how long no
+    request has waited for decode room, both in seconds. An engine is away for seconds while it
+    changes its role, and its decode memory is what requests of a burst wait for.
     """
     if settled_s < MISSING_READER_S:
         return False
-    return waiting == 0 or settled_s >= LONGEST_DELAY_S
+    return calm_s >= CALM_S or settled_s >= LONGEST_DELAY_S
