--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -13,7 +13,6 @@
       | promises of a silent router are dropped                       |
       | a slow engine is known and forgiven                           |
       | changes of roles end at the wanted split                      |
-      | no decode engine is taken from who waits                      |
       | the longest prefix finds the route                            |
       | documents of the platform become routes and backends          |
       | lines stay within their budget                                |
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -13,7 +13,7 @@
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
-from yokedock.request.role_plan import EngineRole, may_stop_decoding, next_change
+from yokedock.request.role_plan import EngineRole, next_change
 from yokedock.router_errors import BackendBroken, BackendUnreachable
 from yokedock.version.route_table import RouteTable, ServiceSpec
 
@@ -22,6 +22,8 @@
 CHECK_S = 0.25
 SETTLED_S = 1.0
 """Engines must have been listed unchanged for this long before roles are changed."""
+MISSING_READER_S = 8.0
+"""A lost prefill engine is replaced only after this long: most come back sooner."""
 CHANGE_MARGIN_S = 12.0
 """A change that takes longer than the engine's own time by this is taken for lost."""
 ORDER_TIMEOUT_S = 1.0
@@ -40,22 +42,14 @@
         pool: BackendPool,
         dialect: Dialect,
         token: Callable[[], int | None],
-        waiting: Callable[[str], int],
     ) -> None:
-        """Give orders as ``holder``.
-
-        ``token`` returns the fencing token while this router leads, else None; ``waiting`` how many
-        requests for a service wait for decode room in the whole fleet and can still be in time.
-        """
+        """``token`` returns the fencing token while this router leads, else None."""
         self._holder = holder
         self._registry = registry
         self._ledger = ledger
         self._pool = pool
         self._dialect = dialect
         self._token = token
-        self._waiting = waiting
-        self._waited_s: dict[str, float] = {}
-        """By service, when a request was last seen to wait (monotonic s)."""
         self._changing: dict[str, tuple[str, float]] = {}
         self._settled_since: dict[str, tuple[frozenset[tuple[str, str]], float]] = {}
         self._paused_until_s = 0.0
@@ -81,15 +75,12 @@
             gone = self._settled_since.keys() - current.services.keys()
             for name in gone:
                 del self._settled_since[name]
-                self._waited_s.pop(name, None)
             for service in current.services.values():
                 if service.engine is not None and self._token() is not None:
                     await self._balance(service)
 
     async def _balance(self, service: ServiceSpec) -> None:
         """Give at most one order for a service."""
-        if self._waiting(service.name):
-            self._waited_s[service.name] = time.monotonic()
         engines = [b for b in self._registry.usable(service.name) if b.entry.role]
         changing = self.changing()
         if any(engine.name in changing for engine in engines) and not self._may_overlap(engines):
@@ -101,8 +92,7 @@
         change = next_change(roles, PREFILL_ROLE, DECODE_ROLE)
         if change is None or change.name in changing:
             return
-        calm_s = time.monotonic() - self._waited_s.get(service.name, 0.0)
-        if change.role == PREFILL_ROLE and not may_stop_decoding(settled_s, calm_s):
+        if change.role == PREFILL_ROLE and settled_s < MISSING_READER_S:
             return
         backend = self._registry.get(change.name)
         assert backend is not None and service.engine is not None
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -124,7 +124,6 @@
             self._pool,
             dialect,
             self._leading_token,
-            self._waiting_everywhere,
         )
         self._upkeep = RouterUpkeep(
             KeptTables(
@@ -325,11 +324,6 @@
             self._placement.queues(),
         )
 
-    def _waiting_everywhere(self, service: str) -> int:
-        """Return how many requests for a service wait in the fleet and can still be in time."""
-        own = self._placement.queues().get(service, QueueShare())
-        return own.in_time + self._queue_elsewhere(service).in_time
-
     def _queue_elsewhere(self, service: str) -> QueueShare:
         """Return what waits for the engines of a service at all other routers."""
         states = [other.state for other in self._gossip.alive() if other.state]
--- a/src/yokedock/request/role_plan.py
+++ b/src/yokedock/request/role_plan.py
@@ -7,14 +7,6 @@
 PREFILL_SHARE = 0.2
 """Share of the engines that read prompts; decode engines read what these cannot keep up with."""
 
-MISSING_READER_S = 8.0
-"""A lost prefill engine is replaced only after this long: most come back sooner."""
-CALM_S = 5.0
-"""Queues come and go within a burst: nobody must have waited for this long, about one stream."""
-LONGEST_DELAY_S = 20.0
-"""So long after the loss it is replaced whoever waits: without one, decode engines read prompts at
-half the pace, so that a lasting overload would keep itself up."""
-
 
 class EngineRole(msgspec.Struct, frozen=True):
     """One engine as the plan sees it."""
@@ -51,15 +43,3 @@
         least = min(making, key=lambda engine: (engine.load, engine.name))
         return RoleChange(least.name, prefill)
     return None
-
-
-def may_stop_decoding(settled_s: float, calm_s: float) -> bool:
-    """Return whether a decode engine may be taken away to read prompts.
-
-    ``settled_s``: for how long the engines have been as they are, ``calm_s``: for how long no
-    request has waited for decode room, both in seconds. An engine is away for seconds while it
-    changes its role, and its decode memory is what requests of a burst wait for.
-    """
-    if settled_s < MISSING_READER_S:
-        return False
-    return calm_s >= CALM_S or settled_s >= LONGEST_DELAY_S
