A log line for each prompt that was read for nothing, with its cause

The logs told where a stream was placed and how it ended, but not which reading of a prompt was of no use, nor why. Each reading is now followed to the end of the answer made from it; when it is lost, a line tells engine, tokens, cause and age. No change to what is decided.

--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -28,6 +28,7 @@
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
+from yokedock.request.prompt_reads import PromptReads
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
@@ -63,6 +64,7 @@
 
     relay: StreamRelay
     retries: RequestRetries
+    reads: PromptReads
     refused_by: set[str] = msgspec.field(default_factory=set)
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
@@ -154,7 +156,8 @@
         """Answer the request; errors that are raised go to the caller."""
         relay = StreamRelay(call.answer, call.terms.last_event_id)
         with self._allowance.request(call.service.name, call.request_id) as retries:
-            await self._serve_within(call, GenerationState(relay, retries))
+            reads = PromptReads(call.request_id)
+            await self._serve_within(call, GenerationState(relay, retries, reads))
 
     async def _serve_within(self, call: RoutedCall, state: GenerationState) -> None:
         """Answer the request within its time."""
@@ -163,9 +166,12 @@
                 if call.terms.last_event_id is not None:
                     await self._seek_prompt(call, state)
                 await self._serve(call, state)
+            state.reads.end(is_whole=True)
         except TimeoutError:
+            state.reads.lost("end", "the time was over")
             raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
         finally:
+            state.reads.end(is_whole=False)
             if state.source is not None:
                 self._release(state.source)
             _log_stream(call, state)
@@ -223,6 +229,9 @@
                 await self._decode(call, state, placement)
             else:
                 await self._decode_alone(call, state, placement)
+        except YokedockError as error:
+            state.reads.lost("answer" if state.reads.read_s else "reading", error.message)
+            raise
         finally:
             self._ledger.close_stream(placement.promise)
 
@@ -241,6 +250,7 @@
     ) -> None:
         """Have the prompt read, and note where its memory is kept."""
         key = self._ledger.open_prefill(engine.name, tokens)
+        state.reads.begin(engine.name, tokens)
         is_done = False
         try:
             async with self._exchanges.open(engine, call) as exchange:
@@ -256,6 +266,7 @@
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
             state.read_s = time.monotonic()
+            state.reads.read()
             state.note_prompt_at(engine.name)
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
@@ -279,6 +290,8 @@
         """Have one engine read the prompt and make the answer."""
         name = placement.decode.name
         reading = self._ledger.open_prefill(name, placement.tokens)
+        is_cached = name in state.read_at or placement.fetch_from is not None
+        state.reads.begin(name, 0 if is_cached else placement.tokens)
         state.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
         try:
             await self._decode(call, state, placement)
@@ -332,6 +345,7 @@
             parts = exchange.body_parts()
             while (part := await stream.within(patience_s, anext(parts, None))) is not None:
                 self._watch.heard(stream)
+                state.reads.read()
                 state.note_prompt_at(exchange.backend.name)
                 await relay.feed(head, part)
                 self._note_pace(exchange.backend.name, relay)
