--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -125,6 +125,17 @@
         """Return since when the caller has heard nothing (monotonic s)."""
         return self.relay.last_s or call.arrived_s
 
+    def note_lapse(self) -> None:
+        """Note that the prompt's memory was kept too long ago to be used."""
+        if self.source is not None and self.kept_source() is None:
+            self.reads.lost("lapsed after", self.reads.loss)
+            self.reads.end(is_whole=False)
+
+    def must_read(self, placement: Placement) -> bool:
+        """Return whether the decode engine reads the prompt itself."""
+        is_read = self.kept_source() is not None or placement.fetch_from is not None
+        return not is_read and placement.decode.name not in self.read_at
+
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
         return self.source if time.monotonic() < self.source_until_s else None
@@ -222,6 +233,7 @@
         """Read the prompt, then make the answer, with room promised all the while."""
         try:
             self._set_aside(call, state, placement)
+            state.note_lapse()
             if state.kept_source() is not None:
                 await self._decode(call, state, placement)
             elif placement.prefill is not None:
@@ -250,7 +262,6 @@
     ) -> None:
         """Have the prompt read, and note where its memory is kept."""
         key = self._ledger.open_prefill(engine.name, tokens)
-        state.reads.begin(engine.name, tokens)
         is_done = False
         try:
             async with self._exchanges.open(engine, call) as exchange:
@@ -258,6 +269,7 @@
                     state.retries.note_arrival()
                 state.prefills += 1
                 order = BackendOrder(engine.name, call.backend_deadline_ms(), is_prefill=True)
+                state.reads.begin(engine.name, tokens)
                 await exchange.send(order)
                 answer = await exchange.read_whole(self._prefill_patience_s(call, engine))
             if answer.head.status >= SERVER_ERROR:
@@ -290,8 +302,6 @@
         """Have one engine read the prompt and make the answer."""
         name = placement.decode.name
         reading = self._ledger.open_prefill(name, placement.tokens)
-        is_cached = name in state.read_at or placement.fetch_from is not None
-        state.reads.begin(name, 0 if is_cached else placement.tokens)
         state.relay.on_first = lambda: self._ledger.close_prefill(reading, is_done=False)
         try:
             await self._decode(call, state, placement)
@@ -315,9 +325,12 @@
             )
             try:
                 with call.one_run():
+                    if state.must_read(placement):
+                        state.reads.begin(engine.name, placement.tokens)
                     await exchange.send(order)
                     await self._relay(call, state, exchange, placement.demand)
             except BackendRefused:
+                self._log_refused_answer(call, state, placement)
                 state.refused_by.add(engine.name)
                 state.read_at.pop(engine.name, None)
                 raise
@@ -355,6 +368,23 @@
         await relay.end(head)
         exchange.finish()
 
+    def _log_refused_answer(
+        self, call: RoutedCall, state: GenerationState, placement: Placement
+    ) -> None:
+        """Tell what was promised at the engine as it refused."""
+        engine = placement.decode.name
+        _log.info(
+            "answer refused",
+            request=call.request_id,
+            engine=engine,
+            read_at=list(state.read_at),
+            needed_tokens=placement.demand.memory_tokens(),
+            promised_tokens=self._ledger.memory_tokens(engine),
+            promised_streams=self._ledger.streams(engine),
+            placed_ms_ago=round((time.monotonic() - state.placed_s) * 1000),
+            kept_for_ms=round((state.source_until_s - time.monotonic()) * 1000),
+        )
+
     def _note_pace(self, engine: str, relay: StreamRelay) -> None:
         """Note the pause before the newest event, and whether a prompt was being read then."""
         is_reading = self._ledger.prefill_backlog(engine) > 0
@@ -420,7 +450,14 @@
 def _log_placed(call: RoutedCall, state: GenerationState) -> None:
     """Tell where a stream goes, so that one whose router dies leaves a trace."""
     engine = state.engines[-1]
-    _log.info("placed", request=call.request_id, route=call.route.name, engines=[engine])
+    tokens = call.terms.generation.prompt_tokens if call.terms.generation else 0
+    _log.info(
+        "placed",
+        request=call.request_id,
+        route=call.route.name,
+        engines=[engine],
+        prompt_tokens=tokens,
+    )
 
 
 def _log_stream(call: RoutedCall, state: GenerationState) -> None:
