--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -60,6 +60,13 @@
     When a client streams on "chat"
     Then the client gets 503
 
+  Scenario: No prompt is read for an answer whose engine cannot be reached
+    Given backend "d" has died
+    And backend "e" has died
+    When a client streams on "chat"
+    Then the client gets 503
+    And engine "p" read no prompt
+
   Scenario: A client who leaves in the middle frees the decode engine
     Given every decode engine's next fault is "wait after event 2" at the first that runs
     When a client streams on "talk" and leaves after 2 events
--- a/features/steps/router_cache_steps.py
+++ b/features/steps/router_cache_steps.py
@@ -61,3 +61,9 @@
     runs = [a for b in decode_engines(context) for a in b.runs() if a.header("Last-Event-Id")]
     address = context.world.backends[name].address
     assert [a.header("X-Copy-From") for a in runs] == [address], runs
+
+
+@then('engine "{name}" read no prompt')
+def read_none(context, name):
+    read = [a for a in context.world.backends[name].arrivals if a.header("X-Stage") == "prefill"]
+    assert not read, read
