No prompt is read for an answer whose engine cannot be reached

Cause: the answer's engine was connected to after the prompt had been read. Ruled out: keeping the memory longer (the engines' own time); reading and connecting at once (the reading would have to be broken off). Change: the connection is had first and rests while the prompt is read; it is needed in any case.

--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -237,6 +237,7 @@
             if state.kept_source() is not None:
                 await self._decode(call, state, placement)
             elif placement.prefill is not None:
+                await self._reach(call, placement.decode)
                 await self._prefill(call, state, placement.prefill, placement.tokens)
                 await self._decode(call, state, placement)
             else:
@@ -257,6 +258,14 @@
         if not state.retries.set_aside(arrivals):
             raise RetryBudgetSpent(f"the retry budget of {call.service.name} is spent")
 
+    async def _reach(self, call: RoutedCall, engine: Backend) -> None:
+        """Have a connection to the engine that is to make the answer; it rests meanwhile.
+
+        Raises ``BackendUnreachable``: a prompt read for an engine that is gone is lost.
+        """
+        async with self._exchanges.open(engine, call):
+            _log.debug("reached", request=call.request_id, engine=engine.name)
+
     async def _prefill(
         self, call: RoutedCall, state: GenerationState, engine: Backend, tokens: int
     ) -> None:
