--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -41,6 +41,13 @@
       | room is forecast from how long streams lasted       |
       | a caller who leaves spoils no other look-up         |
 
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: several routers
+      | property                               |
+      | room that comes free is promised once  |
+
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
 
--- /dev/null
+++ b/features/support/fleet_properties.py
@@ -0,0 +1,105 @@
+"""Properties of several routers that place generations on the same engines, in one process."""
+
+import asyncio
+import time
+
+from support.stream_properties import TRAITS, generation, registry
+from yokedock.connection.router_state import QueueShare
+from yokedock.request.engine_ledger import EngineLedger, StreamDemand
+from yokedock.request.engine_placement import Progress
+from yokedock.request.mechanisms import Mechanisms
+from yokedock.request.placement_queue import QueuedPlacement
+
+LEAST_GAP_S = 0.01
+WAY_S = 0.004
+"""Routers speak at most this often; a datagram takes so long."""
+
+
+class Router:
+    """One router's ledger and queue, which hears the others late."""
+
+    def __init__(self, name):
+        self.name = name
+        self.others = []
+        self.heard = {}
+        self.ledger = EngineLedger()
+        self.placement = QueuedPlacement(
+            registry("d"),
+            self.ledger,
+            self._elsewhere,
+            Mechanisms(refuse_hopeless=False),
+        )
+        self.ledger.on_change = self._change
+        self._is_speaking = False
+        self._spoke_s = 0.0
+
+    def _elsewhere(self, service):
+        shares = [queues[service] for _, queues in self.heard.values() if service in queues]
+        return QueueShare(sum(s.in_time for s in shares), sum(s.arrivals_per_s for s in shares))
+
+    def _change(self):
+        if not self._is_speaking:
+            self._is_speaking = True
+            gap_s = max(0.0, self._spoke_s + LEAST_GAP_S - time.monotonic())
+            asyncio.get_running_loop().call_later(gap_s, self._speak)
+
+    def _speak(self):
+        self._is_speaking = False
+        self._spoke_s = time.monotonic()
+        told = (self.name, self.ledger.shares(), self.placement.queues())
+        for other in self.others:
+            asyncio.get_running_loop().call_later(WAY_S, other.hear, *told)
+
+    def hear(self, name, shares, queues):
+        """Take in what another router told."""
+        self.heard[name] = (time.monotonic(), queues)
+        self.ledger.heard(name, shares)
+
+
+def fleet(size):
+    """Return routers that hear each other."""
+    routers = [Router(f"r{number}") for number in range(size)]
+    for router in routers:
+        router.others = [other for other in routers if other is not router]
+    return routers
+
+
+def room_that_comes_free_is_promised_once():
+    """Ten routers wait when room for one comes free: in six rounds, it is promised to few more."""
+
+    async def play():
+        routers = fleet(10)
+        whole = StreamDemand("d", TRAITS.memory_tokens, 0, 0)
+        taken = routers[0].ledger.open_stream(whole)
+        await asyncio.sleep(0.05)
+        now_s = time.monotonic()
+        waiting = [
+            asyncio.create_task(r.placement.place(generation(now_s + n / 100, 700), Progress()))
+            for n, r in enumerate(routers)
+        ]
+        await asyncio.sleep(0.1)
+        promised = []
+        for _ in range(6):
+            routers[0].ledger.close_stream(taken)
+            done, _ = await asyncio.wait(waiting, timeout=1.0, return_when="FIRST_COMPLETED")
+            assert done, "nobody took room that was free"
+            await asyncio.sleep(0.06)
+            placed = [(r, w) for r, w in zip(routers, waiting, strict=True) if w.done()]
+            promised.append(len(placed))
+            taken = routers[0].ledger.open_stream(whole)
+            for router, task in placed:
+                router.ledger.close_stream(task.result().promise)
+                again = router.placement.place(generation(time.monotonic(), 700), Progress())
+                waiting[routers.index(router)] = asyncio.create_task(again)
+            await asyncio.sleep(0.06)
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        assert sum(promised) <= 12, promised
+
+    asyncio.run(play())
+
+
+FLEET_PROPERTIES = {
+    "room that comes free is promised once": room_that_comes_free_is_promised_once,
+}
