Routers take room that came free in the order of their turns

Cause: as a stream ended, all routers with a waiting generation looked for room within 12 ms, sooner than the news of a promise takes (a router speaks at most every 10 ms): room for one was promised up to eleven times, 100 of 48 thousand tokens of an engine. Whoever came too late was refused after its prompt had been read, and refused arrivals spend the retry budget. Ruled out: a longer moment of chance (with 25 routers it would have to be 25 datagrams long for the first too); headroom for routers that may promise at once (room left empty when nobody waits). Turns nearer than 20 ms are tied and the routers' addresses decide. An older router tells no turn and is before nobody. Ten routers in one process, room for one in six rounds: promised 1 to 9 times before, 12 at most in all now.

--- a/features/support/fleet_properties.py
+++ b/features/support/fleet_properties.py
@@ -9,6 +9,7 @@
 from yokedock.request.engine_placement import Progress
 from yokedock.request.mechanisms import Mechanisms
 from yokedock.request.placement_queue import QueuedPlacement
+from yokedock.request.waiter import Turn
 
 LEAST_GAP_S = 0.01
 WAY_S = 0.004
@@ -28,6 +29,7 @@
             self.ledger,
             self._elsewhere,
             Mechanisms(refuse_hopeless=False),
+            self._turns,
         )
         self.ledger.on_change = self._change
         self._is_speaking = False
@@ -37,6 +39,13 @@
         shares = [queues[service] for _, queues in self.heard.values() if service in queues]
         return QueueShare(sum(s.in_time for s in shares), sum(s.arrivals_per_s for s in shares))
 
+    def _turns(self, service):
+        return [
+            Turn(share.next_in_ms < 0, at_s + abs(share.next_in_ms) / 1000, name < self.name)
+            for name, (at_s, queues) in self.heard.items()
+            if (share := queues.get(service)) and share.next_in_ms
+        ]
+
     def _change(self):
         if not self._is_speaking:
             self._is_speaking = True
@@ -84,13 +93,14 @@
             done, _ = await asyncio.wait(waiting, timeout=1.0, return_when="FIRST_COMPLETED")
             assert done, "nobody took room that was free"
             await asyncio.sleep(0.06)
-            placed = [(r, w) for r, w in zip(routers, waiting, strict=True) if w.done()]
+            placed = [index for index, task in enumerate(waiting) if task.done()]
             promised.append(len(placed))
             taken = routers[0].ledger.open_stream(whole)
-            for router, task in placed:
-                router.ledger.close_stream(task.result().promise)
+            for index in placed:
+                router = routers[index]
+                router.ledger.close_stream(waiting[index].result().promise)
                 again = router.placement.place(generation(time.monotonic(), 700), Progress())
-                waiting[routers.index(router)] = asyncio.create_task(again)
+                waiting[index] = asyncio.create_task(again)
             await asyncio.sleep(0.06)
         for task in waiting:
             task.cancel()
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -23,6 +23,9 @@
     in_time: int = 0
     """Generations waiting that can still meet their target."""
     arrivals_per_s: float = 0.0
+    next_in_ms: int = 0
+    """Time left of the generation whose turn is next, negative if it is late already, 0 if none
+    waits or the router is of an older version."""
 
 
 class RouterState(msgspec.Struct, array_like=True):
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -40,6 +40,7 @@
 from yokedock.request.opaque_call import OpaqueCalls
 from yokedock.request.placement_queue import QueuedPlacement
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
+from yokedock.request.waiter import Turn
 from yokedock.version.route_table import CallerLimits, RouteTable
 
 _log = logger("router")
@@ -75,6 +76,7 @@
         mechanisms = settings.mechanisms
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
+        self._own_address = own_address
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
             own_address, int(port), seeds, self._state, self._heard, self._silent
@@ -89,7 +91,13 @@
         self._allowance = allowance
         self._pool = BackendPool()
         exchanges = BackendExchanges(self._pool, dialect)
-        placement = QueuedPlacement(self._registry, self._ledger, self._queue_elsewhere, mechanisms)
+        placement = QueuedPlacement(
+            self._registry,
+            self._ledger,
+            self._queue_elsewhere,
+            mechanisms,
+            self._turns_elsewhere,
+        )
         self._placement = placement
         self._metrics = RouterMetrics()
         self._stop = StopState()
@@ -333,6 +341,18 @@
             sum(share.arrivals_per_s for share in shares),
         )
 
+    def _turns_elsewhere(self, service: str) -> list[Turn]:
+        """Return whose turn is next at each other router where something waits."""
+        return [
+            Turn(
+                share.next_in_ms < 0,
+                other.heard_s + abs(share.next_in_ms) / 1000,
+                wins_ties=other.address < self._own_address,
+            )
+            for other in self._gossip.alive()
+            if other.state and (share := other.state.queues.get(service)) and share.next_in_ms
+        ]
+
     def _heard(self, other: OtherRouter) -> None:
         assert other.state is not None
         state = other.state
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -106,6 +106,22 @@
                 return self._promise(decode, prefill, sought)
         return self._promise(alone, None, sought)
 
+    def places(self, call: RoutedCall, progress: Progress) -> int:
+        """Return how many generations like this one have room now, over all engines."""
+        terms, traits = call.terms.generation, call.service.engine
+        assert terms is not None and traits is not None
+        sought = Sought(terms, progress, traits, frozenset())
+        need = stream_demand("", terms, progress.made).memory_tokens()
+        return sum(
+            self._places_at(engine.name, traits, need)
+            for engine in self._roomy(call.service.name, sought)
+        )
+
+    def _places_at(self, engine: str, traits: EngineTraits, need: int) -> int:
+        free_tokens = FILL * traits.memory_tokens - self._ledger.memory_tokens(engine)
+        free_slots = traits.slots - self._ledger.streams(engine)
+        return max(1, min(free_slots, int(free_tokens / max(1, need))))
+
     def first_token_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return the shortest time from a placement to the first token, with nothing before it.
 
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import sys
 import time
@@ -23,14 +24,14 @@
 from yokedock.request.engine_placement import DECODE_ROLE, EnginePlacement, Placement, Progress
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.room_forecast import LATEST_RETURN, QueueAhead, RoomForecast
+from yokedock.request.room_order import RoomOrder
 from yokedock.request.routed_call import RoutedCall
-from yokedock.request.waiter import Waiter
+from yokedock.request.waiter import Turn, Waiter
 
 _log = logger("queue")
 
-JITTER_S = 0.012
-"""Room that came free is taken after a moment of chance, longer than the way of a datagram between
-routers: two that look at once would promise the same room."""
+PUMP_S = 0.003
+"""News of room that come within this time are looked at together."""
 RECHECK_S = 0.1
 """Waiting generations look for room at least this often: promises of a silent router lapse."""
 LEAST_SILENCE_S = 2.0
@@ -51,18 +52,24 @@
         ledger: EngineLedger,
         elsewhere: Callable[[str], QueueShare],
         mechanisms: Mechanisms = ALL_ON,
+        turns_elsewhere: Callable[[str], list[Turn]] = lambda service: [],
     ) -> None:
-        """``elsewhere`` sums what waits for the engines of a service at all other routers."""
+        """``elsewhere`` sums what waits for the engines of a service at all other routers.
+
+        ``turns_elsewhere`` returns whose turn is next at each of them.
+        """
         self._registry = registry
         self._ledger = ledger
         self._mechanisms = mechanisms
         self._choice = EngineChoice(registry, ledger, mechanisms)
         self._elsewhere = elsewhere
+        self._order = RoomOrder(turns_elsewhere)
         self._forecast = RoomForecast(ledger.turnover)
         self._random = random.Random()
         self._queues: dict[str, list[Waiter]] = {}
         self._arrivals: dict[str, collections.deque[float]] = {}
         self._is_pump_due = False
+        self._turn_due_s = math.inf
         ledger.on_room = self._pump_soon
 
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
@@ -78,6 +85,8 @@
             self._pump(service)
             if not waiter.placed.done():
                 self._refuse_if_hopeless(waiter)
+                # The others count on whoever waits here when they take room.
+                self._ledger.on_change()
                 await self._wait(waiter)
             return waiter.placed.result()
         finally:
@@ -95,10 +104,20 @@
             service: QueueShare(
                 sum(waiter.is_in_time(now_s) for waiter in self._queues.get(service, ())),
                 round(self._arrivals_per_s(service), 1),
+                self._next_in_ms(service, now_s),
             )
             for service in list(self._arrivals)
         }
 
+    def _next_in_ms(self, service: str, now_s: float) -> int:
+        """Return the time left of whoever is next here, negative if late, 0 if none waits."""
+        turns = [waiter.place_in_order(now_s) for waiter in self._queues.get(service, ())]
+        if not turns:
+            return 0
+        first = min(turns, key=lambda turn: (turn.is_late, turn.until_s))
+        left_ms = max(1, round((first.until_s - now_s) * 1000))
+        return -left_ms if first.is_late else left_ms
+
     def return_after_s(self, call: RoutedCall) -> float:
         """Return when room is predicted for a caller who is refused now, spread by chance."""
         return self._return_after_s(self._waiter(call, Progress()))
@@ -194,6 +213,7 @@
         queue = self._queues.get(service, [])
         if waiter in queue:
             queue.remove(waiter)
+            self._ledger.on_change()
         if not queue:
             self._queues.pop(service, None)
         placed = waiter.placed
@@ -245,12 +265,11 @@
     # --- Giving room ---
 
     def _pump_soon(self) -> None:
-        """Look for room soon, after a moment of chance."""
+        """Look for room soon, with what else is heard in this moment."""
         if self._is_pump_due or not self._queues:
             return
         self._is_pump_due = True
-        delay_s = self._random.random() * JITTER_S
-        asyncio.get_running_loop().call_later(delay_s, self._pump_all)
+        asyncio.get_running_loop().call_later(PUMP_S, self._pump_all)
 
     def _pump_all(self) -> None:
         self._is_pump_due = False
@@ -280,9 +299,28 @@
     def _try(self, waiter: Waiter) -> bool:
         if waiter.placed.done():
             return True
+        if not self._is_its_turn(waiter):
+            return False
         placement = self._choice.choose(waiter.call, waiter.progress)
         if placement is None:
             return False
         self._queues[waiter.call.service.name].remove(waiter)
         waiter.placed.set_result(placement)
         return True
+
+    def _is_its_turn(self, waiter: Waiter) -> bool:
+        """Return whether a waiter may look for room before others' waiters; if not, look again."""
+        service = waiter.call.service.name
+        if self._order.is_alone(service):
+            return True
+        places = self._choice.places(waiter.call, waiter.progress)
+        now_s = time.monotonic()
+        wait_s = self._order.wait_s(waiter, places, now_s)
+        if wait_s > 0 and now_s + wait_s < self._turn_due_s:
+            self._turn_due_s = now_s + wait_s
+            asyncio.get_running_loop().call_later(wait_s, self._turn_came)
+        return wait_s <= 0
+
+    def _turn_came(self) -> None:
+        self._turn_due_s = math.inf
+        self._pump_all()
--- a/src/yokedock/request/waiter.py
+++ b/src/yokedock/request/waiter.py
@@ -9,6 +9,28 @@
 from yokedock.request.engine_placement import Placement, Progress
 from yokedock.request.routed_call import RoutedCall
 
+TIE_S = 0.02
+"""Turns nearer to each other than this are tied: routers know each other's turns as exactly as the
+way of a datagram, and the wait before it, allow."""
+
+
+class Turn(msgspec.Struct, frozen=True):
+    """Place in the order in which room is taken: the late go last, the least time left first."""
+
+    is_late: bool
+    until_s: float
+    """When its caller's time ends (monotonic)."""
+    wins_ties: bool = False
+    """Whether it goes before any that is tied with it; the routers' names decide."""
+
+    def is_before(self, other: Turn) -> bool:
+        """Return whether this turn, of another router, goes before ``other``."""
+        if self.is_late != other.is_late:
+            return other.is_late
+        if abs(self.until_s - other.until_s) < TIE_S:
+            return self.wins_ties
+        return self.until_s < other.until_s
+
 
 class Waiter(msgspec.Struct, eq=False):
     """One generation that waits for room. Times are monotonic seconds."""
@@ -26,12 +48,18 @@
     predicted_at_s: float = 0.0
     is_late: bool = False
     """Whether that prediction was for a turn behind all that are in time."""
+    room_seen_s: float | None = None
+    """Since when there has been room that others may take first, None if there is none."""
 
     def turn(self) -> float:
         """Return its place among those in time: who has the least time left goes first."""
         deadline_s = self.call.terms.deadline_s
         return self.call.arrived_s + (self.call.limit_s if deadline_s is None else deadline_s)
 
+    def place_in_order(self, now_s: float) -> Turn:
+        """Return its place among all that wait, the late behind those in time."""
+        return Turn(not self.is_in_time(now_s), self.turn())
+
     def is_in_time(self, now_s: float) -> bool:
         """Return whether a placement now would meet the target."""
         return self.in_time_until_s >= now_s
