--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -47,7 +47,6 @@
     Examples: several routers
       | property                               |
       | room that comes free is promised once  |
-      | prompts are not read where they cannot be handed over |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -15,10 +15,6 @@
     """Pause between events there as measured a moment ago, 0 if it was not."""
     read_tokens_per_ms: int = 0
     """Pace of reading prompts there as measured a moment ago, 0 if it was not."""
-    kept_taken: int = 0
-    """Prompts kept there that other engines took over, lately."""
-    kept_lost: int = 0
-    """Prompts kept there that engines with room refused, lately."""
 
 
 class QueueShare(msgspec.Struct, array_like=True):
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -43,8 +43,6 @@
 PAUSE_SHARE = 0.92
 """Share of the longest pause that is allowed which reading beside streams may bring about."""
 DISTURBANCE_COST_S = 0.5
-LOST_COST_S = 1.0
-"""What a prompt costs that is read and cannot be handed over: as much as an engine's failure."""
 START_S = 0.08
 """From the end of a prefill to the first token: transfer and first step."""
 
@@ -223,7 +221,6 @@
             cost_s += OTHER_ZONE_COST_S
         if prefill.name in sought.homes:
             cost_s -= HOME_BONUS_S
-        cost_s += LOST_COST_S * self._ledger.lost_share(prefill.name)
         return cost_s + self._decode_cost_s(decode, sought) + self._risk_s(prefill)
 
     def _alone_cost_s(self, decode: Backend, sought: Sought) -> float:
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -13,7 +13,6 @@
 
 from yokedock.connection.router_state import EngineShare
 from yokedock.request.engine_pace import EnginePace
-from yokedock.request.handovers import HandoverCount, Handovers
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.stream_turnover import StreamTurnover
 
@@ -65,7 +64,6 @@
         self._remote: dict[str, tuple[float, dict[str, EngineShare]]] = {}
         self.pace = EnginePace(clock, mechanisms.pace)
         self.turnover = StreamTurnover()
-        self.handovers = Handovers(clock)
         self._opened_s: dict[int, float] = {}
         self._next_key = 0
         self.on_change: Callable[[], None] = lambda: None
@@ -117,9 +115,6 @@
             share.streams += 1
         for prefill in self._prefills.values():
             shares.setdefault(prefill.engine, EngineShare()).prefill_tokens += prefill.tokens
-        for engine, count in self.handovers.recent().items():
-            share = shares.setdefault(engine, EngineShare())
-            share.kept_taken, share.kept_lost = count.taken, count.lost
         for engine, share in shares.items():
             share.pause_ms, share.read_tokens_per_ms = self.pace.recent(engine)
         return shares
@@ -164,13 +159,6 @@
         """Return how long ``engine`` needs to read what waits there, in seconds."""
         return self.prefill_backlog(engine) / self.pace.read_rate(engine)
 
-    def lost_share(self, engine: str) -> float:
-        """Return the share of prompts kept at ``engine`` that could not be handed over lately."""
-        count = self.handovers.recent().get(engine, HandoverCount())
-        for share in self._remote_shares(engine):
-            count = count.plus(HandoverCount(share.kept_taken, share.kept_lost))
-        return count.lost_share()
-
     def _remote_shares(self, engine: str) -> list[EngineShare]:
         if not self._counts_others:
             return []
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -50,8 +50,6 @@
 """A resumable stream that is silent for this long goes on at another engine."""
 LEAST_USEFUL_S = 0.1
 ENOUGH_REFUSALS = 3
-ENOUGH_OF_A_KEEPER = 2
-"""Engines with room that refuse a kept prompt, before who keeps it is taken to be at fault."""
 KNOCK_S = 0.02
 """Engines that cannot be reached are tried again at this interval, until the caller gives up."""
 KEPT_SHARE = 0.8
@@ -71,12 +69,6 @@
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
-    keeper: str = ""
-    """The engine that keeps it."""
-    is_handed_over: bool = False
-    """Whether the newest run is to take it over from there."""
-    keeper_refused: int = 0
-    """Engines with room that could not get it from there."""
     prefills: int = 0
     """Prefills that reached an engine."""
     prefills_refused: int = 0
@@ -300,7 +292,6 @@
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
             state.source = f"{engine.entry.address}/{result.handle}"
-            state.keeper, state.keeper_refused = engine.name, 0
             state.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
         except BackendRefused:
             state.prefills_refused += 1
@@ -334,12 +325,10 @@
                 state.retries.note_arrival()
             state.retries.give_back()
             call.arrivals += 1
-            source = state.kept_source()
-            state.is_handed_over = source is not None
             order = BackendOrder(
                 engine.name,
                 call.backend_deadline_ms(),
-                kv_source=source,
+                kv_source=state.kept_source(),
                 fetch_from=keeper.entry.address if keeper is not None else None,
                 last_event_id=relay.last_id if relay.events else None,
             )
@@ -351,8 +340,6 @@
                     await self._relay(call, state, exchange, placement.demand)
             except BackendRefused:
                 self._log_refused_answer(call, state, placement)
-                if state.is_handed_over:
-                    self._note_not_handed_over(call, state, engine)
                 state.refused_by.add(engine.name)
                 state.read_at.pop(engine.name, None)
                 raise
@@ -373,8 +360,6 @@
         stream = self._watch.open(exchange.backend, is_resumable)
         try:
             head = await stream.within(patience_s, exchange.read_head(call.left_s()))
-            if state.is_handed_over:
-                self._ledger.handovers.note(state.keeper, is_taken=True)
             state.source = None
             if head.status != 200:
                 await self._pass_failure(call, state, exchange, WholeAnswer(head, b""))
@@ -392,23 +377,6 @@
         await relay.end(head)
         exchange.finish()
 
-    def _note_not_handed_over(
-        self, call: RoutedCall, state: GenerationState, engine: Backend
-    ) -> None:
-        """Count a refusal against who keeps the prompt, where the engine should have had room.
-
-        A keeper whose prompt nobody can get is not asked for it again.
-        """
-        traits = call.service.engine
-        if traits is None or self._ledger.memory_tokens(engine.name) > traits.memory_tokens:
-            return
-        self._ledger.handovers.note(state.keeper, is_taken=False)
-        state.keeper_refused += 1
-        if state.keeper_refused >= ENOUGH_OF_A_KEEPER and state.source is not None:
-            self._release(state.source)
-            state.source = None
-            state.read_at.pop(state.keeper, None)
-
     def _log_refused_answer(
         self, call: RoutedCall, state: GenerationState, placement: Placement
     ) -> None:
