The scenario between prefill and decode begins as the prompt is being read

A prompt is no longer read while the engine for its answer cannot be reached, so the scenario's state no longer came about (it waited for a read that rightly did not begin). Now the engine goes away while the prompt is read; what is asked of the router is the same.

--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -129,9 +129,11 @@
     Given a prefill engine "p"
     And a decode engine "d"
     And a router that knows them
-    And "d" accepts no connections
+    And the backends hold their answers
     When a client asks for a stream on "chat"
     And "p" has got 1 request
+    And "d" accepts no connections
+    And the backends let go
     And 0.2 s pass
     And the client closes
     And "d" accepts connections again
