Engines hold room for the prompt alone, and silence is a refusal

A hold of the expected answer's memory too refused more than the engine itself would: room for the answer comes free while it is made.

--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -297,7 +297,8 @@
             read_s += placement.tokens / self._ledger.pace.read_rate(reader.name)
         hold_s = min(traits.longest_hold_s, HOLD_SLACK * read_s + LEAST_HOLD_S)
         try:
-            state.hold = await self._holds.take(engine, placement.demand.memory_tokens(), hold_s)
+            # Not what the answer will take in the end: room for that comes free meanwhile.
+            state.hold = await self._holds.take(engine, placement.tokens, hold_s)
         except BackendUnreachable:
             engine.health.note_silence(time.monotonic())
             raise
--- a/src/yokedock/request/room_holds.py
+++ b/src/yokedock/request/room_holds.py
@@ -47,7 +47,7 @@
     async def take(self, engine: Backend, tokens: int, hold_s: float) -> Hold | None:
         """Return a hold of a slot and ``tokens``; None from an engine that does not say.
 
-        Raises ``RoomRefused`` where there is no room, ``BackendUnreachable``.
+        Raises ``RoomRefused`` where there is no room, or no answer, ``BackendUnreachable``.
         """
         address = engine.entry.address
         call = self._dialect.hold_call(HoldOrder(engine.name, tokens, max(1, round(hold_s * 1000))))
@@ -55,7 +55,9 @@
             answer = await short_call(self._pool, address, call, LIMITS)
             if answer.status == OK:
                 return Hold(address, self._dialect.hold_id(answer.body))
-        except (BackendBroken, EngineRejected) as error:
+        except BackendBroken as error:
+            raise RoomRefused(error.message) from None
+        except EngineRejected as error:
             _log.info("no hold", engine=engine.name, reason=error.message)
             return None
         if answer.status in (FULL, ELSEWHERE):
