--- a/features/steps/router_cache_steps.py
+++ b/features/steps/router_cache_steps.py
@@ -1,9 +1,6 @@
-import json
-
-import msgspec
 from behave import given, then, when
-from router_steps import STREAM_HEADERS, caller, decode_engines, event_ids, world
-from support.router_world import TRAITS, request_bytes
+from router_steps import STREAM_HEADERS, caller, decode_engines, event_ids
+from support.router_world import request_bytes
 
 
 @given('engine "{name}" keeps {tokens:d} tokens of part "{part}"')
@@ -70,52 +67,3 @@
 def read_none(context, name):
     read = [a for a in context.world.backends[name].arrivals if a.header("X-Stage") == "prefill"]
     assert not read, read
-
-
-@given("a router that knows them and that they hold room")
-def holding_router(context):
-    snapshot = world(context).snapshot()
-    services = dict(snapshot.table.services)
-    traits = msgspec.structs.replace(TRAITS, longest_hold_s=2.0)
-    services["llm"] = msgspec.structs.replace(services["llm"], engine=traits)
-    table = msgspec.structs.replace(snapshot.table, services=services)
-    context.router = context.world.start_router(msgspec.structs.replace(snapshot, table=table))
-    context.world.wait_for(lambda: context.router.is_ready, "ready")
-
-
-@given("no decode engine holds room")
-def no_room(context):
-    for backend in decode_engines(context):
-        backend.holds_no_room = True
-
-
-@given('the prefill engine "{name}" refuses everything')
-def reader_refuses(context, name):
-    context.world.backends[name].faults = ["refuse"] * 100
-
-
-@then("the decode engine that ran it held room for it")
-def ran_on_hold(context):
-    ran = [(b, a) for b in decode_engines(context) for a in b.runs() if a.method == "POST"]
-    assert len(ran) == 1, ran
-    backend, arrival = ran[0]
-    orders = [json.loads(a.body) for a in backend.holds if a.method == "POST"]
-    assert arrival.header("X-Hold") == f"{backend.name}-1", arrival.headers
-    assert orders[0]["tokens"] > 0 and 0 < orders[0]["hold_ms"] <= 2000, orders
-
-
-@then("all room that was held is used or given back")
-def held_is_ended(context):
-    def is_ended(backend):
-        taken = {
-            f"{backend.name}-{n + 1}" for n, a in enumerate(backend.holds) if a.method == "POST"
-        }
-        used = {a.header("X-Hold") for a in backend.runs()}
-        dropped = {a.target.rpartition("/")[2] for a in backend.holds if a.method == "DELETE"}
-        return taken <= used | dropped and (taken or dropped)
-
-    def all_ended():
-        taken = [b for b in decode_engines(context) if b.holds]
-        return bool(taken) and all(is_ended(b) for b in taken)
-
-    context.world.wait_for(all_ended, "the end of all holds")
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -12,7 +12,6 @@
 SLOW_PIECE_S = 0.1
 """Pause before each byte of an answer that flows slowly: eleven bytes take 1.1 s."""
 CACHE_PATH = "/cache"
-HOLD_PATH = "/holds"
 
 
 @dataclasses.dataclass
@@ -57,9 +56,6 @@
         """Called with the number of each event that was sent."""
         self.dies_when_broken = False
         self.forgets_when_broken = False
-        self.holds = []
-        """Orders to set room aside, and what was given back."""
-        self.holds_no_room = False
         self.cache = {}
         """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
         self.connections = 0
@@ -128,12 +124,9 @@
         self.heads_read += 1
         await self.body_gate.wait()
         arrival.body = await reader.readexactly(length)
-        is_question = target == CACHE_PATH or target.startswith(HOLD_PATH)
-        if is_question and writer in self._silent:
+        if target == CACHE_PATH and writer in self._silent:
             await reader.read(1)
             return False
-        if target.startswith(HOLD_PATH):
-            return self._hold(arrival, writer)
         if target == CACHE_PATH:
             return await self._list_cache(arrival, writer)
         self.arrivals.append(arrival)
@@ -157,16 +150,6 @@
         if self.cache is not None:
             self.cache.update({name: int(tokens) for name, tokens in parts})
 
-    def _hold(self, arrival, writer):
-        """Set room aside, or take it back."""
-        self.holds.append(arrival)
-        if arrival.method == "DELETE":
-            return self._plain(writer, arrival, 200, b"", [])
-        if self.holds_no_room:
-            return self._plain(writer, arrival, 503, b"full", [("X-Not-Run", "1")])
-        body = json.dumps({"hold": f"{self.name}-{len(self.holds)}"}).encode()
-        return self._plain(writer, arrival, 200, body, [])
-
     async def _list_cache(self, arrival, writer):
         if self.cache is None:
             await asyncio.sleep(3600)
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -54,16 +54,6 @@
     fetch_from: str | None = None
     """Address of an engine that keeps the prompt in its prefix cache: it is copied, not read."""
     last_event_id: int | None = None
-    hold: str | None = None
-    """Names room that the backend has set aside for it."""
-
-
-class HoldOrder(msgspec.Struct, frozen=True):
-    """An order to an engine to set a slot and memory aside."""
-
-    instance: str
-    tokens: int
-    hold_ms: int
 
 
 class BackendLoad(msgspec.Struct, frozen=True):
@@ -153,21 +143,6 @@
         Raises ``EngineRejected`` if it is none.
         """
 
-    @abc.abstractmethod
-    def hold_call(self, order: HoldOrder) -> ShortCall:
-        """Return the call that has an engine set room aside."""
-
-    @abc.abstractmethod
-    def hold_id(self, body: bytes) -> str:
-        """Return the name of the hold by the answer to that call.
-
-        Raises ``EngineRejected`` if it names none.
-        """
-
-    @abc.abstractmethod
-    def hold_target(self, hold_id: str) -> bytes:
-        """Return the path at which DELETE gives a hold back."""
-
     @abc.abstractmethod
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
@@ -187,17 +162,10 @@
     stage: str = "X-Stage"
     kv_source: str = "X-Kv-Source"
     fetch_from: str = "X-Copy-From"
-    hold: str = "X-Hold"
     not_run: str = "X-Not-Run"
     signature: str = "X-Signature"
     load: str = "X-Backend-Load"
-    set_by_router: tuple[str, ...] = (
-        "X-Expected-Backend",
-        "X-Stage",
-        "X-Kv-Source",
-        "X-Copy-From",
-        "X-Hold",
-    )
+    set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Copy-From")
     prefill_stage: str = "prefill"
     handle_field: str = "handle"
     tokens_field: str = "tokens"
@@ -210,11 +178,6 @@
     token_field: str = "token"
     cache_list_path: str = "/cache"
     cache_list_field: str = "held"
-    hold_path: str = "/holds"
-    hold_drop_path: str = "/holds/"
-    hold_tokens_field: str = "tokens"
-    hold_ms_field: str = "hold_ms"
-    hold_field: str = "hold"
 
 
 MISDIRECTED_STATUS = 421
@@ -264,8 +227,6 @@
             added.append((names.kv_source, order.kv_source))
         elif order.fetch_from is not None:
             added.append((names.fetch_from, order.fetch_from))
-        if order.hold is not None:
-            added.append((names.hold, order.hold))
         if order.last_event_id is not None:
             added.append((names.last_event_id, str(order.last_event_id)))
         return headers + [(name.encode(), value.encode()) for name, value in added]
@@ -323,31 +284,6 @@
             raise EngineRejected("the engine's list of its cache is not understood") from None
         return {part.part_id: part.tokens for part in parts}
 
-    def hold_call(self, order: HoldOrder) -> ShortCall:
-        """Return the call that has an engine set room aside."""
-        names = self._names
-        fields = {names.hold_tokens_field: order.tokens, names.hold_ms_field: order.hold_ms}
-        headers = (
-            (names.instance.encode(), order.instance.encode()),
-            (b"Content-Type", b"application/json"),
-        )
-        return ShortCall(b"POST", names.hold_path.encode(), headers, msgspec.json.encode(fields))
-
-    def hold_id(self, body: bytes) -> str:
-        """Return the name of the hold by the answer to that call."""
-        try:
-            fields = msgspec.json.decode(body, type=dict[str, object])
-        except (msgspec.MsgspecError, RecursionError):
-            fields = {}
-        hold_id = fields.get(self._names.hold_field)
-        if not isinstance(hold_id, str) or not hold_id:
-            raise EngineRejected("the engine's answer names no hold")
-        return hold_id
-
-    def hold_target(self, hold_id: str) -> bytes:
-        """Return the path at which DELETE gives a hold back."""
-        return f"{self._names.hold_drop_path}{hold_id}".encode()
-
     def release_target(self, handle: str) -> bytes:
         """Return the path at which DELETE releases what a prefill keeps."""
         return f"{self._names.release_path}{handle}".encode()
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -64,7 +64,6 @@
     slots: int = option("requests at once of each engine", 1, between(1, 100_000))
     tokens_per_event: int = option("tokens in one event", 1, between(1, 1000))
     handle_s: float = option("how long a prefill is kept, s", 0.5)
-    longest_hold_s: float = option("longest time for which engines hold room, s; 0: none do", 0.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -187,7 +186,6 @@
             link_mbps=0.0,
             tokens_per_event=options.tokens_per_event,
             handle_s=options.handle_s,
-            longest_hold_s=options.longest_hold_s,
         )
     return ServiceSpec(name, engine=traits)
 
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -16,7 +16,6 @@
     stage="X-Yokedock-Serving-Stage",
     kv_source="X-Yokedock-Kv-Source",
     fetch_from="Kv-Fetch",
-    hold="X-Yokedock-Kv-Retention",
     not_run="X-Yokedock-Not-Executed",
     signature="X-Yokedock-Response-Seal",
     load="X-Yokedock-Instance-Load",
@@ -43,9 +42,4 @@
     token_field="fencingToken",
     cache_list_path="/kv-list",
     cache_list_field="held",
-    hold_path="/hold-take",
-    hold_drop_path="/hold-drop/",
-    hold_tokens_field="tokenCount",
-    hold_ms_field="ttl_ms",
-    hold_field="retention",
 )
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -30,7 +30,6 @@
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.prompt_reads import PromptReads
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
-from yokedock.request.room_holds import Hold, RoomHolds
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.stream_watch import StreamWatch
@@ -40,7 +39,6 @@
     BackendRefused,
     BackendSilent,
     BackendUnreachable,
-    RoomRefused,
 )
 
 _log = logger("generation")
@@ -52,12 +50,6 @@
 """A resumable stream that is silent for this long goes on at another engine."""
 LEAST_USEFUL_S = 0.1
 ENOUGH_REFUSALS = 3
-HOLD_SLACK = 2.0
-"""Room is held for this many times the predicted reading, ..."""
-LEAST_HOLD_S = 0.3
-"""... and this much longer."""
-FULL_S = 0.1
-"""An engine without room is not asked again by the same request for this long."""
 KNOCK_S = 0.02
 """Engines that cannot be reached are tried again at this interval, until the caller gives up."""
 KEPT_SHARE = 0.8
@@ -77,10 +69,6 @@
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
-    hold: Hold | None = None
-    """Room that the engine of the newest placement has set aside."""
-    full_until_s: dict[str, float] = msgspec.field(default_factory=dict)
-    """Engines that had no room to set aside, and until when they are not asked (monotonic s)."""
     prefills: int = 0
     """Prefills that reached an engine."""
     prefills_refused: int = 0
@@ -119,16 +107,11 @@
         """Return what bears on the next placement."""
         return Progress(
             made=self.relay.events * _tokens_per_event(call),
-            avoid=frozenset(self.refused_by) | self._full_at(),
+            avoid=frozenset(self.refused_by),
             cached_at=self._cached_at(),
             silent_since_s=self.silent_since_s(call),
         )
 
-    def _full_at(self) -> frozenset[str]:
-        """Return the engines that had no room a moment ago."""
-        now_s = time.monotonic()
-        return frozenset(name for name, until_s in self.full_until_s.items() if now_s < until_s)
-
     def note_prompt_at(self, *engines: str) -> None:
         """Note that engines keep the prompt now."""
         self.read_at |= dict.fromkeys(engines, time.monotonic())
@@ -178,7 +161,6 @@
         self._lookup = lookup
         self._mechanisms = mechanisms
         self._watch = StreamWatch(is_used=mechanisms.silence_watch)
-        self._holds = RoomHolds(exchanges.pool, exchanges.dialect)
         self._releases: set[asyncio.Task[None]] = set()
 
     async def serve(self, call: RoutedCall) -> None:
@@ -213,7 +195,7 @@
                 _log_placed(call, state)
                 await self._attempt(call, state, placement)
                 return
-            except (BackendUnreachable, RoomRefused) as error:
+            except BackendUnreachable as error:
                 gives_up_s = self._placement.gives_up_s(call, state.progress(call))
                 is_over = time.monotonic() > gives_up_s or not self._mechanisms.reconnects
                 if is_over or not state.retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False):
@@ -253,10 +235,9 @@
             self._set_aside(call, state, placement)
             state.note_lapse()
             if state.kept_source() is not None:
-                await self._hold_room(call, state, placement)
                 await self._decode(call, state, placement)
             elif placement.prefill is not None:
-                await self._hold_room(call, state, placement)
+                await self._reach(call, placement.decode)
                 await self._prefill(call, state, placement.prefill, placement.tokens)
                 await self._decode(call, state, placement)
             else:
@@ -265,9 +246,6 @@
             state.reads.lost("answer" if state.reads.read_s else "reading", error.message)
             raise
         finally:
-            if state.hold is not None:
-                self._holds.drop(state.hold)
-                state.hold = None
             self._ledger.close_stream(placement.promise)
 
     def _set_aside(self, call: RoutedCall, state: GenerationState, placement: Placement) -> None:
@@ -280,32 +258,6 @@
         if not state.retries.set_aside(arrivals):
             raise RetryBudgetSpent(f"the retry budget of {call.service.name} is spent")
 
-    async def _hold_room(
-        self, call: RoutedCall, state: GenerationState, placement: Placement
-    ) -> None:
-        """Have the engine that is to make the answer set room aside while the prompt is read.
-
-        Raises ``RoomRefused``: a prompt read for an engine without room is lost.
-        """
-        traits, engine, reader = call.service.engine, placement.decode, placement.prefill
-        if traits is None or not traits.longest_hold_s:
-            await self._reach(call, engine)
-            return
-        read_s = 0.0
-        if reader is not None and state.kept_source() is None:
-            read_s = self._ledger.backlog_s(reader.name)
-            read_s += placement.tokens / self._ledger.pace.read_rate(reader.name)
-        hold_s = min(traits.longest_hold_s, HOLD_SLACK * read_s + LEAST_HOLD_S)
-        try:
-            # Not what the answer will take in the end: room for that comes free meanwhile.
-            state.hold = await self._holds.take(engine, placement.tokens, hold_s)
-        except BackendUnreachable:
-            engine.health.note_silence(time.monotonic())
-            raise
-        except RoomRefused:
-            state.full_until_s[engine.name] = time.monotonic() + FULL_S
-            raise
-
     async def _reach(self, call: RoutedCall, engine: Backend) -> None:
         """Have a connection to the engine that is to make the answer; it rests meanwhile.
 
@@ -373,14 +325,12 @@
                 state.retries.note_arrival()
             state.retries.give_back()
             call.arrivals += 1
-            hold, state.hold = state.hold, None
             order = BackendOrder(
                 engine.name,
                 call.backend_deadline_ms(),
                 kv_source=state.kept_source(),
                 fetch_from=keeper.entry.address if keeper is not None else None,
                 last_event_id=relay.last_id if relay.events else None,
-                hold=hold.hold_id if hold is not None else None,
             )
             try:
                 with call.one_run():
@@ -390,8 +340,6 @@
                     await self._relay(call, state, exchange, placement.demand)
             except BackendRefused:
                 self._log_refused_answer(call, state, placement)
-                if hold is not None:
-                    self._holds.drop(hold)
                 state.refused_by.add(engine.name)
                 state.read_at.pop(engine.name, None)
                 raise
--- a/src/yokedock/router_errors.py
+++ b/src/yokedock/router_errors.py
@@ -26,13 +26,6 @@
     http_status = 503
 
 
-class RoomRefused(EngineRejected):
-    """An engine has no room to set aside; it was asked for nothing else."""
-
-    code = "room_refused"
-    http_status = 503
-
-
 class BackendUnreachable(EngineUnavailable):
     """No connection to the backend could be opened: nothing was sent."""
 
