Dead code removed; one loop closes what a pool does not keep

Found on reading the change again: BackendConnection.read_body has had no caller since answers are read in parts, and the pool dropped quiet and stale connections by two copies of the same loop. Behaviour is unchanged.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -147,10 +147,6 @@
             else:
                 raise BackendBroken(f"{self.address}: the answer was cut off")
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the whole body; raises ``BackendBroken`` if it is cut off or over ``limit``."""
-        return b"".join([part async for part in self.body_parts(limit)])
-
     def abort(self) -> None:
         """Close at once; the backend sees a reset and may stop its work.
 
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 
 
@@ -50,13 +52,7 @@
 
     def drop_quiet(self, address: str, since_s: float) -> None:
         """Close what rests at ``address`` and has brought nothing since ``since_s`` (monotonic)."""
-        resting = self._resting.pop(address, [])
-        kept = [connection for connection in resting if connection.heard_s > since_s]
-        for connection in resting:
-            if connection not in kept:
-                connection.close()
-        if kept:
-            self._resting[address] = kept
+        self._keep(address, lambda connection: connection.heard_s > since_s)
 
     def size(self) -> int:
         """Return how many connections rest."""
@@ -64,11 +60,16 @@
 
     def drop_stale(self) -> None:
         """Close resting connections that may not be used again."""
-        for address, resting in list(self._resting.items()):
-            kept = [connection for connection in resting if connection.is_reusable]
-            for connection in resting:
-                if connection not in kept:
-                    connection.close()
+        for address in list(self._resting):
+            self._keep(address, lambda connection: connection.is_reusable)
+
+    def _keep(self, address: str, is_kept: Callable[[BackendConnection], bool]) -> None:
+        """Close what rests at ``address`` but for those that ``is_kept`` names."""
+        kept = []
+        for connection in self._resting.pop(address, []):
+            if is_kept(connection):
+                kept.append(connection)
+            else:
+                connection.close()
+        if kept:
             self._resting[address] = kept
-            if not kept:
-                del self._resting[address]
