Few routers watch the store for all; the others hear of changes by datagram

Ruled out: longer watches alone (a connection that went silent would hide changes for as long); changes fetched from a neighbour (a connection a change and router, the same number of exchanges as before, only elsewhere).

Change: each router tells how long ago the store answered it; the first six in an order by hash that were answered within 1.8 s watch, for 1 s at a time, the others rest. Watchers tell what changed between two positions in their next datagram; whoever knows what came before takes it over, anybody else fetches the state as before. Fleets of six and fewer watch as they did. Own routes files are read by each router as before. How old the knowledge is, is on the metrics page (state_age_s).

All watchers silent, cut off or turned away at once: the others know of the next change within 3 s.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -77,3 +77,15 @@
       | room is found wherever it is                 |
       | a home moves only when its engine leaves     |
       | decisions cost little more in a large fleet  |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: few watch the store for all
+      | property                                    |
+      | few routers watch the store                 |
+      | watchers that fell silent are replaced      |
+      | watchers that are turned away are replaced  |
+      | watchers that vanish are replaced           |
+      | a router that hears nobody watches itself   |
+      | enough routers watch                        |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -6,9 +6,11 @@
 from support.router_properties import ROUTER_PROPERTIES
 from support.stream_properties import STREAM_PROPERTIES
 from support.upkeep_properties import UPKEEP_PROPERTIES
+from support.watch_properties import WATCH_PROPERTIES
 
 ALL_PROPERTIES = PROPERTIES | ROUTER_PROPERTIES | STREAM_PROPERTIES | UPKEEP_PROPERTIES
 ALL_PROPERTIES |= BUDGET_PROPERTIES | FLEET_PROPERTIES | PLACEMENT_COST_PROPERTIES
+ALL_PROPERTIES |= WATCH_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -107,7 +107,7 @@
             raise PlatformUnavailable("silent")
         return self.snapshot
 
-    async def wait(self, position):
+    async def wait(self, position, longest_s):
         if self.is_silent:
             raise PlatformUnavailable("silent")
         change = await self._changes.get()
--- /dev/null
+++ b/features/support/watch_properties.py
@@ -0,0 +1,311 @@
+"""Properties of a fleet in which few routers watch the store, in one process, without sockets."""
+
+import asyncio
+import time
+
+from hypothesis import strategies as st
+
+from support.search import searched
+from support.stream_properties import Clock
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
+from yokedock.errors import PlatformUnavailable
+from yokedock.process.state_follower import StateFollower
+from yokedock.process.watch_duty import (
+    FRESH_S,
+    MOST_WATCHERS,
+    NEVER,
+    WATCH_S,
+    SourceContact,
+    WatchDuty,
+)
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.version.route_table import RouteTable
+
+ROUTERS = 68
+WAY_S = 0.004
+INTERVAL_S = 0.3
+LEAST_GAP_S = 0.01
+FETCH_S = 0.3
+"""Time until a router that is behind has fetched another's state."""
+SILENT_S = 1.5
+SLACK_S = 0.4
+"""A watch that gets no answer ends so long after it was to rest."""
+
+
+class SharedStore:
+    """What the platform's store knows; it counts the calls."""
+
+    def __init__(self):
+        self.position = 1
+        self.events = []
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def change(self, name, is_leaving=False):
+        """Write one backend's entry."""
+        self.position += 1
+        entry = BackendEntry(name, "llm", "127.0.0.1:1", is_leaving=is_leaving, role="decode")
+        self.events.append((self.position, entry))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait(self, position, longest_s):
+        """Return what changed after a position."""
+        if position >= self.position:
+            try:
+                await asyncio.wait_for(self._changed.wait(), longest_s)
+            except TimeoutError:
+                return StateChanges(self.position)
+        newer = {entry.instance: entry for at, entry in self.events if at > position}
+        return StateChanges(self.position, changed=tuple(newer.values()))
+
+
+class StorePath(StateSource):
+    """One router's way to the store: sound, refused at once, or silent."""
+
+    is_shared = True
+
+    def __init__(self, store):
+        self._store = store
+        self.state = "sound"
+
+    async def read(self):
+        self._store.calls += 1
+        if self.state != "sound":
+            raise PlatformUnavailable(self.state)
+        entries = {entry.instance: entry for _, entry in self._store.events}
+        return StateSnapshot(self._store.position, RouteTable(1, (), {}), entries)
+
+    async def wait(self, position, longest_s):
+        self._store.calls += 1
+        if self.state == "refused":
+            raise PlatformUnavailable("refused")
+        asked_s = time.monotonic()
+        changes = await self._store.wait(position, longest_s)
+        if self.state == "silent":
+            await asyncio.sleep(asked_s + longest_s + SLACK_S - time.monotonic())
+            raise PlatformUnavailable("silent")
+        return changes
+
+
+class FleetRouter:
+    """One router's knowledge, and what it heard of the others."""
+
+    def __init__(self, address, store, shares_watch):
+        self.address = address
+        self.path = StorePath(store)
+        self.registry = BackendRegistry("zone")
+        self.others = []
+        self._heard = {}
+        duty = WatchDuty(address, self._contacts) if shares_watch else None
+        self.follower = StateFollower(self.path, self.registry, duty)
+        self.duty = duty
+        self.follower.on_news = self._tell_soon
+        self.is_cut = False
+        self._is_telling = False
+        self._is_fetching = False
+
+    def _contacts(self):
+        oldest_s = time.monotonic() - SILENT_S
+        return [contact for contact in self._heard.values() if contact.heard_s >= oldest_s]
+
+    def _tell_soon(self):
+        if not self._is_telling:
+            self._is_telling = True
+            asyncio.get_running_loop().call_later(LEAST_GAP_S, self.tell)
+
+    def tell(self):
+        """Tell all others what a router tells of its state."""
+        self._is_telling = False
+        if self.is_cut:
+            return
+        told = (self.follower.source_age_ms(), self.follower.news(), self.follower.position)
+        for other in self.others:
+            asyncio.get_running_loop().call_later(WAY_S, other.hear, self, *told)
+
+    def hear(self, teller, age_ms, news, position):
+        """Take in what another router tells."""
+        if self.is_cut:
+            return
+        self._heard[teller.address] = SourceContact(teller.address, age_ms, time.monotonic())
+        self.follower.take_news(news)
+        if position > self.follower.position and not self._is_fetching:
+            self._is_fetching = True
+            asyncio.get_running_loop().call_later(FETCH_S, self._fetch, teller)
+
+    def _fetch(self, teller):
+        self._is_fetching = False
+        self.follower.adopt(teller.follower.snapshot())
+
+    async def run(self):
+        """Follow the store and speak at intervals."""
+        following = asyncio.create_task(self.follower.run())
+        try:
+            while True:
+                self.tell()
+                await asyncio.sleep(INTERVAL_S)
+        finally:
+            following.cancel()
+
+
+class WatchingFleet:
+    """A fleet at work, for a scenario to look at."""
+
+    def __init__(self, shares_watch=True, size=ROUTERS):
+        self.store = SharedStore()
+        self.routers = [FleetRouter(f"10.1.0.{n}", self.store, shares_watch) for n in range(size)]
+        for router in self.routers:
+            router.others = [other for other in self.routers if other is not router]
+        self._tasks = []
+
+    async def __aenter__(self):
+        self.store.change("first")
+        self._tasks = [asyncio.create_task(router.run()) for router in self.routers]
+        await asyncio.sleep(2.5)
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def watchers(self):
+        """Return the routers that watch the store now."""
+        return [router for router in self.routers if router.duty is None or router.duty.is_due()]
+
+    async def known_after_s(self, name, limit_s=8.0):
+        """Return the seconds until each router that can know of a new backend does, sorted."""
+        self.store.change(name)
+        began_s = time.monotonic()
+        waiting = [router for router in self.routers if not router.is_cut]
+        took_s = []
+        while waiting and time.monotonic() - began_s < limit_s:
+            await asyncio.sleep(0.005)
+            done = [router for router in waiting if router.registry.get(name) is not None]
+            took_s += [time.monotonic() - began_s] * len(done)
+            waiting = [router for router in waiting if router not in done]
+        assert not waiting, f"{len(waiting)} routers do not know of {name} after {limit_s} s"
+        return sorted(took_s)
+
+
+async def _calls_and_news(shares_watch):
+    """Return the calls in three quiet seconds, and the seconds until all know of changes."""
+    async with WatchingFleet(shares_watch) as fleet:
+        before = fleet.store.calls
+        await asyncio.sleep(3.0)
+        calls = fleet.store.calls - before
+        took_s = []
+        for number in range(5):
+            took_s += await fleet.known_after_s(f"new-{number}")
+            await asyncio.sleep(0.37)
+        return calls, sorted(took_s)
+
+
+def few_routers_watch_the_store():
+    """Of 68 routers six ask it, once a second; each change is known everywhere at once."""
+    calls, took_s = asyncio.run(_calls_and_news(shares_watch=True))
+    assert calls <= 3 * MOST_WATCHERS / WATCH_S + MOST_WATCHERS, calls
+    assert took_s[len(took_s) // 2] < 0.1 and took_s[-1] < 0.5, (
+        took_s[len(took_s) // 2],
+        took_s[-1],
+    )
+
+
+def watchers_that_fell_silent_are_replaced():
+    """All watchers lose the store at once without a sign: the others know of a change in 3 s."""
+
+    async def play():
+        async with WatchingFleet() as fleet:
+            for router in fleet.watchers():
+                router.path.state = "silent"
+            took_s = await fleet.known_after_s("new")
+            assert took_s[-1] < FRESH_S + 1.2, took_s[-1]
+
+    asyncio.run(play())
+
+
+def watchers_that_are_turned_away_are_replaced():
+    """The store refuses a third of the routers and all watchers: a change is known in 1.5 s."""
+
+    async def play():
+        async with WatchingFleet() as fleet:
+            for router in fleet.watchers() + fleet.routers[: ROUTERS // 3]:
+                router.path.state = "refused"
+            await asyncio.sleep(WATCH_S)
+            took_s = await fleet.known_after_s("new")
+            assert took_s[-1] < 1.5, took_s[-1]
+
+    asyncio.run(play())
+
+
+def watchers_that_vanish_are_replaced():
+    """All watchers are cut off from everything: the others know of a change in 3 s."""
+
+    async def play():
+        async with WatchingFleet() as fleet:
+            for router in fleet.watchers():
+                router.path.state, router.is_cut = "silent", True
+            took_s = await fleet.known_after_s("new")
+            assert took_s[-1] < FRESH_S + 1.2, took_s[-1]
+
+    asyncio.run(play())
+
+
+def a_router_that_hears_nobody_watches_itself():
+    """A router that is cut off from the others knows of changes by itself."""
+
+    async def play():
+        async with WatchingFleet(size=12) as fleet:
+            alone = next(r for r in fleet.routers if r not in fleet.watchers())
+            alone.is_cut = True
+            await asyncio.sleep(SILENT_S + 0.2)
+            fleet.store.change("new")
+            await asyncio.sleep(0.3)
+            assert alone.registry.get("new") is not None
+
+    asyncio.run(play())
+
+
+contact = st.tuples(
+    st.integers(0, 400), st.sampled_from((NEVER, 0, 900, 1700, 5000)), st.booleans()
+)
+
+
+@searched(told=st.lists(contact, max_size=40), own=st.integers(0, 400))
+def enough_routers_watch(told, own):
+    """Whoever hears of fewer than six that watch and go before it watches; else it does not.
+
+    So of routers that hear the same, and of which enough are answered, just six watch.
+    """
+    clock = Clock()
+    contacts = {
+        number: SourceContact(f"10.0.0.{number}", age_ms, clock(), is_leaving)
+        for number, age_ms, is_leaving in told
+    }
+    sound = [n for n, c in contacts.items() if c.age_ms in (0, 900, 1700) and not c.is_leaving]
+    views = {
+        number: WatchDuty(
+            f"10.0.0.{number}",
+            lambda number=number: [c for n, c in contacts.items() if n != number],
+            clock,
+        )
+        for number in {*contacts, own}
+    }
+    due = [number for number, duty in views.items() if duty.is_due()]
+    assert len(set(due) & set(sound)) == min(len(sound), MOST_WATCHERS)
+    assert len(due) >= min(len(views), MOST_WATCHERS)
+
+
+WATCH_PROPERTIES = {
+    "few routers watch the store": few_routers_watch_the_store,
+    "watchers that fell silent are replaced": watchers_that_fell_silent_are_replaced,
+    "watchers that are turned away are replaced": watchers_that_are_turned_away_are_replaced,
+    "watchers that vanish are replaced": watchers_that_vanish_are_replaced,
+    "a router that hears nobody watches itself": a_router_that_hears_nobody_watches_itself,
+    "enough routers watch": enough_routers_watch,
+}
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from yokedock.connection.state_source import BackendEntry
+
 
 class EngineShare(msgspec.Struct, array_like=True):
     """What one router has at one engine."""
@@ -28,6 +30,17 @@
     waits or the router is of an older version."""
 
 
+class StateNews(msgspec.Struct, array_like=True, frozen=True):
+    """What a router has just learned from the source: all that changed between two positions."""
+
+    after: int
+    position: int
+    version: int
+    """Of the route table in force there: whoever has an older one must fetch it."""
+    changed: tuple[BackendEntry, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 class RouterState(msgspec.Struct, array_like=True):
     """What one router tells the others."""
 
@@ -50,3 +63,7 @@
     """Addresses (IP) of some routers that it hears; named now and then."""
     queues: dict[str, QueueShare] = {}
     """By service; a router of an older version tells none."""
+    source_age_ms: int = -1
+    """Time since the source of state answered this router itself, -1 if it did not."""
+    news: tuple[StateNews, ...] = ()
+    """What it learned from the source a moment ago."""
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -126,9 +126,9 @@
         except (OSError, SettingsInvalid) as error:
             raise PlatformUnavailable(f"{self._path}: {error}") from None
 
-    async def wait(self, position: int) -> StateChanges:
+    async def wait(self, position: int, longest_s: float) -> StateChanges:
         """Return nothing while the file stays as it is; raises ``HistoryGone`` when it changed."""
-        await asyncio.sleep(POLL_S)
+        await asyncio.sleep(min(POLL_S, longest_s))
         try:
             if self._path.stat().st_mtime_ns != self._changed_ns:
                 raise HistoryGone(f"{self._path} has changed")
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -47,13 +47,16 @@
 class StateSource(abc.ABC):
     """Reads state. Every call raises ``PlatformUnavailable`` when there is no sound answer."""
 
+    is_shared = False
+    """Whether all routers read one source, so that a few may read it for the others."""
+
     @abc.abstractmethod
     async def read(self) -> StateSnapshot:
         """Return everything."""
 
     @abc.abstractmethod
-    async def wait(self, position: int) -> StateChanges:
-        """Return what has changed after ``position``, or nothing after a while.
+    async def wait(self, position: int, longest_s: float) -> StateChanges:
+        """Return what has changed after ``position``, or nothing after ``longest_s``.
 
         Raises ``HistoryGone`` when the source no longer knows what came after ``position``.
         """
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -28,14 +28,16 @@
 SERVERS_PREFIX = "servers/"
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
+WAIT_FIELD = "waitMs"
 Document = TypeVar("Document")
 EVERYTHING = ""
 OK = 200
+MS_A_SECOND = 1000
 HISTORY_GONE = 410
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
-WATCH_MS = 2_000
-WATCH_TIMEOUT_S = 2.4
+WATCH_SLACK_S = 0.4
+"""An answer may come so much later than the watch was to end."""
 MOST_CHANGES = 1.5
 """Changes may have this many times the bytes of everything read at once: a watch from far behind
 brings every version since, each whole, and all but the newest are of no use."""
@@ -70,6 +72,8 @@
 class PlatformStore(StateSource):
     """Reads ``op/config`` and ``servers/`` from the store."""
 
+    is_shared = True
+
     def __init__(self, address: str) -> None:
         """Read from ``address`` (IP:port)."""
         self._getter = HttpGetter(address, CONNECT_TIMEOUT_S)
@@ -99,12 +103,14 @@
         backends = {entry.instance: entry for entry in changes.changed}
         return StateSnapshot(position, changes.table, backends, changes.undecoded)
 
-    async def wait(self, position: int) -> StateChanges:
-        """Return what has changed after ``position``, or nothing after two seconds."""
-        target = f"{WATCH_PATH}?pathPrefix={EVERYTHING}&after={position}&waitMs={WATCH_MS}"
+    async def wait(self, position: int, longest_s: float) -> StateChanges:
+        """Return what has changed after ``position``, or nothing after ``longest_s``."""
+        wait_ms = round(longest_s * MS_A_SECOND)
+        target = f"{WATCH_PATH}?pathPrefix={EVERYTHING}&after={position}"
+        target += f"&{WAIT_FIELD}={wait_ms}"
         most_bytes = max(ALWAYS_READ_BYTES, round(MOST_CHANGES * self._whole_bytes))
         try:
-            answer = await self._getter.get(target, WATCH_TIMEOUT_S, most_bytes)
+            answer = await self._getter.get(target, longest_s + WATCH_SLACK_S, most_bytes)
         except AnswerTooLong as error:
             raise HistoryGone(f"all at once is less than what has changed: {error}") from None
         if answer.status == HISTORY_GONE:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -32,6 +32,7 @@
 from yokedock.process.router_upkeep import KeptTables, RouterUpkeep
 from yokedock.process.state_exchange import STATE_PATH, StateExchange
 from yokedock.process.state_follower import StateFollower
+from yokedock.process.watch_duty import SourceContact, WatchDuty
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
@@ -72,7 +73,6 @@
         self.settings = settings
         self._incarnation_ms = wall_clock_ms()
         self._registry = BackendRegistry(settings.process.zone)
-        self._follower = StateFollower(source, self._registry)
         mechanisms = settings.mechanisms
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
@@ -81,6 +81,9 @@
         self._gossip = RouterGossip(
             own_address, int(port), seeds, self._state, self._heard, self._silent
         )
+        duty = WatchDuty(own_address, self._source_contacts)
+        self._follower = StateFollower(source, self._registry, duty)
+        self._follower.on_news = self._gossip.change
         self._exchange = StateExchange(self._follower, int(port), self._gossip.alive)
         bounds = RetryBounds(
             settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
@@ -306,6 +309,7 @@
             "state_position": self._follower.position,
             "state_undecoded": self._follower.undecoded,
             "state_silent_s": self._follower.silent_s(),
+            "state_age_s": self._follower.age_s(),
             "connections_opened": self._pool.opened,
             **self._allowance.levels(),
             **self._upkeep.sizes(),
@@ -331,8 +335,20 @@
             self._roles.changing(),
             heard,
             self._placement.queues(),
+            self._follower.source_age_ms(),
+            self._follower.news(),
         )
 
+    def _source_contacts(self) -> list[SourceContact]:
+        """Return what the routers heard a moment ago told of their contact with the source."""
+        return [
+            SourceContact(
+                other.address, other.state.source_age_ms, other.heard_s, other.state.is_leaving
+            )
+            for other in self._gossip.alive()
+            if other.state is not None
+        ]
+
     def _heard(self, other: OtherRouter) -> None:
         assert other.state is not None
         state = other.state
@@ -342,6 +358,7 @@
         self._highest_token = max(self._highest_token, state.token)
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
+        self._follower.take_news(state.news)
         self._exchange.heard(state)
 
     def _leading_token(self) -> int | None:
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -5,12 +5,14 @@
 import asyncio
 import random
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from yokedock.base.logs import logger
-from yokedock.connection.state_source import StateSnapshot, StateSource
+from yokedock.connection.router_state import StateNews
+from yokedock.connection.state_source import StateChanges, StateSnapshot, StateSource
 from yokedock.errors import PlatformUnavailable
+from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteIndex, RouteTable
@@ -29,16 +31,31 @@
 still newer one, and must not begin again at nothing. It costs at most half a read more."""
 REREAD_S = 1.0
 """A source that drops its history again within this time of a whole read is asked after a pause."""
+DUTY_CHECK_S = 0.1
+"""A router at rest looks so often whether it is to watch the source itself."""
+NEWS_S = 0.1
+"""News are told for this time: in the datagram that they cause and in those of the next changes.
+Whoever misses them all fetches the state."""
+MOST_IN_NEWS = 6
+"""Backends in one news: 110 bytes each, the datagram must stay below 1,400."""
 Answer = TypeVar("Answer")
 
 
 class StateFollower:
     """Keeps the route table and the registry current. Versions never go back."""
 
-    def __init__(self, source: StateSource, registry: BackendRegistry) -> None:
-        """Follow ``source``."""
+    def __init__(
+        self, source: StateSource, registry: BackendRegistry, duty: WatchDuty | None = None
+    ) -> None:
+        """Follow ``source``; ``duty`` tells when others watch it for this router."""
         self._source = source
         self._registry = registry
+        self._duty = duty if source.is_shared else None
+        self._has_failed = True
+        """Whether the last call to the source failed, or none was made."""
+        self._recent_news: list[tuple[float, StateNews]] = []
+        self.on_news: Callable[[], None] = lambda: None
+        """Called when the source has told something that the other routers may not know."""
         self._random = random.Random()
         self._heard_s = 0.0
         self._read_s = 0.0
@@ -81,6 +98,34 @@
         """Return for how long the source has not answered, in seconds."""
         return time.monotonic() - self._heard_s
 
+    def source_age_ms(self) -> int:
+        """Return how long ago the source answered, ``NEVER`` if it did not the last time."""
+        if self._has_failed:
+            return NEVER
+        return round(self.silent_s() * MS_A_SECOND)
+
+    def age_s(self) -> float:
+        """Return how old what is known may be: since the source answered anyone that is heard."""
+        youngest_s = self._duty.youngest_s() if self._duty is not None else None
+        return self.silent_s() if youngest_s is None else min(youngest_s, self.silent_s())
+
+    def news(self) -> tuple[StateNews, ...]:
+        """Return what the source told a moment ago, for the other routers."""
+        oldest_s = time.monotonic() - NEWS_S
+        self._recent_news = [told for told in self._recent_news if told[0] >= oldest_s]
+        return tuple(news for _, news in self._recent_news)
+
+    def take_news(self, told: tuple[StateNews, ...]) -> None:
+        """Take over what another router learned, where this one knows all that came before.
+
+        What is not taken is fetched by the exchange of states, which sees that the other is ahead.
+        """
+        for news in told:
+            follows = news.after <= self.position < news.position
+            if follows and news.version <= self.version and self.is_known:
+                self.position = news.position
+                self._registry.update(news.changed, news.gone)
+
     def snapshot(self) -> StateSnapshot:
         """Return what is known, for another router."""
         table = self.index.table if self.index else None
@@ -120,6 +165,7 @@
                 if time.monotonic() - self._read_s < REREAD_S:
                     await asyncio.sleep(RETRY_S)
             except PlatformUnavailable as error:
+                self._has_failed = True
                 _log.info("source silent", reason=error.message, position=self.position)
                 must_read = must_read or self.index is None
                 await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.0))
@@ -148,16 +194,25 @@
         finally:
             self._reading = None
 
+    async def _until_due(self) -> None:
+        """Rest while others watch the source for this router."""
+        while self._duty is not None and not self._duty.is_due():
+            await asyncio.sleep(DUTY_CHECK_S)
+
     async def _follow(self) -> bool:
         """Wait for changes and take them over; return whether there were any."""
-        changes = await self._unless_overtaken(self._source.wait(self.position))
+        await self._until_due()
+        longest_s = self._duty.watch_s() if self._duty is not None else OWN_WATCH_S
+        before = self.position
+        changes = await self._unless_overtaken(self._source.wait(before, longest_s))
         if changes is None:
             return False
-        self._heard_s = time.monotonic()
+        self._note_answer()
         self.undecoded += len(changes.undecoded)
         self._adopt_table(changes.table)
         if changes.position < self.position:
             return False
+        self._note_news(before, changes)
         self.position = changes.position
         if changes.changed or changes.gone:
             self._registry.update(changes.changed, changes.gone)
@@ -169,8 +224,21 @@
             )
         return changes.table is not None or bool(changes.changed or changes.gone)
 
-    def _take_all(self, snapshot: StateSnapshot) -> None:
+    def _note_answer(self) -> None:
         self._heard_s = time.monotonic()
+        self._has_failed = False
+
+    def _note_news(self, before: int, changes: StateChanges) -> None:
+        """Keep what the source told, if it fits into a datagram, and have it sent."""
+        if changes.position <= before and changes.table is None:
+            return
+        if len(changes.changed) + len(changes.gone) <= MOST_IN_NEWS:
+            news = StateNews(before, changes.position, self.version, changes.changed, changes.gone)
+            self._recent_news.append((time.monotonic(), news))
+        self.on_news()
+
+    def _take_all(self, snapshot: StateSnapshot) -> None:
+        self._note_answer()
         self.undecoded += len(snapshot.undecoded)
         self._adopt_table(snapshot.table)
         if snapshot.position >= self.position:
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -16,7 +16,7 @@
     CONFIGURATION_KEY,
     RANGE_PATH,
     SERVERS_PREFIX,
-    WATCH_MS,
+    WAIT_FIELD,
     WATCH_PATH,
     RangePage,
     StoredItem,
@@ -89,15 +89,16 @@
             page = RangePage(tuple(self._items.values()), more=False, at=self._revision)
             return msgspec.json.encode(page)
         if url.path == WATCH_PATH:
-            after = int(parse_qs(url.query)["after"][0])
-            return msgspec.json.encode(await self._watch(after))
+            query = parse_qs(url.query)
+            wait_s = int(query[WAIT_FIELD][0]) / MS_A_SECOND
+            return msgspec.json.encode(await self._watch(int(query["after"][0]), wait_s))
         return b"{}"
 
-    async def _watch(self, after: int) -> WatchAnswer:
+    async def _watch(self, after: int, wait_s: float) -> WatchAnswer:
         """Return what changed after a revision, as soon as something has."""
         if after >= self._revision:
             try:
-                async with asyncio.timeout(WATCH_MS / MS_A_SECOND):
+                async with asyncio.timeout(wait_s):
                     await self._changed.wait()
             except TimeoutError:
                 return WatchAnswer((), self._revision)
