--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -30,26 +30,6 @@
     waits or the router is of an older version."""
 
 
-class RetryLoan(msgspec.Struct, array_like=True, frozen=True):
-    """Repeats that one router lends to another from its share of the retry budget."""
-
-    borrower: str
-    """Address of the router that may make them."""
-    number: int
-    """Unique within the lender's life."""
-    amount: float
-    left_ms: int
-    """Time for which the loan may still be used."""
-
-
-class RetryNeeds(msgspec.Struct, array_like=True, frozen=True):
-    """What one router needs and lends of the retry budget of one service."""
-
-    needed: float = 0.0
-    """Repeats beyond its share that it would make now."""
-    loans: tuple[RetryLoan, ...] = ()
-
-
 class StateNews(msgspec.Struct, array_like=True, frozen=True):
     """What a router has just learned from the source: all that changed between two positions."""
 
@@ -87,5 +67,3 @@
     """Time since the source of state answered this router itself, -1 if it did not."""
     news: tuple[StateNews, ...] = ()
     """What it learned from the source a moment ago."""
-    retries: dict[str, RetryNeeds] = {}
-    """By service; only those of which something is needed or lent."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -90,10 +90,7 @@
         )
         # Routers that fell silent may go on spending, and what they spent counts for a window.
         fleet_size = self._gossip.known if mechanisms.retry_shares else lambda: 1
-        allowance = RetryAllowance(
-            bounds, fleet_size, settings.fleet.is_first_start, own=own_address
-        )
-        allowance.on_needs = self._gossip.change
+        allowance = RetryAllowance(bounds, fleet_size, settings.fleet.is_first_start)
         self._allowance = allowance
         self._pool = BackendPool()
         exchanges = BackendExchanges(self._pool, dialect)
@@ -340,7 +337,6 @@
             self._placement.queues(),
             self._follower.source_age_ms(),
             self._follower.news(),
-            self._allowance.needs(),
         )
 
     def _source_contacts(self) -> list[SourceContact]:
@@ -362,7 +358,6 @@
         self._highest_token = max(self._highest_token, state.token)
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
-        self._allowance.heard(other.address, state.incarnation, state.retries)
         self._follower.take_news(state.news)
         self._exchange.heard(state)
 
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -203,7 +203,7 @@
                 await asyncio.sleep(KNOCK_S)
             except BackendRefused as error:
                 is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
-                if is_enough or not await state.retries.may_go_on_soon(call, LEAST_USEFUL_S):
+                if is_enough or not state.retries.may_go_on(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
             except (BackendBroken, EngineRejected) as error:
@@ -212,7 +212,7 @@
                 elif state.relay.events and self._mechanisms.avoid_broken:
                     state.refused_by.add(placement.decode.name)
                 may_go_on = self._mechanisms.resume or not state.relay.events
-                if not may_go_on or not await state.retries.may_go_on_soon(call, LEAST_USEFUL_S):
+                if not may_go_on or not state.retries.may_go_on(call, LEAST_USEFUL_S):
                     raise self._final(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
                 if state.relay.events:
@@ -411,8 +411,7 @@
         parts = [part async for part in exchange.body_parts()]
         exchange.finish(is_failure=answer.head.status >= SERVER_ERROR)
         if call.answer.has_started or (
-            answer.head.status >= SERVER_ERROR
-            and await state.retries.may_go_on_soon(call, LEAST_USEFUL_S)
+            answer.head.status >= SERVER_ERROR and state.retries.may_go_on(call, LEAST_USEFUL_S)
         ):
             raise BackendBroken(f"{exchange.backend.name} answered {answer.head.status}")
         await call.answer.whole(answer.head, b"".join(parts))
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -84,7 +84,7 @@
                 is_last = isinstance(error, NoBackend) or (
                     isinstance(error, BackendRefused) and not self._has_untried(call, tried)
                 )
-                if is_last or not await retries.may_go_on_soon(call, LEAST_USEFUL_S):
+                if is_last or not retries.may_go_on(call, LEAST_USEFUL_S):
                     if kept is not None:
                         return kept
                     raise self._final(call, error) from None
@@ -93,7 +93,7 @@
             if answer.head.status < SERVER_ERROR:
                 return answer
             kept = answer
-            if not await retries.may_go_on_soon(call, LEAST_USEFUL_S):
+            if not retries.may_go_on(call, LEAST_USEFUL_S):
                 return kept
             _log.info("retry", request=call.request_id, reason=f"status {answer.head.status}")
 
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
-import contextlib
-import math
 import time
 from collections.abc import Callable
 from types import TracebackType
@@ -19,8 +16,6 @@
 import msgspec
 
 from yokedock.base.logs import logger
-from yokedock.connection.router_state import RetryNeeds
-from yokedock.request.retry_loans import FREEZE_S, LOAN_S, NEED_S, RESERVE, RetryLoans
 from yokedock.request.routed_call import RoutedCall
 
 _log = logger("retries")
@@ -33,11 +28,6 @@
 at most by the time after which a silent engine is given up."""
 
 
-LOAN_WAIT_S = 0.08
-"""A repeat that the own share has no room for waits so long for loans: two datagrams, each up to
-10 ms after its cause, and 20 ms for routers that are busy."""
-
-
 class RetryBounds(msgspec.Struct, frozen=True):
     """In every window: extra arrivals <= ``ratio`` * requests + ``allowance``, over the fleet."""
 
@@ -53,13 +43,6 @@
     extras: collections.deque[float] = msgspec.field(default_factory=collections.deque)
     set_aside: int = 0
     """Further arrivals that requests have decided on and that have not happened yet."""
-    asked_s: float = -math.inf
-    """When a repeat was asked for last that the share had no room for, and how many arrivals."""
-    asked: int = 0
-
-    def spent(self) -> int:
-        """Return how many further arrivals were made in the window or are decided on."""
-        return len(self.extras) + self.set_aside
 
 
 class RequestRetries:
@@ -96,18 +79,6 @@
             return False
         return not is_arrival or self.set_aside(1)
 
-    async def may_go_on_soon(self, call: RoutedCall, least_left_s: float) -> bool:
-        """Return whether another backend may be tried, after a wait for loans if they are needed.
-
-        With less than twice ``least_left_s`` beyond the wait, the answer is given at once.
-        """
-        if self.may_go_on(call, least_left_s):
-            return True
-        if not call.may_run_again() or call.left_s() < LOAN_WAIT_S + 2 * least_left_s:
-            return False
-        await self._allowance.wait_for_loan(self._service)
-        return self.may_go_on(call, least_left_s)
-
     def set_aside(self, arrivals: int) -> bool:
         """Have exactly so many further arrivals set aside; False: the share has no room for them.
 
@@ -146,25 +117,17 @@
         fleet_size: Callable[[], int],
         is_first_start: bool = False,
         clock: Callable[[], float] = time.monotonic,
-        own: str = "",
     ) -> None:
         """``fleet_size`` returns how many routers share the allowance, this one included.
 
         It must count every router that may have spent a share within the window, so also those that
         are not heard now. ``is_first_start``: nobody can have spent this router's share before it.
-        ``own`` is this router's address, by which others lend to it.
         """
         self._bounds = bounds
         self._fleet_size = fleet_size
         self._clock = clock
         # What this router's life before spent is not known, and it counts until this time.
-        counted_s = bounds.window_s + SETTLE_S
-        unknown_s = counted_s + LOAN_S + FREEZE_S
-        self._life_before_s = clock() + (0.0 if is_first_start else unknown_s)
-        self._loans = RetryLoans(own, counted_s, clock)
-        self._loan_came = asyncio.Event()
-        self.on_needs: Callable[[], None] = lambda: None
-        """Called when the other routers should hear of a need or of a loan."""
+        self._life_before_s = clock() + (0.0 if is_first_start else bounds.window_s + SETTLE_S)
         self._services: dict[str, ServiceCounts] = {}
         self._made = 0
         self._denied = 0
@@ -176,53 +139,7 @@
     def has_room(self, service: str, arrivals: int = 1) -> bool:
         """Return whether so many more extra arrivals fit into this router's share."""
         counts = self.counts(service)
-        if counts.spent() + arrivals <= self._share(service, counts):
-            return True
-        counts.asked_s, counts.asked = self._clock(), arrivals
-        return False
-
-    # --- Loans ---
-
-    def needs(self) -> dict[str, RetryNeeds]:
-        """Return what this router needs and lends, by service."""
-        found: dict[str, RetryNeeds] = {}
-        for service, counts in self._services.items():
-            needed = round(self._needed(service, counts), 2)
-            loans = self._loans.told(service)
-            if needed or loans:
-                found[service] = RetryNeeds(needed, loans)
-        return found
-
-    def heard(self, router: str, incarnation: int, needs: dict[str, RetryNeeds]) -> None:
-        """Take the loans of another router, and lend to it what it needs."""
-        for service, need in needs.items():
-            if self._loans.take(service, router, incarnation, need.loans):
-                self._loan_came.set()
-                self._loan_came = asyncio.Event()
-            if need.needed and self._lend(service, router, need.needed):
-                self.on_needs()
-
-    async def wait_for_loan(self, service: str) -> None:
-        """Tell of a need and wait until a loan has come, at most ``LOAN_WAIT_S``."""
-        self.on_needs()
-        came = self._loan_came
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LOAN_WAIT_S):
-                await came.wait()
-
-    def _needed(self, service: str, counts: ServiceCounts) -> float:
-        """Return what the newest repeats asked for and did not get."""
-        if self._clock() - counts.asked_s > NEED_S:
-            return 0.0
-        return max(0.0, counts.spent() + counts.asked - self._share(service, counts))
-
-    def _lend(self, service: str, borrower: str, needed: float) -> bool:
-        """Lend from the fixed part of the share: the part by requests shrinks with them."""
-        counts = self.counts(service)
-        had_need = self._clock() - counts.asked_s <= NEED_S
-        left = self._share(service, counts, with_loans=False) - counts.spent()
-        spare = min(left, self._fixed() - self._loans.lent(service)) - RESERVE * had_need
-        return self._loans.lend(service, borrower, needed, spare, self._fleet_size())
+        return len(counts.extras) + counts.set_aside + arrivals <= self._share(counts)
 
     def counts(self, service: str) -> ServiceCounts:
         """Return what counts now for a service."""
@@ -252,7 +169,7 @@
             wanted=arrivals,
             made=len(counts.extras),
             set_aside=counts.set_aside,
-            share=round(self._share(service, counts), 2),
+            share=round(self._share(counts), 2),
             routers=self._fleet_size(),
         )
 
@@ -262,31 +179,21 @@
             counts = self.counts(service)
             if not (counts.requests or counts.extras or counts.set_aside):
                 del self._services[service]
-        self._loans.drop_old()
 
     def size(self) -> int:
         """Return how many requests and extra arrivals are remembered."""
-        counted = sum(len(c.requests) + len(c.extras) for c in self._services.values())
-        return counted + self._loans.size()
+        return sum(len(c.requests) + len(c.extras) for c in self._services.values())
 
     def levels(self) -> dict[str, float]:
         """Return what operators see: repeats made and denied since the start."""
         return {"retries_made": self._made, "retries_denied": self._denied}
 
-    def _share(self, service: str, counts: ServiceCounts, with_loans: bool = True) -> float:
+    def _share(self, counts: ServiceCounts) -> float:
         """Return how many extra arrivals this router may make in a window."""
-        own = SAFETY * self._bounds.ratio * len(counts.requests) + self._fixed()
-        own -= self._loans.lent(service)
-        return own + self._loans.borrowed(service, counts.spent(), own) if with_loans else own
-
-    def _fixed(self) -> float:
-        """Return this router's part of the allowance that does not depend on requests."""
+        fixed = self._bounds.allowance / max(1, self._fleet_size())
         is_alone = self._clock() >= self._life_before_s
-        return (
-            self._bounds.allowance
-            / max(1, self._fleet_size())
-            * (SAFETY if is_alone else 1.0 - SAFETY)
-        )
+        fixed *= SAFETY if is_alone else 1.0 - SAFETY
+        return SAFETY * self._bounds.ratio * len(counts.requests) + fixed
 
 
 def _drop_before(times: collections.deque[float], oldest_s: float) -> None:
