Routers tell each other of backends that break answers off

Cause: an engine that resets what it gets looks emptier than all others, because what was promised there is taken back at once, and each router learned of it by itself.

Ruled out: refusals (three in all); the retry budget (one denial in the first eight seconds); answers whose engine could not be reached (none).

Change: a router tells for a second which backends broke an answer off, with the share of failures it sees itself; the others weigh the larger of that and their own, faded with the same half-life. Refusals are not told: they say that an engine is full. What was heard is not told on. An answer of the engine takes a quarter off what was heard.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -98,3 +98,11 @@
       | news takes the place of a heartbeat  |
       | a large fleet speaks less often      |
       | starting together floods nobody      |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: engines that break answers off
+      | property                                |
+      | what one router learned all know        |
+      | an engine that recovered is used again  |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -1,4 +1,5 @@
 from behave import then
+from support.broken_engine_properties import BROKEN_ENGINE_PROPERTIES
 from support.budget_properties import BUDGET_PROPERTIES
 from support.fleet_properties import FLEET_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
@@ -11,7 +12,7 @@
 
 ALL_PROPERTIES = PROPERTIES | ROUTER_PROPERTIES | STREAM_PROPERTIES | UPKEEP_PROPERTIES
 ALL_PROPERTIES |= BUDGET_PROPERTIES | FLEET_PROPERTIES | PLACEMENT_COST_PROPERTIES
-ALL_PROPERTIES |= WATCH_PROPERTIES | GOSSIP_PROPERTIES
+ALL_PROPERTIES |= WATCH_PROPERTIES | GOSSIP_PROPERTIES | BROKEN_ENGINE_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- /dev/null
+++ b/features/support/broken_engine_properties.py
@@ -0,0 +1,138 @@
+"""Which engines get work while one breaks every answer off, in a fleet of 68 in one process.
+
+Pattern: an engine says that it is sound and resets what it gets. What was promised there is taken
+back at once, so that it looks emptier than all others, and 68 routers come to it one after another.
+"""
+
+import heapq
+import itertools
+import random
+from unittest import mock
+
+from support.stream_properties import Clock
+from yokedock.request import engine_choice, engine_costs
+from yokedock.request.engine_choice import EngineChoice
+from yokedock.request.engine_ledger import EngineLedger
+from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Progress
+from yokedock_emulator.decision_cost import MODEL_SERVICE, DecisionFleet, FleetShape
+
+ROUTERS = 68
+ARRIVALS_PER_S = 92.0
+"""A burst of 1.7 times the generations of the users' largest deployment, all routers together."""
+SPAN_S = 4.0
+BREAKS_AFTER_S = 0.037
+NEWS_S = 0.02
+"""From a failure until the other routers know of it. Promises are known at once here."""
+READ_S = 0.1
+STREAM_S = 1.0
+
+
+class ModuleClock(Clock):
+    """Stands for the time module of what decides."""
+
+    monotonic = Clock.__call__
+
+
+class BrokenFleet:
+    """Routers that place generations; the engine called ``broken`` resets all that it gets."""
+
+    def __init__(self, seed, role, tells=True):
+        self.clock = ModuleClock()
+        self.chance = random.Random(seed)
+        self.tells = tells
+        self.fleets = [DecisionFleet(FleetShape(2, 60), 0.3, seed) for _ in range(ROUTERS)]
+        for fleet in self.fleets:
+            fleet.registry._clock = self.clock
+        self.ledger = EngineLedger(self.clock)
+        self.choices = [EngineChoice(f.registry, self.ledger) for f in self.fleets]
+        engines = self.fleets[0].registry.usable(MODEL_SERVICE, role)
+        self.broken = self.chance.choice(engines).name
+        self.lost = 0
+        self._numbers = itertools.count()
+        self._events = []
+
+    def _at(self, due_s, act):
+        heapq.heappush(self._events, (due_s, next(self._numbers), act))
+
+    def play(self):
+        """Let generations arrive for a while; return how many the broken engine got."""
+        due_s = self.clock.now_s
+        until_s = due_s + SPAN_S
+        while (due_s := due_s + self.chance.expovariate(ARRIVALS_PER_S)) < until_s:
+            self._at(due_s, self._arrive)
+        while self._events:
+            self.clock.now_s, _, act = heapq.heappop(self._events)
+            act()
+        return self.lost
+
+    def _arrive(self):
+        number = self.chance.randrange(ROUTERS)
+        fleet = self.fleets[number]
+        call = fleet.call(self.chance.randrange(10_000))
+        placement = self.choices[number].choose(call, Progress())
+        reads = placement.prefill or placement.decode
+        reading = self.ledger.open_prefill(reads.name, placement.tokens)
+        is_lost = self.broken in (reads.name, placement.decode.name)
+        now_s = self.clock.now_s
+        ends = [
+            (READ_S, lambda: self.ledger.close_prefill(reading, is_done=False)),
+            (STREAM_S, lambda: self.ledger.close_stream(placement.promise)),
+        ]
+        if is_lost:
+            self.lost += 1
+            ends.append((BREAKS_AFTER_S, lambda: self._breaks(fleet)))
+        for after_s, end in ends:
+            self._at(now_s + (BREAKS_AFTER_S if is_lost else after_s), end)
+
+    def _breaks(self, fleet):
+        backend = fleet.registry.get(self.broken)
+        backend.health.note_broken(self.clock.now_s)
+        if self.tells:
+            told = fleet.registry.broken()
+            assert set(told) == {self.broken}
+            self._at(self.clock.now_s + NEWS_S, lambda: self._tell(fleet, told))
+
+    def _tell(self, teller, told):
+        for fleet in self.fleets:
+            if fleet is not teller:
+                fleet.registry.heard_broken(told)
+
+
+def lost_at_broken(seed, role, tells=True):
+    """Return how many generations met the broken engine in four seconds."""
+    fleet = BrokenFleet(seed, role, tells)
+    with (
+        mock.patch.object(engine_costs, "time", fleet.clock),
+        mock.patch.object(engine_choice, "time", fleet.clock),
+    ):
+        return fleet.play()
+
+
+def what_one_router_learned_all_know():
+    """An engine that breaks every answer gets a few generations, not one from each router."""
+    for role, seed in itertools.product((PREFILL_ROLE, DECODE_ROLE), (1, 2, 3)):
+        alone, together = (lost_at_broken(seed, role, tells) for tells in (False, True))
+        assert together <= 12 and together <= alone / 2, (role, seed, alone, together)
+
+
+def an_engine_that_recovered_is_used_again():
+    """Twelve seconds after the last failure that was told, an engine costs what others cost."""
+    clock = Clock()
+    fleet = DecisionFleet(FleetShape(2, 6), 0.3)
+    fleet.registry._clock = clock
+    backend = fleet.registry.usable(MODEL_SERVICE)[0]
+    fleet.registry.heard_broken({backend.name: 60, "unknown": 90})
+    assert abs(backend.health.failure_share(clock.now_s) - 0.6) < 0.01
+    fleet.registry.heard_broken({backend.name: 20})
+    assert abs(backend.health.failure_share(clock.now_s) - 0.6) < 0.01
+    assert fleet.registry.broken() == {}, "what was only heard is not told on"
+    backend.health.note_answer(clock.now_s, 0.1, is_failure=False)
+    assert backend.health.failure_share(clock.now_s) < 0.5
+    clock.now_s += 12.0
+    assert backend.health.failure_share(clock.now_s) < 0.08
+
+
+BROKEN_ENGINE_PROPERTIES = {
+    "what one router learned all know": what_one_router_learned_all_know,
+    "an engine that recovered is used again": an_engine_that_recovered_is_used_again,
+}
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -67,3 +67,5 @@
     """Time since the source of state answered this router itself, -1 if it did not."""
     news: tuple[StateNews, ...] = ()
     """What it learned from the source a moment ago."""
+    broken: dict[str, int] = {}
+    """Backends that broke an answer off a moment ago, with the share of failures in percent."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -337,6 +337,7 @@
             self._placement.queues(),
             self._follower.source_age_ms(),
             self._follower.news(),
+            self._registry.broken(),
         )
 
     def _source_contacts(self) -> list[SourceContact]:
@@ -358,6 +359,7 @@
         self._highest_token = max(self._highest_token, state.token)
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
+        self._registry.heard_broken(state.broken)
         self._follower.take_news(state.news)
         self._exchange.heard(state)
 
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -181,7 +181,7 @@
         except BackendBroken as error:
             if isinstance(error, BackendSilent):
                 self._suspect_quiet(connection, call)
-            backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
+            backend.health.note_broken(time.monotonic())
             raise
         finally:
             exchange.close()
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -30,7 +31,13 @@
 """Weight of the newest answer in the share of failures."""
 FAILURE_HALF_LIFE_S = 4.0
 """Without answers, the share of failures halves in this time, so that a backend is tried again."""
+TELL_BROKEN_S = 1.0
+"""Routers tell of an engine for so long after it broke an answer off: several datagrams, of which
+some may be lost. An engine that fails at once looks empty to everybody, since what was promised
+there is taken back: each of 68 routers sent it a prompt to learn that, 78 in four seconds on the
+heaviest large day. What one router saw is told to all: 10 ms and the way of a datagram."""
 FAILURE_COST = 8.0
+PERCENT = 100
 LATENCY_WEIGHT = 0.2
 LATENCY_HALF_LIFE_S = 6.0
 DEFAULT_LATENCY_S = 0.1
@@ -51,10 +58,20 @@
     noted_s: float = 0.0
     suspect_until_s: float = 0.0
     suspect_for_s: float = SUSPECT_S
+    broke_s: float = -math.inf
+    """When this process saw an answer of the backend broken off, or none that was one."""
+    told: float = 0.0
+    """The largest share of failures that another router told of, at ``told_s``."""
+    told_s: float = 0.0
 
     def failure_share(self, now_s: float) -> float:
-        """Return the share of failures, faded since the last answer."""
-        return float(self.failures * 0.5 ** ((now_s - self.noted_s) / FAILURE_HALF_LIFE_S))
+        """Return the share of failures here, or at another router if it is larger, faded."""
+        own = self.own_failure_share(now_s)
+        return max(own, _faded(self.told, now_s - self.told_s)) if self.told else own
+
+    def own_failure_share(self, now_s: float) -> float:
+        """Return the share of failures that this process saw, faded since the last answer."""
+        return _faded(self.failures, now_s - self.noted_s) if self.failures else 0.0
 
     def expected_latency_s(self, now_s: float, typical_s: float) -> float:
         """Return the latency to expect: the measured one, fading to the service's typical one."""
@@ -69,21 +86,32 @@
 
     def note_answer(self, now_s: float, latency_s: float, is_failure: bool) -> None:
         """Note an answer; a failure's latency says nothing about speed."""
-        share = self.failure_share(now_s)
+        share = self.own_failure_share(now_s)
         self.failures = share + FAILURE_WEIGHT * (float(is_failure) - share)
         if not is_failure:
             before = self.latency_s if self.latency_s is not None else latency_s
             self.latency_s = before + LATENCY_WEIGHT * (latency_s - before)
             self.suspect_until_s = 0.0
             self.suspect_for_s = SUSPECT_S
+            self.told *= 1.0 - FAILURE_WEIGHT
         self.noted_s = now_s
 
+    def note_broken(self, now_s: float) -> None:
+        """Note an answer that was broken off or was none; the other routers hear of it."""
+        self.note_answer(now_s, 0.0, is_failure=True)
+        self.broke_s = now_s
+
+    def note_told(self, share: float, now_s: float) -> None:
+        """Take in what another router saw; the largest share counts, faded as its own are."""
+        if share > _faded(self.told, now_s - self.told_s):
+            self.told, self.told_s = share, now_s
+
     def note_silence(self, now_s: float) -> None:
         """Note that the backend could not be reached or gave no answer."""
         if not self.is_suspect(now_s):
             self.suspect_until_s = now_s + self.suspect_for_s
             self.suspect_for_s = min(2 * self.suspect_for_s, LONGEST_SUSPECT_S)
-        share = self.failure_share(now_s)
+        share = self.own_failure_share(now_s)
         self.failures = share + FAILURE_WEIGHT * (1.0 - share)
         self.noted_s = now_s
 
@@ -175,6 +203,24 @@
                 del self._backends[name]
                 self._members = None
 
+    def broken(self) -> dict[str, int]:
+        """Return the share of failures, in percent, of backends that broke an answer lately."""
+        now_s = self._clock()
+        oldest_s = now_s - TELL_BROKEN_S
+        return {
+            name: round(PERCENT * backend.health.own_failure_share(now_s))
+            for name, backend in self._backends.items()
+            if backend.health.broke_s >= oldest_s
+        }
+
+    def heard_broken(self, broken: dict[str, int]) -> None:
+        """Take in what another router told of backends that broke answers."""
+        now_s = self._clock()
+        for name, percent in broken.items():
+            backend = self._backends.get(name)
+            if backend is not None:
+                backend.health.note_told(percent / PERCENT, now_s)
+
     def get(self, name: str) -> Backend | None:
         """Return a backend by identifier."""
         return self._backends.get(name)
@@ -269,6 +315,10 @@
             backend.leaving_since_s = None
 
 
+def _faded(share: float, age_s: float) -> float:
+    return float(share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
+
+
 def typical_latency_s(backends: list[Backend]) -> float:
     """Return the median of measured latencies, in seconds."""
     measured = sorted(b.health.latency_s for b in backends if b.health.latency_s is not None)
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -190,8 +190,6 @@
         return cost_s + self._risk_s(decode)
 
     def _risk_s(self, backend: Backend) -> float:
-        if not backend.health.failures:
-            return 0.0
         return backend.health.failure_share(time.monotonic())
 
 
