One request's story from the logs of many routers; late answers by service, route and zone

Calls named no backend in the log, and the command read one window table over all lines.

Change: each exchange with a backend is noted with zone, role, time and outcome, told in the line at a request's end with service and whether it was late; yokedock logs request ID PATH... finds a request in files or directories by a search of bytes; late answers are counted on the metrics page. What cannot be read ends with 2 and one line with the remedy.

--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -326,6 +326,12 @@
     code = "settings_invalid"
 
 
+class LogsUnreadable(YokedockError):
+    """What was named as logs cannot be read."""
+
+    code = "logs_unreadable"
+
+
 class BundleInvalid(YokedockError):
     """The bundle's source has errors; the message lists all of them."""
 
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -17,7 +17,7 @@
 from yokedock.base.histograms import EncodedHistogram, Histograms
 from yokedock.base.logs import logger, set_up_logs
 from yokedock.base.options import Problems, read_ini
-from yokedock.errors import PlatformUnavailable, YokedockError
+from yokedock.errors import LogsUnreadable, PlatformUnavailable, YokedockError
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.bundle_diff import diff_bundles
 from yokedock.process.bundle_files import (
@@ -49,6 +49,10 @@
 
 _log = logger("main")
 EXIT_ERROR = 1
+EXIT_BAD_INPUT = 2
+"""What was named cannot be read."""
+EXIT_NOT_FOUND = 1
+"""It was read, and what was asked for is not there."""
 QUERY_TIMEOUT_S = 3.0
 
 SettingsOption = Annotated[Path, cyclopts.Parameter(name="--settings")]
@@ -273,6 +277,23 @@
         print(f"{book.skipped} lines are none of a router's and were passed over")
 
 
+@logs_app.command(name="request")
+def request_story(request: str, *paths: Path) -> None:
+    """Tell which route, router, backends and zones REQUEST took, how long each held it, if late.
+
+    PATHS are routers' log files, or directories with files named *.log. REQUEST is the caller's id.
+    """
+    from yokedock.process.request_story import log_files, stories, story_text
+
+    files = log_files(paths)
+    found = stories(request, files)
+    for story in found:
+        print(story_text(story))
+    if not found:
+        print(f"no line names {request} in {len(files)} files; look whether older logs are kept")
+        sys.exit(EXIT_NOT_FOUND)
+
+
 def _query(address: str, path: str, kind: Any) -> Any:
     """Read one JSON document from a daemon's admin address."""
     url = f"http://{address}{path}"
@@ -290,7 +311,7 @@
         application()
     except YokedockError as error:
         print(f"{error.code}:\n{error.message}", file=sys.stderr)
-        sys.exit(EXIT_ERROR)
+        sys.exit(EXIT_BAD_INPUT if isinstance(error, LogsUnreadable) else EXIT_ERROR)
 
 
 def main() -> None:
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -24,6 +24,10 @@
 
 _log = logger("router")
 
+ANSWERED = "answered"
+"""Outcome of a request that got a backend's answer, whatever its status."""
+SERVER_ERROR = 500
+
 COME_BACK_S = 0.5
 UNKNOWN_WAIT_S = 0.2
 """A request waits this long for routes that are not known yet: most starts need less."""
@@ -79,7 +83,7 @@
         """Route one request and see it through."""
         self.active += 1
         call: RoutedCall | None = None
-        outcome = "answered"
+        outcome = ANSWERED
         try:
             # A busy router reads requests of callers who have left meanwhile.
             answer.require_caller()
@@ -166,6 +170,10 @@
         held_s = time.monotonic() - request.arrived_s
         self._metrics.count(route, outcome)
         self._metrics.record(route, "held", held_s)
+        is_served = outcome == ANSWERED and (answer.status or SERVER_ERROR) < SERVER_ERROR
+        is_late = call is not None and is_served and call.is_late()
+        if call is not None and is_late:
+            self._metrics.count_late(call.service.name, route, _zone(call))
         _log.info(
             "request",
             request=call.request_id if call else "",
@@ -177,4 +185,12 @@
             held_ms=round(held_s * 1000),
             target_ms=round(call.route.target_s * 1000) if call else 0,
             gap_target_ms=round(call.route.gap_target_s * 1000) if call else 0,
+            service=call.service.name if call else "",
+            is_late=is_late,
+            visits=msgspec.to_builtins(call.visits) if call else [],
         )
+
+
+def _zone(call: RoutedCall) -> str:
+    """Return the zone of the backend that was asked last, empty if none was."""
+    return call.visits[-1].zone if call.visits else ""
--- a/src/yokedock/process/router_metrics.py
+++ b/src/yokedock/process/router_metrics.py
@@ -52,6 +52,8 @@
         """Start at zero."""
         self.guard = TelemetryGuard()
         self._outcomes: dict[str, collections.Counter[str]] = {}
+        self._late: collections.Counter[tuple[str, str, str]] = collections.Counter()
+        """Late answers by service, route and the backend's zone."""
         self._kept: collections.deque[tuple[str, str, float]] = collections.deque()
         self._dropped = 0
         self._histograms: dict[tuple[str, str], LogCollapsingLowestDenseDDSketch] = {}
@@ -62,6 +64,10 @@
         label = self._label(route)
         self._outcomes.setdefault(label, collections.Counter())[outcome] += 1
 
+    def count_late(self, service: str, route: str, zone: str) -> None:
+        """Count an answer that came later than its route's targets."""
+        self._late[service, self._label(route), zone] += 1
+
     def record(self, route: str, measure: str, seconds: float) -> None:
         """Record a duration of a route."""
         if len(self._kept) >= MOST_KEPT:
@@ -75,6 +81,8 @@
         for route in self._outcomes.keys() - kept:
             gone = self._outcomes.setdefault(GONE_ROUTES, collections.Counter())
             gone.update(self._outcomes.pop(route))
+        for service, route, zone in [key for key in self._late if key[1] not in kept]:
+            self._late[GONE_ROUTES, GONE_ROUTES, zone] += self._late.pop((service, route, zone))
         for key in [key for key in self._histograms if key[0] not in kept]:
             del self._histograms[key]
 
@@ -103,7 +111,11 @@
 
     def sizes(self) -> dict[str, int]:
         """Return how many rows the tables of this part hold."""
-        return {"outcome_routes": len(self._outcomes), "histograms": len(self._histograms)}
+        return {
+            "outcome_routes": len(self._outcomes),
+            "histograms": len(self._histograms),
+            "late_rows": len(self._late),
+        }
 
     def _label(self, route: str) -> str:
         """Return the name under which a route is counted."""
@@ -115,6 +127,9 @@
         for route, outcomes in sorted(self._outcomes.items()):
             for outcome, count in sorted(outcomes.items()):
                 yield f'router_requests{{route="{route}",outcome="{outcome}"}} {count}'
+        for (service, route, zone), count in sorted(self._late.items()):
+            labels = f'service="{service}",route="{route}",zone="{zone}"'
+            yield f"router_late{{{labels}}} {count}"
         for (route, measure), histogram in sorted(self._histograms.items()):
             labels = f'route="{route}",measure="{measure}"'
             yield f"router_ms_count{{{labels}}} {histogram.count:g}"
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -13,7 +13,7 @@
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.request.backend_registry import Backend
-from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.request.routed_call import NOT_SENT, RoutedCall, WholeAnswer
 from yokedock.router_errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 
 CONNECT_TIMEOUT_S = 0.15
@@ -163,6 +163,16 @@
         """
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
         timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
+        with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
+            async with self._exchange(backend, call, timeout_s, rest_s) as exchange:
+                yield exchange
+                if not exchange.is_sent:
+                    visit.outcome = NOT_SENT
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, backend: Backend, call: RoutedCall, timeout_s: float, rest_s: float
+    ) -> AsyncIterator[BackendExchange]:
         address = backend.entry.address
         try:
             connection = await self.pool.take(address, timeout_s, rest_s, call.heard_after_s)
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -183,6 +183,8 @@
             raise self._final(call, DeadlineExceeded("the time was over; allow more")) from None
         finally:
             state.reads.end(is_whole=False)
+            call.first_piece_s = state.relay.first_s
+            call.longest_pause_s = state.relay.longest_gap_s
             if state.source is not None:
                 self._release(state.source)
             _log_stream(call, state)
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -12,10 +12,33 @@
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import CallTerms
 from yokedock.connection.http_heads import AnswerHead
+from yokedock.errors import YokedockError
 from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
 MIN_DEADLINE_MS = 1
+MS_A_SECOND = 1000
+CUT_SHORT = "cut_short"
+"""Outcome of a visit that was ended from this side: the caller left or the time was over."""
+NOT_SENT = "not_sent"
+"""Outcome of a visit that only made sure of a connection."""
+
+
+MOST_VISITS = 16
+"""Visits that are kept of one request; more than ``max_attempts`` and its prefills seldom are."""
+
+
+class BackendVisit(msgspec.Struct):
+    """One exchange of a request with a backend, for the log: who held it, and for how long."""
+
+    backend: str
+    zone: str
+    role: str
+    from_ms: int
+    """Time from the request's arrival at the router."""
+    held_ms: int = 0
+    outcome: str = "whole"
+    """``whole``, or the code of what it ended with."""
 
 
 class RoutedCall(msgspec.Struct, eq=False):
@@ -33,6 +56,10 @@
     may_have_run: bool = False
     heard_after_s: float = 0.0
     """Only connections on which something came later may carry it (monotonic s)."""
+    visits: list[BackendVisit] = []
+    first_piece_s: float | None = None
+    """When a stream's first event went to the caller (monotonic s)."""
+    longest_pause_s: float = 0.0
 
     @property
     def request_id(self) -> str:
@@ -61,6 +88,34 @@
         """Return the time until which an answer, or a first event, is in time."""
         return self.arrived_s + self.route.target_s
 
+    def since_arrival_ms(self) -> int:
+        """Return the milliseconds since the arrival."""
+        return round((time.monotonic() - self.arrived_s) * MS_A_SECOND)
+
+    @contextlib.contextmanager
+    def visit(self, backend: str, zone: str, role: str) -> Iterator[BackendVisit]:
+        """Note an exchange with a backend while it lasts, and how it ended."""
+        visit = BackendVisit(backend, zone, role, self.since_arrival_ms())
+        if len(self.visits) < MOST_VISITS:
+            self.visits.append(visit)
+        try:
+            yield visit
+        except YokedockError as error:
+            visit.outcome = error.code
+            raise
+        except BaseException:
+            visit.outcome = CUT_SHORT
+            raise
+        finally:
+            visit.held_ms = self.since_arrival_ms() - visit.from_ms
+
+    def is_late(self) -> bool:
+        """Return whether an answer that is whole now missed the route's targets."""
+        answered_s = self.first_piece_s or time.monotonic()
+        is_late = answered_s > self.target_s and self.route.target_s > 0
+        gap_target_s = self.route.gap_target_s
+        return is_late or 0 < gap_target_s < self.longest_pause_s
+
     def left_s(self) -> float:
         """Return the seconds until the deadline, at least 0."""
         return max(0.0, self.deadline_s - time.monotonic())
