A silence at one router is told to the others; a dead stand-in keeps its port

Cause: an engine that went dark was noticed by each router for itself, after 0.45 s of silence or a connection that could not be opened.

Change: silences are told like answers broken off, with the share of failures. What is heard orders engines, it makes none unusable.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -105,4 +105,5 @@
     Examples: engines that break answers off
       | property                                |
       | what one router learned all know        |
+      | a silence is known to all               |
       | an engine that recovered is used again  |
--- a/features/support/broken_engine_properties.py
+++ b/features/support/broken_engine_properties.py
@@ -21,6 +21,8 @@
 """A burst of 1.7 times the generations of the users' largest deployment, all routers together."""
 SPAN_S = 4.0
 BREAKS_AFTER_S = 0.037
+SILENCE_S = 0.45
+"""The silence after which an engine is taken for dark."""
 NEWS_S = 0.02
 """From a failure until the other routers know of it. Promises are known at once here."""
 READ_S = 0.1
@@ -36,10 +38,12 @@
 class BrokenFleet:
     """Routers that place generations; the engine called ``broken`` resets all that it gets."""
 
-    def __init__(self, seed, role, tells=True):
+    def __init__(self, seed, role, tells=True, falls_silent=False):
         self.clock = ModuleClock()
         self.chance = random.Random(seed)
         self.tells = tells
+        self.falls_silent = falls_silent
+        self.notice_s = SILENCE_S if falls_silent else BREAKS_AFTER_S
         self.fleets = [DecisionFleet(FleetShape(2, 60), 0.3, seed) for _ in range(ROUTERS)]
         for fleet in self.fleets:
             fleet.registry._clock = self.clock
@@ -80,13 +84,16 @@
         ]
         if is_lost:
             self.lost += 1
-            ends.append((BREAKS_AFTER_S, lambda: self._breaks(fleet)))
+            ends.append((self.notice_s, lambda: self._breaks(fleet)))
         for after_s, end in ends:
-            self._at(now_s + (BREAKS_AFTER_S if is_lost else after_s), end)
+            self._at(now_s + (self.notice_s if is_lost else after_s), end)
 
     def _breaks(self, fleet):
         backend = fleet.registry.get(self.broken)
-        backend.health.note_broken(self.clock.now_s)
+        if self.falls_silent:
+            backend.health.note_silence(self.clock.now_s)
+        else:
+            backend.health.note_broken(self.clock.now_s)
         if self.tells:
             told = fleet.registry.broken()
             assert set(told) == {self.broken}
@@ -98,9 +105,9 @@
                 fleet.registry.heard_broken(told)
 
 
-def lost_at_broken(seed, role, tells=True):
+def lost_at_broken(seed, role, tells=True, falls_silent=False):
     """Return how many generations met the broken engine in four seconds."""
-    fleet = BrokenFleet(seed, role, tells)
+    fleet = BrokenFleet(seed, role, tells, falls_silent)
     with (
         mock.patch.object(engine_costs, "time", fleet.clock),
         mock.patch.object(engine_choice, "time", fleet.clock),
@@ -115,6 +122,13 @@
         assert together <= 12 and together <= alone / 2, (role, seed, alone, together)
 
 
+def a_silence_is_known_to_all():
+    """An engine that went dark gets what comes before one router has noticed, and little more."""
+    for role, seed in itertools.product((PREFILL_ROLE, DECODE_ROLE), (1, 2, 3)):
+        alone, together = (lost_at_broken(seed, role, tells, True) for tells in (False, True))
+        assert together <= alone * 2 / 3, (role, seed, alone, together)
+
+
 def an_engine_that_recovered_is_used_again():
     """Twelve seconds after the last failure that was told, an engine costs what others cost."""
     clock = Clock()
@@ -134,5 +148,6 @@
 
 BROKEN_ENGINE_PROPERTIES = {
     "what one router learned all know": what_one_router_learned_all_know,
+    "a silence is known to all": a_silence_is_known_to_all,
     "an engine that recovered is used again": an_engine_that_recovered_is_used_again,
 }
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import json
+import socket
 
 PIECES = 6
 SLOW_PIECE_S = 0.1
@@ -61,11 +62,15 @@
         self.connections = 0
         self._late_answer = b""
         self._port = 0
+        self._held_port = None
         self._writers = set()
         self._silent = set()
 
     async def start(self):
         """Listen on any free port, after a stop on the same."""
+        if self._held_port is not None:
+            self._held_port.close()
+            self._held_port = None
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self._port, reuse_address=True
         )
@@ -73,8 +78,11 @@
         self.address = f"127.0.0.1:{self._port}"
 
     async def stop(self):
-        """Close everything at once."""
+        """Close everything at once; the port stays taken, so that nobody else answers there."""
         self._server.close()
+        self._held_port = socket.socket()
+        self._held_port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._held_port.bind(("127.0.0.1", self._port))
         self.break_off()
 
     def break_off(self):
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -59,7 +59,7 @@
     suspect_until_s: float = 0.0
     suspect_for_s: float = SUSPECT_S
     broke_s: float = -math.inf
-    """When this process saw an answer of the backend broken off, or none that was one."""
+    """When this process saw an answer broken off, or none that was one, or none at all."""
     told: float = 0.0
     """The largest share of failures that another router told of, at ``told_s``."""
     told_s: float = 0.0
@@ -107,13 +107,14 @@
             self.told, self.told_s = share, now_s
 
     def note_silence(self, now_s: float) -> None:
-        """Note that the backend could not be reached or gave no answer."""
+        """Note that the backend could not be reached or gave no answer; the others hear of it."""
         if not self.is_suspect(now_s):
             self.suspect_until_s = now_s + self.suspect_for_s
             self.suspect_for_s = min(2 * self.suspect_for_s, LONGEST_SUSPECT_S)
         share = self.own_failure_share(now_s)
         self.failures = share + FAILURE_WEIGHT * (1.0 - share)
         self.noted_s = now_s
+        self.broke_s = now_s
 
 
 class Backend:
