--- a/features/support/placement_cost_properties.py
+++ b/features/support/placement_cost_properties.py
@@ -210,7 +210,7 @@
     small, large = measure(FleetShape(30, 28)), measure(FleetShape(370, 610))
     growth = {
         name: getattr(large, name) / getattr(small, name)
-        for name in ("placement_ms", "pump_ms", "heard_ms", "retry_ms")
+        for name in ("placement_ms", "look_ms", "heard_ms", "retry_ms")
     }
     assert max(growth.values()) < LARGEST_GROWTH, growth
 
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -170,7 +170,7 @@
         return is_slow and self._ledger.streams(alone.name) > 0
 
     def _prefill_cost_s(self, prefill: Backend, sought: Sought) -> float:
-        """Return the predicted time to read the prompt, with what speaks against the engine."""
+        """Return the predicted time to read the prompt, and the engine's risk and bonus."""
         load = self._ledger.load(prefill.name)
         cost_s = self._read_cost_s(prefill, load, sought) + self._risk_s(prefill)
         return cost_s - HOME_BONUS_S if prefill.name in sought.homes else cost_s
@@ -181,7 +181,7 @@
         return to_read / self._ledger.pace.read_rate(engine.name)
 
     def _decode_cost_s(self, decode: Backend, load: EngineTotals, sought: Sought) -> float:
-        """Return what speaks against a decode engine: how full and slow it is, its failures."""
+        """Return the cost of a decode engine: how full and slow it is, its failures."""
         fullness = load.memory_tokens / sought.traits.memory_tokens
         slowness = self._ledger.pace.slowness(decode.name) - TOLERATED_SLOWNESS
         cost_s = START_S + FULL_COST_S * fullness + SLOW_COST_S * max(0.0, slowness)
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -50,7 +50,7 @@
 """A resumable stream that is silent for this long goes on at another engine."""
 LEAST_USEFUL_S = 0.1
 ENOUGH_REFUSALS = 3
-KNOCK_S = 0.02
+RECONNECT_S = 0.02
 """Engines that cannot be reached are tried again at this interval, until the caller gives up."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
@@ -202,7 +202,7 @@
                 is_over = time.monotonic() > gives_up_s or not self._mechanisms.reconnects
                 if is_over or not state.retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False):
                     raise self._final(call, error) from None
-                await asyncio.sleep(KNOCK_S)
+                await asyncio.sleep(RECONNECT_S)
             except BackendRefused as error:
                 is_enough = len(state.refused_by) >= ENOUGH_REFUSALS
                 if is_enough or not state.retries.may_go_on(call, LEAST_USEFUL_S):
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -77,7 +77,7 @@
                 answer = await self._attempt(call, backend, retries)
             except BackendUnreachable as error:
                 is_over = not retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False)
-                if is_over or not await self._may_knock_again(call, tried):
+                if is_over or not await self._may_reconnect(call, tried):
                     raise self._final(call, error) from None
                 continue
             except (BackendRefused, BackendBroken, NoBackend) as error:
@@ -158,7 +158,7 @@
         expected_s = self._registry.typical_latency_s(call.service.name)
         return time.monotonic() + expected_s < call.target_s
 
-    async def _may_knock_again(self, call: RoutedCall, tried: set[str]) -> bool:
+    async def _may_reconnect(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether to go on after a backend could not be reached.
 
         Once all were tried, wait a moment between rounds, while an answer could be in time.
@@ -169,7 +169,7 @@
         return self._could_be_in_time(call)
 
     def _has_untried(self, call: RoutedCall, tried: set[str]) -> bool:
-        """Return whether a backend is left that was not asked: knocking again spends the budget."""
+        """Return whether a backend is left that was not asked: another request costs budget."""
         usable = self._registry.usable(call.service.name)
         return any(backend.name not in tried for backend in usable)
 
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import math
 import random
 import sys
@@ -21,17 +20,18 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_choice import EngineChoice
 from yokedock.request.engine_ledger import EngineLedger
-from yokedock.request.engine_placement import DECODE_ROLE, EnginePlacement, Placement, Progress
+from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
 from yokedock.request.generation_queue import GenerationQueue
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.room_forecast import LATEST_RETURN, QueueAhead, RoomForecast
 from yokedock.request.room_order import RoomOrder
+from yokedock.request.room_prediction import RecentArrivals, RoomPrediction
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.waiter import Turn, Waiter
 
 _log = logger("queue")
 
-PUMP_S = 0.003
+GATHER_ROOM_S = 0.003
 """News of room that come within this time are looked at together."""
 RECHECK_S = 0.1
 """Waiting generations look for room at least this often: promises of a silent router lapse."""
@@ -42,8 +42,6 @@
 GAPS_OF_SILENCE = 8.0
 """Callers give up after this silence, or after so many times their route's target for the first
 event or for pauses, whichever is longest (the platform's figures)."""
-ARRIVALS_WINDOW_S = 2.0
-"""Arrivals of this time count as the present rate."""
 
 
 class QueuedPlacement(EnginePlacement):
@@ -61,7 +59,6 @@
 
         ``turns_elsewhere`` returns whose turn is next at each of them.
         """
-        self._registry = registry
         self._ledger = ledger
         self._mechanisms = mechanisms
         self._choice = EngineChoice(registry, ledger, mechanisms)
@@ -70,22 +67,25 @@
         self._forecast = RoomForecast(ledger.turnover)
         self._random = random.Random()
         self._queues: dict[str, GenerationQueue] = {}
-        self._arrivals: dict[str, collections.deque[float]] = {}
-        self._is_pump_due = False
+        self._arrivals = RecentArrivals()
+        self._prediction = RoomPrediction(
+            registry, ledger, self._forecast, elsewhere, self._arrivals
+        )
+        self._is_scheduling_due = False
         self._is_recheck_due = False
         self._turn_due_s = math.inf
-        ledger.on_room = self._pump_soon
+        ledger.on_room = self._schedule_soon
 
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Return where the request goes; raises ``NoDecodeRoom`` where no room will come."""
         service = call.service.name
-        self._note_arrival(service)
+        self._arrivals.note(service)
         waiter = self._waiter(call, progress)
         if waiter.since_s >= self.gives_up_s(call, progress):
             raise self._no_room(waiter, "its caller has waited as long as callers do")
         self._queues.setdefault(service, GenerationQueue()).add(waiter)
         try:
-            self._pump(service)
+            self._schedule(service)
             if not waiter.placed.done():
                 self._refuse_if_hopeless(waiter)
                 # The others count on whoever waits here when they take room.
@@ -107,10 +107,10 @@
         return {
             service: QueueShare(
                 sum(waiter.is_in_time(now_s) for waiter in self._queues.get(service, ())),
-                round(self._arrivals_per_s(service), 1),
+                round(self._arrivals.per_s(service), 1),
                 self._next_in_ms(service, now_s),
             )
-            for service in list(self._arrivals)
+            for service in self._arrivals.services()
         }
 
     def _next_in_ms(self, service: str, now_s: float) -> int:
@@ -159,7 +159,7 @@
         while not waiter.placed.done():
             now_s = time.monotonic()
             if now_s >= waiter.gives_up_s:
-                self._pump(waiter.call.service.name)
+                self._schedule(waiter.call.service.name)
                 if waiter.placed.done():
                     break
                 waited_s = now_s - waiter.predicted_at_s
@@ -224,55 +224,22 @@
         if was_cut_short and placed.done() and not placed.cancelled():
             self._ledger.close_stream(placed.result().promise)
 
-    # --- Prediction ---
-
     def _ahead(self, waiter: Waiter) -> QueueAhead:
-        """Return what goes before a waiter: those in time, and newcomers too if it will be late."""
-        now_s = time.monotonic()
         service = waiter.call.service.name
-        engines = self._registry.usable(service, DECODE_ROLE)
-        streams = sum(self._ledger.streams(engine.name) for engine in engines)
-        others = [other for other in self._queues.get(service, ()) if other is not waiter]
-        elsewhere = self._elsewhere(service)
-        if waiter.is_in_time(now_s):
-            before = [w for w in others if w.is_in_time(now_s) and w.turn() < waiter.turn()]
-            # Of those at other routers as many go before it as behind it.
-            ahead = QueueAhead(streams, len(before) + elsewhere.in_time / 2)
-            if now_s + self._forecast.wait_s(ahead) <= waiter.in_time_until_s:
-                return ahead
-        in_time = [w for w in others if w.is_in_time(now_s)]
-        late = [w for w in others if not w.is_in_time(now_s) and w.since_s < waiter.since_s]
-        arrivals_per_s = self._arrivals_per_s(service) + elsewhere.arrivals_per_s
-        ahead_in_time = len(in_time) + elsewhere.in_time
-        return QueueAhead(streams, ahead_in_time, len(late), arrivals_per_s, is_late=True)
+        return self._prediction.ahead(waiter, self._queues.get(service, ()))
 
     def _return_after_s(self, waiter: Waiter) -> float:
         wait_s = self._forecast.wait_s(self._ahead(waiter))
         return self._random.uniform(wait_s, LATEST_RETURN * wait_s)
 
-    def _note_arrival(self, service: str) -> None:
-        self._arrivals.setdefault(service, collections.deque()).append(time.monotonic())
-
-    def _arrivals_per_s(self, service: str) -> float:
-        """Return how many generations came here in a second, lately."""
-        arrivals = self._arrivals.get(service)
-        if arrivals is None:
-            return 0.0
-        oldest_s = time.monotonic() - ARRIVALS_WINDOW_S
-        while arrivals and arrivals[0] < oldest_s:
-            arrivals.popleft()
-        if not arrivals:
-            del self._arrivals[service]
-        return len(arrivals) / ARRIVALS_WINDOW_S
-
     # --- Giving room ---
 
-    def _pump_soon(self) -> None:
+    def _schedule_soon(self) -> None:
         """Look for room soon, with what else is heard in this moment."""
-        if self._is_pump_due or not self._queues:
+        if self._is_scheduling_due or not self._queues:
             return
-        self._is_pump_due = True
-        asyncio.get_running_loop().call_later(PUMP_S, self._pump_all)
+        self._is_scheduling_due = True
+        asyncio.get_running_loop().call_later(GATHER_ROOM_S, self._schedule_all)
 
     def _recheck_soon(self) -> None:
         """Look for room again after a while, for all that wait at once."""
@@ -282,16 +249,16 @@
 
     def _recheck(self) -> None:
         self._is_recheck_due = False
-        self._pump_all()
+        self._schedule_all()
         if self._queues:
             self._recheck_soon()
 
-    def _pump_all(self) -> None:
-        self._is_pump_due = False
+    def _schedule_all(self) -> None:
+        self._is_scheduling_due = False
         for service in list(self._queues):
-            self._pump(service)
+            self._schedule(service)
 
-    def _pump(self, service: str) -> None:
+    def _schedule(self, service: str) -> None:
         """Give room to the waiters of a service in order; the first that does not fit ends it."""
         now_s = time.monotonic()
         queue = self._queues.get(service)
@@ -335,4 +302,4 @@
 
     def _turn_came(self) -> None:
         self._turn_due_s = math.inf
-        self._pump_all()
+        self._schedule_all()
--- a/src/yokedock_emulator/decision_cost.py
+++ b/src/yokedock_emulator/decision_cost.py
@@ -45,8 +45,8 @@
 """One plain backend to so many engines, as on the users' largest deployment."""
 BUDGET_S = 0.4
 """Processor time spent on one figure, at least one decision."""
-PUMPS = 10
-PUMP_PAUSE_S = 0.005
+LOOKS = 10
+LOOK_PAUSE_S = 0.005
 """Longer than the queue gathers news of room."""
 MS_A_SECOND = 1000.0
 SEED = 7
@@ -68,7 +68,7 @@
     routers: int
     engines: int
     placement_ms: float
-    pump_ms: float
+    look_ms: float
     """Looking for room for ``WAITING`` generations after a neighbour told of a change."""
     heard_ms: float
     """Taking in what a neighbour promised."""
@@ -156,7 +156,7 @@
         shape.routers,
         shape.engines,
         _placement_ms(shape),
-        asyncio.run(_pump_ms(shape)),
+        asyncio.run(_look_ms(shape)),
         _heard_ms(shape),
         _plain_choice_ms(shape),
         _retry_ms(shape),
@@ -187,7 +187,7 @@
     return _mean_ms(place)
 
 
-async def _pump_ms(shape: FleetShape) -> float:
+async def _look_ms(shape: FleetShape) -> float:
     """Return the cost of one neighbour's datagram while generations wait and nothing has room."""
     fleet = DecisionFleet(shape, fullness=0.5)
     for engine in fleet.registry.usable(MODEL_SERVICE, DECODE_ROLE):
@@ -203,16 +203,16 @@
         for number in range(WAITING)
     ]
     await asyncio.sleep(0)
-    await asyncio.sleep(PUMP_PAUSE_S)
+    await asyncio.sleep(LOOK_PAUSE_S)
     began_s = time.process_time()
-    for router in range(PUMPS):
+    for router in range(LOOKS):
         fleet.ledger.heard(f"router-{router % 5}", fleet.shares(router % 5))
-        await asyncio.sleep(PUMP_PAUSE_S)
+        await asyncio.sleep(LOOK_PAUSE_S)
     spent_s = time.process_time() - began_s
     for task in waiting:
         task.cancel()
     await asyncio.gather(*waiting, return_exceptions=True)
-    return spent_s / PUMPS * MS_A_SECOND
+    return spent_s / LOOKS * MS_A_SECOND
 
 
 def _heard_ms(shape: FleetShape) -> float:
@@ -245,7 +245,7 @@
 
 def print_costs(costs: list[DecisionCosts]) -> None:
     """Print the table."""
-    header = ["routers", "engines", "placement ms", f"pump of {WAITING} ms", "heard ms"]
+    header = ["routers", "engines", "placement ms", f"look with {WAITING} waiting ms", "heard ms"]
     header += ["plain choice ms", "retry ms"]
     rows = [
         [
@@ -255,7 +255,7 @@
                 f"{figure:.3f}"
                 for figure in (
                     cost.placement_ms,
-                    cost.pump_ms,
+                    cost.look_ms,
                     cost.heard_ms,
                     cost.plain_choice_ms,
                     cost.retry_ms,
