A request behind an answer that announced no close is answered while a planned stop begins

An answer had gone out without Connection: close; before its task ended the stop began, and the connection was closed although its caller had sent the next request.

Ruled out: the close of idle connections (2.5 s later); new connections (they are told).

Change: a connection closes behind an answer only if that answer announced it, or late in the stop; until then the next answer announces it.

Tests: a connection whose stop begins just behind its answer, red before (cut), and one that rests.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -115,3 +115,11 @@
       | property                                   |
       | roles of a large fleet are set at once     |
       | few engines change while answers are made  |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: connections in a planned stop
+      | property                                                       |
+      | a request behind an answer that announced nothing is answered  |
+      | an idle connection is closed late in a stop                    |
--- /dev/null
+++ b/features/support/connection_properties.py
@@ -0,0 +1,81 @@
+"""Properties of one caller's connection, on a real socket of the loopback."""
+
+import asyncio
+
+from yokedock.connection.caller_connection import CallerConnection
+from yokedock.connection.http_heads import whole_answer
+from yokedock.version.route_table import CallerLimits
+
+REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+LIMIT_S = 5.0
+
+
+class StoppingServer:
+    """Answers everything; a planned stop begins just behind the first answer."""
+
+    def __init__(self):
+        self.connection = None
+        self.answered = 0
+
+    async def start(self):
+        """Listen; return the port."""
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def _accept(self, reader, writer):
+        self.connection = CallerConnection(reader, writer, self._answer, CallerLimits)
+        await self.connection.serve()
+
+    async def _answer(self, request, answer):
+        self.answered += 1
+        await answer.whole(*whole_answer(200, b"ok"))
+        # The answer is out and did not announce the close.
+        self.connection.is_closing = True
+
+
+async def read_answer(reader):
+    """Return the head of one answer, in lower case."""
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+    await asyncio.wait_for(reader.readexactly(2), LIMIT_S)
+    return head.lower()
+
+
+def a_request_behind_an_answer_that_announced_nothing_is_answered():
+    """A stop that begins just behind an answer loses no request that its caller sends then."""
+
+    async def play():
+        server = StoppingServer()
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        assert b"connection: close" not in await read_answer(reader)
+        writer.write(REQUEST)
+        assert b"connection: close" in await read_answer(reader)
+        assert await asyncio.wait_for(reader.read(), LIMIT_S) == b""
+        assert server.answered == 2
+
+    asyncio.run(play())
+
+
+def an_idle_connection_is_closed_late_in_a_stop():
+    """Once the balancer sends no more connections, one that rests is closed."""
+
+    async def play():
+        server = StoppingServer()
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        await read_answer(reader)
+        await asyncio.sleep(0.05)
+        server.connection.close_if_idle()
+        assert await asyncio.wait_for(reader.read(), LIMIT_S) == b""
+
+    asyncio.run(play())
+
+
+CONNECTION_PROPERTIES = {
+    "a request behind an answer that announced nothing is answered": (
+        a_request_behind_an_answer_that_announced_nothing_is_answered
+    ),
+    "an idle connection is closed late in a stop": an_idle_connection_is_closed_late_in_a_stop,
+}
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -58,7 +58,8 @@
         self._has_data = False
         self._work: asyncio.Task[None] | None = None
         self.is_closing = False
-        """Set from outside: the answer in flight is the last one."""
+        """Set from outside: the next answer that begins announces the close and is the last one."""
+        self._closes_unannounced = False
         self.is_idle = True
         own_socket = writer.get_extra_info("socket")
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -75,7 +76,9 @@
                 if not await self._answer(request):
                     return
                 self.is_idle = True
-                if self._parser.our_state is not h11.DONE or self.is_closing:
+                # An answer that announced the close leaves another state. One that did not may have
+                # been followed by a request that is on its way: closing would lose it.
+                if self._parser.our_state is not h11.DONE or self._closes_unannounced:
                     break
                 if self._parser.their_state is not h11.DONE:
                     break
@@ -111,8 +114,8 @@
         self._writer.transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close in order when no request is being read or answered."""
-        self.is_closing = True
+        """Close in order when no request is being read or answered; else behind the answer."""
+        self.is_closing = self._closes_unannounced = True
         if self.is_idle and not self._has_data:
             self._writer.close()
 
