Sight: log lines tell which attempts are the same request, and what broke off under it

Cause: an attempt has an id of its own; nothing in the logs said that two attempts carry the same request, so the hypotheses of the incident (repeats by the caller at other routers, repeats within one attempt) could not be told apart. Ruled out: the route's name or the id as a key; both differ or are shared by sound requests. Change: digest of method, host, target and body in the last line of a request, and a line for each answer that a backend broke off. No change of logic. Conclusion: the same request can be followed over routers and attempts.

--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -18,6 +18,7 @@
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import RoutedCall
 from yokedock.router_errors import BackendAnswerLost
 from yokedock.version.route_table import Route, RouteTable, ServiceSpec
@@ -177,6 +178,7 @@
         _log.info(
             "request",
             request=call.request_id if call else "",
+            digest=digest_text(call.digest) if call else "",
             route=call.route.name if call else request.head.path,
             outcome=outcome,
             status=answer.status,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -7,15 +7,19 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
+from yokedock.base.logs import logger
 from yokedock.base.patience import Patience
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.request.backend_registry import Backend
+from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import NOT_SENT, RoutedCall, WholeAnswer
 from yokedock.router_errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
 
+_log = logger("exchange")
+
 CONNECT_TIMEOUT_S = 0.15
 SHORT_REST_S = 0.8
 """What may not be repeated uses only connections that rested for less: fewer are closed by then."""
@@ -189,6 +193,13 @@
             backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
             raise
         except BackendBroken as error:
+            _log.info(
+                "answer broken off",
+                request=call.request_id,
+                digest=digest_text(call.digest),
+                backend=backend.name,
+                reason=error.message,
+            )
             if isinstance(error, BackendSilent):
                 self._suspect_quiet(connection, call)
             backend.health.note_broken(time.monotonic())
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -13,6 +13,7 @@
 from yokedock.connection.dialect import CallTerms
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.errors import YokedockError
+from yokedock.request.request_digest import request_digest
 from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
@@ -60,6 +61,15 @@
     first_piece_s: float | None = None
     """When a stream's first event went to the caller (monotonic s)."""
     longest_pause_s: float = 0.0
+    known_digest: int | None = None
+    """What ``digest`` returned before."""
+
+    @property
+    def digest(self) -> int:
+        """Return what is alike for all attempts of this request."""
+        if self.known_digest is None:
+            self.known_digest = request_digest(self.request)
+        return self.known_digest
 
     @property
     def request_id(self) -> str:
