--- /dev/null
+++ b/features/support/mortal_backends.py
@@ -0,0 +1,54 @@
+"""Backends that end when they begin to run a certain request, and come back as new ones."""
+
+import asyncio
+
+from support.stand_in_backend import StandInBackend
+from yokedock.connection.state_source import BackendEntry, StateChanges
+
+MARK = b"ends whoever runs it"
+BACK_AFTER_S = 0.1
+
+
+class MortalBackends:
+    """Keeps as many backends of each kind as there were; the routers hear of every new one."""
+
+    def __init__(self, world, routers):
+        self._world = world
+        self._routers = routers
+        self._position = world.position
+        self.generations = 0
+        self.deaths_s = []
+        """When backends ended (seconds of the loop's clock)."""
+        for backend in list(world.backends.values()):
+            if backend.role != "prefill":
+                self._watch(backend)
+
+    def arrivals(self):
+        """Return the arrivals of the request that ends backends, its prefills too."""
+        found = [a for b in self._world.backends.values() for a in b.arrivals if MARK in a.body]
+        return sorted(found, key=lambda arrival: arrival.arrived_s)
+
+    def ended(self):
+        """Return how many backends have ended."""
+        return sum(arrival.ended_backend for arrival in self.arrivals())
+
+    def _watch(self, backend):
+        backend.dies_of = MARK
+        backend.on_death = lambda: self._died(backend)
+
+    def _died(self, backend):
+        loop = asyncio.get_running_loop()
+        self.deaths_s.append(loop.time())
+        loop.call_later(BACK_AFTER_S, lambda: asyncio.ensure_future(self._replace(backend)))
+
+    async def _replace(self, old):
+        self.generations += 1
+        name = f"{old.name.partition('-')[0]}-{self.generations}"
+        fresh = StandInBackend(name, old.service, old.role, old.slots)
+        await fresh.start()
+        self._watch(fresh)
+        self._world.backends[name] = fresh
+        entry = BackendEntry(name, fresh.service, fresh.address, slots=fresh.slots, role=fresh.role)
+        self._position += 1
+        for router in self._routers:
+            router.source.tell(StateChanges(self._position, None, (entry,), (old.name,)))
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import socket
+import time
 
 PIECES = 6
 SLOW_PIECE_S = 0.1
@@ -23,9 +24,12 @@
     target: str
     headers: list
     body: bytes
+    arrived_s: float = 0.0
     was_closed: bool = False
     has_ended: bool = False
     """Whether the work for it has ended, in whatever way."""
+    ended_backend: bool = False
+    """Whether the backend ended as it began to run the request."""
     was_unanswered: bool = False
     """It came on a connection that had gone silent: nothing was sent back."""
 
@@ -56,6 +60,10 @@
         self.on_event = lambda number: None
         """Called with the number of each event that was sent."""
         self.dies_when_broken = False
+        self.dies_of = None
+        """Bytes in a body; the backend ends when it begins to run such a request."""
+        self.on_death = lambda: None
+        """Called when such a request has ended it."""
         self.forgets_when_broken = False
         self.cache = {}
         """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
@@ -137,6 +145,7 @@
             return False
         if target == CACHE_PATH:
             return await self._list_cache(arrival, writer)
+        arrival.arrived_s = time.monotonic()
         self.arrivals.append(arrival)
         if writer in self._silent:
             arrival.was_unanswered = True
@@ -186,6 +195,10 @@
         if fault == "error":
             return self._plain(writer, arrival, 500, b"broken", [("X-Signature", self.name)])
         await self.gate.wait()
+        is_run = arrival.header("X-Stage") is None
+        if is_run and self.dies_of is not None and self.dies_of in arrival.body:
+            await self._die(arrival, writer)
+            return False
         if self.role:
             self._keep_prompt(arrival)
         if arrival.header("X-Stage") == "prefill":
@@ -195,6 +208,14 @@
             return await self._stream(arrival, writer, fault)
         return await self._whole(arrival, writer, fault)
 
+    async def _die(self, arrival, writer):
+        """Begin to answer and end, with everything that runs here."""
+        arrival.ended_backend = True
+        writer.write(self._head(arrival, 200, [("Transfer-Encoding", "chunked")]))
+        await writer.drain()
+        await self.stop()
+        self.on_death()
+
     def _head(self, arrival, status, extra, signed=True, request_id=None):
         named = request_id or arrival.header("X-Request-Id")
         lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {named}"]
