A request that ends the backends which run it is kept from them, at every router

Cause: nothing was kept of a request beyond one attempt, and nothing of it was told to the other routers. A caller that sends the same request again had each router take it for a new one, with as many backends as its route allows; limits counted within an attempt (attempts) or a service (retry budget). The class: a limit that hangs on an identifier which changes with each try. Ruled out: repeats within one attempt alone (two backends at most); the retry budget, which was kept throughout; sound requests, which are repeated but end nothing. Change: ends of backends are kept by the request's digest, told to the other routers at once and to newcomers at their start; after three ends that no stronger suspect explains, or two that nothing else shares, the request is refused at once (503, Retry-After), taken back where it waits or was sent, and forgotten ten minutes after its last end. A backend that answers after all has not ended.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -19,6 +19,7 @@
 from yokedock.router_errors import (
     AnswerTooLong,
     BackendBroken,
+    BackendClosed,
     BackendSilent,
     BackendUnreachable,
 )
@@ -57,6 +58,8 @@
         self._rests_since_s = time.monotonic()
         self._rest_until_s = self._rests_since_s + LONGEST_REST_S
         self._is_fit = True
+        self._has_closed = False
+        """Whether the peer has ended its side."""
 
     @classmethod
     async def connect(cls, address: str, timeout_s: float) -> BackendConnection:
@@ -113,13 +116,14 @@
         try:
             self._writer.write(data)
         except (OSError, RuntimeError) as error:
-            raise BackendBroken(f"{self.address}: {error}") from None
+            raise BackendClosed(f"{self.address}: {error}") from None
 
     async def read_head(self, is_ours: IsOurs) -> AnswerHead:
         """Return the head of the answer to the request sent last.
 
         Answers for which ``is_ours`` is false belong to earlier requests: they are dropped.
-        Raises ``BackendBroken`` when the connection ends or the bytes are no answer.
+        Raises ``BackendClosed`` when the connection ends, ``BackendBroken`` if the bytes are no
+        answer.
         """
         while True:
             head = await self._next_head()
@@ -130,7 +134,7 @@
     async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they come.
 
-        Raises ``BackendBroken`` if it is cut off, ``AnswerTooLong`` if it has more than ``limit``
+        Raises ``BackendClosed`` if it is cut off, ``AnswerTooLong`` if it has more than ``limit``
         bytes.
         """
         size = 0
@@ -145,7 +149,7 @@
                 self._finish()
                 return
             else:
-                raise BackendBroken(f"{self.address}: the answer was cut off")
+                raise BackendClosed(f"{self.address}: the answer was cut off")
 
     def abort(self) -> None:
         """Close at once; the backend sees a reset and may stop its work.
@@ -172,7 +176,7 @@
                 headers = tuple(event.headers.raw_items())
                 self._note_rest(headers)
                 return AnswerHead(headers, event.status_code, bytes(event.reason))
-            raise BackendBroken(f"{self.address}: the connection ended without an answer")
+            raise BackendClosed(f"{self.address}: the connection ended without an answer")
 
     async def _next_event(self) -> object:
         assert self._parser is not None
@@ -180,6 +184,8 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
+                if self._has_closed:
+                    raise BackendClosed(f"{self.address}: closed within an answer") from None
                 raise BackendBroken(f"{self.address}: not an answer ({error})") from None
             if event is not h11.NEED_DATA:
                 return event
@@ -189,7 +195,8 @@
                 # Nothing that was sent has been acknowledged: the kernel gave the connection up.
                 raise BackendSilent(f"{self.address} acknowledges nothing") from None
             except OSError as error:
-                raise BackendBroken(f"{self.address}: {error.strerror or error}") from None
+                raise BackendClosed(f"{self.address}: {error.strerror or error}") from None
+            self._has_closed = not data
             self.received_bytes += len(data)
             if data:
                 self.heard_s = time.monotonic()
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from typing import cast
@@ -14,7 +15,7 @@
 import msgspec
 
 from yokedock.base.logs import logger
-from yokedock.connection.router_state import RouterState
+from yokedock.connection.router_state import RouterState, SuspectRequest
 
 _log = logger("gossip")
 
@@ -40,6 +41,9 @@
 datagrams a second while each of them needs its processor to become ready."""
 CALL_SILENT_S = 0.9
 """Silent routers are called this often."""
+WELCOMES = 8
+"""So many routers, on average, tell a newcomer what it cannot have heard: one is enough, and the
+chance that none does is one in 3,000. All of 370 would send it 150 kB at its start."""
 MOST_NAMED = 12
 """Addresses of other routers in one datagram; the next one names those behind them."""
 NAMED_INTERVAL_S = 1.0
@@ -76,6 +80,9 @@
         self._on_state = on_state
         self._on_silent = on_silent
         self._others: dict[str, OtherRouter] = {}
+        self.for_newcomers: Callable[[], tuple[SuspectRequest, ...]] = tuple
+        """Returns what a router that has just started is told besides."""
+        self._random = random.Random()
         self._seeds = seeds
         self._sequence = 0
         self._sent_s = 0.0
@@ -158,8 +165,11 @@
         is_new = other.heard_s < time.monotonic() - SILENT_S
         if not is_new and other.state is not None and _order(state) <= _order(other.state):
             return
+        has_started = other.state is None or state.incarnation != other.state.incarnation
         other.heard_s = time.monotonic()
         other.state = state
+        if has_started:
+            self._welcome(other)
         for address in state.routers:
             self._know(address)
         if is_new:
@@ -199,6 +209,18 @@
             other.called_s = now_s
             self._transport.sendto(data, (other.address, self._port))
 
+    def _welcome(self, newcomer: OtherRouter) -> None:
+        """Tell a router that has just started what was told to the others before."""
+        suspects = self.for_newcomers()
+        if not suspects or self._transport is None:
+            return
+        if self._random.random() * len(self.alive()) > WELCOMES:
+            return
+        self._sequence += 1
+        state = self._make_state(self._sequence, ())
+        state.suspects = suspects
+        self._transport.sendto(self._encoder.encode(state), (newcomer.address, self._port))
+
     def _named(self, now_s: float) -> tuple[str, ...]:
         """Return the addresses to name now: some of the routers that are heard, or none."""
         is_young = now_s - self._started_s < FIRST_CALLS_S
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -30,6 +30,17 @@
     waits or the router is of an older version."""
 
 
+class SuspectRequest(msgspec.Struct, array_like=True, frozen=True):
+    """A request under which backends ended."""
+
+    digest: int
+    """What is alike for all attempts of the request."""
+    lives: tuple[int, ...] = ()
+    """Numbers of the lives of backends that ended."""
+    age_s: float = 0.0
+    """Time since the newest of these ends."""
+
+
 class StateNews(msgspec.Struct, array_like=True, frozen=True):
     """What a router has just learned from the source: all that changed between two positions."""
 
@@ -69,3 +80,5 @@
     """What it learned from the source a moment ago."""
     broken: dict[str, int] = {}
     """Backends that broke an answer off a moment ago, with the share of failures in percent."""
+    suspects: tuple[SuspectRequest, ...] = ()
+    """Requests under which backends ended a moment ago."""
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -177,6 +177,12 @@
     code = "no_backend"
 
 
+class RequestQuarantined(Refused):
+    """Backends ended each time they ran this request, so that it is kept from them for a while."""
+
+    code = "request_quarantined"
+
+
 class NotReady(Refused):
     """The process has no bundle in force yet, or is stopping."""
 
--- a/src/yokedock/process/log_explain.py
+++ b/src/yokedock/process/log_explain.py
@@ -20,7 +20,7 @@
 SERVER_ERROR = 500
 MS_A_SECOND = 1000
 REFUSALS = frozenset({"no_decode_room", "no_backend", "not_ready"})
-LOST = frozenset({"backend_answer_lost", "backend_broken", "backend_silent"})
+LOST = frozenset({"backend_answer_lost", "backend_broken", "backend_closed", "backend_silent"})
 """Codes of the router's errors, by what they mean for the caller."""
 
 
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -18,6 +18,7 @@
 from yokedock.process.state_follower import StateFollower
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import RoutedCall
 from yokedock.router_errors import BackendAnswerLost
@@ -66,6 +67,7 @@
         dialect: Dialect,
         generations: GenerationCalls,
         opaque: OpaqueCalls,
+        guard: QuarantineGuard,
         metrics: RouterMetrics,
         stop: StopState,
     ) -> None:
@@ -74,6 +76,7 @@
         self._dialect = dialect
         self._generations = generations
         self._opaque = opaque
+        self._guard = guard
         self._metrics = metrics
         self._stop = stop
         self._random = random.Random()
@@ -93,7 +96,8 @@
             await self._follower.wait_known(UNKNOWN_WAIT_S)
             call = self._route(request, answer)
             self._refuse_late_work(call)
-            await self._serve(call)
+            async with self._guard.served(call):
+                await self._serve(call)
         except asyncio.CancelledError:
             if not self._stop.is_ending or answer.has_started:
                 outcome = "caller gone"
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -40,6 +40,8 @@
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
 from yokedock.request.placement_queue import QueuedPlacement
+from yokedock.request.poison_requests import PoisonRequests
+from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.queues_elsewhere import QueuesElsewhere
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.version.route_table import CallerLimits, RouteTable
@@ -93,7 +95,8 @@
         allowance = RetryAllowance(bounds, fleet_size, settings.fleet.is_first_start)
         self._allowance = allowance
         self._pool = BackendPool()
-        exchanges = BackendExchanges(self._pool, dialect)
+        self._poison = PoisonRequests(mechanisms.quarantine)
+        exchanges = BackendExchanges(self._pool, dialect, self._poison)
         self._queues_elsewhere = QueuesElsewhere(own_address)
         placement = QueuedPlacement(
             self._registry,
@@ -118,6 +121,7 @@
                 mechanisms,
             ),
             OpaqueCalls(self._registry, exchanges, allowance),
+            QuarantineGuard(self._poison),
             self._metrics,
             self._stop,
         )
@@ -145,12 +149,15 @@
                 self._pool,
                 lookup,
                 allowance,
+                self._poison,
                 self._gossip,
                 self._leadership,
                 self._metrics,
             )
         )
         self._ledger.on_change = self._gossip.change
+        self._poison.on_end = self._gossip.change
+        self._gossip.for_newcomers = self._poison.told_to_newcomer
         self._registry.on_change = self._backends_changed
 
     # --- Life ---
@@ -312,6 +319,7 @@
             "state_age_s": self._follower.age_s(),
             "connections_opened": self._pool.opened,
             **self._allowance.levels(),
+            **self._poison.levels(),
             **self._upkeep.sizes(),
         }
 
@@ -338,6 +346,7 @@
             self._follower.source_age_ms(),
             self._follower.news(),
             self._registry.broken(),
+            self._poison.told(),
         )
 
     def _source_contacts(self) -> list[SourceContact]:
@@ -360,6 +369,7 @@
         self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         self._registry.set_changing(other.address, state.changing)
         self._registry.heard_broken(state.broken)
+        self._poison.heard(state.suspects)
         self._follower.take_news(state.news)
         self._exchange.heard(state)
 
--- a/src/yokedock/process/router_upkeep.py
+++ b/src/yokedock/process/router_upkeep.py
@@ -19,6 +19,7 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
+from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.retry_allowance import RetryAllowance
 
 UPKEEP_S = 1.0
@@ -33,6 +34,7 @@
     pool: BackendPool
     lookup: CacheLookup
     allowance: RetryAllowance
+    poison: PoisonRequests
     gossip: RouterGossip
     leadership: Leadership
     metrics: RouterMetrics
@@ -66,6 +68,7 @@
             "resting_connections": tables.pool.size(),
             "cache_lists": tables.lookup.size(),
             "retry_times": tables.allowance.size(),
+            "suspects": tables.poison.size(),
             "routers": tables.gossip.known(),
             "votes": tables.leadership.size(),
             "tasks": len(asyncio.all_tasks()),
@@ -81,6 +84,7 @@
             self._drop_gone_engines,
             tables.lookup.drop_stale,
             tables.allowance.drop_old,
+            tables.poison.drop_old,
             tables.leadership.drop_old_votes,
             self._drop_gone_routes,
         )
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -14,9 +14,16 @@
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.request.backend_registry import Backend
+from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import NOT_SENT, RoutedCall, WholeAnswer
-from yokedock.router_errors import BackendBroken, BackendRefused, BackendSilent, BackendUnreachable
+from yokedock.router_errors import (
+    BackendBroken,
+    BackendClosed,
+    BackendRefused,
+    BackendSilent,
+    BackendUnreachable,
+)
 
 _log = logger("exchange")
 
@@ -34,9 +41,14 @@
     """A request that is being sent to, or answered by, one backend."""
 
     def __init__(
-        self, connection: BackendConnection, dialect: Dialect, backend: Backend, call: RoutedCall
+        self,
+        connection: BackendConnection,
+        dialect: Dialect,
+        backend: Backend,
+        call: RoutedCall,
+        poison: PoisonRequests,
     ) -> None:
-        """Wrap a connection that is ready to send."""
+        """Wrap a connection that is ready to send; ``poison`` hears how the request went."""
         self.backend = backend
         self.is_whole = False
         self.is_sent = False
@@ -46,6 +58,7 @@
         self._connection = connection
         self._dialect = dialect
         self._call = call
+        self._poison = poison
         self._sent_s = 0.0
         self._is_prefill = False
 
@@ -99,6 +112,7 @@
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
             self.backend.note_gone(time.monotonic())
+        self._poison.note_alive(self.backend.life, self._sent_s)
         if notes.is_not_run:
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
         if head.get(b"content-encoding") is not None:
@@ -136,6 +150,13 @@
         self.is_whole = True
         now_s = time.monotonic()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
+        if self._poison.is_known() and not is_failure and not self._is_prefill:
+            self._poison.note_sound(self._call.digest)
+
+    def note_closed(self) -> None:
+        """Note that the backend closed while it had the request, unless it is leaving anyway."""
+        if self.is_sent and not self.backend.entry.is_leaving:
+            self._poison.note_end(self._call.digest, self.backend.life)
 
     def _check_origin(self, head: AnswerHead, notes: AnswerNotes) -> None:
         """Raise unless the answer names the request and a success carries a signature."""
@@ -153,18 +174,23 @@
 class BackendExchanges:
     """Opens exchanges with backends."""
 
-    def __init__(self, pool: BackendPool, dialect: Dialect) -> None:
-        """Share the pool and dialect of the process."""
+    def __init__(self, pool: BackendPool, dialect: Dialect, poison: PoisonRequests) -> None:
+        """Share the pool and dialect of the process, and what is known of harmful requests."""
         self.pool = pool
+        self._poison = poison
         self.dialect = dialect
 
     @contextlib.asynccontextmanager
     async def open(self, backend: Backend, call: RoutedCall) -> AsyncIterator[BackendExchange]:
         """Connect to a backend; raises ``BackendUnreachable`` if nothing could be sent.
 
+        Raises ``RequestQuarantined`` for a request that ends its backends.
+
         The connection rests afterwards if its answer was read whole, else it is closed at once,
         so that the backend stops working on what nobody waits for.
         """
+        if self._poison.is_known():
+            self._poison.require_sound(call.digest)
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
         timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
         with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
@@ -184,7 +210,7 @@
             backend.health.note_silence(time.monotonic())
             self.pool.forget(address)
             raise
-        exchange = BackendExchange(connection, self.dialect, backend, call)
+        exchange = BackendExchange(connection, self.dialect, backend, call, self._poison)
         exchange.on_quiet = lambda: self._suspect_quiet(connection, call)
         backend.outstanding += 1
         try:
@@ -200,6 +226,8 @@
                 backend=backend.name,
                 reason=error.message,
             )
+            if isinstance(error, BackendClosed):
+                exchange.note_closed()
             if isinstance(error, BackendSilent):
                 self._suspect_quiet(connection, call)
             backend.health.note_broken(time.monotonic())
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -15,6 +15,7 @@
 
 from yokedock.connection.dialect import BackendLoad
 from yokedock.connection.state_source import BackendEntry
+from yokedock.request.poison_requests import life_number
 from yokedock.version.homes import HashRing
 
 GONE_GRACE_S = 1.0
@@ -125,6 +126,8 @@
         self.entry = entry
         self.name = entry.instance
         """Identifier of the incarnation."""
+        self.life = life_number(entry.instance)
+        """The same at every router."""
         self.health = Health()
         self.outstanding = 0
         """Requests that this process has at the backend."""
--- a/src/yokedock/request/mechanisms.py
+++ b/src/yokedock/request/mechanisms.py
@@ -29,6 +29,7 @@
     resume: bool = option("go on with a broken stream within one answer", True)
     role_changes: bool = option("give engines their roles; off: as they started", True)
     reconnects: bool = option("try again when an engine cannot be reached", True)
+    quarantine: bool = option("keep requests that end their backends from the others", True)
     retry_shares: bool = option("share the retry budget; off: it may be overspent", True)
 
 
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -10,7 +10,7 @@
 
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
-from yokedock.errors import DeadlineExceeded, NoBackend, YokedockError
+from yokedock.errors import DeadlineExceeded, NoBackend, RequestQuarantined, YokedockError
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_registry import Backend, BackendRegistry
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
@@ -80,6 +80,10 @@
                 if is_over or not await self._may_reconnect(call, tried):
                     raise self._final(call, error) from None
                 continue
+            except RequestQuarantined as error:
+                if kept is not None:
+                    return kept
+                raise self._final(call, error) from None
             except (BackendRefused, BackendBroken, NoBackend) as error:
                 is_last = isinstance(error, NoBackend) or (
                     isinstance(error, BackendRefused) and not self._has_untried(call, tried)
@@ -186,6 +190,8 @@
     def _final(self, call: RoutedCall, error: YokedockError) -> YokedockError:
         """Return what the caller is told: "not run" only if that is certain."""
         if not call.may_have_run:
+            if isinstance(error, RequestQuarantined):
+                return error
             message = f"{error.message}; it was not run, retry later"
             return NoBackend(message, self._return_after_s(call.service.name))
         if call.left_s() <= 0:
--- /dev/null
+++ b/src/yokedock/request/poison_requests.py
@@ -0,0 +1,244 @@
+"""Which requests end the backends that run them, and are kept from backends for a while.
+
+Pattern: a request crashes every engine which begins to run it. Its caller sends it again, with a
+new id, to any router; with two attempts a try, one request ended sixteen of a fleet's five engines
+in ten seconds, and took every sound stream on them along.
+
+What is kept hangs on the request itself (its digest), never on its caller, route or service: other
+requests of the same caller go on. Blame is spread over all that was sent to a backend that ended,
+so three things keep sound requests out of quarantine: a backend that answers after all has not
+ended, a request that is answered is sound, and an end that a stronger suspect was part of is put
+down to that one alone.
+"""
+
+from __future__ import annotations
+
+import time
+import zlib
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from yokedock.base.logs import logger
+from yokedock.connection.router_state import SuspectRequest
+from yokedock.errors import RequestQuarantined
+from yokedock.request.request_digest import digest_text
+
+_log = logger("poison")
+
+CERTAIN_ENDS = 3
+"""Ends that nothing else explains, after which a request is in quarantine whatever else was there:
+the platform's figure for a request that is not to be sent on."""
+PAIR_ENDS = 2
+"""The same where no other request was at both backends. Waiting for the third would cost a fifth of
+a fleet of five for some seconds; a sound stream that two unrelated crashes hit is one in a thousand
+while a quarter of the engines crash twice in two seconds."""
+SETTLE_S = 0.1
+"""A pair counts once it is so old: routers tell each other of what else was at a backend within
+10 ms and the way of a datagram, and each word is said again while one may be lost."""
+FORGOTTEN_S = 600.0
+"""So long after the last end under a request it is taken for a new one: one that is wrong to blame
+is served again, one that comes all day ends two backends in that time."""
+TELL_S = 1.0
+"""A router tells of an end for so long after it saw it: several datagrams, some may be lost."""
+MOST_TOLD = 16
+"""Requests in one datagram, those with the most ends first: 25 bytes each."""
+MOST_ENDS = 8
+"""Ends kept of one request."""
+MOST_KEPT = 2_048
+"""Requests kept, 0.6 MB; the ones whose last end is oldest go first."""
+
+
+class Suspect(msgspec.Struct, eq=False):
+    """A request under which backends ended: which ones, and when (monotonic s)."""
+
+    digest: int
+    ends: dict[int, float] = msgspec.field(default_factory=dict)
+    """When each life of a backend ended, by its number."""
+    seen_s: float = 0.0
+    """When this router itself saw the newest of them."""
+
+    def last_s(self) -> float:
+        """Return when the newest end was."""
+        return max(self.ends.values())
+
+
+def life_number(instance: str) -> int:
+    """Return a short name for one life of a backend: the same at every router."""
+    return zlib.crc32(instance.encode())
+
+
+class PoisonRequests:
+    """Suspects by digest, from this router's own exchanges and from what others tell.
+
+    ``on_change`` is called whenever a request may have come into quarantine, ``on_end`` when this
+    router saw an end: the others are to hear of it at once.
+    """
+
+    def __init__(self, is_used: bool = True, clock: Callable[[], float] = time.monotonic) -> None:
+        """Start without suspects; if not ``is_used``, stay so."""
+        self._is_used = is_used
+        self._clock = clock
+        self._suspects: dict[int, Suspect] = {}
+        self._by_life: dict[int, set[int]] = {}
+        """Digests of what was at a backend as it ended, by the life's number."""
+        self._logged: set[int] = set()
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_end: Callable[[], None] = lambda: None
+        self.refused = 0
+        """Requests that were kept from backends since the start."""
+
+    # --- What exchanges with backends showed ---
+
+    def note_end(self, digest: int, life: int) -> None:
+        """Note that a backend closed while it had the request, so that it may have ended."""
+        if not self._is_used:
+            return
+        now_s = self._clock()
+        self._add(digest, life, now_s)
+        self._suspects[digest].seen_s = now_s
+        self.on_end()
+        self.on_change()
+
+    def note_alive(self, life: int, sent_s: float) -> None:
+        """Note that a backend answered what was sent at ``sent_s``: it had not ended before."""
+        for digest in list(self._by_life.get(life, ())):
+            if self._suspects[digest].ends[life] < sent_s:
+                self._remove(digest, life)
+
+    def note_sound(self, digest: int) -> None:
+        """Note that the request was answered whole: it does not end what runs it."""
+        suspect = self._suspects.get(digest)
+        if suspect is not None:
+            self._drop(suspect)
+
+    # --- Decisions ---
+
+    def is_known(self) -> bool:
+        """Return whether there is any suspect; without one, no digest is needed."""
+        return bool(self._suspects)
+
+    def require_sound(self, digest: int) -> None:
+        """Raise ``RequestQuarantined`` for a request that is kept from backends."""
+        left_s = self.quarantined_for_s(digest)
+        if left_s:
+            self.refused += 1
+            message = (
+                "backends ended under this request again and again; change it, or send it later"
+            )
+            raise RequestQuarantined(message, left_s)
+
+    def quarantined_for_s(self, digest: int) -> float:
+        """Return for how long the request is still kept from backends, 0.0 if it is not."""
+        suspect = self._suspects.get(digest)
+        if suspect is None or not self._is_poison(suspect):
+            return 0.0
+        left_s = suspect.last_s() + FORGOTTEN_S - self._clock()
+        if left_s > 0.0 and digest not in self._logged:
+            self._logged.add(digest)
+            _log.warning(
+                "request in quarantine",
+                digest=digest_text(digest),
+                ends=len(suspect.ends),
+                for_s=round(left_s),
+            )
+        return max(0.0, left_s)
+
+    def _is_poison(self, suspect: Suspect) -> bool:
+        unexplained = self._unexplained(suspect)
+        if len(unexplained) >= CERTAIN_ENDS:
+            return True
+        if len(unexplained) < PAIR_ENDS:
+            return False
+        settled_s = self._clock() - SETTLE_S
+        if any(suspect.ends[life] > settled_s for life in unexplained):
+            return False
+        others = [self._by_life[life] - {suspect.digest} for life in unexplained]
+        return not set.intersection(*others)
+
+    def _unexplained(self, suspect: Suspect) -> set[int]:
+        """Return the ends at which no stronger suspect was present."""
+        if len(suspect.ends) < PAIR_ENDS:
+            return set()
+        return {life for life in suspect.ends if not self._has_stronger(life, len(suspect.ends))}
+
+    def _has_stronger(self, life: int, ends: int) -> bool:
+        most = max(len(self._suspects[digest].ends) for digest in self._by_life[life])
+        return most > max(ends, PAIR_ENDS)
+
+    # --- Between routers ---
+
+    def told(self) -> tuple[SuspectRequest, ...]:
+        """Return what the other routers are to hear: what this one saw a moment ago."""
+        oldest_s = self._clock() - TELL_S
+        return self._tellable(s for s in self._suspects.values() if s.seen_s >= oldest_s)
+
+    def told_to_newcomer(self) -> tuple[SuspectRequest, ...]:
+        """Return what a router that has just started is to hear: all of any weight."""
+        return self._tellable(s for s in self._suspects.values() if len(s.ends) >= PAIR_ENDS)
+
+    def _tellable(self, suspects: Iterable[Suspect]) -> tuple[SuspectRequest, ...]:
+        # What will soon be forgotten is not told: two routers would remind each other for ever.
+        now_s = self._clock()
+        fresh = [s for s in suspects if s.last_s() > now_s - FORGOTTEN_S + TELL_S]
+        fresh.sort(key=lambda s: (len(s.ends), s.last_s()), reverse=True)
+        return tuple(
+            SuspectRequest(s.digest, tuple(s.ends), round(now_s - s.last_s(), 3))
+            for s in fresh[:MOST_TOLD]
+        )
+
+    def heard(self, told: tuple[SuspectRequest, ...]) -> None:
+        """Take in what another router told."""
+        if not told or not self._is_used:
+            return
+        now_s = self._clock()
+        for request in told:
+            ended_s = now_s - request.age_s
+            known = self._suspects.get(request.digest)
+            for life in request.lives:
+                if known is None or life not in known.ends:
+                    self._add(request.digest, life, ended_s)
+        self.on_change()
+
+    # --- Upkeep ---
+
+    def drop_old(self) -> None:
+        """Forget requests whose last end is long ago, and the oldest of too many."""
+        oldest_s = self._clock() - FORGOTTEN_S
+        by_age = sorted(self._suspects.values(), key=Suspect.last_s)
+        surplus = max(0, len(by_age) - MOST_KEPT)
+        for position, suspect in enumerate(by_age):
+            if position < surplus or suspect.last_s() < oldest_s:
+                self._drop(suspect)
+
+    def size(self) -> int:
+        """Return how many requests are suspects."""
+        return len(self._suspects)
+
+    def levels(self) -> dict[str, float]:
+        """Return what operators see: requests kept from backends since the start."""
+        return {"requests_quarantined": self.refused}
+
+    def _add(self, digest: int, life: int, ended_s: float) -> None:
+        suspect = self._suspects.get(digest)
+        if suspect is None:
+            suspect = self._suspects[digest] = Suspect(digest)
+        if life not in suspect.ends and len(suspect.ends) >= MOST_ENDS:
+            self._remove(digest, min(suspect.ends, key=suspect.ends.__getitem__))
+        suspect.ends[life] = ended_s
+        self._by_life.setdefault(life, set()).add(digest)
+
+    def _remove(self, digest: int, life: int) -> None:
+        suspect = self._suspects[digest]
+        del suspect.ends[life]
+        digests = self._by_life[life]
+        digests.discard(digest)
+        if not digests:
+            del self._by_life[life]
+        if not suspect.ends:
+            self._suspects.pop(digest, None)
+            self._logged.discard(digest)
+
+    def _drop(self, suspect: Suspect) -> None:
+        for life in list(suspect.ends):
+            self._remove(suspect.digest, life)
--- a/src/yokedock/router_errors.py
+++ b/src/yokedock/router_errors.py
@@ -39,6 +39,12 @@
     http_status = 502
 
 
+class BackendClosed(BackendBroken):
+    """The backend closed or reset the connection before its answer was whole: it may have ended."""
+
+    code = "backend_closed"
+
+
 class AnswerTooLong(BackendBroken):
     """The answer has more bytes than the caller of it can use."""
 
