--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -123,3 +123,18 @@
       | property                                                       |
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: requests that end backends
+      | property                                      |
+      | poison ends few engines                       |
+      | sound requests are spared                     |
+      | crashes alone quarantine nobody               |
+      | a backend that answers has not ended          |
+      | a request that is answered is sound           |
+      | a pair counts where nothing else was at both  |
+      | an end is put down to the stronger suspect    |
+      | quarantine is forgotten                       |
+      | suspects are bounded                          |
