--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -111,7 +111,7 @@
     # --- What exchanges with backends showed ---
 
     def note_end(self, digest: int, life: int, had_it_s: float) -> None:
-        """Note that a backend closed ``had_it_s`` after it got the request: it may have ended."""
+        """Note that a backend closed ``had_it_s`` after it got the request."""
         if not self._is_used:
             return
         now_s = self._clock()
