--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -35,8 +35,8 @@
 quarter of the engines crashed every three seconds."""
 QUICK_S = 0.01
 """An end sooner after the request was sent is weak evidence: the backend may have been gone, or
-have reset one connection too many. It counts towards three ends, not towards two. Both sound requests
-that a pair put in quarantine in six days of trouble on two deployments had met such an end."""
+have reset one connection too many. It counts towards three ends, not towards two. Both sound
+requests that a pair put in quarantine in six days of trouble on two deployments had met one."""
 ALIVE_MARGIN_S = 0.05
 """An answer that comes so much later than an end shows that there was none: what a backend sent
 before it ended comes sooner."""
