Entries are read strictly: what an engine would not write names no backend

Cause: entries may come from other writers. The adapter gave defaults to missing fields, took any state, stage, address and number, and left in force what an id said before it could not be read. Ruled out: dropping the whole answer of the store; the others hold. Change: all fields that engines write must stand, typed and in bounds (MAX 64 kB a document, IPv4 address and port, 1 to 100,000 slots, named states and stages); anything else ends the backend of that id until a good entry stands there. One log line a key and revision, at most 1,000 remembered. The stand-ins now write whole entries. Conclusion: what is not an engine is not used; a good entry brings it back.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -55,7 +55,6 @@
       | property                                           |
       | backends that left are dropped                     |
       | a listed backend that leaves slowly is kept        |
-      | an entry that is not understood changes nothing    |
       | the retry window holds no more than the window     |
       | votes of routers that left are dropped             |
       | engines whose change ended are not kept            |
@@ -139,3 +138,14 @@
       | an end is put down to the stronger suspect    |
       | quarantine is forgotten                       |
       | suspects are bounded                          |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: entries of other writers
+      | property                                       |
+      | an odd entry names no backend                  |
+      | an odd entry of a whole list names no backend  |
+      | a good entry is read whole                     |
+      | odd bytes keep the configuration               |
+      | odd entries are logged once                    |
--- a/features/steps/router_narrow_steps.py
+++ b/features/steps/router_narrow_steps.py
@@ -42,7 +42,7 @@
     context.store = StateStore()
     context.world.run(context.store.start())
     for backend in context.world.backends.values():
-        server = StoredServer(backend.service, backend.address)
+        server = StoredServer(backend.service, backend.address, "", 1, "ready", "v1", 0.0, 1)
         in_loop(context, context.store.put_server, backend.name, server)
     in_loop(context, context.store.publish, configuration(1))
 
--- /dev/null
+++ b/features/support/entry_properties.py
@@ -0,0 +1,134 @@
+"""What a router takes from the store for a backend, and what it does not."""
+
+import base64
+import json
+
+from support.stream_properties import Clock
+from yokedock.platform.store import PlatformStore, StoredItem, translate
+from yokedock.request.backend_registry import BackendRegistry
+
+GOOD = {
+    "service": "llm",
+    "address": "10.0.0.1:8080",
+    "zone": "hall-one",
+    "version": "v1",
+    "slotCount": 128,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "born": 1775526215105,
+}
+ODD_FIELDS = (
+    ("state", "warming"),
+    ("state", None),
+    ("state", 1),
+    ("service", ""),
+    ("service", 7),
+    ("service", "x" * 1_000_000),
+    ("address", "10.0.0.1"),
+    ("address", "10.0.0.1:0"),
+    ("address", "10.0.0.1:99999"),
+    ("address", "10.0.0.1:http"),
+    ("address", "10.0.0.1:-1"),
+    ("address", "10.0.0.1: 80"),
+    ("address", ""),
+    ("address", ":80"),
+    ("address", "10.0.0.1:80\r\nX-Any: 1"),
+    ("address", "nowhere.example:80"),
+    ("address", "10.0.0.1:8\u00b2"),
+    ("slotCount", 0),
+    ("slotCount", -3),
+    ("slotCount", 10**18),
+    ("slotCount", "128"),
+    ("slotCount", 1.5),
+    ("slotCount", True),
+    ("stage", "verify"),
+    ("stage", 3),
+    ("zone", 4),
+    ("version", 2),
+    ("coldRemainingMs", "soon"),
+    ("sequence", "four"),
+    ("born", "yesterday"),
+    ("born", 1.5),
+    ("models", "m"),
+)
+OPTIONAL = {"stage", "models", "born"}
+ODD_BYTES = (b"", b"{", b"null", b"[]", b"7", b'"text"', b"\xff\xfe", b"{}" * 2, b"[" * 100_000)
+
+
+def item(instance, document, revision=1):
+    """Return an entry as the store holds it."""
+    data = document if isinstance(document, bytes) else json.dumps(document).encode()
+    return StoredItem(f"servers/{instance}", base64.b64encode(data).decode(), revision)
+
+
+def odd_documents():
+    """Return documents that name no backend."""
+    changed = [GOOD | {field: value} for field, value in ODD_FIELDS]
+    missing = [{k: v for k, v in GOOD.items() if k != field} for field in GOOD.keys() - OPTIONAL]
+    return [*changed, *missing, *ODD_BYTES]
+
+
+def an_odd_entry_names_no_backend():
+    """From the moment it stands there until a good one does; all others hold."""
+    for odd in odd_documents():
+        clock = Clock()
+        registry = BackendRegistry("hall-one", clock)
+        first = translate((item("i-1", GOOD), item("i-2", GOOD)), 1)
+        registry.replace_all({entry.instance: entry for entry in first.changed})
+        changes = translate((item("i-1", odd),), 2)
+        assert changes.undecoded == ("i-1",), odd
+        registry.update(changes.changed, changes.gone)
+        assert [b.entry.instance for b in registry.usable("llm")] == ["i-2"], odd
+        again = translate((item("i-1", GOOD),), 3)
+        registry.update(again.changed, again.gone)
+        assert sorted(b.entry.instance for b in registry.usable("llm")) == ["i-1", "i-2"], odd
+
+
+def an_odd_entry_of_a_whole_list_names_no_backend():
+    """A whole list with one odd entry ends the backend that the id named, and no other."""
+    registry = BackendRegistry("hall-one", Clock())
+    first = translate((item("i-1", GOOD), item("i-2", GOOD)), 1)
+    registry.replace_all({entry.instance: entry for entry in first.changed})
+    listed = translate((item("i-1", b"?"), item("i-2", GOOD)), 2)
+    registry.replace_all({entry.instance: entry for entry in listed.changed})
+    assert [b.entry.instance for b in registry.usable("llm")] == ["i-2"]
+
+
+def a_good_entry_is_read_whole():
+    """Also without the fields that engines of plain services lack, or with unknown ones."""
+    plain = {k: v for k, v in GOOD.items() if k not in OPTIONAL}
+    for document, born_ms, role in ((GOOD, GOOD["born"], "decode"), (plain, 0, "")):
+        changes = translate((item("i-1", document | {"unknown": {"a": 1}}),), 1)
+        entry = changes.changed[0]
+        assert not changes.undecoded and not changes.gone
+        assert (entry.born_ms, entry.role, entry.slots) == (born_ms, role, 128)
+
+
+def odd_bytes_keep_the_configuration():
+    """A configuration that cannot be read leaves the version before in force."""
+    for odd in (*ODD_BYTES, b'{"version": "x"}', b'{"routes": []}'):
+        document = StoredItem("op/config", base64.b64encode(odd).decode(), 9)
+        changes = translate((document,), 9)
+        assert changes.table is None and changes.undecoded == ("op/config",), odd
+
+
+def odd_entries_are_logged_once():
+    """One line for each change of an entry, and little is kept of a flood."""
+    store = PlatformStore("127.0.0.1:1")
+    odd = [item(f"i-{number}", b"?", number) for number in range(10_000)]
+    assert sum(store.is_news(entry) for entry in odd) == len(odd)
+    assert not store.is_news(odd[-1])
+    assert store.is_news(item("i-9999", b"?!", 20_000))
+    assert store.size() <= 1_000
+
+
+ENTRY_PROPERTIES = {
+    "an odd entry names no backend": an_odd_entry_names_no_backend,
+    "an odd entry of a whole list names no backend": an_odd_entry_of_a_whole_list_names_no_backend,
+    "a good entry is read whole": a_good_entry_is_read_whole,
+    "odd bytes keep the configuration": odd_bytes_keep_the_configuration,
+    "odd entries are logged once": odd_entries_are_logged_once,
+}
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -21,6 +21,9 @@
     is_leaving: bool = False
     role: str = ""
     """``prefill`` or ``decode`` for a model engine, else empty."""
+    born_ms: int = 0
+    """Unix millisecond at which this life began, 0 if it does not say: it may start anew under the
+    identifier that it had."""
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
@@ -30,7 +33,7 @@
     table: RouteTable | None
     backends: dict[str, BackendEntry]
     undecoded: tuple[str, ...] = ()
-    """Items that were not understood; what was known of them before stays in force."""
+    """Items that were not understood: they name no backend; a table before stays in force."""
 
 
 class StateChanges(msgspec.Struct, frozen=True):
@@ -41,7 +44,7 @@
     changed: tuple[BackendEntry, ...] = ()
     gone: tuple[str, ...] = ()
     undecoded: tuple[str, ...] = ()
-    """Items that were not understood; what was known of them before stays in force."""
+    """Items that were not understood: a backend of that name is gone; a table before stays."""
 
 
 class StateSource(abc.ABC):
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated, Final, Literal
+
 import msgspec
 
 from yokedock.connection.state_source import BackendEntry
@@ -24,7 +27,10 @@
     ONCE_KIND: RouteKind.ONCE,
     STREAM_KIND: RouteKind.STREAM,
 }
-DRAINING = "draining"
+DRAINING: Final = "draining"
+HIGHEST_PORT = 65_535
+MOST_ENTRY_BYTES = 65_536
+"""An engine's entry has some 250 bytes, with a hundred models and adapters some 10,000."""
 
 
 class StoredTarget(msgspec.Struct, frozen=True):
@@ -91,15 +97,37 @@
     limits: StoredLimits = StoredLimits()
 
 
-class StoredServer(msgspec.Struct, frozen=True, rename="camel"):
-    """The entry of one engine or application server."""
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+"""A key of the store has at most 200 bytes, and a service is named by one."""
+StoredState = Literal["ready", "draining"]
+Stage = Literal["", "prefill", "decode"]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+"""More slots than any engine has connections: whoever says so is none."""
 
-    service: str
-    address: str
-    zone: str = ""
-    slot_count: int = 1
-    state: str = "ready"
-    stage: str = ""
+
+class StoredModel(msgspec.Struct, frozen=True):
+    """A model that an engine holds."""
+
+    name: str
+    version: int = 0
+
+
+class StoredServer(msgspec.Struct, frozen=True, rename="camel"):
+    """The entry of one engine or application server, as these write it: nothing is left out."""
+
+    service: Name
+    address: Name
+    zone: str
+    slot_count: SlotCount
+    state: StoredState
+    version: str
+    cold_remaining_ms: float
+    sequence: Count
+    stage: Stage = ""
+    models: tuple[StoredModel, ...] = ()
+    born: Count = 0
+    """Unix millisecond of its start, 0 if it does not say."""
 
 
 def route_table(document: bytes) -> RouteTable:
@@ -120,8 +148,11 @@
 
 
 def backend_entry(instance: str, document: bytes) -> BackendEntry:
-    """Translate a server's entry; raises ``msgspec.MsgspecError`` if it is none."""
+    """Translate a server's entry; raises ``ValueError`` if it is none, naming field and reason."""
+    if len(document) > MOST_ENTRY_BYTES:
+        raise ValueError(f"{len(document)} bytes, an entry has at most {MOST_ENTRY_BYTES}")
     stored = msgspec.json.decode(document, type=StoredServer)
+    _check_address(stored.address)
     return BackendEntry(
         instance=instance,
         service=stored.service,
@@ -130,9 +161,19 @@
         slots=stored.slot_count,
         is_leaving=stored.state == DRAINING,
         role=stored.stage,
+        born_ms=stored.born,
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ``ValueError`` unless an address is an IPv4 number and a port that can be reached."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or not 0 < int(port) <= HIGHEST_PORT:
+        raise ValueError(f"$.address: {port!r} is no port")
+
+
 def _route(stored: StoredRoute) -> Route:
     targets = tuple(WeightedTarget(t.service, t.weight) for t in stored.traffic_split)
     if not targets and stored.service is not None:
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import base64
+import functools
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -41,6 +43,10 @@
 MOST_CHANGES = 1.5
 """Changes may have this many times the bytes of everything read at once: a watch from far behind
 brings every version since, each whole, and all but the newest are of no use."""
+MOST_LOGGED = 1_000
+"""Items that are remembered as logged, 150 kB; more are a flood."""
+MOST_REASON = 200
+"""Characters of a reason in the log."""
 ALWAYS_READ_BYTES = 65_536
 """Changes up to this size are always read: 0.1 s on a link of 5 Mbit/s."""
 
@@ -77,6 +83,8 @@
     def __init__(self, address: str) -> None:
         """Read from ``address`` (IP:port)."""
         self._getter = HttpGetter(address, CONNECT_TIMEOUT_S)
+        self._logged: dict[str, int] = {}
+        """Revisions of items that were not understood, by key: each is logged once."""
         self._whole_bytes = 0
         """Size of the newest whole read."""
 
@@ -99,7 +107,7 @@
                 break
             after = page.items[-1].key
         self._whole_bytes = size
-        changes = translate(tuple(items.values()), position)
+        changes = translate(tuple(items.values()), position, self.is_news)
         backends = {entry.instance: entry for entry in changes.changed}
         return StateSnapshot(position, changes.table, backends, changes.undecoded)
 
@@ -116,7 +124,19 @@
         if answer.status == HISTORY_GONE:
             raise HistoryGone("the store has dropped its history")
         watched = _decode(answer, WatchAnswer)
-        return translate(watched.events, max(position, watched.at))
+        return translate(watched.events, max(position, watched.at), self.is_news)
+
+    def is_news(self, item: StoredItem) -> bool:
+        """Return whether an item that is not understood was not told of yet."""
+        is_new = self._logged.pop(item.key, None) != item.revision
+        self._logged[item.key] = item.revision
+        if len(self._logged) > MOST_LOGGED:
+            del self._logged[next(iter(self._logged))]
+        return is_new
+
+    def size(self) -> int:
+        """Return how many items are remembered as not understood."""
+        return len(self._logged)
 
     def share_read(self) -> float:
         """Return how much of the answer under way has come."""
@@ -132,45 +152,44 @@
         raise PlatformUnavailable(f"the store's answer is not understood: {error}") from None
 
 
-def translate(items: tuple[StoredItem, ...], position: int) -> StateChanges:
-    """Turn items into changes; an item that is not understood changes nothing and is counted."""
+def translate(
+    items: tuple[StoredItem, ...],
+    position: int,
+    is_news: Callable[[StoredItem], bool] = lambda item: True,
+) -> StateChanges:
+    """Turn items into changes; an item that is not understood is counted, and logged if news.
+
+    Such an entry names no backend: whoever stood there is gone. Such a table changes nothing.
+    """
     table: RouteTable | None = None
     undecoded: list[str] = []
     last: dict[str, BackendEntry | None] = {}
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.gone:
-            decoded = _decoded_table(item)
+            decoded = _decoded(route_table, item, is_news)
             if decoded is None:
                 undecoded.append(CONFIGURATION_KEY)
             table = decoded or table
         elif item.key.startswith(SERVERS_PREFIX):
             instance = item.key[len(SERVERS_PREFIX) :]
-            entry = None if item.gone else _decoded_entry(instance, item)
-            if item.gone or entry is not None:
-                last[instance] = entry
-            else:
+            read = functools.partial(backend_entry, instance)
+            entry = None if item.gone else _decoded(read, item, is_news)
+            last[instance] = entry
+            if entry is None and not item.gone:
                 undecoded.append(instance)
     changed = tuple(entry for entry in last.values() if entry is not None)
     gone = tuple(instance for instance, entry in last.items() if entry is None)
     return StateChanges(position, table, changed, gone, tuple(undecoded))
 
 
-def _decoded_table(item: StoredItem) -> RouteTable | None:
+def _decoded(
+    read: Callable[[bytes], Document], item: StoredItem, is_news: Callable[[StoredItem], bool]
+) -> Document | None:
+    """Return what an item says, None if that is not understood."""
     try:
-        return route_table(base64.b64decode(item.value))
-    except (ValueError, msgspec.MsgspecError) as error:
-        _log_undecoded(item, error)
+        return read(base64.b64decode(item.value, validate=True))
+    except (ValueError, RecursionError) as error:
+        if is_news(item):
+            reason = str(error)[:MOST_REASON]
+            _log.warning("not understood", key=item.key, revision=item.revision, reason=reason)
         return None
-
-
-def _decoded_entry(instance: str, item: StoredItem) -> BackendEntry | None:
-    try:
-        return backend_entry(instance, base64.b64decode(item.value))
-    except (ValueError, msgspec.MsgspecError) as error:
-        _log_undecoded(item, error)
-        return None
-
-
-def _log_undecoded(item: StoredItem, error: Exception) -> None:
-    """Tell of an item that is not understood: what was known before stays in force."""
-    _log.warning("not understood", key=item.key, revision=item.revision, reason=str(error))
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -243,7 +243,7 @@
         self._adopt_table(snapshot.table)
         if snapshot.position >= self.position:
             self.position = snapshot.position
-            self._registry.replace_all(snapshot.backends, snapshot.undecoded)
+            self._registry.replace_all(snapshot.backends)
         self._note_known()
 
     def _adopt_table(self, table: RouteTable | None) -> bool:
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -176,10 +176,9 @@
         """Return whether an engine is changing its role."""
         return name in self._all_changing
 
-    def replace_all(self, entries: dict[str, BackendEntry], unchanged: Iterable[str] = ()) -> None:
-        """Take over a whole list: what neither it nor ``unchanged`` names is gone."""
-        kept = entries.keys() | set(unchanged)
-        gone = [name for name in self._backends if name not in kept]
+    def replace_all(self, entries: dict[str, BackendEntry]) -> None:
+        """Take over a whole list: what it does not name is gone."""
+        gone = [name for name in self._backends if name not in entries]
         self.update(entries.values(), gone)
 
     def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
--- a/src/yokedock_emulator/long_run_operator.py
+++ b/src/yokedock_emulator/long_run_operator.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import asyncio
+from typing import cast
 
 from yokedock.platform.documents import (
     ONCE_KIND,
     REPEATABLE_KIND,
     STREAM_KIND,
+    Stage,
     StoredConfiguration,
     StoredEngine,
     StoredRoute,
@@ -83,7 +85,8 @@
         backend = HeaderBackend(instance, PLATFORM_HEADERS, role)
         await backend.start()
         self._backends[instance] = backend
-        server = StoredServer(service, backend.address, "zone-1", 64, "ready", role)
+        stage = cast(Stage, role)
+        server = StoredServer(service, backend.address, "zone-1", 64, "ready", "v1", 0.0, 1, stage)
         self._store.put_server(instance, server)
         return instance
 
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -5,18 +5,20 @@
 import asyncio
 import time
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, cast
 
 from yokedock.platform.documents import (
     DRAINING,
     ONCE_KIND,
     REPEATABLE_KIND,
     STREAM_KIND,
+    Stage,
     StoredConfiguration,
     StoredEngine,
     StoredRoute,
     StoredServer,
     StoredService,
+    StoredState,
 )
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.router_soak.soak_backend import SoakBackend
@@ -157,9 +159,10 @@
         self._all.append(backend)
         self._list(backend, "ready")
 
-    def _list(self, backend: SoakBackend, state: str) -> None:
+    def _list(self, backend: SoakBackend, state: StoredState) -> None:
+        stage = cast(Stage, backend.role)
         server = StoredServer(
-            backend.service, backend.address, "zone-1", SLOTS, state, backend.role
+            backend.service, backend.address, "zone-1", SLOTS, state, "v1", 0.0, 1, stage
         )
         self.store.put_server(backend.instance, server)
 
