What is believed of a backend hangs on its life; a later start ends all of it at once

Cause: an engine may start anew under the identifier that it had. Beliefs were kept by identifier: health, promises, prefix cache, handles, silent connections, changes of role, what others told. Ruled out: an epoch in each table; one name for the life, used wherever the identifier was the key, drops all of them in one place. Change: BackendEntry.born_ms; Backend.name names the life (instance@born), orders name the instance. A later start replaces the Backend, aborts what is under way, forgets what rests; an earlier one, or one without a start, changes nothing. A crash loop (lives under 30 s) begins with a share of failures of 0.5, 0.75, ... that halves in 4 s. Backend and Health have a module of their own. Also: an answer disproves an end only if its request was sent after the end. Conclusion: no belief outlives the life that it was about.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -149,3 +149,15 @@
       | a good entry is read whole                     |
       | odd bytes keep the configuration               |
       | odd entries are logged once                    |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: lives of a backend
+      | property                                             |
+      | a later start ends what was believed                 |
+      | an earlier start that is heard late changes nothing  |
+      | lives that ended are dropped                         |
+      | a crash loop is used with growing care               |
+      | a restart of all empties no fleet                    |
+      | what is said anew is not a new life                  |
--- /dev/null
+++ b/features/support/life_properties.py
@@ -0,0 +1,125 @@
+"""What is believed of a backend that starts anew under the identifier that it had."""
+
+from unittest import mock
+
+from support.stream_properties import Clock
+from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_registry import BackendRegistry
+
+
+def entry(instance, born_ms, role="decode", **fields):
+    """Return an entry of one life."""
+    return BackendEntry(instance, "llm", "127.0.0.1:1", role=role, born_ms=born_ms, **fields)
+
+
+def registry_of(*entries, clock=None):
+    """Return a registry that lists these."""
+    registry = BackendRegistry("", clock or Clock())
+    registry.update(entries, ())
+    return registry
+
+
+def only(registry, instance):
+    """Return the one life of a backend that may be used."""
+    (found,) = [b for b in registry.usable("llm") if b.entry.instance == instance]
+    return found
+
+
+def a_later_start_ends_what_was_believed():
+    """Health, load, connections and what was told hang on the life; others keep theirs."""
+    clock = Clock()
+    registry = registry_of(entry("a", 10), entry("b", 10), clock=clock)
+    ended = []
+    registry.on_new_life = ended.append
+    before, other = only(registry, "a"), only(registry, "b")
+    clock.now_s += 100.0
+    for backend in (before, other):
+        backend.health.note_silence(clock.now_s)
+    connection = mock.Mock()
+    before.connections.add(connection)
+    registry.update([entry("a", 20, role="prefill")], ())
+    after = registry.get("a@20")
+    assert ended == [before] and before.has_ended and not other.has_ended
+    connection.abort.assert_called_once()
+    assert not after.health.is_suspect(clock.now_s) and after.health.failure_share(clock.now_s) == 0
+    assert other.health.is_suspect(clock.now_s)
+    assert after.entry.role == "prefill" and after.life != before.life
+    registry.heard_broken({before.name: 90})
+    assert after.health.failure_share(clock.now_s) == 0, "told of the life before"
+    assert registry.entries().keys() == {"a", "b"}
+
+
+def an_earlier_start_that_is_heard_late_changes_nothing():
+    """Neither an entry of the life before nor one without a start ends the newest life."""
+    registry = registry_of(entry("a", 20))
+    newest = only(registry, "a")
+    registry.update([entry("a", 10, is_leaving=True)], ())
+    assert only(registry, "a") is newest and newest.leaving_since_s is None
+    registry.update([entry("a", 0, slots=7)], ())
+    assert only(registry, "a") is newest and newest.entry.slots == 7
+    assert newest.entry.born_ms == 20
+
+
+def lives_that_ended_are_dropped():
+    """A crash loop of an hour leaves as much behind as one of a minute."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    for number in range(1, 700):
+        registry.update([entry("a", number)], ())
+        clock.now_s += 5.0
+        registry.drop_gone()
+        assert len(registry.names()) <= 4, registry.names()
+
+
+def a_crash_loop_is_used_with_growing_care():
+    """Each quick restart costs more, and an engine that stays is soon used like any other."""
+    clock = Clock()
+    registry = registry_of(entry("a", 1), clock=clock)
+    shares = []
+    for number in range(2, 8):
+        clock.now_s += 4.0
+        registry.update([entry("a", number)], ())
+        shares.append(only(registry, "a").health.failure_share(clock.now_s))
+    assert shares[0] == 0.5 and shares == sorted(shares) and shares[-1] > 0.95
+    clock.now_s += 12.0
+    assert only(registry, "a").health.failure_share(clock.now_s) < 0.13
+    clock.now_s += 30.0
+    registry.update([entry("a", 99)], ())
+    assert only(registry, "a").health.failure_share(clock.now_s) == 0, "one restart is no loop"
+
+
+def a_restart_of_all_empties_no_fleet():
+    """60 engines that start anew at once, again and again, stay usable and cost the same."""
+    clock = Clock()
+    names = [f"e{number}" for number in range(60)]
+    registry = registry_of(*(entry(name, 1) for name in names), clock=clock)
+    for born_ms in (2, 3, 4):
+        clock.now_s += 4.0
+        registry.update([entry(name, born_ms) for name in names], ())
+        usable = registry.usable("llm")
+        assert sorted(b.entry.instance for b in usable) == sorted(names)
+        assert len({b.health.failure_share(clock.now_s) for b in usable}) == 1
+
+
+def what_is_said_anew_is_not_a_new_life():
+    """An engine's own changes, its role among them, keep what is believed."""
+    registry = registry_of(entry("a", 5))
+    backend = only(registry, "a")
+    for changed in (entry("a", 5, role="prefill"), entry("a", 5, is_leaving=True), entry("a", 5)):
+        registry.update([changed], ())
+        assert registry.get("a@5") is backend and not backend.has_ended
+    registry.update((), ["a"])
+    registry.update([entry("a", 5)], ())
+    assert registry.get("a@5") is backend, "an entry that lapsed and came back"
+
+
+LIFE_PROPERTIES = {
+    "a later start ends what was believed": a_later_start_ends_what_was_believed,
+    "an earlier start that is heard late changes nothing": (
+        an_earlier_start_that_is_heard_late_changes_nothing
+    ),
+    "lives that ended are dropped": lives_that_ended_are_dropped,
+    "a crash loop is used with growing care": a_crash_loop_is_used_with_growing_care,
+    "a restart of all empties no fleet": a_restart_of_all_empties_no_fleet,
+    "what is said anew is not a new life": what_is_said_anew_is_not_a_new_life,
+}
--- a/features/support/mortal_backends.py
+++ b/features/support/mortal_backends.py
@@ -32,6 +32,16 @@
         """Return how many backends have ended."""
         return sum(arrival.ended_backend for arrival in self.arrivals())
 
+    def story(self):
+        """Return when each backend got the request, by which try, and whether it ended."""
+        arrivals = self.arrivals()
+        first_s = arrivals[0].arrived_s
+        return [
+            f"{a.arrived_s - first_s:.3f} {a.header('X-Request-Id')}"
+            f" {a.header('X-Expected-Backend')}{' ended' if a.ended_backend else ''}"
+            for a in arrivals
+        ]
+
     def _watch(self, backend):
         backend.dies_of = MARK
         backend.on_death = lambda: self._died(backend)
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -10,7 +10,8 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, EncodedOrder, RoleOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
-from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.backend_life import Backend
+from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock.request.role_plan import EngineRole, RoleChange, wanted_changes
@@ -141,7 +142,9 @@
         token = self._token()
         if token is None:
             return
-        order = self._dialect.role_order(RoleOrder(backend.name, role, self._holder, token))
+        order = self._dialect.role_order(
+            RoleOrder(backend.entry.instance, role, self._holder, token)
+        )
         until_s = time.monotonic() + switch_s + CHANGE_MARGIN_S
         self._changing[backend.name] = (role, until_s)
         _log.info("role ordered", engine=backend.name, role=role, token=token)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -34,6 +34,7 @@
 from yokedock.process.state_follower import StateFollower
 from yokedock.process.watch_duty import SourceContact, WatchDuty
 from yokedock.request.backend_exchange import BackendExchanges
+from yokedock.request.backend_life import Backend
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
@@ -159,6 +160,7 @@
         self._poison.on_end = self._gossip.change
         self._gossip.for_newcomers = self._poison.told_to_newcomer
         self._registry.on_change = self._backends_changed
+        self._registry.on_new_life = self._life_ended
 
     # --- Life ---
 
@@ -328,6 +330,10 @@
     def _backends_changed(self) -> None:
         self._ledger.on_room()
 
+    def _life_ended(self, backend: Backend) -> None:
+        """Drop what rests at a backend that has started anew; the rest hangs on its life's name."""
+        self._pool.forget(backend.entry.address)
+
     def _state(self, sequence: int, heard: tuple[str, ...]) -> RouterState:
         return RouterState(
             self.settings.process.name,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -13,7 +13,7 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
-from yokedock.request.backend_registry import Backend
+from yokedock.request.backend_life import Backend
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import NOT_SENT, RoutedCall, WholeAnswer
@@ -112,7 +112,7 @@
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
             self.backend.note_gone(time.monotonic())
-        self._poison.note_alive(self.backend.life)
+        self._poison.note_alive(self.backend.life, self._sent_s)
         if notes.is_not_run:
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
         if head.get(b"content-encoding") is not None:
@@ -150,7 +150,7 @@
         self.is_whole = True
         now_s = time.monotonic()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
-        self._poison.note_alive(self.backend.life)
+        self._poison.note_alive(self.backend.life, self._sent_s)
         if self._poison.is_known() and not is_failure and not self._is_prefill:
             self._poison.note_sound(self._call.digest)
 
@@ -191,6 +191,8 @@
         The connection rests afterwards if its answer was read whole, else it is closed at once,
         so that the backend stops working on what nobody waits for.
         """
+        if backend.has_ended:
+            raise BackendUnreachable(f"{backend.name} has ended: {backend.entry.instance} is new")
         if self._poison.is_known():
             self._poison.require_sound(call.digest)
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
@@ -215,6 +217,7 @@
         exchange = BackendExchange(connection, self.dialect, backend, call, self._poison)
         exchange.on_quiet = lambda: self._suspect_quiet(connection, call)
         backend.outstanding += 1
+        backend.connections.add(connection)
         try:
             yield exchange
         except BackendRefused:
@@ -237,6 +240,7 @@
         finally:
             exchange.close()
             backend.outstanding -= 1
+            backend.connections.discard(connection)
             if exchange.is_whole or not exchange.is_sent:
                 self.pool.give_back(connection)
             else:
--- /dev/null
+++ b/src/yokedock/request/backend_life.py
@@ -0,0 +1,159 @@
+"""One life of a backend, and what its answers showed: failures, latency, silence.
+
+A backend may start anew under the identifier that it had. It then holds and knows nothing of
+before, so what is believed hangs on a life and ends with it.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from yokedock.connection.backend_connection import BackendConnection
+from yokedock.connection.dialect import BackendLoad
+from yokedock.connection.state_source import BackendEntry
+from yokedock.request.poison_requests import life_number
+
+STAYED_S = 30.0
+"""A life that was known for less than this and is followed by another is a step of a crash loop."""
+MOST_RESTARTS = 5
+"""Steps after which care grows no more: a share of failures of 0.97, halved every 4 s."""
+GONE_GRACE_S = 1.0
+"""A backend that vanished from the list without notice may still be used for this long, as a last
+resort: entries that lapsed with the list itself are back soon."""
+LEAVING_GRACE_S = 1.0
+"""The same for one that says it is leaving, where nothing else is left."""
+SUSPECT_S = 1.0
+"""A backend that did not accept or fell silent is avoided for this long, doubled each time."""
+LONGEST_SUSPECT_S = 4.0
+FAILURE_WEIGHT = 0.25
+"""Weight of the newest answer in the share of failures."""
+FAILURE_HALF_LIFE_S = 4.0
+"""Without answers, the share of failures halves in this time, so that a backend is tried again."""
+LATENCY_WEIGHT = 0.2
+LATENCY_HALF_LIFE_S = 6.0
+
+
+class Health(msgspec.Struct):
+    """What answers showed: failures, latency, silence. Times are monotonic seconds."""
+
+    failures: float = 0.0
+    latency_s: float | None = None
+    noted_s: float = 0.0
+    suspect_until_s: float = 0.0
+    suspect_for_s: float = SUSPECT_S
+    broke_s: float = -math.inf
+    """When this process saw an answer broken off, or none that was one, or none at all."""
+    told: float = 0.0
+    """The largest share of failures that another router told of, at ``told_s``."""
+    told_s: float = 0.0
+
+    def failure_share(self, now_s: float) -> float:
+        """Return the share of failures here, or at another router if it is larger, faded."""
+        own = self.own_failure_share(now_s)
+        return max(own, _faded(self.told, now_s - self.told_s)) if self.told else own
+
+    def own_failure_share(self, now_s: float) -> float:
+        """Return the share of failures that this process saw, faded since the last answer."""
+        return _faded(self.failures, now_s - self.noted_s) if self.failures else 0.0
+
+    def expected_latency_s(self, now_s: float, typical_s: float) -> float:
+        """Return the latency to expect: the measured one, fading to the service's typical one."""
+        if self.latency_s is None:
+            return typical_s
+        trust = float(0.5 ** ((now_s - self.noted_s) / LATENCY_HALF_LIFE_S))
+        return typical_s + (self.latency_s - typical_s) * trust
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Return whether the backend was silent a moment ago."""
+        return now_s < self.suspect_until_s
+
+    def note_answer(self, now_s: float, latency_s: float, is_failure: bool) -> None:
+        """Note an answer; a failure's latency says nothing about speed."""
+        share = self.own_failure_share(now_s)
+        self.failures = share + FAILURE_WEIGHT * (float(is_failure) - share)
+        if not is_failure:
+            before = self.latency_s if self.latency_s is not None else latency_s
+            self.latency_s = before + LATENCY_WEIGHT * (latency_s - before)
+            self.suspect_until_s = 0.0
+            self.suspect_for_s = SUSPECT_S
+            self.told *= 1.0 - FAILURE_WEIGHT
+        self.noted_s = now_s
+
+    def note_broken(self, now_s: float) -> None:
+        """Note an answer that was broken off or was none; the other routers hear of it."""
+        self.note_answer(now_s, 0.0, is_failure=True)
+        self.broke_s = now_s
+
+    def note_told(self, share: float, now_s: float) -> None:
+        """Take in what another router saw; the largest share counts, faded as its own are."""
+        if share > _faded(self.told, now_s - self.told_s):
+            self.told, self.told_s = share, now_s
+
+    def note_silence(self, now_s: float) -> None:
+        """Note that the backend could not be reached or gave no answer; the others hear of it."""
+        if not self.is_suspect(now_s):
+            self.suspect_until_s = now_s + self.suspect_for_s
+            self.suspect_for_s = min(2 * self.suspect_for_s, LONGEST_SUSPECT_S)
+        share = self.own_failure_share(now_s)
+        self.failures = share + FAILURE_WEIGHT * (1.0 - share)
+        self.noted_s = now_s
+        self.broke_s = now_s
+
+
+class Backend:
+    """One life of a backend: all that is believed of it hangs on this object or on ``name``."""
+
+    def __init__(self, entry: BackendEntry, known_s: float = 0.0) -> None:
+        """Start with what the list says, at ``known_s`` (monotonic)."""
+        self.entry = entry
+        self.name = life_name(entry)
+        """Names this life, the same at every router. Orders name ``entry.instance``."""
+        self.life = life_number(self.name)
+        """The same as a number, for datagrams."""
+        self.health = Health()
+        self.known_s = known_s
+        self.restarts = 0
+        """How many lives before this one followed each other within ``STAYED_S``."""
+        self.has_ended = False
+        """Whether a later life is known: nothing may be sent to this one."""
+        self.connections: set[BackendConnection] = set()
+        """Those with a request under way."""
+        self.outstanding = 0
+        """Requests that this process has at the backend."""
+        self.load: BackendLoad | None = None
+        self.leaving_since_s: float | None = None
+        self.is_listed = True
+
+    def note_gone(self, now_s: float) -> None:
+        """Note that another incarnation has the address: this one is gone already."""
+        self.leaving_since_s = now_s - GONE_GRACE_S
+
+    def end(self) -> None:
+        """Note that a later life has begun: what is under way here is lost, now and not later."""
+        self.has_ended = True
+        for connection in list(self.connections):
+            connection.abort()
+
+    def succeed(self, before: Backend) -> None:
+        """Begin with the care that quick restarts of this backend ask for."""
+        if self.known_s - before.known_s < STAYED_S:
+            self.restarts = min(before.restarts + 1, MOST_RESTARTS)
+            self.health.failures = 1.0 - 0.5**self.restarts
+            self.health.noted_s = self.known_s
+
+    def may_take_as_last_resort(self, now_s: float) -> bool:
+        """Return whether a backend that is leaving may still be used."""
+        if self.leaving_since_s is None:
+            return True
+        return now_s - self.leaving_since_s < min(LEAVING_GRACE_S, GONE_GRACE_S)
+
+
+def life_name(entry: BackendEntry) -> str:
+    """Return the name of one life of a backend, its identifier if it does not say its start."""
+    return f"{entry.instance}@{entry.born_ms}" if entry.born_ms else entry.instance
+
+
+def _faded(share: float, age_s: float) -> float:
+    return float(share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -6,32 +6,21 @@
 from __future__ import annotations
 
 import itertools
-import math
 import random
 import time
 from collections.abc import Callable, Iterable
 
 import msgspec
 
-from yokedock.connection.dialect import BackendLoad
+from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
-from yokedock.request.poison_requests import life_number
+from yokedock.request.backend_life import Backend
 from yokedock.version.homes import HashRing
 
-GONE_GRACE_S = 1.0
-"""A backend that vanished from the list without notice may still be used for this long, as a last
-resort: entries that lapsed with the list itself are back soon."""
-LEAVING_GRACE_S = 1.0
-"""The same for one that says it is leaving, where nothing else is left."""
+_log = logger("backends")
+
 GONE_KEPT_S = 10.0
 """What answers showed of a backend is kept for this long after it left: it may come back."""
-SUSPECT_S = 1.0
-"""A backend that did not accept or fell silent is avoided for this long, doubled each time."""
-LONGEST_SUSPECT_S = 4.0
-FAILURE_WEIGHT = 0.25
-"""Weight of the newest answer in the share of failures."""
-FAILURE_HALF_LIFE_S = 4.0
-"""Without answers, the share of failures halves in this time, so that a backend is tried again."""
 TELL_BROKEN_S = 1.0
 """Routers tell of an engine for so long after it broke an answer off: several datagrams, of which
 some may be lost. An engine that fails at once looks empty to everybody, since what was promised
@@ -39,8 +28,6 @@
 heaviest large day. What one router saw is told to all: 10 ms and the way of a datagram."""
 FAILURE_COST = 8.0
 PERCENT = 100
-LATENCY_WEIGHT = 0.2
-LATENCY_HALF_LIFE_S = 6.0
 DEFAULT_LATENCY_S = 0.1
 JITTER = 0.05
 OTHER_ZONE_COST = 1.05
@@ -51,103 +38,11 @@
 """Shorter silences happen on every machine: two of its processor quotas and a lost packet."""
 
 
-class Health(msgspec.Struct):
-    """What answers showed: failures, latency, silence. Times are monotonic seconds."""
-
-    failures: float = 0.0
-    latency_s: float | None = None
-    noted_s: float = 0.0
-    suspect_until_s: float = 0.0
-    suspect_for_s: float = SUSPECT_S
-    broke_s: float = -math.inf
-    """When this process saw an answer broken off, or none that was one, or none at all."""
-    told: float = 0.0
-    """The largest share of failures that another router told of, at ``told_s``."""
-    told_s: float = 0.0
-
-    def failure_share(self, now_s: float) -> float:
-        """Return the share of failures here, or at another router if it is larger, faded."""
-        own = self.own_failure_share(now_s)
-        return max(own, _faded(self.told, now_s - self.told_s)) if self.told else own
-
-    def own_failure_share(self, now_s: float) -> float:
-        """Return the share of failures that this process saw, faded since the last answer."""
-        return _faded(self.failures, now_s - self.noted_s) if self.failures else 0.0
-
-    def expected_latency_s(self, now_s: float, typical_s: float) -> float:
-        """Return the latency to expect: the measured one, fading to the service's typical one."""
-        if self.latency_s is None:
-            return typical_s
-        trust = float(0.5 ** ((now_s - self.noted_s) / LATENCY_HALF_LIFE_S))
-        return typical_s + (self.latency_s - typical_s) * trust
-
-    def is_suspect(self, now_s: float) -> bool:
-        """Return whether the backend was silent a moment ago."""
-        return now_s < self.suspect_until_s
-
-    def note_answer(self, now_s: float, latency_s: float, is_failure: bool) -> None:
-        """Note an answer; a failure's latency says nothing about speed."""
-        share = self.own_failure_share(now_s)
-        self.failures = share + FAILURE_WEIGHT * (float(is_failure) - share)
-        if not is_failure:
-            before = self.latency_s if self.latency_s is not None else latency_s
-            self.latency_s = before + LATENCY_WEIGHT * (latency_s - before)
-            self.suspect_until_s = 0.0
-            self.suspect_for_s = SUSPECT_S
-            self.told *= 1.0 - FAILURE_WEIGHT
-        self.noted_s = now_s
-
-    def note_broken(self, now_s: float) -> None:
-        """Note an answer that was broken off or was none; the other routers hear of it."""
-        self.note_answer(now_s, 0.0, is_failure=True)
-        self.broke_s = now_s
-
-    def note_told(self, share: float, now_s: float) -> None:
-        """Take in what another router saw; the largest share counts, faded as its own are."""
-        if share > _faded(self.told, now_s - self.told_s):
-            self.told, self.told_s = share, now_s
-
-    def note_silence(self, now_s: float) -> None:
-        """Note that the backend could not be reached or gave no answer; the others hear of it."""
-        if not self.is_suspect(now_s):
-            self.suspect_until_s = now_s + self.suspect_for_s
-            self.suspect_for_s = min(2 * self.suspect_for_s, LONGEST_SUSPECT_S)
-        share = self.own_failure_share(now_s)
-        self.failures = share + FAILURE_WEIGHT * (1.0 - share)
-        self.noted_s = now_s
-        self.broke_s = now_s
-
-
-class Backend:
-    """One incarnation of a backend."""
-
-    def __init__(self, entry: BackendEntry) -> None:
-        """Start with what the list says."""
-        self.entry = entry
-        self.name = entry.instance
-        """Identifier of the incarnation."""
-        self.life = life_number(entry.instance)
-        """The same at every router."""
-        self.health = Health()
-        self.outstanding = 0
-        """Requests that this process has at the backend."""
-        self.load: BackendLoad | None = None
-        self.leaving_since_s: float | None = None
-        self.is_listed = True
-
-    def note_gone(self, now_s: float) -> None:
-        """Note that another incarnation has the address: this one is gone already."""
-        self.leaving_since_s = now_s - GONE_GRACE_S
-
-    def may_take_as_last_resort(self, now_s: float) -> bool:
-        """Return whether a backend that is leaving may still be used."""
-        if self.leaving_since_s is None:
-            return True
-        return now_s - self.leaving_since_s < min(LEAVING_GRACE_S, GONE_GRACE_S)
-
-
 class BackendRegistry:
-    """Backends by identifier. ``on_change`` is called after every change of the list."""
+    """Backends by the name of their life. ``on_change`` is called after every change of the list.
+
+    ``on_new_life`` is called with the life that ended when a backend has started anew.
+    """
 
     def __init__(self, zone: str, clock: Callable[[], float] = time.monotonic) -> None:
         """Start empty; ``zone`` is the router's own."""
@@ -155,12 +50,15 @@
         self._clock = clock
         self._random = random.Random()
         self._backends: dict[str, Backend] = {}
+        self._newest: dict[str, Backend] = {}
+        """The newest life of each backend, by identifier."""
         self._members: dict[tuple[str, str | None], list[Backend]] | None = None
         """Backends by service and role, and by service alone; None after a change of the list."""
         self._rings: dict[tuple[str, str], HashRing] = {}
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = lambda: None
+        self.on_new_life: Callable[[Backend], None] = lambda backend: None
 
     def set_changing(self, router: str, engines: tuple[str, ...]) -> None:
         """Note which engines change their role by an order of ``router``."""
@@ -178,7 +76,7 @@
 
     def replace_all(self, entries: dict[str, BackendEntry]) -> None:
         """Take over a whole list: what it does not name is gone."""
-        gone = [name for name in self._backends if name not in entries]
+        gone = [instance for instance in self._newest if instance not in entries]
         self.update(entries.values(), gone)
 
     def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
@@ -187,8 +85,8 @@
         self._members = None
         for entry in changed:
             self._put(entry, now_s)
-        for name in gone:
-            backend = self._backends.get(name)
+        for instance in gone:
+            backend = self._newest.get(instance)
             if backend is None:
                 continue
             backend.is_listed = False
@@ -205,6 +103,8 @@
             if is_long_gone and not backend.outstanding:
                 del self._backends[name]
                 self._members = None
+                if self._newest.get(backend.entry.instance) is backend:
+                    del self._newest[backend.entry.instance]
 
     def broken(self) -> dict[str, int]:
         """Return the share of failures, in percent, of backends that broke an answer lately."""
@@ -225,17 +125,17 @@
                 backend.health.note_told(percent / PERCENT, now_s)
 
     def get(self, name: str) -> Backend | None:
-        """Return a backend by identifier."""
+        """Return a backend by the name of its life."""
         return self._backends.get(name)
 
     def names(self) -> set[str]:
-        """Return the identifiers of all backends, those that left a moment ago included."""
+        """Return the names of all lives, those that ended a moment ago included."""
         return set(self._backends)
 
     def entries(self) -> dict[str, BackendEntry]:
-        """Return all entries that are listed now."""
-        listed = self._backends.items()
-        return {name: b.entry for name, b in listed if b.leaving_since_s is None}
+        """Return all entries that are listed now, by identifier."""
+        listed = self._newest.items()
+        return {instance: b.entry for instance, b in listed if b.leaving_since_s is None}
 
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
         """Return the backends of a service that may be used, sound ones if there are any."""
@@ -306,10 +206,15 @@
         return cost * (1.0 + self._random.random() * JITTER)
 
     def _put(self, entry: BackendEntry, now_s: float) -> None:
-        backend = self._backends.get(entry.instance)
-        if backend is None:
-            backend = Backend(entry)
-            self._backends[entry.instance] = backend
+        before = self._newest.get(entry.instance)
+        if before is not None and 0 < entry.born_ms < before.entry.born_ms:
+            # Said by the life before, and heard late: of this one it says nothing.
+            _log.info("entry of an earlier life", backend=before.name, born_ms=entry.born_ms)
+            return
+        if before is not None and not entry.born_ms:
+            entry = msgspec.structs.replace(entry, born_ms=before.entry.born_ms)
+        is_known = before is not None and before.entry.born_ms == entry.born_ms
+        backend = before if before is not None and is_known else self._begin(entry, before, now_s)
         backend.entry = entry
         backend.is_listed = True
         if entry.is_leaving:
@@ -317,9 +222,23 @@
         else:
             backend.leaving_since_s = None
 
-
-def _faded(share: float, age_s: float) -> float:
-    return float(share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
+    def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
+        """Begin a new life; of the one before nothing is kept but how soon it ended."""
+        backend = Backend(entry, now_s)
+        self._backends[backend.name] = self._newest[entry.instance] = backend
+        if before is not None:
+            backend.succeed(before)
+            before.is_listed = False
+            before.note_gone(now_s)
+            before.end()
+            _log.info(
+                "backend started anew",
+                backend=backend.name,
+                lived_s=round(now_s - before.known_s, 1),
+                restarts=backend.restarts,
+            )
+            self.on_new_life(before)
+        return backend
 
 
 def typical_latency_s(backends: list[Backend]) -> float:
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -14,7 +14,8 @@
 from yokedock.connection.dialect import Dialect, PromptPart
 from yokedock.connection.short_call import CallLimits, short_call
 from yokedock.errors import EngineRejected
-from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.backend_life import Backend
+from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.routed_call import RoutedCall
 from yokedock.router_errors import BackendBroken, BackendUnreachable
 
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from yokedock.connection.dialect import GenerationTerms
-from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.backend_life import Backend
+from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_costs import (
     DISTURBANCE_COST_S,
     SELF_PREFILL_SLOWNESS,
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from yokedock.connection.dialect import GenerationTerms
-from yokedock.request.backend_registry import Backend
+from yokedock.request.backend_life import Backend
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import Progress
 from yokedock.request.mechanisms import Mechanisms
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from yokedock.request.backend_registry import Backend
+from yokedock.request.backend_life import Backend
 from yokedock.request.engine_ledger import StreamDemand
 from yokedock.request.routed_call import RoutedCall
 
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -23,7 +23,7 @@
     YokedockError,
 )
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
-from yokedock.request.backend_registry import Backend
+from yokedock.request.backend_life import Backend
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement, Progress
@@ -69,6 +69,8 @@
     source: str | None = None
     """Where the prompt's memory is kept, until ``source_until_s``, after a refused decode."""
     source_until_s: float = 0.0
+    source_engine: Backend | None = None
+    """The life that keeps it."""
     prefills: int = 0
     """Prefills that reached an engine."""
     prefills_refused: int = 0
@@ -138,7 +140,8 @@
 
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
-        return self.source if time.monotonic() < self.source_until_s else None
+        has_ended = self.source_engine is not None and self.source_engine.has_ended
+        return self.source if time.monotonic() < self.source_until_s and not has_ended else None
 
 
 class GenerationCalls:
@@ -279,7 +282,9 @@
                 if state.is_extra_prefill():
                     state.retries.note_arrival()
                 state.prefills += 1
-                order = BackendOrder(engine.name, call.backend_deadline_ms(), is_prefill=True)
+                order = BackendOrder(
+                    engine.entry.instance, call.backend_deadline_ms(), is_prefill=True
+                )
                 state.reads.begin(engine.name, tokens)
                 await exchange.send(order)
                 answer = await exchange.read_whole(self._prefill_patience_s(call, engine))
@@ -293,6 +298,7 @@
             state.note_prompt_at(engine.name)
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
+            state.source_engine = engine
             state.source = f"{engine.entry.address}/{result.handle}"
             state.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
         except BackendRefused:
@@ -328,7 +334,7 @@
             state.retries.give_back()
             call.arrivals += 1
             order = BackendOrder(
-                engine.name,
+                engine.entry.instance,
                 call.backend_deadline_ms(),
                 kv_source=state.kept_source(),
                 fetch_from=keeper.entry.address if keeper is not None else None,
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -12,7 +12,8 @@
 from yokedock.connection.dialect import BackendOrder
 from yokedock.errors import DeadlineExceeded, NoBackend, RequestQuarantined, YokedockError
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
-from yokedock.request.backend_registry import Backend, BackendRegistry
+from yokedock.request.backend_life import Backend
+from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.router_errors import (
@@ -120,7 +121,7 @@
             if call.arrivals:
                 retries.note_arrival()
             call.arrivals += 1
-            order = BackendOrder(backend.name, call.backend_deadline_ms())
+            order = BackendOrder(backend.entry.instance, call.backend_deadline_ms())
             with call.one_run():
                 await exchange.send(order)
                 answer = await self._read(exchange, call)
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -37,9 +37,6 @@
 """An end sooner after the request was sent is weak evidence: the backend may have been gone, or
 have reset one connection too many. It counts towards three ends, not towards two. Both sound
 requests that a pair put in quarantine in six days of trouble on two deployments had met one."""
-ALIVE_MARGIN_S = 0.05
-"""An answer that comes so much later than an end shows that there was none: what a backend sent
-before it ended comes sooner."""
 SETTLE_S = 0.1
 """A pair counts once it is so old: routers tell each other of what else was at a backend within
 10 ms and the way of a datagram, and each word is said again while one may be lost."""
@@ -120,14 +117,14 @@
         self.on_end()
         self.on_change()
 
-    def note_alive(self, life: int) -> None:
-        """Note that a backend answers: it had not ended before."""
-        digests = self._by_life.get(life)
-        if digests is None:
-            return
-        oldest_s = self._clock() - ALIVE_MARGIN_S
-        for digest in list(digests):
-            if self._suspects[digest].ends[life].ended_s < oldest_s:
+    def note_alive(self, life: int, sent_s: float) -> None:
+        """Note that a backend answered what was sent at ``sent_s``: it had not ended before.
+
+        An answer to something older proves nothing, however late it is read: it may have lain here
+        while this process stood still.
+        """
+        for digest in list(self._by_life.get(life, ())):
+            if self._suspects[digest].ends[life].ended_s < sent_s:
                 self._remove(digest, life)
 
     def note_sound(self, digest: int) -> None:
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -15,7 +15,7 @@
 
 from yokedock.base.logs import logger
 from yokedock.base.patience import Patience
-from yokedock.request.backend_registry import Backend
+from yokedock.request.backend_life import Backend
 from yokedock.router_errors import BackendSilent
 
 _log = logger("streams")
