--- a/features/support/broken_engine_properties.py
+++ b/features/support/broken_engine_properties.py
@@ -29,17 +29,11 @@
 STREAM_S = 1.0
 
 
-class ModuleClock(Clock):
-    """Stands for the time module of what decides."""
-
-    monotonic = Clock.__call__
-
-
 class BrokenFleet:
     """Routers that place generations; the engine called ``broken`` resets all that it gets."""
 
     def __init__(self, seed, role, tells=True, falls_silent=False):
-        self.clock = ModuleClock()
+        self.clock = Clock()
         self.chance = random.Random(seed)
         self.tells = tells
         self.falls_silent = falls_silent
@@ -109,8 +103,8 @@
     """Return how many generations met the broken engine in four seconds."""
     fleet = BrokenFleet(seed, role, tells, falls_silent)
     with (
-        mock.patch.object(engine_costs, "time", fleet.clock),
-        mock.patch.object(engine_choice, "time", fleet.clock),
+        mock.patch.object(engine_costs, "boot_time_s", fleet.clock),
+        mock.patch.object(engine_choice, "boot_time_s", fleet.clock),
     ):
         return fleet.play()
 
--- a/features/support/budget_properties.py
+++ b/features/support/budget_properties.py
@@ -37,7 +37,6 @@
     def __call__(self):
         return self.now_s
 
-    monotonic = __call__
 
 
 class Fleet:
@@ -136,7 +135,7 @@
 def the_budget_is_kept_through_breaks_cuts_and_kills(seed, size, broken, kills, is_cut):
     """In no window do more repeats reach the service than the rule allows."""
     clock = Clock()
-    with mock.patch.object(router_gossip, "time", clock):
+    with mock.patch.object(router_gossip, "boot_time_s", clock):
         fleet = Fleet(size, random.Random(seed), clock)
         live_through(fleet, broken, kills, is_cut)
     fleet.check()
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from support.deployment import MODEL, TOKEN
+from yokedock.base.clock import boot_time_s
 from yokedock_emulator.tokens import expected_text
 
 END_LIMIT_S = 40.0
@@ -55,15 +56,15 @@
 
     def wait_events(self, count):
         """Wait until ``count`` events have arrived."""
-        give_up = time.monotonic() + END_LIMIT_S
-        while self.data.count(b"\n\n") < count and time.monotonic() < give_up:
+        give_up = boot_time_s() + END_LIMIT_S
+        while self.data.count(b"\n\n") < count and boot_time_s() < give_up:
             time.sleep(0.005)
         assert self.data.count(b"\n\n") >= count, f"{self.status} {self.data!r} {self.error}"
 
     def leave(self):
         """Close the connection in the middle of the answer, or before it."""
-        give_up = time.monotonic() + END_LIMIT_S
-        while self.response is None and self._thread.is_alive() and time.monotonic() < give_up:
+        give_up = boot_time_s() + END_LIMIT_S
+        while self.response is None and self._thread.is_alive() and boot_time_s() < give_up:
             time.sleep(0.005)
         self.close()
 
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -14,7 +14,7 @@
     worker_ports,
 )
 from support.relay import Relay
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.connection.engine_protocol import Load
 from yokedock.connection.machine_list import MachineList
 from yokedock.process.admin_http import ProcessStatus
@@ -288,8 +288,8 @@
         return status.ready and status.version == self.version and len(peers) == len(status.peers)
 
     def wait_for(self, condition, limit_s, what):
-        give_up = time.monotonic() + limit_s
-        while time.monotonic() < give_up:
+        give_up = boot_time_s() + limit_s
+        while boot_time_s() < give_up:
             if condition():
                 return
             time.sleep(0.02)
--- a/features/support/fleet_properties.py
+++ b/features/support/fleet_properties.py
@@ -1,9 +1,9 @@
 """Properties of several routers that place generations on the same engines, in one process."""
 
 import asyncio
-import time
 
 from support.stream_properties import TRAITS, generation, registry
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.router_state import QueueShare
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import Progress
@@ -49,19 +49,19 @@
     def _change(self):
         if not self._is_speaking:
             self._is_speaking = True
-            gap_s = max(0.0, self._spoke_s + LEAST_GAP_S - time.monotonic())
+            gap_s = max(0.0, self._spoke_s + LEAST_GAP_S - boot_time_s())
             asyncio.get_running_loop().call_later(gap_s, self._speak)
 
     def _speak(self):
         self._is_speaking = False
-        self._spoke_s = time.monotonic()
+        self._spoke_s = boot_time_s()
         told = (self.name, self.ledger.shares(), self.placement.queues())
         for other in self.others:
             asyncio.get_running_loop().call_later(WAY_S, other.hear, *told)
 
     def hear(self, name, shares, queues):
         """Take in what another router told."""
-        self.heard[name] = (time.monotonic(), queues)
+        self.heard[name] = (boot_time_s(), queues)
         self.ledger.heard(name, shares)
 
 
@@ -81,7 +81,7 @@
         whole = StreamDemand("d", TRAITS.memory_tokens, 0, 0)
         taken = routers[0].ledger.open_stream(whole)
         await asyncio.sleep(0.05)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         waiting = [
             asyncio.create_task(r.placement.place(generation(now_s + n / 100, 700), Progress()))
             for n, r in enumerate(routers)
@@ -99,7 +99,7 @@
             for index in placed:
                 router = routers[index]
                 router.ledger.close_stream(waiting[index].result().promise)
-                again = router.placement.place(generation(time.monotonic(), 700), Progress())
+                again = router.placement.place(generation(boot_time_s(), 700), Progress())
                 waiting[index] = asyncio.create_task(again)
             await asyncio.sleep(0.06)
         for task in waiting:
--- a/features/support/properties.py
+++ b/features/support/properties.py
@@ -1,12 +1,12 @@
 """Properties that hold for all inputs, searched the same way every time."""
 
 import dataclasses
-import time
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from hypothesis import strategies as st
 
 from support.search import searched
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.http_server import error_response
 from yokedock.connection.peer_client import join_parts
 from yokedock.errors import BundleRejected, NoDecodeRoom, Refused, YokedockError
@@ -172,7 +172,7 @@
 @searched(slots=st.integers(1, 8), asked=st.integers(1, 30), tokens=st.integers(1, 10_000))
 def slots_hold(slots, asked, tokens):
     table = SlotTable(slots, 1000.0)
-    now, granted = time.monotonic(), 0
+    now, granted = boot_time_s(), 0
     for number in range(asked):
         try:
             table.reserve(asked_slot(f"a{number}", tokens, 5, now))
@@ -185,7 +185,7 @@
 @searched(slots=st.integers(4, 32), urgent=st.integers(0, 60), low=st.integers(1, 40))
 def headroom_is_kept(slots, urgent, low):
     """Long work of low priority never takes the slots held back; urgent work may take them all."""
-    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    table, now = SlotTable(slots, 1000.0), boot_time_s()
     for _ in range(urgent):
         table.reserve(asked_slot("urgent", 100, 8, now))
         table.free("urgent")
@@ -199,7 +199,7 @@
 @searched(slots=st.integers(1, 32), urgent=st.integers(0, 60))
 def short_work_passes(slots, urgent):
     """Work that is shorter than the urgent is not held back."""
-    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    table, now = SlotTable(slots, 1000.0), boot_time_s()
     for _ in range(urgent):
         table.reserve(asked_slot("urgent", 100, 8, now))
         table.free("urgent")
@@ -213,7 +213,7 @@
 )
 def promises_add_up(slots, lengths, started):
     """Each promised time is when a slot really is free if every stream takes its longest."""
-    table, now = SlotTable(slots, LONG_STEP_S * 1000.0), time.monotonic()
+    table, now = SlotTable(slots, LONG_STEP_S * 1000.0), boot_time_s()
     free = [0.0] * slots
     for number, length in enumerate(lengths):
         promised_s = table.reserve(asked_slot(f"a{number}", length, 5, now + NEVER_LATE_S)) - now
@@ -231,7 +231,7 @@
 )
 def promises_are_kept(slots, asked):
     """No later reservation makes an earlier one late, in whatever order they get ready."""
-    table, now = SlotTable(slots, 1000.0), time.monotonic()
+    table, now = SlotTable(slots, 1000.0), boot_time_s()
     latest_s = {}
     for number, (ready_s, tokens, slack_s) in enumerate(asked):
         latest = now + ready_s + slack_s + 1
@@ -253,7 +253,7 @@
 
 def grant(table, asked, priority, tokens):
     """Ask for ``asked`` slots at once; return how many were granted."""
-    now, granted = time.monotonic(), 0
+    now, granted = boot_time_s(), 0
     for number in range(asked):
         try:
             table.reserve(asked_slot(f"p{priority} a{number}", tokens, priority, now))
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -9,6 +9,7 @@
 
 from support.processes import DEFAULT_PORT_BASE, PORT_BASE_VARIABLE
 from support.stand_in_backend import StandInBackend
+from yokedock.base.clock import new_event_loop
 from yokedock.connection.dialect import HeaderDialect
 from yokedock.connection.state_source import (
     BackendEntry,
@@ -127,7 +128,7 @@
     """Starts and stops everything; ``run`` executes a coroutine in the loop."""
 
     def __init__(self):
-        self.loop = asyncio.new_event_loop()
+        self.loop = new_event_loop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
         self.backends = {}
--- a/features/support/soak.py
+++ b/features/support/soak.py
@@ -12,7 +12,7 @@
 from support.caller import ServiceCaller, StreamCaller
 from support.deployment import DECODE, GATEWAYS, HOMES, LEASE_S, PREFILL, SERVICE
 from support.faults import PAST_LEASE_S
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.request.idempotency import new_key
 
 MOST_PAUSE_S = 0.12
@@ -109,7 +109,7 @@
         prompt = f"request {number} of the soak: " * self._random.randint(1, 60)
         tokens = self._random.randint(1, 80)
         caller = StreamCaller(url, prompt, tokens, {"X-Request-Id": request_id})
-        self.streams.append(SentStream(caller, request_id, gateway, time.monotonic()))
+        self.streams.append(SentStream(caller, request_id, gateway, boot_time_s()))
 
     def _maybe_leave(self):
         waiting = [s for s in self.streams if s.caller.is_waiting() and not s.has_left]
@@ -121,7 +121,7 @@
     # --- Faults ---
 
     def _note(self, what):
-        self.struck.append((round(time.monotonic(), 2), what))
+        self.struck.append((round(boot_time_s(), 2), what))
 
     def _restart(self, name):
         self._note(f"kill {name}")
@@ -142,7 +142,7 @@
 
     def _kill_gateway(self):
         name = self._random.choice(GATEWAYS)
-        self._gateway_kills.append((name, time.monotonic()))
+        self._gateway_kills.append((name, boot_time_s()))
         self._restart(name)
 
     def _freeze(self):
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -8,7 +8,8 @@
 import dataclasses
 import json
 import socket
-import time
+
+from yokedock.base.clock import boot_time_s
 
 PIECES = 6
 SLOW_PIECE_S = 0.1
@@ -145,7 +146,7 @@
             return False
         if target == CACHE_PATH:
             return await self._list_cache(arrival, writer)
-        arrival.arrived_s = time.monotonic()
+        arrival.arrived_s = boot_time_s()
         self.arrivals.append(arrival)
         if writer in self._silent:
             arrival.was_unanswered = True
--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -3,11 +3,11 @@
 import asyncio
 import math
 import re
-import time
 
 from hypothesis import strategies as st
 
 from support.search import searched
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.dialect import CallTerms, GenerationTerms, PromptPart
 from yokedock.connection.router_state import QueueShare
 from yokedock.connection.state_source import BackendEntry
@@ -38,7 +38,7 @@
         return self.now_s
 
 
-def registry(*names, clock=time.monotonic):
+def registry(*names, clock=boot_time_s):
     """Return a registry of decode engines."""
     found = BackendRegistry("zone", clock)
     found.update([BackendEntry(name, "llm", "127.0.0.1:1", role="decode") for name in names], ())
@@ -65,7 +65,7 @@
     """Patience counts from the newest event, not from the request's arrival."""
 
     async def play():
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         ledger = EngineLedger()
         placement = QueuedPlacement(registry("d"), ledger, none_elsewhere)
         taken = ledger.open_stream(StreamDemand("d", 1000, 0, 0))
@@ -102,7 +102,7 @@
     """Its turn would come after its caller gives up: it is told so, and when room is predicted."""
 
     async def play():
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         ledger, _ = filled("d")
         placement = QueuedPlacement(registry("d"), ledger, lambda _: QueueShare(3))
         try:
@@ -124,7 +124,7 @@
     """No caller is sent away who would be served before it gives up, in time or late."""
 
     async def play():
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         ledger, taken = filled("d", streams=4)
         placement = QueuedPlacement(registry("d"), ledger, none_elsewhere)
         # Four streams of three seconds: room in 0.75 s, after the target of 0.9 s is out of reach.
@@ -145,7 +145,7 @@
     """It could have been in time; newcomers took its turns, and none will come before its end."""
 
     async def play():
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         elsewhere = [QueueShare()]
         ledger, _ = filled("d", streams=4)
         placement = QueuedPlacement(registry("d"), ledger, lambda _: elsewhere[0])
@@ -157,7 +157,7 @@
             async with asyncio.timeout(2.0):
                 await waiting
         except NoDecodeRoom as error:
-            assert time.monotonic() - now_s < 1.5, "refused when its target is out of reach"
+            assert boot_time_s() - now_s < 1.5, "refused when its target is out of reach"
             assert error.retry_after_s > 3.0
         else:
             raise AssertionError("room was given that was not there")
@@ -169,7 +169,7 @@
     """Each service has a queue of its own: one without room stops only its own callers."""
 
     async def play():
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         ledger, _ = filled("d", streams=4)
         backends = registry("d")
         backends.update([BackendEntry("e", "other", "127.0.0.1:1", role="decode")], ())
--- a/features/support/watch_properties.py
+++ b/features/support/watch_properties.py
@@ -1,12 +1,12 @@
 """Properties of a fleet in which few routers watch the store, in one process, without sockets."""
 
 import asyncio
-import time
 
 from hypothesis import strategies as st
 
 from support.search import searched
 from support.stream_properties import Clock
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -85,10 +85,10 @@
         self._store.calls += 1
         if self.state == "refused":
             raise PlatformUnavailable("refused")
-        asked_s = time.monotonic()
+        asked_s = boot_time_s()
         changes = await self._store.wait(position, longest_s)
         if self.state == "silent":
-            await asyncio.sleep(asked_s + longest_s + SLACK_S - time.monotonic())
+            await asyncio.sleep(asked_s + longest_s + SLACK_S - boot_time_s())
             raise PlatformUnavailable("silent")
         return changes
 
@@ -111,7 +111,7 @@
         self._is_fetching = False
 
     def _contacts(self):
-        oldest_s = time.monotonic() - SILENT_S
+        oldest_s = boot_time_s() - SILENT_S
         return [contact for contact in self._heard.values() if contact.heard_s >= oldest_s]
 
     def _tell_soon(self):
@@ -132,7 +132,7 @@
         """Take in what another router tells."""
         if self.is_cut:
             return
-        self._heard[teller.address] = SourceContact(teller.address, age_ms, time.monotonic())
+        self._heard[teller.address] = SourceContact(teller.address, age_ms, boot_time_s())
         self.follower.take_news(news)
         if position > self.follower.position and not self._is_fetching:
             self._is_fetching = True
@@ -181,13 +181,13 @@
     async def known_after_s(self, name, limit_s=8.0):
         """Return the seconds until each router that can know of a new backend does, sorted."""
         self.store.change(name)
-        began_s = time.monotonic()
+        began_s = boot_time_s()
         waiting = [router for router in self.routers if not router.is_cut]
         took_s = []
-        while waiting and time.monotonic() - began_s < limit_s:
+        while waiting and boot_time_s() - began_s < limit_s:
             await asyncio.sleep(0.005)
             done = [router for router in waiting if router.registry.get(name) is not None]
-            took_s += [time.monotonic() - began_s] * len(done)
+            took_s += [boot_time_s() - began_s] * len(done)
             waiting = [router for router in waiting if router not in done]
         assert not waiting, f"{len(waiting)} routers do not know of {name} after {limit_s} s"
         return sorted(took_s)
--- a/src/yokedock/base/logs.py
+++ b/src/yokedock/base/logs.py
@@ -5,13 +5,14 @@
 import os
 import select
 import sys
-import time
 from collections.abc import Callable
 from typing import Any, TextIO
 
 import logbook
 import msgspec
 
+from yokedock.base.clock import boot_time_s
+
 
 class StructuredLogger:
     """Logs an event with typed fields; fields named by ``bind`` stand on every line."""
@@ -114,7 +115,7 @@
 class LineBudget:
     """Bounds how many lines are written in a second, and counts what it drops."""
 
-    def __init__(self, lines_per_s: float, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, lines_per_s: float, clock: Callable[[], float] = boot_time_s) -> None:
         """Allow ``lines_per_s`` in the mean, and as many at once."""
         self._lines_per_s = lines_per_s
         self._clock = clock
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -10,11 +10,11 @@
 import asyncio
 import socket
 import struct
-import time
 from collections.abc import AsyncIterator, Callable
 
 import h11
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
 from yokedock.router_errors import (
     AnswerTooLong,
@@ -48,14 +48,14 @@
         self.address = address
         self.received_bytes = 0
         """Bytes received since the newest request was sent."""
-        self.heard_s = time.monotonic()
+        self.heard_s = boot_time_s()
         """When the peer last accepted the connection or sent something (monotonic s)."""
         self.sent_s = 0.0
         """When the newest request was sent (monotonic s)."""
         self._reader = reader
         self._writer = writer
         self._parser: h11.Connection | None = None
-        self._rests_since_s = time.monotonic()
+        self._rests_since_s = boot_time_s()
         self._rest_until_s = self._rests_since_s + LONGEST_REST_S
         self._is_fit = True
         self._has_closed = False
@@ -83,7 +83,7 @@
         if not self._is_fit or self._reader.at_eof() or self._writer.is_closing():
             return False
         has_stray_bytes = bool(getattr(self._reader, "_buffer", b""))
-        return not has_stray_bytes and time.monotonic() < self._rest_until_s
+        return not has_stray_bytes and boot_time_s() < self._rest_until_s
 
     @property
     def is_open(self) -> bool:
@@ -92,7 +92,7 @@
 
     def rested_s(self) -> float:
         """Return how long the connection has rested, in seconds."""
-        return time.monotonic() - self._rests_since_s
+        return boot_time_s() - self._rests_since_s
 
     def awaited_since_s(self) -> float:
         """Return since when the peer has been silent while something was asked of it."""
@@ -101,7 +101,7 @@
     async def send(self, head: RequestHead, headers: list[Header], body: bytes) -> None:
         """Send one request; the body is written while the answer may already be read."""
         self.received_bytes = 0
-        self.sent_s = time.monotonic()
+        self.sent_s = boot_time_s()
         self._is_fit = False
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         framed = [*headers]
@@ -199,7 +199,7 @@
             self._has_closed = not data
             self.received_bytes += len(data)
             if data:
-                self.heard_s = time.monotonic()
+                self.heard_s = boot_time_s()
             try:
                 self._parser.receive_data(data)
             except (h11.RemoteProtocolError, RuntimeError) as error:
@@ -226,7 +226,7 @@
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdigit():
                 rest_s = min(rest_s, int(value) * REST_MARGIN)
-        self._rest_until_s = time.monotonic() + rest_s
+        self._rest_until_s = boot_time_s() + rest_s
 
     def _finish(self) -> None:
         """Keep the connection for reuse if both sides are done and nothing stands behind."""
@@ -235,4 +235,4 @@
         is_whole = states == (h11.DONE, h11.DONE) and not self._parser.trailing_data[0]
         has_unsent = self._writer.transport.get_write_buffer_size() > 0
         self._is_fit = is_whole and not has_unsent
-        self._rests_since_s = time.monotonic()
+        self._rests_since_s = boot_time_s()
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -50,6 +50,11 @@
         for connection in self._resting.pop(address, []):
             connection.close()
 
+    def forget_all(self) -> None:
+        """Close all that rests."""
+        for address in list(self._resting):
+            self.forget(address)
+
     def drop_quiet(self, address: str, since_s: float) -> None:
         """Close what rests at ``address`` and has brought nothing since ``since_s`` (monotonic)."""
         self._keep(address, lambda connection: connection.heard_s > since_s)
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Awaitable, Callable
 
 import h11
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.caller_presence import has_left
@@ -134,7 +134,7 @@
         is_silent = event is h11.NEED_DATA and not self._has_data
         if is_silent and not await self._receive(limits.idle_timeout_s):
             return None
-        arrived_s = time.monotonic()
+        arrived_s = boot_time_s()
         self._has_data = True
         head = await self._read_head(event, arrived_s + limits.header_timeout_s)
         if head is None:
@@ -152,7 +152,7 @@
                 return RequestHead(headers, event.method, event.target, event.http_version)
             if event is not h11.NEED_DATA:
                 return None
-            left_s = until_s - time.monotonic()
+            left_s = until_s - boot_time_s()
             if left_s <= 0 or not await self._receive(left_s):
                 if self._reader.at_eof():
                     return None
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -4,11 +4,11 @@
 
 import random
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.errors import BundleRejected, PlatformUnavailable
 from yokedock.version.bundle_codec import (
@@ -123,7 +123,7 @@
         """Wait for a change after ``revision``; return the revision seen."""
         wait_ms = self._watch_ms if revision else 0
         answer = self._client.read(ENVELOPE_KEY, revision, wait_ms)
-        self.confirmed_s = time.monotonic()
+        self.confirmed_s = boot_time_s()
         if answer is None:
             if not wait_ms:
                 self._stopping.wait(random.uniform(0, RETRY_MIN_S))
--- a/src/yokedock/connection/heartbeat_ticker.py
+++ b/src/yokedock/connection/heartbeat_ticker.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.peer_view import AgentPeerHandle
 
 
@@ -30,6 +30,6 @@
             if not peers:
                 self._stopping.wait(self._interval_s)
             for peer in peers:
-                if time.monotonic() >= peer.view.tick_due_s:
+                if boot_time_s() >= peer.view.tick_due_s:
                     peer.tick()
                 self._stopping.wait(self._interval_s / len(peers))
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import time
 from concurrent.futures import Future
 from typing import Any
 
 import pykka
 import pynng
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.peer_reader import FrameArrived, LinkDown, LinkUp, PeerReader
 from yokedock.connection.peer_types import (
@@ -137,7 +137,7 @@
 
     def _renew_before_order(self) -> None:
         """An idle peer's lease may have ended: renew it ahead of the order, on the same link."""
-        age_s = time.monotonic() - self._heartbeat_s
+        age_s = boot_time_s() - self._heartbeat_s
         if not self._held and age_s * 1000 > self._timing.heartbeat_ms:
             self._heartbeat()
 
@@ -161,7 +161,7 @@
         """Send a heartbeat if one is due; a peer that leaves one unanswered too long is lost."""
         if self._session is None:
             return
-        now = time.monotonic()
+        now = boot_time_s()
         patience_ms = self._timing.lease_ms - self._timing.heartbeat_ms
         if self._unanswered_s and (now - self._unanswered_s) * 1000 > patience_ms:
             self._link_down(LinkDown(self._reader))
@@ -185,7 +185,7 @@
         self._forget_settled()
         if self._session is None:
             return
-        self._heartbeat_s = time.monotonic()
+        self._heartbeat_s = boot_time_s()
         self._unanswered_s = self._unanswered_s or self._heartbeat_s
         demand = self._context.demand()
         heartbeat = Heartbeat(
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from concurrent.futures import Future
 from typing import Any, Protocol
 
 import pykka
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.peer_types import (
     DemandSignal,
     DropAttempt,
@@ -73,7 +73,7 @@
     def update_load(self, load: LoadReport) -> None:
         """Take over a newer load report."""
         self.load = load
-        self.load_at_s = time.monotonic()
+        self.load_at_s = boot_time_s()
 
     def caches(self, block: int) -> bool:
         """Return whether the peer's engine is thought to cache the block: a hint, never a fact."""
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import cast
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import RouterState, SuspectRequest
 
@@ -89,7 +89,7 @@
         self._named_s = 0.0
         self._first_named = 0
         self._is_sending = False
-        self._started_s = time.monotonic()
+        self._started_s = boot_time_s()
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(RouterState)
@@ -107,7 +107,7 @@
         """Speak at intervals, and notice who fell silent."""
         while True:
             self._notice_silence()
-            left_s = self._sent_s + self._interval_s() - time.monotonic()
+            left_s = self._sent_s + self._interval_s() - boot_time_s()
             if left_s <= 0.0:
                 self._speak()
                 left_s = self._interval_s()
@@ -116,7 +116,7 @@
     def _interval_s(self) -> float:
         """Return how long this router may say nothing."""
         heard = len(self.alive())
-        is_young = time.monotonic() - self._started_s < FIRST_CALLS_S
+        is_young = boot_time_s() - self._started_s < FIRST_CALLS_S
         if is_young and heard < ENOUGH_HEARD:
             return FIRST_INTERVAL_S
         return LARGE_FLEET_INTERVAL_S if heard >= LARGE_FLEET else INTERVAL_S
@@ -131,7 +131,7 @@
 
     def alive(self) -> list[OtherRouter]:
         """Return the routers heard a moment ago."""
-        oldest_s = time.monotonic() - SILENT_S
+        oldest_s = boot_time_s() - SILENT_S
         return [other for other in self._others.values() if other.heard_s >= oldest_s]
 
     def change(self) -> None:
@@ -139,7 +139,7 @@
         if self._is_sending or self._transport is None:
             return
         self._is_sending = True
-        gap_s = max(0.0, self._sent_s + LEAST_GAP_S - time.monotonic())
+        gap_s = max(0.0, self._sent_s + LEAST_GAP_S - boot_time_s())
         asyncio.get_running_loop().call_later(gap_s, self._speak)
 
     def tell_last(self) -> None:
@@ -162,11 +162,11 @@
         other = self._know(addr[0])
         if other is None:
             return
-        is_new = other.heard_s < time.monotonic() - SILENT_S
+        is_new = other.heard_s < boot_time_s() - SILENT_S
         if not is_new and other.state is not None and _order(state) <= _order(other.state):
             return
         has_started = other.state is None or state.incarnation != other.state.incarnation
-        other.heard_s = time.monotonic()
+        other.heard_s = boot_time_s()
         other.state = state
         if has_started:
             self._welcome(other)
@@ -189,7 +189,7 @@
             return None
         other = self._others.get(address)
         if other is None:
-            other = OtherRouter(address, known_s=time.monotonic())
+            other = OtherRouter(address, known_s=boot_time_s())
             self._others[address] = other
         return other
 
@@ -197,7 +197,7 @@
         self._is_sending = False
         if self._transport is None:
             return
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._sent_s = now_s
         self._sequence += 1
         data = self._encoder.encode(self._make_state(self._sequence, self._named(now_s)))
@@ -233,7 +233,7 @@
         return tuple(other.address for other in (alive[first:] + alive[:first])[:MOST_NAMED])
 
     def _notice_silence(self) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for other in list(self._others.values()):
             last_s = max(other.heard_s, other.known_s)
             if other.state is not None and other.heard_s < now_s - SILENT_S:
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -9,7 +9,7 @@
 
 import pykka
 
-from yokedock.base.clock import left_s, wall_clock_ms
+from yokedock.base.clock import boot_time_s, left_s, wall_clock_ms
 from yokedock.base.histograms import Histograms
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
@@ -167,7 +167,7 @@
         self.backend.set_leaving(True)
         self._announce()
         _log.info("draining", name=self.name, in_flight=self.backend.in_flight())
-        deadline_s = time.monotonic() + limit_s
+        deadline_s = boot_time_s() + limit_s
         while self.backend.in_flight() and left_s(deadline_s):
             time.sleep(DRAIN_POLL_S)
         return self.backend.in_flight() == 0
@@ -282,7 +282,7 @@
 
     def demand_reported(self, peer: str, prefill: float, decode: float) -> None:
         """Remember a gateway's demand signal for the role ladder."""
-        self._demand[peer] = (time.monotonic(), DemandSignal(prefill, decode))
+        self._demand[peer] = (boot_time_s(), DemandSignal(prefill, decode))
 
     def demand(self) -> DemandSignal:
         """Agents demand nothing of each other."""
@@ -294,7 +294,7 @@
 
     def _total_demand(self) -> DemandSignal:
         """Return the demand of all gateways heard from lately."""
-        horizon = time.monotonic() - peer_timing(self.settings.peers).silence_ms / 1000
+        horizon = boot_time_s() - peer_timing(self.settings.peers).silence_ms / 1000
         recent = [signal for at_s, signal in list(self._demand.values()) if at_s >= horizon]
         return DemandSignal(
             sum(signal.prefill for signal in recent), sum(signal.decode for signal in recent)
@@ -315,7 +315,7 @@
     def _connected_peer(self, name: str, address: str, timeout_s: float) -> AgentPeerHandle:
         """Return the peer, waiting a moment for a new link to come up."""
         peer = self._peers.get(PeerAddress(name, "", address))
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = boot_time_s() + timeout_s
         while peer.view.load is None and left_s(deadline_s):
             time.sleep(0.005)
         return peer
--- a/src/yokedock/process/caller_http.py
+++ b/src/yokedock/process/caller_http.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import hashlib
-import time
 import uuid
 from typing import Any
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.histograms import Histograms, Measure
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
@@ -108,7 +108,7 @@
 
     def _guarded(self, request: HttpRequest, serve: Any, kind: Any) -> HttpResponse | None:
         """Answer with a typed error in every case, with the request's id, and log it."""
-        arrived_s = time.monotonic()
+        arrived_s = boot_time_s()
         request_id = self._request_id(request)
         try:
             response: HttpResponse | None = serve(request, kind, request_id, arrived_s)
@@ -140,7 +140,7 @@
                     return None
                 return self._whole(request, context, order, answer_format)
         except Refused:
-            self._record(caller, Measure.REFUSAL_US, (time.monotonic() - arrived_s) * 1e6)
+            self._record(caller, Measure.REFUSAL_US, (boot_time_s() - arrived_s) * 1e6)
             raise
 
     def _stream(
--- a/src/yokedock/process/engine_watch.py
+++ b/src/yokedock/process/engine_watch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import threading
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.errors import YokedockError
@@ -52,7 +52,7 @@
         for number, step in enumerate(self._engine.steps()):
             if number == 0:
                 self._backend.engine_found()
-            now = time.monotonic()
+            now = boot_time_s()
             if step.tokens:
                 if last_s:
                     self._backend.slots.step_took(min(now - last_s, 1.0))
--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from yokedock.base.clock import left_s, wall_clock_ms
+from yokedock.base.clock import boot_time_s, left_s, wall_clock_ms
 from yokedock.base.histograms import Histograms
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
@@ -130,7 +130,7 @@
         self._stopping.set()
         self._admission.close()
         _log.info("draining", name=self.name, in_flight=self._admission.in_flight)
-        deadline_s = time.monotonic() + self.settings.caller.drain_limit_s
+        deadline_s = boot_time_s() + self.settings.caller.drain_limit_s
         while self._admission.in_flight and left_s(deadline_s):
             time.sleep(DRAIN_POLL_S)
         while not self._server.is_flushed() and left_s(deadline_s):
@@ -178,7 +178,7 @@
         """Become ready once every peer has told its version, or after a limit."""
         while not self.store.wait(READY_CHECK_S) and not self._stopping.is_set():
             pass
-        limit_s = time.monotonic() + COMPARE_LIMIT_S
+        limit_s = boot_time_s() + COMPARE_LIMIT_S
         while left_s(limit_s) and not self._stopping.is_set():
             peers = self.peers.all()
             heard = [p for p in peers if p.view.load is not None]
--- a/src/yokedock/process/leadership.py
+++ b/src/yokedock/process/leadership.py
@@ -10,11 +10,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
+
 VOTE_S = 1.0
 FIRST_VOTE_S = 1.5
 """Where nobody can have led before, the first vote waits only until others were heard."""
@@ -38,7 +39,7 @@
         own: str,
         lease_s: float,
         is_first_start: bool,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         """``is_first_start``: nobody can have led before, so that a vote need not wait."""
         self._own = own
--- a/src/yokedock/process/lease.py
+++ b/src/yokedock/process/lease.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import LeaseExpired
 from yokedock.request.backend import OrderGuard
 
@@ -20,7 +20,7 @@
 
     def is_valid(self) -> bool:
         """Return whether the lease has not expired."""
-        return time.monotonic() < self.expires_s
+        return boot_time_s() < self.expires_s
 
     def check(self, attempt: str) -> None:
         """Raise ``LeaseExpired`` when the order may not be given any more."""
--- a/src/yokedock/process/lease_holder.py
+++ b/src/yokedock/process/lease_holder.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Protocol
 
 import pykka
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.peer_listener import PeerConnection
 from yokedock.errors import LeaseExpired, NotReady, StaleVersion, YokedockError
@@ -196,11 +196,11 @@
     def _connection_closed(self, connection: PeerConnection) -> None:
         """Let the lease end soon, unless the peer comes back and renews it."""
         if connection is self._connection:
-            soon_s = time.monotonic() + RECONNECT_S
+            soon_s = boot_time_s() + RECONNECT_S
             self._lease.expires_s = min(self._lease.expires_s, soon_s)
 
     def _heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._lease.expires_s = time.monotonic() + heartbeat.lease_ms / 1000
+        self._lease.expires_s = boot_time_s() + heartbeat.lease_ms / 1000
         for attempt in self._lease.attempts - set(heartbeat.held):
             self._release(attempt)
         lost = tuple(a for a in heartbeat.held if not self._backend.holds(a))
--- a/src/yokedock/process/pause.py
+++ b/src/yokedock/process/pause.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
+
 TICK_S = 0.1
 
 
@@ -20,7 +21,7 @@
         self._limit_s = limit_s
         self._on_pause = on_pause
         self._lock = threading.Lock()
-        self._last_tick_s = time.monotonic()
+        self._last_tick_s = boot_time_s()
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -33,12 +34,12 @@
 
     def check(self) -> None:
         """Handle a pause, if there was one, before returning."""
-        if time.monotonic() - self._last_tick_s > self._limit_s:
+        if boot_time_s() - self._last_tick_s > self._limit_s:
             self._tick()
 
     def _tick(self) -> None:
         with self._lock:
-            now = time.monotonic()
+            now = boot_time_s()
             lost_s, self._last_tick_s = now - self._last_tick_s, now
             if lost_s > self._limit_s:
                 self._on_pause(lost_s)
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -5,10 +5,10 @@
 import asyncio
 import functools
 import random
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.caller_request import CallerRequest
@@ -142,7 +142,7 @@
         """
         if not self._stop.is_stopping or call.terms.generation is None:
             return
-        terms, now_s = call.terms.generation, time.monotonic()
+        terms, now_s = call.terms.generation, boot_time_s()
         tokens = terms.most_output_tokens
         if now_s - self._stop.since_s < ESTIMATES_TRUSTED_S:
             tokens = terms.output_hint or tokens
@@ -172,7 +172,7 @@
         outcome: str,
     ) -> None:
         route = call.route.name if call else NO_ROUTE
-        held_s = time.monotonic() - request.arrived_s
+        held_s = boot_time_s() - request.arrived_s
         self._metrics.count(route, outcome)
         self._metrics.record(route, "held", held_s)
         is_served = outcome == ANSWERED and (answer.status or SERVER_ERROR) < SERVER_ERROR
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, EncodedOrder, RoleOrder
@@ -63,7 +63,7 @@
 
     def changing(self) -> tuple[str, ...]:
         """Return the engines that are changing their role by this router's order."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for name, (role, until_s) in list(self._changing.items()):
             backend = self._registry.get(name)
             if now_s > until_s or backend is None or backend.entry.role == role:
@@ -77,7 +77,7 @@
         while True:
             await asyncio.sleep(CHECK_S)
             current = table()
-            if current is None or time.monotonic() < self._paused_until_s:
+            if current is None or boot_time_s() < self._paused_until_s:
                 continue
             gone = self._settled_since.keys() - current.services.keys()
             for name in gone:
@@ -125,7 +125,7 @@
 
     def _settled_s(self, service: str, engines: list[Backend]) -> float:
         """Return for how long the same engines have had the same roles, in seconds."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         seen = frozenset((engine.name, engine.entry.role) for engine in engines)
         before, since_s = self._settled_since.get(service, (frozenset(), now_s))
         if before != seen:
@@ -145,7 +145,7 @@
         order = self._dialect.role_order(
             RoleOrder(backend.entry.instance, role, self._holder, token)
         )
-        until_s = time.monotonic() + switch_s + CHANGE_MARGIN_S
+        until_s = boot_time_s() + switch_s + CHANGE_MARGIN_S
         self._changing[backend.name] = (role, until_s)
         _log.info("role ordered", engine=backend.name, role=role, token=token)
         status = await self._send(backend, order)
@@ -153,7 +153,7 @@
         if status not in (200, 202, None):
             del self._changing[backend.name]
         if status == FENCED:
-            self._paused_until_s = time.monotonic() + FENCED_PAUSE_S
+            self._paused_until_s = boot_time_s() + FENCED_PAUSE_S
 
     async def _send(self, backend: Backend, order: EncodedOrder) -> int | None:
         """Send an order once, on a new connection; None when its answer is not known."""
--- a/src/yokedock/process/role_manager.py
+++ b/src/yokedock/process/role_manager.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.connection.peer_types import DemandSignal
@@ -51,7 +51,7 @@
         self._plan: EnginePlan | None = None
         self._position: LadderPosition | None = None
         self._mean_share: float | None = None
-        self._changed_s = time.monotonic()
+        self._changed_s = boot_time_s()
         """A starting agent keeps the role it finds for a dwell time: its demand signal is young."""
 
     def set_bundle(self, bundle: Bundle) -> None:
@@ -85,7 +85,7 @@
             share = signal.prefill / total
             mean = share if self._mean_share is None else self._mean_share
             self._mean_share = mean + (share - mean) * SMOOTHING
-        if self._mean_share is None or time.monotonic() - self._changed_s < plan.dwell_s:
+        if self._mean_share is None or boot_time_s() - self._changed_s < plan.dwell_s:
             return present or ROLE_DECODE
         return wanted_role(position, self._mean_share, present)
 
@@ -99,7 +99,7 @@
             self._engine.change_role(role)
             _log.info("role changed", engine=self._name, old=self._backend.role, new=role)
             self._backend.role = role
-            self._changed_s = time.monotonic()
+            self._changed_s = boot_time_s()
         except YokedockError as error:
             _log.warning("role not changed", engine=self._name, role=role, error=error.message)
         finally:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
 from yokedock.connection.answer_writer import AnswerWriter
@@ -32,6 +31,7 @@
 from yokedock.process.router_upkeep import KeptTables, RouterUpkeep
 from yokedock.process.state_exchange import STATE_PATH, StateExchange
 from yokedock.process.state_follower import StateFollower
+from yokedock.process.wake_watch import WakeWatch
 from yokedock.process.watch_duty import SourceContact, WatchDuty
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_life import Backend
@@ -156,6 +156,7 @@
                 self._metrics,
             )
         )
+        self._wake = WakeWatch(self._pool)
         self._ledger.on_change = self._gossip.change
         self._poison.on_end = self._gossip.change
         self._gossip.for_newcomers = self._poison.told_to_newcomer
@@ -179,6 +180,7 @@
         if self.settings.mechanisms.role_changes:
             self._start_lasting("roles", lambda: self._roles.run(self._table))
         self._start_lasting("upkeep", self._upkeep.run)
+        self._start_lasting("wake", self._wake.run)
         _log.info("started", name=self.settings.process.name, listen=callers.listen)
         await stop.wait()
         await self._stop_in_order()
@@ -206,17 +208,17 @@
 
     async def _stop_in_order(self) -> None:
         """Let what is in flight end; who still waits near the end gets a final answer."""
-        self._stop.is_stopping, self._stop.since_s = True, time.monotonic()
+        self._stop.is_stopping, self._stop.since_s = True, boot_time_s()
         self._leadership.resign()
         self._gossip.change()
-        self._stop.last_answers_s = time.monotonic() + self.settings.stop.grace_s - LAST_ANSWERS_S
+        self._stop.last_answers_s = boot_time_s() + self.settings.stop.grace_s - LAST_ANSWERS_S
         _log.info("stopping", active=self._intake.active, connections=len(self._connections))
         for connection in self._connections:
             connection.is_closing = True
         await asyncio.sleep(LAST_CONNECTIONS_S)
         for connection in list(self._connections):
             connection.close_if_idle()
-        while self._intake.active and time.monotonic() < self._stop.last_answers_s:
+        while self._intake.active and boot_time_s() < self._stop.last_answers_s:
             await asyncio.sleep(STOP_POLL_S)
         self._stop.is_ending = True
         for connection in list(self._connections):
@@ -322,6 +324,7 @@
             "connections_opened": self._pool.opened,
             **self._allowance.levels(),
             **self._poison.levels(),
+            **self._wake.levels(),
             **self._upkeep.sizes(),
         }
 
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -8,6 +8,7 @@
 import sys
 from typing import Any
 
+from yokedock.base.clock import new_event_loop
 from yokedock.base.logs import logger, set_up_logs
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.state_source import StateSource
@@ -28,7 +29,8 @@
     ``sockets`` listen already, by address.
     """
     set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
-    asyncio.run(_run(Router(settings, source, dialect, sockets)))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(_run(Router(settings, source, dialect, sockets)))
 
 
 async def _run(router: Router) -> None:
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.state_source import StateChanges, StateSnapshot, StateSource
@@ -96,7 +96,7 @@
 
     def silent_s(self) -> float:
         """Return for how long the source has not answered, in seconds."""
-        return time.monotonic() - self._heard_s
+        return boot_time_s() - self._heard_s
 
     def source_age_ms(self) -> int:
         """Return how long ago the source answered, ``NEVER`` if it did not the last time."""
@@ -111,7 +111,7 @@
 
     def news(self) -> tuple[StateNews, ...]:
         """Return what the source told a moment ago, for the other routers."""
-        oldest_s = time.monotonic() - NEWS_S
+        oldest_s = boot_time_s() - NEWS_S
         self._recent_news = [told for told in self._recent_news if told[0] >= oldest_s]
         return tuple(news for _, news in self._recent_news)
 
@@ -162,7 +162,7 @@
             except HistoryGone as error:
                 _log.info("must read all", reason=error.message, position=self.position)
                 must_read = True
-                if time.monotonic() - self._read_s < REREAD_S:
+                if boot_time_s() - self._read_s < REREAD_S:
                     await asyncio.sleep(RETRY_S)
             except PlatformUnavailable as error:
                 self._has_failed = True
@@ -174,7 +174,7 @@
     async def _read_all(self) -> None:
         snapshot = await self._unless_overtaken(self._source.read())
         if snapshot is not None:
-            self._read_s = time.monotonic()
+            self._read_s = boot_time_s()
             self._take_all(snapshot)
             _log.info("state read", position=self.position, version=self.version)
 
@@ -225,7 +225,7 @@
         return changes.table is not None or bool(changes.changed or changes.gone)
 
     def _note_answer(self) -> None:
-        self._heard_s = time.monotonic()
+        self._heard_s = boot_time_s()
         self._has_failed = False
 
     def _note_news(self, before: int, changes: StateChanges) -> None:
@@ -234,7 +234,7 @@
             return
         if len(changes.changed) + len(changes.gone) <= MOST_IN_NEWS:
             news = StateNews(before, changes.position, self.version, changes.changed, changes.gone)
-            self._recent_news.append((time.monotonic(), news))
+            self._recent_news.append((boot_time_s(), news))
         self.on_news()
 
     def _take_all(self, snapshot: StateSnapshot) -> None:
--- a/src/yokedock/process/watch_duty.py
+++ b/src/yokedock/process/watch_duty.py
@@ -12,12 +12,13 @@
 from __future__ import annotations
 
 import functools
-import time
 from collections.abc import Callable, Iterable
 
 import msgspec
 import xxhash
 
+from yokedock.base.clock import boot_time_s
+
 MOST_WATCHERS = 6
 """Routers that watch. A third of the machines may be cut off from the source at once: that all
 watchers are among them then happens once in 700 times. Fleets up to this size all watch."""
@@ -60,7 +61,7 @@
         self,
         own: str,
         contacts: Callable[[], Iterable[SourceContact]],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         """``contacts`` returns what the routers told that were heard a moment ago."""
         self._rank = _rank(own)
--- a/src/yokedock/request/answer_stream.py
+++ b/src/yokedock/request/answer_stream.py
@@ -8,8 +8,8 @@
 
 import abc
 import threading
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import AttemptLost, CallerGone, StreamGap, YokedockError
 from yokedock.messages import StreamTokens
 
@@ -37,7 +37,7 @@
 
     def arrived(self, count: int) -> None:
         """Note that ``count`` tokens arrived now; tokens that come joined share the gap."""
-        now = time.monotonic()
+        now = boot_time_s()
         if self.first_s is None:
             self.first_s = self.last_s = now
             count -= 1
@@ -60,7 +60,7 @@
         self.tokens: list[str] = []
         self.finish = ""
         self.clock = StreamClock()
-        self.last_progress_s = time.monotonic()
+        self.last_progress_s = boot_time_s()
 
     def begin_attempt(self, attempt: str) -> None:
         """Listen to this attempt from now on, and to no earlier one."""
@@ -68,7 +68,7 @@
             self._attempt = attempt
             self._attempt_tokens = 0
             self._error = None
-            self.last_progress_s = time.monotonic()
+            self.last_progress_s = boot_time_s()
 
     @property
     def is_running(self) -> bool:
@@ -127,12 +127,12 @@
         """Listen again to the same attempt after a loss, for a resume."""
         with self._condition:
             self._error = None
-            self.last_progress_s = time.monotonic()
+            self.last_progress_s = boot_time_s()
 
     def _pass_on(self, tokens: tuple[str, ...], finish: str) -> None:
         self.tokens.extend(tokens)
         self._attempt_tokens += len(tokens)
-        self.last_progress_s = time.monotonic()
+        self.last_progress_s = boot_time_s()
         if tokens:
             self.clock.arrived(len(tokens))
         try:
--- a/src/yokedock/request/attempt.py
+++ b/src/yokedock/request/attempt.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.histograms import Histograms, Measure
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import (
@@ -117,7 +118,7 @@
         self._blocks = block_hashes(self._text)
         self._tokens = estimate_tokens(self._text)
         self._first_sequence = len(stream.tokens)
-        self._started_s = context.arrived_s if not stream.tokens else time.monotonic()
+        self._started_s = context.arrived_s if not stream.tokens else boot_time_s()
         self._held_at: list[AgentPeerHandle] = []
 
     def run(self) -> None:
@@ -169,7 +170,7 @@
     def _reserve_message(self, version: int, predicted_s: float) -> Reserve:
         predicted_ms = int(predicted_s * 1000)
         first_token_ms = self._context.caller.request_class.first_token_ms
-        waited_ms = int((time.monotonic() - self._started_s) * 1000)
+        waited_ms = int((boot_time_s() - self._started_s) * 1000)
         latest_ms = first_token_ms - waited_ms - FIRST_STEP_MARGIN_MS
         ready_by_ms = max(predicted_ms, latest_ms)
         if not self._policy.reserves:
@@ -221,7 +222,7 @@
         if not self._policy.reserves:
             return self._context.left_ms()
         target_ms = self._context.caller.request_class.first_token_ms
-        waited_ms = int((time.monotonic() - self._started_s) * 1000)
+        waited_ms = int((boot_time_s() - self._started_s) * 1000)
         return max(0, min(target_ms - waited_ms, self._context.left_ms()))
 
     def _prefill_timeout_s(self, predicted_s: float) -> float:
@@ -287,7 +288,7 @@
 
     def _resume(self, peer: AgentPeerHandle) -> None:
         """Continue the same attempt; raises ``AttemptLost`` when it does not run any more."""
-        give_up_s = time.monotonic() + RESUME_PATIENCE_S
+        give_up_s = boot_time_s() + RESUME_PATIENCE_S
         while True:
             self._context.check()
             message = Resume(self._attempt, len(self._stream.tokens))
@@ -296,7 +297,7 @@
                 future = peer.call(message, self._attempt, self._stream)
                 reply = self._context.wait(future, RESUME_PATIENCE_S)
             except (PeerUnreachable, Refused) as error:
-                if time.monotonic() > give_up_s:
+                if boot_time_s() > give_up_s:
                     raise AttemptLost(f"the stream cannot be resumed: {error.message}") from None
                 time.sleep(RESUME_RETRY_S)
                 continue
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import AsyncIterator, Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.patience import Patience
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
@@ -73,7 +73,7 @@
         call.answer.require_caller()
         headers = self._dialect.backend_headers(call.request.head, order)
         self._is_prefill = order.is_prefill
-        self._sent_s = time.monotonic()
+        self._sent_s = boot_time_s()
         self.is_sent = True
         await self._connection.send(call.request.head, headers, call.request.body)
 
@@ -82,7 +82,7 @@
 
         A request that may not be repeated waits to its end; others must not meet the same silence.
         """
-        due_s = quiet_s - (time.monotonic() - self._connection.awaited_since_s())
+        due_s = quiet_s - (boot_time_s() - self._connection.awaited_since_s())
         if due_s <= 0:
             self.on_quiet()
             return
@@ -105,13 +105,13 @@
                 head = await self._connection.read_head(self._is_ours)
         except TimeoutError:
             if timeout_s >= SILENT_S:
-                self.backend.health.note_silence(time.monotonic())
+                self.backend.health.note_silence(boot_time_s())
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
-            self.backend.note_gone(time.monotonic())
+            self.backend.note_gone(boot_time_s())
         self._poison.note_alive(self.backend.life, self._sent_s)
         if notes.is_not_run:
             raise BackendRefused(f"{self.backend.name} refused it with {head.status}")
@@ -148,7 +148,7 @@
     def finish(self, is_failure: bool = False) -> None:
         """Note that the answer was read whole."""
         self.is_whole = True
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
         self._poison.note_alive(self.backend.life, self._sent_s)
         if self._poison.is_known() and not is_failure and not self._is_prefill:
@@ -157,7 +157,7 @@
     def note_closed(self) -> None:
         """Note that the backend closed while it had the request, unless it is leaving anyway."""
         if self.is_sent and not self.backend.entry.is_leaving:
-            had_it_s = time.monotonic() - self._sent_s
+            had_it_s = boot_time_s() - self._sent_s
             self._poison.note_end(self._call.digest, self.backend.life, had_it_s)
 
     def _check_origin(self, head: AnswerHead, notes: AnswerNotes) -> None:
@@ -211,7 +211,7 @@
         try:
             connection = await self.pool.take(address, timeout_s, rest_s, call.heard_after_s)
         except BackendUnreachable:
-            backend.health.note_silence(time.monotonic())
+            backend.health.note_silence(boot_time_s())
             self.pool.forget(address)
             raise
         exchange = BackendExchange(connection, self.dialect, backend, call, self._poison)
@@ -221,7 +221,7 @@
         try:
             yield exchange
         except BackendRefused:
-            backend.health.note_answer(time.monotonic(), 0.0, is_failure=True)
+            backend.health.note_answer(boot_time_s(), 0.0, is_failure=True)
             raise
         except BackendBroken as error:
             _log.info(
@@ -235,7 +235,7 @@
                 exchange.note_closed()
             if isinstance(error, BackendSilent):
                 self._suspect_quiet(connection, call)
-            backend.health.note_broken(time.monotonic())
+            backend.health.note_broken(boot_time_s())
             raise
         finally:
             exchange.close()
@@ -251,6 +251,6 @@
 
         Whatever brought something in the later half of the wait has outlived the silence.
         """
-        heard_after_s = (connection.awaited_since_s() + time.monotonic()) / 2
+        heard_after_s = (connection.awaited_since_s() + boot_time_s()) / 2
         call.heard_after_s = max(call.heard_after_s, heard_after_s)
         self.pool.drop_quiet(connection.address, heard_after_s)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -7,11 +7,11 @@
 
 import itertools
 import random
-import time
 from collections.abc import Callable, Iterable
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_life import Backend
@@ -44,7 +44,7 @@
     ``on_new_life`` is called with the life that ended when a backend has started anew.
     """
 
-    def __init__(self, zone: str, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, zone: str, clock: Callable[[], float] = boot_time_s) -> None:
         """Start empty; ``zone`` is the router's own."""
         self._zone = zone
         self._clock = clock
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, PromptPart
@@ -74,7 +74,7 @@
 
     def drop_stale(self) -> None:
         """Drop lists that are too old to be used."""
-        oldest_s = time.monotonic() - LIST_LIFETIME_S
+        oldest_s = boot_time_s() - LIST_LIFETIME_S
         for name, (asked_s, listed) in list(self._lists.items()):
             if asked_s < oldest_s and listed.done():
                 del self._lists[name]
@@ -85,7 +85,7 @@
 
     def _list_of(self, engine: Backend) -> asyncio.Future[dict[str, int]]:
         """Return an engine's list, asked for a moment ago or now: the question costs it time."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         asked_s, listed = self._lists.get(engine.name, (0.0, None))
         if listed is None or now_s - asked_s > LIST_LIFETIME_S:
             listed = asyncio.ensure_future(self._ask(engine))
--- a/src/yokedock/request/engine_backend.py
+++ b/src/yokedock/request/engine_backend.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
-from yokedock.base.clock import deadline_in, left_s
+from yokedock.base.clock import boot_time_s, deadline_in, left_s
 from yokedock.base.logs import logger
 from yokedock.connection.engine_client import EngineDialect
 from yokedock.connection.engine_protocol import (
@@ -178,7 +177,7 @@
 
     def _reserve(self, order: Reserve) -> Reserved:
         self._require(ROLE_DECODE, NoDecodeRoom)
-        now = time.monotonic()
+        now = boot_time_s()
         entry = SlotEntry(
             order.attempt,
             order.priority,
@@ -213,7 +212,7 @@
 
         A prompt so long that even an idle engine would be late gets the time it needs.
         """
-        now = time.monotonic()
+        now = boot_time_s()
         transfer_s = (
             estimate_tokens(order.prompt) * self.kv_bytes_per_token / self._setup.link_bytes_per_s
         )
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.dialect import GenerationTerms
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_registry import BackendRegistry
@@ -123,7 +123,7 @@
         """Return the engines that keep the prompt in their prefix cache."""
         if not sought.progress.cached_at:
             return []
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         return [
             backend
             for backend in self._registry.usable(service)
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.dialect import GenerationTerms
 from yokedock.request.backend_life import Backend
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
@@ -155,7 +155,7 @@
 
     def handicap_s(self, call: RoutedCall, alone: Backend, pair_s: float) -> float:
         """Return how much sooner reading alone must be: more on a full engine."""
-        if time.monotonic() + pair_s >= call.target_s - TARGET_MARGIN_S:
+        if boot_time_s() + pair_s >= call.target_s - TARGET_MARGIN_S:
             return SELF_PREFILL_HANDICAP_S
         traits = call.service.engine
         assert traits is not None
@@ -190,7 +190,7 @@
         return cost_s + self._risk_s(decode)
 
     def _risk_s(self, backend: Backend) -> float:
-        return backend.health.failure_share(time.monotonic())
+        return backend.health.failure_share(boot_time_s())
 
 
 def stream_demand(engine: str, terms: GenerationTerms, made: int) -> StreamDemand:
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.router_state import EngineShare
 from yokedock.request.engine_pace import EnginePace
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
@@ -57,7 +57,7 @@
     """Promises of this router and, as heard last, of the others."""
 
     def __init__(
-        self, clock: Callable[[], float] = time.monotonic, mechanisms: Mechanisms = ALL_ON
+        self, clock: Callable[[], float] = boot_time_s, mechanisms: Mechanisms = ALL_ON
     ) -> None:
         """Start with nothing promised."""
         self._clock = clock
--- a/src/yokedock/request/engine_pace.py
+++ b/src/yokedock/request/engine_pace.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import bisect
-import time
 from collections.abc import Callable, Collection
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
+
 FIRST_READ_RATE = 40_000.0
 """Prompt tokens an engine reads in a second, before any was measured."""
 FIRST_READING_RATIO = 5.0
@@ -107,7 +108,7 @@
 class EnginePace:
     """Read rates (tokens/s) and pauses between events (s) by engine."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic, is_used: bool = True) -> None:
+    def __init__(self, clock: Callable[[], float] = boot_time_s, is_used: bool = True) -> None:
         """Start with nothing measured; without ``is_used`` it stays so: all engines are alike."""
         self._clock = clock
         self._is_used = is_used
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
@@ -85,7 +85,7 @@
         """Note a placement for the logs."""
         reader = placement.prefill or placement.fetch_from
         self.engines.append(f"{reader.name if reader else ''}>{placement.decode.name}")
-        self.placed_s = time.monotonic()
+        self.placed_s = boot_time_s()
 
     def is_extra_prefill(self) -> bool:
         """Return whether one more prefill spends the retry budget: the first does not."""
@@ -116,11 +116,11 @@
 
     def note_prompt_at(self, *engines: str) -> None:
         """Note that engines keep the prompt now."""
-        self.read_at |= dict.fromkeys(engines, time.monotonic())
+        self.read_at |= dict.fromkeys(engines, boot_time_s())
 
     def _cached_at(self) -> frozenset[str]:
         """Return the engines that used the prompt so lately that they should still keep it."""
-        oldest_s = time.monotonic() - CACHED_S
+        oldest_s = boot_time_s() - CACHED_S
         return frozenset(name for name, used_s in self.read_at.items() if used_s >= oldest_s)
 
     def silent_since_s(self, call: RoutedCall) -> float:
@@ -141,7 +141,7 @@
     def kept_source(self) -> str | None:
         """Return the prompt's memory if it is still kept."""
         has_ended = self.source_engine is not None and self.source_engine.has_ended
-        return self.source if time.monotonic() < self.source_until_s and not has_ended else None
+        return self.source if boot_time_s() < self.source_until_s and not has_ended else None
 
 
 class GenerationCalls:
@@ -202,7 +202,7 @@
                 return
             except BackendUnreachable as error:
                 gives_up_s = self._placement.gives_up_s(call, state.progress(call))
-                is_over = time.monotonic() > gives_up_s or not self._mechanisms.reconnects
+                is_over = boot_time_s() > gives_up_s or not self._mechanisms.reconnects
                 if is_over or not state.retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False):
                     raise self._final(call, error) from None
                 await asyncio.sleep(RECONNECT_S)
@@ -293,14 +293,14 @@
                 raise EngineRejected(f"{engine.name} answered {answer.head.status} to a prefill")
             result = self._exchanges.dialect.prefill_result(answer.body)
             is_done = True
-            state.read_s = time.monotonic()
+            state.read_s = boot_time_s()
             state.reads.read()
             state.note_prompt_at(engine.name)
             traits = call.service.engine
             kept_s = traits.handle_s if traits else 0.0
             state.source_engine = engine
             state.source = f"{engine.entry.address}/{result.handle}"
-            state.source_until_s = time.monotonic() + KEPT_SHARE * kept_s
+            state.source_until_s = boot_time_s() + KEPT_SHARE * kept_s
         except BackendRefused:
             state.prefills_refused += 1
             state.refused_by.add(engine.name)
@@ -398,8 +398,8 @@
             needed_tokens=placement.demand.memory_tokens(),
             promised_tokens=self._ledger.memory_tokens(engine),
             promised_streams=self._ledger.streams(engine),
-            placed_ms_ago=round((time.monotonic() - state.placed_s) * 1000),
-            kept_for_ms=round((state.source_until_s - time.monotonic()) * 1000),
+            placed_ms_ago=round((boot_time_s() - state.placed_s) * 1000),
+            kept_for_ms=round((state.source_until_s - boot_time_s()) * 1000),
         )
 
     def _note_pace(self, engine: str, relay: StreamRelay) -> None:
@@ -432,7 +432,7 @@
             runs=call.runs,
             arrivals=call.arrivals,
             may_have_run=call.may_have_run,
-            held_ms=round((time.monotonic() - call.arrived_s) * 1000),
+            held_ms=round((boot_time_s() - call.arrived_s) * 1000),
             reason=error.message,
         )
         if not call.may_have_run:
--- a/src/yokedock/request/home_check.py
+++ b/src/yokedock/request/home_check.py
@@ -12,10 +12,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Protocol
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import NotRun, OutcomeUnknown, Refused, YokedockError
 from yokedock.messages import AnyMessage, ServiceAnswer, Tombstone
 from yokedock.request.idempotency import key_time_ms
@@ -57,7 +57,7 @@
         if home != self._name:
             raise NotRun(f"the key's home is {home}; nothing was run here, send it again")
         limit_s = bundle.services[service].confirm_version_s
-        if limit_s and time.monotonic() - self._confirmed_s() > limit_s:
+        if limit_s and boot_time_s() - self._confirmed_s() > limit_s:
             message = "the home cannot confirm its bundle; nothing was run, restore its connection"
             raise VersionNotConfirmed(message, 5.0)
         pool = bundle.previous_pools.get(service)
--- a/src/yokedock/request/idempotency.py
+++ b/src/yokedock/request/idempotency.py
@@ -9,10 +9,10 @@
 import dataclasses
 import enum
 import threading
-import time
 import uuid
 from concurrent.futures import Future
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import BadIdempotencyKey, KeyFromBeforeRestart, NotRun, Refused
 from yokedock.messages import ServiceAnswer
 
@@ -91,7 +91,7 @@
         self._started_at_ms = started_at_ms
         self._lock = threading.Lock()
         self._records: dict[str, KeyRecord] = {}
-        self._swept_s = time.monotonic()
+        self._swept_s = boot_time_s()
 
     def begin(self, key: str, now_ms: int, limits: RecordLimits) -> tuple[KeyRecord, bool]:
         """Return the key's record and whether the caller is to run it now.
@@ -144,9 +144,9 @@
 
     def _sweep(self, now_ms: int, limits: RecordLimits) -> None:
         """Forget keys that would be refused as too old anyway."""
-        if time.monotonic() - self._swept_s < 1.0:
+        if boot_time_s() - self._swept_s < 1.0:
             return
-        self._swept_s = time.monotonic()
+        self._swept_s = boot_time_s()
         horizon = now_ms - limits.window_ms - limits.skew_ms
         for key in [k for k, r in self._records.items() if r.made_at_ms < horizon]:
             del self._records[key]
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import BackendOrder
 from yokedock.errors import DeadlineExceeded, NoBackend, RequestQuarantined, YokedockError
@@ -142,7 +142,7 @@
                 return await exchange.read_whole(patience_s)
             except BackendSilent:
                 if patience_s >= self._registry.patience_s(backend):
-                    backend.health.note_silence(time.monotonic())
+                    backend.health.note_silence(boot_time_s())
                 is_over = not exchange.is_open or call.left_s() <= 0
                 if is_over or self._may_ask_another(call):
                     raise
@@ -161,7 +161,7 @@
     def _could_be_in_time(self, call: RoutedCall) -> bool:
         """Return whether an attempt that begins now could still meet the target."""
         expected_s = self._registry.typical_latency_s(call.service.name)
-        return time.monotonic() + expected_s < call.target_s
+        return boot_time_s() + expected_s < call.target_s
 
     async def _may_reconnect(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether to go on after a backend could not be reached.
@@ -180,7 +180,7 @@
 
     def _return_after_s(self, service: str) -> float:
         """Return when a caller for whom no backend was found should come back."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for name in [n for n, o in self._outages.items() if now_s - o.last_s > FORGOTTEN_S]:
             del self._outages[name]
         outage = self._outages.setdefault(service, Outage(now_s))
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -11,9 +11,9 @@
 import math
 import random
 import sys
-import time
 from collections.abc import Callable, Iterable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import QueueShare
 from yokedock.errors import NoDecodeRoom
@@ -98,12 +98,12 @@
 
     def waiting_in_time(self) -> int:
         """Return how many generations wait for room that can still meet their target."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         return sum(w.is_in_time(now_s) for queue in self._queues.values() for w in queue)
 
     def queues(self) -> dict[str, QueueShare]:
         """Return what waits here for each service, for the other routers."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         return {
             service: QueueShare(
                 sum(waiter.is_in_time(now_s) for waiter in self._queues.get(service, ())),
@@ -129,7 +129,7 @@
     # --- One waiter ---
 
     def _waiter(self, call: RoutedCall, progress: Progress) -> Waiter:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         first_token_s = self._choice.first_token_s(call, progress)
         in_time_until_s = call.target_s - first_token_s
         if progress.made:
@@ -157,7 +157,7 @@
     async def _wait(self, waiter: Waiter) -> None:
         """Wait until the waiter is placed; raises ``NoDecodeRoom`` when that is hopeless."""
         while not waiter.placed.done():
-            now_s = time.monotonic()
+            now_s = boot_time_s()
             if now_s >= waiter.gives_up_s:
                 self._schedule(waiter.call.service.name)
                 if waiter.placed.done():
@@ -170,14 +170,14 @@
             next_s = waiter.gives_up_s if waiter.is_late else waiter.in_time_until_s
             timeout_s = max(LEAST_LOOK_S, min(next_s, waiter.gives_up_s) - now_s)
             await asyncio.wait({waiter.placed}, timeout=timeout_s)
-        self._note_wait(waiter, time.monotonic())
+        self._note_wait(waiter, boot_time_s())
 
     def _refuse_if_hopeless(self, waiter: Waiter) -> None:
         """Refuse a waiter that will not be placed before its caller gives up.
 
         Not one for which work was done already: a prediction is no reason to lose it.
         """
-        waiter.predicted_at_s = time.monotonic()
+        waiter.predicted_at_s = boot_time_s()
         ahead = self._ahead(waiter)
         wait_s = self._forecast.wait_s(ahead)
         waiter.predicted_s, waiter.is_late = wait_s, ahead.is_late
@@ -192,7 +192,7 @@
             "no room",
             request=waiter.call.request_id,
             predicted_ms=round(waiter.predicted_s * 1000),
-            waited_ms=round((time.monotonic() - waiter.predicted_at_s) * 1000),
+            waited_ms=round((boot_time_s() - waiter.predicted_at_s) * 1000),
             is_late=waiter.is_late,
             reason=reason,
         )
@@ -260,7 +260,7 @@
 
     def _schedule(self, service: str) -> None:
         """Give room to the waiters of a service in order; the first that does not fit ends it."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         queue = self._queues.get(service)
         if queue is None:
             return
@@ -293,7 +293,7 @@
         if self._order.is_alone(service):
             return True
         places = self._choice.places(waiter.call, waiter.progress)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         wait_s = self._order.wait_s(waiter, places, now_s)
         if wait_s > 0 and now_s + wait_s < self._turn_due_s:
             self._turn_due_s = now_s + wait_s
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -13,12 +13,12 @@
 
 from __future__ import annotations
 
-import time
 import zlib
 from collections.abc import Callable, Iterable
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import SuspectRequest
 from yokedock.errors import RequestQuarantined
@@ -92,7 +92,7 @@
     router saw an end: the others are to hear of it at once.
     """
 
-    def __init__(self, is_used: bool = True, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, is_used: bool = True, clock: Callable[[], float] = boot_time_s) -> None:
         """Start without suspects; if not ``is_used``, stay so."""
         self._is_used = is_used
         self._clock = clock
--- a/src/yokedock/request/prefill_queue.py
+++ b/src/yokedock/request/prefill_queue.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 import threading
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import AttemptLost, NoPrefillRoom
 from yokedock.request.known_blocks import KnownBlocks
 from yokedock.request.prefix import (
@@ -60,7 +60,7 @@
 
     def enter(self, attempt: str, service_s: float, finish_by_s: float) -> None:
         """Accept a prefill, or raise ``NoPrefillRoom`` with the time until there may be room."""
-        now = time.monotonic()
+        now = boot_time_s()
         job = QueuedPrefill(attempt, service_s, finish_by_s)
         with self._changed:
             before = self._finish_times(now, list(self._jobs.values()))
@@ -82,13 +82,13 @@
         with self._changed:
             job = self._jobs[attempt]
             while not job.is_cancelled:
-                wait_s = self._turn_in_s(job, time.monotonic())
+                wait_s = self._turn_in_s(job, boot_time_s())
                 if wait_s is not None and wait_s <= 0:
                     break
                 self._changed.wait(wait_s)
             if job.is_cancelled:
                 raise AttemptLost("the prefill was given up before it was started")
-            now = time.monotonic()
+            now = boot_time_s()
             if now + job.service_s > job.finish_by_s + LATE_TOLERANCE_S:
                 message = "the prefill's turn came too late, so it was not started; retry"
                 raise NoPrefillRoom(message, MIN_RETRY_AFTER_S)
@@ -109,7 +109,7 @@
             self._jobs.pop(attempt, None)
             first = min(self._ordered(), key=lambda job: job.ordered_s or 0.0, default=None)
             if first is not None:
-                first.ordered_s = time.monotonic()
+                first.ordered_s = boot_time_s()
             self._changed.notify_all()
 
     def queued_tokens(self) -> int:
--- a/src/yokedock/request/prompt_reads.py
+++ b/src/yokedock/request/prompt_reads.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 
 _log = logger("prompt")
@@ -27,12 +26,12 @@
         """Note that ``engine`` is asked to read ``tokens``; what was read before is lost."""
         self.end(is_whole=False)
         self.engine, self.tokens = engine, tokens
-        self.begun_s, self.read_s = time.monotonic(), 0.0
+        self.begun_s, self.read_s = boot_time_s(), 0.0
         self.loss = "no answer followed"
 
     def read(self) -> None:
         """Note that the engine has read the prompt: it has said so, or its answer has begun."""
-        self.read_s = self.read_s or time.monotonic()
+        self.read_s = self.read_s or boot_time_s()
 
     def lost(self, stage: str, reason: str) -> None:
         """Note what went wrong with the attempt that uses the last reading."""
@@ -54,4 +53,4 @@
 
 
 def _ms_since(then_s: float) -> int:
-    return round((time.monotonic() - then_s) * 1000)
+    return round((boot_time_s() - then_s) * 1000)
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.request.routed_call import RoutedCall
 
@@ -116,7 +116,7 @@
         bounds: RetryBounds,
         fleet_size: Callable[[], int],
         is_first_start: bool = False,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         """``fleet_size`` returns how many routers share the allowance, this one included.
 
--- a/src/yokedock/request/room_prediction.py
+++ b/src/yokedock/request/room_prediction.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Callable, Iterable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.router_state import QueueShare
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
@@ -26,7 +26,7 @@
 
     def note(self, service: str) -> None:
         """Note an arrival."""
-        self._times.setdefault(service, collections.deque()).append(time.monotonic())
+        self._times.setdefault(service, collections.deque()).append(boot_time_s())
 
     def services(self) -> list[str]:
         """Return the services at which some came."""
@@ -37,7 +37,7 @@
         times = self._times.get(service)
         if times is None:
             return 0.0
-        oldest_s = time.monotonic() - ARRIVALS_WINDOW_S
+        oldest_s = boot_time_s() - ARRIVALS_WINDOW_S
         while times and times[0] < oldest_s:
             times.popleft()
         if not times:
@@ -65,7 +65,7 @@
 
     def ahead(self, waiter: Waiter, queue: Iterable[Waiter]) -> QueueAhead:
         """Return what goes before a waiter: those in time, and newcomers too if it will be late."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         service = waiter.call.service.name
         engines = self._registry.usable(service, DECODE_ROLE)
         streams = sum(self._ledger.streams(engine.name) for engine in engines)
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Iterator
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import CallTerms
@@ -100,7 +100,7 @@
 
     def since_arrival_ms(self) -> int:
         """Return the milliseconds since the arrival."""
-        return round((time.monotonic() - self.arrived_s) * MS_A_SECOND)
+        return round((boot_time_s() - self.arrived_s) * MS_A_SECOND)
 
     @contextlib.contextmanager
     def visit(self, backend: str, zone: str, role: str) -> Iterator[BackendVisit]:
@@ -121,20 +121,20 @@
 
     def is_late(self) -> bool:
         """Return whether an answer that is whole now missed the route's targets."""
-        answered_s = self.first_piece_s or time.monotonic()
+        answered_s = self.first_piece_s or boot_time_s()
         is_late = answered_s > self.target_s and self.route.target_s > 0
         gap_target_s = self.route.gap_target_s
         return is_late or 0 < gap_target_s < self.longest_pause_s
 
     def left_s(self) -> float:
         """Return the seconds until the deadline, at least 0."""
-        return max(0.0, self.deadline_s - time.monotonic())
+        return max(0.0, self.deadline_s - boot_time_s())
 
     def backend_deadline_ms(self) -> int | None:
         """Return the deadline that a backend is given: what the caller has left."""
         if self.terms.deadline_s is None:
             return max(MIN_DEADLINE_MS, int(self.left_s() * 1000))
-        left_s = self.arrived_s + self.terms.deadline_s - time.monotonic()
+        left_s = self.arrived_s + self.terms.deadline_s - boot_time_s()
         return max(MIN_DEADLINE_MS, int(left_s * 1000))
 
     @contextlib.contextmanager
--- a/src/yokedock/request/slots.py
+++ b/src/yokedock/request/slots.py
@@ -15,8 +15,8 @@
 import dataclasses
 import heapq
 import threading
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import AttemptLost, NoDecodeRoom
 from yokedock.request.arrival_rates import ArrivalRates
 
@@ -65,7 +65,7 @@
         Raises ``NoDecodeRoom`` when none will be free in time, or when another reservation would
         come too late. Asking again for the same attempt renews its reservation.
         """
-        now = time.monotonic()
+        now = boot_time_s()
         with self._lock:
             self._drop_expired(now)
             known = self._entries.get(entry.attempt)
@@ -84,7 +84,7 @@
     def start(self, attempt: str) -> None:
         """Turn a reservation into a running stream; raises ``AttemptLost`` if it has expired."""
         with self._lock:
-            self._drop_expired(time.monotonic())
+            self._drop_expired(boot_time_s())
             entry = self._entries.get(attempt)
             if entry is None:
                 raise AttemptLost("the reservation has expired; reserve again")
@@ -109,7 +109,7 @@
     def taken(self) -> int:
         """Return how many slots are reserved or running."""
         with self._lock:
-            self._drop_expired(time.monotonic())
+            self._drop_expired(boot_time_s())
             return len(self._entries)
 
     def _headroom(self, entry: SlotEntry, now: float) -> int:
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
 from yokedock.connection.http_heads import AnswerHead
@@ -59,7 +59,7 @@
                 self.last_id = event.event_id
 
     def _note_time(self, is_first_of_run: bool) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self.events += 1
         if self.first_s is None:
             self.first_s = now_s
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.patience import Patience
 from yokedock.request.backend_life import Backend
@@ -62,7 +62,7 @@
 class StreamWatch:
     """Watches all streams of this process."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic, is_used: bool = True) -> None:
+    def __init__(self, clock: Callable[[], float] = boot_time_s, is_used: bool = True) -> None:
         """Start with no stream; without ``is_used`` no engine is ever taken for silent."""
         self._clock = clock
         self._is_used = is_used
--- a/src/yokedock/request/transfer_credit.py
+++ b/src/yokedock/request/transfer_credit.py
@@ -8,9 +8,10 @@
 
 import dataclasses
 import threading
-import time
 from collections.abc import Callable
 
+from yokedock.base.clock import boot_time_s
+
 AGING_BYTES_PER_S_SHARE = 1.0
 """Waiting for a second counts like being shorter by this share of a second's bytes."""
 CREDIT_SLACK_S = 1.0
@@ -41,7 +42,7 @@
 
     def ask(self, attempt: str, size: int, patience_s: float, granted: Callable[[], None]) -> None:
         """Call ``granted`` as soon as the transfer may start."""
-        now = time.monotonic()
+        now = boot_time_s()
         with self._lock:
             self._waiting.append(WaitingTransfer(attempt, size, now, now + patience_s, granted))
         self.check()
@@ -60,7 +61,7 @@
 
     def check(self) -> None:
         """Grant what can be granted now."""
-        now = time.monotonic()
+        now = boot_time_s()
         chosen: list[WaitingTransfer] = []
         with self._lock:
             for attempt in [a for a, ends_s in self._granted.items() if ends_s <= now]:
--- a/src/yokedock/request/watchdog.py
+++ b/src/yokedock/request/watchdog.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.http_server import HttpRequest
 from yokedock.errors import AttemptLost, CallerGone, DeadlineExceeded
@@ -75,7 +75,7 @@
     def run(self) -> None:
         """Check all requests, again and again."""
         while not self._stopping.wait(CHECK_S):
-            now = time.monotonic()
+            now = boot_time_s()
             for watched in list(self._watched.values()):
                 try:
                     watched.check(now)
--- a/src/yokedock_emulator/bench_deployment.py
+++ b/src/yokedock_emulator/bench_deployment.py
@@ -11,7 +11,7 @@
 import urllib3
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.process.bundle_files import public_text
 from yokedock.version.bundle_codec import sign_bundle
 from yokedock.version.bundle_source import read_bundle_source
@@ -153,10 +153,10 @@
         urllib3.request("POST", f"{self._platform}/test/publish", body=body)
 
     def _wait_ready(self) -> None:
-        give_up_s = time.monotonic() + READY_LIMIT_S
+        give_up_s = boot_time_s() + READY_LIMIT_S
         for address in self.gateways:
             while urllib3.request("GET", f"http://{address}/ready").status != 200:
-                if time.monotonic() > give_up_s:
+                if boot_time_s() > give_up_s:
                     return
                 time.sleep(READY_POLL_S)
         time.sleep(2 * READY_POLL_S)
--- a/src/yokedock_emulator/cluster.py
+++ b/src/yokedock_emulator/cluster.py
@@ -9,7 +9,7 @@
 
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.metrics import MetricsSettings
 from yokedock.errors import YokedockError
 from yokedock.process.agent import Agent
@@ -218,8 +218,8 @@
         )
 
     def _wait_ready(self) -> None:
-        give_up_s = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < give_up_s:
+        give_up_s = boot_time_s() + START_LIMIT_S
+        while boot_time_s() < give_up_s:
             if all(self._is_ready(gateway) for gateway in self.gateways):
                 return
             time.sleep(POLL_S)
--- a/src/yokedock_emulator/day.py
+++ b/src/yokedock_emulator/day.py
@@ -10,12 +10,12 @@
 import dataclasses
 import tempfile
 import threading
-import time
 from pathlib import Path
 
 import msgspec
 import urllib3
 
+from yokedock.base.clock import boot_time_s
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.tables import format_table
 from yokedock_emulator.bench_deployment import BenchDeployment
@@ -86,7 +86,7 @@
         super().__init__(name="role sampler", daemon=True)
         self._bench = bench
         self._engines = engines
-        self._started_s = time.monotonic()
+        self._started_s = boot_time_s()
         self._stopping = threading.Event()
         self._last: dict[str, str] = {}
         self.samples: list[RoleSample] = []
@@ -106,7 +106,7 @@
             )
             self._last = roles
             found = list(roles.values())
-            at_s = time.monotonic() - self._started_s
+            at_s = boot_time_s() - self._started_s
             sample = RoleSample(round(at_s, 1), found.count("prefill"), found.count("decode"))
             self.samples.append(sample)
 
--- a/src/yokedock_emulator/decision_cost.py
+++ b/src/yokedock_emulator/decision_cost.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import CallTerms, GenerationTerms, PromptPart
@@ -137,7 +138,7 @@
             gap_target_s=0.3,
         )
         return RoutedCall(
-            CallerRequest(_HEAD, b"", time.monotonic()),
+            CallerRequest(_HEAD, b"", boot_time_s()),
             _NO_ANSWER,
             CallTerms(f"r-{number}", 60.0, generation=generation),
             route,
--- a/src/yokedock_emulator/demo.py
+++ b/src/yokedock_emulator/demo.py
@@ -11,7 +11,7 @@
 import msgspec
 import urllib3
 
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.logs import set_up_logs
 from yokedock.process.tables import format_table
 from yokedock.request.idempotency import new_key
@@ -105,7 +105,7 @@
     cluster: Cluster, prompt: str, max_tokens: int, stop_after: int | None = None
 ) -> StreamReport:
     """Send one streamed completion; close the connection after ``stop_after`` events."""
-    started_s = time.monotonic()
+    started_s = boot_time_s()
     body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": True}
     response = urllib3.request(
         "POST",
@@ -121,7 +121,7 @@
             if event + b"\n\n" == STREAM_END:
                 report.is_whole = True
                 continue
-            times.append(time.monotonic())
+            times.append(boot_time_s())
             choice = msgspec.json.decode(event.removeprefix(b"data: "))["choices"][0]
             report.text += choice["text"]
         if stop_after is not None and len(times) >= stop_after:
@@ -153,9 +153,9 @@
 
 
 def _check_held(cluster: Cluster) -> list[str]:
-    give_up_s = time.monotonic() + RELEASE_LIMIT_S
+    give_up_s = boot_time_s() + RELEASE_LIMIT_S
     held = _held(cluster)
-    while held and time.monotonic() < give_up_s:
+    while held and boot_time_s() < give_up_s:
         time.sleep(0.02)
         held = _held(cluster)
     print(f"slots and caches held at the end: {held}")
--- a/src/yokedock_emulator/link.py
+++ b/src/yokedock_emulator/link.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from yokedock.base.clock import boot_time_s
+
 CHUNK_S = 0.01
 """A transfer takes the link for this long at a time, so that others get their share."""
 
@@ -32,8 +34,8 @@
             part = min(left, chunk)
             left -= part
             with self._lock:
-                start = max(time.monotonic(), self._busy_until_s)
+                start = max(boot_time_s(), self._busy_until_s)
                 self._busy_until_s = start + part / self._bytes_per_s
                 ready = self._busy_until_s
-            time.sleep(max(0.0, ready - time.monotonic()))
+            time.sleep(max(0.0, ready - boot_time_s()))
         return is_wanted.is_set()
--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -15,10 +15,10 @@
 import socket
 import subprocess
 import tempfile
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from yokedock.base.clock import boot_time_s
 from yokedock.platform.headers import PLATFORM_HEADERS
 from yokedock.process.router import METRICS_PATH
 from yokedock_emulator.deployed_router import DeployedRouter
@@ -72,7 +72,7 @@
         self._failed_pages = 0
         self._samples: list[LongRunSample] = []
         self._sent = 0
-        self._started_s = time.monotonic()
+        self._started_s = boot_time_s()
         self._listen = self._ready = self._fleet = ""
         self._process: subprocess.Popen[bytes] | None = None
         self._last_sampled = (0, 0.0)
@@ -182,13 +182,13 @@
         kind = choices.choices(list(KINDS), list(KINDS.values()))[0]
         number = choices.randrange(self._plan.routes)
         self._sent += 1
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         exchange.send(self._request(kind, number))
         if choices.random() < LEAVING_SHARE:
             await asyncio.sleep(0)
             return False
         status, _ = await exchange.read()
-        self._held_ms.append((time.monotonic() - started_s) * MS_A_SECOND)
+        self._held_ms.append((boot_time_s() - started_s) * MS_A_SECOND)
         self._answers[f"{kind} {status}"] += 1
         if status != EXPECTED[kind]:
             self._note_unexpected(f"{kind}: {status}")
@@ -225,7 +225,7 @@
         held_ms = sorted(self._held_ms) or [0.0]
         self._samples.append(
             LongRunSample(
-                round(time.monotonic() - self._started_s, 1),
+                round(boot_time_s() - self._started_s, 1),
                 self._sent,
                 round(resident_bytes(pid) / MB, 2),
                 len(os.listdir(f"/proc/{pid}/fd")),
--- a/src/yokedock_emulator/model_engine.py
+++ b/src/yokedock_emulator/model_engine.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.engine_protocol import (
     CacheEvents,
     DecodeOrder,
@@ -93,7 +94,7 @@
         self._orders_refused = 0
         self._dropped: list[str] = []
         self._samplings: list[Sampling] = []
-        self._last_order_s = time.monotonic()
+        self._last_order_s = boot_time_s()
         for loop in (self._prefill_loop, self._decode_loop):
             threading.Thread(target=loop, name=loop.__name__, daemon=True).start()
 
@@ -102,7 +103,7 @@
     def check_order(self, fencing_token: int) -> None:
         """Refuse an order whose fencing token is below the highest seen, if the engine checks."""
         with self._lock:
-            self._last_order_s = time.monotonic()
+            self._last_order_s = boot_time_s()
             if self.profile.checks_fencing and fencing_token < self._highest_token:
                 self._orders_refused += 1
                 raise OrderRefused("the fencing token is old; a newer agent is in charge")
@@ -221,7 +222,7 @@
 
     def load(self) -> Load:
         """Return the load as it was ``load_lag_ms`` ago."""
-        now = time.monotonic()
+        now = boot_time_s()
         with self._lock:
             running = sum(1 for stream in self._streams.values() if not stream.finish)
             queued = sum(count_tokens(job.order.prompt) for _, _, job in self._prefill_queue)
@@ -263,7 +264,7 @@
                 self._tokens_out,
                 tuple(self._started),
                 self._orders_refused,
-                time.monotonic() - self._last_order_s,
+                boot_time_s() - self._last_order_s,
                 tuple(self._dropped),
                 tuple(self._samplings),
             )
@@ -304,7 +305,7 @@
                 return
             self._cache.insert(prompt)
             handle = uuid.uuid4().hex
-            expires = time.monotonic() + self.profile.kept_ms / 1000
+            expires = boot_time_s() + self.profile.kept_ms / 1000
             self._exports[handle] = KeptCache(
                 job.order.request, handle, total, done, expires, job.wanted
             )
@@ -344,7 +345,7 @@
                 if not stream.finish and len(stream.tokens) >= order.max_tokens:
                     stream.finish = "length"
                 if stream.finish:
-                    stream.finished_s = time.monotonic()
+                    stream.finished_s = boot_time_s()
                 tokens.append(StepToken(order.request, sequence, token, stream.finish))
             self._tokens_out += len(tokens)
             self._drop_expired()
@@ -356,7 +357,7 @@
 
     def _drop_expired(self) -> None:
         """Throw away caches kept too long, and the texts of streams finished long ago."""
-        now = time.monotonic()
+        now = boot_time_s()
         with self._lock:
             for export in list(self._exports.values()):
                 if not export.is_pulling and export.expires_s <= now:
--- a/src/yokedock_emulator/open_loop.py
+++ b/src/yokedock_emulator/open_loop.py
@@ -8,11 +8,11 @@
 import re
 import selectors
 import socket
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock_emulator.bench_deployment import TOKEN
 from yokedock_emulator.workload import Arrival
 
@@ -89,18 +89,18 @@
 
     def run(self, arrivals: list[Arrival]) -> list[RequestResult]:
         """Send everything at its time, wait for all answers, and return what became of each."""
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         next_progress_s = started_s + PROGRESS_S
         for number, arrival in enumerate(arrivals):
             due_s = started_s + arrival.at_s
-            while (left_s := due_s - time.monotonic()) > 0:
+            while (left_s := due_s - boot_time_s()) > 0:
                 self._poll(min(left_s, 0.02))
             self.results.append(self._send(arrival, self._address(number)))
-            if time.monotonic() > next_progress_s:
+            if boot_time_s() > next_progress_s:
                 next_progress_s += PROGRESS_S
                 self._progress(f"{number + 1}/{len(arrivals)} sent, {self._open} open")
-        give_up_s = time.monotonic() + DRAIN_LIMIT_S
-        while (self._open or self._due) and time.monotonic() < give_up_s:
+        give_up_s = boot_time_s() + DRAIN_LIMIT_S
+        while (self._open or self._due) and boot_time_s() < give_up_s:
             self._poll(0.05)
         return self.results
 
@@ -109,7 +109,7 @@
 
     def _send_returns(self) -> None:
         """Send again what was refused, at the time that the refusal named."""
-        while self._due and self._due[0][0] <= time.monotonic():
+        while self._due and self._due[0][0] <= boot_time_s():
             _, number, arrival = heapq.heappop(self._due)
             result = self._send(arrival, self._address(number))
             result.is_return = True
@@ -130,7 +130,7 @@
             f"X-Request-Class: {arrival.traffic.name}\r\nX-Deadline-Ms: {_patience_ms(arrival)}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        result = RequestResult(arrival, time.monotonic())
+        result = RequestResult(arrival, boot_time_s())
         connection = socket.create_connection((host, int(port)))
         connection.sendall(head.encode() + body)
         connection.setblocking(False)
@@ -148,7 +148,7 @@
             data = connection.recv(RECEIVE_BYTES)
         except ConnectionError:
             data = b""
-        now = time.monotonic()
+        now = boot_time_s()
         if not result.status and data:
             result.status = int(data.split(b" ", 2)[1])
             retry_after = _RETRY_AFTER.search(data)
--- a/src/yokedock_emulator/path_cost.py
+++ b/src/yokedock_emulator/path_cost.py
@@ -15,6 +15,7 @@
 import msgspec
 import urllib3
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.engine_protocol import DecodeOrder, ImportOrder, PrefillOrder
 from yokedock.process.tables import format_table
 from yokedock_emulator.bench_deployment import TOKEN, BenchDeployment, BenchEngine, BenchPlan
@@ -125,9 +126,9 @@
         if share
     ]
     time.sleep(OPENING_S + SETTLE_S + 1.0)
-    before_s, started_s = bench.gateway_node().processor_s(), time.monotonic()
+    before_s, started_s = bench.gateway_node().processor_s(), boot_time_s()
     time.sleep(WINDOW_S - 1.0)
-    cores = (bench.gateway_node().processor_s() - before_s) / (time.monotonic() - started_s)
+    cores = (bench.gateway_node().processor_s() - before_s) / (boot_time_s() - started_s)
     resident_mb = bench.gateway_node().resident_bytes() / 1e6
     outputs = [generator.communicate()[0] for generator in generators]
     reports = [msgspec.json.decode(output, type=LoadReport) for output in outputs]
@@ -162,7 +163,7 @@
 
 def _first_token_through(bench: BenchDeployment, number: int) -> float:
     body = {"model": MODEL, "prompt": f"first {number} " * 64, "max_tokens": 2, "stream": True}
-    started_s = time.monotonic()
+    started_s = boot_time_s()
     response = urllib3.request(
         "POST",
         f"http://{bench.gateways[0]}/v1/completions",
@@ -171,7 +172,7 @@
         preload_content=False,
     )
     next(response.stream(16))
-    elapsed_ms = (time.monotonic() - started_s) * 1000
+    elapsed_ms = (boot_time_s() - started_s) * 1000
     response.close()
     return elapsed_ms
 
@@ -185,7 +186,7 @@
     lines = steps.stream(None)
     next(lines)
     request, prompt = f"direct-{number}", f"direct {number} " * 64
-    started_s = time.monotonic()
+    started_s = boot_time_s()
     order = PrefillOrder(request, MODEL, "", prompt)
     answer = pool.request("POST", f"{prefill_url}/v1/prefill", body=msgspec.json.encode(order))
     handle = msgspec.json.decode(answer.data)["handle"]
@@ -195,7 +196,7 @@
     pool.request("POST", f"{decode_url}/v1/decode", body=msgspec.json.encode(decode_order))
     while request.encode() not in next(lines):
         pass
-    elapsed_ms = (time.monotonic() - started_s) * 1000
+    elapsed_ms = (boot_time_s() - started_s) * 1000
     steps.close()
     return elapsed_ms
 
--- a/src/yokedock_emulator/platform.py
+++ b/src/yokedock_emulator/platform.py
@@ -7,10 +7,10 @@
 
 import dataclasses
 import threading
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.configuration_watch import REVISION_HEADER
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.connection.machine_list import Machine, MachineList
@@ -94,11 +94,11 @@
     def set_machines(self, machines: tuple[Machine, ...]) -> None:
         """Set the list; readers see it after the lag."""
         with self._changed:
-            self._lists.append((time.monotonic(), machines))
+            self._lists.append((boot_time_s(), machines))
 
     def machine_list(self) -> MachineList:
         """Return the list as it was some time ago."""
-        horizon = time.monotonic() - self._list_lag_s
+        horizon = boot_time_s() - self._list_lag_s
         with self._changed:
             while len(self._lists) > 1 and self._lists[1][0] <= horizon:
                 self._lists.pop(0)
@@ -127,13 +127,13 @@
         return HttpResponse(200, value.content, "application/octet-stream", headers)
 
     def _wait_for(self, key: str, after: int, wait_s: float) -> StoredValue | None:
-        give_up_s = time.monotonic() + wait_s
+        give_up_s = boot_time_s() + wait_s
         while True:
             if self._outage.down:
                 raise PlatformUnavailable("the configuration service is down")
             values = self._stale_values if self._outage.stale else self._values
             value = values.get(key)
-            left_s = give_up_s - time.monotonic()
+            left_s = give_up_s - boot_time_s()
             if left_s <= 0 or (value is not None and value.revision > after):
                 return value
             self._changed.wait(left_s)
--- a/src/yokedock_emulator/prefix_cache.py
+++ b/src/yokedock_emulator/prefix_cache.py
@@ -5,8 +5,8 @@
 import collections
 import random
 import threading
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.engine_protocol import CacheEvents
 from yokedock.request.prefix import BLOCK_TOKENS, block_hashes, cached_prefix_blocks
 
@@ -52,7 +52,7 @@
 
     def events_after(self, after: int) -> CacheEvents:
         """Return the published events with a number above ``after``."""
-        visible_until = time.monotonic() - self._event_lag_s
+        visible_until = boot_time_s() - self._event_lag_s
         with self._lock:
             found = [e for e in self._events if e[0] > after and e[1] <= visible_until]
         if not found:
@@ -66,4 +66,4 @@
         number = self._next_event
         self._next_event += 1
         if self._random.random() >= self._gap_share:
-            self._events.append((number, time.monotonic(), block, is_cached))
+            self._events.append((number, boot_time_s(), block, is_cached))
--- a/src/yokedock_emulator/process_group.py
+++ b/src/yokedock_emulator/process_group.py
@@ -17,6 +17,7 @@
 
 import urllib3
 
+from yokedock.base.clock import boot_time_s
 from yokedock.errors import YokedockError
 
 START_LIMIT_S = 30.0
@@ -105,8 +106,8 @@
 
     def wait_up(self) -> None:
         """Wait until the process answers; raises ``ProcessNotUp``."""
-        give_up_s = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < give_up_s and self.is_alive():
+        give_up_s = boot_time_s() + START_LIMIT_S
+        while boot_time_s() < give_up_s and self.is_alive():
             if self._answers():
                 return
             time.sleep(POLL_S)
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 import tempfile
-import time
 from collections.abc import Iterable
 from pathlib import Path
 
+from yokedock.base.clock import boot_time_s
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.router_soak.soak_clients import SoakClients
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
@@ -72,14 +72,14 @@
 
     async def _drive(self, fleet: SoakFleet) -> None:
         clients = SoakClients(self._seed, fleet, self._operator, self._history)
-        self._began_s = time.monotonic()
+        self._began_s = boot_time_s()
         calls = asyncio.create_task(clients.run())
         for event in draw_plan(self._seed, self._seconds):
-            await asyncio.sleep(self._began_s + event.at_s - time.monotonic())
+            await asyncio.sleep(self._began_s + event.at_s - boot_time_s())
             done = await self._strike(fleet, event)
             if done:
-                self._history.tell(time.monotonic(), done)
-        await asyncio.sleep(self._began_s + self._seconds + CALM_S - time.monotonic())
+                self._history.tell(boot_time_s(), done)
+        await asyncio.sleep(self._began_s + self._seconds + CALM_S - boot_time_s())
         clients.stop()
         await calls
 
@@ -102,20 +102,20 @@
         """Read what routers still hold once nobody calls."""
         await fleet.settle()
         for router in range(ROUTERS):
-            until_s = time.monotonic() + EMPTY_LIMIT_S
+            until_s = boot_time_s() + EMPTY_LIMIT_S
             while True:
                 levels = await fleet.levels(router)
                 self._history.at_end[router] = levels
-                if not levels["router_active"] or time.monotonic() > until_s:
+                if not levels["router_active"] or boot_time_s() > until_s:
                     break
                 await asyncio.sleep(TICK_S)
 
     async def _tick(self) -> None:
         with contextlib.suppress(asyncio.CancelledError):
             while True:
-                before_s = time.monotonic()
+                before_s = boot_time_s()
                 await asyncio.sleep(TICK_S)
-                now_s = time.monotonic()
+                now_s = boot_time_s()
                 if now_s - before_s > STOOD_STILL_S:
                     self._history.stood_still_s.append((before_s, now_s))
 
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
 from yokedock.request.engine_placement import PREFILL_ROLE
 from yokedock_emulator.plain_http import (
@@ -74,8 +74,8 @@
         """End in order: take no more connections, and let what is under way end."""
         if self._server is not None:
             self._server.close()
-        until_s = time.monotonic() + patience_s
-        while any(self._working.values()) and time.monotonic() < until_s:
+        until_s = boot_time_s() + patience_s
+        while any(self._working.values()) and boot_time_s() < until_s:
             await asyncio.sleep(0.02)
         self.kill()
 
@@ -111,7 +111,7 @@
             request.method,
             request.target,
             request.body,
-            time.monotonic(),
+            boot_time_s(),
             is_prefill,
         )
         self._working[writer] = arrival
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import random
-import time
 
+from yokedock.base.clock import boot_time_s
 from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
 from yokedock_emulator.router_soak.soak_connection import SoakAnswer, SoakConnection
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
@@ -104,7 +104,7 @@
             connection.send(_request(record))
             self._history.records[record.request_id] = record
             await self._answer(connection, record, choices)
-            record.end_s = time.monotonic()
+            record.end_s = boot_time_s()
             if record.outcome != "answered" or record.closes:
                 goes_on = record.outcome == "cut" and record.events and record.route.kind == "chat"
                 return record if goes_on and choices.random() < GOES_ON_SHARE else None
@@ -123,7 +123,7 @@
         self._sent += 1
         request_id = f"r{self._seed}-{self._sent}"
         route = self._route(choices)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if broken is not None:
             route = SoakRoute("chat", self._operator.version - 1, route.number)
             return ClientRecord(
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -7,10 +7,10 @@
 import signal
 import socket
 import subprocess
-import time
 from pathlib import Path
 from typing import Any
 
+from yokedock.base.clock import boot_time_s
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.raw_exchange import get_page
 from yokedock_emulator.router_soak.soak_plan import ROUTERS, SoakEvent
@@ -102,7 +102,7 @@
         if life.ready_s is None or life.ended_s is not None:
             return False
         terminated_s = life.terminated_s
-        return terminated_s is None or time.monotonic() - terminated_s < TAKES_NEW_S
+        return terminated_s is None or boot_time_s() - terminated_s < TAKES_NEW_S
 
     async def levels(self, router: int) -> dict[str, float]:
         """Return the figures without labels of a router's metrics page."""
@@ -126,7 +126,7 @@
         elif event.kind == "freeze":
             self._after(self._freeze(router, event.length_s))
         elif event.kind == "kill":
-            life.killed_s = time.monotonic()
+            life.killed_s = boot_time_s()
             process.kill()
         elif life.terminated_s is None:
             self._terminate(router)
@@ -136,29 +136,29 @@
 
     def _is_struck(self, router: int) -> bool:
         life = self._lives[router]
-        is_frozen = any(until_s > time.monotonic() for _, until_s in life.freezes)
+        is_frozen = any(until_s > boot_time_s() for _, until_s in life.freezes)
         return is_frozen or None in (life.ready_s,) or _is_ending(life)
 
     def _terminate(self, router: int) -> None:
         life, process = self._lives[router], self._processes[router]
         if life.terminated_s is None and life.ended_s is None:
-            life.terminated_s = time.monotonic()
+            life.terminated_s = boot_time_s()
             process.send_signal(signal.SIGTERM)
 
     async def _freeze(self, router: int, length_s: float) -> None:
         life, process = self._lives[router], self._processes[router]
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         life.freezes.append((now_s, now_s + length_s))
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(length_s)
         process.send_signal(signal.SIGCONT)
-        life.freezes[-1] = (now_s, time.monotonic())
+        life.freezes[-1] = (now_s, boot_time_s())
 
     # --- Lives ---
 
     def _start(self, router: int, is_first: bool) -> None:
         number = self._lives[router].number + 1 if router in self._lives else 1
-        life = RouterLife(router, number, time.monotonic())
+        life = RouterLife(router, number, boot_time_s())
         self._processes[router] = self._router.start(
             self._fields(router, is_first), self._logs[router].fileno()
         )
@@ -170,11 +170,11 @@
         """See a process to its end, and start the next."""
         while process.poll() is None:
             await asyncio.sleep(WATCH_S)
-            since_s = time.monotonic() - (life.terminated_s or time.monotonic())
+            since_s = boot_time_s() - (life.terminated_s or boot_time_s())
             if since_s > GRACE_S and life.killed_s is None:
-                life.killed_s = time.monotonic()
+                life.killed_s = boot_time_s()
                 process.kill()
-        life.ended_s, life.exit_code = time.monotonic(), process.returncode
+        life.ended_s, life.exit_code = boot_time_s(), process.returncode
         self._history.tell(life.ended_s, f"router {life.router} life {life.number}: ended")
         if not self._is_ending:
             await asyncio.sleep(0.3)
@@ -190,7 +190,7 @@
             except (OSError, EOFError, TimeoutError):
                 continue
             if status == 200:
-                life.ready_s = time.monotonic()
+                life.ready_s = boot_time_s()
 
     def _after(self, work: Any) -> None:
         task = asyncio.create_task(work)
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine
 from typing import Any, cast
 
+from yokedock.base.clock import boot_time_s
 from yokedock.platform.documents import (
     DRAINING,
     ONCE_KIND,
@@ -105,13 +105,13 @@
         )
         number = self.version * VERSION_STEP
         self.store.publish(StoredConfiguration(number, tuple(routes + fill), services))
-        self._history.published_s[self.version] = time.monotonic()
+        self._history.published_s[self.version] = boot_time_s()
 
     # --- The store's faults ---
 
     def silence_store(self, length_s: float) -> None:
         """Let the store answer nobody for a while."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._history.store_silent_s.append((now_s, now_s + length_s))
         self.store.fall_silent()
         asyncio.get_running_loop().call_later(length_s, self.store.speak_again)
@@ -140,7 +140,7 @@
             self._after(SERVES_ON_S, backend.end(ENDS_S))
         else:
             backend.kill()
-            self._history.killed_s.append((backend.service, time.monotonic()))
+            self._history.killed_s.append((backend.service, boot_time_s()))
             self._after(UNLISTED_S, self._unlist_later(backend))
         if soak_event.kind == "replace":
             await self._add(backend.service, backend.role, backend.address)
@@ -168,7 +168,7 @@
 
     def _drain(self, backend: SoakBackend) -> None:
         self._list(backend, DRAINING)
-        self._history.leaving_s[backend.instance] = time.monotonic()
+        self._history.leaving_s[backend.instance] = boot_time_s()
         backend.is_leaving = True
         self._after(SERVES_ON_S, self._end_drained(backend))
 
@@ -184,7 +184,7 @@
 
     def _unlist(self, backend: SoakBackend) -> None:
         self.store.remove_server(backend.instance)
-        self._history.leaving_s.setdefault(backend.instance, time.monotonic())
+        self._history.leaving_s.setdefault(backend.instance, boot_time_s())
 
     def _after(self, delay_s: float, work: Coroutine[Any, Any, None]) -> None:
         async def run() -> None:
--- a/src/yokedock_emulator/slopes.py
+++ b/src/yokedock_emulator/slopes.py
@@ -15,6 +15,7 @@
 import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.histograms import Histograms, Measure
 from yokedock.base.logs import set_up_logs
 from yokedock.connection.secure_session import Hello, SecureSession, Welcome, new_nonce
@@ -70,9 +71,9 @@
 
 def used_over(window_s: float) -> Usage:
     """Return processor time over wall time, and resident memory, of this process."""
-    started_s, before_s = time.monotonic(), time.process_time()
+    started_s, before_s = boot_time_s(), time.process_time()
     time.sleep(window_s)
-    share = (time.process_time() - before_s) / (time.monotonic() - started_s)
+    share = (time.process_time() - before_s) / (boot_time_s() - started_s)
     return Usage(share, resident_bytes())
 
 
--- a/src/yokedock_emulator/stream_load.py
+++ b/src/yokedock_emulator/stream_load.py
@@ -14,6 +14,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from yokedock.base.clock import boot_time_s
+
 _CLOCK = re.compile(rb"@(\d+)")
 RECEIVE_BYTES = 65_536
 HIGHEST_US = 60_000_000
@@ -47,16 +49,16 @@
 
     def run(self, streams: int, opening_s: float, settle_s: float, window_s: float) -> LoadReport:
         """Open all streams over ``opening_s``, wait ``settle_s``, then measure."""
-        opened_s = time.monotonic()
+        opened_s = boot_time_s()
         for number in range(streams):
             self._open(number)
             due_s = opened_s + opening_s * (number + 1) / streams
-            while time.monotonic() < due_s:
+            while boot_time_s() < due_s:
                 self._poll(0.005)
-        self._poll_until(time.monotonic() + settle_s)
+        self._poll_until(boot_time_s() + settle_s)
         self._ages.reset()
         self._tokens = self._chunks = 0
-        self._poll_until(time.monotonic() + window_s)
+        self._poll_until(boot_time_s() + window_s)
         p50, p99 = (self._ages.get_value_at_percentile(p) for p in (50.0, 99.0))
         return LoadReport(
             streams,
@@ -95,7 +97,7 @@
         self._selector.register(connection, selectors.EVENT_READ)
 
     def _poll_until(self, end_s: float) -> None:
-        while (left_s := end_s - time.monotonic()) > 0:
+        while (left_s := end_s - boot_time_s()) > 0:
             self._poll(min(left_s, 0.05))
 
     def _poll(self, timeout_s: float) -> None:
