--- a/features/support/budget_properties.py
+++ b/features/support/budget_properties.py
@@ -38,7 +38,6 @@
         return self.now_s
 
 
-
 class Fleet:
     """Routers by number, who hears whom, and a ledger of what reached the service."""
 
