Soak: a request that ends its backends, lives under one identifier, entries of other writers

Cause: no soak had a request that does harm, a backend that starts anew under its identifier, or an entry that another writer spoils. Change: one caller sends such a request again and again, one in four times three at once, to routers drawn anew; backends that end are back after 0.2 to 1.0 s under the same identifier; a new sort of events, drawn behind the others so that the seeds keep their plans. Made-up histories: 20 tries are found, 5 are not.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -37,6 +37,7 @@
       | an old configuration was in force for too long                  | CONFIG  |
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
+      | a request that ends its backends was sent on                    | BUDGET  |
       | a process ended by itself                                       | ENDED   |
       | SIGHUP ended a process that was being loaded                    | ENDED   |
       | a process did not stop in its grace                             | ENDED   |
@@ -50,6 +51,7 @@
       | history                                                         |
       | nothing went wrong                                              |
       | a killed router cut a request                                   |
+      | a request that ends its backends was kept from them in time     |
       | a request crossed the close of its connection                   |
       | a backend broke off a stream                                    |
       | SIGHUP ended a process before its first line                    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -1,6 +1,7 @@
 """Made-up histories of a soak, each with one thing that its judge must find, or must not."""
 
 from yokedock_emulator.router_soak.soak_records import (
+    POISON_MARK,
     Arrival,
     ClientRecord,
     RouterLife,
@@ -60,6 +61,15 @@
     made.arrival(made.request(status=503))
 
 
+def poison(made, tries):
+    """Let one request end a backend with each try, a second apart."""
+    for number in range(tries):
+        record = made.request("repeat", at_s=float(number), status=502)
+        record.body, record.path = POISON_MARK + b"1", "poison-1"
+        arrival = made.arrival(record, f"i-{number}", "broken")
+        arrival.target, arrival.body, arrival.is_own_end = record.target, record.body, True
+
+
 def cut_while_stopping(made):
     made.life.terminated_s, made.life.ended_s, made.life.exit_code = START_S, START_S + 3.0, 0
     made.request(outcome="cut", status=None, took_s=0.5)
@@ -195,6 +205,8 @@
     "an old configuration was in force for too long": old_version,
     "a router went back to an older configuration": went_back,
     "extra arrivals went over the budget": over_budget,
+    "a request that ends its backends was sent on": lambda made: poison(made, 20),
+    "a request that ends its backends was kept from them in time": lambda made: poison(made, 5),
     "a process ended by itself": ended_itself,
     "SIGHUP ended a process that was being loaded": lambda made: hung_up(made, True),
     "SIGHUP ended a process before its first line": lambda made: hung_up(made, False),
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -18,6 +19,7 @@
     whole_answer,
 )
 from yokedock_emulator.router_soak.soak_records import (
+    POISON_MARK,
     Arrival,
     SoakHistory,
     answer_body,
@@ -48,6 +50,8 @@
         self.is_leaving = False
         self.is_dead = False
         self.address = ""
+        self.on_crash: Callable[[SoakBackend], None] = lambda backend: None
+        """Called when a request has ended it."""
         self._history = history
         self._choices = random.Random(instance)
         self._server: asyncio.Server | None = None
@@ -131,7 +135,11 @@
     ) -> None:
         signed = [*head, (NAMES.signature, f"{self.instance}.{arrival.request_id}")]
         is_wrong_stage = self.role == PREFILL_ROLE and not arrival.is_prefill
-        if is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
+        if arrival.body.startswith(POISON_MARK) and not (is_wrong_stage or arrival.is_prefill):
+            await asyncio.sleep(self._choices.uniform(*STEP_S))
+            self.kill()
+            self.on_crash(self)
+        elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
             writer.write(whole_answer(status, [*head, (NAMES.not_run, "1")], b""))
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -14,6 +14,7 @@
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
     LIVES_IN,
+    POISON_MARK,
     ROUTES_A_KIND,
     STREAMS,
     ClientRecord,
@@ -40,6 +41,10 @@
 GOES_ON_SHARE = 0.8
 """Share of broken streams that may be resumed whose callers take them up again."""
 MOST_BODY_BYTES = 3000
+POISON_KINDS = ("repeat", "chat")
+POISON_COPIES = (1, 1, 1, 3)
+"""How many come at once, at routers drawn anew: one in four times several."""
+POISON_PAUSE_S = (0.1, 0.6)
 
 
 class SoakClients:
@@ -62,7 +67,8 @@
 
     async def run(self) -> None:
         """Call until stopped."""
-        await asyncio.gather(*(self._call(number) for number in range(CALLERS)))
+        callers = [self._call(number) for number in range(CALLERS)]
+        await asyncio.gather(*callers, self._call_with_poison())
 
     async def _call(self, number: int) -> None:
         choices = random.Random(f"{self._seed}-{number}")
@@ -78,6 +84,42 @@
             broken = await self._use(connection, router, most, choices, broken)
             connection.leave()
 
+    async def _call_with_poison(self) -> None:
+        """Send one request that ends its backends again and again, while its route is there."""
+        choices = random.Random(f"{self._seed}-poison")
+        number = 0
+        while not self._is_stopping:
+            number += 1
+            kind = choices.choice(POISON_KINDS)
+            route = SoakRoute(kind, max(1, self._operator.version - 1), 0)
+            while route.is_in(self._operator.version) and not self._is_stopping:
+                copies = choices.choice(POISON_COPIES)
+                await asyncio.gather(
+                    *(self._send_poison(route, number, choices) for _ in range(copies))
+                )
+                await asyncio.sleep(choices.uniform(*POISON_PAUSE_S))
+
+    async def _send_poison(self, route: SoakRoute, number: int, choices: random.Random) -> None:
+        router = choices.randrange(ROUTERS)
+        connection = await self._connect(router)
+        if connection is None:
+            return
+        self._sent += 1
+        record = ClientRecord(
+            f"r{self._seed}-{self._sent}",
+            route,
+            router,
+            self._fleet.life(router),
+            POISON_MARK + str(number).encode(),
+            boot_time_s(),
+            path=f"poison-{number}",
+        )
+        connection.send(_request(record))
+        self._history.records[record.request_id] = record
+        await self._answer(connection, record, choices)
+        record.end_s = boot_time_s()
+        connection.leave()
+
     async def _connect(self, router: int) -> SoakConnection | None:
         if not self._fleet.takes_new(router):
             return None
@@ -167,7 +209,7 @@
 
 def _request(record: ClientRecord) -> bytes:
     lines = [
-        f"POST {_target(record)} HTTP/1.1",
+        f"POST {record.target} HTTP/1.1",
         f"Host: {HOST}",
         f"{NAMES.request_id}: {record.request_id}",
         f"{NAMES.deadline_ms}: {DEADLINE_MS}",
@@ -181,10 +223,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + record.body
 
 
-def _target(record: ClientRecord) -> str:
-    return f"/{record.route.name}/x?of={record.request_id}"
-
-
 def _note(record: ClientRecord, answer: SoakAnswer) -> None:
     """Note the answer, and what is wrong with it by itself."""
     record.status = answer.status
@@ -201,7 +239,7 @@
         record.problems.append("a success without a signature")
     if record.route.kind in STREAMS:
         _note_stream(record, answer)
-    elif answer.is_whole and bytes(answer.body) != answer_body(record.request_id, _target(record)):
+    elif answer.is_whole and bytes(answer.body) != answer_body(record.request_id, record.target):
         record.problems.append("the body is not the backend's")
 
 
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -11,6 +11,7 @@
 import signal
 
 from yokedock_emulator.router_soak.soak_budget import budget_violations
+from yokedock_emulator.router_soak.soak_poison import poison_violations
 from yokedock_emulator.router_soak.soak_records import (
     BOUND_S,
     RUN_ONCE,
@@ -72,6 +73,7 @@
     found += [Violation("DRAIN", *each) for each in _late_arrivals(history)]
     found += [Violation("CONFIG", *each) for each in version_violations(history)]
     found += [Violation("BUDGET", text) for text in budget_violations(history)]
+    found += [Violation("BUDGET", *each) for each in poison_violations(history)]
     found += _processes(history)
     return found
 
@@ -93,6 +95,8 @@
     record = case.record
     name = record.request_id
     found = [Violation("MIXED", problem, name) for problem in record.problems]
+    if record.is_poison:
+        return found
     runs = case.runs()
     if record.route.kind in RUN_ONCE and len(runs) > 1:
         places = [run.instance for run in runs]
@@ -171,8 +175,7 @@
         if record is None:
             found.append(Violation("UNASKED", f"nobody sent {arrival.request_id!r}"))
             continue
-        target = f"/{record.route.name}/x?of={record.request_id}"
-        if (arrival.method, arrival.target, arrival.body) != ("POST", target, record.body):
+        if (arrival.method, arrival.target, arrival.body) != ("POST", record.target, record.body):
             text = f"changed to {arrival.method} {arrival.target}"
             found.append(Violation("UNASKED", text, record.request_id))
         is_taken = arrival.outcome != "misdirected"
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Coroutine
 from typing import Any, cast
 
-from yokedock.base.clock import boot_time_s
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.platform.documents import (
     DRAINING,
     ONCE_KIND,
@@ -48,6 +49,10 @@
 """What is under way then has so long to end."""
 UNLISTED_S = 2.0
 """The entry of a backend that was killed goes after this time."""
+BACK_AFTER_S = (0.2, 1.0)
+"""A backend that a request has ended is back after so long."""
+ODD_DOCUMENTS = (b"", b"{", b"[]", b"\xff", b'{"service": "model"}', b'{"state": "ready"}')
+"""What other writers leave in the place of an entry."""
 SLOTS = 64
 VERSION_STEP = 7
 """Versions of the operator's configurations rise by more than one."""
@@ -66,6 +71,9 @@
         """Those listed and not leaving."""
         self._all: list[SoakBackend] = []
         self._next = 0
+        self._choices = random.Random("soak-operator")
+        self._born_ms: dict[str, int] = {}
+        """When the newest life of each backend began, by identifier."""
         self._later: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -124,6 +132,13 @@
         if soak_event.kind in ("errors", "refusals"):
             self._fail(backend, soak_event)
             return backend.instance
+        if soak_event.kind == "restart":
+            backend.kill()
+            self._crashed(backend)
+            return backend.instance
+        if soak_event.kind == "odd entry":
+            self._write_oddly(backend, soak_event.length_s)
+            return backend.instance
         if soak_event.kind == "outage":
             for other in self._serving:
                 if other.service == backend.service:
@@ -154,15 +169,52 @@
     async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
         self._next += 1
         backend = SoakBackend(f"i-{self._next}", service, role, self._history)
+        await self._begin(backend, address)
+
+    async def _begin(self, backend: SoakBackend, address: str) -> None:
         await backend.start(address)
+        backend.on_crash = self._crashed
+        self._born_ms[backend.instance] = wall_clock_ms()
         self._serving.append(backend)
         self._all.append(backend)
         self._list(backend, "ready")
 
+    def _crashed(self, backend: SoakBackend) -> None:
+        """Have a backend that ended come back under its identifier after a while."""
+        self._history.killed_s.append((backend.service, boot_time_s()))
+        if backend in self._serving:
+            self._serving.remove(backend)
+            self._after(self._choices.uniform(*BACK_AFTER_S), self._start_anew(backend))
+
+    async def _start_anew(self, before: SoakBackend) -> None:
+        """Start the next life of a backend at the same address, under the same identifier."""
+        after = SoakBackend(before.instance, before.service, before.role, self._history)
+        await self._begin(after, before.address)
+
+    def _write_oddly(self, backend: SoakBackend, length_s: float) -> None:
+        """Let another writer spoil a backend's entry; the backend writes it again later."""
+        document = self._choices.choice(ODD_DOCUMENTS)
+        self.store.put_entry(backend.instance, document)
+        self._after(length_s, self._write_again(backend))
+
+    async def _write_again(self, backend: SoakBackend) -> None:
+        if backend in self._serving:
+            self._list(backend, "ready")
+
     def _list(self, backend: SoakBackend, state: StoredState) -> None:
         stage = cast(Stage, backend.role)
+        born_ms = self._born_ms[backend.instance]
         server = StoredServer(
-            backend.service, backend.address, "zone-1", SLOTS, state, "v1", 0.0, 1, stage
+            backend.service,
+            backend.address,
+            "zone-1",
+            SLOTS,
+            state,
+            "v1",
+            0.0,
+            1,
+            stage,
+            born=born_ms,
         )
         self.store.put_server(backend.instance, server)
 
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -22,12 +22,16 @@
     "refusals": 0.08,
     "outage": 0.07,
 }
+LIFE_FAULTS = ("restart", "odd entry")
+"""A backend starts anew under its identifier, or another writer spoils its entry for a while."""
+ODD_ENTRY_S = (0.3, 1.5)
 PAUSES_S = {
     "router": (0.6, 2.2),
     "backend": (0.3, 1.1),
     "configuration": (1.2, 4.5),
     "store": (8.0, 14.0),
     "store connection": (3.0, 7.0),
+    "life": (1.0, 3.0),
 }
 """Shortest and longest time between two events of one sort: several are under way at any time."""
 FREEZE_S = (0.5, 4.0)
@@ -59,6 +63,7 @@
         "configuration": _configuration_events,
         "store": _store_event,
         "store connection": _store_connection_event,
+        "life": _life_event,
     }
     events = [SoakEvent(seconds * choices.uniform(0.3, 0.7), "large configuration")]
     for sort, draw in draws.items():
@@ -82,6 +87,11 @@
     return [SoakEvent(at_s, kind, target, choices.uniform(*BACKEND_FAULT_S))]
 
 
+def _life_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    kind = choices.choice(LIFE_FAULTS)
+    return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*ODD_ENTRY_S))]
+
+
 def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
     events = [SoakEvent(at_s, "configuration")]
     if choices.random() < BURST_SHARE:
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -17,6 +17,8 @@
 LIVES_IN = 3
 """A route stands in the configuration it is named after and in the two behind it."""
 ROUTES_A_KIND = 2
+POISON_MARK = b"ends whoever runs it "
+"""Begins the body of a request that ends each backend which begins to run it."""
 BOUND_S = 3.0
 """A router in touch acts on what the store has confirmed within this time."""
 
@@ -69,6 +71,18 @@
     """The answer announced that the connection ends."""
     problems: list[str] = dataclasses.field(default_factory=list)
     """What is wrong with the answer by itself."""
+    path: str = ""
+    """End of the target, alike for all tries of one request; empty: the request's own id."""
+
+    @property
+    def target(self) -> str:
+        """Return what is asked for."""
+        return f"/{self.route.name}/x?of={self.path or self.request_id}"
+
+    @property
+    def is_poison(self) -> bool:
+        """Return whether the request ends the backends that run it."""
+        return self.body.startswith(POISON_MARK)
 
 
 @dataclasses.dataclass
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from yokedock_emulator.router_soak.soak_budget import most_of_budget
+from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_judge import Violation
 from yokedock_emulator.router_soak.soak_records import SoakHistory
 
@@ -32,6 +33,8 @@
     """What was done, by kind."""
     budget_used: float
     """Largest share of the retry budget used in any window."""
+    most_ends: int
+    """Most backends that ended under one request."""
     longest_silence_s: float
     """Longest time from a request to its answer."""
     stood_still: int
@@ -46,6 +49,7 @@
         return (
             f"seed {self.seed}: {len(self.violations)} violations; {self.requests} requests, "
             f"{self.processes} processes, budget used {self.budget_used:.2f}, "
+            f"at most {self.most_ends} ends under one request, "
             f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}"
         )
 
@@ -73,6 +77,7 @@
         dict(sorted(answers.items())),
         dict(collections.Counter(_kind(text) for _, text in history.story)),
         round(most_of_budget(history), 3),
+        most_ends(history),
         round(max(held, default=0.0), 2),
         len(history.stood_still_s),
         [f"{each.rule}: {each.text} {each.request_id}".strip() for each in violations],
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -54,7 +54,11 @@
 
     def put_server(self, instance: str, server: StoredServer) -> None:
         """Write the entry of one backend."""
-        self._put(SERVERS_PREFIX + instance, msgspec.json.encode(server))
+        self.put_entry(instance, msgspec.json.encode(server))
+
+    def put_entry(self, instance: str, document: bytes) -> None:
+        """Write any bytes in the place of an entry."""
+        self._put(SERVERS_PREFIX + instance, document)
 
     def remove_server(self, instance: str) -> None:
         """Remove the entry of one backend."""
