A later start ends only what was under way at the life before

Ruled out: sparing all of them; streams at a life that ended in silence would wait for the silence. Change: only connections opened before the start, by the time of day and 250 ms for clocks that differ, are aborted. Conclusion: an end is put down to the connections that can have known it.

--- a/features/engine_lives.feature
+++ b/features/engine_lives.feature
@@ -32,3 +32,12 @@
     And backend "a" starts anew under its identifier, and old connections are silent
     And a client sends POST on "once" with body "abc"
     Then the client gets 200 with the body of a backend
+
+  Scenario: A call that the next life runs already goes on when its start is heard of
+    Given a plain backend "a"
+    And a router that knows them as started
+    And the backends hold their answers
+    When a client sends a call on "once" and does not wait for it
+    And its backend, which has started anew before that, is heard of only now
+    Then the client gets 200 within 1.0 s
+    And the backends ran 1 request
--- a/features/steps/engine_lives_steps.py
+++ b/features/steps/engine_lives_steps.py
@@ -7,9 +7,12 @@
 from router_steps import STREAM_HEADERS, caller, decode_engines, world
 from support.router_world import request_bytes
 
+from yokedock.base.clock import wall_clock_ms
 from yokedock.connection.state_source import StateSnapshot
 
-FIRST_MS, NEXT_MS = 1_000, 2_000
+FIRST_MS = 1_000
+OLD_ENOUGH_S = 0.3
+"""Clocks of machines differ: connections that were opened so long before are the old life's."""
 
 
 def born(context, name, born_ms):
@@ -19,7 +22,12 @@
 def start_anew(context, backend):
     """Have the list say that a backend started anew; what was open stays open, and silent."""
     backend.go_silent()
-    context.world.tell(context.router, changed=[born(context, backend.name, NEXT_MS)])
+    time.sleep(OLD_ENOUGH_S)
+    tell_start(context, backend, wall_clock_ms())
+
+
+def tell_start(context, backend, born_ms):
+    context.world.tell(context.router, changed=[born(context, backend.name, born_ms)])
     context.told_s = time.monotonic()
 
 
@@ -93,3 +101,17 @@
 @when('backend "{name}" starts anew under its identifier, and old connections are silent')
 def starts_anew_silently(context, name):
     start_anew(context, context.world.backends[name])
+
+
+@when("its backend, which has started anew before that, is heard of only now")
+def late_news(context):
+    (backend,) = context.world.backends.values()
+    context.world.wait_for(lambda: backend.arrivals, "it has reached the backend")
+    tell_start(context, backend, wall_clock_ms() - 1_000)
+    context.world.loop.call_soon_threadsafe(backend.gate.set)
+
+
+@when('a client sends a call on "{name}" and does not wait for it')
+def call_only(context, name):
+    context.caller = caller(context)
+    context.caller.send(request_bytes(name))
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -14,7 +14,7 @@
 
 import h11
 
-from yokedock.base.clock import boot_time_s
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
 from yokedock.router_errors import (
     AnswerTooLong,
@@ -50,6 +50,8 @@
         """Bytes received since the newest request was sent."""
         self.heard_s = boot_time_s()
         """When the peer last accepted the connection or sent something (monotonic s)."""
+        self.opened_ms = wall_clock_ms()
+        """Time of day at which it was open: backends tell their start so."""
         self.sent_s = 0.0
         """When the newest request was sent (monotonic s)."""
         self._reader = reader
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -17,6 +17,9 @@
 
 STAYED_S = 30.0
 """A life that was known for less than this and is followed by another is a step of a crash loop."""
+CLOCK_MARGIN_MS = 250
+"""The times of day of two machines may differ by so much. A connection that was opened so shortly
+before the next life began is left to the limits on silence, 1.2 s at most for a stream."""
 MOST_RESTARTS = 5
 """Steps after which care grows no more: a share of failures of 0.97, halved every 4 s."""
 GONE_GRACE_S = 1.0
@@ -130,11 +133,16 @@
         """Note that another incarnation has the address: this one is gone already."""
         self.leaving_since_s = now_s - GONE_GRACE_S
 
-    def end(self) -> None:
-        """Note that a later life has begun: what is under way here is lost, now and not later."""
+    def end(self, next_born_ms: int) -> None:
+        """Note that a later life has begun: what this one had under way is lost, now and not later.
+
+        Requests that were sent under this name may have reached the next life already, before its
+        start was heard of here: their connections were opened since, and go on.
+        """
         self.has_ended = True
         for connection in list(self.connections):
-            connection.abort()
+            if connection.opened_ms < next_born_ms - CLOCK_MARGIN_MS:
+                connection.abort()
 
     def succeed(self, before: Backend) -> None:
         """Begin with the care that quick restarts of this backend ask for."""
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -230,7 +230,7 @@
             backend.succeed(before)
             before.is_listed = False
             before.note_gone(now_s)
-            before.end()
+            before.end(entry.born_ms)
             _log.info(
                 "backend started anew",
                 backend=backend.name,
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from yokedock_emulator.router_soak.soak_budget import most_of_budget
-from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_judge import Violation
+from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_records import SoakHistory
 
 MOST_STORIES = 12
