Fuzzing of decoders: entries, configurations, datagrams, states of routers, heads of callers

Cause: bytes may come from other writers; only chosen examples were tested. Conclusion: typed errors only, and no belief from bytes that cannot be read.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -161,3 +161,15 @@
       | a crash loop is used with growing care               |
       | a restart of all empties no fleet                    |
       | what is said anew is not a new life                  |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: bytes that nobody meant
+      | property                            |
+      | entries are read or refused         |
+      | fields are read or refused          |
+      | configurations are read or refused  |
+      | datagrams are heard or dropped      |
+      | states are unpacked or refused      |
+      | heads are understood or refused     |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -4,6 +4,7 @@
 from support.connection_properties import CONNECTION_PROPERTIES
 from support.entry_properties import ENTRY_PROPERTIES
 from support.fleet_properties import FLEET_PROPERTIES
+from support.fuzz_properties import FUZZ_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
 from support.life_properties import LIFE_PROPERTIES
 from support.placement_cost_properties import PLACEMENT_COST_PROPERTIES
@@ -19,7 +20,7 @@
 ALL_PROPERTIES |= BUDGET_PROPERTIES | FLEET_PROPERTIES | PLACEMENT_COST_PROPERTIES
 ALL_PROPERTIES |= WATCH_PROPERTIES | GOSSIP_PROPERTIES | BROKEN_ENGINE_PROPERTIES
 ALL_PROPERTIES |= ROLE_PROPERTIES | CONNECTION_PROPERTIES | POISON_PROPERTIES
-ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES
+ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- /dev/null
+++ b/features/support/fuzz_properties.py
@@ -0,0 +1,170 @@
+"""Decoders meet bytes that nobody meant for them: typed errors only, and no belief from them.
+
+``make fuzz`` runs the same with fresh seeds for as long as it is let.
+"""
+
+import base64
+import json
+import os
+import time
+import zlib
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from support.entry_properties import GOOD
+from yokedock.connection.dialect import HeaderDialect
+from yokedock.connection.http_heads import RequestHead
+from yokedock.connection.router_gossip import RouterGossip
+from yokedock.connection.router_state import EngineShare, RouterState, SuspectRequest
+from yokedock.connection.state_source import BackendEntry, StateSnapshot
+from yokedock.errors import YokedockError
+from yokedock.platform.store import StoredItem, translate
+from yokedock.process.state_exchange import unpack
+from yokedock.version.route_table import RouteTable
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=12), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+STATE = RouterState(
+    "r", 1, 1, 1, 1, False, 0, {"e": EngineShare(5, 1)}, "", 0, (), ("10.0.0.9",),
+    suspects=(SuspectRequest(7, (1, 2)),),
+)  # fmt: skip
+
+
+def spoilt(data):
+    """Return bytes in the place of ``data``: a part of it, with some bytes changed or added."""
+    positions = st.lists(
+        st.tuples(st.integers(0, max(0, len(data) - 1)), st.integers(0, 255)), max_size=4
+    )
+
+    def change(changes, length, tail):
+        changed = bytearray(data)
+        for position, byte in changes:
+            changed[position] = byte
+        return bytes(changed[:length]) + tail
+
+    return st.builds(change, positions, st.integers(0, len(data)), st.binary(max_size=4))
+
+
+def odd_bytes(data):
+    """Return what may come in the place of ``data``."""
+    return st.binary(max_size=200) | spoilt(data)
+
+
+def entries_are_read_or_refused(document):
+    """An entry becomes one whole backend or none."""
+    value = base64.b64encode(document).decode()
+    changes = translate((StoredItem("servers/i-1", value, 3),), 3)
+    assert len(changes.changed) + len(changes.undecoded) == 1
+    for entry in changes.changed:
+        assert entry.service and entry.slots >= 1 and entry.born_ms >= 0
+        assert 0 < int(entry.address.rpartition(":")[2]) < 65_536
+
+
+def fields_are_read_or_refused(fields):
+    """So it is with fields of any kind in the place of the right ones."""
+    entries_are_read_or_refused(json.dumps(GOOD | fields).encode())
+
+
+def configurations_are_read_or_refused(document):
+    """A configuration becomes a table or nothing."""
+    value = base64.b64encode(document).decode()
+    changes = translate((StoredItem("op/config", value, 3),), 3)
+    assert (changes.table is None) == (changes.undecoded == ("op/config",))
+
+
+def datagrams_are_heard_or_dropped(data):
+    """A datagram is one router's state or nothing."""
+    heard = []
+    gossip = RouterGossip("10.0.0.1", 1, (), lambda n, named: STATE, heard.append, heard.append)
+    gossip.datagram_received(data, ("10.0.0.2", 1))
+    assert all(isinstance(other.state, RouterState) for other in heard)
+
+
+def states_are_unpacked_or_refused(data):
+    """Another router's answer is a state or a typed error."""
+    try:
+        assert isinstance(unpack(data), StateSnapshot)
+    except (msgspec.MsgspecError, zlib.error):
+        return
+
+
+def heads_are_understood_or_refused(values):
+    """What a caller's headers say is terms or a typed error."""
+    names = (b"X-Deadline-Ms", b"Last-Event-Id", b"X-Tokens", b"X-Prompt-Parts", b"X-Output-Hint")
+    head = RequestHead(tuple(zip(names, values, strict=False)), b"POST", b"/x")
+    try:
+        HeaderDialect().call_terms(head)
+    except YokedockError:
+        return
+
+
+PACKED = msgspec.msgpack.encode(
+    {
+        "position": 4,
+        "backends": {"i-1": BackendEntry("i-1", "s", "10.0.0.1:1")},
+        "packed_table": zlib.compress(msgspec.msgpack.encode(RouteTable(1, (), {}))),
+    }
+)
+CASES = {
+    "entries are read or refused": (
+        entries_are_read_or_refused,
+        odd_bytes(json.dumps(GOOD).encode()),
+    ),
+    "fields are read or refused": (
+        fields_are_read_or_refused,
+        st.dictionaries(st.sampled_from(sorted(GOOD)), JSON, min_size=1, max_size=3),
+    ),
+    "configurations are read or refused": (
+        configurations_are_read_or_refused,
+        odd_bytes(b'{"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",'
+                  b'"routeType":"streaming","timeoutMs":1}],"services":[{"name":"a"}]}'),
+    ),
+    "datagrams are heard or dropped": (
+        datagrams_are_heard_or_dropped,
+        odd_bytes(msgspec.msgpack.encode(STATE)),
+    ),
+    "states are unpacked or refused": (states_are_unpacked_or_refused, odd_bytes(PACKED)),
+    "heads are understood or refused": (
+        heads_are_understood_or_refused,
+        st.lists(st.binary(max_size=20), max_size=5),
+    ),
+}  # fmt: skip
+
+
+def search(check, cases, examples, seeded):
+    """Return a search over ``cases``, the same each time if ``seeded``."""
+    rules = settings(
+        max_examples=examples,
+        deadline=None,
+        database=None,
+        derandomize=seeded,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
+    return rules(given(cases)(check))
+
+
+FUZZ_PROPERTIES = {
+    name: search(check, cases, 300, seeded=True) for name, (check, cases) in CASES.items()
+}
+
+
+def main():
+    """Search with fresh seeds until the time given by ``FUZZ_SECONDS`` is over (600 s)."""
+    until_s = time.monotonic() + float(os.environ.get("FUZZ_SECONDS", "600"))
+    rounds = 0
+    while time.monotonic() < until_s:
+        for check, cases in CASES.values():
+            search(check, cases, 2_000, seeded=False)()
+        rounds += 1
+        print(f"{rounds} rounds of {2_000 * len(CASES)} cases, no failure", flush=True)
+
+
+if __name__ == "__main__":
+    main()
