Comments name the clock that is read

Cause: comments said monotonic where the clock now counts a suspension. No code changed. Conclusion: unit and clock of each time are what the code reads.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -49,11 +49,11 @@
         self.received_bytes = 0
         """Bytes received since the newest request was sent."""
         self.heard_s = boot_time_s()
-        """When the peer last accepted the connection or sent something (monotonic s)."""
+        """When the peer last accepted the connection or sent something (boot time, s)."""
         self.opened_ms = wall_clock_ms()
         """Time of day at which it was open: backends tell their start so."""
         self.sent_s = 0.0
-        """When the newest request was sent (monotonic s)."""
+        """When the newest request was sent (boot time, s)."""
         self._reader = reader
         self._writer = writer
         self._parser: h11.Connection | None = None
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -24,7 +24,7 @@
     ) -> BackendConnection:
         """Return a connection that rested for at most ``longest_rest_s``, or a new one.
 
-        A resting one must have brought something after ``heard_after_s`` (monotonic).
+        A resting one must have brought something after ``heard_after_s`` (boot time).
 
         Raises ``BackendUnreachable`` when none can be opened.
         """
@@ -56,7 +56,7 @@
             self.forget(address)
 
     def drop_quiet(self, address: str, since_s: float) -> None:
-        """Close what rests at ``address`` and has brought nothing since ``since_s`` (monotonic)."""
+        """Close what rests at ``address`` and has brought nothing since ``since_s`` (boot time)."""
         self._keep(address, lambda connection: connection.heard_s > since_s)
 
     def size(self) -> int:
--- a/src/yokedock/connection/caller_request.py
+++ b/src/yokedock/connection/caller_request.py
@@ -19,7 +19,7 @@
     head: RequestHead
     body: bytes
     arrived_s: float
-    """Monotonic time at which its first byte was read."""
+    """Boot time at which its first byte was read."""
 
 
 def check_head(head: RequestHead, limits: CallerLimits) -> None:
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -101,7 +101,7 @@
         self._watch_ms = watch_ms
         self._stopping = threading.Event()
         self.confirmed_s = 0.0
-        """Monotonic time at which the service last answered."""
+        """Boot time at which the service last answered."""
 
     def stop(self) -> None:
         """End the thread after its present read."""
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -34,7 +34,7 @@
         self.stamp = BundleStamp(0, "")
         self.incarnation = 0
         self.tick_due_s = 0.0
-        """When the peer's task wants to be woken for a heartbeat, monotonic seconds."""
+        """When the peer's task wants to be woken for a heartbeat, seconds of boot time."""
         self._handle: AgentPeerHandle | None = None
         self._cached_blocks: dict[int, None] = {}
 
--- a/src/yokedock/process/leadership.py
+++ b/src/yokedock/process/leadership.py
@@ -23,7 +23,7 @@
 
 
 class Vote(msgspec.Struct, frozen=True):
-    """What another router said last: whom it names, and when it was heard (monotonic s)."""
+    """What another router said last: whom it names, and when it was heard (boot time, s)."""
 
     voter: str
     leader: str
--- a/src/yokedock/process/pause.py
+++ b/src/yokedock/process/pause.py
@@ -11,7 +11,7 @@
 
 
 class PauseDetector:
-    """Compares the monotonic clock with the last tick of a thread of its own.
+    """Compares the clock with the last tick of a thread of its own.
 
     ``check`` is cheap: whoever is about to act on what the process believes calls it first.
     """
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -51,11 +51,11 @@
 
     is_stopping: bool = False
     since_s: float = 0.0
-    """When the stop began (monotonic s)."""
+    """When the stop began (boot time, s)."""
     is_ending: bool = False
     """Whoever still waits, or comes, gets a final answer now: nothing more is passed on."""
     last_answers_s: float = 0.0
-    """When that will be (monotonic s)."""
+    """When that will be (boot time, s)."""
 
 
 class RequestIntake:
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -59,7 +59,7 @@
         self._random = random.Random()
         self._heard_s = 0.0
         self._read_s = 0.0
-        """When everything was read last (monotonic s)."""
+        """When everything was read last (boot time, s)."""
         self.undecoded = 0
         """Items of the source that were not understood, since the start."""
         self.index: RouteIndex | None = None
--- a/src/yokedock/process/watch_duty.py
+++ b/src/yokedock/process/watch_duty.py
@@ -44,7 +44,7 @@
     age_ms: int
     """Time since the source answered that router, ``NEVER`` if it did not."""
     heard_s: float
-    """When it told that (monotonic s)."""
+    """When it told that (boot time, s)."""
     is_leaving: bool = False
 
     def age_s(self, now_s: float) -> float | None:
--- a/src/yokedock/request/arrival_rates.py
+++ b/src/yokedock/request/arrival_rates.py
@@ -41,7 +41,7 @@
         self._sums: dict[int, DecayingSum] = {}
 
     def arrived(self, priority: int, tokens: int, now: float) -> None:
-        """Note one arrival of ``tokens`` output at the monotonic time ``now``, seconds."""
+        """Note one arrival of ``tokens`` output at the boot time ``now``, seconds."""
         known = self._sums.setdefault(priority, DecayingSum(updated_s=now))
         known.decay(now)
         known.arrivals += 1
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -39,7 +39,7 @@
 
 
 class Health(msgspec.Struct):
-    """What answers showed: failures, latency, silence. Times are monotonic seconds."""
+    """What answers showed: failures, latency, silence. Times are seconds of boot time."""
 
     failures: float = 0.0
     latency_s: float | None = None
@@ -109,7 +109,7 @@
     """One life of a backend: all that is believed of it hangs on this object or on ``name``."""
 
     def __init__(self, entry: BackendEntry, known_s: float = 0.0) -> None:
-        """Start with what the list says, at ``known_s`` (monotonic)."""
+        """Start with what the list says, at ``known_s`` (boot time)."""
         self.entry = entry
         self.name = life_name(entry)
         """Names this life, the same at every router. Orders name ``entry.instance``."""
--- a/src/yokedock/request/context.py
+++ b/src/yokedock/request/context.py
@@ -25,7 +25,7 @@
 class RequestContext:
     """One request from its arrival to its final answer.
 
-    Times are monotonic seconds. ``cancel`` may be called from any thread: it ends whatever the
+    Times are seconds of boot time. ``cancel`` may be called from any thread: it ends whatever the
     request's own thread waits for.
     """
 
--- a/src/yokedock/request/engine_pace.py
+++ b/src/yokedock/request/engine_pace.py
@@ -29,7 +29,7 @@
 
 
 class Measured(msgspec.Struct):
-    """A smoothed figure and when it was last measured (monotonic s)."""
+    """A smoothed figure and when it was last measured (boot time, s)."""
 
     value: float
     noted_s: float
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -27,7 +27,7 @@
     cached_at: frozenset[str] = frozenset()
     """Engines that read its prompt a moment ago and may still keep it in their prefix cache."""
     silent_since_s: float | None = None
-    """Since when the caller has heard nothing (monotonic s), None for since it asked."""
+    """Since when the caller has heard nothing (boot time, s), None for since it asked."""
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -54,7 +54,7 @@
 
     @abc.abstractmethod
     def gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
-        """Return when the caller of a silent stream gives up (monotonic s)."""
+        """Return when the caller of a silent stream gives up (boot time, s)."""
 
     @abc.abstractmethod
     def return_after_s(self, call: RoutedCall) -> float:
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -75,7 +75,7 @@
     """Prefills that reached an engine."""
     prefills_refused: int = 0
     read_at: dict[str, float] = msgspec.field(default_factory=dict)
-    """Engines that have read the prompt, and when they last used it (monotonic s)."""
+    """Engines that have read the prompt, and when they last used it (boot time, s)."""
     engines: list[str] = msgspec.field(default_factory=list)
     """Where it was placed, one ``prefill>decode`` for each attempt."""
     placed_s: float = 0.0
@@ -124,7 +124,7 @@
         return frozenset(name for name, used_s in self.read_at.items() if used_s >= oldest_s)
 
     def silent_since_s(self, call: RoutedCall) -> float:
-        """Return since when the caller has heard nothing (monotonic s)."""
+        """Return since when the caller has heard nothing (boot time, s)."""
         return self.relay.last_s or call.arrived_s
 
     def note_lapse(self) -> None:
--- a/src/yokedock/request/home_check.py
+++ b/src/yokedock/request/home_check.py
@@ -46,7 +46,7 @@
     """Applies both rules for one replica."""
 
     def __init__(self, name: str, confirmed_s: Callable[[], float], ask: AskAgent) -> None:
-        """``confirmed_s`` is the monotonic time at which the version was last confirmed."""
+        """``confirmed_s`` is the boot time at which the version was last confirmed."""
         self._name = name
         self._confirmed_s = confirmed_s
         self._ask = ask
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -40,7 +40,7 @@
 
 
 class Outage(msgspec.Struct):
-    """A time in which no backend of a service was found (monotonic s)."""
+    """A time in which no backend of a service was found (boot time, s)."""
 
     since_s: float
     last_s: float = 0.0
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -1,8 +1,8 @@
 """Which requests end the backends that run them, and are kept from backends for a while.
 
 Pattern: a request crashes every engine which begins to run it. Its caller sends it again, with a
-new id, to any router; with two attempts a try, one request ended sixteen of a fleet's five engines
-in ten seconds, and took every sound stream on them along.
+new id, to any router; with two attempts a try, one request ended sixteen engines of a fleet of five
+in ten seconds, each as soon as it was back, and took every sound stream on them along.
 
 What is kept hangs on the request itself (its digest), never on its caller, route or service: other
 requests of the same caller go on. Blame is spread over all that was sent to a backend that ended,
@@ -57,7 +57,7 @@
     """The end of one life of a backend while it had the request."""
 
     ended_s: float
-    """When (monotonic s)."""
+    """When (boot time, s)."""
     is_quick: bool = False
     """Whether it came as soon as the request was sent."""
 
@@ -69,7 +69,7 @@
     ends: dict[int, BackendEnd] = msgspec.field(default_factory=dict)
     """By the number of the backend's life."""
     seen_s: float = 0.0
-    """When this router itself saw the newest of them (monotonic s)."""
+    """When this router itself saw the newest of them (boot time, s)."""
 
     def last_s(self) -> float:
         """Return when the newest end was."""
--- a/src/yokedock/request/prefill_queue.py
+++ b/src/yokedock/request/prefill_queue.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass
 class QueuedPrefill:
-    """One accepted prefill; times are monotonic seconds."""
+    """One accepted prefill; times are seconds of boot time."""
 
     attempt: str
     service_s: float
--- a/src/yokedock/request/remote_promises.py
+++ b/src/yokedock/request/remote_promises.py
@@ -45,7 +45,7 @@
 
 
 class HeardShares(msgspec.Struct, frozen=True):
-    """What one router told last, and when (monotonic s)."""
+    """What one router told last, and when (boot time, s)."""
 
     heard_s: float
     shares: dict[str, EngineShare]
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -43,7 +43,7 @@
 
 
 class RoutedCall(msgspec.Struct, eq=False):
-    """A caller's request with its route. Times are monotonic seconds."""
+    """A caller's request with its route. Times are seconds of boot time."""
 
     request: CallerRequest
     answer: AnswerWriter
@@ -56,10 +56,10 @@
     """Requests that reached a backend, refused ones included."""
     may_have_run: bool = False
     heard_after_s: float = 0.0
-    """Only connections on which something came later may carry it (monotonic s)."""
+    """Only connections on which something came later may carry it (boot time, s)."""
     visits: list[BackendVisit] = []
     first_piece_s: float | None = None
-    """When a stream's first event went to the caller (monotonic s)."""
+    """When a stream's first event went to the caller (boot time, s)."""
     longest_pause_s: float = 0.0
     known_digest: int | None = None
     """What ``digest`` returned before."""
--- a/src/yokedock/request/slots.py
+++ b/src/yokedock/request/slots.py
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass
 class SlotEntry:
-    """One reserved or running attempt; times are monotonic seconds.
+    """One reserved or running attempt; times are seconds of boot time.
 
     ``ready_s`` is when its prefill is predicted to be over, ``latest_s`` when it must have its
     slot, ``expires_s`` when a reservation that was not used ends.
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -22,7 +22,7 @@
         self.events = 0
         """Events passed on."""
         self.first_s: float | None = None
-        """When the first event was passed on (monotonic s)."""
+        """When the first event was passed on (boot time, s)."""
         self.longest_gap_s = 0.0
         self.on_first: Callable[[], None] = lambda: None
         """Called when the first event of a run has come."""
@@ -30,7 +30,7 @@
         self.pause_s: float | None = None
         """Pause before the newest event of the run, None for its first."""
         self.last_s = 0.0
-        """When the newest event was passed on (monotonic s), 0 if none was."""
+        """When the newest event was passed on (boot time, s), 0 if none was."""
         self._splitter = EventSplitter()
 
     def begin_run(self) -> None:
--- a/src/yokedock/request/waiter.py
+++ b/src/yokedock/request/waiter.py
@@ -19,7 +19,7 @@
 
     is_late: bool
     until_s: float
-    """When its caller's time ends (monotonic)."""
+    """When its caller's time ends (boot time)."""
     wins_ties: bool = False
     """Whether it goes before any that is tied with it; the routers' names decide."""
 
@@ -33,7 +33,7 @@
 
 
 class Waiter(msgspec.Struct, eq=False):
-    """One generation that waits for room. Times are monotonic seconds."""
+    """One generation that waits for room. Times are seconds of boot time."""
 
     call: RoutedCall
     progress: Progress
