A stand-in that has stopped serves no connection that it had accepted before

Its story shows the backend e ending twice, at 0.032 s and, dead since, at 0.109 s: a connection that had been accepted and not begun to be served was served after the stop. Ruled out: the quarantine; four backends had ended, e, d, f and g, the last as the news was under way. Change: the stand-in aborts such connections. The scenario stays as it was.

--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -74,9 +74,12 @@
         self._held_port = None
         self._writers = set()
         self._silent = set()
+        self._is_stopped = False
+        """A connection may have been accepted and not begun to be served as it stops."""
 
     async def start(self):
         """Listen on any free port, after a stop on the same."""
+        self._is_stopped = False
         if self._held_port is not None:
             self._held_port.close()
             self._held_port = None
@@ -88,6 +91,7 @@
 
     async def stop(self):
         """Close everything at once; the port stays taken, so that nobody else answers there."""
+        self._is_stopped = True
         self._server.close()
         self._held_port = socket.socket()
         self._held_port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -133,6 +137,9 @@
             head = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
             return False
+        if self._is_stopped:
+            writer.transport.abort()
+            return False
         lines = head.decode("latin-1").split("\r\n")
         method, target, _ = lines[0].split(" ")
         headers = [tuple(line.split(": ", 1)) for line in lines[1:] if line]
