--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -150,7 +150,6 @@
         self.is_whole = True
         now_s = boot_time_s()
         self.backend.health.note_answer(now_s, now_s - self._sent_s, is_failure)
-        self._poison.note_alive(self.backend.life, self._sent_s)
         if self._poison.is_known() and not is_failure and not self._is_prefill:
             self._poison.note_sound(self._call.digest)
 
