Sight: what a backend says of itself in an answer is told in the logs

Cause: no line of any log said whether an answer had told that its backend leaves or wants rest, so that 'nobody reads it' and 'something overwrites it' looked alike. Change: AnswerNotes carries both, BackendNotices keeps them for one life and logs each once; two levels on the metrics page. Nothing is decided by it. Conclusion: a line tells it from now on; what used it before was nothing, by reading: answer_notes had no such field.

--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -7,13 +7,17 @@
 from __future__ import annotations
 
 import abc
+import math
 
 import msgspec
 
+from yokedock.base.logs import logger
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
 from yokedock.connection.short_call import ShortCall
 from yokedock.errors import BadRequest, EngineRejected
 
+_log = logger("dialect")
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """One part of a prompt: an identifier that other prompts may share, and its tokens."""
@@ -74,6 +78,10 @@
     is_elsewhere: bool = False
     """Another incarnation has the address: the one that was meant is gone."""
     load: BackendLoad | None = None
+    is_leaving: bool = False
+    """The backend will end soon; it says so in all its answers from then on."""
+    rest_s: float | None = None
+    """Seconds for which the backend that turned the request away wants no other from here."""
 
 
 class RoleOrder(msgspec.Struct, frozen=True):
@@ -165,6 +173,7 @@
     not_run: str = "X-Not-Run"
     signature: str = "X-Signature"
     load: str = "X-Backend-Load"
+    leaving: str = "X-Backend-Leaving"
     set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Copy-From")
     prefill_stage: str = "prefill"
     handle_field: str = "handle"
@@ -183,6 +192,12 @@
 MISDIRECTED_STATUS = 421
 """The backend is not the one that was meant, and does not run the request (RFC 9110)."""
 MAX_DEADLINE_MS = 3_600_000
+OVERLOADED_STATUS = 503
+"""Only with this status does ``Retry-After`` ask for rest (RFC 9110, section 10.2.3)."""
+RETRY_AFTER = b"retry-after"
+LEAVING_VALUE = "1"
+LONGEST_REST_S = 86_400.0
+"""A backend that asks for more than a day has mistaken the unit, and rests for a day."""
 
 
 class HeaderDialect(Dialect):
@@ -240,6 +255,8 @@
             is_signed=head.get(self._keys["signature"]) is not None,
             is_elsewhere=is_elsewhere,
             load=_load(head.get(self._keys["load"])),
+            is_leaving=head.get(self._keys["leaving"]) == LEAVING_VALUE,
+            rest_s=_rest_s(head) if head.status == OVERLOADED_STATUS else None,
         )
 
     def prefill_result(self, body: bytes) -> PrefillResult:
@@ -329,3 +346,18 @@
         return None
     running, waiting, slots = (int(part) for part in parts)
     return BackendLoad(running, waiting, slots)
+
+
+def _rest_s(head: AnswerHead) -> float | None:
+    """Return the seconds of ``Retry-After``, None where it is absent or no number of seconds."""
+    text = head.get(RETRY_AFTER)
+    if text is None:
+        return None
+    try:
+        rest_s = float(text)
+    except ValueError:
+        rest_s = math.nan
+    if not rest_s >= 0:
+        _log.info("time to rest not understood", value=text[:40])
+        return None
+    return min(rest_s, LONGEST_REST_S)
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -19,6 +19,7 @@
     not_run="X-Yokedock-Not-Executed",
     signature="X-Yokedock-Response-Seal",
     load="X-Yokedock-Instance-Load",
+    leaving="Server-Leaving",
     set_by_router=(
         "X-Yokedock-Expected-Instance",
         "X-Yokedock-Expected-Version",
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -324,6 +324,7 @@
             "connections_opened": self._pool.opened,
             **self._allowance.levels(),
             **self._poison.levels(),
+            **self._registry.levels(),
             **self._wake.levels(),
             **self._upkeep.sizes(),
         }
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -109,6 +109,7 @@
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
+        self.backend.notices.take(notes, self.backend.name, boot_time_s())
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
             self.backend.note_gone(boot_time_s())
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -13,6 +13,7 @@
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.dialect import BackendLoad
 from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_notices import BackendNotices
 from yokedock.request.poison_requests import life_number
 
 STAYED_S = 30.0
@@ -116,6 +117,7 @@
         self.life = life_number(self.name)
         """The same as a number, for datagrams."""
         self.health = Health()
+        self.notices = BackendNotices()
         self.known_s = known_s
         self.restarts = 0
         """How many lives before this one followed each other within ``STAYED_S``."""
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -124,6 +124,15 @@
             if backend is not None:
                 backend.health.note_told(percent / PERCENT, now_s)
 
+    def levels(self) -> dict[str, float]:
+        """Return how many backends said in answers that they leave, and how many want rest now."""
+        now_s = self._clock()
+        notices = [backend.notices for backend in self._backends.values()]
+        return {
+            "backends_said_leaving": sum(n.leaving_since_s is not None for n in notices),
+            "backends_resting": sum(n.is_resting(now_s) for n in notices),
+        }
+
     def get(self, name: str) -> Backend | None:
         """Return a backend by the name of its life."""
         return self._backends.get(name)
