--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -60,6 +60,10 @@
         self.event_gap_s = 0.0
         self.on_event = lambda number: None
         """Called with the number of each event that was sent."""
+        self.is_leaving = False
+        """It says so in all its answers."""
+        self.answer_delay_s = lambda arrival: 0.0
+        """How long it works on a request before its answer begins."""
         self.dies_when_broken = False
         self.dies_of = None
         """Bytes in a body; the backend ends when it begins to run such a request."""
@@ -160,8 +164,7 @@
             await self._watch(reader, arrival)
             return False
         if method == "DELETE":
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            return True
+            return self._plain(writer, arrival, 200, b"", [])
         watch = asyncio.create_task(self._watch(reader, arrival))
         try:
             return await self._answer(arrival, writer)
@@ -196,6 +199,9 @@
             await asyncio.sleep(3600)
         if fault == "refuse":
             return self._plain(writer, arrival, 503, b"full", [("X-Not-Run", "1")])
+        if fault.startswith("rest "):
+            extra = [("X-Not-Run", "1"), ("Retry-After", fault.removeprefix("rest "))]
+            return self._plain(writer, arrival, 503, b"busy", extra)
         if arrival.header("X-Expected-Backend") not in (None, self.name):
             return self._plain(writer, arrival, 421, b"", [])
         if fault == "late answer to another":
@@ -203,6 +209,7 @@
         if fault == "error":
             return self._plain(writer, arrival, 500, b"broken", [("X-Signature", self.name)])
         await self.gate.wait()
+        await asyncio.sleep(self.answer_delay_s(arrival))
         is_run = arrival.header("X-Stage") is None
         if is_run and self.dies_of is not None and self.dies_of in arrival.body:
             await self._die(arrival, writer)
@@ -228,6 +235,7 @@
         named = request_id or arrival.header("X-Request-Id")
         lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {named}"]
         lines += [f"X-Signature: {self.name}"] if signed else []
+        lines += ["X-Backend-Leaving: 1"] if self.is_leaving else []
         lines += [f"{name}: {value}" for name, value in extra]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
