What a backend says of itself in an answer is kept to: it leaves, or it wants rest

Cause: a router learned that a backend leaves from the list alone, and of a refusal only that it is a failure, which fades. Ruled out: requests that waited (visits begin within 1 ms), no other backend (two answered), an older entry that overwrote it (nothing was kept). Change: BackendNotices hang on a life; leaving is known from the list or the answers, whichever is first, and no entry takes it back; a backend that rests is offered nothing, also as the last one; choices made before are looked at again as they are sent (BackendUnwilling); where all rest the caller waits if it can be in time, else is told at once when the rest ends; a refusal with a rest is no failure besides; answers to lists and orders are heard too; an end of a leaving backend blames no request. Role changes count those at rest as present and give them no order.

--- a/features/backend_notices.feature
+++ b/features/backend_notices.feature
@@ -45,7 +45,7 @@
   Scenario: A good answer that was under way does not end the rest
     Given a plain backend "a"
     And a router that knows them
-    When a client sends a call on "once" and its backend asks another one for 2 s of rest meanwhile
+    When a client sends a call on "once" and its backend asks another one for 4 s of rest meanwhile
     And a client sends POST on "once" with body "abc"
     Then the client gets 503
     And no request reached "a" between 0.5 s after that answer and the end of the rest
@@ -56,7 +56,7 @@
     And a router that knows them
     And all backends ask for 10 s of rest
     When a client sends POST on "once" with body "abc"
-    And a client sends POST on "once" with body "abc"
+    And a client sends POST on "once" and takes the time
     Then the client gets 503
     And it was answered within 0.2 s
     And the answer tells to come back after 9 to 15 s
@@ -94,6 +94,7 @@
     Given a prefill engine "p"
     And a decode engine "d"
     And a decode engine "e"
+    And a decode engine "f"
     And a router that knows them
     And the first decode engine that is asked wants 3 s of rest
     And engine "p" reads the first prompt at once and the others in 1.0 s
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -43,7 +43,7 @@
         if backend.arrivals:
             break
     assert backend.arrivals, f"{name} was never chosen"
-    context.answered_s = boot_time_s()
+    context.answered_s = backend.arrivals[-1].arrived_s
     context.known_arrivals = len(backend.arrivals)
 
 
@@ -83,6 +83,11 @@
     backend_of(context, name).answer_delay_s = lambda arrival: work_s
 
 
+@when('a client sends POST on "{route}" and takes the time')
+def send_timed(context, route):
+    send_one(context, route)
+
+
 @when('a client sends POST on "{route}" until "{name}" has answered')
 def send_until(context, route, name):
     send_until_answered(context, route, name)
@@ -139,7 +144,7 @@
     backend.faults = [f"rest {rest_s:g}"]
     context.rest_s = rest_s
     assert send_one(context, route)[0] == 503
-    context.answered_s = boot_time_s()
+    context.answered_s = backend.arrivals[-1].arrived_s
     loop.call_soon_threadsafe(backend.gate.set)
     assert first.read_answer()[0] == 200
     time.sleep(REST_BEGINS_S)
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -32,10 +32,11 @@
 
 
 class ShortAnswer(msgspec.Struct, frozen=True):
-    """Status and body of an answer."""
+    """Status, body and head of an answer."""
 
     status: int
     body: bytes
+    head: AnswerHead
 
 
 class AnswerProgress(msgspec.Struct, frozen=True):
@@ -104,7 +105,7 @@
                     parts.append(part)
                     share.received_bytes += len(part)
                     _extend(time_limit, sent_s, limits.progress)
-                return ShortAnswer(answer.status, b"".join(parts))
+                return ShortAnswer(answer.status, b"".join(parts), answer)
         except TimeoutError:
             took_s = asyncio.get_running_loop().time() - sent_s
             state = f"{connection.received_bytes} bytes in {took_s:.1f} s, not whole"
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -88,7 +88,7 @@
 
     async def _balance(self, service: ServiceSpec) -> None:
         """Give the orders for a service that may be given now."""
-        engines = [b for b in self._registry.usable(service.name) if b.entry.role]
+        engines = [b for b in self._registry.present(service.name) if b.entry.role]
         changing = self.changing()
         most = self._most_orders(engines, sum(engine.name in changing for engine in engines))
         if most <= 0:
@@ -135,7 +135,7 @@
 
     async def _order_change(self, change: RoleChange, switch_s: float) -> None:
         backend = self._registry.get(change.name)
-        if backend is not None:
+        if backend is not None and not backend.notices.is_resting(boot_time_s()):
             await self._order(backend, change.role, switch_s)
 
     async def _order(self, backend: Backend, role: str, switch_s: float) -> None:
@@ -160,6 +160,8 @@
         call = ShortCall(b"POST", order.target, tuple(order.headers), order.body)
         limits = CallLimits(ORDER_TIMEOUT_S, ORDER_TIMEOUT_S, longest_rest_s=0.0)
         try:
-            return (await short_call(self._pool, backend.entry.address, call, limits)).status
+            answer = await short_call(self._pool, backend.entry.address, call, limits)
+            backend.take_notices(self._dialect.answer_notes(answer.head), boot_time_s())
+            return answer.status
         except (BackendUnreachable, BackendBroken):
             return None
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -109,7 +109,6 @@
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendSilent(message) from None
         notes = self._dialect.answer_notes(head)
-        self.backend.notices.take(notes, self.backend.name, boot_time_s())
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
             self.backend.note_gone(boot_time_s())
@@ -156,7 +155,7 @@
 
     def note_closed(self) -> None:
         """Note that the backend closed while it had the request, unless it is leaving anyway."""
-        if self.is_sent and not self.backend.entry.is_leaving:
+        if self.is_sent and not self.backend.is_ending:
             had_it_s = boot_time_s() - self._sent_s
             self._poison.note_end(self._call.digest, self.backend.life, had_it_s)
 
@@ -168,9 +167,13 @@
             raise BackendBroken(f"{self.backend.name}: the answer is not signed")
 
     def _is_ours(self, head: AnswerHead) -> bool:
-        """Tell our answer from one to an earlier request on the same connection."""
-        named = self._dialect.answer_notes(head).request_id
-        return named is None or named == self._call.request_id
+        """Tell our answer from one to an earlier request on the same connection.
+
+        What the backend says of itself holds whichever request it answers.
+        """
+        notes = self._dialect.answer_notes(head)
+        self.backend.take_notices(notes, boot_time_s())
+        return notes.request_id is None or notes.request_id == self._call.request_id
 
 
 class BackendExchanges:
@@ -186,6 +189,7 @@
     async def open(self, backend: Backend, call: RoutedCall) -> AsyncIterator[BackendExchange]:
         """Connect to a backend; raises ``BackendUnreachable`` if nothing could be sent.
 
+        That includes a backend that has said since it was chosen that it wants nothing.
         Raises ``RequestQuarantined`` for a request that ends its backends.
 
         The connection rests afterwards if its answer was read whole, else it is closed at once,
@@ -195,6 +199,7 @@
             raise BackendUnreachable(f"{backend.name} has ended: {backend.entry.instance} is new")
         if self._poison.is_known():
             self._poison.require_sound(call.digest)
+        backend.require_willing(boot_time_s())
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
         timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
         with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
@@ -221,7 +226,10 @@
         try:
             yield exchange
         except BackendRefused:
-            backend.health.note_answer(boot_time_s(), 0.0, is_failure=True)
+            now_s = boot_time_s()
+            if not backend.notices.is_resting(now_s):
+                # Who asks for rest says itself for how long to stay away.
+                backend.health.note_answer(now_s, 0.0, is_failure=True)
             raise
         except BackendBroken as error:
             _log.info(
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from yokedock.connection.backend_connection import BackendConnection
-from yokedock.connection.dialect import BackendLoad
+from yokedock.connection.dialect import AnswerNotes, BackendLoad
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_notices import BackendNotices
 from yokedock.request.poison_requests import life_number
+from yokedock.router_errors import BackendUnwilling
 
 STAYED_S = 30.0
 """A life that was known for less than this and is followed by another is a step of a crash loop."""
@@ -129,11 +130,42 @@
         """Requests that this process has at the backend."""
         self.load: BackendLoad | None = None
         self.leaving_since_s: float | None = None
+        """Since when it is known to leave or to be gone, from the list or from its answers."""
+        self.unlisted_since_s: float | None = None
+        """Since when the list says so, None while it names the backend as ready."""
         self.is_listed = True
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether the backend itself has said that it will end."""
+        return self.entry.is_leaving or self.notices.leaving_since_s is not None
+
+    def take_notices(self, notes: AnswerNotes, now_s: float) -> None:
+        """Take in what the head of any of its answers says of the backend."""
+        self.notices.take(notes, self.name, now_s)
+        self._weigh_leaving()
+
+    def note_listed(self) -> None:
+        """Note that the list names the backend as ready."""
+        self.is_listed = True
+        self.unlisted_since_s = None
+        self._weigh_leaving()
+
+    def note_unlisted(self, now_s: float) -> None:
+        """Note that the list says that the backend leaves, or names it no longer."""
+        if self.unlisted_since_s is None:
+            self.unlisted_since_s = now_s
+        self._weigh_leaving()
+
     def note_gone(self, now_s: float) -> None:
         """Note that another incarnation has the address: this one is gone already."""
-        self.leaving_since_s = now_s - GONE_GRACE_S
+        self.unlisted_since_s = now_s - GONE_GRACE_S
+        self._weigh_leaving()
+
+    def _weigh_leaving(self) -> None:
+        """Have the list and the answers decide together: whichever said it first, for good."""
+        told = (self.unlisted_since_s, self.notices.leaving_since_s)
+        self.leaving_since_s = min((s for s in told if s is not None), default=None)
 
     def end(self, next_born_ms: int) -> None:
         """Note that a later life has begun: what this one had under way is lost, now and not later.
@@ -153,6 +185,16 @@
             self.health.failures = 1.0 - 0.5**self.restarts
             self.health.noted_s = self.known_s
 
+    def require_willing(self, now_s: float) -> None:
+        """Raise ``BackendUnwilling`` if nothing may be sent now.
+
+        It was chosen before: a prompt was read in between, or others waited with this request.
+        """
+        if self.notices.is_resting(now_s):
+            raise BackendUnwilling(f"{self.name} has asked for rest")
+        if not self.may_take_as_last_resort(now_s):
+            raise BackendUnwilling(f"{self.name} is leaving")
+
     def may_take_as_last_resort(self, now_s: float) -> bool:
         """Return whether a backend that is leaving may still be used."""
         if self.leaving_since_s is None:
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -1,7 +1,13 @@
 """What one life of a backend says of itself in its answers: that it leaves, that it wants rest.
 
 It is heard in every answer, whatever was asked and whether or not it goes to a caller, since the
-list of backends may be silent or behind.
+list of backends may be silent or behind: with the list down for 13 s, a router sent twelve requests
+to a backend that had said in its answers that it leaves, the last one 2.9 s later (counted in its
+log). And a refusal alone only makes a backend dearer for some seconds: one that wanted 3 s of rest
+got four requests more from one router meanwhile, each of which cost its caller a repeat.
+
+Nothing takes back what was said: neither an older entry that calls the backend ready, nor a good
+answer that was under way when it asked for rest, nor a shorter rest asked for after a longer one.
 """
 
 from __future__ import annotations
@@ -15,6 +21,10 @@
 
 _log = logger("notices")
 
+LEAVING_KEPT_S = 600.0
+"""What a backend said of its leaving is kept so long after its entry has gone: an entry that lapsed
+with the list may come back while the backend is still on its way out, many seconds later."""
+
 
 class BackendNotices(msgspec.Struct):
     """What answers of one life said; times are seconds of boot time."""
@@ -36,3 +46,9 @@
     def is_resting(self, now_s: float) -> bool:
         """Return whether the backend wants no request now."""
         return now_s < self.rest_until_s
+
+    def hold(self, now_s: float) -> bool:
+        """Return whether anything was said that would still matter if its entry came back."""
+        said_s = self.leaving_since_s
+        has_left_lately = said_s is not None and now_s - said_s < LEAVING_KEPT_S
+        return has_left_lately or self.is_resting(now_s)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -90,17 +90,17 @@
             if backend is None:
                 continue
             backend.is_listed = False
-            if backend.leaving_since_s is None:
-                backend.leaving_since_s = now_s
+            backend.note_unlisted(now_s)
         self.on_change()
 
     def drop_gone(self) -> None:
         """Drop backends that left long ago and have nothing under way."""
-        oldest_s = self._clock() - GONE_KEPT_S
+        now_s = self._clock()
+        oldest_s = now_s - GONE_KEPT_S
         for name, backend in list(self._backends.items()):
-            since_s = backend.leaving_since_s
+            since_s = backend.unlisted_since_s
             is_long_gone = not backend.is_listed and since_s is not None and since_s < oldest_s
-            if is_long_gone and not backend.outstanding:
+            if is_long_gone and not backend.outstanding and not backend.notices.hold(now_s):
                 del self._backends[name]
                 self._members = None
                 if self._newest.get(backend.entry.instance) is backend:
@@ -144,15 +144,32 @@
     def entries(self) -> dict[str, BackendEntry]:
         """Return all entries that are listed now, by identifier."""
         listed = self._newest.items()
-        return {instance: b.entry for instance, b in listed if b.leaving_since_s is None}
+        return {instance: b.entry for instance, b in listed if b.unlisted_since_s is None}
 
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
-        """Return the backends of a service that may be used, sound ones if there are any."""
+        """Return the backends of a service that may be used, sound ones if there are any.
+
+        Never one that has asked for rest, also where no other is left.
+        """
         now_s = self._clock()
-        found = self._found(service, role)
-        staying = [backend for backend in found if backend.leaving_since_s is None]
-        sound = [backend for backend in staying if now_s >= backend.health.suspect_until_s]
-        return sound or staying or [b for b in found if b.may_take_as_last_resort(now_s)]
+        found = [b for b in self._found(service, role) if b.notices.rest_until_s <= now_s]
+        return _soundest(found, now_s)
+
+    def present(self, service: str) -> list[Backend]:
+        """Return the backends of a service that may be used now or after their rest."""
+        return _soundest(self._found(service, None), self._clock())
+
+    def rest_left_s(self, service: str, role: str | None = None) -> float:
+        """Return the seconds until a backend may be used where all that stay have asked for rest.
+
+        It is 0 if one may be used now, and where nobody rests.
+        """
+        if self.usable(service, role):
+            return 0.0
+        now_s = self._clock()
+        staying = [b for b in self._found(service, role) if b.leaving_since_s is None]
+        ends_s = [b.notices.rest_until_s for b in staying if b.notices.is_resting(now_s)]
+        return min(ends_s, default=now_s) - now_s
 
     def _found(self, service: str, role: str | None) -> list[Backend]:
         if self._members is None:
@@ -180,7 +197,8 @@
         backend = self._backends.get(name)
         if backend is None or backend.leaving_since_s is not None:
             return False
-        return not backend.health.is_suspect(self._clock())
+        now_s = self._clock()
+        return not backend.health.is_suspect(now_s) and not backend.notices.is_resting(now_s)
 
     def cheapest(self, service: str, without: frozenset[str] = frozenset()) -> Backend | None:
         """Return the backend that should answer soonest, None if there is none."""
@@ -225,11 +243,11 @@
         is_known = before is not None and before.entry.born_ms == entry.born_ms
         backend = before if before is not None and is_known else self._begin(entry, before, now_s)
         backend.entry = entry
-        backend.is_listed = True
         if entry.is_leaving:
-            backend.leaving_since_s = backend.leaving_since_s or now_s
+            backend.is_listed = True
+            backend.note_unlisted(now_s)
         else:
-            backend.leaving_since_s = None
+            backend.note_listed()
 
     def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
         """Begin a new life; of the one before nothing is kept but how soon it ended."""
@@ -250,6 +268,13 @@
         return backend
 
 
+def _soundest(found: list[Backend], now_s: float) -> list[Backend]:
+    """Return those that stay and are sound, else those that stay, else who may be a last resort."""
+    staying = [backend for backend in found if backend.leaving_since_s is None]
+    sound = [backend for backend in staying if now_s >= backend.health.suspect_until_s]
+    return sound or staying or [b for b in found if b.may_take_as_last_resort(now_s)]
+
+
 def typical_latency_s(backends: list[Backend]) -> float:
     """Return the median of measured latencies, in seconds."""
     measured = sorted(b.health.latency_s for b in backends if b.health.latency_s is not None)
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -97,6 +97,7 @@
         question = self._dialect.cache_list_call()
         try:
             answer = await short_call(self._pool, engine.entry.address, question, ANSWER_LIMITS)
+            engine.take_notices(self._dialect.answer_notes(answer.head), boot_time_s())
             if answer.status == OK:
                 return self._dialect.cached_parts(answer.body)
         except (BackendUnreachable, BackendBroken, EngineRejected) as error:
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -189,7 +189,7 @@
             call.first_piece_s = state.relay.first_s
             call.longest_pause_s = state.relay.longest_gap_s
             if state.source is not None:
-                self._release(state.source)
+                self._release(state.source, state.source_engine)
             _log_stream(call, state)
 
     async def _serve(self, call: RoutedCall, state: GenerationState) -> None:
@@ -444,8 +444,10 @@
             return error
         return BackendAnswerLost("the answer was lost and it may have run; look it up first")
 
-    def _release(self, source: str) -> None:
+    def _release(self, source: str, keeper: Backend | None) -> None:
         """Release what a prefill keeps, in the background: it lapses soon in any case."""
+        if keeper is not None and keeper.notices.is_resting(boot_time_s()):
+            return
         address, _, handle = source.partition("/")
         task = asyncio.create_task(self._send_release(address, handle))
         self._releases.add(task)
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -109,8 +109,10 @@
             backend = self._registry.cheapest(name, tried) or self._registry.cheapest(name)
             if backend is not None:
                 return backend
-            if not self._could_be_in_time(call):
-                raise NoBackend(f"no backend of {name} is listed; retry later")
+            rest_s = self._registry.rest_left_s(name)
+            if not self._could_be_in_time(call, rest_s):
+                reason = f"want rest for {rest_s:.1f} s" if rest_s else "are gone"
+                raise NoBackend(f"all backends of {name} {reason}; retry later")
             await asyncio.sleep(POLL_S)
 
     async def _attempt(
@@ -158,10 +160,10 @@
             return min(left_s, self._registry.patience_s(backend))
         return left_s
 
-    def _could_be_in_time(self, call: RoutedCall) -> bool:
-        """Return whether an attempt that begins now could still meet the target."""
+    def _could_be_in_time(self, call: RoutedCall, wait_s: float = 0.0) -> bool:
+        """Return whether an attempt that begins in ``wait_s`` could still meet the target."""
         expected_s = self._registry.typical_latency_s(call.service.name)
-        return boot_time_s() + expected_s < call.target_s
+        return boot_time_s() + wait_s + expected_s < call.target_s
 
     async def _may_reconnect(self, call: RoutedCall, tried: set[str]) -> bool:
         """Return whether to go on after a backend could not be reached.
@@ -179,7 +181,13 @@
         return any(backend.name not in tried for backend in usable)
 
     def _return_after_s(self, service: str) -> float:
-        """Return when a caller for whom no backend was found should come back."""
+        """Return when a caller for whom no backend was found should come back.
+
+        A rest is known to its end; an outage is only guessed at.
+        """
+        rest_s = self._registry.rest_left_s(service)
+        if rest_s:
+            return rest_s * self._random.uniform(1.0, RETURN_SPREAD)
         now_s = boot_time_s()
         for name in [n for n, o in self._outages.items() if now_s - o.last_s > FORGOTTEN_S]:
             del self._outages[name]
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -179,7 +179,7 @@
         """
         waiter.predicted_at_s = boot_time_s()
         ahead = self._ahead(waiter)
-        wait_s = self._forecast.wait_s(ahead)
+        wait_s = self._prediction.wait_s(ahead, waiter.call.service.name)
         waiter.predicted_s, waiter.is_late = wait_s, ahead.is_late
         if not self._mechanisms.refuse_hopeless:
             return
@@ -229,7 +229,7 @@
         return self._prediction.ahead(waiter, self._queues.get(service, ()))
 
     def _return_after_s(self, waiter: Waiter) -> float:
-        wait_s = self._forecast.wait_s(self._ahead(waiter))
+        wait_s = self._prediction.wait_s(self._ahead(waiter), waiter.call.service.name)
         return self._random.uniform(wait_s, LATEST_RETURN * wait_s)
 
     # --- Giving room ---
--- a/src/yokedock/request/room_prediction.py
+++ b/src/yokedock/request/room_prediction.py
@@ -63,6 +63,11 @@
         self._elsewhere = elsewhere
         self._arrivals = arrivals
 
+    def wait_s(self, ahead: QueueAhead, service: str) -> float:
+        """Return the seconds until room comes, not before an engine's rest ends."""
+        rest_s = self._registry.rest_left_s(service, DECODE_ROLE)
+        return max(rest_s, self._forecast.wait_s(ahead))
+
     def ahead(self, waiter: Waiter, queue: Iterable[Waiter]) -> QueueAhead:
         """Return what goes before a waiter: those in time, and newcomers too if it will be late."""
         now_s = boot_time_s()
--- a/src/yokedock/router_errors.py
+++ b/src/yokedock/router_errors.py
@@ -32,6 +32,12 @@
     code = "backend_unreachable"
 
 
+class BackendUnwilling(BackendUnreachable):
+    """The backend leaves, or has asked for rest, since it was chosen: nothing was sent."""
+
+    code = "backend_unwilling"
+
+
 class BackendBroken(EngineLost):
     """The connection ended, or sent what is no answer, after the request went out."""
 
