Routers tell each other which backends say that they leave

Cause: what an answer said was known to the router that had it; each other one had to send a request, or a stream that the backend's end would cut, to learn the same while the list was silent. Ruled out: telling rests too, since a backend asks them of one router alone. Change: one field in the datagram, for a second after a router's own hearing; what was only heard is not told on.

--- a/features/backend_notices.feature
+++ b/features/backend_notices.feature
@@ -103,6 +103,17 @@
     And no request reached that engine between 0.5 s after that answer and the end of the rest
     And no prompt was read twice
 
+  Scenario: What one router heard of a backend's leaving keeps the others from it as well
+    Given a plain backend "a"
+    And a plain backend "b"
+    And two routers that hear each other
+    And backend "b" works for 0.03 s on each request
+    And backend "a" says in its answers that it leaves
+    When a client sends POST on "once" until "a" has answered
+    And 0.6 s later a client sends POST on "once" 20 times to the second router
+    Then every answer is 200 with the body of "b"
+    And "a" got nothing since
+
   Scenario: A request that a leaving backend ends with has not ended it
     Given a plain backend "a"
     And a router that knows them
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -41,6 +41,7 @@
     address = f"127.0.0.2:{seed.rpartition(':')[2]}"
     second = context.world.start_router(snapshots[1], (seed,), address)
     context.routers = [first, second]
+    context.router = first
     for router in context.routers:
         context.world.wait_for(lambda r=router: r.is_ready, "ready")
         context.world.wait_for(lambda r=router: r._gossip.fleet_size() == 2, "both are heard")
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -108,6 +108,16 @@
         context.answers.append(context.caller.read_answer())
 
 
+@when('{later_s:g} s later a client sends POST on "{route}" {count:d} times to the second router')
+def send_later_to_second(context, later_s, route, count):
+    time.sleep(later_s)
+    sender = caller(context, context.routers[1])
+    context.answers = []
+    for number in range(count):
+        sender.send(request_bytes(route, body=b"abc", request_id=f"l-{number}"))
+        context.answers.append(sender.read_answer())
+
+
 @when('{later_s:g} s later a client sends POST on "{route}" with body "abc"')
 def send_one_later(context, later_s, route):
     time.sleep(later_s)
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -84,3 +84,5 @@
     """Backends that broke an answer off a moment ago, with the share of failures in percent."""
     suspects: tuple[SuspectRequest, ...] = ()
     """Requests under which backends ended a moment ago."""
+    leaving: tuple[str, ...] = ()
+    """Backends whose answers said a moment ago that they leave."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -357,6 +357,7 @@
             self._follower.news(),
             self._registry.broken(),
             self._poison.told(),
+            self._registry.said_leaving(),
         )
 
     def _source_contacts(self) -> list[SourceContact]:
@@ -380,6 +381,7 @@
         self._registry.set_changing(other.address, state.changing)
         self._registry.heard_broken(state.broken)
         self._poison.heard(state.suspects)
+        self._registry.heard_leaving(state.leaving)
         self._follower.take_news(state.news)
         self._exchange.heard(state)
 
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -145,6 +145,11 @@
         self.notices.take(notes, self.name, now_s)
         self._weigh_leaving()
 
+    def note_told_leaving(self, now_s: float) -> None:
+        """Take in that another router had an answer which says that it leaves."""
+        self.notices.note_leaving(now_s)
+        self._weigh_leaving()
+
     def note_listed(self) -> None:
         """Note that the list names the backend as ready."""
         self.is_listed = True
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -21,6 +21,9 @@
 
 _log = logger("notices")
 
+TELL_LEAVING_S = 1.0
+"""Routers tell each other of a leaving for so long after they heard of it: in two datagrams at least,
+of which one may be lost. Whoever hears it sends no stream to a backend that ends under it."""
 LEAVING_KEPT_S = 600.0
 """What a backend said of its leaving is kept so long after its entry has gone: an entry that lapsed
 with the list may come back while the backend is still on its way out, many seconds later."""
@@ -30,19 +33,27 @@
     """What answers of one life said; times are seconds of boot time."""
 
     leaving_since_s: float | None = None
-    """When it first said that it leaves."""
+    """When it was first heard that it leaves."""
+    said_leaving_s: float = -math.inf
+    """When this router itself first had an answer that says so."""
     rest_until_s: float = -math.inf
     """Until when it wants no request from this router."""
 
     def take(self, notes: AnswerNotes, backend: str, now_s: float) -> None:
         """Take in what the head of an answer says of ``backend``."""
-        if notes.is_leaving and self.leaving_since_s is None:
-            self.leaving_since_s = now_s
+        if notes.is_leaving and self.said_leaving_s < 0:
+            self.said_leaving_s = now_s
+            self.note_leaving(now_s)
             _log.info("backend says that it leaves", backend=backend)
         if notes.rest_s is not None:
             self.rest_until_s = max(self.rest_until_s, now_s + notes.rest_s)
             _log.info("backend asks for rest", backend=backend, rest_s=notes.rest_s)
 
+    def note_leaving(self, now_s: float) -> None:
+        """Note that an answer said, here or to another router, that the backend leaves."""
+        if self.leaving_since_s is None:
+            self.leaving_since_s = now_s
+
     def is_resting(self, now_s: float) -> bool:
         """Return whether the backend wants no request now."""
         return now_s < self.rest_until_s
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -15,6 +15,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_life import Backend
+from yokedock.request.backend_notices import TELL_LEAVING_S
 from yokedock.version.homes import HashRing
 
 _log = logger("backends")
@@ -124,6 +125,20 @@
             if backend is not None:
                 backend.health.note_told(percent / PERCENT, now_s)
 
+    def said_leaving(self) -> tuple[str, ...]:
+        """Return the backends whose answers said here a moment ago that they leave."""
+        oldest_s = self._clock() - TELL_LEAVING_S
+        backends = self._backends.items()
+        return tuple(name for name, b in backends if b.notices.said_leaving_s >= oldest_s)
+
+    def heard_leaving(self, names: tuple[str, ...]) -> None:
+        """Take in of which backends another router heard that they leave."""
+        now_s = self._clock()
+        for name in names:
+            backend = self._backends.get(name)
+            if backend is not None:
+                backend.note_told_leaving(now_s)
+
     def levels(self) -> dict[str, float]:
         """Return how many backends said in answers that they leave, and how many want rest now."""
         now_s = self._clock()
