--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -173,3 +173,16 @@
       | datagrams are heard or dropped      |
       | states are unpacked or refused      |
       | heads are understood or refused     |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: what backends say of themselves
+      | property                                            |
+      | times to rest are read strictly                     |
+      | what backends say is kept to under any load         |
+      | a rest ends and the backend is used again           |
+      | a rest of all ends when the first does              |
+      | an entry that lapses and comes back forgets nothing |
+      | a later life has said nothing                       |
+      | what the list gives others is the list alone        |
--- /dev/null
+++ b/features/support/notice_properties.py
@@ -0,0 +1,230 @@
+"""What backends say of themselves in their answers, over generated answers, lists and loads."""
+
+import math
+import random
+
+from hypothesis import strategies as st
+
+from support.search import searched
+from support.stream_properties import Clock
+from yokedock.connection.dialect import AnswerNotes, HeaderDialect
+from yokedock.connection.http_heads import AnswerHead
+from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_notices import LEAVING_KEPT_S
+from yokedock.request.backend_registry import BackendRegistry
+
+SERVICE = "plain"
+UNDER_WAY_S = 0.5
+"""The users' bound: what was under way as a backend asked for rest may arrive so much later."""
+DRAIN_S = 2.0
+"""The users' bound on a request that comes after an answer which said that its backend leaves."""
+STEP_S = 0.01
+SPAN_S = 30.0
+ANSWER_S = 0.006
+"""From a request's sending until a refusal is read, as on the users' links."""
+MOST_IN_REST = 2
+"""The users' bound on requests that a backend gets from one router while it rests."""
+
+
+def entry(name, is_leaving=False):
+    """Return an entry of a plain backend."""
+    return BackendEntry(name, SERVICE, "127.0.0.1:1", is_leaving=is_leaving)
+
+
+def notes(**said):
+    """Return what an answer says."""
+    return AnswerNotes("r", is_not_run=False, is_signed=True, **said)
+
+
+def head(status, *headers):
+    """Return the head of an answer."""
+    return AnswerHead(tuple((n.encode(), v.encode()) for n, v in headers), status)
+
+
+def times_to_rest_are_read_strictly():
+    """Seconds count, fractions too; what is none of that asks for nothing; a day is the most."""
+    told = {"3": 3.0, " 2.5 ": 2.5, "0": 0.0, "1e2": 100.0, "99999999": 86_400.0, "inf": 86_400.0}
+    none = ("", "-1", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "3;4", "0x10")
+    dialect = HeaderDialect()
+    for text, rest_s in told.items():
+        said = dialect.answer_notes(head(503, ("Retry-After", text)))
+        assert said.rest_s == rest_s, (text, said)
+        assert dialect.answer_notes(head(200, ("Retry-After", text))).rest_s is None
+    for text in none:
+        assert dialect.answer_notes(head(503, ("retry-after", text))).rest_s is None, text
+    for text, is_leaving in {"1": True, "0": False, "": False, "true": False}.items():
+        for status in (200, 421, 500, 503):
+            said = dialect.answer_notes(head(status, ("x-backend-leaving", text)))
+            assert said.is_leaving is is_leaving, (text, said)
+
+
+class SaidFleet:
+    """Backends that turn work away, ask for rest and leave at generated moments, and one router."""
+
+    def __init__(self, seed, size):
+        self.chance = random.Random(seed)
+        self.clock = Clock()
+        self.registry = BackendRegistry("", self.clock)
+        self.names = [f"b{number}" for number in range(size)]
+        self.registry.update([entry(name) for name in self.names], ())
+        self.leaves_s = {}
+        self.rests = {name: [] for name in self.names}
+        """Of each backend, from when to when it wants no request."""
+        self.arrivals = {name: [] for name in self.names}
+        self._answers = []
+
+    def play(self, arrivals_per_s, rest_share, leaving):
+        """Let requests come for a while; ``leaving`` backends say so from some moment on."""
+        start_s = self.clock.now_s
+        ends_s = {n: start_s + self.chance.uniform(0, SPAN_S) for n in self.names[:leaving]}
+        while self.clock.now_s < start_s + SPAN_S:
+            self.clock.now_s += STEP_S
+            self._read_answers()
+            self._hear_list()
+            if self.chance.random() < arrivals_per_s * STEP_S:
+                self._arrive(ends_s, rest_share)
+
+    def _hear_list(self):
+        """Have the list say that a backend is ready, or gone, or both in turn, whatever is true."""
+        if self.chance.random() < 0.02:
+            name = self.chance.choice(self.names)
+            if self.chance.random() < 0.3:
+                self.registry.update((), [name])
+            self.registry.update([entry(name)], ())
+            self.registry.drop_gone()
+
+    def _arrive(self, ends_s, rest_share):
+        backend = self.registry.cheapest(SERVICE)
+        if backend is None:
+            return
+        now_s = self.clock.now_s
+        self.arrivals[backend.name].append(now_s)
+        said = {"is_leaving": now_s >= ends_s.get(backend.name, math.inf)}
+        if self.chance.random() < rest_share:
+            said["rest_s"] = self.chance.choice((0.0, 0.5, 1.0, 3.0, 5.0))
+            self.rests[backend.name].append((now_s, now_s + said["rest_s"]))
+        self._answers.append((now_s + ANSWER_S, backend, notes(**said)))
+
+    def _read_answers(self):
+        now_s = self.clock.now_s
+        for due_s, backend, said in self._answers:
+            if due_s <= now_s:
+                backend.take_notices(said, now_s)
+                if said.is_leaving:
+                    self.leaves_s.setdefault(backend.name, now_s)
+        self._answers = [answer for answer in self._answers if answer[0] > now_s]
+
+    def require_kept(self):
+        """Check both of the users' bounds against the backends' own ledgers."""
+        for name, since_s in self.leaves_s.items():
+            late = [at_s for at_s in self.arrivals[name] if at_s > since_s + DRAIN_S]
+            assert not late, f"{name} said at {since_s} that it leaves, and got {late}"
+        for name, rests in self.rests.items():
+            for from_s, until_s in rests:
+                within = [a for a in self.arrivals[name] if from_s + UNDER_WAY_S < a < until_s]
+                assert len(within) <= MOST_IN_REST, f"{name} rested {from_s}-{until_s}: {within}"
+
+
+@searched(
+    seed=st.integers(0, 10_000),
+    size=st.integers(1, 6),
+    arrivals_per_s=st.floats(1, 80),
+    rest_share=st.floats(0, 0.6),
+    leaving=st.integers(0, 3),
+)
+def what_backends_say_is_kept_to_under_any_load(seed, size, arrivals_per_s, rest_share, leaving):
+    """Whatever the list says, and whoever is left: neither bound is broken."""
+    fleet = SaidFleet(seed, size)
+    fleet.play(arrivals_per_s, rest_share, leaving)
+    fleet.require_kept()
+
+
+def a_rest_ends_and_the_backend_is_used_again():
+    """A rest takes a backend out for its time and no longer; a shorter one does not shorten it."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.update([entry("a"), entry("b")], ())
+    backend = registry.get("a")
+    backend.take_notices(notes(rest_s=3.0), clock.now_s)
+    backend.take_notices(notes(rest_s=0.5), clock.now_s + 1.0)
+    backend.health.note_answer(clock.now_s + 1.0, 0.01, is_failure=False)
+    for later_s, is_used in ((0.0, False), (2.9, False), (3.0, True)):
+        clock.now_s = 100.0 + later_s
+        found = {b.name for b in registry.usable(SERVICE)}
+        assert ("a" in found) is is_used and "b" in found, (later_s, found)
+
+
+def a_rest_of_all_ends_when_the_first_does():
+    """The time left counts backends that stay, and is nothing where one may be asked."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.update([entry(name) for name in "abc"], ())
+    for name, rest_s in (("a", 4.0), ("b", 2.0)):
+        registry.get(name).take_notices(notes(rest_s=rest_s), clock.now_s)
+    assert registry.rest_left_s(SERVICE) == 0.0
+    registry.get("c").take_notices(notes(rest_s=1.0, is_leaving=True), clock.now_s)
+    assert registry.rest_left_s(SERVICE) == 2.0
+    assert registry.cheapest(SERVICE) is None
+    assert {b.name for b in registry.present(SERVICE)} == {"a", "b"}
+    clock.now_s += 2.0
+    assert registry.cheapest(SERVICE).name == "b" and registry.rest_left_s(SERVICE) == 0.0
+
+
+def an_entry_that_lapses_and_comes_back_forgets_nothing():
+    """What was said outlasts the entry, as long as it may matter, and no longer."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.update([entry("a"), entry("b"), entry("c")], ())
+    registry.get("a").take_notices(notes(is_leaving=True), clock.now_s)
+    registry.get("b").take_notices(notes(rest_s=30.0), clock.now_s)
+    registry.update((), ["a", "b", "c"])
+    clock.now_s += 20.0
+    registry.drop_gone()
+    assert registry.names() == {"a", "b"}
+    registry.update([entry("a"), entry("b"), entry("c")], ())
+    assert {b.name for b in registry.usable(SERVICE)} == {"c"}
+    registry.update((), ["a", "b", "c"])
+    clock.now_s += LEAVING_KEPT_S
+    registry.drop_gone()
+    assert not registry.names()
+
+
+def a_later_life_has_said_nothing():
+    """A backend that starts anew under its identifier is neither leaving nor at rest."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    first = BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=10)
+    registry.update([first], ())
+    registry.get("a@10").take_notices(notes(rest_s=9.0, is_leaving=True), clock.now_s)
+    registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=20)], ())
+    assert [b.name for b in registry.usable(SERVICE)] == ["a@20"]
+
+
+def what_the_list_gives_others_is_the_list_alone():
+    """A router hands the list on as it is: the others hear of a leaving by its own word."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.update([entry("a"), entry("b")], ())
+    registry.get("a").take_notices(notes(is_leaving=True), clock.now_s)
+    assert registry.entries().keys() == {"a", "b"}
+    assert registry.said_leaving() == ("a",)
+    other = BackendRegistry("", clock)
+    other.update([entry("a"), entry("b")], ())
+    other.heard_leaving(("a", "unknown"))
+    assert {b.name for b in other.usable(SERVICE)} == {"b"}
+    assert other.said_leaving() == (), "what was only heard is not told on"
+    clock.now_s += 2.0
+    assert registry.said_leaving() == ()
+
+
+NOTICE_PROPERTIES = {
+    "times to rest are read strictly": times_to_rest_are_read_strictly,
+    "what backends say is kept to under any load": what_backends_say_is_kept_to_under_any_load,
+    "a rest ends and the backend is used again": a_rest_ends_and_the_backend_is_used_again,
+    "a rest of all ends when the first does": a_rest_of_all_ends_when_the_first_does,
+    "an entry that lapses and comes back forgets nothing": (
+        an_entry_that_lapses_and_comes_back_forgets_nothing
+    ),
+    "a later life has said nothing": a_later_life_has_said_nothing,
+    "what the list gives others is the list alone": what_the_list_gives_others_is_the_list_alone,
+}
