--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -22,7 +22,7 @@
 _log = logger("notices")
 
 TELL_LEAVING_S = 1.0
-"""Routers tell each other of a leaving for so long after they heard of it: in two datagrams at least,
+"""Routers tell each other of a leaving for so long after they heard of it: two datagrams at least,
 of which one may be lost. Whoever hears it sends no stream to a backend that ends under it."""
 LEAVING_KEPT_S = 600.0
 """What a backend said of its leaving is kept so long after its entry has gone: an entry that lapsed
