An engine whose other streams go on is not avoided for one that stalled midway

Cause: the silence of one connection counted against its engine for 1 s and more. Change: spared is only the engine of a stream that had begun, if others of its streams went on in the later half of the wait; a stream that has not begun, as where answers are lost whole, spares nobody; the share of failures counts it in any case.

--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -238,6 +238,34 @@
     asyncio.run(play())
 
 
+def an_engine_that_goes_on_is_spared_for_one_stream():
+    """A stream that stalls midway is its connection's fault if others there go on, else not."""
+
+    async def play(has_begun, others_go_on):
+        clock = Clock()
+        watch = StreamWatch(clock)
+        backends = registry("d", "e", clock=clock)
+        engine = backends.get("d")
+        stalled, other = (watch.open(engine, may_move=True) for _ in range(2))
+        watch.heard(other)
+        if has_begun:
+            watch.heard(stalled)
+        for _ in range(12):
+            clock.now_s += STEP_S
+            if others_go_on:
+                watch.heard(other)
+        try:
+            await stalled.within(0.001, asyncio.Event().wait())
+        except BackendSilent:
+            return is_avoided(backends)
+
+    for has_begun in (True, False):
+        for others_go_on in (True, False):
+            is_spared = has_begun and others_go_on
+            was_avoided = asyncio.run(play(has_begun, others_go_on))
+            assert was_avoided is not is_spared, (has_begun, others_go_on)
+
+
 def a_process_that_stood_still_accuses_no_engine():
     """After a freeze of the process itself, silence is counted anew."""
 
@@ -319,5 +347,8 @@
     "an engine whose streams are all silent is avoided": (
         an_engine_whose_streams_are_all_silent_is_avoided
     ),
+    "an engine that goes on is spared for one stream": (
+        an_engine_that_goes_on_is_spared_for_one_stream
+    ),
     "a process that stood still accuses no engine": a_process_that_stood_still_accuses_no_engine,
 }
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -28,6 +29,11 @@
 not begun there goes elsewhere."""
 LOST_S = 0.8
 """After this time of silence the streams that may be resumed go elsewhere too."""
+LATER_HALF = 0.5
+"""Share of a stalled stream's wait: an engine heard later than that on other streams has outlived
+the silence, and only the connection is at fault. The engine is not avoided for it, but its share of
+failures counts it. Without this, every engine is avoided for 1 s once one connection to each falls
+silent. One that has not begun spares nobody: engines that lose whole answers look like that."""
 Result = TypeVar("Result")
 
 
@@ -37,7 +43,8 @@
     engine: Backend
     may_move: bool
     """Whether the request may be sent to another engine."""
-    clock: Callable[[], float]
+    stalled: Callable[[WatchedStream, float], None]
+    """Called when the stream was silent for so many seconds."""
     has_begun: bool = False
     limit: Patience | None = None
     """Patience with what is awaited now."""
@@ -48,7 +55,7 @@
             async with Patience(patience_s) as self.limit:
                 return await awaited
         except TimeoutError:
-            self.engine.health.note_silence(self.clock())
+            self.stalled(self, patience_s)
             raise BackendSilent(f"{self.engine.name}: the stream stalled") from None
         finally:
             self.limit = None
@@ -73,7 +80,7 @@
 
     def open(self, engine: Backend, may_move: bool) -> WatchedStream:
         """Watch a stream that was sent to ``engine``."""
-        stream = WatchedStream(engine, may_move, self._clock)
+        stream = WatchedStream(engine, may_move, self._note_stalled)
         if not self._streams:
             self._checked_s = self._clock()
         self._streams.add(stream)
@@ -102,6 +109,15 @@
             if silent_s >= DARK_S:
                 self._avoid(engine, silent_s, now_s)
 
+    def _note_stalled(self, stream: WatchedStream, silent_s: float) -> None:
+        """Avoid the engine of a stream that stalled, unless its other streams went on."""
+        engine, now_s = stream.engine, self._clock()
+        heard_s = self._heard_s.get(engine.name, -math.inf)
+        if stream.has_begun and now_s - heard_s < LATER_HALF * silent_s:
+            _log.info("connection silent, its engine goes on", engine=engine.name)
+            return
+        engine.health.note_silence(now_s)
+
     def _avoid(self, engine: Backend, silent_s: float, now_s: float) -> None:
         if not engine.health.is_suspect(now_s):
             _log.info("engine silent", engine=engine.name, silent_ms=round(silent_s * 1000))
