Failing properties: a process that stood still gives up connections that were accepted meanwhile

A caller's head has the same fault. Change: two properties that stand still for 0.3 s on purpose, both red, listed.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -123,6 +123,8 @@
       | property                                                       |
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
+      | a process that stood still reaches who has accepted            |
+      | a request that came while the process stood still is read      |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -1,13 +1,16 @@
-"""Properties of one caller's connection, on a real socket of the loopback."""
+"""Properties of one caller's or backend's connection, on a real socket of the loopback."""
 
 import asyncio
+import time
 
+from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import whole_answer
 from yokedock.version.route_table import CallerLimits
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 LIMIT_S = 5.0
+STOOD_STILL_S = 0.3
 
 
 class StoppingServer:
@@ -16,6 +19,7 @@
     def __init__(self):
         self.connection = None
         self.answered = 0
+        self.limits = CallerLimits()
 
     async def start(self):
         """Listen; return the port."""
@@ -23,7 +27,7 @@
         return server.sockets[0].getsockname()[1]
 
     async def _accept(self, reader, writer):
-        self.connection = CallerConnection(reader, writer, self._answer, CallerLimits)
+        self.connection = CallerConnection(reader, writer, self._answer, lambda: self.limits)
         await self.connection.serve()
 
     async def _answer(self, request, answer):
@@ -73,7 +77,47 @@
     asyncio.run(play())
 
 
+def a_process_that_stood_still_reaches_who_has_accepted():
+    """A connection that was accepted meanwhile is used, however late this process looks."""
+
+    async def play():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        for _ in range(5):
+            connecting = asyncio.create_task(BackendConnection.connect(f"{host}:{port}", 0.1))
+            await asyncio.sleep(0)
+            time.sleep(STOOD_STILL_S)
+            (await connecting).abort()
+
+    asyncio.run(play())
+
+
+def a_request_that_came_while_the_process_stood_still_is_read():
+    """Its time to arrive was over, and all of it was there."""
+
+    async def play():
+        server = StoppingServer()
+        server.limits = CallerLimits(header_timeout_s=0.1)
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST[:20])
+        while server.connection is None:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.02)
+        writer.write(REQUEST[20:])
+        time.sleep(STOOD_STILL_S)
+        assert b" 200 " in await read_answer(reader)
+
+    asyncio.run(play())
+
+
 CONNECTION_PROPERTIES = {
+    "a process that stood still reaches who has accepted": (
+        a_process_that_stood_still_reaches_who_has_accepted
+    ),
+    "a request that came while the process stood still is read": (
+        a_request_that_came_while_the_process_stood_still_is_read
+    ),
     "a request behind an answer that announced nothing is answered": (
         a_request_behind_an_answer_that_announced_nothing_is_answered
     ),
