--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -38,6 +38,8 @@
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
       | a request that ends its backends was sent on                    | BUDGET  |
+      | a backend whose leaving was passed on got a request             | DRAIN   |
+      | a backend at rest got three requests                            | BUDGET  |
       | a process ended by itself                                       | ENDED   |
       | SIGHUP ended a process that was being loaded                    | ENDED   |
       | a process did not stop in its grace                             | ENDED   |
@@ -52,6 +54,12 @@
       | nothing went wrong                                              |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
+      | a backend whose leaving was passed on got a request soon        |
+      | a backend that said nothing got a request                       |
+      | a router that was frozen since sent a leaving backend a request |
+      | a router that was started since sent a leaving backend a request |
+      | a backend at rest got two requests                              |
+      | the next life of a backend at rest got three requests           |
       | a request crossed the close of its connection                   |
       | a backend broke off a stream                                    |
       | SIGHUP ended a process before its first line                    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -51,6 +51,27 @@
     made.arrival(made.request())
 
 
+def said_and_sent(made, later_s, is_leaving=True, freezes=(), last_router_life=1):
+    """A router passes on an answer and sends the same backend a request later."""
+    first = made.arrival(made.request())
+    first.says_leaving = is_leaving
+    made.life.freezes += freezes
+    record = made.request(at_s=later_s)
+    if last_router_life != record.life:
+        record.life = last_router_life
+        made.history.lives[0, last_router_life] = RouterLife(0, last_router_life, START_S, START_S)
+    made.arrival(record)
+
+
+def sent_into_rest(made, moments, rest_s=2.0, backend_lives=1):
+    """A backend asks for rest and gets requests ``moments`` seconds later."""
+    asked = made.arrival(made.request(), outcome="refused")
+    made.arrival(made.history.records[asked.request_id], "i-2")
+    asked.rest_s = rest_s
+    for moment_s in moments:
+        made.arrival(made.request(at_s=moment_s)).backend_life = backend_lives - 1
+
+
 def ran_twice(made):
     record = made.request()
     made.arrival(record, "i-1", "broken")
@@ -207,6 +228,22 @@
     "extra arrivals went over the budget": over_budget,
     "a request that ends its backends was sent on": lambda made: poison(made, 20),
     "a request that ends its backends was kept from them in time": lambda made: poison(made, 5),
+    "a backend whose leaving was passed on got a request": lambda made: said_and_sent(made, 2.2),
+    "a backend whose leaving was passed on got a request soon": (
+        lambda made: said_and_sent(made, 1.9)
+    ),
+    "a backend that said nothing got a request": lambda made: said_and_sent(made, 2.2, False),
+    "a router that was frozen since sent a leaving backend a request": (
+        lambda made: said_and_sent(made, 9.0, freezes=[(START_S + 1.0, START_S + 1.2)])
+    ),
+    "a router that was started since sent a leaving backend a request": (
+        lambda made: said_and_sent(made, 9.0, last_router_life=2)
+    ),
+    "a backend at rest got three requests": lambda made: sent_into_rest(made, (0.6, 1.0, 1.8)),
+    "a backend at rest got two requests": lambda made: sent_into_rest(made, (0.3, 0.6, 1.8, 2.1)),
+    "the next life of a backend at rest got three requests": (
+        lambda made: sent_into_rest(made, (0.6, 1.0, 1.8), backend_lives=2)
+    ),
     "a process ended by itself": ended_itself,
     "SIGHUP ended a process that was being loaded": lambda made: hung_up(made, True),
     "SIGHUP ended a process before its first line": lambda made: hung_up(made, False),
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 
@@ -34,12 +35,15 @@
 PREFILL_S = (0.003, 0.03)
 STEP_S = (0.008, 0.04)
 """Pause before each event of a stream."""
+REST_S = (0.3, 1.0, 2.5)
+"""Rests that a backend asks for as it turns requests away."""
 OWN_CALLS = ("GET", "DELETE")
 Headers = list[tuple[str, str]]
+_lives = itertools.count(1)
 
 
 class SoakBackend:
-    """One incarnation. ``mode`` is ``normal``, ``errors`` or ``refusals``."""
+    """One incarnation. ``mode`` is ``normal``, ``errors``, ``refusals`` or ``rest``."""
 
     def __init__(self, instance: str, service: str, role: str, history: SoakHistory) -> None:
         """Prepare; ``start`` listens. What arrives is noted in ``history``."""
@@ -52,6 +56,7 @@
         self.address = ""
         self.on_crash: Callable[[SoakBackend], None] = lambda backend: None
         """Called when a request has ended it."""
+        self.life = next(_lives)
         self._history = history
         self._choices = random.Random(instance)
         self._server: asyncio.Server | None = None
@@ -102,7 +107,7 @@
         request_id = headers.get(NAMES.request_id.lower(), "")
         head: Headers = [(NAMES.request_id, request_id)] if request_id else []
         if self.is_leaving:
-            head.append(("Connection", "close"))
+            head += [("Connection", "close"), (NAMES.leaving, "1")]
         is_meant = headers.get(NAMES.instance.lower(), self.instance) == self.instance
         if is_meant and (request.method in OWN_CALLS or request.target == NAMES.order_path):
             writer.write(whole_answer(200, head, b'{"held":[]}'))
@@ -117,6 +122,8 @@
             request.body,
             boot_time_s(),
             is_prefill,
+            backend_life=self.life,
+            says_leaving=self.is_leaving,
         )
         self._working[writer] = arrival
         if request_id:
@@ -139,6 +146,11 @@
             await asyncio.sleep(self._choices.uniform(*STEP_S))
             self.kill()
             self.on_crash(self)
+        elif self.mode == "rest" and not is_wrong_stage:
+            arrival.outcome = "refused"
+            arrival.rest_s = self._choices.choice(REST_S)
+            asked = [(NAMES.not_run, "1"), ("Retry-After", f"{arrival.rest_s:g}")]
+            writer.write(whole_answer(503, [*head, *asked], b""))
         elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_notices.py
@@ -0,0 +1,72 @@
+"""Whether routers kept to what backends said of themselves in their answers."""
+
+from __future__ import annotations
+
+import collections
+
+from yokedock_emulator.router_soak.soak_records import Arrival, RouterLife, SoakHistory
+
+DRAIN_S = 2.0
+"""A request that comes so much later than an answer which said that its backend leaves may not
+reach that backend through the same router (the users' rule)."""
+UNDER_WAY_S = 0.5
+"""What was under way as a backend asked for rest may reach it for so long (the users' rule)."""
+MOST_IN_REST = 2
+"""Requests that a router may send into a rest (the users' rule)."""
+Visits = dict[tuple[int, tuple[int, int]], list[Arrival]]
+"""Arrivals in order of time, by the life of the backend and that of the router."""
+
+
+def leaving_violations(history: SoakHistory) -> list[tuple[str, str]]:
+    """Return the requests that reached a backend whose leaving their router had passed on."""
+    found = []
+    for (_, router), arrivals in _visits(history).items():
+        told_s = min((_passed_on_s(history, each) for each in arrivals), default=float("inf"))
+        for arrival in arrivals:
+            sent_s = history.records[arrival.request_id].sent_s
+            if sent_s > told_s + DRAIN_S and _is_bound(history, router, told_s, arrival.at_s):
+                text = f"sent to {arrival.instance} {sent_s - told_s:.2f} s after it said it leaves"
+                found.append((text, arrival.request_id))
+    return found
+
+
+def rest_violations(history: SoakHistory) -> list[tuple[str, str]]:
+    """Return the rests into which a router sent too much, each with a request that was too many."""
+    found = []
+    for (_, router), arrivals in _visits(history).items():
+        for asked in (arrival for arrival in arrivals if arrival.rest_s):
+            from_s, until_s = asked.at_s + UNDER_WAY_S, asked.at_s + asked.rest_s
+            within = [each for each in arrivals if from_s < each.at_s < until_s]
+            is_bound = _is_bound(history, router, asked.at_s, until_s)
+            if len(within) > MOST_IN_REST and is_bound:
+                text = f"{asked.instance} wanted {asked.rest_s:.2f} s of rest and got {len(within)}"
+                found.append((text, within[MOST_IN_REST].request_id))
+    return found
+
+
+def rests_asked(history: SoakHistory) -> int:
+    """Return how often a backend asked for rest."""
+    return sum(arrival.rest_s > 0 for arrival in history.arrivals)
+
+
+def _visits(history: SoakHistory) -> Visits:
+    visits: Visits = collections.defaultdict(list)
+    for arrival in sorted(history.arrivals, key=lambda each: each.at_s):
+        record = history.records.get(arrival.request_id)
+        if record is not None and arrival.outcome != "misdirected":
+            visits[arrival.backend_life, (record.router, record.life)].append(arrival)
+    return visits
+
+
+def _passed_on_s(history: SoakHistory, arrival: Arrival) -> float:
+    """Return when a router had passed on an answer that says so, infinity if it has none."""
+    record = history.records[arrival.request_id]
+    is_whole = arrival.says_leaving and arrival.outcome == "whole" and not arrival.is_prefill
+    return record.end_s if is_whole and record.outcome == "answered" else float("inf")
+
+
+def _is_bound(history: SoakHistory, router: tuple[int, int], from_s: float, to_s: float) -> bool:
+    """Return whether nothing excuses a router: a restart begins a new life, a freeze is noted."""
+    life: RouterLife = history.lives[router]
+    struck = [*life.freezes, *history.stood_still_s]
+    return not any(start_s <= to_s and end_s >= from_s for start_s, end_s in struck)
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -129,7 +129,7 @@
     async def strike(self, soak_event: SoakEvent) -> str:
         """Let something happen to a backend; return its name."""
         backend = self._serving[soak_event.target % len(self._serving)]
-        if soak_event.kind in ("errors", "refusals"):
+        if soak_event.kind in ("errors", "refusals", "rest"):
             self._fail(backend, soak_event)
             return backend.instance
         if soak_event.kind == "restart":
@@ -139,7 +139,7 @@
         if soak_event.kind == "odd entry":
             self._write_oddly(backend, soak_event.length_s)
             return backend.instance
-        if soak_event.kind == "outage":
+        if soak_event.kind in ("outage", "rest of all"):
             for other in self._serving:
                 if other.service == backend.service:
                     self._fail(other, soak_event)
@@ -162,8 +162,9 @@
         return backend.instance
 
     def _fail(self, backend: SoakBackend, soak_event: SoakEvent) -> None:
-        """Let a backend answer errors, or refuse, for a while."""
-        backend.mode = "refusals" if soak_event.kind == "refusals" else "errors"
+        """Let a backend answer errors, refuse or ask for rest, for a while."""
+        modes = {"refusals": "refusals", "rest": "rest", "rest of all": "rest"}
+        backend.mode = modes.get(soak_event.kind, "errors")
         self._after(soak_event.length_s, self._recover(backend))
 
     async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -25,6 +25,8 @@
 LIFE_FAULTS = ("restart", "odd entry")
 """A backend starts anew under its identifier, or another writer spoils its entry for a while."""
 ODD_ENTRY_S = (0.3, 1.5)
+REST_KINDS = {"rest": 0.8, "rest of all": 0.2}
+"""A backend turns everything away and asks for rest, or all of its service do, and their shares."""
 PAUSES_S = {
     "router": (0.6, 2.2),
     "backend": (0.3, 1.1),
@@ -32,6 +34,7 @@
     "store": (8.0, 14.0),
     "store connection": (3.0, 7.0),
     "life": (1.0, 3.0),
+    "rest": (1.5, 4.0),
 }
 """Shortest and longest time between two events of one sort: several are under way at any time."""
 FREEZE_S = (0.5, 4.0)
@@ -64,6 +67,7 @@
         "store": _store_event,
         "store connection": _store_connection_event,
         "life": _life_event,
+        "rest": _rest_event,
     }
     events = [SoakEvent(seconds * choices.uniform(0.3, 0.7), "large configuration")]
     for sort, draw in draws.items():
@@ -92,6 +96,11 @@
     return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*ODD_ENTRY_S))]
 
 
+def _rest_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    kind = choices.choices(list(REST_KINDS), list(REST_KINDS.values()))[0]
+    return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*BACKEND_FAULT_S))]
+
+
 def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
     events = [SoakEvent(at_s, "configuration")]
     if choices.random() < BURST_SHARE:
