--- a/features/support/fuzz_properties.py
+++ b/features/support/fuzz_properties.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from support.entry_properties import GOOD
-from yokedock.connection.dialect import HeaderDialect
+from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.router_gossip import RouterGossip
 from yokedock.connection.router_state import EngineShare, RouterState, SuspectRequest
--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -7,7 +7,8 @@
 
 from support.search import searched
 from support.stream_properties import Clock
-from yokedock.connection.dialect import AnswerNotes, HeaderDialect
+from yokedock.connection.dialect import AnswerNotes
+from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_notices import LEAVING_KEPT_S
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -10,7 +10,7 @@
 from support.processes import DEFAULT_PORT_BASE, PORT_BASE_VARIABLE
 from support.stand_in_backend import StandInBackend
 from yokedock.base.clock import new_event_loop
-from yokedock.connection.dialect import HeaderDialect
+from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yokedock.connection.dialect import HeaderNames
+from yokedock.connection.header_dialect import HeaderNames
 
 PLATFORM_HEADERS = HeaderNames(
     request_id="X-Yokedock-Attempt-Id",
--- a/src/yokedock/platform/main.py
+++ b/src/yokedock/platform/main.py
@@ -6,7 +6,7 @@
 import socket
 from pathlib import Path
 
-from yokedock.connection.dialect import HeaderDialect
+from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.platform.headers import PLATFORM_HEADERS
 from yokedock.platform.settings_variable import SETTINGS_VARIABLE
 from yokedock.platform.store import PlatformStore
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -110,7 +110,7 @@
 @app.command
 def router(settings: SettingsOption) -> None:
     """Run a router on its own routes file: passes requests on by host and path."""
-    from yokedock.connection.dialect import HeaderDialect
+    from yokedock.connection.header_dialect import HeaderDialect
     from yokedock.connection.routes_file import RoutesFile
     from yokedock.process.router_main import run_router
     from yokedock.process.router_settings import read_router_settings
--- a/src/yokedock_emulator/header_backend.py
+++ b/src/yokedock_emulator/header_backend.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from yokedock.connection.dialect import HeaderNames
+from yokedock.connection.header_dialect import HeaderNames
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.plain_http import (
     PlainRequest,
