--- a/src/yokedock/request/generation_runs.py
+++ b/src/yokedock/request/generation_runs.py
@@ -27,11 +27,11 @@
 PREFILL_PATIENCE = 3.0
 """A prefill that takes this many times its prediction is given up."""
 LEAST_PREFILL_PATIENCE_S = 1.0
-"""The same at least (s). Chosen, not measured: other routers may have prompts read there as well."""
+"""The same at least (s). Chosen, not measured: other routers may have prompts read there too."""
 STALL_S = 1.2
 """A resumable stream that is silent for this long goes on at another engine."""
 LEAST_USEFUL_S = 0.1
-"""With less time left (s) no other engine is asked. Chosen, not measured: connect, read, one step."""
+"""With less time left (s) no other engine is asked. Chosen, not measured: connect, read, step."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
 RELEASE_TIMEOUT_S = 1.0
