A slow answer is waited for where all other backends want rest

Ruled out: the backend (its run was whole but for our close). Change: another backend must be usable now.

--- a/features/backend_notices.feature
+++ b/features/backend_notices.feature
@@ -70,6 +70,17 @@
     And a client sends POST on "once" with body "abc"
     Then the client gets 200 with the body of a backend
 
+  Scenario: A slow answer is not given up where all others want rest
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And backend "b" asks for 5 s of rest and then serves
+    When a client sends POST on "repeat" until "b" has answered
+    And backend "a" works for 1.2 s on each request from now on
+    And a client sends POST on "repeat" and takes the time
+    Then the client gets 200 with the body of a backend
+    And it was answered within 1.5 s
+
   Scenario: An engine that says in a stream that it leaves gets no further stream
     Given a prefill engine "p"
     And a decode engine "d"
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -78,6 +78,7 @@
     )
 
 
+@when('backend "{name}" works for {work_s:g} s on each request from now on')
 @given('backend "{name}" works for {work_s:g} s on each request')
 def works_for(context, name, work_s):
     backend_of(context, name).answer_delay_s = lambda arrival: work_s
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -146,17 +146,21 @@
                 if patience_s >= self._registry.patience_s(backend):
                     backend.health.note_silence(boot_time_s())
                 is_over = not exchange.is_open or call.left_s() <= 0
-                if is_over or self._may_ask_another(call):
+                if is_over or self._may_ask_another(call, backend):
                     raise
                 patience_s = call.left_s()
 
-    def _may_ask_another(self, call: RoutedCall) -> bool:
-        return call.may_run_again() and self._allowance.has_room(call.service.name)
+    def _may_ask_another(self, call: RoutedCall, backend: Backend) -> bool:
+        """Return whether another backend could take the call now: not where all others rest."""
+        if not call.may_run_again() or not self._allowance.has_room(call.service.name):
+            return False
+        usable = self._registry.usable(call.service.name)
+        return any(other is not backend for other in usable)
 
     def _patience_s(self, call: RoutedCall, backend: Backend) -> float:
         """Return how long to wait for an answer before another attempt, or until the deadline."""
         left_s = call.left_s()
-        if self._may_ask_another(call):
+        if self._may_ask_another(call, backend):
             return min(left_s, self._registry.patience_s(backend))
         return left_s
 
