What the next life of a backend said before it was heard of is believed of it

Change: the notices remember when the connection was opened that told of them; those of connections opened since the next start go over to that life.

--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -201,6 +201,20 @@
     assert [b.name for b in registry.usable(SERVICE)] == ["a@20"]
 
 
+def a_life_that_spoke_before_it_was_heard_of_is_believed():
+    """What came on a connection that was opened since the next life began is that one's word."""
+    born_ms, now_s = 1_000_000, 100.0
+    for opened_ms, is_kept in ((born_ms - 5_000, False), (born_ms + 2_000, True)):
+        registry = BackendRegistry("", Clock())
+        registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=10)], ())
+        registry.get("a@10").take_notices(notes(rest_s=9.0, is_leaving=True), now_s, opened_ms)
+        registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=born_ms)], ())
+        after = registry.get(f"a@{born_ms}")
+        assert after.notices.is_resting(now_s) is is_kept, opened_ms
+        assert (after.leaving_since_s is not None) is is_kept, opened_ms
+        assert bool(registry.usable(SERVICE)) is not is_kept, opened_ms
+
+
 def what_the_list_gives_others_is_the_list_alone():
     """A router hands the list on as it is: the others hear of a leaving by its own word."""
     clock = Clock()
@@ -227,5 +241,8 @@
         an_entry_that_lapses_and_comes_back_forgets_nothing
     ),
     "a later life has said nothing": a_later_life_has_said_nothing,
+    "a life that spoke before it was heard of is believed": (
+        a_life_that_spoke_before_it_was_heard_of_is_believed
+    ),
     "what the list gives others is the list alone": what_the_list_gives_others_is_the_list_alone,
 }
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -37,6 +37,8 @@
     status: int
     body: bytes
     head: AnswerHead
+    opened_ms: int
+    """Time of day at which its connection was opened."""
 
 
 class AnswerProgress(msgspec.Struct, frozen=True):
@@ -105,7 +107,7 @@
                     parts.append(part)
                     share.received_bytes += len(part)
                     _extend(time_limit, sent_s, limits.progress)
-                return ShortAnswer(answer.status, b"".join(parts), answer)
+                return ShortAnswer(answer.status, b"".join(parts), answer, connection.opened_ms)
         except TimeoutError:
             took_s = asyncio.get_running_loop().time() - sent_s
             state = f"{connection.received_bytes} bytes in {took_s:.1f} s, not whole"
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -161,7 +161,8 @@
         limits = CallLimits(ORDER_TIMEOUT_S, ORDER_TIMEOUT_S, longest_rest_s=0.0)
         try:
             answer = await short_call(self._pool, backend.entry.address, call, limits)
-            backend.take_notices(self._dialect.answer_notes(answer.head), boot_time_s())
+            notes = self._dialect.answer_notes(answer.head)
+            backend.take_notices(notes, boot_time_s(), answer.opened_ms)
             return answer.status
         except (BackendUnreachable, BackendBroken):
             return None
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -172,7 +172,7 @@
         What the backend says of itself holds whichever request it answers.
         """
         notes = self._dialect.answer_notes(head)
-        self.backend.take_notices(notes, boot_time_s())
+        self.backend.take_notices(notes, boot_time_s(), self._connection.opened_ms)
         return notes.request_id is None or notes.request_id == self._call.request_id
 
 
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -140,9 +140,12 @@
         """Return whether the backend itself has said that it will end."""
         return self.entry.is_leaving or self.notices.leaving_since_s is not None
 
-    def take_notices(self, notes: AnswerNotes, now_s: float) -> None:
-        """Take in what the head of any of its answers says of the backend."""
-        self.notices.take(notes, self.name, now_s)
+    def take_notices(self, notes: AnswerNotes, now_s: float, opened_ms: int = 0) -> None:
+        """Take in what the head of any of its answers says of the backend.
+
+        The answer's connection was opened at ``opened_ms`` (time of day), 0 if that is not known.
+        """
+        self.notices.take(notes, self.name, now_s, opened_ms)
         self._weigh_leaving()
 
     def note_told_leaving(self, now_s: float) -> None:
@@ -184,7 +187,12 @@
                 connection.abort()
 
     def succeed(self, before: Backend) -> None:
-        """Begin with the care that quick restarts of this backend ask for."""
+        """Begin with the care that quick restarts of this backend ask for.
+
+        And with what this life said already while the one before was thought to be there.
+        """
+        self.notices = before.notices.said_since(self.entry.born_ms + CLOCK_MARGIN_MS)
+        self._weigh_leaving()
         if self.known_s - before.known_s < STAYED_S:
             self.restarts = min(before.restarts + 1, MOST_RESTARTS)
             self.health.failures = 1.0 - 0.5**self.restarts
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -38,15 +38,23 @@
     """When this router itself first had an answer that says so."""
     rest_until_s: float = -math.inf
     """Until when it wants no request from this router."""
+    leaving_opened_ms: int = 0
+    """Time of day at which the connection that told of the leaving was opened."""
+    rest_opened_ms: int = 0
+    """The same of the rest."""
 
-    def take(self, notes: AnswerNotes, backend: str, now_s: float) -> None:
-        """Take in what the head of an answer says of ``backend``."""
+    def take(self, notes: AnswerNotes, backend: str, now_s: float, opened_ms: int) -> None:
+        """Take in what the head of an answer says of ``backend``.
+
+        The answer came on a connection that was opened at ``opened_ms`` (time of day).
+        """
         if notes.is_leaving and self.said_leaving_s < 0:
-            self.said_leaving_s = now_s
+            self.said_leaving_s, self.leaving_opened_ms = now_s, opened_ms
             self.note_leaving(now_s)
             _log.info("backend says that it leaves", backend=backend)
         if notes.rest_s is not None:
             self.rest_until_s = max(self.rest_until_s, now_s + notes.rest_s)
+            self.rest_opened_ms = opened_ms
             _log.info("backend asks for rest", backend=backend, rest_s=notes.rest_s)
 
     def note_leaving(self, now_s: float) -> None:
@@ -58,6 +66,20 @@
         """Return whether the backend wants no request now."""
         return now_s < self.rest_until_s
 
+    def said_since(self, born_ms: int) -> BackendNotices:
+        """Return what the next life, begun at ``born_ms``, said before it was heard of.
+
+        A connection that was opened since its start is its own, whoever was thought to be there:
+        with the list silent for 2.5 s, a rest of that length was forgotten as the list came back.
+        """
+        said = BackendNotices()
+        if self.rest_opened_ms >= born_ms:
+            said.rest_until_s, said.rest_opened_ms = self.rest_until_s, self.rest_opened_ms
+        if self.leaving_opened_ms >= born_ms:
+            said.leaving_since_s, said.said_leaving_s = self.leaving_since_s, self.said_leaving_s
+            said.leaving_opened_ms = self.leaving_opened_ms
+        return said
+
     def hold(self, now_s: float) -> bool:
         """Return whether anything was said that would still matter if its entry came back."""
         said_s = self.leaving_since_s
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -97,7 +97,8 @@
         question = self._dialect.cache_list_call()
         try:
             answer = await short_call(self._pool, engine.entry.address, question, ANSWER_LIMITS)
-            engine.take_notices(self._dialect.answer_notes(answer.head), boot_time_s())
+            notes = self._dialect.answer_notes(answer.head)
+            engine.take_notices(notes, boot_time_s(), answer.opened_ms)
             if answer.status == OK:
                 return self._dialect.cached_parts(answer.body)
         except (BackendUnreachable, BackendBroken, EngineRejected) as error:
