--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -11,6 +11,8 @@
       | 1    | 20      |
       | 2    | 20      |
       | 3    | 20      |
+      | 26   | 20      |
+      | 32   | 20      |
 
   Scenario Outline: The judge finds what is wrong: <fault>
     Given a history in which <fault>
