What a router tells and hears has a module of its own; steps call the step that sends many

Change: the talk moved to fleet_talk.py, nothing decided otherwise; two steps of notices were a copy of an older one.

--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -3,7 +3,7 @@
 import time
 
 from behave import given, then, when
-from router_steps import caller, decode_engines, share_fault
+from router_steps import caller, decode_engines, send_many, share_fault
 from support.router_world import request_bytes
 
 from yokedock.base.clock import boot_time_s
@@ -102,21 +102,14 @@
 @when('{later_s:g} s later a client sends POST on "{route}" {count:d} times on one connection')
 def send_later(context, later_s, route, count):
     time.sleep(later_s)
-    context.caller = caller(context)
-    context.answers = []
-    for number in range(count):
-        context.caller.send(request_bytes(route, body=b"abc", request_id=f"l-{number}"))
-        context.answers.append(context.caller.read_answer())
+    send_many(context, route, count)
 
 
 @when('{later_s:g} s later a client sends POST on "{route}" {count:d} times to the second router')
 def send_later_to_second(context, later_s, route, count):
     time.sleep(later_s)
-    sender = caller(context, context.routers[1])
-    context.answers = []
-    for number in range(count):
-        sender.send(request_bytes(route, body=b"abc", request_id=f"l-{number}"))
-        context.answers.append(sender.read_answer())
+    context.router = context.routers[1]
+    send_many(context, route, count)
 
 
 @when('{later_s:g} s later a client sends POST on "{route}" with body "abc"')
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -194,10 +194,7 @@
             raise BadRequest(f"not a request ({error}); send HTTP/1.1") from None
 
     async def _receive(self, timeout_s: float) -> bool:
-        """Hand more bytes to the parser; return False at the end or after ``timeout_s``.
-
-        What came while this process stood still came in time.
-        """
+        """Hand more bytes to the parser; return False at the end or after ``timeout_s``."""
         try:
             async with Patience(timeout_s):
                 data = await self._reader.read(READ_BYTES)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from yokedock.base.clock import boot_time_s, wall_clock_ms
+from yokedock.base.clock import boot_time_s
 from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
 from yokedock.connection.answer_writer import AnswerWriter
@@ -16,14 +16,14 @@
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.http_heads import whole_answer
-from yokedock.connection.router_gossip import OtherRouter, RouterGossip
-from yokedock.connection.router_state import RouterState
+from yokedock.connection.router_gossip import RouterGossip
 from yokedock.connection.state_source import StateSource
 from yokedock.errors import (
     NotFound,
     NotReady,
 )
-from yokedock.process.leadership import Leadership, Vote
+from yokedock.process.fleet_talk import FleetTalk, TalkingParts
+from yokedock.process.leadership import Leadership
 from yokedock.process.request_intake import RequestIntake, StopState
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_metrics import RouterMetrics
@@ -32,7 +32,7 @@
 from yokedock.process.state_exchange import STATE_PATH, StateExchange
 from yokedock.process.state_follower import StateFollower
 from yokedock.process.wake_watch import WakeWatch
-from yokedock.process.watch_duty import SourceContact, WatchDuty
+from yokedock.process.watch_duty import WatchDuty
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_registry import BackendRegistry
@@ -74,19 +74,17 @@
         """Prepare; nothing is bound yet but ``sockets``, which listen by address."""
         self._sockets = sockets or {}
         self.settings = settings
-        self._incarnation_ms = wall_clock_ms()
         self._registry = BackendRegistry(settings.process.zone)
         mechanisms = settings.mechanisms
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
-        self._own_address = own_address
+        talk = FleetTalk()
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
-            own_address, int(port), seeds, self._state, self._heard, self._silent
+            own_address, int(port), seeds, talk.state, talk.heard, talk.silent
         )
-        duty = WatchDuty(own_address, self._source_contacts)
+        duty = WatchDuty(own_address, talk.source_contacts)
         self._follower = StateFollower(source, self._registry, duty)
-        self._follower.on_news = self._gossip.change
         self._exchange = StateExchange(self._follower, int(port), self._gossip.alive)
         bounds = RetryBounds(
             settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
@@ -132,15 +130,13 @@
         self._leadership = Leadership(
             own_address, settings.fleet.lease_s, settings.fleet.is_first_start
         )
-        self._highest_token = 0
-        self._own_token: int | None = None
         self._roles = RoleBalancer(
             settings.process.name,
             self._registry,
             self._ledger,
             self._pool,
             dialect,
-            self._leading_token,
+            talk.leading_token,
         )
         self._upkeep = RouterUpkeep(
             KeptTables(
@@ -156,7 +152,28 @@
                 self._metrics,
             )
         )
+        talk.join(
+            TalkingParts(
+                settings.process.name,
+                self._gossip,
+                self._follower,
+                self._exchange,
+                self._leadership,
+                self._roles,
+                self._registry,
+                self._ledger,
+                placement,
+                self._queues_elsewhere,
+                self._poison,
+                self._stop,
+            )
+        )
         self._wake = WakeWatch(self._pool)
+        self._pass_news_on()
+
+    def _pass_news_on(self) -> None:
+        """Have each part tell the others of its changes."""
+        self._follower.on_news = self._gossip.change
         self._ledger.on_change = self._gossip.change
         self._poison.on_end = self._gossip.change
         self._gossip.for_newcomers = self._poison.told_to_newcomer
@@ -329,7 +346,7 @@
             **self._upkeep.sizes(),
         }
 
-    # --- Backends and other routers ---
+    # --- Backends ---
 
     def _backends_changed(self) -> None:
         self._ledger.on_room()
@@ -337,66 +354,3 @@
     def _life_ended(self, backend: Backend) -> None:
         """Drop what rests at a backend that has started anew; the rest hangs on its life's name."""
         self._pool.forget(backend.entry.address)
-
-    def _state(self, sequence: int, heard: tuple[str, ...]) -> RouterState:
-        return RouterState(
-            self.settings.process.name,
-            self._incarnation_ms,
-            sequence,
-            self._follower.version,
-            self._follower.position,
-            self._stop.is_stopping,
-            self._placement.waiting_in_time(),
-            self._ledger.shares(),
-            "" if self._stop.is_stopping else self._leadership.vote(),
-            self._highest_token,
-            self._roles.changing(),
-            heard,
-            self._placement.queues(),
-            self._follower.source_age_ms(),
-            self._follower.news(),
-            self._registry.broken(),
-            self._poison.told(),
-            self._registry.said_leaving(),
-        )
-
-    def _source_contacts(self) -> list[SourceContact]:
-        """Return what the routers heard a moment ago told of their contact with the source."""
-        return [
-            SourceContact(
-                other.address, other.state.source_age_ms, other.heard_s, other.state.is_leaving
-            )
-            for other in self._gossip.alive()
-            if other.state is not None
-        ]
-
-    def _heard(self, other: OtherRouter) -> None:
-        assert other.state is not None
-        state = other.state
-        self._ledger.heard(other.address, state.shares)
-        if self._queues_elsewhere.heard(other.address, state.queues, other.heard_s):
-            self._ledger.on_room()
-        self._highest_token = max(self._highest_token, state.token)
-        self._leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
-        self._registry.set_changing(other.address, state.changing)
-        self._registry.heard_broken(state.broken)
-        self._poison.heard(state.suspects)
-        self._registry.heard_leaving(state.leaving)
-        self._follower.take_news(state.news)
-        self._exchange.heard(state)
-
-    def _leading_token(self) -> int | None:
-        """Return this router's fencing token while it leads; a new one each time it begins to."""
-        if self._stop.is_stopping or not self._leadership.leads(self._gossip.known()):
-            self._own_token = None
-            return None
-        if self._own_token is None:
-            self._own_token = max(self._highest_token + 1, wall_clock_ms())
-            self._highest_token = self._own_token
-            _log.info("leads", token=self._own_token, known=self._gossip.known())
-        return self._own_token
-
-    def _silent(self, other: OtherRouter) -> None:
-        self._registry.set_changing(other.address, ())
-        self._queues_elsewhere.forget(other.address)
-        self._ledger.forget(other.address)
