--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -188,5 +188,6 @@
       | a rest of all ends when the first does              |
       | an entry that lapses and comes back forgets nothing |
       | a later life has said nothing                       |
+      | what was said by who is gone is dropped             |
       | a life that spoke before it was heard of is believed |
       | what the list gives others is the list alone        |
--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -11,7 +11,7 @@
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.connection.state_source import BackendEntry
-from yokedock.request.backend_notices import LEAVING_KEPT_S
+from yokedock.request.backend_notices import SAID_KEPT_S
 from yokedock.request.backend_registry import BackendRegistry
 
 SERVICE = "plain"
@@ -185,11 +185,29 @@
     registry.update([entry("a"), entry("b"), entry("c")], ())
     assert {b.name for b in registry.usable(SERVICE)} == {"c"}
     registry.update((), ["a", "b", "c"])
-    clock.now_s += LEAVING_KEPT_S
+    clock.now_s += SAID_KEPT_S + 1.0
     registry.drop_gone()
     assert not registry.names()
 
 
+def what_was_said_by_who_is_gone_is_dropped():
+    """Backends that leave all day long leave no more behind than a minute's worth."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    for number in range(1, 400):
+        names = (f"b{number}", "a")
+        registry.update(
+            [BackendEntry(name, SERVICE, "127.0.0.1:1", born_ms=number) for name in names], ()
+        )
+        for name in names:
+            said = notes(is_leaving=True, rest_s=86_400.0)
+            registry.get(f"{name}@{number}").take_notices(said, clock.now_s)
+        registry.update((), [f"b{number}"])
+        clock.now_s += 5.0
+        registry.drop_gone()
+        assert len(registry.names()) <= 20, len(registry.names())
+
+
 def a_later_life_has_said_nothing():
     """A backend that starts anew under its identifier is neither leaving nor at rest."""
     clock = Clock()
@@ -246,6 +264,7 @@
     "an entry that lapses and comes back forgets nothing": (
         an_entry_that_lapses_and_comes_back_forgets_nothing
     ),
+    "what was said by who is gone is dropped": what_was_said_by_who_is_gone_is_dropped,
     "a later life has said nothing": a_later_life_has_said_nothing,
     "a life that spoke before it was heard of is believed": (
         a_life_that_spoke_before_it_was_heard_of_is_believed
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -24,9 +24,10 @@
 TELL_LEAVING_S = 1.0
 """Routers tell each other of a leaving for so long after they heard of it: two datagrams at least,
 of which one may be lost. Whoever hears it sends no stream to a backend that ends under it."""
-LEAVING_KEPT_S = 600.0
-"""What a backend said of its leaving is kept so long after its entry has gone: an entry that lapsed
-with the list may come back while the backend is still on its way out, many seconds later."""
+SAID_KEPT_S = 60.0
+"""What a backend said is kept so long after its entry has gone: an entry that lapsed with the list
+may come back while the backend is still on its way out, many seconds later. Two backends replaced
+each second, all of which say that they leave, are 120 more to look through."""
 
 
 class BackendNotices(msgspec.Struct):
@@ -82,8 +83,6 @@
             said.leaving_opened_ms = self.leaving_opened_ms
         return said
 
-    def hold(self, now_s: float) -> bool:
-        """Return whether anything was said that would still matter if its entry came back."""
-        said_s = self.leaving_since_s
-        has_left_lately = said_s is not None and now_s - said_s < LEAVING_KEPT_S
-        return has_left_lately or self.is_resting(now_s)
+    def matter(self, now_s: float) -> bool:
+        """Return whether anything was said that would still hold if its entry came back."""
+        return self.leaving_since_s is not None or self.is_resting(now_s)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -15,7 +15,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_life import Backend
-from yokedock.request.backend_notices import TELL_LEAVING_S
+from yokedock.request.backend_notices import SAID_KEPT_S, TELL_LEAVING_S
 from yokedock.version.homes import HashRing
 
 _log = logger("backends")
@@ -97,11 +97,12 @@
     def drop_gone(self) -> None:
         """Drop backends that left long ago and have nothing under way."""
         now_s = self._clock()
-        oldest_s = now_s - GONE_KEPT_S
         for name, backend in list(self._backends.items()):
+            has_said = not backend.has_ended and backend.notices.matter(now_s)
+            oldest_s = now_s - (SAID_KEPT_S if has_said else GONE_KEPT_S)
             since_s = backend.unlisted_since_s
             is_long_gone = not backend.is_listed and since_s is not None and since_s < oldest_s
-            if is_long_gone and not backend.outstanding and not backend.notices.hold(now_s):
+            if is_long_gone and not backend.outstanding:
                 del self._backends[name]
                 self._members = None
                 if self._newest.get(backend.entry.instance) is backend:
