The head of an answer is read once; what nobody called is gone; a page says which answers are heard

Ruled out: a change of what is decided. Change: the notes of the newest head are kept; the rest are deletions and words.

--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -61,6 +61,8 @@
         self._poison = poison
         self._sent_s = 0.0
         self._is_prefill = False
+        self._notes: AnswerNotes | None = None
+        """What the newest head says."""
 
     @property
     def is_open(self) -> bool:
@@ -108,7 +110,8 @@
                 self.backend.health.note_silence(boot_time_s())
             message = f"{self.backend.name} gave no answer in {timeout_s:.2f} s"
             raise BackendSilent(message) from None
-        notes = self._dialect.answer_notes(head)
+        notes = self._notes
+        assert notes is not None
         self.backend.load = notes.load or self.backend.load
         if notes.is_elsewhere:
             self.backend.note_gone(boot_time_s())
@@ -171,7 +174,7 @@
 
         What the backend says of itself holds whichever request it answers.
         """
-        notes = self._dialect.answer_notes(head)
+        notes = self._notes = self._dialect.answer_notes(head)
         self.backend.take_notices(notes, boot_time_s(), self._connection.opened_ms)
         return notes.request_id is None or notes.request_id == self._call.request_id
 
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -1,6 +1,6 @@
 """What one life of a backend says of itself in its answers: that it leaves, that it wants rest.
 
-It is heard in every answer, whatever was asked and whether or not it goes to a caller, since the
+It is heard in every answer but those to releases of a prompt's memory, passed on or not, since the
 list of backends may be silent or behind: with the list down for 13 s, a router sent twelve requests
 to a backend that had said in its answers that it leaves, the last one 2.9 s later (counted in its
 log). And a refusal alone only makes a backend dearer for some seconds: one that wanted 3 s of rest
--- a/src/yokedock_emulator/router_soak/soak_notices.py
+++ b/src/yokedock_emulator/router_soak/soak_notices.py
@@ -44,11 +44,6 @@
     return found
 
 
-def rests_asked(history: SoakHistory) -> int:
-    """Return how often a backend asked for rest."""
-    return sum(arrival.rest_s > 0 for arrival in history.arrivals)
-
-
 def _visits(history: SoakHistory) -> Visits:
     visits: Visits = collections.defaultdict(list)
     for arrival in sorted(history.arrivals, key=lambda each: each.at_s):
