--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -76,6 +76,8 @@
     """The backend will end soon; it says so in all its answers from then on."""
     rest_s: float | None = None
     """Seconds for which the backend that turned the request away wants no other from here."""
+    limit_per_s: float | None = None
+    """Requests a second that the backend takes from all routers together, None if it names none."""
 
 
 class RoleOrder(msgspec.Struct, frozen=True):
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -45,6 +45,7 @@
     signature: str = "X-Signature"
     load: str = "X-Backend-Load"
     leaving: str = "X-Backend-Leaving"
+    limit: str = "X-Backend-Limit"
     set_by_router: tuple[str, ...] = ("X-Expected-Backend", "X-Stage", "X-Kv-Source", "X-Copy-From")
     prefill_stage: str = "prefill"
     handle_field: str = "handle"
@@ -128,6 +129,7 @@
             load=_load(head.get(self._keys["load"])),
             is_leaving=head.get(self._keys["leaving"]) == LEAVING_VALUE,
             rest_s=_rest_s(head) if head.status == OVERLOADED_STATUS else None,
+            limit_per_s=_limit_per_s(head.get(self._keys["limit"])),
         )
 
     def prefill_result(self, body: bytes) -> PrefillResult:
@@ -232,3 +234,17 @@
         _log.info("time to rest not understood", value=text[:40])
         return None
     return min(rest_s, LONGEST_REST_S)
+
+
+def _limit_per_s(text: str | None) -> float | None:
+    """Return a limit in requests a second, None where it is absent or no finite number."""
+    if text is None:
+        return None
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if not (math.isfinite(limit_per_s) and limit_per_s >= 0):
+        _log.info("limit not understood", value=text[:40])
+        return None
+    return limit_per_s
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -20,6 +20,7 @@
     signature="X-Yokedock-Response-Seal",
     load="X-Yokedock-Instance-Load",
     leaving="Server-Leaving",
+    limit="Server-Limit",
     set_by_router=(
         "X-Yokedock-Expected-Instance",
         "X-Yokedock-Expected-Version",
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -141,12 +141,13 @@
                 backend.note_told_leaving(now_s)
 
     def levels(self) -> dict[str, float]:
-        """Return how many backends said in answers that they leave, and how many want rest now."""
+        """Return how many backends said that they leave, want rest now, or name a limit."""
         now_s = self._clock()
         notices = [backend.notices for backend in self._backends.values()]
         return {
             "backends_said_leaving": sum(n.leaving_since_s is not None for n in notices),
             "backends_resting": sum(n.is_resting(now_s) for n in notices),
+            "backends_limited": sum(n.limit_per_s is not None for n in notices),
         }
 
     def get(self, name: str) -> Backend | None:
