Failing scenarios: a limit that a backend names is kept by nobody

What callers and backends saw: a backend in need names a limit and gets what any other gets. Ruled out: that each router keeps to the limit by itself (one router alone breaks it).

--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -62,6 +62,8 @@
         """Called with the number of each event that was sent."""
         self.is_leaving = False
         """It says so in all its answers."""
+        self.limit = None
+        """What all its answers name as the requests a second that it takes, as text."""
         self.answer_delay_s = lambda arrival: 0.0
         """How long it works on a request before its answer begins."""
         self.dies_when_broken = False
@@ -236,6 +238,7 @@
         lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {named}"]
         lines += [f"X-Signature: {self.name}"] if signed else []
         lines += ["X-Backend-Leaving: 1"] if self.is_leaving else []
+        lines += [f"X-Backend-Limit: {self.limit}"] if self.limit is not None else []
         lines += [f"{name}: {value}" for name, value in extra]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
--- /dev/null
+++ b/features/support/steady_load.py
@@ -0,0 +1,71 @@
+"""Clients that send one request after the other to their router for a while."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from support.router_world import RawCaller, request_bytes
+from yokedock.base.clock import boot_time_s
+
+PAUSE_S = 0.03
+"""From an answer to the client's next request."""
+BROKEN = -1
+"""Status of a request whose answer was not whole."""
+_numbers = itertools.count()
+
+
+@dataclasses.dataclass(frozen=True)
+class ServedRequest:
+    """What one client saw of one request."""
+
+    request_id: str
+    sent_s: float
+    took_s: float
+    status: int
+    headers: dict
+
+
+class SteadyLoad:
+    """Sends to ``routers`` with so many clients each; ``served`` is what they saw."""
+
+    def __init__(self, world, routers, clients, make_request):
+        self._world = world
+        self._routers = routers
+        self._clients = clients
+        self._make_request = make_request
+        self.served = []
+
+    def run(self, span_s):
+        """Send for a while."""
+        addresses = [router.settings.callers.listen for router in self._routers]
+        callers = [RawCaller(self._world, one) for one in addresses for _ in range(self._clients)]
+        self._world.run(self._send_all(callers, boot_time_s() + span_s))
+
+    async def _send_all(self, callers, until_s):
+        await asyncio.gather(*(self._send(caller, until_s) for caller in callers))
+
+    async def _send(self, caller, until_s):
+        while (sent_s := boot_time_s()) < until_s:
+            request_id = f"load-{next(_numbers)}"
+            caller._writer.write(self._make_request(request_id))
+            status, headers, _, is_whole = await caller._read_answer()
+            took_s = boot_time_s() - sent_s
+            status = status if is_whole else BROKEN
+            self.served.append(ServedRequest(request_id, sent_s, took_s, status, headers))
+            await asyncio.sleep(PAUSE_S)
+
+
+def call_of(route):
+    """Return what makes calls on a route."""
+    return lambda request_id: request_bytes(route, body=b"abc", request_id=request_id)
+
+
+def stream_of(route):
+    """Return what makes generations on a route, each with a prompt of its own."""
+
+    def make(request_id):
+        parts = f"{request_id}:50"
+        headers = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", parts)]
+        return request_bytes(route, headers=headers, request_id=request_id)
+
+    return make
