A limit that a backend names is kept by all routers together

What callers and backends saw: a backend in need named how many requests a second it takes, and got what any other gets: 28 in 4 s where 14 are allowed. Cause: nothing read the header, so that the limit entered no choice, at no router. Choice, sending, repeats, prompts, streams, releases and orders take a permit. Calls that find none wait in order while they can be in time, else they are told at once when. Why it holds: what is overdrawn by two routers in the same moment is paid back by all; who begins is drawn anew for each permit; a router that begins has no permit saved. Ruled out: equal shares (at 370 routers and 1.3 a second one request in five minutes each); an owner that lends permits (a round trip for each, and two owners whenever it changes).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -191,3 +191,24 @@
       | what was said by who is gone is dropped             |
       | a life that spoke before it was heard of is believed |
       | what the list gives others is the list alone        |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: limits that all routers share
+      | property                                                  |
+      | a limit is kept and used wherever the demand is           |
+      | a limit is kept and used by 370 routers                   |
+      | many that could take the same permit do not               |
+      | a limit is kept with lost datagrams                       |
+      | a limit is kept while routers start anew                  |
+      | a router that was not told itself keeps to the limit      |
+      | limits that change are kept                               |
+      | a limit that ends holds no more                           |
+      | a limit of nothing is asked now and then                  |
+      | whoever waits longest goes first                          |
+      | answers that overtake each other are put in order         |
+      | limits are read strictly                                  |
+      | a limit belongs to one life                               |
+      | a limited backend is left out only while it has no permit |
+      | an end that all were told of is not taken back            |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -7,6 +7,7 @@
 from support.fuzz_properties import FUZZ_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
 from support.life_properties import LIFE_PROPERTIES
+from support.limit_properties import LIMIT_PROPERTIES
 from support.notice_properties import NOTICE_PROPERTIES
 from support.placement_cost_properties import PLACEMENT_COST_PROPERTIES
 from support.poison_properties import POISON_PROPERTIES
@@ -22,7 +23,7 @@
 ALL_PROPERTIES |= WATCH_PROPERTIES | GOSSIP_PROPERTIES | BROKEN_ENGINE_PROPERTIES
 ALL_PROPERTIES |= ROLE_PROPERTIES | CONNECTION_PROPERTIES | POISON_PROPERTIES
 ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
-ALL_PROPERTIES |= NOTICE_PROPERTIES
+ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- a/features/support/narrow_link.py
+++ b/features/support/narrow_link.py
@@ -44,11 +44,11 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(PIECE_BYTES):
                 if is_narrow:
-                    await self._take_turn(len(data))
+                    await self._take_permit(len(data))
                 writer.write(data)
                 await writer.drain()
 
-    async def _take_turn(self, size):
+    async def _take_permit(self, size):
         """Wait until the link has carried everything before and these bytes."""
         now_s = asyncio.get_running_loop().time()
         self._free_s = max(self._free_s, now_s - QUEUE_S) + size / self._bytes_per_s
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -30,6 +30,21 @@
     waits or the router is of an older version."""
 
 
+class LimitShare(msgspec.Struct, array_like=True):
+    """What one router knows of a backend's limit, and what it has of the permits."""
+
+    per_s: float
+    """Requests a second that the backend takes from all routers together, below 0 if no more."""
+    age_ms: int
+    """Time since this router last had an answer, or heard of one, that says so."""
+    taken: int
+    """Permits that this router has taken."""
+    waiting: int = 0
+    """Requests that wait for a permit."""
+    waited_ms: int = 0
+    """For how long the first of them has waited."""
+
+
 class SuspectRequest(msgspec.Struct, array_like=True, frozen=True):
     """A request under which backends ended."""
 
@@ -86,3 +101,5 @@
     """Requests under which backends ended a moment ago."""
     leaving: tuple[str, ...] = ()
     """Backends whose answers said a moment ago that they leave."""
+    limits: dict[str, LimitShare] = {}
+    """Backends that name a limit, or did a moment ago."""
--- a/src/yokedock/process/fleet_talk.py
+++ b/src/yokedock/process/fleet_talk.py
@@ -80,6 +80,7 @@
             parts.registry.broken(),
             parts.poison.told(),
             parts.registry.said_leaving(),
+            parts.registry.limits_told(),
         )
 
     def source_contacts(self) -> list[SourceContact]:
@@ -107,6 +108,7 @@
         parts.registry.heard_broken(state.broken)
         parts.poison.heard(state.suspects)
         parts.registry.heard_leaving(state.leaving)
+        parts.registry.heard_limits(other.address, state.limits)
         parts.follower.take_news(state.news)
         parts.exchange.heard(state)
 
@@ -126,5 +128,6 @@
         """Drop what a router told that is no longer heard."""
         parts = self._parts
         parts.registry.set_changing(other.address, ())
+        parts.registry.forget_limits(other.address)
         parts.queues_elsewhere.forget(other.address)
         parts.ledger.forget(other.address)
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -135,7 +135,9 @@
 
     async def _order_change(self, change: RoleChange, switch_s: float) -> None:
         backend = self._registry.get(change.name)
-        if backend is not None and not backend.notices.is_resting(boot_time_s()):
+        now_s = boot_time_s()
+        if backend is not None and backend.may_take(now_s):
+            backend.limit.take(now_s)
             await self._order(backend, change.role, switch_s)
 
     async def _order(self, backend: Backend, role: str, switch_s: float) -> None:
@@ -160,9 +162,10 @@
         call = ShortCall(b"POST", order.target, tuple(order.headers), order.body)
         limits = CallLimits(ORDER_TIMEOUT_S, ORDER_TIMEOUT_S, longest_rest_s=0.0)
         try:
+            sent_s = boot_time_s()
             answer = await short_call(self._pool, backend.entry.address, call, limits)
             notes = self._dialect.answer_notes(answer.head)
-            backend.take_notices(notes, boot_time_s(), answer.opened_ms)
+            backend.take_notices(notes, boot_time_s(), answer.opened_ms, sent_s)
             return answer.status
         except (BackendUnreachable, BackendBroken):
             return None
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -35,6 +35,7 @@
 from yokedock.process.watch_duty import WatchDuty
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.backend_life import Backend
+from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
@@ -74,10 +75,11 @@
         """Prepare; nothing is bound yet but ``sockets``, which listen by address."""
         self._sockets = sockets or {}
         self.settings = settings
-        self._registry = BackendRegistry(settings.process.zone)
         mechanisms = settings.mechanisms
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
+        limits = BackendLimits(own_address, lambda: self._gossip.fleet_size())
+        self._registry = BackendRegistry(settings.process.zone, limits=limits)
         talk = FleetTalk()
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
@@ -176,6 +178,7 @@
         self._follower.on_news = self._gossip.change
         self._ledger.on_change = self._gossip.change
         self._poison.on_end = self._gossip.change
+        self._registry.limits.on_change = self._gossip.change
         self._gossip.for_newcomers = self._poison.told_to_newcomer
         self._registry.on_change = self._backends_changed
         self._registry.on_new_life = self._life_ended
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 
 from yokedock.base.clock import boot_time_s
@@ -175,8 +176,10 @@
         What the backend says of itself holds whichever request it answers.
         """
         notes = self._notes = self._dialect.answer_notes(head)
-        self.backend.take_notices(notes, boot_time_s(), self._connection.opened_ms)
-        return notes.request_id is None or notes.request_id == self._call.request_id
+        is_ours = notes.request_id is None or notes.request_id == self._call.request_id
+        sent_s = self._sent_s if is_ours else -math.inf
+        self.backend.take_notices(notes, boot_time_s(), self._connection.opened_ms, sent_s)
+        return is_ours
 
 
 class BackendExchanges:
@@ -189,12 +192,16 @@
         self.dialect = dialect
 
     @contextlib.asynccontextmanager
-    async def open(self, backend: Backend, call: RoutedCall) -> AsyncIterator[BackendExchange]:
+    async def open(
+        self, backend: Backend, call: RoutedCall, has_permit: bool = False
+    ) -> AsyncIterator[BackendExchange]:
         """Connect to a backend; raises ``BackendUnreachable`` if nothing could be sent.
 
         That includes a backend that has said since it was chosen that it wants nothing.
         Raises ``RequestQuarantined`` for a request that ends its backends.
 
+        ``has_permit``: a permit of a limited backend was taken already, or nothing will be sent.
+
         The connection rests afterwards if its answer was read whole, else it is closed at once,
         so that the backend stops working on what nobody waits for.
         """
@@ -203,6 +210,8 @@
         if self._poison.is_known():
             self._poison.require_sound(call.digest)
         backend.require_willing(boot_time_s())
+        if not has_permit:
+            backend.take_permit(boot_time_s())
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
         timeout_s = min(CONNECT_TIMEOUT_S, call.left_s())
         with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -13,6 +13,7 @@
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.dialect import AnswerNotes, BackendLoad
 from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_notices import BackendNotices
 from yokedock.request.poison_requests import life_number
 from yokedock.router_errors import BackendUnwilling
@@ -110,7 +111,7 @@
 class Backend:
     """One life of a backend: all that is believed of it hangs on this object or on ``name``."""
 
-    def __init__(self, entry: BackendEntry, known_s: float = 0.0) -> None:
+    def __init__(self, entry: BackendEntry, known_s: float, limits: BackendLimits) -> None:
         """Start with what the list says, at ``known_s`` (boot time)."""
         self.entry = entry
         self.name = life_name(entry)
@@ -119,6 +120,9 @@
         """The same as a number, for datagrams."""
         self.health = Health()
         self.notices = BackendNotices()
+        self.limit = limits.limit_of(self.name, entry.service)
+        self._limit_opened_ms = 0
+        """Time of day at which the connection was opened that told of the limit last."""
         self.known_s = known_s
         self.restarts = 0
         """How many lives before this one followed each other within ``STAYED_S``."""
@@ -140,13 +144,19 @@
         """Return whether the backend itself has said that it will end."""
         return self.entry.is_leaving or self.notices.leaving_since_s is not None
 
-    def take_notices(self, notes: AnswerNotes, now_s: float, opened_ms: int = 0) -> None:
+    def take_notices(
+        self, notes: AnswerNotes, now_s: float, opened_ms: int = 0, sent_s: float = -math.inf
+    ) -> None:
         """Take in what the head of any of its answers says of the backend.
 
-        The answer's connection was opened at ``opened_ms`` (time of day), 0 if that is not known.
+        The answer's connection was opened at ``opened_ms`` (time of day), its request was sent at
+        ``sent_s`` (boot time); the defaults stand for times that are not known.
         """
         self.notices.take(notes, self.name, now_s, opened_ms)
         self._weigh_leaving()
+        if not notes.is_elsewhere:
+            self._limit_opened_ms = opened_ms
+            self.limit.note_answer(notes.limit_per_s, sent_s, now_s)
 
     def note_told_leaving(self, now_s: float) -> None:
         """Take in that another router had an answer which says that it leaves."""
@@ -193,11 +203,30 @@
         """
         self.notices = before.notices.said_since(self.entry.born_ms, CLOCK_MARGIN_MS)
         self._weigh_leaving()
+        if before._limit_opened_ms >= self.entry.born_ms - CLOCK_MARGIN_MS:
+            # Its own word then, or about to end: the next answer says whether it still holds.
+            self.limit.note_answer(before.limit.per_s, self.known_s, self.known_s)
         if self.known_s - before.known_s < STAYED_S:
             self.restarts = min(before.restarts + 1, MOST_RESTARTS)
             self.health.failures = 1.0 - 0.5**self.restarts
             self.health.noted_s = self.known_s
 
+    def may_take(self, now_s: float) -> bool:
+        """Return whether a request may be sent now, as far as rest and limit go."""
+        if self.limit.rate is not None and self.limit.wait_s(now_s) > 0:
+            return False
+        return self.notices.rest_until_s <= now_s
+
+    def free_in_s(self, now_s: float) -> float:
+        """Return after what time that may be so, 0 if now."""
+        return max(self.limit.wait_s(now_s), self.notices.rest_until_s - now_s, 0.0)
+
+    def take_permit(self, now_s: float) -> None:
+        """Count a request that is about to be sent; raises ``BackendUnwilling`` if none may be."""
+        if self.limit.wait_s(now_s) > 0:
+            raise BackendUnwilling(f"{self.name} has named a limit, and its permits are taken")
+        self.limit.take(now_s)
+
     def require_willing(self, now_s: float) -> None:
         """Raise ``BackendUnwilling`` if nothing may be sent now.
 
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -43,8 +43,6 @@
     """Time of day at which the connection that told of the leaving was opened."""
     rest_opened_ms: int = 0
     """The same of the rest."""
-    limit_per_s: float | None = None
-    """Requests a second that it takes from all routers together, None while it names none."""
 
     def take(self, notes: AnswerNotes, backend: str, now_s: float, opened_ms: int) -> None:
         """Take in what the head of an answer says of ``backend``.
@@ -59,9 +57,6 @@
             self.rest_until_s = max(self.rest_until_s, now_s + notes.rest_s)
             self.rest_opened_ms = opened_ms
             _log.info("backend asks for rest", backend=backend, rest_s=notes.rest_s)
-        if notes.limit_per_s != self.limit_per_s:
-            self.limit_per_s = notes.limit_per_s
-            _log.info("backend names its limit", backend=backend, limit_per_s=notes.limit_per_s)
 
     def note_leaving(self, now_s: float) -> None:
         """Note that an answer said, here or to another router, that the backend leaves."""
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -13,8 +13,10 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.connection.router_state import LimitShare
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_life import Backend
+from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_notices import SAID_KEPT_S, TELL_LEAVING_S
 from yokedock.version.homes import HashRing
 
@@ -45,8 +47,14 @@
     ``on_new_life`` is called with the life that ended when a backend has started anew.
     """
 
-    def __init__(self, zone: str, clock: Callable[[], float] = boot_time_s) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: Callable[[], float] = boot_time_s,
+        limits: BackendLimits | None = None,
+    ) -> None:
         """Start empty; ``zone`` is the router's own."""
+        self.limits = limits or BackendLimits()
         self._zone = zone
         self._clock = clock
         self._random = random.Random()
@@ -95,9 +103,10 @@
         self.on_change()
 
     def drop_gone(self) -> None:
-        """Drop backends that left long ago and have nothing under way."""
+        """Drop backends that left long ago and have nothing under way, and limits that ended."""
         now_s = self._clock()
         for name, backend in list(self._backends.items()):
+            backend.limit.drop_if_over(now_s)
             has_said = not backend.has_ended and backend.notices.matter(now_s)
             oldest_s = now_s - (SAID_KEPT_S if has_said else GONE_KEPT_S)
             since_s = backend.unlisted_since_s
@@ -140,6 +149,46 @@
             if backend is not None:
                 backend.note_told_leaving(now_s)
 
+    def limits_told(self) -> dict[str, LimitShare]:
+        """Return what this router has of the limits that backends name."""
+        now_s = self._clock()
+        shares = ((name, backend.limit.share(now_s)) for name, backend in self._backends.items())
+        return {name: share for name, share in shares if share is not None}
+
+    def heard_limits(self, router: str, told: dict[str, LimitShare]) -> None:
+        """Take in what another router told of limits."""
+        now_s = self._clock()
+        for name, share in told.items():
+            backend = self._backends.get(name)
+            if backend is not None and not backend.has_ended:
+                backend.limit.heard(router, share, now_s)
+
+    def forget_limits(self, router: str) -> None:
+        """Drop what waits at a router that is heard no longer."""
+        for backend in self._backends.values():
+            if backend.limit.rate is not None:
+                backend.limit.rate.forget(router)
+
+    def note_waiting(self, service: str, count: int, since_s: float) -> None:
+        """Note how many requests wait here for the backends of a service.
+
+        ``since_s``: since when the first of them does (boot time). The other routers hear of it if
+        there are permits that they take in order.
+        """
+        self.limits.note_waiting(service, count, since_s)
+        if any(backend.limit.rate is not None for backend in self._found(service, None)):
+            self.limits.on_change()
+
+    def granted_per_s(self, service: str, role: str | None = None) -> float | None:
+        """Return what the backends that stay take together, None if one of them has no limit."""
+        found = self._found(service, role)
+        return granted_per_s(b.limit for b in found if b.leaving_since_s is None)
+
+    def waiting_elsewhere(self, service: str) -> int:
+        """Return how many requests wait for permits at other routers."""
+        rates = (backend.limit.rate for backend in self._found(service, None))
+        return max((rate.waiting_elsewhere() for rate in rates if rate is not None), default=0)
+
     def levels(self) -> dict[str, float]:
         """Return how many backends said that they leave, want rest now, or name a limit."""
         now_s = self._clock()
@@ -147,7 +196,7 @@
         return {
             "backends_said_leaving": sum(n.leaving_since_s is not None for n in notices),
             "backends_resting": sum(n.is_resting(now_s) for n in notices),
-            "backends_limited": sum(n.limit_per_s is not None for n in notices),
+            "backends_limited": sum(b.limit.per_s is not None for b in self._backends.values()),
         }
 
     def get(self, name: str) -> Backend | None:
@@ -166,10 +215,10 @@
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
         """Return the backends of a service that may be used, sound ones if there are any.
 
-        Never one that has asked for rest, also where no other is left.
+        Never one that has asked for rest or has no permit left, also where no other is there.
         """
         now_s = self._clock()
-        found = [b for b in self._found(service, role) if b.notices.rest_until_s <= now_s]
+        found = [b for b in self._found(service, role) if b.may_take(now_s)]
         return _soundest(found, now_s)
 
     def present(self, service: str) -> list[Backend]:
@@ -177,16 +226,22 @@
         return _soundest(self._found(service, None), self._clock())
 
     def rest_left_s(self, service: str, role: str | None = None) -> float:
-        """Return the seconds until a backend may be used where all that stay have asked for rest.
+        """Return the seconds until a backend may be used where all rest or have no permit left.
 
-        It is 0 if one may be used now, and where nobody rests.
+        It is 0 if one may be used now, and where there is none.
         """
         if self.usable(service, role):
             return 0.0
         now_s = self._clock()
         staying = [b for b in self._found(service, role) if b.leaving_since_s is None]
-        ends_s = [b.notices.rest_until_s for b in staying if b.notices.is_resting(now_s)]
-        return min(ends_s, default=now_s) - now_s
+        return min((b.free_in_s(now_s) for b in staying), default=0.0)
+
+    def next_permit_s(self, service: str, role: str | None = None) -> float | None:
+        """Return the seconds until a limited backend has a permit for this router again."""
+        now_s = self._clock()
+        found = [b for b in self._found(service, role) if b.limit.rate is not None]
+        waits_s = [wait_s for b in found if (wait_s := b.limit.wait_s(now_s)) > 0]
+        return min(waits_s, default=None)
 
     def _found(self, service: str, role: str | None) -> list[Backend]:
         if self._members is None:
@@ -268,7 +323,7 @@
 
     def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
         """Begin a new life; of the one before nothing is kept but how soon it ended."""
-        backend = Backend(entry, now_s)
+        backend = Backend(entry, now_s, self.limits)
         self._backends[backend.name] = self._newest[entry.instance] = backend
         if before is not None:
             backend.succeed(before)
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -60,7 +60,9 @@
         terms = call.terms.generation
         if terms is None or not terms.parts:
             return set()
-        engines = self._registry.usable(call.service.name)
+        # A limited engine's permits are for requests: a list is only a hint.
+        usable = self._registry.usable(call.service.name)
+        engines = [engine for engine in usable if engine.limit.per_s is None]
         # Others wait for the same lists: a caller who leaves must not end them.
         lists = await asyncio.gather(*(asyncio.shield(self._list_of(engine)) for engine in engines))
         least = KEPT_SHARE * terms.prompt_tokens
@@ -96,9 +98,10 @@
         """Return the tokens that ``engine`` keeps by part, nothing if it does not tell."""
         question = self._dialect.cache_list_call()
         try:
+            sent_s = boot_time_s()
             answer = await short_call(self._pool, engine.entry.address, question, ANSWER_LIMITS)
             notes = self._dialect.answer_notes(answer.head)
-            engine.take_notices(notes, boot_time_s(), answer.opened_ms)
+            engine.take_notices(notes, boot_time_s(), answer.opened_ms, sent_s)
             if answer.status == OK:
                 return self._dialect.cached_parts(answer.body)
         except (BackendUnreachable, BackendBroken, EngineRejected) as error:
--- /dev/null
+++ b/src/yokedock/request/call_queue.py
@@ -0,0 +1,94 @@
+"""Calls that wait at this router for a backend of their service: the least time left goes first.
+
+Pattern: earliest deadline first. Whoever comes while others wait goes behind those with less time
+left, and knows by its place how long it will wait.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import contextlib
+from collections.abc import Callable, Iterator
+
+from yokedock.base.clock import boot_time_s
+
+TIED_S = 0.05
+"""What is told so soon after a call came to wait elsewhere came at the same moment: half of it goes
+before. Two datagrams and their ways."""
+
+
+class WaitingCall:
+    """One call's place in the queue."""
+
+    def __init__(self, target_s: float) -> None:
+        """``target_s``: an answer by then (boot time) is in time."""
+        self.target_s = target_s
+        self.since_s = boot_time_s()
+        self._elsewhere_at_first: int | None = None
+        self._elsewhere = 0.0
+        self._woken = asyncio.Event()
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the other routers know of it, so that its place will not get worse."""
+        return boot_time_s() >= self.since_s + TIED_S
+
+    def ahead_elsewhere(self, waiting: int) -> float:
+        """Return how many go before it at other routers, where ``waiting`` wait now.
+
+        Whoever comes there later goes behind it.
+        """
+        if self._elsewhere_at_first is None:
+            self._elsewhere_at_first, self._elsewhere = waiting, float(waiting)
+        elif not self.is_settled:
+            tied = max(0, waiting - self._elsewhere_at_first)
+            self._elsewhere = min(waiting, self._elsewhere_at_first) + tied / 2
+        else:
+            self._elsewhere = min(self._elsewhere, float(waiting))
+        return self._elsewhere
+
+    def wake(self) -> None:
+        """Let it look at once."""
+        self._woken.set()
+
+    async def sleep(self, longest_s: float) -> None:
+        """Wait until it is woken, at most for ``longest_s``."""
+        self._woken.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._woken.wait(), longest_s)
+
+
+class CallQueue:
+    """The calls that wait for the backends of one service."""
+
+    def __init__(self, on_change: Callable[[CallQueue], None]) -> None:
+        """``on_change`` is called with this queue when a call comes or goes."""
+        self._on_change = on_change
+        self._waiting: list[WaitingCall] = []
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._waiting)
+
+    def since_s(self) -> float:
+        """Return since when the first in order waits (boot time)."""
+        return self._waiting[0].since_s
+
+    @contextlib.contextmanager
+    def place(self, target_s: float) -> Iterator[WaitingCall]:
+        """Let a call stand in the queue."""
+        call = WaitingCall(target_s)
+        bisect.insort(self._waiting, call, key=lambda one: one.target_s)
+        self._on_change(self)
+        try:
+            yield call
+        finally:
+            self._waiting.remove(call)
+            self._on_change(self)
+            if self._waiting:
+                self._waiting[0].wake()
+
+    def before(self, call: WaitingCall) -> int:
+        """Return how many go before a call."""
+        return self._waiting.index(call)
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -142,10 +142,21 @@
         return msgspec.structs.replace(placement, fetch_from=fetch_from)
 
     def _promise(self, decode: Backend, prefill: Backend | None, sought: Sought) -> Placement:
-        """Promise memory at the chosen engine."""
+        """Promise memory at the chosen engine, and take the permits of engines that are limited."""
         demand = stream_demand(decode.name, sought.terms, sought.progress.made)
         promise = self._ledger.open_stream(demand)
-        return Placement(decode, prefill, sought.tokens, demand, promise)
+        now_s = boot_time_s()
+        has_decode_permit = decode.limit.take(now_s)
+        has_prefill_permit = prefill is not None and prefill.limit.take(now_s)
+        return Placement(
+            decode,
+            prefill,
+            sought.tokens,
+            demand,
+            promise,
+            has_decode_permit=has_decode_permit,
+            has_prefill_permit=has_prefill_permit,
+        )
 
     def _drawn(self, engines: list[Backend], sought: Sought) -> list[Backend]:
         """Return the engines to look at: all, or some by chance, the prompt's home and keepers."""
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -43,6 +43,10 @@
     """Key of the promise in the ledger; whoever gets the placement closes it."""
     fetch_from: Backend | None = None
     """An engine that keeps the prompt, where the decode engine does not."""
+    has_decode_permit: bool = False
+    """A permit of a limited decode engine was taken: a prompt must not be read without one."""
+    has_prefill_permit: bool = False
+    """The same of the prefill engine."""
 
 
 class EnginePlacement(abc.ABC):
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -149,7 +149,7 @@
                 await self._runs.decode(call, state, placement)
             elif placement.prefill is not None:
                 await self._runs.reach(call, placement.decode)
-                await self._runs.prefill(call, state, placement.prefill, placement.tokens)
+                await self._runs.prefill(call, state, placement.prefill, placement)
                 await self._runs.decode(call, state, placement)
             else:
                 await self._runs.decode_alone(call, state, placement)
--- a/src/yokedock/request/generation_queue.py
+++ b/src/yokedock/request/generation_queue.py
@@ -26,6 +26,10 @@
         """Return all that wait, the least time left first; the queue may change meanwhile."""
         return iter(self._waiters.copy())
 
+    def first(self) -> Waiter | None:
+        """Return the one with the least time left, None if nobody waits."""
+        return self._waiters[0] if self._waiters else None
+
     def add(self, waiter: Waiter) -> None:
         """Let a waiter stand in the queue."""
         bisect.insort(self._waiters, waiter, key=Waiter.turn)
--- a/src/yokedock/request/generation_runs.py
+++ b/src/yokedock/request/generation_runs.py
@@ -55,17 +55,18 @@
 
         Raises ``BackendUnreachable``: a prompt read for an engine that is gone is lost.
         """
-        async with self._exchanges.open(engine, call):
+        async with self._exchanges.open(engine, call, has_permit=True):
             _log.debug("reached", request=call.request_id, engine=engine.name)
 
     async def prefill(
-        self, call: RoutedCall, state: GenerationState, engine: Backend, tokens: int
+        self, call: RoutedCall, state: GenerationState, engine: Backend, placement: Placement
     ) -> None:
         """Have the prompt read, and note where its memory is kept."""
+        tokens = placement.tokens
         key = self._ledger.open_prefill(engine.name, tokens)
         is_done = False
         try:
-            async with self._exchanges.open(engine, call) as exchange:
+            async with self._exchanges.open(engine, call, placement.has_prefill_permit) as exchange:
                 if state.is_extra_prefill():
                     state.retries.note_arrival()
                 state.prefills += 1
@@ -115,7 +116,7 @@
     async def decode(self, call: RoutedCall, state: GenerationState, placement: Placement) -> None:
         """Have the answer made and pass it on."""
         relay, engine, keeper = state.relay, placement.decode, placement.fetch_from
-        async with self._exchanges.open(engine, call) as exchange:
+        async with self._exchanges.open(engine, call, placement.has_decode_permit) as exchange:
             if state.is_extra_run(call):
                 state.retries.note_arrival()
             state.retries.give_back()
@@ -213,8 +214,11 @@
 
     def release(self, source: str, keeper: Backend | None) -> None:
         """Release what a prefill keeps, in the background: it lapses soon in any case."""
-        if keeper is not None and keeper.notices.is_resting(boot_time_s()):
-            return
+        if keeper is not None:
+            now_s = boot_time_s()
+            if not keeper.may_take(now_s):
+                return
+            keeper.limit.take(now_s)
         address, _, handle = source.partition("/")
         task = asyncio.create_task(self._send_release(address, handle))
         self._releases.add(task)
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 import msgspec
@@ -14,6 +15,7 @@
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.call_queue import CallQueue, WaitingCall
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
 from yokedock.router_errors import (
@@ -47,6 +49,14 @@
     """When a call met it last."""
 
 
+class ChosenBackend(msgspec.Struct, frozen=True):
+    """Where a call goes next."""
+
+    backend: Backend
+    has_permit: bool
+    """A permit of a limited backend was taken for it."""
+
+
 class OpaqueCalls:
     """Serves calls to services without model engines."""
 
@@ -57,6 +67,8 @@
         self._registry = registry
         self._exchanges = exchanges
         self._allowance = allowance
+        self._queues: dict[str, CallQueue] = {}
+        """By service, the calls for which no backend may be used now."""
         self._outages: dict[str, Outage] = {}
         """By service, those in which no backend was found for a call."""
         self._random = random.Random()
@@ -73,9 +85,9 @@
         kept: WholeAnswer | None = None
         while True:
             try:
-                backend = await self._next_backend(call, frozenset(tried))
-                tried.add(backend.name)
-                answer = await self._attempt(call, backend, retries)
+                chosen = await self._next_backend(call, frozenset(tried))
+                tried.add(chosen.backend.name)
+                answer = await self._attempt(call, chosen, retries)
             except BackendUnreachable as error:
                 is_over = not retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False)
                 if is_over or not await self._may_reconnect(call, tried):
@@ -102,24 +114,67 @@
                 return kept
             _log.info("retry", request=call.request_id, reason=f"status {answer.head.status}")
 
-    async def _next_backend(self, call: RoutedCall, tried: frozenset[str]) -> Backend:
-        """Return the backend to try next; waits for one while an answer could be in time."""
-        while True:
-            name = call.service.name
-            backend = self._registry.cheapest(name, tried) or self._registry.cheapest(name)
-            if backend is not None:
-                return backend
-            rest_s = self._registry.rest_left_s(name)
-            if not self._could_be_in_time(call, rest_s):
-                reason = f"want rest for {rest_s:.1f} s" if rest_s else "are gone"
-                raise NoBackend(f"all backends of {name} {reason}; retry later")
-            await asyncio.sleep(POLL_S)
+    async def _next_backend(self, call: RoutedCall, tried: frozenset[str]) -> ChosenBackend:
+        """Return the backend to try next; waits for one while an answer could be in time.
+
+        Whoever comes while others wait goes behind those with less time left.
+        """
+        name = call.service.name
+        if name not in self._queues and (chosen := self._choose(name, tried)) is not None:
+            return chosen
+        queue = self._queues.setdefault(name, CallQueue(lambda q: self._note_waiting(name, q)))
+        with queue.place(call.target_s) as place:
+            while True:
+                before = queue.before(place)
+                if not before and (chosen := self._choose(name, tried)) is not None:
+                    return chosen
+                elsewhere = place.ahead_elsewhere(self._registry.waiting_elsewhere(name))
+                wait_s = self._wait_s(name, before + elsewhere)
+                if not self._is_worth_waiting(call, wait_s, place):
+                    reason = f"take nothing for {wait_s:.1f} s" if wait_s else "are gone"
+                    raise NoBackend(f"all backends of {name} {reason}; retry later")
+                await place.sleep(POLL_S)
+
+    def _choose(self, service: str, tried: frozenset[str]) -> ChosenBackend | None:
+        """Return the cheapest backend, an untried one if there is any; take its permit."""
+        backend = self._registry.cheapest(service, tried) or self._registry.cheapest(service)
+        if backend is None:
+            return None
+        return ChosenBackend(backend, backend.limit.take(boot_time_s()))
+
+    def _is_worth_waiting(self, call: RoutedCall, wait_s: float, place: WaitingCall) -> bool:
+        """Return whether a call should go on waiting for a backend.
+
+        It should come in time; but one that has its place among those that wait for permits stays:
+        answered a little late it is better off than refused after a wait.
+        """
+        has_permit_to_come = self._registry.granted_per_s(call.service.name) is not None
+        if place.is_settled and has_permit_to_come:
+            return wait_s < call.left_s()
+        return self._could_be_in_time(call, wait_s)
+
+    def _wait_s(self, service: str, before: float) -> float:
+        """Return for how long a call waits that has ``before`` others before it.
+
+        Where all backends have named limits, the calls of all routers are taken in turn.
+        """
+        wait_s = self._registry.rest_left_s(service)
+        granted_per_s = self._registry.granted_per_s(service)
+        return wait_s + before / granted_per_s if granted_per_s else wait_s
+
+    def _note_waiting(self, service: str, queue: CallQueue) -> None:
+        """Tell how many wait, for the order in which routers take the permits of a backend."""
+        since_s = queue.since_s() if len(queue) else math.inf
+        self._registry.note_waiting(service, len(queue), since_s)
+        if not len(queue):
+            self._queues.pop(service, None)
 
     async def _attempt(
-        self, call: RoutedCall, backend: Backend, retries: RequestRetries
+        self, call: RoutedCall, chosen: ChosenBackend, retries: RequestRetries
     ) -> WholeAnswer:
         """Send the call once and return the answer, read whole."""
-        async with self._exchanges.open(backend, call) as exchange:
+        backend = chosen.backend
+        async with self._exchanges.open(backend, call, chosen.has_permit) as exchange:
             if call.arrivals:
                 retries.note_arrival()
             call.arrivals += 1
@@ -187,11 +242,12 @@
     def _return_after_s(self, service: str) -> float:
         """Return when a caller for whom no backend was found should come back.
 
-        A rest is known to its end; an outage is only guessed at.
+        Rests and limits are known; an outage is only guessed at.
         """
-        rest_s = self._registry.rest_left_s(service)
-        if rest_s:
-            return rest_s * self._random.uniform(1.0, RETURN_SPREAD)
+        waiting = len(self._queues.get(service, ())) + self._registry.waiting_elsewhere(service)
+        wait_s = self._wait_s(service, waiting)
+        if wait_s:
+            return wait_s * self._random.uniform(1.0, RETURN_SPREAD)
         now_s = boot_time_s()
         for name in [n for n, o in self._outages.items() if now_s - o.last_s > FORGOTTEN_S]:
             del self._outages[name]
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -61,6 +61,7 @@
         """
         self._ledger = ledger
         self._mechanisms = mechanisms
+        self._registry = registry
         self._choice = EngineChoice(registry, ledger, mechanisms)
         self._elsewhere = elsewhere
         self._order = RoomOrder(turns_elsewhere)
@@ -73,7 +74,7 @@
         )
         self._is_scheduling_due = False
         self._is_recheck_due = False
-        self._turn_due_s = math.inf
+        self._look_due_s = math.inf
         ledger.on_room = self._schedule_soon
 
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
@@ -84,6 +85,7 @@
         if waiter.since_s >= self.gives_up_s(call, progress):
             raise self._no_room(waiter, "its caller has waited as long as callers do")
         self._queues.setdefault(service, GenerationQueue()).add(waiter)
+        self._note_waiting(service)
         try:
             self._schedule(service)
             if not waiter.placed.done():
@@ -219,6 +221,7 @@
             self._ledger.on_change()
         if not queue:
             self._queues.pop(service, None)
+        self._note_waiting(service)
         placed = waiter.placed
         was_cut_short = sys.exc_info()[0] is not None
         if was_cut_short and placed.done() and not placed.cancelled():
@@ -265,11 +268,13 @@
         if queue is None:
             return
         if not self._mechanisms.deadline_order:
-            self._try_in_order(queue.by_arrival())
-            return
-        if not self._try_in_order(queue.in_time(now_s)) or self._elsewhere(service).in_time:
-            return
-        self._try_in_order(queue.late(now_s))
+            is_done = self._try_in_order(queue.by_arrival())
+        else:
+            is_done = self._try_in_order(queue.in_time(now_s))
+            if is_done and not self._elsewhere(service).in_time:
+                is_done = self._try_in_order(queue.late(now_s))
+        if not is_done:
+            self._look_at_next_permit(service)
 
     def _try_in_order(self, waiters: Iterable[Waiter]) -> bool:
         """Place waiters up to the first that does not fit; return whether all were placed."""
@@ -284,6 +289,7 @@
         if placement is None:
             return False
         self._queues[waiter.call.service.name].remove(waiter)
+        self._note_waiting(waiter.call.service.name)
         waiter.placed.set_result(placement)
         return True
 
@@ -295,11 +301,30 @@
         places = self._choice.places(waiter.call, waiter.progress)
         now_s = boot_time_s()
         wait_s = self._order.wait_s(waiter, places, now_s)
-        if wait_s > 0 and now_s + wait_s < self._turn_due_s:
-            self._turn_due_s = now_s + wait_s
-            asyncio.get_running_loop().call_later(wait_s, self._turn_came)
+        if wait_s > 0:
+            self._look_in(wait_s)
         return wait_s <= 0
 
-    def _turn_came(self) -> None:
-        self._turn_due_s = math.inf
+    def _look_at_next_permit(self, service: str) -> None:
+        """Look again once an engine that has named a limit takes the next stream."""
+        wait_s = self._registry.next_permit_s(service)
+        if wait_s is not None and wait_s < RECHECK_S:
+            self._look_in(wait_s)
+
+    def _look_in(self, wait_s: float) -> None:
+        """Look for room after ``wait_s``, unless that is due sooner."""
+        due_s = boot_time_s() + wait_s
+        if due_s < self._look_due_s:
+            self._look_due_s = due_s
+            asyncio.get_running_loop().call_later(wait_s, self._look_came)
+
+    def _note_waiting(self, service: str) -> None:
+        """Tell how many wait here, for the order in which routers take the permits of engines."""
+        queue = self._queues.get(service)
+        first = queue.first() if queue else None
+        since_s = first.since_s if first is not None else math.inf
+        self._registry.note_waiting(service, len(queue or ()), since_s)
+
+    def _look_came(self) -> None:
+        self._look_due_s = math.inf
         self._schedule_all()
--- a/src/yokedock/request/room_prediction.py
+++ b/src/yokedock/request/room_prediction.py
@@ -64,9 +64,16 @@
         self._arrivals = arrivals
 
     def wait_s(self, ahead: QueueAhead, service: str) -> float:
-        """Return the seconds until room comes, not before an engine's rest ends."""
+        """Return the seconds until room comes, not before an engine's rest ends.
+
+        Nor faster than engines that have all named a limit take streams.
+        """
         rest_s = self._registry.rest_left_s(service, DECODE_ROLE)
-        return max(rest_s, self._forecast.wait_s(ahead))
+        wait_s = max(rest_s, self._forecast.wait_s(ahead))
+        granted_per_s = self._registry.granted_per_s(service, DECODE_ROLE)
+        if granted_per_s:
+            wait_s = max(wait_s, rest_s + (ahead.in_time + ahead.late) / granted_per_s)
+        return wait_s
 
     def ahead(self, waiter: Waiter, queue: Iterable[Waiter]) -> QueueAhead:
         """Return what goes before a waiter: those in time, and newcomers too if it will be late."""
