--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -42,6 +42,7 @@
       | a request that ends its backends was sent on                    | BUDGET  |
       | a backend whose leaving was passed on got a request             | DRAIN   |
       | a backend at rest got three requests                            | BUDGET  |
+      | a backend with a limit of 1 a second got twelve requests        | LIMIT   |
       | a process ended by itself                                       | ENDED   |
       | SIGHUP ended a process that was being loaded                    | ENDED   |
       | a process did not stop in its grace                             | ENDED   |
@@ -62,6 +63,9 @@
       | a router that was started since sent a leaving backend a request |
       | a backend at rest got two requests                              |
       | the next life of a backend at rest got three requests           |
+      | a backend with a limit of 1 a second got eleven requests        |
+      | a router that had not been told sent a limited backend twelve   |
+      | a router that was started since sent a limited backend twelve   |
       | a request crossed the close of its connection                   |
       | a backend broke off a stream                                    |
       | SIGHUP ended a process before its first line                    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -4,6 +4,7 @@
     POISON_MARK,
     Arrival,
     ClientRecord,
+    LimitSpan,
     RouterLife,
     SoakHistory,
     SoakRoute,
@@ -72,6 +73,17 @@
         made.arrival(made.request(at_s=moment_s)).backend_life = backend_lives - 1
 
 
+def sent_to_limited(made, count, names_limit=True, last_router_life=1):
+    """A backend names a limit of 1 a second and gets so many requests within 3 s."""
+    made.history.limits[0] = [LimitSpan(START_S - 0.1, 1.0)]
+    made.history.lives[0, last_router_life] = RouterLife(0, last_router_life, START_S, START_S)
+    made.arrival(made.request()).names_limit = names_limit
+    for number in range(count):
+        record = made.request(at_s=0.7 + 3.0 * number / count)
+        record.life = last_router_life
+        made.arrival(record)
+
+
 def ran_twice(made):
     record = made.request()
     made.arrival(record, "i-1", "broken")
@@ -244,6 +256,18 @@
     "the next life of a backend at rest got three requests": (
         lambda made: sent_into_rest(made, (0.6, 1.0, 1.8), backend_lives=2)
     ),
+    "a backend with a limit of 1 a second got twelve requests": (
+        lambda made: sent_to_limited(made, 12)
+    ),
+    "a backend with a limit of 1 a second got eleven requests": (
+        lambda made: sent_to_limited(made, 11)
+    ),
+    "a router that had not been told sent a limited backend twelve": (
+        lambda made: sent_to_limited(made, 12, names_limit=False)
+    ),
+    "a router that was started since sent a limited backend twelve": (
+        lambda made: sent_to_limited(made, 12, last_router_life=2)
+    ),
     "a process ended by itself": ended_itself,
     "SIGHUP ended a process that was being loaded": lambda made: hung_up(made, True),
     "SIGHUP ended a process before its first line": lambda made: hung_up(made, False),
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -22,6 +23,7 @@
 from yokedock_emulator.router_soak.soak_records import (
     POISON_MARK,
     Arrival,
+    LimitSpan,
     SoakHistory,
     answer_body,
     event,
@@ -37,6 +39,9 @@
 """Pause before each event of a stream."""
 REST_S = (0.3, 1.0, 2.5)
 """Rests that a backend asks for as it turns requests away."""
+LIMITS = ("1.3", "4", "15", "0.5", "nan", "40", "-1")
+ODD_LIMITS = ("nan", "-1")
+"""Limits that a backend names, and those of them that mean nothing."""
 OWN_CALLS = ("GET", "DELETE")
 Headers = list[tuple[str, str]]
 _lives = itertools.count(1)
@@ -52,6 +57,8 @@
         self.role = role
         self.mode = "normal"
         self.is_leaving = False
+        self._limit = ""
+        """What its answers name as the requests a second that it takes, empty for none."""
         self.is_dead = False
         self.address = ""
         self.on_crash: Callable[[SoakBackend], None] = lambda backend: None
@@ -69,6 +76,16 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def name_limit(self, text: str) -> None:
+        """Name a limit from now on, or none if ``text`` is empty; an odd one is none."""
+        self._limit = text
+        spans = self._history.limits.setdefault(self.life, [])
+        now_s = boot_time_s()
+        if spans and math.isinf(spans[-1].to_s):
+            spans[-1].to_s = now_s
+        if text and text not in ODD_LIMITS:
+            spans.append(LimitSpan(now_s, float(text)))
+
     def kill(self) -> None:
         """End at once: what is under way is broken off."""
         self.is_dead = True
@@ -108,6 +125,8 @@
         head: Headers = [(NAMES.request_id, request_id)] if request_id else []
         if self.is_leaving:
             head += [("Connection", "close"), (NAMES.leaving, "1")]
+        if self._limit:
+            head.append((NAMES.limit, self._limit))
         is_meant = headers.get(NAMES.instance.lower(), self.instance) == self.instance
         if is_meant and (request.method in OWN_CALLS or request.target == NAMES.order_path):
             writer.write(whole_answer(200, head, b'{"held":[]}'))
@@ -124,6 +143,7 @@
             is_prefill,
             backend_life=self.life,
             says_leaving=self.is_leaving,
+            names_limit=bool(self._limit) and self._limit not in ODD_LIMITS,
         )
         self._working[writer] = arrival
         if request_id:
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -11,6 +11,7 @@
 import signal
 
 from yokedock_emulator.router_soak.soak_budget import budget_violations
+from yokedock_emulator.router_soak.soak_limits import limit_violations
 from yokedock_emulator.router_soak.soak_notices import leaving_violations, rest_violations
 from yokedock_emulator.router_soak.soak_poison import poison_violations
 from yokedock_emulator.router_soak.soak_records import (
@@ -77,6 +78,7 @@
     found += [Violation("BUDGET", *each) for each in poison_violations(history)]
     found += [Violation("DRAIN", *each) for each in leaving_violations(history)]
     found += [Violation("BUDGET", *each) for each in rest_violations(history)]
+    found += [Violation("LIMIT", text) for text in limit_violations(history)]
     found += _processes(history)
     return found
 
--- a/src/yokedock_emulator/router_soak/soak_notices.py
+++ b/src/yokedock_emulator/router_soak/soak_notices.py
@@ -20,11 +20,11 @@
 def leaving_violations(history: SoakHistory) -> list[tuple[str, str]]:
     """Return the requests that reached a backend whose leaving their router had passed on."""
     found = []
-    for (_, router), arrivals in _visits(history).items():
+    for (_, router), arrivals in visits_by_life(history).items():
         told_s = min((_passed_on_s(history, each) for each in arrivals), default=float("inf"))
         for arrival in arrivals:
             sent_s = history.records[arrival.request_id].sent_s
-            if sent_s > told_s + DRAIN_S and _is_bound(history, router, told_s, arrival.at_s):
+            if sent_s > told_s + DRAIN_S and is_bound(history, router, told_s, arrival.at_s):
                 text = f"sent to {arrival.instance} {sent_s - told_s:.2f} s after it said it leaves"
                 found.append((text, arrival.request_id))
     return found
@@ -33,18 +33,19 @@
 def rest_violations(history: SoakHistory) -> list[tuple[str, str]]:
     """Return the rests into which a router sent too much, each with a request that was too many."""
     found = []
-    for (_, router), arrivals in _visits(history).items():
+    for (_, router), arrivals in visits_by_life(history).items():
         for asked in (arrival for arrival in arrivals if arrival.rest_s):
             from_s, until_s = asked.at_s + UNDER_WAY_S, asked.at_s + asked.rest_s
             within = [each for each in arrivals if from_s < each.at_s < until_s]
-            is_bound = _is_bound(history, router, asked.at_s, until_s)
-            if len(within) > MOST_IN_REST and is_bound:
+            is_held = is_bound(history, router, asked.at_s, until_s)
+            if len(within) > MOST_IN_REST and is_held:
                 text = f"{asked.instance} wanted {asked.rest_s:.2f} s of rest and got {len(within)}"
                 found.append((text, within[MOST_IN_REST].request_id))
     return found
 
 
-def _visits(history: SoakHistory) -> Visits:
+def visits_by_life(history: SoakHistory) -> Visits:
+    """Return what arrived at each life of a backend from each life of a router."""
     visits: Visits = collections.defaultdict(list)
     for arrival in sorted(history.arrivals, key=lambda each: each.at_s):
         record = history.records.get(arrival.request_id)
@@ -60,7 +61,7 @@
     return record.end_s if is_whole and record.outcome == "answered" else float("inf")
 
 
-def _is_bound(history: SoakHistory, router: tuple[int, int], from_s: float, to_s: float) -> bool:
+def is_bound(history: SoakHistory, router: tuple[int, int], from_s: float, to_s: float) -> bool:
     """Return whether nothing excuses a router: a restart begins a new life, a freeze is noted."""
     life: RouterLife = history.lives[router]
     struck = [*life.freezes, *history.stood_still_s]
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -22,7 +22,7 @@
     StoredState,
 )
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
-from yokedock_emulator.router_soak.soak_backend import SoakBackend
+from yokedock_emulator.router_soak.soak_backend import LIMITS, SoakBackend
 from yokedock_emulator.router_soak.soak_plan import SoakEvent
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
@@ -54,6 +54,8 @@
 ODD_DOCUMENTS = (b"", b"{", b"[]", b"\xff", b'{"service": "model"}', b'{"state": "ready"}')
 """What other writers leave in the place of an entry."""
 SLOTS = 64
+LIMIT_OF_ALL = "20"
+"""What each backend of a service names as all of them do: under a third of what callers ask for."""
 VERSION_STEP = 7
 """Versions of the operator's configurations rise by more than one."""
 
@@ -132,6 +134,8 @@
         if soak_event.kind in ("errors", "refusals", "rest"):
             self._fail(backend, soak_event)
             return backend.instance
+        if soak_event.kind in ("limit", "limit of all"):
+            return self._limit(backend, soak_event)
         if soak_event.kind == "restart":
             backend.kill()
             self._crashed(backend)
@@ -167,6 +171,23 @@
         backend.mode = modes.get(soak_event.kind, "errors")
         self._after(soak_event.length_s, self._recover(backend))
 
+    def _limit(self, backend: SoakBackend, soak_event: SoakEvent) -> str:
+        """Let a backend, or all of its service, name a limit for a while."""
+        is_all = soak_event.kind == "limit of all"
+        limited = [
+            other
+            for other in self._serving
+            if other is backend or (is_all and other.service == backend.service)
+        ]
+        text = LIMIT_OF_ALL if is_all else LIMITS[soak_event.target % len(LIMITS)]
+        for other in limited:
+            other.name_limit(text)
+            self._after(soak_event.length_s, self._end_limit(other))
+        return f"{backend.service if is_all else backend.instance} names {text}"
+
+    async def _end_limit(self, backend: SoakBackend) -> None:
+        backend.name_limit("")
+
     async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
         self._next += 1
         backend = SoakBackend(f"i-{self._next}", service, role, self._history)
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -27,6 +27,9 @@
 ODD_ENTRY_S = (0.3, 1.5)
 REST_KINDS = {"rest": 0.8, "rest of all": 0.2}
 """A backend turns everything away and asks for rest, or all of its service do, and their shares."""
+LIMIT_KINDS = {"limit": 0.8, "limit of all": 0.2}
+"""A backend names a limit in its answers, or all of its service do, and their shares."""
+LIMIT_S = (4.0, 9.0)
 PAUSES_S = {
     "router": (0.6, 2.2),
     "backend": (0.3, 1.1),
@@ -35,6 +38,7 @@
     "store connection": (3.0, 7.0),
     "life": (1.0, 3.0),
     "rest": (1.5, 4.0),
+    "limit": (2.0, 5.0),
 }
 """Shortest and longest time between two events of one sort: several are under way at any time."""
 FREEZE_S = (0.5, 4.0)
@@ -68,6 +72,7 @@
         "store connection": _store_connection_event,
         "life": _life_event,
         "rest": _rest_event,
+        "limit": _limit_event,
     }
     events = [SoakEvent(seconds * choices.uniform(0.3, 0.7), "large configuration")]
     for sort, draw in draws.items():
@@ -101,6 +106,11 @@
     return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*BACKEND_FAULT_S))]
 
 
+def _limit_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    kind = choices.choices(list(LIMIT_KINDS), list(LIMIT_KINDS.values()))[0]
+    return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*LIMIT_S))]
+
+
 def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
     events = [SoakEvent(at_s, "configuration")]
     if choices.random() < BURST_SHARE:
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import zlib
 
 KINDS = ("once", "repeat", "talk", "chat")
@@ -108,6 +109,8 @@
     """The answer says that the backend leaves."""
     rest_s: float = 0.0
     """Seconds of rest that the answer asks for."""
+    names_limit: bool = False
+    """The answer names how many requests a second the backend takes."""
 
     @property
     def has_run(self) -> bool:
@@ -115,6 +118,15 @@
         return not self.is_prefill and self.outcome not in ("refused", "misdirected")
 
 
+@dataclasses.dataclass
+class LimitSpan:
+    """A span in which a backend names one limit."""
+
+    from_s: float
+    per_s: float
+    to_s: float = math.inf
+
+
 @dataclasses.dataclass
 class RouterLife:
     """One process of a router."""
@@ -150,6 +162,8 @@
     """Services whose backend was killed, and when: what it had not read yet is not noted."""
     leaving_s: dict[str, float] = dataclasses.field(default_factory=dict)
     """When each backend was first listed as draining, or gone."""
+    limits: dict[int, list[LimitSpan]] = dataclasses.field(default_factory=dict)
+    """What each life of a backend named, in order of time."""
     store_silent_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which the soak's own process did not run: nothing is known of them."""
