--- a/features/router_patience.feature
+++ b/features/router_patience.feature
@@ -11,6 +11,15 @@
     And the backends let go
     Then both clients get 200
 
+  Scenario: A slow backend is waited for where the only other one cannot be reached
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And both backends have answered in 0.4 s on "repeat" several times
+    When a client sends POST on "repeat" to a backend that works for 3.5 s while the other one is gone
+    Then the client gets 200 with the body of a backend
+    And its backend was asked once
+
   Scenario: What came while the process itself stood still is read before its sender is given up
     Given a stream whose next event comes while the process stands still
     When the process goes on, later than its patience
--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -20,6 +20,8 @@
 PATIENCE_S = 0.2
 COMES_S = 0.05
 STANDS_STILL_S = 0.4
+ENOUGH_ANSWERS = 12
+"""Answers after which each of two backends has given some."""
 
 
 @given("its budget allows one repeat in a window")
@@ -49,6 +51,43 @@
     assert statuses == [status, status], statuses
 
 
+@given('both backends have answered in {work_s:g} s on "{route}" several times')
+def both_answered(context, work_s, route):
+    backends = context.world.backends.values()
+    for backend in backends:
+        backend.answer_delay_s = lambda arrival: work_s
+    for number in range(ENOUGH_ANSWERS):
+        one = caller(context)
+        one.send(request_bytes(route, body=b"abc", request_id=f"before-{number}"))
+        assert one.read_answer()[0] == 200
+    assert all(backend.arrivals for backend in backends)
+    context.known = {backend.name: len(backend.arrivals) for backend in backends}
+
+
+@when(
+    'a client sends POST on "{route}" to a backend that works for {work_s:g} s '
+    "while the other one is gone"
+)
+def slow_and_dead(context, route, work_s):
+    backends = context.world.backends.values()
+    for backend in backends:
+        backend.answer_delay_s = lambda arrival: work_s
+    context.caller = caller(context)
+    context.caller.send(request_bytes(route, body=b"abc", request_id="late"))
+    has_it = lambda b: len(b.arrivals) > context.known[b.name]  # noqa: E731
+    context.world.wait_for(lambda: any(map(has_it, backends)), "a backend has it")
+    (context.slow,) = [b for b in backends if has_it(b)]
+    (dead,) = [b for b in backends if b is not context.slow]
+    context.world.run(dead.stop())
+    context.answer = context.caller.read_answer()
+
+
+@then("its backend was asked once")
+def asked_once(context):
+    asked = [a for a in context.slow.arrivals if a.header("X-Request-Id") == "late"]
+    assert len(asked) == 1, f"{len(asked)} times"
+
+
 @given("a stream whose next event comes while the process stands still")
 def comes_meanwhile(context):
     async def play():
