Work is given up only for a backend that accepts a connection

What callers saw: 502 for a call that may be repeated, though its backend worked on it. Cause: patience with a slow answer ended where the list named another backend, whether or not that one was there; the repeat found nobody, and the slow one's work had been broken off. Change: the other is reached first; its connection rests and the repeat goes out on it. If nobody can be reached the slow answer is waited for; what came meanwhile is read before anything is given up. Why it holds: nothing is broken off before somebody else is there. What is left: one that is reached and ends before the repeat arrives. Ruled out: asking the slow one anew afterwards (its work would be done twice, later); holding calls whose only backend is gone until their deadline (a failure that is told late).

--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -194,16 +194,37 @@
         backend = exchange.backend
         patience_s = self._patience_s(call, backend)
         exchange.suspect_after(self._registry.patience_s(backend))
+        gives_up = False
         while True:
             try:
                 return await exchange.read_whole(patience_s)
             except BackendSilent:
                 if patience_s >= self._registry.patience_s(backend):
                     backend.health.note_silence(boot_time_s())
-                is_over = not exchange.is_open or call.left_s() <= 0
-                if is_over or self._may_ask_another(call, backend):
+                if gives_up or not exchange.is_open or call.left_s() <= 0:
                     raise
-                patience_s = call.left_s()
+                gives_up = await self._can_ask_another(call, backend)
+                # Whatever came while another was reached is read before this one is given up.
+                patience_s = 0.0 if gives_up else call.left_s()
+
+    async def _can_ask_another(self, call: RoutedCall, backend: Backend) -> bool:
+        """Return whether another backend may take the call now, and accepts a connection.
+
+        Work that goes on is given up only for somebody who is there: the list may still name a
+        backend that has ended. The connection rests, and the repeat goes out on it.
+        """
+        refused = {backend.name}
+        while self._may_ask_another(call, backend):
+            other = self._registry.cheapest(call.service.name, frozenset(refused))
+            if other is None:
+                return False
+            refused.add(other.name)
+            try:
+                async with self._exchanges.open(other, call, has_permit=True):
+                    return True
+            except BackendUnreachable as error:
+                _log.info("nobody to repeat at", request=call.request_id, reason=error.message)
+        return False
 
     def _may_ask_another(self, call: RoutedCall, backend: Backend) -> bool:
         """Return whether another backend could take the call now: not where all others rest."""
