A backend that is first heard of as it leaves is no last resort

What backends saw: a request 5.9 s after the list had named one as leaving (DRAIN), from a router that had been in touch for all of that time. Cause: the list that routers hand on leaves out who leaves; a router that had started met that backend only when it read the source itself, took this moment for the first, and used it for 1 s as the last one there: all others wanted rest. Ruled out: limits (none of its service); the drain's entry (heard in the same second by the others). Change: one that is not known yet and leaves already is no last resort, since nobody says since when. Why it holds: 1 s is counted only from a moment at which the router knew it as ready before.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -164,6 +164,7 @@
       | a crash loop is used with growing care               |
       | a restart of all empties no fleet                    |
       | what is said anew is not a new life                  |
+      | one that is first heard of as it leaves is no last resort |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/life_properties.py
+++ b/features/support/life_properties.py
@@ -114,7 +114,27 @@
     assert registry.get("a@5") is backend, "an entry that lapsed and came back"
 
 
+def one_that_is_first_heard_of_as_it_leaves_is_no_last_resort():
+    """A router that starts does not know since when: seen 5.9 s after the list had said so.
+
+    The list that routers hand on leaves out whoever leaves, so that a new one met it only as it
+    read the source itself, took that moment for the first and used it as the last one there.
+    """
+    clock = Clock()
+    known = registry_of(entry("a", 10), clock=clock)
+    known.update([entry("a", 10, is_leaving=True)], ())
+    assert [b.name for b in known.usable("llm")] == ["a@10"], "known before: a last resort"
+    newcomer = registry_of(clock=clock)
+    newcomer.replace_all({"a": entry("a", 10, is_leaving=True)})
+    assert not newcomer.usable("llm")
+    newcomer.update([entry("a", 20, is_leaving=True)], ())
+    assert not newcomer.usable("llm"), "nor a later life"
+
+
 LIFE_PROPERTIES = {
+    "one that is first heard of as it leaves is no last resort": (
+        one_that_is_first_heard_of_as_it_leaves_is_no_last_resort
+    ),
     "a later start ends what was believed": a_later_start_ends_what_was_believed,
     "an earlier start that is heard late changes nothing": (
         an_earlier_start_that_is_heard_late_changes_nothing
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -176,7 +176,7 @@
         self._weigh_leaving()
 
     def note_gone(self, now_s: float) -> None:
-        """Note that another incarnation has the address: this one is gone already."""
+        """Note that it is no last resort: another one has its address, or it left before."""
         self.unlisted_since_s = now_s - GONE_GRACE_S
         self._weigh_leaving()
 
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -317,6 +317,9 @@
         backend.entry = entry
         if entry.is_leaving:
             backend.is_listed = True
+            if not is_known:
+                # Since when is not known: it may have been leaving for longer than it may be used.
+                backend.note_gone(now_s)
             backend.note_unlisted(now_s)
         else:
             backend.note_listed()
