Numbers in heads are read by one strict function

Cause: the language's conversions take more than was meant, and each number had a reading of its own. Change: connection/head_numbers.py for rest, limit, load, deadline, tokens and hints: ASCII digits, finite, not negative; what is none is logged, counted (router_words_not_understood) and asks for nothing.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -184,6 +184,7 @@
     Examples: what backends say of themselves
       | property                                            |
       | times to rest are read strictly                     |
+      | numbers of any length are read or refused           |
       | what backends say is kept to under any load         |
       | a rest ends and the backend is used again           |
       | a rest of all ends when the first does              |
--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -9,8 +9,9 @@
 from support.stream_properties import Clock
 from yokedock.connection.dialect import AnswerNotes
 from yokedock.connection.header_dialect import HeaderDialect
-from yokedock.connection.http_heads import AnswerHead
+from yokedock.connection.http_heads import AnswerHead, RequestHead
 from yokedock.connection.state_source import BackendEntry
+from yokedock.errors import BadRequest
 from yokedock.request.backend_notices import SAID_KEPT_S
 from yokedock.request.backend_registry import BackendRegistry
 
@@ -44,8 +45,9 @@
 
 def times_to_rest_are_read_strictly():
     """Seconds count, fractions too; what is none of that asks for nothing; a day is the most."""
-    told = {"3": 3.0, " 2.5 ": 2.5, "0": 0.0, "1e2": 100.0, "99999999": 86_400.0, "inf": 86_400.0}
+    told = {"3": 3.0, " 2.5 ": 2.5, "0": 0.0, "1e2": 100.0, "99999999": 86_400.0}
     none = ("", "-1", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "3;4", "0x10")
+    none += ("inf", "Infinity", "9" * 400, "1e999", "1_0", "\u0663")
     dialect = HeaderDialect()
     for text, rest_s in told.items():
         said = dialect.answer_notes(head(503, ("Retry-After", text)))
@@ -53,12 +55,29 @@
         assert dialect.answer_notes(head(200, ("Retry-After", text))).rest_s is None
     for text in none:
         assert dialect.answer_notes(head(503, ("retry-after", text))).rest_s is None, text
+    assert dialect.not_understood == len(none), dialect.not_understood
     for text, is_leaving in {"1": True, "0": False, "": False, "true": False}.items():
         for status in (200, 421, 500, 503):
             said = dialect.answer_notes(head(status, ("x-backend-leaving", text)))
             assert said.is_leaving is is_leaving, (text, said)
 
 
+def numbers_of_any_length_are_read_or_refused():
+    """A number in a head may have thousands of digits: it is refused like any odd word."""
+    dialect = HeaderDialect()
+    many = "9" * 5_000
+    for text in (many, f"1,{many},4", "1,2,3,4", "-1,0,4", "1,,4", "x"):
+        assert dialect.answer_notes(head(200, ("X-Backend-Load", text))).load is None, text[:20]
+    assert dialect.answer_notes(head(200, ("X-Backend-Load", "1, 0,4"))).load is not None
+    for name, text in (("X-Tokens", f"{many},1"), ("X-Deadline-Ms", many), ("X-Tokens", "1,x")):
+        request = RequestHead(((name.encode(), text.encode()),), b"POST", b"/")
+        try:
+            dialect.call_terms(request)
+        except BadRequest:
+            continue
+        raise AssertionError(f"{name} of {len(text)} digits was believed")
+
+
 class SaidFleet:
     """Backends that turn work away, ask for rest and leave at generated moments, and one router."""
 
@@ -258,6 +277,7 @@
 
 NOTICE_PROPERTIES = {
     "times to rest are read strictly": times_to_rest_are_read_strictly,
+    "numbers of any length are read or refused": numbers_of_any_length_are_read_or_refused,
     "what backends say is kept to under any load": what_backends_say_is_kept_to_under_any_load,
     "a rest ends and the backend is used again": a_rest_ends_and_the_backend_is_used_again,
     "a rest of all ends when the first does": a_rest_of_all_ends_when_the_first_does,
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -116,6 +116,9 @@
 class Dialect(abc.ABC):
     """Translates heads of requests and answers."""
 
+    not_understood = 0
+    """Values in heads of answers that were none of what may stand there, since the start."""
+
     @abc.abstractmethod
     def call_terms(self, head: RequestHead) -> CallTerms:
         """Return what a caller asks; raises ``BadRequest`` for what makes no sense."""
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import msgspec
 
 from yokedock.base.logs import logger
@@ -20,6 +18,7 @@
     PromptPart,
     RoleOrder,
 )
+from yokedock.connection.head_numbers import decimal_number, whole_number
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
 from yokedock.connection.short_call import ShortCall
 from yokedock.errors import BadRequest, EngineRejected
@@ -68,6 +67,10 @@
 """Only with this status does ``Retry-After`` ask for rest (RFC 9110, section 10.2.3)."""
 RETRY_AFTER = b"retry-after"
 LEAVING_VALUE = "1"
+SHOWN_CHARACTERS = 40
+"""Characters of an odd value that stand in a log line or an error."""
+LOAD_COUNTS = 3
+"""Running, waiting, slots."""
 LONGEST_REST_S = 86_400.0
 """A backend that asks for more than a day has mistaken the unit, and rests for a day."""
 
@@ -126,10 +129,10 @@
             is_not_run=is_elsewhere or head.get(self._keys["not_run"]) is not None,
             is_signed=head.get(self._keys["signature"]) is not None,
             is_elsewhere=is_elsewhere,
-            load=_load(head.get(self._keys["load"])),
+            load=self._load(head.get(self._keys["load"])),
             is_leaving=head.get(self._keys["leaving"]) == LEAVING_VALUE,
-            rest_s=_rest_s(head) if head.status == OVERLOADED_STATUS else None,
-            limit_per_s=_limit_per_s(head.get(self._keys["limit"])),
+            rest_s=self._rest_s(head) if head.status == OVERLOADED_STATUS else None,
+            limit_per_s=self._decimal("limit", head.get(self._keys["limit"])),
         )
 
     def prefill_result(self, body: bytes) -> PrefillResult:
@@ -183,68 +186,59 @@
         if tokens is None:
             return None
         prompt, _, most = tokens.partition(",")
-        if not _is_number(prompt) or not _is_number(most):
+        prompt_tokens, most_output_tokens = whole_number(prompt), whole_number(most)
+        if prompt_tokens is None or most_output_tokens is None:
             raise BadRequest(f"{self._names.tokens} must be PROMPT,MOST; send two whole numbers")
         parts = self._parts(head.get(self._keys["parts"]) or "")
         hint = self._number(head, "output_hint")
         model = head.get(self._keys["model"]) or ""
-        return GenerationTerms(model, int(prompt), int(most), parts, hint)
+        return GenerationTerms(model, prompt_tokens, most_output_tokens, parts, hint)
 
     def _parts(self, text: str) -> tuple[PromptPart, ...]:
         found = []
         for part in filter(None, text.split(",")):
-            part_id, _, tokens = part.strip().rpartition(":")
-            if not _is_number(tokens):
+            part_id, _, text = part.strip().rpartition(":")
+            tokens = whole_number(text)
+            if tokens is None:
                 raise BadRequest(f"{self._names.parts} must list ID:TOKENS; mend {part!r}")
-            found.append(PromptPart(part_id, int(tokens)))
+            found.append(PromptPart(part_id, tokens))
         return tuple(found)
 
     def _number(self, head: RequestHead, name: str) -> int | None:
         text = head.get(self._keys[name])
         if text is None:
             return None
-        try:
-            return round(float(text))
-        except (ValueError, OverflowError):
-            raise BadRequest(f"{name} cannot be {text!r}; send a number") from None
-
-
-def _is_number(text: str) -> bool:
-    return text.isascii() and text.strip().isdigit()
-
-
-def _load(text: str | None) -> BackendLoad | None:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(_is_number(part) for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return BackendLoad(running, waiting, slots)
-
-
-def _rest_s(head: AnswerHead) -> float | None:
-    """Return the seconds of ``Retry-After``, None where it is absent or no number of seconds."""
-    text = head.get(RETRY_AFTER)
-    if text is None:
-        return None
-    try:
-        rest_s = float(text)
-    except ValueError:
-        rest_s = math.nan
-    if not rest_s >= 0:
-        _log.info("time to rest not understood", value=text[:40])
-        return None
-    return min(rest_s, LONGEST_REST_S)
-
-
-def _limit_per_s(text: str | None) -> float | None:
-    """Return a limit in requests a second, None where it is absent or no finite number."""
-    if text is None:
-        return None
-    try:
-        limit_per_s = float(text)
-    except ValueError:
-        limit_per_s = math.nan
-    if not (math.isfinite(limit_per_s) and limit_per_s >= 0):
-        _log.info("limit not understood", value=text[:40])
-        return None
-    return limit_per_s
+        number = decimal_number(text)
+        if number is None:
+            raise BadRequest(f"{name} cannot be {text[:SHOWN_CHARACTERS]!r}; send a number")
+        return round(number)
+
+    # --- What answers say ---
+
+    def _load(self, text: str | None) -> BackendLoad | None:
+        if text is None:
+            return None
+        numbers = [whole_number(part) for part in text.split(",")]
+        counts = [number for number in numbers if number is not None]
+        if len(numbers) != LOAD_COUNTS or len(counts) != LOAD_COUNTS:
+            self._note_not_understood("load", text)
+            return None
+        return BackendLoad(*counts)
+
+    def _rest_s(self, head: AnswerHead) -> float | None:
+        """Return the seconds of ``Retry-After``, None where it is absent or no number of them."""
+        rest_s = self._decimal("rest", head.get(RETRY_AFTER))
+        return None if rest_s is None else min(rest_s, LONGEST_REST_S)
+
+    def _decimal(self, what: str, text: str | None) -> float | None:
+        """Return a number, None where it is absent or none."""
+        if text is None:
+            return None
+        number = decimal_number(text)
+        if number is None:
+            self._note_not_understood(what, text)
+        return number
+
+    def _note_not_understood(self, what: str, text: str) -> None:
+        self.not_understood += 1
+        _log.info("word not understood", what=what, value=text[:SHOWN_CHARACTERS])
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -140,6 +140,7 @@
             dialect,
             talk.leading_token,
         )
+        self._dialect = dialect
         self._upkeep = RouterUpkeep(
             KeptTables(
                 self._follower,
@@ -342,6 +343,7 @@
             "state_silent_s": self._follower.silent_s(),
             "state_age_s": self._follower.age_s(),
             "connections_opened": self._pool.opened,
+            "words_not_understood": self._dialect.not_understood,
             **self._allowance.levels(),
             **self._poison.levels(),
             **self._registry.levels(),
