--- a/features/support/broken_engine_properties.py
+++ b/features/support/broken_engine_properties.py
@@ -11,6 +11,7 @@
 
 from support.stream_properties import Clock
 from yokedock.request import engine_choice, engine_costs
+from yokedock.request.backend_talk import BackendTalk
 from yokedock.request.engine_choice import EngineChoice
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Progress
@@ -89,14 +90,14 @@
         else:
             backend.health.note_broken(self.clock.now_s)
         if self.tells:
-            told = fleet.registry.broken()
+            told = BackendTalk(fleet.registry).broken()
             assert set(told) == {self.broken}
             self._at(self.clock.now_s + NEWS_S, lambda: self._tell(fleet, told))
 
     def _tell(self, teller, told):
         for fleet in self.fleets:
             if fleet is not teller:
-                fleet.registry.heard_broken(told)
+                BackendTalk(fleet.registry).heard_broken(told)
 
 
 def lost_at_broken(seed, role, tells=True, falls_silent=False):
@@ -129,11 +130,11 @@
     fleet = DecisionFleet(FleetShape(2, 6), 0.3)
     fleet.registry._clock = clock
     backend = fleet.registry.usable(MODEL_SERVICE)[0]
-    fleet.registry.heard_broken({backend.name: 60, "unknown": 90})
+    BackendTalk(fleet.registry).heard_broken({backend.name: 60, "unknown": 90})
     assert abs(backend.health.failure_share(clock.now_s) - 0.6) < 0.01
-    fleet.registry.heard_broken({backend.name: 20})
+    BackendTalk(fleet.registry).heard_broken({backend.name: 20})
     assert abs(backend.health.failure_share(clock.now_s) - 0.6) < 0.01
-    assert fleet.registry.broken() == {}, "what was only heard is not told on"
+    assert BackendTalk(fleet.registry).broken() == {}, "what was only heard is not told on"
     backend.health.note_answer(clock.now_s, 0.1, is_failure=False)
     assert backend.health.failure_share(clock.now_s) < 0.5
     clock.now_s += 12.0
--- a/features/support/life_properties.py
+++ b/features/support/life_properties.py
@@ -5,6 +5,7 @@
 from support.stream_properties import Clock
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.backend_talk import BackendTalk
 
 
 def entry(instance, born_ms, role="decode", **fields):
@@ -45,7 +46,7 @@
     assert not after.health.is_suspect(clock.now_s) and after.health.failure_share(clock.now_s) == 0
     assert other.health.is_suspect(clock.now_s)
     assert after.entry.role == "prefill" and after.life != before.life
-    registry.heard_broken({before.name: 90})
+    BackendTalk(registry).heard_broken({before.name: 90})
     assert after.health.failure_share(clock.now_s) == 0, "told of the life before"
     assert registry.entries().keys() == {"a", "b"}
 
--- a/features/support/limit_properties.py
+++ b/features/support/limit_properties.py
@@ -12,6 +12,7 @@
 from yokedock.connection.router_state import LimitShare
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.backend_talk import BackendTalk
 from yokedock.request.shared_rate import LEAST_PER_S, SharedRate
 
 LEAST_USED = 0.95
@@ -246,16 +247,16 @@
     registry.update([entry("a")], ())
     backend = registry.get("a")
     backend.take_notices(notes(2.0), clock.now_s, 0, clock.now_s)
-    assert registry.limits_told()["a"].per_s == 2.0
+    assert BackendTalk(registry).limits()["a"].per_s == 2.0
     clock.now_s += 1.0
     backend.take_notices(notes(None), clock.now_s, 0, clock.now_s)
-    assert registry.limits_told()["a"].per_s < 0
+    assert BackendTalk(registry).limits()["a"].per_s < 0
     clock.now_s += 2.0
     registry.drop_gone()
-    assert registry.limits_told() == {} and backend.limit.rate is None
-    registry.heard_limits("10.0.0.9", {"a": LimitShare(2.0, age_ms=2500, taken=1)})
+    assert BackendTalk(registry).limits() == {} and backend.limit.rate is None
+    BackendTalk(registry).heard_limits("10.0.0.9", {"a": LimitShare(2.0, age_ms=2500, taken=1)})
     assert backend.limit.rate is None
-    registry.heard_limits("10.0.0.9", {"a": LimitShare(2.0, age_ms=100, taken=1)})
+    BackendTalk(registry).heard_limits("10.0.0.9", {"a": LimitShare(2.0, age_ms=100, taken=1)})
     assert backend.limit.per_s == 2.0
 
 
--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -14,6 +14,7 @@
 from yokedock.errors import BadRequest
 from yokedock.request.backend_notices import SAID_KEPT_S
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.backend_talk import BackendTalk
 
 SERVICE = "plain"
 UNDER_WAY_S = 0.5
@@ -265,14 +266,14 @@
     registry.update([entry("a"), entry("b")], ())
     registry.get("a").take_notices(notes(is_leaving=True), clock.now_s)
     assert registry.entries().keys() == {"a", "b"}
-    assert registry.said_leaving() == ("a",)
+    assert BackendTalk(registry).said_leaving() == ("a",)
     other = BackendRegistry("", clock)
     other.update([entry("a"), entry("b")], ())
-    other.heard_leaving(("a", "unknown"))
+    BackendTalk(other).heard_leaving(("a", "unknown"))
     assert {b.name for b in other.usable(SERVICE)} == {"b"}
-    assert other.said_leaving() == (), "what was only heard is not told on"
+    assert BackendTalk(other).said_leaving() == (), "what was only heard is not told on"
     clock.now_s += 2.0
-    assert registry.said_leaving() == ()
+    assert BackendTalk(registry).said_leaving() == ()
 
 
 NOTICE_PROPERTIES = {
--- a/src/yokedock/process/fleet_talk.py
+++ b/src/yokedock/process/fleet_talk.py
@@ -19,6 +19,7 @@
 from yokedock.process.state_follower import StateFollower
 from yokedock.process.watch_duty import SourceContact
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.backend_talk import BackendTalk
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.placement_queue import QueuedPlacement
 from yokedock.request.poison_requests import PoisonRequests
@@ -37,6 +38,7 @@
     leadership: Leadership
     roles: RoleBalancer
     registry: BackendRegistry
+    backends: BackendTalk
     ledger: EngineLedger
     placement: QueuedPlacement
     queues_elsewhere: QueuesElsewhere
@@ -77,10 +79,10 @@
             parts.placement.queues(),
             parts.follower.source_age_ms(),
             parts.follower.news(),
-            parts.registry.broken(),
+            parts.backends.broken(),
             parts.poison.told(),
-            parts.registry.said_leaving(),
-            parts.registry.limits_told(),
+            parts.backends.said_leaving(),
+            parts.backends.limits(),
         )
 
     def source_contacts(self) -> list[SourceContact]:
@@ -105,10 +107,10 @@
         self._highest_token = max(self._highest_token, state.token)
         parts.leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         parts.registry.set_changing(other.address, state.changing)
-        parts.registry.heard_broken(state.broken)
+        parts.backends.heard_broken(state.broken)
         parts.poison.heard(state.suspects)
-        parts.registry.heard_leaving(state.leaving)
-        parts.registry.heard_limits(other.address, state.limits)
+        parts.backends.heard_leaving(state.leaving)
+        parts.backends.heard_limits(other.address, state.limits)
         parts.follower.take_news(state.news)
         parts.exchange.heard(state)
 
@@ -128,6 +130,6 @@
         """Drop what a router told that is no longer heard."""
         parts = self._parts
         parts.registry.set_changing(other.address, ())
-        parts.registry.forget_limits(other.address)
+        parts.backends.forget_limits(other.address)
         parts.queues_elsewhere.forget(other.address)
         parts.ledger.forget(other.address)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -37,6 +37,7 @@
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.backend_talk import BackendTalk
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.generation_call import GenerationCalls
@@ -164,6 +165,7 @@
                 self._leadership,
                 self._roles,
                 self._registry,
+                BackendTalk(self._registry),
                 self._ledger,
                 placement,
                 self._queues_elsewhere,
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -13,24 +13,17 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
-from yokedock.connection.router_state import LimitShare
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
-from yokedock.request.backend_notices import SAID_KEPT_S, TELL_LEAVING_S
+from yokedock.request.backend_notices import SAID_KEPT_S
 from yokedock.version.homes import HashRing
 
 _log = logger("backends")
 
 GONE_KEPT_S = 10.0
 """What answers showed of a backend is kept for this long after it left: it may come back."""
-TELL_BROKEN_S = 1.0
-"""Routers tell of an engine for so long after it broke an answer off: several datagrams, of which
-some may be lost. An engine that fails at once looks empty to everybody, since what was promised
-there is taken back: each of 68 routers sent it a prompt to learn that, 78 in four seconds on the
-heaviest large day. What one router saw is told to all: 10 ms and the way of a datagram."""
 FAILURE_COST = 8.0
-PERCENT = 100
 DEFAULT_LATENCY_S = 0.1
 JITTER = 0.05
 OTHER_ZONE_COST = 1.05
@@ -117,58 +110,6 @@
                 if self._newest.get(backend.entry.instance) is backend:
                     del self._newest[backend.entry.instance]
 
-    def broken(self) -> dict[str, int]:
-        """Return the share of failures, in percent, of backends that broke an answer lately."""
-        now_s = self._clock()
-        oldest_s = now_s - TELL_BROKEN_S
-        return {
-            name: round(PERCENT * backend.health.own_failure_share(now_s))
-            for name, backend in self._backends.items()
-            if backend.health.broke_s >= oldest_s
-        }
-
-    def heard_broken(self, broken: dict[str, int]) -> None:
-        """Take in what another router told of backends that broke answers."""
-        now_s = self._clock()
-        for name, percent in broken.items():
-            backend = self._backends.get(name)
-            if backend is not None:
-                backend.health.note_told(percent / PERCENT, now_s)
-
-    def said_leaving(self) -> tuple[str, ...]:
-        """Return the backends whose answers said here a moment ago that they leave."""
-        oldest_s = self._clock() - TELL_LEAVING_S
-        backends = self._backends.items()
-        return tuple(name for name, b in backends if b.notices.said_leaving_s >= oldest_s)
-
-    def heard_leaving(self, names: tuple[str, ...]) -> None:
-        """Take in of which backends another router heard that they leave."""
-        now_s = self._clock()
-        for name in names:
-            backend = self._backends.get(name)
-            if backend is not None:
-                backend.note_told_leaving(now_s)
-
-    def limits_told(self) -> dict[str, LimitShare]:
-        """Return what this router has of the limits that backends name."""
-        now_s = self._clock()
-        shares = ((name, backend.limit.share(now_s)) for name, backend in self._backends.items())
-        return {name: share for name, share in shares if share is not None}
-
-    def heard_limits(self, router: str, told: dict[str, LimitShare]) -> None:
-        """Take in what another router told of limits."""
-        now_s = self._clock()
-        for name, share in told.items():
-            backend = self._backends.get(name)
-            if backend is not None and not backend.has_ended:
-                backend.limit.heard(router, share, now_s)
-
-    def forget_limits(self, router: str) -> None:
-        """Drop what waits at a router that is heard no longer."""
-        for backend in self._backends.values():
-            if backend.limit.rate is not None:
-                backend.limit.rate.forget(router)
-
     def note_waiting(self, service: str, count: int, since_s: float) -> None:
         """Note how many requests wait here for the backends of a service.
 
@@ -199,6 +140,14 @@
             "backends_limited": sum(b.limit.per_s is not None for b in self._backends.values()),
         }
 
+    def now_s(self) -> float:
+        """Return the time by the clock of all that is believed here (boot time)."""
+        return self._clock()
+
+    def lives(self) -> Iterable[Backend]:
+        """Return all lives that are known, those that ended a moment ago included."""
+        return self._backends.values()
+
     def get(self, name: str) -> Backend | None:
         """Return a backend by the name of its life."""
         return self._backends.get(name)
