--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -37,18 +37,18 @@
 FIRST_INTERVAL_S = 0.1
 """A router that starts speaks more often at first: others may be starting with it."""
 ENOUGH_HEARD = 8
-"""Not when it hears so many: these name the rest. 68 routers that start together would send 45,000
-datagrams a second while each of them needs its processor to become ready."""
+"""Not when it hears so many: these name the rest, and a large fleet that starts together needs its
+processors to become ready."""
 CALL_SILENT_S = 0.9
 """Silent routers are called this often."""
 WELCOMES = 8
 """So many routers, on average, tell a newcomer what it cannot have heard: one is enough, and the
-chance that none does is one in 3,000. All of 370 would send it 150 kB at its start."""
+chance that none does is one in 3,000."""
 MOST_NAMED = 12
 """Addresses of other routers in one datagram; the next one names those behind them."""
 NAMED_INTERVAL_S = 1.0
-"""Addresses are half of a datagram (120 of 237 bytes measured) and seldom new: they are sent this
-often, and at once to whoever is new or while this router is."""
+"""Addresses are half of a datagram and seldom new: they are sent this often, and at once to whoever
+is new or while this router is."""
 
 
 class OtherRouter(msgspec.Struct):
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -30,10 +30,9 @@
 ORDER_TIMEOUT_S = 1.0
 CHANGING_SHARE = 0.02
 """Share of the engines that may change at once while answers are made, one at least: an engine is
-away for its own time to change, 6 s on the users' deployments."""
+away for its own time to change."""
 MOST_ORDERS = 16
-"""Orders given at once. One in 0.25 s took 12 s to set the roles of 300 engines before any traffic,
-and two minutes for 3,000; now 0.8 s and 7 s."""
+"""Orders given at once: the roles of a large fleet must be set before its first traffic."""
 FENCED = 412
 FENCED_PAUSE_S = 10.0
 
--- a/src/yokedock/process/router_metrics.py
+++ b/src/yokedock/process/router_metrics.py
@@ -1,10 +1,10 @@
 """Counters and latency histograms of a router, by route, as text for operators.
 
 Values are kept as plain numbers first and folded into histograms by the upkeep task, never behind a
-request: loading the library takes 13 ms on a 2 GHz core.
+request: loading the library takes longer than a request may wait.
 
-The histograms are DDSketches, not HdrHistograms: with 1,000 routes a page of those in pure Python
-blocked the router for 10 s (10.4 ms a row) and they took 26 MB; here it is 24 ms and 2.7 MB.
+The histograms are DDSketches, not HdrHistograms: a page of those for a thousand routes, in pure
+Python, would block the router for seconds and take ten times the memory.
 """
 
 from __future__ import annotations
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -1,8 +1,8 @@
 """Routers take over newer state from each other: packed, and only what the asker does not know.
 
-The state's source sends every version whole. Another router sends a table of 4,200 routes in 69 kB
-instead of 1.4 MB (measured): 0.1 s instead of 2.2 s on a link of 5 Mbit/s, from whoever has a wider
-link or a source that answers.
+The state's source sends every version whole. Another router sends a table in a twentieth of that,
+from whoever has a wider link or a source that answers: a narrow link carries it in a tenth of a
+second instead of two.
 """
 
 from __future__ import annotations
@@ -35,9 +35,9 @@
 HEAD_TIMEOUT_S = 1.0
 """One round trip between zones is 3 ms; a busy weak core answers within some hundred ms."""
 FIRST_LIMIT_S = 2.0
-"""Time that the first router asked has for its whole answer (69 kB take 0.1 s on 5 Mbit/s). Each
-further one has twice that of the one before: a router that hardly flows is left soon, and an own
-link that hardly flows gets an answer in the end."""
+"""Time that the first router asked has for its whole answer. Each further one has twice that of the
+one before: a router that hardly flows is left soon, and an own link that hardly flows gets an
+answer in the end."""
 SHORTEST_WAIT_S = GATHER_S
 LONGEST_WAIT_S = GATHER_S + 0.1
 """A router that is behind waits so long for its own source, which tells all routers within the time
@@ -48,9 +48,9 @@
 MOST_DIGITS = 18
 """Versions are below 2**63."""
 MOST_TABLE_BYTES = 16_777_216
-"""Bound of an unpacked table; 4,200 routes have 0.9 MB."""
+"""Bound of an unpacked table, many times the largest that is known."""
 FASTEST = 1
-"""Level of zlib: 2.3 ms and 69 kB for 4,200 routes; the default level takes 3.8 ms for 62 kB."""
+"""Level of zlib: the event loop stands still meanwhile, and the others save hardly a byte."""
 
 
 class PackedState(msgspec.Struct, array_like=True):
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -1,10 +1,9 @@
 """What one life of a backend says of itself in its answers: that it leaves, that it wants rest.
 
 It is heard in every answer but those to releases of a prompt's memory, passed on or not, since the
-list of backends may be silent or behind: with the list down for 13 s, a router sent twelve requests
-to a backend that had said in its answers that it leaves, the last one 2.9 s later (counted in its
-log). And a refusal alone only makes a backend dearer for some seconds: one that wanted 3 s of rest
-got four requests more from one router meanwhile, each of which cost its caller a repeat.
+list of backends may be silent or behind. A refusal alone only makes a backend dearer for some
+seconds: one that wants rest would get more requests meanwhile, each of which costs its caller a
+repeat.
 
 Nothing takes back what was said: neither an older entry that calls the backend ready, nor a good
 answer that was under way when it asked for rest, nor a shorter rest asked for after a longer one.
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -28,8 +28,7 @@
 JITTER = 0.05
 OTHER_ZONE_COST = 1.05
 PATIENCE = 6.0
-"""An answer that takes this many times the expected latency is not waited for where another backend
-may be asked: work of one in a hundred takes five times the mean on the users' services."""
+"""Times the expected latency after which another backend is asked; some work is that slow."""
 LEAST_PATIENCE_S = 0.3
 """Shorter silences happen on every machine: two of its processor quotas and a lost packet."""
 
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -104,8 +104,7 @@
         """Return the shortest time from a placement to the first token, with nothing before it.
 
         What waits at the engines now may be gone by then, and who is taken for late too early loses
-        its turn to newcomers. Measured with the backlog counted in: no difference on quiet days, on
-        days with trouble one within chance (0.550 and 0.544).
+        its turn to newcomers.
         """
         terms = call.terms.generation
         if terms is None or progress.cached_at:
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -27,9 +27,7 @@
 MOVE_COST_S = 0.3
 """How much later reading on the decode engine may be, since a pair moves the prompt's memory and
 keeps two engines busy. With the handicaps: a decode engine that is less than a third full reads
-alone, one that is fuller only where the pair is that much slower. Measured on three deployments,
-three seeds: quiet days 0.928 to 0.941, 0.951 to 0.958, 0.961 to 0.963, memory moved down by 13 in
-100, days with trouble up by 0.000 to 0.005; 0.6 made the first quiet day 0.933."""
+alone, one that is fuller only where the pair is that much slower."""
 TARGET_MARGIN_S = 0.25
 """A pair predicted to be later than this before the target is no better than reading alone."""
 FETCH_COST_S = 0.25
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -45,8 +45,8 @@
 _log = logger("generation")
 
 ENOUGH_REFUSALS = 3
-"""Engines that refuse one generation before it is given up. Chosen, not measured: with room
-promised at each of three, the promises are wrong, and a fourth engine is no better known."""
+"""Engines that refuse one generation before it is given up: with room promised at each of three,
+the promises are wrong, and a fourth engine is no better known."""
 RECONNECT_S = 0.02
 """Engines that cannot be reached are tried again at this interval, until the caller gives up."""
 
--- a/src/yokedock/request/generation_runs.py
+++ b/src/yokedock/request/generation_runs.py
@@ -27,15 +27,15 @@
 PREFILL_PATIENCE = 3.0
 """A prefill that takes this many times its prediction is given up."""
 LEAST_PREFILL_PATIENCE_S = 1.0
-"""The same at least (s). Chosen, not measured: other routers may have prompts read there too."""
+"""The same at least: other routers may have prompts read there too."""
 STALL_S = 1.2
 """A resumable stream that is silent for this long goes on at another engine."""
 LEAST_USEFUL_S = 0.1
-"""With less time left (s) no other engine is asked. Chosen, not measured: connect, read, step."""
+"""With less time left no other engine is asked: it must connect, read the prompt, make a step."""
 KEPT_SHARE = 0.8
 """Share of the time that an engine keeps a prompt's memory for which it is still used."""
 RELEASE_TIMEOUT_S = 1.0
-"""For connection and answer (s). Chosen: memory that is not released lapses by itself."""
+"""For connection and answer each: memory that is not released lapses by itself."""
 
 
 class GenerationRuns:
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -31,12 +31,10 @@
 the platform's figure for a request that is not to be sent on."""
 PAIR_ENDS = 2
 """The same where no other request was at both backends. Waiting for the third would cost a fifth of
-a fleet of five for some seconds. Of 18,000 simulated streams no sound one was refused so, while a
-quarter of the engines crashed every three seconds."""
+a fleet of five for some seconds."""
 QUICK_S = 0.01
 """An end sooner after the request was sent is weak evidence: the backend may have been gone, or
-have reset one connection too many. It counts towards three ends, not towards two. Both sound
-requests that a pair put in quarantine in six days of trouble on two deployments had met one."""
+have reset one connection too many. It counts towards three ends, not towards two."""
 SETTLE_S = 0.1
 """A pair counts once it is so old: routers tell each other of what else was at a backend within
 10 ms and the way of a datagram, and each word is said again while one may be lost."""
