Failing scenarios: nobody keeps to the connections that a backend takes

What callers saw: 160 at once before four routers and one backend of 100 connections: 3009 of 3609 calls answered 502, none of which had run; a router that joined then served 0 of 500.

--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -29,6 +29,33 @@
         context.world.wait_for(lambda r=router: r._gossip.fleet_size() == count, "all are heard")
 
 
+@given('backend "{name}" takes {count:d} connections and resets any more')
+def takes_connections(context, name, count):
+    context.world.backends[name].most_connections = count
+
+
+@when("a router joins them")
+def router_joins(context):
+    seed = context.routers[0].settings.fleet.address
+    size = len(context.routers) + 1
+    address = f"127.0.0.{size}:{seed.rpartition(':')[2]}"
+    context.routers.append(context.world.start_router(context.world.snapshot(), (seed,), address))
+    for router in context.routers:
+        context.world.wait_for(lambda r=router: r._gossip.fleet_size() == size, "all are heard")
+
+
+@when('{count:d} clients of the newest router send POST on "{route}" for {span_s:g} s')
+def send_to_newest(context, count, route, span_s):
+    context.load = SteadyLoad(context.world, context.routers[-1:], count, call_of(route))
+    context.load.run(span_s)
+
+
+@then('"{name}" reset no connection')
+def no_reset(context, name):
+    resets = context.world.backends[name].resets
+    assert not resets, f"{resets} connections were reset"
+
+
 @given('backend "{name}" names a limit of {limit} requests a second')
 def names_limit(context, name, limit):
     context.limit_per_s = float(limit)
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import socket
 
 from yokedock.base.clock import boot_time_s
@@ -75,6 +76,10 @@
         self.cache = {}
         """Tokens kept of each part of prompts; None: it does not answer when asked for them."""
         self.connections = 0
+        self.most_connections = math.inf
+        """Connections that it takes at a time; it resets any more."""
+        self.resets = 0
+        """Connections that were reset for that."""
         self._late_answer = b""
         self._port = 0
         self._held_port = None
@@ -127,6 +132,10 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        if len(self._writers) >= self.most_connections:
+            self.resets += 1
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while await self._one(reader, writer):
