Routers together keep to the connections that a backend takes

What callers saw: 502 for calls that had not run: 3009 of 3609 with 160 callers at once before four routers and a backend of 100 connections; 500 of 500 at a router that joined afterwards. Cause: a service's number of connections was decoded and read by nobody; each router opened one for each call under way and kept it. A backend whose connections are all in use is not offered; calls wait in order, by how fast connections come free, else are told at once; what rests beyond the share is closed. Why it holds: the sum of the shares is below what the backend takes, also beside one that starts. Ruled out: finding the limit by resets (what was on its way may have run); one shared bucket (a stream's overdraft cannot be paid back). Open: 370 routers before 100 connections (each still has one); uneven demand uses only its routers' shares.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -200,6 +200,7 @@
     Examples: limits that all routers share
       | property                                                  |
       | a limit is kept and used wherever the demand is           |
+      | shares of connections never exceed what a backend takes   |
       | a limit is kept and used by 370 routers                   |
       | many that could take the same permit do not               |
       | a limit is kept with lost datagrams                       |
--- a/features/support/limit_properties.py
+++ b/features/support/limit_properties.py
@@ -13,7 +13,9 @@
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.backend_talk import BackendTalk
+from yokedock.request.connection_shares import ConnectionShares
 from yokedock.request.shared_rate import LEAST_PER_S, SharedRate
+from yokedock.version.route_table import ServiceSpec
 
 LEAST_USED = 0.95
 SIZES = (1, 4, 8, 30)
@@ -260,7 +262,21 @@
     assert backend.limit.per_s == 2.0
 
 
+def shares_of_connections_never_exceed_what_a_backend_takes():
+    """At every size of fleet for which there is one for each; else each router has one."""
+    for routers in (1, 4, 8, 30, 68, 185, 370):
+        for count in (6, 96, 100, 470, 760):
+            most = ConnectionShares(lambda n=routers: n).most(
+                ServiceSpec("s", max_connections=count)
+            )
+            assert most >= 1
+            assert routers * most <= max(count, routers), (routers, count, most)
+
+
 LIMIT_PROPERTIES = {
+    "shares of connections never exceed what a backend takes": (
+        shares_of_connections_never_exceed_what_a_backend_takes
+    ),
     "a limit is kept and used wherever the demand is": (
         a_limit_is_kept_and_used_wherever_the_demand_is
     ),
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from yokedock.connection.backend_connection import LONGEST_REST_S, BackendConnection
@@ -38,13 +39,21 @@
         self.opened += 1
         return await BackendConnection.connect(address, timeout_s)
 
-    def give_back(self, connection: BackendConnection) -> None:
-        """Let a connection rest, or close it when it cannot be used again."""
-        if connection.is_reusable:
+    def give_back(self, connection: BackendConnection, most: float = math.inf) -> None:
+        """Let a connection rest, beside at most ``most`` in all, or close it."""
+        if connection.is_reusable and len(self._resting.get(connection.address, ())) < most:
             self._resting.setdefault(connection.address, []).append(connection)
         else:
             connection.close()
 
+    def keep_at_most(self, address: str, most: int) -> None:
+        """Close what rests at ``address`` beyond ``most``, the longest rested first."""
+        resting = self._resting.get(address, [])
+        beyond = max(0, len(resting) - max(0, most))
+        for connection in resting[:beyond]:
+            connection.close()
+        del resting[:beyond]
+
     def forget(self, address: str) -> None:
         """Close what rests at ``address``."""
         for connection in self._resting.pop(address, []):
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -39,6 +40,7 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.backend_talk import BackendTalk
 from yokedock.request.cache_lookup import CacheLookup
+from yokedock.request.connection_shares import ConnectionShares
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.opaque_call import OpaqueCalls
@@ -98,7 +100,9 @@
         self._allowance = allowance
         self._pool = BackendPool()
         self._poison = PoisonRequests(mechanisms.quarantine)
-        exchanges = BackendExchanges(self._pool, dialect, self._poison)
+        self._shares = ConnectionShares(self._gossip.known)
+        self._registry.connection_share = self._connection_share
+        exchanges = BackendExchanges(self._pool, dialect, self._poison, self._shares)
         self._queues_elsewhere = QueuesElsewhere(own_address)
         placement = QueuedPlacement(
             self._registry,
@@ -311,6 +315,12 @@
         index = self._follower.index
         return index.table if index is not None else None
 
+    def _connection_share(self, service: str) -> float:
+        """Return how many connections this router may have to a backend of ``service``."""
+        table = self._table()
+        spec = table.services.get(service) if table is not None else None
+        return math.inf if spec is None else self._shares.most(spec)
+
     def _limits(self) -> CallerLimits:
         table = self._table()
         return table.limits if table is not None else CallerLimits()
--- a/src/yokedock/process/router_upkeep.py
+++ b/src/yokedock/process/router_upkeep.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -80,6 +81,7 @@
         tables = self._tables
         return (
             tables.pool.drop_stale,
+            self._close_beyond_share,
             tables.registry.drop_gone,
             self._drop_gone_engines,
             tables.lookup.drop_stale,
@@ -89,6 +91,16 @@
             self._drop_gone_routes,
         )
 
+    def _close_beyond_share(self) -> None:
+        """Close what rests beyond this router's share: that shrinks as others join."""
+        registry = self._tables.registry
+        for backend in registry.lives():
+            most = registry.connection_share(backend.entry.service)
+            if not math.isinf(most):
+                self._tables.pool.keep_at_most(
+                    backend.entry.address, int(most) - backend.outstanding
+                )
+
     def _drop_gone_engines(self) -> None:
         self._tables.ledger.pace.keep_only(self._tables.registry.names())
 
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -15,6 +15,7 @@
 from yokedock.connection.dialect import AnswerNotes, BackendOrder, Dialect
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.request.backend_life import Backend
+from yokedock.request.connection_shares import ConnectionShares
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import NOT_SENT, RoutedCall, WholeAnswer
@@ -24,6 +25,7 @@
     BackendRefused,
     BackendSilent,
     BackendUnreachable,
+    BackendUnwilling,
 )
 
 _log = logger("exchange")
@@ -185,9 +187,16 @@
 class BackendExchanges:
     """Opens exchanges with backends."""
 
-    def __init__(self, pool: BackendPool, dialect: Dialect, poison: PoisonRequests) -> None:
+    def __init__(
+        self,
+        pool: BackendPool,
+        dialect: Dialect,
+        poison: PoisonRequests,
+        shares: ConnectionShares,
+    ) -> None:
         """Share the pool and dialect of the process, and what is known of harmful requests."""
         self.pool = pool
+        self._shares = shares
         self._poison = poison
         self.dialect = dialect
 
@@ -210,6 +219,8 @@
         if self._poison.is_known():
             self._poison.require_sound(call.digest)
         backend.require_willing(boot_time_s())
+        if backend.outstanding >= self._shares.most(call.service):
+            raise BackendUnwilling(f"all connections to {backend.name} are in use")
         if not has_permit:
             backend.take_permit(boot_time_s())
         rest_s = LONGEST_REST_S if call.route.may_repeat else SHORT_REST_S
@@ -225,12 +236,16 @@
         self, backend: Backend, call: RoutedCall, timeout_s: float, rest_s: float
     ) -> AsyncIterator[BackendExchange]:
         address = backend.entry.address
+        backend.outstanding += 1
         try:
             connection = await self.pool.take(address, timeout_s, rest_s, call.heard_after_s)
         except BackendUnreachable:
             backend.health.note_silence(boot_time_s())
             self.pool.forget(address)
             raise
+        finally:
+            # Whoever connects has its place already: others choose meanwhile.
+            backend.outstanding -= 1
         exchange = BackendExchange(connection, self.dialect, backend, call, self._poison)
         exchange.on_quiet = lambda: self._suspect_quiet(connection, call)
         backend.outstanding += 1
@@ -262,7 +277,8 @@
             backend.outstanding -= 1
             backend.connections.discard(connection)
             if exchange.is_whole or not exchange.is_sent:
-                self.pool.give_back(connection)
+                most = self._shares.most(call.service) - backend.outstanding
+                self.pool.give_back(connection, most)
             else:
                 connection.abort()
 
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -58,6 +59,8 @@
         self._rings: dict[tuple[str, str], HashRing] = {}
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
+        self.connection_share: Callable[[str], float] = lambda service: math.inf
+        """Returns how many connections this router may have to a backend of a service."""
         self.on_change: Callable[[], None] = lambda: None
         self.on_new_life: Callable[[Backend], None] = lambda backend: None
 
@@ -163,11 +166,13 @@
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
         """Return the backends of a service that may be used, sound ones if there are any.
 
-        Never one that has asked for rest or has no permit left, also where no other is there.
+        Never one that has asked for rest, or has no permit or connection left, also where no other
+        is there.
         """
         now_s = self._clock()
-        found = [b for b in self._found(service, role) if b.may_take(now_s)]
-        return _soundest(found, now_s)
+        share = self.connection_share(service)
+        found = self._found(service, role)
+        return _soundest([b for b in found if b.outstanding < share and b.may_take(now_s)], now_s)
 
     def present(self, service: str) -> list[Backend]:
         """Return the backends of a service that may be used now or after their rest."""
@@ -184,6 +189,15 @@
         staying = [b for b in self._found(service, role) if b.leaving_since_s is None]
         return min((b.free_in_s(now_s) for b in staying), default=0.0)
 
+    def freed_per_s(self, service: str) -> float:
+        """Return how many connections come free in a second where all are in use, else 0."""
+        if self.usable(service) or self.rest_left_s(service):
+            return 0.0
+        now_s = self._clock()
+        staying = [b for b in self._found(service, None) if b.leaving_since_s is None]
+        typical_s = typical_latency_s(staying)
+        return sum(b.outstanding / b.health.expected_latency_s(now_s, typical_s) for b in staying)
+
     def next_permit_s(self, service: str, role: str | None = None) -> float | None:
         """Return the seconds until a limited backend has a permit for this router again."""
         now_s = self._clock()
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -148,19 +148,27 @@
         It should come in time; but one that has its place among those that wait for permits stays:
         answered a little late it is better off than refused after a wait.
         """
-        has_permit_to_come = self._registry.granted_per_s(call.service.name) is not None
-        if place.is_settled and has_permit_to_come:
+        if place.is_settled and self._moves_in_order(call.service.name):
             return wait_s < call.left_s()
         return self._could_be_in_time(call, wait_s)
 
+    def _moves_in_order(self, service: str) -> bool:
+        """Return whether a wait is for permits or connections, which come one after the other."""
+        is_full = self._registry.freed_per_s(service) > 0
+        return is_full or self._registry.granted_per_s(service) is not None
+
     def _wait_s(self, service: str, before: float) -> float:
         """Return for how long a call waits that has ``before`` others before it.
 
-        Where all backends have named limits, the calls of all routers are taken in turn.
+        Where all backends have named limits, the calls of all routers are taken in turn; where all
+        connections are in use, one goes out for each that comes free.
         """
         wait_s = self._registry.rest_left_s(service)
         granted_per_s = self._registry.granted_per_s(service)
-        return wait_s + before / granted_per_s if granted_per_s else wait_s
+        if granted_per_s:
+            return wait_s + before / granted_per_s
+        freed_per_s = self._registry.freed_per_s(service)
+        return (before + 1) / freed_per_s if freed_per_s else wait_s
 
     def _note_waiting(self, service: str, queue: CallQueue) -> None:
         """Tell how many wait, for the order in which routers take the permits of a backend."""
