An odd limit says nothing: what a backend takes is as it was

Cause: a value that is no number was read as no limit, and ended one that had been named. Change: it is noted as odd and changes nothing. Shown by a property that needs the new field (red without it).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -213,5 +213,6 @@
       | answers that overtake each other are put in order         |
       | limits are read strictly                                  |
       | a limit belongs to one life                               |
+      | an odd word ends no limit                                 |
       | a limited backend is left out only while it has no permit |
       | an end that all were told of is not taken back            |
--- a/features/support/limit_properties.py
+++ b/features/support/limit_properties.py
@@ -192,8 +192,10 @@
             notes = dialect.answer_notes(head(status, ("x-backend-limit", text)))
             assert notes.limit_per_s == per_s, (text, notes)
     for text in none:
-        assert dialect.answer_notes(head(200, ("X-Backend-Limit", text))).limit_per_s is None, text
-    assert dialect.answer_notes(head(200)).limit_per_s is None
+        said = dialect.answer_notes(head(200, ("X-Backend-Limit", text)))
+        assert said.limit_per_s is None and said.is_limit_odd, text
+    said = dialect.answer_notes(head(200))
+    assert said.limit_per_s is None and not said.is_limit_odd
 
 
 SERVICE = "plain"
@@ -220,6 +222,22 @@
     assert limit.per_s == 1.0, "another backend at its address has said nothing of this one"
 
 
+def an_odd_word_ends_no_limit():
+    """What is not understood says nothing: neither that there is a limit nor that there is none."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.update([entry("a")], ())
+    backend = registry.get("a")
+    backend.take_notices(notes(None, is_limit_odd=True), clock.now_s, 0, clock.now_s)
+    assert backend.limit.rate is None
+    backend.take_notices(notes(2.0), clock.now_s, 0, clock.now_s)
+    clock.now_s += 1.0
+    backend.take_notices(notes(None, is_limit_odd=True), clock.now_s, 0, clock.now_s)
+    assert backend.limit.per_s == 2.0
+    backend.take_notices(notes(None), clock.now_s, 0, clock.now_s)
+    assert backend.limit.per_s is None
+
+
 def a_limited_backend_is_left_out_only_while_it_has_no_permit():
     """The others are used meanwhile; where there is none, the time to the next permit is known."""
     clock = Clock()
@@ -296,6 +314,7 @@
     ),
     "limits are read strictly": limits_are_read_strictly,
     "a limit belongs to one life": a_limit_belongs_to_one_life,
+    "an odd word ends no limit": an_odd_word_ends_no_limit,
     "a limited backend is left out only while it has no permit": (
         a_limited_backend_is_left_out_only_while_it_has_no_permit
     ),
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -78,6 +78,8 @@
     """Seconds for which the backend that turned the request away wants no other from here."""
     limit_per_s: float | None = None
     """Requests a second that the backend takes from all routers together, None if it names none."""
+    is_limit_odd: bool = False
+    """It names something that is no limit: what it takes is as it was."""
 
 
 class RoleOrder(msgspec.Struct, frozen=True):
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -124,6 +124,8 @@
     def answer_notes(self, head: AnswerHead) -> AnswerNotes:
         """Return what an answer says about the run."""
         is_elsewhere = head.status == MISDIRECTED_STATUS
+        limit = head.get(self._keys["limit"])
+        limit_per_s = self._decimal("limit", limit)
         return AnswerNotes(
             request_id=head.get(self._keys["request_id"]),
             is_not_run=is_elsewhere or head.get(self._keys["not_run"]) is not None,
@@ -132,7 +134,8 @@
             load=self._load(head.get(self._keys["load"])),
             is_leaving=head.get(self._keys["leaving"]) == LEAVING_VALUE,
             rest_s=self._rest_s(head) if head.status == OVERLOADED_STATUS else None,
-            limit_per_s=self._decimal("limit", head.get(self._keys["limit"])),
+            limit_per_s=limit_per_s,
+            is_limit_odd=limit is not None and limit_per_s is None,
         )
 
     def prefill_result(self, body: bytes) -> PrefillResult:
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -154,7 +154,7 @@
         """
         self.notices.take(notes, self.name, now_s, opened_ms)
         self._weigh_leaving()
-        if not notes.is_elsewhere:
+        if not notes.is_elsewhere and not notes.is_limit_odd:
             self._limit_opened_ms = opened_ms
             self.limit.note_answer(notes.limit_per_s, sent_s, now_s)
 
