--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -12,6 +12,7 @@
       | 2    | 20      |
       | 3    | 20      |
       | 26   | 20      |
+      | 31   | 20      |
       | 32   | 20      |
 
   Scenario Outline: The judge finds what is wrong: <fault>
