--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -18,7 +18,6 @@
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_notices import SAID_KEPT_S
-from yokedock.version.homes import HashRing
 
 _log = logger("backends")
 
@@ -56,7 +55,6 @@
         """The newest life of each backend, by identifier."""
         self._members: dict[tuple[str, str | None], list[Backend]] | None = None
         """Backends by service and role, and by service alone; None after a change of the list."""
-        self._rings: dict[tuple[str, str], HashRing] = {}
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
         self.connection_share: Callable[[str], float] = lambda service: math.inf
@@ -119,17 +117,17 @@
         there are permits that they take in order.
         """
         self.limits.note_waiting(service, count, since_s)
-        if any(backend.limit.rate is not None for backend in self._found(service, None)):
+        if any(backend.limit.rate is not None for backend in self.members(service, None)):
             self.limits.on_change()
 
     def granted_per_s(self, service: str, role: str | None = None) -> float | None:
         """Return what the backends that stay take together, None if one of them has no limit."""
-        found = self._found(service, role)
+        found = self.members(service, role)
         return granted_per_s(b.limit for b in found if b.leaving_since_s is None)
 
     def waiting_elsewhere(self, service: str) -> int:
         """Return how many requests wait for permits at other routers."""
-        rates = (backend.limit.rate for backend in self._found(service, None))
+        rates = (backend.limit.rate for backend in self.members(service, None))
         return max((rate.waiting_elsewhere() for rate in rates if rate is not None), default=0)
 
     def levels(self) -> dict[str, float]:
@@ -171,12 +169,12 @@
         """
         now_s = self._clock()
         share = self.connection_share(service)
-        found = self._found(service, role)
+        found = self.members(service, role)
         return _soundest([b for b in found if b.outstanding < share and b.may_take(now_s)], now_s)
 
     def present(self, service: str) -> list[Backend]:
         """Return the backends of a service that may be used now or after their rest."""
-        return _soundest(self._found(service, None), self._clock())
+        return _soundest(self.members(service, None), self._clock())
 
     def rest_left_s(self, service: str, role: str | None = None) -> float:
         """Return the seconds until a backend may be used where all rest or have no permit left.
@@ -186,7 +184,7 @@
         if self.usable(service, role):
             return 0.0
         now_s = self._clock()
-        staying = [b for b in self._found(service, role) if b.leaving_since_s is None]
+        staying = [b for b in self.members(service, role) if b.leaving_since_s is None]
         return min((b.free_in_s(now_s) for b in staying), default=0.0)
 
     def freed_per_s(self, service: str) -> float:
@@ -194,20 +192,20 @@
         if self.usable(service) or self.rest_left_s(service):
             return 0.0
         now_s = self._clock()
-        staying = [b for b in self._found(service, None) if b.leaving_since_s is None]
+        staying = [b for b in self.members(service, None) if b.leaving_since_s is None]
         typical_s = typical_latency_s(staying)
         return sum(b.outstanding / b.health.expected_latency_s(now_s, typical_s) for b in staying)
 
     def next_permit_s(self, service: str, role: str | None = None) -> float | None:
         """Return the seconds until a limited backend has a permit for this router again."""
         now_s = self._clock()
-        found = [b for b in self._found(service, role) if b.limit.rate is not None]
+        found = [b for b in self.members(service, role) if b.limit.rate is not None]
         waits_s = [wait_s for b in found if (wait_s := b.limit.wait_s(now_s)) > 0]
         return min(waits_s, default=None)
 
-    def _found(self, service: str, role: str | None) -> list[Backend]:
+    def members(self, service: str, role: str | None = None) -> list[Backend]:
+        """Return all known backends of a service; the same list until the list of all changes."""
         if self._members is None:
-            self._rings.clear()
             self._members = {}
             for backend in self._backends.values():
                 entry = backend.entry
@@ -215,25 +213,6 @@
                     self._members.setdefault(key, []).append(backend)
         return self._members.get((service, role), [])
 
-    def home_of(self, key: str, service: str, role: str) -> str | None:
-        """Return the backend that is the home of a key: the same one at every router.
-
-        It is the next one in the order of the key while the first one is not sound.
-        """
-        found = self._found(service, role)
-        ring = self._rings.get((service, role))
-        if ring is None:
-            ring = HashRing(b.name for b in found if b.leaving_since_s is None)
-            self._rings[service, role] = ring
-        return ring.home_of(key, self._is_sound)
-
-    def _is_sound(self, name: str) -> bool:
-        backend = self._backends.get(name)
-        if backend is None or backend.leaving_since_s is not None:
-            return False
-        now_s = self._clock()
-        return not backend.health.is_suspect(now_s) and not backend.notices.is_resting(now_s)
-
     def cheapest(self, service: str, without: frozenset[str] = frozenset()) -> Backend | None:
         """Return the backend that should answer soonest, None if there is none."""
         usable = [b for b in self.usable(service) if b.name not in without]
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -24,6 +24,7 @@
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Placement, Progress
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
+from yokedock.request.prompt_homes import PromptHomes
 from yokedock.request.routed_call import RoutedCall
 from yokedock.version.route_table import EngineTraits
 
@@ -45,6 +46,7 @@
         self._mechanisms = mechanisms
         self._costs = EngineCosts(ledger, mechanisms)
         self._registry = registry
+        self._prompt_homes = PromptHomes(registry)
         self._ledger = ledger
         self._random = random.Random()
 
@@ -190,6 +192,7 @@
             return frozenset()
         part_id = terms.parts[-1].part_id
         homes = [
-            self._registry.home_of(part_id, service, role) for role in (PREFILL_ROLE, DECODE_ROLE)
+            self._prompt_homes.home_of(part_id, service, role)
+            for role in (PREFILL_ROLE, DECODE_ROLE)
         ]
         return frozenset(home for home in homes if home is not None)
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -24,6 +24,7 @@
 from yokedock.request.generation_queue import GenerationQueue
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.room_forecast import LATEST_RETURN, QueueAhead, RoomForecast
+from yokedock.request.room_looks import RECHECK_S, RoomLooks
 from yokedock.request.room_order import RoomOrder
 from yokedock.request.room_prediction import RecentArrivals, RoomPrediction
 from yokedock.request.routed_call import RoutedCall
@@ -31,10 +32,6 @@
 
 _log = logger("queue")
 
-GATHER_ROOM_S = 0.003
-"""News of room that come within this time are looked at together."""
-RECHECK_S = 0.1
-"""Waiting generations look for room at least this often: promises of a silent router lapse."""
 LEAST_LOOK_S = 0.002
 """A waiter looks at its own time at most this often."""
 LEAST_SILENCE_S = 2.0
@@ -72,10 +69,8 @@
         self._prediction = RoomPrediction(
             registry, ledger, self._forecast, elsewhere, self._arrivals
         )
-        self._is_scheduling_due = False
-        self._is_recheck_due = False
-        self._look_due_s = math.inf
-        ledger.on_room = self._schedule_soon
+        self._looks = RoomLooks(self._schedule_all, lambda: bool(self._queues))
+        ledger.on_room = self._looks.soon
 
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Return where the request goes; raises ``NoDecodeRoom`` where no room will come."""
@@ -92,7 +87,7 @@
                 self._refuse_if_hopeless(waiter)
                 # The others count on whoever waits here when they take room.
                 self._ledger.on_change()
-                self._recheck_soon()
+                self._looks.now_and_then()
                 await self._wait(waiter)
             return waiter.placed.result()
         finally:
@@ -237,27 +232,7 @@
 
     # --- Giving room ---
 
-    def _schedule_soon(self) -> None:
-        """Look for room soon, with what else is heard in this moment."""
-        if self._is_scheduling_due or not self._queues:
-            return
-        self._is_scheduling_due = True
-        asyncio.get_running_loop().call_later(GATHER_ROOM_S, self._schedule_all)
-
-    def _recheck_soon(self) -> None:
-        """Look for room again after a while, for all that wait at once."""
-        if not self._is_recheck_due:
-            self._is_recheck_due = True
-            asyncio.get_running_loop().call_later(RECHECK_S, self._recheck)
-
-    def _recheck(self) -> None:
-        self._is_recheck_due = False
-        self._schedule_all()
-        if self._queues:
-            self._recheck_soon()
-
     def _schedule_all(self) -> None:
-        self._is_scheduling_due = False
         for service in list(self._queues):
             self._schedule(service)
 
@@ -302,21 +277,14 @@
         now_s = boot_time_s()
         wait_s = self._order.wait_s(waiter, places, now_s)
         if wait_s > 0:
-            self._look_in(wait_s)
+            self._looks.after(wait_s)
         return wait_s <= 0
 
     def _look_at_next_permit(self, service: str) -> None:
         """Look again once an engine that has named a limit takes the next stream."""
         wait_s = self._registry.next_permit_s(service)
         if wait_s is not None and wait_s < RECHECK_S:
-            self._look_in(wait_s)
-
-    def _look_in(self, wait_s: float) -> None:
-        """Look for room after ``wait_s``, unless that is due sooner."""
-        due_s = boot_time_s() + wait_s
-        if due_s < self._look_due_s:
-            self._look_due_s = due_s
-            asyncio.get_running_loop().call_later(wait_s, self._look_came)
+            self._looks.after(wait_s)
 
     def _note_waiting(self, service: str) -> None:
         """Tell how many wait here, for the order in which routers take the permits of engines."""
@@ -324,7 +292,3 @@
         first = queue.first() if queue else None
         since_s = first.since_s if first is not None else math.inf
         self._registry.note_waiting(service, len(queue or ()), since_s)
-
-    def _look_came(self) -> None:
-        self._look_due_s = math.inf
-        self._schedule_all()
