--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -201,10 +201,11 @@
       | property                                                  |
       | a limit is kept and used wherever the demand is           |
       | shares of connections never exceed what a backend takes   |
-      | a limit is kept and used by 370 routers                   |
+      | a limit is kept and used by 68 and 370 routers            |
       | many that could take the same permit do not               |
       | a limit is kept with lost datagrams                       |
       | a limit is kept while routers start anew                  |
+      | a limit is kept while routers stand still                 |
       | a router that was not told itself keeps to the limit      |
       | limits that change are kept                               |
       | a limit that ends holds no more                           |
--- a/features/support/limit_fleet.py
+++ b/features/support/limit_fleet.py
@@ -31,12 +31,16 @@
         self.told_s = math.inf
         """When it had the first answer that names the limit."""
         self.is_dead = False
+        self._unread = None
+        """What came while it stood still, None while it runs."""
         self._spoke_s = -math.inf
         self._is_speaking = False
         self._is_looking = False
 
     def ask(self, may_wait):
         """Let a request come; it waits for a permit, or goes to another backend."""
+        if self._unread is not None:
+            return
         if not self.waits and self._wait_s() <= 0:
             self.send()
         elif may_wait:
@@ -66,7 +70,7 @@
         """Give permits to those that wait; who waited for too long leaves."""
         self._is_looking = False
         oldest_s = self.fleet.now_s - self.fleet.patience_s
-        while self.waits and not self.is_dead:
+        while self.waits and not self.is_dead and self._unread is None:
             if self.waits[0] < oldest_s:
                 self.waits.pop(0)
                 self.change()
@@ -88,7 +92,7 @@
         """Tell all others."""
         fleet = self.fleet
         self._is_speaking, self._spoke_s = False, fleet.now_s
-        if self.is_dead or math.isinf(self.rate.heard_s):
+        if self.is_dead or self._unread is not None or math.isinf(self.rate.heard_s):
             return
         since_s = self.waits[0] if self.waits else fleet.now_s
         told = self.rate.share(fleet.now_s, len(self.waits), since_s)
@@ -96,9 +100,22 @@
             if other is not self and fleet.chance.random() >= fleet.loss:
                 fleet.at(fleet.chance.uniform(*WAY_S), other.hear, self.name, told)
 
+    def freeze(self, span_s):
+        """Stand still for a while; what comes meanwhile is read after one more request was sent."""
+        self._unread = []
+        self.fleet.at(span_s, self._thaw)
+
+    def _thaw(self):
+        unread, self._unread = self._unread, None
+        self.ask(may_wait=False)
+        for datagram in unread:
+            self.hear(*datagram)
+
     def hear(self, name, told):
         """Take in a datagram."""
-        if not self.is_dead:
+        if self._unread is not None:
+            self._unread.append((name, told))
+        elif not self.is_dead:
             self.rate.heard(name, told, self.fleet.now_s)
 
     def beat(self):
--- a/features/support/limit_properties.py
+++ b/features/support/limit_properties.py
@@ -4,6 +4,8 @@
 95 in 100 of what is granted must be used where it is asked for, wherever that is.
 """
 
+import itertools
+
 from support.limit_fleet import SETTLED_S, TOLD_S, WINDOW_S, LimitFleet
 from support.stream_properties import Clock
 from yokedock.connection.dialect import AnswerNotes
@@ -50,14 +52,14 @@
                 require_used(fleet, limit_per_s, 20.0 - SETTLED_S, case)
 
 
-def a_limit_is_kept_and_used_by_370_routers():
+def a_limit_is_kept_and_used_by_68_and_370_routers():
     """A backend that takes 1.3 requests a second is of use to all of them, and overrun by none."""
-    for share in (0.0, 1.0):
-        fleet = LimitFleet(370, 1.3, beat_s=2.0)
+    for size, share in itertools.product((68, 370), (0.0, 0.5, 1.0)):
+        fleet = LimitFleet(size, 1.3, beat_s=2.0)
         fleet.demand(6.0, share)
         fleet.play(12.0)
-        require_kept(fleet, 1.3, share)
-        require_used(fleet, 1.3, 12.0 - SETTLED_S, share)
+        require_kept(fleet, 1.3, (size, share))
+        require_used(fleet, 1.3, 12.0 - SETTLED_S, (size, share))
 
 
 def many_that_could_take_the_same_permit_do_not():
@@ -92,6 +94,19 @@
             require_kept(fleet, 2.0, (size, seed))
 
 
+def a_limit_is_kept_while_routers_stand_still():
+    """Routers freeze for some seconds and send again before they have read what came meanwhile."""
+    for size in (4, 8, 30):
+        for seed in range(3):
+            fleet = LimitFleet(size, 2.0, seed)
+            fleet.demand(8.0)
+            fleet.play(2.0)
+            for number in range(12):
+                fleet.routers[number % size].freeze(2.5)
+                fleet.play(1.0)
+            require_kept(fleet, 2.0, (size, seed))
+
+
 def a_router_that_was_not_told_itself_keeps_to_the_limit():
     """It hears of it from the others before its first answer."""
     fleet = LimitFleet(8, 2.0)
@@ -298,10 +313,13 @@
     "a limit is kept and used wherever the demand is": (
         a_limit_is_kept_and_used_wherever_the_demand_is
     ),
-    "a limit is kept and used by 370 routers": a_limit_is_kept_and_used_by_370_routers,
+    "a limit is kept and used by 68 and 370 routers": (
+        a_limit_is_kept_and_used_by_68_and_370_routers
+    ),
     "many that could take the same permit do not": many_that_could_take_the_same_permit_do_not,
     "a limit is kept with lost datagrams": a_limit_is_kept_with_lost_datagrams,
     "a limit is kept while routers start anew": a_limit_is_kept_while_routers_start_anew,
+    "a limit is kept while routers stand still": a_limit_is_kept_while_routers_stand_still,
     "a router that was not told itself keeps to the limit": (
         a_router_that_was_not_told_itself_keeps_to_the_limit
     ),
