--- a/features/support/steady_load.py
+++ b/features/support/steady_load.py
@@ -9,6 +9,8 @@
 
 PAUSE_S = 0.03
 """From an answer to the client's next request."""
+TICK_S = 0.01
+LAG_BEFORE_S = 0.5
 BROKEN = -1
 """Status of a request whose answer was not whole."""
 _numbers = itertools.count()
@@ -23,6 +25,7 @@
     took_s: float
     status: int
     headers: dict
+    body: bytes
 
 
 class SteadyLoad:
@@ -34,6 +37,8 @@
         self._clients = clients
         self._make_request = make_request
         self.served = []
+        self._lags = []
+        """When the loop stood still, and for how long."""
 
     def run(self, span_s):
         """Send for a while."""
@@ -41,17 +46,35 @@
         callers = [RawCaller(self._world, one) for one in addresses for _ in range(self._clients)]
         self._world.run(self._send_all(callers, boot_time_s() + span_s))
 
+    def lag_s(self, request):
+        """Return for how long the loop, in which all run, stood still while a request was sent."""
+        end_s = request.sent_s + request.took_s
+        within = [
+            lag_s for at_s, lag_s in self._lags if request.sent_s - LAG_BEFORE_S < at_s < end_s
+        ]
+        return sum(within)
+
     async def _send_all(self, callers, until_s):
+        ticks = asyncio.create_task(self._tick())
         await asyncio.gather(*(self._send(caller, until_s) for caller in callers))
+        ticks.cancel()
+
+    async def _tick(self):
+        while True:
+            before_s = boot_time_s()
+            await asyncio.sleep(TICK_S)
+            lag_s = boot_time_s() - before_s - TICK_S
+            if lag_s > TICK_S:
+                self._lags.append((before_s, lag_s))
 
     async def _send(self, caller, until_s):
         while (sent_s := boot_time_s()) < until_s:
             request_id = f"load-{next(_numbers)}"
             caller._writer.write(self._make_request(request_id))
-            status, headers, _, is_whole = await caller._read_answer()
+            status, headers, body, is_whole = await caller._read_answer()
             took_s = boot_time_s() - sent_s
             status = status if is_whole else BROKEN
-            self.served.append(ServedRequest(request_id, sent_s, took_s, status, headers))
+            self.served.append(ServedRequest(request_id, sent_s, took_s, status, headers, body))
             await asyncio.sleep(PAUSE_S)
 
 
