Sight: levels tell a router's own promises from those it heard, with the age of the oldest

One level counted its own rows and those of others together, so that a stream of its own that was never closed and a row of another router looked alike. Change: router_promises_own, router_promises_heard, router_promises_heard_age_s; the judge's HELD names them. What the judge holds routers to is as it was.

--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -357,6 +357,7 @@
             "connections_opened": self._pool.opened,
             "words_not_understood": self._dialect.not_understood,
             **self._allowance.levels(),
+            **self._ledger.levels(),
             **self._poison.levels(),
             **self._registry.levels(),
             **self._wake.levels(),
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -132,9 +132,19 @@
         return shares
 
     def size(self) -> int:
-        """Return how many promises are kept, those of other routers by engine."""
-        own = len(self._demands) + len(self._prefills) + len(self._opened_s)
-        return own + self._remote.size()
+        """Return how many rows of promises are kept, this router's own and those of others."""
+        return self._own_size() + self._remote.size()
+
+    def levels(self) -> dict[str, float]:
+        """Return what operators see: rows of its own, rows of others and the age of the oldest."""
+        return {
+            "promises_own": self._own_size(),
+            "promises_heard": self._remote.size(),
+            "promises_heard_age_s": self._remote.oldest_age_s(),
+        }
+
+    def _own_size(self) -> int:
+        return len(self._demands) + len(self._prefills) + len(self._opened_s)
 
     # --- What others promised ---
 
--- a/src/yokedock/request/remote_promises.py
+++ b/src/yokedock/request/remote_promises.py
@@ -97,6 +97,11 @@
         """Return how many shares and sums are kept."""
         return len(self._totals) + sum(len(heard.shares) for heard in self._heard.values())
 
+    def oldest_age_s(self) -> float:
+        """Return how long ago the oldest shares that are kept were told, 0 if none are."""
+        told = [heard.heard_s for heard in self._heard.values() if heard.shares]
+        return self._clock() - min(told) if told else 0.0
+
     def _drop_lapsed(self) -> None:
         now_s = self._clock()
         while self._heard:
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -33,6 +33,12 @@
 """A request that is not passed on may cross the close of its connection within this time."""
 LAST_SIXTH_S = 8.0 / 6
 GRACE_S = 8.0
+PROMISE_LEVELS = (
+    "router_promises_own",
+    "router_promises_heard",
+    "router_promises_heard_age_s",
+)
+"""They tell whose the promises are that a router still holds."""
 DEADLINE_S = 7.9
 """From here on the deadline explains whatever came of a request."""
 
@@ -238,5 +244,7 @@
     for router, levels in history.at_end.items():
         held = {name: levels.get(name, -1.0) for name in ("router_active", "router_table_promises")}
         if any(held.values()):
-            found.append(Violation("HELD", f"router {router} holds {held} at the end"))
+            promises = {name: levels.get(name) for name in PROMISE_LEVELS}
+            text = f"router {router} holds {held} at the end, {promises}"
+            found.append(Violation("HELD", text))
     return found
