What a router reads after it stood still is as old as it may be; it asks the others anew

Cause: datagrams were stamped as they were read. Of those that queue up in a sleep the kernel keeps the oldest, and one was read a round of the event loop, so that callers' requests were placed between two of them. Evidence: levels of the commit before; a real socket in a loop that is blocked for 2.2 s while the other router says its last word and dies: its rows stood anew, its vote counted anew (Leadership: the oldest votes may name the sleeper, which then leads beside its successor). All eight properties fail on the code before (five by what they assert, three because nobody could say when something was told). Change: all that waits is read at once, for 20 ms at most. A datagram is as old as the last moment at which none waited (looked at every 0.3 s); after 0.5 s without a look the router drops who may be silent by that, and asks: whoever hears it answers it alone, at once. Promises, pace, failures, leavings, limits, suspects, queues and votes take that age. Elsewhere: promises lapsed only when somebody read a sum; the upkeep drops them now.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -217,3 +217,17 @@
       | an odd word ends no limit                                 |
       | a limited backend is left out only while it has no permit |
       | an end that all were told of is not taken back            |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: what queued up while a router stood still
+      | property                                                |
+      | what was told in a sleep is as old as the sleep         |
+      | a router that woke asks the others at once              |
+      | who is asked answers at once                            |
+      | all that waits is read before anything is chosen        |
+      | votes that queued up in a sleep make no leader          |
+      | a router that runs believes what it reads               |
+      | promises lapse whether or not anybody reads them        |
+      | what is heard late counts from when it was told         |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -14,6 +14,7 @@
 from support.properties import PROPERTIES
 from support.role_properties import ROLE_PROPERTIES
 from support.router_properties import ROUTER_PROPERTIES
+from support.sleep_properties import SLEEP_PROPERTIES
 from support.stream_properties import STREAM_PROPERTIES
 from support.upkeep_properties import UPKEEP_PROPERTIES
 from support.watch_properties import WATCH_PROPERTIES
@@ -23,7 +24,7 @@
 ALL_PROPERTIES |= WATCH_PROPERTIES | GOSSIP_PROPERTIES | BROKEN_ENGINE_PROPERTIES
 ALL_PROPERTIES |= ROLE_PROPERTIES | CONNECTION_PROPERTIES | POISON_PROPERTIES
 ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
-ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES
+ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES | SLEEP_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -2,12 +2,17 @@
 
 A datagram holds one router's whole state, so a lost one needs no repair. Addresses of routers
 spread with them: a router that knows one other soon knows all.
+
+A datagram is as old as the time for which it may have waited here. A process that stood still finds
+those that came meanwhile, the oldest of them where there were more than the kernel keeps: what they
+tell counts from when the process last looked, and it asks the others to tell it anew.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -46,6 +51,12 @@
 chance that none does is one in 3,000."""
 MOST_NAMED = 12
 """Addresses of other routers in one datagram; the next one names those behind them."""
+STOOD_STILL_S = 0.5
+"""A process that did not look for datagrams for this long stood still, or had no processor: it
+looks at least every ``INTERVAL_S``."""
+READ_FOR_S = 0.02
+"""Other work waits for so long at most while what has queued up is read."""
+LARGEST_DATAGRAM_BYTES = 65_536
 NAMED_INTERVAL_S = 1.0
 """Addresses are half of a datagram and seldom new: they are sent this often, and at once to whoever
 is new or while this router is."""
@@ -56,6 +67,7 @@
 
     address: str
     heard_s: float = 0.0
+    """When it told ``state``, or the earliest time at which it may have (boot time)."""
     called_s: float = 0.0
     known_s: float = 0.0
     state: RouterState | None = None
@@ -89,23 +101,31 @@
         self._named_s = 0.0
         self._first_named = 0
         self._is_sending = False
+        self._is_asking = False
+        """Whether the others are to answer the next word at once."""
         self._started_s = boot_time_s()
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
+        self._empty_s = boot_time_s()
+        """When no datagram waited here last: what is read now came later."""
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(RouterState)
 
     async def start(self) -> None:
         """Bind the port and begin to speak."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._own_address, self._port)
-        )
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((self._own_address, self._port))
+        await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
+        self._empty_s = boot_time_s()
         for seed in self._seeds:
             self._know(seed)
 
     async def run(self) -> None:
         """Speak at intervals, and notice who fell silent."""
         while True:
+            self._read_waiting()
             self._notice_silence()
             left_s = self._sent_s + self._interval_s() - boot_time_s()
             if left_s <= 0.0:
@@ -153,6 +173,48 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in another router's state, and all that waits behind it."""
+        self._take_in(data, addr)
+        self._read_waiting()
+
+    # --- Hearing ---
+
+    def _read_waiting(self) -> None:
+        """Read the datagrams that wait: choices are made on the newest word, not on the oldest."""
+        until_s = boot_time_s() + READ_FOR_S
+        while boot_time_s() < until_s:
+            try:
+                if self._socket is None:
+                    break
+                data, addr = self._socket.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                _log.debug("datagram refused", reason=repr(error))
+                continue
+            self._take_in(data, addr)
+        else:
+            return
+        self._note_empty()
+
+    def _note_empty(self) -> None:
+        """Note that nothing waits; after a time of standing still, drop and ask anew."""
+        now_s = boot_time_s()
+        still_s = now_s - self._empty_s
+        self._empty_s = now_s
+        if still_s < STOOD_STILL_S:
+            return
+        _log.warning("stood still", still_ms=round(still_s * 1000))
+        self._notice_silence()
+        self._is_asking = True
+        self._speak()
+
+    def _told_s(self) -> float:
+        """Return since when a datagram that is read now may have waited here."""
+        now_s = boot_time_s()
+        return now_s if now_s - self._empty_s < STOOD_STILL_S else self._empty_s
+
+    def _take_in(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in another router's state; what is not understood is dropped."""
         try:
             state = self._decoder.decode(data)
@@ -162,14 +224,17 @@
         other = self._know(addr[0])
         if other is None:
             return
-        is_new = other.heard_s < boot_time_s() - SILENT_S
+        told_s = self._told_s()
+        is_new = other.heard_s < told_s - SILENT_S
         if not is_new and other.state is not None and _order(state) <= _order(other.state):
             return
         has_started = other.state is None or state.incarnation != other.state.incarnation
-        other.heard_s = boot_time_s()
+        other.heard_s = told_s
         other.state = state
         if has_started:
             self._welcome(other)
+        if state.is_asking:
+            self._tell_alone(other)
         for address in state.routers:
             self._know(address)
         if is_new:
@@ -200,7 +265,9 @@
         now_s = boot_time_s()
         self._sent_s = now_s
         self._sequence += 1
-        data = self._encoder.encode(self._make_state(self._sequence, self._named(now_s)))
+        state = self._make_state(self._sequence, self._named(now_s))
+        state.is_asking, self._is_asking = self._is_asking, False
+        data = self._encoder.encode(state)
         for other in self._others.values():
             is_silent = other.heard_s < now_s - SILENT_S
             is_young = now_s - self._started_s < FIRST_CALLS_S
@@ -212,14 +279,18 @@
     def _welcome(self, newcomer: OtherRouter) -> None:
         """Tell a router that has just started what was told to the others before."""
         suspects = self.for_newcomers()
-        if not suspects or self._transport is None:
+        if not suspects or self._random.random() * len(self.alive()) > WELCOMES:
             return
-        if self._random.random() * len(self.alive()) > WELCOMES:
+        self._tell_alone(newcomer, suspects)
+
+    def _tell_alone(self, other: OtherRouter, suspects: tuple[SuspectRequest, ...] = ()) -> None:
+        """Tell one router this one's state at once, and ``suspects`` in place of the newest."""
+        if self._transport is None:
             return
         self._sequence += 1
         state = self._make_state(self._sequence, ())
-        state.suspects = suspects
-        self._transport.sendto(self._encoder.encode(state), (newcomer.address, self._port))
+        state.suspects = suspects or state.suspects
+        self._transport.sendto(self._encoder.encode(state), (other.address, self._port))
 
     def _named(self, now_s: float) -> tuple[str, ...]:
         """Return the addresses to name now: some of the routers that are heard, or none."""
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -103,3 +103,5 @@
     """Backends whose answers said a moment ago that they leave."""
     limits: dict[str, LimitShare] = {}
     """Backends that name a limit, or did a moment ago."""
+    is_asking: bool = False
+    """Whether this router stood still, and wants to be told the others' states at once."""
--- a/src/yokedock/process/fleet_talk.py
+++ b/src/yokedock/process/fleet_talk.py
@@ -97,20 +97,20 @@
         ]
 
     def heard(self, other: OtherRouter) -> None:
-        """Take in what another router told."""
+        """Take in what another router told; all of it is as old as ``other.heard_s`` says."""
         parts = self._parts
         assert other.state is not None
         state = other.state
-        parts.ledger.heard(other.address, state.shares)
+        parts.ledger.heard(other.address, state.shares, other.heard_s)
         if parts.queues_elsewhere.heard(other.address, state.queues, other.heard_s):
             parts.ledger.on_room()
         self._highest_token = max(self._highest_token, state.token)
         parts.leadership.heard(Vote(other.address, state.leader, other.heard_s, state.is_leaving))
         parts.registry.set_changing(other.address, state.changing)
-        parts.backends.heard_broken(state.broken)
-        parts.poison.heard(state.suspects)
-        parts.backends.heard_leaving(state.leaving)
-        parts.backends.heard_limits(other.address, state.limits)
+        parts.backends.heard_broken(state.broken, other.heard_s)
+        parts.poison.heard(state.suspects, other.heard_s)
+        parts.backends.heard_leaving(state.leaving, other.heard_s)
+        parts.backends.heard_limits(other.address, state.limits, other.heard_s)
         parts.follower.take_news(state.news)
         parts.exchange.heard(state)
 
--- a/src/yokedock/process/router_upkeep.py
+++ b/src/yokedock/process/router_upkeep.py
@@ -84,6 +84,7 @@
             self._close_beyond_share,
             tables.registry.drop_gone,
             self._drop_gone_engines,
+            tables.ledger.drop_lapsed,
             tables.lookup.drop_stale,
             tables.allowance.drop_old,
             tables.poison.drop_old,
--- a/src/yokedock/request/backend_limits.py
+++ b/src/yokedock/request/backend_limits.py
@@ -54,12 +54,12 @@
             self._note_change("answer")
             self._limits.on_change()
 
-    def heard(self, router: str, told: LimitShare, now_s: float) -> None:
-        """Take in what another router told."""
-        is_old = now_s - told.age_ms / MS_A_SECOND <= self._ended_s
+    def heard(self, router: str, told: LimitShare, now_s: float, told_s: float) -> None:
+        """Take in what another router told at ``told_s`` (boot time)."""
+        is_old = told_s - told.age_ms / MS_A_SECOND <= self._ended_s
         if self.rate is None and (told.per_s < 0 or is_old):
             return
-        if self._known(now_s).heard(router, told, now_s):
+        if self._known(now_s).heard(router, told, now_s, told_s):
             self._note_change(router)
 
     def wait_s(self, now_s: float) -> float:
--- a/src/yokedock/request/backend_talk.py
+++ b/src/yokedock/request/backend_talk.py
@@ -1,6 +1,7 @@
 """What routers tell each other of backends: who broke answers off, who leaves, who names a limit.
 
-Only what a router saw itself is told: what it heard would go round for ever.
+Only what a router saw itself is told: what it heard would go round for ever. What is heard counts
+from ``told_s`` (boot time), from now if that is None.
 """
 
 from __future__ import annotations
@@ -32,26 +33,26 @@
             if backend.health.broke_s >= oldest_s
         }
 
-    def heard_broken(self, broken: dict[str, int]) -> None:
+    def heard_broken(self, broken: dict[str, int], told_s: float | None = None) -> None:
         """Take in what another router told of backends that broke answers."""
-        now_s = self._registry.now_s()
+        told_s = self._registry.now_s() if told_s is None else told_s
         for name, percent in broken.items():
             backend = self._registry.get(name)
             if backend is not None:
-                backend.health.note_told(percent / PERCENT, now_s)
+                backend.health.note_told(percent / PERCENT, told_s)
 
     def said_leaving(self) -> tuple[str, ...]:
         """Return the backends whose answers said here a moment ago that they leave."""
         oldest_s = self._registry.now_s() - TELL_LEAVING_S
         return tuple(b.name for b in self._registry.lives() if b.notices.said_leaving_s >= oldest_s)
 
-    def heard_leaving(self, names: tuple[str, ...]) -> None:
+    def heard_leaving(self, names: tuple[str, ...], told_s: float | None = None) -> None:
         """Take in of which backends another router heard that they leave."""
-        now_s = self._registry.now_s()
+        told_s = self._registry.now_s() if told_s is None else told_s
         for name in names:
             backend = self._registry.get(name)
             if backend is not None:
-                backend.note_told_leaving(now_s)
+                backend.note_told_leaving(told_s)
 
     def limits(self) -> dict[str, LimitShare]:
         """Return what this router has of the limits that backends name."""
@@ -59,13 +60,16 @@
         shares = ((b.name, b.limit.share(now_s)) for b in self._registry.lives())
         return {name: share for name, share in shares if share is not None}
 
-    def heard_limits(self, router: str, told: dict[str, LimitShare]) -> None:
+    def heard_limits(
+        self, router: str, told: dict[str, LimitShare], told_s: float | None = None
+    ) -> None:
         """Take in what another router told of limits."""
         now_s = self._registry.now_s()
+        told_s = now_s if told_s is None else told_s
         for name, share in told.items():
             backend = self._registry.get(name)
             if backend is not None and not backend.has_ended:
-                backend.limit.heard(router, share, now_s)
+                backend.limit.heard(router, share, now_s, told_s)
 
     def forget_limits(self, router: str) -> None:
         """Drop what waits at a router that is heard no longer."""
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -148,11 +148,13 @@
 
     # --- What others promised ---
 
-    def heard(self, router: str, shares: dict[str, EngineShare]) -> None:
-        """Take over what another router has at each engine."""
-        has_freed = self._counts_others and self._remote.heard(router, shares)
+    def heard(
+        self, router: str, shares: dict[str, EngineShare], told_s: float | None = None
+    ) -> None:
+        """Take over what another router has at each engine, told just now or at ``told_s``."""
+        has_freed = self._counts_others and self._remote.heard(router, shares, told_s)
         for engine, share in shares.items():
-            self.pace.heard(engine, share.pause_ms, share.read_tokens_per_ms)
+            self.pace.heard(engine, share.pause_ms, share.read_tokens_per_ms, told_s)
         if has_freed:
             self.on_room()
 
@@ -161,6 +163,11 @@
         if self._remote.forget(router):
             self.on_room()
 
+    def drop_lapsed(self) -> None:
+        """Drop what routers that fell silent had promised, whether or not anybody asks for it."""
+        if self._remote.drop_lapsed():
+            self.on_room()
+
     # --- Sums ---
 
     def load(self, engine: str) -> EngineTotals:
--- a/src/yokedock/request/engine_pace.py
+++ b/src/yokedock/request/engine_pace.py
@@ -118,12 +118,12 @@
 
     def note_read(self, engine: str, tokens: int, took_s: float) -> None:
         """Note that ``engine`` read ``tokens``, those that waited before included."""
-        self._note(self._read_rates, engine, tokens / max(0.001, took_s))
+        self._note(self._read_rates, engine, tokens / max(0.001, took_s), self._clock())
 
     def note_pause(self, engine: str, pause_s: float, is_reading: bool) -> None:
         """Note a pause between two events; ``is_reading``: the engine read a prompt meanwhile."""
         if not is_reading:
-            self._note(self._pauses, engine, pause_s)
+            self._note(self._pauses, engine, pause_s, self._clock())
             return
         plain = self._pauses.get(engine)
         if plain is not None and pause_s > plain.value:
@@ -158,21 +158,28 @@
     def recent(self, engine: str) -> tuple[int, int]:
         """Return the pause (ms) and read rate (tokens/ms) measured a moment ago, 0 for none."""
         pause, rate = self._pauses.get(engine), self._read_rates.get(engine)
-        pause_ms = round(pause.value * MS_A_SECOND) if pause and self._is_recent(pause) else 0
-        per_ms = round(rate.value / MS_A_SECOND) if rate and self._is_recent(rate) else 0
+        now_s = self._clock()
+        pause_ms = round(pause.value * MS_A_SECOND) if pause and _is_recent(pause, now_s) else 0
+        per_ms = round(rate.value / MS_A_SECOND) if rate and _is_recent(rate, now_s) else 0
         return pause_ms, per_ms
 
-    def heard(self, engine: str, pause_ms: int, read_tokens_per_ms: int) -> None:
-        """Take in what another router measured, where this one has nothing as new."""
-        if pause_ms and not self._is_recent(self._pauses.get(engine)):
-            self._note(self._pauses, engine, pause_ms / MS_A_SECOND)
-        if read_tokens_per_ms and not self._is_recent(self._read_rates.get(engine)):
-            self._note(self._read_rates, engine, read_tokens_per_ms * MS_A_SECOND)
+    def heard(
+        self, engine: str, pause_ms: int, read_tokens_per_ms: int, told_s: float | None = None
+    ) -> None:
+        """Take in what another router measured, where this one has nothing as new.
+
+        It was told just now, or at ``told_s`` (boot time).
+        """
+        told_s = self._clock() if told_s is None else told_s
+        if pause_ms and not _is_recent(self._pauses.get(engine), told_s):
+            self._note(self._pauses, engine, pause_ms / MS_A_SECOND, told_s)
+        if read_tokens_per_ms and not _is_recent(self._read_rates.get(engine), told_s):
+            self._note(self._read_rates, engine, read_tokens_per_ms * MS_A_SECOND, told_s)
+
+    def _note(self, table: MeasuredTable, engine: str, value: float, noted_s: float) -> None:
+        if self._is_used:
+            table.note(engine, value, noted_s)
 
-    def _note(self, table: MeasuredTable, engine: str, value: float) -> None:
-        if not self._is_used:
-            return
-        table.note(engine, value, self._clock())
 
-    def _is_recent(self, measured: Measured | None) -> bool:
-        return measured is not None and self._clock() - measured.noted_s < RECENT_S
+def _is_recent(measured: Measured | None, at_s: float) -> bool:
+    return measured is not None and at_s - measured.noted_s < RECENT_S
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -207,17 +207,18 @@
             for s in fresh[:MOST_TOLD]
         )
 
-    def heard(self, told: tuple[SuspectRequest, ...]) -> None:
-        """Take in what another router told."""
+    def heard(self, told: tuple[SuspectRequest, ...], told_s: float | None = None) -> None:
+        """Take in what another router told, just now or at ``told_s`` (boot time)."""
         if not told or not self._is_used:
             return
+        told_s = self._clock() if told_s is None else told_s
         # The same is said several times: only what is new is looked at.
-        if any([self._hear(request) for request in told]):
+        if any([self._hear(request, told_s) for request in told]):
             self.on_change()
 
-    def _hear(self, request: SuspectRequest) -> bool:
+    def _hear(self, request: SuspectRequest, told_s: float) -> bool:
         """Take in what was told of one request; return whether it is news."""
-        ended_s = self._clock() - request.age_s
+        ended_s = told_s - request.age_s
         known = self._suspects.get(request.digest)
         has_news = False
         for lives, is_quick in ((request.lives, False), (request.quick_lives, True)):
--- a/src/yokedock/request/remote_promises.py
+++ b/src/yokedock/request/remote_promises.py
@@ -45,7 +45,7 @@
 
 
 class HeardShares(msgspec.Struct, frozen=True):
-    """What one router told last, and when (boot time, s)."""
+    """What one router told last, and when (boot time, s), as far as that is known."""
 
     heard_s: float
     shares: dict[str, EngineShare]
@@ -58,17 +58,21 @@
         """Start with nothing heard."""
         self._clock = clock
         self._heard: dict[str, HeardShares] = {}
-        """By router, the one that was silent for longest first."""
         self._totals: dict[str, EngineTotals] = {}
         self._lapse_s = math.inf
         """No share lapses before this time."""
 
-    def heard(self, router: str, shares: dict[str, EngineShare]) -> bool:
-        """Take over what a router tells; return whether room came free at any engine."""
+    def heard(
+        self, router: str, shares: dict[str, EngineShare], told_s: float | None = None
+    ) -> bool:
+        """Take over what a router told, just now or at ``told_s`` (boot time).
+
+        Returns whether room came free at any engine.
+        """
         before = self._heard.pop(router, None)
-        now_s = self._clock()
-        self._heard[router] = HeardShares(now_s, shares)
-        self._lapse_s = min(self._lapse_s, now_s + LIFETIME_S)
+        told_s = self._clock() if told_s is None else told_s
+        self._heard[router] = HeardShares(told_s, shares)
+        self._lapse_s = min(self._lapse_s, told_s + LIFETIME_S)
         for engine, share in shares.items():
             self._totals.setdefault(engine, EngineTotals()).add(share)
         if before is None:
@@ -87,10 +91,22 @@
         self._subtract(before.shares)
         return True
 
+    def drop_lapsed(self) -> bool:
+        """Drop what was told too long ago; return whether anything was."""
+        now_s = self._clock()
+        if now_s <= self._lapse_s:
+            return False
+        oldest_s = now_s - LIFETIME_S
+        lapsed = [router for router, heard in self._heard.items() if heard.heard_s < oldest_s]
+        for router in lapsed:
+            self.forget(router)
+        told = (heard.heard_s + LIFETIME_S for heard in self._heard.values())
+        self._lapse_s = min(told, default=math.inf)
+        return bool(lapsed)
+
     def totals(self, engine: str) -> EngineTotals:
         """Return the sums at an engine; they are not to be changed."""
-        if self._clock() > self._lapse_s:
-            self._drop_lapsed()
+        self.drop_lapsed()
         return self._totals.get(engine, NOTHING)
 
     def size(self) -> int:
@@ -102,16 +118,6 @@
         told = [heard.heard_s for heard in self._heard.values() if heard.shares]
         return self._clock() - min(told) if told else 0.0
 
-    def _drop_lapsed(self) -> None:
-        now_s = self._clock()
-        while self._heard:
-            router, heard = next(iter(self._heard.items()))
-            self._lapse_s = heard.heard_s + LIFETIME_S
-            if now_s <= self._lapse_s:
-                return
-            self.forget(router)
-        self._lapse_s = math.inf
-
     def _subtract(self, shares: dict[str, EngineShare]) -> None:
         for engine, share in shares.items():
             totals = self._totals[engine]
--- a/src/yokedock/request/shared_rate.py
+++ b/src/yokedock/request/shared_rate.py
@@ -135,8 +135,14 @@
             _ms(now_s - since_s) if waiting else 0,
         )
 
-    def heard(self, router: str, told: LimitShare, now_s: float) -> bool:
-        """Take in what another router told; return whether the limit changed."""
+    def heard(
+        self, router: str, told: LimitShare, now_s: float, told_s: float | None = None
+    ) -> bool:
+        """Take in what another router told at ``told_s``, just now if that is None.
+
+        Returns whether the limit changed.
+        """
+        told_s = now_s if told_s is None else told_s
         before = self._others.get(router)
         if before is None:
             is_known = now_s < self._began_s + FIRST_PERMITS_S
@@ -146,10 +152,10 @@
         more = told.taken - before.taken
         before.taken = told.taken
         before.waiting = told.waiting
-        before.since_s = now_s - told.waited_ms / 1000
+        before.since_s = told_s - told.waited_ms / 1000
         if more:
             self._set_free(self._free(now_s) - more, now_s)
-        heard_s = now_s - told.age_ms / 1000
+        heard_s = told_s - told.age_ms / 1000
         if heard_s <= self.heard_s:
             return False
         limit_per_s = None if told.per_s < 0 else told.per_s
