Only the first call in a queue looks for a backend, and at the forecast for all that wait

Callers: while many calls waited for limited backends, each looked at all backends every 20 ms, several times a look, though only the first can go; beside little processor that work delays the answers and refusals of all. Cause: OpaqueCalls._wait_s and ._moves_in_order each went over the backends anew, for every waiter. Change: ServiceSupply is one look at a service; the first in order takes it every 20 ms and refuses whoever should not wait on, a newcomer looks once for itself. The others sleep until it is their turn or they are refused. What decides is as it was: least time left first, the same rule of who is worth waiting. New properties hold the order, that a hopeless newcomer is refused at once, and that the hopeless behind the first are.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -231,3 +231,13 @@
       | a router that runs believes what it reads               |
       | promises lapse whether or not anybody reads them        |
       | what is heard late counts from when it was told         |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: calls that wait for limited backends
+      | property                                                |
+      | many that wait look no more often than few              |
+      | the least time left goes first                          |
+      | whoever becomes hopeless in the queue is refused then   |
+      | a hopeless newcomer is refused at once                  |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -1,6 +1,7 @@
 from behave import then
 from support.broken_engine_properties import BROKEN_ENGINE_PROPERTIES
 from support.budget_properties import BUDGET_PROPERTIES
+from support.call_queue_properties import CALL_QUEUE_PROPERTIES
 from support.connection_properties import CONNECTION_PROPERTIES
 from support.entry_properties import ENTRY_PROPERTIES
 from support.fleet_properties import FLEET_PROPERTIES
@@ -25,6 +26,7 @@
 ALL_PROPERTIES |= ROLE_PROPERTIES | CONNECTION_PROPERTIES | POISON_PROPERTIES
 ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
 ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES | SLEEP_PROPERTIES
+ALL_PROPERTIES |= CALL_QUEUE_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- /dev/null
+++ b/features/support/call_queue_properties.py
@@ -0,0 +1,146 @@
+"""Many calls wait for limited backends: what that costs, who goes first, who is refused."""
+
+import asyncio
+import types
+
+from yokedock.base.clock import boot_time_s
+from yokedock.connection.state_source import BackendEntry
+from yokedock.errors import NoBackend
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
+
+SERVICE = "plain"
+SPAN_S = 0.6
+
+
+class CountingRegistry(BackendRegistry):
+    """Counts how often all backends of a service are looked through."""
+
+    looks = 0
+
+    def usable(self, service, role=None):
+        """Count and go on."""
+        self.looks += 1
+        return super().usable(service, role)
+
+
+class Waiting:
+    """Calls that wait for one backend that names a limit."""
+
+    def __init__(self, limit_per_s):
+        self.registry = CountingRegistry("")
+        self.registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1")], ())
+        self.name_limit(limit_per_s)
+        allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1)
+        self._calls = OpaqueCalls(self.registry, None, allowance)
+        self.served = []
+        self.refused = []
+
+    def name_limit(self, limit_per_s):
+        """Have an answer of the backend name a limit."""
+        now_s = boot_time_s()
+        self.registry.get("a").limit.note_answer(limit_per_s, now_s, now_s)
+
+    def come(self, name, target_in_s, left_s=60.0):
+        """Let a call come; return its task."""
+        now_s = boot_time_s()
+        call = types.SimpleNamespace(
+            service=types.SimpleNamespace(name=SERVICE),
+            request_id=name,
+            target_s=now_s + target_in_s,
+            left_s=lambda: now_s + left_s - boot_time_s(),
+        )
+        return asyncio.create_task(self._wait(call))
+
+    async def _wait(self, call):
+        try:
+            await self._calls._next_backend(call, frozenset())
+            self.served.append(call.request_id)
+        except NoBackend:
+            self.refused.append(call.request_id)
+
+
+def looks_while_waiting(count):
+    """Return how often backends are looked through in a second while ``count`` calls wait."""
+
+    async def play():
+        waiting = Waiting(0.1)
+        tasks = [waiting.come(f"call-{n}", 60.0 * count) for n in range(count)]
+        await asyncio.sleep(0.1)
+        before, before_s = waiting.registry.looks, boot_time_s()
+        await asyncio.sleep(SPAN_S)
+        looks_per_s = (waiting.registry.looks - before) / (boot_time_s() - before_s)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return looks_per_s
+
+    return asyncio.run(play())
+
+
+def many_that_wait_look_no_more_often_than_few():
+    """Guards against a queue whose work grows with its length times the backends."""
+    few, many = looks_while_waiting(5), looks_while_waiting(200)
+    assert 0 < many <= 1.5 * few, (few, many)
+
+
+def the_least_time_left_goes_first():
+    """Permits go to those with the least time left, whatever the order in which they came."""
+
+    async def play():
+        waiting = Waiting(20.0)
+        tasks = [waiting.come(str(n), 10.0 - n) for n in range(6)]
+        await asyncio.gather(*tasks)
+        return waiting.served
+
+    assert asyncio.run(play()) == ["5", "4", "3", "2", "1", "0"]
+
+
+def whoever_becomes_hopeless_in_the_queue_is_refused_then():
+    """Guards against calls behind the first that nobody looks at: their forecast got worse."""
+
+    async def play():
+        waiting = Waiting(4.0)
+        tasks = [waiting.come(str(n), 3.0 + n / 10, left_s=4.0) for n in range(8)]
+        await asyncio.sleep(0.01)
+        assert not waiting.refused
+        waiting.name_limit(0.1)
+        began_s = boot_time_s()
+        while len(waiting.refused) < 7 and boot_time_s() - began_s < 1.0:
+            await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return waiting.refused
+
+    refused = asyncio.run(play())
+    assert len(refused) >= 7, refused
+
+
+def a_hopeless_newcomer_is_refused_at_once():
+    """Whoever comes to a long queue and cannot be in time does not wait for its turn to look."""
+
+    async def play():
+        waiting = Waiting(1.0)
+        tasks = [waiting.come(str(n), 30.0) for n in range(10)]
+        await asyncio.sleep(0.1)
+        late = waiting.come("late", 31.0)
+        hopeless = waiting.come("hopeless", 0.3)
+        await asyncio.sleep(0.005)
+        assert waiting.refused == ["hopeless"] and hopeless.done() and not late.done()
+        for task in (*tasks, late):
+            task.cancel()
+        await asyncio.gather(*tasks, late, return_exceptions=True)
+
+    asyncio.run(play())
+
+
+CALL_QUEUE_PROPERTIES = {
+    "many that wait look no more often than few": many_that_wait_look_no_more_often_than_few,
+    "the least time left goes first": the_least_time_left_goes_first,
+    "whoever becomes hopeless in the queue is refused then": (
+        whoever_becomes_hopeless_in_the_queue_is_refused_then
+    ),
+    "a hopeless newcomer is refused at once": a_hopeless_newcomer_is_refused_at_once,
+}
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -18,6 +18,7 @@
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_notices import SAID_KEPT_S
+from yokedock.request.service_supply import ServiceSupply
 
 _log = logger("backends")
 
@@ -196,6 +197,12 @@
         typical_s = typical_latency_s(staying)
         return sum(b.outstanding / b.health.expected_latency_s(now_s, typical_s) for b in staying)
 
+    def supply(self, service: str) -> ServiceSupply:
+        """Return when and how fast the backends of a service take requests again."""
+        return ServiceSupply(
+            self.rest_left_s(service), self.granted_per_s(service), self.freed_per_s(service)
+        )
+
     def next_permit_s(self, service: str, role: str | None = None) -> float | None:
         """Return the seconds until a limited backend has a permit for this router again."""
         now_s = self._clock()
--- a/src/yokedock/request/call_queue.py
+++ b/src/yokedock/request/call_queue.py
@@ -1,7 +1,9 @@
 """Calls that wait at this router for a backend of their service: the least time left goes first.
 
-Pattern: earliest deadline first. Whoever comes while others wait goes behind those with less time
-left, and knows by its place how long it will wait.
+Pattern: earliest deadline first, with many waiting. Whoever comes while others wait goes behind
+those with less time left, and knows by its place how long it will wait. Only the first in order
+looks for a backend, and it looks at the forecast for all: the cost of waiting grows with those who
+wait, not with their number times the backends.
 """
 
 from __future__ import annotations
@@ -9,9 +11,11 @@
 import asyncio
 import bisect
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 
 from yokedock.base.clock import boot_time_s
+from yokedock.errors import NoBackend
 
 TIED_S = 0.05
 """What is told so soon after a call came to wait elsewhere came at the same moment: half of it goes
@@ -21,13 +25,19 @@
 class WaitingCall:
     """One call's place in the queue."""
 
-    def __init__(self, target_s: float) -> None:
-        """``target_s``: an answer by then (boot time) is in time."""
+    def __init__(self, target_s: float, deadline_s: float = math.inf) -> None:
+        """``target_s``: an answer by then is in time; nobody waits past ``deadline_s``.
+
+        Both are of boot time.
+        """
         self.target_s = target_s
+        self.deadline_s = deadline_s
         self.since_s = boot_time_s()
         self._elsewhere_at_first: int | None = None
         self._elsewhere = 0.0
         self._woken = asyncio.Event()
+        self.refusal: NoBackend | None = None
+        """Set once waiting on is of no use."""
 
     @property
     def is_settled(self) -> bool:
@@ -52,8 +62,13 @@
         """Let it look at once."""
         self._woken.set()
 
-    async def sleep(self, longest_s: float) -> None:
-        """Wait until it is woken, at most for ``longest_s``."""
+    def refuse(self, error: NoBackend) -> None:
+        """Let it end with ``error``, at once."""
+        self.refusal = error
+        self._woken.set()
+
+    async def sleep(self, longest_s: float | None) -> None:
+        """Wait until it is woken, at most for ``longest_s`` if that is given."""
         self._woken.clear()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._woken.wait(), longest_s)
@@ -76,9 +91,9 @@
         return self._waiting[0].since_s
 
     @contextlib.contextmanager
-    def place(self, target_s: float) -> Iterator[WaitingCall]:
+    def place(self, target_s: float, deadline_s: float) -> Iterator[WaitingCall]:
         """Let a call stand in the queue."""
-        call = WaitingCall(target_s)
+        call = WaitingCall(target_s, deadline_s)
         bisect.insort(self._waiting, call, key=lambda one: one.target_s)
         self._on_change(self)
         try:
@@ -92,3 +107,11 @@
     def before(self, call: WaitingCall) -> int:
         """Return how many go before a call."""
         return self._waiting.index(call)
+
+    def is_first(self, call: WaitingCall) -> bool:
+        """Return whether nobody goes before a call."""
+        return self._waiting[0] is call
+
+    def in_order(self) -> list[WaitingCall]:
+        """Return all that wait, whoever goes first at the beginning."""
+        return list(self._waiting)
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Iterable
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from yokedock.request.call_queue import CallQueue, WaitingCall
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.request.service_supply import ServiceSupply
 from yokedock.router_errors import (
     BackendAnswerLost,
     BackendBroken,
@@ -123,17 +125,31 @@
         if name not in self._queues and (chosen := self._choose(name, tried)) is not None:
             return chosen
         queue = self._queues.setdefault(name, CallQueue(lambda q: self._note_waiting(name, q)))
-        with queue.place(call.target_s) as place:
+        with queue.place(call.target_s, boot_time_s() + call.left_s()) as place:
+            self._refuse_hopeless(name, [(queue.before(place), place)])
             while True:
-                before = queue.before(place)
-                if not before and (chosen := self._choose(name, tried)) is not None:
+                is_first = queue.is_first(place)
+                if is_first and (chosen := self._choose(name, tried)) is not None:
                     return chosen
-                elsewhere = place.ahead_elsewhere(self._registry.waiting_elsewhere(name))
-                wait_s = self._wait_s(name, before + elsewhere)
-                if not self._is_worth_waiting(call, wait_s, place):
-                    reason = f"take nothing for {wait_s:.1f} s" if wait_s else "are gone"
-                    raise NoBackend(f"all backends of {name} {reason}; retry later")
-                await place.sleep(POLL_S)
+                if is_first:
+                    self._refuse_hopeless(name, enumerate(queue.in_order()))
+                if place.refusal is not None:
+                    raise place.refusal
+                await place.sleep(POLL_S if is_first else None)
+
+    def _refuse_hopeless(self, service: str, places: Iterable[tuple[int, WaitingCall]]) -> None:
+        """Refuse each call that should not wait on; the forecast is looked at once for all.
+
+        ``places`` are calls and how many go before each here.
+        """
+        supply = self._registry.supply(service)
+        elsewhere = self._registry.waiting_elsewhere(service)
+        typical_s = self._registry.typical_latency_s(service)
+        for before, place in places:
+            wait_s = supply.wait_s(before + place.ahead_elsewhere(elsewhere))
+            if not _is_worth_waiting(place, wait_s, typical_s, supply):
+                reason = f"take nothing for {wait_s:.1f} s" if wait_s else "are gone"
+                place.refuse(NoBackend(f"all backends of {service} {reason}; retry later"))
 
     def _choose(self, service: str, tried: frozenset[str]) -> ChosenBackend | None:
         """Return the cheapest backend, an untried one if there is any; take its permit."""
@@ -142,34 +158,6 @@
             return None
         return ChosenBackend(backend, backend.limit.take(boot_time_s()))
 
-    def _is_worth_waiting(self, call: RoutedCall, wait_s: float, place: WaitingCall) -> bool:
-        """Return whether a call should go on waiting for a backend.
-
-        It should come in time; but one that has its place among those that wait for permits stays:
-        answered a little late it is better off than refused after a wait.
-        """
-        if place.is_settled and self._moves_in_order(call.service.name):
-            return wait_s < call.left_s()
-        return self._could_be_in_time(call, wait_s)
-
-    def _moves_in_order(self, service: str) -> bool:
-        """Return whether a wait is for permits or connections, which come one after the other."""
-        is_full = self._registry.freed_per_s(service) > 0
-        return is_full or self._registry.granted_per_s(service) is not None
-
-    def _wait_s(self, service: str, before: float) -> float:
-        """Return for how long a call waits that has ``before`` others before it.
-
-        Where all backends have named limits, the calls of all routers are taken in turn; where all
-        connections are in use, one goes out for each that comes free.
-        """
-        wait_s = self._registry.rest_left_s(service)
-        granted_per_s = self._registry.granted_per_s(service)
-        if granted_per_s:
-            return wait_s + before / granted_per_s
-        freed_per_s = self._registry.freed_per_s(service)
-        return (before + 1) / freed_per_s if freed_per_s else wait_s
-
     def _note_waiting(self, service: str, queue: CallQueue) -> None:
         """Tell how many wait, for the order in which routers take the permits of a backend."""
         since_s = queue.since_s() if len(queue) else math.inf
@@ -277,7 +265,7 @@
         Rests and limits are known; an outage is only guessed at.
         """
         waiting = len(self._queues.get(service, ())) + self._registry.waiting_elsewhere(service)
-        wait_s = self._wait_s(service, waiting)
+        wait_s = self._registry.supply(service).wait_s(waiting)
         if wait_s:
             return wait_s * self._random.uniform(1.0, RETURN_SPREAD)
         now_s = boot_time_s()
@@ -298,3 +286,17 @@
         if call.left_s() <= 0:
             return DeadlineExceeded("no answer came in time, and it may have run; look it up")
         return BackendAnswerLost("the answer was lost and it may have run; look it up first")
+
+
+def _is_worth_waiting(
+    place: WaitingCall, wait_s: float, typical_s: float, supply: ServiceSupply
+) -> bool:
+    """Return whether a call should go on waiting for a backend.
+
+    It should come in time; but one that has its place among those that wait for permits stays:
+    answered a little late it is better off than refused after a wait.
+    """
+    now_s = boot_time_s()
+    if place.is_settled and supply.moves_in_order:
+        return now_s + wait_s < place.deadline_s
+    return now_s + wait_s + typical_s < place.target_s
