A resumed stream goes on, however many newer parts overtake the answer to its resume

Cause: the agent goes on sending steps on the new link while it answers the resume. A part behind the gap stopped the stream (StreamGap) before the answer that fills the gap was offered, and the answer was then dropped because the stream had stopped; so the gateway asked again, as long as a step came in every round trip. On a quiet loopback a round trip takes less than a step; beside load, or over 20 ms, it never does. Change: while a resume is under way, parts behind the gap are kept and taken behind its answer; a gap that is left asks for another resume as before. Red before: links.feature, slower than the engine's steps (there the stream was placed anew); both new properties. Ruled out: the lease's end (2 s), a frame lost, the wait for an empty inbox before parts are handed on.

--- a/features/links.feature
+++ b/features/links.feature
@@ -20,3 +20,11 @@
     Then the answer is whole
     And the stream was never placed anew
     And nothing stays held
+
+  Scenario: A stream goes on over a link that is slower than the engine's steps, and comes back
+    Given a stream of 1000 tokens through gateway-1 that has begun
+    When each way over the stream's link takes 20 ms
+    And that link is cut in mid-stream 3 times, and the stream goes on each time
+    Then the answer is whole
+    And the stream was never placed anew
+    And nothing stays held
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -21,6 +21,8 @@
       | promised times are those at which slots are free             |
       | every gateway learns all changes of a prefix cache           |
       | an answer has one gap fewer than tokens, joined or not       |
+      | a resume takes what comes meanwhile                          |
+      | a gap behind a resume asks for another                       |
       | every kind of refusal says when to come back                 |
       | a prefix's blocks are a prefix of the blocks                 |
       | joined parts carry the same tokens                           |
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -7,6 +7,8 @@
 from yokedock_emulator.process_group import program
 
 RECONNECT_LIMIT_S = 10.0
+TOKENS_AFTER_CUT = 30
+"""So many arrive at least before the next cut: more than may have been on their way."""
 
 
 @when("every link between gateways and agents is cut and healed {count:d} times")
@@ -73,6 +75,27 @@
         context.caller.wait_events(before + 5)
 
 
+@when("each way over the stream's link takes {delay_ms:d} ms")
+def slow_link(context, delay_ms):
+    relay = context.deployment.agent_relays[busy(context.deployment, DECODE)]
+    relay.delay_s = delay_ms / 1000
+
+
+@when("that link is cut in mid-stream {count:d} times, and the stream goes on each time")
+def cut_in_mid_stream(context, count):
+    """Tokens are counted, not events: those that were made while the link was away come joined."""
+    deployment, caller = context.deployment, context.caller
+    relay = deployment.agent_relays[busy(deployment, DECODE)]
+    delay_s = relay.delay_s
+    for _ in range(count):
+        before = caller.tokens()
+        relay.cut()
+        relay.heal()
+        relay.delay_s = delay_s
+        caller.wait_tokens(before + TOKENS_AFTER_CUT)
+        assert not caller.ends(), "nothing came until the end of the stream"
+
+
 @then("the stream was never placed anew")
 def never_anew(context):
     started = [
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -106,6 +106,17 @@
                 texts.append(msgspec.json.decode(payload)["choices"][0]["text"])
         return "".join(texts)
 
+    def tokens(self):
+        """Return how many tokens have arrived; the stand-in's are words."""
+        return len(self.text().split())
+
+    def wait_tokens(self, count):
+        """Wait until ``count`` tokens have arrived."""
+        give_up = boot_time_s() + END_LIMIT_S
+        while self.tokens() < count and boot_time_s() < give_up:
+            time.sleep(0.02)
+        assert self.tokens() >= count, f"not {count}: {self.status} {self.data[-300:]!r}"
+
     def ends(self):
         """Return how many final events came: the end of the stream and errors."""
         return self.data.count(b"data: [DONE]") + self.data.count(b'data: {"error"')
--- a/features/support/relay.py
+++ b/features/support/relay.py
@@ -17,6 +17,8 @@
         self._target = target
         self._held = set()
         self._is_cut = False
+        self.delay_s = 0.0
+        """Time that everything takes in each direction."""
         self._sockets = set()
         self._server = socket.create_server(self._split(listen))
         threading.Thread(target=self._accept, daemon=True).start()
@@ -34,6 +36,7 @@
     def heal(self):
         self._held = set()
         self._is_cut = False
+        self.delay_s = 0.0
 
     def close(self):
         self.cut()
@@ -63,6 +66,7 @@
     def _pump(self, source, sink, direction):
         with contextlib.suppress(OSError):
             while data := source.recv(BUFFER):
+                time.sleep(self.delay_s)
                 while direction in self._held:
                     time.sleep(POLL_S)
                 sink.sendall(data)
--- a/src/yokedock/request/answer_stream.py
+++ b/src/yokedock/request/answer_stream.py
@@ -57,6 +57,8 @@
         self._attempt = ""
         self._attempt_tokens = 0
         self._error: YokedockError | None = None
+        self._ahead: list[StreamTokens] | None = None
+        """Parts that came behind a gap which a resume is to fill; None while none is under way."""
         self.tokens: list[str] = []
         self.finish = ""
         self.clock = StreamClock()
@@ -68,6 +70,7 @@
             self._attempt = attempt
             self._attempt_tokens = 0
             self._error = None
+            self._ahead = None
             self.last_progress_s = boot_time_s()
 
     @property
@@ -88,18 +91,32 @@
     def offer(self, part: StreamTokens) -> None:
         """Take the next tokens of the present attempt."""
         with self._condition:
-            if part.attempt != self._attempt or self.finish or self._error is not None:
-                return
-            have = len(self.tokens)
-            if part.sequence > have:
-                self._stop(StreamGap("tokens are missing in the stream; it is resumed"))
-                return
-            fresh = part.tokens[have - part.sequence :]
-            finish = part.finish if part.finish in ("stop", "length") else ""
-            if fresh or finish:
-                self._pass_on(fresh, finish)
-            if part.finish and not finish and self._error is None:
-                self._stop(AttemptLost(f"the stream ended with {part.finish}"))
+            self._take(part)
+
+    def _take(self, part: StreamTokens) -> None:
+        if part.attempt != self._attempt or self.finish or self._error is not None:
+            return
+        have = len(self.tokens)
+        if part.sequence > have:
+            self._note_gap(part)
+            return
+        fresh = part.tokens[have - part.sequence :]
+        finish = part.finish if part.finish in ("stop", "length") else ""
+        if fresh or finish:
+            self._pass_on(fresh, finish)
+        if part.finish and not finish and self._error is None:
+            self._stop(AttemptLost(f"the stream ended with {part.finish}"))
+
+    def _note_gap(self, part: StreamTokens) -> None:
+        """Keep a part that a resume will reach, or ask for one.
+
+        The agent goes on sending while it answers a resume: where a step is quicker than the link,
+        each answer would come behind a newer part, and the stream would bring nothing more.
+        """
+        if self._ahead is not None:
+            self._ahead.append(part)
+        else:
+            self._stop(StreamGap("tokens are missing in the stream; it is resumed"))
 
     def lost(self, error: YokedockError) -> None:
         """The link or the agent lost the stream."""
@@ -123,12 +140,20 @@
             if self._error is not None and not self.finish:
                 raise self._error
 
-    def clear_loss(self) -> None:
-        """Listen again to the same attempt after a loss, for a resume."""
+    def begin_resume(self) -> None:
+        """Listen again to the same attempt after a loss; what it lacks is asked for."""
         with self._condition:
             self._error = None
+            self._ahead = []
             self.last_progress_s = boot_time_s()
 
+    def end_resume(self, parts: tuple[StreamTokens, ...]) -> None:
+        """Take what was lacking, then what came meanwhile."""
+        with self._condition:
+            ahead, self._ahead = self._ahead or [], None
+            for part in (*parts, *ahead):
+                self._take(part)
+
     def _pass_on(self, tokens: tuple[str, ...], finish: str) -> None:
         self.tokens.extend(tokens)
         self._attempt_tokens += len(tokens)
--- a/src/yokedock/request/attempt.py
+++ b/src/yokedock/request/attempt.py
@@ -293,7 +293,7 @@
             self._context.check()
             message = Resume(self._attempt, len(self._stream.tokens))
             try:
-                self._stream.clear_loss()
+                self._stream.begin_resume()
                 future = peer.call(message, self._attempt, self._stream)
                 reply = self._context.wait(future, RESUME_PATIENCE_S)
             except (PeerUnreachable, Refused) as error:
@@ -302,8 +302,7 @@
                 time.sleep(RESUME_RETRY_S)
                 continue
             assert isinstance(reply, StepFrame)
-            for part in reply.streams:
-                self._stream.offer(part)
+            self._stream.end_resume(reply.streams)
             return
 
     def _hold(self, peer: AgentPeerHandle) -> None:
