--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -15,6 +15,7 @@
       | 31   | 20      |
       | 32   | 20      |
       | 95   | 20      |
+      | 123  | 20      |
 
   Scenario Outline: The judge finds what is wrong: <fault>
     Given a history in which <fault>
