What a life says in answer to what was sent under the name before it is believed of it

Callers: a backend that had started anew and asked for rest was called on by a router that had heard of its start, until the next answer said so again; its callers spent a repeat, or were refused, for nothing. Cause, from the router's log: it heard of the new life at 14.841 s; at 15.418 s came an answer, on a connection opened after the new life's start, to a request sent under the name before. Its rest was noted for the life that had ended. What is said before a life is heard of was carried over already (said_since), what comes later was not. Change: a life that has ended hands such words on to the next one, with the same margins for the clocks; rest, leaving and limit alike. Red before: a life that spoke under the name before is believed (property). After: passes; the properties of lives beside it too. The steps of silent connections tell in a failure what each backend got and what rests (message alone).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -192,6 +192,7 @@
       | a later life has said nothing                       |
       | what was said by who is gone is dropped             |
       | a life that spoke before it was heard of is believed |
+      | a life that spoke under the name before is believed |
       | what the list gives others is the list alone        |
 
   Scenario Outline: <property>
--- a/features/steps/silent_steps.py
+++ b/features/steps/silent_steps.py
@@ -183,7 +183,19 @@
 @step("{count:d} requests were left unanswered")
 def left_unanswered(context, count):
     found = {b.name: len(b.unanswered()) for b in context.world.backends.values()}
-    assert sum(found.values()) == count, (found, what_decided(context.router))
+    assert sum(found.values()) == count, (found, what_came(context), what_decided(context.router))
+
+
+def what_came(context):
+    """Return what each backend got, and how many connections were opened to it and are open."""
+    return {
+        b.name: (
+            [(a.method, a.header("X-Stage"), a.was_unanswered) for a in b.arrivals],
+            b.connections,
+            len(b.open_connections()),
+        )
+        for b in context.world.backends.values()
+    }
 
 
 def what_decided(router):
@@ -192,7 +204,8 @@
     engines = registry.usable("llm")
     rates = {e.name: (e.entry.role, round(pace.read_rate(e.name))) for e in engines}
     failures = {e.name: round(e.health.failure_share(time.monotonic()), 2) for e in engines}
-    return rates, failures, sorted(registry._all_changing)
+    resting = {address: len(kept) for address, kept in router._pool._resting.items()}
+    return rates, failures, sorted(registry._all_changing), resting
 
 
 @then("no request ran twice")
--- a/features/support/notice_properties.py
+++ b/features/support/notice_properties.py
@@ -259,6 +259,27 @@
         assert bool(registry.usable(SERVICE)) is not rests, opened_ms
 
 
+def a_life_that_spoke_under_the_name_before_is_believed():
+    """Guards against a rest that is lost: its answer was asked for under the ended life's name.
+
+    It comes after the next life was heard of; the same margins hold as for what came before that.
+    """
+    born_ms, now_s = 1_000_000, 100.0
+    cases = {-5_000: (False, False), -200: (True, False), 30: (True, False), 2_000: (True, True)}
+    for late_ms, (rests, leaves) in cases.items():
+        registry = BackendRegistry("", Clock())
+        registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=10)], ())
+        before = registry.get("a@10")
+        registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1", born_ms=born_ms)], ())
+        said = notes(rest_s=9.0, is_leaving=True, limit_per_s=2.0)
+        before.take_notices(said, now_s, born_ms + late_ms, now_s - 0.1)
+        after = registry.get(f"a@{born_ms}")
+        assert after.notices.is_resting(now_s) is rests, late_ms
+        assert (after.leaving_since_s is not None) is leaves, late_ms
+        assert (after.limit.per_s == 2.0) is rests, late_ms
+        assert bool(registry.usable(SERVICE)) is not rests, late_ms
+
+
 def what_the_list_gives_others_is_the_list_alone():
     """A router hands the list on as it is: the others hear of a leaving by its own word."""
     clock = Clock()
@@ -287,6 +308,9 @@
     ),
     "what was said by who is gone is dropped": what_was_said_by_who_is_gone_is_dropped,
     "a later life has said nothing": a_later_life_has_said_nothing,
+    "a life that spoke under the name before is believed": (
+        a_life_that_spoke_under_the_name_before_is_believed
+    ),
     "a life that spoke before it was heard of is believed": (
         a_life_that_spoke_before_it_was_heard_of_is_believed
     ),
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -128,6 +128,7 @@
         """How many lives before this one followed each other within ``STAYED_S``."""
         self.has_ended = False
         """Whether a later life is known: nothing may be sent to this one."""
+        self._next_life: Backend | None = None
         self.connections: set[BackendConnection] = set()
         """Those with a request under way."""
         self.outstanding = 0
@@ -157,6 +158,23 @@
         if not notes.is_elsewhere and not notes.is_limit_odd:
             self._limit_opened_ms = opened_ms
             self.limit.note_answer(notes.limit_per_s, sent_s, now_s)
+        if self._next_life is not None and not notes.is_elsewhere:
+            self._next_life.take_late_notices(notes, now_s, opened_ms, sent_s)
+
+    def take_late_notices(
+        self, notes: AnswerNotes, now_s: float, opened_ms: int, sent_s: float
+    ) -> None:
+        """Take in an answer to what was sent under the name of the life before.
+
+        On a connection that was opened since this life began it is this one's own word: as in
+        ``BackendNotices.said_since``, but heard after this life was heard of.
+        """
+        born_ms = self.entry.born_ms
+        if opened_ms < born_ms - CLOCK_MARGIN_MS:
+            return
+        if opened_ms < born_ms + CLOCK_MARGIN_MS:
+            notes = msgspec.structs.replace(notes, is_leaving=False)
+        self.take_notices(notes, now_s, opened_ms, sent_s)
 
     def note_told_leaving(self, now_s: float) -> None:
         """Take in that another router had an answer which says that it leaves."""
@@ -201,6 +219,7 @@
 
         And with what this life said already while the one before was thought to be there.
         """
+        before._next_life = self
         self.notices = before.notices.said_since(self.entry.born_ms, CLOCK_MARGIN_MS)
         self._weigh_leaving()
         if before._limit_opened_ms >= self.entry.born_ms - CLOCK_MARGIN_MS:
