The inbox of datagrams has a module of its own; a fleet without processor asks seldom

While there: whoever stood still asks the others at most every 2 s. Each asking brings a datagram from every router: under a load in which all of a large fleet stand still again and again that would be work on top of too much work.

--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -3,16 +3,15 @@
 A datagram holds one router's whole state, so a lost one needs no repair. Addresses of routers
 spread with them: a router that knows one other soon knows all.
 
-A datagram is as old as the time for which it may have waited here. A process that stood still finds
-those that came meanwhile, the oldest of them where there were more than the kernel keeps: what they
-tell counts from when the process last looked, and it asks the others to tell it anew.
+What a datagram tells counts from when it may have come (``DatagramInbox``). A router that stood
+still drops who may be silent by that, and asks the others to tell it anew.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
-import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -20,6 +19,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.connection.datagram_inbox import DatagramInbox
 from yokedock.connection.router_state import RouterState, SuspectRequest
 
 _log = logger("gossip")
@@ -51,12 +51,9 @@
 chance that none does is one in 3,000."""
 MOST_NAMED = 12
 """Addresses of other routers in one datagram; the next one names those behind them."""
-STOOD_STILL_S = 0.5
-"""A process that did not look for datagrams for this long stood still, or had no processor: it
-looks at least every ``INTERVAL_S``."""
-READ_FOR_S = 0.02
-"""Other work waits for so long at most while what has queued up is read."""
-LARGEST_DATAGRAM_BYTES = 65_536
+ASK_GAP_S = 2.0
+"""Least time between two askings: each brings a datagram from every other router, and a fleet that
+has no processor must not spend it on those."""
 NAMED_INTERVAL_S = 1.0
 """Addresses are half of a datagram and seldom new: they are sent this often, and at once to whoever
 is new or while this router is."""
@@ -103,29 +100,25 @@
         self._is_sending = False
         self._is_asking = False
         """Whether the others are to answer the next word at once."""
+        self._asked_s = -math.inf
         self._started_s = boot_time_s()
         self._transport: asyncio.DatagramTransport | None = None
-        self._socket: socket.socket | None = None
-        self._empty_s = boot_time_s()
-        """When no datagram waited here last: what is read now came later."""
+        self._inbox = DatagramInbox(self._take_in, self._stood_still)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(RouterState)
 
     async def start(self) -> None:
         """Bind the port and begin to speak."""
         loop = asyncio.get_running_loop()
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind((self._own_address, self._port))
-        await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
-        self._empty_s = boot_time_s()
+        own_socket = self._inbox.bind(self._own_address, self._port)
+        await loop.create_datagram_endpoint(lambda: self, sock=own_socket)
         for seed in self._seeds:
             self._know(seed)
 
     async def run(self) -> None:
         """Speak at intervals, and notice who fell silent."""
         while True:
-            self._read_waiting()
+            self._inbox.read_waiting()
             self._notice_silence()
             left_s = self._sent_s + self._interval_s() - boot_time_s()
             if left_s <= 0.0:
@@ -174,57 +167,33 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in another router's state, and all that waits behind it."""
-        self._take_in(data, addr)
-        self._read_waiting()
+        self._inbox.take(data, addr[0])
 
-    # --- Hearing ---
+    def error_received(self, exc: Exception) -> None:
+        """Go on: a router that is down is called again later."""
+        _log.debug("datagram refused", reason=repr(exc))
 
-    def _read_waiting(self) -> None:
-        """Read the datagrams that wait: choices are made on the newest word, not on the oldest."""
-        until_s = boot_time_s() + READ_FOR_S
-        while boot_time_s() < until_s:
-            try:
-                if self._socket is None:
-                    break
-                data, addr = self._socket.recvfrom(LARGEST_DATAGRAM_BYTES)
-            except BlockingIOError:
-                break
-            except OSError as error:
-                _log.debug("datagram refused", reason=repr(error))
-                continue
-            self._take_in(data, addr)
-        else:
-            return
-        self._note_empty()
+    # --- Hearing ---
 
-    def _note_empty(self) -> None:
-        """Note that nothing waits; after a time of standing still, drop and ask anew."""
+    def _stood_still(self) -> None:
+        """Drop who may be silent by now, and have the others tell their states anew."""
         now_s = boot_time_s()
-        still_s = now_s - self._empty_s
-        self._empty_s = now_s
-        if still_s < STOOD_STILL_S:
-            return
-        _log.warning("stood still", still_ms=round(still_s * 1000))
         self._notice_silence()
-        self._is_asking = True
+        if now_s - self._asked_s >= ASK_GAP_S:
+            self._asked_s = now_s
+            self._is_asking = True
         self._speak()
 
-    def _told_s(self) -> float:
-        """Return since when a datagram that is read now may have waited here."""
-        now_s = boot_time_s()
-        return now_s if now_s - self._empty_s < STOOD_STILL_S else self._empty_s
-
-    def _take_in(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in another router's state; what is not understood is dropped."""
+    def _take_in(self, data: bytes, address: str, told_s: float) -> None:
+        """Take in a router's state, told at ``told_s``; what is not understood is dropped."""
         try:
             state = self._decoder.decode(data)
         except msgspec.MsgspecError:
-            _log.warning("not understood", address=addr[0])
+            _log.warning("not understood", address=address)
             return
-        other = self._know(addr[0])
+        other = self._know(address)
         if other is None:
             return
-        told_s = self._told_s()
         is_new = other.heard_s < told_s - SILENT_S
         if not is_new and other.state is not None and _order(state) <= _order(other.state):
             return
@@ -235,18 +204,14 @@
             self._welcome(other)
         if state.is_asking:
             self._tell_alone(other)
-        for address in state.routers:
-            self._know(address)
+        for named in state.routers:
+            self._know(named)
         if is_new:
             _log.info("router heard", address=other.address, name=state.name)
             self._named_s = 0.0
             self.change()
         self._on_state(other)
 
-    def error_received(self, exc: Exception) -> None:
-        """Go on: a router that is down is called again later."""
-        _log.debug("datagram refused", reason=repr(exc))
-
     # --- Speaking ---
 
     def _know(self, address: str) -> OtherRouter | None:
