Log the position of each whole state read, whether its backends were applied, and store era changes

After each whole read a router logs "state read, position 22", but that is the router's own position, not the position of the read. A read whose backends were ignored as older could not be told apart from a stale read. Nor could dropped history be told apart from revisions that went backwards.

The log line now gives both positions, the number of backends in the read and whether they were applied (is_taken). The metric state_reads_not_taken counts the reads whose backends were not applied. A change of the Store-Era header is logged.

--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -31,6 +31,7 @@
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
 WAIT_FIELD = "waitMs"
+ERA_HEADER = b"store-era"
 Document = TypeVar("Document")
 EVERYTHING = ""
 OK = 200
@@ -87,6 +88,8 @@
         """Revisions of items that were not understood, by key: each is logged once."""
         self._whole_bytes = 0
         """Size of the newest whole read."""
+        self._last_era = ""
+        """Value of the Store-Era header in the latest answer, empty if it was absent."""
 
     async def read(self) -> StateSnapshot:
         """Return the newest configuration and all servers."""
@@ -99,6 +102,7 @@
             if after:
                 target += f"&after={quote(after, safe='')}"
             answer = await self._getter.get(target, READ_TIMEOUT_S)
+            self._log_era_change(answer)
             page = _decode(answer, RangePage)
             size += len(answer.body)
             position = page.at if position is None else min(position, page.at)
@@ -121,11 +125,21 @@
             answer = await self._getter.get(target, longest_s + WATCH_SLACK_S, most_bytes)
         except AnswerTooLong as error:
             raise HistoryGone(f"all at once is less than what has changed: {error}") from None
+        self._log_era_change(answer)
         if answer.status == HISTORY_GONE:
             raise HistoryGone("the store has dropped its history")
         watched = _decode(answer, WatchAnswer)
         return translate(watched.events, max(position, watched.at), self.is_news)
 
+    def _log_era_change(self, answer: ShortAnswer) -> None:
+        """Log the Store-Era header of an answer if it differs from the previous answer's."""
+        era = answer.head.get(ERA_HEADER) or ""
+        if era != self._last_era:
+            _log.info(
+                "store era changed", era=era[:MOST_REASON], before=self._last_era[:MOST_REASON]
+            )
+            self._last_era = era
+
     def is_news(self, item: StoredItem) -> bool:
         """Return whether an item that is not understood was not told of yet."""
         is_new = self._logged.pop(item.key, None) != item.revision
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -351,6 +351,7 @@
             "routers_behind": self._exchange.behind(),
             "table_version": self._follower.version,
             "state_position": self._follower.position,
+            "state_reads_not_taken": self._follower.reads_not_taken,
             "state_undecoded": self._follower.undecoded,
             "state_silent_s": self._follower.silent_s(),
             "state_age_s": self._follower.age_s(),
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -60,6 +60,8 @@
         self._heard_s = 0.0
         self._read_s = 0.0
         """When everything was read last (boot time, s)."""
+        self.reads_not_taken = 0
+        """Whole reads since the start whose backends were ignored, as older than ``position``."""
         self.undecoded = 0
         """Items of the source that were not understood, since the start."""
         self.index: RouteIndex | None = None
@@ -175,8 +177,16 @@
         snapshot = await self._unless_overtaken(self._source.read())
         if snapshot is not None:
             self._read_s = boot_time_s()
-            self._take_all(snapshot)
-            _log.info("state read", position=self.position, version=self.version)
+            is_taken = self._take_all(snapshot)
+            self.reads_not_taken += not is_taken
+            _log.info(
+                "state read",
+                position=self.position,
+                read_position=snapshot.position,
+                backends=len(snapshot.backends),
+                is_taken=is_taken,
+                version=self.version,
+            )
 
     async def _unless_overtaken(self, read: Coroutine[Any, Any, Answer]) -> Answer | None:
         """Return what the source answers, None once another router has brought it."""
@@ -237,14 +247,17 @@
             self._recent_news.append((boot_time_s(), news))
         self.on_news()
 
-    def _take_all(self, snapshot: StateSnapshot) -> None:
+    def _take_all(self, snapshot: StateSnapshot) -> bool:
+        """Apply a whole read; return False if it was too old for its backends to be used."""
         self._note_answer()
         self.undecoded += len(snapshot.undecoded)
         self._adopt_table(snapshot.table)
-        if snapshot.position >= self.position:
+        is_current = snapshot.position >= self.position
+        if is_current:
             self.position = snapshot.position
             self._registry.replace_all(snapshot.backends)
         self._note_known()
+        return is_current
 
     def _adopt_table(self, table: RouteTable | None) -> bool:
         """Put a newer table in force; return whether it was newer."""
