--- a/src/yokedock_emulator/router_soak/soak_store.py
+++ b/src/yokedock_emulator/router_soak/soak_store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from yokedock_emulator.plain_http import read_request, whole_answer
+from yokedock_emulator.plain_http import read_request
 from yokedock_emulator.state_store import StateStore
 
 
@@ -40,9 +40,9 @@
             self._silent.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                body = b"" if writer in self._silent else await self._answer(request)
+                answer = b"" if writer in self._silent else await self._answer(request)
                 if writer not in self._silent:
-                    writer.write(whole_answer(200, [], body))
+                    writer.write(answer)
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -1,6 +1,7 @@
 """A stand-in of the users' metadata store: what operators and backends write, as routers read it.
 
-It answers the two reading calls that the router makes, from a history that is never dropped.
+It answers the two reading calls that the router makes. Its history is dropped only when it comes
+back from a copy: the newest revisions are lost then, and given out again.
 """
 
 from __future__ import annotations
@@ -25,6 +26,9 @@
 from yokedock_emulator.plain_http import PlainRequest, listen, read_request, whole_answer
 
 MS_A_SECOND = 1000
+OK = 200
+HISTORY_GONE = 410
+ERA_HEADER = "Store-Era"
 
 
 class StateStore:
@@ -32,6 +36,13 @@
 
     def __init__(self) -> None:
         """Start empty."""
+        self.tells_era = True
+        """Whether its answers name the era, which rises with each return from a copy."""
+        self.calls = 0
+        """Calls that were answered."""
+        self._era = 1
+        self._is_away = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._items: dict[str, StoredItem] = {}
         self._events: list[StoredItem] = []
         self._revision = 0
@@ -67,6 +78,28 @@
         del self._items[key]
         self._note(StoredItem(key, revision=self._revision, gone=True))
 
+    def go_away(self) -> None:
+        """Reset all connections, and each that comes, until ``come_back``."""
+        self._is_away = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def come_back(self) -> None:
+        """Answer again."""
+        self._is_away = False
+
+    def restore_copy(self, lost: int) -> None:
+        """Go on from a copy that lacks the newest ``lost`` revisions: they are given out again."""
+        self._revision = max(0, self._revision - lost)
+        self._events = [event for event in self._events if event.revision <= self._revision]
+        self._items = {}
+        for event in self._events:
+            if event.gone:
+                del self._items[event.key]
+            else:
+                self._items[event.key] = event
+        self._era += 1
+
     def _put(self, key: str, value: bytes) -> None:
         self._revision += 1
         item = StoredItem(key, base64.b64encode(value).decode(), self._revision)
@@ -79,32 +112,45 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
-            while (request := await read_request(reader)) is not None:
-                writer.write(whole_answer(200, [], await self._answer(request)))
+            while not self._is_away and (request := await read_request(reader)) is not None:
+                answer = await self._answer(request)
+                if not self._is_away:
+                    writer.write(answer)
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
-            writer.close()
+            self._writers.discard(writer)
+            writer.transport.abort() if self._is_away else writer.close()
 
     async def _answer(self, request: PlainRequest) -> bytes:
+        """Return the whole answer to a request."""
+        status, document = await self._find(request)
+        self.calls += 1
+        headers = [(ERA_HEADER, str(self._era))] if self.tells_era else []
+        return whole_answer(status, headers, msgspec.json.encode(document))
+
+    async def _find(self, request: PlainRequest) -> tuple[int, RangePage | WatchAnswer | None]:
+        """Return the status of the answer and what it says."""
         url = urlsplit(request.target)
         if url.path == RANGE_PATH:
-            page = RangePage(tuple(self._items.values()), more=False, at=self._revision)
-            return msgspec.json.encode(page)
+            return OK, RangePage(tuple(self._items.values()), more=False, at=self._revision)
         if url.path == WATCH_PATH:
             query = parse_qs(url.query)
             wait_s = int(query[WAIT_FIELD][0]) / MS_A_SECOND
-            return msgspec.json.encode(await self._watch(int(query["after"][0]), wait_s))
-        return b"{}"
+            return await self._watch(int(query["after"][0]), wait_s)
+        return OK, None
 
-    async def _watch(self, after: int, wait_s: float) -> WatchAnswer:
+    async def _watch(self, after: int, wait_s: float) -> tuple[int, WatchAnswer]:
         """Return what changed after a revision, as soon as something has."""
-        if after >= self._revision:
+        if after > self._revision:
+            return HISTORY_GONE, WatchAnswer()
+        if after == self._revision:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
             except TimeoutError:
-                return WatchAnswer((), self._revision)
+                return OK, WatchAnswer((), self._revision)
         newer = tuple(event for event in self._events if event.revision > after)
-        return WatchAnswer(newer, self._revision)
+        return OK, WatchAnswer(newer, self._revision)
