--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -242,3 +242,22 @@
       | the least time left goes first                          |
       | whoever becomes hopeless in the queue is refused then   |
       | a hopeless newcomer is refused at once                  |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: a source that is restored from a backup
+      | property                                                 |
+      | responses from any era in any order converge             |
+      | backends missing from a backup have a grace period       |
+      | a removal after a restore takes effect at once           |
+      | a leaving backend becomes ready only by a newer entry    |
+      | a removed backend is used once its entry outlives expiry |
+      | a held backend that is removed stays removed              |
+      | a withdrawal outlives the record of its backend          |
+      | old withdrawals are dropped                              |
+      | a restore is detected without an era header              |
+      | a read with pages from two eras is rejected              |
+      | messages are compatible with the previous version        |
+      | few routers read everything after a restore              |
+      | a restore is detected with the initial readers cut off   |
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -15,6 +15,7 @@
 from support.mortal_backends import MARK, MortalBackends
 from support.router_world import request_bytes, table
 
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import StateSnapshot
 
 PAUSE_S = 0.15
@@ -35,7 +36,7 @@
 
 def start_two_routers(context, known):
     """Start two routers that know these backends and hear each other."""
-    snapshots = [StateSnapshot(1, table(1), entries) for entries in known]
+    snapshots = [StateSnapshot(SourcePosition(0, 1), table(1), entries) for entries in known]
     first = context.world.start_router(snapshots[0])
     seed = first.settings.fleet.address
     address = f"127.0.0.2:{seed.rpartition(':')[2]}"
--- a/features/steps/engine_lives_steps.py
+++ b/features/steps/engine_lives_steps.py
@@ -8,6 +8,7 @@
 from support.router_world import request_bytes
 
 from yokedock.base.clock import wall_clock_ms
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import StateSnapshot
 
 FIRST_MS = 1_000
@@ -34,7 +35,7 @@
 @given("a router that knows them as started")
 def router_of_lives(context):
     entries = {name: born(context, name, FIRST_MS) for name in world(context).backends}
-    snapshot = StateSnapshot(1, context.world.snapshot().table, entries)
+    snapshot = StateSnapshot(SourcePosition(0, 1), context.world.snapshot().table, entries)
     context.router = context.world.start_router(snapshot)
     context.world.wait_for(lambda: context.router.is_ready, "ready")
 
--- a/features/steps/router_peers_steps.py
+++ b/features/steps/router_peers_steps.py
@@ -23,7 +23,7 @@
 def second_knows(context, version):
     entries = {name: context.world.entry(name) for name in context.world.backends}
     snapshot = StateSnapshot(context.router.position, table(version), entries)
-    context.world.position = context.router.position
+    context.world.position = context.router.position.revision
     seeds = (context.router.settings.fleet.address,)
     address = second_address(context, "127.0.0.2")
     context.second = context.world.start_router(snapshot, seeds, address)
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -21,14 +21,14 @@
         in_loop(context, context.store.publish, configuration(version))
 
 
-@given("the store tells its era")
-def tells_era(context):
-    context.store.tells_era = True
+@given("the store reports its era")
+def reports_era(context):
+    context.store.reports_era = True
 
 
-@given("the store does not tell its era")
-def tells_no_era(context):
-    context.store.tells_era = False
+@given("the store does not report its era")
+def reports_no_era(context):
+    context.store.reports_era = False
 
 
 def write_entry(context, name, state):
@@ -37,78 +37,80 @@
     context.store.put_server(name, server)
 
 
-@given('backend "{name}" is listed last')
-def listed_last(context, name):
+@given('backend "{name}" is written last')
+def written_last(context, name):
     in_loop(context, context.store.remove_server, name)
     in_loop(context, write_entry, context, name, "ready")
 
 
-@given('backend "{name}" is listed last and "{other}" has gone')
-def listed_last_alone(context, name, other):
-    listed_last(context, name)
+@given('backend "{name}" is written last and "{other}" is removed')
+def written_last_alone(context, name, other):
+    written_last(context, name)
     in_loop(context, context.store.remove_server, other)
 
 
-@step('backend "{name}" says in the list that it leaves')
-def says_leaving(context, name):
+@step('backend "{name}" is listed as leaving')
+def listed_as_leaving(context, name):
     in_loop(context, write_entry, context, name, DRAINING)
 
 
-@given('backend "{name}" goes from the list')
-def goes(context, name):
+@given('backend "{name}" is removed from the list')
+def removed(context, name):
     in_loop(context, context.store.remove_server, name)
 
 
-@given("the router knows that it did")
-def is_known(context):
-    def is_told():
-        return len(context.router._registry.entries()) == len(context.world.backends) - 1
+@given("the router has applied that change")
+def applied(context):
+    context.world.wait_for(lambda: usable(context) == {"b"}, "the change applied")
 
-    context.world.wait_for(is_told, "a leaving")
 
+def usable(context):
+    """Return the names of the backends that the router may send calls to."""
+    return {backend.entry.instance for backend in context.router._registry.usable("plain")}
 
-@when('backend "{name}" is listed again')
-def listed_again(context, name):
+
+@when('backend "{name}" is written again')
+def written_again(context, name):
     in_loop(context, write_entry, context, name, "ready")
 
 
-def restore(context, away_s, lost, meanwhile=lambda: None):
-    def end():
-        context.store.restore_copy(lost)
-        meanwhile()
-        context.store.come_back()
+def restore(context, down_s, lost, before_answering=lambda: None):
+    def restore_and_answer():
+        context.store.restore_backup(lost)
+        before_answering()
+        context.store.go_online()
 
-    in_loop(context, context.store.go_away)
-    time.sleep(away_s)
-    in_loop(context, end)
+    in_loop(context, context.store.go_offline)
+    time.sleep(down_s)
+    in_loop(context, restore_and_answer)
     context.returned_s = time.monotonic()
 
 
-@when("the store is away for {away_s:g} s and comes back from a copy {lost:d} revisions older")
-@when("the store is away for {away_s:g} s and comes back from a copy {lost:d} revision older")
-def restored(context, away_s, lost):
-    restore(context, away_s, lost)
+@when("the store is down for {down_s:g} s and is restored from a backup {lost:d} revisions older")
+@when("the store is down for {down_s:g} s and is restored from a backup {lost:d} revision older")
+def restored(context, down_s, lost):
+    restore(context, down_s, lost)
 
 
 @when(
-    "the store is away for {away_s:g} s and comes back from a copy {lost:d} revisions older, "
-    'and "{name}" goes again'
+    "the store is down for {down_s:g} s and is restored from a backup {lost:d} revisions older, "
+    'and "{name}" is removed again'
 )
-def restored_without(context, away_s, lost, name):
-    restore(context, away_s, lost, lambda: context.store.remove_server(name))
+def restored_without(context, down_s, lost, name):
+    restore(context, down_s, lost, lambda: context.store.remove_server(name))
 
 
 @when(
-    "the store is away for {away_s:g} s, comes back from a copy {lost:d} revisions older, "
-    'and meanwhile "{name}" leaves and versions {first:d} to {last:d} are written'
+    "the store is down for {down_s:g} s, is restored from a backup {lost:d} revisions older, "
+    'and before it answers "{name}" leaves and versions {first:d} to {last:d} are written'
 )
-def restored_and_written(context, away_s, lost, name, first, last):
-    def meanwhile():
+def restored_and_written(context, down_s, lost, name, first, last):
+    def write_changes():
         write_entry(context, name, DRAINING)
         for version in range(first, last + 1):
             context.store.publish(configuration(version))
 
-    restore(context, away_s, lost, meanwhile)
+    restore(context, down_s, lost, write_changes)
 
 
 def call(context, router):
@@ -130,12 +132,12 @@
     return {name for name, backend in after if len(backend.arrivals) > before[name]}
 
 
-@then('{later_s:g} s later {count:d} calls reach backend "{name}" alone')
+@then('{later_s:g} s later {count:d} calls reach only backend "{name}"')
 def reach_one(context, later_s, count, name):
     assert reached(context, context.router, later_s, count) == {name}
 
 
-@then('{later_s:g} s later {count:d} calls to the second router reach backend "{name}" alone')
+@then('{later_s:g} s later {count:d} calls to the second router reach only backend "{name}"')
 def second_reaches_one(context, later_s, count, name):
     assert reached(context, context.second, later_s, count) == {name}
 
@@ -143,11 +145,10 @@
 @then('{later_s:g} s later the router may send calls to "{name}" and "{other}"')
 def may_send_to_both(context, later_s, name, other):
     time.sleep(later_s)
-    usable = {backend.entry.instance for backend in context.router._registry.usable("plain")}
-    assert usable == {name, other}, usable
+    assert usable(context) == {name, other}, usable(context)
 
 
-@then("calls for {span_s:g} s are all answered")
+@then("all calls during {span_s:g} s are answered")
 def all_answered(context, span_s):
     until_s = time.monotonic() + span_s
     while time.monotonic() < until_s:
@@ -156,12 +157,12 @@
         time.sleep(PAUSE_S)
 
 
-@then("the store is called at most {most:d} times in {span_s:g} s")
-def few_calls(context, most, span_s):
+@then("the store receives at most {most:d} requests in {span_s:g} s")
+def few_requests(context, most, span_s):
     before = context.store.calls
     time.sleep(span_s)
-    called = context.store.calls - before
-    assert 0 < called <= most, called
+    received = context.store.calls - before
+    assert 0 < received <= most, received
 
 
 @then("{later_s:g} s later the router still has version {version:d}")
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -1,4 +1,4 @@
-Feature: The store comes back from a copy: revisions go back and are given out again
+Feature: The store is restored from a backup: revisions go back and are assigned again
 
   Background:
     Given a plain backend "a"
@@ -6,77 +6,82 @@
     And a metadata store that lists them
     And the store holds versions 2 to 11
 
-  Scenario Outline: A backend that says it leaves after the return is known to leave: a store that <tells> its era
-    Given the store <tells> its era
+  Scenario Outline: A backend that leaves after a restore gets no more requests: a store that <reports> its era
+    Given the store <reports> its era
     And a router that reads the store
-    When the store is away for 0.5 s and comes back from a copy 10 revisions older
-    And backend "a" says in the list that it leaves
-    Then 2.0 s later 20 calls reach backend "b" alone
+    When the store is down for 0.5 s and is restored from a backup 10 revisions older
+    And backend "a" is listed as leaving
+    Then 2.0 s later 20 calls reach only backend "b"
 
     Examples:
-      | tells         |
-      | tells         |
-      | does not tell |
+      | reports         |
+      | reports         |
+      | does not report |
 
-  Scenario Outline: What was written while a router was away is known, though revisions went past its own: a store that <tells> its era
-    Given the store <tells> its era
+  Scenario Outline: Changes during an outage are applied though the revision is past the one before the restore: a store that <reports> its era
+    Given the store <reports> its era
     And a router that reads the store
-    When the store is away for 0.5 s, comes back from a copy 10 revisions older, and meanwhile "a" leaves and versions 12 to 26 are written
-    Then 2.0 s later 20 calls reach backend "b" alone
+    When the store is down for 0.5 s, is restored from a backup 10 revisions older, and before it answers "a" leaves and versions 12 to 26 are written
+    Then 2.0 s later 20 calls reach only backend "b"
 
     Examples:
-      | tells         |
-      | tells         |
-      | does not tell |
+      | reports         |
+      | reports         |
+      | does not report |
 
-  Scenario: A router that reads nothing itself learns from another what the restored store says
+  Scenario: A restore to exactly the revision of the router is detected without later changes
+    Given a router that reads the store
+    When the store is down for 0.5 s, is restored from a backup 10 revisions older, and before it answers "a" leaves and versions 12 to 20 are written
+    Then 1.0 s later 20 calls reach only backend "b"
+
+  Scenario: A router that reads nothing itself takes over the restored state from another router
     Given a router that reads the store
     And a second router that hears it and reads nothing
-    When the store is away for 0.5 s and comes back from a copy 10 revisions older
-    And backend "a" says in the list that it leaves
-    Then 2.0 s later 20 calls to the second router reach backend "b" alone
+    When the store is down for 0.5 s and is restored from a backup 10 revisions older
+    And backend "a" is listed as leaving
+    Then 2.0 s later 20 calls to the second router reach only backend "b"
 
-  Scenario: A router asks the restored store for everything once, not over and over
+  Scenario: A router reads the restored store only once
     Given a router that reads the store
-    When the store is away for 0.5 s and comes back from a copy 10 revisions older
-    Then the store is called at most 6 times in 2.0 s
+    When the store is down for 0.5 s and is restored from a backup 10 revisions older
+    Then the store receives at most 6 requests in 2.0 s
 
-  Scenario: A table that the copy lacks stays in force
+  Scenario: A route table that the backup lacks stays in force
     Given a router that reads the store
-    When the store is away for 0.5 s and comes back from a copy 10 revisions older
+    When the store is down for 0.5 s and is restored from a backup 10 revisions older
     Then 2.0 s later the router still has version 11
 
-  Scenario: A backend that the copy lacks is used on and is not missed once it is written again
-    Given backend "b" is listed last and "a" has gone
+  Scenario: A backend that the backup lacks stays in use until it is written again
+    Given backend "b" is written last and "a" is removed
     And a router that reads the store
-    When the store is away for 0.5 s and comes back from a copy 2 revisions older, and "a" goes again
-    Then calls for 1.0 s are all answered
-    When backend "b" is listed again
-    Then calls for 3.0 s are all answered
+    When the store is down for 0.5 s and is restored from a backup 2 revisions older, and "a" is removed again
+    Then all calls during 1.0 s are answered
+    When backend "b" is written again
+    Then all calls during 3.0 s are answered
 
-  Scenario: A backend that the copy lacks and that is not written again is gone after two seconds
-    Given backend "b" is listed last
+  Scenario: A backend that the backup lacks is removed after two seconds if it is not written again
+    Given backend "b" is written last
     And a router that reads the store
-    When the store is away for 0.5 s and comes back from a copy 1 revision older
+    When the store is down for 0.5 s and is restored from a backup 1 revision older
     Then 0.5 s later the router may send calls to "a" and "b"
-    And 2.5 s later 20 calls reach backend "a" alone
+    And 3.0 s later 20 calls reach only backend "a"
 
-  Scenario Outline: What a backend said before still binds when the copy calls it ready: it <said>
+  Scenario Outline: A backend that <change> before a restore stays withdrawn although it is ready in the backup
     Given a router that reads the store
-    And backend "a" <said>
-    And the router knows that it did
-    When the store is away for 0.5 s and comes back from a copy 1 revision older
-    Then 2.0 s later 20 calls reach backend "b" alone
+    And backend "a" <change>
+    And the router has applied that change
+    When the store is down for 0.5 s and is restored from a backup 1 revision older
+    Then 2.0 s later 20 calls reach only backend "b"
 
     Examples:
-      | said                         |
-      | says in the list that it leaves |
-      | goes from the list           |
+      | change                   |
+      | is listed as leaving     |
+      | is removed from the list |
 
-  Scenario: A backend that had gone and is written again after the return is used again
+  Scenario: A removed backend that is written again after a restore is used again
     Given a router that reads the store
-    And backend "a" goes from the list
-    And the router knows that it did
-    When the store is away for 0.5 s and comes back from a copy 1 revision older
-    And backend "a" is listed again
-    Then 0.5 s later the router may send calls to "a" and "b"
+    And backend "a" is removed from the list
+    And the router has applied that change
+    When the store is down for 0.5 s and is restored from a backup 1 revision older
+    And backend "a" is written again
+    Then 1.0 s later the router may send calls to "a" and "b"
--- a/features/support/entry_properties.py
+++ b/features/support/entry_properties.py
@@ -4,6 +4,7 @@
 import json
 
 from support.stream_properties import Clock
+from yokedock.connection.source_position import SourcePosition
 from yokedock.platform.store import PlatformStore, StoredItem, translate
 from yokedock.request.backend_registry import BackendRegistry
 
@@ -76,13 +77,13 @@
     for odd in odd_documents():
         clock = Clock()
         registry = BackendRegistry("hall-one", clock)
-        first = translate((item("i-1", GOOD), item("i-2", GOOD)), 1)
+        first = translate((item("i-1", GOOD), item("i-2", GOOD)), SourcePosition(revision=1))
         registry.replace_all({entry.instance: entry for entry in first.changed})
-        changes = translate((item("i-1", odd),), 2)
+        changes = translate((item("i-1", odd),), SourcePosition(revision=2))
         assert changes.undecoded == ("i-1",), odd
         registry.update(changes.changed, changes.gone)
         assert [b.entry.instance for b in registry.usable("llm")] == ["i-2"], odd
-        again = translate((item("i-1", GOOD),), 3)
+        again = translate((item("i-1", GOOD),), SourcePosition(revision=3))
         registry.update(again.changed, again.gone)
         assert sorted(b.entry.instance for b in registry.usable("llm")) == ["i-1", "i-2"], odd
 
@@ -90,9 +91,9 @@
 def an_odd_entry_of_a_whole_list_names_no_backend():
     """A whole list with one odd entry ends the backend that the id named, and no other."""
     registry = BackendRegistry("hall-one", Clock())
-    first = translate((item("i-1", GOOD), item("i-2", GOOD)), 1)
+    first = translate((item("i-1", GOOD), item("i-2", GOOD)), SourcePosition(revision=1))
     registry.replace_all({entry.instance: entry for entry in first.changed})
-    listed = translate((item("i-1", b"?"), item("i-2", GOOD)), 2)
+    listed = translate((item("i-1", b"?"), item("i-2", GOOD)), SourcePosition(revision=2))
     registry.replace_all({entry.instance: entry for entry in listed.changed})
     assert [b.entry.instance for b in registry.usable("llm")] == ["i-2"]
 
@@ -101,7 +102,9 @@
     """Also without the fields that engines of plain services lack, or with unknown ones."""
     plain = {k: v for k, v in GOOD.items() if k not in OPTIONAL}
     for document, born_ms, role in ((GOOD, GOOD["born"], "decode"), (plain, 0, "")):
-        changes = translate((item("i-1", document | {"unknown": {"a": 1}}),), 1)
+        changes = translate(
+            (item("i-1", document | {"unknown": {"a": 1}}),), SourcePosition(revision=1)
+        )
         entry = changes.changed[0]
         assert not changes.undecoded and not changes.gone
         assert (entry.born_ms, entry.role, entry.slots) == (born_ms, role, 128)
@@ -111,7 +114,7 @@
     """A configuration that cannot be read leaves the version before in force."""
     for odd in (*ODD_BYTES, b'{"version": "x"}', b'{"routes": []}'):
         document = StoredItem("op/config", base64.b64encode(odd).decode(), 9)
-        changes = translate((document,), 9)
+        changes = translate((document,), SourcePosition(revision=9))
         assert changes.table is None and changes.undecoded == ("op/config",), odd
 
 
--- a/features/support/fuzz_properties.py
+++ b/features/support/fuzz_properties.py
@@ -18,6 +18,7 @@
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.router_gossip import RouterGossip
 from yokedock.connection.router_state import EngineShare, RouterState, SuspectRequest
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
 from yokedock.errors import YokedockError
 from yokedock.platform.store import StoredItem, translate
@@ -60,7 +61,7 @@
 def entries_are_read_or_refused(document):
     """An entry becomes one whole backend or none."""
     value = base64.b64encode(document).decode()
-    changes = translate((StoredItem("servers/i-1", value, 3),), 3)
+    changes = translate((StoredItem("servers/i-1", value, 3),), SourcePosition(revision=3))
     assert len(changes.changed) + len(changes.undecoded) == 1
     for entry in changes.changed:
         assert entry.service and entry.slots >= 1 and entry.born_ms >= 0
@@ -75,7 +76,7 @@
 def configurations_are_read_or_refused(document):
     """A configuration becomes a table or nothing."""
     value = base64.b64encode(document).decode()
-    changes = translate((StoredItem("op/config", value, 3),), 3)
+    changes = translate((StoredItem("op/config", value, 3),), SourcePosition(revision=3))
     assert (changes.table is None) == (changes.undecoded == ("op/config",))
 
 
--- a/features/support/mortal_backends.py
+++ b/features/support/mortal_backends.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from support.stand_in_backend import StandInBackend
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateChanges
 
 MARK = b"ends whoever runs it"
@@ -61,4 +62,5 @@
         entry = BackendEntry(name, fresh.service, fresh.address, slots=fresh.slots, role=fresh.role)
         self._position += 1
         for router in self._routers:
-            router.source.tell(StateChanges(self._position, None, (entry,), (old.name,)))
+            position = SourcePosition(0, self._position)
+            router.source.tell(StateChanges(position, None, (entry,), (old.name,)))
--- /dev/null
+++ b/features/support/restored_properties.py
@@ -0,0 +1,352 @@
+"""State followers of a source that is restored from backups, over generated histories."""
+
+import asyncio
+
+import msgspec
+from hypothesis import strategies as st
+
+from support.search import searched
+from support.stream_properties import Clock
+from yokedock.connection.http_heads import AnswerHead
+from yokedock.connection.router_state import RouterState, StateNews
+from yokedock.connection.short_call import ShortAnswer
+from yokedock.connection.source_position import NO_ERA, SourcePosition
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
+from yokedock.errors import PlatformUnavailable
+from yokedock.platform.store import PlatformStore, RangePage, StoredItem
+from yokedock.process.state_exchange import PackedState, unpack
+from yokedock.process.state_follower import StateFollower
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.list_restoration import (
+    MISSING_GRACE_S,
+    REMOVED_HOLD_S,
+    WITHDRAWAL_RETENTION_S,
+)
+from yokedock.router_errors import HistoryGone
+from yokedock.version.route_table import RouteTable
+
+TABLE = RouteTable(1, (), {})
+NAMES = ("a", "b", "c")
+READY, LEAVING, GONE = "ready", "leaving", "gone"
+
+
+def entry(name, revision, state=READY):
+    """Return an entry of a plain backend."""
+    is_leaving = state == LEAVING
+    address = f"127.0.0.1:{NAMES.index(name) + 1}"
+    return BackendEntry(name, "plain", address, is_leaving=is_leaving, revision=revision)
+
+
+def usable(registry):
+    """Return the identifiers of the backends that are not leaving or removed."""
+    return {b.entry.instance for b in registry.members("plain") if b.leaving_since_s is None}
+
+
+class RestorableSource(StateSource):
+    """A source that loses history in restores, and keeps the actual states beside it."""
+
+    def __init__(self):
+        self.position = SourcePosition(1, 0)
+        self.events = []
+        self.actual = {}
+        for name in NAMES:
+            self.write(name, READY)
+
+    def write(self, name, state):
+        """Write the state of one backend."""
+        self.actual[name] = state
+        self.position = SourcePosition(self.position.era, self.position.revision + 1)
+        self.events.append((self.position.revision, name, state))
+
+    def items(self):
+        """Return the entries that are listed."""
+        listed = {}
+        for revision, name, state in self.events:
+            listed[name] = entry(name, revision, state) if state != GONE else None
+        return {name: found for name, found in listed.items() if found is not None}
+
+    def restore(self, lost):
+        """Begin a new era that lacks the newest ``lost`` revisions."""
+        revision = max(0, self.position.revision - lost)
+        self.position = SourcePosition(self.position.era + 1, revision)
+        self.events = [event for event in self.events if event[0] <= revision]
+
+    def rewrite_outdated(self):
+        """Write the actual state of each backend whose listed state differs."""
+        listed = self.items()
+        for name, state in self.actual.items():
+            found = listed.get(name)
+            listed_state = GONE if found is None else LEAVING if found.is_leaving else READY
+            if listed_state != state:
+                self.write(name, state)
+
+    def snapshot(self):
+        """Return everything."""
+        return StateSnapshot(self.position, TABLE, self.items())
+
+    def changes(self, after):
+        """Return the changes after a revision, as news for other routers."""
+        newer = [event for event in self.events if event[0] > after]
+        changed = tuple(entry(n, r, s) for r, n, s in newer if s != GONE)
+        gone = tuple(n for _, n, s in newer if s == GONE)
+        era, revision = self.position.era, self.position.revision
+        return StateNews(after, revision, 1, changed, gone, era)
+
+    async def read(self):
+        return self.snapshot()
+
+    async def wait(self, position, longest_s):
+        return StateChanges(self.position)
+
+
+writes = st.tuples(
+    st.just("write"), st.sampled_from(NAMES), st.sampled_from((READY, LEAVING, GONE))
+)
+restores = st.tuples(st.just("restore"), st.integers(0, 6), st.booleans())
+responses = st.tuples(st.just("answer"), st.sampled_from(("read", "news")), st.integers(0, 4))
+arrivals = st.tuples(st.just("arrive"), st.integers(0, 20), st.integers(0, 3000))
+
+
+@searched(steps=st.lists(st.one_of(writes, restores, responses, arrivals), max_size=40))
+def responses_from_any_era_in_any_order_converge(steps):
+    """Late and reordered responses never move the position back or undo a leaving state."""
+
+    async def play():
+        clock, source = Clock(), RestorableSource()
+        registry = BackendRegistry("", clock)
+        follower = StateFollower(source, registry)
+        follower.adopt(source.snapshot())
+        in_flight, leaving = [], set()
+        for kind, first, second in steps:
+            before = follower.position
+            if kind == "write" and source.actual[first] == READY:
+                source.write(first, second)
+            elif kind == "restore":
+                source.restore(first)
+                if second:
+                    source.rewrite_outdated()
+            elif kind == "answer" and first == "read":
+                in_flight.append(source.snapshot())
+            elif kind == "answer":
+                in_flight.append(source.changes(max(0, source.position.revision - second)))
+            elif kind == "arrive" and in_flight:
+                clock.now_s += second / 1000
+                answer = in_flight.pop(first % len(in_flight))
+                is_news = isinstance(answer, StateNews)
+                follower.take_news((answer,)) if is_news else follower.adopt(answer)
+                registry.apply_restoration_timeouts()
+            assert follower.position >= before
+            leaving |= {n for n, found in registry.entries().items() if found.is_leaving}
+            assert not leaving & usable(registry), "a leaving backend became ready"
+        source.rewrite_outdated()
+        follower.adopt(source.snapshot())
+        clock.now_s += max(REMOVED_HOLD_S, MISSING_GRACE_S)
+        registry.apply_restoration_timeouts()
+        ready = {name for name, state in source.actual.items() if state == READY}
+        assert follower.position == source.position
+        assert usable(registry) == ready, (usable(registry), ready)
+        assert registry.entries().keys() == source.items().keys()
+
+    asyncio.run(play())
+
+
+def restored_registry(clock, *, withdrawn, backup, revision=5):
+    """Return a registry of a, b and c after the given withdrawals and a restore of ``backup``."""
+    registry = BackendRegistry("", clock)
+    registry.replace_all({name: entry(name, revision) for name in NAMES})
+    for name, state in withdrawn.items():
+        if state == LEAVING:
+            registry.update([entry(name, revision + 3, state)], ())
+        else:
+            registry.update((), [name])
+    registry.restore_all({name: entry(name, revision) for name in backup})
+    return registry
+
+
+def backends_missing_from_a_backup_have_a_grace_period():
+    """A backend that the backup lacks stays usable for the grace period, and no longer."""
+    clock = Clock()
+    registry = restored_registry(clock, withdrawn={}, backup="a")
+    clock.now_s += MISSING_GRACE_S - 0.1
+    registry.apply_restoration_timeouts()
+    registry.replace_all({"a": entry("a", 5)})
+    assert usable(registry) == {"a", "b", "c"}
+    assert registry.entries().keys() == {"a"}, "missing backends are not passed on to other routers"
+    registry.update([entry("b", 6)], ())
+    clock.now_s += 0.2
+    registry.apply_restoration_timeouts()
+    assert usable(registry) == {"a", "b"}
+    assert registry.entries().keys() == {"a", "b"}
+
+
+def a_removal_after_a_restore_takes_effect_at_once():
+    """A missing backend that the source removes is unusable without a grace period."""
+    registry = restored_registry(Clock(), withdrawn={}, backup="a")
+    registry.update((), ["b"])
+    assert usable(registry) == {"a", "c"}
+
+
+def a_leaving_backend_becomes_ready_only_by_a_newer_entry():
+    """An entry from the backup never makes a leaving backend ready; a newer entry does."""
+    clock = Clock()
+    registry = restored_registry(clock, withdrawn={"a": LEAVING}, backup=NAMES)
+    for _ in range(30):
+        clock.now_s += 1.0
+        registry.drop_gone()
+        registry.replace_all({name: entry(name, 5) for name in NAMES})
+        assert usable(registry) == {"b", "c"}
+    assert registry.entries()["a"].is_leaving
+    registry.replace_all({"a": entry("a", 9), "b": entry("b", 5), "c": entry("c", 5)})
+    assert usable(registry) == {"a", "b", "c"}
+
+
+def a_removed_backend_is_used_once_its_entry_outlives_expiry():
+    """A restored entry of a removed backend counts only if it does not expire."""
+    clock = Clock()
+    registry = restored_registry(clock, withdrawn={"a": GONE}, backup=NAMES)
+    clock.now_s += REMOVED_HOLD_S - 0.1
+    registry.apply_restoration_timeouts()
+    assert usable(registry) == {"b", "c"}
+    assert registry.entries().keys() == set(NAMES), "held backends are passed on to other routers"
+    clock.now_s += 0.2
+    registry.apply_restoration_timeouts()
+    assert usable(registry) == {"a", "b", "c"}
+
+
+def a_held_backend_that_is_removed_stays_removed():
+    """A removal, or a new life, during the hold prevents the held life from being used again."""
+    for end_hold in (
+        lambda registry: registry.update((), ["a"]),
+        lambda registry: registry.update(
+            [BackendEntry("a", "other", "127.0.0.1:9", born_ms=7)], ()
+        ),
+    ):
+        clock = Clock()
+        registry = restored_registry(clock, withdrawn={"a": GONE}, backup=NAMES)
+        end_hold(registry)
+        clock.now_s += REMOVED_HOLD_S + 0.2
+        registry.apply_restoration_timeouts()
+        assert usable(registry) == {"b", "c"}
+
+
+def a_withdrawal_outlives_the_record_of_its_backend():
+    """A restored entry makes no backend usable whose record was dropped after its removal."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    registry.replace_all({name: entry(name, 5) for name in NAMES})
+    registry.update((), ["a"])
+    clock.now_s += 20.0
+    registry.drop_gone()
+    assert registry.get("a") is None
+    registry.restore_all({name: entry(name, 5) for name in NAMES})
+    assert usable(registry) == {"b", "c"}
+
+
+def old_withdrawals_are_dropped():
+    """The number of withdrawals is bounded by those of the last minute."""
+    clock = Clock()
+    registry = BackendRegistry("", clock)
+    for number in range(500):
+        registry.update([BackendEntry(f"i-{number}", "plain", "127.0.0.1:1")], ())
+        registry.update((), [f"i-{number}"])
+        clock.now_s += 1.0
+        registry.drop_gone()
+    assert registry.withdrawal_count() <= WITHDRAWAL_RETENTION_S + 2
+
+
+def a_restore_is_detected_without_an_era_header():
+    """Without an era header, a lower revision begins a new era and a higher one does not."""
+    known = SourcePosition(3, 20)
+    of_read, of_changes = known.position_of_read, known.position_of_changes
+    assert of_read(SourcePosition(NO_ERA, 19)) == SourcePosition(4, 19)
+    assert of_read(SourcePosition(NO_ERA, 20)) == known
+    assert of_read(SourcePosition(2, 50)) < known < of_read(SourcePosition(4, 1))
+    assert of_changes(SourcePosition(NO_ERA, 21)) == SourcePosition(3, 21)
+    assert of_changes(SourcePosition(3, 0)) == known
+    for reported, error in (((NO_ERA, 19), HistoryGone), ((4, 30), HistoryGone)):
+        assert _raised(of_changes, reported) is error, reported
+    assert _raised(of_changes, (2, 30)) is PlatformUnavailable
+
+
+def _raised(call, reported):
+    try:
+        call(SourcePosition(*reported))
+    except PlatformUnavailable as error:
+        return type(error)
+    return None
+
+
+class StandInGetter:
+    """Answers a full read with the given pages."""
+
+    def __init__(self, *pages):
+        self._pages = list(pages)
+
+    async def get(self, target, head_timeout_s, most_bytes=0):
+        era, at = self._pages.pop(0)
+        item = StoredItem(f"servers/i-{len(self._pages)}", gone=True)
+        page = RangePage((item,), more=bool(self._pages), at=at)
+        headers = ((b"Store-Era", str(era).encode()),) if era else ()
+        head = AnswerHead(headers, 200, b"OK")
+        return ShortAnswer(200, msgspec.json.encode(page), head, 0)
+
+
+async def _read_pages(*pages):
+    store = PlatformStore("127.0.0.1:1")
+    store._getter = StandInGetter(*pages)
+    return (await store.read()).position
+
+
+def a_read_with_pages_from_two_eras_is_rejected():
+    """A read that spans a restore raises ``HistoryGone``; one within an era does not."""
+    assert asyncio.run(_read_pages((1, 20), (1, 22))) == SourcePosition(1, 20)
+    assert asyncio.run(_read_pages((0, 20), (0, 22))) == SourcePosition(NO_ERA, 20)
+    for pages in (((1, 20), (2, 22)), ((0, 20), (0, 19)), ((1, 20), (0, 22))):
+        try:
+            asyncio.run(_read_pages(*pages))
+        except HistoryGone:
+            continue
+        raise AssertionError(f"{pages} were accepted as one read")
+
+
+class PreviousPackedState(msgspec.Struct, array_like=True):
+    """``PackedState`` of the previous version, without an era."""
+
+    position: int
+    backends: dict[str, BackendEntry]
+    packed_table: bytes = b""
+
+
+def messages_are_compatible_with_the_previous_version():
+    """Messages with an era are decoded without it; those without are in era 0."""
+    older = msgspec.msgpack.encode(PreviousPackedState(7, {"a": entry("a", 0)}))
+    assert unpack(older).position == SourcePosition(0, 7)
+    newer = msgspec.msgpack.encode(PackedState(7, {"a": entry("a", 3)}, b"", 4))
+    assert msgspec.msgpack.decode(newer, type=PreviousPackedState).position == 7
+    assert unpack(newer).position == SourcePosition(4, 7)
+    told = msgspec.msgpack.encode(["peer", 1, 1, 2, 7, False, 0, {}, "", 0, [], []])
+    state = msgspec.msgpack.decode(told, type=RouterState)
+    assert state.source_position() == SourcePosition(0, 7)
+
+
+RESTORED_PROPERTIES = {
+    check.__name__.replace("_", " "): check
+    for check in (
+        responses_from_any_era_in_any_order_converge,
+        backends_missing_from_a_backup_have_a_grace_period,
+        a_removal_after_a_restore_takes_effect_at_once,
+        a_leaving_backend_becomes_ready_only_by_a_newer_entry,
+        a_removed_backend_is_used_once_its_entry_outlives_expiry,
+        a_held_backend_that_is_removed_stays_removed,
+        a_withdrawal_outlives_the_record_of_its_backend,
+        old_withdrawals_are_dropped,
+        a_restore_is_detected_without_an_era_header,
+        a_read_with_pages_from_two_eras_is_rejected,
+        messages_are_compatible_with_the_previous_version,
+    )
+}
--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -11,6 +11,7 @@
 from yokedock.base.logs import BoundedJsonLinesHandler, LineBudget, logger
 from yokedock.connection.event_stream import EventSplitter
 from yokedock.connection.router_state import EngineShare
+from yokedock.connection.source_position import SourcePosition
 from yokedock.platform.documents import backend_entry, route_table
 from yokedock.platform.store import StoredItem, translate
 from yokedock.process.leadership import Leadership, Vote
@@ -237,8 +238,8 @@
     good = StoredItem("servers/i-1", base64.b64encode(json.dumps(server).encode()).decode())
     bad = StoredItem("servers/i-2", "!!")
     gone = StoredItem("servers/i-3", gone=True)
-    changes = translate((good, bad, gone, StoredItem("op/config", "!!")), 9)
-    assert changes.position == 9 and changes.table is None
+    changes = translate((good, bad, gone, StoredItem("op/config", "!!")), SourcePosition(3, 9))
+    assert changes.position == SourcePosition(3, 9) and changes.table is None
     assert changes.undecoded == ("i-2", "op/config")
     assert [entry.instance for entry in changes.changed] == ["i-1"]
     assert set(changes.gone) == {"i-2", "i-3"}
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -11,6 +11,7 @@
 from support.stand_in_backend import StandInBackend
 from yokedock.base.clock import new_event_loop
 from yokedock.connection.header_dialect import HeaderDialect
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -163,7 +164,7 @@
     def snapshot(self, version=1, **limits):
         """Return everything that is listed."""
         entries = {name: self.entry(name) for name in self.backends}
-        return StateSnapshot(self.position, table(version, **limits), entries)
+        return StateSnapshot(SourcePosition(0, self.position), table(version, **limits), entries)
 
     def start_router(
         self,
@@ -225,9 +226,11 @@
     def tell(self, router, changed=(), gone=(), new_table=None):
         """Tell a router of changes through its source, and wait until it knows them."""
         self.position += 1
-        changes = StateChanges(self.position, new_table, tuple(changed), tuple(gone))
+        changes = StateChanges(
+            SourcePosition(0, self.position), new_table, tuple(changed), tuple(gone)
+        )
         self.loop.call_soon_threadsafe(router.source.tell, changes)
-        self.wait_for(lambda: router.position >= self.position, "changes taken over")
+        self.wait_for(lambda: router.position.revision >= self.position, "changes taken over")
 
     def close(self):
         """End everything."""
--- a/features/support/watch_properties.py
+++ b/features/support/watch_properties.py
@@ -7,6 +7,7 @@
 from support.search import searched
 from support.stream_properties import Clock
 from yokedock.base.clock import boot_time_s
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -24,6 +25,7 @@
     WatchDuty,
 )
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteTable
 
 ROUTERS = 68
@@ -41,27 +43,40 @@
     """What the platform's store knows; it counts the calls."""
 
     def __init__(self):
-        self.position = 1
+        self.position = SourcePosition(1, 1)
         self.events = []
         self.calls = 0
+        self.reads = 0
         self._changed = asyncio.Event()
 
     def change(self, name, is_leaving=False):
         """Write one backend's entry."""
-        self.position += 1
+        self.position = SourcePosition(self.position.era, self.position.revision + 1)
         entry = BackendEntry(name, "llm", "127.0.0.1:1", is_leaving=is_leaving, role="decode")
         self.events.append((self.position, entry))
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self, lost):
+        """Begin a new era that lacks the newest ``lost`` changes."""
+        revision = self.position.revision - lost
+        self.position = SourcePosition(self.position.era + 1, revision)
+        self.events = [(at, entry) for at, entry in self.events if at.revision <= revision]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def wait(self, position, longest_s):
-        """Return what changed after a position."""
-        if position >= self.position:
+        """Return what changed after a revision."""
+        if position.revision > self.position.revision:
+            raise HistoryGone("the revision is newer than the store")
+        if position.revision == self.position.revision:
             try:
                 await asyncio.wait_for(self._changed.wait(), longest_s)
             except TimeoutError:
                 return StateChanges(self.position)
-        newer = {entry.instance: entry for at, entry in self.events if at > position}
+        newer = {
+            entry.instance: entry for at, entry in self.events if at.revision > position.revision
+        }
         return StateChanges(self.position, changed=tuple(newer.values()))
 
 
@@ -78,6 +93,7 @@
         self._store.calls += 1
         if self.state != "sound":
             raise PlatformUnavailable(self.state)
+        self._store.reads += 1
         entries = {entry.instance: entry for _, entry in self._store.events}
         return StateSnapshot(self._store.position, RouteTable(1, (), {}), entries)
 
@@ -271,6 +287,49 @@
     asyncio.run(play())
 
 
+async def _restore(fleet, lost, cut):
+    """Restore the store after an outage that lasts on for the routers in ``cut``."""
+    for number in range(10):
+        fleet.store.change(f"old-{number}")
+    await asyncio.sleep(0.5)
+    for router in fleet.routers:
+        router.path.state = "refused"
+    fleet.store.restore(lost)
+    await asyncio.sleep(1.0)
+    for router in fleet.routers:
+        router.path.state = "refused" if router in cut else "sound"
+    fleet.store.reads = fleet.store.calls = 0
+
+
+def few_routers_read_everything_after_a_restore():
+    """After a restore, most of 68 routers take the state over instead of reading it."""
+
+    async def play():
+        async with WatchingFleet() as fleet:
+            await _restore(fleet, lost=5, cut=())
+            took_s = await fleet.known_after_s("new")
+            await asyncio.sleep(1.0)
+            assert fleet.store.reads <= 2 * MOST_WATCHERS, fleet.store.reads
+            assert fleet.store.calls <= 3 * ROUTERS, fleet.store.calls
+            assert took_s[-1] < 1.5, took_s[-1]
+
+    asyncio.run(play())
+
+
+def a_restore_is_detected_with_the_initial_readers_cut_off():
+    """If the initial readers cannot reach the restored store, other routers read it."""
+
+    async def play():
+        async with WatchingFleet() as fleet:
+            readers = [router for router in fleet.routers if router.duty.is_initial_reader()]
+            assert len(readers) == MOST_WATCHERS
+            await _restore(fleet, lost=5, cut=readers)
+            took_s = await fleet.known_after_s("new")
+            assert took_s[-1] < 3.0, took_s[-1]
+
+    asyncio.run(play())
+
+
 contact = st.tuples(
     st.integers(0, 400), st.sampled_from((NEVER, 0, 900, 1700, 5000)), st.booleans()
 )
@@ -308,4 +367,8 @@
     "watchers that vanish are replaced": watchers_that_vanish_are_replaced,
     "a router that hears nobody watches itself": a_router_that_hears_nobody_watches_itself,
     "enough routers watch": enough_routers_watch,
+    "few routers read everything after a restore": few_routers_read_everything_after_a_restore,
+    "a restore is detected with the initial readers cut off": (
+        a_restore_is_detected_with_the_initial_readers_cut_off
+    ),
 }
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry
 
 
@@ -67,6 +68,16 @@
     """Of the route table in force there: whoever has an older one must fetch it."""
     changed: tuple[BackendEntry, ...] = ()
     gone: tuple[str, ...] = ()
+    era: int = 0
+    """Of the source, at both positions; 0 from a router that sends no era."""
+
+    def start_position(self) -> SourcePosition:
+        """Return the position that a router must have reached to apply the changes."""
+        return SourcePosition(self.era, self.after)
+
+    def end_position(self) -> SourcePosition:
+        """Return the position that the changes lead to."""
+        return SourcePosition(self.era, self.position)
 
 
 class RouterState(msgspec.Struct, array_like=True):
@@ -105,3 +116,9 @@
     """Backends that name a limit, or did a moment ago."""
     is_asking: bool = False
     """Whether this router stood still, and wants to be told the others' states at once."""
+    era: int = 0
+    """Of the source, at ``position``; 0 from a router that sends no era."""
+
+    def source_position(self) -> SourcePosition:
+        """Return the position up to which the router knows the source."""
+        return SourcePosition(self.era, self.position)
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from yokedock.base.options import Problems, address, between, one_of, option, read_ini, read_section
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -104,7 +105,7 @@
     if problems.lines or table is None:
         raise SettingsInvalid(problems.text())
     return StateSnapshot(
-        table.version,
+        SourcePosition(revision=table.version),
         _table(table, found),
         {name: _entry(name, options) for name, options in found["backend"].items()},
     )
@@ -126,7 +127,7 @@
         except (OSError, SettingsInvalid) as error:
             raise PlatformUnavailable(f"{self._path}: {error}") from None
 
-    async def wait(self, position: int, longest_s: float) -> StateChanges:
+    async def wait(self, position: SourcePosition, longest_s: float) -> StateChanges:
         """Return nothing while the file stays as it is; raises ``HistoryGone`` when it changed."""
         await asyncio.sleep(min(POLL_S, longest_s))
         try:
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
+from yokedock.connection.source_position import SourcePosition
 from yokedock.version.route_table import RouteTable
 
 
-class BackendEntry(msgspec.Struct, frozen=True):
+class BackendEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """One live backend as its registry lists it."""
 
     instance: str
@@ -24,12 +25,14 @@
     born_ms: int = 0
     """Unix millisecond at which this life began, 0 if it does not say: it may start anew under the
     identifier that it had."""
+    revision: int = 0
+    """Of the source, at which the entry was written; 0 if unknown."""
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
-    """All that the source knows at ``position``, which only grows."""
+    """All that the source knows at ``position``."""
 
-    position: int
+    position: SourcePosition
     table: RouteTable | None
     backends: dict[str, BackendEntry]
     undecoded: tuple[str, ...] = ()
@@ -39,7 +42,7 @@
 class StateChanges(msgspec.Struct, frozen=True):
     """What has changed since an earlier position."""
 
-    position: int
+    position: SourcePosition
     table: RouteTable | None = None
     changed: tuple[BackendEntry, ...] = ()
     gone: tuple[str, ...] = ()
@@ -58,7 +61,7 @@
         """Return everything."""
 
     @abc.abstractmethod
-    async def wait(self, position: int, longest_s: float) -> StateChanges:
+    async def wait(self, position: SourcePosition, longest_s: float) -> StateChanges:
         """Return what has changed after ``position``, or nothing after ``longest_s``.
 
         Raises ``HistoryGone`` when the source no longer knows what came after ``position``.
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -147,7 +147,7 @@
     )
 
 
-def backend_entry(instance: str, document: bytes) -> BackendEntry:
+def backend_entry(instance: str, document: bytes, revision: int = 0) -> BackendEntry:
     """Translate a server's entry; raises ``ValueError`` if it is none, naming field and reason."""
     if len(document) > MOST_ENTRY_BYTES:
         raise ValueError(f"{len(document)} bytes, an entry has at most {MOST_ENTRY_BYTES}")
@@ -162,6 +162,7 @@
         is_leaving=stored.state == DRAINING,
         role=stored.stage,
         born_ms=stored.born,
+        revision=revision,
     )
 
 
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -13,6 +13,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.http_get import HttpGetter
 from yokedock.connection.short_call import ShortAnswer
+from yokedock.connection.source_position import NO_ERA, SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
     StateChanges,
@@ -44,6 +45,8 @@
 MOST_CHANGES = 1.5
 """Changes may have this many times the bytes of everything read at once: a watch from far behind
 brings every version since, each whole, and all but the newest are of no use."""
+MOST_DIGITS = 18
+"""Decimal digits of the longest era that is accepted: it fits 64 bits."""
 MOST_LOGGED = 1_000
 """Items that are remembered as logged, 150 kB; more are a flood."""
 MOST_REASON = 200
@@ -94,7 +97,7 @@
     async def read(self) -> StateSnapshot:
         """Return the newest configuration and all servers."""
         items: dict[str, StoredItem] = {}
-        position = None
+        position: SourcePosition | None = None
         size = 0
         after = ""
         while True:
@@ -105,7 +108,12 @@
             self._log_era_change(answer)
             page = _decode(answer, RangePage)
             size += len(answer.body)
-            position = page.at if position is None else min(position, page.at)
+            page_position = SourcePosition(_reported_era(answer), page.at)
+            if position is not None and (
+                page_position.era != position.era or page_position < position
+            ):
+                raise HistoryGone("the store was restored from a backup during a read")
+            position = page_position if position is None else position
             items |= {item.key: item for item in page.items}
             if not page.more or not page.items:
                 break
@@ -115,10 +123,10 @@
         backends = {entry.instance: entry for entry in changes.changed}
         return StateSnapshot(position, changes.table, backends, changes.undecoded)
 
-    async def wait(self, position: int, longest_s: float) -> StateChanges:
+    async def wait(self, position: SourcePosition, longest_s: float) -> StateChanges:
         """Return what has changed after ``position``, or nothing after ``longest_s``."""
         wait_ms = round(longest_s * MS_A_SECOND)
-        target = f"{WATCH_PATH}?pathPrefix={EVERYTHING}&after={position}"
+        target = f"{WATCH_PATH}?pathPrefix={EVERYTHING}&after={position.revision}"
         target += f"&{WAIT_FIELD}={wait_ms}"
         most_bytes = max(ALWAYS_READ_BYTES, round(MOST_CHANGES * self._whole_bytes))
         try:
@@ -127,9 +135,10 @@
             raise HistoryGone(f"all at once is less than what has changed: {error}") from None
         self._log_era_change(answer)
         if answer.status == HISTORY_GONE:
-            raise HistoryGone("the store has dropped its history")
+            raise HistoryGone(f"the store has no changes after revision {position.revision}")
         watched = _decode(answer, WatchAnswer)
-        return translate(watched.events, max(position, watched.at), self.is_news)
+        reported = SourcePosition(_reported_era(answer), watched.at)
+        return translate(watched.events, reported, self.is_news)
 
     def _log_era_change(self, answer: ShortAnswer) -> None:
         """Log the Store-Era header of an answer if it differs from the previous answer's."""
@@ -157,6 +166,12 @@
         return self._getter.share_read()
 
 
+def _reported_era(answer: ShortAnswer) -> int:
+    """Return the era in the headers of an answer, ``NO_ERA`` if it is absent or malformed."""
+    era = answer.head.get(ERA_HEADER) or ""
+    return int(era) if era.isascii() and era.isdecimal() and len(era) <= MOST_DIGITS else NO_ERA
+
+
 def _decode(answer: ShortAnswer, kind: type[Document]) -> Document:
     if answer.status != OK:
         raise PlatformUnavailable(f"the store answered {answer.status}")
@@ -168,7 +183,7 @@
 
 def translate(
     items: tuple[StoredItem, ...],
-    position: int,
+    position: SourcePosition,
     is_news: Callable[[StoredItem], bool] = lambda item: True,
 ) -> StateChanges:
     """Turn items into changes; an item that is not understood is counted, and logged if news.
@@ -186,7 +201,7 @@
             table = decoded or table
         elif item.key.startswith(SERVERS_PREFIX):
             instance = item.key[len(SERVERS_PREFIX) :]
-            read = functools.partial(backend_entry, instance)
+            read = functools.partial(backend_entry, instance, revision=item.revision)
             entry = None if item.gone else _decoded(read, item, is_news)
             last[instance] = entry
             if entry is None and not item.gone:
--- a/src/yokedock/process/fleet_talk.py
+++ b/src/yokedock/process/fleet_talk.py
@@ -68,7 +68,7 @@
             self._incarnation_ms,
             sequence,
             parts.follower.version,
-            parts.follower.position,
+            parts.follower.position.revision,
             parts.stop.is_stopping,
             parts.placement.waiting_in_time(),
             parts.ledger.shares(),
@@ -83,6 +83,7 @@
             parts.poison.told(),
             parts.backends.said_leaving(),
             parts.backends.limits(),
+            era=parts.follower.position.era,
         )
 
     def source_contacts(self) -> list[SourceContact]:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -18,6 +18,7 @@
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.http_heads import whole_answer
 from yokedock.connection.router_gossip import RouterGossip
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import StateSource
 from yokedock.errors import (
     NotFound,
@@ -219,7 +220,7 @@
         _log.info("stopped", name=self.settings.process.name)
 
     @property
-    def position(self) -> int:
+    def position(self) -> SourcePosition:
         """Return how far the state is known."""
         return self._follower.position
 
@@ -350,7 +351,8 @@
             "routers_heard": self._gossip.fleet_size(),
             "routers_behind": self._exchange.behind(),
             "table_version": self._follower.version,
-            "state_position": self._follower.position,
+            "state_era": self._follower.position.era,
+            "state_position": self._follower.position.revision,
             "state_reads_not_taken": self._follower.reads_not_taken,
             "state_undecoded": self._follower.undecoded,
             "state_silent_s": self._follower.silent_s(),
--- a/src/yokedock/process/router_upkeep.py
+++ b/src/yokedock/process/router_upkeep.py
@@ -64,6 +64,7 @@
         tables = self._tables
         sizes = {
             "backends": len(tables.registry.names()),
+            "withdrawals": tables.registry.withdrawal_count(),
             "pace": tables.ledger.pace.size(),
             "promises": tables.ledger.size(),
             "resting_connections": tables.pool.size(),
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -21,6 +21,7 @@
 from yokedock.connection.router_gossip import OtherRouter
 from yokedock.connection.router_state import RouterState
 from yokedock.connection.short_call import AnswerProgress, CallLimits, ShortCall, short_call
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
 from yokedock.errors import BadRequest
 from yokedock.process.state_follower import GATHER_S, StateFollower
@@ -60,13 +61,15 @@
     backends: dict[str, BackendEntry]
     packed_table: bytes = b""
     """The route table in MessagePack, packed by zlib; empty if the asker knows it."""
+    era: int = 0
+    """Of the source, at ``position``; 0 from a router that sends no era."""
 
 
 class StateMark(msgspec.Struct, frozen=True):
     """How far a state goes."""
 
     version: int
-    position: int
+    position: SourcePosition
 
     def is_reached_by(self, other: StateMark) -> bool:
         """Return whether ``other`` goes at least as far."""
@@ -100,7 +103,9 @@
         packed = b""
         if known.table is not None and known.table.version > int(asked):
             packed = self._pack(known.table)
-        return msgspec.msgpack.encode(PackedState(known.position, known.backends, packed))
+        position = known.position
+        state = PackedState(position.revision, known.backends, packed, position.era)
+        return msgspec.msgpack.encode(state)
 
     def _pack(self, table: RouteTable) -> bytes:
         if self._packed[0] != table.version:
@@ -181,14 +186,15 @@
         _log.info(
             "state taken over",
             router=address,
-            position=snapshot.position,
+            era=snapshot.position.era,
+            position=snapshot.position.revision,
             version=self._follower.version,
             bytes=len(answer.body),
         )
 
 
 def _mark_of(state: RouterState) -> StateMark:
-    return StateMark(state.table_version, state.position)
+    return StateMark(state.table_version, state.source_position())
 
 
 def unpack(body: bytes) -> StateSnapshot:
@@ -201,4 +207,4 @@
         if unpacker.unconsumed_tail:
             raise zlib.error(f"the table has over {MOST_TABLE_BYTES} bytes unpacked")
         table = msgspec.msgpack.decode(encoded, type=RouteTable)
-    return StateSnapshot(packed.position, table, packed.backends)
+    return StateSnapshot(SourcePosition(packed.era, packed.position), table, packed.backends)
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -10,10 +10,17 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import StateNews
-from yokedock.connection.state_source import StateChanges, StateSnapshot, StateSource
+from yokedock.connection.source_position import NO_ERA, SourcePosition
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
 from yokedock.errors import PlatformUnavailable
 from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.list_restoration import MISSING_GRACE_S
 from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteIndex, RouteTable
 
@@ -33,6 +40,16 @@
 """A source that drops its history again within this time of a whole read is asked after a pause."""
 DUTY_CHECK_S = 0.1
 """A router at rest looks so often whether it is to watch the source itself."""
+SHORTEST_READ_DELAY_S = 0.8
+LONGEST_READ_DELAY_S = 1.6
+"""When every router has to read everything, all but the initial readers wait this long for the
+state of another router, which is announced within 0.3 s and then fetched. The random spread keeps
+routers from reading simultaneously when the initial readers are cut off."""
+RECONNECT_WATCH_S = 0.01
+"""Longest rest of the first watch after a failed call. A source that was restored to exactly the
+watched revision has no changes to report, and names its new era only when the watch ends."""
+TIMER_SLACK_S = 0.02
+"""How much a timer of the event loop may fire early by the clock of the registry."""
 NEWS_S = 0.1
 """News are told for this time: in the datagram that they cause and in those of the next changes.
 Whoever misses them all fetches the state."""
@@ -53,6 +70,8 @@
         self._duty = duty if source.is_shared else None
         self._has_failed = True
         """Whether the last call to the source failed, or none was made."""
+        self._is_reconnecting = False
+        """Whether no call has been answered since a call failed."""
         self._recent_news: list[tuple[float, StateNews]] = []
         self.on_news: Callable[[], None] = lambda: None
         """Called when the source has told something that the other routers may not know."""
@@ -65,7 +84,11 @@
         self.undecoded = 0
         """Items of the source that were not understood, since the start."""
         self.index: RouteIndex | None = None
-        self.position = 0
+        self.position = SourcePosition()
+        self._last_watch_position = SourcePosition()
+        """Start position of the last watch."""
+        self._reports_era = True
+        """Whether the last full read named an era."""
         self._known = asyncio.Event()
         self._reading: asyncio.Task[Any] | None = None
         """The read of the source that is under way."""
@@ -80,7 +103,7 @@
     @property
     def is_known(self) -> bool:
         """Return whether routes and backends are known."""
-        return self.index is not None and self.position > 0
+        return self.index is not None and self.position > SourcePosition()
 
     async def wait_known(self, timeout_s: float) -> bool:
         """Wait until routes and backends are known; return whether they are."""
@@ -123,9 +146,9 @@
         What is not taken is fetched by the exchange of states, which sees that the other is ahead.
         """
         for news in told:
-            follows = news.after <= self.position < news.position
+            follows = news.start_position() <= self.position < news.end_position()
             if follows and news.version <= self.version and self.is_known:
-                self.position = news.position
+                self.position = news.end_position()
                 self._registry.update(news.changed, news.gone)
 
     def snapshot(self) -> StateSnapshot:
@@ -137,16 +160,17 @@
         """Take over what another router knows, where it is newer.
 
         With a newer table, a read of the source that has just begun is given up: it would bring the
-        same table over the same link, and hold up what comes after it.
+        same table over the same link, and hold up what comes after it. With a later era, so is a
+        watch from a position in the previous one: it may omit changes that this router lacks.
         """
         is_newer = self._adopt_table(snapshot.table)
+        is_newer = is_newer or snapshot.position.era > self.position.era
         has_just_begun = self._source.share_read() < FINISHED_SHARE
         if is_newer and has_just_begun and self._reading is not None:
             self._is_overtaken = True
             self._reading.cancel()
         if snapshot.position > self.position:
-            self.position = snapshot.position
-            self._registry.replace_all(snapshot.backends)
+            self._replace_backends(snapshot.position, snapshot.backends)
         self._note_known()
 
     async def run(self) -> None:
@@ -162,31 +186,57 @@
                     await asyncio.sleep(GATHER_S)
                 wait_s = RETRY_S
             except HistoryGone as error:
-                _log.info("must read all", reason=error.message, position=self.position)
-                must_read = True
+                self._is_reconnecting = False
+                _log.info("must read all", reason=error.message, **self._position_fields())
                 if boot_time_s() - self._read_s < REREAD_S:
                     await asyncio.sleep(RETRY_S)
+                must_read = must_read or not await self._wait_for_peer_state(
+                    self._last_watch_position
+                )
             except PlatformUnavailable as error:
-                self._has_failed = True
-                _log.info("source silent", reason=error.message, position=self.position)
-                must_read = must_read or self.index is None
+                self._has_failed = self._is_reconnecting = True
+                _log.info("source silent", reason=error.message, **self._position_fields())
+                # Without an era, a restore during the outage cannot be detected from changes.
+                must_read = must_read or self.index is None or not self._reports_era
                 await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.0))
                 wait_s = min(2 * wait_s, LONGEST_RETRY_S)
 
+    def _position_fields(self) -> dict[str, int]:
+        """Return the log fields of the current position."""
+        return {"era": self.position.era, "position": self.position.revision}
+
+    async def _wait_for_peer_state(self, start: SourcePosition) -> bool:
+        """Return whether state after ``start`` was taken over from another router.
+
+        All but the initial readers wait for it.
+        """
+        may_wait = self._duty is not None and not self._duty.is_initial_reader()
+        shortest_s, longest_s = SHORTEST_READ_DELAY_S, LONGEST_READ_DELAY_S
+        delay_s = self._random.uniform(shortest_s, longest_s) if may_wait else 0.0
+        latest_s = boot_time_s() + delay_s
+        while self.position == start and boot_time_s() < latest_s:
+            await asyncio.sleep(DUTY_CHECK_S)
+        return self.position > start
+
     async def _read_all(self) -> None:
+        before = self.position
         snapshot = await self._unless_overtaken(self._source.read())
-        if snapshot is not None:
-            self._read_s = boot_time_s()
-            is_taken = self._take_all(snapshot)
-            self.reads_not_taken += not is_taken
-            _log.info(
-                "state read",
-                position=self.position,
-                read_position=snapshot.position,
-                backends=len(snapshot.backends),
-                is_taken=is_taken,
-                version=self.version,
-            )
+        if snapshot is None:
+            return
+        self._read_s = boot_time_s()
+        self._reports_era = snapshot.position.era != NO_ERA
+        read_at = before.position_of_read(snapshot.position)
+        is_taken = self._take_all(snapshot, read_at)
+        self.reads_not_taken += not is_taken
+        _log.info(
+            "state read",
+            **self._position_fields(),
+            read_era=read_at.era,
+            read_position=read_at.revision,
+            backends=len(snapshot.backends),
+            is_taken=is_taken,
+            version=self.version,
+        )
 
     async def _unless_overtaken(self, read: Coroutine[Any, Any, Answer]) -> Answer | None:
         """Return what the source answers, None once another router has brought it."""
@@ -199,7 +249,7 @@
             task = asyncio.current_task()
             if not self._is_overtaken or (task is not None and task.cancelling()):
                 raise
-            _log.info("read overtaken", position=self.position, version=self.version)
+            _log.info("read overtaken", **self._position_fields(), version=self.version)
             return None
         finally:
             self._reading = None
@@ -212,53 +262,83 @@
     async def _follow(self) -> bool:
         """Wait for changes and take them over; return whether there were any."""
         await self._until_due()
-        longest_s = self._duty.watch_s() if self._duty is not None else OWN_WATCH_S
-        before = self.position
-        changes = await self._unless_overtaken(self._source.wait(before, longest_s))
-        if changes is None:
+        before = self._last_watch_position = self.position
+        changes = await self._unless_overtaken(self._source.wait(before, self._watch_s()))
+        if changes is None or self.position.era > before.era:
             return False
+        position = before.position_of_changes(changes.position)
         self._note_answer()
         self.undecoded += len(changes.undecoded)
         self._adopt_table(changes.table)
-        if changes.position < self.position:
+        if position < self.position:
             return False
-        self._note_news(before, changes)
-        self.position = changes.position
+        self._note_news(before, position, changes)
+        self.position = position
         if changes.changed or changes.gone:
             self._registry.update(changes.changed, changes.gone)
             _log.info(
                 "backends changed",
-                position=self.position,
+                **self._position_fields(),
                 changed=[f"{e.instance}:{e.role}:{e.is_leaving}" for e in changes.changed],
                 gone=list(changes.gone),
             )
         return changes.table is not None or bool(changes.changed or changes.gone)
 
+    def _watch_s(self) -> float:
+        """Return how long the next watch may rest."""
+        if self._is_reconnecting:
+            return RECONNECT_WATCH_S
+        return self._duty.watch_s() if self._duty is not None else OWN_WATCH_S
+
     def _note_answer(self) -> None:
         self._heard_s = boot_time_s()
-        self._has_failed = False
+        self._has_failed = self._is_reconnecting = False
 
-    def _note_news(self, before: int, changes: StateChanges) -> None:
+    def _note_news(
+        self, before: SourcePosition, position: SourcePosition, changes: StateChanges
+    ) -> None:
         """Keep what the source told, if it fits into a datagram, and have it sent."""
-        if changes.position <= before and changes.table is None:
+        if position <= before and changes.table is None:
             return
         if len(changes.changed) + len(changes.gone) <= MOST_IN_NEWS:
-            news = StateNews(before, changes.position, self.version, changes.changed, changes.gone)
+            news = StateNews(
+                before.revision,
+                position.revision,
+                self.version,
+                changes.changed,
+                changes.gone,
+                position.era,
+            )
             self._recent_news.append((boot_time_s(), news))
         self.on_news()
 
-    def _take_all(self, snapshot: StateSnapshot) -> bool:
+    def _take_all(self, snapshot: StateSnapshot, read_at: SourcePosition) -> bool:
         """Apply a whole read; return False if it was too old for its backends to be used."""
         self._note_answer()
         self.undecoded += len(snapshot.undecoded)
         self._adopt_table(snapshot.table)
-        is_current = snapshot.position >= self.position
-        if is_current:
-            self.position = snapshot.position
-            self._registry.replace_all(snapshot.backends)
+        is_current = read_at >= self.position
+        if is_current and self._replace_backends(read_at, snapshot.backends):
+            self.on_news()
         self._note_known()
         return is_current
 
+    def _replace_backends(
+        self, position: SourcePosition, backends: dict[str, BackendEntry]
+    ) -> bool:
+        """Replace all backends by those at ``position``; return whether the source was restored."""
+        is_restored = self.position > SourcePosition() and position.era > self.position.era
+        self.position = position
+        if is_restored:
+            self._registry.restore_all(backends)
+            delay_s = MISSING_GRACE_S + TIMER_SLACK_S
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._registry.apply_restoration_timeouts)
+            _log.info("source restored from a backup", **self._position_fields())
+        else:
+            self._registry.replace_all(backends)
+        return is_restored
+
     def _adopt_table(self, table: RouteTable | None) -> bool:
         """Put a newer table in force; return whether it was newer."""
         if table is None or table.version <= self.version:
--- a/src/yokedock/process/watch_duty.py
+++ b/src/yokedock/process/watch_duty.py
@@ -81,6 +81,15 @@
                     return False
         return True
 
+    def is_initial_reader(self) -> bool:
+        """Return whether this router reads at once when every router has to read everything.
+
+        The others wait for its state: hundreds of full reads within a second would overload the
+        source.
+        """
+        staying = (contact for contact in self._contacts() if not contact.is_leaving)
+        return sum(_rank(contact.router) < self._rank for contact in staying) < MOST_WATCHERS
+
     def watch_s(self) -> float:
         """Return how long a watch may rest."""
         others = sum(1 for _ in self._contacts())
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -15,9 +15,10 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
-from yokedock.request.backend_life import Backend
+from yokedock.request.backend_life import Backend, life_name
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_notices import SAID_KEPT_S
+from yokedock.request.list_restoration import ListRestoration
 from yokedock.request.service_supply import ServiceSupply
 
 _log = logger("backends")
@@ -56,6 +57,7 @@
         """The newest life of each backend, by identifier."""
         self._members: dict[tuple[str, str | None], list[Backend]] | None = None
         """Backends by service and role, and by service alone; None after a change of the list."""
+        self._restoration = ListRestoration()
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
         self.connection_share: Callable[[str], float] = lambda service: math.inf
@@ -78,26 +80,54 @@
         return name in self._all_changing
 
     def replace_all(self, entries: dict[str, BackendEntry]) -> None:
-        """Take over a whole list: what it does not name is gone."""
-        gone = [instance for instance in self._newest if instance not in entries]
-        self.update(entries.values(), gone)
+        """Take over a whole list: what it does not name is gone.
+
+        After ``restore_all``, backends within their grace period are kept.
+        """
+        is_missing = self._restoration.is_missing
+        gone = [name for name in self._newest if name not in entries and not is_missing(name)]
+        now_s = self._clock()
+        for entry in entries.values():
+            self._put(entry, now_s)
+        self._remove(gone, now_s)
+
+    def restore_all(self, entries: dict[str, BackendEntry]) -> None:
+        """Take over a whole list whose source has been restored from a backup.
+
+        Backends that it does not name are kept for a grace period. A life that was leaving or
+        removed does not become ready by an entry of the backup.
+        """
+        now_s = self._clock()
+        listed = [instance for instance, backend in self._newest.items() if backend.is_listed]
+        self._restoration.begin(listed, entries, now_s)
+        for entry in entries.values():
+            self._restoration.hold(self._life_name_of(entry), now_s)
+        self.replace_all(entries)
 
     def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
-        """Take over changes."""
+        """Take over changes that were written to the source."""
         now_s = self._clock()
-        self._members = None
         for entry in changed:
+            self._restoration.release(self._life_name_of(entry))
             self._put(entry, now_s)
-        for instance in gone:
-            backend = self._newest.get(instance)
-            if backend is None:
-                continue
-            backend.is_listed = False
-            backend.note_unlisted(now_s)
-        self.on_change()
+        self._remove(gone, now_s)
+
+    def apply_restoration_timeouts(self) -> None:
+        """Remove missing backends after their grace period, and use confirmed ones again."""
+        now_s = self._clock()
+        expired = self._restoration.pop_expired_missing(now_s)
+        held = (self._backends.get(name) for name in self._restoration.pop_confirmed(now_s))
+        confirmed = [backend for backend in held if backend is not None and backend.is_listed]
+        for backend in confirmed:
+            backend.note_listed()
+        if expired or confirmed:
+            names = [backend.name for backend in confirmed]
+            _log.info("restored list reconciled", gone=expired, back=names)
+            self._remove(expired, now_s)
 
     def drop_gone(self) -> None:
         """Drop backends that left long ago and have nothing under way, and limits that ended."""
+        self.apply_restoration_timeouts()
         now_s = self._clock()
         for name, backend in list(self._backends.items()):
             backend.limit.drop_if_over(now_s)
@@ -110,6 +140,8 @@
                 self._members = None
                 if self._newest.get(backend.entry.instance) is backend:
                     del self._newest[backend.entry.instance]
+        listed = {backend.name for backend in self._newest.values() if backend.is_listed}
+        self._restoration.drop_expired(listed, now_s)
 
     def note_waiting(self, service: str, count: int, since_s: float) -> None:
         """Note how many requests wait here for the backends of a service.
@@ -157,10 +189,17 @@
         """Return the names of all lives, those that ended a moment ago included."""
         return set(self._backends)
 
+    def withdrawal_count(self) -> int:
+        """Return the number of withdrawals and missing backends that are kept."""
+        return self._restoration.size()
+
     def entries(self) -> dict[str, BackendEntry]:
-        """Return all entries that are listed now, by identifier."""
-        listed = self._newest.items()
-        return {instance: b.entry for instance, b in listed if b.unlisted_since_s is None}
+        """Return all listed entries by identifier, without backends in their grace period."""
+        return {
+            instance: backend.entry
+            for instance, backend in self._newest.items()
+            if backend.is_listed and not self._restoration.is_missing(instance)
+        }
 
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
         """Return the backends of a service that may be used, sound ones if there are any.
@@ -252,6 +291,24 @@
             cost *= OTHER_ZONE_COST
         return cost * (1.0 + self._random.random() * JITTER)
 
+    def _remove(self, gone: Iterable[str], now_s: float) -> None:
+        """Mark backends as no longer listed, and call ``on_change``."""
+        self._members = None
+        for instance in gone:
+            self._restoration.clear_missing(instance)
+            backend = self._newest.get(instance)
+            if backend is None:
+                continue
+            self._restoration.record_withdrawal(backend.name, False, backend.entry.revision, now_s)
+            backend.is_listed = False
+            backend.note_unlisted(now_s)
+        self.on_change()
+
+    def _life_name_of(self, entry: BackendEntry) -> str:
+        """Return the name of an entry's life: the newest known if the entry has no start time."""
+        newest = self._newest.get(entry.instance)
+        return newest.name if newest is not None and not entry.born_ms else life_name(entry)
+
     def _put(self, entry: BackendEntry, now_s: float) -> None:
         before = self._newest.get(entry.instance)
         if before is not None and 0 < entry.born_ms < before.entry.born_ms:
@@ -262,15 +319,23 @@
             entry = msgspec.structs.replace(entry, born_ms=before.entry.born_ms)
         is_known = before is not None and before.entry.born_ms == entry.born_ms
         backend = before if before is not None and is_known else self._begin(entry, before, now_s)
-        backend.entry = entry
+        self._restoration.clear_missing(entry.instance)
         if entry.is_leaving:
-            backend.is_listed = True
-            if not is_known:
-                # Since when is not known: it may have been leaving for longer than it may be used.
-                backend.note_gone(now_s)
-            backend.note_unlisted(now_s)
+            self._restoration.record_withdrawal(backend.name, True, backend.entry.revision, now_s)
+        elif self._restoration.is_held(backend.name, entry.revision):
+            is_leaving = self._restoration.is_leaving(backend.name)
+            entry = msgspec.structs.replace(entry, is_leaving=is_leaving)
         else:
+            self._restoration.clear_withdrawal(backend.name)
+            backend.entry = entry
             backend.note_listed()
+            return
+        backend.entry = entry
+        backend.is_listed = True
+        if not is_known:
+            # Since when is not known: it may have been leaving for longer than it may be used.
+            backend.note_gone(now_s)
+        backend.note_unlisted(now_s)
 
     def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
         """Begin a new life; of the one before nothing is kept but how soon it ended."""
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -1,7 +1,7 @@
 """A stand-in of the users' metadata store: what operators and backends write, as routers read it.
 
-It answers the two reading calls that the router makes. Its history is dropped only when it comes
-back from a copy: the newest revisions are lost then, and given out again.
+It answers the two reading calls that the router makes. History is dropped only by a restore from a
+backup, which loses the newest revisions and assigns them again.
 """
 
 from __future__ import annotations
@@ -36,12 +36,12 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self.tells_era = True
-        """Whether its answers name the era, which rises with each return from a copy."""
+        self.reports_era = True
+        """Whether answers name the era, which increases with each restore."""
         self.calls = 0
         """Calls that were answered."""
         self._era = 1
-        self._is_away = False
+        self._is_offline = False
         self._writers: set[asyncio.StreamWriter] = set()
         self._items: dict[str, StoredItem] = {}
         self._events: list[StoredItem] = []
@@ -78,18 +78,18 @@
         del self._items[key]
         self._note(StoredItem(key, revision=self._revision, gone=True))
 
-    def go_away(self) -> None:
-        """Reset all connections, and each that comes, until ``come_back``."""
-        self._is_away = True
+    def go_offline(self) -> None:
+        """Reset all connections, and new ones until ``go_online`` is called."""
+        self._is_offline = True
         for writer in self._writers:
             writer.transport.abort()
 
-    def come_back(self) -> None:
-        """Answer again."""
-        self._is_away = False
+    def go_online(self) -> None:
+        """Resume answering."""
+        self._is_offline = False
 
-    def restore_copy(self, lost: int) -> None:
-        """Go on from a copy that lacks the newest ``lost`` revisions: they are given out again."""
+    def restore_backup(self, lost: int) -> None:
+        """Restore a backup that lacks the newest ``lost`` revisions, which are assigned again."""
         self._revision = max(0, self._revision - lost)
         self._events = [event for event in self._events if event.revision <= self._revision]
         self._items = {}
@@ -114,25 +114,25 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
-            while not self._is_away and (request := await read_request(reader)) is not None:
+            while not self._is_offline and (request := await read_request(reader)) is not None:
                 answer = await self._answer(request)
-                if not self._is_away:
+                if not self._is_offline:
                     writer.write(answer)
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
             self._writers.discard(writer)
-            writer.transport.abort() if self._is_away else writer.close()
+            writer.transport.abort() if self._is_offline else writer.close()
 
     async def _answer(self, request: PlainRequest) -> bytes:
-        """Return the whole answer to a request."""
-        status, document = await self._find(request)
+        """Return the encoded answer to a request."""
+        status, document = await self._handle(request)
         self.calls += 1
-        headers = [(ERA_HEADER, str(self._era))] if self.tells_era else []
+        headers = [(ERA_HEADER, str(self._era))] if self.reports_era else []
         return whole_answer(status, headers, msgspec.json.encode(document))
 
-    async def _find(self, request: PlainRequest) -> tuple[int, RangePage | WatchAnswer | None]:
-        """Return the status of the answer and what it says."""
+    async def _handle(self, request: PlainRequest) -> tuple[int, RangePage | WatchAnswer | None]:
+        """Return the status and the document of the answer to a request."""
         url = urlsplit(request.target)
         if url.path == RANGE_PATH:
             return OK, RangePage(tuple(self._items.values()), more=False, at=self._revision)
