Split BackendList from BackendRegistry, and RecentNews from StateFollower

Behaviour is unchanged except for the order of two lines: the position is now advanced before the datagram is requested. The datagram is sent later in either case.

251 scenarios of routers, notices, limits, lives and streams pass.

--- a/features/support/upkeep_properties.py
+++ b/features/support/upkeep_properties.py
@@ -15,7 +15,8 @@
 from yokedock.errors import YokedockError
 from yokedock.process.leadership import Leadership, Vote
 from yokedock.process.router_metrics import GONE_ROUTES, MOST_KEPT, MOST_ROUTES, RouterMetrics
-from yokedock.request.backend_registry import GONE_KEPT_S, BackendRegistry
+from yokedock.request.backend_list import GONE_KEPT_S
+from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 
 
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -13,11 +13,11 @@
 from yokedock.connection.source_position import NO_ERA, SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
-    StateChanges,
     StateSnapshot,
     StateSource,
 )
 from yokedock.errors import PlatformUnavailable
+from yokedock.process.state_news import RecentNews
 from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.list_restoration import MISSING_GRACE_S
@@ -50,11 +50,6 @@
 watched revision has no changes to report, and names its new era only when the watch ends."""
 TIMER_SLACK_S = 0.02
 """How much a timer of the event loop may fire early by the clock of the registry."""
-NEWS_S = 0.1
-"""News are told for this time: in the datagram that they cause and in those of the next changes.
-Whoever misses them all fetches the state."""
-MOST_IN_NEWS = 6
-"""Backends in one news: 110 bytes each, the datagram must stay below 1,400."""
 Answer = TypeVar("Answer")
 
 
@@ -72,7 +67,7 @@
         """Whether the last call to the source failed, or none was made."""
         self._is_reconnecting = False
         """Whether no call has been answered since a call failed."""
-        self._recent_news: list[tuple[float, StateNews]] = []
+        self._recent_news = RecentNews()
         self.on_news: Callable[[], None] = lambda: None
         """Called when the source has told something that the other routers may not know."""
         self._random = random.Random()
@@ -136,9 +131,7 @@
 
     def news(self) -> tuple[StateNews, ...]:
         """Return what the source told a moment ago, for the other routers."""
-        oldest_s = boot_time_s() - NEWS_S
-        self._recent_news = [told for told in self._recent_news if told[0] >= oldest_s]
-        return tuple(news for _, news in self._recent_news)
+        return self._recent_news.unexpired()
 
     def take_news(self, told: tuple[StateNews, ...]) -> None:
         """Take over what another router learned, where this one knows all that came before.
@@ -272,8 +265,10 @@
         self._adopt_table(changes.table)
         if position < self.position:
             return False
-        self._note_news(before, position, changes)
         self.position = position
+        if position > before or changes.table is not None:
+            self._recent_news.add(before, position, self.version, changes)
+            self.on_news()
         if changes.changed or changes.gone:
             self._registry.update(changes.changed, changes.gone)
             _log.info(
@@ -294,24 +289,6 @@
         self._heard_s = boot_time_s()
         self._has_failed = self._is_reconnecting = False
 
-    def _note_news(
-        self, before: SourcePosition, position: SourcePosition, changes: StateChanges
-    ) -> None:
-        """Keep what the source told, if it fits into a datagram, and have it sent."""
-        if position <= before and changes.table is None:
-            return
-        if len(changes.changed) + len(changes.gone) <= MOST_IN_NEWS:
-            news = StateNews(
-                before.revision,
-                position.revision,
-                self.version,
-                changes.changed,
-                changes.gone,
-                position.era,
-            )
-            self._recent_news.append((boot_time_s(), news))
-        self.on_news()
-
     def _take_all(self, snapshot: StateSnapshot, read_at: SourcePosition) -> bool:
         """Apply a whole read; return False if it was too old for its backends to be used."""
         self._note_answer()
--- /dev/null
+++ b/src/yokedock/request/backend_list.py
@@ -0,0 +1,212 @@
+"""The lives of all known backends, kept in step with the list that the platform publishes.
+
+The list arrives whole or as changes. A life that is no longer listed is kept for a while because
+requests to it may still be under way and because it may be listed again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from yokedock.base.clock import boot_time_s
+from yokedock.base.logs import logger
+from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_life import Backend, life_name
+from yokedock.request.backend_limits import BackendLimits
+from yokedock.request.backend_notices import SAID_KEPT_S
+from yokedock.request.list_restoration import ListRestoration
+
+_log = logger("backends")
+
+GONE_KEPT_S = 10.0
+"""What answers showed of a backend is kept for this long after it left: it may come back."""
+
+
+class BackendList:
+    """Backends by the name of their life. ``on_change`` is called after every change of the list.
+
+    ``on_new_life`` is called with the life that ended when a backend has started anew.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float] = boot_time_s, limits: BackendLimits | None = None
+    ) -> None:
+        """Start empty; ``clock`` returns the boot time in seconds."""
+        self.limits = limits or BackendLimits()
+        self._clock = clock
+        self._backends: dict[str, Backend] = {}
+        self._newest: dict[str, Backend] = {}
+        """The newest life of each backend, by identifier."""
+        self._members: dict[tuple[str, str | None], list[Backend]] | None = None
+        """Backends by service and role, and by service alone; None after a change of the list."""
+        self._restoration = ListRestoration()
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_new_life: Callable[[Backend], None] = lambda backend: None
+
+    def replace_all(self, entries: dict[str, BackendEntry]) -> None:
+        """Take over a whole list: what it does not name is gone.
+
+        After ``restore_all``, backends within their grace period are kept.
+        """
+        is_missing = self._restoration.is_missing
+        gone = [name for name in self._newest if name not in entries and not is_missing(name)]
+        now_s = self._clock()
+        for entry in entries.values():
+            self._put(entry, now_s)
+        self._remove(gone, now_s)
+
+    def restore_all(self, entries: dict[str, BackendEntry]) -> None:
+        """Take over a whole list whose source has been restored from a backup.
+
+        Backends that it does not name are kept for a grace period. A life that was leaving or
+        removed does not become ready by an entry of the backup.
+        """
+        now_s = self._clock()
+        listed = [instance for instance, backend in self._newest.items() if backend.is_listed]
+        self._restoration.begin(listed, entries, now_s)
+        for entry in entries.values():
+            self._restoration.hold(self._life_name_of(entry), now_s)
+        self.replace_all(entries)
+
+    def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
+        """Take over changes that were written to the source."""
+        now_s = self._clock()
+        for entry in changed:
+            self._restoration.release(self._life_name_of(entry))
+            self._put(entry, now_s)
+        self._remove(gone, now_s)
+
+    def apply_restoration_timeouts(self) -> None:
+        """Remove missing backends after their grace period, and use confirmed ones again."""
+        now_s = self._clock()
+        expired = self._restoration.pop_expired_missing(now_s)
+        held = (self._backends.get(name) for name in self._restoration.pop_confirmed(now_s))
+        confirmed = [backend for backend in held if backend is not None and backend.is_listed]
+        for backend in confirmed:
+            backend.note_listed()
+        if expired or confirmed:
+            names = [backend.name for backend in confirmed]
+            _log.info("restored list reconciled", gone=expired, back=names)
+            self._remove(expired, now_s)
+
+    def drop_gone(self) -> None:
+        """Drop backends that left long ago and have nothing under way, and limits that ended."""
+        self.apply_restoration_timeouts()
+        now_s = self._clock()
+        for name, backend in list(self._backends.items()):
+            backend.limit.drop_if_over(now_s)
+            has_said = not backend.has_ended and backend.notices.matter(now_s)
+            oldest_s = now_s - (SAID_KEPT_S if has_said else GONE_KEPT_S)
+            since_s = backend.unlisted_since_s
+            is_long_gone = not backend.is_listed and since_s is not None and since_s < oldest_s
+            if is_long_gone and not backend.outstanding:
+                del self._backends[name]
+                self._members = None
+                if self._newest.get(backend.entry.instance) is backend:
+                    del self._newest[backend.entry.instance]
+        listed = {backend.name for backend in self._newest.values() if backend.is_listed}
+        self._restoration.drop_expired(listed, now_s)
+
+    def now_s(self) -> float:
+        """Return the time by the clock of all that is believed here (boot time)."""
+        return self._clock()
+
+    def lives(self) -> Iterable[Backend]:
+        """Return all lives that are known, those that ended a moment ago included."""
+        return self._backends.values()
+
+    def get(self, name: str) -> Backend | None:
+        """Return a backend by the name of its life."""
+        return self._backends.get(name)
+
+    def names(self) -> set[str]:
+        """Return the names of all lives, those that ended a moment ago included."""
+        return set(self._backends)
+
+    def withdrawal_count(self) -> int:
+        """Return the number of withdrawals and missing backends that are kept."""
+        return self._restoration.size()
+
+    def entries(self) -> dict[str, BackendEntry]:
+        """Return all listed entries by identifier, without backends in their grace period."""
+        return {
+            instance: backend.entry
+            for instance, backend in self._newest.items()
+            if backend.is_listed and not self._restoration.is_missing(instance)
+        }
+
+    def members(self, service: str, role: str | None = None) -> list[Backend]:
+        """Return all known backends of a service; the same list until the list of all changes."""
+        if self._members is None:
+            self._members = {}
+            for backend in self._backends.values():
+                entry = backend.entry
+                for key in ((entry.service, None), (entry.service, entry.role)):
+                    self._members.setdefault(key, []).append(backend)
+        return self._members.get((service, role), [])
+
+    def _remove(self, gone: Iterable[str], now_s: float) -> None:
+        """Mark backends as no longer listed, and call ``on_change``."""
+        self._members = None
+        for instance in gone:
+            self._restoration.clear_missing(instance)
+            backend = self._newest.get(instance)
+            if backend is None:
+                continue
+            self._restoration.record_withdrawal(backend.name, False, backend.entry.revision, now_s)
+            backend.is_listed = False
+            backend.note_unlisted(now_s)
+        self.on_change()
+
+    def _life_name_of(self, entry: BackendEntry) -> str:
+        """Return the name of an entry's life: the newest known if the entry has no start time."""
+        newest = self._newest.get(entry.instance)
+        return newest.name if newest is not None and not entry.born_ms else life_name(entry)
+
+    def _put(self, entry: BackendEntry, now_s: float) -> None:
+        before = self._newest.get(entry.instance)
+        if before is not None and 0 < entry.born_ms < before.entry.born_ms:
+            # Said by the life before, and heard late: of this one it says nothing.
+            _log.info("entry of an earlier life", backend=before.name, born_ms=entry.born_ms)
+            return
+        if before is not None and not entry.born_ms:
+            entry = msgspec.structs.replace(entry, born_ms=before.entry.born_ms)
+        is_known = before is not None and before.entry.born_ms == entry.born_ms
+        backend = before if before is not None and is_known else self._begin(entry, before, now_s)
+        self._restoration.clear_missing(entry.instance)
+        if entry.is_leaving:
+            self._restoration.record_withdrawal(backend.name, True, backend.entry.revision, now_s)
+        elif self._restoration.is_held(backend.name, entry.revision):
+            is_leaving = self._restoration.is_leaving(backend.name)
+            entry = msgspec.structs.replace(entry, is_leaving=is_leaving)
+        else:
+            self._restoration.clear_withdrawal(backend.name)
+            backend.entry = entry
+            backend.note_listed()
+            return
+        backend.entry = entry
+        backend.is_listed = True
+        if not is_known:
+            # Since when is not known: it may have been leaving for longer than it may be used.
+            backend.note_gone(now_s)
+        backend.note_unlisted(now_s)
+
+    def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
+        """Begin a new life; of the one before nothing is kept but how soon it ended."""
+        backend = Backend(entry, now_s, self.limits)
+        self._backends[backend.name] = self._newest[entry.instance] = backend
+        if before is not None:
+            backend.succeed(before)
+            before.is_listed = False
+            before.note_gone(now_s)
+            before.end(entry.born_ms)
+            _log.info(
+                "backend started anew",
+                backend=backend.name,
+                lived_s=round(now_s - before.known_s, 1),
+                restarts=backend.restarts,
+            )
+            self.on_new_life(before)
+        return backend
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -1,6 +1,6 @@
-"""All backends that the router knows, and what their answers showed of them.
+"""Selects the backend for a request from all those that the router knows.
 
-The registry follows the platform's list; health is learned from answers alone, without probes.
+Health is derived from the answers to requests alone; there are no probes.
 """
 
 from __future__ import annotations
@@ -8,23 +8,14 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterable
-
-import msgspec
+from collections.abc import Callable
 
 from yokedock.base.clock import boot_time_s
-from yokedock.base.logs import logger
-from yokedock.connection.state_source import BackendEntry
-from yokedock.request.backend_life import Backend, life_name
+from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
-from yokedock.request.backend_notices import SAID_KEPT_S
-from yokedock.request.list_restoration import ListRestoration
+from yokedock.request.backend_list import BackendList
 from yokedock.request.service_supply import ServiceSupply
 
-_log = logger("backends")
-
-GONE_KEPT_S = 10.0
-"""What answers showed of a backend is kept for this long after it left: it may come back."""
 FAILURE_COST = 8.0
 DEFAULT_LATENCY_S = 0.1
 JITTER = 0.05
@@ -35,11 +26,8 @@
 """Shorter silences happen on every machine: two of its processor quotas and a lost packet."""
 
 
-class BackendRegistry:
-    """Backends by the name of their life. ``on_change`` is called after every change of the list.
-
-    ``on_new_life`` is called with the life that ended when a backend has started anew.
-    """
+class BackendRegistry(BackendList):
+    """A backend list that also tells which backends may be used and which should answer soonest."""
 
     def __init__(
         self,
@@ -48,22 +36,13 @@
         limits: BackendLimits | None = None,
     ) -> None:
         """Start empty; ``zone`` is the router's own."""
-        self.limits = limits or BackendLimits()
+        super().__init__(clock, limits)
         self._zone = zone
-        self._clock = clock
         self._random = random.Random()
-        self._backends: dict[str, Backend] = {}
-        self._newest: dict[str, Backend] = {}
-        """The newest life of each backend, by identifier."""
-        self._members: dict[tuple[str, str | None], list[Backend]] | None = None
-        """Backends by service and role, and by service alone; None after a change of the list."""
-        self._restoration = ListRestoration()
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
         self.connection_share: Callable[[str], float] = lambda service: math.inf
         """Returns how many connections this router may have to a backend of a service."""
-        self.on_change: Callable[[], None] = lambda: None
-        self.on_new_life: Callable[[Backend], None] = lambda backend: None
 
     def set_changing(self, router: str, engines: tuple[str, ...]) -> None:
         """Note which engines change their role by an order of ``router``."""
@@ -79,70 +58,6 @@
         """Return whether an engine is changing its role."""
         return name in self._all_changing
 
-    def replace_all(self, entries: dict[str, BackendEntry]) -> None:
-        """Take over a whole list: what it does not name is gone.
-
-        After ``restore_all``, backends within their grace period are kept.
-        """
-        is_missing = self._restoration.is_missing
-        gone = [name for name in self._newest if name not in entries and not is_missing(name)]
-        now_s = self._clock()
-        for entry in entries.values():
-            self._put(entry, now_s)
-        self._remove(gone, now_s)
-
-    def restore_all(self, entries: dict[str, BackendEntry]) -> None:
-        """Take over a whole list whose source has been restored from a backup.
-
-        Backends that it does not name are kept for a grace period. A life that was leaving or
-        removed does not become ready by an entry of the backup.
-        """
-        now_s = self._clock()
-        listed = [instance for instance, backend in self._newest.items() if backend.is_listed]
-        self._restoration.begin(listed, entries, now_s)
-        for entry in entries.values():
-            self._restoration.hold(self._life_name_of(entry), now_s)
-        self.replace_all(entries)
-
-    def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
-        """Take over changes that were written to the source."""
-        now_s = self._clock()
-        for entry in changed:
-            self._restoration.release(self._life_name_of(entry))
-            self._put(entry, now_s)
-        self._remove(gone, now_s)
-
-    def apply_restoration_timeouts(self) -> None:
-        """Remove missing backends after their grace period, and use confirmed ones again."""
-        now_s = self._clock()
-        expired = self._restoration.pop_expired_missing(now_s)
-        held = (self._backends.get(name) for name in self._restoration.pop_confirmed(now_s))
-        confirmed = [backend for backend in held if backend is not None and backend.is_listed]
-        for backend in confirmed:
-            backend.note_listed()
-        if expired or confirmed:
-            names = [backend.name for backend in confirmed]
-            _log.info("restored list reconciled", gone=expired, back=names)
-            self._remove(expired, now_s)
-
-    def drop_gone(self) -> None:
-        """Drop backends that left long ago and have nothing under way, and limits that ended."""
-        self.apply_restoration_timeouts()
-        now_s = self._clock()
-        for name, backend in list(self._backends.items()):
-            backend.limit.drop_if_over(now_s)
-            has_said = not backend.has_ended and backend.notices.matter(now_s)
-            oldest_s = now_s - (SAID_KEPT_S if has_said else GONE_KEPT_S)
-            since_s = backend.unlisted_since_s
-            is_long_gone = not backend.is_listed and since_s is not None and since_s < oldest_s
-            if is_long_gone and not backend.outstanding:
-                del self._backends[name]
-                self._members = None
-                if self._newest.get(backend.entry.instance) is backend:
-                    del self._newest[backend.entry.instance]
-        listed = {backend.name for backend in self._newest.values() if backend.is_listed}
-        self._restoration.drop_expired(listed, now_s)
-
     def note_waiting(self, service: str, count: int, since_s: float) -> None:
         """Note how many requests wait here for the backends of a service.
 
@@ -173,34 +88,6 @@
             "backends_limited": sum(b.limit.per_s is not None for b in self._backends.values()),
         }
 
-    def now_s(self) -> float:
-        """Return the time by the clock of all that is believed here (boot time)."""
-        return self._clock()
-
-    def lives(self) -> Iterable[Backend]:
-        """Return all lives that are known, those that ended a moment ago included."""
-        return self._backends.values()
-
-    def get(self, name: str) -> Backend | None:
-        """Return a backend by the name of its life."""
-        return self._backends.get(name)
-
-    def names(self) -> set[str]:
-        """Return the names of all lives, those that ended a moment ago included."""
-        return set(self._backends)
-
-    def withdrawal_count(self) -> int:
-        """Return the number of withdrawals and missing backends that are kept."""
-        return self._restoration.size()
-
-    def entries(self) -> dict[str, BackendEntry]:
-        """Return all listed entries by identifier, without backends in their grace period."""
-        return {
-            instance: backend.entry
-            for instance, backend in self._newest.items()
-            if backend.is_listed and not self._restoration.is_missing(instance)
-        }
-
     def usable(self, service: str, role: str | None = None) -> list[Backend]:
         """Return the backends of a service that may be used, sound ones if there are any.
 
@@ -249,16 +136,6 @@
         waits_s = [wait_s for b in found if (wait_s := b.limit.wait_s(now_s)) > 0]
         return min(waits_s, default=None)
 
-    def members(self, service: str, role: str | None = None) -> list[Backend]:
-        """Return all known backends of a service; the same list until the list of all changes."""
-        if self._members is None:
-            self._members = {}
-            for backend in self._backends.values():
-                entry = backend.entry
-                for key in ((entry.service, None), (entry.service, entry.role)):
-                    self._members.setdefault(key, []).append(backend)
-        return self._members.get((service, role), [])
-
     def cheapest(self, service: str, without: frozenset[str] = frozenset()) -> Backend | None:
         """Return the backend that should answer soonest, None if there is none."""
         usable = [b for b in self.usable(service) if b.name not in without]
@@ -291,70 +168,6 @@
             cost *= OTHER_ZONE_COST
         return cost * (1.0 + self._random.random() * JITTER)
 
-    def _remove(self, gone: Iterable[str], now_s: float) -> None:
-        """Mark backends as no longer listed, and call ``on_change``."""
-        self._members = None
-        for instance in gone:
-            self._restoration.clear_missing(instance)
-            backend = self._newest.get(instance)
-            if backend is None:
-                continue
-            self._restoration.record_withdrawal(backend.name, False, backend.entry.revision, now_s)
-            backend.is_listed = False
-            backend.note_unlisted(now_s)
-        self.on_change()
-
-    def _life_name_of(self, entry: BackendEntry) -> str:
-        """Return the name of an entry's life: the newest known if the entry has no start time."""
-        newest = self._newest.get(entry.instance)
-        return newest.name if newest is not None and not entry.born_ms else life_name(entry)
-
-    def _put(self, entry: BackendEntry, now_s: float) -> None:
-        before = self._newest.get(entry.instance)
-        if before is not None and 0 < entry.born_ms < before.entry.born_ms:
-            # Said by the life before, and heard late: of this one it says nothing.
-            _log.info("entry of an earlier life", backend=before.name, born_ms=entry.born_ms)
-            return
-        if before is not None and not entry.born_ms:
-            entry = msgspec.structs.replace(entry, born_ms=before.entry.born_ms)
-        is_known = before is not None and before.entry.born_ms == entry.born_ms
-        backend = before if before is not None and is_known else self._begin(entry, before, now_s)
-        self._restoration.clear_missing(entry.instance)
-        if entry.is_leaving:
-            self._restoration.record_withdrawal(backend.name, True, backend.entry.revision, now_s)
-        elif self._restoration.is_held(backend.name, entry.revision):
-            is_leaving = self._restoration.is_leaving(backend.name)
-            entry = msgspec.structs.replace(entry, is_leaving=is_leaving)
-        else:
-            self._restoration.clear_withdrawal(backend.name)
-            backend.entry = entry
-            backend.note_listed()
-            return
-        backend.entry = entry
-        backend.is_listed = True
-        if not is_known:
-            # Since when is not known: it may have been leaving for longer than it may be used.
-            backend.note_gone(now_s)
-        backend.note_unlisted(now_s)
-
-    def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
-        """Begin a new life; of the one before nothing is kept but how soon it ended."""
-        backend = Backend(entry, now_s, self.limits)
-        self._backends[backend.name] = self._newest[entry.instance] = backend
-        if before is not None:
-            backend.succeed(before)
-            before.is_listed = False
-            before.note_gone(now_s)
-            before.end(entry.born_ms)
-            _log.info(
-                "backend started anew",
-                backend=backend.name,
-                lived_s=round(now_s - before.known_s, 1),
-                restarts=backend.restarts,
-            )
-            self.on_new_life(before)
-        return backend
-
 
 def _soundest(found: list[Backend], now_s: float) -> list[Backend]:
     """Return those that stay and are sound, else those that stay, else who may be a last resort."""
