Repeat a call at the backend that accepted the connection

The call was given up at i-6 because i-30 accepted a connection, but was then sent to i-5, which had been killed 1.1 s earlier and was still listed.

Cause: one backend was checked for reachability, but the repeat chose a backend again and preferred one that had not been tried yet.

The backend that accepted the connection is now reserved together with its permit, and the next attempt goes to it. Untried backends are checked first. If the first backend answers after all in the last read, the reserved permit stays unused for one turn.

--- a/features/router_patience.feature
+++ b/features/router_patience.feature
@@ -31,6 +31,16 @@
     Then the client gets 200 with the body of a backend
     And its backend was asked once
 
+  Scenario: A repeat goes to the backend that accepted a connection, not to an untried one that is gone
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a plain backend "c"
+    And a router that knows them
+    And all backends have answered in 0.4 s on "thrice" several times
+    When a client sends POST on "thrice" to two backends that work for 3.5 s while the third one is gone
+    Then the client gets 200 with the body of a backend
+    And its request was sent to two backends
+
   Scenario: What came while the process itself stood still is read before its sender is given up
     Given a stream whose next event comes while the process stands still
     When the process goes on, later than its patience
--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -68,6 +68,7 @@
     assert statuses == [status] * len(context.callers), statuses
 
 
+@given('all backends have answered in {work_s:g} s on "{route}" several times')
 @given('both backends have answered in {work_s:g} s on "{route}" several times')
 def both_answered(context, work_s, route):
     backends = context.world.backends.values()
@@ -94,11 +95,48 @@
     has_it = lambda b: len(b.arrivals) > context.known[b.name]  # noqa: E731
     context.world.wait_for(lambda: any(map(has_it, backends)), "a backend has it")
     (context.slow,) = [b for b in backends if has_it(b)]
-    (dead,) = [b for b in backends if b is not context.slow]
+    dead = next(b for b in backends if b is not context.slow)
     context.world.run(dead.stop())
     context.answer = context.caller.read_answer()
 
 
+@when(
+    'a client sends POST on "{route}" to two backends that work for {work_s:g} s '
+    "while the third one is gone"
+)
+def two_slow_and_one_gone(context, route, work_s):
+    backends = context.world.backends.values()
+    for backend in backends:
+        backend.answer_delay_s = lambda arrival: work_s
+    one = caller(context)
+    one.send(request_bytes(route, body=b"abc", request_id="late"))
+    asked = lambda: [b for b in backends if any(map(has_late_id, b.arrivals))]  # noqa: E731
+    context.world.wait_for(lambda: len(asked()) == 1, "a backend has it")
+    (first,) = asked()
+    context.world.wait_for(lambda: len(asked()) == 2, "another backend has it")
+    (third,) = [b for b in backends if b not in asked()]
+
+    async def clear_first_and_stop_third():
+        health = context.router._registry.get(first.name).health
+        health.suspect_until_s, health.failures = 0.0, 0.0
+        context.router._registry.get(third.name).health.latency_s = 2 * work_s
+        await third.stop()
+
+    context.world.run(clear_first_and_stop_third())
+    context.answer = one.read_answer()
+
+
+@then("its request was sent to two backends")
+def sent_to_two(context):
+    arrivals = [a for b in context.world.backends.values() for a in b.arrivals if has_late_id(a)]
+    asked = {n for n, b in context.world.backends.items() if any(map(has_late_id, b.arrivals))}
+    assert len(asked) == 2 and len(arrivals) == 3, (asked, len(arrivals))
+
+
+def has_late_id(arrival):
+    return arrival.header("X-Request-Id") == "late"
+
+
 @then("its backend was asked once")
 def asked_once(context):
     asked = [a for a in context.slow.arrivals if a.header("X-Request-Id") == "late"]
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -91,6 +91,7 @@
         route("chat", "llm", "stream", resumable=True),
         route("talk", "llm", "stream", max_attempts=1),
         route("brief", "plain", "once", timeout_s=0.4),
+        route("thrice", "plain", "repeatable", max_attempts=3),
     )
     services = {"plain": ServiceSpec("plain"), "llm": ServiceSpec("llm", engine=TRAITS)}
     return RouteTable(version, routes, services, CallerLimits(**limits))
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -59,6 +59,20 @@
     """A permit of a limited backend was taken for it."""
 
 
+class CallAttempts(msgspec.Struct):
+    """Backends tried by one call, and the backend reserved for its next attempt."""
+
+    tried: set[str] = msgspec.field(default_factory=set)
+    """Names of the backends."""
+    reserved: ChosenBackend | None = None
+    """It accepted a connection before the current attempt was given up."""
+
+    def take_reserved(self) -> ChosenBackend | None:
+        """Return the reserved backend, if any, and clear the reservation."""
+        chosen, self.reserved = self.reserved, None
+        return chosen
+
+
 class OpaqueCalls:
     """Serves calls to services without model engines."""
 
@@ -83,16 +97,17 @@
 
     async def _serve(self, call: RoutedCall, retries: RequestRetries) -> WholeAnswer:
         """Return a backend's answer."""
-        tried: set[str] = set()
+        attempts = CallAttempts()
         kept: WholeAnswer | None = None
         while True:
             try:
-                chosen = await self._next_backend(call, frozenset(tried))
-                tried.add(chosen.backend.name)
-                answer = await self._attempt(call, chosen, retries)
+                chosen = attempts.take_reserved()
+                chosen = chosen or await self._next_backend(call, frozenset(attempts.tried))
+                attempts.tried.add(chosen.backend.name)
+                answer = await self._attempt(call, chosen, attempts, retries)
             except BackendUnreachable as error:
                 is_over = not retries.may_go_on(call, LEAST_USEFUL_S, is_arrival=False)
-                if is_over or not await self._may_reconnect(call, tried):
+                if is_over or not await self._may_reconnect(call, attempts.tried):
                     raise self._final(call, error) from None
                 continue
             except RequestQuarantined as error:
@@ -101,7 +116,8 @@
                 raise self._final(call, error) from None
             except (BackendRefused, BackendBroken, NoBackend) as error:
                 is_last = isinstance(error, NoBackend) or (
-                    isinstance(error, BackendRefused) and not self._has_untried(call, tried)
+                    isinstance(error, BackendRefused)
+                    and not self._has_untried(call, attempts.tried)
                 )
                 if is_last or not retries.may_go_on(call, LEAST_USEFUL_S):
                     if kept is not None:
@@ -166,7 +182,11 @@
             self._queues.pop(service, None)
 
     async def _attempt(
-        self, call: RoutedCall, chosen: ChosenBackend, retries: RequestRetries
+        self,
+        call: RoutedCall,
+        chosen: ChosenBackend,
+        attempts: CallAttempts,
+        retries: RequestRetries,
     ) -> WholeAnswer:
         """Send the call once and return the answer, read whole."""
         backend = chosen.backend
@@ -177,12 +197,16 @@
             order = BackendOrder(backend.entry.instance, call.backend_deadline_ms())
             with call.one_run():
                 await exchange.send(order)
-                answer = await self._read(exchange, call, retries)
+                answer = await self._read(exchange, call, attempts, retries)
         self._outages.pop(call.service.name, None)
         return answer
 
     async def _read(
-        self, exchange: BackendExchange, call: RoutedCall, retries: RequestRetries
+        self,
+        exchange: BackendExchange,
+        call: RoutedCall,
+        attempts: CallAttempts,
+        retries: RequestRetries,
     ) -> WholeAnswer:
         """Read the answer; a backend that is silent for longer than patience allows is avoided.
 
@@ -201,29 +225,36 @@
                 if gives_up or not exchange.is_open or call.left_s() <= 0:
                     raise
                 # The repeat is paid for before this one is given up: others may spend the budget.
-                is_there = await self._can_ask_another(call, backend)
-                gives_up = is_there and retries.may_go_on(call, LEAST_USEFUL_S)
+                other = await self._find_reachable_backend(call, backend, attempts)
+                if other is not None and retries.may_go_on(call, LEAST_USEFUL_S):
+                    attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
+                    gives_up = True
                 # What came while another was reached is read first.
                 patience_s = 0.0 if gives_up else call.left_s()
 
-    async def _can_ask_another(self, call: RoutedCall, backend: Backend) -> bool:
-        """Return whether another backend may take the call now, and accepts a connection.
+    async def _find_reachable_backend(
+        self, call: RoutedCall, backend: Backend, attempts: CallAttempts
+    ) -> Backend | None:
+        """Return another backend that may take the call now and accepts a connection, if any.
 
         Work that goes on is given up only for somebody who is there: the list may still name a
         backend that has ended. The connection rests, and the repeat goes out on it.
         """
         refused = {backend.name}
         while self._may_ask_another(call, backend):
-            other = self._registry.cheapest(call.service.name, frozenset(refused))
+            service, untried = call.service.name, frozenset(refused | attempts.tried)
+            other = self._registry.cheapest(service, untried)
+            other = other or self._registry.cheapest(service, frozenset(refused))
             if other is None:
-                return False
+                return None
             refused.add(other.name)
             try:
                 async with self._exchanges.open(other, call, has_permit=True):
-                    return True
+                    if other.may_take(boot_time_s()):
+                        return other
             except BackendUnreachable as error:
                 _log.info("nobody to repeat at", request=call.request_id, reason=error.message)
-        return False
+        return None
 
     def _may_ask_another(self, call: RoutedCall, backend: Backend) -> bool:
         """Return whether another backend could take the call now: not where all others rest."""
