Soak: restore the store from a backup and rewrite what it lacks

The soak's stand-in store never lost a write that it had acknowledged, so no soak could reproduce the incident.

The plan now draws restores: the store is offline for 0.3 to 1.5 s and comes back with a backup that was taken 0.5 to 6 s before it went offline. Restores use a separate random generator, so the other events of each seed are unchanged.

The operator rewrites the configuration and the backends rewrite their entries 0.1 to 1.8 s after the store is back. Entries of backends that have left are removed after 2 s.

The judge holds routers to what they could know before the restore or after it: the time until the store has recovered counts as a silence of the store. Two constructed histories cover both sides of this bound.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -39,6 +39,7 @@
     Examples: time bounds
       | fault                                                           | rule    |
       | a backend listed as leaving got a request                       | DRAIN   |
+      | a backend that left well before a restore got a request         | DRAIN   |
       | an old configuration was in force for too long                  | CONFIG  |
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
@@ -74,4 +75,5 @@
       | SIGHUP ended a process before its first line                    |
       | all backends were silent with the soak itself, and a stream was cut |
       | a backend listed as leaving got a request from a frozen router  |
+      | a backend that left just before a restore got a request         |
       | an old configuration was in force while the store was silent    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -214,6 +214,13 @@
     late_to_leaving(made)
 
 
+def late_after_restore(made, left_ago_s):
+    """Send a request to a backend that left ``left_ago_s`` earlier, after a store restore."""
+    made.history.leaving_s["i-1"] = START_S - left_ago_s
+    made.history.store_silent_s.append((START_S - 4.5, START_S - 1.0))
+    made.arrival(made.request())
+
+
 def old_while_silent(made):
     made.history.published_s[5] = START_S - 6.0
     made.history.store_silent_s.append((START_S - 5.5, START_S - 1.0))
@@ -235,6 +242,9 @@
     "the body was changed on its way": changed_body,
     "another service than the route's ran it": other_service,
     "a backend listed as leaving got a request": late_to_leaving,
+    "a backend that left well before a restore got a request": lambda made: late_after_restore(
+        made, 8.0
+    ),
     "an old configuration was in force for too long": old_version,
     "a router went back to an older configuration": went_back,
     "extra arrivals went over the budget": over_budget,
@@ -278,5 +288,8 @@
     "a backend broke off a stream": backend_broke_off,
     "all backends were silent with the soak itself, and a stream was cut": all_silent,
     "a backend listed as leaving got a request from a frozen router": late_from_frozen,
+    "a backend that left just before a restore got a request": lambda made: late_after_restore(
+        made, 5.0
+    ),
     "an old configuration was in force while the store was silent": old_while_silent,
 }
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -94,6 +94,9 @@
         if event.kind == "store silent":
             operator.silence_store(event.length_s)
             return f"store silent {event.length_s:.2f}"
+        if event.kind == "store restored":
+            operator.restore_store(event.length_s, event.backup_age_s)
+            return f"store restored {event.length_s:.2f}, backup age {event.backup_age_s:.2f}"
         if event.kind == "store connection silent":
             return event.kind if operator.store.silence_connection(event.target) else ""
         return f"{event.kind} {await operator.strike(event)} {event.length_s:.2f}"
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -51,6 +51,10 @@
 """The entry of a backend that was killed goes after this time."""
 BACK_AFTER_S = (0.2, 1.0)
 """A backend that a request has ended is back after so long."""
+REWRITE_DELAY_S = (0.1, 1.8)
+"""Time after a restore until the operator or a backend rewrites what the backup lacks."""
+ENTRY_EXPIRY_S = 2.0
+"""A restored entry that its backend does not rewrite is removed after this time."""
 ODD_DOCUMENTS = (b"", b"{", b"[]", b"\xff", b'{"service": "model"}', b'{"state": "ready"}')
 """What other writers leave in the place of an entry."""
 SLOTS = 64
@@ -76,6 +80,9 @@
         self._choices = random.Random("soak-operator")
         self._born_ms: dict[str, int] = {}
         """When the newest life of each backend began, by identifier."""
+        self._entries: dict[str, StoredServer | None] = {}
+        """Last entry written by each backend, None after its removal."""
+        self._configuration: StoredConfiguration | None = None
         self._later: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -114,7 +121,8 @@
             StoredService("model", engine=engine),
         )
         number = self.version * VERSION_STEP
-        self.store.publish(StoredConfiguration(number, tuple(routes + fill), services))
+        self._configuration = StoredConfiguration(number, tuple(routes + fill), services)
+        self.store.publish(self._configuration)
         self._history.published_s[self.version] = boot_time_s()
 
     # --- The store's faults ---
@@ -126,6 +134,37 @@
         self.store.fall_silent()
         asyncio.get_running_loop().call_later(length_s, self.store.speak_again)
 
+    def restore_store(self, offline_s: float, backup_age_s: float) -> None:
+        """Take the store offline, restore a backup, and rewrite later what the backup lacks."""
+        now_s = boot_time_s()
+        recovered_s = now_s + offline_s + ENTRY_EXPIRY_S
+        self._history.store_silent_s.append((now_s, recovered_s))
+        self.store.go_offline()
+        self._after(offline_s, self._finish_restore(now_s - backup_age_s))
+
+    async def _finish_restore(self, taken_s: float) -> None:
+        self.store.restore_backup_taken_at(taken_s)
+        self.store.go_online()
+        self._after(self._choices.uniform(*REWRITE_DELAY_S), self._rewrite_configuration())
+        for instance, entry in self._entries.items():
+            delay_s = (
+                self._choices.uniform(*REWRITE_DELAY_S) if entry is not None else ENTRY_EXPIRY_S
+            )
+            self._after(delay_s, self._rewrite_entry(instance))
+
+    async def _rewrite_configuration(self) -> None:
+        if self._configuration is not None and not self.store.contains_configuration(
+            self._configuration
+        ):
+            self.store.publish(self._configuration)
+
+    async def _rewrite_entry(self, instance: str) -> None:
+        entry = self._entries[instance]
+        if entry is None:
+            self.store.remove_server(instance)
+        elif not self.store.contains_server(instance, entry):
+            self.store.put_server(instance, entry)
+
     # --- Backends ---
 
     async def strike(self, soak_event: SoakEvent) -> str:
@@ -238,6 +277,7 @@
             stage,
             born=born_ms,
         )
+        self._entries[backend.instance] = server
         self.store.put_server(backend.instance, server)
 
     def _drain(self, backend: SoakBackend) -> None:
@@ -257,6 +297,7 @@
         self._unlist(backend)
 
     def _unlist(self, backend: SoakBackend) -> None:
+        self._entries[backend.instance] = None
         self.store.remove_server(backend.instance)
         self._history.leaving_s.setdefault(backend.instance, boot_time_s())
 
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -36,6 +36,7 @@
     "configuration": (1.2, 4.5),
     "store": (8.0, 14.0),
     "store connection": (3.0, 7.0),
+    "store restored": (6.0, 12.0),
     "life": (1.0, 3.0),
     "rest": (1.5, 4.0),
     "limit": (2.0, 5.0),
@@ -44,6 +45,9 @@
 FREEZE_S = (0.5, 4.0)
 BACKEND_FAULT_S = (0.5, 2.5)
 STORE_SILENT_S = (1.0, 3.0)
+STORE_OFFLINE_S = (0.3, 1.5)
+BACKUP_AGE_S = (0.5, 6.0)
+"""Age of the restored backup when the store goes offline."""
 BURST_SHARE = 0.25
 """Share of configurations that are followed by the next within ``BURST_S``."""
 BURST_S = (0.02, 0.4)
@@ -59,6 +63,8 @@
     target: int = 0
     """Number of a router; for backends, a place in the list of those that serve then."""
     length_s: float = 0.0
+    backup_age_s: float = 0.0
+    """Age of the restored backup when the store goes offline; only for "store restored"."""
 
 
 def draw_plan(seed: int, seconds: float) -> list[SoakEvent]:
@@ -80,9 +86,22 @@
         while at_s < seconds:
             events += draw(choices, at_s)
             at_s += choices.uniform(*PAUSES_S[sort])
+    events += _restore_events(random.Random(f"router-soak-restorations-{seed}"), seconds)
     return sorted(events, key=lambda event: event.at_s)
 
 
+def _restore_events(choices: random.Random, seconds: float) -> list[SoakEvent]:
+    """Return the store's restores; a separate generator keeps each seed's other events."""
+    shortest_s, longest_s = PAUSES_S["store restored"]
+    events = []
+    at_s = FIRST_S + choices.uniform(0.0, longest_s)
+    while at_s < seconds:
+        offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
+        events.append(SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s))
+        at_s += choices.uniform(shortest_s, longest_s)
+    return events
+
+
 def _router_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     kind = choices.choices(list(ROUTER_FAULTS), list(ROUTER_FAULTS.values()))[0]
     target = choices.randrange(ROUTERS)
--- a/src/yokedock_emulator/router_soak/soak_store.py
+++ b/src/yokedock_emulator/router_soak/soak_store.py
@@ -1,10 +1,11 @@
-"""The store's stand-in with its faults: it falls silent, or one connection to it does."""
+"""The store's stand-in with its faults: silence, silent connections and restored backups."""
 
 from __future__ import annotations
 
 import asyncio
 
-from yokedock_emulator.plain_http import read_request
+from yokedock.base.clock import boot_time_s
+from yokedock.platform.store import StoredItem
 from yokedock_emulator.state_store import StateStore
 
 
@@ -17,6 +18,8 @@
         self._is_silent = False
         self._silent: set[asyncio.StreamWriter] = set()
         self._open: list[asyncio.StreamWriter] = []
+        self._written_s: list[float] = []
+        """Write time of each revision (boot time), oldest first."""
 
     def fall_silent(self) -> None:
         """Answer nobody until ``speak_again``; connections are still taken."""
@@ -34,18 +37,25 @@
             self._silent.add(speaking[number % len(speaking)])
         return bool(speaking)
 
+    def restore_backup_taken_at(self, taken_s: float) -> None:
+        """Restore a backup that lacks every revision written after ``taken_s`` (boot time)."""
+        lost = sum(written_s > taken_s for written_s in self._written_s)
+        del self._written_s[len(self._written_s) - lost :]
+        self.restore_backup(lost)
+
+    def _note(self, event: StoredItem) -> None:
+        self._written_s.append(boot_time_s())
+        super()._note(event)
+
+    def _is_silenced(self, writer: asyncio.StreamWriter) -> bool:
+        return writer in self._silent
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open.append(writer)
         if self._is_silent:
             self._silent.add(writer)
         try:
-            while (request := await read_request(reader)) is not None:
-                answer = b"" if writer in self._silent else await self._answer(request)
-                if writer not in self._silent:
-                    writer.write(answer)
-        except (ConnectionError, asyncio.CancelledError):
-            return
+            await super()._serve(reader, writer)
         finally:
             self._open.remove(writer)
             self._silent.discard(writer)
-            writer.close()
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -72,12 +72,25 @@
         self._put(SERVERS_PREFIX + instance, document)
 
     def remove_server(self, instance: str) -> None:
-        """Remove the entry of one backend."""
-        self._revision += 1
+        """Remove the entry of one backend; does nothing if a restored backup lacks it."""
         key = SERVERS_PREFIX + instance
-        del self._items[key]
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
         self._note(StoredItem(key, revision=self._revision, gone=True))
 
+    def contains_configuration(self, configuration: StoredConfiguration) -> bool:
+        """Return whether the store holds exactly this configuration."""
+        return self._contains(CONFIGURATION_KEY, msgspec.json.encode(configuration))
+
+    def contains_server(self, instance: str, server: StoredServer) -> bool:
+        """Return whether the store holds exactly this entry for a backend."""
+        return self._contains(SERVERS_PREFIX + instance, msgspec.json.encode(server))
+
+    def _contains(self, key: str, value: bytes) -> bool:
+        item = self._items.get(key)
+        return item is not None and item.value == base64.b64encode(value).decode()
+
     def go_offline(self) -> None:
         """Reset all connections, and new ones until ``go_online`` is called."""
         self._is_offline = True
@@ -116,7 +129,7 @@
         try:
             while not self._is_offline and (request := await read_request(reader)) is not None:
                 answer = await self._answer(request)
-                if not self._is_offline:
+                if not self._is_offline and not self._is_silenced(writer):
                     writer.write(answer)
         except (ConnectionError, asyncio.CancelledError):
             return
@@ -124,6 +137,10 @@
             self._writers.discard(writer)
             writer.transport.abort() if self._is_offline else writer.close()
 
+    def _is_silenced(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether answers on a connection are suppressed; subclasses override this."""
+        return False
+
     async def _answer(self, request: PlainRequest) -> bytes:
         """Return the encoded answer to a request."""
         status, document = await self._handle(request)
