Read without waiting after a failed configuration watch

A watch of the configuration service asks for changes after the last revision read. A service that was down and is restored from a backup resumes from a lower revision, so the watch blocks until the revisions exceed the old one, and new bundles are not picked up meanwhile. This affects gateways and agents, and has the same cause as the fault with the restored store.

The first call after a failure now reads without waiting. This costs one additional plain read per process and outage.

Limitation: a service whose revisions go back without any call failing is not detected, because its "nothing new" answer carries no revision.

--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -116,6 +116,8 @@
                 pause_s = RETRY_MIN_S
             except PlatformUnavailable as error:
                 _log.warning("no answer", error=error.message)
+                # A restore may have lowered the revisions, so a watch from the old one could stall.
+                revision = 0
                 self._stopping.wait(random.uniform(0, pause_s))
                 pause_s = min(pause_s * 2, RETRY_MAX_S)
 
--- a/src/yokedock_emulator/platform.py
+++ b/src/yokedock_emulator/platform.py
@@ -91,6 +91,15 @@
             self._outage = outage
             self._changed.notify_all()
 
+    def restore_backup(self, lost: int) -> None:
+        """Lower the revisions by ``lost``, as a restore from backup does, but keep the values."""
+        with self._changed:
+            self._revision = max(0, self._revision - lost)
+            self._values = {
+                key: StoredValue(min(value.revision, self._revision), value.content)
+                for key, value in self._values.items()
+            }
+
     def set_machines(self, machines: tuple[Machine, ...]) -> None:
         """Set the list; readers see it after the lag."""
         with self._changed:
