Soak: a router that started after a leaving learns of it from the list alone

Trace: that router had started 0.4 s after the removal, from a list without i-8, and so never heard of it; 4.8 s later the store was restored from a backup that lists i-8 as ready, and the entry expired 2 s after that. The case is allowed: nothing that the router had been told says that i-8 leaves. The judge now counts such a leaving from the store's recovery, for routers that were not ready when it was listed; the others stay bound from the first word. One made-up history shows the case, the one of a router that was there is found as before.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -76,4 +76,5 @@
       | all backends were silent with the soak itself, and a stream was cut |
       | a backend listed as leaving got a request from a frozen router  |
       | a backend that left just before a restore got a request         |
+      | a backend that left before a router started and a store was restored got a request |
       | an old configuration was in force while the store was silent    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -218,9 +218,16 @@
     """Send a request to a backend that left ``left_ago_s`` earlier, after a store restore."""
     made.history.leaving_s["i-1"] = START_S - left_ago_s
     made.history.store_silent_s.append((START_S - 4.5, START_S - 1.0))
+    made.history.restored_s.append((START_S - 9.0, START_S - 4.5, START_S - 1.0))
     made.arrival(made.request())
 
 
+def late_from_started_before_restore(made):
+    """A router starts after a backend has left; a backup then lists that backend as ready."""
+    made.life.ready_s = START_S - 7.9
+    late_after_restore(made, 8.0)
+
+
 def old_while_silent(made):
     made.history.published_s[5] = START_S - 6.0
     made.history.store_silent_s.append((START_S - 5.5, START_S - 1.0))
@@ -288,6 +295,9 @@
     "a backend broke off a stream": backend_broke_off,
     "all backends were silent with the soak itself, and a stream was cut": all_silent,
     "a backend listed as leaving got a request from a frozen router": late_from_frozen,
+    "a backend that left before a router started and a store was restored got a request": (
+        late_from_started_before_restore
+    ),
     "a backend that left just before a restore got a request": lambda made: late_after_restore(
         made, 5.0
     ),
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -207,7 +207,8 @@
         if arrival.outcome == "misdirected":
             continue
         life = history.lives[record.router, record.life]
-        if history.was_in_touch(life, leaving_s, arrival.at_s):
+        known_s = history.leaving_known_s(life, leaving_s, arrival.at_s)
+        if history.was_in_touch(life, known_s, arrival.at_s):
             late_s = arrival.at_s - leaving_s
             text = f"reached {arrival.instance} {late_s:.2f} s after it was listed as leaving"
             found.append((text, record.request_id))
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -139,6 +139,7 @@
         now_s = boot_time_s()
         recovered_s = now_s + offline_s + ENTRY_EXPIRY_S
         self._history.store_silent_s.append((now_s, recovered_s))
+        self._history.restored_s.append((now_s - backup_age_s, now_s, recovered_s))
         self.store.go_offline()
         self._after(offline_s, self._finish_restore(now_s - backup_age_s))
 
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -165,6 +165,8 @@
     limits: dict[int, list[LimitSpan]] = dataclasses.field(default_factory=dict)
     """What each life of a backend named, in order of time."""
     store_silent_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    restored_s: list[tuple[float, float, float]] = dataclasses.field(default_factory=list)
+    """When the backup of each restore was taken, the store went offline, and it had recovered."""
     stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which the soak's own process did not run: nothing is known of them."""
     at_end: dict[int, dict[str, float]] = dataclasses.field(default_factory=dict)
@@ -184,6 +186,21 @@
             cursor_s = max(cursor_s, end_s)
         return until_s - cursor_s > BOUND_S
 
+    def leaving_known_s(self, life: RouterLife, leaving_s: float, at_s: float) -> float:
+        """Return since when a router could know by ``at_s`` of a leaving listed at ``leaving_s``.
+
+        One that started after it learns of it from the list alone: if a backup lacks it, only once
+        the store has recovered from the restore.
+        """
+        if life.ready_s is not None and life.ready_s <= leaving_s:
+            return leaving_s
+        lost = [
+            end_s
+            for taken_s, offline_s, end_s in self.restored_s
+            if taken_s <= leaving_s < end_s and offline_s <= at_s
+        ]
+        return max(lost, default=leaving_s)
+
     def tell(self, now_s: float, text: str) -> None:
         """Note what was done."""
         self.story.append((now_s, text))
