Reread: one parse of the era header, one loop that draws soak events, one step that sends the late call

Found on reading the whole change again, no behaviour changed: - PlatformStore looked the era header up twice for each answer, once to log a change and once to read it. One method does both. - The soak's plan had a second copy of the loop that draws events of one sort.

--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -82,20 +82,25 @@
     context.known = {backend.name: len(backend.arrivals) for backend in backends}
 
 
+def send_late(context, route, work_s):
+    """Send the request with the id that ``has_late_id`` finds, to backends that work so long."""
+    for backend in context.world.backends.values():
+        backend.answer_delay_s = lambda arrival: work_s
+    context.caller = caller(context)
+    context.caller.send(request_bytes(route, body=b"abc", request_id="late"))
+
+
 @when(
     'a client sends POST on "{route}" to a backend that works for {work_s:g} s '
     "while the other one is gone"
 )
 def slow_and_dead(context, route, work_s):
     backends = context.world.backends.values()
-    for backend in backends:
-        backend.answer_delay_s = lambda arrival: work_s
-    context.caller = caller(context)
-    context.caller.send(request_bytes(route, body=b"abc", request_id="late"))
+    send_late(context, route, work_s)
     has_it = lambda b: len(b.arrivals) > context.known[b.name]  # noqa: E731
     context.world.wait_for(lambda: any(map(has_it, backends)), "a backend has it")
     (context.slow,) = [b for b in backends if has_it(b)]
-    dead = next(b for b in backends if b is not context.slow)
+    (dead,) = [b for b in backends if b is not context.slow]
     context.world.run(dead.stop())
     context.answer = context.caller.read_answer()
 
@@ -106,10 +111,7 @@
 )
 def two_slow_and_one_gone(context, route, work_s):
     backends = context.world.backends.values()
-    for backend in backends:
-        backend.answer_delay_s = lambda arrival: work_s
-    one = caller(context)
-    one.send(request_bytes(route, body=b"abc", request_id="late"))
+    send_late(context, route, work_s)
     asked = lambda: [b for b in backends if any(map(has_late_id, b.arrivals))]  # noqa: E731
     context.world.wait_for(lambda: len(asked()) == 1, "a backend has it")
     (first,) = asked()
@@ -123,7 +125,7 @@
         await third.stop()
 
     context.world.run(clear_first_and_stop_third())
-    context.answer = one.read_answer()
+    context.answer = context.caller.read_answer()
 
 
 @then("its request was sent to two backends")
@@ -139,7 +141,7 @@
 
 @then("its backend was asked once")
 def asked_once(context):
-    asked = [a for a in context.slow.arrivals if a.header("X-Request-Id") == "late"]
+    asked = [a for a in context.slow.arrivals if has_late_id(a)]
     assert len(asked) == 1, f"{len(asked)} times"
 
 
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -105,10 +105,10 @@
             if after:
                 target += f"&after={quote(after, safe='')}"
             answer = await self._getter.get(target, READ_TIMEOUT_S)
-            self._log_era_change(answer)
+            era = self._reported_era(answer)
             page = _decode(answer, RangePage)
             size += len(answer.body)
-            page_position = SourcePosition(_reported_era(answer), page.at)
+            page_position = SourcePosition(era, page.at)
             if position is not None and (
                 page_position.era != position.era or page_position < position
             ):
@@ -133,21 +133,21 @@
             answer = await self._getter.get(target, longest_s + WATCH_SLACK_S, most_bytes)
         except AnswerTooLong as error:
             raise HistoryGone(f"all at once is less than what has changed: {error}") from None
-        self._log_era_change(answer)
+        era = self._reported_era(answer)
         if answer.status == HISTORY_GONE:
             raise HistoryGone(f"the store has no changes after revision {position.revision}")
         watched = _decode(answer, WatchAnswer)
-        reported = SourcePosition(_reported_era(answer), watched.at)
-        return translate(watched.events, reported, self.is_news)
+        return translate(watched.events, SourcePosition(era, watched.at), self.is_news)
 
-    def _log_era_change(self, answer: ShortAnswer) -> None:
-        """Log the Store-Era header of an answer if it differs from the previous answer's."""
+    def _reported_era(self, answer: ShortAnswer) -> int:
+        """Return the era of an answer, ``NO_ERA`` if absent or malformed; log when it changes."""
         era = answer.head.get(ERA_HEADER) or ""
         if era != self._last_era:
             _log.info(
                 "store era changed", era=era[:MOST_REASON], before=self._last_era[:MOST_REASON]
             )
             self._last_era = era
+        return int(era) if era.isascii() and era.isdecimal() and len(era) <= MOST_DIGITS else NO_ERA
 
     def is_news(self, item: StoredItem) -> bool:
         """Return whether an item that is not understood was not told of yet."""
@@ -166,12 +166,6 @@
         return self._getter.share_read()
 
 
-def _reported_era(answer: ShortAnswer) -> int:
-    """Return the era in the headers of an answer, ``NO_ERA`` if it is absent or malformed."""
-    era = answer.head.get(ERA_HEADER) or ""
-    return int(era) if era.isascii() and era.isdecimal() and len(era) <= MOST_DIGITS else NO_ERA
-
-
 def _decode(answer: ShortAnswer, kind: type[Document]) -> Document:
     if answer.status != OK:
         raise PlatformUnavailable(f"the store answered {answer.status}")
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -11,11 +11,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.source_position import NO_ERA, SourcePosition
-from yokedock.connection.state_source import (
-    BackendEntry,
-    StateSnapshot,
-    StateSource,
-)
+from yokedock.connection.state_source import BackendEntry, StateSnapshot, StateSource
 from yokedock.errors import PlatformUnavailable
 from yokedock.process.state_news import RecentNews
 from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -67,10 +67,13 @@
     """Age of the restored backup when the store goes offline; only for "store restored"."""
 
 
+Draw = Callable[[random.Random, float], list[SoakEvent]]
+
+
 def draw_plan(seed: int, seconds: float) -> list[SoakEvent]:
     """Return the events of one soak in order of time; the same for the same arguments."""
     choices = random.Random(f"router-soak-{seed}")
-    draws: dict[str, Callable[[random.Random, float], list[SoakEvent]]] = {
+    draws: dict[str, Draw] = {
         "router": _router_event,
         "backend": _backend_event,
         "configuration": _configuration_events,
@@ -82,26 +85,28 @@
     }
     events = [SoakEvent(seconds * choices.uniform(0.3, 0.7), "large configuration")]
     for sort, draw in draws.items():
-        at_s = FIRST_S + choices.uniform(0.0, PAUSES_S[sort][1])
-        while at_s < seconds:
-            events += draw(choices, at_s)
-            at_s += choices.uniform(*PAUSES_S[sort])
-    events += _restore_events(random.Random(f"router-soak-restorations-{seed}"), seconds)
+        events += _events_of(sort, draw, choices, seconds)
+    # A generator of its own keeps the other events of each seed.
+    choices = random.Random(f"router-soak-restorations-{seed}")
+    events += _events_of("store restored", _restore_event, choices, seconds)
     return sorted(events, key=lambda event: event.at_s)
 
 
-def _restore_events(choices: random.Random, seconds: float) -> list[SoakEvent]:
-    """Return the store's restores; a separate generator keeps each seed's other events."""
-    shortest_s, longest_s = PAUSES_S["store restored"]
+def _events_of(sort: str, draw: Draw, choices: random.Random, seconds: float) -> list[SoakEvent]:
+    """Return the events of one sort."""
     events = []
-    at_s = FIRST_S + choices.uniform(0.0, longest_s)
+    at_s = FIRST_S + choices.uniform(0.0, PAUSES_S[sort][1])
     while at_s < seconds:
-        offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
-        events.append(SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s))
-        at_s += choices.uniform(shortest_s, longest_s)
+        events += draw(choices, at_s)
+        at_s += choices.uniform(*PAUSES_S[sort])
     return events
 
 
+def _restore_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
+    return [SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s)]
+
+
 def _router_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     kind = choices.choices(list(ROUTER_FAULTS), list(ROUTER_FAULTS.values()))[0]
     target = choices.randrange(ROUTERS)
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -15,6 +15,8 @@
 from yokedock.platform.documents import StoredConfiguration, StoredServer
 from yokedock.platform.store import (
     CONFIGURATION_KEY,
+    HISTORY_GONE,
+    OK,
     RANGE_PATH,
     SERVERS_PREFIX,
     WAIT_FIELD,
@@ -26,8 +28,6 @@
 from yokedock_emulator.plain_http import PlainRequest, listen, read_request, whole_answer
 
 MS_A_SECOND = 1000
-OK = 200
-HISTORY_GONE = 410
 ERA_HEADER = "Store-Era"
 
 
@@ -135,7 +135,10 @@
             return
         finally:
             self._writers.discard(writer)
-            writer.transport.abort() if self._is_offline else writer.close()
+            if self._is_offline:
+                writer.transport.abort()
+            else:
+                writer.close()
 
     def _is_silenced(self, writer: asyncio.StreamWriter) -> bool:
         """Return whether answers on a connection are suppressed; subclasses override this."""
