End a hold on a repeated removal and restart it at each restore

Cause: a restored entry of a removed backend must stay listed for 6 s before the backend is used again. This time was counted from the first restore that listed the entry. By the trace, router 0 received the removal of i-14 in era 1, held its restored entry in era 2 from 45.08 s, received its removal again at 51.43 s, and dropped the withdrawal at the next check after that, since the hold was 6 s old by then (read from the code: that check logs nothing for an unlisted backend). The backup of era 3, at 55.90 s, listed i-14 as ready, and it was used at once. This is a timer of one restore that was carried over to the next.

Ruled out: a router that had not received the removal (it logged "gone" at position 60), and an entry with a later revision (none was written).

A leaving state or a removal now ends the hold and stays recorded, and each restore starts the 6 s again.

The property over generated histories, "responses from any era in any order converge", now also checks removals.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -254,6 +254,7 @@
       | a leaving backend becomes ready only by a newer entry    |
       | a removed backend is used once its entry outlives expiry |
       | a held backend that is removed stays removed              |
+      | a removal is kept through several restores               |
       | a withdrawal outlives the record of its backend          |
       | old withdrawals are dropped                              |
       | a restore is detected without an era header              |
--- a/features/support/restored_properties.py
+++ b/features/support/restored_properties.py
@@ -112,12 +112,32 @@
 arrivals = st.tuples(st.just("arrive"), st.integers(0, 20), st.integers(0, 3000))
 
 
-@searched(steps=st.lists(st.one_of(writes, restores, responses, arrivals), max_size=40))
+READ_NOW = (("answer", "read", 0), ("arrive", 0, 0))
+READ_3_S_LATER = (("answer", "read", 0), ("arrive", 0, 3000))
+REMOVED_DURING_HOLD = [
+    ("write", "a", GONE),
+    *READ_NOW,
+    ("restore", 1, False),
+    *READ_NOW,
+    ("restore", 0, True),
+    *READ_NOW,
+    *READ_3_S_LATER,
+    *READ_3_S_LATER,
+    ("restore", 1, False),
+    *READ_NOW,
+]
+
+
+@searched(
+    known_case={"steps": REMOVED_DURING_HOLD},
+    steps=st.lists(st.one_of(writes, restores, responses, arrivals), max_size=40),
+)
 def responses_from_any_era_in_any_order_converge(steps):
-    """Late and reordered responses never move the position back or undo a leaving state."""
+    """Late and reordered responses never move the position back or undo a withdrawal."""
 
     async def play():
         clock, source = Clock(), RestorableSource()
+        removed, restored_s = set(), clock.now_s
         registry = BackendRegistry("", clock)
         follower = StateFollower(source, registry)
         follower.adopt(source.snapshot())
@@ -143,6 +163,13 @@
             assert follower.position >= before
             leaving |= {n for n, found in registry.entries().items() if found.is_leaving}
             assert not leaving & usable(registry), "a leaving backend became ready"
+            if follower.position.era > before.era:
+                restored_s = clock.now_s
+            if clock.now_s - restored_s >= REMOVED_HOLD_S:
+                removed -= usable(registry)
+            assert not removed & usable(registry), "a removed backend became ready"
+            unlisted = set(NAMES) - usable(registry) - registry.entries().keys()
+            removed |= {n for n in unlisted if source.actual[n] == GONE}
         source.rewrite_outdated()
         follower.adopt(source.snapshot())
         clock.now_s += max(REMOVED_HOLD_S, MISSING_GRACE_S)
@@ -234,6 +261,23 @@
         assert usable(registry) == {"b", "c"}
 
 
+def a_removal_is_kept_through_several_restores():
+    """A second restore does not undo a removal, whether or not it was reported again before."""
+    for is_removed_again in (True, False):
+        clock = Clock()
+        registry = restored_registry(clock, withdrawn={"a": GONE}, backup=NAMES)
+        if is_removed_again:
+            registry.update((), ["a"])
+        clock.now_s += REMOVED_HOLD_S - 0.1
+        registry.drop_gone()
+        clock.now_s += 0.2 if is_removed_again else 0.0
+        registry.drop_gone()
+        registry.restore_all({name: entry(name, 5) for name in NAMES})
+        clock.now_s += REMOVED_HOLD_S - 0.1
+        registry.drop_gone()
+        assert usable(registry) == {"b", "c"}, is_removed_again
+
+
 def a_withdrawal_outlives_the_record_of_its_backend():
     """A restored entry makes no backend usable whose record was dropped after its removal."""
     clock = Clock()
@@ -343,6 +387,7 @@
         a_leaving_backend_becomes_ready_only_by_a_newer_entry,
         a_removed_backend_is_used_once_its_entry_outlives_expiry,
         a_held_backend_that_is_removed_stays_removed,
+        a_removal_is_kept_through_several_restores,
         a_withdrawal_outlives_the_record_of_its_backend,
         old_withdrawals_are_dropped,
         a_restore_is_detected_without_an_era_header,
--- a/src/yokedock/request/list_restoration.py
+++ b/src/yokedock/request/list_restoration.py
@@ -23,8 +23,8 @@
 class Withdrawal(msgspec.Struct, frozen=True):
     """A leaving state or a removal that the list reported of one life."""
 
-    since_s: float
-    """When it was first reported (boot time)."""
+    reported_s: float
+    """When it was last reported (boot time)."""
     is_leaving: bool
     """Whether the backend announced that it leaves; otherwise its entry was only removed."""
     revision: int
@@ -46,13 +46,16 @@
     def record_withdrawal(self, name: str, is_leaving: bool, revision: int, now_s: float) -> None:
         """Record that the list reports a life as leaving, or no longer contains it.
 
-        ``revision`` is that of its last ready entry, or of its first known entry.
+        ``revision`` is that of its last ready entry, or of its first known entry. Ends the hold
+        of the life because the list confirms the withdrawal.
         """
+        self._held.pop(name, None)
         before = self._withdrawn.get(name)
         if before is None:
             self._withdrawn[name] = Withdrawal(now_s, is_leaving, revision)
-        elif is_leaving and not before.is_leaving:
-            self._withdrawn[name] = msgspec.structs.replace(before, is_leaving=True)
+            return
+        is_leaving = is_leaving or before.is_leaving
+        self._withdrawn[name] = Withdrawal(now_s, is_leaving, before.revision)
 
     def clear_withdrawal(self, name: str) -> None:
         """Drop the withdrawal of a life that is listed as ready again."""
@@ -69,9 +72,12 @@
         self._missing = {instance: until_s for instance in listed if instance not in restored}
 
     def hold(self, name: str, now_s: float) -> None:
-        """Keep a life from the restored list out of use if it was withdrawn before."""
+        """Keep a life from the restored list out of use if it was withdrawn before.
+
+        Each restore starts the hold time again.
+        """
         if name in self._withdrawn:
-            self._held.setdefault(name, now_s)
+            self._held[name] = now_s
 
     def is_held(self, name: str, revision: int) -> bool:
         """Return whether a life stays withdrawn although its entry is ready.
@@ -117,7 +123,7 @@
         """Drop expired withdrawals of lives that are not in ``listed``, by name."""
         oldest_s = now_s - WITHDRAWAL_RETENTION_S
         for name, withdrawal in list(self._withdrawn.items()):
-            if withdrawal.since_s < oldest_s and name not in listed:
+            if withdrawal.reported_s < oldest_s and name not in listed:
                 del self._withdrawn[name]
                 self._held.pop(name, None)
 
