Hold lives that were removed before the router received them

Cause: a withdrawal was recorded for the life that the router knew. A backend had restarted under its identifier and left while the store was silent. The removal was recorded for the previous life, and a restored backup listed the later life as ready. The same applies to a backend that the router never knew, and to a router that started after the removal.

An entry of the backup whose revision the router had already applied, and that its list does not contain, was removed by then. It is now held like any other removed entry. A revision that was assigned again after the restore is distinguished by the start time of the life, which is later than the time at which the router had applied that revision.

The new property "removals of lives that were never listed are kept" fails on the code before this change, in the case "written and removed by revision 10". In its other cases, an entry that was written later and a life that started later, the backend is used at once.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -256,6 +256,7 @@
       | a held backend that is removed stays removed              |
       | a removal is kept through several restores               |
       | a withdrawal outlives the record of its backend          |
+      | removals of lives that were never listed are kept        |
       | old withdrawals are dropped                              |
       | a restore is detected without an era header              |
       | a read with pages from two eras is rejected              |
--- a/features/support/restored_properties.py
+++ b/features/support/restored_properties.py
@@ -7,6 +7,7 @@
 
 from support.search import searched
 from support.stream_properties import Clock
+from yokedock.base.clock import wall_clock_ms
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.connection.router_state import RouterState, StateNews
 from yokedock.connection.short_call import ShortAnswer
@@ -47,6 +48,26 @@
     return {b.entry.instance for b in registry.members("plain") if b.leaving_since_s is None}
 
 
+def entry_of_life(name, born_ms, revision):
+    """Return a ready entry of a plain backend with the start time of its life."""
+    return msgspec.structs.replace(entry(name, revision), born_ms=born_ms)
+
+
+def snapshot_of(position, entries):
+    """Return a snapshot that lists exactly these entries."""
+    return StateSnapshot(position, TABLE, {found.instance: found for found in entries})
+
+
+class StandInSource(StateSource):
+    """Raises on every call: the test passes snapshots to the follower itself."""
+
+    async def read(self):
+        raise NotImplementedError
+
+    async def wait(self, position, longest_s):
+        raise NotImplementedError
+
+
 class RestorableSource(StateSource):
     """A source that loses history in restores, and keeps the actual states beside it."""
 
@@ -291,6 +312,35 @@
     assert usable(registry) == {"b", "c"}
 
 
+def removals_of_lives_that_were_never_listed_are_kept():
+    """A life that was removed before the router received its entry is held after a restore."""
+
+    async def play(restored, *, applied_revision):
+        clock = Clock()
+        registry = BackendRegistry("", clock)
+        follower = StateFollower(StandInSource(), registry)
+        earlier_ms = wall_clock_ms() - 10_000
+        initial = [entry_of_life("a", earlier_ms, 3), entry_of_life("b", earlier_ms, 4)]
+        follower.adopt(snapshot_of(SourcePosition(1, 4), initial))
+        follower.adopt(snapshot_of(SourcePosition(1, applied_revision), initial[1:]))
+        follower.adopt(snapshot_of(SourcePosition(2, 9), [initial[1], restored]))
+        at_once = usable(registry)
+        clock.now_s += REMOVED_HOLD_S + 0.2
+        registry.apply_restoration_timeouts()
+        return at_once, usable(registry)
+
+    now_ms = wall_clock_ms()
+    for name in ("a", "c"):
+        restarted = entry_of_life(name, now_ms - 5000, 7)
+        found = asyncio.run(play(restarted, applied_revision=10))
+        assert found == ({"b"}, {"b", name}), "not held: written and removed by revision 10"
+        found = asyncio.run(play(restarted, applied_revision=6))
+        assert found[0] == {"b", name}, "held: written after the applied revision"
+        later = entry_of_life(name, now_ms + 60_000, 7)
+        found = asyncio.run(play(later, applied_revision=10))
+        assert found[0] == {"b", name}, "held: started later, so its revision was assigned again"
+
+
 def old_withdrawals_are_dropped():
     """The number of withdrawals is bounded by those of the last minute."""
     clock = Clock()
@@ -389,6 +439,7 @@
         a_held_backend_that_is_removed_stays_removed,
         a_removal_is_kept_through_several_restores,
         a_withdrawal_outlives_the_record_of_its_backend,
+        removals_of_lives_that_were_never_listed_are_kept,
         old_withdrawals_are_dropped,
         a_restore_is_detected_without_an_era_header,
         a_read_with_pages_from_two_eras_is_rejected,
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from yokedock.base.clock import boot_time_s
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.logs import logger
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.source_position import NO_ERA, SourcePosition
@@ -16,7 +16,7 @@
 from yokedock.process.state_news import RecentNews
 from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
 from yokedock.request.backend_registry import BackendRegistry
-from yokedock.request.list_restoration import MISSING_GRACE_S
+from yokedock.request.list_restoration import MISSING_GRACE_S, AppliedHistory
 from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteIndex, RouteTable
 
@@ -76,6 +76,8 @@
         """Items of the source that were not understood, since the start."""
         self.index: RouteIndex | None = None
         self.position = SourcePosition()
+        self._applied_ms = 0
+        """When ``position`` was reached (wall clock)."""
         self._last_watch_position = SourcePosition()
         """Start position of the last watch."""
         self._reports_era = True
@@ -137,7 +139,7 @@
         for news in told:
             follows = news.start_position() <= self.position < news.end_position()
             if follows and news.version <= self.version and self.is_known:
-                self.position = news.end_position()
+                self._advance(news.end_position())
                 self._registry.update(news.changed, news.gone)
 
     def snapshot(self) -> StateSnapshot:
@@ -261,7 +263,7 @@
         self._adopt_table(changes.table)
         if position < self.position:
             return False
-        self.position = position
+        self._advance(position)
         if position > before or changes.table is not None:
             self._recent_news.add(before, position, self.version, changes)
             self.on_news()
@@ -296,14 +298,21 @@
         self._note_known()
         return is_current
 
+    def _advance(self, position: SourcePosition) -> None:
+        """Set the position, and record the time if it is higher than before."""
+        if position > self.position:
+            self._applied_ms = wall_clock_ms()
+        self.position = position
+
     def _replace_backends(
         self, position: SourcePosition, backends: dict[str, BackendEntry]
     ) -> bool:
         """Replace all backends by those at ``position``; return whether the source was restored."""
         is_restored = self.position > SourcePosition() and position.era > self.position.era
-        self.position = position
+        applied = AppliedHistory(self.position.revision, self._applied_ms)
+        self._advance(position)
         if is_restored:
-            self._registry.restore_all(backends)
+            self._registry.restore_all(backends, applied)
             delay_s = MISSING_GRACE_S + TIMER_SLACK_S
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self._registry.apply_restoration_timeouts)
--- a/src/yokedock/request/backend_list.py
+++ b/src/yokedock/request/backend_list.py
@@ -16,7 +16,7 @@
 from yokedock.request.backend_life import Backend, life_name
 from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_notices import SAID_KEPT_S
-from yokedock.request.list_restoration import ListRestoration
+from yokedock.request.list_restoration import NOTHING_APPLIED, AppliedHistory, ListRestoration
 
 _log = logger("backends")
 
@@ -57,17 +57,23 @@
             self._put(entry, now_s)
         self._remove(gone, now_s)
 
-    def restore_all(self, entries: dict[str, BackendEntry]) -> None:
+    def restore_all(
+        self, entries: dict[str, BackendEntry], applied: AppliedHistory = NOTHING_APPLIED
+    ) -> None:
         """Take over a whole list whose source has been restored from a backup.
 
         Backends that it does not name are kept for a grace period. A life that was leaving or
-        removed does not become ready by an entry of the backup.
+        removed does not become ready by an entry of the backup. An entry that ``applied`` contains,
+        of a backend that is not listed here, counts as removed before the restore.
         """
         now_s = self._clock()
-        listed = [instance for instance, backend in self._newest.items() if backend.is_listed]
+        listed = {instance for instance, backend in self._newest.items() if backend.is_listed}
         self._restoration.begin(listed, entries, now_s)
         for entry in entries.values():
-            self._restoration.hold(self._life_name_of(entry), now_s)
+            name = self._life_name_of(entry)
+            if entry.instance not in listed and applied.contains(entry):
+                self._restoration.record_withdrawal(name, False, entry.revision, now_s)
+            self._restoration.hold(name, now_s)
         self.replace_all(entries)
 
     def update(self, changed: Iterable[BackendEntry], gone: Iterable[str]) -> None:
--- a/src/yokedock/request/list_restoration.py
+++ b/src/yokedock/request/list_restoration.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from yokedock.connection.state_source import BackendEntry
+
 MISSING_GRACE_S = 2.2
 """How long a backend that the backup lacks stays listed: running backends write their entries again
 within about 2 s, and 0.2 s are allowed until the router receives that."""
@@ -31,6 +33,26 @@
     """Of the entry before the withdrawal: entries of a backup have no higher one."""
 
 
+class AppliedHistory(msgspec.Struct, frozen=True):
+    """The part of the source's history that a router had applied before a restore."""
+
+    revision: int = 0
+    """The last revision that was applied."""
+    applied_ms: int = 0
+    """When it was applied (wall clock)."""
+
+    def contains(self, entry: BackendEntry) -> bool:
+        """Return whether a restored entry was written within this history.
+
+        Revisions are assigned again after a restore, so the life must also have started before
+        ``applied_ms``. False for an entry without the start time of its life.
+        """
+        return entry.revision <= self.revision and 0 < entry.born_ms <= self.applied_ms
+
+
+NOTHING_APPLIED = AppliedHistory()
+
+
 class ListRestoration:
     """Tracks withdrawals, and the entries that are unconfirmed after a restore, in boot time."""
 
