Soak: check removals before a router's start if it was in touch

The judge had been relaxed for routers that started after a backend had left and before a restore whose backup lists that backend. Such a router has read a list without the backend, and now keeps its restored entry out of use.

A router that started so shortly before the restore that it may have read nothing remains exempt. Two constructed histories cover both cases.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -40,6 +40,7 @@
       | fault                                                           | rule    |
       | a backend listed as leaving got a request                       | DRAIN   |
       | a backend that left well before a restore got a request         | DRAIN   |
+      | a router started after a backend left and well before a restore, and sent it a request | DRAIN |
       | an old configuration was in force for too long                  | CONFIG  |
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
@@ -76,5 +77,5 @@
       | all backends were silent with the soak itself, and a stream was cut |
       | a backend listed as leaving got a request from a frozen router  |
       | a backend that left just before a restore got a request         |
-      | a backend that left before a router started and a store was restored got a request |
+      | a router started after a backend left and just before a restore, and sent it a request |
       | an old configuration was in force while the store was silent    |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -222,9 +222,9 @@
     made.arrival(made.request())
 
 
-def late_from_started_before_restore(made):
+def late_from_started_before_restore(made, ready_s):
     """A router starts after a backend has left; a backup then lists that backend as ready."""
-    made.life.ready_s = START_S - 7.9
+    made.life.ready_s = ready_s
     late_after_restore(made, 8.0)
 
 
@@ -295,8 +295,11 @@
     "a backend broke off a stream": backend_broke_off,
     "all backends were silent with the soak itself, and a stream was cut": all_silent,
     "a backend listed as leaving got a request from a frozen router": late_from_frozen,
-    "a backend that left before a router started and a store was restored got a request": (
-        late_from_started_before_restore
+    "a router started after a backend left and well before a restore, and sent it a request": (
+        lambda made: late_from_started_before_restore(made, START_S - 7.9)
+    ),
+    "a router started after a backend left and just before a restore, and sent it a request": (
+        lambda made: late_from_started_before_restore(made, START_S - 7.0)
     ),
     "a backend that left just before a restore got a request": lambda made: late_after_restore(
         made, 5.0
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -189,15 +189,18 @@
     def leaving_known_s(self, life: RouterLife, leaving_s: float, at_s: float) -> float:
         """Return since when a router could know by ``at_s`` of a leaving listed at ``leaving_s``.
 
-        One that started after it learns of it from the list alone: if a backup lacks it, only once
-        the store has recovered from the restore.
+        A router that started later learns of it only from the list. If a backup lacks it and the
+        router was not in touch between its start and the restore, this is once the store has
+        recovered.
         """
         if life.ready_s is not None and life.ready_s <= leaving_s:
             return leaving_s
         lost = [
             end_s
             for taken_s, offline_s, end_s in self.restored_s
-            if taken_s <= leaving_s < end_s and offline_s <= at_s
+            if taken_s <= leaving_s < end_s
+            and offline_s <= at_s
+            and not self.was_in_touch(life, leaving_s, offline_s)
         ]
         return max(lost, default=leaving_s)
 
