Attribute a leaving state to a life by when its request was sent

Cause: the answer came from the next life of the backend, which the router did not know yet because the store was silent. The leaving state was dropped when the router received that life, since the connection had been opened within 250 ms of the life's start. Within that margin the clocks of two machines do not tell which life a connection belongs to. Trace: life i-4 begins at 24.241 s, a connection is opened after 24.37 s, the call is sent on it at 24.70 s, its answer reports at 24.744 s that the backend is leaving and is passed on at 24.76 s, the list contains the life at 27.230 s, and calls are sent from 27.27 s on.

Ruled out: a leaving entry lost with the backup alone (the router had received the answer), and a report by another router (the same router had passed the answer on).

A request that was sent more than the margin after the start of the next life can only have been answered by that life, even on a connection that was opened within the margin. Leaving states are now attributed by the time at which the request was sent. Rests and limits are still attributed by the opening of the connection: within the margin they are believed, and one that was reported on an older connection belongs to the ended life.

The new scenario fails on the code before this change (the client is not answered 503).

--- a/features/engine_lives.feature
+++ b/features/engine_lives.feature
@@ -25,6 +25,21 @@
     Then the stream goes on within 0.3 s, each event once and in order
     And no order named the memory of a life that had ended
 
+  # Guards against dropping the leaving state if its connection was opened within the clock margin.
+  Scenario: A leaving state that the next life reported holds once its start is listed
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them as started
+    And backend "b" works for 0.03 s on each request
+    When a client sends POST on "once" until "a" has answered
+    And 0.4 s later backend "a" says in its answers that it leaves
+    And a client sends POST on "once" until "a" has answered
+    And the list says that "a" started anew just before its first request
+    And the list says that "b" is gone
+    And 2 s later a client sends POST on "once" with body "abc"
+    Then the client gets 503
+    And "a" got nothing since
+
   Scenario: A connection to the life before is not used for the next one
     Given a plain backend "a"
     And a router that knows them as started
--- a/features/steps/engine_lives_steps.py
+++ b/features/steps/engine_lives_steps.py
@@ -7,11 +7,13 @@
 from router_steps import STREAM_HEADERS, caller, decode_engines, world
 from support.router_world import request_bytes
 
-from yokedock.base.clock import wall_clock_ms
+from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import StateSnapshot
 
 FIRST_MS = 1_000
+START_LEAD_S = 0.05
+"""Less than the clock margin, so that the connection may belong to either life."""
 OLD_ENOUGH_S = 0.3
 """Clocks of machines differ: connections that were opened so long before are the old life's."""
 
@@ -104,6 +106,20 @@
     start_anew(context, context.world.backends[name])
 
 
+@when('{delay_s:g} s later backend "{name}" says in its answers that it leaves')
+def report_leaving_after_delay(context, delay_s, name):
+    time.sleep(delay_s)
+    context.world.backends[name].is_leaving = True
+
+
+@when('the list says that "{name}" started anew just before its first request')
+def tell_start_before_first_request(context, name):
+    backend = context.world.backends[name]
+    age_s = boot_time_s() - backend.arrivals[0].arrived_s
+    born_ms = wall_clock_ms() - round((age_s + START_LEAD_S) * 1000)
+    tell_start(context, backend, born_ms)
+
+
 @when("its backend, which has started anew before that, is heard of only now")
 def late_news(context):
     (backend,) = context.world.backends.values()
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -38,11 +38,12 @@
 
 def send_until_answered(context, route, name, is_stream=False):
     backend = backend_of(context, name)
+    arrivals_before = len(backend.arrivals)
     for _ in range(TRIES):
         send_one(context, route, is_stream)
-        if backend.arrivals:
+        if len(backend.arrivals) > arrivals_before:
             break
-    assert backend.arrivals, f"{name} was never chosen"
+    assert len(backend.arrivals) > arrivals_before, f"{name} was never chosen"
     context.answered_s = backend.arrivals[-1].arrived_s
     context.known_arrivals = len(backend.arrivals)
 
--- a/features/support/restored_properties.py
+++ b/features/support/restored_properties.py
@@ -387,7 +387,7 @@
         page = RangePage((item,), more=bool(self._pages), at=at)
         headers = ((b"Store-Era", str(era).encode()),) if era else ()
         head = AnswerHead(headers, 200, b"OK")
-        return ShortAnswer(200, msgspec.json.encode(page), head, 0)
+        return ShortAnswer(200, msgspec.json.encode(page), head, 0, 0)
 
 
 async def _read_pages(*pages):
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -54,6 +54,8 @@
         """When the peer last accepted the connection or sent something (boot time, s)."""
         self.opened_ms = wall_clock_ms()
         """Time of day at which it was open: backends tell their start so."""
+        self.sent_ms = self.opened_ms
+        """Time of day at which the newest request was sent; ``opened_ms`` before the first one."""
         self.sent_s = 0.0
         """When the newest request was sent (boot time, s)."""
         self._reader = reader
@@ -97,6 +99,7 @@
         """Send one request; the body is written while the answer may already be read."""
         self.received_bytes = 0
         self.sent_s = boot_time_s()
+        self.sent_ms = wall_clock_ms()
         self._is_fit = False
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         framed = [*headers]
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -39,6 +39,8 @@
     head: AnswerHead
     opened_ms: int
     """Time of day at which its connection was opened."""
+    sent_ms: int
+    """Time of day at which its request was sent."""
 
 
 class AnswerProgress(msgspec.Struct, frozen=True):
@@ -107,7 +109,13 @@
                     parts.append(part)
                     share.received_bytes += len(part)
                     _extend(time_limit, sent_s, limits.progress)
-                return ShortAnswer(answer.status, b"".join(parts), answer, connection.opened_ms)
+                return ShortAnswer(
+                    answer.status,
+                    b"".join(parts),
+                    answer,
+                    connection.opened_ms,
+                    connection.sent_ms,
+                )
         except TimeoutError:
             took_s = asyncio.get_running_loop().time() - sent_s
             state = f"{connection.received_bytes} bytes in {took_s:.1f} s, not whole"
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -164,7 +164,8 @@
             sent_s = boot_time_s()
             answer = await short_call(self._pool, backend.entry.address, call, limits)
             notes = self._dialect.answer_notes(answer.head)
-            backend.take_notices(notes, boot_time_s(), answer.opened_ms, sent_s)
+            now_s = boot_time_s()
+            backend.take_notices(notes, now_s, answer.opened_ms, sent_s, answer.sent_ms)
             return answer.status
         except (BackendUnreachable, BackendBroken):
             return None
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -179,8 +179,11 @@
         """
         notes = self._notes = self._dialect.answer_notes(head)
         is_ours = notes.request_id is None or notes.request_id == self._call.request_id
-        sent_s = self._sent_s if is_ours else -math.inf
-        self.backend.take_notices(notes, boot_time_s(), self._connection.opened_ms, sent_s)
+        opened_ms = self._connection.opened_ms
+        sent_s, sent_ms = -math.inf, opened_ms
+        if is_ours:
+            sent_s, sent_ms = self._sent_s, self._connection.sent_ms
+        self.backend.take_notices(notes, boot_time_s(), opened_ms, sent_s, sent_ms)
         return is_ours
 
 
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -146,35 +146,43 @@
         return self.entry.is_leaving or self.notices.leaving_since_s is not None
 
     def take_notices(
-        self, notes: AnswerNotes, now_s: float, opened_ms: int = 0, sent_s: float = -math.inf
+        self,
+        notes: AnswerNotes,
+        now_s: float,
+        opened_ms: int = 0,
+        sent_s: float = -math.inf,
+        sent_ms: int = 0,
     ) -> None:
         """Take in what the head of any of its answers says of the backend.
 
         The answer's connection was opened at ``opened_ms`` (time of day), its request was sent at
-        ``sent_s`` (boot time); the defaults stand for times that are not known.
+        ``sent_s`` (boot time) and ``sent_ms`` (time of day). The defaults stand for unknown times;
+        a ``sent_ms`` before ``opened_ms`` is replaced by ``opened_ms``.
         """
-        self.notices.take(notes, self.name, now_s, opened_ms)
+        sent_ms = max(sent_ms, opened_ms)
+        self.notices.take(notes, self.name, now_s, opened_ms, sent_ms)
         self._weigh_leaving()
         if not notes.is_elsewhere and not notes.is_limit_odd:
             self._limit_opened_ms = opened_ms
             self.limit.note_answer(notes.limit_per_s, sent_s, now_s)
         if self._next_life is not None and not notes.is_elsewhere:
-            self._next_life.take_late_notices(notes, now_s, opened_ms, sent_s)
+            self._next_life.take_late_notices(notes, now_s, opened_ms, sent_s, sent_ms)
 
     def take_late_notices(
-        self, notes: AnswerNotes, now_s: float, opened_ms: int, sent_s: float
+        self, notes: AnswerNotes, now_s: float, opened_ms: int, sent_s: float, sent_ms: int
     ) -> None:
         """Take in an answer to what was sent under the name of the life before.
 
-        On a connection that was opened since this life began it is this one's own word: as in
-        ``BackendNotices.said_since``, but heard after this life was heard of.
+        Like ``BackendNotices.said_since``, for answers received after this life became known.
+        Ignores answers on connections that were opened more than ``CLOCK_MARGIN_MS`` before this
+        life began, and leaving states unless the request was sent at least that long after.
         """
         born_ms = self.entry.born_ms
         if opened_ms < born_ms - CLOCK_MARGIN_MS:
             return
-        if opened_ms < born_ms + CLOCK_MARGIN_MS:
+        if sent_ms < born_ms + CLOCK_MARGIN_MS:
             notes = msgspec.structs.replace(notes, is_leaving=False)
-        self.take_notices(notes, now_s, opened_ms, sent_s)
+        self.take_notices(notes, now_s, opened_ms, sent_s, sent_ms)
 
     def note_told_leaving(self, now_s: float) -> None:
         """Take in that another router had an answer which says that it leaves."""
--- a/src/yokedock/request/backend_notices.py
+++ b/src/yokedock/request/backend_notices.py
@@ -38,18 +38,21 @@
     """When this router itself first had an answer that says so."""
     rest_until_s: float = -math.inf
     """Until when it wants no request from this router."""
-    leaving_opened_ms: int = 0
-    """Time of day at which the connection that told of the leaving was opened."""
+    leaving_sent_ms: int = 0
+    """Time of day at which the request was sent whose answer first reported the leaving state."""
     rest_opened_ms: int = 0
-    """The same of the rest."""
+    """Time of day at which the connection was opened that last reported a rest."""
 
-    def take(self, notes: AnswerNotes, backend: str, now_s: float, opened_ms: int) -> None:
+    def take(
+        self, notes: AnswerNotes, backend: str, now_s: float, opened_ms: int, sent_ms: int
+    ) -> None:
         """Take in what the head of an answer says of ``backend``.
 
-        The answer came on a connection that was opened at ``opened_ms`` (time of day).
+        The answer's connection was opened at ``opened_ms`` and its request was sent at ``sent_ms``
+        (times of day).
         """
         if notes.is_leaving and self.said_leaving_s < 0:
-            self.said_leaving_s, self.leaving_opened_ms = now_s, opened_ms
+            self.said_leaving_s, self.leaving_sent_ms = now_s, sent_ms
             self.note_leaving(now_s)
             _log.info("backend says that it leaves", backend=backend)
         if notes.rest_s is not None:
@@ -72,14 +75,16 @@
         A connection that was opened since its start is its own, whoever was thought to be there:
         with the list silent for 2.5 s, a rest of that length was forgotten as the list came back.
         Clocks differ by ``clock_margin_ms``: within that a rest is believed, since it ends by
-        itself, and a leaving is not, since nothing would take it back.
+        itself, and a leaving state is not, since nothing would clear it. A rest is dated by the
+        opening of its connection, a leaving state by the sending of its request: a request sent
+        after the margin was answered by the next life, even on a connection opened before that.
         """
         said = BackendNotices()
         if self.rest_opened_ms and self.rest_opened_ms >= born_ms - clock_margin_ms:
             said.rest_until_s, said.rest_opened_ms = self.rest_until_s, self.rest_opened_ms
-        if self.leaving_opened_ms >= born_ms + clock_margin_ms:
+        if self.leaving_sent_ms >= born_ms + clock_margin_ms:
             said.leaving_since_s, said.said_leaving_s = self.leaving_since_s, self.said_leaving_s
-            said.leaving_opened_ms = self.leaving_opened_ms
+            said.leaving_sent_ms = self.leaving_sent_ms
         return said
 
     def matter(self, now_s: float) -> bool:
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -101,7 +101,8 @@
             sent_s = boot_time_s()
             answer = await short_call(self._pool, engine.entry.address, question, ANSWER_LIMITS)
             notes = self._dialect.answer_notes(answer.head)
-            engine.take_notices(notes, boot_time_s(), answer.opened_ms, sent_s)
+            now_s = boot_time_s()
+            engine.take_notices(notes, now_s, answer.opened_ms, sent_s, answer.sent_ms)
             if answer.status == OK:
                 return self._dialect.cached_parts(answer.body)
         except (BackendUnreachable, BackendBroken, EngineRejected) as error:
