Keep a slow backend if the reserved one became unavailable

Cause: another backend had been reserved for the repeat, and the slow one was given up some 50 to 80 ms later, after anything received in the meantime had been read. In that time the reserved backend had asked for rest.

The reserved backend is now checked again immediately before the slow one is given up: it must not have ended, be unwilling or be out of free connections. Between this check and the sending, only a connection is taken. If the check fails, the search continues, and if no backend is found, the slow one is waited for until the deadline.

The new property "a slow backend is kept if the reserved one became unavailable" fails on the code before this change: the call was sent to the slow backend a second time after it had been given up (rest, new life), or to the other backend beyond its connections.

Left: a permit that was taken for a reserved backend is not given back if that backend becomes unavailable.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -263,3 +263,7 @@
       | messages are compatible with the previous version        |
       | few routers read everything after a restore              |
       | a restore is detected with the initial readers cut off   |
+
+    Examples: a backend that is reserved for a repeat
+      | property                                                      |
+      | a slow backend is kept if the reserved one became unavailable |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -13,6 +13,7 @@
 from support.placement_cost_properties import PLACEMENT_COST_PROPERTIES
 from support.poison_properties import POISON_PROPERTIES
 from support.properties import PROPERTIES
+from support.reservation_properties import RESERVATION_PROPERTIES
 from support.restored_properties import RESTORED_PROPERTIES
 from support.resume_properties import RESUME_PROPERTIES
 from support.role_properties import ROLE_PROPERTIES
@@ -29,6 +30,7 @@
 ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
 ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES | SLEEP_PROPERTIES
 ALL_PROPERTIES |= CALL_QUEUE_PROPERTIES | RESUME_PROPERTIES | RESTORED_PROPERTIES
+ALL_PROPERTIES |= RESERVATION_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- /dev/null
+++ b/features/support/reservation_properties.py
@@ -0,0 +1,132 @@
+"""When a call is repeated at a reserved backend instead of waiting for a slow one."""
+
+import asyncio
+import contextlib
+
+from yokedock.base.clock import boot_time_s
+from yokedock.connection.dialect import AnswerNotes, CallTerms
+from yokedock.connection.http_heads import AnswerHead, RequestHead
+from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.opaque_call import OpaqueCalls
+from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
+from yokedock.request.routed_call import RoutedCall, WholeAnswer
+from yokedock.router_errors import BackendSilent, BackendUnreachable
+from yokedock.version.route_table import Route, RouteKind, ServiceSpec, WeightedTarget
+
+SERVICE = "plain"
+TIME_LEFT_S = 9.0
+REST_REFUSAL = AnswerNotes("other", is_not_run=True, is_signed=False, rest_s=60.0)
+
+
+class RequestStub:
+    """The fields of a caller's request that a call reads."""
+
+    def __init__(self):
+        self.arrived_s = boot_time_s()
+        self.head = RequestHead((), b"POST", b"/x")
+        self.body = b""
+
+
+class ExchangeStub:
+    """An exchange without a connection. A slow backend needs most of the time to the deadline."""
+
+    is_open = True
+
+    def __init__(self, backend, is_slow, exchanges):
+        self.backend = backend
+        self._is_slow = is_slow
+        self._exchanges = exchanges
+
+    def suspect_after(self, quiet_s):
+        """Ignore the limit: there is no connection to suspect."""
+
+    async def send(self, order):
+        """Record that the call was sent to the backend."""
+        self._exchanges.asked.append(self.backend.name)
+
+    async def read_whole(self, patience_s):
+        """Return the answer; raises ``BackendSilent`` if a slow backend is not waited for.
+
+        A read with no patience is the one that follows a reservation.
+        """
+        if patience_s == 0.0:
+            self._exchanges.after_reservation()
+        if self._is_slow and patience_s < TIME_LEFT_S / 2:
+            raise BackendSilent(f"{self.backend.name} gave no answer")
+        return WholeAnswer(AnswerHead((), 200, b"OK"), self.backend.name.encode())
+
+
+class ExchangesStub:
+    """Opens exchanges; the first backend that is used is slow."""
+
+    def __init__(self, after_reservation):
+        self.after_reservation = after_reservation
+        self.asked = []
+        self._slow = None
+
+    @contextlib.asynccontextmanager
+    async def open(self, backend, call, has_permit=False):
+        """Open an exchange; raises if the backend is unwilling or has ended."""
+        self._slow = self._slow or backend
+        backend.require_willing(boot_time_s())
+        if backend.has_ended:
+            raise BackendUnreachable(f"{backend.name} has ended")
+        yield ExchangeStub(backend, backend is self._slow, self)
+
+
+async def backends_asked(change):
+    """Return the backends that a call is sent to if ``change`` is applied to the reserved one."""
+    registry = BackendRegistry("")
+    entries = [BackendEntry(name, SERVICE, "127.0.0.1:1", born_ms=1) for name in ("slow", "other")]
+    registry.update(entries, ())
+    other = registry.get("other@1")
+    other.health.note_answer(boot_time_s(), 0.1, is_failure=True)
+    allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, is_first_start=True)
+    exchanges = ExchangesStub(lambda: change(registry, other))
+    calls = OpaqueCalls(registry, exchanges, allowance)
+    targets = (WeightedTarget(SERVICE),)
+    kind = RouteKind.REPEATABLE
+    route = Route("r", "h", "/", kind, TIME_LEFT_S, 1.0, targets, max_attempts=3)
+    terms = CallTerms("call-1", TIME_LEFT_S)
+    call = RoutedCall(RequestStub(), None, terms, route, ServiceSpec(SERVICE))
+    with allowance.request(SERVICE, call.request_id) as retries:
+        answer = await calls._serve(call, retries)
+    assert answer.body.decode() == exchanges.asked[-1]
+    return exchanges.asked
+
+
+def no_change(registry, other):
+    """Leave the reserved backend available."""
+
+
+def asks_for_rest(registry, other):
+    """Let the reserved backend refuse another request and ask for rest."""
+    other.take_notices(REST_REFUSAL, boot_time_s())
+
+
+def restarts_and_asks_for_rest(registry, other):
+    """List a later life of the reserved backend, which asks for rest."""
+    registry.update([BackendEntry("other", SERVICE, "127.0.0.1:1", born_ms=2)], ())
+    registry.get("other@2").take_notices(REST_REFUSAL, boot_time_s())
+
+
+def runs_out_of_connections(registry, other):
+    """Let other requests use all connections to the reserved backend."""
+    registry.connection_share = lambda service: 1
+    other.outstanding = 1
+
+
+def a_slow_backend_is_kept_if_the_reserved_one_became_unavailable():
+    """Guards against answering 502 while a backend is still working on the call."""
+    assert asyncio.run(backends_asked(no_change)) == ["slow@1", "other@1"]
+    for change in (asks_for_rest, restarts_and_asks_for_rest, runs_out_of_connections):
+        asked = asyncio.run(backends_asked(change))
+        assert asked == ["slow@1"], (change.__name__, asked)
+
+
+RESERVATION_PROPERTIES = {
+    "a slow backend is kept if the reserved one became unavailable": (
+        a_slow_backend_is_kept_if_the_reserved_one_became_unavailable
+    ),
+}
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -26,6 +26,7 @@
     BackendRefused,
     BackendSilent,
     BackendUnreachable,
+    BackendUnwilling,
 )
 
 _log = logger("call")
@@ -215,22 +216,38 @@
         backend = exchange.backend
         patience_s = self._patience_s(call, backend)
         exchange.suspect_after(self._registry.patience_s(backend))
-        gives_up = False
         while True:
             try:
                 return await exchange.read_whole(patience_s)
             except BackendSilent:
                 if patience_s >= self._registry.patience_s(backend):
                     backend.health.note_silence(boot_time_s())
-                if gives_up or not exchange.is_open or call.left_s() <= 0:
+                if not exchange.is_open or call.left_s() <= 0:
+                    raise
+                reserved = attempts.reserved
+                if reserved is not None and self._is_available(call, reserved.backend):
                     raise
                 # The repeat is paid for before this one is given up: others may spend the budget.
                 other = await self._find_reachable_backend(call, backend, attempts)
+                attempts.reserved = None
                 if other is not None and retries.may_go_on(call, LEAST_USEFUL_S):
                     attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
-                    gives_up = True
                 # What came while another was reached is read first.
-                patience_s = 0.0 if gives_up else call.left_s()
+                patience_s = call.left_s() if attempts.reserved is None else 0.0
+
+    def _is_available(self, call: RoutedCall, backend: Backend) -> bool:
+        """Return whether the call can still be sent to a reserved backend.
+
+        It may have ended, become unwilling or run out of connections since it was reserved.
+        """
+        share = self._registry.connection_share(call.service.name)
+        if backend.has_ended or backend.outstanding >= share:
+            return False
+        try:
+            backend.require_willing(boot_time_s())
+        except BackendUnwilling:
+            return False
+        return True
 
     async def _find_reachable_backend(
         self, call: RoutedCall, backend: Backend, attempts: CallAttempts
