Soak: remove a backend from the list before starting its replacement

The operator started the replacement first and removed the backend from its list afterwards. In the meantime, a request that ends its backends had already caused the removal.

The backend is now removed first. The new scenario fails on the code before this change with that error.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -17,6 +17,11 @@
       | 95   | 20      |
       | 123  | 20      |
 
+  Scenario: A backend that ends by itself while its replacement starts is still drained
+    Given an empty soak history
+    When a backend is drained and ends by itself while its replacement starts
+    Then its draining is recorded and its replacement serves
+
   Scenario Outline: The judge finds what is wrong: <fault>
     Given a history in which <fault>
     Then the judge finds a broken rule "<rule>" and nothing else
--- a/features/steps/router_soak_steps.py
+++ b/features/steps/router_soak_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import atexit
 import functools
 import tempfile
@@ -9,6 +10,9 @@
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.router_soak.router_soak import run_soak
 from yokedock_emulator.router_soak.soak_judge import judge
+from yokedock_emulator.router_soak.soak_operator import POOLS, SoakOperator
+from yokedock_emulator.router_soak.soak_plan import SoakEvent
+from yokedock_emulator.router_soak.soak_records import SoakHistory
 
 ROOT = Path(__file__).resolve().parents[2]
 LOGS = ROOT / "build" / "test-logs"
@@ -47,6 +51,37 @@
     assert {"terminate", "freeze", "configuration"} <= events.keys(), events
 
 
+@given("an empty soak history")
+def empty_history(context):
+    context.history = SoakHistory()
+
+
+@when("a backend is drained and ends by itself while its replacement starts")
+def drain_and_crash(context):
+    async def drain_during_crash():
+        operator = SoakOperator(context.history)
+        await operator.start()
+        try:
+            backend = operator.serving[0]
+            drain = asyncio.create_task(operator.strike(SoakEvent(0.0, "drain")))
+            await asyncio.sleep(0)
+            backend.kill()
+            backend.on_crash(backend)
+            context.drained = await drain
+            context.serving = {each.instance for each in operator.serving}
+        finally:
+            operator.stop()
+
+    asyncio.run(drain_during_crash())
+
+
+@then("its draining is recorded and its replacement serves")
+def is_drained_and_replaced(context):
+    backends = sum(count for _, _, count in POOLS)
+    assert context.drained in context.history.leaving_s
+    assert context.drained not in context.serving and len(context.serving) == backends
+
+
 @given("a history in which {what}")
 def history(context, what):
     made = Made()
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -73,7 +73,7 @@
         self.version = 0
         """Newest configuration, counted from 1."""
         self._history = history
-        self._serving: list[SoakBackend] = []
+        self.serving: list[SoakBackend] = []
         """Those listed and not leaving."""
         self._all: list[SoakBackend] = []
         self._next = 0
@@ -170,7 +170,7 @@
 
     async def strike(self, soak_event: SoakEvent) -> str:
         """Let something happen to a backend; return its name."""
-        backend = self._serving[soak_event.target % len(self._serving)]
+        backend = self.serving[soak_event.target % len(self.serving)]
         if soak_event.kind in ("errors", "refusals", "rest"):
             self._fail(backend, soak_event)
             return backend.instance
@@ -184,13 +184,15 @@
             self._write_oddly(backend, soak_event.length_s)
             return backend.instance
         if soak_event.kind in ("outage", "rest of all"):
-            for other in self._serving:
+            for other in self.serving:
                 if other.service == backend.service:
                     self._fail(other, soak_event)
             return backend.service
+        # Removed before the replacement starts: if the backend ends meanwhile, _crashed would
+        # remove it from the list, and a second removal fails.
+        self.serving.remove(backend)
         if soak_event.kind != "replace":
             await self._add(backend.service, backend.role)
-        self._serving.remove(backend)
         if soak_event.kind == "drain":
             self._drain(backend)
         elif soak_event.kind == "remove":
@@ -216,7 +218,7 @@
         is_all = soak_event.kind == "limit of all"
         limited = [
             other
-            for other in self._serving
+            for other in self.serving
             if other is backend or (is_all and other.service == backend.service)
         ]
         text = LIMIT_OF_ALL if is_all else LIMITS[soak_event.target % len(LIMITS)]
@@ -237,15 +239,15 @@
         await backend.start(address)
         backend.on_crash = self._crashed
         self._born_ms[backend.instance] = wall_clock_ms()
-        self._serving.append(backend)
+        self.serving.append(backend)
         self._all.append(backend)
         self._list(backend, "ready")
 
     def _crashed(self, backend: SoakBackend) -> None:
         """Have a backend that ended come back under its identifier after a while."""
         self._history.killed_s.append((backend.service, boot_time_s()))
-        if backend in self._serving:
-            self._serving.remove(backend)
+        if backend in self.serving:
+            self.serving.remove(backend)
             self._after(self._choices.uniform(*BACK_AFTER_S), self._start_anew(backend))
 
     async def _start_anew(self, before: SoakBackend) -> None:
@@ -260,7 +262,7 @@
         self._after(length_s, self._write_again(backend))
 
     async def _write_again(self, backend: SoakBackend) -> None:
-        if backend in self._serving:
+        if backend in self.serving:
             self._list(backend, "ready")
 
     def _list(self, backend: SoakBackend, state: StoredState) -> None:
