--- a/src/yokedock_emulator/process_group.py
+++ b/src/yokedock_emulator/process_group.py
@@ -23,6 +23,7 @@
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 30.0
 POLL_S = 0.02
+NS_A_SECOND = 1_000_000_000
 CLOCK_TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -72,6 +73,18 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_A_SECOND
 
 
+def processor_wait_s(pid: int) -> float:
+    """Return how long a process has been runnable without a processor since its start, seconds.
+
+    Covers the main thread and completed waits (Linux: /proc/PID/schedstat). 0 if the kernel does
+    not provide the figure or the process has ended.
+    """
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / NS_A_SECOND
+    except (OSError, IndexError):
+        return 0.0
+
+
 def resident_bytes(pid: int) -> int:
     """Return the resident memory of a process, bytes (Linux: /proc/PID/statm)."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -12,9 +12,10 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock_emulator.deployed_router import DeployedRouter
+from yokedock_emulator.process_group import processor_wait_s
 from yokedock_emulator.raw_exchange import get_page
 from yokedock_emulator.router_soak.soak_plan import ROUTERS, SoakEvent
-from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
+from yokedock_emulator.router_soak.soak_records import ProcessorWait, RouterLife, SoakHistory
 
 GRACE_S = 8.0
 """Time from SIGTERM to SIGKILL, as on the platform."""
@@ -170,6 +171,8 @@
         """See a process to its end, and start the next."""
         while process.poll() is None:
             await asyncio.sleep(WATCH_S)
+            wait = ProcessorWait(boot_time_s(), processor_wait_s(process.pid))
+            life.processor_waits.append(wait)
             since_s = boot_time_s() - (life.terminated_s or boot_time_s())
             if since_s > GRACE_S and life.killed_s is None:
                 life.killed_s = boot_time_s()
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import math
 import zlib
@@ -127,6 +128,14 @@
     to_s: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessorWait:
+    """Total time that a process had waited for a processor since its start, as read at ``at_s``."""
+
+    at_s: float
+    total_s: float
+
+
 @dataclasses.dataclass
 class RouterLife:
     """One process of a router."""
@@ -142,12 +151,23 @@
     hung_up_unhandled: bool = False
     """Whether SIGHUP came before the program's first line, which ignores it."""
     freezes: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    processor_waits: list[ProcessorWait] = dataclasses.field(default_factory=list)
+    """Readings in order of time."""
 
     @property
     def key(self) -> tuple[int, int]:
         """Return what names this life in the clients' records."""
         return self.router, self.number
 
+    def processor_wait_s(self, from_s: float, to_s: float) -> float:
+        """Return the wait for a processor between the nearest readings that enclose this span."""
+        times = [wait.at_s for wait in self.processor_waits]
+        first = max(0, bisect.bisect_right(times, from_s) - 1)
+        last = min(len(times) - 1, bisect.bisect_left(times, to_s))
+        if last <= first:
+            return 0.0
+        return self.processor_waits[last].total_s - self.processor_waits[first].total_s
+
 
 @dataclasses.dataclass
 class SoakHistory:
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from pathlib import Path
 
 import msgspec
@@ -10,12 +11,14 @@
 from yokedock_emulator.router_soak.soak_budget import most_of_budget
 from yokedock_emulator.router_soak.soak_judge import Violation
 from yokedock_emulator.router_soak.soak_poison import most_ends
-from yokedock_emulator.router_soak.soak_records import SoakHistory
+from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
 
 MOST_STORIES = 12
 NEAR_S = 4.0
 """A story tells what was done so long before a request, until its end."""
 MOST_LOG_LINES = 25
+LEAST_PROCESSOR_WAIT_S = 0.05
+"""A story lists increases of the processor wait from one reading to the next of at least this."""
 PRINTED = 6
 
 
@@ -98,7 +101,11 @@
     head = f"{violation.rule}: {violation.text} {violation.request_id}"
     if record is None:
         return head
+    first_s, last_s = record.sent_s - NEAR_S, record.end_s + 0.5
+    life = history.lives[record.router, record.life]
+    waited_s = life.processor_wait_s(first_s, last_s)
     lines = [head, f"router {record.router} life {record.life}, route {record.route.name}"]
+    lines.append(f"router waited {waited_s:.2f} s for a processor within {last_s - first_s:.1f} s")
     told = [(at_s, text) for at_s, text in history.story]
     told += [(record.sent_s, f"client sent {record.request_id}")]
     told += [(record.end_s, f"client: {record.outcome} {record.status} events {record.events}")]
@@ -107,11 +114,21 @@
         for each in history.arrivals
         if each.request_id == record.request_id
     ]
-    first_s, last_s = record.sent_s - NEAR_S, record.end_s + 0.5
+    told += _long_processor_waits(life, first_s, last_s)
     lines += [f"{at - began_s:8.3f} {text}" for at, text in sorted(told) if first_s <= at <= last_s]
     return "\n".join(lines)
 
 
+def _long_processor_waits(life: RouterLife, from_s: float, to_s: float) -> list[tuple[float, str]]:
+    """Return the long waits for a processor, each at the time of the reading that showed it."""
+    found = []
+    for before, after in itertools.pairwise(life.processor_waits):
+        waited_s = after.total_s - before.total_s
+        if waited_s >= LEAST_PROCESSOR_WAIT_S and from_s <= after.at_s <= to_s:
+            found.append((after.at_s, f"router waited {waited_s:.2f} s for a processor"))
+    return found
+
+
 def keep_report(report: SoakReport, folder: Path) -> None:
     """Write report and stories beside the logs; where nothing is wrong, the logs go."""
     (folder / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)))
