Create clocks, random numbers and sockets in one module each

Runs of routers could not be reproduced: each module seeded its own generator, opened its own sockets and read the system clock, and operations on all connections or tasks ran in the order of their memory addresses.

base/clock.py reads a replaceable clock, base/randomness.py creates all generators, and base/sockets.py creates all sockets that the process opens itself. Sets of connections, streams and tasks keep insertion order (base/ordered_set.py).

No decision of the router changes.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python tools/check_layers.py
-	$(BIN)/python tools/check_clock.py
+	$(BIN)/python tools/check_system_calls.py
 	$(BIN)/python tools/check_platform_words.py
 	$(BIN)/python tools/check_deployment.py
 
--- a/src/yokedock/base/clock.py
+++ b/src/yokedock/base/clock.py
@@ -2,10 +2,13 @@
 
 The monotonic clock stands still in a suspension: by it a lease, a belief or a caller's deadline
 would be as fresh on waking as before. No other module reads a clock for these.
+
+``use_clock`` replaces the clock of the whole process, for simulations.
 """
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import time
 
@@ -13,9 +16,51 @@
 """Systems other than Linux have no clock of this name; their monotonic one stands in."""
 
 
+class Clock(abc.ABC):
+    """Source of all times that a process reads."""
+
+    @abc.abstractmethod
+    def boot_time_s(self) -> float:
+        """Return the seconds since an arbitrary start, including suspensions; never decreases."""
+
+    @abc.abstractmethod
+    def monotonic_time_s(self) -> float:
+        """Return the seconds since an arbitrary start, excluding suspensions; never decreases."""
+
+    @abc.abstractmethod
+    def wall_clock_ms(self) -> int:
+        """Return the wall-clock time in milliseconds since 1970; it may jump."""
+
+
+class SystemClock(Clock):
+    """Reads the clocks of the operating system."""
+
+    def boot_time_s(self) -> float:
+        """Return the seconds since the machine started."""
+        return time.clock_gettime(_CLOCK)
+
+    def monotonic_time_s(self) -> float:
+        """Return the time of the monotonic clock in seconds."""
+        return time.monotonic()
+
+    def wall_clock_ms(self) -> int:
+        """Return the wall-clock time in milliseconds since 1970."""
+        return time.time_ns() // 1_000_000
+
+
+_clock: Clock = SystemClock()
+
+
+def use_clock(clock: Clock) -> Clock:
+    """Replace the clock of this process and return the previous one."""
+    global _clock
+    previous, _clock = _clock, clock
+    return previous
+
+
 def boot_time_s() -> float:
     """Return the seconds since some moment: it never goes back, and counts a suspension."""
-    return time.clock_gettime(_CLOCK)
+    return _clock.boot_time_s()
 
 
 def new_event_loop() -> asyncio.AbstractEventLoop:
@@ -34,11 +79,11 @@
 
     def __init__(self) -> None:
         """Begin now."""
-        self._ahead_s = boot_time_s() - time.monotonic()
+        self._ahead_s = _clock.boot_time_s() - _clock.monotonic_time_s()
 
     def slept_s(self) -> float:
         """Return the seconds of suspension since the last call, less than a millisecond if none."""
-        ahead_s = boot_time_s() - time.monotonic()
+        ahead_s = _clock.boot_time_s() - _clock.monotonic_time_s()
         slept_s = ahead_s - self._ahead_s
         self._ahead_s = ahead_s
         return slept_s
@@ -61,4 +106,4 @@
 
 def wall_clock_ms() -> int:
     """Return the wall-clock time in milliseconds since 1970."""
-    return time.time_ns() // 1_000_000
+    return _clock.wall_clock_ms()
--- /dev/null
+++ b/src/yokedock/base/randomness.py
@@ -0,0 +1,25 @@
+"""Creates the random number generators; each component has its own.
+
+After ``use_seed``, the seeds of all generators derive from one seed, in order of creation.
+"""
+
+from __future__ import annotations
+
+import random
+
+_seed_source: random.Random | None = None
+
+
+def use_seed(seed: str | None) -> None:
+    """Derive the seeds of later generators from ``seed``; None seeds each from the system."""
+    global _seed_source
+    _seed_source = None if seed is None else random.Random(seed)
+
+
+def new_random(seed: int | None = None) -> random.Random:
+    """Return a new generator, with ``seed`` if given; generators are not shared by components."""
+    if seed is not None:
+        return random.Random(seed)
+    if _seed_source is None:
+        return random.Random()
+    return random.Random(_seed_source.getrandbits(64))
--- /dev/null
+++ b/src/yokedock/base/sockets.py
@@ -0,0 +1,32 @@
+"""Creates the sockets that a process opens itself, to backends and to other routers.
+
+``use_socket_factory`` replaces how the whole process creates them, for simulations.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+SocketFactory = Callable[[socket.SocketKind], socket.socket]
+"""Returns an unconnected IPv4 socket of the given kind, ``SOCK_STREAM`` or ``SOCK_DGRAM``."""
+
+
+def _system_socket(kind: socket.SocketKind) -> socket.socket:
+    return socket.socket(socket.AF_INET, kind)
+
+
+_factory: SocketFactory = _system_socket
+
+
+def use_socket_factory(factory: SocketFactory | None) -> None:
+    """Create all later sockets with ``factory``; None restores system sockets."""
+    global _factory
+    _factory = factory or _system_socket
+
+
+def new_socket(kind: socket.SocketKind) -> socket.socket:
+    """Return a non-blocking socket; raises ``OSError`` if no file descriptor is left."""
+    created = _factory(kind)
+    created.setblocking(False)
+    return created
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -17,6 +17,7 @@
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.patience import Patience
+from yokedock.base.sockets import new_socket
 from yokedock.connection.http_heads import AnswerHead, Header, RequestHead
 from yokedock.router_errors import (
     AnswerTooLong,
@@ -245,8 +246,7 @@
     """
     host, _, port = address.rpartition(":")
     with contextlib.ExitStack() as on_failure:
-        own_socket = on_failure.enter_context(socket.socket())
-        own_socket.setblocking(False)
+        own_socket = on_failure.enter_context(new_socket(socket.SOCK_STREAM))
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNSENT_LIMIT_MS)
         try:
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -214,12 +214,12 @@
         self._work = task
         watch = asyncio.create_task(self._watch_caller(task))
         try:
-            await asyncio.wait({task})
+            await asyncio.wait([task])
         finally:
             watch.cancel()
             if not task.done():
                 task.cancel()
-            await asyncio.wait({task, watch})
+            await asyncio.wait([task, watch])
         if task.cancelled() or not answer.has_ended:
             self.abort()
             return False
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
@@ -10,6 +9,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.errors import BundleRejected, PlatformUnavailable
 from yokedock.version.bundle_codec import (
     ENVELOPE_KEY,
@@ -100,6 +100,7 @@
         self._store = store
         self._watch_ms = watch_ms
         self._stopping = threading.Event()
+        self._random = new_random()
         self.confirmed_s = 0.0
         """Boot time at which the service last answered."""
 
@@ -118,7 +119,7 @@
                 _log.warning("no answer", error=error.message)
                 # A restore may have lowered the revisions, so a watch from the old one could stall.
                 revision = 0
-                self._stopping.wait(random.uniform(0, pause_s))
+                self._stopping.wait(self._random.uniform(0, pause_s))
                 pause_s = min(pause_s * 2, RETRY_MAX_S)
 
     def _watch_once(self, revision: int) -> int:
@@ -128,11 +129,11 @@
         self.confirmed_s = boot_time_s()
         if answer is None:
             if not wait_ms:
-                self._stopping.wait(random.uniform(0, RETRY_MIN_S))
+                self._stopping.wait(self._random.uniform(0, RETRY_MIN_S))
             return revision
         seen, envelope = answer
         if self._store.stamp.version:
-            self._stopping.wait(random.uniform(0, SPREAD_S))
+            self._stopping.wait(self._random.uniform(0, SPREAD_S))
         try:
             self._store.offer(envelope, self._client.sections, "configuration service")
         except BundleRejected as error:
--- a/src/yokedock/connection/datagram_inbox.py
+++ b/src/yokedock/connection/datagram_inbox.py
@@ -12,6 +12,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.sockets import new_socket
 
 _log = logger("inbox")
 
@@ -44,8 +45,7 @@
 
     def bind(self, address: str, port: int) -> socket.socket:
         """Bind the socket and return it; raises ``OSError`` when the address is taken."""
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
+        self._socket = new_socket(socket.SOCK_DGRAM)
         self._socket.bind((address, port))
         self._empty_s = boot_time_s()
         return self._socket
--- a/src/yokedock/connection/machine_list.py
+++ b/src/yokedock/connection/machine_list.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import threading
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 import urllib3
 
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 
 _log = logger("machines")
 
@@ -45,6 +45,7 @@
         self._on_list = on_list
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
         self._stopping = threading.Event()
+        self._random = new_random()
 
     def stop(self) -> None:
         """End the thread."""
@@ -59,4 +60,4 @@
                 self._on_list({machine.name: machine for machine in machines})
             except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
                 _log.warning("no machine list", error=str(error))
-            self._stopping.wait(self._interval_s * random.uniform(0.75, 1.25))
+            self._stopping.wait(self._interval_s * self._random.uniform(0.75, 1.25))
--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import dataclasses
-import random
 import threading
 from typing import Any
 
@@ -12,6 +11,7 @@
 import pynng
 
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.peer_socket import PACKETS_UNDER_WAY, PeerSocket
 from yokedock.connection.peer_types import PeerIdentity, PeerTiming
 from yokedock.connection.secure_session import (
@@ -75,6 +75,7 @@
         self._timing = timing
         self._owner = owner
         self._stopping = threading.Event()
+        self._random = new_random()
         self._handshake_ms = min(HANDSHAKE_MIN_MS, timing.lease_ms)
         self.socket = PeerSocket(self._handshake_ms)
         self._untold = 0
@@ -87,7 +88,7 @@
     def run(self) -> None:
         """Dial until connected, with growing random pauses; then read one connection."""
         pause_ms = REDIAL_MIN_MS
-        while not self._stopping.wait(random.uniform(0, pause_ms) / 1000):
+        while not self._stopping.wait(self._random.uniform(0, pause_ms) / 1000):
             session = self._connect()
             if session is not None:
                 self._read(session)
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import math
-import random
 from collections.abc import Callable
 from typing import cast
 
@@ -19,6 +18,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.datagram_inbox import DatagramInbox
 from yokedock.connection.router_state import RouterState, SuspectRequest
 
@@ -91,7 +91,7 @@
         self._others: dict[str, OtherRouter] = {}
         self.for_newcomers: Callable[[], tuple[SuspectRequest, ...]] = tuple
         """Returns what a router that has just started is told besides."""
-        self._random = random.Random()
+        self._random = new_random()
         self._seeds = seeds
         self._sequence = 0
         self._sent_s = 0.0
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import functools
-import random
 
 import msgspec
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import Dialect
@@ -79,7 +79,7 @@
         self._guard = guard
         self._metrics = metrics
         self._stop = stop
-        self._random = random.Random()
+        self._random = new_random()
         self.active = 0
         """Requests that are being served."""
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -11,6 +11,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.answer_writer import AnswerWriter
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import CallerConnection
@@ -132,9 +133,9 @@
             self._metrics,
             self._stop,
         )
-        self._connections: set[CallerConnection] = set()
+        self._connections: OrderedSet[CallerConnection] = OrderedSet()
         self.is_listening = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: OrderedSet[asyncio.Task[None]] = OrderedSet()
         self._leadership = Leadership(
             own_address, settings.fleet.lease_s, settings.fleet.is_first_start
         )
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import zlib
 from collections.abc import Callable
 from urllib.parse import parse_qs
@@ -16,6 +15,7 @@
 import msgspec
 
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.http_get import DOCUMENT_PROGRESS
 from yokedock.connection.router_gossip import OtherRouter
@@ -87,7 +87,7 @@
         self._port = port
         self._alive = alive
         self._pool = BackendPool()
-        self._random = random.Random()
+        self._random = new_random()
         self._packed = (0, b"")
         """The newest version that was asked for, and its packed table."""
         self._task: asyncio.Task[None] | None = None
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.source_position import NO_ERA, SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot, StateSource
@@ -66,7 +66,7 @@
         self._recent_news = RecentNews()
         self.on_news: Callable[[], None] = lambda: None
         """Called when the source has told something that the other routers may not know."""
-        self._random = random.Random()
+        self._random = new_random()
         self._heard_s = 0.0
         self._read_s = 0.0
         """When everything was read last (boot time, s)."""
--- a/src/yokedock/request/backend_life.py
+++ b/src/yokedock/request/backend_life.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.dialect import AnswerNotes, BackendLoad
 from yokedock.connection.state_source import BackendEntry
@@ -129,7 +130,7 @@
         self.has_ended = False
         """Whether a later life is known: nothing may be sent to this one."""
         self._next_life: Backend | None = None
-        self.connections: set[BackendConnection] = set()
+        self.connections: OrderedSet[BackendConnection] = OrderedSet()
         """Those with a request under way."""
         self.outstanding = 0
         """Requests that this process has at the backend."""
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -7,10 +7,10 @@
 
 import itertools
 import math
-import random
 from collections.abc import Callable
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.randomness import new_random
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_list import BackendList
@@ -38,7 +38,7 @@
         """Start empty; ``zone`` is the router's own."""
         super().__init__(clock, limits)
         self._zone = zone
-        self._random = random.Random()
+        self._random = new_random()
         self._changing: dict[str, tuple[str, ...]] = {}
         self._all_changing: frozenset[str] = frozenset()
         self.connection_share: Callable[[str], float] = lambda service: math.inf
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import random
-
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.randomness import new_random
 from yokedock.connection.dialect import GenerationTerms
 from yokedock.request.backend_life import Backend
 from yokedock.request.backend_registry import BackendRegistry
@@ -48,7 +47,7 @@
         self._registry = registry
         self._prompt_homes = PromptHomes(registry)
         self._ledger = ledger
-        self._random = random.Random()
+        self._random = new_random()
 
     def choose(self, call: RoutedCall, progress: Progress) -> Placement | None:
         """Return the cheaper of a pair of engines and one that does both, its memory promised.
--- a/src/yokedock/request/generation_runs.py
+++ b/src/yokedock/request/generation_runs.py
@@ -9,6 +9,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.dialect import BackendOrder
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.errors import EngineRejected
@@ -48,7 +49,7 @@
         self._ledger = ledger
         self._exchanges = exchanges
         self._watch = watch
-        self._releases: set[asyncio.Task[None]] = set()
+        self._releases: OrderedSet[asyncio.Task[None]] = OrderedSet()
 
     async def reach(self, call: RoutedCall, engine: Backend) -> None:
         """Have a connection to the engine that is to make the answer; it rests meanwhile.
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import math
-import random
 from collections.abc import Iterable
 
 import msgspec
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.dialect import BackendOrder
 from yokedock.errors import DeadlineExceeded, NoBackend, RequestQuarantined, YokedockError
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
@@ -88,7 +88,7 @@
         """By service, the calls for which no backend may be used now."""
         self._outages: dict[str, Outage] = {}
         """By service, those in which no backend was found for a call."""
-        self._random = random.Random()
+        self._random = new_random()
 
     async def serve(self, call: RoutedCall) -> None:
         """Answer the call: with a backend's answer, or with the error that says what is known."""
--- a/src/yokedock/request/placement.py
+++ b/src/yokedock/request/placement.py
@@ -9,10 +9,10 @@
 import abc
 import collections
 import dataclasses
-import random
 import threading
 from collections.abc import Callable
 
+from yokedock.base.randomness import new_random
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.errors import NoBackend
 from yokedock.request.prefix import BLOCK_TOKENS, cached_prefix_blocks
@@ -109,7 +109,7 @@
         self.reserves = reserves
         self._uses_prefix = uses_prefix
         self._corrects = corrects
-        self._random = random.Random()
+        self._random = new_random()
         self._slots_sent = SentSinceReport()
         self._tokens_sent = SentSinceReport()
 
@@ -158,7 +158,7 @@
 
     def __init__(self, seed: int | None = None) -> None:
         """Set the seed of the random choices."""
-        self._random = random.Random(seed)
+        self._random = new_random(seed)
 
     def order_decode(self, peers: list[AgentPeerHandle]) -> list[AgentPeerHandle]:
         """Return one engine."""
--- a/src/yokedock/request/placement_queue.py
+++ b/src/yokedock/request/placement_queue.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import math
-import random
 import sys
 from collections.abc import Callable, Iterable
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import QueueShare
 from yokedock.errors import NoDecodeRoom
 from yokedock.request.backend_registry import BackendRegistry
@@ -63,7 +63,7 @@
         self._elsewhere = elsewhere
         self._order = RoomOrder(turns_elsewhere)
         self._forecast = RoomForecast(ledger.turnover)
-        self._random = random.Random()
+        self._random = new_random()
         self._queues: dict[str, GenerationQueue] = {}
         self._arrivals = RecentArrivals()
         self._prediction = RoomPrediction(
--- a/src/yokedock/request/shared_rate.py
+++ b/src/yokedock/request/shared_rate.py
@@ -11,10 +11,10 @@
 from __future__ import annotations
 
 import math
-import random
 
 import msgspec
 
+from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import LimitShare
 
 STEP_S = 0.015
@@ -49,7 +49,7 @@
     def __init__(self, own_address: str, now_s: float) -> None:
         """Start without a limit; ``own_address`` decides ties as the others see them."""
         self._own_address = own_address
-        self._random = random.Random()
+        self._random = new_random()
         self.per_s: float | None = None
         """Requests a second that the backend takes, None if it names no limit."""
         self.heard_s = -math.inf
--- a/src/yokedock/request/stream_watch.py
+++ b/src/yokedock/request/stream_watch.py
@@ -15,6 +15,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.base.patience import Patience
 from yokedock.request.backend_life import Backend
 from yokedock.router_errors import BackendSilent
@@ -73,7 +74,7 @@
         """Start with no stream; without ``is_used`` no engine is ever taken for silent."""
         self._clock = clock
         self._is_used = is_used
-        self._streams: set[WatchedStream] = set()
+        self._streams: OrderedSet[WatchedStream] = OrderedSet()
         self._heard_s: dict[str, float] = {}
         self._checked_s = 0.0
         self._is_check_due = False
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.platform.documents import (
     DRAINING,
     ONCE_KIND,
@@ -83,7 +84,7 @@
         self._entries: dict[str, StoredServer | None] = {}
         """Last entry written by each backend, None after its removal."""
         self._configuration: StoredConfiguration | None = None
-        self._later: set[asyncio.Task[Any]] = set()
+        self._later: OrderedSet[asyncio.Task[Any]] = OrderedSet()
 
     async def start(self) -> None:
         """Start the store and the backends, and publish what the first requests need."""
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.platform.documents import StoredConfiguration, StoredServer
 from yokedock.platform.store import (
     CONFIGURATION_KEY,
@@ -42,7 +43,7 @@
         """Calls that were answered."""
         self._era = 1
         self._is_offline = False
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: OrderedSet[asyncio.StreamWriter] = OrderedSet()
         self._items: dict[str, StoredItem] = {}
         self._events: list[StoredItem] = []
         self._revision = 0
