Add soaks in simulated time and on a simulated network

yokedock-emulator simulate runs four complete routers, the store, the backends, the callers, the plan and the judge of the soak in one process. Time advances to the next timer when nothing is ready.

Processes can be frozen, killed and stopped. Streams arrive in order with random delays, links can be cut in one direction, connections can fall silent, and kernels keep a bounded queue of datagrams for a process that does not read. The same seed gives the same digest of the history, also under processor load.

The event loop is asyncio's own with a simulated clock.

Three sets of objects made runs diverge after 10 s; they now keep insertion order.

Soaks start routers through a launcher, either as deployed or simulated. Processor time, suspended machines and memory are not simulated.

--- /dev/null
+++ b/features/simulation.feature
@@ -0,0 +1,28 @@
+Feature: Four routers in simulated time, in runs that depend on the seed alone
+
+  Scenario Outline: Properties of the simulation
+    Then this holds for generated cases: <property>
+
+    Examples: processes and network
+      | property                                              |
+      | bytes arrive in order                                 |
+      | a frozen process handles deferred events on resume    |
+      | a killed process closes its sockets and stops         |
+      | exiting with unread bytes resets connections          |
+      | a link cut one way delays streams and loses datagrams |
+      | a connection without acknowledgements times out       |
+      | a full receive buffer drops new datagrams             |
+
+  Scenario: The same seed gives the same history, also under processor load
+    When seed 26 is simulated for 4 s, and again under processor load
+    Then both runs have the same digest
+    And a run with seed 27 has a different digest
+
+  Scenario Outline: A simulated soak breaks no rule, seed <seed>
+    When seed <seed> is simulated for 10 s
+    Then clients and backends have seen no rule broken in the simulation
+
+    Examples:
+      | seed |
+      | 22   |
+      | 26   |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -18,6 +18,7 @@
 from support.resume_properties import RESUME_PROPERTIES
 from support.role_properties import ROLE_PROPERTIES
 from support.router_properties import ROUTER_PROPERTIES
+from support.simulation_properties import SIMULATION_PROPERTIES
 from support.sleep_properties import SLEEP_PROPERTIES
 from support.stream_properties import STREAM_PROPERTIES
 from support.upkeep_properties import UPKEEP_PROPERTIES
@@ -30,7 +31,7 @@
 ALL_PROPERTIES |= ENTRY_PROPERTIES | LIFE_PROPERTIES | FUZZ_PROPERTIES
 ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES | SLEEP_PROPERTIES
 ALL_PROPERTIES |= CALL_QUEUE_PROPERTIES | RESUME_PROPERTIES | RESTORED_PROPERTIES
-ALL_PROPERTIES |= RESERVATION_PROPERTIES
+ALL_PROPERTIES |= RESERVATION_PROPERTIES | SIMULATION_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- /dev/null
+++ b/features/steps/simulation_steps.py
@@ -0,0 +1,71 @@
+"""Steps that run simulated soaks through the command line."""
+
+import os
+import re
+import subprocess
+import sys
+import tempfile
+
+from behave import then, when
+
+from yokedock_emulator.process_group import program
+
+TIMEOUT_S = 400.0
+BUSY_PROGRAM = "while True: pass"
+BUSY_PROCESSES = 3
+DIGEST = re.compile(r"digest ([0-9a-f]{16})")
+
+
+def simulate(seed, seconds):
+    """Run one simulation in a separate process; return its exit status and output."""
+    command = [program("yokedock-emulator"), "simulate", "--seed", str(seed)]
+    command += ["--seconds", str(seconds), "--out", tempfile.mkdtemp()]
+    environment = {name: text for name, text in os.environ.items() if name != "PYTHONHASHSEED"}
+    done = subprocess.run(
+        command, capture_output=True, text=True, timeout=TIMEOUT_S, env=environment
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+def digest(seed, seconds):
+    """Return the digest of a simulation, which must not break a rule."""
+    status, output = simulate(seed, seconds)
+    assert status == 0, output
+    return DIGEST.search(output)[1]
+
+
+def digest_under_load(seed, seconds):
+    """Return the digest of a simulation that competes with busy processes."""
+    busy = [subprocess.Popen([sys.executable, "-c", BUSY_PROGRAM]) for _ in range(BUSY_PROCESSES)]
+    try:
+        return digest(seed, seconds)
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+
+
+@when("seed {seed:d} is simulated for {seconds:d} s, and again under processor load")
+def simulate_twice(context, seed, seconds):
+    context.seconds = seconds
+    context.digests = [digest(seed, seconds), digest_under_load(seed, seconds)]
+
+
+@then("both runs have the same digest")
+def digests_are_equal(context):
+    assert len(set(context.digests)) == 1, context.digests
+
+
+@then("a run with seed {seed:d} has a different digest")
+def digest_differs(context, seed):
+    assert digest(seed, context.seconds) not in context.digests
+
+
+@when("seed {seed:d} is simulated for {seconds:d} s")
+def simulate_once(context, seed, seconds):
+    context.status, context.output = simulate(seed, seconds)
+
+
+@then("clients and backends have seen no rule broken in the simulation")
+def no_rule_broken(context):
+    assert context.status == 0, context.output
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -255,6 +255,28 @@
     raise SystemExit(1 if broken else 0)
 
 
+@app.command
+def simulate(
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    seeds: int = 1,
+    out: Path = Path("build/test-logs"),
+) -> None:
+    """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
+
+    The same seed gives the same history and digest, regardless of the machine and its load. Ends
+    with status 1 if a rule was broken; the schedule, the stories and the logs are then kept in OUT.
+    """
+    from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
+
+    ensure_fixed_hash_seed()
+    results = [simulate_soak(each, seconds, out) for each in range(seed, seed + seeds)]
+    broken = [result.report.seed for result in results if result.report.violations]
+    print(f"{len(results) - len(broken)} passed, {len(broken)} failed {broken}")
+    raise SystemExit(1 if broken else 0)
+
+
 @app.command(name="decision-cost")
 def decision_cost(*, out: Path | None = None) -> None:
     """Print what one decision of a router costs in ms of a core, by the size of the fleet.
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -21,6 +21,7 @@
     SoakEvent,
     draw_plan,
 )
+from yokedock_emulator.router_soak.soak_processes import DeployedLauncher, RouterLauncher
 from yokedock_emulator.router_soak.soak_records import SoakHistory
 from yokedock_emulator.router_soak.soak_report import (
     SoakReport,
@@ -41,23 +42,20 @@
 class RouterSoak:
     """One soak; ``run`` is its life."""
 
-    def __init__(self, seed: int, seconds: float, router: DeployedRouter, folder: Path) -> None:
-        """Run routers that are built already; logs go to ``folder``."""
+    def __init__(self, seed: int, seconds: float, launcher: RouterLauncher) -> None:
+        """Run routers that ``launcher`` starts."""
         self._seed = seed
         self._seconds = seconds
-        self._folder = folder
-        self._router = router
-        self._history = SoakHistory()
-        self._operator = SoakOperator(self._history)
+        self._launcher = launcher
+        self.history = SoakHistory()
+        self._operator = SoakOperator(self.history)
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
         """Run to the end and judge; raises ``TimeoutError`` if routers do not get ready."""
         ticks = asyncio.create_task(self._tick())
         await self._operator.start()
-        fleet = SoakFleet(
-            self._router, self._operator.store.address, self._folder, self._seed, self._history
-        )
+        fleet = SoakFleet(self._launcher, self._operator.store.address, self.history)
         try:
             await fleet.start()
             await self._drive(fleet)
@@ -67,18 +65,18 @@
             fleet.close()
             self._operator.stop()
             ticks.cancel()
-        violations = judge(self._history)
-        return make_report(self._seed, self._seconds, self._began_s, self._history, violations)
+        violations = judge(self.history)
+        return make_report(self._seed, self._seconds, self._began_s, self.history, violations)
 
     async def _drive(self, fleet: SoakFleet) -> None:
-        clients = SoakClients(self._seed, fleet, self._operator, self._history)
+        clients = SoakClients(self._seed, fleet, self._operator, self.history)
         self._began_s = boot_time_s()
         calls = asyncio.create_task(clients.run())
         for event in draw_plan(self._seed, self._seconds):
             await asyncio.sleep(self._began_s + event.at_s - boot_time_s())
             done = await self._strike(fleet, event)
             if done:
-                self._history.tell(boot_time_s(), done)
+                self.history.tell(boot_time_s(), done)
         await asyncio.sleep(self._began_s + self._seconds + CALM_S - boot_time_s())
         clients.stop()
         await calls
@@ -108,7 +106,7 @@
             until_s = boot_time_s() + EMPTY_LIMIT_S
             while True:
                 levels = await fleet.levels(router)
-                self._history.at_end[router] = levels
+                self.history.at_end[router] = levels
                 if not levels["router_active"] or boot_time_s() > until_s:
                     break
                 await asyncio.sleep(TICK_S)
@@ -120,14 +118,15 @@
                 await asyncio.sleep(TICK_S)
                 now_s = boot_time_s()
                 if now_s - before_s > STOOD_STILL_S:
-                    self._history.stood_still_s.append((before_s, now_s))
+                    self.history.stood_still_s.append((before_s, now_s))
 
 
 def run_soak(seed: int, seconds: float, router: DeployedRouter, out: Path) -> SoakReport:
     """Run one soak of routers that are built already; a folder in ``out`` gets logs and report."""
     kept = out / f"router-soak-{seed}"
     kept.mkdir(parents=True, exist_ok=True)
-    report = asyncio.run(RouterSoak(seed, seconds, router, kept).run())
+    launcher = DeployedLauncher(router, kept, seed)
+    report = asyncio.run(RouterSoak(seed, seconds, launcher).run())
     keep_report(report, kept)
     print_report(report, kept)
     return report
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import socket
-import subprocess
-from pathlib import Path
 from typing import Any
 
 from yokedock.base.clock import boot_time_s
-from yokedock_emulator.deployed_router import DeployedRouter
-from yokedock_emulator.process_group import processor_wait_s
+from yokedock.base.ordered_set import OrderedSet
 from yokedock_emulator.raw_exchange import get_page
 from yokedock_emulator.router_soak.soak_plan import ROUTERS, SoakEvent
+from yokedock_emulator.router_soak.soak_processes import RouterLauncher, RouterProcess
 from yokedock_emulator.router_soak.soak_records import ProcessorWait, RouterLife, SoakHistory
 
 GRACE_S = 8.0
@@ -32,26 +28,18 @@
 RETRY_ALLOWANCE = 8
 """The retry budget: small, so that the faults reach its limit."""
 
-HANDLED_MASKS = ("SigIgn:", "SigCgt:")
-"""Lines of a process's status that tell which signals it ignores and catches."""
-
 
 class SoakFleet:
     """All routers; ``lives`` in the history tells what became of each process."""
 
-    def __init__(
-        self, router: DeployedRouter, store: str, folder: Path, seed: int, history: SoakHistory
-    ) -> None:
-        """Run routers that are built already; the log of each goes to a file in ``folder``."""
-        self._router = router
+    def __init__(self, launcher: RouterLauncher, store: str, history: SoakHistory) -> None:
+        """Run routers that read their state from the store at address ``store``."""
+        self._launcher = launcher
         self._store = store
         self._history = history
-        self._hosts = [f"127.{64 + os.getpid() % 128}.{seed % 256}.{n + 1}" for n in range(ROUTERS)]
-        self._ports = _free_ports(self._hosts)
-        self._logs = [(folder / f"router-{n}.log").open("wb") for n in range(ROUTERS)]
-        self._processes: dict[int, subprocess.Popen[bytes]] = {}
+        self._processes: dict[int, RouterProcess] = {}
         self._lives: dict[int, RouterLife] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: OrderedSet[asyncio.Task[None]] = OrderedSet()
         self._is_ending = False
 
     async def start(self) -> None:
@@ -83,15 +71,13 @@
             task.cancel()
         for process in self._processes.values():
             process.kill()
-            process.wait()
-        for log in self._logs:
-            log.close()
+        self._launcher.close()
 
     # --- For callers ---
 
     def callers_address(self, router: int) -> str:
         """Return where a router takes callers."""
-        return f"{self._hosts[router]}:{self._ports[0]}"
+        return f"{self._launcher.hosts[router]}:{self._launcher.ports[0]}"
 
     def life(self, router: int) -> int:
         """Return the number of a router's process."""
@@ -107,7 +93,9 @@
 
     async def levels(self, router: int) -> dict[str, float]:
         """Return the figures without labels of a router's metrics page."""
-        _, body = await get_page(f"{self._hosts[router]}:{self._ports[2]}", "/metrics")
+        _, body = await get_page(
+            f"{self._launcher.hosts[router]}:{self._launcher.ports[2]}", "/metrics"
+        )
         pairs = (line.rpartition(" ") for line in body.decode().splitlines())
         return {name: float(value) for name, _, value in pairs if "{" not in name}
 
@@ -121,7 +109,7 @@
         if life.ended_s is not None or (down >= MOST_DOWN and not self._is_struck(router)):
             return ""
         if event.kind == "hang-up":
-            if not handles_signal(process.pid, signal.SIGHUP):
+            if not process.handles_signal(signal.SIGHUP):
                 life.hung_up_unhandled = True
             process.send_signal(signal.SIGHUP)
         elif event.kind == "freeze":
@@ -160,18 +148,16 @@
     def _start(self, router: int, is_first: bool) -> None:
         number = self._lives[router].number + 1 if router in self._lives else 1
         life = RouterLife(router, number, boot_time_s())
-        self._processes[router] = self._router.start(
-            self._fields(router, is_first), self._logs[router].fileno()
-        )
+        self._processes[router] = self._launcher.start(router, self._fields(router, is_first))
         self._lives[router] = self._history.lives[life.key] = life
         self._after(self._watch(life, self._processes[router]))
         self._after(self._wait_ready(life))
 
-    async def _watch(self, life: RouterLife, process: subprocess.Popen[bytes]) -> None:
+    async def _watch(self, life: RouterLife, process: RouterProcess) -> None:
         """See a process to its end, and start the next."""
         while process.poll() is None:
             await asyncio.sleep(WATCH_S)
-            wait = ProcessorWait(boot_time_s(), processor_wait_s(process.pid))
+            wait = ProcessorWait(boot_time_s(), process.processor_wait_s())
             life.processor_waits.append(wait)
             since_s = boot_time_s() - (life.terminated_s or boot_time_s())
             if since_s > GRACE_S and life.killed_s is None:
@@ -184,7 +170,7 @@
             self._start(life.router, is_first=False)
 
     async def _wait_ready(self, life: RouterLife) -> None:
-        address = f"{self._hosts[life.router]}:{self._ports[1]}"
+        address = f"{self._launcher.hosts[life.router]}:{self._launcher.ports[1]}"
         while life.ended_s is None and life.ready_s is None:
             await asyncio.sleep(READY_POLL_S)
             try:
@@ -201,14 +187,14 @@
         task.add_done_callback(self._tasks.discard)
 
     def _fields(self, router: int, is_first: bool) -> dict[str, Any]:
-        host, (callers, ready, fleet) = self._hosts[router], self._ports
+        host, (callers, ready, fleet) = self._launcher.hosts[router], self._launcher.ports
         return {
             "nodeName": f"router-{router}",
             "zone": "zone-1",
             "listenAddrs": {"frontend": f"{host}:{callers}", "ready": f"{host}:{ready}"},
             "ipAddress": host,
             "internalPortRange": [fleet, fleet],
-            "seedNodes": [f"{each}:{fleet}" for each in self._hosts[:3]],
+            "seedNodes": [f"{each}:{fleet}" for each in self._launcher.hosts[:3]],
             "bootstrap": is_first,
             "platform": {"address": self._store},
             "bounds": {
@@ -223,26 +209,3 @@
 
 def _is_ending(life: RouterLife) -> bool:
     return life.terminated_s is not None or life.killed_s is not None or life.ended_s is not None
-
-
-def _free_ports(hosts: list[str]) -> list[int]:
-    """Return three ports that are free on the first of ``hosts``, as on all: they are our own."""
-    sockets = [socket.socket() for _ in range(3)]
-    try:
-        for each in sockets:
-            each.bind((hosts[0], 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
-def handles_signal(process_id: int, number: signal.Signals) -> bool:
-    """Return whether a process ignores or catches a signal now; a new one does neither.
-
-    A program sets that with its first line. How long the interpreter takes until then cannot be
-    told from outside: 0.06 s on a quiet machine, over 0.35 s beside a load of 17.
-    """
-    status = Path(f"/proc/{process_id}/status").read_text()
-    masks = [line.split()[1] for line in status.splitlines() if line.startswith(HANDLED_MASKS)]
-    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
