Check the properties of the shared watch in simulated time

"few routers watch the store" ran 68 routers in one real event loop, with bounds of 0.1 and 0.5 s.

Seven of the eight properties now run in simulated time. Bounds and checks are unchanged; they now measure the routers alone, not the load of the machine.

--- a/features/support/watch_properties.py
+++ b/features/support/watch_properties.py
@@ -27,6 +27,7 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.router_errors import HistoryGone
 from yokedock.version.route_table import RouteTable
+from yokedock_emulator.simulation.simulation import run_simulated
 
 ROUTERS = 68
 WAY_S = 0.004
@@ -224,7 +225,7 @@
 
 def few_routers_watch_the_store():
     """Of 68 routers six ask it, once a second; each change is known everywhere at once."""
-    calls, took_s = asyncio.run(_calls_and_news(shares_watch=True))
+    calls, took_s = run_simulated(_calls_and_news(shares_watch=True))
     assert calls <= 3 * MOST_WATCHERS / WATCH_S + MOST_WATCHERS, calls
     assert took_s[len(took_s) // 2] < 0.1 and took_s[-1] < 0.5, (
         took_s[len(took_s) // 2],
@@ -242,7 +243,7 @@
             took_s = await fleet.known_after_s("new")
             assert took_s[-1] < FRESH_S + 1.2, took_s[-1]
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def watchers_that_are_turned_away_are_replaced():
@@ -256,7 +257,7 @@
             took_s = await fleet.known_after_s("new")
             assert took_s[-1] < 1.5, took_s[-1]
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def watchers_that_vanish_are_replaced():
@@ -269,7 +270,7 @@
             took_s = await fleet.known_after_s("new")
             assert took_s[-1] < FRESH_S + 1.2, took_s[-1]
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def a_router_that_hears_nobody_watches_itself():
@@ -284,7 +285,7 @@
             await asyncio.sleep(0.3)
             assert alone.registry.get("new") is not None
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 async def _restore(fleet, lost, cut):
@@ -313,7 +314,7 @@
             assert fleet.store.calls <= 3 * ROUTERS, fleet.store.calls
             assert took_s[-1] < 1.5, took_s[-1]
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def a_restore_is_detected_with_the_initial_readers_cut_off():
@@ -327,7 +328,7 @@
             took_s = await fleet.known_after_s("new")
             assert took_s[-1] < 3.0, took_s[-1]
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 contact = st.tuples(
