Make a reserved repeat even if the budget share has shrunk

Cause: the repeat was set aside in the retry budget when another backend was reserved. After the slow backend had been given up, the budget was checked again, for no further arrivals (log: "retry budget spent", wanted 0, made 6, set aside 1, share 6.92). The share had fallen below 7 in the meantime, as requests left its window.

Ruled out: an unwilling or unreachable backend (none was asked again), and a budget spent by other calls (six made, one set aside: this one).

A repeat is paid for when its backend is reserved, and the budget is not checked again when the slow backend is given up. What is set aside counts as spent from the reservation on, so the total over the fleet is unchanged. Too little time left still prevents the repeat.

The new property "a reserved repeat is made though the budget has shrunk" fails on the code before this change (502).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -267,3 +267,4 @@
     Examples: a backend that is reserved for a repeat
       | property                                                      |
       | a slow backend is kept if the reserved one became unavailable |
+      | a reserved repeat is made though the budget has shrunk        |
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -83,7 +83,7 @@
     other = registry.get("other@1")
     other.health.note_answer(boot_time_s(), 0.1, is_failure=True)
     allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, is_first_start=True)
-    exchanges = ExchangesStub(lambda: change(registry, other))
+    exchanges = ExchangesStub(lambda: change(registry, other, allowance))
     calls = OpaqueCalls(registry, exchanges, allowance)
     targets = (WeightedTarget(SERVICE),)
     kind = RouteKind.REPEATABLE
@@ -96,22 +96,22 @@
     return exchanges.asked
 
 
-def no_change(registry, other):
+def no_change(registry, other, allowance):
     """Leave the reserved backend available."""
 
 
-def asks_for_rest(registry, other):
+def asks_for_rest(registry, other, allowance):
     """Let the reserved backend refuse another request and ask for rest."""
     other.take_notices(REST_REFUSAL, boot_time_s())
 
 
-def restarts_and_asks_for_rest(registry, other):
+def restarts_and_asks_for_rest(registry, other, allowance):
     """List a later life of the reserved backend, which asks for rest."""
     registry.update([BackendEntry("other", SERVICE, "127.0.0.1:1", born_ms=2)], ())
     registry.get("other@2").take_notices(REST_REFUSAL, boot_time_s())
 
 
-def runs_out_of_connections(registry, other):
+def runs_out_of_connections(registry, other, allowance):
     """Let other requests use all connections to the reserved backend."""
     registry.connection_share = lambda service: 1
     other.outstanding = 1
@@ -125,7 +125,20 @@
         assert asked == ["slow@1"], (change.__name__, asked)
 
 
+def retry_budget_shrinks(registry, other, allowance):
+    """Leave no room in the retry budget, as after requests have left its window."""
+    allowance.has_room = lambda service, arrivals=1: False
+
+
+def a_reserved_repeat_is_made_though_the_budget_has_shrunk():
+    """Guards against answering 502 when the budget for the reserved repeat is already set aside."""
+    assert asyncio.run(backends_asked(retry_budget_shrinks)) == ["slow@1", "other@1"]
+
+
 RESERVATION_PROPERTIES = {
+    "a reserved repeat is made though the budget has shrunk": (
+        a_reserved_repeat_is_made_though_the_budget_has_shrunk
+    ),
     "a slow backend is kept if the reserved one became unavailable": (
         a_slow_backend_is_kept_if_the_reserved_one_became_unavailable
     ),
--- a/src/yokedock/request/opaque_call.py
+++ b/src/yokedock/request/opaque_call.py
@@ -99,7 +99,10 @@
                     isinstance(error, BackendRefused)
                     and not self._has_untried(call, attempts.tried)
                 )
-                if is_last or not retries.may_go_on(call, LEAST_USEFUL_S):
+                # A reserved repeat is already paid for. Checking the budget again would refuse it
+                # if this router's share has shrunk since.
+                is_reserved = attempts.reserved is not None and call.left_s() >= LEAST_USEFUL_S
+                if is_last or not (is_reserved or retries.may_go_on(call, LEAST_USEFUL_S)):
                     if kept is not None:
                         return kept
                     raise self._final(call, error) from None
