Soak: exclude the wait for a processor from time bounds

Under load, the soak reported BUDGET (three to six requests in a rest) and DRAIN (3.11 s where 3 are allowed).

The bounds of 0.5, 2 and 3 s (rest; leaving that was passed on; DRAIN, CONFIG and requests that end their backends) now count only the time in which a router had a processor or did not want one. A router that had a processor is held to them as before, and the bound of the rule is unchanged where no router waits.

Three new made-up histories with too short a wait are reported as violations, as are all earlier ones; three with a long enough wait are accepted. No history covers CONFIG with a wait.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -52,6 +52,9 @@
       | a request that ends its backends was sent on                    | BUDGET  |
       | a backend whose leaving was passed on got a request             | DRAIN   |
       | a backend at rest got three requests                            | BUDGET  |
+      | a backend whose leaving was passed on got a request after a brief wait for a processor | DRAIN |
+      | a backend at rest got three requests from a router that had waited briefly for a processor | BUDGET |
+      | a router that had waited briefly for a processor sent a leaving backend a request | DRAIN |
       | a backend with a limit of 1 a second got twelve requests        | LIMIT   |
       | a process ended by itself                                       | ENDED   |
       | SIGHUP ended a process that was being loaded                    | ENDED   |
@@ -72,6 +75,9 @@
       | a router that was frozen since sent a leaving backend a request |
       | a router that was started since sent a leaving backend a request |
       | a backend at rest got two requests                              |
+      | a backend whose leaving was passed on got a request after a long wait for a processor |
+      | a backend at rest got three requests from a router that had waited long for a processor |
+      | a router that had waited long for a processor sent a leaving backend a request |
       | the next life of a backend at rest got three requests           |
       | a backend with a limit of 1 a second got eleven requests        |
       | a router that had not been told sent a limited backend twelve   |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -5,6 +5,7 @@
     Arrival,
     ClientRecord,
     LimitSpan,
+    ProcessorWait,
     RouterLife,
     SoakHistory,
     SoakRoute,
@@ -64,6 +65,32 @@
     made.arrival(record)
 
 
+def add_processor_waits(made, waited_s, from_s, to_s):
+    """Add readings of a wait for a processor of ``waited_s``, spread evenly over a span."""
+    for share in (0.0, 0.25, 0.5, 0.75, 1.0):
+        at_s = from_s + share * (to_s - from_s)
+        made.life.processor_waits.append(ProcessorWait(at_s, 1.0 + share * waited_s))
+
+
+def late_after_processor_wait(made, waited_s):
+    """A backend left 3.5 s ago; a router that waited ``waited_s`` since then sends it a request."""
+    add_processor_waits(made, waited_s, START_S - 3.5, START_S)
+    made.history.leaving_s["i-1"] = START_S - 3.5
+    made.arrival(made.request())
+
+
+def said_and_sent_after_processor_wait(made, waited_s):
+    """A router passes on a leaving, waits ``waited_s`` and sends a request 2.2 s later."""
+    add_processor_waits(made, waited_s, START_S + 0.1, START_S + 2.2)
+    said_and_sent(made, 2.2)
+
+
+def sent_into_rest_after_processor_wait(made, waited_s):
+    """A router waits for a processor for ``waited_s`` and sends three requests into a rest."""
+    add_processor_waits(made, waited_s, START_S, START_S + 1.0)
+    sent_into_rest(made, (0.75, 0.8, 0.85))
+
+
 def sent_into_rest(made, moments, rest_s=2.0, backend_lives=1):
     """A backend asks for rest and gets requests ``moments`` seconds later."""
     asked = made.arrival(made.request(), outcome="refused")
@@ -269,6 +296,24 @@
         lambda made: said_and_sent(made, 9.0, last_router_life=2)
     ),
     "a backend at rest got three requests": lambda made: sent_into_rest(made, (0.6, 1.0, 1.8)),
+    "a backend at rest got three requests from a router that had waited long for a processor": (
+        lambda made: sent_into_rest_after_processor_wait(made, 0.5)
+    ),
+    "a backend at rest got three requests from a router that had waited briefly for a processor": (
+        lambda made: sent_into_rest_after_processor_wait(made, 0.2)
+    ),
+    "a router that had waited long for a processor sent a leaving backend a request": (
+        lambda made: late_after_processor_wait(made, 0.8)
+    ),
+    "a router that had waited briefly for a processor sent a leaving backend a request": (
+        lambda made: late_after_processor_wait(made, 0.2)
+    ),
+    "a backend whose leaving was passed on got a request after a long wait for a processor": (
+        lambda made: said_and_sent_after_processor_wait(made, 0.4)
+    ),
+    "a backend whose leaving was passed on got a request after a brief wait for a processor": (
+        lambda made: said_and_sent_after_processor_wait(made, 0.05)
+    ),
     "a backend at rest got two requests": lambda made: sent_into_rest(made, (0.3, 0.6, 1.8, 2.1)),
     "the next life of a backend at rest got three requests": (
         lambda made: sent_into_rest(made, (0.6, 1.0, 1.8), backend_lives=2)
--- a/src/yokedock_emulator/router_soak/soak_notices.py
+++ b/src/yokedock_emulator/router_soak/soak_notices.py
@@ -1,4 +1,7 @@
-"""Whether routers kept to what backends said of themselves in their answers."""
+"""Whether routers kept to what backends said of themselves in their answers.
+
+The time bounds exclude the time that a router spent waiting for a processor.
+"""
 
 from __future__ import annotations
 
@@ -21,10 +24,13 @@
     """Return the requests that reached a backend whose leaving their router had passed on."""
     found = []
     for (_, router), arrivals in visits_by_life(history).items():
+        life = history.lives[router]
         told_s = min((_passed_on_s(history, each) for each in arrivals), default=float("inf"))
         for arrival in arrivals:
             sent_s = history.records[arrival.request_id].sent_s
-            if sent_s > told_s + DRAIN_S and is_bound(history, router, told_s, arrival.at_s):
+            if sent_s <= told_s or life.excluding_processor_wait_s(told_s, sent_s) <= DRAIN_S:
+                continue
+            if is_bound(history, router, told_s, arrival.at_s):
                 text = f"sent to {arrival.instance} {sent_s - told_s:.2f} s after it said it leaves"
                 found.append((text, arrival.request_id))
     return found
@@ -34,9 +40,15 @@
     """Return the rests into which a router sent too much, each with a request that was too many."""
     found = []
     for (_, router), arrivals in visits_by_life(history).items():
+        life = history.lives[router]
         for asked in (arrival for arrival in arrivals if arrival.rest_s):
-            from_s, until_s = asked.at_s + UNDER_WAY_S, asked.at_s + asked.rest_s
-            within = [each for each in arrivals if from_s < each.at_s < until_s]
+            until_s = asked.at_s + asked.rest_s
+            within = [
+                each
+                for each in arrivals
+                if asked.at_s < each.at_s < until_s
+                and life.excluding_processor_wait_s(asked.at_s, each.at_s) > UNDER_WAY_S
+            ]
             is_held = is_bound(history, router, asked.at_s, until_s)
             if len(within) > MOST_IN_REST and is_held:
                 text = f"{asked.instance} wanted {asked.rest_s:.2f} s of rest and got {len(within)}"
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -168,6 +168,10 @@
             return 0.0
         return self.processor_waits[last].total_s - self.processor_waits[first].total_s
 
+    def excluding_processor_wait_s(self, from_s: float, to_s: float) -> float:
+        """Return the length of a span minus the time spent waiting for a processor."""
+        return to_s - from_s - self.processor_wait_s(from_s, to_s)
+
 
 @dataclasses.dataclass
 class SoakHistory:
@@ -195,16 +199,19 @@
     """What was done and when."""
 
     def was_in_touch(self, life: RouterLife, since_s: float, until_s: float) -> bool:
-        """Return whether nothing struck a router for longer than the bound, between these times."""
+        """Return whether a router ran undisturbed for longer than the bound between these times.
+
+        The time that it spent waiting for a processor does not count towards the bound.
+        """
         cursor_s = max(since_s, until_s if life.ready_s is None else life.ready_s)
         struck = [*life.freezes, *self.store_silent_s, *self.stood_still_s]
         if life.terminated_s is not None:
             struck.append((life.terminated_s, until_s))
         for start_s, end_s in sorted(struck):
-            if min(start_s, until_s) - cursor_s > BOUND_S:
+            if life.excluding_processor_wait_s(cursor_s, min(start_s, until_s)) > BOUND_S:
                 return True
             cursor_s = max(cursor_s, end_s)
-        return until_s - cursor_s > BOUND_S
+        return life.excluding_processor_wait_s(cursor_s, until_s) > BOUND_S
 
     def leaving_known_s(self, life: RouterLife, leaving_s: float, at_s: float) -> float:
         """Return since when a router could know by ``at_s`` of a leaving listed at ``leaving_s``.
