--- a/features/steps/deployed_steps.py
+++ b/features/steps/deployed_steps.py
@@ -12,6 +12,7 @@
 from yokedock_emulator.long_run import LongRun, LongRunPlan
 
 ROOT = Path(__file__).resolve().parents[2]
+LOGS = ROOT / "build" / "test-logs"
 ROUTES = 100
 MOST = {
     "router_table_backends": 8 + 60,
@@ -47,7 +48,8 @@
 @when("callers send {count:d} requests while backends and routes come and go")
 def long_run(context, count):
     plan = LongRunPlan(requests=count, duration_s=600.0, routes=ROUTES, sample_s=2.0)
-    with (context.folder / "router.log").open("wb") as file:
+    LOGS.mkdir(parents=True, exist_ok=True)
+    with (LOGS / f"long-run-{count}-router.log").open("wb") as file:
         output = getattr(context, "output", file.fileno())
         run = LongRun(plan, context.router, output)
         context.report = asyncio.run(run.run())
--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -183,24 +183,26 @@
         number = choices.randrange(self._plan.routes)
         self._sent += 1
         started_s = boot_time_s()
-        exchange.send(self._request(kind, number))
+        request_id = f"r{self._sent}"
+        exchange.send(self._request(kind, number, request_id))
         if choices.random() < LEAVING_SHARE:
             await asyncio.sleep(0)
             return False
         status, _ = await exchange.read()
-        self._held_ms.append((boot_time_s() - started_s) * MS_A_SECOND)
+        held_ms = (boot_time_s() - started_s) * MS_A_SECOND
+        self._held_ms.append(held_ms)
         self._answers[f"{kind} {status}"] += 1
         if status != EXPECTED[kind]:
-            self._note_unexpected(f"{kind}: {status}")
+            self._note_unexpected(f"{kind} {request_id}: {status} after {held_ms:.0f} ms")
         return True
 
-    def _request(self, kind: str, number: int) -> bytes:
+    def _request(self, kind: str, number: int, request_id: str) -> bytes:
         path = f"/{self._operator.route_in_use(kind, number)}/x"
         names = PLATFORM_HEADERS
         lines = [
             f"POST {path} HTTP/1.1",
             f"Host: {HOST}",
-            f"{names.request_id}: r{self._sent}",
+            f"{names.request_id}: {request_id}",
             f"{names.deadline_ms}: 4000",
             "Content-Length: 3",
         ]
