Tests: allocate all feature ports below the ephemeral range

Cause: feature number n listened on the 600 ports starting at 11000 + 600 n. With 40 features, the last four (simulation, soak, store_restored, suspension) were at 32600 and above, where the kernel allocates the ports of outgoing connections (32768 to 60999). A connection of any other feature can occupy a port after it is found free and before the process that listens on it starts.

Change: each run allocates port blocks from a pool that ends where the ephemeral range of the machine begins.

--- a/features/properties.feature
+++ b/features/properties.feature
@@ -26,3 +26,7 @@
       | every kind of refusal says when to come back                 |
       | a prefix's blocks are a prefix of the blocks                 |
       | joined parts carry the same tokens                           |
+
+    Examples: the test run itself
+      | property                                  |
+      | features listen below the ephemeral ports |
--- a/features/run_features.py
+++ b/features/run_features.py
@@ -14,14 +14,13 @@
 from pathlib import Path
 
 from support.matrix_table import matrix_tables, told_counts
+from support.port_blocks import PortBlocks, first_ephemeral_port
+from support.processes import PORT_BASE_VARIABLE
 
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
 WORKERS = 6
-FIRST_PORT = 11000
-PORTS_A_FEATURE = 600
-"""A feature may start several deployments; the ports of an ended one stay taken for a while."""
 FEATURE_LIMIT_S = 3000
 
 
@@ -53,16 +52,21 @@
         return [f"{s.feature}: {s.scenario}".strip() for s in self.scenarios if not s.is_passed]
 
 
-def run_feature(numbered):
-    """Run one feature file; return its results."""
-    number, path = numbered
+def run_feature(path, port_blocks):
+    """Run one feature file on its own port block; return its results."""
+    first_port = port_blocks.acquire()
+    try:
+        return run_feature_at(path, first_port)
+    finally:
+        port_blocks.release(first_port)
+
+
+def run_feature_at(path, first_port):
+    """Run one feature file on the port block starting at ``first_port``; return its results."""
     report = Path(tempfile.mkdtemp()) / "report.json"
     command = [sys.executable, "-m", "behave", "--no-capture", "-f", "json", "-o", str(report)]
     command += ["-f", "plain", str(path)]
-    environment = {
-        **os.environ,
-        "YOKEDOCK_TEST_PORT_BASE": str(FIRST_PORT + number * PORTS_A_FEATURE),
-    }
+    environment = {**os.environ, PORT_BASE_VARIABLE: str(first_port)}
     log = LOGS / f"{path.stem}.log"
     try:
         with log.open("w") as output_file:
@@ -111,8 +115,9 @@
     wanted = [f"{name}.feature" for name in names] or ["*.feature"]
     chosen = [path for path in features if any(path.match(name) for name in wanted)]
     LOGS.mkdir(parents=True, exist_ok=True)
+    port_blocks = PortBlocks(first_ephemeral_port())
     with ThreadPoolExecutor(WORKERS) as workers:
-        results = list(workers.map(run_feature, enumerate(chosen)))
+        results = list(workers.map(lambda path: run_feature(path, port_blocks), chosen))
     failed = print_failures(results)
     print_matrix(results)
     for failure in failed:
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -7,15 +7,15 @@
 import msgspec
 import urllib3
 
+from support.port_blocks import FIRST_PORT
 from yokedock_emulator.process_group import Ports, program
 
 PORT_BASE_VARIABLE = "YOKEDOCK_TEST_PORT_BASE"
-DEFAULT_PORT_BASE = 11000
 
 
 def worker_ports():
     """Return the ports of this test worker."""
-    return Ports(int(os.environ.get(PORT_BASE_VARIABLE, DEFAULT_PORT_BASE)))
+    return Ports(int(os.environ.get(PORT_BASE_VARIABLE, FIRST_PORT)))
 
 
 def command(*arguments, expect=0):
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -7,7 +7,8 @@
 import struct
 import threading
 
-from support.processes import DEFAULT_PORT_BASE, PORT_BASE_VARIABLE
+from support.port_blocks import FIRST_PORT, PORTS_PER_BLOCK
+from support.processes import PORT_BASE_VARIABLE
 from support.stand_in_backend import StandInBackend
 from yokedock.base.clock import new_event_loop
 from yokedock.connection.header_dialect import HeaderDialect
@@ -43,7 +44,6 @@
 
 HOST = "hut.example"
 LIMIT_S = 20.0
-PORTS_A_WORKER = 600
 _port_numbers = itertools.count()
 PAIRS = Mechanisms(decode_reads_when_calm=False)
 """Scenarios have few streams at a time, and most are about pairs of engines."""
@@ -56,9 +56,9 @@
 
     A port that the kernel picks may be taken by a connection of another worker before it is bound.
     """
-    first = int(os.environ.get(PORT_BASE_VARIABLE, DEFAULT_PORT_BASE))
-    for _ in range(PORTS_A_WORKER):
-        port = first + next(_port_numbers) % PORTS_A_WORKER
+    first = int(os.environ.get(PORT_BASE_VARIABLE, FIRST_PORT))
+    for _ in range(PORTS_PER_BLOCK):
+        port = first + next(_port_numbers) % PORTS_PER_BLOCK
         if _is_free(port):
             return f"127.0.0.1:{port}"
     raise AssertionError(f"no port is free from {first} on; wait for other test runs to end")
