--- a/features/logs.feature
+++ b/features/logs.feature
@@ -60,3 +60,6 @@
       """
     When an operator asks for the story of "9c41d07b" in their directory
     Then the command ends with 1 and tells how many files were searched
+
+  Scenario: Commands that read logs import no modules of daemons
+    Then the log commands import none of asyncio, cryptography, pynng, urllib3, yokedock.connection
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -1,5 +1,6 @@
 import shutil
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -99,3 +100,15 @@
 def tells_searched(context, status):
     assert context.done.returncode == status, context.done
     assert "in 2 files" in context.told, context.told
+
+
+@then("the log commands import none of {names}")
+def imports_none_of(context, names):
+    """Guards against slow startup of the log commands on a loaded machine."""
+    modules = "yokedock.process.cli, yokedock.process.log_commands"
+    code = f"import sys, {modules}; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done
+    imported = set(done.stdout.split())
+    assert "yokedock.process.request_story" in imported, imported
+    assert not imported & set(names.split(", ")), imported & set(names.split(", "))
--- a/src/yokedock/process/request_intake.py
+++ b/src/yokedock/process/request_intake.py
@@ -20,14 +20,13 @@
 from yokedock.request.opaque_call import OpaqueCalls
 from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.request_digest import digest_text
+from yokedock.request.request_outcome import ANSWERED
 from yokedock.request.routed_call import RoutedCall
 from yokedock.router_errors import BackendAnswerLost
 from yokedock.version.route_table import Route, RouteTable, ServiceSpec
 
 _log = logger("router")
 
-ANSWERED = "answered"
-"""Outcome of a request that got a backend's answer, whatever its status."""
 SERVER_ERROR = 500
 
 COME_BACK_S = 0.5
--- a/src/yokedock/process/request_story.py
+++ b/src/yokedock/process/request_story.py
@@ -14,9 +14,8 @@
 import msgspec
 
 from yokedock.errors import LogsUnreadable
-from yokedock.process.request_intake import ANSWERED
 from yokedock.process.tables import format_table
-from yokedock.request.routed_call import BackendVisit
+from yokedock.request.request_outcome import ANSWERED, BackendVisit
 
 LINE_START = b'{"time"'
 LOG_PATTERN = "*.log"
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -14,6 +14,7 @@
 from yokedock.connection.http_heads import AnswerHead
 from yokedock.errors import YokedockError
 from yokedock.request.request_digest import request_digest
+from yokedock.request.request_outcome import BackendVisit
 from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
@@ -29,19 +30,6 @@
 """Visits that are kept of one request; more than ``max_attempts`` and its prefills seldom are."""
 
 
-class BackendVisit(msgspec.Struct):
-    """One exchange of a request with a backend, for the log: who held it, and for how long."""
-
-    backend: str
-    zone: str
-    role: str
-    from_ms: int
-    """Time from the request's arrival at the router."""
-    held_ms: int = 0
-    outcome: str = "whole"
-    """``whole``, or the code of what it ended with."""
-
-
 class RoutedCall(msgspec.Struct, eq=False):
     """A caller's request with its route. Times are seconds of boot time."""
 
