Long run: exclude processor wait from the stop delay of old backends

All calls at that moment took about 0.5 s, since backends, callers and store share one process, and both that process and the router had to wait for a processor. The 502 and the time of sending both conform to what the protocol requires of a router: the removal was about 1.0 s old when the calls were sent, and 1.07 s old when the router received it.

Cause: the stand-in measures the 1.5 s as elapsed time, including the time in which it or the router has no processor. Under the platform's terms, a backend goes on serving for 2 s or longer.

Change: the time in which the router or the stand-in waits for a processor (as reported by the kernel) is excluded, up to a total delay of 10 s. On a machine that has a processor for both, nothing changes: 1.5 s as before, now checked every 0.05 s. The check is unchanged.

--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -24,7 +24,7 @@
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.long_run_operator import HOST, LongRunOperator
 from yokedock_emulator.long_run_report import LongRunReport, LongRunSample
-from yokedock_emulator.process_group import processor_s, resident_bytes
+from yokedock_emulator.process_group import processor_s, processor_wait_s, resident_bytes
 from yokedock_emulator.raw_exchange import RawExchange, get_page
 
 KINDS = {"once": 0.5, "repeat": 0.2, "chat": 0.15, "idle": 0.1, "unknown": 0.05}
@@ -64,7 +64,7 @@
         self._plan = plan
         self._router = router
         self._output = output
-        self._operator = LongRunOperator(plan.routes)
+        self._operator = LongRunOperator(plan.routes, self._processor_wait_s)
         self._answers: collections.Counter[str] = collections.Counter()
         self._unexpected: list[str] = []
         self._held_ms: list[float] = []
@@ -148,6 +148,11 @@
         }
         self._process = self._router.start(fields, self._output)
 
+    def _processor_wait_s(self) -> float:
+        """Return the total processor wait of the router and this process so far, seconds."""
+        assert self._process is not None
+        return processor_wait_s(self._process.pid) + processor_wait_s(os.getpid())
+
     async def _is_ready(self) -> bool:
         assert self._process is not None
         assert self._process.poll() is None, "the router ended; look at its log"
--- a/src/yokedock_emulator/long_run_operator.py
+++ b/src/yokedock_emulator/long_run_operator.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
+from yokedock.base.clock import boot_time_s
 from yokedock.platform.documents import (
     ONCE_KIND,
     REPEATABLE_KIND,
@@ -37,7 +39,11 @@
 KEPT_VERSIONS = 3
 """Versions of the configuration whose routes stand in each."""
 OLD_BACKEND_S = 1.5
-"""A replaced backend goes on serving for this long after its entry went."""
+"""A replaced backend goes on serving for this long after its entry is removed, excluding processor
+wait, so that requests of a delayed router are not cut off."""
+OLD_BACKEND_LIMIT_S = 10.0
+"""Upper bound of that period, including processor wait."""
+GRACE_POLL_S = 0.05
 PLAIN_BACKENDS = 4
 DECODE_ENGINES = 3
 
@@ -45,9 +51,14 @@
 class LongRunOperator:
     """The store, the backends and the configurations of one long run."""
 
-    def __init__(self, routes: int) -> None:
-        """Publish ``routes`` routes of each kind in a configuration."""
+    def __init__(self, routes: int, processor_wait_s: Callable[[], float]) -> None:
+        """Publish ``routes`` routes of each kind in a configuration.
+
+        ``processor_wait_s`` returns the total processor wait of the router and this process so far.
+        """
         self._routes_a_kind = routes
+        self._processor_wait_s = processor_wait_s
+        self._stop_tasks: set[asyncio.Task[None]] = set()
         self._store = StateStore()
         self._backends: dict[str, HeaderBackend] = {}
         self._version = 0
@@ -71,6 +82,8 @@
 
     def stop(self) -> None:
         """End the backends and the store."""
+        for task in self._stop_tasks:
+            task.cancel()
         for backend in self._backends.values():
             backend.stop()
         self._store.stop()
@@ -100,7 +113,18 @@
         await self._add_backend("model" if old.role else "plain", old.role)
         del self._backends[instance]
         self._store.remove_server(instance)
-        asyncio.get_running_loop().call_later(OLD_BACKEND_S, old.stop)
+        task = asyncio.create_task(self._stop_after_grace(old))
+        self._stop_tasks.add(task)
+        task.add_done_callback(self._stop_tasks.discard)
+
+    async def _stop_after_grace(self, old: HeaderBackend) -> None:
+        started_s, initial_wait_s = boot_time_s(), self._processor_wait_s()
+        elapsed_s = waited_s = 0.0
+        while elapsed_s - waited_s < OLD_BACKEND_S and elapsed_s < OLD_BACKEND_LIMIT_S:
+            await asyncio.sleep(GRACE_POLL_S)
+            elapsed_s = boot_time_s() - started_s
+            waited_s = self._processor_wait_s() - initial_wait_s
+        old.stop()
 
     async def publish(self) -> None:
         """Publish a configuration with the routes of this version and of those before.
