Makefile: compile the sources before the tests

An installed package is compiled, so the tests start what operators start. Some 20 processes make one deployment of the scenarios, and the fault matrix restarts some in each of its cells.

This is one half of the known failure "Every decode agent dies after the prefill and is replaced": its two new agents had not started 5 s after the kill, beside load. That they do with this change is not shown yet.

--- a/Makefile
+++ b/Makefile
@@ -14,10 +14,13 @@
 demo: $(VENV)/.ready
 	$(BIN)/yokedock demo $(if $(KEEP),--keep,)
 
+# Compiles the sources like an installation does: many tests wait for processes that start.
 test: $(VENV)/.ready
+	$(BIN)/python -m compileall -q src features
 	$(BIN)/python features/run_features.py
 
 matrix: $(VENV)/.ready
+	$(BIN)/python -m compileall -q src features
 	$(BIN)/python features/run_features.py 'matrix_*'
 
 lint: $(VENV)/.ready
