Extract InterruptibleCall from StateFollower

InterruptibleCall now runs the call to the source that state from another router can supersede.

Tests: "repeated interrupts end only the call", "an interrupt does not suppress cancellation".

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -89,6 +89,8 @@
       | watchers that vanish are replaced           |
       | a router that hears nobody watches itself   |
       | enough routers watch                        |
+      | repeated interrupts end only the call       |
+      | an interrupt does not suppress cancellation |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/watch_properties.py
+++ b/features/support/watch_properties.py
@@ -15,6 +15,7 @@
     StateSource,
 )
 from yokedock.errors import PlatformUnavailable
+from yokedock.process.interruptible_call import InterruptibleCall
 from yokedock.process.state_follower import StateFollower
 from yokedock.process.watch_duty import (
     FRESH_S,
@@ -361,6 +362,39 @@
     assert len(due) >= min(len(views), MOST_WATCHERS)
 
 
+async def _interrupt_call_twice():
+    call = InterruptibleCall()
+    running = asyncio.create_task(call.run(asyncio.Event().wait()))
+    await asyncio.sleep(0)
+    assert call.interrupt()
+    # The canceled call has finished, but the task that awaits it has not resumed yet.
+    await asyncio.sleep(0)
+    call.interrupt()
+    assert await running is None
+    assert not call.interrupt()
+    assert await call.run(asyncio.sleep(0, "answer")) == "answer"
+
+
+def repeated_interrupts_end_only_the_call():
+    """Guards against a second interrupt that raises CancelledError in the caller."""
+    run_simulated(_interrupt_call_twice())
+
+
+async def _cancel_caller_after_interrupt():
+    call = InterruptibleCall()
+    running = asyncio.create_task(call.run(asyncio.Event().wait()))
+    await asyncio.sleep(0)
+    call.interrupt()
+    running.cancel()
+    await asyncio.wait([running])
+    assert running.cancelled()
+
+
+def an_interrupt_does_not_suppress_cancellation():
+    """Guards against a caller that keeps running when it is canceled after an interrupt."""
+    run_simulated(_cancel_caller_after_interrupt())
+
+
 WATCH_PROPERTIES = {
     "few routers watch the store": few_routers_watch_the_store,
     "watchers that fell silent are replaced": watchers_that_fell_silent_are_replaced,
@@ -372,4 +406,6 @@
     "a restore is detected with the initial readers cut off": (
         a_restore_is_detected_with_the_initial_readers_cut_off
     ),
+    "repeated interrupts end only the call": repeated_interrupts_end_only_the_call,
+    "an interrupt does not suppress cancellation": an_interrupt_does_not_suppress_cancellation,
 }
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.logs import logger
@@ -13,6 +12,7 @@
 from yokedock.connection.source_position import NO_ERA, SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot, StateSource
 from yokedock.errors import PlatformUnavailable
+from yokedock.process.interruptible_call import InterruptibleCall
 from yokedock.process.state_news import RecentNews
 from yokedock.process.watch_duty import MS_A_SECOND, NEVER, OWN_WATCH_S, WatchDuty
 from yokedock.request.backend_registry import BackendRegistry
@@ -36,17 +36,11 @@
 """A source that drops its history again within this time of a whole read is asked after a pause."""
 DUTY_CHECK_S = 0.1
 """A router at rest looks so often whether it is to watch the source itself."""
-SHORTEST_READ_DELAY_S = 0.8
-LONGEST_READ_DELAY_S = 1.6
-"""When every router has to read everything, all but the initial readers wait this long for the
-state of another router, which is announced within 0.3 s and then fetched. The random spread keeps
-routers from reading simultaneously when the initial readers are cut off."""
 RECONNECT_WATCH_S = 0.01
 """Longest rest of the first watch after a failed call. A source that was restored to exactly the
 watched revision has no changes to report, and names its new era only when the watch ends."""
 TIMER_SLACK_S = 0.02
 """How much a timer of the event loop may fire early by the clock of the registry."""
-Answer = TypeVar("Answer")
 
 
 class StateFollower:
@@ -83,10 +77,8 @@
         self._reports_era = True
         """Whether the last full read named an era."""
         self._known = asyncio.Event()
-        self._reading: asyncio.Task[Any] | None = None
-        """The read of the source that is under way."""
-        self._is_overtaken = False
-        """Another router has brought what that read would bring."""
+        self._reading = InterruptibleCall()
+        """Runs calls to the source, so that ``adopt`` can interrupt them."""
 
     @property
     def version(self) -> int:
@@ -157,9 +149,8 @@
         is_newer = self._adopt_table(snapshot.table)
         is_newer = is_newer or snapshot.position.era > self.position.era
         has_just_begun = self._source.share_read() < FINISHED_SHARE
-        if is_newer and has_just_begun and self._reading is not None:
-            self._is_overtaken = True
-            self._reading.cancel()
+        if is_newer and has_just_begun:
+            self._reading.interrupt()
         if snapshot.position > self.position:
             self._replace_backends(snapshot.position, snapshot.backends)
         self._note_known()
@@ -201,9 +192,9 @@
 
         All but the initial readers wait for it.
         """
-        may_wait = self._duty is not None and not self._duty.is_initial_reader()
-        shortest_s, longest_s = SHORTEST_READ_DELAY_S, LONGEST_READ_DELAY_S
-        delay_s = self._random.uniform(shortest_s, longest_s) if may_wait else 0.0
+        delay_s = 0.0
+        if self._duty is not None:
+            delay_s = self._random.uniform(*self._duty.read_delay_range_s())
         latest_s = boot_time_s() + delay_s
         while self.position == start and boot_time_s() < latest_s:
             await asyncio.sleep(DUTY_CHECK_S)
@@ -211,8 +202,9 @@
 
     async def _read_all(self) -> None:
         before = self.position
-        snapshot = await self._unless_overtaken(self._source.read())
+        snapshot = await self._reading.run(self._source.read())
         if snapshot is None:
+            self._log_interruption()
             return
         self._read_s = boot_time_s()
         self._reports_era = snapshot.position.era != NO_ERA
@@ -229,21 +221,8 @@
             version=self.version,
         )
 
-    async def _unless_overtaken(self, read: Coroutine[Any, Any, Answer]) -> Answer | None:
-        """Return what the source answers, None once another router has brought it."""
-        reading = asyncio.create_task(read)
-        self._reading = reading
-        self._is_overtaken = False
-        try:
-            return await reading
-        except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if not self._is_overtaken or (task is not None and task.cancelling()):
-                raise
-            _log.info("read overtaken", **self._position_fields(), version=self.version)
-            return None
-        finally:
-            self._reading = None
+    def _log_interruption(self) -> None:
+        _log.info("read overtaken", **self._position_fields(), version=self.version)
 
     async def _until_due(self) -> None:
         """Rest while others watch the source for this router."""
@@ -254,8 +233,11 @@
         """Wait for changes and take them over; return whether there were any."""
         await self._until_due()
         before = self._last_watch_position = self.position
-        changes = await self._unless_overtaken(self._source.wait(before, self._watch_s()))
-        if changes is None or self.position.era > before.era:
+        changes = await self._reading.run(self._source.wait(before, self._watch_s()))
+        if changes is None:
+            self._log_interruption()
+            return False
+        if self.position.era > before.era:
             return False
         position = before.position_of_changes(changes.position)
         self._note_answer()
--- a/src/yokedock/process/watch_duty.py
+++ b/src/yokedock/process/watch_duty.py
@@ -30,6 +30,11 @@
 """An answer of the source is fresh for this time: a watch, 0.3 s until the next datagram, one lost
 datagram, and some 0.2 s on a busy machine. It bounds how long a change stays unknown where all
 watchers lose the source at once without a sign."""
+SHORTEST_READ_DELAY_S = 0.8
+LONGEST_READ_DELAY_S = 1.6
+"""When every router has to read everything, all but the initial readers wait this long for the
+state of another router, which is announced within 0.3 s and then fetched. The random spread keeps
+routers from reading simultaneously when the initial readers are cut off."""
 NEVER = -1
 """Told instead of an age: the source never answered, or refused the last call."""
 MS_A_SECOND = 1000
@@ -90,6 +95,15 @@
         staying = (contact for contact in self._contacts() if not contact.is_leaving)
         return sum(_rank(contact.router) < self._rank for contact in staying) < MOST_WATCHERS
 
+    def read_delay_range_s(self) -> tuple[float, float]:
+        """Return the shortest and longest wait for the state of another router, in seconds.
+
+        The wait precedes a full read when every router has to read everything.
+        """
+        if self.is_initial_reader():
+            return 0.0, 0.0
+        return SHORTEST_READ_DELAY_S, LONGEST_READ_DELAY_S
+
     def watch_s(self) -> float:
         """Return how long a watch may rest."""
         others = sum(1 for _ in self._contacts())
