Redial disconnected agents early while a request waits for them

Cause: two delays add up. A new agent takes seconds to start where processes compete for processors, and a gateway redials a disconnected agent after random pauses that grow to 2 s, so an agent that has started is found 1 s later on average and 2 s later at most.

Change: a request that waits for room asks for an early redial of the disconnected agents of its model: the pause is interrupted, and the dial follows within 0.25 s. A refused dial costs 0.5 ms of processor time (300 dials), so a dead agent costs 0.4% of a core while a request waits, and nothing more otherwise.

Rejected alternative: shorter pauses for all redials. At 0.5 s, a gateway that has lost a rack of 20 agents would spend 4% of a core on them, where 2.6% are allowed for control.

Test: "A peer that was unreachable for long is redialled early while a request waits" (fails without this change: not dialled within 1 s).

--- a/features/peer_links.feature
+++ b/features/peer_links.feature
@@ -14,3 +14,8 @@
     Given a link between two processes, the dialling end reads nothing
     When the listening end sends frames until it is told that the link is of no use
     Then it had sent 1026 frames
+
+  Scenario: A peer that was unreachable for long is redialled early while a request waits
+    Given an unreachable peer has been dialled for 3.3 s
+    When a request waits for the peer for 1 s
+    Then the peer was redialled within 0.6 s, and 6 times at most
--- a/features/steps/peer_link_steps.py
+++ b/features/steps/peer_link_steps.py
@@ -124,3 +124,50 @@
 @then("it had sent {count:d} frames")
 def had_sent(context, count):
     assert context.count == count, context.count
+
+
+class UpperBoundRandom:
+    """A random source that always returns the upper bound, for pauses of maximum length."""
+
+    @staticmethod
+    def uniform(_, upper):
+        return upper
+
+
+class FailingDialReader(PeerReader):
+    """A reader whose dials all fail; ``dial_times_s`` holds their times (monotonic clock)."""
+
+    def __init__(self):
+        identity = PeerIdentity("dialler", 1, LOOPBACK_KEY)
+        super().__init__("127.0.0.1:9", identity, TIMING, None)
+        self._random = UpperBoundRandom()
+        self.dial_times_s = []
+
+    def _connect(self):
+        self.dial_times_s.append(time.monotonic())
+
+
+@given("an unreachable peer has been dialled for {seconds:g} s")
+def failing_dial_reader(context, seconds):
+    context.reader = FailingDialReader()
+    context.add_cleanup(context.reader.stop)
+    context.reader.start()
+    time.sleep(seconds)
+    context.reader.dial_times_s.clear()
+
+
+@when("a request waits for the peer for {seconds:g} s")
+def request_waits(context, seconds):
+    context.began_s = time.monotonic()
+    while time.monotonic() - context.began_s < seconds:
+        context.reader.redial_early()
+        time.sleep(0.05)
+
+
+@then("the peer was redialled within {limit_s:g} s, and {max_dials:d} times at most")
+def redialled_early(context, limit_s, max_dials):
+    """Guards against a request that waits for seconds after its agent has restarted."""
+    dial_times_s = list(context.reader.dial_times_s)
+    times_s = (dial_times_s, context.began_s)
+    assert dial_times_s and dial_times_s[0] - context.began_s < limit_s, times_s
+    assert len(dial_times_s) <= max_dials, dial_times_s
--- a/src/yokedock/connection/peer_client.py
+++ b/src/yokedock/connection/peer_client.py
@@ -22,6 +22,7 @@
     HeartbeatNow,
     PeerIdentity,
     PeerTiming,
+    RedialEarly,
     SendCall,
     StreamSink,
     settle,
@@ -111,6 +112,8 @@
                 self._tick()
             case HeartbeatNow():
                 self._heartbeat()
+            case RedialEarly():
+                self._reader.redial_early()
             case LinkUp():
                 self._link_up(message)
             case LinkDown():
--- a/src/yokedock/connection/peer_reader.py
+++ b/src/yokedock/connection/peer_reader.py
@@ -30,6 +30,9 @@
 
 REDIAL_MIN_MS = 50
 REDIAL_MAX_MS = 2000
+"""Upper bounds of the random pause before a dial: initially, and after repeated failures."""
+EARLY_REDIAL_MAX_MS = 250
+"""Upper bound of the random pause before a dial while a request waits for the peer."""
 HANDSHAKE_MIN_MS = 250
 """First patience with a handshake: a connection lost before it is noticed by silence alone.
 
@@ -75,6 +78,8 @@
         self._timing = timing
         self._owner = owner
         self._stopping = threading.Event()
+        self._pause_interrupted = threading.Event()
+        """Set by ``redial_early`` and ``stop``; ends the pause before the next dial."""
         self._random = new_random()
         self._handshake_ms = min(HANDSHAKE_MIN_MS, timing.lease_ms)
         self.socket = PeerSocket(self._handshake_ms)
@@ -84,11 +89,19 @@
     def stop(self) -> None:
         """Ask the thread to end; it does so within a lease."""
         self._stopping.set()
+        self._pause_interrupted.set()
+
+    def redial_early(self) -> None:
+        """Interrupt the pause before the next dial; wait ``EARLY_REDIAL_MAX_MS`` at most instead.
+
+        Has no effect on shorter pauses, or on a connection that is up.
+        """
+        self._pause_interrupted.set()
 
     def run(self) -> None:
         """Dial until connected, with growing random pauses; then read one connection."""
         pause_ms = REDIAL_MIN_MS
-        while not self._stopping.wait(self._random.uniform(0, pause_ms) / 1000):
+        while self._pause_before_dial(pause_ms):
             session = self._connect()
             if session is not None:
                 self._read(session)
@@ -99,6 +112,16 @@
             pause_ms = min(pause_ms * 2, REDIAL_MAX_MS)
         self.socket.close()
 
+    def _pause_before_dial(self, max_pause_ms: float) -> bool:
+        """Wait for a random time; return False if the thread must stop."""
+        pause_s = self._random.uniform(0, max_pause_ms) / 1000
+        if max_pause_ms <= EARLY_REDIAL_MAX_MS:
+            return not self._stopping.wait(pause_s)
+        if self._pause_interrupted.wait(pause_s):
+            self._pause_interrupted.clear()
+            return not self._stopping.wait(self._random.uniform(0, EARLY_REDIAL_MAX_MS) / 1000)
+        return True
+
     def _connect(self) -> SecureSession | None:
         """Dial and shake hands; return the session, None if that failed."""
         socket = self.socket
--- a/src/yokedock/connection/peer_types.py
+++ b/src/yokedock/connection/peer_types.py
@@ -89,6 +89,11 @@
     """Send a heartbeat at once: there is a new version to tell of."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RedialEarly:
+    """Redial after a short pause: a request is waiting for the peer."""
+
+
 def settle(future: Future[Any], result: Any = None, error: BaseException | None = None) -> None:
     """Give a future its result or error; do nothing if it has one already."""
     try:
--- a/src/yokedock/connection/peer_view.py
+++ b/src/yokedock/connection/peer_view.py
@@ -13,6 +13,7 @@
     DropAttempt,
     HeartbeatDue,
     HeartbeatNow,
+    RedialEarly,
     SendCall,
     StreamSink,
     settle,
@@ -114,6 +115,10 @@
         """Send a heartbeat at once."""
         self._tell(HeartbeatNow(), None)
 
+    def redial_early(self) -> None:
+        """Redial after a short pause if the peer is not connected."""
+        self._tell(RedialEarly(), None)
+
     def stop(self) -> None:
         """End the peer's task."""
         self._reference.stop(block=False)
--- a/src/yokedock/request/model_request.py
+++ b/src/yokedock/request/model_request.py
@@ -107,7 +107,7 @@
                 if not context.may_have_run or not isinstance(error, _WAIT_FOR_ROOM):
                     raise
                 room_until_s = room_until_s or deadline_in(ROOM_PATIENCE_S * 1000)
-                self._wait_for_room(context, error, room_until_s)
+                self._wait_for_room(context, order.model, error, room_until_s)
 
     def _check_retry(self, context: RequestContext, bundle: Bundle, error: YokedockError) -> None:
         """Raise unless another attempt is allowed."""
@@ -116,14 +116,20 @@
             message = f"the request was lost {context.attempts} times ({error.message}); retry"
             raise RetryBudgetSpent(message, 1.0) from None
 
-    def _wait_for_room(self, context: RequestContext, error: Refused, room_until_s: float) -> None:
+    def _wait_for_room(
+        self, context: RequestContext, model: str, error: Refused, room_until_s: float
+    ) -> None:
         """Wait a while for room elsewhere: a loss must not end a request that was begun at once.
 
         A request for which nothing was begun does not wait: it is refused with a time to come back.
+        Disconnected agents of ``model`` are redialled early, since one may have restarted.
         """
         context.check()
         if left_s(room_until_s) <= 0:
             raise error
+        for peer in self._services.peers_of_model(model):
+            if not peer.view.is_connected:
+                peer.redial_early()
         context.attempts -= 1
         time.sleep(min(max(error.retry_after_s or 0.0, ROOM_RETRY_MIN_S), ROOM_RETRY_MAX_S))
 
