Test refusals with limited backends in simulated time

It was therefore unknown whether waits in the routers themselves could add up to such a delay.

SimulatedRouterWorld, a RouterWorld in simulated time, answers this: routers, backends and callers run with an event loop, clock and network that are determined by a seed.

The real-time scenario is unchanged, because simulated time does not include processor time.

--- a/features/backend_limits.feature
+++ b/features/backend_limits.feature
@@ -49,6 +49,23 @@
     And whoever was refused was told so within 0.3 s, with a time to come back
     And nothing that was refused reached a backend
 
+  # Guards against refusals that are delayed by the routers' own waits, not by processor load.
+  Scenario Outline: With all backends limited, refusals are prompt in simulated time, seed <seed>
+    Given time and network are simulated with the seed "<seed>"
+    And a plain backend "a"
+    And 4 routers that hear each other
+    And backend "a" names a limit of 4 requests a second
+    When 4 clients of each router send POST on "once" for 8 s
+    Then "a" was never given more than its limit allows
+    And "a" was given at least 0.9 of its limit
+    And whoever was refused was told so within 0.05 s, with a time to come back
+    And nothing that was refused reached a backend
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: A limit that a backend names no more holds no more
     Given a plain backend "a"
     And 2 routers that hear each other
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -2,12 +2,19 @@
 
 from behave import given, step, then, when
 from support.router_world import HOST, RawCaller, RouterWorld, request_bytes, table
+from support.simulated_world import SimulatedRouterWorld
 
 from yokedock.request.mechanisms import Mechanisms
 
 STREAM_HEADERS = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", "ab:50")]
 
 
+@given('time and network are simulated with the seed "{seed}"')
+def simulated_world(context, seed):
+    context.world = SimulatedRouterWorld(seed)
+    context.add_cleanup(context.world.close)
+
+
 def world(context):
     if not hasattr(context, "world"):
         context.world = RouterWorld()
