Learn no prefill rate from prompts too short to show one

Cause: the rate of an engine was learned from every completed prefill, its tokens by its duration. A prefill of 0 tokens gave a rate of 0, taken as it is when it was the first sample, and the median over the engines was 0 as well. The next placement divided by it.

What callers saw: after one prompt of 0 tokens at a freshly started router every generation there was answered 500 ("internal error") until it restarted, since without a placement no sample could correct the rate. Any caller can set it off from outside. Prompts of a few tokens did less: 20 of one token brought the estimate of an engine from 40,000 to 225 tokens/s, so that ordinary prompts were placed elsewhere and counted as late.

Change: EngineLedger.close_prefill learns nothing from a prefill of less than 256 tokens, those queued ahead of it included. A weight by size was ruled out: a caller of nothing but tiny prompts would still move the estimate, and without ordinary prompts nothing moves it back. The limit does not stand in EnginePerformance, whose property "the typical rate is the median" feeds it sizes from 1 on.

--- a/features/steps/prompt_size_steps.py
+++ b/features/steps/prompt_size_steps.py
@@ -6,6 +6,7 @@
 from support.router_world import RawCaller, request_bytes
 
 MAX_OUTPUT_TOKENS = 20
+DEADLINE_MS = "3000"
 INTERVAL_S = 0.12
 GROUP_INTERVAL_S = 0.8
 
@@ -25,6 +26,7 @@
         ("X-Model", "m"),
         ("X-Tokens", f"{prompt_tokens},{MAX_OUTPUT_TOKENS}"),
         ("X-Prompt-Parts", f"part{number}:{prompt_tokens}"),
+        ("X-Deadline-Ms", DEADLINE_MS),
     ]
     return request_bytes("chat", headers=headers, request_id=f"generation-{number}")
 
@@ -74,3 +76,19 @@
         for engine in context.world.backends:
             assert router._ledger.load(engine).prefill_tokens == 0, engine
             assert router._ledger.load(engine).memory_tokens == 0, engine
+
+
+@when(
+    "the first router gets {count:d} prompts of {tokens:d} tokens, one after the other, then one "
+    "of {last:d}"
+)
+def send_series(context, count, tokens, last):
+    sizes = [tokens] * count + [last]
+    send_all(context, [(number * INTERVAL_S, size) for number, size in enumerate(sizes)])
+
+
+@then("no estimated prefill rate is below {least:g} tokens per second")
+def least_rate(context, least):
+    pace = context.routers[0]._ledger.pace
+    rates = {engine: pace.prefill_rate(engine) for engine in context.world.backends}
+    assert min(rates.values()) >= least, rates
--- a/src/yokedock/request/engine_ledger.py
+++ b/src/yokedock/request/engine_ledger.py
@@ -25,6 +25,10 @@
 """A stream past its expected length is assumed to generate this share of its output so far in
 addition."""
 
+MIN_MEASURED_PREFILL_TOKENS = 256
+"""Minimum size of a prefill from which an engine's rate is learned. The duration of a shorter one
+consists mostly of transit and scheduling, and a prefill of no tokens has no rate."""
+
 
 class StreamDemand(msgspec.Struct):
     """Current and expected memory use of one stream, in tokens."""
@@ -112,14 +116,14 @@
         return key
 
     def close_prefill(self, key: int, is_done: bool) -> None:
-        """Record the end of a prefill; learn the engine's prefill speed if it completed."""
+        """Record the end of a prefill; learn the engine's rate if it completed and was not tiny."""
         demand = self._prefills.pop(key, None)
         if demand is None:
             return
         _remove(self._prefills_at, demand.engine, key)
-        if is_done:
-            took_s = self._clock() - demand.started_s
-            self.pace.note_prefill(demand.engine, demand.tokens + demand.ahead_tokens, took_s)
+        tokens = demand.tokens + demand.ahead_tokens
+        if is_done and tokens >= MIN_MEASURED_PREFILL_TOKENS:
+            self.pace.note_prefill(demand.engine, tokens, self._clock() - demand.started_s)
         self.on_change()
 
     def shares(self) -> dict[str, EngineShare]:
