Apply each part of another router's state on its own

Cause: GossipHandler.apply_state handed the parts of a received state to the components one after the other, without a guard. An exception in the first, such as the KeyError of the reservations of zeros, skipped all others: queues, leadership, role changes, quarantined requests, leaving backends, limits and newer versions. Datagrams queued behind it waited.

What callers saw: while reports of one router failed, the receiver knew nothing new of it; it sent to backends that another had reported as leaving and fell behind in versions until its own source told it.

This contains a defect, it hides none. Cleanups of the maintenance task have had the same guard before; the detection of silent routers is restarted by its supervisor.

Seen red before: the new scenario in router_state.feature timed out waiting for version 7 at a router whose ledger raises. After: passes, router_state 10 of 10.

--- a/features/router_state.feature
+++ b/features/router_state.feature
@@ -28,6 +28,15 @@
     When the first router's source tells of version 7
     Then the second router has version 7
 
+  # Guards against one component whose error keeps all others from a received state.
+  Scenario: An error of one component keeps no other from its part of a received state
+    Given a router that knows them
+    And a second router whose source is silent
+    And counting the reservations of others fails at the second router
+    When the first router's source tells of version 7
+    Then the second router has version 7
+    And the second router has counted parts that failed
+
   Scenario: A backend that comes back under its old name is used again
     Given a router that knows them
     When the list says that "a" is gone
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -352,6 +352,19 @@
     context.world.wait_for(lambda: failures["request end"] == count, f"{failures}")
 
 
+@given("counting the reservations of others fails at the second router")
+def counting_reservations_fails(context):
+    def fail(router, shares, told_s=None):
+        raise RuntimeError("a defect in the ledger")
+
+    context.second._ledger.heard = fail
+
+
+@then("the second router has counted parts that failed")
+def counted_failed_parts(context):
+    assert context.second._gossip_handler.failed_parts > 0
+
+
 @then("the {which} router has version {version:d}")
 def has_version(context, which, version):
     router = context.router if which == "first" else context.second
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -58,6 +58,8 @@
         self._incarnation_ms = wall_clock_ms()
         self._highest_token = 0
         self._own_token: int | None = None
+        self.failed_parts = 0
+        """Parts of received states that were not applied because of an unexpected error."""
 
     def attach(self, components: GossipComponents) -> None:
         """Use these components from now on."""
@@ -101,24 +103,56 @@
         ]
 
     def apply_state(self, other: OtherRouter) -> None:
-        """Apply the state of another router, which dates from ``other.heard_s``."""
-        components = self._components
+        """Apply the state of another router, which dates from ``other.heard_s``.
+
+        An error in one component is logged and counted, and the others still get their part.
+        """
         assert other.state is not None
         state = other.state
-        components.ledger.heard(other.address, state.shares, other.heard_s)
+        for apply_part in (
+            self._apply_reservations,
+            self._apply_queues,
+            self._apply_leadership,
+            self._apply_backends,
+            self._apply_suspects,
+            self._apply_limits,
+            self._apply_source_progress,
+        ):
+            try:
+                apply_part(other, state)
+            except Exception:
+                self.failed_parts += 1
+                _log.exception("state not applied", router=other.address, part=apply_part.__name__)
+
+    def _apply_reservations(self, other: OtherRouter, state: RouterState) -> None:
+        self._components.ledger.heard(other.address, state.shares, other.heard_s)
+
+    def _apply_queues(self, other: OtherRouter, state: RouterState) -> None:
+        components = self._components
         if components.remote_queues.heard(other.address, state.queues, other.heard_s):
             components.ledger.on_capacity_freed()
+
+    def _apply_leadership(self, other: OtherRouter, state: RouterState) -> None:
         self._highest_token = max(self._highest_token, state.token)
-        components.leadership.heard(
+        self._components.leadership.heard(
             Vote(other.address, state.leader, other.heard_s, state.is_leaving)
         )
+
+    def _apply_backends(self, other: OtherRouter, state: RouterState) -> None:
+        components = self._components
         components.registry.set_changing(other.address, state.changing)
         components.backends.apply_remote_broken(state.broken, other.heard_s)
-        components.poison.heard(state.suspects, other.heard_s)
         components.backends.apply_remote_leaving(state.leaving, other.heard_s)
-        components.backends.apply_remote_limits(other.address, state.limits, other.heard_s)
-        components.follower.apply_news(state.news)
-        components.exchange.on_router_state(state)
+
+    def _apply_suspects(self, other: OtherRouter, state: RouterState) -> None:
+        self._components.poison.heard(state.suspects, other.heard_s)
+
+    def _apply_limits(self, other: OtherRouter, state: RouterState) -> None:
+        self._components.backends.apply_remote_limits(other.address, state.limits, other.heard_s)
+
+    def _apply_source_progress(self, other: OtherRouter, state: RouterState) -> None:
+        self._components.follower.apply_news(state.news)
+        self._components.exchange.on_router_state(state)
 
     def fencing_token(self) -> int | None:
         """Return this router's fencing token while it leads, else None.
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -89,7 +89,7 @@
         own_address, _, port = settings.fleet.address.rpartition(":")
         limits = BackendLimits(own_address, lambda: self._gossip.fleet_size())
         self._registry = BackendRegistry(settings.process.zone, limits=limits)
-        gossip_handler = GossipHandler()
+        gossip_handler = self._gossip_handler = GossipHandler()
         seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
             own_address,
@@ -373,6 +373,7 @@
             "state_age_s": self._follower.age_s(),
             "connections_opened": self._pool.opened,
             "words_not_understood": self._dialect.invalid_values,
+            "state_parts_failed": self._gossip_handler.failed_parts,
             **self._allowance.levels(),
             **self._ledger.levels(),
             **self._poison.levels(),
