Receive stop signals through a socket, not in a handler

Cause: run_daemon waited in Semaphore.acquire, and the handler of SIGTERM released that semaphore. Python runs a handler in the main thread between two byte codes; if the main thread then holds the semaphore's lock, which is not reentrant, the handler waits for it forever. The stand-ins of the emulator did the same with an Event.

What was seen: an agent did not exit within 30 s of SIGTERM and logged nothing. Such a gateway or agent takes work on until it is killed, and what is in flight then is cut off instead of drained. Callers cannot set it off; any planned stop can.

Ruled out: a lost signal (SIGTERM ends a process whose handlers do not stand yet), and a drain or stop that blocks (stacks of four such processes ended in the handler's release). signal.sigwait as a mend: threads and child processes would inherit the blocked mask.

Change: StopSignals. The handlers do nothing; the interpreter writes the number of each signal to a socket (set_wakeup_fd), which the main thread reads. The daemon logs "stopping" with the signal, and "drained", so that a signal that was lost, a drain and a stop that block look different.

--- a/src/yokedock/process/daemon.py
+++ b/src/yokedock/process/daemon.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-import signal
 import threading
 from typing import Protocol
 
 from yokedock.base.logs import logger
 from yokedock.process.exit import exit_now
+from yokedock.process.stop_signals import StopSignals
 
 _log = logger("main")
 
+DRAIN_POLL_INTERVAL_S = 0.05
+
 
 class Daemon(Protocol):
     """Interface of a daemon that ``run_daemon`` runs."""
@@ -27,15 +29,15 @@
 
 def run_daemon(daemon: Daemon) -> None:
     """Serve until SIGTERM or SIGINT, then drain and stop. A second signal ends the draining."""
-    signals = threading.Semaphore(0)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: signals.release())
+    signals = StopSignals()
     daemon.start()
-    signals.acquire()
+    received = signals.wait_for_stop()
+    _log.info("stopping", signal=received.name)
     drain = threading.Thread(target=daemon.drain, name="drain", daemon=True)
     drain.start()
-    while drain.is_alive() and not signals.acquire(timeout=0.05):
+    while drain.is_alive() and signals.wait(DRAIN_POLL_INTERVAL_S) is None:
         pass
+    _log.info("drained", is_complete=not drain.is_alive())
     daemon.stop()
     _log.info("stopped")
     exit_now(0)
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from pathlib import Path
 
 import cyclopts
@@ -13,18 +11,22 @@
 from yokedock.process.bundle_files import read_signed
 from yokedock.process.cli import run_app
 from yokedock.process.exit import exit_now
+from yokedock.process.stop_signals import StopSignals
 
 app = cyclopts.App(name="yokedock-emulator", help="Stand-ins, load and experiments.")
 REREAD_S = 0.5
 
 
-def _serve(name: str, url: str) -> threading.Event:
-    """Say where a stand-in listens; the event is set by SIGTERM or SIGINT."""
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+def _report(name: str, url: str) -> StopSignals:
+    """Print where a stand-in listens; return the signals that end it."""
+    signals = StopSignals()
     print(f"{name} at {url}", flush=True)
-    return stopped
+    return signals
+
+
+def _serve(name: str, url: str) -> None:
+    """Print where a stand-in listens, and return on SIGTERM or SIGINT."""
+    _report(name, url).wait_for_stop()
 
 
 @app.command
@@ -57,7 +59,7 @@
         checks_fencing=checks_fencing,
         clock_tokens=clock_tokens,
     )
-    _serve("engine", ModelEngineServer(profile, listen).url).wait()
+    _serve("engine", ModelEngineServer(profile, listen).url)
 
 
 @app.command
@@ -66,7 +68,7 @@
     from yokedock_emulator.plain_service import PlainService
 
     set_up_logs("warning")
-    _serve("service", PlainService(listen, duration_ms).url).wait()
+    _serve("service", PlainService(listen, duration_ms).url)
 
 
 @app.command
@@ -80,12 +82,12 @@
 
     set_up_logs("warning")
     stand_in = Platform(listen)
-    stopped = _serve("platform", stand_in.url)
+    signals = _report("platform", stand_in.url)
+    if bundle is None:
+        signals.wait_for_stop()
+        return
     published = b""
-    while not stopped.wait(REREAD_S if published else 0):
-        if bundle is None:
-            stopped.wait()
-            return
+    while signals.wait(REREAD_S if published else 0) is None:
         signed = read_signed(bundle)
         if signed.envelope != published:
             stand_in.publish_bundle(signed)
