Read what arrived in a stall before idle connections are closed

Cause: 2.5 s after SIGTERM a router closes idle connections. After a stall, that timer has expired while requests still wait in the sockets: their connections counted as idle and were closed, and with no request active the shutdown went on to its end at once.

What callers saw: a kept connection that ends without an answer to a request sent up to 1.9 s before, never passed on; 503 on new connections although seconds of the grace were left. Any planned stop beside load can set it off.

A real router whose loop is blocked for 0.8 s around that moment closed four of four kept connections and told four of four new ones 503.

Change: idle connections are closed once a sleep of 0.05 s has ended on time, at the latest when the final answers are due.

Seen red before: the new scenario. After: 200 for all eight.

--- a/features/router_process.feature
+++ b/features/router_process.feature
@@ -63,3 +63,12 @@
       pace = perhaps
       luck = no
       """
+
+  # Guards against connections that are closed as idle while their next request waits in the socket.
+  Scenario: A router that stands still as it closes idle connections answers what came meanwhile
+    Given a plain backend "a"
+    And a router that knows them
+    And 4 clients with connections that they keep
+    When the router is told to stop and stands still for 0.8 s as it closes idle connections
+    And each of these clients, and 4 with new connections, send a request meanwhile
+    Then each of these requests is answered 200
--- /dev/null
+++ b/features/steps/stop_stall_steps.py
@@ -0,0 +1,54 @@
+"""Requests that arrive while a stopping router stands still. The clients use plain sockets, since
+the router, its backends and all other callers share the event loop that is blocked."""
+
+import socket
+import time
+
+from behave import given, then, when
+from support.router_world import request_bytes
+
+from yokedock.process.router import CONNECTION_DRAIN_S
+
+ANSWER_LIMIT_S = 5.0
+LEAD_S = 0.2
+"""The event loop is blocked so long before the router closes idle connections."""
+MAX_ANSWER_BYTES = 4096
+
+
+def connect(context):
+    host, _, port = context.router.settings.callers.listen.rpartition(":")
+    return socket.create_connection((host, int(port)), ANSWER_LIMIT_S)
+
+
+def send(client, request_id):
+    client.sendall(request_bytes("repeat", body=b"abc", request_id=request_id))
+
+
+@given("{count:d} clients with connections that they keep")
+def clients_with_connections(context, count):
+    context.clients = [connect(context) for _ in range(count)]
+    for number, client in enumerate(context.clients):
+        send(client, f"first-{number}")
+        assert client.recv(MAX_ANSWER_BYTES).startswith(b"HTTP/1.1 200")
+
+
+@when("the router is told to stop and stands still for {span_s:g} s as it closes idle connections")
+def stop_and_stand_still(context, span_s):
+    loop = context.world.loop
+    loop.call_soon_threadsafe(context.router.stop_event.set)
+    time.sleep(CONNECTION_DRAIN_S - LEAD_S)
+    loop.call_soon_threadsafe(time.sleep, span_s)
+    time.sleep(LEAD_S)
+
+
+@when("each of these clients, and {count:d} with new connections, send a request meanwhile")
+def send_meanwhile(context, count):
+    context.clients += [connect(context) for _ in range(count)]
+    for number, client in enumerate(context.clients):
+        send(client, f"late-{number}")
+
+
+@then("each of these requests is answered 200")
+def all_answered(context):
+    lines = [client.recv(MAX_ANSWER_BYTES).partition(b"\r\n")[0] for client in context.clients]
+    assert all(line.startswith(b"HTTP/1.1 200") for line in lines), lines
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -66,6 +66,8 @@
 FINAL_ANSWERS_MARGIN_S = 0.8
 """How long before the end of a graceful shutdown the requests still waiting get a final answer."""
 STOP_POLL_S = 0.05
+MAX_PUNCTUAL_SLEEP_S = 2 * STOP_POLL_S
+"""A sleep of ``STOP_POLL_S`` that takes longer shows a stall of the event loop."""
 
 
 class Router:
@@ -258,6 +260,7 @@
         for connection in self._connections:
             connection.is_closing = True
         await asyncio.sleep(CONNECTION_DRAIN_S)
+        await self._wait_for_punctual_loop()
         for connection in list(self._connections):
             connection.close_if_idle()
         while self._request_handler.active and boot_time_s() < self._stop.final_answers_s:
@@ -271,6 +274,17 @@
         await asyncio.sleep(0)
         self._gossip.send_final_state()
 
+    async def _wait_for_punctual_loop(self) -> None:
+        """Wait until the event loop runs on time, so that all requests that arrived are read.
+
+        After a stall, a connection may appear idle although its next request waits in the socket.
+        """
+        while boot_time_s() < self._stop.final_answers_s:
+            began_s = boot_time_s()
+            await asyncio.sleep(STOP_POLL_S)
+            if boot_time_s() - began_s < MAX_PUNCTUAL_SLEEP_S:
+                return
+
     def _start_supervised(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         """Start a background task that is restarted after an unexpected error."""
 
