One function for the router's own calls to a backend

The role balancer and the cache lookup each made a short call and applied the notices of its response by the same five lines. call_backend does it once. A role order without a response is logged now; its error was swallowed.

No other change: router_streams, backend_notices, engine_lives and router_patience pass as before.

--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -9,7 +9,8 @@
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, EncodedRequest, RoleOrder
-from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.connection.short_call import CallLimits, ShortCall
+from yokedock.request.backend_call import call_backend
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_ledger import EngineLedger
@@ -163,11 +164,8 @@
         call = ShortCall(b"POST", order.target, tuple(order.headers), order.body)
         limits = CallLimits(ORDER_TIMEOUT_S, ORDER_TIMEOUT_S, max_idle_s=0.0)
         try:
-            sent_s = boot_time_s()
-            answer = await short_call(self._pool, backend.entry.address, call, limits)
-            notices = self._dialect.response_metadata(answer.head)
-            now_s = boot_time_s()
-            backend.apply_notices(notices, now_s, answer.opened_ms, sent_s, answer.sent_ms)
-            return answer.status
-        except (BackendUnreachable, BackendResponseError):
+            answer = await call_backend(self._pool, self._dialect, backend, call, limits)
+        except (BackendUnreachable, BackendResponseError) as error:
+            _log.info("role order without a response", engine=backend.name, reason=error.message)
             return None
+        return answer.status
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -13,8 +13,9 @@
 from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, PromptPart
-from yokedock.connection.short_call import CallLimits, short_call
+from yokedock.connection.short_call import CallLimits
 from yokedock.errors import EngineRejected
+from yokedock.request.backend_call import call_backend
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.routed_call import RoutedCall
@@ -103,11 +104,7 @@
         """Return the cached tokens of ``engine`` by part; empty if the query fails."""
         question = self._dialect.cache_list_request()
         try:
-            sent_s = boot_time_s()
-            answer = await short_call(self._pool, engine.entry.address, question, ANSWER_LIMITS)
-            notes = self._dialect.response_metadata(answer.head)
-            now_s = boot_time_s()
-            engine.apply_notices(notes, now_s, answer.opened_ms, sent_s, answer.sent_ms)
+            answer = await call_backend(self._pool, self._dialect, engine, question, ANSWER_LIMITS)
             if answer.status == OK:
                 return self._dialect.cached_parts(answer.body)
         except (BackendUnreachable, BackendResponseError, EngineRejected) as error:
