Simulation: routers that stand still for moments unknown to the judge

The soak's judge excuses what is cut in a noted freeze, so that neither of the two faults before could be seen there. stalling_soak stalls each router in turn; a stall counts as time without a processor, which bounds of time exclude, and excuses no request that is cut. Three seeds that showed the faults are scenarios of simulation.feature.

--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -26,3 +26,14 @@
       | seed |
       | 22   |
       | 26   |
+
+  # Guards against requests and whole answers that wait in the sockets of a router as it stands still.
+  Scenario Outline: Routers that stand still for moments lose nothing, seed <seed>
+    When seed <seed> is simulated for 20 s, and each router stands still for <length> s in every <period> s, first at <first> s
+    Then clients and backends have seen no rule broken in the simulation
+
+    Examples:
+      | seed | length | period | first |
+      | 222  | 1.9    | 7      | 0.3   |
+      | 3004 | 0.7    | 5      | 0.4   |
+      | 3022 | 2.1    | 5      | 0.2   |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -5,10 +5,14 @@
 import subprocess
 import sys
 import tempfile
+from pathlib import Path
 
 from behave import then, when
 
 from yokedock_emulator.process_group import program
+from yokedock_emulator.simulation.simulate import HASH_SEED, HASH_SEED_VARIABLE
+
+FEATURES = Path(__file__).resolve().parents[1]
 
 TIMEOUT_S = 400.0
 BUSY_PROGRAM = "while True: pass"
@@ -66,6 +70,23 @@
     context.status, context.output = simulate(seed, seconds)
 
 
+@when(
+    "seed {seed:d} is simulated for {seconds:d} s, and each router stands still for {length_s:g} s "
+    "in every {period_s:g} s, first at {first_s:g} s"
+)
+def simulate_stalls(context, seed, seconds, length_s, period_s, first_s):
+    arguments = [str(each) for each in (seed, seconds, length_s, period_s, first_s)]
+    done = subprocess.run(
+        [sys.executable, "-m", "support.stalling_soak", *arguments],
+        cwd=FEATURES,
+        env={**os.environ, HASH_SEED_VARIABLE: HASH_SEED},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+    context.status, context.output = done.returncode, done.stdout + done.stderr
+
+
 @then("clients and backends have seen no rule broken in the simulation")
 def no_rule_broken(context):
     assert context.status == 0, context.output
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -97,6 +97,8 @@
 class SimulatedLauncher:
     """Starts routers in a simulation and logs them with simulated times."""
 
+    router_type: type[SimulatedRouter] = SimulatedRouter
+
     def __init__(self, loop: SimulatedLoop, folder: Path) -> None:
         """Write the log of each router to a file in ``folder``."""
         self._loop = loop
@@ -106,7 +108,7 @@
 
     def start(self, router: int, fields: dict[str, Any]) -> SimulatedRouter:
         """Start a process of a router."""
-        return SimulatedRouter(self._loop, self.hosts[router], _settings(fields))
+        return self.router_type(self._loop, self.hosts[router], _settings(fields))
 
     def close(self) -> None:
         """Close the logs."""
