--- a/features/steps/stop_stall_steps.py
+++ b/features/steps/stop_stall_steps.py
@@ -1,6 +1,7 @@
 """Requests that arrive while a stopping router stands still. The clients use plain sockets, since
 the router, its backends and all other callers share the event loop that is blocked."""
 
+import http.client
 import socket
 import time
 
@@ -12,7 +13,6 @@
 ANSWER_LIMIT_S = 5.0
 LEAD_S = 0.2
 """The event loop is blocked so long before the router closes idle connections."""
-MAX_ANSWER_BYTES = 4096
 
 
 def connect(context):
@@ -20,6 +20,14 @@
     return socket.create_connection((host, int(port)), ANSWER_LIMIT_S)
 
 
+def read_status(client):
+    """Read one whole response, so that none of it is taken for the next; return its status."""
+    response = http.client.HTTPResponse(client)
+    response.begin()
+    response.read()
+    return response.status
+
+
 def send(client, request_id):
     client.sendall(request_bytes("repeat", body=b"abc", request_id=request_id))
 
@@ -29,7 +37,7 @@
     context.clients = [connect(context) for _ in range(count)]
     for number, client in enumerate(context.clients):
         send(client, f"first-{number}")
-        assert client.recv(MAX_ANSWER_BYTES).startswith(b"HTTP/1.1 200")
+        assert read_status(client) == 200
 
 
 @when("the router is told to stop and stands still for {span_s:g} s as it closes idle connections")
@@ -50,5 +58,5 @@
 
 @then("each of these requests is answered 200")
 def all_answered(context):
-    lines = [client.recv(MAX_ANSWER_BYTES).partition(b"\r\n")[0] for client in context.clients]
-    assert all(line.startswith(b"HTTP/1.1 200") for line in lines), lines
+    statuses = [read_status(client) for client in context.clients]
+    assert set(statuses) == {200}, statuses
