--- a/features/steps/stop_stall_steps.py
+++ b/features/steps/stop_stall_steps.py
@@ -3,6 +3,7 @@
 
 import http.client
 import socket
+import threading
 import time
 
 from behave import given, then, when
@@ -42,11 +43,19 @@
 
 @when("the router is told to stop and stands still for {span_s:g} s as it closes idle connections")
 def stop_and_stand_still(context, span_s):
-    loop = context.world.loop
-    loop.call_soon_threadsafe(context.router.stop_event.set)
-    time.sleep(CONNECTION_DRAIN_S - LEAD_S)
-    loop.call_soon_threadsafe(time.sleep, span_s)
-    time.sleep(LEAD_S)
+    stands_still = threading.Event()
+
+    def stand_still():
+        stands_still.set()
+        time.sleep(span_s)
+
+    def stop():
+        # Both timers belong to the loop, so that the stall begins first however late they run.
+        context.world.loop.call_later(CONNECTION_DRAIN_S - LEAD_S, stand_still)
+        context.router.stop_event.set()
+
+    context.world.loop.call_soon_threadsafe(stop)
+    assert stands_still.wait(CONNECTION_DRAIN_S + ANSWER_LIMIT_S), "the stall did not begin"
 
 
 @when("each of these clients, and {count:d} with new connections, send a request meanwhile")
--- a/features/support/stop_sweep.py
+++ b/features/support/stop_sweep.py
@@ -1,7 +1,8 @@
 """Sends SIGTERM to a process at each step of its program until it waits for a signal.
 
 Run as a program, since it forks: ``python -m support.stop_sweep PROCESS``, where PROCESS is a key
-of ``PROGRAMS``. It prints how many processes did not exit, and ends with status 1 if any did not.
+of ``PROGRAMS``. It prints which processes did not exit in order, and ends with status 1 if any
+did not or if the sweep did not get as far as the wait.
 """
 
 import os
@@ -18,6 +19,8 @@
 STEP_LIMIT_S = 0.5
 """A process that has not reached the step after this time waits for a signal."""
 POLL_INTERVAL_S = 0.0005
+MIN_STEPS = 20
+"""A sweep of fewer steps did not get as far as the wait."""
 
 
 class SignalAtStep:
@@ -90,29 +93,32 @@
     return process_id, is_reached
 
 
-def exits(process_id):
-    """Return whether the process exits within the limit."""
+def exit_status(process_id):
+    """Return the exit status of the process, None if it does not exit within the limit."""
     until_s = time.monotonic() + EXIT_LIMIT_S
     while time.monotonic() < until_s:
-        if os.waitpid(process_id, os.WNOHANG)[0]:
-            return True
+        ended_id, status = os.waitpid(process_id, os.WNOHANG)
+        if ended_id:
+            return os.waitstatus_to_exitcode(status)
         time.sleep(POLL_INTERVAL_S)
-    return False
+    os.kill(process_id, signal.SIGKILL)
+    os.waitpid(process_id, 0)
+    return None
 
 
 def main(program):
-    failed, step, is_reached = [], 0, True
+    statuses, is_reached = [], True
     while is_reached:
-        step += 1
-        process_id, is_reached = start_process(program, step)
+        process_id, is_reached = start_process(program, len(statuses) + 1)
         if not is_reached:
             os.kill(process_id, signal.SIGTERM)
-        if not exits(process_id):
-            failed.append(step)
-            os.kill(process_id, signal.SIGKILL)
-            os.waitpid(process_id, 0)
-    print(f"{len(failed)} of {step} processes did not exit, at the steps {failed}")
-    sys.exit(1 if failed else 0)
+        statuses.append(exit_status(process_id))
+    # A process that has not replaced the default action yet is ended by the signal.
+    failed = {n: s for n, s in enumerate(statuses, 1) if s not in (0, -signal.SIGTERM)}
+    print(f"{len(failed)} of {len(statuses)} processes did not exit in order: {failed}")
+    # The last process was not interrupted: it must have reached its wait, and exited from there.
+    is_complete = len(statuses) > MIN_STEPS and statuses[-1] == 0
+    sys.exit(0 if is_complete and not failed else 1)
 
 
 if __name__ == "__main__":
