Log the software version of the engine that a stream is placed on, and what it resumes

Logs named neither a version nor what a request resumes.

An engine's entry keeps its software version behind the platform's boundary, where it was decoded and dropped. The line "placed" names the version of the decode engine, the events that this router has passed on, and what the caller resumes (Resumes, Last-Event-Id). Nothing is decided by it yet.

--- a/features/support/entry_properties.py
+++ b/features/support/entry_properties.py
@@ -117,6 +117,7 @@
         entry = changes.changed[0]
         assert not changes.undecoded and not changes.gone
         assert (entry.born_ms, entry.role, entry.slots) == (born_ms, role, 128)
+        assert entry.version == "v1"
 
 
 def odd_bytes_keep_the_configuration():
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -39,6 +39,8 @@
     """How long the caller will wait, in seconds; None if it does not say."""
     last_event_id: int | None = None
     generation: GenerationParameters | None = None
+    resumes: str | None = None
+    """Id of the caller's request that received the first event of the stream it resumes."""
 
 
 class ForwardingOrder(msgspec.Struct, frozen=True):
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -32,6 +32,7 @@
     request_id: str = "X-Request-Id"
     deadline_ms: str = "X-Deadline-Ms"
     last_event_id: str = "Last-Event-Id"
+    resumes: str = "X-Resumes"
     model: str = "X-Model"
     tokens: str = "X-Tokens"
     parts: str = "X-Prompt-Parts"
@@ -99,6 +100,7 @@
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             last_event_id=self._parse_rounded(head, "last_event_id"),
             generation=self._parse_generation(head),
+            resumes=head.get(self._lowercase_names["resumes"]) or None,
         )
 
     def backend_headers(self, head: RequestHead, order: ForwardingOrder) -> list[Header]:
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -27,6 +27,8 @@
     previous identifier."""
     revision: int = 0
     """Revision of the source at which the entry was written; 0 if unknown."""
+    version: str = ""
+    """Version of the backend's software, empty if it states none."""
 
 
 class StateSnapshot(msgspec.Struct, frozen=True):
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -163,6 +163,7 @@
         role=stored.stage,
         born_ms=stored.born,
         revision=revision,
+        version=stored.version,
     )
 
 
--- a/src/yokedock/platform/headers.py
+++ b/src/yokedock/platform/headers.py
@@ -8,6 +8,7 @@
     request_id="X-Yokedock-Attempt-Id",
     deadline_ms="X-Yokedock-Deadline-Ms",
     last_event_id="Last-Event-Id",
+    resumes="Resumes",
     model="X-Yokedock-Model",
     tokens="X-Yokedock-Token-Usage",
     parts="X-Yokedock-Prompt-Prefix",
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -105,7 +105,7 @@
             try:
                 placement = await self._placement.place(call, state.progress(call))
                 state.note_placement(placement)
-                log_placement(call, state)
+                log_placement(call, state, placement)
                 await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
--- a/src/yokedock/request/generation_state.py
+++ b/src/yokedock/request/generation_state.py
@@ -113,7 +113,7 @@
     return call.service.engine.tokens_per_event if call.service.engine else 1
 
 
-def log_placement(call: RoutedCall, state: GenerationState) -> None:
+def log_placement(call: RoutedCall, state: GenerationState, placement: Placement) -> None:
     """Log the placement up front, so that a stream whose router crashes can still be traced."""
     engine = state.engines[-1]
     tokens = call.terms.generation.prompt_tokens if call.terms.generation else 0
@@ -123,6 +123,10 @@
         route=call.route.name,
         engines=[engine],
         prompt_tokens=tokens,
+        version=placement.decode.entry.version,
+        events=state.relay.events,
+        resumes=call.terms.resumes or "",
+        last_event_id=call.terms.last_event_id or 0,
     )
 
 
