--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -162,6 +162,7 @@
             slots=backend.slots,
             role=backend.role,
             is_leaving=is_leaving,
+            version=backend.version,
         )
 
     def snapshot(self, version=1, **limits):
@@ -203,6 +204,7 @@
             router = Router(settings, router_source, HeaderDialect(), sockets)
             router.source = router_source
             router.stop_event = asyncio.Event()
+            record_servers(router)
             router.life = asyncio.create_task(router.run(router.stop_event))
             self._started_routers.append(router)
             while not router.is_listening:
@@ -213,6 +215,22 @@
 
         return self.run(start())
 
+    def kill_router(self, router):
+        """Abort all of a router's connections and close its sockets, like the end of a process."""
+
+        async def kill():
+            router.life.cancel()
+            await asyncio.wait({router.life})
+            for server in router.servers:
+                server.close()
+            for connection in list(router._connections):
+                connection.abort()
+            transport, router._gossip._transport = router._gossip._transport, None
+            transport.abort()
+            await asyncio.sleep(0)
+
+        self.run(kill())
+
     def wait_for(self, check, what):
         """Wait until ``check``, evaluated in the loop, returns true."""
 
@@ -254,6 +272,18 @@
         self.loop.close()
 
 
+def record_servers(router):
+    """Record the servers that a router opens in ``router.servers``."""
+    listen, router.servers = router._listen, []
+
+    async def listen_and_record(address, accept):
+        server = await listen(address, accept)
+        router.servers.append(server)
+        return server
+
+    router._listen = listen_and_record
+
+
 class RawCaller:
     """An HTTP caller that works on raw bytes, so that tests see each response as sent."""
 
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -45,6 +45,7 @@
 
     def __init__(self, name, service, role="", slots=4):
         self.name, self.service, self.role, self.slots = name, service, role, slots
+        self.version = ""
         self.arrivals = []
         self.faults = []
         self.answer_status = 200
