Streams go on only at the software version that began them

Cause: the version of an engine was decoded and dropped at the platform's boundary, and any engine of the service was taken for a substitute of the one that began the stream. Ruled out: a known version that is wrong; none was known.

Who knows the fact: the router that relays the first event. So it records it (StreamOrigins) and sends it, just before that event, to three routers chosen by rendezvous hashing of the first request's id (StreamOriginExchange); each router sends a started one the records of which it is a replica. A router without a record asks up to six. A resumed stream is pinned to service and version (VersionPinning, RequestHandler), a broken one to the version of its first event. Where nobody knows: refused at once, not run. Without a name in Resumes only an uninterrupted list with one version, here or at a router asked, tells it (VersionHistory). An id used at two versions is unknown; the table is bounded.

Placement counts only engines that the stream may use, in choice, forecast and the early refusal; the last engine of a version is not avoided after a break and is waited for for 0.5 s only; a version without an engine is refused at once, also from the queue. A stream that waits for its version holds up only those that need the same, here and at other routers, which leave such capacity to it while there is other.

Weighed: a broadcast to all routers (does not fit 7 KB/s at 370 routers), a version derived from the id (moves with the shares of a rollout: a guess), what engines keep of a prompt (of the reader's version too, gone once evicted: a guess).

--- a/features/support/call_queue_properties.py
+++ b/features/support/call_queue_properties.py
@@ -9,6 +9,7 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.request.unary_call import UnaryCalls
+from yokedock.request.version_pinning import VersionPinning
 
 SERVICE = "plain"
 SPAN_S = 0.6
@@ -19,10 +20,10 @@
 
     looks = 0
 
-    def usable(self, service, role=None):
+    def usable(self, service, role=None, version=None):
         """Count the scan and return the usable backends."""
         self.looks += 1
-        return super().usable(service, role)
+        return super().usable(service, role, version)
 
 
 class Waiting:
@@ -33,7 +34,9 @@
         self.registry.update([BackendEntry("a", SERVICE, "127.0.0.1:1")], ())
         self.name_limit(limit_per_s)
         allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1)
-        self._calls = UnaryCalls(self.registry, None, allowance)
+        self._calls = UnaryCalls(
+            self.registry, None, allowance, VersionPinning(self.registry, None)
+        )
         self.served = []
         self.refused = []
 
@@ -47,6 +50,7 @@
         now_s = boot_time_s()
         call = types.SimpleNamespace(
             service=types.SimpleNamespace(name=SERVICE),
+            version=None,
             request_id=name,
             target_s=now_s + target_in_s,
             remaining_s=lambda: now_s + remaining_s - boot_time_s(),
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -11,6 +11,7 @@
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.unary_call import UnaryCalls
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendUnreachable, BackendUnresponsive
 from yokedock.version.route_table import Route, RouteKind, ServiceSpec, WeightedTarget
 
@@ -84,7 +85,7 @@
     other.health.record_answer(boot_time_s(), 0.1, is_failure=True)
     allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, is_first_start=True)
     exchanges = ExchangesStub(lambda: change(registry, other, allowance))
-    calls = UnaryCalls(registry, exchanges, allowance)
+    calls = UnaryCalls(registry, exchanges, allowance, VersionPinning(registry, None))
     targets = (WeightedTarget(SERVICE),)
     kind = RouteKind.REPEATABLE
     route = Route("r", "h", "/", kind, TIME_LEFT_S, 1.0, targets, max_attempts=3)
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -61,6 +61,10 @@
 during startup, and when another router becomes live."""
 
 
+STREAM_ORIGINS_MARK = b"\xc1"
+"""First byte of a datagram with records of streams; MessagePack never uses it."""
+
+
 class OtherRouter(msgspec.Struct):
     """Known state of another router, identified by its address."""
 
@@ -94,6 +98,10 @@
         self._others: dict[str, OtherRouter] = {}
         self.newcomer_suspects: Callable[[], tuple[SuspectRequest, ...]] = tuple
         """Returns the suspects to send to a router that has just started."""
+        self.on_started: Callable[[OtherRouter], None] = lambda other: None
+        """Called when another router has started or was silent before."""
+        self.on_stream_origins: Callable[[bytes, str], None] = lambda data, address: None
+        """Called with the records of streams, and their sender's address."""
         self._random = new_random()
         self._seeds = seeds
         self._sequence = 0
@@ -162,6 +170,11 @@
         """Send the final state immediately: this router no longer holds any work."""
         self._speak()
 
+    def send_stream_origins(self, address: str, data: bytes) -> None:
+        """Send records of streams to one router."""
+        if self._transport is not None:
+            self._transport.sendto(STREAM_ORIGINS_MARK + data, (address, self._port))
+
     # --- asyncio.DatagramProtocol ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -189,6 +202,9 @@
 
     def _apply_state(self, data: bytes, address: str, told_s: float) -> None:
         """Apply a router's state as of ``told_s``; data that cannot be decoded is dropped."""
+        if data.startswith(STREAM_ORIGINS_MARK):
+            self.on_stream_origins(data[len(STREAM_ORIGINS_MARK) :], address)
+            return
         try:
             state = self._decoder.decode(data)
         except msgspec.MsgspecError:
@@ -205,6 +221,7 @@
         other.state = state
         if has_started:
             self._send_suspects(other)
+            self.on_started(other)
         if state.is_asking:
             self._send_to(other)
         for named in state.routers:
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -29,6 +29,8 @@
     next_in_ms: int = 0
     """Time left for the next generation in the queue, negative if it is already late; 0 if none is
     queued or the router has an older version."""
+    awaited_versions: tuple[int, ...] = ()
+    """Software versions that streams wait for which have to go on there (``version_number``)."""
 
 
 class LimitShare(msgspec.Struct, array_like=True):
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -183,6 +183,12 @@
     code = "request_quarantined"
 
 
+class StreamNotResumable(Refused):
+    """The stream cannot go on at the software version that began it."""
+
+    code = "stream_not_resumable"
+
+
 class NotReady(Refused):
     """The process has no active bundle yet, or is shutting down."""
 
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -22,6 +22,7 @@
 from yokedock.request.request_outcome import ANSWERED
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.unary_call import UnaryCalls
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendResponseLost
 from yokedock.version.route_table import Route, RouteTable, ServiceSpec
 
@@ -68,6 +69,7 @@
         generations: GenerationCalls,
         unary: UnaryCalls,
         guard: QuarantineGuard,
+        pinning: VersionPinning,
         metrics: RouterMetrics,
         stop: StopState,
     ) -> None:
@@ -77,6 +79,7 @@
         self._generations = generations
         self._unary = unary
         self._guard = guard
+        self._pinning = pinning
         self._metrics = metrics
         self._stop = stop
         self._random = new_random()
@@ -96,6 +99,7 @@
             await self._follower.wait_known(STARTUP_WAIT_S)
             call = self._route(request, answer)
             self._require_time_for_stream(call)
+            await self._pin_version(call)
             async with self._guard.served(call):
                 await self._serve(call)
         except asyncio.CancelledError:
@@ -134,6 +138,13 @@
         terms = self._dialect.request_metadata(request.head)
         return RoutedCall(request, answer, terms, route, self._service(index.table, route))
 
+    async def _pin_version(self, call: RoutedCall) -> None:
+        """Have a resumed stream go on at the service and software version that began it."""
+        service = await self._pinning.pin(call)
+        index = self._follower.index
+        if service is not None and index is not None:
+            call.service = index.table.services.get(service) or ServiceSpec(service)
+
     def _require_time_for_stream(self, call: RoutedCall) -> None:
         """Refuse a stream that would not end before this router stops.
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -34,6 +34,7 @@
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.state_exchange import STATE_PATH, StateExchange
 from yokedock.process.state_follower import StateFollower
+from yokedock.process.stream_origin_exchange import ORIGIN_PATH, StreamOriginExchange
 from yokedock.process.suspension_monitor import SuspensionMonitor
 from yokedock.process.watcher_selection import WatcherSelection
 from yokedock.request.backend_exchange import BackendExchanges
@@ -51,6 +52,8 @@
 from yokedock.request.remote_queues import RemoteQueues
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.request.unary_call import UnaryCalls
+from yokedock.request.version_history import VersionHistory
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.version.route_table import CallerLimits, RouteTable
 
 _log = logger("router")
@@ -125,6 +128,9 @@
             self._remote_queues.turns,
         )
         self._placement = placement
+        self._version_history = VersionHistory()
+        self._origins = StreamOriginExchange(self._gossip, int(port), self._version_history)
+        self._pinning = VersionPinning(self._registry, self._origins)
         self._metrics = RouterMetrics()
         self._stop = StopState()
         lookup = CacheLookup(self._registry, self._pool, dialect)
@@ -137,10 +143,12 @@
                 exchanges,
                 allowance,
                 lookup,
+                self._pinning,
                 mechanisms,
             ),
-            UnaryCalls(self._registry, exchanges, allowance),
+            UnaryCalls(self._registry, exchanges, allowance, self._pinning),
             QuarantineGuard(self._poison),
+            self._pinning,
             self._metrics,
             self._stop,
         )
@@ -171,6 +179,8 @@
                 self._gossip,
                 self._leadership,
                 self._metrics,
+                self._origins,
+                self._version_history,
             )
         )
         gossip_handler.attach(
@@ -200,6 +210,8 @@
         self._poison.on_crash_detected = self._gossip.change
         self._registry.limits.on_change = self._gossip.change
         self._gossip.newcomer_suspects = self._poison.report_for_new_router
+        self._gossip.on_started = self._origins.replicate_to
+        self._gossip.on_stream_origins = self._origins.receive
         self._registry.on_change = self._on_backends_changed
         self._registry.on_restart = self._on_backend_restart
 
@@ -362,6 +374,8 @@
         """Serve this router's state to another router, or its metrics to an operator."""
         if request.head.path == STATE_PATH:
             body = self._exchange.answer(request.head.query)
+        elif request.head.path == ORIGIN_PATH:
+            body = self._origins.answer(request.head.query)
         elif request.head.path == METRICS_PATH:
             body = await self._metrics.text(self._gauges())
         else:
@@ -392,6 +406,7 @@
             **self._ledger.levels(),
             **self._poison.levels(),
             **self._registry.levels(),
+            **self._pinning.levels(),
             **self._suspension_monitor.levels(),
             **self._maintenance.sizes(),
         }
@@ -399,6 +414,8 @@
     # --- Backends ---
 
     def _on_backends_changed(self) -> None:
+        self._version_history.begin(self.settings.fleet.is_first_start)
+        self._version_history.update(self._registry.entries().values())
         self._ledger.on_capacity_freed()
 
     def _on_backend_restart(self, backend: Backend) -> None:
--- a/src/yokedock/process/router_maintenance.py
+++ b/src/yokedock/process/router_maintenance.py
@@ -17,13 +17,17 @@
 from yokedock.process.leadership import Leadership
 from yokedock.process.router_metrics import RouterMetrics
 from yokedock.process.state_follower import StateFollower
+from yokedock.process.stream_origin_exchange import StreamOriginExchange
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.retry_allowance import RetryAllowance
+from yokedock.request.version_history import VersionHistory
 
 MAINTENANCE_INTERVAL_S = 1.0
+MAX_LIST_AGE_S = 3.0
+"""Age of the list of backends from which it may lack some."""
 
 
 class MaintainedTables(msgspec.Struct, frozen=True):
@@ -39,6 +43,8 @@
     gossip: RouterGossip
     leadership: Leadership
     metrics: RouterMetrics
+    origins: StreamOriginExchange
+    version_history: VersionHistory
 
 
 class RouterMaintenance:
@@ -73,6 +79,8 @@
             "suspects": tables.poison.size(),
             "routers": tables.gossip.known(),
             "votes": tables.leadership.size(),
+            "stream_origins": tables.origins.size(),
+            "versions": tables.version_history.size(),
             "tasks": len(asyncio.all_tasks()),
             **tables.metrics.sizes(),
         }
@@ -90,6 +98,8 @@
             tables.allowance.drop_old,
             tables.poison.drop_old,
             tables.leadership.drop_old_votes,
+            tables.origins.drop_expired,
+            self._interrupt_history_if_cut_off,
             self._drop_removed_routes,
         )
 
@@ -101,6 +111,16 @@
             if not math.isinf(most):
                 self._tables.pool.limit_idle(backend.entry.address, int(most) - backend.outstanding)
 
+    def _interrupt_history_if_cut_off(self) -> None:
+        """Discard the history of versions if other routers may know of backends that this does not.
+
+        While the source responds to no router, no router learns of a backend.
+        """
+        tables = self._tables
+        is_outdated = tables.follower.age_s() > MAX_LIST_AGE_S
+        if is_outdated and tables.gossip.known() > tables.gossip.fleet_size():
+            tables.version_history.interrupt()
+
     def _drop_removed_engines(self) -> None:
         self._tables.ledger.pace.keep_only(self._tables.registry.names())
 
--- /dev/null
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -0,0 +1,204 @@
+"""Keeps the versions that began streams at several routers, so that they outlive a router.
+
+Each record is sent to ``REPLICAS`` routers, chosen by rendezvous hashing among the live ones, just
+before the first event goes to the caller. A router without a record asks those that may have it.
+When a router starts, the others send it the records of which it is a replica.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from urllib.parse import parse_qs, quote
+
+import msgspec
+
+from yokedock.base.clock import boot_time_s
+from yokedock.base.logs import logger
+from yokedock.base.ordered_set import OrderedSet
+from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.router_gossip import OtherRouter, RouterGossip
+from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.errors import BadRequest
+from yokedock.request.software_version import UNKNOWN_VERSION
+from yokedock.request.stream_origins import (
+    MS_PER_SECOND,
+    OriginDirectory,
+    OriginQuestion,
+    StreamOrigin,
+    StreamOrigins,
+)
+from yokedock.request.version_history import VersionHistory
+from yokedock.router_errors import BackendResponseError, BackendUnreachable
+from yokedock.version.homes import rendezvous_order
+
+_log = logger("versions")
+
+ORIGIN_PATH = "/stream-origin"
+REPLICAS = 3
+"""Routers that hold a record besides the one that serves the stream."""
+MAX_ASKED = 6
+"""Routers that are asked for a record: more than the replicas, as some may have joined since."""
+MAX_PER_DATAGRAM = 40
+"""Records in one datagram: 1,100 bytes, so that it fits into one packet."""
+RECORDS_PER_STEP = 20
+"""Records compared with a started router before other work gets its turn."""
+ANSWER_LIMITS = CallLimits(connect_s=0.1, response_s=0.2)
+STARTUP_S = 0.5
+"""A router that started less than this ago may not have heard of the others yet."""
+STARTUP_RETRY_S = 0.05
+OK = 200
+MAX_DIGITS = 20
+"""Maximum length of a number of 64 bits."""
+
+
+class OriginReport(msgspec.Struct, array_like=True, frozen=True):
+    """What one router knows about a stream; None stands for unknown."""
+
+    version: int | None = None
+    """The recorded version."""
+    sole_version: int | None = None
+    """The only version of its service that was listed since the stream may have begun."""
+
+
+class StreamOriginExchange(OriginDirectory):
+    """The records of this router, and access to those of the others."""
+
+    def __init__(self, gossip: RouterGossip, port: int, history: VersionHistory) -> None:
+        """All routers listen on ``port``."""
+        self._gossip = gossip
+        self._port = port
+        self._history = history
+        self._origins = StreamOrigins()
+        self._pool = BackendPool()
+        self._started_s = boot_time_s()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(tuple[StreamOrigin, ...])
+        self._tasks: OrderedSet[asyncio.Task[None]] = OrderedSet()
+
+    # --- Replication ---
+
+    def record(self, stream: int, version: int, ttl_s: float) -> None:
+        """Record the version that begins or continues a stream, here and at the replicas."""
+        origin = StreamOrigin(stream, version, round(ttl_s * MS_PER_SECOND))
+        self._origins.record(origin)
+        for address in self._order(stream)[:REPLICAS]:
+            self._send(address, (origin,))
+
+    def receive(self, data: bytes, address: str) -> None:
+        """Store the records that another router has sent."""
+        try:
+            origins = self._decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            _log.warning("stream origins not understood", address=address, reason=str(error))
+            return
+        for origin in origins:
+            self._origins.record(origin)
+
+    def replicate_to(self, other: OtherRouter) -> None:
+        """Send a router that has started the records of which it is a replica."""
+        origins = self._origins.unexpired()
+        if origins:
+            task = asyncio.create_task(self._replicate(other.address, origins))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _replicate(self, address: str, origins: list[StreamOrigin]) -> None:
+        """Send the records in portions, so that other work gets its turn."""
+        for first in range(0, len(origins), RECORDS_PER_STEP):
+            portion = origins[first : first + RECORDS_PER_STEP]
+            wanted = [o for o in portion if address in self._order(o.stream, address)[:REPLICAS]]
+            self._send(address, wanted)
+            await asyncio.sleep(0)
+
+    def _send(self, address: str, origins: Iterable[StreamOrigin]) -> None:
+        records = tuple(origins)
+        for first in range(0, len(records), MAX_PER_DATAGRAM):
+            data = self._encoder.encode(records[first : first + MAX_PER_DATAGRAM])
+            self._gossip.send_stream_origins(address, data)
+
+    def _order(self, stream: int, *started: str) -> list[str]:
+        """Return the live routers in the order in which they are replicas of a stream."""
+        addresses = {other.address for other in self._gossip.alive()} | set(started)
+        return rendezvous_order(str(stream), addresses)
+
+    # --- Lookup ---
+
+    async def find(self, question: OriginQuestion) -> int | None:
+        """Return the version that began a stream, None if no reachable router knows it."""
+        while (version := self._conclusion([self._report(question)], question)) is None:
+            version = self._conclusion(await self._ask_others(question), question)
+            is_starting = boot_time_s() - self._started_s < STARTUP_S
+            if version is not None or not is_starting:
+                break
+            await asyncio.sleep(STARTUP_RETRY_S)
+        _log.info("stream origin sought", stream=question.stream, version=version)
+        return version
+
+    def _report(self, question: OriginQuestion) -> OriginReport:
+        """Return what this router knows."""
+        recorded = None if question.stream is None else self._origins.version_of(question.stream)
+        service = question.service
+        sole = None if service is None else self._history.sole_version(service, question.max_age_s)
+        return OriginReport(recorded, sole)
+
+    def _conclusion(self, reports: list[OriginReport], question: OriginQuestion) -> int | None:
+        """Return the version that follows from reports, ``UNKNOWN_VERSION`` if they differ."""
+        recorded = {report.version for report in reports if report.version is not None}
+        if recorded:
+            return recorded.pop() if len(recorded) == 1 else UNKNOWN_VERSION
+        sole = {report.sole_version for report in reports if report.sole_version is not None}
+        if question.service is None or len(sole) != 1:
+            return None
+        return sole.pop() if self._history.listed(question.service) <= sole else None
+
+    async def _ask_others(self, question: OriginQuestion) -> list[OriginReport]:
+        """Return the reports of the routers that may know a stream."""
+        addresses = self._order(question.stream or 0)[:MAX_ASKED]
+        reports = await asyncio.gather(*(self._ask(address, question) for address in addresses))
+        return [report for report in reports if report is not None]
+
+    async def _ask(self, address: str, question: OriginQuestion) -> OriginReport | None:
+        """Return the report of one router, None if it gives none."""
+        max_age_ms = round(question.max_age_s * MS_PER_SECOND)
+        target = f"{ORIGIN_PATH}?age_ms={max_age_ms}"
+        if question.stream is not None:
+            target += f"&stream={question.stream}"
+        if question.service is not None:
+            target += f"&service={quote(question.service, safe='')}"
+        peer = f"{address}:{self._port}"
+        try:
+            call = ShortCall(b"GET", target.encode())
+            answer = await short_call(self._pool, peer, call, ANSWER_LIMITS)
+            if answer.status != OK:
+                raise BackendResponseError(f"{peer} responded with status {answer.status}")
+            return msgspec.msgpack.decode(answer.body, type=OriginReport)
+        except (BackendUnreachable, BackendResponseError, msgspec.MsgspecError) as error:
+            _log.info("no stream origin from router", router=address, reason=str(error))
+            return None
+
+    def answer(self, query: str) -> bytes:
+        """Return the report for another router's question; raises ``BadRequest``."""
+        fields = {name: values[0] for name, values in parse_qs(query).items()}
+        age_ms, stream = fields.get("age_ms", ""), fields.get("stream", "0")
+        if not _is_number(age_ms) or not _is_number(stream):
+            raise BadRequest("age_ms and stream must be non-negative integers of 64 bits")
+        number = int(stream) if "stream" in fields else None
+        question = OriginQuestion(number, fields.get("service"), int(age_ms) / MS_PER_SECOND)
+        return self._encoder.encode(self._report(question))
+
+    # --- Maintenance ---
+
+    def drop_expired(self) -> None:
+        """Remove what has expired."""
+        self._origins.drop_expired()
+        self._history.drop_expired()
+        self._pool.evict_expired()
+
+    def size(self) -> int:
+        """Return the number of records."""
+        return self._origins.size()
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
--- a/src/yokedock/request/backend_incarnation.py
+++ b/src/yokedock/request/backend_incarnation.py
@@ -17,6 +17,7 @@
 from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_notices import BackendNotices
 from yokedock.request.poison_requests import incarnation_number
+from yokedock.request.software_version import version_number
 from yokedock.router_errors import BackendNotAccepting
 
 MIN_STABLE_UPTIME_S = 30.0
@@ -145,6 +146,11 @@
         ready."""
         self.is_listed = True
 
+    @property
+    def version(self) -> int:
+        """Return the number of its software version."""
+        return version_number(self.entry.service, self.entry.version)
+
     @property
     def is_ending(self) -> bool:
         """Return whether the list or a response says that the backend is leaving."""
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -15,6 +15,7 @@
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_list import BackendList
 from yokedock.request.service_supply import ServiceSupply
+from yokedock.request.software_version import UNKNOWN_VERSION
 
 FAILURE_COST_FACTOR = 8.0
 DEFAULT_LATENCY_S = 0.1
@@ -90,15 +91,48 @@
             "backends_limited": sum(b.limit.per_s is not None for b in self._backends.values()),
         }
 
-    def usable(self, service: str, role: str | None = None) -> list[Backend]:
+    def states_versions(self, service: str) -> bool:
+        """Return whether any backend of a service states its software version."""
+        return any(backend.entry.version for backend in self.members(service))
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether the listed backends of a service have different software versions."""
+        return len({backend.version for backend in self.members(service) if backend.is_listed}) > 1
+
+    def has_version(
+        self,
+        service: str,
+        version: int,
+        role: str | None = None,
+        without: frozenset[str] = frozenset(),
+    ) -> bool:
+        """Return whether a backend of a software version may be used now or after a pause.
+
+        Backends named in ``without`` do not count.
+        """
+        now_s = self._clock()
+        return version != UNKNOWN_VERSION and any(
+            backend.version == version
+            and not backend.has_ended
+            and backend.name not in without
+            and backend.may_take_as_last_resort(now_s)
+            for backend in self.members(service, role)
+        )
+
+    def usable(
+        self, service: str, role: str | None = None, version: int | None = None
+    ) -> list[Backend]:
         """Return the usable backends of a service, only healthy ones if there are any.
 
         Backends in back-off and those without a free permit or connection are excluded, even if no
-        other is left.
+        other is left. If ``version`` is given, only backends of that software version count.
         """
         now_s = self._clock()
         share = self.connection_share(service)
         found = self.members(service, role)
+        if version is not None:
+            is_known = version != UNKNOWN_VERSION
+            found = [backend for backend in found if is_known and backend.version == version]
         return _healthiest([b for b in found if b.outstanding < share and b.may_take(now_s)], now_s)
 
     def present(self, service: str) -> list[Backend]:
@@ -138,9 +172,14 @@
         waits_s = [wait_s for b in found if (wait_s := b.limit.wait_s(now_s)) > 0]
         return min(waits_s, default=None)
 
-    def cheapest(self, service: str, without: frozenset[str] = frozenset()) -> Backend | None:
-        """Return the backend with the lowest expected cost, None if there is none."""
-        usable = [b for b in self.usable(service) if b.name not in without]
+    def cheapest(
+        self, service: str, without: frozenset[str] = frozenset(), version: int | None = None
+    ) -> Backend | None:
+        """Return the backend with the lowest expected cost, None if there is none.
+
+        If ``version`` is given, only backends of that software version count.
+        """
+        usable = [b for b in self.usable(service, version=version) if b.name not in without]
         if not usable:
             return None
         typical_s = typical_latency_s(usable)
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -136,8 +136,8 @@
         refused = {backend.name}
         while self._can_retry_elsewhere(call, backend):
             service, untried = call.service.name, frozenset(refused | attempts.tried)
-            other = self._registry.cheapest(service, untried)
-            other = other or self._registry.cheapest(service, frozenset(refused))
+            other = self._registry.cheapest(service, untried, call.version)
+            other = other or self._registry.cheapest(service, frozenset(refused), call.version)
             if other is None:
                 return None
             refused.add(other.name)
@@ -155,7 +155,7 @@
         """Return whether a retry is allowed now and another backend is usable, so not paused."""
         if not call.may_run_again() or not self._allowance.has_room(call.service.name):
             return False
-        usable = self._registry.usable(call.service.name)
+        usable = self._registry.usable(call.service.name, version=call.version)
         return any(other is not backend for other in usable)
 
     def _idle_timeout_s(self, call: RoutedCall, backend: Backend) -> float:
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -50,15 +50,23 @@
         self._ledger = ledger
         self._random = new_random()
 
-    def choose(self, call: RoutedCall, progress: Progress) -> Placement | None:
+    def choose(
+        self,
+        call: RoutedCall,
+        progress: Progress,
+        awaited_versions: frozenset[int] = frozenset(),
+    ) -> Placement | None:
         """Select a prefill/decode pair or one engine for both phases, whichever costs less.
 
-        Reserves memory at the decode engine. Returns None if no engine has capacity.
+        Reserves memory at the decode engine. Returns None if no engine has capacity. Capacity of
+        ``awaited_versions`` is left to the streams that have to go on there.
         """
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
         service = call.service.name
-        decodes = self._registry.usable(service, DECODE_ROLE)
+        decodes = self._registry.usable(service, DECODE_ROLE, progress.version)
+        if awaited_versions and progress.version is None:
+            decodes = [engine for engine in decodes if engine.version not in awaited_versions]
         prefills = self._registry.usable(service, PREFILL_ROLE)
         placement_query = PlacementQuery(terms, progress, traits, self._homes(service, terms))
         available = self._with_capacity(self._sampled(decodes, placement_query), placement_query)
@@ -103,10 +111,21 @@
         return sum(
             self._capacity_at(available, traits, needed_tokens)
             for available in self._with_capacity(
-                self._registry.usable(call.service.name, DECODE_ROLE), placement_query
+                self._registry.usable(call.service.name, DECODE_ROLE, progress.version),
+                placement_query,
             )
         )
 
+    def has_engine(self, call: RoutedCall, progress: Progress) -> bool:
+        """Return whether an engine may decode the generation, now or once it has capacity.
+
+        Only a generation that has to go on at one software version may have none.
+        """
+        if progress.version is None:
+            return True
+        service = call.service.name
+        return self._registry.has_version(service, progress.version, DECODE_ROLE, progress.avoid)
+
     def _capacity_at(
         self, available: AvailableEngine, traits: EngineTraits, needed_tokens: int
     ) -> int:
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -27,6 +27,8 @@
     """Engines that refused the request."""
     cached_at: frozenset[str] = frozenset()
     """Engines that recently prefilled its prompt and may still hold it in their prefix cache."""
+    version: int | None = None
+    """Software version of the engines that may generate the rest, None for any."""
     silent_since_s: float | None = None
     """When the caller last received anything (boot time, s), None if nothing since its request."""
 
@@ -57,6 +59,10 @@
     async def place(self, call: RoutedCall, progress: Progress) -> Placement:
         """Place the request, waiting for capacity; raises ``Refused`` if none is expected."""
 
+    @abc.abstractmethod
+    def has_other_engine(self, call: RoutedCall, progress: Progress, engine: str) -> bool:
+        """Return whether another engine than ``engine`` may decode the generation."""
+
     @abc.abstractmethod
     def gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return when the caller of a silent stream times out (boot time, s)."""
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -34,6 +34,7 @@
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.silence_detector import SilenceDetector
 from yokedock.request.stream_relay import StreamRelay
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import (
     BackendRefused,
     BackendResponseError,
@@ -49,6 +50,8 @@
 them: if three refuse all the same, the ledger is wrong and no more reliable for a fourth engine."""
 RECONNECT_S = 0.02
 """Retry interval while the chosen engine cannot be reached, until the caller would give up."""
+LAST_ENGINE_RECONNECT_S = 0.5
+"""How long the last engine of a stream's software version is tried again."""
 
 
 class GenerationCalls:
@@ -61,16 +64,18 @@
         exchanges: BackendExchanges,
         allowance: RetryAllowance,
         lookup: CacheLookup,
+        pinning: VersionPinning,
         mechanisms: Mechanisms = ALL_ON,
     ) -> None:
-        """Use the process-wide placement, ledger, connections, retry budget and cache lookup."""
+        """Use the process-wide placement, ledger, connections, retry budget, cache lookup
+        and versions of streams."""
         self._placement = placement
         self._ledger = ledger
         self._allowance = allowance
         self._lookup = lookup
         self._mechanisms = mechanisms
         watch = SilenceDetector(is_used=mechanisms.silence_watch)
-        self._dispatcher = GenerationDispatcher(ledger, exchanges, watch)
+        self._dispatcher = GenerationDispatcher(ledger, exchanges, watch, pinning)
 
     async def serve(self, call: RoutedCall) -> None:
         """Serve the request; raised errors are returned to the caller."""
@@ -109,8 +114,9 @@
                 await self._attempt(call, state, placement)
                 return
             except BackendUnreachable as error:
-                gives_up_s = self._placement.gives_up_s(call, state.progress(call))
-                is_over = boot_time_s() > gives_up_s or not self._mechanisms.reconnects
+                is_over = not self._mechanisms.reconnects or self._is_reconnecting_over(
+                    call, state, placement
+                )
                 if is_over or not state.retries.reserve_retry(
                     call, MIN_ATTEMPT_TIME_S, uses_budget=False
                 ):
@@ -127,7 +133,7 @@
                 if isinstance(error, BackendUnresponsive):
                     state.exclude_silent_engine(placement)
                 elif state.relay.events and self._mechanisms.avoid_broken:
-                    state.excluded_engines.add(placement.decode.name)
+                    self._exclude_broken(call, state, placement.decode.name)
                 reserve_retry = self._mechanisms.resume or not state.relay.events
                 if not reserve_retry or not state.retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
                     raise self._final_error(call, error) from None
@@ -137,6 +143,26 @@
             except (Refused, RetryBudgetExhausted) as error:
                 raise self._final_error(call, error) from None
 
+    def _is_reconnecting_over(
+        self, call: RoutedCall, state: GenerationState, placement: Placement
+    ) -> bool:
+        """Return whether an engine that cannot be reached is not worth another attempt.
+
+        The last engine of the stream's software version is waited for only for a moment: engines
+        that start later mostly run another one.
+        """
+        now_s, progress = boot_time_s(), state.progress(call)
+        state.unreachable_since_s = state.unreachable_since_s or now_s
+        is_last = not self._placement.has_other_engine(call, progress, placement.decode.name)
+        if is_last and now_s > state.unreachable_since_s + LAST_ENGINE_RECONNECT_S:
+            return True
+        return now_s > self._placement.gives_up_s(call, progress)
+
+    def _exclude_broken(self, call: RoutedCall, state: GenerationState, engine: str) -> None:
+        """Exclude an engine that broke off, unless it is the last that may continue the stream."""
+        if self._placement.has_other_engine(call, state.progress(call), engine):
+            state.excluded_engines.add(engine)
+
     async def _refresh_prompt_locations(self, call: RoutedCall, state: GenerationState) -> None:
         """Query which engines have the prompt cached now: an engine that failed may be gone."""
         if not self._mechanisms.cache_lookup:
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -21,6 +21,7 @@
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector
 from yokedock.request.stream_relay import StreamRelay
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendRefused, BackendResponseError, BackendUnreachable
 
 _log = logger("generation")
@@ -43,9 +44,14 @@
     """Sends prefill and decode requests to engines and relays their streams."""
 
     def __init__(
-        self, ledger: EngineLedger, exchanges: BackendExchanges, watch: SilenceDetector
+        self,
+        ledger: EngineLedger,
+        exchanges: BackendExchanges,
+        watch: SilenceDetector,
+        pinning: VersionPinning,
     ) -> None:
-        """Use the process-wide ledger, connections and detector of silent engines."""
+        """Use the process-wide ledger, connections, detector of silent engines and versions."""
+        self._pinning = pinning
         self._ledger = ledger
         self._exchanges = exchanges
         self._watch = watch
@@ -153,6 +159,7 @@
         """Relay the engine's events to the caller until the stream is complete."""
         relay = state.relay
         relay.begin_run()
+        relay.on_begin = lambda: self._pinning.begin(call, exchange.backend)
         is_resumable = call.route.resumable and call.runs < call.route.max_attempts
         patience_s = STALL_TIMEOUT_S if is_resumable else call.remaining_s()
         exchange.start_silence_timer(STALL_TIMEOUT_S)
--- a/src/yokedock/request/generation_state.py
+++ b/src/yokedock/request/generation_state.py
@@ -42,6 +42,8 @@
     """Engines that have prefilled the prompt, and when they last used it (boot time, s)."""
     engines: list[str] = msgspec.field(default_factory=list)
     """Placements as ``prefill>decode``, one per attempt."""
+    unreachable_since_s: float = 0.0
+    """When the engine chosen could first not be reached (boot time, s), 0 if it was not tried."""
     placed_s: float = 0.0
     read_s: float = 0.0
 
@@ -75,6 +77,7 @@
             made=self.relay.events * tokens_per_event(call),
             avoid=frozenset(self.excluded_engines),
             cached_at=self._cached_at(),
+            version=call.version,
             silent_since_s=self.silent_since_s(call),
         )
 
--- a/src/yokedock/request/queued_placement.py
+++ b/src/yokedock/request/queued_placement.py
@@ -12,11 +12,13 @@
 import sys
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import QueueShare
-from yokedock.errors import NoDecodeCapacity
+from yokedock.errors import NoDecodeCapacity, StreamNotResumable
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.capacity_forecast import RETRY_AFTER_SPREAD, CapacityForecast, QueueAhead
 from yokedock.request.dispatch_timers import RECHECK_INTERVAL_S, DispatchTimers
@@ -42,6 +44,15 @@
 longest. These are the platform's values."""
 
 
+class AwaitedVersions(msgspec.Struct):
+    """Software versions that streams wait for which have to go on there."""
+
+    elsewhere: frozenset[int]
+    """Versions that streams at other routers wait for."""
+    here: set[int] = msgspec.field(default_factory=set)
+    """Versions that streams ahead in this router's queue wait for."""
+
+
 class QueuedPlacement(EnginePlacement):
     """Queues generations for capacity in a fair order, for as long as they can still be served."""
 
@@ -75,6 +86,8 @@
         """Place the request; raises ``NoDecodeCapacity`` if no capacity is expected in time."""
         service = call.service.name
         self._arrivals.note(service)
+        if not self._engine_choice.has_engine(call, progress):
+            raise self._not_resumable_error(call)
         waiter = self._waiter(call, progress)
         if waiter.since_s >= self.gives_up_s(call, progress):
             raise self._no_capacity_error(waiter, "the caller has already timed out")
@@ -100,27 +113,39 @@
     def queues(self) -> dict[str, QueueShare]:
         """Return this router's queue per service, as shared with the other routers."""
         now_s = boot_time_s()
-        return {
-            service: QueueShare(
-                sum(waiter.is_in_time(now_s) for waiter in self._queues.get(service, ())),
-                round(self._arrivals.per_s(service), 1),
-                self._next_in_ms(service, now_s),
-            )
-            for service in self._arrivals.services()
-        }
-
-    def _next_in_ms(self, service: str, now_s: float) -> int:
-        """Return the time left of the next waiter: negative if late, 0 if the queue is empty."""
-        queue = self._queues.get(service)
-        first = queue.next_turn(now_s) if queue is not None else None
-        if first is None:
-            return 0
-        remaining_ms = max(1, round((first.until_s - now_s) * 1000))
-        return -remaining_ms if first.is_late else remaining_ms
+        return {service: self._share(service, now_s) for service in self._arrivals.services()}
+
+    def _share(self, service: str, now_s: float) -> QueueShare:
+        """Return this router's queue for a service, as shared with the other routers.
+
+        Streams that wait for one of several software versions do not hold up waiters elsewhere
+        which may take any: instead of their turns, the versions are shared.
+        """
+        queue = self._queues.get(service) or GenerationQueue()
+        awaited = self._awaited_versions(service, queue)
+        competing = [w for w in queue if w.progress.version is None or not awaited]
+        return QueueShare(
+            sum(waiter.is_in_time(now_s) for waiter in competing),
+            round(self._arrivals.per_s(service), 1),
+            _next_in_ms(queue.next_turn(now_s, may_take_any=bool(awaited)), now_s),
+            tuple(awaited),
+        )
+
+    def _awaited_versions(self, service: str, queue: GenerationQueue) -> frozenset[int]:
+        """Return the software versions that queued streams wait for, if there are several."""
+        versions = [waiter.progress.version for waiter in queue.pinned()]
+        if not versions or not self._registry.has_several_versions(service):
+            return frozenset()
+        return frozenset(version for version in versions if version is not None)
 
     def retry_after_s(self, call: RoutedCall) -> float:
         """Return the randomized retry delay for a caller that is refused now."""
-        return self._retry_after_s(self._waiter(call, Progress()))
+        return self._retry_after_s(self._waiter(call, Progress(version=call.version)))
+
+    def has_other_engine(self, call: RoutedCall, progress: Progress, engine: str) -> bool:
+        """Return whether another engine than ``engine`` may decode the generation."""
+        without = msgspec.structs.replace(progress, avoid=progress.avoid | {engine})
+        return self._engine_choice.has_engine(call, without)
 
     # --- Individual waiters ---
 
@@ -219,7 +244,8 @@
         self._report_waiting(service)
         placed = waiter.placed
         is_aborted = sys.exc_info()[0] is not None
-        if is_aborted and placed.done() and not placed.cancelled():
+        has_placement = placed.done() and not placed.cancelled() and placed.exception() is None
+        if is_aborted and has_placement:
             self._ledger.close_stream(placed.result().reservation)
 
     def _ahead(self, waiter: Waiter) -> QueueAhead:
@@ -237,30 +263,61 @@
             self._dispatch(service)
 
     def _dispatch(self, service: str) -> None:
-        """Place the waiters of a service in order, up to the first one that does not fit."""
+        """Place the waiters of a service in order, up to the first one that does not fit.
+
+        A stream that waits for one software version holds up only those that need the same.
+        """
         now_s = boot_time_s()
         queue = self._queues.get(service)
         if queue is None:
             return
+        self._refuse_without_engine(queue)
+        elsewhere = self._elsewhere(service)
+        awaited = AwaitedVersions(frozenset(elsewhere.awaited_versions))
         if not self._mechanisms.deadline_order:
-            is_done = self._place_in_order(queue.by_arrival())
+            is_done = self._place_in_order(queue.by_arrival(), awaited)
         else:
-            is_done = self._place_in_order(queue.in_time(now_s))
-            if is_done and not self._elsewhere(service).in_time:
-                is_done = self._place_in_order(queue.late(now_s))
-        if not is_done:
+            is_done = self._place_in_order(queue.in_time(now_s), awaited)
+            if is_done and not elsewhere.in_time:
+                is_done = self._place_in_order(queue.late(now_s), awaited)
+        if not is_done or awaited.here:
             self._dispatch_at_next_permit(service)
 
-    def _place_in_order(self, waiters: Iterable[Waiter]) -> bool:
-        """Place waiters up to the first that does not fit; return whether all were placed."""
-        return all(self._try_place(waiter) for waiter in waiters)
+    def _refuse_without_engine(self, queue: GenerationQueue) -> None:
+        """Refuse the streams whose software version has no engine any more."""
+        for waiter in queue.pinned():
+            is_waiting = not waiter.placed.done()
+            if is_waiting and not self._engine_choice.has_engine(waiter.call, waiter.progress):
+                queue.remove(waiter)
+                waiter.placed.set_exception(self._not_resumable_error(waiter.call))
+
+    def _not_resumable_error(self, call: RoutedCall) -> StreamNotResumable:
+        return StreamNotResumable(
+            f"{call.service.name}: no engine of the software version that began the stream is "
+            "left; request the stream anew"
+        )
+
+    def _place_in_order(self, waiters: Iterable[Waiter], awaited: AwaitedVersions) -> bool:
+        """Place waiters up to the first that does not fit; return whether all were placed.
+
+        Streams that wait for one software version are skipped, and their versions are added to
+        ``awaited.here``.
+        """
+        for waiter in waiters:
+            version = waiter.progress.version
+            if version in awaited.here or self._try_place(waiter, awaited):
+                continue
+            if version is None:
+                return False
+            awaited.here.add(version)
+        return True
 
-    def _try_place(self, waiter: Waiter) -> bool:
+    def _try_place(self, waiter: Waiter, awaited: AwaitedVersions) -> bool:
         if waiter.placed.done():
             return True
         if not self._may_place(waiter):
             return False
-        placement = self._engine_choice.choose(waiter.call, waiter.progress)
+        placement = self._choose(waiter, awaited)
         if placement is None:
             return False
         self._queues[waiter.call.service.name].remove(waiter)
@@ -268,6 +325,14 @@
         waiter.placed.set_result(placement)
         return True
 
+    def _choose(self, waiter: Waiter, awaited: AwaitedVersions) -> Placement | None:
+        """Choose engines that no stream ahead waits for, nor one elsewhere if others are free."""
+        call, progress, here = waiter.call, waiter.progress, frozenset(awaited.here)
+        placement = self._engine_choice.choose(call, progress, here | awaited.elsewhere)
+        if placement is None and awaited.elsewhere:
+            placement = self._engine_choice.choose(call, progress, here)
+        return placement
+
     def _may_place(self, waiter: Waiter) -> bool:
         """Return whether it is this waiter's turn among all routers; if not, retry later."""
         service = waiter.call.service.name
@@ -292,3 +357,11 @@
         first = queue.first() if queue else None
         since_s = first.since_s if first is not None else math.inf
         self._registry.record_waiting(service, len(queue or ()), since_s)
+
+
+def _next_in_ms(first: Turn | None, now_s: float) -> int:
+    """Return the time left of the next waiter: negative if late, 0 if the queue is empty."""
+    if first is None:
+        return 0
+    remaining_ms = max(1, round((first.until_s - now_s) * 1000))
+    return -remaining_ms if first.is_late else remaining_ms
--- a/src/yokedock/request/remote_queues.py
+++ b/src/yokedock/request/remote_queues.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgspec
 
 from yokedock.connection.router_state import QueueShare
@@ -30,6 +32,8 @@
         """Start with no reports."""
         self.by_router: dict[str, ReportedQueue] = {}
         self.turns: dict[str, Turn] = {}
+        self.awaited_versions: dict[str, tuple[int, ...]] = {}
+        """By router, without those where none is awaited."""
         self.in_time = 0
 
     def put(self, router: str, report: ReportedQueue) -> None:
@@ -39,6 +43,8 @@
         self.in_time += report.share.in_time
         if report.turn is not None:
             self.turns[router] = report.turn
+        if report.share.awaited_versions:
+            self.awaited_versions[router] = report.share.awaited_versions
 
     def drop(self, router: str) -> None:
         """Remove a router's report."""
@@ -46,6 +52,7 @@
         if before is not None:
             self.in_time -= before.share.in_time
             self.turns.pop(router, None)
+            self.awaited_versions.pop(router, None)
 
 
 class RemoteQueues:
@@ -88,7 +95,8 @@
         if known is None:
             return EMPTY_SHARE
         arrivals_per_s = sum(report.share.arrivals_per_s for report in known.by_router.values())
-        return QueueShare(known.in_time, arrivals_per_s)
+        awaited = itertools.chain.from_iterable(known.awaited_versions.values())
+        return QueueShare(known.in_time, arrivals_per_s, awaited_versions=tuple(set(awaited)))
 
     def in_time(self, service: str) -> int:
         """Return how many waiters at other routers can still meet their target."""
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -36,6 +36,8 @@
     terms: RequestMetadata
     route: Route
     service: ServiceSpec
+    version: int | None = None
+    """Number of the software version at which its stream has to go on, None for any."""
     runs: int = 0
     """Attempts that may have run, each sent to one backend."""
     arrivals: int = 0
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -26,6 +26,8 @@
         self.longest_gap_s = 0.0
         self.on_first_event: Callable[[], None] = lambda: None
         """Called when the first event of a run arrives."""
+        self.on_begin: Callable[[], None] = lambda: None
+        """Called before the first event of the stream is relayed."""
         self._is_first_of_run = True
         self.pause_s: float | None = None
         """Pause before the latest event of the run, None for its first."""
@@ -51,6 +53,8 @@
                 self.on_first_event()
             if not self._is_next(event):
                 continue
+            if not self.events:
+                self.on_begin()
             if not self._answer.has_started:
                 self._answer.start(head)
             await self._answer.write(event.data)
--- a/src/yokedock/request/unary_call.py
+++ b/src/yokedock/request/unary_call.py
@@ -28,6 +28,7 @@
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.service_supply import ServiceSupply
+from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import (
     BackendRefused,
     BackendResponseError,
@@ -63,9 +64,14 @@
     """Serves calls to services without model engines, with retries and a queue per service."""
 
     def __init__(
-        self, registry: BackendRegistry, exchanges: BackendExchanges, allowance: RetryAllowance
+        self,
+        registry: BackendRegistry,
+        exchanges: BackendExchanges,
+        allowance: RetryAllowance,
+        pinning: VersionPinning,
     ) -> None:
-        """Use the backends, connections and retry budget that the whole process shares."""
+        """Use the backends, connections, retry budget and versions of the whole process."""
+        self._pinning = pinning
         self._registry = registry
         self._allowance = allowance
         self._attempt_runner = AttemptRunner(registry, exchanges, allowance)
@@ -124,6 +130,7 @@
                 _log.info("retry", request=call.request_id, reason=error.message)
                 continue
             if answer.head.status < SERVER_ERROR:
+                self._pinning.begin(call, chosen.backend)
                 return answer
             kept = answer
             if not retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
@@ -136,14 +143,14 @@
         While other calls wait, the call queues behind those with an earlier target time.
         """
         name = call.service.name
-        if name not in self._queues and (chosen := self._choose(name, tried)) is not None:
+        if name not in self._queues and (chosen := self._choose(call, tried)) is not None:
             return chosen
         queue = self._queues.setdefault(name, CallQueue(lambda q: self._report_waiting(name, q)))
         with queue.place(call.target_s, boot_time_s() + call.remaining_s()) as place:
             self._reject_late_calls(name, [(queue.before(place), place)])
             while True:
                 is_first = queue.is_first(place)
-                if is_first and (chosen := self._choose(name, tried)) is not None:
+                if is_first and (chosen := self._choose(call, tried)) is not None:
                     return chosen
                 if is_first:
                     self._reject_late_calls(name, enumerate(queue.in_order()))
@@ -166,9 +173,11 @@
                 reason = f"accept no request for {wait_s:.1f} s" if wait_s else "are unavailable"
                 place.refuse(NoBackend(f"all backends of {service} {reason}; retry later"))
 
-    def _choose(self, service: str, tried: frozenset[str]) -> ChosenBackend | None:
+    def _choose(self, call: RoutedCall, tried: frozenset[str]) -> ChosenBackend | None:
         """Return the cheapest backend, preferring untried ones, and take its rate-limit permit."""
-        backend = self._registry.cheapest(service, tried) or self._registry.cheapest(service)
+        service, version = call.service.name, call.version
+        backend = self._registry.cheapest(service, tried, version)
+        backend = backend or self._registry.cheapest(service, version=version)
         if backend is None:
             return None
         return ChosenBackend(backend, backend.limit.take(boot_time_s()))
@@ -204,7 +213,7 @@
 
         Another request to a backend that was tried would cost retry budget.
         """
-        usable = self._registry.usable(call.service.name)
+        usable = self._registry.usable(call.service.name, version=call.version)
         return any(backend.name not in tried for backend in usable)
 
     def _retry_after_s(self, service: str) -> float:
--- /dev/null
+++ b/src/yokedock/request/version_pinning.py
@@ -0,0 +1,100 @@
+"""Determines the software version at which a resumed stream may go on."""
+
+from __future__ import annotations
+
+from yokedock.base.clock import boot_time_s
+from yokedock.base.logs import logger
+from yokedock.errors import StreamNotResumable
+from yokedock.request.backend_incarnation import Backend
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.routed_call import RoutedCall
+from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
+from yokedock.request.stream_origins import OriginDirectory, OriginQuestion
+
+_log = logger("versions")
+
+MAX_STREAM_AGE_TIMEOUTS = 2.0
+"""Upper bound of a stream's age, in time-outs of its route, where the caller does not name it."""
+MIN_TTL_S = 20.0
+"""Minimum time for which the version of a stream is recorded."""
+TTL_MARGIN_S = 5.0
+"""Time after the caller's deadline for which it is recorded."""
+
+
+class VersionPinning:
+    """Records which version begins each stream, and pins resumed streams to it."""
+
+    def __init__(self, registry: BackendRegistry, directory: OriginDirectory) -> None:
+        """Use the backends and the records that the whole process shares."""
+        self._registry = registry
+        self._directory = directory
+        self.resumed = 0
+        """Streams whose version was determined."""
+        self.refused_unknown = 0
+        """Streams that were refused because no router knew their version."""
+        self.refused_gone = 0
+        """Streams that were refused because no backend of their version was listed."""
+
+    def begin(self, call: RoutedCall, backend: Backend) -> None:
+        """Record the backend's version before the first event of the call is passed on."""
+        if not self._registry.states_versions(call.service.name):
+            return
+        call.version = version_number(call.service.name, backend.entry.version)
+        request_id = call.terms.resumes if call.terms.last_event_id else call.request_id
+        if call.route.resumable and request_id:
+            self._directory.record(stream_number(request_id), call.version, _ttl_s(call))
+
+    async def pin(self, call: RoutedCall) -> str | None:
+        """Pin a resumed stream to its version and return the service that has it.
+
+        Returns None if the stream may be placed anywhere. Raises ``StreamNotResumable`` if the
+        version is unknown or no backend of it is listed.
+        """
+        services = [target.service for target in call.route.targets]
+        versioned = [service for service in services if self._registry.states_versions(service)]
+        if not call.terms.last_event_id or not versioned:
+            return None
+        version = await self._find(call, versioned)
+        if version is None or version == UNKNOWN_VERSION:
+            self.refused_unknown += 1
+            raise self._error(call, "the software version that began the stream is not known")
+        for service in versioned:
+            if self._registry.has_version(service, version):
+                call.version = version
+                self.resumed += 1
+                return service
+        self.refused_gone += 1
+        raise self._error(call, "no backend of the software version that began the stream is left")
+
+    async def _find(self, call: RoutedCall, services: list[str]) -> int | None:
+        """Return the version that began the stream, None if it is not known."""
+        resumes = call.terms.resumes
+        stream = stream_number(resumes) if resumes else None
+        only_service = services[0] if len(call.route.targets) == 1 else None
+        max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s
+        return await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
+
+    def _error(self, call: RoutedCall, reason: str) -> StreamNotResumable:
+        _log.info(
+            "stream not resumed",
+            request=call.request_id,
+            resumes=call.terms.resumes or "",
+            reason=reason,
+        )
+        return StreamNotResumable(f"{reason}; request the stream anew")
+
+    def levels(self) -> dict[str, float]:
+        """Return how many resumed streams were pinned or refused since the start."""
+        return {
+            "streams_resumed": self.resumed,
+            "streams_refused_version_unknown": self.refused_unknown,
+            "streams_refused_version_gone": self.refused_gone,
+        }
+
+
+def _ttl_s(call: RoutedCall) -> float:
+    """Return for how long the caller may resume the stream."""
+    limit_s = call.terms.deadline_s
+    if limit_s is None:
+        limit_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s
+    return max(MIN_TTL_S, call.arrived_s + limit_s - boot_time_s() + TTL_MARGIN_S)
--- a/src/yokedock/request/wait_estimator.py
+++ b/src/yokedock/request/wait_estimator.py
@@ -80,7 +80,7 @@
         """Return the work ahead of a waiter, including new arrivals if it will be late."""
         now_s = boot_time_s()
         service = waiter.call.service.name
-        engines = self._registry.usable(service, DECODE_ROLE)
+        engines = self._registry.usable(service, DECODE_ROLE, waiter.progress.version)
         streams = sum(self._ledger.streams(engine.name) for engine in engines)
         others = [other for other in queue if other is not waiter]
         elsewhere = self._elsewhere(service)
