Resume streams after the loss of all routers where the engines show their version

What is left then are the engines: if one version is listed and one of its decode engines has the whole last part of the prompt, which belongs to this request or session, the stream was run there. With several versions, or with the prompt evicted, it stays unknown and is refused.

What would have to coincide for it to be wrong: an earlier try that brought no event, a version that left the list within the life of the stream, and the loss of all routers.

--- a/features/support/call_queue_properties.py
+++ b/features/support/call_queue_properties.py
@@ -35,7 +35,7 @@
         self.name_limit(limit_per_s)
         allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1)
         self._calls = UnaryCalls(
-            self.registry, None, allowance, VersionPinning(self.registry, None)
+            self.registry, None, allowance, VersionPinning(self.registry, None, None)
         )
         self.served = []
         self.refused = []
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -85,7 +85,7 @@
     other.health.record_answer(boot_time_s(), 0.1, is_failure=True)
     allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, is_first_start=True)
     exchanges = ExchangesStub(lambda: change(registry, other, allowance))
-    calls = UnaryCalls(registry, exchanges, allowance, VersionPinning(registry, None))
+    calls = UnaryCalls(registry, exchanges, allowance, VersionPinning(registry, None, None))
     targets = (WeightedTarget(SERVICE),)
     kind = RouteKind.REPEATABLE
     route = Route("r", "h", "/", kind, TIME_LEFT_S, 1.0, targets, max_attempts=3)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -128,12 +128,12 @@
             self._remote_queues.turns,
         )
         self._placement = placement
+        lookup = CacheLookup(self._registry, self._pool, dialect)
         self._version_history = VersionHistory()
         self._origins = StreamOriginExchange(self._gossip, int(port), self._version_history)
-        self._pinning = VersionPinning(self._registry, self._origins)
+        self._pinning = VersionPinning(self._registry, self._origins, lookup)
         self._metrics = RouterMetrics()
         self._stop = StopState()
-        lookup = CacheLookup(self._registry, self._pool, dialect)
         self._request_handler = RequestHandler(
             self._follower,
             dialect,
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -95,9 +95,13 @@
         """Return whether any backend of a service states its software version."""
         return any(backend.entry.version for backend in self.members(service))
 
+    def listed_versions(self, service: str) -> set[int]:
+        """Return the software versions of the listed backends of a service."""
+        return {backend.version for backend in self.members(service) if backend.is_listed}
+
     def has_several_versions(self, service: str) -> bool:
         """Return whether the listed backends of a service have different software versions."""
-        return len({backend.version for backend in self.members(service) if backend.is_listed}) > 1
+        return len(self.listed_versions(service)) > 1
 
     def has_version(
         self,
--- a/src/yokedock/request/cache_lookup.py
+++ b/src/yokedock/request/cache_lookup.py
@@ -64,22 +64,41 @@
         terms = call.terms.generation
         if terms is None or not terms.parts:
             return set()
-        # Permits of a rate-limited engine are kept for requests; a listing is only a hint.
-        usable = self._registry.usable(call.service.name)
-        engines = [engine for engine in usable if engine.limit.per_s is None]
-        # Other requests await the same listings, so a cancelled request must not cancel them.
-        lists = await asyncio.gather(
-            *(asyncio.shield(self._listing_of(engine)) for engine in engines)
-        )
         least = MIN_CACHED_SHARE * terms.prompt_tokens
         found = {
             engine.name
-            for engine, listed in zip(engines, lists, strict=True)
+            for engine, listed in await self._listings(call.service.name)
             if cached_prompt_tokens(listed, terms.parts) >= least
         }
         _log.info("prompt sought", request=call.request_id, kept_at=sorted(found))
         return found
 
+    async def engines_with_last_part(self, call: RoutedCall) -> list[Backend]:
+        """Return the engines that have cached the last part of the call's prompt completely.
+
+        The last part belongs to one request or session, so these engines have processed it.
+        """
+        terms = call.terms.generation
+        if terms is None or not terms.parts:
+            return []
+        last = terms.parts[-1]
+        return [
+            engine
+            for engine, listed in await self._listings(call.service.name)
+            if 0 < last.tokens - BLOCK_SLACK <= listed.get(last.part_id, 0)
+        ]
+
+    async def _listings(self, service: str) -> list[tuple[Backend, dict[str, int]]]:
+        """Return the engines of a service with their listings."""
+        # Permits of a rate-limited engine are kept for requests; a listing is only a hint.
+        usable = self._registry.usable(service)
+        engines = [engine for engine in usable if engine.limit.per_s is None]
+        # Other requests await the same listings, so a cancelled request must not cancel them.
+        lists = await asyncio.gather(
+            *(asyncio.shield(self._listing_of(engine)) for engine in engines)
+        )
+        return list(zip(engines, lists, strict=True))
+
     def evict_expired(self) -> None:
         """Remove listings that have expired."""
         oldest_s = boot_time_s() - LISTING_TTL_S
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -7,6 +7,8 @@
 from yokedock.errors import StreamNotResumable
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.cache_lookup import CacheLookup
+from yokedock.request.engine_placement import DECODE_ROLE
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginDirectory, OriginQuestion
@@ -24,10 +26,13 @@
 class VersionPinning:
     """Records which version begins each stream, and pins resumed streams to it."""
 
-    def __init__(self, registry: BackendRegistry, directory: OriginDirectory) -> None:
-        """Use the backends and the records that the whole process shares."""
+    def __init__(
+        self, registry: BackendRegistry, directory: OriginDirectory, lookup: CacheLookup
+    ) -> None:
+        """Use the backends, records and cache lookup that the whole process shares."""
         self._registry = registry
         self._directory = directory
+        self._lookup = lookup
         self.resumed = 0
         """Streams whose version was determined."""
         self.refused_unknown = 0
@@ -72,7 +77,24 @@
         stream = stream_number(resumes) if resumes else None
         only_service = services[0] if len(call.route.targets) == 1 else None
         max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s
-        return await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
+        version = await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
+        if version is None and only_service is not None:
+            version = await self._version_at_engines(call, only_service)
+        return version
+
+    async def _version_at_engines(self, call: RoutedCall, service: str) -> int | None:
+        """Return the version that began a stream if the engines show it, else None.
+
+        After the loss of all routers no record is left. The only version that is listed began the
+        stream if one of its decode engines has the last part of the prompt, because prompts are
+        processed there for their own streams only.
+        """
+        versions = self._registry.listed_versions(service)
+        if len(versions) != 1:
+            return None
+        engines = await self._lookup.engines_with_last_part(call)
+        has_run = any(engine.entry.role == DECODE_ROLE for engine in engines)
+        return next(iter(versions)) if has_run else None
 
     def _error(self, call: RoutedCall, reason: str) -> StreamNotResumable:
         _log.info(
