Keep a decode engine of each version, and properties of streams bound to a version

Same cause elsewhere: the leading router chose the least loaded decode engine as the next prefill engine, whatever its version; the last one of a version may hold streams that can go on nowhere else. Each version that decodes keeps one.

Eleven properties: queue, capacity left to a version here and elsewhere, early refusal, forecast, bounded records, conflicting ids, sole version, replicas of a started router, undecodable messages, roles.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -271,3 +271,21 @@
       | property                                                      |
       | a slow backend is kept if the reserved one became unavailable |
       | a reserved repeat is made though the budget has shrunk        |
+
+  # Guards against streams that go on at another software version, or wait for theirs in vain.
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: streams that are bound to a software version
+      | property                                             |
+      | a waiting stream holds up no other version           |
+      | freed capacity goes to the stream of its version     |
+      | capacity awaited elsewhere is taken last             |
+      | a stream without an engine of its version is refused |
+      | the forecast counts engines of the version           |
+      | records are bounded and conflicts are unknown        |
+      | only an uninterrupted list tells the sole version    |
+      | a started router gets its replicas                   |
+      | undecodable records and questions change nothing     |
+      | a lone router knows only its own records             |
+      | each version keeps a decode engine                   |
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -123,7 +123,7 @@
         role = engine.entry.role
         if engine.name in self._changing:
             role = self._changing[engine.name][0]
-        return EngineRole(engine.name, role, load)
+        return EngineRole(engine.name, role, load, engine.version)
 
     def _settled_s(self, service: str, engines: list[Backend]) -> float:
         """Return for how long the engines and their roles have been unchanged, in seconds."""
--- a/src/yokedock/request/role_plan.py
+++ b/src/yokedock/request/role_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 
 import msgspec
@@ -17,6 +18,8 @@
     role: str
     load: int
     """Reserved tokens."""
+    version: int = 0
+    """Number of its software version."""
 
 
 class RoleChange(msgspec.Struct, frozen=True):
@@ -38,7 +41,8 @@
 ) -> list[RoleChange]:
     """Return up to ``most`` role changes to make next, least loaded engines first.
 
-    At least one engine keeps the decode role.
+    At least one engine of each software version that decodes keeps the decode role, because the
+    streams of a version can go on nowhere else.
     """
     wanted = target_prefill_engines(len(engines))
     reading = [engine for engine in engines if engine.role == prefill]
@@ -46,8 +50,20 @@
     surplus = len(reading) - wanted
     if surplus > 0:
         return [RoleChange(e.name, decode) for e in _least_loaded(reading, min(surplus, most))]
-    missing = min(-surplus, len(making) - 1, most)
-    return [RoleChange(e.name, prefill) for e in _least_loaded(making, max(0, missing))]
+    dispensable = _without_last_of_version(making)
+    missing = min(-surplus, len(dispensable), most)
+    return [RoleChange(e.name, prefill) for e in dispensable[:missing]]
+
+
+def _without_last_of_version(engines: list[EngineRole]) -> list[EngineRole]:
+    """Return the engines, least loaded first, without the most loaded one of each version."""
+    left = collections.Counter(engine.version for engine in engines)
+    dispensable = []
+    for engine in _least_loaded(engines, len(engines)):
+        if left[engine.version] > 1:
+            left[engine.version] -= 1
+            dispensable.append(engine)
+    return dispensable
 
 
 def _least_loaded(engines: list[EngineRole], count: int) -> list[EngineRole]:
