--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -41,6 +41,11 @@
       | the body was changed on its way                                 | UNASKED |
       | another service than the route's ran it                         | ROUTE   |
 
+    Examples: resumed streams
+      | fault                                                           | rule    |
+      | a stream went on at another version                             | ORDER   |
+      | two thirds of the resumed streams were refused                  | LOST    |
+
     Examples: time bounds
       | fault                                                           | rule    |
       | a backend listed as leaving got a request                       | DRAIN   |
@@ -68,6 +73,10 @@
     Examples:
       | history                                                         |
       | nothing went wrong                                              |
+      | a stream went on at its version                                 |
+      | half of the resumed streams were refused                        |
+      | most of eleven resumed streams were refused                     |
+      | two thirds of the resumed streams were refused, with one engine of their version |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
       | a backend whose leaving was passed on got a request soon        |
--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -37,3 +37,14 @@
       | 222  | 1.9    | 7      | 0.3   |
       | 3004 | 0.7    | 5      | 0.4   |
       | 3022 | 2.1    | 5      | 0.2   |
+
+  # Guards against streams that go on at another software version than the one that began them.
+  Scenario Outline: Resumed streams go on at their software version, seed <seed>
+    When seed <seed> is simulated for 12 s with engines of two software versions
+    Then clients and backends have seen no rule broken in the simulation
+    And at least 12 streams were resumed
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -18,12 +18,13 @@
 BUSY_PROGRAM = "while True: pass"
 BUSY_PROCESSES = 3
 DIGEST = re.compile(r"digest ([0-9a-f]{16})")
+RESUMED = re.compile(r"of (\d+) resumed streams went on")
 
 
-def simulate(seed, seconds):
+def simulate(seed, seconds, *options):
     """Run one simulation in a separate process; return its exit status and output."""
     command = [program("yokedock-emulator"), "simulate", "--seed", str(seed)]
-    command += ["--seconds", str(seconds), "--out", tempfile.mkdtemp()]
+    command += ["--seconds", str(seconds), "--out", tempfile.mkdtemp(), *options]
     environment = {name: text for name, text in os.environ.items() if name != "PYTHONHASHSEED"}
     done = subprocess.run(
         command, capture_output=True, text=True, timeout=TIMEOUT_S, env=environment
@@ -87,6 +88,17 @@
     context.status, context.output = done.returncode, done.stdout + done.stderr
 
 
+@when("seed {seed:d} is simulated for {seconds:d} s with engines of two software versions")
+def simulate_two_versions(context, seed, seconds):
+    context.status, context.output = simulate(seed, seconds, "--two-versions")
+
+
+@then("at least {count:d} streams were resumed")
+def were_resumed(context, count):
+    resumed = int(RESUMED.search(context.output)[1])
+    assert resumed >= count, context.output
+
+
 @then("clients and backends have seen no rule broken in the simulation")
 def no_rule_broken(context):
     assert context.status == 0, context.output
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -115,6 +115,27 @@
         builder.arrival(record)
 
 
+def resumed_at_versions(builder, first, then):
+    """A stream begins at one version, and its caller gets an event of another request for it."""
+    cut = builder.request("chat", status=200, outcome="answered")
+    cut.events, cut.versions = 3, {first}
+    rest = builder.request("chat", at_s=1.0)
+    rest.first_request, rest.last_event_id, rest.events = cut.request_id, 3, 4
+    rest.versions = {then}
+
+
+def resumed_streams_refused(builder, engines, refused=8, count=12):
+    """Callers resume ``count`` streams of a version with ``engines`` engines."""
+    builder.history.engines = {"v1": [(START_S - 50.0, engines)]}
+    for number in range(count):
+        first = builder.request("chat", at_s=0.5 * number)
+        first.events, first.versions = 3, {"v1"}
+        is_refused = number < refused
+        rest = builder.request("chat", at_s=0.5 * number + 0.3, status=503 if is_refused else 200)
+        rest.first_request, rest.last_event_id = first.request_id, 3
+        rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
+
+
 def ran_twice(builder):
     record = builder.request()
     builder.arrival(record, "i-1", "broken")
@@ -373,5 +394,19 @@
     "a backend that left just before a restore got a request": lambda builder: (
         sent_late_after_restore(builder, 5.0)
     ),
+    "a stream went on at another version": lambda builder: resumed_at_versions(builder, "v1", "v2"),
+    "a stream went on at its version": lambda builder: resumed_at_versions(builder, "v1", "v1"),
+    "two thirds of the resumed streams were refused": lambda builder: resumed_streams_refused(
+        builder, 2
+    ),
+    "two thirds of the resumed streams were refused, with one engine of their version": (
+        lambda builder: resumed_streams_refused(builder, 1)
+    ),
+    "half of the resumed streams were refused": lambda builder: resumed_streams_refused(
+        builder, 2, refused=6
+    ),
+    "most of eleven resumed streams were refused": lambda builder: resumed_streams_refused(
+        builder, 2, refused=11, count=11
+    ),
     "an old configuration was in force while the store was silent": outdated_while_store_silent,
 }
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -42,13 +42,19 @@
 class RouterSoak:
     """One soak; ``run`` is its life."""
 
-    def __init__(self, seed: int, seconds: float, launcher: RouterLauncher) -> None:
-        """Run routers that ``launcher`` starts."""
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        launcher: RouterLauncher,
+        has_two_versions: bool = False,
+    ) -> None:
+        """Run routers that ``launcher`` starts; engines may have two software versions."""
         self._seed = seed
         self._seconds = seconds
         self._launcher = launcher
         self.history = SoakHistory()
-        self._operator = SoakOperator(self.history)
+        self._operator = SoakOperator(self.history, has_two_versions)
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
@@ -121,22 +127,28 @@
                     self.history.stood_still_s.append((before_s, now_s))
 
 
-def run_soak(seed: int, seconds: float, router: DeployedRouter, out: Path) -> SoakReport:
+def run_soak(
+    seed: int, seconds: float, router: DeployedRouter, out: Path, has_two_versions: bool = False
+) -> SoakReport:
     """Run one soak of routers that are built already; a folder in ``out`` gets logs and report."""
     kept = out / f"router-soak-{seed}"
     kept.mkdir(parents=True, exist_ok=True)
     launcher = DeployedLauncher(router, kept, seed)
-    report = asyncio.run(RouterSoak(seed, seconds, launcher).run())
+    report = asyncio.run(RouterSoak(seed, seconds, launcher, has_two_versions).run())
     keep_report(report, kept)
     print_report(report, kept)
     return report
 
 
 def run_soaks(
-    seeds: Iterable[int], seconds: float, repository: Path, out: Path
+    seeds: Iterable[int],
+    seconds: float,
+    repository: Path,
+    out: Path,
+    has_two_versions: bool = False,
 ) -> list[SoakReport]:
     """Build the router once and run a soak for each seed."""
     with tempfile.TemporaryDirectory() as folder:
         router = DeployedRouter(repository, Path(folder))
         router.build()
-        return [run_soak(seed, seconds, router, out) for seed in seeds]
+        return [run_soak(seed, seconds, router, out, has_two_versions) for seed in seeds]
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -22,6 +22,7 @@
 )
 from yokedock_emulator.router_soak.soak_records import (
     POISON_MARK,
+    VERSIONS,
     Arrival,
     LimitSpan,
     SoakHistory,
@@ -50,8 +51,16 @@
 class SoakBackend:
     """One incarnation. ``mode`` is ``normal``, ``errors``, ``refusals`` or ``rest``."""
 
-    def __init__(self, instance: str, service: str, role: str, history: SoakHistory) -> None:
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        role: str,
+        history: SoakHistory,
+        version: str = VERSIONS[0],
+    ) -> None:
         """Prepare; ``start`` listens. What arrives is noted in ``history``."""
+        self.version = version
         self.instance = instance
         self.service = service
         self.role = role
@@ -69,6 +78,11 @@
         self._server: asyncio.Server | None = None
         self._working: dict[asyncio.StreamWriter, Arrival | None] = {}
 
+    @property
+    def takes_all(self) -> bool:
+        """Return whether it turns no request away and names no limit."""
+        return self.mode == "normal" and not self._limit and not self.is_dead
+
     async def start(self, address: str = "127.0.0.1:0") -> None:
         """Listen at ``address``."""
         host, _, port = address.rpartition(":")
@@ -204,7 +218,7 @@
         writer.write(answer_head(200, [*head, ("Transfer-Encoding", "chunked")]))
         for number in range(first, event_count(prompt) + 1):
             await asyncio.sleep(self._choices.uniform(*STEP_S))
-            data = event(prompt, number)
+            data = event(prompt, number, self.version)
             cut = self._choices.randrange(1, len(data))
             writer.write(chunk(data[:cut]))
             await writer.drain()
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -17,6 +17,7 @@
     POISON_MARK,
     ROUTES_A_KIND,
     STREAMS,
+    VERSIONS,
     ClientRecord,
     SoakHistory,
     SoakRoute,
@@ -169,7 +170,14 @@
         if broken is not None:
             route = SoakRoute("chat", self._operator.version - 1, route.number)
             return ClientRecord(
-                request_id, route, router, life, broken.body, now_s, broken.events, events=0
+                request_id,
+                route,
+                router,
+                life,
+                broken.body,
+                now_s,
+                broken.events,
+                broken.first_request or broken.request_id,
             )
         body = f"{request_id} ".encode()
         body += b"x" * choices.randrange(MOST_BODY_BYTES)
@@ -220,6 +228,7 @@
         lines += [f"{NAMES.model}: m", f"{NAMES.tokens}: 90,40", f"{NAMES.parts}: {part}"]
     if record.last_event_id:
         lines.append(f"{NAMES.last_event_id}: {record.last_event_id}")
+        lines.append(f"{NAMES.resumes}: {record.first_request}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + record.body
 
 
@@ -247,12 +256,22 @@
     """Compare the events that came with those of the prompt, in order."""
     last, rest = event_count(record.body), bytes(answer.body)
     number = record.last_event_id
-    while number < last and rest.startswith(event(record.body, number + 1)):
+    while number < last and (version := _version_of(record.body, number + 1, rest)):
         number += 1
-        rest = rest[len(event(record.body, number)) :]
+        record.versions.add(version)
+        rest = rest[len(event(record.body, number, version)) :]
     record.events = number
-    is_part = number < last and event(record.body, number + 1).startswith(rest)
+    nexts = [event(record.body, number + 1, version) for version in VERSIONS]
+    is_part = number < last and any(each.startswith(rest) for each in nexts)
     if rest and (not is_part or answer.is_whole):
         record.problems.append(f"behind event {number} comes {rest[:60]!r}")
     if answer.is_whole and number < last:
         record.problems.append(f"the stream ends as whole at event {number} of {last}")
+
+
+def _version_of(body: bytes, number: int, data: bytes) -> str:
+    """Return the version that generated the event at the start of ``data``, empty if none did."""
+    for version in VERSIONS:
+        if data.startswith(event(body, number, version)):
+            return version
+    return ""
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -23,6 +23,7 @@
     RouterLife,
     SoakHistory,
 )
+from yokedock_emulator.router_soak.soak_streams import lost_stream_violations, order_violations
 from yokedock_emulator.router_soak.soak_versions import version_violations
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -84,6 +85,8 @@
     found += [Violation("BUDGET", *each) for each in poison_violations(history)]
     found += [Violation("DRAIN", *each) for each in leaving_violations(history)]
     found += [Violation("BUDGET", *each) for each in rest_violations(history)]
+    found += [Violation("ORDER", *each) for each in order_violations(history)]
+    found += [Violation("LOST", text) for text in lost_stream_violations(history)]
     found += [Violation("LIMIT", text) for text in limit_violations(history)]
     found += _processes(history)
     return found
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -29,6 +29,7 @@
     KINDS,
     LIVES_IN,
     ROUTES_A_KIND,
+    VERSIONS,
     SoakHistory,
     SoakRoute,
 )
@@ -44,6 +45,8 @@
 POOLS = [("plain-a", "", 3), ("plain-b", "", 3), ("model", PREFILL_ROLE, 2)]
 POOLS.append(("model", DECODE_ROLE, 3))
 """Service, role and number of backends."""
+MIXED_DECODE_ENGINES = 6
+"""Number of decode engines where there are two software versions."""
 SERVES_ON_S = 8.0
 """A backend that leaves goes on serving for so long: whoever still comes to it is seen."""
 ENDS_S = 4.0
@@ -68,8 +71,10 @@
 class SoakOperator:
     """Writes the store and owns all backends."""
 
-    def __init__(self, history: SoakHistory) -> None:
-        """Start with nothing."""
+    def __init__(self, history: SoakHistory, has_two_versions: bool = False) -> None:
+        """Start with nothing; decode engines have two software versions if so asked."""
+        self._versions = VERSIONS if has_two_versions else VERSIONS[:1]
+        self._version_choices = random.Random("soak-versions")
         self.store = SoakStore()
         self.version = 0
         """Newest configuration, counted from 1."""
@@ -90,7 +95,8 @@
         """Start the store and the backends, and publish what the first requests need."""
         await self.store.start()
         for service, role, count in POOLS:
-            for _ in range(count):
+            is_mixed = role == DECODE_ROLE and len(self._versions) > 1
+            for _ in range(MIXED_DECODE_ENGINES if is_mixed else count):
                 await self._add(service, role)
         for _ in range(LIVES_IN):
             self.publish()
@@ -192,6 +198,7 @@
         # Removed before the replacement starts: if the backend ends meanwhile, _crashed would
         # remove it from the list, and a second removal fails.
         self.serving.remove(backend)
+        self._record_engines()
         if soak_event.kind != "replace":
             await self._add(backend.service, backend.role)
         if soak_event.kind == "drain":
@@ -212,6 +219,7 @@
         """Let a backend answer errors, refuse or ask for rest, for a while."""
         modes = {"refusals": "refusals", "rest": "rest", "rest of all": "rest"}
         backend.mode = modes.get(soak_event.kind, "errors")
+        self._record_engines()
         self._after(soak_event.length_s, self._recover(backend))
 
     def _limit(self, backend: SoakBackend, soak_event: SoakEvent) -> str:
@@ -225,22 +233,49 @@
         text = LIMIT_OF_ALL if is_all else LIMITS[soak_event.target % len(LIMITS)]
         for other in limited:
             other.name_limit(text)
+            self._record_engines()
             self._after(soak_event.length_s, self._end_limit(other))
         return f"{backend.service if is_all else backend.instance} names {text}"
 
     async def _end_limit(self, backend: SoakBackend) -> None:
         backend.name_limit("")
+        self._record_engines()
 
     async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
         self._next += 1
-        backend = SoakBackend(f"i-{self._next}", service, role, self._history)
+        version = self._next_version(role)
+        backend = SoakBackend(f"i-{self._next}", service, role, self._history, version)
         await self._begin(backend, address)
 
+    def _next_version(self, role: str) -> str:
+        """Return the version of the next backend: in two of three cases the less frequent one."""
+        if role != DECODE_ROLE:
+            return self._version_choices.choice(self._versions)
+        counts = {version: self._decode_engines(version) for version in self._versions}
+        fewest = min(self._versions, key=lambda version: counts[version])
+        candidates: tuple[str, ...] = (fewest, fewest, *self._versions)
+        return self._version_choices.choice(candidates)
+
+    def _decode_engines(self, version: str) -> int:
+        """Return the number of decode engines of a version that are listed."""
+        return sum(b.role == DECODE_ROLE and b.version == version for b in self.serving)
+
+    def _record_engines(self) -> None:
+        """Record the number of decode engines of each version that serve, if it has changed."""
+        for version in self._versions:
+            steps = self._history.engines.setdefault(version, [])
+            count = sum(
+                b.role == DECODE_ROLE and b.version == version and b.takes_all for b in self.serving
+            )
+            if not steps or steps[-1][1] != count:
+                steps.append((boot_time_s(), count))
+
     async def _begin(self, backend: SoakBackend, address: str) -> None:
         await backend.start(address)
         backend.on_crash = self._crashed
         self._born_ms[backend.instance] = wall_clock_ms()
         self.serving.append(backend)
+        self._record_engines()
         self._all.append(backend)
         self._list(backend, "ready")
 
@@ -249,11 +284,14 @@
         self._history.killed_s.append((backend.service, boot_time_s()))
         if backend in self.serving:
             self.serving.remove(backend)
+            self._record_engines()
             self._after(self._choices.uniform(*BACK_AFTER_S), self._start_anew(backend))
 
     async def _start_anew(self, before: SoakBackend) -> None:
         """Start the next life of a backend at the same address, under the same identifier."""
-        after = SoakBackend(before.instance, before.service, before.role, self._history)
+        after = SoakBackend(
+            before.instance, before.service, before.role, self._history, before.version
+        )
         await self._begin(after, before.address)
 
     def _write_oddly(self, backend: SoakBackend, length_s: float) -> None:
@@ -275,7 +313,7 @@
             "zone-1",
             SLOTS,
             state,
-            "v1",
+            backend.version,
             0.0,
             1,
             stage,
@@ -296,6 +334,7 @@
 
     async def _recover(self, backend: SoakBackend) -> None:
         backend.mode = "normal"
+        self._record_engines()
 
     async def _unlist_later(self, backend: SoakBackend) -> None:
         self._unlist(backend)
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -16,6 +16,8 @@
 STREAMS = ("talk", "chat")
 SERVICES = {"once": ("plain-a", "plain-b"), "repeat": ("plain-a", "plain-b")}
 MODEL_SERVICE = "model"
+VERSIONS = ("v1", "v2")
+"""Software versions of backends; what they generate differs."""
 LIVES_IN = 3
 """A route stands in the configuration it is named after and in the two behind it."""
 ROUTES_A_KIND = 2
@@ -63,6 +65,10 @@
     sent_s: float
     last_event_id: int = 0
     """Events that the client has had from an earlier attempt."""
+    first_request: str = ""
+    """Id of the attempt that had the first event, if an earlier one did."""
+    versions: set[str] = dataclasses.field(default_factory=set)
+    """Software versions of the engines whose events came."""
     end_s: float = 0.0
     outcome: str = "waiting"
     """``answered``, ``cut``, ``left`` (by the client itself) or ``gave up``."""
@@ -186,6 +192,9 @@
     """Services whose backend was killed, and when: what it had not read yet is not noted."""
     leaving_s: dict[str, float] = dataclasses.field(default_factory=dict)
     """When each backend was first listed as draining, or gone."""
+    engines: dict[str, list[tuple[float, int]]] = dataclasses.field(default_factory=dict)
+    """By software version: each time at which the number of decode engines that serve changed, and
+    their number from then on."""
     limits: dict[int, list[LimitSpan]] = dataclasses.field(default_factory=dict)
     """What each life of a backend named, in order of time."""
     store_silent_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
@@ -231,6 +240,14 @@
         ]
         return max(lost, default=leaving_s)
 
+    def least_engines(self, version: str, from_s: float, to_s: float) -> int:
+        """Return the least number of decode engines of a version that served in a span."""
+        steps = self.engines.get(version, [])
+        first = bisect.bisect_right(steps, (from_s, math.inf))
+        last = bisect.bisect_right(steps, (to_s, math.inf))
+        before = steps[first - 1][1] if first else 0
+        return min([before, *(count for _, count in steps[first:last])])
+
     def tell(self, now_s: float, text: str) -> None:
         """Note what was done."""
         self.story.append((now_s, text))
@@ -247,7 +264,7 @@
     return 4 + zlib.crc32(body) % 70
 
 
-def event(body: bytes, number: int) -> bytes:
-    """Return one event of the stream for a prompt."""
-    data = f"{zlib.crc32(body)}.{number} ".encode() * (1 + number % 5)
+def event(body: bytes, number: int, version: str) -> bytes:
+    """Return one event of the stream for a prompt, as a software version generates it."""
+    data = f"{zlib.crc32(body)}.{number}.{version} ".encode() * (1 + number % 5)
     return b"id: %d\ndata: %s\n\n" % (number, data)
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -12,6 +12,7 @@
 from yokedock_emulator.router_soak.soak_judge import Violation
 from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
+from yokedock_emulator.router_soak.soak_streams import resumed_streams
 
 MOST_STORIES = 12
 NEAR_S = 4.0
@@ -46,6 +47,10 @@
     stories: list[str]
     schedule: list[str]
     """What was done and when, in seconds from the first request."""
+    resumed: int = 0
+    """Streams that callers resumed."""
+    went_on: int = 0
+    """Resumed streams that brought another event."""
 
     def summary(self) -> str:
         """Return one line."""
@@ -53,7 +58,8 @@
             f"seed {self.seed}: {len(self.violations)} violations; {self.requests} requests, "
             f"{self.processes} processes, budget used {self.budget_used:.2f}, "
             f"at most {self.most_ends} ends under one request, "
-            f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}"
+            f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}, "
+            f"{self.went_on} of {self.resumed} resumed streams went on"
         )
 
 
@@ -86,6 +92,7 @@
         [f"{each.rule}: {each.text} {each.request_id}".strip() for each in violations],
         stories,
         [f"{at_s - began_s:.3f} {text}" for at_s, text in history.story],
+        *resumed_streams(history),
     )
 
 
--- /dev/null
+++ b/src/yokedock_emulator/router_soak/soak_streams.py
@@ -0,0 +1,80 @@
+"""Judges streams that callers resume: at which software version, and how many go on."""
+
+from __future__ import annotations
+
+import collections
+
+from yokedock_emulator.router_soak.soak_records import (
+    BOUND_S,
+    STREAMS,
+    ClientRecord,
+    SoakHistory,
+)
+
+MIN_RESUMED = 12
+"""Resumed streams from which their share is judged."""
+MIN_SHARE = 0.5
+"""Least share of resumed streams that go on, as a part of the share of new ones that begin."""
+MIN_ENGINES = 2
+"""Engines of their version that serve, so that a resumed stream counts."""
+HTTP_OK = 200
+IN_TOUCH_S = BOUND_S + 0.1
+
+
+def order_violations(history: SoakHistory) -> list[tuple[str, str]]:
+    """Return streams that hold events of several software versions, over all of their requests."""
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for record in history.records.values():
+        versions[record.first_request or record.request_id] |= record.versions
+    return [
+        (f"the stream holds events of {sorted(found)}", stream)
+        for stream, found in versions.items()
+        if len(found) > 1
+    ]
+
+
+def lost_stream_violations(history: SoakHistory) -> list[str]:
+    """Return that too few of the resumed streams went on, if so."""
+    resumed, fresh = [], []
+    for record in history.records.values():
+        if not _is_judged(history, record):
+            continue
+        if not record.last_event_id:
+            fresh.append(record.events > 0)
+        elif _has_engines(history, record):
+            resumed.append(_went_on(record))
+    if len(resumed) < MIN_RESUMED or not fresh:
+        return []
+    went_on, began = sum(resumed) / len(resumed), sum(fresh) / len(fresh)
+    if went_on >= MIN_SHARE * began:
+        return []
+    return [f"{went_on:.2f} of {len(resumed)} resumed streams went on, {began:.2f} of new ones"]
+
+
+def resumed_streams(history: SoakHistory) -> tuple[int, int]:
+    """Return how many streams callers resumed, and how many of these went on."""
+    resumed = [record for record in history.records.values() if record.last_event_id]
+    return len(resumed), sum(_went_on(record) for record in resumed)
+
+
+def _went_on(record: ClientRecord) -> bool:
+    """Return whether a resumed stream brought another event or its end."""
+    return record.events > record.last_event_id or record.status == HTTP_OK
+
+
+def _is_judged(history: SoakHistory, record: ClientRecord) -> bool:
+    """Return whether a router in touch took the request and its caller waited for the end."""
+    is_stream = record.route.kind in STREAMS and not record.is_poison
+    if not is_stream or record.outcome == "left" or record.status == 404:
+        return False
+    life = history.lives[record.router, record.life]
+    return history.was_in_touch(life, record.sent_s - IN_TOUCH_S, record.sent_s)
+
+
+def _has_engines(history: SoakHistory, record: ClientRecord) -> bool:
+    """Return whether enough engines of the stream's version served while it was resumed."""
+    first = history.records.get(record.first_request)
+    if first is None or len(first.versions) != 1:
+        return False
+    (version,) = first.versions
+    return history.least_engines(version, record.sent_s - IN_TOUCH_S, record.end_s) >= MIN_ENGINES
--- a/src/yokedock_emulator/simulation/simulate.py
+++ b/src/yokedock_emulator/simulation/simulate.py
@@ -36,7 +36,9 @@
         os.execve(sys.executable, [sys.executable, *sys.argv], environment)
 
 
-def simulate_soak(seed: int, seconds: float, out: Path) -> SimulationResult:
+def simulate_soak(
+    seed: int, seconds: float, out: Path, has_two_versions: bool = False
+) -> SimulationResult:
     """Run one soak in simulated time; logs and report go to a folder in ``out``.
 
     Two processes produce the same digest only if both have called ``ensure_fixed_hash_seed``.
@@ -45,7 +47,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     with simulation(str(seed)) as loop:
         launcher = SimulatedLauncher(loop, folder)
-        soak = RouterSoak(seed, seconds, launcher)
+        soak = RouterSoak(seed, seconds, launcher, has_two_versions)
         with launcher.logs.applicationbound():
             report = loop.run_until_complete(soak.run())
     keep_report(report, folder)
