A stream whose version has one engine waits for it, and is refused truthfully when that engine is full

Whether it may move is asked again at each part, as engines come and go.

A stream that the only engine of its version had refused was answered 'no engine of the version is left', which is not true: it gets 'no decode room' with Retry-After now (a property; StreamNotResumable before).

--- a/features/engine_versions.feature
+++ b/features/engine_versions.feature
@@ -74,6 +74,13 @@
     Then no client holds events of two versions
     And each client has 6 events, each once and in order
 
+  # Guards against the end of a stream whose only engine is silent for a while.
+  Scenario: A stream whose version has one engine waits for it
+    Given the list says that "e" and "g" are gone, a while ago
+    When 2 clients stream on "chat" and the engine of each pauses for 1.6 s after event 3
+    Then no client holds events of two versions
+    And each client has 6 events, each once and in order
+
   # Guards against a stream that is resumed without naming the request that began it.
   Scenario: A client who does not name the request that began its stream is refused at once
     When 4 clients stream on "chat" and lose their connection after 2 events
--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -282,6 +282,7 @@
       | freed capacity goes to the stream of its version     |
       | capacity awaited elsewhere is taken last             |
       | a stream without an engine of its version is refused |
+      | a stream that its engines refuse may come back       |
       | the forecast counts engines of the version           |
       | records are bounded and conflicts are unknown        |
       | only an uninterrupted list tells the sole version    |
--- a/features/steps/engine_versions_steps.py
+++ b/features/steps/engine_versions_steps.py
@@ -85,6 +85,17 @@
         client.begin(context.routers[0])
 
 
+@when(
+    '{count:d} clients stream on "{route}" and the engine of each pauses for {pause_s:f} s'
+    " after event {last:d}"
+)
+def stream_and_pause(context, count, route, pause_s, last):
+    context.clients = [ResumingClient(context.world, n, route) for n in range(count)]
+    for client in context.clients:
+        share_fault(decode_engines(context), f"pause {pause_s:g} s after event {last}")
+        client.begin(context.routers[0])
+
+
 def set_decode_faults(context, fault):
     for engine in decode_engines(context):
         engine.faults = [fault] * MANY if fault else []
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -311,6 +311,8 @@
             await asyncio.sleep(0)
             if fault == f"wait after event {number}":
                 await asyncio.sleep(3600)
+            if fault.startswith("pause ") and fault.endswith(f" s after event {number}"):
+                await asyncio.sleep(float(fault.split()[1]))
             if fault == f"fall silent after event {number}":
                 self._silent.add(writer)
             self.on_event(number)
--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -124,6 +124,23 @@
     asyncio.run(play())
 
 
+def a_stream_that_its_engines_refuse_may_come_back():
+    """Guards against a caller who is told that its version is gone though its engine is full."""
+
+    async def play():
+        ledger, _ = filled()
+        placement = QueuedPlacement(two_versions(), ledger, no_remote_queue)
+        refused = Progress(avoid=frozenset({"d"}), version=V1)
+        try:
+            await place_soon(placement, refused)
+        except NoDecodeCapacity as error:
+            assert error.retry_after_s > 0
+        else:
+            raise AssertionError("placed at an engine that has refused it")
+
+    asyncio.run(play())
+
+
 def the_forecast_counts_engines_of_the_version():
     """Guards against a refusal that counts on the turnover of engines of another version."""
 
@@ -296,6 +313,9 @@
     "a stream without an engine of its version is refused": (
         a_stream_without_an_engine_of_its_version_is_refused
     ),
+    "a stream that its engines refuse may come back": (
+        a_stream_that_its_engines_refuse_may_come_back
+    ),
     "the forecast counts engines of the version": the_forecast_counts_engines_of_the_version,
     "records are bounded and conflicts are unknown": records_are_bounded_and_conflicts_are_unknown,
     "only an uninterrupted list tells the sole version": (
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -19,7 +19,7 @@
 from yokedock.request.engine_placement import Placement
 from yokedock.request.generation_state import GenerationState, tokens_per_event
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
-from yokedock.request.silence_detector import SilenceDetector
+from yokedock.request.silence_detector import SilenceDetector, WatchedStream
 from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendRefused, BackendResponseError, BackendUnreachable
@@ -160,11 +160,10 @@
         relay = state.relay
         relay.begin_run()
         relay.on_begin = lambda: self._pinning.begin(call, exchange.backend)
-        is_resumable = call.route.resumable and call.runs < call.route.max_attempts
-        patience_s = STALL_TIMEOUT_S if is_resumable else call.remaining_s()
         exchange.start_silence_timer(STALL_TIMEOUT_S)
-        stream = self._watch.open(exchange.backend, is_resumable)
+        stream = self._watch.open(exchange.backend, may_move=False)
         try:
+            patience_s = self._patience_s(call, state, stream)
             head = await stream.within(patience_s, exchange.read_head(call.remaining_s()))
             state.source = None
             if head.status != 200:
@@ -180,11 +179,22 @@
                 await relay.feed(head, part)
                 self._record_pause(exchange.backend.name, relay)
                 demand.made = relay.events * tokens_per_event(call)
+                patience_s = self._patience_s(call, state, stream)
         finally:
             self._watch.close(stream)
         await relay.end(head)
         exchange.finish()
 
+    def _patience_s(self, call: RoutedCall, state: GenerationState, stream: WatchedStream) -> float:
+        """Return for how long to wait for an engine's next data, and let the stream move or not.
+
+        A stream that cannot go on elsewhere waits for its engine.
+        """
+        is_resumable = call.route.resumable and call.runs < call.route.max_attempts
+        excluded = frozenset(state.excluded_engines | {stream.engine.name})
+        stream.may_move = is_resumable and self._pinning.may_move(call, excluded)
+        return STALL_TIMEOUT_S if stream.may_move else call.remaining_s()
+
     def _log_refused_decode(
         self, call: RoutedCall, state: GenerationState, placement: Placement
     ) -> None:
--- a/src/yokedock/request/queued_placement.py
+++ b/src/yokedock/request/queued_placement.py
@@ -18,7 +18,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import QueueShare
-from yokedock.errors import NoDecodeCapacity, StreamNotResumable
+from yokedock.errors import NoDecodeCapacity, Refused, StreamNotResumable
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.capacity_forecast import RETRY_AFTER_SPREAD, CapacityForecast, QueueAhead
 from yokedock.request.dispatch_timers import RECHECK_INTERVAL_S, DispatchTimers
@@ -87,7 +87,7 @@
         service = call.service.name
         self._arrivals.note(service)
         if not self._engine_choice.has_engine(call, progress):
-            raise self._not_resumable_error(call)
+            raise self._no_engine_error(call, progress)
         waiter = self._waiter(call, progress)
         if waiter.since_s >= self.gives_up_s(call, progress):
             raise self._no_capacity_error(waiter, "the caller has already timed out")
@@ -289,12 +289,18 @@
             is_waiting = not waiter.placed.done()
             if is_waiting and not self._engine_choice.has_engine(waiter.call, waiter.progress):
                 queue.remove(waiter)
-                waiter.placed.set_exception(self._not_resumable_error(waiter.call))
+                waiter.placed.set_exception(self._no_engine_error(waiter.call, waiter.progress))
 
-    def _not_resumable_error(self, call: RoutedCall) -> StreamNotResumable:
+    def _no_engine_error(self, call: RoutedCall, progress: Progress) -> Refused:
+        """Return the error for a stream whose version has no engine that may decode it."""
+        service = call.service.name
+        any_engine = msgspec.structs.replace(progress, avoid=frozenset())
+        if self._engine_choice.has_engine(call, any_engine):
+            message = f"{service}: the engines of the stream's version do not take it; retry later"
+            return NoDecodeCapacity(message, self.retry_after_s(call))
         return StreamNotResumable(
-            f"{call.service.name}: no engine of the software version that began the stream is "
-            "left; request the stream anew"
+            f"{service}: no engine of the software version that began the stream is left; "
+            "request the stream anew"
         )
 
     def _place_in_order(self, waiters: Iterable[Waiter], awaited: AwaitedVersions) -> bool:
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -49,6 +49,12 @@
         if call.route.resumable and request_id:
             self._directory.record(stream_number(request_id), call.version, _ttl_s(call))
 
+    def may_move(self, call: RoutedCall, excluded: frozenset[str]) -> bool:
+        """Return whether an engine that is not in ``excluded`` may continue the call's stream."""
+        return call.version is None or self._registry.has_version(
+            call.service.name, call.version, DECODE_ROLE, excluded
+        )
+
     async def pin(self, call: RoutedCall) -> str | None:
         """Pin a resumed stream to its version and return the service that has it.
 
