Refuse a resumed stream while no backend of its service is listed

Found in the last reading: with an empty list no version is stated, so a resumed stream was taken for one of a service without versions and would have waited for the first engine of any. It is refused at once now (a property: not refused before). Only streams are pinned, not every request with Last-Event-Id.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -289,4 +289,5 @@
       | a started router gets its replicas                   |
       | undecodable records and questions change nothing     |
       | a lone router knows only its own records             |
+      | a resumed stream needs a listed backend              |
       | each version keeps a decode engine                   |
--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from hypothesis import strategies as st
 
 from support.search import searched
@@ -20,6 +21,7 @@
 from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginQuestion, StreamOrigin, StreamOrigins
 from yokedock.request.version_history import VersionHistory
+from yokedock.request.version_pinning import VersionPinning
 
 V1, V2 = (version_number("llm", version) for version in ("v1", "v2"))
 AT_ONCE_S = 0.1
@@ -281,6 +283,33 @@
     asyncio.run(play())
 
 
+def a_resumed_stream_needs_a_listed_backend():
+    """Guards against a resumed stream that waits for the first backend, of whatever version."""
+
+    async def play():
+        registry = BackendRegistry("zone")
+        exchange = StreamOriginExchange(GossipStub([]), 1, VersionHistory())
+        exchange._started_s -= 60.0
+        pinning = VersionPinning(registry, exchange, None)
+        call = generation(boot_time_s())
+        assert await pinning.pin(call) is None, "it resumes nothing"
+        call.terms = msgspec.structs.replace(call.terms, last_event_id=3, resumes="first")
+        for entries in ([], [entry("d", "v1"), entry("e", "v2")]):
+            registry.update(entries, ())
+            try:
+                await pinning.pin(call)
+            except StreamNotResumable:
+                continue
+            raise AssertionError(f"not refused with {entries}")
+        exchange.record(stream_number("first"), V2, 60.0)
+        assert (await pinning.pin(call), call.version) == ("llm", V2)
+        unversioned = BackendRegistry("zone")
+        unversioned.update([entry("d", "")], ())
+        assert await VersionPinning(unversioned, exchange, None).pin(call) is None
+
+    asyncio.run(play())
+
+
 @searched(
     versions=st.lists(st.integers(0, 3), min_size=1, max_size=12),
     making=st.lists(st.booleans(), min_size=12, max_size=12),
@@ -326,5 +355,6 @@
     ),
     "undecodable records and questions change nothing": what_others_send_ends_no_router,
     "a lone router knows only its own records": a_router_that_hears_of_no_other_knows_only_its_own,
+    "a resumed stream needs a listed backend": a_resumed_stream_needs_a_listed_backend,
     "each version keeps a decode engine": each_version_keeps_a_decode_engine,
 }
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -40,7 +40,7 @@
 MAX_ASKED = 6
 """Routers that are asked for a record: more than the replicas, as some may have joined since."""
 MAX_PER_DATAGRAM = 40
-"""Records in one datagram: 1,100 bytes, so that it fits into one packet."""
+"""Records in one datagram: 900 bytes, so that it fits into one packet."""
 RECORDS_PER_STEP = 20
 """Records compared with a started router before other work gets its turn."""
 ANSWER_LIMITS = CallLimits(connect_s=0.1, response_s=0.2)
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -163,8 +163,8 @@
         exchange.start_silence_timer(STALL_TIMEOUT_S)
         stream = self._watch.open(exchange.backend, may_move=False)
         try:
-            patience_s = self._patience_s(call, state, stream)
-            head = await stream.within(patience_s, exchange.read_head(call.remaining_s()))
+            limit_s = self._silence_limit_s(call, state, stream)
+            head = await stream.within(limit_s, exchange.read_head(call.remaining_s()))
             state.source = None
             if head.status != 200:
                 await self._handle_error_response(
@@ -172,21 +172,23 @@
                 )
                 return
             parts = exchange.body_parts()
-            while (part := await stream.within(patience_s, anext(parts, None))) is not None:
+            while (part := await stream.within(limit_s, anext(parts, None))) is not None:
                 self._watch.heard(stream)
                 state.reads.read()
                 state.note_prompt_cached(exchange.backend.name)
                 await relay.feed(head, part)
                 self._record_pause(exchange.backend.name, relay)
                 demand.made = relay.events * tokens_per_event(call)
-                patience_s = self._patience_s(call, state, stream)
+                limit_s = self._silence_limit_s(call, state, stream)
         finally:
             self._watch.close(stream)
         await relay.end(head)
         exchange.finish()
 
-    def _patience_s(self, call: RoutedCall, state: GenerationState, stream: WatchedStream) -> float:
-        """Return for how long to wait for an engine's next data, and let the stream move or not.
+    def _silence_limit_s(
+        self, call: RoutedCall, state: GenerationState, stream: WatchedStream
+    ) -> float:
+        """Return how long to wait for an engine's next data, and set whether the stream may move.
 
         A stream that cannot go on elsewhere waits for its engine.
         """
--- a/src/yokedock/request/stream_origins.py
+++ b/src/yokedock/request/stream_origins.py
@@ -10,7 +10,7 @@
 from yokedock.request.software_version import UNKNOWN_VERSION
 
 MAX_ORIGINS = 20_000
-"""Maximum number of records (5 MB); beyond it the oldest ones are dropped."""
+"""Maximum number of records (3 MB); beyond it the oldest ones are dropped."""
 MS_PER_SECOND = 1000
 
 
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -12,6 +12,7 @@
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginDirectory, OriginQuestion
+from yokedock.version.route_table import RouteKind
 
 _log = logger("versions")
 
@@ -61,9 +62,13 @@
         Returns None if the stream may be placed anywhere. Raises ``StreamNotResumable`` if the
         version is unknown or no backend of it is listed.
         """
+        if not call.terms.last_event_id or call.route.kind is not RouteKind.STREAM:
+            return None
         services = [target.service for target in call.route.targets]
+        if not any(self._registry.members(service) for service in services):
+            raise self._error(call, "no backend of the stream's service is listed")
         versioned = [service for service in services if self._registry.states_versions(service)]
-        if not call.terms.last_event_id or not versioned:
+        if not versioned:
             return None
         version = await self._find(call, versioned)
         if version is None or version == UNKNOWN_VERSION:
