Count versions that have just left before engines tell whose stream it is

A version whose last engine had left a moment ago did not count, though it may have begun the stream: callers would have got events of two versions.

Cause: only listed backends were looked at. Change: all known backends count.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -290,4 +290,5 @@
       | undecodable records and questions change nothing     |
       | a lone router knows only its own records             |
       | a resumed stream needs a listed backend              |
+      | engines show a version only if it was alone          |
       | each version keeps a decode engine                   |
--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -310,6 +310,41 @@
     asyncio.run(play())
 
 
+class LookupStub:
+    """Names the engines that have cached the last part of any prompt."""
+
+    def __init__(self, registry, *names):
+        self._engines = [registry.get(name) for name in names]
+
+    async def engines_with_last_part(self, call):
+        return self._engines
+
+
+def engines_show_a_version_only_if_it_was_alone():
+    """Guards against a guess after the loss of all routers, when no record is left."""
+
+    async def play(entries, cached, gone=()):
+        registry = BackendRegistry("zone")
+        registry.update(entries, ())
+        registry.update((), gone)
+        exchange = StreamOriginExchange(GossipStub([]), 1, VersionHistory())
+        exchange._started_s -= 60.0
+        call = generation(boot_time_s())
+        call.terms = msgspec.structs.replace(call.terms, last_event_id=3, resumes="first")
+        try:
+            await VersionPinning(registry, exchange, LookupStub(registry, *cached)).pin(call)
+        except StreamNotResumable:
+            return None
+        return call.version
+
+    p, d, e = entry("p", "v1", "prefill"), entry("d", "v1"), entry("e", "v2")
+    assert asyncio.run(play([p, d], ["d"])) == V1
+    assert asyncio.run(play([p, d], ["p"])) is None, "it may have been read for another version"
+    assert asyncio.run(play([p, d], [])) is None, "the prompt is evicted"
+    assert asyncio.run(play([p, d, e], ["d"])) is None, "two versions are listed"
+    assert asyncio.run(play([p, d, e], ["d"], ["e"])) is None, "another has just left"
+
+
 @searched(
     versions=st.lists(st.integers(0, 3), min_size=1, max_size=12),
     making=st.lists(st.booleans(), min_size=12, max_size=12),
@@ -356,5 +391,6 @@
     "undecodable records and questions change nothing": what_others_send_ends_no_router,
     "a lone router knows only its own records": a_router_that_hears_of_no_other_knows_only_its_own,
     "a resumed stream needs a listed backend": a_resumed_stream_needs_a_listed_backend,
+    "engines show a version only if it was alone": engines_show_a_version_only_if_it_was_alone,
     "each version keeps a decode engine": each_version_keeps_a_decode_engine,
 }
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -96,11 +96,11 @@
     async def _version_at_engines(self, call: RoutedCall, service: str) -> int | None:
         """Return the version that began a stream if the engines show it, else None.
 
-        After the loss of all routers no record is left. The only version that is listed began the
-        stream if one of its decode engines has the last part of the prompt, because prompts are
-        processed there for their own streams only.
+        After the loss of all routers no record is left. The only version that is listed, or was a
+        moment ago, began the stream if one of its decode engines has the last part of the prompt,
+        because prompts are processed there for their own streams only.
         """
-        versions = self._registry.listed_versions(service)
+        versions = {backend.version for backend in self._registry.members(service)}
         if len(versions) != 1:
             return None
         engines = await self._lookup.engines_with_last_part(call)
