Log the prompt parts of a request and how far its response had got

Change: the lines 'request' and 'answer broken off' name the parts of the prompt that other requests may share (all but the last, 32 at most); the second also names the time since the request was sent and since the first part of the response body, and whether it was a prefill.

--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -196,6 +196,7 @@
             "request",
             request=call.request_id if call else "",
             digest=digest_text(call.digest) if call else "",
+            parts=list(call.shared_parts) if call else [],
             route=call.route.name if call else request.head.path,
             outcome=outcome,
             status=answer.status,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -18,7 +18,12 @@
 from yokedock.request.connection_shares import ConnectionShares
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.request_digest import digest_text
-from yokedock.request.routed_call import NOT_SENT, BufferedResponse, RoutedCall
+from yokedock.request.routed_call import (
+    MS_PER_SECOND,
+    NOT_SENT,
+    BufferedResponse,
+    RoutedCall,
+)
 from yokedock.router_errors import (
     BackendConnectionClosed,
     BackendNotAccepting,
@@ -64,6 +69,8 @@
         self._call = call
         self._poison = poison
         self._sent_s = 0.0
+        self._writing_since_s: float | None = None
+        """When the first part of the response body arrived (boot time, s)."""
         self._is_prefill = False
         self._notes: ResponseMetadata | None = None
         """Metadata from the latest response head."""
@@ -145,7 +152,7 @@
         parts = []
         try:
             async with ReadFirstTimeout(min(patience_s, self._call.remaining_s())) as time_limit:
-                async for part in self._connection.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
+                async for part in self.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
                     parts.append(part)
                     time_limit.reschedule(min(clock() + patience_s, deadline_s))
         except TimeoutError:
@@ -155,9 +162,31 @@
         self.finish(is_failure=head.status >= SERVER_ERROR)
         return BufferedResponse(head, b"".join(parts))
 
-    def body_parts(self) -> AsyncIterator[bytes]:
-        """Return the parts of the body as they arrive."""
-        return self._connection.body_parts()
+    async def body_parts(self, max_bytes: int | None = None) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive.
+
+        Raises ``BackendConnectionClosed`` if the body is truncated, ``ResponseTooLarge`` if it
+        exceeds ``max_bytes``.
+        """
+        async for part in self._connection.body_parts(max_bytes):
+            if self._writing_since_s is None:
+                self._writing_since_s = boot_time_s()
+            yield part
+
+    def log_broken(self, error: BackendResponseError) -> None:
+        """Log a failed exchange, with how far the response had got."""
+        now_s, since_s = boot_time_s(), self._writing_since_s
+        _log.info(
+            "answer broken off",
+            request=self._call.request_id,
+            digest=digest_text(self._call.digest),
+            parts=list(self._call.shared_parts),
+            backend=self.backend.name,
+            is_prefill=self._is_prefill,
+            sent_ms_ago=round((now_s - self._sent_s) * MS_PER_SECOND) if self.is_sent else None,
+            written_ms=None if since_s is None else round((now_s - since_s) * MS_PER_SECOND),
+            reason=error.message,
+        )
 
     def finish(self, is_failure: bool = False) -> None:
         """Record that the response was read completely."""
@@ -278,13 +307,7 @@
                 backend.health.record_answer(now_s, 0.0, is_failure=True)
             raise
         except BackendResponseError as error:
-            _log.info(
-                "answer broken off",
-                request=call.request_id,
-                digest=digest_text(call.digest),
-                backend=backend.name,
-                reason=error.message,
-            )
+            exchange.log_broken(error)
             if isinstance(error, BackendConnectionClosed):
                 exchange.record_closed()
             if isinstance(error, BackendUnresponsive):
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -24,6 +24,8 @@
 """Outcome of an exchange that the router ended: the caller disconnected or time ran out."""
 NOT_SENT = "not_sent"
 """Outcome of an exchange that only opened a connection, without sending a request."""
+MAX_SHARED_PARTS = 32
+"""Parts of one prompt that are considered; callers may name any number."""
 MAX_LOGGED_VISITS = 16
 """Exchanges logged for one request. ``max_attempts`` and its prefills seldom need more."""
 
@@ -59,6 +61,17 @@
             self.cached_digest = request_digest(self.request)
         return self.cached_digest
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt parts that other requests may have too.
+
+        The last part belongs to the request itself or to its session.
+        """
+        generation = self.terms.generation
+        if generation is None:
+            return ()
+        return tuple(part.part_id for part in generation.parts[:-1][:MAX_SHARED_PARTS])
+
     @property
     def request_id(self) -> str:
         """Return the request id given by the caller."""
