--- a/features/support/crashing_backends.py
+++ b/features/support/crashing_backends.py
@@ -1,8 +1,9 @@
-"""Backends that crash when they start to run a marked request, and are replaced by new ones."""
+"""Backends that crash when they start to run a harmful request, and are replaced by new ones."""
 
 import asyncio
 
 from support.stand_in_backend import StandInBackend
+from yokedock.base.clock import boot_time_s
 from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateChanges
 
@@ -10,25 +11,46 @@
 BACK_AFTER_S = 0.1
 
 
+def has_crashing_body(arrival):
+    """Return whether the request is the one that crashes backends."""
+    return CRASHING_BODY in arrival.body
+
+
 class CrashingBackends:
     """Replaces each crashed backend by one of the same kind, and announces it to the routers."""
 
-    def __init__(self, world, routers):
+    def __init__(
+        self,
+        world,
+        routers,
+        is_harmful=has_crashing_body,
+        back_after_s=BACK_AFTER_S,
+        prepare=lambda backend: None,
+    ):
+        """``is_harmful`` returns whether an arrival crashes the backend that runs it.
+
+        ``prepare`` is called with each new backend before it starts.
+        """
         self._world = world
         self._routers = routers
-        self._position = world.position
+        self._is_harmful = is_harmful
+        self._back_after_s = back_after_s
+        self._prepare = prepare
+        self.position = world.position
+        """Position of the state source after the latest replacement."""
         self.generations = 0
         self.crash_times_s = []
-        """When backends crashed (seconds of the event loop's clock)."""
+        """When backends crashed (boot time, s)."""
+        self.gone = set()
+        """Names of the backends that were replaced."""
         for backend in list(world.backends.values()):
             if backend.role != "prefill":
                 self._watch(backend)
 
     def arrivals(self):
-        """Return the arrivals of the marked request, including its prefills, by time."""
-        found = [
-            a for b in self._world.backends.values() for a in b.arrivals if CRASHING_BODY in a.body
-        ]
+        """Return the arrivals of harmful requests, including their prefills, by time."""
+        backends = self._world.backends.values()
+        found = [a for b in backends for a in b.arrivals if self._is_harmful(a)]
         return sorted(found, key=lambda arrival: arrival.arrived_s)
 
     def ended(self):
@@ -46,25 +68,26 @@
         ]
 
     def _watch(self, backend):
-        backend.crash_pattern = CRASHING_BODY
+        backend.crashes_on = self._is_harmful
         backend.on_crash = lambda: self._handle_crash(backend)
 
     def _handle_crash(self, backend):
-        loop = asyncio.get_running_loop()
-        self.crash_times_s.append(loop.time())
-        loop.call_later(
-            BACK_AFTER_S, lambda: asyncio.ensure_future(self._start_replacement(backend))
+        self.crash_times_s.append(boot_time_s())
+        asyncio.get_running_loop().call_later(
+            self._back_after_s, lambda: asyncio.ensure_future(self._start_replacement(backend))
         )
 
     async def _start_replacement(self, old):
         self.generations += 1
         name = f"{old.name.partition('-')[0]}-{self.generations}"
         fresh = StandInBackend(name, old.service, old.role, old.slots)
+        self._prepare(fresh)
         await fresh.start()
         self._watch(fresh)
         self._world.backends[name] = fresh
         entry = BackendEntry(name, fresh.service, fresh.address, slots=fresh.slots, role=fresh.role)
-        self._position += 1
+        self.position += 1
+        self.gone.add(old.name)
         for router in self._routers:
-            position = SourcePosition(0, self._position)
+            position = SourcePosition(0, self.position)
             router.source.tell(StateChanges(position, None, (entry,), (old.name,)))
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -69,8 +69,8 @@
         self.processing_time_s = lambda arrival: 0.0
         """Returns the processing time of a request before its response starts."""
         self.crashes_after_break = False
-        self.crash_pattern = None
-        """The backend crashes when it starts to run a request whose body contains these bytes."""
+        self.crashes_on = lambda arrival: False
+        """Returns whether the backend crashes when it starts to run the request."""
         self.on_crash = lambda: None
         """Called after such a request has crashed it."""
         self.clears_cache_after_break = False
@@ -225,7 +225,7 @@
         await self.gate.wait()
         await asyncio.sleep(self.processing_time_s(arrival))
         is_run = arrival.header("X-Stage") is None
-        if is_run and self.crash_pattern is not None and self.crash_pattern in arrival.body:
+        if is_run and self.crashes_on(arrival):
             await self._crash_during(arrival, writer)
             return False
         if self.role:
