Withhold prompt parts that crash the engines which write an answer on them

Cause: a limit that hangs on an identifier which changes with each try. Quarantine went by the digest of a whole request; requests that share only one prompt part have two ends each, and their digest never comes again.

Ruled out as the cause: two routers that had just started (the others sent on too); the routers' own repeats (a factor of two); ends put down to sound requests (it happens: two digests of another route, but new harmful ones went on).

A part of two requests at two separate crashes and of no answer is withheld, at once and before a prefill; what is queued or sent already is ended. Parts that were at the same crashes are withheld only together. Routers report crashes for a second, and object with answers that they saw; a new router is told. A crash that a part explains is not attributed to a single request.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -292,3 +292,19 @@
       | a resumed stream needs a listed backend              |
       | engines show a version only if it was alone          |
       | each version keeps a decode engine                   |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: prompt parts that crash engines
+      | property                                      |
+      | a crashing part is withheld after few crashes |
+      | harmless parts beside it are spared           |
+      | crashes alone withhold no part                |
+      | an answer anywhere proves a part sound        |
+      | one request blames no part                    |
+      | crashes at one moment count once              |
+      | inseparable parts are withheld together       |
+      | an engine that answers later has not crashed  |
+      | withheld parts are forgotten                  |
+      | part records are bounded                      |
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -172,7 +172,9 @@
     context.third = context.world.start_router(snapshot, (seed,), address)
     gossip = context.third._gossip
     context.world.wait_for(lambda: gossip.fleet_size() == 3, "the others are heard")
-    context.world.wait_for(lambda: context.third._poison.size(), "it was told of the request")
+    context.world.wait_for(
+        lambda: context.third._crashes.requests.size(), "it was told of the request"
+    )
 
 
 @when('a caller sends that request on "{name}" once, at the third router')
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -202,7 +202,7 @@
 
 @then("no request is suspected of ending backends")
 def none_suspected(context):
-    assert context.router._poison.size() == 0
+    assert context.router._crashes.requests.size() == 0
 
 
 @then('requests reached "{name}" after the rest')
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -21,7 +21,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.datagram_inbox import DatagramInbox
-from yokedock.connection.router_state import RouterState, SuspectRequest
+from yokedock.connection.router_state import CrashReport, RouterState
 
 _log = logger("gossip")
 
@@ -96,8 +96,8 @@
         self._on_state = on_state
         self._on_silent = on_silent
         self._others: dict[str, OtherRouter] = {}
-        self.newcomer_suspects: Callable[[], tuple[SuspectRequest, ...]] = tuple
-        """Returns the suspects to send to a router that has just started."""
+        self.newcomer_report: Callable[[], CrashReport] = CrashReport
+        """Returns what a router that has just started should know about crashes."""
         self.on_started: Callable[[OtherRouter], None] = lambda other: None
         """Called when another router has started or was silent before."""
         self.on_stream_origins: Callable[[bytes, str], None] = lambda data, address: None
@@ -220,7 +220,7 @@
         other.heard_s = told_s
         other.state = state
         if has_started:
-            self._send_suspects(other)
+            self._report_crashes(other)
             self.on_started(other)
         if state.is_asking:
             self._send_to(other)
@@ -265,20 +265,23 @@
             other.last_sent_s = now_s
             self._transport.sendto(data, (other.address, self._port))
 
-    def _send_suspects(self, newcomer: OtherRouter) -> None:
-        """Send the suspects to a router that has just started, as others got them earlier."""
-        suspects = self.newcomer_suspects()
-        if not suspects or self._random.random() * len(self.alive()) > NEWCOMER_RESPONDERS:
+    def _report_crashes(self, newcomer: OtherRouter) -> None:
+        """Report crashes to a router that has just started, as others were told earlier."""
+        report = self.newcomer_report()
+        is_empty = not (report.requests or report.parts)
+        if is_empty or self._random.random() * len(self.alive()) > NEWCOMER_RESPONDERS:
             return
-        self._send_to(newcomer, suspects)
+        self._send_to(newcomer, report)
 
-    def _send_to(self, other: OtherRouter, suspects: tuple[SuspectRequest, ...] = ()) -> None:
-        """Send this router's state to one router; ``suspects``, if any, replace the newest ones."""
+    def _send_to(self, other: OtherRouter, report: CrashReport | None = None) -> None:
+        """Send this router's state to one router; ``report`` replaces its most recent crashes."""
         if self._transport is None:
             return
         self._sequence += 1
         state = self._make_state(self._sequence, ())
-        state.suspects = suspects or state.suspects
+        if report is not None:
+            state.suspects = report.requests or state.suspects
+            state.suspect_parts = report.parts or state.suspect_parts
         self._transport.sendto(self._encoder.encode(state), (other.address, self._port))
 
     def _addresses_to_send(self, now_s: float) -> tuple[str, ...]:
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -61,6 +61,32 @@
     """Time since the most recent termination."""
 
 
+class PartCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A backend that terminated before it answered requests with a certain prompt part."""
+
+    life: int
+    """Number of the backend instance."""
+    requests: tuple[int, ...] = ()
+    """Numbers of these requests."""
+    age_ms: int = 0
+    """Time since the termination."""
+
+
+class SuspectPart(msgspec.Struct, array_like=True, frozen=True):
+    """A prompt part of requests during which backends terminated."""
+
+    part: int
+    """Number of the part that is the same on every router."""
+    crashes: tuple[PartCrash, ...] = ()
+
+
+class CrashReport(msgspec.Struct, frozen=True):
+    """What a router tells one that has just started about crashes of backends."""
+
+    requests: tuple[SuspectRequest, ...] = ()
+    parts: tuple[SuspectPart, ...] = ()
+
+
 class StateNews(msgspec.Struct, array_like=True, frozen=True):
     """Recent changes read from the state source: all changes between two positions."""
 
@@ -120,6 +146,10 @@
     """Whether this router resumed after a stall and requests the others' states immediately."""
     era: int = 0
     """Era of the source at ``position``; 0 if the sender does not report one."""
+    suspect_parts: tuple[SuspectPart, ...] = ()
+    """Prompt parts of requests during which backends recently terminated."""
+    sound_parts: tuple[int, ...] = ()
+    """Prompt parts that another router suspects, and on which this one saw answers."""
 
     def source_position(self) -> SourcePosition:
         """Return the position up to which the router knows the source's history."""
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -20,8 +20,8 @@
 from yokedock.process.watcher_selection import SourceContact
 from yokedock.request.backend_gossip import BackendGossip
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.crash_records import CrashRecords
 from yokedock.request.engine_ledger import EngineLedger
-from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.queued_placement import QueuedPlacement
 from yokedock.request.remote_queues import RemoteQueues
 
@@ -42,7 +42,7 @@
     ledger: EngineLedger
     placement: QueuedPlacement
     remote_queues: RemoteQueues
-    poison: PoisonRequests
+    crashes: CrashRecords
     stop: StopState
 
 
@@ -85,10 +85,12 @@
             components.follower.source_age_ms(),
             components.follower.news(),
             components.backends.broken(),
-            components.poison.told(),
+            components.crashes.requests.told(),
             components.backends.recently_leaving(),
             components.backends.limits(),
             era=components.follower.position.era,
+            suspect_parts=components.crashes.parts.told(),
+            sound_parts=components.crashes.parts.told_sound(),
         )
 
     def source_contacts(self) -> list[SourceContact]:
@@ -145,7 +147,9 @@
         components.backends.apply_remote_leaving(state.leaving, other.heard_s)
 
     def _apply_suspects(self, other: OtherRouter, state: RouterState) -> None:
-        self._components.poison.heard(state.suspects, other.heard_s)
+        crashes = self._components.crashes
+        crashes.requests.heard(state.suspects, other.heard_s)
+        crashes.parts.heard(state.suspect_parts, state.sound_parts, other.heard_s)
 
     def _apply_limits(self, other: OtherRouter, state: RouterState) -> None:
         self._components.backends.apply_remote_limits(other.address, state.limits, other.heard_s)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -44,8 +44,10 @@
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.connection_shares import ConnectionShares
+from yokedock.request.crash_records import CrashRecords
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.generation_call import GenerationCalls
+from yokedock.request.poison_parts import PoisonParts
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.queued_placement import QueuedPlacement
@@ -115,10 +117,12 @@
         allowance = RetryAllowance(bounds, fleet_size, settings.fleet.is_first_start)
         self._allowance = allowance
         self._pool = BackendPool()
-        self._poison = PoisonRequests(mechanisms.quarantine)
+        self._crashes = CrashRecords(
+            PoisonRequests(mechanisms.quarantine), PoisonParts(mechanisms.quarantine)
+        )
         self._shares = ConnectionShares(self._gossip.known)
         self._registry.connection_share = self._connection_share
-        exchanges = BackendExchanges(self._pool, dialect, self._poison, self._shares)
+        exchanges = BackendExchanges(self._pool, dialect, self._crashes, self._shares)
         self._remote_queues = RemoteQueues(own_address)
         placement = QueuedPlacement(
             self._registry,
@@ -147,7 +151,7 @@
                 mechanisms,
             ),
             UnaryCalls(self._registry, exchanges, allowance, self._pinning),
-            QuarantineGuard(self._poison),
+            QuarantineGuard(self._crashes),
             self._pinning,
             self._metrics,
             self._stop,
@@ -175,7 +179,7 @@
                 self._pool,
                 lookup,
                 allowance,
-                self._poison,
+                self._crashes,
                 self._gossip,
                 self._leadership,
                 self._metrics,
@@ -196,7 +200,7 @@
                 self._ledger,
                 placement,
                 self._remote_queues,
-                self._poison,
+                self._crashes,
                 self._stop,
             )
         )
@@ -207,9 +211,10 @@
         """Have the components report their changes to the other routers and to each other."""
         self._follower.on_news = self._gossip.change
         self._ledger.on_change = self._gossip.change
-        self._poison.on_crash_detected = self._gossip.change
+        self._crashes.requests.on_crash_detected = self._gossip.change
+        self._crashes.parts.on_report_due = self._gossip.change
         self._registry.limits.on_change = self._gossip.change
-        self._gossip.newcomer_suspects = self._poison.report_for_new_router
+        self._gossip.newcomer_report = self._crashes.report_for_new_router
         self._gossip.on_started = self._origins.replicate_to
         self._gossip.on_stream_origins = self._origins.receive
         self._registry.on_change = self._on_backends_changed
@@ -404,7 +409,7 @@
             "state_parts_failed": self._gossip_handler.failed_parts,
             **self._allowance.levels(),
             **self._ledger.levels(),
-            **self._poison.levels(),
+            **self._crashes.levels(),
             **self._registry.levels(),
             **self._pinning.levels(),
             **self._suspension_monitor.levels(),
--- a/src/yokedock/process/router_maintenance.py
+++ b/src/yokedock/process/router_maintenance.py
@@ -20,8 +20,8 @@
 from yokedock.process.stream_origin_exchange import StreamOriginExchange
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.cache_lookup import CacheLookup
+from yokedock.request.crash_records import CrashRecords
 from yokedock.request.engine_ledger import EngineLedger
-from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.version_history import VersionHistory
 
@@ -39,7 +39,7 @@
     pool: BackendPool
     lookup: CacheLookup
     allowance: RetryAllowance
-    poison: PoisonRequests
+    crashes: CrashRecords
     gossip: RouterGossip
     leadership: Leadership
     metrics: RouterMetrics
@@ -76,7 +76,9 @@
             "resting_connections": tables.pool.size(),
             "cache_lists": tables.lookup.size(),
             "retry_times": tables.allowance.size(),
-            "suspects": tables.poison.size(),
+            "suspects": tables.crashes.requests.size(),
+            "suspect_parts": tables.crashes.parts.size(),
+            "sound_parts": tables.crashes.parts.sound_size(),
             "routers": tables.gossip.known(),
             "votes": tables.leadership.size(),
             "stream_origins": tables.origins.size(),
@@ -96,7 +98,8 @@
             tables.ledger.drop_expired,
             tables.lookup.evict_expired,
             tables.allowance.drop_old,
-            tables.poison.drop_old,
+            tables.crashes.requests.drop_old,
+            tables.crashes.parts.drop_old,
             tables.leadership.drop_old_votes,
             tables.origins.drop_expired,
             self._interrupt_history_if_cut_off,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -16,7 +16,8 @@
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.connection_shares import ConnectionShares
-from yokedock.request.poison_requests import PoisonRequests
+from yokedock.request.crash_records import CrashRecords
+from yokedock.request.poison_parts import PROOF_S
 from yokedock.request.request_digest import digest_text
 from yokedock.request.routed_call import (
     MS_PER_SECOND,
@@ -55,9 +56,9 @@
         dialect: Dialect,
         backend: Backend,
         call: RoutedCall,
-        poison: PoisonRequests,
+        crashes: CrashRecords,
     ) -> None:
-        """Wrap a connection that is ready to send; the outcome is reported to ``poison``."""
+        """Wrap a connection that is ready to send; the outcome is reported to ``crashes``."""
         self.backend = backend
         self.is_whole = False
         self.is_sent = False
@@ -67,10 +68,12 @@
         self._connection = connection
         self._dialect = dialect
         self._call = call
-        self._poison = poison
+        self._crashes = crashes
         self._sent_s = 0.0
         self._writing_since_s: float | None = None
         """When the first part of the response body arrived (boot time, s)."""
+        self._is_writing_proved = False
+        """Whether the backend has been writing for so long that the prompt's parts are sound."""
         self._is_prefill = False
         self._notes: ResponseMetadata | None = None
         """Metadata from the latest response head."""
@@ -128,7 +131,7 @@
         self.backend.load = notes.load or self.backend.load
         if notes.is_misdirected:
             self.backend.record_gone(boot_time_s())
-        self._poison.record_alive(self.backend.life, self._sent_s)
+        self._crashes.record_alive(self.backend.life, self._sent_s)
         if notes.is_not_run:
             raise BackendRefused(
                 f"{self.backend.name} refused the request with status {head.status}"
@@ -169,10 +172,19 @@
         exceeds ``max_bytes``.
         """
         async for part in self._connection.body_parts(max_bytes):
-            if self._writing_since_s is None:
-                self._writing_since_s = boot_time_s()
+            self._note_writing()
             yield part
 
+    def _note_writing(self) -> None:
+        """Note that a part of the body has arrived."""
+        now_s = boot_time_s()
+        if self._writing_since_s is None:
+            self._writing_since_s = now_s
+        is_proof_due = not (self._is_writing_proved or self._is_prefill)
+        if is_proof_due and now_s >= self._writing_since_s + PROOF_S:
+            self._is_writing_proved = True
+            self._crashes.record_writing(self._call)
+
     def log_broken(self, error: BackendResponseError) -> None:
         """Log a failed exchange, with how far the response had got."""
         now_s, since_s = boot_time_s(), self._writing_since_s
@@ -193,8 +205,8 @@
         self.is_whole = True
         now_s = boot_time_s()
         self.backend.health.record_answer(now_s, now_s - self._sent_s, is_failure)
-        if self._poison.is_known() and not is_failure and not self._is_prefill:
-            self._poison.record_harmless(self._call.digest)
+        if not is_failure and not self._is_prefill:
+            self._crashes.record_answered(self._call)
 
     def record_closed(self) -> None:
         """Record that the backend closed the connection during the request.
@@ -203,7 +215,8 @@
         """
         if self.is_sent and not self.backend.is_ending:
             since_sent_s = boot_time_s() - self._sent_s
-            self._poison.record_crash(self._call.digest, self.backend.life, since_sent_s)
+            is_part_sound = self._is_writing_proved or self._is_prefill
+            self._crashes.record_crash(self._call, self.backend.life, since_sent_s, is_part_sound)
 
     def _check_origin(self, head: ResponseHead, notes: ResponseMetadata) -> None:
         """Raise unless the response names a request and a successful one carries a signature."""
@@ -234,13 +247,13 @@
         self,
         pool: BackendPool,
         dialect: Dialect,
-        poison: PoisonRequests,
+        crashes: CrashRecords,
         shares: ConnectionShares,
     ) -> None:
-        """Use the connection pool, dialect and poison request records of the process."""
+        """Use the connection pool, dialect and crash records of the process."""
         self.pool = pool
         self._shares = shares
-        self._poison = poison
+        self._crashes = crashes
         self.dialect = dialect
 
     @contextlib.asynccontextmanager
@@ -263,8 +276,7 @@
             raise BackendUnreachable(
                 f"{backend.name} has ended: {backend.entry.instance} was restarted"
             )
-        if self._poison.is_known():
-            self._poison.require_not_quarantined(call.digest)
+        self._crashes.require_not_quarantined(call)
         backend.require_accepting(boot_time_s())
         if backend.outstanding >= self._shares.most(call.service):
             raise BackendNotAccepting(f"all connections to {backend.name} are in use")
@@ -294,7 +306,7 @@
             # A request counts as outstanding while it connects, because other requests select
             # backends meanwhile. It is counted again below once connected.
             backend.outstanding -= 1
-        exchange = BackendExchange(connection, self.dialect, backend, call, self._poison)
+        exchange = BackendExchange(connection, self.dialect, backend, call, self._crashes)
         exchange.on_silence = lambda: self._drop_silent_connections(connection, call)
         backend.outstanding += 1
         backend.connections.add(connection)
--- /dev/null
+++ b/src/yokedock/request/crash_records.py
@@ -0,0 +1,98 @@
+"""Records of what crashes backends: whole requests, and parts of their prompts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from yokedock.connection.router_state import CrashReport
+from yokedock.errors import RequestQuarantined
+from yokedock.request.poison_parts import PoisonParts
+from yokedock.request.poison_requests import IMMEDIATE_CRASH_S, PoisonRequests
+from yokedock.request.routed_call import RoutedCall
+
+REQUEST_MASK = 0xFFFF_FFFF
+"""Bits of a request's digest that tell apart the requests at the crashes of a part."""
+
+
+class CrashRecords:
+    """Passes the results of exchanges to the records, and decides which calls are quarantined."""
+
+    def __init__(self, requests: PoisonRequests, parts: PoisonParts) -> None:
+        """Crashes that ``parts`` explains are not attributed to single requests."""
+        self.requests = requests
+        self.parts = parts
+        requests.is_explained = parts.explains
+        self.parts_refused = 0
+        """Number of calls that were not forwarded because of a part of their prompt."""
+
+    def watch(self, on_change: Callable[[], None]) -> None:
+        """Have ``on_change`` called whenever a call may have become quarantined."""
+        self.requests.on_change = on_change
+        self.parts.on_change = on_change
+
+    # --- Results of exchanges with backends ---
+
+    def record_crash(
+        self, call: RoutedCall, life: int, since_sent_s: float, is_part_sound: bool
+    ) -> None:
+        """Record that a backend closed the connection ``since_sent_s`` after a call was sent.
+
+        ``is_part_sound``: the backend had been writing its answer for so long that no part of the
+        prompt can be the cause.
+        """
+        self.requests.record_crash(call.digest, life, since_sent_s)
+        if call.shared_parts and not is_part_sound and since_sent_s >= IMMEDIATE_CRASH_S:
+            self.parts.record_crash(call.part_keys, call.digest & REQUEST_MASK, life)
+
+    def record_alive(self, life: int, sent_s: float) -> None:
+        """Record an answer to a request sent at ``sent_s``: the backend had not crashed before."""
+        self.requests.record_alive(life, sent_s)
+        self.parts.record_alive(life, sent_s)
+
+    def record_writing(self, call: RoutedCall) -> None:
+        """Record that a backend has been writing an answer for ``PROOF_S``."""
+        self.parts.record_sound(call.part_keys)
+
+    def record_answered(self, call: RoutedCall) -> None:
+        """Record that a call was answered completely, so it crashes no backend."""
+        if self.requests.is_known():
+            self.requests.record_harmless(call.digest)
+        self.parts.record_sound(call.part_keys)
+
+    # --- Decisions ---
+
+    def quarantined_for_s(self, call: RoutedCall) -> float:
+        """Return the remaining quarantine of a call in seconds, 0.0 if there is none."""
+        if self.requests.is_known():
+            remaining_s = self.requests.quarantined_for_s(call.digest)
+            if remaining_s:
+                return remaining_s
+        if not self.parts.is_known() or not call.shared_parts:
+            return 0.0
+        withheld = self.parts.find_withheld(call.part_keys)
+        return withheld.remaining_s if withheld else 0.0
+
+    def require_not_quarantined(self, call: RoutedCall) -> None:
+        """Raise ``RequestQuarantined`` if the call is quarantined."""
+        if self.requests.is_known():
+            self.requests.require_not_quarantined(call.digest)
+        if not self.parts.is_known() or not call.shared_parts:
+            return
+        withheld = self.parts.find_withheld(call.part_keys)
+        if withheld is not None:
+            self.parts_refused += 1
+            part = call.shared_parts[call.part_keys.index(withheld.key)]
+            message = f"prompt part {part} has crashed engines; leave it out, or retry later"
+            raise RequestQuarantined(message, withheld.remaining_s)
+
+    # --- Gossip between routers ---
+
+    def report_for_new_router(self) -> CrashReport:
+        """Return the report for a newly started router: all suspects with several crashes."""
+        return CrashReport(
+            self.requests.report_for_new_router(), self.parts.report_for_new_router()
+        )
+
+    def levels(self) -> dict[str, float]:
+        """Return the metrics of calls that were not forwarded because of quarantine."""
+        return {**self.requests.levels(), "prompt_parts_refused": self.parts_refused}
--- a/src/yokedock/request/poison_requests.py
+++ b/src/yokedock/request/poison_requests.py
@@ -99,6 +99,8 @@
         self._by_incarnation: dict[int, set[int]] = {}
         """Digests of the requests that were at a backend when it crashed, by incarnation number."""
         self._logged: set[int] = set()
+        self.is_explained: Callable[[int], bool] = lambda life: False
+        """Returns whether something other than a single request explains a crash."""
         self.on_change: Callable[[], None] = lambda: None
         self.on_crash_detected: Callable[[], None] = lambda: None
         self.refused = 0
@@ -179,8 +181,11 @@
         """Return the incarnations whose crashes are not explained by a stronger suspect."""
         if len(suspect.ends) < MIN_EXCLUSIVE_CRASHES:
             return set()
+        count = len(suspect.ends)
         return {
-            life for life in suspect.ends if not self._has_stronger_suspect(life, len(suspect.ends))
+            life
+            for life in suspect.ends
+            if not (self._has_stronger_suspect(life, count) or self.is_explained(life))
         }
 
     def _has_stronger_suspect(self, life: int, ends: int) -> bool:
--- a/src/yokedock/request/quarantine.py
+++ b/src/yokedock/request/quarantine.py
@@ -11,7 +11,8 @@
 from collections.abc import AsyncIterator
 
 from yokedock.errors import RequestQuarantined
-from yokedock.request.poison_requests import QUARANTINE_S, SETTLE_S, PoisonRequests
+from yokedock.request.crash_records import CrashRecords
+from yokedock.request.poison_requests import QUARANTINE_S, SETTLE_S
 from yokedock.request.routed_call import RoutedCall
 from yokedock.router_errors import BackendResponseLost
 
@@ -22,12 +23,12 @@
 class QuarantineGuard:
     """Monitors the calls of one router while they are served."""
 
-    def __init__(self, requests: PoisonRequests) -> None:
-        """Cancel calls according to ``requests``."""
-        self._requests = requests
+    def __init__(self, records: CrashRecords) -> None:
+        """Cancel calls according to ``records``."""
+        self._records = records
         self._limits: dict[RoutedCall, asyncio.Timeout] = {}
         self._is_recheck_scheduled = False
-        requests.on_change = self._look
+        records.watch(self._look)
 
     @contextlib.asynccontextmanager
     async def served(self, call: RoutedCall) -> AsyncIterator[None]:
@@ -36,8 +37,7 @@
         Raises ``RequestQuarantined`` if it was not run, ``BackendResponseLost`` if it may have
         been.
         """
-        if self._requests.is_known():
-            self._requests.require_not_quarantined(call.digest)
+        self._records.require_not_quarantined(call)
         limit = asyncio.timeout(None)
         self._limits[call] = limit
         try:
@@ -49,7 +49,8 @@
             if call.may_have_run:
                 message = "backends crashed during this request; check whether it was executed"
                 raise BackendResponseLost(message) from None
-            message = "this request crashes backends; change it, or retry it later"
+            self._records.require_not_quarantined(call)
+            message = "this request may crash backends; change it, or retry it later"
             raise RequestQuarantined(message, QUARANTINE_S) from None
         finally:
             del self._limits[call]
@@ -70,6 +71,5 @@
         now_s = asyncio.get_running_loop().time()
         for call, limit in list(self._limits.items()):
             is_cancellable = not call.answer.has_started and not limit.expired()
-            if is_cancellable and self._requests.quarantined_for_s(call.digest):
-                self._requests.refused += 1
+            if is_cancellable and self._records.quarantined_for_s(call):
                 limit.reschedule(now_s)
--- a/src/yokedock/request/request_digest.py
+++ b/src/yokedock/request/request_digest.py
@@ -1,7 +1,7 @@
-"""Digest that identifies a request across its attempts, from its method, host, target and body.
+"""Digests that identify a request across its attempts, and a prompt part across requests.
 
-Other headers are left out: each attempt has its own id, and a caller's deadline and stream position
-differ between attempts.
+The digest of a request is made of its method, host, target and body. Other headers are left out:
+each attempt has its own id, and a caller's deadline and stream position differ between attempts.
 """
 
 from __future__ import annotations
@@ -25,6 +25,11 @@
     return int.from_bytes(digest.digest())
 
 
+def part_key(part_id: str) -> int:
+    """Return a digest that is equal for all uses of a prompt part and differs between parts."""
+    return int.from_bytes(hashlib.blake2b(part_id.encode(), digest_size=DIGEST_BYTES).digest())
+
+
 def digest_text(digest: int) -> str:
     """Format a digest for logs."""
     return f"{digest:0{2 * DIGEST_BYTES}x}"
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -13,7 +13,7 @@
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.response_writer import ResponseWriter
 from yokedock.errors import YokedockError
-from yokedock.request.request_digest import request_digest
+from yokedock.request.request_digest import part_key, request_digest
 from yokedock.request.request_outcome import BackendVisit
 from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
@@ -53,6 +53,8 @@
     max_event_gap_s: float = 0.0
     cached_digest: int | None = None
     """Cached value of ``digest``."""
+    cached_part_keys: tuple[int, ...] | None = None
+    """Cached value of ``part_keys``."""
 
     @property
     def digest(self) -> int:
@@ -72,6 +74,13 @@
             return ()
         return tuple(part.part_id for part in generation.parts[:-1][:MAX_SHARED_PARTS])
 
+    @property
+    def part_keys(self) -> tuple[int, ...]:
+        """Return the short numbers of ``shared_parts``, in the same order."""
+        if self.cached_part_keys is None:
+            self.cached_part_keys = tuple(part_key(part) for part in self.shared_parts)
+        return self.cached_part_keys
+
     @property
     def request_id(self) -> str:
         """Return the request id given by the caller."""
