Streams without framing that end ahead of their first event, or inside one, have been broken off

What callers saw: where an engine answers with neither a length nor chunks and ends, its connection ends like a whole answer. A stream whose engine crashed before its first event was passed on as a whole, empty 200; and the crash counted as none, so a prompt part that crashes such engines was never withheld.

Cause: only a reset, or chunks without their end, was taken for a crash; a stream's end was checked for an incomplete event only, and that error was not one of a closed connection.

A whole stream and one that ends inside an event were right before.

Change: StreamRelay.end raises BackendConnectionClosed for a body that ends with its connection, if it holds no event of this run or ends inside one. One that ends between two events cannot be told from a whole one.

--- a/features/crashing_prompt_parts.feature
+++ b/features/crashing_prompt_parts.feature
@@ -48,3 +48,14 @@
     And for 1 s harmful requests "first,bad,own" come at the first router, no two alike, and beside each the harmless "first,own"
     Then no harmful request has reached an engine since that router was in touch
     And no harmless request was refused as harmful
+
+  Scenario: A part under which engines end streams without framing is kept from them as well
+    Given 4 prefill engines and 8 decode engines
+    And four routers that hear each other
+    And engines crash when they write an answer on "bad", and come back after 0.5 s
+    And answers of engines have neither a length nor chunks
+    When for 4 s harmful requests "first,bad,own" come at the routers in turn, no two alike, and beside each the harmless "first,own"
+    Then at most 8 backends have ended
+    And all harmless requests that came 0.5 s after the last end or later were served whole
+    And no harmless request was refused as harmful
+    And the last harmful requests got 503 with a time to come back within 0.2 s
--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -24,6 +24,23 @@
       | break within event 2  | 1    |
       | lose event 3          | 2    |
       | wait after event 2    | 2    |
+      | unframed, ends within event 3 | 2 |
+
+  Scenario: A stream with neither a length nor chunks is passed on whole
+    Given every decode engine's next fault is "unframed" at the first that runs
+    When a client streams on "talk"
+    Then the client gets 6 events, each once and in order, and a whole end
+
+  Scenario: A stream without framing that ends ahead of its first event has been broken off
+    Given every decode engine's next fault is "unframed, ends before event 1" at the first that runs
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+
+  Scenario: A stream without framing that breaks and may not be resumed never looks complete
+    Given every decode engine's next fault is "unframed, ends within event 4" at the first that runs
+    When a client streams on "talk"
+    Then the client gets 3 events and no end
+    And the decode engines ran 1 request
 
   Scenario: An event that comes twice is passed on once
     Given every decode engine's next fault is "double event 3" at the first that runs
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -128,6 +128,7 @@
     def prepare(backend):
         backend.processing_time_s = lambda arrival: RUN_S
         backend.event_interval_s = EVENT_INTERVAL_S
+        backend.is_unframed = any(each.is_unframed for each in context.world.backends.values())
 
     context.mortals = CrashingBackends(
         context.world, context.routers, is_harmful, back_after_s, prepare
@@ -136,6 +137,12 @@
     context.sent = []
 
 
+@given("answers of engines have neither a length nor chunks")
+def unframed_answers(context):
+    for backend in context.world.backends.values():
+        backend.is_unframed = True
+
+
 @when(
     'for {s:g} s harmful requests "{harmful}" come at {where}, no two alike,'
     ' and beside each the harmless "{harmless}"'
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -69,6 +69,8 @@
         self.processing_time_s = lambda arrival: 0.0
         """Returns the processing time of a request before its response starts."""
         self.crashes_after_break = False
+        self.is_unframed = False
+        """Whether its streams have neither a length nor chunks, and end with the connection."""
         self.crashes_on = lambda arrival: False
         """Returns whether the backend crashes when it starts to run the request."""
         self.on_crash = lambda: None
@@ -240,8 +242,12 @@
     async def _crash_during(self, arrival, writer):
         """Send the start of a response, then crash, which aborts all requests on this backend."""
         arrival.crashed_backend = True
-        writer.write(self._head(arrival, 200, [("Transfer-Encoding", "chunked")]))
+        framing = [] if self.is_unframed else [("Transfer-Encoding", "chunked")]
+        writer.write(self._head(arrival, 200, framing))
         await writer.drain()
+        if self.is_unframed:
+            writer.close()
+            await asyncio.sleep(0.001)
         await self.stop()
         self.on_crash()
 
@@ -285,7 +291,24 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
         return True
 
+    async def _stream_unframed(self, arrival, writer, fault):
+        """Write a stream with neither a length nor chunks, which ends with its connection."""
+        first = int(arrival.header("Last-Event-Id") or 0) + 1
+        writer.write(self._head(arrival, 200, []))
+        for number in range(first, self.pieces + 1):
+            event = f"id: {number}\ndata: piece {number} of {self.name}\n\n".encode()
+            if fault == f"unframed, ends before event {number}":
+                return False
+            if fault == f"unframed, ends within event {number}":
+                writer.write(event[:9])
+                return False
+            writer.write(event)
+            await writer.drain()
+        return False
+
     async def _stream(self, arrival, writer, fault):
+        if self.is_unframed or fault.startswith("unframed"):
+            return await self._stream_unframed(arrival, writer, fault)
         first = int(arrival.header("Last-Event-Id") or 0) + 1
         writer.write(self._head(arrival, 200, [("Transfer-Encoding", "chunked")]))
         for number in range(first, self.pieces + 1):
--- a/src/yokedock/connection/http_heads.py
+++ b/src/yokedock/connection/http_heads.py
@@ -80,6 +80,15 @@
     status: int
     reason: bytes = b""
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the end of the body shows in a length or in chunks.
+
+        Otherwise the body ends with the connection (RFC 9112, section 6.3).
+        """
+        has_length = self.get(b"content-length") is not None
+        return has_length or self.has_token(b"transfer-encoding", "chunked")
+
 
 def complete_response(
     status: int, body: bytes, headers: list[tuple[str, str]] | None = None
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -8,7 +8,7 @@
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.response_writer import ResponseWriter
-from yokedock.router_errors import BackendResponseError
+from yokedock.router_errors import BackendConnectionClosed, BackendResponseError
 
 
 class StreamRelay:
@@ -73,8 +73,15 @@
         self.last_s = now_s
 
     async def end(self, head: ResponseHead) -> None:
-        """End the stream; raises ``BackendResponseError`` if its last event is incomplete."""
-        if self._splitter.rest.strip():
+        """End the stream; raises ``BackendResponseError`` if it was broken off.
+
+        That is so if its last event is incomplete. Where only the end of the connection ends a
+        stream, one without any event was broken off as well: its engine may have crashed.
+        """
+        is_cut = bool(self._splitter.rest.strip())
+        if not head.is_framed and (is_cut or self._is_first_of_run):
+            raise BackendConnectionClosed("the connection ended in the middle of the stream")
+        if is_cut:
             raise BackendResponseError("the stream ended in the middle of an event")
         if not self._answer.has_started:
             self._answer.start(head)
