Two harmful parts at once do not put the parts they share under suspicion

Cause: two requests with different harmful parts and the same other parts end two engines; what they share was at both ends, each harmful part at one, so the shared parts were withheld.

Change: where each of the crashed requests had suspect parts that a request lacks, three crashes are needed instead of two.

--- a/src/yokedock/request/poison_parts.py
+++ b/src/yokedock/request/poison_parts.py
@@ -30,6 +30,9 @@
 MIN_CRASHES = 2
 """Crashes, each with another request, after which a part is withheld: a sound part that few
 requests share is seldom at two crashes without an answer in between."""
+MIN_AMBIGUOUS_CRASHES = 3
+"""The same if each of the crashed requests also had suspect parts that the request lacks: these
+may be several harmful parts, and what they have in common harmless."""
 MIN_SHARED_CRASHES = 8
 """The same if a part that the request lacks was at all of these crashes too."""
 SIMULTANEOUS_S = 0.02
@@ -166,6 +169,10 @@
         """Return whether there is any suspect."""
         return bool(self._suspects)
 
+    def is_suspect(self, key: int) -> bool:
+        """Return whether a part was at a crash and no answer on it is known."""
+        return key in self._suspects
+
     def find_withheld(self, parts: Iterable[int]) -> WithheldPart | None:
         """Return the part because of which a request with these parts is withheld, if any."""
         own = frozenset(parts)
@@ -196,7 +203,10 @@
         count = count_crashes(suspect.crashes[life] for life in unexplained)
         if count < MIN_CRASHES:
             return False
-        return count >= MIN_SHARED_CRASHES or not self._has_rival(settled, own)
+        if self._has_rival(settled, own):
+            return count >= MIN_SHARED_CRASHES
+        has_alternatives = all(self._has_alternative(life, suspect, own) for life in unexplained)
+        return count >= MIN_AMBIGUOUS_CRASHES or not has_alternatives
 
     def _is_explained(self, life: int, suspect: Suspect, own: frozenset[int]) -> bool:
         """Return whether a part that the request lacks explains the crash better.
@@ -212,6 +222,14 @@
                 return True
         return False
 
+    def _has_alternative(self, life: int, suspect: Suspect, own: frozenset[int]) -> bool:
+        """Return whether a crashed request with the suspect had a part that the request lacks."""
+        requests = suspect.crashes[life].requests
+        return any(
+            requests & self._suspects[key].crashes[life].requests
+            for key in self._by_incarnation[life] - own
+        )
+
     def _has_rival(self, lives: list[int], own: frozenset[int]) -> bool:
         """Return whether a part that the request lacks was at all of these crashes."""
         return bool(set.intersection(*(self._by_incarnation[life] - own for life in lives)))
