Delay the repeat of a request whose prompt may have crashed its engine

Cause: a repeat goes out within milliseconds of the crash, before the reports of the other routers are in, so a request with a harmful part ends two engines where one would show it.

Change: while a part of its prompt is a suspect (at a crash, no answer known on it), a generation that had no event yet is placed again after 0.15 s; if the part is withheld by then, it is refused. Parts with answers cost nothing.

--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -253,7 +253,7 @@
         """Use the connection pool, dialect and crash records of the process."""
         self.pool = pool
         self._shares = shares
-        self._crashes = crashes
+        self.crashes = crashes
         self.dialect = dialect
 
     @contextlib.asynccontextmanager
@@ -276,7 +276,7 @@
             raise BackendUnreachable(
                 f"{backend.name} has ended: {backend.entry.instance} was restarted"
             )
-        self._crashes.require_not_quarantined(call)
+        self.crashes.require_not_quarantined(call)
         backend.require_accepting(boot_time_s())
         if backend.outstanding >= self._shares.most(call.service):
             raise BackendNotAccepting(f"all connections to {backend.name} are in use")
@@ -306,7 +306,7 @@
             # A request counts as outstanding while it connects, because other requests select
             # backends meanwhile. It is counted again below once connected.
             backend.outstanding -= 1
-        exchange = BackendExchange(connection, self.dialect, backend, call, self._crashes)
+        exchange = BackendExchange(connection, self.dialect, backend, call, self.crashes)
         exchange.on_silence = lambda: self._drop_silent_connections(connection, call)
         backend.outstanding += 1
         backend.connections.add(connection)
--- a/src/yokedock/request/crash_records.py
+++ b/src/yokedock/request/crash_records.py
@@ -61,6 +61,13 @@
 
     # --- Decisions ---
 
+    def has_suspect_part(self, call: RoutedCall) -> bool:
+        """Return whether a part of the call's prompt was at a crash, and no answer is known on it.
+
+        Such a part may be harmless; it is quarantined after more crashes.
+        """
+        return self.parts.is_known() and any(map(self.parts.is_suspect, call.part_keys))
+
     def quarantined_for_s(self, call: RoutedCall) -> float:
         """Return the remaining quarantine of a call in seconds, 0.0 if there is none."""
         if self.requests.is_known():
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -29,6 +29,7 @@
     log_stream_summary,
 )
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
+from yokedock.request.poison_parts import SETTLE_S
 from yokedock.request.prefill_tracker import PrefillTracker
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall
@@ -50,6 +51,9 @@
 them: if three refuse all the same, the ledger is wrong and no more reliable for a fourth engine."""
 RECONNECT_S = 0.02
 """Retry interval while the chosen engine cannot be reached, until the caller would give up."""
+SUSPECT_RETRY_DELAY_S = SETTLE_S + 0.05
+"""Delay of a retry whose prompt may have crashed the engine: until then, reports of other routers
+may show that it does."""
 LAST_ENGINE_RECONNECT_S = 0.5
 """How long the last engine of a stream's software version is tried again."""
 
@@ -74,6 +78,7 @@
         self._allowance = allowance
         self._lookup = lookup
         self._mechanisms = mechanisms
+        self._crashes = exchanges.crashes
         watch = SilenceDetector(is_used=mechanisms.silence_watch)
         self._dispatcher = GenerationDispatcher(ledger, exchanges, watch, pinning)
 
@@ -140,6 +145,8 @@
                 _log.info("again", request=call.request_id, reason=error.message)
                 if state.relay.events:
                     await self._refresh_prompt_locations(call, state)
+                elif self._crashes.has_suspect_part(call):
+                    await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
             except (Refused, RetryBudgetExhausted) as error:
                 raise self._final_error(call, error) from None
 
