Try a withheld prompt part again with one request at a time

Cause: a part that was blamed wrongly would be refused at all routers for ten minutes, and a harmful one was forgotten after that, so a flood of requests with it would have ended two to four engines at once.

Change: the quarantine of a part lasts 60 s after its second counted crash and twice as long with each more, 600 s at most. Then one request at a time is sent as a trial; each router draws its time for it within 30 s, so that the result of the first reaches the others before theirs. An answer frees the part at every router, a crash withholds it for longer. Crashes are forgotten after 20 minutes.

Figures (property 'one request at a time', four routers, steady requests): three to five trials in 20 minutes, each gap longer than the one before.

--- a/features/support/poison_part_properties.py
+++ b/features/support/poison_part_properties.py
@@ -12,12 +12,14 @@
 
 from support.stream_properties import Clock
 from yokedock.request.poison_parts import (
+    FIRST_QUARANTINE_S,
+    FORGET_S,
     MAX_CRASHES_KEPT,
     MAX_REQUESTS_KEPT,
     MAX_SOUND,
     MAX_SUSPECTS,
     PROOF_S,
-    QUARANTINE_S,
+    TRIAL_SPREAD_S,
     PoisonParts,
 )
 from yokedock.request.request_digest import part_key
@@ -148,7 +150,7 @@
         self._send(Run(next(self._numbers), parts, harmful, router, self.shape.attempts))
 
     def _send(self, run):
-        if self.routers[run.router].find_withheld(run.parts) is not None:
+        if self.routers[run.router].find_withheld(run.parts, run.number) is not None:
             self.blamed += run.harmful is None
             return
         if not self.up or not run.attempts_left:
@@ -301,11 +303,11 @@
     router, other = PoisonParts(clock=clock), PoisonParts(clock=clock)
     other.record_sound([7])
     crash(router, [7], 1, 2)
-    assert router.find_withheld([7])
+    assert router.find_withheld([7], 1)
     other.heard(router.report_for_new_router(), ())
-    assert not other.find_withheld([7]) and other.told_sound() == (7,)
+    assert not other.find_withheld([7], 1) and other.told_sound() == (7,)
     router.heard((), other.told_sound())
-    assert not router.find_withheld([7]) and not router.size()
+    assert not router.find_withheld([7], 1) and not router.size()
 
 
 def one_request_blames_no_part():
@@ -314,7 +316,7 @@
     for life in range(6):
         router.record_crash([7], 1, life)
         router._clock.now_s += 0.5
-    assert not router.find_withheld([7])
+    assert not router.find_withheld([7], 1)
 
 
 def crashes_at_one_moment_count_once():
@@ -322,44 +324,81 @@
     router = PoisonParts(clock=Clock())
     crash(router, [7], 1, 2, 3, 4, interval_s=0.005)
     router._clock.now_s += 1.0
-    assert not router.find_withheld([7])
+    assert not router.find_withheld([7], 1)
     crash(router, [7], 5)
-    assert router.find_withheld([7])
+    assert router.find_withheld([7], 1)
 
 
 def parts_that_cannot_be_told_apart_are_withheld_together():
     """Of two parts at the same crashes, requests with only one of them are sent."""
     router = PoisonParts(clock=Clock())
     crash(router, [7, 8], 1, 2)
-    assert router.find_withheld([7, 8])
-    assert not router.find_withheld([7]) and not router.find_withheld([8, 9])
+    assert router.find_withheld([7, 8], 1)
+    assert not router.find_withheld([7], 1) and not router.find_withheld([8, 9], 1)
     router.record_sound([8])
-    assert router.find_withheld([7]) and not router.find_withheld([8, 9])
+    assert router.find_withheld([7], 1) and not router.find_withheld([8, 9], 1)
 
 
 def an_engine_that_answers_later_has_not_crashed():
     """A recorded crash is discarded once the engine responds to a later request."""
     router = PoisonParts(clock=Clock())
     crash(router, [7], 1, 2)
-    assert router.find_withheld([7])
+    assert router.find_withheld([7], 1)
     router.record_alive(1, router._clock.now_s)
-    assert not router.find_withheld([7])
+    assert not router.find_withheld([7], 1)
+
+
+def a_withheld_part_is_tried_by_one_request_at_a_time():
+    """After its quarantine, requests with a harmful part crash one engine a trial, ever later."""
+    clock = Clock()
+    routers = [PoisonParts(clock=clock) for _ in range(4)]
+    crash(routers[0], [7], 1, 2)
+    for router in routers[1:]:
+        router.heard(routers[0].report_for_new_router(), ())
+    trials_s = []
+    for step in range(round(FORGET_S)):
+        clock.now_s += 1.0
+        for number, router in enumerate(routers):
+            request = 4 * step + number
+            if router.find_withheld([7], request) is None:
+                trials_s.append(clock.now_s)
+                router.record_crash([7], request, 10_000 + len(trials_s))
+                for other in routers:
+                    other.heard(router.told(), ())
+            router.drop_old()
+    assert 3 <= len(trials_s) <= 5, trials_s
+    gaps_s = [later - earlier for earlier, later in itertools.pairwise(trials_s)]
+    assert gaps_s == sorted(gaps_s) and gaps_s[0] >= FIRST_QUARANTINE_S, gaps_s
+
+
+def a_part_blamed_wrongly_comes_free_with_a_trial():
+    """An answer on the first request that is sent as a trial frees the part at every router."""
+    clock = Clock()
+    routers = [PoisonParts(clock=clock) for _ in range(3)]
+    crash(routers[0], [7], 1, 2)
+    for router in routers[1:]:
+        router.heard(routers[0].report_for_new_router(), ())
+    clock.now_s += FIRST_QUARANTINE_S + TRIAL_SPREAD_S
+    assert not routers[1].find_withheld([7], 5), "the trial"
+    assert routers[1].find_withheld([7], 6), "others wait for its result"
+    assert not routers[1].find_withheld([7], 5), "the trial is checked again before it is sent"
+    routers[1].record_sound([7])
+    for router in routers:
+        router.heard((), routers[1].told_sound())
+        assert not router.find_withheld([7], 8)
 
 
 def withheld_parts_are_forgotten():
-    """A quarantine ends ten minutes after the last crash, although routers gossip about it."""
+    """Crashes are forgotten after a while, although routers gossip about them."""
     clock = Clock()
     routers = [PoisonParts(clock=clock) for _ in range(3)]
     crash(routers[0], [7], 1, 2)
-    ended_s = clock.now_s
-    for _ in range(round(QUARANTINE_S * 2)):
+    for _ in range(round(FORGET_S * 2)):
         clock.now_s += 0.7
         for one, other in itertools.permutations(routers, 2):
             other.heard(one.told() + one.report_for_new_router(), ())
         for router in routers:
             router.drop_old()
-        if clock.now_s - ended_s < QUARANTINE_S - 2.0:
-            assert all(router.find_withheld([7]) for router in routers)
     assert not any(router.size() for router in routers)
 
 
@@ -390,6 +429,12 @@
         parts_that_cannot_be_told_apart_are_withheld_together
     ),
     "an engine that answers later has not crashed": an_engine_that_answers_later_has_not_crashed,
+    "a withheld part is tried by one request at a time": (
+        a_withheld_part_is_tried_by_one_request_at_a_time
+    ),
+    "a part blamed wrongly comes free with a trial": (
+        a_part_blamed_wrongly_comes_free_with_a_trial
+    ),
     "withheld parts are forgotten": withheld_parts_are_forgotten,
     "part records are bounded": part_records_are_bounded,
 }
--- a/src/yokedock/request/crash_records.py
+++ b/src/yokedock/request/crash_records.py
@@ -14,6 +14,11 @@
 """Bits of a request's digest that tell apart the requests at the crashes of a part."""
 
 
+def request_number(call: RoutedCall) -> int:
+    """Return a short number that is equal for all attempts of a request."""
+    return call.digest & REQUEST_MASK
+
+
 class CrashRecords:
     """Passes the results of exchanges to the records, and decides which calls are quarantined."""
 
@@ -42,7 +47,7 @@
         """
         self.requests.record_crash(call.digest, life, since_sent_s)
         if call.shared_parts and not is_part_sound and since_sent_s >= IMMEDIATE_CRASH_S:
-            self.parts.record_crash(call.part_keys, call.digest & REQUEST_MASK, life)
+            self.parts.record_crash(call.part_keys, request_number(call), life)
 
     def record_alive(self, life: int, sent_s: float) -> None:
         """Record an answer to a request sent at ``sent_s``: the backend had not crashed before."""
@@ -76,7 +81,7 @@
                 return remaining_s
         if not self.parts.is_known() or not call.shared_parts:
             return 0.0
-        withheld = self.parts.find_withheld(call.part_keys)
+        withheld = self.parts.find_withheld(call.part_keys, request_number(call))
         return withheld.remaining_s if withheld else 0.0
 
     def require_not_quarantined(self, call: RoutedCall) -> None:
@@ -85,7 +90,7 @@
             self.requests.require_not_quarantined(call.digest)
         if not self.parts.is_known() or not call.shared_parts:
             return
-        withheld = self.parts.find_withheld(call.part_keys)
+        withheld = self.parts.find_withheld(call.part_keys, request_number(call))
         if withheld is not None:
             self.parts_refused += 1
             part = call.shared_parts[call.part_keys.index(withheld.key)]
--- a/src/yokedock/request/poison_parts.py
+++ b/src/yokedock/request/poison_parts.py
@@ -22,6 +22,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import PartCrash, SuspectPart
 from yokedock.request.request_digest import digest_text
 
@@ -43,8 +44,16 @@
 """An answer that has been going on for this long shows that the parts of its prompt are sound."""
 SOUND_S = 60.0
 """How long a part counts as sound after the latest answer on it."""
-QUARANTINE_S = 600.0
-"""How long a part is withheld after the latest crash."""
+FIRST_QUARANTINE_S = 60.0
+"""How long a part with ``MIN_CRASHES`` is withheld after the latest; twice as long for each more.
+Then one request with it is sent: a part that was blamed wrongly comes free with its answer."""
+MAX_QUARANTINE_S = 600.0
+FORGET_S = 1_200.0
+"""How long crashes are kept after the latest."""
+TRIAL_SPREAD_S = 30.0
+"""Routers draw their time for a trial within this span, so that few have one at the same time."""
+TRIAL_INTERVAL_S = 10.0
+"""Minimum time between two trials of a router that neither crashed an engine nor got an answer."""
 GOSSIP_S = 1.0
 """How long a router reports a crash or an objection: in several datagrams, as some may be lost."""
 MAX_GOSSIPED_PARTS = 16
@@ -79,6 +88,18 @@
     count: int = 0
     """Crashes that count: separate in time, and each with another request."""
 
+    trial_delay_s: float = 0.0
+    """Time from the end of its quarantine to this router's first trial."""
+    next_trial_s: float = 0.0
+    """Earliest time of the next trial (boot time, s)."""
+    trial_request: int = -1
+    """Number of the request that is sent as a trial."""
+
+    def quarantine_s(self) -> float:
+        """Return how long it is withheld after the latest crash."""
+        doublings = max(0, self.count - MIN_CRASHES)
+        return min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * 2.0**doublings)
+
     def last_s(self) -> float:
         """Return the time of the latest crash."""
         return max(crash.ended_s for crash in self.crashes.values())
@@ -121,6 +142,7 @@
         """Start without suspects; record none unless ``is_used``."""
         self._is_used = is_used
         self._clock = clock
+        self._random = new_random()
         self._suspects: dict[int, Suspect] = {}
         self._by_incarnation: dict[int, set[int]] = {}
         """Keys of the suspects that were at an engine when it crashed, by incarnation number."""
@@ -173,20 +195,39 @@
         """Return whether a part was at a crash and no answer on it is known."""
         return key in self._suspects
 
-    def find_withheld(self, parts: Iterable[int]) -> WithheldPart | None:
-        """Return the part because of which a request with these parts is withheld, if any."""
+    def find_withheld(self, parts: Iterable[int], request: int) -> WithheldPart | None:
+        """Return the part because of which a request with these parts is withheld, if any.
+
+        ``request`` is its number. The first that comes after a quarantine is sent as a trial.
+        """
         own = frozenset(parts)
         now_s = self._clock()
         for key in own:
             suspect = self._suspects.get(key)
             if suspect is None or suspect.count < MIN_CRASHES or not self._is_blamed(suspect, own):
                 continue
-            remaining_s = suspect.last_s() + QUARANTINE_S - now_s
-            if remaining_s > 0:
-                self._log_first_time(suspect, remaining_s)
-                return WithheldPart(key, remaining_s)
+            until_s = self._withheld_until_s(suspect, request)
+            if now_s < until_s:
+                self._log_first_time(suspect, until_s - now_s)
+                return WithheldPart(key, until_s - now_s)
         return None
 
+    def _withheld_until_s(self, suspect: Suspect, request: int) -> float:
+        """Return until when a request with a blamed part is withheld; start a trial if one is due.
+
+        The result has passed if the request may be sent.
+        """
+        now_s = self._clock()
+        due_s = suspect.last_s() + suspect.quarantine_s() + suspect.trial_delay_s
+        due_s = max(due_s, suspect.next_trial_s)
+        if request == suspect.trial_request:
+            return now_s
+        if now_s >= due_s:
+            suspect.next_trial_s = now_s + TRIAL_INTERVAL_S
+            suspect.trial_request = request
+            _log.info("trial of a withheld prompt part", part_key=digest_text(suspect.key))
+        return due_s
+
     def explains(self, life: int) -> bool:
         """Return whether a part that is withheld was at this crash."""
         return any(
@@ -263,7 +304,7 @@
         now_s = self._clock()
         # Crashes about to be forgotten are not reported: otherwise two routers would renew each
         # other's records for ever.
-        oldest_s = now_s - QUARANTINE_S + GOSSIP_S
+        oldest_s = now_s - FORGET_S + GOSSIP_S
         reports = []
         for suspect in self._suspects.values():
             crashes = tuple(
@@ -313,7 +354,7 @@
         """Drop what is too old, and what is beyond the maximum number."""
         now_s = self._clock()
         for suspect in list(self._suspects.values()):
-            if suspect.last_s() < now_s - QUARANTINE_S:
+            if suspect.last_s() < now_s - FORGET_S:
                 self._drop(suspect)
         surplus = len(self._suspects) - MAX_SUSPECTS
         if surplus > 0:
@@ -357,6 +398,8 @@
             if len(suspect.crashes) >= MAX_CRASHES_KEPT:
                 self._remove(key, min(suspect.crashes, key=lambda i: suspect.crashes[i].ended_s))
             crash = suspect.crashes[life] = CrashRecord(ended_s)
+            suspect.trial_delay_s = self._random.uniform(0.0, TRIAL_SPREAD_S)
+            suspect.trial_request = -1
             self._by_incarnation.setdefault(life, set()).add(key)
         elif requests <= crash.requests or len(crash.requests) >= MAX_REQUESTS_KEPT:
             return False
