Spare popular prompt parts while nothing is known yet

Cause: in the first seconds of a fleet that has just started, with two kinds of harmful requests at once and engines ending faster than answers take, a part that every second request has is at all ends and in no answer.

Ruled out: 1.5 requests a crash (harmful parts that come ten times a second were sent 15 times too late); the proof after 0.25 s alone (73 refused).

--- a/src/yokedock/request/poison_parts.py
+++ b/src/yokedock/request/poison_parts.py
@@ -34,13 +34,16 @@
 MIN_AMBIGUOUS_CRASHES = 3
 """The same if each of the crashed requests also had suspect parts that the request lacks: these
 may be several harmful parts, and what they have in common harmless."""
-MIN_SHARED_CRASHES = 8
-"""The same if a part that the request lacks was at all of these crashes too."""
+MIN_DOUBTFUL_CRASHES = 8
+"""The same if a part that the request lacks was at all of these crashes too, or if the part is
+popular: such a part is at all crashes, and seldom without an answer for long."""
+POPULAR_REQUESTS = 3.0
+"""Requests with a part at the average crash from which it counts as popular."""
 SIMULTANEOUS_S = 0.02
 """Crashes within this time of the previous one count as one: a rack or a power supply failed."""
 SETTLE_S = 0.1
 """Minimum age of a crash that counts: other routers report meanwhile what they know of it."""
-PROOF_S = 0.5
+PROOF_S = 0.25
 """An answer that has been going on for this long shows that the parts of its prompt are sound."""
 SOUND_S = 60.0
 """How long a part counts as sound after the latest answer on it."""
@@ -108,6 +111,11 @@
         """Return the numbers of the requests that were at the crashes."""
         return set().union(*(crash.requests for crash in self.crashes.values()))
 
+    def is_popular(self) -> bool:
+        """Return whether several requests with it were at the average crash."""
+        requests = sum(len(crash.requests) for crash in self.crashes.values())
+        return requests >= POPULAR_REQUESTS * len(self.crashes)
+
     def update_count(self) -> None:
         """Recompute ``count`` after a change of ``crashes``."""
         self.count = count_crashes(self.crashes.values())
@@ -244,8 +252,8 @@
         count = count_crashes(suspect.crashes[life] for life in unexplained)
         if count < MIN_CRASHES:
             return False
-        if self._has_rival(settled, own):
-            return count >= MIN_SHARED_CRASHES
+        if suspect.is_popular() or self._has_rival(settled, own):
+            return count >= MIN_DOUBTFUL_CRASHES
         has_alternatives = all(self._has_alternative(life, suspect, own) for life in unexplained)
         return count >= MIN_AMBIGUOUS_CRASHES or not has_alternatives
 
