Soak with prompt parts that crash engines, judged by BUDGET and LOST

Prompts then share first and middle parts; one caller sends requests with one more part that ends each engine which begins to write, no two alike, up to three at once, at routers drawn anew, for 6 to 14 s, then with the next part. soak_parts.py judges as the users' rules state it: requests sent by routers in touch later than the bound after the fifth end; harmless requests with the same first part that begin less than half as often. The report counts harmless requests that were refused as harmful. The judge is checked against four histories. Callers of both kinds of harmful requests share one function.

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -55,6 +55,8 @@
       | a router went back to an older configuration                    | CONFIG  |
       | extra arrivals went over the budget                             | BUDGET  |
       | a request that ends its backends was sent on                    | BUDGET  |
+      | requests with a part that ends engines were sent on             | BUDGET |
+      | nine of 20 harmless requests began beside a part that ends engines | LOST |
       | a backend whose leaving was passed on got a request             | DRAIN   |
       | a backend at rest got three requests                            | BUDGET  |
       | a backend whose leaving was passed on got a request after a brief wait for a processor | DRAIN |
@@ -79,6 +81,8 @@
       | two thirds of the resumed streams were refused, with one engine of their version |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
+      | a part that ends engines was kept from them in time             |
+      | half of the harmless requests began beside a part that ends engines |
       | a backend whose leaving was passed on got a request soon        |
       | a backend that said nothing got a request                       |
       | a router that was frozen since sent a leaving backend a request |
--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -48,3 +48,15 @@
       | seed |
       | 1    |
       | 2    |
+
+  # Guards against prompt parts that crash engine after engine, and harmless prompts refused for them.
+  Scenario Outline: Prompt parts that crash engines are kept from them, seed <seed>
+    When seed <seed> is simulated for 12 s with prompt parts that crash engines
+    Then clients and backends have seen no rule broken in the simulation
+    And no harmless request was refused as one that crashes engines
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 6    |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -88,6 +88,17 @@
     context.status, context.output = done.returncode, done.stdout + done.stderr
 
 
+@when("seed {seed:d} is simulated for {seconds:d} s with prompt parts that crash engines")
+def simulate_crashing_parts(context, seed, seconds):
+    context.status, context.output = simulate(seed, seconds, "--crashing-parts")
+
+
+@then("no harmless request was refused as one that crashes engines")
+def no_harmless_refused(context):
+    assert ", 0 harmless ones refused for it" in context.output, context.output
+    assert " 0 under one part" not in context.output, "no engine has crashed"
+
+
 @when("seed {seed:d} is simulated for {seconds:d} s with engines of two software versions")
 def simulate_two_versions(context, seed, seconds):
     context.status, context.output = simulate(seed, seconds, "--two-versions")
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -1,5 +1,6 @@
 """Synthetic soak histories, each with one event that the checks must report or must accept."""
 
+from yokedock_emulator.router_soak.soak_parts import CRASHING_PREFIX
 from yokedock_emulator.router_soak.soak_records import (
     POISON_MARK,
     Arrival,
@@ -155,6 +156,27 @@
         arrival.target, arrival.body, arrival.is_own_end = record.target, record.body, True
 
 
+def crashing_part(builder, attempts):
+    """Let requests with one part, no two alike, crash an engine each, at intervals of a second."""
+    for number in range(attempts):
+        record = builder.request("chat", at_s=float(number), status=502)
+        record.parts = ("first-0", f"{CRASHING_PREFIX}1")
+        arrival = builder.arrival(record, f"i-{number}", "broken")
+        arrival.is_own_end, arrival.has_crashed_backend = True, True
+        arrival.backend_incarnation = number
+
+
+def harmless_beside_crashing_part(builder, begun):
+    """Of 20 harmless requests with the same first part, ``begun`` begin while the part comes."""
+    for number in range(20):
+        builder.request("talk", version=2, at_s=-28.0 + number / 2).parts = ("first-0",)
+    crashing_part(builder, 1)
+    builder.request("chat", at_s=30.0, status=503).parts = ("first-0", f"{CRASHING_PREFIX}1")
+    for number in range(20):
+        status = 200 if number < begun else 503
+        builder.request("talk", at_s=8.0 + number, status=status).parts = ("first-0",)
+
+
 def cut_while_stopping(builder):
     builder.life.terminated_s, builder.life.ended_s, builder.life.exit_code = (
         START_S,
@@ -319,6 +341,18 @@
     "a request that ends its backends was kept from them in time": lambda builder: poison_request(
         builder, 5
     ),
+    "requests with a part that ends engines were sent on": lambda builder: crashing_part(
+        builder, 12
+    ),
+    "a part that ends engines was kept from them in time": lambda builder: crashing_part(
+        builder, 11
+    ),
+    "nine of 20 harmless requests began beside a part that ends engines": (
+        lambda builder: harmless_beside_crashing_part(builder, 9)
+    ),
+    "half of the harmless requests began beside a part that ends engines": (
+        lambda builder: harmless_beside_crashing_part(builder, 10)
+    ),
     "a backend whose leaving was passed on got a request": lambda builder: (
         sent_after_leaving_notice(builder, 2.2)
     ),
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -15,10 +15,12 @@
 from yokedock_emulator.router_soak.soak_judge import judge
 from yokedock_emulator.router_soak.soak_operator import SoakOperator
 from yokedock_emulator.router_soak.soak_plan import (
+    DEFAULT_OPTIONS,
     LARGE_ROUTES,
     ROUTER_FAULTS,
     ROUTERS,
     SoakEvent,
+    SoakOptions,
     draw_plan,
 )
 from yokedock_emulator.router_soak.soak_processes import DeployedLauncher, RouterLauncher
@@ -47,14 +49,15 @@
         seed: int,
         seconds: float,
         launcher: RouterLauncher,
-        has_two_versions: bool = False,
+        options: SoakOptions = DEFAULT_OPTIONS,
     ) -> None:
-        """Run routers that ``launcher`` starts; engines may have two software versions."""
+        """Run routers that ``launcher`` starts."""
         self._seed = seed
         self._seconds = seconds
         self._launcher = launcher
+        self._options = options
         self.history = SoakHistory()
-        self._operator = SoakOperator(self.history, has_two_versions)
+        self._operator = SoakOperator(self.history, options.has_two_versions)
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
@@ -75,7 +78,9 @@
         return make_report(self._seed, self._seconds, self._began_s, self.history, violations)
 
     async def _drive(self, fleet: SoakFleet) -> None:
-        clients = SoakClients(self._seed, fleet, self._operator, self.history)
+        clients = SoakClients(
+            self._seed, fleet, self._operator, self.history, self._options.has_crashing_parts
+        )
         self._began_s = boot_time_s()
         calls = asyncio.create_task(clients.run())
         for event in draw_plan(self._seed, self._seconds):
@@ -128,13 +133,17 @@
 
 
 def run_soak(
-    seed: int, seconds: float, router: DeployedRouter, out: Path, has_two_versions: bool = False
+    seed: int,
+    seconds: float,
+    router: DeployedRouter,
+    out: Path,
+    options: SoakOptions = DEFAULT_OPTIONS,
 ) -> SoakReport:
     """Run one soak of routers that are built already; a folder in ``out`` gets logs and report."""
     kept = out / f"router-soak-{seed}"
     kept.mkdir(parents=True, exist_ok=True)
     launcher = DeployedLauncher(router, kept, seed)
-    report = asyncio.run(RouterSoak(seed, seconds, launcher, has_two_versions).run())
+    report = asyncio.run(RouterSoak(seed, seconds, launcher, options).run())
     keep_report(report, kept)
     print_report(report, kept)
     return report
@@ -145,10 +154,10 @@
     seconds: float,
     repository: Path,
     out: Path,
-    has_two_versions: bool = False,
+    options: SoakOptions = DEFAULT_OPTIONS,
 ) -> list[SoakReport]:
     """Build the router once and run a soak for each seed."""
     with tempfile.TemporaryDirectory() as folder:
         router = DeployedRouter(repository, Path(folder))
         router.build()
-        return [run_soak(seed, seconds, router, out, has_two_versions) for seed in seeds]
+        return [run_soak(seed, seconds, router, out, options) for seed in seeds]
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -20,6 +20,7 @@
     complete_response,
     read_request,
 )
+from yokedock_emulator.router_soak.soak_parts import crashing_part
 from yokedock_emulator.router_soak.soak_records import (
     POISON_MARK,
     VERSIONS,
@@ -176,8 +177,11 @@
     ) -> None:
         signed = [*head, (NAMES.signature, f"{self.instance}.{arrival.request_id}")]
         is_wrong_stage = self.role == PREFILL_ROLE and not arrival.is_prefill
-        if arrival.body.startswith(POISON_MARK) and not (is_wrong_stage or arrival.is_prefill):
+        if self._is_harmful(request) and not (is_wrong_stage or arrival.is_prefill):
             await asyncio.sleep(self._choices.uniform(*STEP_S))
+            if self.is_dead:
+                return
+            arrival.has_crashed_backend = True
             self.kill()
             self.on_crash(self)
         elif self.mode == "rest" and not is_wrong_stage:
@@ -202,6 +206,12 @@
         else:
             await self._whole(answer_body(arrival.request_id, request.target), signed, writer)
 
+    def _is_harmful(self, request: PlainRequest) -> bool:
+        """Return whether the request ends each backend that begins to run it."""
+        parts = request.headers.get(NAMES.parts.lower(), "").split(",")[:-1]
+        has_crashing_part = crashing_part(tuple(part.partition(":")[0] for part in parts))
+        return request.body.startswith(POISON_MARK) or has_crashing_part is not None
+
     async def _whole(self, body: bytes, head: Headers, writer: asyncio.StreamWriter) -> None:
         is_long = self._choices.random() < LONG_SHARE
         pause_s = self._choices.uniform(*(LONG_S if is_long else SHORT_S))
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -10,6 +10,12 @@
 from yokedock_emulator.router_soak.soak_connection import SoakAnswer, SoakConnection
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
 from yokedock_emulator.router_soak.soak_operator import HOST, SoakOperator
+from yokedock_emulator.router_soak.soak_parts import (
+    CRASHING_PREFIX,
+    FIRST_PARTS,
+    MIDDLE_PARTS,
+    QUARANTINED,
+)
 from yokedock_emulator.router_soak.soak_plan import ROUTERS
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
@@ -46,19 +52,31 @@
 POISON_COPIES = (1, 1, 1, 3)
 """How many come at once, at routers drawn anew: one in four times several."""
 POISON_PAUSE_S = (0.1, 0.6)
+CRASHING_PART_S = (6.0, 14.0)
+"""How long requests with one crashing part come, until others come with the next."""
+CRASHING_PAUSE_S = (0.1, 0.5)
 
 
 class SoakClients:
     """All callers; ``run`` ends when ``stop`` was called and each has its last answer."""
 
     def __init__(
-        self, seed: int, fleet: SoakFleet, operator: SoakOperator, history: SoakHistory
+        self,
+        seed: int,
+        fleet: SoakFleet,
+        operator: SoakOperator,
+        history: SoakHistory,
+        has_crashing_parts: bool = False,
     ) -> None:
-        """Call the routers of ``fleet`` on the routes that ``operator`` has published."""
+        """Call the routers of ``fleet`` on the routes that ``operator`` has published.
+
+        With ``has_crashing_parts``, prompts have parts in common, and some crash engines.
+        """
         self._seed = seed
         self._fleet = fleet
         self._operator = operator
         self._history = history
+        self._has_crashing_parts = has_crashing_parts
         self._is_stopping = False
         self._sent = 0
 
@@ -69,7 +87,10 @@
     async def run(self) -> None:
         """Call until stopped."""
         callers = [self._call(number) for number in range(CALLERS)]
-        await asyncio.gather(*callers, self._call_with_poison())
+        callers.append(self._call_with_poison())
+        if self._has_crashing_parts:
+            callers.append(self._call_with_crashing_parts())
+        await asyncio.gather(*callers)
 
     async def _call(self, number: int) -> None:
         choices = random.Random(f"{self._seed}-{number}")
@@ -95,12 +116,22 @@
             route = SoakRoute(kind, max(1, self._operator.version - 1), 0)
             while route.is_in(self._operator.version) and not self._is_stopping:
                 copies = choices.choice(POISON_COPIES)
+                body = POISON_MARK + str(number).encode()
+                path = f"poison-{number}"
                 await asyncio.gather(
-                    *(self._send_poison(route, number, choices) for _ in range(copies))
+                    *(self._send_harmful(route, choices, body, path) for _ in range(copies))
                 )
                 await asyncio.sleep(choices.uniform(*POISON_PAUSE_S))
 
-    async def _send_poison(self, route: SoakRoute, number: int, choices: random.Random) -> None:
+    async def _send_harmful(
+        self,
+        route: SoakRoute,
+        choices: random.Random,
+        body: bytes = b"",
+        path: str = "",
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        """Send one request that ends backends to a router drawn anew; its own id is its body."""
         router = choices.randrange(ROUTERS)
         connection = await self._connect(router)
         if connection is None:
@@ -111,9 +142,10 @@
             route,
             router,
             self._fleet.life(router),
-            POISON_MARK + str(number).encode(),
+            body or f"r{self._seed}-{self._sent}".encode(),
             boot_time_s(),
-            path=f"poison-{number}",
+            path=path,
+            parts=parts,
         )
         connection.send(_request(record))
         self._history.records[record.request_id] = record
@@ -121,6 +153,33 @@
         record.end_s = boot_time_s()
         connection.leave()
 
+    async def _call_with_crashing_parts(self) -> None:
+        """Send requests that share one part which ends engines, no two alike; then another part."""
+        choices = random.Random(f"{self._seed}-crashing-parts")
+        number = 0
+        while not self._is_stopping:
+            number += 1
+            first = choices.choice(FIRST_PARTS)
+            parts = [first, choices.choice(MIDDLE_PARTS)]
+            parts.insert(choices.randrange(3), f"{CRASHING_PREFIX}{self._seed}-{number}")
+            until_s = boot_time_s() + choices.uniform(*CRASHING_PART_S)
+            while boot_time_s() < until_s and not self._is_stopping:
+                copies = choices.choice(POISON_COPIES)
+                version = max(1, self._operator.version - 1)
+                number_of_route = choices.randrange(ROUTES_A_KIND)
+                route = SoakRoute(choices.choice(STREAMS), version, number_of_route)
+                await asyncio.gather(
+                    *(self._send_harmful(route, choices, parts=tuple(parts)) for _ in range(copies))
+                )
+                await asyncio.sleep(choices.uniform(*CRASHING_PAUSE_S))
+
+    def _shared_parts(self, route: SoakRoute, choices: random.Random) -> tuple[str, ...]:
+        """Return the parts that a harmless prompt shares with others."""
+        if not self._has_crashing_parts or route.kind not in STREAMS:
+            return ()
+        parts = (choices.choice(FIRST_PARTS), choices.choice(MIDDLE_PARTS))
+        return parts[: choices.choice((1, 2))]
+
     async def _connect(self, router: int) -> SoakConnection | None:
         if not self._fleet.takes_new(router):
             return None
@@ -178,10 +237,12 @@
                 now_s,
                 broken.events,
                 broken.first_request or broken.request_id,
+                parts=broken.parts,
             )
         body = f"{request_id} ".encode()
         body += b"x" * choices.randrange(MOST_BODY_BYTES)
-        return ClientRecord(request_id, route, router, life, body, now_s)
+        parts = self._shared_parts(route, choices)
+        return ClientRecord(request_id, route, router, life, body, now_s, parts=parts)
 
     def _route(self, choices: random.Random) -> SoakRoute:
         """Return a route of the configuration before the newest: any that may be in force has it.
@@ -224,8 +285,9 @@
         f"Content-Length: {len(record.body)}",
     ]
     if record.route.kind in STREAMS:
-        part = f"{record.request_id.encode().hex()}:90"
-        lines += [f"{NAMES.model}: m", f"{NAMES.tokens}: 90,40", f"{NAMES.parts}: {part}"]
+        own = f"{record.request_id.encode().hex()}:90"
+        parts = ",".join([*(f"{part}:30" for part in record.parts), own])
+        lines += [f"{NAMES.model}: m", f"{NAMES.tokens}: 90,40", f"{NAMES.parts}: {parts}"]
     if record.last_event_id:
         lines.append(f"{NAMES.last_event_id}: {record.last_event_id}")
         lines.append(f"{NAMES.resumes}: {record.first_request}")
@@ -235,6 +297,7 @@
 def _note(record: ClientRecord, answer: SoakAnswer) -> None:
     """Note the answer, and what is wrong with it by itself."""
     record.status = answer.status
+    record.is_refused_as_harmful = answer.status == 503 and QUARANTINED in answer.body
     record.closes = answer.headers.get("connection", "").lower() == "close"
     if answer.status is None:
         return
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -13,6 +13,7 @@
 from yokedock_emulator.router_soak.soak_budget import budget_violations
 from yokedock_emulator.router_soak.soak_limits import limit_violations
 from yokedock_emulator.router_soak.soak_notices import leaving_violations, rest_violations
+from yokedock_emulator.router_soak.soak_parts import crashing_part, part_violations
 from yokedock_emulator.router_soak.soak_poison import poison_violations
 from yokedock_emulator.router_soak.soak_records import (
     BOUND_S,
@@ -83,6 +84,7 @@
     found += [Violation("CONFIG", *each) for each in version_violations(history)]
     found += [Violation("BUDGET", text) for text in budget_violations(history)]
     found += [Violation("BUDGET", *each) for each in poison_violations(history)]
+    found += [Violation(*each) for each in part_violations(history)]
     found += [Violation("DRAIN", *each) for each in leaving_violations(history)]
     found += [Violation("BUDGET", *each) for each in rest_violations(history)]
     found += [Violation("ORDER", *each) for each in order_violations(history)]
@@ -109,7 +111,7 @@
     record = case.record
     name = record.request_id
     found = [Violation("MIXED", problem, name) for problem in record.problems]
-    if record.is_poison:
+    if record.is_poison or crashing_part(record.parts):
         return found
     runs = case.runs()
     if record.route.kind in RUN_ONCE and len(runs) > 1:
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -53,6 +53,19 @@
 BURST_S = (0.02, 0.4)
 
 
+@dataclasses.dataclass(frozen=True)
+class SoakOptions:
+    """What a soak has besides its usual faults."""
+
+    has_two_versions: bool = False
+    """Decode engines of two software versions serve side by side."""
+    has_crashing_parts: bool = False
+    """Prompts have parts in common, and some of these crash the engines that answer them."""
+
+
+DEFAULT_OPTIONS = SoakOptions()
+
+
 @dataclasses.dataclass(frozen=True)
 class SoakEvent:
     """One fault or piece of planned work."""
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -82,6 +82,11 @@
     path: str = ""
     """End of the target, alike for all tries of one request; empty: the request's own id."""
 
+    parts: tuple[str, ...] = ()
+    """Parts of its prompt that other requests have too; its own part comes after them."""
+    is_refused_as_harmful: bool = False
+    """A router refused it because it crashes backends."""
+
     @property
     def target(self) -> str:
         """Return what is asked for."""
@@ -116,6 +121,8 @@
     """The answer says that the backend leaves."""
     rest_s: float = 0.0
     """Seconds of rest that the answer asks for."""
+    has_crashed_backend: bool = False
+    """The backend ended because of this request."""
     names_limit: bool = False
     """The answer names how many requests a second the backend takes."""
 
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -10,6 +10,7 @@
 
 from yokedock_emulator.router_soak.soak_budget import most_of_budget
 from yokedock_emulator.router_soak.soak_judge import Violation
+from yokedock_emulator.router_soak.soak_parts import blamed_harmless, most_part_crashes
 from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
 from yokedock_emulator.router_soak.soak_streams import resumed_streams
@@ -39,6 +40,10 @@
     """Largest share of the retry budget used in any window."""
     most_ends: int
     """Most backends that ended under one request."""
+    most_part_crashes: int
+    """Most engines that ended under one part of prompts."""
+    blamed: int
+    """Harmless requests that were refused as if they crashed backends."""
     longest_silence_s: float
     """Longest time from a request to its answer."""
     stood_still: int
@@ -58,6 +63,7 @@
             f"seed {self.seed}: {len(self.violations)} violations; {self.requests} requests, "
             f"{self.processes} processes, budget used {self.budget_used:.2f}, "
             f"at most {self.most_ends} ends under one request, "
+            f"{self.most_part_crashes} under one part, {self.blamed} harmless ones refused for it, "
             f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}, "
             f"{self.went_on} of {self.resumed} resumed streams went on"
         )
@@ -87,6 +93,8 @@
         dict(collections.Counter(_kind(text) for _, text in history.story)),
         round(most_of_budget(history), 3),
         most_ends(history),
+        most_part_crashes(history),
+        blamed_harmless(history),
         round(max(held, default=0.0), 2),
         len(history.stood_still_s),
         [f"{each.rule}: {each.text} {each.request_id}".strip() for each in violations],
--- a/src/yokedock_emulator/router_soak/soak_streams.py
+++ b/src/yokedock_emulator/router_soak/soak_streams.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from yokedock_emulator.router_soak.soak_parts import crashing_part
 from yokedock_emulator.router_soak.soak_records import (
     BOUND_S,
     STREAMS,
@@ -64,7 +65,9 @@
 
 def _is_judged(history: SoakHistory, record: ClientRecord) -> bool:
     """Return whether a router in touch took the request and its caller waited for the end."""
-    is_stream = record.route.kind in STREAMS and not record.is_poison
+    is_stream = record.route.kind in STREAMS and not (
+        record.is_poison or crashing_part(record.parts)
+    )
     if not is_stream or record.outcome == "left" or record.status == 404:
         return False
     life = history.lives[record.router, record.life]
--- a/src/yokedock_emulator/simulation/simulate.py
+++ b/src/yokedock_emulator/simulation/simulate.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from yokedock_emulator.router_soak.router_soak import RouterSoak
+from yokedock_emulator.router_soak.soak_plan import DEFAULT_OPTIONS, SoakOptions
 from yokedock_emulator.router_soak.soak_records import SoakHistory
 from yokedock_emulator.router_soak.soak_report import SoakReport, keep_report, print_report
 from yokedock_emulator.simulation.simulated_routers import SimulatedLauncher
@@ -37,7 +38,7 @@
 
 
 def simulate_soak(
-    seed: int, seconds: float, out: Path, has_two_versions: bool = False
+    seed: int, seconds: float, out: Path, options: SoakOptions = DEFAULT_OPTIONS
 ) -> SimulationResult:
     """Run one soak in simulated time; logs and report go to a folder in ``out``.
 
@@ -47,7 +48,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     with simulation(str(seed)) as loop:
         launcher = SimulatedLauncher(loop, folder)
-        soak = RouterSoak(seed, seconds, launcher, has_two_versions)
+        soak = RouterSoak(seed, seconds, launcher, options)
         with launcher.logs.applicationbound():
             report = loop.run_until_complete(soak.run())
     keep_report(report, folder)
