First trial of a withheld prompt part after 15 s; crashes within 50 ms count as one

Cause: a part that was blamed wrongly stayed withheld for 60 to 90 s, and could get no answer that frees it.

Change: the first quarantine is 15 s; crashes within 50 ms of a counted one are not counted; popularity is that of settled crashes; popular parts are no rivals and explain no crash by their number alone.

--- a/src/yokedock/request/poison_parts.py
+++ b/src/yokedock/request/poison_parts.py
@@ -35,26 +35,27 @@
 """The same if each of the crashed requests also had suspect parts that the request lacks: these
 may be several harmful parts, and what they have in common harmless."""
 MIN_DOUBTFUL_CRASHES = 8
-"""The same if a part that the request lacks was at all of these crashes too, or if the part is
+"""The same if another part that the request lacks was at all of these crashes, or if the part is
 popular: such a part is at all crashes, and seldom without an answer for long."""
 POPULAR_REQUESTS = 3.0
 """Requests with a part at the average crash from which it counts as popular."""
-SIMULTANEOUS_S = 0.02
-"""Crashes within this time of the previous one count as one: a rack or a power supply failed."""
+SIMULTANEOUS_S = 0.05
+"""Crashes within this time count as one: a rack or a power supply failed."""
 SETTLE_S = 0.1
 """Minimum age of a crash that counts: other routers report meanwhile what they know of it."""
 PROOF_S = 0.25
 """An answer that has been going on for this long shows that the parts of its prompt are sound."""
 SOUND_S = 60.0
 """How long a part counts as sound after the latest answer on it."""
-FIRST_QUARANTINE_S = 60.0
+FIRST_QUARANTINE_S = 15.0
 """How long a part with ``MIN_CRASHES`` is withheld after the latest; twice as long for each more.
 Then one request with it is sent: a part that was blamed wrongly comes free with its answer."""
 MAX_QUARANTINE_S = 600.0
 FORGET_S = 1_200.0
 """How long crashes are kept after the latest."""
-TRIAL_SPREAD_S = 30.0
-"""Routers draw their time for a trial within this span, so that few have one at the same time."""
+TRIAL_SPREAD = 0.5
+"""Routers draw their time for a trial within this share of the quarantine after its end, so that
+few have one at the same time."""
 TRIAL_INTERVAL_S = 10.0
 """Minimum time between two trials of a router that neither crashed an engine nor got an answer."""
 GOSSIP_S = 1.0
@@ -91,8 +92,8 @@
     count: int = 0
     """Crashes that count: separate in time, and each with another request."""
 
-    trial_delay_s: float = 0.0
-    """Time from the end of its quarantine to this router's first trial."""
+    trial_delay: float = 0.0
+    """Time from the end of its quarantine to this router's first trial, as a share of it."""
     next_trial_s: float = 0.0
     """Earliest time of the next trial (boot time, s)."""
     trial_request: int = -1
@@ -111,10 +112,11 @@
         """Return the numbers of the requests that were at the crashes."""
         return set().union(*(crash.requests for crash in self.crashes.values()))
 
-    def is_popular(self) -> bool:
-        """Return whether several requests with it were at the average crash."""
-        requests = sum(len(crash.requests) for crash in self.crashes.values())
-        return requests >= POPULAR_REQUESTS * len(self.crashes)
+    def is_popular(self, until_s: float) -> bool:
+        """Return whether several requests with it were at the average crash before ``until_s``."""
+        crashes = [crash for crash in self.crashes.values() if crash.ended_s <= until_s]
+        requests = sum(len(crash.requests) for crash in crashes)
+        return bool(crashes) and requests >= POPULAR_REQUESTS * len(crashes)
 
     def update_count(self) -> None:
         """Recompute ``count`` after a change of ``crashes``."""
@@ -130,11 +132,12 @@
 
 def count_crashes(crashes: Iterable[CrashRecord]) -> int:
     """Return how many crashes are separate in time, or how many requests they had if fewer."""
-    separate, previous_s = 0, float("-inf")
+    separate, counted_s = 0, float("-inf")
     requests: set[int] = set()
     for crash in sorted(crashes, key=lambda each: each.ended_s):
-        separate += crash.ended_s > previous_s + SIMULTANEOUS_S
-        previous_s = crash.ended_s
+        if crash.ended_s > counted_s + SIMULTANEOUS_S:
+            separate += 1
+            counted_s = crash.ended_s
         requests |= crash.requests
     return min(separate, len(requests))
 
@@ -226,7 +229,7 @@
         The result has passed if the request may be sent.
         """
         now_s = self._clock()
-        due_s = suspect.last_s() + suspect.quarantine_s() + suspect.trial_delay_s
+        due_s = suspect.last_s() + suspect.quarantine_s() * (1.0 + suspect.trial_delay)
         due_s = max(due_s, suspect.next_trial_s)
         if request == suspect.trial_request:
             return now_s
@@ -248,26 +251,31 @@
         """Return whether a request with the parts ``own`` is withheld because of one of them."""
         settled_s = self._clock() - SETTLE_S
         settled = [life for life, crash in suspect.crashes.items() if crash.ended_s <= settled_s]
-        unexplained = [life for life in settled if not self._is_explained(life, suspect, own)]
+        unexplained = [
+            life for life in settled if not self._is_explained(life, suspect, own, settled_s)
+        ]
         count = count_crashes(suspect.crashes[life] for life in unexplained)
         if count < MIN_CRASHES:
             return False
-        if suspect.is_popular() or self._has_rival(settled, own):
+        if suspect.is_popular(settled_s) or self._has_rival(settled, own, settled_s):
             return count >= MIN_DOUBTFUL_CRASHES
         has_alternatives = all(self._has_alternative(life, suspect, own) for life in unexplained)
         return count >= MIN_AMBIGUOUS_CRASHES or not has_alternatives
 
-    def _is_explained(self, life: int, suspect: Suspect, own: frozenset[int]) -> bool:
+    def _is_explained(
+        self, life: int, suspect: Suspect, own: frozenset[int], settled_s: float
+    ) -> bool:
         """Return whether a part that the request lacks explains the crash better.
 
-        It does if it was at more crashes, or at several and always in requests that also had the
-        suspect: these requests may have crashed their engines because of it alone.
+        It does if it was at more crashes without being popular, or at several and always in
+        requests that also had the suspect: these may have crashed their engines because of it.
         """
         for key in self._by_incarnation[life] - own:
             other = self._suspects[key]
             if other.count < MIN_CRASHES:
                 continue
-            if other.count > suspect.count or other.requests() <= suspect.requests():
+            is_stronger = other.count > suspect.count and not other.is_popular(settled_s)
+            if is_stronger or other.requests() <= suspect.requests():
                 return True
         return False
 
@@ -279,9 +287,13 @@
             for key in self._by_incarnation[life] - own
         )
 
-    def _has_rival(self, lives: list[int], own: frozenset[int]) -> bool:
-        """Return whether a part that the request lacks was at all of these crashes."""
-        return bool(set.intersection(*(self._by_incarnation[life] - own for life in lives)))
+    def _has_rival(self, lives: list[int], own: frozenset[int], settled_s: float) -> bool:
+        """Return whether a part that the request lacks was at all of these crashes.
+
+        Popular parts are at most crashes anyway.
+        """
+        rivals = set.intersection(*(self._by_incarnation[life] - own for life in lives))
+        return any(not self._suspects[key].is_popular(settled_s) for key in rivals)
 
     def _log_first_time(self, suspect: Suspect, remaining_s: float) -> None:
         if suspect.key in self._logged:
@@ -406,7 +418,7 @@
             if len(suspect.crashes) >= MAX_CRASHES_KEPT:
                 self._remove(key, min(suspect.crashes, key=lambda i: suspect.crashes[i].ended_s))
             crash = suspect.crashes[life] = CrashRecord(ended_s)
-            suspect.trial_delay_s = self._random.uniform(0.0, TRIAL_SPREAD_S)
+            suspect.trial_delay = self._random.uniform(0.0, TRIAL_SPREAD)
             suspect.trial_request = -1
             self._by_incarnation.setdefault(life, set()).add(key)
         elif requests <= crash.requests or len(crash.requests) >= MAX_REQUESTS_KEPT:
