Prompt parts: reports and objections in the field's words; few routers object at once

Names of the earlier module (told, heard) are not carried on. Many routers may know that a suspected part is sound, and each would have sent its state to all others at once (370 times 369 datagrams): now about eight do, the others with their next datagram; 64 objections at most in one.

Checked: lint, types, the 12 properties, crashing_prompt_parts.feature and crashing_requests.feature (14 scenarios).

--- a/features/support/poison_part_properties.py
+++ b/features/support/poison_part_properties.py
@@ -186,7 +186,7 @@
         if self._is_at(engine, life, run):
             router = self.routers[run.router]
             router.record_sound(run.parts)
-            self._gossip(run.router, (), router.told_sound())
+            self._gossip(run.router, (), router.objections())
 
     def _whole(self, engine, life, run):
         if self._is_at(engine, life, run):
@@ -213,7 +213,7 @@
             if run.began_s is None or run.began_s > oldest_s:
                 self.routers[run.router].record_crash(run.parts, run.number, number)
         for router in {run.router for run in runs}:
-            self._gossip(router, self.routers[router].told(), ())
+            self._gossip(router, self.routers[router].recent_report(), ())
         for run in runs:
             delay_s = REPEAT_DELAY_S if run.began_s is None else 0.0
             self._schedule(delay_s, self._send, run)
@@ -228,10 +228,10 @@
             return
         for number, router in enumerate(routers):
             if number != sender and self.chance.random() >= LOST_SHARE:
-                router.heard(told, sound, self.clock.now_s)
-                objections = router.told_sound()
+                router.apply_report(told, sound, self.clock.now_s)
+                objections = router.objections()
                 for other in routers if objections and told else ():
-                    other.heard((), objections, self.clock.now_s)
+                    other.apply_report((), objections, self.clock.now_s)
 
     def _restart(self, engine):
         self.lives[engine] += 1
@@ -304,9 +304,9 @@
     other.record_sound([7])
     crash(router, [7], 1, 2)
     assert router.find_withheld([7], 1)
-    other.heard(router.report_for_new_router(), ())
-    assert not other.find_withheld([7], 1) and other.told_sound() == (7,)
-    router.heard((), other.told_sound())
+    other.apply_report(router.report_for_new_router(), ())
+    assert not other.find_withheld([7], 1) and other.objections() == (7,)
+    router.apply_report((), other.objections())
     assert not router.find_withheld([7], 1) and not router.size()
 
 
@@ -354,7 +354,7 @@
     routers = [PoisonParts(clock=clock) for _ in range(4)]
     crash(routers[0], [7], 1, 2)
     for router in routers[1:]:
-        router.heard(routers[0].report_for_new_router(), ())
+        router.apply_report(routers[0].report_for_new_router(), ())
     trials_s = []
     for step in range(round(FORGET_S)):
         clock.now_s += 1.0
@@ -364,7 +364,7 @@
                 trials_s.append(clock.now_s)
                 router.record_crash([7], request, 10_000 + len(trials_s))
                 for other in routers:
-                    other.heard(router.told(), ())
+                    other.apply_report(router.recent_report(), ())
             router.drop_old()
     assert 5 <= len(trials_s) <= 7, trials_s
     gaps_s = [later - earlier for earlier, later in itertools.pairwise(trials_s)]
@@ -377,14 +377,14 @@
     routers = [PoisonParts(clock=clock) for _ in range(3)]
     crash(routers[0], [7], 1, 2)
     for router in routers[1:]:
-        router.heard(routers[0].report_for_new_router(), ())
+        router.apply_report(routers[0].report_for_new_router(), ())
     clock.now_s += FIRST_QUARANTINE_S * (1.0 + TRIAL_SPREAD)
     assert not routers[1].find_withheld([7], 5), "the trial"
     assert routers[1].find_withheld([7], 6), "others wait for its result"
     assert not routers[1].find_withheld([7], 5), "the trial is checked again before it is sent"
     routers[1].record_sound([7])
     for router in routers:
-        router.heard((), routers[1].told_sound())
+        router.apply_report((), routers[1].objections())
         assert not router.find_withheld([7], 8)
 
 
@@ -396,7 +396,7 @@
     for _ in range(round(FORGET_S * 2)):
         clock.now_s += 0.7
         for one, other in itertools.permutations(routers, 2):
-            other.heard(one.told() + one.report_for_new_router(), ())
+            other.apply_report(one.recent_report() + one.report_for_new_router(), ())
         for router in routers:
             router.drop_old()
     assert not any(router.size() for router in routers)
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -166,6 +166,14 @@
         gap_s = max(0.0, self._sent_s + MIN_SEND_INTERVAL_S - boot_time_s())
         asyncio.get_running_loop().call_later(gap_s, self._speak)
 
+    def change_known_to_many(self) -> None:
+        """Schedule a datagram in a few routers, because many of them know of the same change.
+
+        The others send it with their next one.
+        """
+        if self._random.random() * len(self.alive()) <= NEWCOMER_RESPONDERS:
+            self.change()
+
     def send_final_state(self) -> None:
         """Send the final state immediately: this router no longer holds any work."""
         self._speak()
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -89,8 +89,8 @@
             components.backends.recently_leaving(),
             components.backends.limits(),
             era=components.follower.position.era,
-            suspect_parts=components.crashes.parts.told(),
-            sound_parts=components.crashes.parts.told_sound(),
+            suspect_parts=components.crashes.parts.recent_report(),
+            sound_parts=components.crashes.parts.objections(),
         )
 
     def source_contacts(self) -> list[SourceContact]:
@@ -149,7 +149,7 @@
     def _apply_suspects(self, other: OtherRouter, state: RouterState) -> None:
         crashes = self._components.crashes
         crashes.requests.heard(state.suspects, other.heard_s)
-        crashes.parts.heard(state.suspect_parts, state.sound_parts, other.heard_s)
+        crashes.parts.apply_report(state.suspect_parts, state.sound_parts, other.heard_s)
 
     def _apply_limits(self, other: OtherRouter, state: RouterState) -> None:
         self._components.backends.apply_remote_limits(other.address, state.limits, other.heard_s)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -213,6 +213,7 @@
         self._ledger.on_change = self._gossip.change
         self._crashes.requests.on_crash_detected = self._gossip.change
         self._crashes.parts.on_report_due = self._gossip.change
+        self._crashes.parts.on_objection_due = self._gossip.change_known_to_many
         self._registry.limits.on_change = self._gossip.change
         self._gossip.newcomer_report = self._crashes.report_for_new_router
         self._gossip.on_started = self._origins.replicate_to
--- a/src/yokedock/request/poison_parts.py
+++ b/src/yokedock/request/poison_parts.py
@@ -62,6 +62,8 @@
 """How long a router reports a crash or an objection: in several datagrams, as some may be lost."""
 MAX_GOSSIPED_PARTS = 16
 """Suspects in one datagram, those with the most crashes first: some 30 bytes each."""
+MAX_OBJECTIONS = 64
+"""Sound parts in one datagram: 9 bytes each."""
 MAX_CRASHES_KEPT = 16
 """Crashes kept of one part."""
 MAX_REQUESTS_KEPT = 8
@@ -91,7 +93,6 @@
     """By incarnation number of the engine."""
     count: int = 0
     """Crashes that count: separate in time, and each with another request."""
-
     trial_delay: float = 0.0
     """Time from the end of its quarantine to this router's first trial, as a share of it."""
     next_trial_s: float = 0.0
@@ -164,6 +165,8 @@
         self._logged: set[int] = set()
         self.on_change: Callable[[], None] = lambda: None
         self.on_report_due: Callable[[], None] = lambda: None
+        self.on_objection_due: Callable[[], None] = lambda: None
+        """Called when another router suspects a part that is sound; others may know it as well."""
 
     # --- Results of exchanges with engines ---
 
@@ -309,8 +312,8 @@
 
     # --- Gossip between routers ---
 
-    def told(self) -> tuple[SuspectPart, ...]:
-        """Return the report for the other routers: crashes that this one saw recently."""
+    def recent_report(self) -> tuple[SuspectPart, ...]:
+        """Return the report for the other routers: crashes that this router observed recently."""
         oldest_s = self._clock() - GOSSIP_S
         return self._reports(lambda crash: crash.observed_s >= oldest_s)
 
@@ -337,34 +340,35 @@
         reports.sort(key=lambda report: report[0], reverse=True)
         return tuple(report for _, report in reports[:MAX_GOSSIPED_PARTS])
 
-    def told_sound(self) -> tuple[int, ...]:
+    def objections(self) -> tuple[int, ...]:
         """Return the parts that others suspected recently, and that are sound."""
         oldest_s = self._clock() - GOSSIP_S
-        return tuple(key for key, at_s in self._objections.items() if at_s >= oldest_s)
+        recent = [key for key, at_s in self._objections.items() if at_s >= oldest_s]
+        return tuple(recent[:MAX_OBJECTIONS])
 
-    def heard(
-        self, told: tuple[SuspectPart, ...], sound: tuple[int, ...], told_s: float | None = None
+    def apply_report(
+        self, suspects: tuple[SuspectPart, ...], sound: tuple[int, ...], sent_s: float | None = None
     ) -> None:
-        """Apply another router's report, sent at ``told_s`` (boot time) or now."""
-        if not self._is_used or not (told or sound):
+        """Apply another router's report, sent at ``sent_s`` (boot time) or now."""
+        if not self._is_used or not (suspects or sound):
             return
-        told_s = self._clock() if told_s is None else told_s
+        sent_s = self._clock() if sent_s is None else sent_s
         for key in sound:
-            self._mark_sound(key, told_s)
+            self._mark_sound(key, sent_s)
         # ``any`` gets a list, not a generator, so that every record is merged.
-        if any([self._merge(report, told_s) for report in told]):
+        if any([self._merge(report, sent_s) for report in suspects]):
             self.on_change()
 
-    def _merge(self, report: SuspectPart, told_s: float) -> bool:
+    def _merge(self, report: SuspectPart, sent_s: float) -> bool:
         """Merge the report on one part; return whether it contained new crashes."""
         if self._is_sound(report.part):
-            if self._objections.get(report.part, 0.0) < told_s - GOSSIP_S:
-                self._objections[report.part] = told_s
-                self.on_report_due()
+            if self._objections.get(report.part, 0.0) < sent_s - GOSSIP_S:
+                self._objections[report.part] = sent_s
+                self.on_objection_due()
             return False
         has_changed = False
         for crash in report.crashes:
-            ended_s = told_s - crash.age_ms / 1000
+            ended_s = sent_s - crash.age_ms / 1000
             has_changed |= self._add(report.part, crash.life, ended_s, set(crash.requests))
         return has_changed
 
