--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -60,3 +60,4 @@
       | 1    |
       | 2    |
       | 6    |
+      | 12   |
