--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -1,4 +1,4 @@
-"""Small stand-ins for the platform, its store, the engines and the clients, and a launcher of routers.
+"""Small stand-ins for the platform's store and the engines, and a launcher of routers.
 
 Standard library only. They follow PROTOCOL.md, SYSTEM.md and DEPLOY.md of the users' pages. The
 routers are started with the command and the template of deploy/system.toml.
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -41,7 +42,7 @@
     """Writes what was sent, answered and run to record.txt."""
 
     def __init__(self, path):
-        self._file = open(path, "w", encoding="utf-8")
+        self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115
         self.start_s = time.monotonic()
 
     def now(self):
@@ -211,10 +212,8 @@
                 left_s = until_s - time.monotonic()
                 if events or left_s <= 0:
                     return 200, {"events": events, "at": self._revision}
-                try:
+                with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), left_s)
-                except TimeoutError:
-                    pass
         if path == "/kv-key" and fields.get("privateKey") in self._items:
             return 200, {**self._items[fields["privateKey"]], "at": self._revision}
         return 404, {}
@@ -264,7 +263,11 @@
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
                 work = asyncio.create_task(self._one(head, body, writer))
-                watch = asyncio.create_task(reader.read(1)) if head.get("X-Yokedock-Token-Usage") else None
+                watch = (
+                    asyncio.create_task(reader.read(1))
+                    if head.get("X-Yokedock-Token-Usage")
+                    else None
+                )
                 if watch is None:
                     await work
                     continue
@@ -287,7 +290,7 @@
             writer.close()
 
     async def _one(self, head, body, writer):
-        method, target, _ = head.first.split(" ")
+        target = head.first.split(" ")[1]
         identity = head.get("X-Yokedock-Attempt-Id")
         if target.startswith("/kv-handle/"):
             self._handles.discard(target.rpartition("/")[2])
@@ -295,7 +298,9 @@
             return
         if target == "/kv-list":
             document = {"epoch": 1, "nextToken": 0, "held": []}
-            writer.write(answer(200, [("Content-Type", "application/json")], json.dumps(document).encode()))
+            writer.write(
+                answer(200, [("Content-Type", "application/json")], json.dumps(document).encode())
+            )
             return
         if target == "/order":
             writer.write(answer(200, []))
@@ -312,7 +317,11 @@
             self._handles.add(handle)
             asyncio.get_running_loop().call_later(KV_HOLD_S, self._handles.discard, handle)
             document = {"kvHandle": handle, "tokenCount": prompt, "version": 1}
-            writer.write(answer(200, [*own, ("Content-Type", "application/json")], json.dumps(document).encode()))
+            writer.write(
+                answer(
+                    200, [*own, ("Content-Type", "application/json")], json.dumps(document).encode()
+                )
+            )
             return
         if self.running >= SLOTS:
             writer.write(answer(503, [*own, ("X-Yokedock-Not-Executed", "1")]))
@@ -329,7 +338,12 @@
         try:
             if head.get("X-Yokedock-Kv-Source") is None:
                 await asyncio.sleep(2 * prompt / READ_TOKENS_PER_MS / 1000)
-            headers = [*own, ("X-Yokedock-Response-Seal", f"seal.{identity}"), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+            headers = [
+                *own,
+                ("X-Yokedock-Response-Seal", f"seal.{identity}"),
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked"),
+            ]
             writer.write(message("HTTP/1.1 200 OK", headers))
             for number in range(first + 1, events + 1):
                 await asyncio.sleep(STRIDE * self._step_s())
@@ -343,7 +357,9 @@
         finally:
             self.running -= 1
             run["ended_s"] = self.record.now()
-            self.record.write(f"run ends: {identity}, {run['made']} of {events} events, {run['end']}")
+            self.record.write(
+                f"run ends: {identity}, {run['made']} of {events} events, {run['end']}"
+            )
 
 
 # --- Routers ---
@@ -371,19 +387,34 @@
             "nodeName": f"edge-{self.zone}-{self.addresses.index(address) + 1}",
             "zone": self.zone,
             "ipAddress": address,
-            "listenAddrs": {"frontend": f"{address}:{self.frontend}", "ready": f"{address}:{self.ready}"},
+            "listenAddrs": {
+                "frontend": f"{address}:{self.frontend}",
+                "ready": f"{address}:{self.ready}",
+            },
             "internalPortRange": [self.internal, self.internal + 15],
             "seedNodes": [f"{seed}:{self.control}" for seed in self.addresses[:3]],
             "bootstrap": is_first_start,
             "platform": {"address": self._store},
-            "bounds": {"leaseMs": 3000, "graceS": self.grace_s, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retryAllowance": 56},
+            "bounds": {
+                "leaseMs": 3000,
+                "graceS": self.grace_s,
+                "retryBudgetRatio": 0.2,
+                "retryWindowS": 10,
+                "retryAllowance": 56,
+            },
         }
         settings = self._folder / f"{address}.ini"
-        settings.write_text(re.sub(r"\{\{([\w.]+)\}\}", lambda gap: _text(fields, gap[1]), self._template))
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        settings.write_text(
+            re.sub(r"\{\{([\w.]+)\}\}", lambda gap: _text(fields, gap[1]), self._template)
+        )
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment |= {"PYTHONPATH": self._libraries, "YOKEDOCK_SETTINGS": str(settings)}
-        log = open(self._folder / f"{address}.log", "ab")
-        self.processes[address] = subprocess.Popen(self._run_line, cwd=REPOSITORY, env=environment, stdout=log, stderr=log)
+        log = open(self._folder / f"{address}.log", "ab")  # noqa: SIM115
+        self.processes[address] = subprocess.Popen(
+            self._run_line, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+        )
         self.record.write(f"router started: {address}, pid {self.processes[address].pid}")
 
     def signal(self, address, number):
@@ -408,7 +439,11 @@
             async with asyncio.timeout(0.8):
                 reader, writer = await asyncio.open_connection(address, self.ready)
                 try:
-                    writer.write(message("GET /readiness HTTP/1.1", [("Host", address), ("Connection", "close")]))
+                    writer.write(
+                        message(
+                            "GET /readiness HTTP/1.1", [("Host", address), ("Connection", "close")]
+                        )
+                    )
                     head = await read_head(reader)
                     return head is not None and " 200 " in head.first
                 finally:
@@ -449,21 +484,56 @@
         "version": version,
         "routes": routes,
         "services": services,
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
     }
 
 
 def model_service(name):
-    engine = {"slotCount": SLOTS, "kvCapacity": KV_TOKENS, "kvTokenBytes": 18432, "linkMbps": 350000.0, "stride": STRIDE, "kvHoldS": KV_HOLD_S, "stageSwitchS": 6.0, "holdMs": 2000.0, "models": [{"name": "m"}]}
-    return {"name": name, "healthPath": "/health", "maxConnections": 620, "protocol": "h1", "tlsEnabled": False, "engine": engine}
+    engine = {
+        "slotCount": SLOTS,
+        "kvCapacity": KV_TOKENS,
+        "kvTokenBytes": 18432,
+        "linkMbps": 350000.0,
+        "stride": STRIDE,
+        "kvHoldS": KV_HOLD_S,
+        "stageSwitchS": 6.0,
+        "holdMs": 2000.0,
+        "models": [{"name": "m"}],
+    }
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 620,
+        "protocol": "h1",
+        "tlsEnabled": False,
+        "engine": engine,
+    }
 
 
 def stream_route(name, host, prefix, service, resumable=False):
-    return {"name": name, "host": host, "pathPrefix": prefix, "routeType": "streaming", "timeoutMs": 14000, "targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": 2 if resumable else 1, "sessionAffinity": True, "resumable": resumable, "itlTargetMs": 300}
+    return {
+        "name": name,
+        "host": host,
+        "pathPrefix": prefix,
+        "routeType": "streaming",
+        "timeoutMs": 14000,
+        "targetLatencyMs": 900,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2 if resumable else 1,
+        "sessionAffinity": True,
+        "resumable": resumable,
+        "itlTargetMs": 300,
+    }
 
 
 def main(case, folder):
-    """Run ``case(record, has_trouble)``, which returns the broken rules; exit as the review asks."""
+    """Run ``case(record, has_trouble)``, which returns the broken rules, and exit accordingly."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
 
