Review, case 1: spoiled streams hang the routers (CONFIG)

Looked for: processes that crash or hang by what a faulty engine sends.

Three or four spoiled answers of 4 MB keep both routers busy for 10 to 20 s; of 400 plain calls 262 to 275 outlast their time-out, 256 to 270 of these have no answer 0.5 s later.

EventSplitter.feed searches its whole buffer again for each part, and nothing bounds the buffer.

--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -32,6 +32,11 @@
 SLOTS = 128
 KV_TOKENS = 66_897
 KV_HOLD_S = 0.5
+STAGE_SWITCH_S = 6.0
+SPOILED_PART_BYTES = 32_768
+PLAIN_SLOTS = 6
+PLAIN_WORK_S = 0.06
+"""Slots and mean time of the plain services in jabalrest-om.toml."""
 
 
 class CannotRun(Exception):
@@ -235,11 +240,29 @@
         self.running = 0
         self.runs = {}
         """By attempt id: events made and how the run ended."""
+        self.orders = []
+        """When an order arrived, its holder, fencing token and the status answered."""
+        self.on_change = lambda: None
+        """Called when the engine's entry in the store changes."""
+        self.spoils = lambda: False
+        """Whether the engine spoils the answer that it begins: see ``_spoil``."""
+        self.spoiled_bytes = 0
+        """How many bytes that are no events it sends then."""
         self._handles = set()
+        self._highest_token = 0
+        self._is_switching = False
+        self._server = None
+        self._connections = set()
 
     async def start(self):
         host, port = self.address.split(":")
-        await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def crash(self):
+        """Reset all connections and take no new ones."""
+        self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
 
     def entry(self):
         return {
@@ -259,6 +282,7 @@
         return (BATCH_STEP_MS + BATCH_STEP_MS_PER_RUN * self.running) / 1000
 
     async def _serve(self, reader, writer):
+        self._connections.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
@@ -287,6 +311,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._connections.discard(writer)
             writer.close()
 
     async def _one(self, head, body, writer):
@@ -303,7 +328,7 @@
             )
             return
         if target == "/order":
-            writer.write(answer(200, []))
+            writer.write(answer(self._take_order(head, json.loads(body)), []))
             return
         own = [("X-Yokedock-Attempt-Id", identity)]
         expected = head.get("X-Yokedock-Expected-Instance")
@@ -311,7 +336,14 @@
             writer.write(answer(421, [*own, ("X-Yokedock-Instance-Id", self.instance)]))
             return
         prompt, most = (int(number) for number in head.get("X-Yokedock-Token-Usage").split(","))
-        if head.get("X-Yokedock-Serving-Stage") == "prefill":
+        is_prefill = head.get("X-Yokedock-Serving-Stage") == "prefill"
+        if is_prefill != (self.stage == "prefill"):
+            writer.write(answer(421, [*own, ("X-Yokedock-Instance-Id", self.instance)]))
+            return
+        if self._is_switching:
+            writer.write(answer(503, [*own, ("X-Yokedock-Not-Executed", "1")]))
+            return
+        if is_prefill:
             await asyncio.sleep(prompt / READ_TOKENS_PER_MS / 1000 + 0.008)
             handle = f"{random.getrandbits(48):012x}"
             self._handles.add(handle)
@@ -328,10 +360,37 @@
             return
         await self._run(head, identity, prompt, most, own, writer)
 
+    def _take_order(self, head, order):
+        """Return the status: the engine checks fencing tokens, and makes one change at a time."""
+        holder, token = order["holder"], order["fencingToken"]
+        if head.get("X-Yokedock-Expected-Instance") not in (None, self.instance):
+            status = 421
+        elif token < self._highest_token:
+            status = 412
+        elif self._is_switching:
+            status = 409
+        elif order["stage"] == self.stage:
+            status = 200
+        else:
+            status = 202
+            self._is_switching = True
+            asyncio.get_running_loop().call_later(STAGE_SWITCH_S, self._switch, order["stage"])
+        if status != 421:
+            self._highest_token = max(self._highest_token, token)
+            self.orders.append((self.record.now(), holder, token, status))
+        text = f"order at {self.address}: {order['stage']}, holder {holder}, token {token}"
+        self.record.write(f"{text}, answered {status}")
+        return status
+
+    def _switch(self, stage):
+        self.stage, self._is_switching = stage, False
+        self.on_change()
+
     async def _run(self, head, identity, prompt, most, own, writer):
         """Run a generation whose length is the most that the client allows."""
         first = int(head.get("Last-Event-Id") or 0)
         events = -(-most // STRIDE)
+        is_spoiled = self.spoils()
         self.running += 1
         run = self.runs[identity] = {"engine": self.address, "made": first, "end": "cut off"}
         self.record.write(f"run begins: {identity} at {self.address}, running {self.running}")
@@ -351,6 +410,8 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 run["made"] = number
+                if is_spoiled and number == first + 3:
+                    await self._spoil(identity, writer)
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             run["end"] = "complete"
@@ -361,6 +422,62 @@
                 f"run ends: {identity}, {run['made']} of {events} events, {run['end']}"
             )
 
+    async def _spoil(self, identity, writer):
+        """Send bytes that are not an answer, and break off."""
+        self.record.write(f"spoiled: {identity} at {self.address}, {self.spoiled_bytes} bytes")
+        part = b"%x\r\n%s\r\n" % (SPOILED_PART_BYTES, b"x" * SPOILED_PART_BYTES)
+        for _ in range(self.spoiled_bytes // SPOILED_PART_BYTES):
+            writer.write(part)
+            await writer.drain()
+        raise ConnectionAbortedError
+
+
+class PlainEngine:
+    """An engine of a plain service: runs ``PLAIN_SLOTS`` requests at once and queues a few."""
+
+    def __init__(self, record, service, address, zone):
+        self.record, self.service, self.address, self.zone = record, service, address, zone
+        self.instance = f"i-{random.getrandbits(40):010x}"
+        self.runs = {}
+        """How often each request was run, by attempt id."""
+        self._running = asyncio.Semaphore(PLAIN_SLOTS)
+
+    async def start(self):
+        host, port = self.address.split(":")
+        await asyncio.start_server(self._serve, host, int(port))
+
+    def entry(self):
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slotCount": PLAIN_SLOTS,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+
+    async def _serve(self, reader, writer):
+        try:
+            while (head := await read_head(reader)) is not None:
+                await read_body(reader, head)
+                identity = head.get("X-Yokedock-Attempt-Id")
+                own = [("X-Yokedock-Attempt-Id", identity)]
+                if head.get("X-Yokedock-Expected-Instance") not in (None, self.instance):
+                    writer.write(answer(421, [*own, ("X-Yokedock-Instance-Id", self.instance)]))
+                    continue
+                async with self._running:
+                    self.runs[identity] = self.runs.get(identity, 0) + 1
+                    await asyncio.sleep(PLAIN_WORK_S)
+                own.append(("X-Yokedock-Response-Seal", f"seal.{identity}"))
+                writer.write(answer(200, own, b"y" * 800))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
 
 # --- Routers ---
 
@@ -370,6 +487,7 @@
 
     def __init__(self, record, store_address, zone, addresses, grace_s=8.0):
         self.record, self.zone, self.addresses = record, zone, addresses
+        self.seeds = addresses[:3]
         self.grace_s = grace_s
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.frontend, self.ready, self.control, self.internal = free_ports(addresses, 4)
@@ -383,8 +501,26 @@
         """When SIGTERM was sent, by address."""
 
     def start(self, address, is_first_start=True):
+        """Write the settings of a machine and start its router."""
+        self.write_settings(address, is_first_start)
+        environment = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
+        settings = str(self._settings(address))
+        environment |= {"PYTHONPATH": self._libraries, "YOKEDOCK_SETTINGS": settings}
+        log = open(self._folder / f"{address}.log", "ab")  # noqa: SIM115
+        self.processes[address] = subprocess.Popen(
+            self._run_line, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
+        )
+        self.record.write(f"router started: {address}, pid {self.processes[address].pid}")
+
+    def node_name(self, address):
+        return f"edge-{self.zone}-{self.addresses.index(address) + 1}"
+
+    def _settings(self, address):
+        return self._folder / f"{address}.ini"
+
+    def write_settings(self, address, is_first_start):
         fields = {
-            "nodeName": f"edge-{self.zone}-{self.addresses.index(address) + 1}",
+            "nodeName": self.node_name(address),
             "zone": self.zone,
             "ipAddress": address,
             "listenAddrs": {
@@ -392,7 +528,7 @@
                 "ready": f"{address}:{self.ready}",
             },
             "internalPortRange": [self.internal, self.internal + 15],
-            "seedNodes": [f"{seed}:{self.control}" for seed in self.addresses[:3]],
+            "seedNodes": [f"{seed}:{self.control}" for seed in self.seeds],
             "bootstrap": is_first_start,
             "platform": {"address": self._store},
             "bounds": {
@@ -403,19 +539,8 @@
                 "retryAllowance": 56,
             },
         }
-        settings = self._folder / f"{address}.ini"
-        settings.write_text(
-            re.sub(r"\{\{([\w.]+)\}\}", lambda gap: _text(fields, gap[1]), self._template)
-        )
-        environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
-        }
-        environment |= {"PYTHONPATH": self._libraries, "YOKEDOCK_SETTINGS": str(settings)}
-        log = open(self._folder / f"{address}.log", "ab")  # noqa: SIM115
-        self.processes[address] = subprocess.Popen(
-            self._run_line, cwd=REPOSITORY, env=environment, stdout=log, stderr=log
-        )
-        self.record.write(f"router started: {address}, pid {self.processes[address].pid}")
+        text = re.sub(r"\{\{([\w.]+)\}\}", lambda gap: _text(fields, gap[1]), self._template)
+        self._settings(address).write_text(text)
 
     def signal(self, address, number):
         if number == signal.SIGTERM:
@@ -423,10 +548,18 @@
         self.record.write(f"signal to {address}: {signal.Signals(number).name}")
         self.processes[address].send_signal(number)
 
+    def require_running(self, addresses):
+        """Raise unless the routers of these machines have run on: a crash is another case."""
+        ended = [address for address in addresses if self.processes[address].poll() is not None]
+        if ended:
+            raise CannotRun(f"routers have ended by themselves: {ended}")
+
     async def wait_ready(self, limit_s=20.0):
+        """Wait until all machines with a running router are ready."""
         until_s = time.monotonic() + limit_s
         while True:
-            states = [await self.is_ready(address) for address in self.addresses]
+            running = [a for a, process in self.processes.items() if process.poll() is None]
+            states = [await self.is_ready(address) for address in running]
             if all(states):
                 return
             if time.monotonic() > until_s:
@@ -451,14 +584,12 @@
         except (OSError, TimeoutError):
             return False
 
-    def end(self, keep_logs=None):
+    def end(self):
+        """End all routers that were started."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
-        if keep_logs is not None:
-            for log in self._folder.glob("*.log"):
-                shutil.copy(log, keep_logs)
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
@@ -501,7 +632,7 @@
         "linkMbps": 350000.0,
         "stride": STRIDE,
         "kvHoldS": KV_HOLD_S,
-        "stageSwitchS": 6.0,
+        "stageSwitchS": STAGE_SWITCH_S,
         "holdMs": 2000.0,
         "models": [{"name": "m"}],
     }
@@ -515,6 +646,30 @@
     }
 
 
+def plain_service(name):
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 110,
+        "protocol": "h1",
+        "tlsEnabled": False,
+    }
+
+
+def repeatable_route(name, host, prefix, service, timeout_ms):
+    return {
+        "name": name,
+        "host": host,
+        "pathPrefix": prefix,
+        "routeType": "idempotent",
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 300,
+        "priority": 2,
+        "service": service,
+        "maxAttempts": 2,
+    }
+
+
 def stream_route(name, host, prefix, service, resumable=False):
     return {
         "name": name,
