--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -33,7 +33,7 @@
 KV_TOKENS = 66_897
 KV_HOLD_S = 0.5
 STAGE_SWITCH_S = 6.0
-SPOILED_PART_BYTES = 32_768
+SPOILED_PART_BYTES = 16
 PLAIN_SLOTS = 6
 PLAIN_WORK_S = 0.06
 """Slots and mean time of the plain services in jabalrest-om.toml."""
@@ -426,9 +426,8 @@
         """Send bytes that are not an answer, and break off."""
         self.record.write(f"spoiled: {identity} at {self.address}, {self.spoiled_bytes} bytes")
         part = b"%x\r\n%s\r\n" % (SPOILED_PART_BYTES, b"x" * SPOILED_PART_BYTES)
-        for _ in range(self.spoiled_bytes // SPOILED_PART_BYTES):
-            writer.write(part)
-            await writer.drain()
+        writer.write(part * (self.spoiled_bytes // SPOILED_PART_BYTES))
+        await writer.drain()
         raise ConnectionAbortedError
 
 
