--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -593,11 +593,13 @@
 
 
 def _libraries():
-    """Return the folder of the libraries that the deploy file's build line has installed."""
-    built = REPOSITORY / "target" / "deps"
-    if not (built / "h11").is_dir():
-        raise CannotRun("target/deps is missing: run the build line of deploy/system.toml first")
-    return str(built)
+    """Return the folder of the libraries of the build line, or else of the virtual environment."""
+    folders = [REPOSITORY / "target" / "deps"]
+    folders += sorted((REPOSITORY / ".venv" / "lib").glob("python3*/site-packages"))
+    for folder in folders:
+        if (folder / "h11").is_dir():
+            return str(folder)
+    raise CannotRun("no libraries: run the build line of deploy/system.toml first")
 
 
 def _text(fields, path):
