--- a/review/standins/stand_ins.py
+++ b/review/standins/stand_ins.py
@@ -698,13 +698,16 @@
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         return await asyncio.wait_for(case(record, has_trouble), 110)
 
+    # A script that is told to end, too, ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(play())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (Exception, KeyboardInterrupt) as error:
+        # Anything unexpected is no broken rule.
         record.write(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
     finally:
         record.close()
-    print("\n".join(broken) or "no rule was broken")
+    print("\n".join(broken) or "no rule was broken", flush=True)
     sys.exit(1 if broken else 0)
