Answer requests that meet an unexpected error; log who ended a request

What callers saw: a request that had been passed on ended with neither an answer nor a refusal. It lasts as long as its cause does (a lack of descriptors: every request that needs a new connection) and can be set off from outside by many connections.

Cause: any OSError out of a handler, so any TimeoutError too, and any cancellation of it were taken for the caller's departure: the connection was aborted, and the log said 'caller gone' at most. A handler that a stop cancelled before it had begun ended in the same way. Only the caller's own connection knows whether the caller has left.

Ruled out: that only real departures can raise them. The socket of a new backend connection is opened outside any try; other sources were not found by reading.

Change: errors of the caller's connection are turned into ClientClosedConnection where they occur, and only they mean that it has left. Everything else that is not expected gets 503 with Retry-After if the request was not run, else 502, and a logged traceback. Outcomes: 'caller gone', 'cut off' (by this router), 'ended', 'failed'. The end of a stop is logged.

Conclusion: that this is what the users saw is not shown: nothing was found that raises such an error at their moment.

--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -64,6 +64,10 @@
         """Set by the owner: the next response is the last and says ``Connection: close``."""
         self._close_unannounced = False
         self.is_idle = True
+        self.caller_has_left = False
+        """Whether the caller has closed or reset the connection."""
+        self._is_aborted = False
+        self._has_handler_begun = False
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
@@ -109,11 +113,18 @@
         return has_disconnected(self._writer.get_extra_info("socket"))
 
     async def drain(self) -> None:
-        """Wait until the write buffer is below its high-water mark."""
-        await self._writer.drain()
+        """Wait until the write buffer is below its high-water mark.
+
+        Raises ``ClientClosedConnection`` if the connection is closed.
+        """
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ClientClosedConnection(f"the caller's connection is lost ({error!r})") from None
 
     def abort(self) -> None:
         """Close the connection immediately, without flushing."""
+        self._is_aborted = True
         self._writer.transport.abort()
 
     def close_if_idle(self) -> None:
@@ -123,8 +134,11 @@
             self._writer.close()
 
     def cancel_handler(self) -> None:
-        """Cancel the handler of the request in flight."""
-        if self._handler_task is not None:
+        """Cancel the handler of the request in flight.
+
+        One that has not begun sees the state of the router when it does, and answers by itself.
+        """
+        if self._handler_task is not None and self._has_handler_begun:
             self._handler_task.cancel()
 
     # --- Reading ---
@@ -221,6 +235,7 @@
         Returns whether the connection can serve further requests.
         """
         answer = ResponseWriter(self)
+        self._has_handler_begun = False
         task = asyncio.create_task(self._run_handler(request, answer))
         self._handler_task = task
         watch = asyncio.create_task(self._watch_disconnect(task))
@@ -237,17 +252,22 @@
         return True
 
     async def _run_handler(self, request: CallerRequest, answer: ResponseWriter) -> None:
+        self._has_handler_begun = True
         try:
             await self._handle(request, answer)
-        except (OSError, ClientClosedConnection):
+        except ClientClosedConnection as error:
+            _log.debug("connection lost", reason=error.message)
+            self._note_caller_left()
             self.abort()
 
     async def _handle(self, request: CallerRequest, answer: ResponseWriter) -> None:
-        """Run the handler; raises ``OSError`` or ``ClientClosedConnection`` if the caller has
-        disconnected."""
+        """Run the handler; raises ``ClientClosedConnection`` if the caller has disconnected.
+
+        No other error shows that, not even an ``OSError``: it may come from another connection.
+        """
         try:
             await self._handler(request, answer)
-        except (OSError, ClientClosedConnection):
+        except ClientClosedConnection:
             raise
         except YokedockError as error:
             await self._tell(answer, error)
@@ -287,8 +307,13 @@
                     await asyncio.sleep(DISCONNECT_POLL_S)
         except OSError as error:
             _log.debug("connection lost", reason=repr(error))
+        self._note_caller_left()
         task.cancel()
 
+    def _note_caller_left(self) -> None:
+        """Note that the caller closed the connection, unless this router did so first."""
+        self.caller_has_left = self.caller_has_left or not self._is_aborted
+
     # --- Closing ---
 
     async def _reject(self, error: YokedockError) -> None:
--- a/src/yokedock/connection/response_writer.py
+++ b/src/yokedock/connection/response_writer.py
@@ -14,6 +14,9 @@
 class ResponseChannel(Protocol):
     """The caller's connection, to which a response is written."""
 
+    caller_has_left: bool
+    """Whether the caller has closed or reset the connection."""
+
     def closes_after_response(self) -> bool:
         """Return whether the response must carry ``Connection: close``."""
 
@@ -21,7 +24,10 @@
         """Serialize one HTTP event and write it."""
 
     async def drain(self) -> None:
-        """Wait until the write buffer is below its high-water mark."""
+        """Wait until the write buffer is below its high-water mark.
+
+        Raises ``ClientClosedConnection`` if the connection is closed.
+        """
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has disconnected."""
@@ -44,6 +50,11 @@
         """Return whether the response head was sent."""
         return self.status is not None
 
+    @property
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        return self._connection.caller_has_left
+
     def start(self, head: ResponseHead, length: int | None = None) -> None:
         """Send the head; without ``length`` the body uses chunked transfer encoding."""
         self.status = head.status
--- a/src/yokedock/process/log_explain.py
+++ b/src/yokedock/process/log_explain.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from yokedock.process.tables import format_table
+from yokedock.request.request_outcome import ANSWERED, CALLER_GONE, CUT_OFF, ENDED, FAILED
 
 SERVER_ERROR = 500
 MS_PER_SECOND = 1000
@@ -39,6 +40,7 @@
     REFUSED = "refused"
     CALLER_GONE = "caller gone"
     ROUTER_GONE = "router gone"
+    ROUTER_ERROR = "error of the router"
     DEADLINE = "deadline"
     SLOW_BACKEND = "slow backend"
     OTHER = "other"
@@ -157,20 +159,22 @@
 
     def _explain(self, arrived_s: float, end: RequestLine) -> ExplainedRequest:
         stream = self.streams.get(end.request)
-        is_served = end.outcome == "answered" and end.status is not None
+        is_served = end.outcome == ANSWERED and end.status is not None
         is_served = is_served and (end.status or 0) < SERVER_ERROR
         cause = _cause_late(end, stream) if is_served else _cause_unserved(end, stream)
         return ExplainedRequest(arrived_s, end.route, is_served, cause)
 
 
 def _cause_unserved(end: RequestLine, stream: StreamLine | None) -> Cause:
-    if end.outcome == "caller gone":
+    if end.outcome == CALLER_GONE:
         return Cause.CALLER_GONE
-    if end.outcome == "ended":
+    if end.outcome in (ENDED, CUT_OFF):
         return Cause.ROUTER_GONE
+    if end.outcome == FAILED:
+        return Cause.ROUTER_ERROR
     if end.outcome in REFUSAL_CODES:
         return Cause.REFUSED
-    if end.outcome == "answered":
+    if end.outcome == ANSWERED:
         return Cause.ENGINE_ERROR
     if end.outcome in LOST_ANSWER_CODES or (stream is not None and len(stream.engines) > 1):
         return Cause.BROKEN
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -19,7 +19,7 @@
 from yokedock.request.generation_call import GenerationCalls
 from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.request_digest import digest_text
-from yokedock.request.request_outcome import ANSWERED
+from yokedock.request.request_outcome import ANSWERED, CALLER_GONE, CUT_OFF, ENDED, FAILED
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.unary_call import UnaryCalls
 from yokedock.request.version_pinning import VersionPinning
@@ -103,17 +103,23 @@
             async with self._guard.served(call):
                 await self._serve(call)
         except asyncio.CancelledError:
-            if not self._stop.is_ending or answer.has_started:
-                outcome = "caller gone"
+            outcome = _outcome_of_cancellation(answer)
+            if outcome != ENDED:
                 raise
-            outcome = "ended"
+            if not self._stop.is_ending:
+                _log.error("request cancelled unexpectedly", **_identity(call))
+                raise _unfinished_error(call) from None
             raise self._shutdown_error(call) from None
         except ClientClosedConnection:
-            outcome = "caller gone"
+            outcome = CALLER_GONE
             raise
         except YokedockError as error:
             outcome = error.code
             raise
+        except Exception as error:
+            outcome = FAILED
+            _log.exception("request failed unexpectedly", **_identity(call))
+            raise _unfinished_error(call) from error
         finally:
             self.active -= 1
             end = functools.partial(self._log_end, request, answer, call, outcome)
@@ -211,6 +217,33 @@
         )
 
 
+def _outcome_of_cancellation(answer: ResponseWriter) -> str:
+    """Return who ended a request whose handler was cancelled."""
+    if answer.caller_has_left:
+        return CALLER_GONE
+    return CUT_OFF if answer.has_started else ENDED
+
+
+def _unfinished_error(call: RoutedCall | None) -> YokedockError:
+    """Return the error for a caller whose request met an unexpected error of this router."""
+    if call is not None and call.may_have_run:
+        return BackendResponseLost(
+            "the router failed before the answer arrived; check the request's outcome first"
+        )
+    return NotReady("the router failed; the request was not run, retry it", RETRY_AFTER_S)
+
+
+def _identity(call: RoutedCall | None) -> dict[str, str | bool]:
+    """Return the fields of log lines about an unexpected error."""
+    if call is None:
+        return {}
+    return {
+        "request": call.request_id,
+        "route": call.route.name,
+        "may_have_run": call.may_have_run,
+    }
+
+
 def _zone(call: RoutedCall) -> str:
     """Return the zone of the last backend that was called, empty if there was none."""
     return call.visits[-1].zone if call.visits else ""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -283,6 +283,10 @@
             connection.close_if_idle()
         while self._request_handler.active and boot_time_s() < self._stop.final_answers_s:
             await asyncio.sleep(STOP_POLL_S)
+        active = self._request_handler.active
+        _log.info(
+            "stop ends", is_idle=not active, active=active, connections=len(self._connections)
+        )
         self._stop.is_ending = True
         for connection in list(self._connections):
             connection.cancel_handler()
--- a/src/yokedock/request/request_outcome.py
+++ b/src/yokedock/request/request_outcome.py
@@ -6,6 +6,14 @@
 
 ANSWERED = "answered"
 """Outcome of a request that got a response from a backend, whatever its status."""
+CALLER_GONE = "caller gone"
+"""Outcome of a request whose caller has closed or reset its connection."""
+CUT_OFF = "cut off"
+"""Outcome of a request whose response the router ended after it had started."""
+ENDED = "ended"
+"""Outcome of a request that the router ended with a final answer, mostly because it stopped."""
+FAILED = "failed"
+"""Outcome of a request that met an unexpected error of the router."""
 
 
 class BackendVisit(msgspec.Struct):
