Wait at the end of a stop until answers are sent

What callers saw: an answer that was cut off by a planned stop although its request had ended in time. Any caller that reads slowly, or a narrow link, sets it off; it concerns the last answers of a router that stops.

Cause: a request ends when at most 64 KB of its answer wait to be sent. A stop with no request left closes all connections 50 ms later and discards what waits. A connection that closes after its answer was forgotten 1 s later, and the exit of the process cut it.

Ruled out: the close of idle connections, which sends what waits first.

Change: the stop waits until nothing waits to be sent, at most until 0.3 s before the end of the grace time. A connection is known until it is closed.

Before: unexpected_errors.feature, 'A stop waits for answers that are not sent yet': cut off. After: passes; 408 of 408 in router*, silent_connections, suspension, logs and unexpected_errors.

Conclusion: a planned stop cuts no answer whose caller goes on reading; one that never reads now holds a stop to 7.7 of 8 s.

--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import socket
+import time
 from unittest import mock
 
 from behave import given, then, when
@@ -14,6 +16,14 @@
 from yokedock.request.generation_dispatch import GenerationDispatcher
 
 STREAM_HEADERS = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", "ab:50")]
+ANSWER_LIMIT_S = 10.0
+EVENT_BYTES = 20_000
+LONG_EVENTS = 600
+"""Their 12 MB exceed what the kernel buffers for a connection."""
+READ_BYTES = 4096
+RECEIVE_BUFFER_BYTES = 4096
+SLOW_READER_PAUSE_S = 0.2
+"""Longer than the interval at which a stop polls."""
 ERRORS = {
     "TimeoutError": TimeoutError,
     "ConnectionResetError": ConnectionResetError,
@@ -137,6 +147,41 @@
         connection.cancel_handler()
 
 
+@given("the decode engines make long answers")
+def make_long_answers(context):
+    context.world.backends["d"].padding = "x" * EVENT_BYTES
+    context.world.backends["d"].pieces = LONG_EVENTS
+
+
+@when('a client streams on "{name}" and reads only until its request has ended')
+def read_until_ended(context, name):
+    host, _, port = context.router.settings.callers.listen.rpartition(":")
+    context.client = socket.socket()
+    context.add_cleanup(context.client.close)
+    context.client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    context.client.settimeout(ANSWER_LIMIT_S)
+    context.client.connect((host, int(port)))
+    context.client.sendall(request_bytes(name, headers=STREAM_HEADERS))
+    context.received = context.client.recv(READ_BYTES)
+    while context.router._request_handler.active:
+        context.received += context.client.recv(READ_BYTES)
+
+
+@when("the router is told to stop")
+def stop(context):
+    context.world.loop.call_soon_threadsafe(context.router.stop_event.set)
+    context.world.wait_for(lambda: context.router._stop.is_ending, "the end of the stop")
+
+
+@then("the client reads the whole answer once the stop has ended")
+def reads_whole(context):
+    time.sleep(SLOW_READER_PAUSE_S)
+    while part := context.client.recv(READ_BYTES):
+        context.received += part
+    assert context.received.endswith(b"\r\n0\r\n\r\n"), "the answer was cut off"
+    assert context.received.count(b"\ndata: ") == LONG_EVENTS
+
+
 @then('the request\'s line in the log has the outcome "{outcome}"')
 def logged_outcome(context, outcome):
     context.world.wait_for(lambda: context.outcomes, "the line of the request")
--- a/features/unexpected_errors.feature
+++ b/features/unexpected_errors.feature
@@ -57,3 +57,10 @@
       | who        | outcome     |
       | the caller | caller gone |
       | the router | cut off     |
+
+  # Guards against answers that are cut off because the end of a stop does not wait for slow readers.
+  Scenario: A stop waits for answers that are not sent yet, although their requests have ended
+    Given the decode engines make long answers
+    When a client streams on "talk" and reads only until its request has ended
+    And the router is told to stop
+    Then the client reads the whole answer once the stop has ended
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -141,6 +142,19 @@
         if self._handler_task is not None and self._has_handler_begun:
             self._handler_task.cancel()
 
+    def has_unsent_answer(self) -> bool:
+        """Return whether an answer, or a part of one, has not been handed to the kernel yet."""
+        is_handled = self._handler_task is not None and not self._handler_task.done()
+        return is_handled or self._writer.transport.get_write_buffer_size() > 0
+
+    async def wait_sent(self) -> None:
+        """Wait until a connection that ``serve`` has closed is closed by the kernel.
+
+        It is closed after the last answer was sent, or once the caller does not acknowledge it.
+        """
+        with contextlib.suppress(OSError):
+            await self._writer.wait_closed()
+
     # --- Reading ---
 
     async def _read_request(self) -> CallerRequest | None:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -70,6 +70,8 @@
 """Time from the start of a graceful shutdown until the load balancer opens no more connections."""
 FINAL_ANSWERS_MARGIN_S = 0.8
 """How long before the end of a graceful shutdown the requests still waiting get a final answer."""
+KILL_MARGIN_S = 0.3
+"""How long before the end of the grace time connections are closed, whatever is left to send."""
 STOP_POLL_S = 0.05
 MAX_PUNCTUAL_SLEEP_S = 2 * STOP_POLL_S
 """A sleep of ``STOP_POLL_S`` that takes longer shows a stall of the event loop."""
@@ -290,7 +292,7 @@
         self._stop.is_ending = True
         for connection in list(self._connections):
             connection.cancel_handler()
-        await asyncio.sleep(STOP_POLL_S)
+        await self._wait_for_sent_answers()
         for connection in list(self._connections):
             connection.abort()
         await asyncio.sleep(0)
@@ -307,6 +309,16 @@
             if boot_time_s() - began_s < MAX_PUNCTUAL_SLEEP_S:
                 return
 
+    async def _wait_for_sent_answers(self) -> None:
+        """Wait until all answers are with the kernel, or until the process is about to be killed.
+
+        A request ends before its caller has read the whole answer.
+        """
+        end_s = self._stop.final_answers_s + FINAL_ANSWERS_MARGIN_S - KILL_MARGIN_S
+        await asyncio.sleep(STOP_POLL_S)
+        while boot_time_s() < end_s and any(c.has_unsent_answer() for c in self._connections):
+            await asyncio.sleep(STOP_POLL_S)
+
     def _start_supervised(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         """Start a background task that is restarted after an unexpected error."""
 
@@ -349,6 +361,7 @@
         self._connections.add(connection)
         try:
             await connection.serve()
+            await connection.wait_sent()
         finally:
             self._connections.discard(connection)
 
