A stopping router accepts only what it can answer in the time left

What callers saw: streams that a stopping router had accepted were cut off in the middle 0.8 s before its end, and calls that it had passed on in its last second were answered 502 'may have run', which a caller that must not repeat cannot retry. Each planned stop beside load; nobody else sets it off. Calls that waited for a backend were told only at the end that they were not run.

Cause: streams were judged by a fixed 6 ms a token (an engine with 95 running takes 12.6 ms), plain calls not at all, and nobody looked again at those that wait. The router knows the pace of its engines and the latency of its backends.

Ruled out: closing the listening socket (spends the caller's retry); cutting later (the time left is the same).

Change: one rule, StopAdmission, without network: a request is accepted if the typical latency (three times) or the measured pace (one and a half times) and a second of a backend's silence fit into the time left; who still waits is looked at again every 0.05 s and refused at once. 503, not run, with Retry-After. Also: a grace time under 2.5 s is kept to while connections drain.

A zone whose routers all stop at once refuses plain calls about 1.3 s longer.

--- /dev/null
+++ b/features/support/stop_admission_properties.py
@@ -0,0 +1,114 @@
+"""Properties of the rule for what a stopping router accepts, over generated loads."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from yokedock.base.clock import boot_time_s
+from yokedock.connection.dialect import GenerationParameters
+from yokedock.request.engine_performance import EnginePerformance
+from yokedock.request.stop_admission import SILENCE_ALLOWANCE_S, StopAdmission, StopState
+from yokedock.version.route_table import EngineTraits, ServiceSpec
+
+TOKENS_PER_EVENT = 11
+CLOCK_SLACK_S = 0.05
+ENGINE_TRAITS = EngineTraits(
+    slots=4,
+    memory_tokens=1000,
+    token_bytes=1.0,
+    link_mbps=1000.0,
+    tokens_per_event=TOKENS_PER_EVENT,
+)
+
+
+@dataclasses.dataclass
+class Latencies:
+    """Stands for the registry of backends."""
+
+    latency_s: float
+
+    def typical_latency_s(self, service):
+        return self.latency_s
+
+
+@dataclasses.dataclass
+class Terms:
+    generation: GenerationParameters | None
+
+
+@dataclasses.dataclass
+class Call:
+    """Stands for a routed call that has just arrived."""
+
+    terms: Terms
+    service: ServiceSpec
+    arrived_s: float
+
+
+def admission(left_s, stopping_for_s, latency_s=0.1, pause_s=0.0):
+    """Return the rule of a router that stops in ``left_s``."""
+    now_s = boot_time_s()
+    stop = StopState(True, now_s - stopping_for_s, False, now_s + left_s)
+    pace = EnginePerformance()
+    if pause_s:
+        pace.note_pause("engine", pause_s, is_reading=False)
+    return StopAdmission(stop, Latencies(latency_s), pace)
+
+
+def plain_call():
+    return Call(Terms(None), ServiceSpec("plain"), boot_time_s())
+
+
+def stream(max_tokens, hint=None):
+    terms = GenerationParameters("m", 200, max_tokens, (), hint)
+    return Call(Terms(terms), ServiceSpec("llm", engine=ENGINE_TRAITS), boot_time_s())
+
+
+@given(st.floats(0.0, 8.0), st.floats(0.001, 2.0))
+def a_stopping_router_takes_no_call_that_it_cannot_answer(left_s, latency_s):
+    """Guards against calls that a stopping router takes and cuts off.
+
+    An accepted call ends in time although its backend is silent for a second first.
+    """
+    is_accepted = admission(left_s, 4.0, latency_s).has_time(plain_call())
+    if is_accepted:
+        assert left_s + CLOCK_SLACK_S >= SILENCE_ALLOWANCE_S + latency_s
+    elif left_s >= SILENCE_ALLOWANCE_S + 4 * latency_s + CLOCK_SLACK_S:
+        raise AssertionError("refused, although there was time enough")
+
+
+@given(st.floats(0.0, 8.0), st.integers(1, 3000), st.floats(0.001, 0.5))
+def a_stopping_router_takes_no_stream_that_it_cannot_finish(left_s, tokens, pause_s):
+    """Guards against streams that a stopping router takes by a fixed pace and cuts off.
+
+    An accepted stream ends in time at the measured pace, after a second of silence.
+    """
+    is_accepted = admission(left_s, 4.0, pause_s=pause_s).has_time(stream(tokens, hint=1))
+    needed_s = SILENCE_ALLOWANCE_S + tokens / TOKENS_PER_EVENT * pause_s
+    if is_accepted:
+        assert left_s + CLOCK_SLACK_S >= needed_s
+    elif left_s >= 2 * needed_s + CLOCK_SLACK_S:
+        raise AssertionError("refused, although there was time enough")
+
+
+@given(st.floats(0.0, 0.9))
+def the_kind_of_request_decides_when_to_come_back(left_s):
+    """A refused request was not run, and its caller is told when to come back."""
+    for call in (plain_call(), stream(100)):
+        refusal = admission(left_s, 4.0).refusal(call)
+        assert (refusal.http_status, refusal.outcome) == (503, "not_run")
+        assert refusal.retry_after_s > 0
+
+
+STOP_ADMISSION_PROPERTIES = {
+    "a stopping router takes no call that it cannot answer": (
+        a_stopping_router_takes_no_call_that_it_cannot_answer
+    ),
+    "a stopping router takes no stream that it cannot finish": (
+        a_stopping_router_takes_no_stream_that_it_cannot_finish
+    ),
+    "who is refused by a stopping router is told when to come back": (
+        the_kind_of_request_decides_when_to_come_back
+    ),
+}
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -13,7 +13,6 @@
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.router_state import RouterState
 from yokedock.process.leadership import Leadership, Vote
-from yokedock.process.request_handler import StopState
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.state_exchange import StateExchange
 from yokedock.process.state_follower import StateFollower
@@ -24,6 +23,7 @@
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.queued_placement import QueuedPlacement
 from yokedock.request.remote_queues import RemoteQueues
+from yokedock.request.stop_admission import StopState
 
 _log = logger("router")
 
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
+from collections.abc import Iterator
 
 import msgspec
 
@@ -21,6 +23,7 @@
 from yokedock.request.request_digest import digest_text
 from yokedock.request.request_outcome import ANSWERED, CALLER_GONE, CUT_OFF, ENDED, FAILED
 from yokedock.request.routed_call import RoutedCall
+from yokedock.request.stop_admission import StopAdmission, StopState
 from yokedock.request.unary_call import UnaryCalls
 from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendResponseLost
@@ -34,29 +37,8 @@
 STARTUP_WAIT_S = 0.2
 """How long a request waits for the routes to become known: most routers start faster."""
 STARTUP_RETRY_AFTER_S = 1.0
-REFUSED_STREAM_RETRY_AFTER_S = 1.0
-"""Retry-after time for a stream that a stopping router refused: others may be stopping too."""
 IMMEDIATE_RETRY_AFTER_S = 0.05
 """Retry-after time for a request that another router can serve now."""
-HINT_TRUST_S = 2.5
-"""How long after the start of a graceful shutdown the callers' estimates of output lengths are
-used: the end of the shutdown may cut off streams that arrived in this time. The platform allows
-this for 3 s, counted from when the client sent the request."""
-STREAM_START_ESTIMATE_S = 0.5
-TOKEN_ESTIMATE_S = 0.006
-"""Estimated time to the start of a stream, and for each token, during a graceful shutdown."""
-
-
-class StopState(msgspec.Struct):
-    """Progress of a graceful shutdown."""
-
-    is_stopping: bool = False
-    since_s: float = 0.0
-    """When the shutdown began (boot time, s)."""
-    is_ending: bool = False
-    """Whether waiting and new requests get a final answer now, without being forwarded."""
-    final_answers_s: float = 0.0
-    """When ``is_ending`` will be set (boot time, s)."""
 
 
 class RequestHandler:
@@ -72,6 +54,7 @@
         pinning: VersionPinning,
         metrics: RouterMetrics,
         stop: StopState,
+        admission: StopAdmission,
     ) -> None:
         """Use the state and the components that the whole process shares."""
         self._follower = follower
@@ -82,6 +65,11 @@
         self._pinning = pinning
         self._metrics = metrics
         self._stop = stop
+        self._admission = admission
+        self._waiting: dict[RoutedCall, asyncio.Task[None]] = {}
+        """The calls that were accepted and have not ended, with their handlers."""
+        self._refused: set[RoutedCall] = set()
+        """The calls whose handlers were cancelled because the router stops too soon for them."""
         self._random = new_random()
         self.active = 0
         """Number of requests being served."""
@@ -98,14 +86,17 @@
                 raise self._shutdown_error(None)
             await self._follower.wait_known(STARTUP_WAIT_S)
             call = self._route(request, answer)
-            self._require_time_for_stream(call)
-            await self._pin_version(call)
-            async with self._guard.served(call):
-                await self._serve(call)
+            self._admission.require_time(call)
+            with self._registered(call):
+                await self._pin_version(call)
+                async with self._guard.served(call):
+                    await self._serve(call)
         except asyncio.CancelledError:
             outcome = _outcome_of_cancellation(answer)
             if outcome != ENDED:
                 raise
+            if call is not None and call in self._refused and not call.may_have_run:
+                raise self._admission.refusal(call) from None
             if not self._stop.is_ending:
                 _log.error("request cancelled unexpectedly", **_identity(call))
                 raise _unfinished_error(call) from None
@@ -122,9 +113,30 @@
             raise _unfinished_error(call) from error
         finally:
             self.active -= 1
+            if call is not None:
+                self._refused.discard(call)
             end = functools.partial(self._log_end, request, answer, call, outcome)
             self._metrics.guard.run("request end", end)
 
+    def refuse_late_calls(self) -> None:
+        """Refuse the calls that wait for a backend and can no longer be served in a shutdown."""
+        for call, task in list(self._waiting.items()):
+            is_sent = call.arrivals or call.may_have_run or call.answer.has_started
+            if not is_sent and call not in self._refused and not self._admission.has_time(call):
+                self._refused.add(call)
+                task.cancel()
+
+    @contextlib.contextmanager
+    def _registered(self, call: RoutedCall) -> Iterator[None]:
+        """Let ``refuse_late_calls`` know of a call while it is served."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._waiting[call] = task
+        try:
+            yield
+        finally:
+            del self._waiting[call]
+
     async def _serve(self, call: RoutedCall) -> None:
         if call.service.engine is not None and call.terms.generation is not None:
             await self._generations.serve(call)
@@ -151,22 +163,6 @@
         if service is not None and index is not None:
             call.service = index.table.services.get(service) or ServiceSpec(service)
 
-    def _require_time_for_stream(self, call: RoutedCall) -> None:
-        """Refuse a stream that would not end before this router stops.
-
-        Callers' estimates of the output length are often wrong. They are ignored later in the
-        shutdown, because streams accepted then must not be cut off.
-        """
-        if not self._stop.is_stopping or call.terms.generation is None:
-            return
-        terms, now_s = call.terms.generation, boot_time_s()
-        tokens = terms.max_output_tokens
-        if now_s - self._stop.since_s < HINT_TRUST_S:
-            tokens = terms.output_hint or tokens
-        end_s = now_s + STREAM_START_ESTIMATE_S + tokens * TOKEN_ESTIMATE_S
-        if end_s > self._stop.final_answers_s:
-            raise NotReady("the router is stopping; retry elsewhere", REFUSED_STREAM_RETRY_AFTER_S)
-
     def _service(self, table: RouteTable, route: Route) -> ServiceSpec:
         """Choose one of the route's services at random by weight."""
         targets = [target for target in route.targets if target.weight > 0]
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -27,7 +27,7 @@
 )
 from yokedock.process.gossip_handler import GossipComponents, GossipHandler
 from yokedock.process.leadership import Leadership
-from yokedock.process.request_handler import RequestHandler, StopState
+from yokedock.process.request_handler import RequestHandler
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_maintenance import MaintainedTables, RouterMaintenance
 from yokedock.process.router_metrics import RouterMetrics
@@ -53,6 +53,7 @@
 from yokedock.request.queued_placement import QueuedPlacement
 from yokedock.request.remote_queues import RemoteQueues
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
+from yokedock.request.stop_admission import StopAdmission, StopState
 from yokedock.request.unary_call import UnaryCalls
 from yokedock.request.version_history import VersionHistory
 from yokedock.request.version_pinning import VersionPinning
@@ -157,6 +158,7 @@
             self._pinning,
             self._metrics,
             self._stop,
+            StopAdmission(self._stop, self._registry, self._ledger.pace),
         )
         self._connections: OrderedSet[CallerConnection] = OrderedSet()
         self.is_listening = False
@@ -279,12 +281,14 @@
         )
         for connection in self._connections:
             connection.is_closing = True
-        await asyncio.sleep(CONNECTION_DRAIN_S)
+        drained_s = min(boot_time_s() + CONNECTION_DRAIN_S, self._stop.final_answers_s)
+        while boot_time_s() < drained_s:
+            await self._refuse_late_calls(drained_s)
         await self._wait_for_punctual_loop()
         for connection in list(self._connections):
             connection.close_if_idle()
         while self._request_handler.active and boot_time_s() < self._stop.final_answers_s:
-            await asyncio.sleep(STOP_POLL_S)
+            await self._refuse_late_calls(self._stop.final_answers_s)
         active = self._request_handler.active
         _log.info(
             "stop ends", is_idle=not active, active=active, connections=len(self._connections)
@@ -298,6 +302,11 @@
         await asyncio.sleep(0)
         self._gossip.send_final_state()
 
+    async def _refuse_late_calls(self, until_s: float) -> None:
+        """Refuse the calls for which too little time is left, then sleep for one poll interval."""
+        self._request_handler.refuse_late_calls()
+        await asyncio.sleep(max(0.0, min(STOP_POLL_S, until_s - boot_time_s())))
+
     async def _wait_for_punctual_loop(self) -> None:
         """Wait until the event loop runs on time, so that all requests that arrived are read.
 
--- a/src/yokedock/request/engine_performance.py
+++ b/src/yokedock/request/engine_performance.py
@@ -151,6 +151,10 @@
             return 1.0
         return self._pauses.expected(engine, self._clock()) / typical
 
+    def typical_pause_s(self) -> float:
+        """Return the median pause between events of all engines, 0 if none was measured."""
+        return self._pauses.typical
+
     def prefilling_pause_s(self, engine: str) -> float:
         """Return the expected pause between events on ``engine`` during a prefill there."""
         return self._pauses.expected(engine, self._clock()) * self._prefill_pause_ratio
--- /dev/null
+++ b/src/yokedock/request/stop_admission.py
@@ -0,0 +1,101 @@
+"""Decides which requests a router that is being stopped still accepts.
+
+A request is accepted only if its response can be expected before the router stops. One that is
+refused was not run, and another router can serve it; one that is accepted too late is cut off, and
+its caller does not know whether it was run.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from yokedock.base.clock import boot_time_s
+from yokedock.connection.dialect import GenerationParameters
+from yokedock.errors import NotReady
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.engine_performance import EnginePerformance
+from yokedock.request.routed_call import RoutedCall
+
+SILENCE_ALLOWANCE_S = 1.0
+"""A sound backend may send nothing for this long before it goes on."""
+LATENCY_MARGIN = 3.0
+"""Ratio of the latency that a call is given to the typical one of its service."""
+PACE_MARGIN = 1.5
+"""Ratio of the time that a stream is given to the time at the present pace of the engines: the
+pace falls when other streams join."""
+STREAM_START_ESTIMATE_S = 0.5
+"""Estimated time from the arrival of a stream to its first event."""
+INITIAL_TOKEN_ESTIMATE_S = 0.006
+"""Estimated time for each token until a pace has been measured."""
+HINT_TRUST_S = 2.5
+"""How long after the start of a graceful shutdown the callers' estimates of output lengths are
+used: the end of the shutdown may cut off streams that arrived in this time. The platform allows
+this for 3 s, counted from when the client sent the request."""
+STREAM_RETRY_AFTER_S = 1.0
+"""Retry-after time for a stream: others may be stopping too."""
+CALL_RETRY_AFTER_S = 0.05
+"""Retry-after time for a call that another router can serve now."""
+
+
+class StopState(msgspec.Struct):
+    """Progress of a graceful shutdown."""
+
+    is_stopping: bool = False
+    since_s: float = 0.0
+    """When the shutdown began (boot time, s)."""
+    is_ending: bool = False
+    """Whether waiting and new requests get a final answer now, without being forwarded."""
+    final_answers_s: float = 0.0
+    """When ``is_ending`` will be set (boot time, s)."""
+
+
+class StopAdmission:
+    """Compares the time that a request needs with the time left until the router stops."""
+
+    def __init__(self, stop: StopState, registry: BackendRegistry, pace: EnginePerformance) -> None:
+        """Use the measured latencies of the backends and the pace of the engines."""
+        self._stop = stop
+        self._registry = registry
+        self._pace = pace
+
+    def require_time(self, call: RoutedCall) -> None:
+        """Raise ``NotReady`` if the router stops before the request could be served."""
+        if not self.has_time(call):
+            raise self.refusal(call)
+
+    def has_time(self, call: RoutedCall) -> bool:
+        """Return whether a request that has not been sent to a backend can still be served."""
+        if not self._stop.is_stopping:
+            return True
+        return boot_time_s() + self._needed_s(call) <= self._stop.final_answers_s
+
+    def refusal(self, call: RoutedCall) -> NotReady:
+        """Return the error for a request that was not run."""
+        retry_after_s = STREAM_RETRY_AFTER_S if call.terms.generation else CALL_RETRY_AFTER_S
+        return NotReady("the router is stopping; retry elsewhere", retry_after_s)
+
+    def _needed_s(self, call: RoutedCall) -> float:
+        """Return the time to allow for a request that is sent to a backend now, in seconds."""
+        terms = call.terms.generation
+        if terms is None:
+            typical_s = self._registry.typical_latency_s(call.service.name)
+            return SILENCE_ALLOWANCE_S + LATENCY_MARGIN * typical_s
+        output_s = self._output_tokens(call, terms) * self._token_s(call)
+        return SILENCE_ALLOWANCE_S + STREAM_START_ESTIMATE_S + output_s
+
+    def _output_tokens(self, call: RoutedCall, terms: GenerationParameters) -> int:
+        """Return the number of output tokens to allow for.
+
+        Callers' estimates are often wrong. They are ignored for requests that arrive later in the
+        shutdown, because these must not be cut off.
+        """
+        if call.arrived_s - self._stop.since_s < HINT_TRUST_S:
+            return terms.output_hint or terms.max_output_tokens
+        return terms.max_output_tokens
+
+    def _token_s(self, call: RoutedCall) -> float:
+        """Return the time to allow for each token, in seconds."""
+        pause_s = self._pace.typical_pause_s()
+        if pause_s <= 0 or call.service.engine is None:
+            return INITIAL_TOKEN_ESTIMATE_S
+        return PACE_MARGIN * pause_s / call.service.engine.tokens_per_event
