A raised idle timeout holds for connections that already wait

What callers saw: a request sent on a kept connection met its close, with neither an answer nor a refusal, for one old idle timeout after a configuration had raised it. Operators set it off by that change.

Cause: the wait for the next request was begun with the idle timeout of that moment; callers reuse a connection for as long as the newest allows.

Ruled out: a lowered timeout (the wait that is under way lasts longer than callers count on).

Change: at its end, the wait looks at the timeout that holds now.

Whether this was the users' report beside a change of the configuration is not shown: no configuration of that report is known.

--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -81,6 +81,27 @@
     asyncio.run(play())
 
 
+def a_raised_idle_timeout_holds_for_connections_that_wait():
+    """Guards against requests lost on connections that are closed by an idle timeout of before.
+
+    Callers reuse a connection for as long as the newest configuration allows.
+    """
+
+    async def play():
+        server = StoppingServer()
+        server.limits = CallerLimits(idle_timeout_s=0.2)
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        await read_answer(reader)
+        server.limits = CallerLimits(idle_timeout_s=5.0)
+        await asyncio.sleep(0.5)
+        writer.write(REQUEST)
+        assert b" 200 " in await read_answer(reader)
+
+    asyncio.run(play())
+
+
 def a_connection_accepted_during_a_stall_is_used():
     """A connection that was accepted during a stall is used, although its timeout has passed."""
 
@@ -177,4 +198,7 @@
         a_request_after_an_unannounced_close_is_answered
     ),
     "an idle connection is closed late in a stop": an_idle_connection_is_closed_during_shutdown,
+    "a raised idle timeout holds for connections that wait": (
+        a_raised_idle_timeout_holds_for_connections_that_wait
+    ),
 }
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -163,7 +163,7 @@
         self._has_request_data = bool(self._parser.trailing_data[0])
         event = self._next_event()
         is_silent = event is h11.NEED_DATA and not self._has_request_data
-        if is_silent and not await self._receive(limits.idle_timeout_s):
+        if is_silent and not await self._receive_while_idle():
             return None
         arrived_s = boot_time_s()
         self._has_request_data = True
@@ -174,6 +174,20 @@
         body = await self._read_body(head, limits)
         return CallerRequest(head, body, arrived_s)
 
+    async def _receive_while_idle(self) -> bool:
+        """Wait for the first data of a request; returns False if none arrives in the idle time.
+
+        A configuration may raise the idle timeout meanwhile: callers then reuse the connection for
+        longer.
+        """
+        since_s = boot_time_s()
+        while (remaining_s := since_s + self._limits().idle_timeout_s - boot_time_s()) > 0:
+            if await self._receive(remaining_s):
+                return True
+            if self._reader.at_eof():
+                return False
+        return False
+
     async def _read_head(self, event: object, until_s: float) -> RequestHead | None:
         while True:
             if event is h11.NEED_DATA:
