Watch streams of two lives of an engine apart

What callers saw: nothing yet that is known; streams of silent engines would wait for their full time limit instead of moving on.

Cause: the silence detector kept the time of an engine's last data by name. When an engine started anew under its name, the end of the old life's last stream removed the entry of the new life, and the next check raised KeyError: no check was scheduled any more until another stream was opened. An engine that restarts under its name sets it off. Found while reading what may raise inside a request.

Ruled out: the users' platform, where each life has a name of its own.

Change: by incarnation.

Before: the property 'streams of two lives of an engine are watched apart' raised KeyError('d'); after: it passes.

Conclusion: mended.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -32,6 +32,7 @@
       | property                                            |
       | a stream that broke late waits for room             |
       | an engine whose streams are all silent is avoided   |
+      | streams of two lives of an engine are watched apart |
       | a process that stood still accuses no engine        |
       | an engine that goes on is spared for one stream     |
       | whoever cannot be served is refused at once         |
--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -297,6 +297,26 @@
     asyncio.run(play())
 
 
+def streams_of_two_lives_of_an_engine_are_watched_apart():
+    """Guards against a detector that fails, and watches no stream any more, after a restart.
+
+    For a while, streams of the engine's life before and of its new one have the same name.
+    """
+
+    async def play():
+        clock = Clock()
+        watch = SilenceDetector(clock)
+        before, after = (registry("d", "e", clock=clock) for _ in range(2))
+        streams = [watch.open(backends.get("d"), may_move=True) for backends in (before, after)]
+        for stream in streams:
+            watch.heard(stream)
+        watch.close(streams[0])
+        await advance_clock(clock, watch, ENGINE_SILENCE_S)
+        assert is_avoided(after) and not is_avoided(before)
+
+    asyncio.run(play())
+
+
 async def is_wait_aborted(stream):
     """Wait on a stream; return whether the wait was aborted because the stream is silent."""
     try:
@@ -362,6 +382,9 @@
     "the forecast learns how wrong it was": the_forecast_learns_its_error_factor,
     "room is forecast from how long streams lasted": capacity_is_forecast_from_stream_durations,
     "a stream that broke late waits for room": caller_timeout_counts_from_the_latest_event,
+    "streams of two lives of an engine are watched apart": (
+        streams_of_two_lives_of_an_engine_are_watched_apart
+    ),
     "an engine whose streams are all silent is avoided": (
         an_engine_with_only_silent_streams_is_avoided
     ),
--- a/src/yokedock/request/silence_detector.py
+++ b/src/yokedock/request/silence_detector.py
@@ -78,7 +78,8 @@
         self._clock = clock
         self._is_used = is_used
         self._streams: OrderedSet[WatchedStream] = OrderedSet()
-        self._heard_s: dict[str, float] = {}
+        self._heard_s: dict[Backend, float] = {}
+        """When each engine last sent data, by incarnation: two may have one name."""
         self._last_check_s = 0.0
         self._is_check_scheduled = False
 
@@ -94,13 +95,13 @@
     def heard(self, stream: WatchedStream) -> None:
         """Record that data arrived on a stream, and so from its engine."""
         stream.has_begun = True
-        self._heard_s[stream.engine.name] = self._clock()
+        self._heard_s[stream.engine] = self._clock()
 
     def close(self, stream: WatchedStream) -> None:
         """Stop monitoring a stream."""
         self._streams.discard(stream)
         if not any(other.engine is stream.engine for other in self._streams):
-            self._heard_s.pop(stream.engine.name, None)
+            self._heard_s.pop(stream.engine, None)
 
     def check(self) -> None:
         """Mark silent engines as suspect and abort the waits for them."""
@@ -109,14 +110,14 @@
             self._heard_s = dict.fromkeys(self._heard_s, now_s)
         self._last_check_s = now_s
         for engine in {s.engine for s in self._streams if s.has_begun}:
-            silent_s = now_s - self._heard_s[engine.name]
+            silent_s = now_s - self._heard_s[engine]
             if silent_s >= ENGINE_SILENCE_S:
                 self._mark_silent(engine, silent_s, now_s)
 
     def _on_stall(self, stream: WatchedStream, silent_s: float) -> None:
         """Mark the engine of a stalled stream as suspect, unless its other streams had data."""
         engine, now_s = stream.engine, self._clock()
-        heard_s = self._heard_s.get(engine.name, -math.inf)
+        heard_s = self._heard_s.get(engine, -math.inf)
         if stream.has_begun and now_s - heard_s < RECENT_ACTIVITY_SHARE * silent_s:
             _log.info(
                 "stream stalled, but other streams of the engine are active", engine=engine.name
