Split streams in linear time; break off one whose event has no end

What callers saw: one stream whose engine sends bytes that are no events left all requests of its router without an answer for seconds, or for good. It lasts as long as the bytes take; any faulty engine sets it off.

Cause: EventSplitter.feed searched its whole buffer anew for each part, and copied the rest for each event. Nothing bounded the buffer.

Ruled out: the callers' side and plain calls; nothing is wrong with them.

Change: the search goes on where the last one ended, and the buffer is cut once per part. An event over 4 MiB (MAX_EVENT_BYTES) is a ResponseTooLarge, a BackendResponseError: the stream goes on elsewhere, and the engine counts as broken.

Conclusion: a long event costs time linear in its bytes, and at most 4 MiB.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -310,3 +310,11 @@
       | a part blamed wrongly comes free with a trial     |
       | withheld parts are forgotten                  |
       | part records are bounded                      |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: what others send takes linear time
+      | property                                |
+      | a long event takes linear time          |
+      | an event without end breaks the stream  |
--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -26,6 +26,13 @@
       | wait after event 2    | 2    |
       | unframed, ends within event 3 | 2 |
 
+  # Guards against memory that grows as long as an engine sends an event without an end.
+  Scenario: A resumable stream goes on elsewhere if an event has no end
+    Given every decode engine's next fault is "endless event 4" at the first that runs
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the second run went on behind event 3
+
   Scenario: A stream with neither a length nor chunks is passed on whole
     Given every decode engine's next fault is "unframed" at the first that runs
     When a client streams on "talk"
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -306,6 +306,13 @@
             await writer.drain()
         return False
 
+    async def _write_without_end(self, writer):
+        """Write bytes that never become an event until the router closes the connection."""
+        part = b"x" * 65_536
+        while True:
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+            await writer.drain()
+
     async def _stream(self, arrival, writer, fault):
         if self.is_unframed or fault.startswith("unframed"):
             return await self._stream_unframed(arrival, writer, fault)
@@ -324,6 +331,8 @@
                 return False
             if fault == f"lose event {number}":
                 continue
+            if fault == f"endless event {number}":
+                return await self._write_without_end(writer)
             if fault == f"double event {number}":
                 event += event
             if writer in self._silent:
--- a/src/yokedock/connection/event_stream.py
+++ b/src/yokedock/connection/event_stream.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
+from yokedock.router_errors import ResponseTooLarge
+
+MAX_EVENT_BYTES = 4_194_304
+"""A stream with a longer event is invalid. A token with 20 alternatives takes 3 KB, an event with a
+picture a few MB; a complete plain response may have 16 MB."""
 _END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 
 
@@ -18,24 +24,42 @@
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events."""
+    """Buffers bytes and returns complete events, in time proportional to the bytes."""
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+        """Length of the buffer's start that no end of an event begins in."""
 
     @property
     def rest(self) -> bytes:
         """Return the bytes of an incomplete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that are complete now."""
+        """Append bytes and return the events that are complete now.
+
+        Raises ``ResponseTooLarge`` if an event exceeds ``MAX_EVENT_BYTES``.
+        """
         self._buffer += data
         events = []
-        while (end := _END.search(self._buffer)) is not None:
-            whole = self._buffer[: end.end()]
-            self._buffer = self._buffer[end.end() :]
-            found = _ID.search(whole)
-            events.append(StreamEvent(whole, int(found.group(1)) if found else None))
+        start = 0
+        while (end := _END.search(self._buffer, self._searched_bytes)) is not None:
+            events.append(_event(bytes(self._buffer[start : end.end()])))
+            start = self._searched_bytes = end.end()
+        del self._buffer[:start]
+        _require_allowed_size(len(self._buffer))
+        self._searched_bytes = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         return events
+
+
+def _event(whole: bytes) -> StreamEvent:
+    _require_allowed_size(len(whole))
+    found = _ID.search(whole)
+    return StreamEvent(whole, int(found.group(1)) if found else None)
+
+
+def _require_allowed_size(size: int) -> None:
+    if size > MAX_EVENT_BYTES:
+        raise ResponseTooLarge(f"an event of the stream exceeds {MAX_EVENT_BYTES} bytes")
