--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -4,6 +4,7 @@
 from support.call_queue_properties import CALL_QUEUE_PROPERTIES
 from support.connection_properties import CONNECTION_PROPERTIES
 from support.entry_properties import ENTRY_PROPERTIES
+from support.event_loop_properties import EVENT_LOOP_PROPERTIES
 from support.fleet_properties import FLEET_PROPERTIES
 from support.fuzz_properties import FUZZ_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
@@ -40,6 +41,7 @@
 ALL_PROPERTIES |= CALL_QUEUE_PROPERTIES | RESUME_PROPERTIES | RESTORED_PROPERTIES
 ALL_PROPERTIES |= RESERVATION_PROPERTIES | SIMULATION_PROPERTIES | PORT_PROPERTIES
 ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES | STOP_ADMISSION_PROPERTIES
+ALL_PROPERTIES |= EVENT_LOOP_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
