Router: the graceful stop is a module of its own

No behaviour changes: begin() does before the resignation what was done around it, in one iteration of the event loop.

Ruled out: moving the state too; the request handler and the gossip read it.

Conclusion: nothing else.

--- a/features/steps/stop_stall_steps.py
+++ b/features/steps/stop_stall_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from support.router_world import request_bytes
 
-from yokedock.process.router import CONNECTION_DRAIN_S
+from yokedock.process.graceful_stop import CONNECTION_DRAIN_S
 
 ANSWER_LIMIT_S = 5.0
 LEAD_S = 0.2
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from yokedock.base.clock import boot_time_s
 from yokedock.base.early_sockets import BACKLOG
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
@@ -26,6 +25,7 @@
     NotReady,
 )
 from yokedock.process.gossip_handler import GossipComponents, GossipHandler
+from yokedock.process.graceful_stop import GracefulStop
 from yokedock.process.leadership import Leadership
 from yokedock.process.request_handler import RequestHandler
 from yokedock.process.role_balancer import RoleBalancer
@@ -67,15 +67,6 @@
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a background task that failed is restarted, so that a persistent error does not
 cause a busy loop."""
-CONNECTION_DRAIN_S = 2.5
-"""Time from the start of a graceful shutdown until the load balancer opens no more connections."""
-FINAL_ANSWERS_MARGIN_S = 0.8
-"""How long before the end of a graceful shutdown the requests still waiting get a final answer."""
-KILL_MARGIN_S = 0.3
-"""How long before the end of the grace time connections are closed, whatever is left to send."""
-STOP_POLL_S = 0.05
-MAX_PUNCTUAL_SLEEP_S = 2 * STOP_POLL_S
-"""A sleep of ``STOP_POLL_S`` that takes longer shows a stall of the event loop."""
 
 
 class Router:
@@ -269,65 +260,14 @@
         return self._follower.is_known and not self._stop.is_stopping
 
     async def _shut_down(self) -> None:
-        """Complete the requests in flight; those still waiting near the end get a final answer."""
-        self._stop.is_stopping, self._stop.since_s = True, boot_time_s()
+        """Let other routers lead, and complete the requests in flight."""
+        graceful_stop = GracefulStop(self._stop, self._request_handler, self._connections)
+        graceful_stop.begin(self.settings.stop.grace_s)
         self._leadership.resign()
         self._gossip.change()
-        self._stop.final_answers_s = (
-            boot_time_s() + self.settings.stop.grace_s - FINAL_ANSWERS_MARGIN_S
-        )
-        _log.info(
-            "stopping", active=self._request_handler.active, connections=len(self._connections)
-        )
-        for connection in self._connections:
-            connection.is_closing = True
-        drained_s = min(boot_time_s() + CONNECTION_DRAIN_S, self._stop.final_answers_s)
-        while boot_time_s() < drained_s:
-            await self._refuse_late_calls(drained_s)
-        await self._wait_for_punctual_loop()
-        for connection in list(self._connections):
-            connection.close_if_idle()
-        while self._request_handler.active and boot_time_s() < self._stop.final_answers_s:
-            await self._refuse_late_calls(self._stop.final_answers_s)
-        active = self._request_handler.active
-        _log.info(
-            "stop ends", is_idle=not active, active=active, connections=len(self._connections)
-        )
-        self._stop.is_ending = True
-        for connection in list(self._connections):
-            connection.cancel_handler()
-        await self._wait_for_sent_answers()
-        for connection in list(self._connections):
-            connection.abort()
-        await asyncio.sleep(0)
+        await graceful_stop.run()
         self._gossip.send_final_state()
 
-    async def _refuse_late_calls(self, until_s: float) -> None:
-        """Refuse the calls for which too little time is left, then sleep for one poll interval."""
-        self._request_handler.refuse_late_calls()
-        await asyncio.sleep(max(0.0, min(STOP_POLL_S, until_s - boot_time_s())))
-
-    async def _wait_for_punctual_loop(self) -> None:
-        """Wait until the event loop runs on time, so that all requests that arrived are read.
-
-        After a stall, a connection may appear idle although its next request waits in the socket.
-        """
-        while boot_time_s() < self._stop.final_answers_s:
-            began_s = boot_time_s()
-            await asyncio.sleep(STOP_POLL_S)
-            if boot_time_s() - began_s < MAX_PUNCTUAL_SLEEP_S:
-                return
-
-    async def _wait_for_sent_answers(self) -> None:
-        """Wait until all answers are with the kernel, or until the process is about to be killed.
-
-        A request ends before its caller has read the whole answer.
-        """
-        end_s = self._stop.final_answers_s + FINAL_ANSWERS_MARGIN_S - KILL_MARGIN_S
-        await asyncio.sleep(STOP_POLL_S)
-        while boot_time_s() < end_s and any(c.has_unsent_answer() for c in self._connections):
-            await asyncio.sleep(STOP_POLL_S)
-
     def _start_supervised(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         """Start a background task that is restarted after an unexpected error."""
 
