Let other tasks run while buffered data is handled

What callers saw: requests without an answer, and time-outs that come late, while one message of many tiny pieces is handled. It lasts until its data is handled, a turn of it up to some hundred milliseconds and more where pieces cost more, and goes on as long as such data comes. Any caller (a body in chunks of one byte) and any backend can set it off.

Cause: awaiting data suspends a task only if none is buffered. A connection buffers 128 KB and more, which holds over 20,000 chunks, interim responses, responses to earlier requests or events. The cause is one, the places are three: responses, request bodies and the events of one part.

Ruled out: pipelined requests (each handler is a task of its own), heads (one step, linear), the 1 s of reading after a close (no work on the data).

Conclusion: data that keeps coming costs processor time, but neither the others' turns nor the time-outs.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -315,8 +315,11 @@
     Then this holds for generated cases: <property>
 
     Examples: what others send takes linear time
-      | property                                   |
-      | a long event takes linear time             |
-      | an event without end breaks the stream     |
-      | an invalid line of blanks is rejected soon |
-      | lines are parsed as by the library         |
+      | property                                       |
+      | a long event takes linear time                 |
+      | an event without end breaks the stream         |
+      | an invalid line of blanks is rejected soon     |
+      | lines are parsed as by the library             |
+      | responses of tiny pieces hold up no other task |
+      | requests of tiny chunks hold up no other task  |
+      | tiny events hold up no other task              |
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -1,7 +1,10 @@
 """Properties of what others can make this process do: it takes time linear in their bytes."""
 
+import asyncio
+import contextlib
 import re
 import time
+from unittest import mock
 
 import h11
 from h11 import _abnf
@@ -9,8 +12,13 @@
 
 from support.search import searched
 from yokedock.connection import http_parser
+from yokedock.connection.backend_connection import BackendConnection
+from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.event_stream import MAX_EVENT_BYTES, EventSplitter
+from yokedock.connection.http_heads import RequestHead, ResponseHead, complete_response
+from yokedock.request.stream_relay import StreamRelay
 from yokedock.router_errors import BackendResponseError
+from yokedock.version.route_table import CallerLimits
 
 MAX_BUSY_S = 0.5
 """A request must be answered this long after its time-out, whatever other requests do."""
@@ -97,6 +105,145 @@
     assert own is None or own.group(*names) == theirs.group(*names), line
 
 
+MAX_STEPS = 1_000
+"""Steps of work on one connection's data between two turns of any other task."""
+MANY = 50_000
+LIMIT_S = 20.0
+
+
+class TurnMeter:
+    """Measures how many calls of a function come between two turns of another task."""
+
+    def __init__(self, owner, name):
+        self.longest = self._count = 0
+        self._original = getattr(owner, name)
+        self._patch = mock.patch.object(owner, name, lambda *given: self._call(given))
+
+    def _call(self, given):
+        self._count += 1
+        self.longest = max(self.longest, self._count)
+        return self._original(*given)
+
+    async def measure(self, work):
+        """Return the result of ``work``, which must leave others their turns."""
+        turns = asyncio.create_task(self._take_turns())
+        try:
+            with self._patch:
+                return await asyncio.wait_for(work, LIMIT_S)
+        finally:
+            turns.cancel()
+
+    async def _take_turns(self):
+        while True:
+            await asyncio.sleep(0)
+            self._count = 0
+
+
+async def serve_bytes(data):
+    """Listen, and answer each connection's first request with ``data``; return the address."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(data)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+RESPONSE_LINES = b"HTTP/1.1 200 OK\r\n"
+ONE_CHUNK = b"1\r\nx\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+TINY_PIECES = {
+    "chunks": RESPONSE_LINES + CHUNKED + MANY * ONE_CHUNK,
+    "interim responses": MANY * b"HTTP/1.1 100 \r\n\r\n" + RESPONSE_LINES + CHUNKED,
+    "responses to others": (
+        MANY * (RESPONSE_LINES + b"Content-Length: 0\r\n\r\n")
+        + RESPONSE_LINES
+        + b"X-Ours: 1\r\n"
+        + CHUNKED
+    ),
+}
+
+
+# Guards against a backend that stops the router with a response of many tiny pieces.
+def responses_of_tiny_pieces_leave_others_their_turns():
+    """Chunks, interim responses and responses to earlier requests don't hold up other tasks."""
+
+    def is_ours(name):
+        return lambda head: name != "responses to others" or head.get(b"x-ours") is not None
+
+    async def read(address, name):
+        connection = await BackendConnection.connect(address, LIMIT_S)
+        await connection.send(RequestHead((), b"GET", b"/x"), [(b"Host", b"h")], b"")
+        await connection.read_head(is_ours(name))
+        size = sum([len(part) async for part in connection.body_parts()])
+        connection.abort()
+        return size
+
+    async def play(name, data):
+        address = await serve_bytes(data + LAST_CHUNK)
+        meter = TurnMeter(h11.Connection, "next_event")
+        assert await meter.measure(read(address, name)) == (MANY if name == "chunks" else 0)
+        assert meter.longest <= MAX_STEPS, (name, meter.longest)
+
+    for name, data in TINY_PIECES.items():
+        asyncio.run(play(name, data))
+
+
+# Guards against a caller that stops the router with a request body of many tiny chunks.
+def a_request_of_tiny_chunks_leaves_others_their_turns():
+    """A body of many tiny chunks is received without holding up other tasks."""
+    bodies = []
+
+    async def handle(request, answer):
+        bodies.append(request.body)
+        await answer.whole(*complete_response(200, b""))
+
+    async def accept(reader, writer):
+        await CallerConnection(reader, writer, handle, CallerLimits).serve()
+
+    async def send(port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST_LINES + CHUNKED + MANY * ONE_CHUNK + LAST_CHUNK)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        meter = TurnMeter(h11.Connection, "next_event")
+        await meter.measure(send(server.sockets[0].getsockname()[1]))
+        assert bodies == [MANY * b"x"]
+        assert meter.longest <= MAX_STEPS, meter.longest
+
+    asyncio.run(play())
+
+
+class UnlimitedWriter:
+    """A caller whose connection takes everything at once."""
+
+    has_started = True
+
+    async def write(self, data):
+        """Take a part of the body."""
+
+
+# Guards against an engine that stops the router with many tiny events in one chunk.
+def tiny_events_leave_others_their_turns():
+    """Many events of one read, relayed or dropped as duplicates, don't hold up other tasks."""
+
+    async def play(event):
+        relay = StreamRelay(UnlimitedWriter(), 5)
+        meter = TurnMeter(StreamRelay, "_is_next")
+        await meter.measure(relay.feed(ResponseHead((), 200), MANY * event))
+        assert meter.longest <= MAX_STEPS, (event, meter.longest)
+
+    asyncio.run(play(b"\n\n"))
+    asyncio.run(play(b"id:1\n\n"))
+
+
 EVENT_LOOP_PROPERTIES = {
     "a long event takes linear time": a_long_event_takes_linear_time,
     "an event without end breaks the stream": an_event_without_end_breaks_the_stream,
@@ -104,4 +251,11 @@
         an_invalid_line_of_blanks_is_rejected_in_linear_time
     ),
     "lines are parsed as by the library": lines_are_parsed_as_by_the_library,
+    "responses of tiny pieces hold up no other task": (
+        responses_of_tiny_pieces_leave_others_their_turns
+    ),
+    "requests of tiny chunks hold up no other task": (
+        a_request_of_tiny_chunks_leaves_others_their_turns
+    ),
+    "tiny events hold up no other task": tiny_events_leave_others_their_turns,
 }
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -18,6 +18,7 @@
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.sockets import new_socket
+from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.http_heads import Header, RequestHead, ResponseHead
 from yokedock.connection.http_parser import response_parser
 from yokedock.router_errors import (
@@ -68,6 +69,7 @@
         self._reader = reader
         self._writer = writer
         self._parser: h11.Connection | None = None
+        self._turns = WorkTurns()
         self._idle_since_s = boot_time_s()
         self._reusable_until_s = self._idle_since_s + MAX_IDLE_S
         self._can_reuse = True
@@ -202,6 +204,7 @@
     async def _next_event(self) -> object:
         assert self._parser is not None
         while True:
+            await self._turns.step()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -17,6 +17,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
+from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.caller_request import CallerRequest, check_head
 from yokedock.connection.disconnect_detection import has_disconnected
 from yokedock.connection.http_heads import RequestHead
@@ -60,6 +61,7 @@
         self._handler = handler
         self._limits = limits
         self._parser = request_parser(limits().header_bytes)
+        self._turns = WorkTurns()
         self._has_request_data = False
         self._handler_task: asyncio.Task[None] | None = None
         self.is_closing = False
@@ -201,6 +203,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
+            await self._turns.step()
             event = self._next_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.event_stream import EventSplitter, StreamEvent
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.response_writer import ResponseWriter
@@ -34,6 +35,7 @@
         self.last_s = 0.0
         """When the latest event was relayed (boot time, s), 0 if none was."""
         self._splitter = EventSplitter()
+        self._turns = WorkTurns()
 
     def begin_run(self) -> None:
         """Start reading from another engine; a partial event from the previous one is discarded."""
@@ -47,6 +49,7 @@
         Raises ``BackendResponseError`` if an event is missing.
         """
         for event in self._splitter.feed(data):
+            await self._turns.step()
             is_first = self._is_first_of_run
             if is_first:
                 self._is_first_of_run = False
