Buffer a caller's pipelined requests up to the limit

What callers saw: nothing until the memory ends; then all requests of the router are lost. Any caller can set it off by sending requests faster than they are handled, and it lasts as long as its connection.

Cause: while a request is handled, up to 256 KB are read ahead, but what was read ahead before wasn't counted: each handled request added 256 KB. Each request also copied the whole buffer once, which grew with the requests.

Ruled out: backend connections, which read only once all data is parsed.

Change: what the parser holds counts.

Before: 'requests sent ahead are buffered up to a limit': 7,968,985 bytes after 30 handled requests (327,680 allowed).

Conclusion: a connection holds at most 256 KB and one read of requests sent ahead.

--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -13,7 +13,7 @@
 from support.search import searched
 from yokedock.connection import http_parser
 from yokedock.connection.backend_connection import BackendConnection
-from yokedock.connection.caller_connection import CallerConnection
+from yokedock.connection.caller_connection import READ_AHEAD_BYTES, READ_BYTES, CallerConnection
 from yokedock.connection.event_stream import MAX_EVENT_BYTES, EventSplitter
 from yokedock.connection.http_heads import RequestHead, ResponseHead, complete_response
 from yokedock.request.stream_relay import StreamRelay
@@ -244,6 +244,42 @@
     asyncio.run(play(b"id:1\n\n"))
 
 
+PIPELINED = REQUEST_LINES + b"Content-Length: 0\r\nX: " + b"x" * 8_000 + b"\r\n\r\n"
+ANSWERED = 30
+"""Requests that are answered before the test ends; without a limit each lets more be read ahead."""
+HANDLE_S = 0.02
+
+
+# Guards against memory that grows as long as a caller sends requests faster than they are handled.
+def pipelined_requests_are_buffered_up_to_a_limit():
+    """The requests that a caller sends ahead are read only up to the limit, however many follow."""
+    buffered = []
+
+    async def accept(reader, writer):
+        async def handle(request, answer):
+            await asyncio.sleep(HANDLE_S)
+            buffered.append(len(connection._parser.trailing_data[0]))
+            await answer.whole(*complete_response(200, b""))
+
+        connection = CallerConnection(reader, writer, handle, CallerLimits)
+        await connection.serve()
+
+    async def send(port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(PIPELINED * 1_500)
+        while len(buffered) < ANSWERED:
+            await asyncio.sleep(HANDLE_S)
+        writer.transport.abort()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        await asyncio.wait_for(send(server.sockets[0].getsockname()[1]), LIMIT_S)
+        await asyncio.sleep(HANDLE_S)
+
+    asyncio.run(play())
+    assert max(buffered) <= READ_AHEAD_BYTES + READ_BYTES, max(buffered)
+
+
 EVENT_LOOP_PROPERTIES = {
     "a long event takes linear time": a_long_event_takes_linear_time,
     "an event without end breaks the stream": an_event_without_end_breaks_the_stream,
@@ -258,4 +294,5 @@
         a_request_of_tiny_chunks_leaves_others_their_turns
     ),
     "tiny events hold up no other task": tiny_events_leave_others_their_turns,
+    "requests sent ahead are buffered up to a limit": pipelined_requests_are_buffered_up_to_a_limit,
 }
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -311,7 +311,7 @@
 
     async def _watch_disconnect(self, task: asyncio.Task[None]) -> None:
         """Keep reading while the handler runs; cancel it when the caller disconnects."""
-        ahead = 0
+        ahead = len(self._parser.trailing_data[0])
         try:
             while ahead < READ_AHEAD_BYTES:
                 data = await self._reader.read(READ_BYTES)
