Bound the body of an engine's error response to a stream

What callers saw: a stream whose engine answers with an error and doesn't end it waits for its deadline instead of another engine, and the router buffers all that comes: unbounded memory, so all its requests may be lost. Any faulty engine sets it off; it lasts until the deadline of the stream.

Cause: the body of an error response was read outside the time-out for silence and without the limit on buffered responses.

Ruled out: plain calls and prefills, which read_whole bounds.

Change: BackendExchange.read_body, taken out of read_whole, bounds both; the stream then goes on elsewhere.

Before: 'A resumable stream goes on elsewhere if the body of an error has no end' failed for a body of 32 MB (passed on as it was) and for one that stalls.

--- a/features/router_streams.feature
+++ b/features/router_streams.feature
@@ -33,6 +33,17 @@
     Then the client gets 6 events, each once and in order, and a whole end
     And the second run went on behind event 3
 
+  # Guards against memory and waits without a limit for the body of an engine's error response.
+  Scenario Outline: A resumable stream goes on elsewhere if the body of an error has no end: <fault>
+    Given every decode engine's next fault is "<fault>" at the first that runs
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+
+    Examples:
+      | fault         |
+      | long error    |
+      | stalled error |
+
   Scenario: A stream with neither a length nor chunks is passed on whole
     Given every decode engine's next fault is "unframed" at the first that runs
     When a client streams on "talk"
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -13,6 +13,9 @@
 from yokedock.base.clock import boot_time_s
 
 DEFAULT_EVENT_COUNT = 6
+LAST_CHUNK = b"0\r\n\r\n"
+LONG_ERROR_PARTS = 512
+LONG_ERROR_PART = b"e" * 65_536
 SLOW_BYTE_INTERVAL_S = 0.1
 """Delay before each byte of a slow response body: eleven bytes take 1.1 s."""
 CACHE_PATH = "/cache"
@@ -306,6 +309,18 @@
             await writer.drain()
         return False
 
+    async def _write_error(self, arrival, writer, stalls):
+        """Write an error response whose body is long, or stops coming after its first part."""
+        framing = [("Transfer-Encoding", "chunked"), ("X-Signature", self.name)]
+        writer.write(self._head(arrival, 400, framing, signed=False))
+        for _ in range(LONG_ERROR_PARTS):
+            writer.write(b"%x\r\n%s\r\n" % (len(LONG_ERROR_PART), LONG_ERROR_PART))
+            await writer.drain()
+            if stalls:
+                await asyncio.sleep(3600)
+        writer.write(LAST_CHUNK)
+        return True
+
     async def _write_without_end(self, writer):
         """Write bytes that never become an event until the router closes the connection."""
         part = b"x" * 65_536
@@ -314,6 +329,8 @@
             await writer.drain()
 
     async def _stream(self, arrival, writer, fault):
+        if fault in ("long error", "stalled error"):
+            return await self._write_error(arrival, writer, fault == "stalled error")
         if self.is_unframed or fault.startswith("unframed"):
             return await self._stream_unframed(arrival, writer, fault)
         first = int(arrival.header("Last-Event-Id") or 0) + 1
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -143,13 +143,21 @@
         return head
 
     async def read_whole(self, patience_s: float) -> BufferedResponse:
-        """Return the head and the complete body; raises as ``read_head``.
+        """Return the head and the complete body; raises as ``read_head`` and ``read_body``.
 
         ``patience_s`` limits the time without data, before the head and between two parts of the
         body, not the total time: while a response is arriving the backend has done the work, and a
         retry elsewhere would repeat it.
         """
         head = await self.read_head(patience_s)
+        return BufferedResponse(head, await self.read_body(head, patience_s))
+
+    async def read_body(self, head: ResponseHead, patience_s: float) -> bytes:
+        """Return the complete body.
+
+        Raises ``BackendResponseError`` if it is truncated or too large, or if no data arrives for
+        ``patience_s``.
+        """
         clock = asyncio.get_running_loop().time
         deadline_s = clock() + self._call.remaining_s()
         parts = []
@@ -163,7 +171,7 @@
                 f"{self.backend.name}: response incomplete at the time limit"
             ) from None
         self.finish(is_failure=head.status >= SERVER_ERROR)
-        return BufferedResponse(head, b"".join(parts))
+        return b"".join(parts)
 
     async def body_parts(self, max_bytes: int | None = None) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -167,8 +167,9 @@
             head = await stream.within(limit_s, exchange.read_head(call.remaining_s()))
             state.source = None
             if head.status != 200:
+                body = await exchange.read_body(head, limit_s)
                 await self._handle_error_response(
-                    call, state, exchange, BufferedResponse(head, b"")
+                    call, state, exchange, BufferedResponse(head, body)
                 )
                 return
             parts = exchange.body_parts()
@@ -228,8 +229,6 @@
         answer: BufferedResponse,
     ) -> None:
         """Return the engine's error response to the caller, or retry on another engine."""
-        parts = [part async for part in exchange.body_parts()]
-        exchange.finish(is_failure=answer.head.status >= SERVER_ERROR)
         if call.answer.has_started or (
             answer.head.status >= SERVER_ERROR
             and state.retries.reserve_retry(call, MIN_ATTEMPT_TIME_S)
@@ -237,7 +236,7 @@
             raise BackendResponseError(
                 f"{exchange.backend.name} returned status {answer.head.status}"
             )
-        await call.answer.whole(answer.head, b"".join(parts))
+        await call.answer.whole(answer.head, answer.body)
 
     def release(self, source: str, cache_holder: Backend | None) -> None:
         """Release a prefill result in the background; it would expire soon in any case."""
