Break off a stream whose event ids have too many digits

What callers saw: a stream that ended with an unexpected error (502 or a cut) instead of going on at another engine. Any faulty engine sets it off, one stream at a time.

Cause: Python raises ValueError for numbers of several thousand digits, and only a BackendResponseError lets a stream go on elsewhere.

Change: an id of more digits than headers may have (18) is a BackendResponseError.

Before: 'an id too long for a number breaks the stream': ValueError for 5,000 digits, and 20 digits were accepted. After: passes.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -318,6 +318,7 @@
       | property                                       |
       | a long event takes linear time                 |
       | an event without end breaks the stream         |
+      | an id too long for a number breaks the stream  |
       | an invalid line of blanks is rejected soon     |
       | lines are parsed as by the library             |
       | responses of tiny pieces hold up no other task |
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -221,6 +221,19 @@
     asyncio.run(play())
 
 
+# Guards against an engine that ends a stream with an unexpected error by an id of many digits.
+def an_id_too_long_for_a_number_breaks_the_stream():
+    """An id that is no 64-bit number is a typed error, however many digits it has."""
+    for digits in (5_000, 60_000, 20):
+        try:
+            EventSplitter().feed(b"id: " + b"1" * digits + b"\n\n")
+        except BackendResponseError:
+            continue
+        raise AssertionError(f"{digits} digits were accepted")
+    (event,) = EventSplitter().feed(b"id: %d\n\n" % (10**18 - 1))
+    assert event.event_id == 10**18 - 1
+
+
 class UnlimitedWriter:
     """A caller whose connection takes everything at once."""
 
@@ -283,6 +296,9 @@
 EVENT_LOOP_PROPERTIES = {
     "a long event takes linear time": a_long_event_takes_linear_time,
     "an event without end breaks the stream": an_event_without_end_breaks_the_stream,
+    "an id too long for a number breaks the stream": (
+        an_id_too_long_for_a_number_breaks_the_stream
+    ),
     "an invalid line of blanks is rejected soon": (
         an_invalid_line_of_blanks_is_rejected_in_linear_time
     ),
--- a/src/yokedock/connection/event_stream.py
+++ b/src/yokedock/connection/event_stream.py
@@ -6,11 +6,13 @@
 
 import msgspec
 
-from yokedock.router_errors import ResponseTooLarge
+from yokedock.connection.header_numbers import MAX_DIGITS
+from yokedock.router_errors import BackendResponseError, ResponseTooLarge
 
 MAX_EVENT_BYTES = 4_194_304
 """A stream with a longer event is invalid. A token with 20 alternatives takes 3 KB, an event with a
 picture a few MB; a complete plain response may have 16 MB."""
+
 _END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = 4
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
@@ -40,7 +42,8 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that are complete now.
 
-        Raises ``ResponseTooLarge`` if an event exceeds ``MAX_EVENT_BYTES``.
+        Raises ``ResponseTooLarge`` if an event exceeds ``MAX_EVENT_BYTES``,
+        ``BackendResponseError`` if its id exceeds ``MAX_DIGITS``.
         """
         self._buffer += data
         events = []
@@ -57,7 +60,13 @@
 def _event(whole: bytes) -> StreamEvent:
     _require_allowed_size(len(whole))
     found = _ID.search(whole)
-    return StreamEvent(whole, int(found.group(1)) if found else None)
+    return StreamEvent(whole, _number(found.group(1)) if found else None)
+
+
+def _number(digits: bytes) -> int:
+    if len(digits) > MAX_DIGITS:
+        raise BackendResponseError(f"the id of an event has {len(digits)} digits")
+    return int(digits)
 
 
 def _require_allowed_size(size: int) -> None:
