Ignore Keep-Alive timeouts that are no numbers

What callers saw: 502 for a request that was run and answered, each time a backend's response has such a header. Any faulty backend sets it off.

Cause: str.isdigit accepts digits that int doesn't (a superscript two, which is a byte of Latin-1) and numbers of thousands of digits, which raise ValueError or OverflowError.

Ruled out: Content-Length, which h11 checks (20 digits at most); the other headers go through header_numbers.

Change: parse_integer, as for the other headers.

Before: 'invalid keep-alive timeouts are ignored': ValueError. After: passes.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -319,6 +319,7 @@
       | a long event takes linear time                 |
       | an event without end breaks the stream         |
       | an id too long for a number breaks the stream  |
+      | invalid keep-alive timeouts are ignored        |
       | an invalid line of blanks is rejected soon     |
       | lines are parsed as by the library             |
       | responses of tiny pieces hold up no other task |
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -234,6 +234,25 @@
     assert event.event_id == 10**18 - 1
 
 
+KEEP_ALIVE_TIMEOUTS = (b"\xb2", b"1" * 400, b"1" * 5_000, b"x")
+
+
+# Guards against a response that is lost to an unexpected error by its Keep-Alive header.
+def invalid_keep_alive_timeouts_are_ignored():
+    """A response is read whatever the number in its Keep-Alive header."""
+
+    async def play(timeout):
+        head = RESPONSE_LINES + b"Keep-Alive: timeout=" + timeout + b"\r\n"
+        address = await serve_bytes(head + b"Content-Length: 0\r\n\r\n")
+        connection = await BackendConnection.connect(address, LIMIT_S)
+        await connection.send(RequestHead((), b"GET", b"/x"), [(b"Host", b"h")], b"")
+        assert (await connection.read_head(lambda head: True)).status == 200
+        connection.abort()
+
+    for timeout in KEEP_ALIVE_TIMEOUTS:
+        asyncio.run(play(timeout))
+
+
 class UnlimitedWriter:
     """A caller whose connection takes everything at once."""
 
@@ -299,6 +318,7 @@
     "an id too long for a number breaks the stream": (
         an_id_too_long_for_a_number_breaks_the_stream
     ),
+    "invalid keep-alive timeouts are ignored": invalid_keep_alive_timeouts_are_ignored,
     "an invalid line of blanks is rejected soon": (
         an_invalid_line_of_blanks_is_rejected_in_linear_time
     ),
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -19,6 +19,7 @@
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.sockets import new_socket
 from yokedock.base.work_turns import WorkTurns
+from yokedock.connection.header_numbers import parse_integer
 from yokedock.connection.http_heads import Header, RequestHead, ResponseHead
 from yokedock.connection.http_parser import response_parser
 from yokedock.router_errors import (
@@ -260,8 +261,9 @@
         rest_s = MAX_IDLE_S
         for part in (head.get(b"keep-alive") or "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                rest_s = min(rest_s, int(value) * KEEP_ALIVE_SHARE)
+            timeout_s = parse_integer(value)
+            if name.lower() == "timeout" and timeout_s is not None:
+                rest_s = min(rest_s, timeout_s * KEEP_ALIVE_SHARE)
         self._reusable_until_s = boot_time_s() + rest_s
 
     def _finish(self) -> None:
