--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -17,6 +17,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
+from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.caller_request import CallerRequest, check_head
 from yokedock.connection.disconnect_detection import has_disconnected
 from yokedock.connection.http_heads import RequestHead
@@ -60,6 +61,7 @@
         self._handler = handler
         self._limits = limits
         self._parser = request_parser(limits().header_bytes)
+        self._turns = WorkTurns()
         self._has_request_data = False
         self._handler_task: asyncio.Task[None] | None = None
         self.is_closing = False
@@ -215,6 +217,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
+            await self._turns.step()
             event = self._next_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
@@ -322,7 +325,7 @@
 
     async def _watch_disconnect(self, task: asyncio.Task[None]) -> None:
         """Keep reading while the handler runs; cancel it when the caller disconnects."""
-        ahead = 0
+        ahead = len(self._parser.trailing_data[0])
         try:
             while ahead < READ_AHEAD_BYTES:
                 data = await self._reader.read(READ_BYTES)
