Take over changed seeds while a router runs

What callers saw: after all machines named as seeds were replaced, the routers that stayed and the new ones never met. Each group had a leader, and both ordered the same engine to change its role; each group also counted the whole retry budget as its own, and knew nothing of the other's work at engines. It lasted until every router of one group was restarted. The loss and replacement of the seed machines sets it off, not a caller.

Cause: seeds were read once, at the start. SIGHUP was only logged, and a file that changed without a signal was not noticed.

Ruled out: lost datagrams and expiry of routers; neither group ever had an address of the other.

Change: SettingsReload reads the settings file on SIGHUP, and without a signal once its status has changed and then stayed the same for a check (1 s), as it may be half written. fleet.seeds and stop.grace_s take effect at once; other options are logged with their remedy. Invalid settings are logged with all errors and change nothing. The gossip contacts new seeds immediately and lets previous ones expire. Seeds are checked to be of the form IP:port.

Conclusion: groups meet as soon as one of them is told of a member of the other. Until then they cannot know of each other, and a meeting finds two leaders if it comes later than the first vote of the new group (5.5 s after its start with a lease of 3 s); that is not fixed here.

--- a/src/yokedock/base/options.py
+++ b/src/yokedock/base/options.py
@@ -63,6 +63,12 @@
     return None
 
 
+def addresses(values: Any) -> str | None:
+    """Check that each value has the form of an IP address and a port."""
+    remedies = [address(value) for value in values]
+    return next((remedy for remedy in remedies if remedy is not None), None)
+
+
 class Problems:
     """Collects the errors found in a file, each with its location and a remedy."""
 
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -145,6 +145,20 @@
             return STARTUP_INTERVAL_S
         return LARGE_FLEET_INTERVAL_S if heard >= LARGE_FLEET else INTERVAL_S
 
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from now on, and contact the new ones immediately.
+
+        Previous seeds expire like any other router once they are not heard.
+        """
+        added = [seed for seed in seeds if seed not in self._seeds]
+        self._seeds = seeds
+        if self._transport is None or not added:
+            return
+        for seed in added:
+            self._add_router(seed)
+        self._addresses_sent_s = 0.0
+        self.change()
+
     def fleet_size(self) -> int:
         """Return the number of live routers, including this one."""
         return 1 + len(self.alive())
--- a/src/yokedock/platform/main.py
+++ b/src/yokedock/platform/main.py
@@ -19,6 +19,7 @@
 
     ``sockets`` are already listening, keyed by address.
     """
-    settings = read_router_settings(Path(os.environ[SETTINGS_VARIABLE]))
+    path = Path(os.environ[SETTINGS_VARIABLE])
+    settings = read_router_settings(path)
     source = PlatformStore(settings.state.source)
-    run_router(settings, source, HeaderDialect(PLATFORM_HEADERS), sockets)
+    run_router(path, settings, source, HeaderDialect(PLATFORM_HEADERS), sockets)
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -61,7 +61,7 @@
     from yokedock.process.router_settings import read_router_settings
 
     checked = read_router_settings(settings)
-    run_router(checked, RoutesFile(Path(checked.state.source)), HeaderDialect())
+    run_router(settings, checked, RoutesFile(Path(checked.state.source)), HeaderDialect())
 
 
 @app.command
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -99,11 +99,10 @@
         limits = BackendLimits(own_address, lambda: self._gossip.fleet_size())
         self._registry = BackendRegistry(settings.process.zone, limits=limits)
         gossip_handler = self._gossip_handler = GossipHandler()
-        seeds = tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
         self._gossip = RouterGossip(
             own_address,
             int(port),
-            seeds,
+            _seed_hosts(settings),
             gossip_handler.own_state,
             gossip_handler.apply_state,
             gossip_handler.drop_state_of,
@@ -251,6 +250,11 @@
             task.cancel()
         _log.info("stopped", name=self.settings.process.name)
 
+    def apply_settings(self, settings: RouterSettings) -> None:
+        """Use the reloaded options of ``settings``, which equal the current ones otherwise."""
+        self.settings = settings
+        self._gossip.replace_seeds(_seed_hosts(settings))
+
     @property
     def position(self) -> SourcePosition:
         """Return the position of the source that the known state corresponds to."""
@@ -447,3 +451,7 @@
         All other state is kept by incarnation.
         """
         self._pool.forget(backend.entry.address)
+
+
+def _seed_hosts(settings: RouterSettings) -> tuple[str, ...]:
+    return tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from pathlib import Path
 from typing import Any
 
 from yokedock.base.clock import new_event_loop
@@ -14,35 +15,38 @@
 from yokedock.connection.state_source import StateSource
 from yokedock.process.router import Router
 from yokedock.process.router_settings import RouterSettings
+from yokedock.process.settings_reload import SettingsReload
 
 _log = logger("main")
 
 
 def run_router(
+    path: Path,
     settings: RouterSettings,
     source: StateSource,
     dialect: Dialect,
     sockets: dict[str, socket.socket] | None = None,
 ) -> None:
-    """Serve until SIGTERM or SIGINT. SIGHUP is only logged, as settings are not reloaded.
+    """Serve until SIGTERM or SIGINT; SIGHUP means that the settings file has changed.
 
-    ``sockets`` are already listening, by address.
+    ``settings`` were read from the file at ``path``. ``sockets`` are already listening, by address.
     """
     set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
-        runner.run(_run(Router(settings, source, dialect, sockets)))
+        runner.run(_run(path, Router(settings, source, dialect, sockets)))
 
 
-async def _run(router: Router) -> None:
+async def _run(path: Path, router: Router) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_unhandled)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _log.info("SIGHUP received; settings are not reloaded")
-    )
+    reload = SettingsReload(path, router.settings, router.apply_settings)
+    loop.add_signal_handler(signal.SIGHUP, reload.request)
+    reloading = asyncio.create_task(reload.run())
     await router.run(stop)
+    reloading.cancel()
     # Closing the loop restores the default action of SIGHUP, which would terminate the process with
     # a failure status.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -6,7 +6,15 @@
 from pathlib import Path
 from typing import Any
 
-from yokedock.base.options import Problems, address, between, one_of, option, read_ini
+from yokedock.base.options import (
+    Problems,
+    address,
+    addresses,
+    between,
+    one_of,
+    option,
+    read_ini,
+)
 from yokedock.base.options import read_section as read_options
 from yokedock.errors import SettingsInvalid
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
@@ -35,7 +43,7 @@
     address: str = option(
         "this router's own IP address and its port for other routers", check=address
     )
-    seeds: tuple[str, ...] = option("IP:port of some routers; the port is not used", ())
+    seeds: tuple[str, ...] = option("IP:port of some routers; the port is not used", (), addresses)
     lease_s: float = option(
         "minimum time between the terms of two leaders, s", 3.0, between(0.1, 600)
     )
@@ -91,6 +99,12 @@
     mechanisms: Mechanisms = ALL_ON
 
 
+RELOADED_OPTIONS = ("fleet.seeds", "stop.grace_s")
+"""Options that take effect while the router runs. All others take effect at its next start: what
+is bound, connected or shared with other routers depends on them."""
+START_OPTIONS = ("fleet.is_first_start",)
+"""Options that describe a start; a change of them concerns no running router."""
+
 _OPTIONAL = {"retries", "stop", "log", "mechanisms"}
 _KINDS: dict[str, Any] = {
     "process": RouterProcessSettings,
@@ -123,3 +137,35 @@
     if problems.lines:
         raise SettingsInvalid(problems.text())
     return RouterSettings(**sections)
+
+
+def changed_options(before: RouterSettings, after: RouterSettings) -> list[str]:
+    """Return the options (``section.option``) that differ, without those that describe a start."""
+    return [
+        name
+        for name in _option_names(before)
+        if name not in START_OPTIONS and _value(before, name) != _value(after, name)
+    ]
+
+
+def with_reloaded_options(running: RouterSettings, written: RouterSettings) -> RouterSettings:
+    """Return ``running`` with those options of ``written`` that take effect in a running router."""
+    sections: dict[str, Any] = {}
+    for name in RELOADED_OPTIONS:
+        section, _, field = name.partition(".")
+        before = sections.get(section, getattr(running, section))
+        sections[section] = dataclasses.replace(before, **{field: _value(written, name)})
+    return dataclasses.replace(running, **sections)
+
+
+def _option_names(settings: RouterSettings) -> list[str]:
+    return [
+        f"{section.name}.{field.name}"
+        for section in dataclasses.fields(settings)
+        for field in dataclasses.fields(getattr(settings, section.name))
+    ]
+
+
+def _value(settings: RouterSettings, name: str) -> Any:
+    section, _, field = name.partition(".")
+    return getattr(getattr(settings, section), field)
