--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -8,6 +8,7 @@
 from support.fleet_properties import FLEET_PROPERTIES
 from support.fuzz_properties import FUZZ_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
+from support.leader_term_properties import LEADER_TERM_PROPERTIES
 from support.life_properties import LIFE_PROPERTIES
 from support.limit_properties import LIMIT_PROPERTIES
 from support.notice_properties import NOTICE_PROPERTIES
@@ -42,6 +43,7 @@
 ALL_PROPERTIES |= RESERVATION_PROPERTIES | SIMULATION_PROPERTIES | PORT_PROPERTIES
 ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES | STOP_ADMISSION_PROPERTIES
 ALL_PROPERTIES |= EVENT_LOOP_PROPERTIES
+ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES | LEADER_TERM_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
