--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -244,18 +244,20 @@
     seeds: int = 1,
     two_versions: bool = False,
     crashing_parts: bool = False,
+    stops_in_turn: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
 
     Run in the root of the repository. Ends with status 1 if a rule was broken; the schedule, the
     stories and the logs are then kept in OUT. With TWO_VERSIONS, decode engines of two software
-    versions serve side by side; with CRASHING_PARTS, parts of some prompts crash engines.
+    versions serve side by side; with CRASHING_PARTS, parts of some prompts crash engines; with
+    STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit.
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
 
-    options = SoakOptions(two_versions, crashing_parts)
+    options = SoakOptions(two_versions, crashing_parts, stops_in_turn)
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
     print(f"{len(reports) - len(broken)} passed, {len(broken)} failed {broken}")
@@ -270,6 +272,7 @@
     seeds: int = 1,
     two_versions: bool = False,
     crashing_parts: bool = False,
+    stops_in_turn: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -277,13 +280,14 @@
     The same seed gives the same history and digest, regardless of the machine and its load. Ends
     with status 1 if a rule was broken; the schedule, the stories and the logs are then kept in OUT.
     With TWO_VERSIONS, decode engines of two software versions serve side by side; with
-    CRASHING_PARTS, parts of some prompts crash engines.
+    CRASHING_PARTS, parts of some prompts crash engines; with STOPS_IN_TURN, routers are stopped in
+    series, and get new connections until they exit.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
 
     ensure_fixed_hash_seed()
-    options = SoakOptions(two_versions, crashing_parts)
+    options = SoakOptions(two_versions, crashing_parts, stops_in_turn)
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
     print(f"{len(results) - len(broken)} passed, {len(broken)} failed {broken}")
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -57,14 +57,19 @@
         self._launcher = launcher
         self._options = options
         self.history = SoakHistory()
-        self._operator = SoakOperator(self.history, options.has_two_versions)
+        self._operator = SoakOperator(self.history, options)
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
         """Run to the end and judge; raises ``TimeoutError`` if routers do not get ready."""
         ticks = asyncio.create_task(self._tick())
         await self._operator.start()
-        fleet = SoakFleet(self._launcher, self._operator.store.address, self.history)
+        fleet = SoakFleet(
+            self._launcher,
+            self._operator.store.address,
+            self.history,
+            self._options.has_stops_in_turn,
+        )
         try:
             await fleet.start()
             await self._drive(fleet)
@@ -78,12 +83,10 @@
         return make_report(self._seed, self._seconds, self._began_s, self.history, violations)
 
     async def _drive(self, fleet: SoakFleet) -> None:
-        clients = SoakClients(
-            self._seed, fleet, self._operator, self.history, self._options.has_crashing_parts
-        )
+        clients = SoakClients(self._seed, fleet, self._operator, self.history, self._options)
         self._began_s = boot_time_s()
         calls = asyncio.create_task(clients.run())
-        for event in draw_plan(self._seed, self._seconds):
+        for event in draw_plan(self._seed, self._seconds, self._options):
             await asyncio.sleep(self._began_s + event.at_s - boot_time_s())
             done = await self._strike(fleet, event)
             if done:
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -16,7 +16,7 @@
     MIDDLE_PARTS,
     QUARANTINED,
 )
-from yokedock_emulator.router_soak.soak_plan import ROUTERS
+from yokedock_emulator.router_soak.soak_plan import DEFAULT_OPTIONS, ROUTERS, SoakOptions
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
     LIVES_IN,
@@ -37,6 +37,11 @@
 """Share of callers that keep a connection for as long as it lasts; others send a few requests."""
 FEW = (1, 6)
 THINK_S = (0.0, 0.15)
+STOP_CALLERS = 24
+"""Callers that open connections to routers which are stopping, if asked for."""
+STOP_REQUESTS = (1, 3)
+"""Requests on each of these connections."""
+STOP_PAUSE_S = (0.02, 0.3)
 LEAVING_SHARE = 0.03
 LEAVES_AFTER_S = (0.0, 0.3)
 OTHER_ROUTE_SHARE = 0.15
@@ -66,17 +71,14 @@
         fleet: SoakFleet,
         operator: SoakOperator,
         history: SoakHistory,
-        has_crashing_parts: bool = False,
+        options: SoakOptions = DEFAULT_OPTIONS,
     ) -> None:
-        """Call the routers of ``fleet`` on the routes that ``operator`` has published.
-
-        With ``has_crashing_parts``, prompts have parts in common, and some crash engines.
-        """
+        """Call the routers of ``fleet`` on the routes that ``operator`` has published."""
         self._seed = seed
         self._fleet = fleet
         self._operator = operator
         self._history = history
-        self._has_crashing_parts = has_crashing_parts
+        self._options = options
         self._is_stopping = False
         self._sent = 0
 
@@ -88,8 +90,10 @@
         """Call until stopped."""
         callers = [self._call(number) for number in range(CALLERS)]
         callers.append(self._call_with_poison())
-        if self._has_crashing_parts:
+        if self._options.has_crashing_parts:
             callers.append(self._call_with_crashing_parts())
+        if self._options.has_stops_in_turn:
+            callers += [self._call_stopping(number) for number in range(STOP_CALLERS)]
         await asyncio.gather(*callers)
 
     async def _call(self, number: int) -> None:
@@ -106,6 +110,21 @@
             broken = await self._use(connection, router, most, choices, broken)
             connection.leave()
 
+    async def _call_stopping(self, number: int) -> None:
+        """Open connections to routers that are stopping, until they exit."""
+        choices = random.Random(f"{self._seed}-stopping-{number}")
+        while not self._is_stopping:
+            await asyncio.sleep(choices.uniform(*STOP_PAUSE_S))
+            routers = self._fleet.stopping()
+            if not routers:
+                continue
+            router = choices.choice(routers)
+            connection = await self._connect(router)
+            if connection is not None:
+                most = choices.randint(*STOP_REQUESTS)
+                await self._use(connection, router, most, choices, None)
+                connection.leave()
+
     async def _call_with_poison(self) -> None:
         """Send one request that ends its backends again and again, while its route is there."""
         choices = random.Random(f"{self._seed}-poison")
@@ -175,7 +194,7 @@
 
     def _shared_parts(self, route: SoakRoute, choices: random.Random) -> tuple[str, ...]:
         """Return the parts that a harmless prompt shares with others."""
-        if not self._has_crashing_parts or route.kind not in STREAMS:
+        if not self._options.has_crashing_parts or route.kind not in STREAMS:
             return ()
         parts = (choices.choice(FIRST_PARTS), choices.choice(MIDDLE_PARTS))
         return parts[: choices.choice((1, 2))]
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -32,8 +32,18 @@
 class SoakFleet:
     """All routers; ``lives`` in the history tells what became of each process."""
 
-    def __init__(self, launcher: RouterLauncher, store: str, history: SoakHistory) -> None:
-        """Run routers that read their state from the store at address ``store``."""
+    def __init__(
+        self,
+        launcher: RouterLauncher,
+        store: str,
+        history: SoakHistory,
+        gets_new_until_exit: bool = False,
+    ) -> None:
+        """Run routers that read their state from the store at address ``store``.
+
+        With ``gets_new_until_exit``, callers open connections to a router until it exits.
+        """
+        self._gets_new_until_exit = gets_new_until_exit
         self._launcher = launcher
         self._store = store
         self._history = history
@@ -89,7 +99,17 @@
         if life.ready_s is None or life.ended_s is not None:
             return False
         terminated_s = life.terminated_s
-        return terminated_s is None or boot_time_s() - terminated_s < TAKES_NEW_S
+        if terminated_s is None or self._gets_new_until_exit:
+            return True
+        return boot_time_s() - terminated_s < TAKES_NEW_S
+
+    def stopping(self) -> list[int]:
+        """Return the routers that were told to stop and have not exited."""
+        return [
+            router
+            for router, life in self._lives.items()
+            if life.terminated_s is not None and life.ended_s is None
+        ]
 
     async def levels(self, router: int) -> dict[str, float]:
         """Return the figures without labels of a router's metrics page."""
@@ -106,11 +126,13 @@
         router = event.target
         life, process = self._lives[router], self._processes[router]
         down = sum(self._is_struck(other) for other in range(ROUTERS))
-        if life.ended_s is not None or (down >= MOST_DOWN and not self._is_struck(router)):
+        is_spared = down >= MOST_DOWN and not self._is_struck(router) and not event.is_in_turn
+        if life.ended_s is not None or is_spared:
             return ""
         if event.kind == "hang-up":
             if not process.handles_signal(signal.SIGHUP):
                 life.hung_up_unhandled = True
+            life.hang_ups_s.append(boot_time_s())
             process.send_signal(signal.SIGHUP)
         elif event.kind == "freeze":
             self._after(self._freeze(router, event.length_s))
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Coroutine
 from typing import Any, cast
@@ -24,7 +25,7 @@
 )
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.router_soak.soak_backend import LIMITS, SoakBackend
-from yokedock_emulator.router_soak.soak_plan import SoakEvent
+from yokedock_emulator.router_soak.soak_plan import DEFAULT_OPTIONS, SoakEvent, SoakOptions
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
     LIVES_IN,
@@ -64,16 +65,32 @@
 SLOTS = 64
 LIMIT_OF_ALL = "20"
 """What each backend of a service names as all of them do: under a third of what callers ask for."""
+TIMEOUTS_MS = (9_000.0, 10_000.0, 15_000.0)
+"""All beyond the deadline of callers, so that no answer depends on which one is in force."""
+TARGET_LATENCIES_MS = (500.0, 1_000.0, 3_000.0)
+MAX_ATTEMPTS = (2, 3, 4)
 VERSION_STEP = 7
 """Versions of the operator's configurations rise by more than one."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RouteSettings:
+    """Limits that a configuration sets for all of its routes and engines."""
+
+    timeout_ms: float = 10_000.0
+    target_latency_ms: float = 1_000.0
+    max_attempts: int = 3
+    slots: int = SLOTS
+
+
 class SoakOperator:
     """Writes the store and owns all backends."""
 
-    def __init__(self, history: SoakHistory, has_two_versions: bool = False) -> None:
+    def __init__(self, history: SoakHistory, options: SoakOptions = DEFAULT_OPTIONS) -> None:
         """Start with nothing; decode engines have two software versions if so asked."""
-        self._versions = VERSIONS if has_two_versions else VERSIONS[:1]
+        self._versions = VERSIONS if options.has_two_versions else VERSIONS[:1]
+        self._changes_settings = options.has_stops_in_turn
+        self._setting_choices = random.Random("soak-settings")
         self._version_choices = random.Random("soak-versions")
         self.store = SoakStore()
         self.version = 0
@@ -114,14 +131,17 @@
     def publish(self, more_routes: int = 0) -> None:
         """Publish the next configuration: its own routes and those of the two before."""
         self.version += 1
+        settings = self._settings()
         routes = [
-            _stored(SoakRoute(kind, version, number))
+            _stored(SoakRoute(kind, version, number), settings)
             for version in range(max(1, self.version - LIVES_IN + 1), self.version + 1)
             for kind in KINDS
             for number in range(ROUTES_A_KIND)
         ]
-        fill = [_stored(SoakRoute("once", self.version, 1000 + n)) for n in range(more_routes)]
-        engine = StoredEngine(slot_count=SLOTS, kv_capacity=1_000_000, kv_token_bytes=1.0)
+        fill = [
+            _stored(SoakRoute("once", self.version, 1000 + n), settings) for n in range(more_routes)
+        ]
+        engine = StoredEngine(slot_count=settings.slots, kv_capacity=1_000_000, kv_token_bytes=1.0)
         services = (
             StoredService("plain-a"),
             StoredService("plain-b"),
@@ -132,6 +152,17 @@
         self.store.publish(self._configuration)
         self._history.published_s[self.version] = boot_time_s()
 
+    def _settings(self) -> RouteSettings:
+        """Return the limits of the next configuration; they change only if so asked."""
+        if not self._changes_settings:
+            return RouteSettings()
+        return RouteSettings(
+            timeout_ms=self._setting_choices.choice(TIMEOUTS_MS),
+            target_latency_ms=self._setting_choices.choice(TARGET_LATENCIES_MS),
+            max_attempts=self._setting_choices.choice(MAX_ATTEMPTS),
+            slots=self._setting_choices.choice((SLOTS, SLOTS // 2)),
+        )
+
     # --- The store's faults ---
 
     def silence_store(self, length_s: float) -> None:
@@ -358,16 +389,16 @@
         task.add_done_callback(self._later.discard)
 
 
-def _stored(route: SoakRoute) -> StoredRoute:
+def _stored(route: SoakRoute, settings: RouteSettings) -> StoredRoute:
     return StoredRoute(
         name=route.name,
         host=HOST,
         path_prefix=f"/{route.name}/",
         route_type=STORED_KINDS[route.kind],
-        timeout_ms=10_000.0,
-        target_latency_ms=1_000.0,
+        timeout_ms=settings.timeout_ms,
+        target_latency_ms=settings.target_latency_ms,
         service=route.service,
-        max_attempts=3,
+        max_attempts=settings.max_attempts,
         resumable=route.kind == "chat",
         itl_target_ms=300.0,
     )
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -51,6 +51,19 @@
 BURST_SHARE = 0.25
 """Share of configurations that are followed by the next within ``BURST_S``."""
 BURST_S = (0.02, 0.4)
+UNPLANNED_KINDS = ("kill", "freeze")
+"""Unplanned faults of routers, which would excuse losses: a series of stops has none."""
+STOPS_OF_A_SERIES = (4, 8)
+"""Fewest and most stops of a series; one of a router that is stopping already has no effect."""
+BETWEEN_STOPS_S = (0.2, 1.8)
+"""Well under the duration of a stop, so that at times all routers are stopping."""
+LAST_STOP_S = 9.0
+"""A series ends so long after its last stop."""
+BETWEEN_SERIES_S = (1.0, 4.0)
+HANG_UP_SHARE = 0.6
+CONFIGURATION_SHARE = 0.6
+"""Shares of the stops of a series with a SIGHUP, or a configuration, while the router stops."""
+DURING_STOP_S = 7.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +74,8 @@
     """Decode engines of two software versions serve side by side."""
     has_crashing_parts: bool = False
     """Prompts have parts in common, and some of these crash the engines that answer them."""
+    has_stops_in_turn: bool = False
+    """Routers are stopped in series that overlap, and callers open connections until they exit."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -78,13 +93,18 @@
     length_s: float = 0.0
     backup_age_s: float = 0.0
     """Age of the restored backup when the store goes offline; only for "store restored"."""
+    is_in_turn: bool = False
+    """Part of a series of stops: it strikes however many routers are down already."""
 
 
 Draw = Callable[[random.Random, float], list[SoakEvent]]
 
 
-def draw_plan(seed: int, seconds: float) -> list[SoakEvent]:
-    """Return the events of one soak in order of time; the same for the same arguments."""
+def draw_plan(seed: int, seconds: float, options: SoakOptions = DEFAULT_OPTIONS) -> list[SoakEvent]:
+    """Return the events of one soak in order of time; the same for the same arguments.
+
+    Options add events from generators of their own.
+    """
     choices = random.Random(f"router-soak-{seed}")
     draws: dict[str, Draw] = {
         "router": _router_event,
@@ -102,6 +122,8 @@
     # A generator of its own keeps the other events of each seed.
     choices = random.Random(f"router-soak-restorations-{seed}")
     events += _events_of("store restored", _restore_event, choices, seconds)
+    if options.has_stops_in_turn:
+        events = _with_stops_in_turn(events, seed, seconds)
     return sorted(events, key=lambda event: event.at_s)
 
 
@@ -115,6 +137,41 @@
     return events
 
 
+def _with_stops_in_turn(events: list[SoakEvent], seed: int, seconds: float) -> list[SoakEvent]:
+    """Add series of stops to a plan, and remove the unplanned faults of routers beside them."""
+    choices = random.Random(f"router-soak-stops-in-turn-{seed}")
+    at_s = FIRST_S + choices.uniform(*BETWEEN_SERIES_S)
+    while at_s < seconds:
+        series = _series_of_stops(choices, at_s)
+        until_s = max(event.at_s for event in series) + LAST_STOP_S
+        # An unplanned fault excuses losses for a while after it.
+        free_s = at_s - FREEZE_S[1]
+        events = [
+            event
+            for event in events
+            if event.kind not in UNPLANNED_KINDS or not free_s <= event.at_s < until_s
+        ]
+        events += [event for event in series if event.at_s < seconds]
+        at_s = until_s + choices.uniform(*BETWEEN_SERIES_S)
+    return events
+
+
+def _series_of_stops(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    order = choices.sample(range(ROUTERS), ROUTERS)
+    events = []
+    for number in range(choices.randint(*STOPS_OF_A_SERIES)):
+        events.append(SoakEvent(at_s, "terminate", order[number % ROUTERS], is_in_turn=True))
+        if choices.random() < HANG_UP_SHARE:
+            hang_up_s = at_s + choices.uniform(0.0, DURING_STOP_S)
+            target = choices.randrange(ROUTERS)
+            events.append(SoakEvent(hang_up_s, "hang-up", target, is_in_turn=True))
+        if choices.random() < CONFIGURATION_SHARE:
+            changed_s = at_s + choices.uniform(0.0, DURING_STOP_S)
+            events.append(SoakEvent(changed_s, "configuration"))
+        at_s += choices.uniform(*BETWEEN_STOPS_S)
+    return events
+
+
 def _restore_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
     return [SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s)]
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -163,6 +163,8 @@
     exit_code: int | None = None
     hung_up_unhandled: bool = False
     """Whether SIGHUP came before the program's first line, which ignores it."""
+    hang_ups_s: list[float] = dataclasses.field(default_factory=list)
+    """When it got SIGHUP."""
     freezes: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     processor_waits: list[ProcessorWait] = dataclasses.field(default_factory=list)
     """Readings in order of time."""
