--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -245,6 +245,7 @@
     two_versions: bool = False,
     crashing_parts: bool = False,
     stops_in_turn: bool = False,
+    silent_moments: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
@@ -252,12 +253,13 @@
     Run in the root of the repository. Ends with status 1 if a rule was broken; the schedule, the
     stories and the logs are then kept in OUT. With TWO_VERSIONS, decode engines of two software
     versions serve side by side; with CRASHING_PARTS, parts of some prompts crash engines; with
-    STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit.
+    STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit; with
+    SILENT_MOMENTS, sound backends send nothing for a moment and then go on.
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
 
-    options = SoakOptions(two_versions, crashing_parts, stops_in_turn)
+    options = SoakOptions(two_versions, crashing_parts, stops_in_turn, silent_moments)
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
     print(f"{len(reports) - len(broken)} passed, {len(broken)} failed {broken}")
@@ -273,6 +275,7 @@
     two_versions: bool = False,
     crashing_parts: bool = False,
     stops_in_turn: bool = False,
+    silent_moments: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -281,13 +284,14 @@
     with status 1 if a rule was broken; the schedule, the stories and the logs are then kept in OUT.
     With TWO_VERSIONS, decode engines of two software versions serve side by side; with
     CRASHING_PARTS, parts of some prompts crash engines; with STOPS_IN_TURN, routers are stopped in
-    series, and get new connections until they exit.
+    series, and get new connections until they exit; with SILENT_MOMENTS, sound backends send
+    nothing for a moment and then go on.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
 
     ensure_fixed_hash_seed()
-    options = SoakOptions(two_versions, crashing_parts, stops_in_turn)
+    options = SoakOptions(two_versions, crashing_parts, stops_in_turn, silent_moments)
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
     print(f"{len(results) - len(broken)} passed, {len(broken)} failed {broken}")
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -70,6 +70,7 @@
         self._limit = ""
         """What its answers name as the requests a second that it takes, empty for none."""
         self.is_dead = False
+        self._silent_until_s = 0.0
         self.address = ""
         self.on_crash: Callable[[SoakBackend], None] = lambda backend: None
         """Called when a request has ended it."""
@@ -101,6 +102,10 @@
         if text and text not in ODD_LIMITS:
             spans.append(LimitSpan(now_s, float(text)))
 
+    def fall_silent(self, length_s: float) -> None:
+        """Send nothing for a while on any connection; nothing of it is lost."""
+        self._silent_until_s = max(self._silent_until_s, boot_time_s() + length_s)
+
     def kill(self) -> None:
         """End at once: what is under way is broken off."""
         self.is_dead = True
@@ -120,6 +125,15 @@
             await asyncio.sleep(0.02)
         self.kill()
 
+    async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Send bytes, after the silence if there is one."""
+        while self._is_silent():
+            await asyncio.sleep(self._silent_until_s - boot_time_s())
+        writer.write(data)
+
+    def _is_silent(self) -> bool:
+        return boot_time_s() < self._silent_until_s
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._working[writer] = None
         try:
@@ -144,7 +158,7 @@
             head.append((NAMES.limit, self._limit))
         is_meant = headers.get(NAMES.instance.lower(), self.instance) == self.instance
         if is_meant and (request.method in OWN_CALLS or request.target == NAMES.order_path):
-            writer.write(complete_response(200, head, b'{"held":[]}'))
+            await self._send(writer, complete_response(200, head, b'{"held":[]}'))
             return
         is_prefill = headers.get(NAMES.stage.lower()) == NAMES.prefill_stage
         arrival = Arrival(
@@ -165,7 +179,7 @@
             self._history.arrivals.append(arrival)
         if not is_meant:
             arrival.outcome = "misdirected"
-            writer.write(complete_response(421, [*head, (NAMES.not_run, "1")], b""))
+            await self._send(writer, complete_response(421, [*head, (NAMES.not_run, "1")], b""))
             return
         await self._answer(request, arrival, head, writer)
         await writer.drain()
@@ -186,20 +200,23 @@
             self.on_crash(self)
         elif self.mode == "rest" and not is_wrong_stage:
             arrival.outcome = "refused"
-            arrival.rest_s = self._choices.choice(REST_S)
-            asked = [(NAMES.not_run, "1"), ("Retry-After", f"{arrival.rest_s:g}")]
-            writer.write(complete_response(503, [*head, *asked], b""))
+            rest_s = self._choices.choice(REST_S)
+            asked = [(NAMES.not_run, "1"), ("Retry-After", f"{rest_s:g}")]
+            is_late = self._is_silent()
+            await self._send(writer, complete_response(503, [*head, *asked], b""))
+            # A late answer may not reach the router, which may wait for it no longer.
+            arrival.rest_s = 0.0 if is_late else rest_s
         elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
-            writer.write(complete_response(status, [*head, (NAMES.not_run, "1")], b""))
+            await self._send(writer, complete_response(status, [*head, (NAMES.not_run, "1")], b""))
         elif self.mode == "errors" and self._choices.random() < 0.7:
             arrival.outcome = "failed"
-            writer.write(complete_response(500, signed, b"failed"))
+            await self._send(writer, complete_response(500, signed, b"failed"))
         elif arrival.is_prefill:
             await asyncio.sleep(self._choices.uniform(*PREFILL_S))
             result = {NAMES.handle_field: f"h-{arrival.request_id}", NAMES.tokens_field: 100}
-            writer.write(complete_response(200, head, msgspec.json.encode(result)))
+            await self._send(writer, complete_response(200, head, msgspec.json.encode(result)))
         elif self.role:
             first = int(request.headers.get(NAMES.last_event_id.lower(), "0")) + 1
             await self._stream(request.body, first, signed, writer)
@@ -218,19 +235,19 @@
         answer = complete_response(200, head, body)
         cut = self._choices.randrange(len(answer))
         await asyncio.sleep(pause_s * 0.7)
-        writer.write(answer[:cut])
+        await self._send(writer, answer[:cut])
         await asyncio.sleep(pause_s * 0.3)
-        writer.write(answer[cut:])
+        await self._send(writer, answer[cut:])
 
     async def _stream(
         self, prompt: bytes, first: int, head: Headers, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(answer_head(200, [*head, ("Transfer-Encoding", "chunked")]))
+        await self._send(writer, answer_head(200, [*head, ("Transfer-Encoding", "chunked")]))
         for number in range(first, event_count(prompt) + 1):
             await asyncio.sleep(self._choices.uniform(*STEP_S))
             data = event(prompt, number, self.version)
             cut = self._choices.randrange(1, len(data))
-            writer.write(chunk(data[:cut]))
+            await self._send(writer, chunk(data[:cut]))
             await writer.drain()
-            writer.write(chunk(data[cut:]))
-        writer.write(chunk(b""))
+            await self._send(writer, chunk(data[cut:]))
+        await self._send(writer, chunk(b""))
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -212,6 +212,9 @@
         if soak_event.kind in ("errors", "refusals", "rest"):
             self._fail(backend, soak_event)
             return backend.instance
+        if soak_event.kind == "silent moment":
+            backend.fall_silent(soak_event.length_s)
+            return backend.instance
         if soak_event.kind in ("limit", "limit of all"):
             return self._limit(backend, soak_event)
         if soak_event.kind == "restart":
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -30,6 +30,7 @@
 LIMIT_KINDS = {"limit": 0.8, "limit of all": 0.2}
 """A backend names a limit in its answers, or all of its service do, and their shares."""
 LIMIT_S = (4.0, 9.0)
+SILENT_MOMENT_S = (0.7, 1.5)
 PAUSES_S = {
     "router": (0.6, 2.2),
     "backend": (0.3, 1.1),
@@ -40,6 +41,7 @@
     "life": (1.0, 3.0),
     "rest": (1.5, 4.0),
     "limit": (2.0, 5.0),
+    "silent moment": (0.4, 1.2),
 }
 """Shortest and longest time between two events of one sort: several are under way at any time."""
 FREEZE_S = (0.5, 4.0)
@@ -76,6 +78,8 @@
     """Prompts have parts in common, and some of these crash the engines that answer them."""
     has_stops_in_turn: bool = False
     """Routers are stopped in series that overlap, and callers open connections until they exit."""
+    has_silent_moments: bool = False
+    """Sound backends send nothing for a moment, and then go on with all that they owe."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -122,6 +126,9 @@
     # A generator of its own keeps the other events of each seed.
     choices = random.Random(f"router-soak-restorations-{seed}")
     events += _events_of("store restored", _restore_event, choices, seconds)
+    if options.has_silent_moments:
+        choices = random.Random(f"router-soak-silent-moments-{seed}")
+        events += _events_of("silent moment", _silent_moment_event, choices, seconds)
     if options.has_stops_in_turn:
         events = _with_stops_in_turn(events, seed, seconds)
     return sorted(events, key=lambda event: event.at_s)
@@ -205,6 +212,11 @@
     return [SoakEvent(at_s, kind, choices.randrange(1000), choices.uniform(*LIMIT_S))]
 
 
+def _silent_moment_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    length_s = choices.uniform(*SILENT_MOMENT_S)
+    return [SoakEvent(at_s, "silent moment", choices.randrange(1000), length_s)]
+
+
 def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
     events = [SoakEvent(at_s, "configuration")]
     if choices.random() < BURST_SHARE:
