--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -32,6 +32,7 @@
       | property                                            |
       | a stream that broke late waits for room             |
       | an engine whose streams are all silent is avoided   |
+      | streams of two lives of an engine are watched apart |
       | a process that stood still accuses no engine        |
       | an engine that goes on is spared for one stream     |
       | whoever cannot be served is refused at once         |
@@ -126,6 +127,7 @@
       | what has arrived is read before an abort |
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
+      | a raised idle timeout holds for connections that wait          |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
 
