Leave a silent engine only when its stream can move

What callers saw: a stream that may be resumed was closed, or answered 502 before its first event, because its engine sent nothing for about a second, though it then went on. It lasts as long as the retry budget is spent; requests that end their backends can spend it from outside.

Cause: the stream left its engine first and asked for retry budget afterwards; without budget neither engine was left.

Ruled out: a failed move (no second arrival), the deadline, a backend that ended.

Change: a stream reserves what its move needs before it leaves; until then it waits on.

Before: 'a silent engine keeps its stream until a move is possible' failed with the wait as it was.

--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -23,6 +23,7 @@
 from yokedock.request.stream_duration import StreamDuration
 from yokedock.router_errors import BackendUnresponsive
 from yokedock.version.route_table import EngineTraits, Route, RouteKind, ServiceSpec, WeightedTarget
+from yokedock_emulator.simulation.simulation import run_simulated
 
 TRAITS = EngineTraits(slots=4, memory_tokens=1000, token_bytes=1.0, link_mbps=1000.0)
 STEP_S = 0.1
@@ -317,6 +318,29 @@
     asyncio.run(play())
 
 
+def a_silent_engine_keeps_its_stream_until_a_move_is_possible():
+    """Guards against streams that are cut when their engine pauses while no retry is possible."""
+
+    async def play(moves_from_s, data_after_s):
+        clock = Clock()
+        watch = SilenceDetector(clock)
+        stream = watch.open(registry("d", "e", clock=clock).get("d"), may_move=True)
+        watch.heard(stream)
+        loop = asyncio.get_running_loop()
+        moves_from_s += loop.time()
+        stream.prepare_move = lambda: loop.time() >= moves_from_s
+        data = loop.create_future()
+        loop.call_later(data_after_s, data.set_result, b"data")
+        try:
+            return await stream.within(1.2, data)
+        except BackendUnresponsive:
+            return None
+
+    assert run_simulated(play(math.inf, 3.0)) == b"data"
+    assert run_simulated(play(0.0, 3.0)) is None
+    assert run_simulated(play(2.0, 3.0)) is None
+
+
 async def is_wait_aborted(stream):
     """Wait on a stream; return whether the wait was aborted because the stream is silent."""
     try:
@@ -382,6 +406,9 @@
     "the forecast learns how wrong it was": the_forecast_learns_its_error_factor,
     "room is forecast from how long streams lasted": capacity_is_forecast_from_stream_durations,
     "a stream that broke late waits for room": caller_timeout_counts_from_the_latest_event,
+    "a silent engine keeps its stream until a move is possible": (
+        a_silent_engine_keeps_its_stream_until_a_move_is_possible
+    ),
     "streams of two lives of an engine are watched apart": (
         streams_of_two_lives_of_an_engine_are_watched_apart
     ),
--- a/src/yokedock/base/read_first_timeout.py
+++ b/src/yokedock/base/read_first_timeout.py
@@ -9,15 +9,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
+RECHECK_S = 0.1
+"""Time from one refused expiry to the next."""
+
 
 class ReadFirstTimeout:
     """An asynchronous context manager that raises ``TimeoutError`` when its time is over."""
 
-    def __init__(self, delay_s: float) -> None:
-        """Allow ``delay_s`` seconds, counted from entering the context."""
+    def __init__(self, delay_s: float, may_expire: Callable[[], bool] = lambda: True) -> None:
+        """Allow ``delay_s`` seconds, counted from entering the context.
+
+        ``may_expire`` is asked at the expiry; while it returns False, the wait goes on.
+        """
+        self._may_expire = may_expire
         self._delay_s = delay_s
         self._loop = asyncio.get_running_loop()
         self._limit = asyncio.timeout(None)
@@ -50,7 +58,10 @@
 
     def _expire(self) -> None:
         self._handle = None
-        self._limit.reschedule(self._loop.time())
+        if self._may_expire():
+            self._limit.reschedule(self._loop.time())
+        else:
+            self.reschedule(self._loop.time() + RECHECK_S)
 
     def _cancel_timer(self) -> None:
         if self._handle is not None:
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -162,6 +162,7 @@
         relay.on_begin = lambda: self._pinning.begin(call, exchange.backend)
         exchange.start_silence_timer(STALL_TIMEOUT_S)
         stream = self._watch.open(exchange.backend, may_move=False)
+        stream.prepare_move = lambda: state.retries.try_set_aside(1 + state.is_extra_prefill())
         try:
             limit_s = self._silence_limit_s(call, state, stream)
             head = await stream.within(limit_s, exchange.read_head(call.remaining_s()))
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -77,7 +77,7 @@
         """
         if call.remaining_s() < min_left_s or not call.may_run_again():
             return False
-        return not uses_budget or self.set_aside(1)
+        return not uses_budget or self.set_aside(max(1, self._set_aside))
 
     def set_aside(self, arrivals: int) -> bool:
         """Reserve exactly ``arrivals`` further arrivals; return whether the budget suffices.
@@ -85,9 +85,16 @@
         An earlier reservation counts towards them. It remains if the budget doesn't suffice: the
         share may have shrunk while the request waited.
         """
+        if self.try_set_aside(arrivals):
+            return True
+        more = arrivals - self._set_aside
+        self._allowance.record_denied(self._service, self._request_id, more)
+        return False
+
+    def try_set_aside(self, arrivals: int) -> bool:
+        """Reserve like ``set_aside``, for callers that ask repeatedly: no denial is recorded."""
         more = arrivals - self._set_aside
         if arrivals and not self._allowance.has_room(self._service, more):
-            self._allowance.record_denied(self._service, self._request_id, more)
             return False
         self._allowance.counts(self._service).set_aside += more
         self._set_aside = arrivals
--- a/src/yokedock/request/silence_detector.py
+++ b/src/yokedock/request/silence_detector.py
@@ -49,14 +49,23 @@
     """Whether the request may be sent to another engine."""
     stalled: Callable[[WatchedStream, float], None]
     """Called with the stream and its timeout (s) when a wait has timed out."""
+    prepare_move: Callable[[], bool] = lambda: True
+    """Reserves what a move to another engine needs; returns whether that was possible."""
     has_begun: bool = False
     limit: ReadFirstTimeout | None = None
     """Timeout of the current wait, None while nothing is awaited."""
 
     async def within(self, patience_s: float, awaited: Awaitable[Result]) -> Result:
-        """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long."""
+        """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long.
+
+        A stream that may move waits on for as long as a move is not possible.
+        """
+
+        def may_expire() -> bool:
+            return not self.may_move or self._can_move(patience_s)
+
         try:
-            async with ReadFirstTimeout(patience_s) as self.limit:
+            async with ReadFirstTimeout(patience_s, may_expire) as self.limit:
                 return await awaited
         except TimeoutError:
             self.stalled(self, patience_s)
@@ -64,6 +73,13 @@
         finally:
             self.limit = None
 
+    def _can_move(self, silent_s: float) -> bool:
+        if self.prepare_move():
+            return True
+        if not self.has_begun:
+            self.stalled(self, silent_s)
+        return False
+
     def give_up(self) -> None:
         """Abort the current wait if the request may be sent to another engine."""
         if self.may_move and self.limit is not None:
