Discard no crash for answers of the engine's next start

Cause: an engine that crashed may start anew under its identifier and answer before its new start is listed. The answer was attributed to the incarnation that crashed, so its crash was discarded as if only a connection had been reset. Callers saw: harmful requests, and requests that crash engines by their body, needed more crashes until they were withheld at such routers, and crashes were blamed on other parts. Anyone whose requests crash engines can set it off; it lasts as long as they come. Ruled out: lost reports between routers. Change: an answer shows that an incarnation was alive once a request sent 0.5 s or more later is answered under the same incarnation. Test: red with the old behaviour (RESTART_LISTED_S = 0): "the answers may be those of the next incarnation". Conclusion: answers under one name tell of the engine that crashed only if the name still stands.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -306,6 +306,7 @@
       | crashes at one moment count once              |
       | inseparable parts are withheld together       |
       | an engine that answers later has not crashed  |
+      | an engine that answers before its restart is listed has crashed |
       | a withheld part is tried by one request at a time |
       | a part blamed wrongly comes free with a trial     |
       | withheld parts are forgotten                  |
--- a/features/support/poison_part_properties.py
+++ b/features/support/poison_part_properties.py
@@ -11,6 +11,7 @@
 import random
 
 from support.stream_properties import Clock
+from yokedock.request.crash_records import RESTART_LISTED_S, CrashRecords
 from yokedock.request.poison_parts import (
     FIRST_QUARANTINE_S,
     FORGET_S,
@@ -22,6 +23,7 @@
     TRIAL_SPREAD,
     PoisonParts,
 )
+from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.request_digest import part_key
 
 NEWS_S = 0.02
@@ -348,6 +350,19 @@
     assert not router.find_withheld([7], 1)
 
 
+# Guards against crashes that are discarded when the restarted engine answers before it is listed.
+def an_engine_that_answers_before_its_restart_is_listed_has_crashed():
+    """Answers attributed to an incarnation discard its crash if they go on after a restart."""
+    clock = Clock()
+    records = CrashRecords(PoisonRequests(clock=clock), PoisonParts(clock=clock))
+    crash(records.parts, [7], 1, 2)
+    records.record_alive(1, clock.now_s)
+    records.record_alive(1, clock.now_s + RESTART_LISTED_S / 2)
+    assert records.parts.find_withheld([7], 1), "the answers may be those of the next incarnation"
+    records.record_alive(1, clock.now_s + RESTART_LISTED_S)
+    assert not records.parts.find_withheld([7], 1), "it is still listed as the same"
+
+
 def a_withheld_part_is_tried_by_one_request_at_a_time():
     """After its quarantine, requests with a harmful part crash one engine a trial, ever later."""
     clock = Clock()
@@ -429,6 +444,9 @@
         parts_that_cannot_be_told_apart_are_withheld_together
     ),
     "an engine that answers later has not crashed": an_engine_that_answers_later_has_not_crashed,
+    "an engine that answers before its restart is listed has crashed": (
+        an_engine_that_answers_before_its_restart_is_listed_has_crashed
+    ),
     "a withheld part is tried by one request at a time": (
         a_withheld_part_is_tried_by_one_request_at_a_time
     ),
--- a/src/yokedock/request/crash_records.py
+++ b/src/yokedock/request/crash_records.py
@@ -12,6 +12,11 @@
 
 REQUEST_MASK = 0xFFFF_FFFF
 """Bits of a request's digest that tell apart the requests at the crashes of a part."""
+RESTART_LISTED_S = 0.5
+"""Time within which a restarted backend is usually listed as a new incarnation. Until then, answers
+of the new incarnation are attributed to the one that crashed."""
+MAX_UNCONFIRMED = 1_024
+"""Incarnations kept whose answers are not yet confirmed by later ones."""
 
 
 def request_number(call: RoutedCall) -> int:
@@ -27,6 +32,8 @@
         self.requests = requests
         self.parts = parts
         requests.is_explained = parts.explains
+        self._unconfirmed_alive_s: dict[int, float] = {}
+        """When a request was sent that an incarnation answered, until a later one confirms it."""
         self.parts_refused = 0
         """Number of calls that were not forwarded because of a part of their prompt."""
 
@@ -50,9 +57,19 @@
             self.parts.record_crash(call.part_keys, request_number(call), life)
 
     def record_alive(self, life: int, sent_s: float) -> None:
-        """Record an answer to a request sent at ``sent_s``: the backend had not crashed before."""
-        self.requests.record_alive(life, sent_s)
-        self.parts.record_alive(life, sent_s)
+        """Record an answer to a request sent at ``sent_s``.
+
+        It shows that the backend had not crashed before, once an answer to a request that was sent
+        ``RESTART_LISTED_S`` later is attributed to the same incarnation.
+        """
+        is_any_suspect = self.requests.is_known() or self.parts.is_known()
+        if not is_any_suspect or len(self._unconfirmed_alive_s) > MAX_UNCONFIRMED:
+            self._unconfirmed_alive_s.clear()
+        alive_s = self._unconfirmed_alive_s.setdefault(life, sent_s)
+        if sent_s >= alive_s + RESTART_LISTED_S:
+            self._unconfirmed_alive_s[life] = sent_s
+            self.requests.record_alive(life, alive_s)
+            self.parts.record_alive(life, alive_s)
 
     def record_writing(self, call: RoutedCall) -> None:
         """Record that a backend has been writing an answer for ``PROOF_S``."""
