Suspend orders for a lease when two leaders meet

What callers saw: roles of engines were ordered by two leaders in turn within one lease when two groups of routers met that had not known each other: the leader with the majority went on at once, while the other one had just given orders. If its fencing token was the lower one, engines turn down (412) every order of its term; where engines don't check fences, a lower token follows a higher one. The turns end at the lease, the lower token lasts for the whole term.

Cause: a leader did not learn that another router led. It kept its token whatever tokens it heard of, and no router told others of its own term.

Ruled out: the time of the meeting itself; all five routers heard each other after 0.01 s.

Change: every datagram tells the token with which its sender may give orders, for 2.0 s after the end of the term, too. LeaderTerm suspends orders for a lease at every such report of another router, and when a higher token than its own becomes known; then a new term begins with a token above all known ones. A regular change of the leader takes longer than both together and causes no pause.

Conclusion: from the moment at which both leaders have heard of each other, their orders are a lease apart. Before that no router knows of both. A leader that ends just before the meeting can't report its term; if its token was the lower one, the other leader doesn't pause.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -6,6 +6,9 @@
     Examples:
       | property                                                      |
       | two leaders are a lease apart                                 |
+      | two terms are a lease apart when groups meet                  |
+      | a regular change of the leader suspends no orders             |
+      | a leader that hears a higher token begins a new term          |
       | a quiet fleet soon has one leader                             |
       | the fleet keeps the retry budget                              |
       | events are the same however they are cut                      |
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -150,6 +150,8 @@
     """Prompt parts of requests during which backends recently terminated."""
     sound_parts: tuple[int, ...] = ()
     """Prompt parts that another router suspects, and on which this one saw answers."""
+    term: int = 0
+    """Fencing token with which it may give orders to engines, or recently could; 0 if none."""
 
     def source_position(self) -> SourcePosition:
         """Return the position up to which the router knows the source's history."""
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -1,7 +1,7 @@
 """Builds the state that a router gossips to the others, and applies the states received from them.
 
 Each component of a router keeps its own data. This module only passes it between the components and
-the datagrams, and keeps the highest fencing token that was received.
+the datagrams.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from yokedock.base.logs import logger
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.router_state import RouterState
+from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership, Vote
 from yokedock.process.request_handler import StopState
 from yokedock.process.role_balancer import RoleBalancer
@@ -36,6 +37,7 @@
     follower: StateFollower
     exchange: StateExchange
     leadership: Leadership
+    term: LeaderTerm
     roles: RoleBalancer
     registry: BackendRegistry
     backends: BackendGossip
@@ -56,8 +58,6 @@
         """Create a handler without components, as some of them need it for their construction."""
         self._components: GossipComponents
         self._incarnation_ms = wall_clock_ms()
-        self._highest_token = 0
-        self._own_token: int | None = None
         self.failed_parts = 0
         """Parts of received states that were not applied because of an unexpected error."""
 
@@ -78,7 +78,7 @@
             components.placement.waiting_in_time(),
             components.ledger.shares(),
             "" if components.stop.is_stopping else components.leadership.vote(),
-            self._highest_token,
+            components.term.highest_token,
             components.roles.changing(),
             routers,
             components.placement.queues(),
@@ -91,6 +91,7 @@
             era=components.follower.position.era,
             suspect_parts=components.crashes.parts.recent_report(),
             sound_parts=components.crashes.parts.objections(),
+            term=components.term.reported(self._leads()),
         )
 
     def source_contacts(self) -> list[SourceContact]:
@@ -135,7 +136,7 @@
             components.ledger.on_capacity_freed()
 
     def _apply_leadership(self, other: OtherRouter, state: RouterState) -> None:
-        self._highest_token = max(self._highest_token, state.token)
+        self._components.term.hear(state.token, state.term)
         self._components.leadership.heard(
             Vote(other.address, state.leader, other.heard_s, state.is_leaving)
         )
@@ -163,17 +164,13 @@
 
         Each term of leadership has a new token.
         """
+        return self._components.term.token(self._leads())
+
+    def _leads(self) -> bool:
         components = self._components
-        if components.stop.is_stopping or not components.leadership.leads(
-            components.gossip.known()
-        ):
-            self._own_token = None
-            return None
-        if self._own_token is None:
-            self._own_token = max(self._highest_token + 1, wall_clock_ms())
-            self._highest_token = self._own_token
-            _log.info("leads", token=self._own_token, known=components.gossip.known())
-        return self._own_token
+        if components.stop.is_stopping:
+            return False
+        return components.leadership.leads(components.gossip.known())
 
     def drop_state_of(self, other: OtherRouter) -> None:
         """Drop the state of a router that has become silent."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -26,6 +26,7 @@
     NotReady,
 )
 from yokedock.process.gossip_handler import GossipComponents, GossipHandler
+from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership
 from yokedock.process.request_handler import RequestHandler, StopState
 from yokedock.process.role_balancer import RoleBalancer
@@ -195,6 +196,7 @@
                 self._follower,
                 self._exchange,
                 self._leadership,
+                LeaderTerm(settings.fleet.lease_s),
                 self._roles,
                 self._registry,
                 BackendGossip(self._registry),
