Buffer bodies by their bytes, not by their chunks

What callers saw: nothing until the memory ends. A body in chunks of two bytes took 30 times its size; a caller may send 4 MB, a backend 16 MB. It lasts as long as the request; any caller or backend can set it off.

Cause: each chunk was kept as an object of its own until the body was whole, in three places: bodies of requests, of responses and of short calls.

Change: one growing buffer each.

The test covers request bodies only; the other two are changed alike.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -325,4 +325,5 @@
       | responses of tiny pieces hold up no other task |
       | requests of tiny chunks hold up no other task  |
       | tiny events hold up no other task              |
+      | a body of small chunks takes little memory     |
       | requests sent ahead are buffered up to a limit |
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -4,6 +4,7 @@
 import contextlib
 import re
 import time
+import tracemalloc
 from unittest import mock
 
 import h11
@@ -253,6 +254,50 @@
         asyncio.run(play(timeout))
 
 
+SMALL_CHUNK = b"2\r\nxy\r\n"
+SMALL_CHUNKS = 131_072
+BUFFERS_BYTES = 3_000_000
+"""Of the sending side here, of the socket's reader and of the parser, together."""
+
+
+async def peak_memory_bytes(work):
+    """Return how much memory was allocated at once while ``work`` ran."""
+    tracemalloc.start()
+    try:
+        await asyncio.wait_for(work, LIMIT_S)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+# Guards against a body of small chunks that takes thirty times its size in memory.
+def a_body_of_small_chunks_takes_little_more_than_its_size():
+    """A request body in chunks of two bytes takes memory for its bytes, not for its chunks."""
+    sizes = []
+
+    async def handle(request, answer):
+        sizes.append(len(request.body))
+        await answer.whole(*complete_response(200, b""))
+
+    async def accept(reader, writer):
+        await CallerConnection(reader, writer, handle, CallerLimits).serve()
+
+    async def send(port, data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        data = REQUEST_LINES + CHUNKED + SMALL_CHUNKS * SMALL_CHUNK + LAST_CHUNK
+        peak = await peak_memory_bytes(send(server.sockets[0].getsockname()[1], data))
+        assert sizes == [2 * SMALL_CHUNKS]
+        assert peak < BUFFERS_BYTES + 4 * sizes[0], peak
+
+    asyncio.run(play())
+
+
 class UnlimitedWriter:
     """A caller whose connection takes everything at once."""
 
@@ -330,5 +375,8 @@
         a_request_of_tiny_chunks_leaves_others_their_turns
     ),
     "tiny events hold up no other task": tiny_events_leave_others_their_turns,
+    "a body of small chunks takes little memory": (
+        a_body_of_small_chunks_takes_little_more_than_its_size
+    ),
     "requests sent ahead are buffered up to a limit": pipelined_requests_are_buffered_up_to_a_limit,
 }
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -200,20 +200,18 @@
             raise PayloadTooLarge(
                 f"the body has {declared} bytes; send at most {limits.body_bytes}"
             )
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             await self._turns.step()
             event = self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise PayloadTooLarge(
                         f"the body is too large; send at most {limits.body_bytes} bytes"
                     )
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 await self._receive_body(limits)
 
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -105,14 +105,14 @@
                     raise ResponseTooLarge(f"{address}: {message}")
                 share = share or ReadProgress()
                 share.content_length = content_length
-                parts = []
+                body = bytearray()
                 async for part in connection.body_parts(limits.max_bytes):
-                    parts.append(part)
+                    body += part
                     share.received_bytes += len(part)
                     _extend_deadline(time_limit, sent_s, limits.progress)
                 return ShortAnswer(
                     answer.status,
-                    b"".join(parts),
+                    bytes(body),
                     answer,
                     connection.opened_ms,
                     connection.sent_ms,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -160,18 +160,18 @@
         """
         clock = asyncio.get_running_loop().time
         deadline_s = clock() + self._call.remaining_s()
-        parts = []
+        body = bytearray()
         try:
             async with ReadFirstTimeout(min(patience_s, self._call.remaining_s())) as time_limit:
                 async for part in self.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
-                    parts.append(part)
+                    body += part
                     time_limit.reschedule(min(clock() + patience_s, deadline_s))
         except TimeoutError:
             raise BackendResponseError(
                 f"{self.backend.name}: response incomplete at the time limit"
             ) from None
         self.finish(is_failure=head.status >= SERVER_ERROR)
-        return b"".join(parts)
+        return bytes(body)
 
     async def body_parts(self, max_bytes: int | None = None) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
