Refuse at once what no router knows, also right after a start; greet restarted routers

Cause: StreamOriginExchange.find asked the others every 0.05 s until its router had run for 0.5 s, since it could not tell whether it had heard of all. Callers who resumed an unknown stream in that time were refused after 0.47 to 0.53 s, where 0.5 s is the bound; later ones after 1 to 21 ms. It lasts for the first half second of a router; any caller that resumes a stream there sets it off.

Ruled out: routers that answer late (later callers are told within 21 ms). A limit of 0.3 s alone: measured, a router replaced within 50 ms hears the others after 0.256 to 0.270 s and is named by them after 0.857 to 0.870 s (fleets of 3 and 7, four starts each), as they still count it as live and wait for their next heartbeat; with 0.3 s it would refuse streams that the others know.

Change: a router that hears a restarted one sends it its state and the live addresses at once. A router knows when all known routers are live and have named it; once all of these were asked and have answered, the search ends. A fleet of more than seven is not asked in full, so it asks on as before. A question is asked again for at most 0.4 s, the longest heartbeat interval.

Red before: "a started router that has asked all waits no longer" (0.503 s); "a router replaced at once soon hears all" (no such knowledge; with the knowledge but without the greeting: one router heard).

A seed that is down, or a larger fleet, still makes a starting router search for 0.4 s.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -96,10 +96,11 @@
     Then this holds for generated cases: <property>
 
     Examples: how often routers speak
-      | property                             |
-      | news takes the place of a heartbeat  |
-      | a large fleet speaks less often      |
-      | starting together floods nobody      |
+      | property                                 |
+      | news takes the place of a heartbeat      |
+      | a large fleet speaks less often          |
+      | starting together floods nobody          |
+      | a router replaced at once soon hears all |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
@@ -289,6 +290,7 @@
       | a started router gets its replicas                   |
       | undecodable records and questions change nothing     |
       | a lone router knows only its own records             |
+      | a started router that has asked all waits no longer  |
       | a resumed stream needs a listed backend              |
       | engines show a version only if it was alone          |
       | each version keeps a decode engine                   |
--- a/features/support/gossip_properties.py
+++ b/features/support/gossip_properties.py
@@ -105,8 +105,65 @@
     assert 1 <= rounds <= 6, rounds
 
 
+class LinkedRouters:
+    """Gossiping routers whose datagrams arrive at once, each heard by all others."""
+
+    def __init__(self, *addresses):
+        self.gossips = {}
+        for address in addresses:
+            self.start(address, 1)
+        for gossip in list(self.gossips.values()):
+            gossip._speak()
+
+    def start(self, address, incarnation, seeds=()):
+        """Start a router, or another one in its place."""
+
+        def own_state(sequence, named):
+            own = state(address, sequence, named)
+            own.incarnation = incarnation
+            return own
+
+        nothing = lambda other: None  # noqa: E731
+        gossip = RouterGossip(address, PORT, seeds, own_state, nothing, nothing)
+        gossip.connection_made(LinkedTransport(self, address))
+        for other in seeds or self.gossips:
+            gossip._add_router(other)
+        self.gossips[address] = gossip
+        return gossip
+
+
+class LinkedTransport:
+    """Passes datagrams on to the router that has the destination."""
+
+    def __init__(self, linked, address):
+        self._linked = linked
+        self._address = address
+
+    def sendto(self, data, destination):
+        receive = self._linked.gossips[destination[0]].datagram_received
+        asyncio.get_running_loop().call_soon(receive, data, (self._address, PORT))
+
+
+def a_router_replaced_at_once_soon_hears_all():
+    """Guards against a replaced router that knows for 0.9 s only some of those that know it."""
+
+    async def play():
+        addresses = [f"10.0.0.{number}" for number in range(1, 5)]
+        linked = LinkedRouters(*addresses)
+        await asyncio.sleep(0.05)
+        assert all(gossip.has_heard_all() for gossip in linked.gossips.values())
+        fresh = linked.start(addresses[0], 2, seeds=(addresses[1],))
+        assert not fresh.has_heard_all(), "nobody was heard"
+        fresh._speak()
+        await asyncio.sleep(0.1)
+        assert fresh.fleet_size() == 4 and fresh.has_heard_all(), fresh.fleet_size()
+
+    asyncio.run(play())
+
+
 GOSSIP_PROPERTIES = {
     "news takes the place of a heartbeat": news_takes_the_place_of_a_heartbeat,
     "a large fleet speaks less often": a_large_fleet_speaks_less_often,
+    "a router replaced at once soon hears all": a_router_replaced_at_once_soon_hears_all,
     "starting together floods nobody": starting_together_floods_nobody,
 }
--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -12,7 +12,13 @@
 from yokedock.connection.router_state import QueueShare
 from yokedock.connection.state_source import BackendEntry
 from yokedock.errors import BadRequest, NoDecodeCapacity, StreamNotResumable
-from yokedock.process.stream_origin_exchange import MAX_PER_DATAGRAM, REPLICAS, StreamOriginExchange
+from yokedock.process.stream_origin_exchange import (
+    MAX_ASKED,
+    MAX_PER_DATAGRAM,
+    REPLICAS,
+    OriginReport,
+    StreamOriginExchange,
+)
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.engine_placement import Progress
 from yokedock.request.mechanisms import Mechanisms
@@ -25,6 +31,7 @@
 
 V1, V2 = (version_number("llm", version) for version in ("v1", "v2"))
 AT_ONCE_S = 0.1
+LATEST_REFUSAL_S = 0.5
 TTL_MS = 60_000
 
 
@@ -221,13 +228,20 @@
 class GossipStub:
     """The live routers, and the records that were sent to them."""
 
-    def __init__(self, addresses):
+    def __init__(self, addresses, silent=0):
         self._others = [OtherRouter(address) for address in addresses]
+        self._silent = silent
         self.sent = []
 
     def alive(self):
         return self._others
 
+    def fleet_size(self):
+        return 1 + len(self._others)
+
+    def has_heard_all(self):
+        return bool(self._others) and not self._silent
+
     def send_stream_origins(self, address, data):
         self.sent.append((address, data))
 
@@ -283,6 +297,50 @@
     asyncio.run(play())
 
 
+class StartedExchange(StreamOriginExchange):
+    """The exchange of a router that has just started; its questions are answered as told."""
+
+    def __init__(self, gossip, answers):
+        """``answers`` takes the number of earlier questions and returns a report or None."""
+        super().__init__(gossip, 1, VersionHistory())
+        self._answers = answers
+        self.asked = 0
+
+    async def _ask(self, address, question):
+        self.asked += 1
+        return self._answers(self.asked - 1)
+
+    async def search(self):
+        """Return the version that was found, and how long it took."""
+        began_s = boot_time_s()
+        found = await self.find(OriginQuestion(1, "llm", 28.0))
+        return found, boot_time_s() - began_s
+
+
+def a_started_router_that_has_asked_all_waits_no_longer():
+    """Guards against a refusal that comes late because the router has just started."""
+
+    async def play():
+        nothing, record = OriginReport(), OriginReport(V1)
+        all_heard = StartedExchange(GossipStub(["10.0.0.1", "10.0.0.2"]), lambda _: nothing)
+        found, took_s = await all_heard.search()
+        assert found is None and all_heard.asked == 2 and took_s < AT_ONCE_S, took_s
+        late = lambda asked: record if asked == 4 else nothing  # noqa: E731
+        one_silent = StartedExchange(GossipStub(["10.0.0.1"], silent=1), late)
+        assert (await one_silent.search())[0] == V1, "one was not heard yet"
+        slow = lambda asked: record if asked == 4 else None  # noqa: E731
+        no_answer = StartedExchange(GossipStub(["10.0.0.1"]), slow)
+        assert (await no_answer.search())[0] == V1, "one had not answered"
+        many = GossipStub([f"10.0.0.{number}" for number in range(1 + MAX_ASKED)])
+        not_all_asked = StartedExchange(many, lambda asked: record if asked == 20 else nothing)
+        assert (await not_all_asked.search())[0] == V1, "one was not asked"
+        unknown = StartedExchange(GossipStub(["10.0.0.1"], silent=1), lambda _: nothing)
+        found, took_s = await unknown.search()
+        assert found is None and took_s < LATEST_REFUSAL_S, took_s
+
+    asyncio.run(play())
+
+
 def a_resumed_stream_needs_a_listed_backend():
     """Guards against a resumed stream that waits for the first backend, of whatever version."""
 
@@ -390,6 +448,9 @@
     ),
     "undecodable records and questions change nothing": what_others_send_ends_no_router,
     "a lone router knows only its own records": a_router_that_hears_of_no_other_knows_only_its_own,
+    "a started router that has asked all waits no longer": (
+        a_started_router_that_has_asked_all_waits_no_longer
+    ),
     "a resumed stream needs a listed backend": a_resumed_stream_needs_a_listed_backend,
     "engines show a version only if it was alone": engines_show_a_version_only_if_it_was_alone,
     "each version keeps a decode engine": each_version_keeps_a_decode_engine,
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -75,6 +75,8 @@
     known_s: float = 0.0
     """Boot time at which the address became known."""
     state: RouterState | None = None
+    names_this_router: bool = False
+    """Whether it has sent this router's address since it started, so it has heard this router."""
 
 
 class RouterGossip(asyncio.DatagramProtocol):
@@ -158,6 +160,15 @@
         oldest_s = boot_time_s() - SILENT_S
         return [other for other in self._others.values() if other.heard_s >= oldest_s]
 
+    def has_heard_all(self) -> bool:
+        """Return whether all known routers are live and have heard this one.
+
+        A router names all live ones, in a small fleet, to one that it hears for the first time.
+        """
+        alive = self.alive()
+        is_heard_by_all = all(other.names_this_router for other in alive)
+        return bool(alive) and len(alive) == len(self._others) and is_heard_by_all
+
     def change(self) -> None:
         """Schedule a datagram because the state has changed."""
         if self._is_send_scheduled or self._transport is None:
@@ -228,8 +239,13 @@
         other.heard_s = told_s
         other.state = state
         if has_started:
+            other.names_this_router = False
             self._report_crashes(other)
             self.on_started(other)
+        if has_started and not is_new:
+            self._send_addresses(other)
+        if self._own_address in state.routers:
+            other.names_this_router = True
         if state.is_asking:
             self._send_to(other)
         for named in state.routers:
@@ -281,12 +297,25 @@
             return
         self._send_to(newcomer, report)
 
-    def _send_to(self, other: OtherRouter, report: CrashReport | None = None) -> None:
+    def _send_addresses(self, newcomer: OtherRouter) -> None:
+        """Send the live routers to one that has restarted before it counted as silent.
+
+        The others are not told: they know it, and it has the same address.
+        """
+        alive = tuple(other.address for other in self.alive())
+        self._send_to(newcomer, addresses=alive[:MAX_ADDRESSES_PER_DATAGRAM])
+
+    def _send_to(
+        self,
+        other: OtherRouter,
+        report: CrashReport | None = None,
+        addresses: tuple[str, ...] = (),
+    ) -> None:
         """Send this router's state to one router; ``report`` replaces its most recent crashes."""
         if self._transport is None:
             return
         self._sequence += 1
-        state = self._make_state(self._sequence, ())
+        state = self._make_state(self._sequence, addresses)
         if report is not None:
             state.suspects = report.requests or state.suspects
             state.suspect_parts = report.parts or state.suspect_parts
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -47,6 +47,9 @@
 STARTUP_S = 0.5
 """A router that started less than this ago may not have heard of the others yet."""
 STARTUP_RETRY_S = 0.05
+MAX_SEARCH_S = 0.4
+"""Time after which a question is not asked again: the longest interval between gossip datagrams, in
+which a live router is heard that has sent nothing in response to the start of this one."""
 OK = 200
 MAX_DIGITS = 20
 """Maximum length of a number of 64 bits."""
@@ -126,15 +129,23 @@
 
     async def find(self, question: OriginQuestion) -> int | None:
         """Return the version that began a stream, None if no reachable router knows it."""
+        asked_s = boot_time_s()
         while (version := self._conclusion([self._report(question)], question)) is None:
-            version = self._conclusion(await self._ask_others(question), question)
-            is_starting = boot_time_s() - self._started_s < STARTUP_S
-            if version is not None or not is_starting:
+            has_heard_all = self._gossip.has_heard_all()
+            reports = await self._ask_others(question)
+            version = self._conclusion(reports, question)
+            is_complete = has_heard_all and len(reports) == self._gossip.fleet_size() - 1
+            if version is not None or is_complete or not self._may_learn_more(asked_s):
                 break
             await asyncio.sleep(STARTUP_RETRY_S)
         _log.info("stream origin sought", stream=question.stream, version=version)
         return version
 
+    def _may_learn_more(self, asked_s: float) -> bool:
+        """Return whether this router may soon hear of others, and there is time to ask again."""
+        next_s = boot_time_s() + STARTUP_RETRY_S
+        return next_s < min(self._started_s + STARTUP_S, asked_s + MAX_SEARCH_S)
+
     def _report(self, question: OriginQuestion) -> OriginReport:
         """Return what this router knows."""
         recorded = None if question.stream is None else self._origins.version_of(question.stream)
