Leave a backend that pauses midway only when a retry is reserved

What callers saw: 502 for a call that may be repeated, because its backend paused within the answer for longer than the patience (0.3 s here) while the retry budget was spent. It lasts as long as the budget is spent, which requests that end their backends do from outside.

Cause: before the first part of an answer a retry is reserved before the backend is left; after it the time-out ended the attempt at once, and the budget was asked afterwards.

Ruled out: the deadline (0.4 of 8 s had passed) and a failure of the backend.

Change: read_whole asks whether the attempt may be abandoned; until then, or the deadline, it waits on.

--- a/features/router_patience.feature
+++ b/features/router_patience.feature
@@ -22,6 +22,18 @@
     And the backends let go
     Then all of these clients get 200
 
+  # Guards against answers given up midway when their backend pauses while no retry is possible.
+  Scenario: A backend that pauses midway is waited for where the budget lets nobody ask another
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And its budget allows one repeat in a window
+    And the backends hold their answers midway
+    When 6 clients send POST on "repeat" at the same moment
+    And one of them was sent to the other backend and 6 were sent before
+    And the backends let go
+    Then all of these clients get 200
+
   Scenario: A slow backend is waited for where the only other one cannot be reached
     Given a plain backend "a"
     And a plain backend "b"
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -148,6 +148,13 @@
         context.world.loop.call_soon_threadsafe(backend.gate.clear)
 
 
+@given("the backends hold their answers midway")
+def hold_midway(context):
+    for backend in context.world.backends.values():
+        backend.holds_midway = True
+    hold(context)
+
+
 @when("the backends let go")
 def let_go(context):
     for backend in context.world.backends.values():
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -51,6 +51,8 @@
         self.answer_status = 200
         self.gate = asyncio.Event()
         self.gate.set()
+        self.holds_midway = False
+        """Whether it sends a part of each response body before it waits for ``gate``."""
         self.body_gate = asyncio.Event()
         self.body_gate.set()
         """While it is clear, request headers are read but bodies are left unread in the socket."""
@@ -187,6 +189,12 @@
             watch.cancel()
             await asyncio.wait({watch})
 
+    async def _hold_midway(self, arrival, writer):
+        writer.write(self._head(arrival, 200, [("Content-Length", "10")]) + b"first")
+        await self.gate.wait()
+        writer.write(b" last")
+        return True
+
     def _cache_prompt(self, arrival):
         parts = (part.split(":") for part in (arrival.header("X-Prompt-Parts") or "").split(","))
         if self.cache is not None:
@@ -224,6 +232,8 @@
             return self._write_response(
                 writer, arrival, 500, b"broken", [("X-Signature", self.name)]
             )
+        if self.holds_midway:
+            return await self._hold_midway(arrival, writer)
         await self.gate.wait()
         await asyncio.sleep(self.processing_time_s(arrival))
         is_run = arrival.header("X-Stage") is None
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -142,19 +142,27 @@
             self._check_origin(head, notes)
         return head
 
-    async def read_whole(self, patience_s: float) -> BufferedResponse:
+    async def read_whole(
+        self, patience_s: float, may_abandon: Callable[[], bool] = lambda: True
+    ) -> BufferedResponse:
         """Return the head and the complete body; raises as ``read_head``.
 
         ``patience_s`` limits the time without data, before the head and between two parts of the
-        body, not the total time: while a response is arriving the backend has done the work, and a
+        body, not the total time. A body that has begun is abandoned only if ``may_abandon`` allows
+        it, or at the deadline: while a response is arriving the backend has done the work, and a
         retry elsewhere would repeat it.
         """
         head = await self.read_head(patience_s)
         clock = asyncio.get_running_loop().time
         deadline_s = clock() + self._call.remaining_s()
         parts = []
+
+        def may_expire() -> bool:
+            return clock() >= deadline_s or may_abandon()
+
+        first_limit_s = min(patience_s, self._call.remaining_s())
         try:
-            async with ReadFirstTimeout(min(patience_s, self._call.remaining_s())) as time_limit:
+            async with ReadFirstTimeout(first_limit_s, may_expire) as time_limit:
                 async for part in self.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
                     parts.append(part)
                     time_limit.reschedule(min(clock() + patience_s, deadline_s))
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -90,9 +90,15 @@
         backend = exchange.backend
         patience_s = self._idle_timeout_s(call, backend)
         exchange.start_silence_timer(self._registry.patience_s(backend))
+
+        def may_abandon() -> bool:
+            return self._can_retry_elsewhere(call, backend) and retries.reserve_retry(
+                call, MIN_ATTEMPT_TIME_S
+            )
+
         while True:
             try:
-                return await exchange.read_whole(patience_s)
+                return await exchange.read_whole(patience_s, may_abandon)
             except BackendUnresponsive:
                 if patience_s >= self._registry.patience_s(backend):
                     backend.health.record_silence(boot_time_s())
