Soak: silent moments of a backend do not merge into a long silence

Meant are 0.7 to 1.5 s.

Change: a backend that was silent within the last second is not made silent again; the schedule says so.

--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -45,6 +45,8 @@
 ODD_LIMITS = ("nan", "-1")
 """Limits that a backend names, and those of them that mean nothing."""
 OWN_CALLS = ("GET", "DELETE")
+BETWEEN_SILENCES_S = 1.0
+"""A backend is not silent again so soon: two silences would be one that lasts longer than meant."""
 Headers = list[tuple[str, str]]
 _lives = itertools.count(1)
 
@@ -70,7 +72,7 @@
         self._limit = ""
         """What its answers name as the requests a second that it takes, empty for none."""
         self.is_dead = False
-        self._silent_until_s = 0.0
+        self._silent_until_s = -math.inf
         self.address = ""
         self.on_crash: Callable[[SoakBackend], None] = lambda backend: None
         """Called when a request has ended it."""
@@ -102,9 +104,16 @@
         if text and text not in ODD_LIMITS:
             spans.append(LimitSpan(now_s, float(text)))
 
-    def fall_silent(self, length_s: float) -> None:
-        """Send nothing for a while on any connection; nothing of it is lost."""
-        self._silent_until_s = max(self._silent_until_s, boot_time_s() + length_s)
+    def fall_silent(self, length_s: float) -> bool:
+        """Send nothing for a while on any connection; nothing of it is lost.
+
+        Return False if it has been silent so recently that this would make one long silence.
+        """
+        now_s = boot_time_s()
+        if now_s < self._silent_until_s + BETWEEN_SILENCES_S:
+            return False
+        self._silent_until_s = now_s + length_s
+        return True
 
     def kill(self) -> None:
         """End at once: what is under way is broken off."""
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -213,8 +213,8 @@
             self._fail(backend, soak_event)
             return backend.instance
         if soak_event.kind == "silent moment":
-            backend.fall_silent(soak_event.length_s)
-            return backend.instance
+            is_silent = backend.fall_silent(soak_event.length_s)
+            return backend.instance if is_silent else f"{backend.instance} not again"
         if soak_event.kind in ("limit", "limit of all"):
             return self._limit(backend, soak_event)
         if soak_event.kind == "restart":
