--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -61,3 +61,14 @@
       | 2    |
       | 6    |
       | 12   |
+
+  # Guards against requests that a stopping router takes and loses, and against answers given up for a silence.
+  Scenario Outline: Stops in series and silent backends lose nothing, seed <seed> with <what>
+    When seed <seed> is simulated for <seconds> s, with <what>
+    Then clients and backends have seen no rule broken in the simulation
+
+    Examples:
+      | seed | seconds | what                             |
+      | 1    | 12      | stops in turn                    |
+      | 2    | 8       | silent moments                   |
+      | 3    | 12      | stops in turn and silent moments |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -104,6 +104,18 @@
     context.status, context.output = simulate(seed, seconds, "--two-versions")
 
 
+OPTIONS = {
+    "stops in turn": ["--stops-in-turn"],
+    "silent moments": ["--silent-moments"],
+    "stops in turn and silent moments": ["--stops-in-turn", "--silent-moments"],
+}
+
+
+@when("seed {seed:d} is simulated for {seconds:d} s, with {what}")
+def simulate_with_options(context, seed, seconds, what):
+    context.status, context.output = simulate(seed, seconds, *OPTIONS[what])
+
+
 @then("at least {count:d} streams were resumed")
 def were_resumed(context, count):
     resumed = int(RESUMED.search(context.output)[1])
