--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -142,27 +142,40 @@
             self._check_origin(head, notes)
         return head
 
-    async def read_whole(self, patience_s: float) -> BufferedResponse:
+    async def read_whole(
+        self, patience_s: float, may_abandon: Callable[[], bool] = lambda: True
+    ) -> BufferedResponse:
         """Return the head and the complete body; raises as ``read_head`` and ``read_body``.
 
         ``patience_s`` limits the time without data, before the head and between two parts of the
-        body, not the total time: while a response is arriving the backend has done the work, and a
+        body, not the total time. A body that has begun is abandoned only if ``may_abandon`` allows
+        it, or at the deadline: while a response is arriving the backend has done the work, and a
         retry elsewhere would repeat it.
         """
         head = await self.read_head(patience_s)
-        return BufferedResponse(head, await self.read_body(head, patience_s))
+        return BufferedResponse(head, await self.read_body(head, patience_s, may_abandon))
 
-    async def read_body(self, head: ResponseHead, patience_s: float) -> bytes:
+    async def read_body(
+        self,
+        head: ResponseHead,
+        patience_s: float,
+        may_abandon: Callable[[], bool] = lambda: True,
+    ) -> bytes:
         """Return the complete body.
 
         Raises ``BackendResponseError`` if it is truncated or too large, or if no data arrives for
-        ``patience_s``.
+        ``patience_s`` and ``may_abandon`` allows it.
         """
         clock = asyncio.get_running_loop().time
         deadline_s = clock() + self._call.remaining_s()
         body = bytearray()
+
+        def may_expire() -> bool:
+            return clock() >= deadline_s or may_abandon()
+
+        first_limit_s = min(patience_s, self._call.remaining_s())
         try:
-            async with ReadFirstTimeout(min(patience_s, self._call.remaining_s())) as time_limit:
+            async with ReadFirstTimeout(first_limit_s, may_expire) as time_limit:
                 async for part in self.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
                     body += part
                     time_limit.reschedule(min(clock() + patience_s, deadline_s))
