Publish the version only when a part of a state has failed, in the scenario of failing parts

Cause: the second router may still be catching up after its start when the first one is told of version 7, and then fetches it at once. "the second router has version 7" passed after 0.000 s and the next step read a counter of failed parts before any state had come. A fault of the check; callers saw nothing.

Change: the step that makes a part fail waits until a state has failed in part. The version then always has to come by states of which one part fails, which is what the scenario is for; in the plays where the router fetched it first, nothing was tested. The last check is unchanged.

--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -358,6 +358,9 @@
         raise RuntimeError("a defect in the ledger")
 
     context.second._ledger.heard = fail
+    # Until a state has failed, the second router may be catching up after its start.
+    counted = lambda: context.second._gossip_handler.failed_parts  # noqa: E731
+    context.world.wait_for(counted, "a state of which one part fails")
 
 
 @then("the second router has counted parts that failed")
