--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -6,6 +6,9 @@
     Examples:
       | property                                                      |
       | two leaders are a lease apart                                 |
+      | two terms are a lease apart when groups meet                  |
+      | a regular change of the leader suspends no orders             |
+      | a leader that hears a higher token begins a new term          |
       | a quiet fleet soon has one leader                             |
       | the fleet keeps the retry budget                              |
       | events are the same however they are cut                      |
@@ -32,6 +35,8 @@
       | property                                            |
       | a stream that broke late waits for room             |
       | an engine whose streams are all silent is avoided   |
+      | streams of two lives of an engine are watched apart |
+      | a silent engine keeps its stream until a move is possible |
       | a process that stood still accuses no engine        |
       | an engine that goes on is spared for one stream     |
       | whoever cannot be served is refused at once         |
@@ -127,6 +132,7 @@
       | what has arrived is read before an abort |
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
+      | a raised idle timeout holds for connections that wait          |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
 
@@ -308,7 +314,25 @@
       | crashes at one moment count once              |
       | inseparable parts are withheld together       |
       | an engine that answers later has not crashed  |
+      | an engine that answers before its restart is listed has crashed |
       | a withheld part is tried by one request at a time |
       | a part blamed wrongly comes free with a trial     |
       | withheld parts are forgotten                  |
       | part records are bounded                      |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: what others send takes linear time
+      | property                                       |
+      | a long event takes linear time                 |
+      | an event without end breaks the stream         |
+      | an id too long for a number breaks the stream  |
+      | invalid keep-alive timeouts are ignored        |
+      | an invalid line of blanks is rejected soon     |
+      | lines are parsed as by the library             |
+      | responses of tiny pieces hold up no other task |
+      | requests of tiny chunks hold up no other task  |
+      | tiny events hold up no other task              |
+      | a body of small chunks takes little memory     |
+      | requests sent ahead are buffered up to a limit |
--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -4,9 +4,11 @@
 from support.call_queue_properties import CALL_QUEUE_PROPERTIES
 from support.connection_properties import CONNECTION_PROPERTIES
 from support.entry_properties import ENTRY_PROPERTIES
+from support.event_loop_properties import EVENT_LOOP_PROPERTIES
 from support.fleet_properties import FLEET_PROPERTIES
 from support.fuzz_properties import FUZZ_PROPERTIES
 from support.gossip_properties import GOSSIP_PROPERTIES
+from support.leader_term_properties import LEADER_TERM_PROPERTIES
 from support.life_properties import LIFE_PROPERTIES
 from support.limit_properties import LIMIT_PROPERTIES
 from support.notice_properties import NOTICE_PROPERTIES
@@ -21,6 +23,7 @@
 from support.role_properties import ROLE_PROPERTIES
 from support.router_properties import ROUTER_PROPERTIES
 from support.simulation_properties import SIMULATION_PROPERTIES
+from support.stop_admission_properties import STOP_ADMISSION_PROPERTIES
 from support.stream_properties import STREAM_PROPERTIES
 from support.suspension_properties import SUSPENSION_PROPERTIES
 from support.unanswered_properties import UNANSWERED_PROPERTIES
@@ -38,7 +41,8 @@
 ALL_PROPERTIES |= NOTICE_PROPERTIES | LIMIT_PROPERTIES | SUSPENSION_PROPERTIES
 ALL_PROPERTIES |= CALL_QUEUE_PROPERTIES | RESUME_PROPERTIES | RESTORED_PROPERTIES
 ALL_PROPERTIES |= RESERVATION_PROPERTIES | SIMULATION_PROPERTIES | PORT_PROPERTIES
-ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES
+ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES | STOP_ADMISSION_PROPERTIES
+ALL_PROPERTIES |= EVENT_LOOP_PROPERTIES | LEADER_TERM_PROPERTIES
 
 
 @then("this holds for generated cases: {name}")
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -13,6 +13,9 @@
 from yokedock.base.clock import boot_time_s
 
 DEFAULT_EVENT_COUNT = 6
+LAST_CHUNK = b"0\r\n\r\n"
+LONG_ERROR_PARTS = 512
+LONG_ERROR_PART = b"e" * 65_536
 SLOW_BYTE_INTERVAL_S = 0.1
 """Delay before each byte of a slow response body: eleven bytes take 1.1 s."""
 CACHE_PATH = "/cache"
@@ -51,6 +54,8 @@
         self.answer_status = 200
         self.gate = asyncio.Event()
         self.gate.set()
+        self.holds_midway = False
+        """Whether it sends a part of each response body before it waits for ``gate``."""
         self.body_gate = asyncio.Event()
         self.body_gate.set()
         """While it is clear, request headers are read but bodies are left unread in the socket."""
@@ -187,6 +192,12 @@
             watch.cancel()
             await asyncio.wait({watch})
 
+    async def _hold_midway(self, arrival, writer):
+        writer.write(self._head(arrival, 200, [("Content-Length", "10")]) + b"first")
+        await self.gate.wait()
+        writer.write(b" last")
+        return True
+
     def _cache_prompt(self, arrival):
         parts = (part.split(":") for part in (arrival.header("X-Prompt-Parts") or "").split(","))
         if self.cache is not None:
@@ -224,6 +235,8 @@
             return self._write_response(
                 writer, arrival, 500, b"broken", [("X-Signature", self.name)]
             )
+        if self.holds_midway:
+            return await self._hold_midway(arrival, writer)
         await self.gate.wait()
         await asyncio.sleep(self.processing_time_s(arrival))
         is_run = arrival.header("X-Stage") is None
@@ -306,7 +319,28 @@
             await writer.drain()
         return False
 
+    async def _write_error(self, arrival, writer, stalls):
+        """Write an error response whose body is long, or stops coming after its first part."""
+        framing = [("Transfer-Encoding", "chunked"), ("X-Signature", self.name)]
+        writer.write(self._head(arrival, 400, framing, signed=False))
+        for _ in range(LONG_ERROR_PARTS):
+            writer.write(b"%x\r\n%s\r\n" % (len(LONG_ERROR_PART), LONG_ERROR_PART))
+            await writer.drain()
+            if stalls:
+                await asyncio.sleep(3600)
+        writer.write(LAST_CHUNK)
+        return True
+
+    async def _write_without_end(self, writer):
+        """Write bytes that never become an event until the router closes the connection."""
+        part = b"x" * 65_536
+        while True:
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+            await writer.drain()
+
     async def _stream(self, arrival, writer, fault):
+        if fault in ("long error", "stalled error"):
+            return await self._write_error(arrival, writer, fault == "stalled error")
         if self.is_unframed or fault.startswith("unframed"):
             return await self._stream_unframed(arrival, writer, fault)
         first = int(arrival.header("Last-Event-Id") or 0) + 1
@@ -324,6 +358,8 @@
                 return False
             if fault == f"lose event {number}":
                 continue
+            if fault == f"endless event {number}":
+                return await self._write_without_end(writer)
             if fault == f"double event {number}":
                 event += event
             if writer in self._silent:
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -17,9 +17,11 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
+from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.caller_request import CallerRequest, check_head
 from yokedock.connection.disconnect_detection import has_disconnected
 from yokedock.connection.http_heads import RequestHead
+from yokedock.connection.http_parser import request_parser
 from yokedock.connection.response_writer import ResponseWriter
 from yokedock.errors import BadRequest, ClientClosedConnection, PayloadTooLarge, YokedockError
 from yokedock.router_errors import HeaderTooLarge, RequestTimeout
@@ -58,7 +60,8 @@
         self._writer = writer
         self._handler = handler
         self._limits = limits
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._parser = request_parser(limits().header_bytes)
+        self._turns = WorkTurns()
         self._has_request_data = False
         self._handler_task: asyncio.Task[None] | None = None
         self.is_closing = False
@@ -163,7 +166,7 @@
         self._has_request_data = bool(self._parser.trailing_data[0])
         event = self._next_event()
         is_silent = event is h11.NEED_DATA and not self._has_request_data
-        if is_silent and not await self._receive(limits.idle_timeout_s):
+        if is_silent and not await self._receive_while_idle():
             return None
         arrived_s = boot_time_s()
         self._has_request_data = True
@@ -174,6 +177,20 @@
         body = await self._read_body(head, limits)
         return CallerRequest(head, body, arrived_s)
 
+    async def _receive_while_idle(self) -> bool:
+        """Wait for the first data of a request; returns False if none arrives in the idle time.
+
+        A configuration may raise the idle timeout meanwhile: callers then reuse the connection for
+        longer.
+        """
+        since_s = boot_time_s()
+        while (remaining_s := since_s + self._limits().idle_timeout_s - boot_time_s()) > 0:
+            if await self._receive(remaining_s):
+                return True
+            if self._reader.at_eof():
+                return False
+        return False
+
     async def _read_head(self, event: object, until_s: float) -> RequestHead | None:
         while True:
             if event is h11.NEED_DATA:
@@ -197,19 +214,18 @@
             raise PayloadTooLarge(
                 f"the body has {declared} bytes; send at most {limits.body_bytes}"
             )
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
+            await self._turns.step()
             event = self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise PayloadTooLarge(
                         f"the body is too large; send at most {limits.body_bytes} bytes"
                     )
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 await self._receive_body(limits)
 
@@ -307,7 +323,7 @@
 
     async def _watch_disconnect(self, task: asyncio.Task[None]) -> None:
         """Keep reading while the handler runs; cancel it when the caller disconnects."""
-        ahead = 0
+        ahead = len(self._parser.trailing_data[0])
         try:
             while ahead < READ_AHEAD_BYTES:
                 data = await self._reader.read(READ_BYTES)
--- a/src/yokedock/request/silence_detector.py
+++ b/src/yokedock/request/silence_detector.py
@@ -49,14 +49,23 @@
     """Whether the request may be sent to another engine."""
     stalled: Callable[[WatchedStream, float], None]
     """Called with the stream and its timeout (s) when a wait has timed out."""
+    prepare_move: Callable[[], bool] = lambda: True
+    """Reserves what a move to another engine needs; returns whether that was possible."""
     has_begun: bool = False
     limit: ReadFirstTimeout | None = None
     """Timeout of the current wait, None while nothing is awaited."""
 
     async def within(self, patience_s: float, awaited: Awaitable[Result]) -> Result:
-        """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long."""
+        """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long.
+
+        A stream that may move waits on for as long as a move is not possible.
+        """
+
+        def may_expire() -> bool:
+            return not self.may_move or self._can_move(patience_s)
+
         try:
-            async with ReadFirstTimeout(patience_s) as self.limit:
+            async with ReadFirstTimeout(patience_s, may_expire) as self.limit:
                 return await awaited
         except TimeoutError:
             self.stalled(self, patience_s)
@@ -64,6 +73,13 @@
         finally:
             self.limit = None
 
+    def _can_move(self, silent_s: float) -> bool:
+        if self.prepare_move():
+            return True
+        if not self.has_begun:
+            self.stalled(self, silent_s)
+        return False
+
     def give_up(self) -> None:
         """Abort the current wait if the request may be sent to another engine."""
         if self.may_move and self.limit is not None:
@@ -78,7 +94,8 @@
         self._clock = clock
         self._is_used = is_used
         self._streams: OrderedSet[WatchedStream] = OrderedSet()
-        self._heard_s: dict[str, float] = {}
+        self._heard_s: dict[Backend, float] = {}
+        """When each engine last sent data, by incarnation: two may have one name."""
         self._last_check_s = 0.0
         self._is_check_scheduled = False
 
@@ -94,13 +111,13 @@
     def heard(self, stream: WatchedStream) -> None:
         """Record that data arrived on a stream, and so from its engine."""
         stream.has_begun = True
-        self._heard_s[stream.engine.name] = self._clock()
+        self._heard_s[stream.engine] = self._clock()
 
     def close(self, stream: WatchedStream) -> None:
         """Stop monitoring a stream."""
         self._streams.discard(stream)
         if not any(other.engine is stream.engine for other in self._streams):
-            self._heard_s.pop(stream.engine.name, None)
+            self._heard_s.pop(stream.engine, None)
 
     def check(self) -> None:
         """Mark silent engines as suspect and abort the waits for them."""
@@ -109,14 +126,14 @@
             self._heard_s = dict.fromkeys(self._heard_s, now_s)
         self._last_check_s = now_s
         for engine in {s.engine for s in self._streams if s.has_begun}:
-            silent_s = now_s - self._heard_s[engine.name]
+            silent_s = now_s - self._heard_s[engine]
             if silent_s >= ENGINE_SILENCE_S:
                 self._mark_silent(engine, silent_s, now_s)
 
     def _on_stall(self, stream: WatchedStream, silent_s: float) -> None:
         """Mark the engine of a stalled stream as suspect, unless its other streams had data."""
         engine, now_s = stream.engine, self._clock()
-        heard_s = self._heard_s.get(engine.name, -math.inf)
+        heard_s = self._heard_s.get(engine, -math.inf)
         if stream.has_begun and now_s - heard_s < RECENT_ACTIVITY_SHARE * silent_s:
             _log.info(
                 "stream stalled, but other streams of the engine are active", engine=engine.name
