The slowest recent response is remembered by service, not by backend

Cause: the record hung on the life of a backend; how long calls of a service take is known of the service.

Change: the backends of a service share one record.

The step keeps its caller now.

Conclusion: a call slower than all of the last 30 s can still be given up.

--- a/features/steps/stop_admission_steps.py
+++ b/features/steps/stop_admission_steps.py
@@ -35,8 +35,8 @@
 def stop_during_call(context, name):
     backend = context.world.backends[name]
     count = len(backend.arrivals)
-    caller = RawCaller(context.world, context.router.settings.callers.listen)
-    caller.send(request_bytes("once", body=b"abc", request_id=HELD_CALL))
+    context.held_caller = RawCaller(context.world, context.router.settings.callers.listen)
+    context.held_caller.send(request_bytes("once", body=b"abc", request_id=HELD_CALL))
     context.world.wait_for(lambda: len(backend.arrivals) > count, "the call")
     context.world.loop.call_soon_threadsafe(context.router.stop_event.set)
     context.world.wait_for(lambda: not context.router.is_ready, "stopping")
--- a/src/yokedock/request/backend_incarnation.py
+++ b/src/yokedock/request/backend_incarnation.py
@@ -46,7 +46,7 @@
 LATENCY_EWMA_WEIGHT = 0.2
 LATENCY_HALF_LIFE_S = 6.0
 SLOWEST_WINDOW_S = 30.0
-"""Minimum time for which a backend's slowest response is remembered."""
+"""Minimum time for which the slowest response of a service is remembered."""
 
 
 class Health(msgspec.Struct):
@@ -65,7 +65,7 @@
     slowest_s: RecentMaximum = msgspec.field(
         default_factory=lambda: RecentMaximum(SLOWEST_WINDOW_S)
     )
-    """Latency of the slowest recent response that was no failure."""
+    """Latency of the slowest recent response without failures, shared by a service's backends."""
 
     def failure_rate(self, now_s: float) -> float:
         """Return the higher of the local failure rate and that of other routers, after decay."""
--- a/src/yokedock/request/backend_list.py
+++ b/src/yokedock/request/backend_list.py
@@ -13,15 +13,18 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.state_source import BackendEntry
-from yokedock.request.backend_incarnation import Backend, incarnation_name
+from yokedock.request.backend_incarnation import SLOWEST_WINDOW_S, Backend, incarnation_name
 from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_notices import NOTICE_RETENTION_S
 from yokedock.request.list_restoration import NOTHING_APPLIED, AppliedHistory, ListRestoration
+from yokedock.request.recent_maximum import RecentMaximum
 
 _log = logger("backends")
 
 BACKEND_RETENTION_S = 10.0
 """Retention time for the health data of a backend after it left: it may come back."""
+MAX_SERVICES_MEASURED = 1_000
+"""Services whose slowest responses are recorded."""
 
 
 class BackendList:
@@ -41,6 +44,8 @@
         """The latest incarnation of each backend, by identifier."""
         self._members: dict[tuple[str, str | None], list[Backend]] | None = None
         """Backends by service and role, and by service alone; None after a change of the list."""
+        self._slowest: dict[str, RecentMaximum] = {}
+        """By service, the slowest recent response of all its backends, also of ended ones."""
         self._restoration = ListRestoration()
         self.on_change: Callable[[], None] = lambda: None
         self.on_restart: Callable[[Backend], None] = lambda backend: None
@@ -203,9 +208,16 @@
             backend.record_gone(now_s)
         backend.record_unlisted(now_s)
 
+    def _slowest_of(self, service: str) -> RecentMaximum:
+        """Return the record of a service's slowest response; those of old services are dropped."""
+        if service not in self._slowest and len(self._slowest) >= MAX_SERVICES_MEASURED:
+            del self._slowest[next(iter(self._slowest))]
+        return self._slowest.setdefault(service, RecentMaximum(SLOWEST_WINDOW_S))
+
     def _begin(self, entry: BackendEntry, before: Backend | None, now_s: float) -> Backend:
         """Add a new incarnation, initialised from the previous one if there is one."""
         backend = Backend(entry, now_s, self.limits)
+        backend.health.slowest_s = self._slowest_of(entry.service)
         self._backends[backend.name] = self._newest[entry.instance] = backend
         if before is not None:
             backend.take_over_from(before)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -195,9 +195,8 @@
 
     def slowest_latency_s(self, service: str) -> float:
         """Return the latency of a service's slowest recent response, 0 without one."""
-        now_s = self._clock()
-        usable = self.usable(service)
-        return max((backend.health.slowest_s.value(now_s) for backend in usable), default=0.0)
+        slowest = self._slowest.get(service)
+        return slowest.value(self._clock()) if slowest is not None else 0.0
 
     def patience_s(self, backend: Backend) -> float:
         """Return the time without data after which the response of a backend is given up."""
