A stopping router allows for a silence of one and a half seconds

Cause: SILENCE_ALLOWANCE_S was 1.0 s where a sound backend may be silent for 'a second or so'.

Change: 1.5 s.

--- a/src/yokedock/request/stop_admission.py
+++ b/src/yokedock/request/stop_admission.py
@@ -16,8 +16,8 @@
 from yokedock.request.engine_performance import EnginePerformance
 from yokedock.request.routed_call import RoutedCall
 
-SILENCE_ALLOWANCE_S = 1.0
-"""A sound backend may send nothing for this long before it goes on."""
+SILENCE_ALLOWANCE_S = 1.5
+"""A sound backend may send nothing for a second or so before it goes on."""
 LATENCY_MARGIN = 3.0
 """Minimum ratio of the latency that a call is given to the typical one of its service."""
 PACE_MARGIN = 1.5
