Keep cancellations of calls that are woken in the same moment

Cause: asyncio.wait_for of Python 3.11 returns the result, and ignores a cancellation of its caller, if the awaited event is set in the same or the previous iterations of the event loop. The first call of the queue waits so, and is woken whenever another call leaves the queue.

What callers saw: a call whose refusal, disconnect or end of the stop was lost stayed in the queue and could go on to a backend. The damage is one call a time; it takes another call's departure within three iterations, which anyone who leaves a queue can cause.

Ruled out: the other waits use asyncio.timeout or asyncio.wait, which keep the cancellation.

Change: asyncio.timeout around the wait.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -250,6 +250,7 @@
       | many that wait look no more often than few              |
       | the least time left goes first                          |
       | whoever becomes hopeless in the queue is refused then   |
+      | whoever is cancelled as it is woken leaves the queue    |
       | a hopeless newcomer is refused at once                  |
 
   Scenario Outline: <property>
--- a/features/support/call_queue_properties.py
+++ b/features/support/call_queue_properties.py
@@ -143,6 +143,28 @@
     asyncio.run(play())
 
 
+def a_call_that_is_cancelled_as_it_is_woken_leaves_the_queue():
+    """Guards against cancellations that are lost when another call leaves the queue.
+
+    Such a call would go on to a backend although its router has ended the request.
+    """
+
+    async def play(iterations):
+        waiting = Waiting(0.1)
+        first, second = waiting.come("first", 60.0), waiting.come("second", 61.0)
+        await asyncio.sleep(0.005)
+        second.cancel()
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        assert not first.done()
+        first.cancel()
+        await asyncio.wait([first], timeout=0.1)
+        return first.cancelled()
+
+    ended = [asyncio.run(play(iterations)) for iterations in range(6)]
+    assert all(ended), ended
+
+
 CALL_QUEUE_PROPERTIES = {
     "many that wait look no more often than few": scan_rate_does_not_grow_with_the_queue,
     "the least time left goes first": the_earliest_deadline_is_served_first,
@@ -150,4 +172,7 @@
         a_queued_call_is_refused_once_unservable
     ),
     "a hopeless newcomer is refused at once": an_unservable_call_is_refused_on_arrival,
+    "whoever is cancelled as it is woken leaves the queue": (
+        a_call_that_is_cancelled_as_it_is_woken_leaves_the_queue
+    ),
 }
--- a/src/yokedock/request/call_queue.py
+++ b/src/yokedock/request/call_queue.py
@@ -70,8 +70,10 @@
     async def sleep(self, max_duration_s: float | None) -> None:
         """Wait until woken, for at most ``max_duration_s`` if given."""
         self._woken.clear()
+        # ``asyncio.wait_for`` ignores a cancellation that arrives as the call is woken.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._woken.wait(), max_duration_s)
+            async with asyncio.timeout(max_duration_s):
+                await self._woken.wait()
 
 
 class CallQueue:
