Refuse no stream in a stop while an engine reads its prompt

Cause: the repeated check of a stopping router took a call for unsent if no decode had been sent. A prefill does not count as an arrival there. The check allows for the whole time of the stream again, although a part of it has passed.

What callers saw: a stream that was accepted with less spare time than its prompt takes to be read got 503 with a Retry-After of 1 s in the middle of its prefill, and the engine had read the prompt in vain. It lasts from the acceptance of a stream to its decode, in each stop. A call that a backend had refused, on the other hand, was never checked again.

Change: a call counts how many exchanges with backends it has begun and not ended.

--- a/features/steps/stop_admission_steps.py
+++ b/features/steps/stop_admission_steps.py
@@ -11,6 +11,7 @@
 
 FIRST_CALL = "r-1"
 OTHER_CALL = "r-2"
+STREAM_HEADERS = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", "ab:50")]
 
 
 @given('backend "{name}" takes {work_s:g} s for each call after the first, which it holds')
@@ -69,3 +70,18 @@
 
 async def now():
     return boot_time_s()
+
+
+@when('{late_s:g} s later a client streams on "{name}"')
+def stream_late(context, late_s, name):
+    context.world.run(asyncio.sleep(late_s))
+    caller = RawCaller(context.world, context.router.settings.callers.listen)
+    caller.send(request_bytes(name, headers=STREAM_HEADERS))
+    context.answer = caller.read_answer()
+
+
+@then("the stream is answered 200 and whole")
+def is_whole(context):
+    assert context.world.backends["p"].arrivals, "no prompt was read"
+    status, _, body, is_whole = context.answer
+    assert (status, is_whole) == (200, True), (status, body)
--- a/features/stop_admission.feature
+++ b/features/stop_admission.feature
@@ -36,3 +36,16 @@
     Then the client gets 503
     And the answer came 5 to 6.5 s into the stop
     And no backend was asked
+
+  # Guards against streams that a stopping router accepts and refuses again while an engine reads their prompt.
+  Scenario: A stream whose prompt is being read is not refused any more
+    Given time and network are simulated with the seed "1"
+    And a plain backend "a"
+    And a prefill engine "p"
+    And a decode engine "d"
+    And a router that knows them
+    And a prefill takes 0.8 s
+    And backend "a" takes 0.4 s for each call after the first, which it holds
+    When a client sends POST on "once" and the router is told to stop
+    And 5 s later a client streams on "talk"
+    Then the stream is answered 200 and whole
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -121,7 +121,7 @@
     def refuse_late_calls(self) -> None:
         """Refuse the calls that wait for a backend and can no longer be served in a shutdown."""
         for call, task in list(self._waiting.items()):
-            is_sent = call.arrivals or call.may_have_run or call.answer.has_started
+            is_sent = call.at_backends or call.may_have_run or call.answer.has_started
             if not is_sent and call not in self._refused and not self._admission.has_time(call):
                 self._refused.add(call)
                 task.cancel()
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -92,6 +92,7 @@
         self._is_prefill = order.is_prefill
         self._sent_s = boot_time_s()
         self.is_sent = True
+        call.at_backends += 1
         await self._connection.send(call.request.head, headers, call.request.body)
 
     def start_silence_timer(self, max_silence_s: float) -> None:
@@ -108,7 +109,8 @@
         self._silence_timer = loop.call_later(due_s, self.start_silence_timer, max_silence_s)
 
     def close(self) -> None:
-        """Stop the silence timer."""
+        """End the exchange and stop the silence timer."""
+        self._call.at_backends -= self.is_sent
         if self._silence_timer is not None:
             self._silence_timer.cancel()
 
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -45,6 +45,8 @@
     arrivals: int = 0
     """Requests sent to backends, including rejected ones."""
     may_have_run: bool = False
+    at_backends: int = 0
+    """Exchanges with backends that have begun and not ended, including prefills."""
     min_last_receive_s: float = 0.0
     """Idle connections are reused only if they received data after this (boot time, s)."""
     visits: list[BackendVisit] = []
