Send complete answers of calls although a stop ends

Cause: the end of a stop cancelled every handler, also one whose answer is complete and only waits for its caller to read. The connection of a cancelled handler is aborted with all that is unsent.

What callers saw: a long answer of a call, of which the kernel and the caller had not taken all, ended early 0.8 s before the grace time was over, although the stop waits 0.5 s more for answers that are not sent. One answer a connection; a caller that reads slowly can cause it for itself only.

Change: cancel_handler leaves a handler alone whose response is complete.

--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -11,13 +11,16 @@
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 LIMIT_S = 5.0
+LONG_BODY = b"x" * 16_000_000
+"""More than what the kernel buffers for a connection."""
 STALL_THRESHOLD_S = 0.3
 
 
 class StoppingServer:
     """Answers every request; a graceful shutdown starts right after the first response."""
 
-    def __init__(self):
+    def __init__(self, body=b"ok"):
+        self.body = body
         self.connection = None
         self.answered = 0
         self.limits = CallerLimits()
@@ -33,7 +36,7 @@
 
     async def _answer(self, request, answer):
         self.answered += 1
-        await answer.whole(*complete_response(200, b"ok"))
+        await answer.whole(*complete_response(200, self.body))
         # The response has been sent without "Connection: close".
         self.connection.is_closing = True
 
@@ -186,7 +189,31 @@
     assert body is None and took_s < ABORT_LIMIT_S, took_s
 
 
+def a_complete_answer_is_sent_although_a_stop_ends():
+    """Guards against answers of calls that the end of a stop cuts off while they are being sent."""
+
+    async def play():
+        server = StoppingServer(LONG_BODY)
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+        assert server.connection.has_unsent_answer()
+        server.connection.cancel_handler()
+        async with asyncio.timeout(LIMIT_S):
+            body = await reader.readexactly(len(LONG_BODY))
+            while server.connection.has_unsent_answer():
+                await asyncio.sleep(0.005)
+        writer.close()
+        return body
+
+    assert asyncio.run(play()) == LONG_BODY
+
+
 CONNECTION_PROPERTIES = {
+    "a complete answer is sent although a stop ends": (
+        a_complete_answer_is_sent_although_a_stop_ends
+    ),
     "what has arrived is read before an abort": what_has_arrived_is_read_before_an_abort,
     "a process that stood still reaches who has accepted": (
         a_connection_accepted_during_a_stall_is_used
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -64,6 +64,8 @@
         self._turns = WorkTurns()
         self._has_request_data = False
         self._handler_task: asyncio.Task[None] | None = None
+        self._response: ResponseWriter | None = None
+        """The response to the request in flight, or to the last one."""
         self.is_closing = False
         """Set by the owner: the next response is the last and says ``Connection: close``."""
         self._close_unannounced = False
@@ -141,8 +143,10 @@
         """Cancel the handler of the request in flight.
 
         One that has not begun sees the state of the router when it does, and answers by itself.
+        One whose response is complete only waits until it is sent.
         """
-        if self._handler_task is not None and self._has_handler_begun:
+        is_complete = self._response is not None and self._response.has_ended
+        if self._handler_task is not None and self._has_handler_begun and not is_complete:
             self._handler_task.cancel()
 
     def has_unsent_answer(self) -> bool:
@@ -266,7 +270,7 @@
 
         Returns whether the connection can serve further requests.
         """
-        answer = ResponseWriter(self)
+        answer = self._response = ResponseWriter(self)
         self._has_handler_begun = False
         task = asyncio.create_task(self._run_handler(request, answer))
         self._handler_task = task
