Count requests that are being handled as unsent when a gateway exits

Cause: a request in flight ends before its answer is written, and a server counted as flushed when no data was buffered. A gateway that drains and looks between the two exits without the answer of a request that has run.

What callers saw: the end of the connection without an answer, or a stream without its last chunk. The gap is the time from the end of the request to the first buffered byte, once for each gateway that is stopped. A request that waited for a thread was cut in the same way, not run.

Change: a server is flushed once no channel has a request and no data is buffered.

Before: the new property saw a flushed server while its handler ran; after: not. That a whole gateway exits so was read in the source, not tried.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -133,6 +133,7 @@
       | an idle connection is closed late in a stop                    |
       | a raised idle timeout holds for connections that wait          |
       | a complete answer is sent although a stop ends                 |
+      | a request that is handled is not flushed                       |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
 
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -1,11 +1,16 @@
 """Properties of single caller and backend connections, over real loopback sockets."""
 
 import asyncio
+import concurrent.futures
+import contextlib
+import threading
 import time
+import urllib.request
 
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import RequestHead, complete_response
+from yokedock.connection.http_server import HttpResponse, HttpRouter, HttpServer
 from yokedock.router_errors import BackendConnectionClosed
 from yokedock.version.route_table import CallerLimits
 
@@ -210,10 +215,37 @@
     assert asyncio.run(play()) == LONG_BODY
 
 
+def a_request_that_is_handled_is_not_flushed():
+    """Guards against a gateway that exits between the end of a request and its answer."""
+    has_begun, may_end = threading.Event(), threading.Event()
+
+    def answer(request):
+        has_begun.set()
+        may_end.wait(LIMIT_S)
+        return HttpResponse.of("done")
+
+    router = HttpRouter()
+    router.add("GET", "/x", answer)
+    server = HttpServer(router, "127.0.0.1:0", 1)
+    server.start()
+    with contextlib.closing(server), concurrent.futures.ThreadPoolExecutor(1) as pool:
+        got = pool.submit(urllib.request.urlopen, f"{server.url}/x", timeout=LIMIT_S)
+        assert has_begun.wait(LIMIT_S)
+        was_flushed = server.is_flushed()
+        may_end.set()
+        assert got.result().read() == b'"done"'
+        until_s = time.monotonic() + LIMIT_S
+        while not server.is_flushed() and time.monotonic() < until_s:
+            time.sleep(0.005)
+        assert server.is_flushed()
+    assert not was_flushed
+
+
 CONNECTION_PROPERTIES = {
     "a complete answer is sent although a stop ends": (
         a_complete_answer_is_sent_although_a_stop_ends
     ),
+    "a request that is handled is not flushed": a_request_that_is_handled_is_not_flushed,
     "what has arrived is read before an abort": what_has_arrived_is_read_before_an_abort,
     "a process that stood still reaches who has accepted": (
         a_connection_accepted_during_a_stall_is_used
--- a/src/yokedock/connection/http_server.py
+++ b/src/yokedock/connection/http_server.py
@@ -261,9 +261,9 @@
         self._server.socket.close()
 
     def is_flushed(self) -> bool:
-        """Return whether all response data has been handed to the kernel."""
+        """Return whether all requests were answered and the answers handed to the kernel."""
         channels = list(self._server.active_channels.values())
-        return all(channel.total_outbufs_len == 0 for channel in channels)
+        return not any(channel.requests or channel.total_outbufs_len for channel in channels)
 
     def close(self) -> None:
         """Stop immediately."""
