Go on with a stop after an error in the check of late calls

Cause: the repeated check runs in the task that stops the router, and nothing there caught an error of it. Any error ended the process at once: all handlers are cancelled and the streams cut off, without the rest of the grace time.

What callers would have seen: 502 or 503 for calls, cut streams. No error is known that a caller can cause: numbers in headers are bounded. A configuration with a stride of 0 (the document does not bound it) divides by zero there once a pause was measured.

Change: the error is logged, and the stop goes on.

Before: the new property got the ZeroDivisionError out of the stop; after: the stop takes its time.

--- a/features/stop_admission.feature
+++ b/features/stop_admission.feature
@@ -8,6 +8,7 @@
       | a stopping router takes no call that it cannot answer          |
       | a stopping router takes no stream that it cannot finish        |
       | who is refused by a stopping router is told when to come back  |
+      | a stop goes on after an error                                  |
 
   # Guards against calls that a stopping router passes on in its last second and answers 502 "may have run".
   Scenario Outline: A call that comes <late> s into a stop is answered <status>
--- a/features/support/stop_admission_properties.py
+++ b/features/support/stop_admission_properties.py
@@ -1,18 +1,22 @@
 """Properties of the rule for what a stopping router accepts, over generated loads."""
 
+import asyncio
 import dataclasses
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.dialect import GenerationParameters
+from yokedock.process.graceful_stop import GracefulStop
 from yokedock.request.engine_performance import EnginePerformance
 from yokedock.request.stop_admission import SILENCE_ALLOWANCE_S, StopAdmission, StopState
 from yokedock.version.route_table import EngineTraits, ServiceSpec
 
 TOKENS_PER_EVENT = 11
 CLOCK_SLACK_S = 0.05
+GRACE_S = 1.0
 ENGINE_TRAITS = EngineTraits(
     slots=4,
     memory_tokens=1000,
@@ -101,7 +105,30 @@
         assert refusal.retry_after_s > 0
 
 
+class FailingHandler:
+    """Stands for a request handler that cannot tell which calls are late."""
+
+    active = 0
+
+    def refuse_late_calls(self):
+        raise ZeroDivisionError
+
+
+def a_stop_goes_on_after_an_error():
+    """Guards against a router that ends at once, with all its requests, by an error of its own."""
+    stop = StopState()
+    graceful_stop = GracefulStop(stop, FailingHandler(), OrderedSet())
+
+    async def play():
+        graceful_stop.begin(GRACE_S)
+        await graceful_stop.run()
+
+    asyncio.run(play())
+    assert stop.is_ending and boot_time_s() >= stop.final_answers_s
+
+
 STOP_ADMISSION_PROPERTIES = {
+    "a stop goes on after an error": a_stop_goes_on_after_an_error,
     "a stopping router takes no call that it cannot answer": (
         a_stopping_router_takes_no_call_that_it_cannot_answer
     ),
--- a/src/yokedock/process/graceful_stop.py
+++ b/src/yokedock/process/graceful_stop.py
@@ -79,8 +79,14 @@
         await asyncio.sleep(0)
 
     async def _refuse_late_calls(self, until_s: float) -> None:
-        """Refuse the calls for which too little time is left, then sleep for one poll interval."""
-        self._handler.refuse_late_calls()
+        """Refuse the calls for which too little time is left, then sleep for one poll interval.
+
+        An error must not end the stop: all requests would end with it.
+        """
+        try:
+            self._handler.refuse_late_calls()
+        except Exception:
+            _log.exception("late calls not refused")
         await asyncio.sleep(max(0.0, min(POLL_S, until_s - boot_time_s())))
 
     async def _wait_for_punctual_loop(self) -> None:
