Keep the connection behind an error for a HEAD request

Cause: an error answer was written with its body, which h11 refuses for HEAD. The error came after the head was out, so the connection was aborted.

What callers saw: the head of the error without Connection: close, then a reset. A next request on the connection was lost, not run. Anyone who sends HEAD can cause it, for the own connection.

Change: the response to a HEAD request is written without its body.

Before: the new property got ConnectionResetError for the next request; after: 200.

--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -11,6 +11,7 @@
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import RequestHead, complete_response
 from yokedock.connection.http_server import HttpResponse, HttpRouter, HttpServer
+from yokedock.errors import NotReady
 from yokedock.router_errors import BackendConnectionClosed
 from yokedock.version.route_table import CallerLimits
 
@@ -215,6 +216,32 @@
     assert asyncio.run(play()) == LONG_BODY
 
 
+def an_error_for_head_keeps_the_connection():
+    """Guards against kept connections that are aborted behind an error for a HEAD request."""
+
+    async def refuse_head(request, answer):
+        if request.head.method == b"HEAD":
+            raise NotReady("not ready", 1.0)
+        await answer.whole(*complete_response(200, b"ok"))
+
+    async def accept(reader, writer):
+        await CallerConnection(reader, writer, refuse_head, CallerLimits).serve()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST.replace(b"POST", b"HEAD"))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+        assert b"connection: close" not in head.lower()
+        writer.write(REQUEST)
+        assert (await read_answer(reader)).startswith(b"http/1.1 200")
+        writer.close()
+        server.close()
+
+    asyncio.run(play())
+
+
 def a_request_that_is_handled_is_not_flushed():
     """Guards against a gateway that exits between the end of a request and its answer."""
     has_begun, may_end = threading.Event(), threading.Event()
@@ -245,6 +272,7 @@
     "a complete answer is sent although a stop ends": (
         a_complete_answer_is_sent_although_a_stop_ends
     ),
+    "an error for HEAD keeps the connection": an_error_for_head_keeps_the_connection,
     "a request that is handled is not flushed": a_request_that_is_handled_is_not_flushed,
     "what has arrived is read before an abort": what_has_arrived_is_read_before_an_abort,
     "a process that stood still reaches who has accepted": (
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -270,7 +270,8 @@
 
         Returns whether the connection can serve further requests.
         """
-        answer = self._response = ResponseWriter(self)
+        has_body = request.head.method != b"HEAD"
+        answer = self._response = ResponseWriter(self, has_body)
         self._has_handler_begun = False
         task = asyncio.create_task(self._run_handler(request, answer))
         self._handler_task = task
--- a/src/yokedock/connection/response_writer.py
+++ b/src/yokedock/connection/response_writer.py
@@ -39,9 +39,13 @@
 class ResponseWriter:
     """Writes the response to one request."""
 
-    def __init__(self, connection: ResponseChannel) -> None:
-        """Create a writer for a response on ``connection``."""
+    def __init__(self, connection: ResponseChannel, has_body: bool = True) -> None:
+        """Create a writer for a response on ``connection``.
+
+        ``has_body`` is false for a HEAD request, whose response consists of its head only.
+        """
         self._connection = connection
+        self._has_body = has_body
         self.status: int | None = None
         self.has_ended = False
 
@@ -81,7 +85,7 @@
     async def whole(self, head: ResponseHead, body: bytes) -> None:
         """Send a complete response with a known length."""
         self.start(head, len(body))
-        if body:
+        if body and self._has_body:
             self._connection.send_event(h11.Data(data=body))
         await self.end()
 
