Take a caller that leaves before its rejection for gone, not for an error

Cause: since errors of the caller's connection are ClientClosedConnection, the rejection of a malformed request no longer caught them.

What callers saw: nothing; the log got an unhandled error with each such connection, which anyone can open.

Change: the rejection catches it.

Before: the new property got ClientClosedConnection out of the connection's task; after: none.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -134,6 +134,7 @@
       | a raised idle timeout holds for connections that wait          |
       | a complete answer is sent although a stop ends                 |
       | a request that is handled is not flushed                       |
+      | a caller that leaves before its rejection is no error          |
       | an error for HEAD keeps the connection                         |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -242,6 +242,35 @@
     asyncio.run(play())
 
 
+def a_caller_that_leaves_before_its_rejection_is_no_error():
+    """Guards against unhandled errors for malformed requests whose callers have left."""
+    ended = []
+
+    async def accept(reader, writer):
+        async def lose():
+            raise ConnectionResetError
+
+        writer.drain = lose
+        try:
+            await CallerConnection(reader, writer, None, CallerLimits).serve()
+            ended.append(None)
+        except Exception as error:
+            ended.append(error)
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"malformed\r\n\r\n")
+        async with asyncio.timeout(LIMIT_S):
+            while not ended:
+                await asyncio.sleep(0.005)
+        writer.close()
+        server.close()
+
+    asyncio.run(play())
+    assert ended == [None], ended
+
+
 def a_request_that_is_handled_is_not_flushed():
     """Guards against a gateway that exits between the end of a request and its answer."""
     has_begun, may_end = threading.Event(), threading.Event()
@@ -273,6 +302,9 @@
         a_complete_answer_is_sent_although_a_stop_ends
     ),
     "an error for HEAD keeps the connection": an_error_for_head_keeps_the_connection,
+    "a caller that leaves before its rejection is no error": (
+        a_caller_that_leaves_before_its_rejection_is_no_error
+    ),
     "a request that is handled is not flushed": a_request_that_is_handled_is_not_flushed,
     "what has arrived is read before an abort": what_has_arrived_is_read_before_an_abort,
     "a process that stood still reaches who has accepted": (
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -362,7 +362,7 @@
         try:
             await ResponseWriter(self).error(error)
             await self._close_gracefully()
-        except (OSError, h11.LocalProtocolError):
+        except (OSError, ClientClosedConnection, h11.LocalProtocolError):
             return
 
     async def _close_gracefully(self) -> None:
