--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -133,6 +133,10 @@
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
       | a raised idle timeout holds for connections that wait          |
+      | a complete answer is sent although a stop ends                 |
+      | a request that is handled is not flushed                       |
+      | a caller that leaves before its rejection is no error          |
+      | an error for HEAD keeps the connection                         |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
 
@@ -251,6 +255,7 @@
       | many that wait look no more often than few              |
       | the least time left goes first                          |
       | whoever becomes hopeless in the queue is refused then   |
+      | whoever is cancelled as it is woken leaves the queue    |
       | a hopeless newcomer is refused at once                  |
 
   Scenario Outline: <property>
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -1,23 +1,32 @@
 """Properties of single caller and backend connections, over real loopback sockets."""
 
 import asyncio
+import concurrent.futures
+import contextlib
+import threading
 import time
+import urllib.request
 
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import RequestHead, complete_response
+from yokedock.connection.http_server import HttpResponse, HttpRouter, HttpServer
+from yokedock.errors import NotReady
 from yokedock.router_errors import BackendConnectionClosed
 from yokedock.version.route_table import CallerLimits
 
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 LIMIT_S = 5.0
+LONG_BODY = b"x" * 16_000_000
+"""More than what the kernel buffers for a connection."""
 STALL_THRESHOLD_S = 0.3
 
 
 class StoppingServer:
     """Answers every request; a graceful shutdown starts right after the first response."""
 
-    def __init__(self):
+    def __init__(self, body=b"ok"):
+        self.body = body
         self.connection = None
         self.answered = 0
         self.limits = CallerLimits()
@@ -33,7 +42,7 @@
 
     async def _answer(self, request, answer):
         self.answered += 1
-        await answer.whole(*complete_response(200, b"ok"))
+        await answer.whole(*complete_response(200, self.body))
         # The response has been sent without "Connection: close".
         self.connection.is_closing = True
 
@@ -186,7 +195,117 @@
     assert body is None and took_s < ABORT_LIMIT_S, took_s
 
 
+def a_complete_answer_is_sent_although_a_stop_ends():
+    """Guards against answers of calls that the end of a stop cuts off while they are being sent."""
+
+    async def play():
+        server = StoppingServer(LONG_BODY)
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+        assert server.connection.has_unsent_answer()
+        server.connection.cancel_handler()
+        async with asyncio.timeout(LIMIT_S):
+            body = await reader.readexactly(len(LONG_BODY))
+            while server.connection.has_unsent_answer():
+                await asyncio.sleep(0.005)
+        writer.close()
+        return body
+
+    assert asyncio.run(play()) == LONG_BODY
+
+
+def an_error_for_head_keeps_the_connection():
+    """Guards against kept connections that are aborted behind an error for a HEAD request."""
+
+    async def refuse_head(request, answer):
+        if request.head.method == b"HEAD":
+            raise NotReady("not ready", 1.0)
+        await answer.whole(*complete_response(200, b"ok"))
+
+    async def accept(reader, writer):
+        await CallerConnection(reader, writer, refuse_head, CallerLimits).serve()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST.replace(b"POST", b"HEAD"))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+        assert b"connection: close" not in head.lower()
+        writer.write(REQUEST)
+        assert (await read_answer(reader)).startswith(b"http/1.1 200")
+        writer.close()
+        server.close()
+
+    asyncio.run(play())
+
+
+def a_caller_that_leaves_before_its_rejection_is_no_error():
+    """Guards against unhandled errors for malformed requests whose callers have left."""
+    ended = []
+
+    async def accept(reader, writer):
+        async def lose():
+            raise ConnectionResetError
+
+        writer.drain = lose
+        try:
+            await CallerConnection(reader, writer, None, CallerLimits).serve()
+            ended.append(None)
+        except Exception as error:
+            ended.append(error)
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"malformed\r\n\r\n")
+        async with asyncio.timeout(LIMIT_S):
+            while not ended:
+                await asyncio.sleep(0.005)
+        writer.close()
+        server.close()
+
+    asyncio.run(play())
+    assert ended == [None], ended
+
+
+def a_request_that_is_handled_is_not_flushed():
+    """Guards against a gateway that exits between the end of a request and its answer."""
+    has_begun, may_end = threading.Event(), threading.Event()
+
+    def answer(request):
+        has_begun.set()
+        may_end.wait(LIMIT_S)
+        return HttpResponse.of("done")
+
+    router = HttpRouter()
+    router.add("GET", "/x", answer)
+    server = HttpServer(router, "127.0.0.1:0", 1)
+    server.start()
+    with contextlib.closing(server), concurrent.futures.ThreadPoolExecutor(1) as pool:
+        got = pool.submit(urllib.request.urlopen, f"{server.url}/x", timeout=LIMIT_S)
+        assert has_begun.wait(LIMIT_S)
+        was_flushed = server.is_flushed()
+        may_end.set()
+        assert got.result().read() == b'"done"'
+        until_s = time.monotonic() + LIMIT_S
+        while not server.is_flushed() and time.monotonic() < until_s:
+            time.sleep(0.005)
+        assert server.is_flushed()
+    assert not was_flushed
+
+
 CONNECTION_PROPERTIES = {
+    "a complete answer is sent although a stop ends": (
+        a_complete_answer_is_sent_although_a_stop_ends
+    ),
+    "an error for HEAD keeps the connection": an_error_for_head_keeps_the_connection,
+    "a caller that leaves before its rejection is no error": (
+        a_caller_that_leaves_before_its_rejection_is_no_error
+    ),
+    "a request that is handled is not flushed": a_request_that_is_handled_is_not_flushed,
     "what has arrived is read before an abort": what_has_arrived_is_read_before_an_abort,
     "a process that stood still reaches who has accepted": (
         a_connection_accepted_during_a_stall_is_used
