A stopping router accepts what ends before it does, whatever an estimate says

What callers saw: refusals of calls and resumed streams by a stopping router that would have ended in time: where one response of the last half minute was slow, or most of a resumed stream's tokens had been sent. Found by a review, by arithmetic from the code.

Cause: the time that is needed was not limited by the request's deadline, and a resumed stream was charged from its first token. Retry-after times had no spread: callers of a zone whose routers all stop came back together.

Change: a request whose deadline falls before the end is accepted; tokens that the caller of a resumed stream has do not count; retry-after times are spread between one and two times the value. A table that names no tokens per event can't divide by zero.

Conclusion: mended.

--- a/features/stop_admission.feature
+++ b/features/stop_admission.feature
@@ -9,6 +9,7 @@
       | a stopping router takes no stream that it cannot finish        |
       | who is refused by a stopping router is told when to come back  |
       | a stop goes on after an error                                  |
+      | what ends before the router is accepted                        |
       | a recent maximum covers its window                             |
 
   # Guards against calls that a stopping router passes on in its last second and answers 502 "may have run".
--- a/features/support/stop_admission_properties.py
+++ b/features/support/stop_admission_properties.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -44,6 +45,7 @@
 @dataclasses.dataclass
 class Terms:
     generation: GenerationParameters | None
+    last_event_id: int | None = None
 
 
 @dataclasses.dataclass
@@ -53,6 +55,7 @@
     terms: Terms
     service: ServiceSpec
     arrived_s: float
+    deadline_s: float = math.inf
 
 
 def admission(left_s, stopping_for_s, latency_s=0.1, pause_s=0.0, slowest_s=0.0):
@@ -116,6 +119,17 @@
         raise AssertionError("refused, although there was time enough")
 
 
+def what_ends_before_the_router_is_accepted():
+    """Guards against refusals, by a long estimate, of requests that end before the router does."""
+    rule, refused = admission(2.0, 4.0, slowest_s=9.0), plain_call()
+    assert not rule.has_time(refused)
+    assert rule.has_time(dataclasses.replace(refused, deadline_s=boot_time_s() + 1.5))
+    resumed = stream(1100)
+    resumed.terms.last_event_id = 99
+    rule = admission(3.0, 4.0, pause_s=0.05)
+    assert rule.has_time(resumed) and not rule.has_time(stream(1100))
+
+
 @given(st.floats(0.0, 0.9))
 def the_kind_of_request_decides_when_to_come_back(left_s):
     """A refused request was not run, and its caller is told when to come back."""
@@ -152,6 +166,7 @@
     "a stopping router takes no call that it cannot answer": (
         a_stopping_router_takes_no_call_that_it_cannot_answer
     ),
+    "what ends before the router is accepted": what_ends_before_the_router_is_accepted,
     "a recent maximum covers its window": a_recent_maximum_covers_its_window,
     "a stopping router takes no stream that it cannot finish": (
         a_stopping_router_takes_no_stream_that_it_cannot_finish
--- a/src/yokedock/request/stop_admission.py
+++ b/src/yokedock/request/stop_admission.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.randomness import new_random
 from yokedock.connection.dialect import GenerationParameters
 from yokedock.errors import NotReady
 from yokedock.request.backend_registry import BackendRegistry
@@ -35,6 +36,9 @@
 """Retry-after time for a stream: others may be stopping too."""
 CALL_RETRY_AFTER_S = 0.05
 """Retry-after time for a call that another router can serve now."""
+RETRY_AFTER_SPREAD = 2.0
+"""Retry-after times are spread evenly between one and this many times the above, so that callers do
+not return together where all routers of a zone stop."""
 
 
 class StopState(msgspec.Struct):
@@ -57,6 +61,7 @@
         self._stop = stop
         self._registry = registry
         self._pace = pace
+        self._random = new_random()
 
     def require_time(self, call: RoutedCall) -> None:
         """Raise ``NotReady`` if the router stops before the request could be served."""
@@ -64,15 +69,19 @@
             raise self.refusal(call)
 
     def has_time(self, call: RoutedCall) -> bool:
-        """Return whether a request that has not been sent to a backend can still be served."""
-        if not self._stop.is_stopping:
+        """Return whether a request that has not been sent to a backend can still be served.
+
+        One whose deadline comes first ends before the router does in any case.
+        """
+        if not self._stop.is_stopping or call.deadline_s <= self._stop.final_answers_s:
             return True
         return boot_time_s() + self._needed_s(call) <= self._stop.final_answers_s
 
     def refusal(self, call: RoutedCall) -> NotReady:
         """Return the error for a request that was not run."""
         retry_after_s = STREAM_RETRY_AFTER_S if call.terms.generation else CALL_RETRY_AFTER_S
-        return NotReady("the router is stopping; retry elsewhere", retry_after_s)
+        spread = self._random.uniform(1.0, RETRY_AFTER_SPREAD)
+        return NotReady("the router is stopping; retry elsewhere", retry_after_s * spread)
 
     def _needed_s(self, call: RoutedCall) -> float:
         """Return the time to allow for a request that is sent to a backend now, in seconds."""
@@ -88,18 +97,25 @@
         return max(LATENCY_MARGIN * typical_s, self._registry.slowest_latency_s(service))
 
     def _output_tokens(self, call: RoutedCall, terms: GenerationParameters) -> int:
-        """Return the number of output tokens to allow for.
+        """Return the number of output tokens to allow for, without those of a resumed stream that
+        the caller has.
 
         Callers' estimates are often wrong. They are ignored for requests that arrive later in the
         shutdown, because these must not be cut off.
         """
+        tokens = terms.max_output_tokens
         if call.arrived_s - self._stop.since_s < HINT_TRUST_S:
-            return terms.output_hint or terms.max_output_tokens
-        return terms.max_output_tokens
+            tokens = terms.output_hint or tokens
+        return max(0, tokens - (call.terms.last_event_id or 0) * _tokens_per_event(call))
 
     def _token_s(self, call: RoutedCall) -> float:
         """Return the time to allow for each token, in seconds."""
         pause_s = self._pace.typical_pause_s()
-        if pause_s <= 0 or call.service.engine is None:
+        if pause_s <= 0:
             return INITIAL_TOKEN_ESTIMATE_S
-        return PACE_MARGIN * pause_s / call.service.engine.tokens_per_event
+        return PACE_MARGIN * pause_s / _tokens_per_event(call)
+
+
+def _tokens_per_event(call: RoutedCall) -> int:
+    engine = call.service.engine
+    return max(1, engine.tokens_per_event) if engine is not None else 1
