Prefill on the decode engine where the retry budget lacks a second prefill

What callers saw: a resumable stream that had left its silent engine was cut after 1.4 to 2.1 s because the prefill engine of its next placement refused (421, 503), although a decode engine had room and one retry was reserved. It lasts as long as the budget is spent.

Cause: the attempt after the refusal again had a prefill engine, needed two arrivals where one was reserved, and was given up.

Ruled out: a lack of engines; the share of the budget (2.5 to 4.9) was not wrong, and no more is spent now.

Change: if the budget does not cover the prefill and the run, the decode engine prefills the prompt itself, which is one arrival.

--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -8,6 +8,8 @@
 
 import asyncio
 
+import msgspec
+
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.errors import (
@@ -182,7 +184,7 @@
     ) -> None:
         """Run prefill and decode while the placement's memory reservation is held."""
         try:
-            self._set_aside(call, state, placement)
+            placement = self._affordable(call, state, placement)
             state.note_expired_source()
             if state.valid_source() is not None:
                 await self._dispatcher.decode(call, state, placement)
@@ -198,15 +200,24 @@
         finally:
             self._ledger.close_stream(placement.reservation)
 
-    def _set_aside(self, call: RoutedCall, state: GenerationState, placement: Placement) -> None:
+    def _affordable(
+        self, call: RoutedCall, state: GenerationState, placement: Placement
+    ) -> Placement:
         """Reserve retry budget for all arrivals of an attempt; raises ``RetryBudgetExhausted``.
 
-        If the budget covered only the prefill, that prefill would be wasted.
+        If the budget covered only the prefill, that prefill would be wasted. If it covers only the
+        decode engine, that engine prefills the prompt itself.
         """
+        runs = int(state.is_extra_run(call))
         is_read = placement.prefill is not None and state.valid_source() is None
-        arrivals = int(is_read and state.is_extra_prefill()) + int(state.is_extra_run(call))
-        if not state.retries.set_aside(arrivals):
+        if is_read and state.is_extra_prefill():
+            if state.retries.try_set_aside(1 + runs):
+                return placement
+            _log.info("prefill moved to the decode engine", request=call.request_id)
+            placement = msgspec.structs.replace(placement, prefill=None)
+        if not state.retries.set_aside(runs):
             raise RetryBudgetExhausted(f"the retry budget of {call.service.name} is exhausted")
+        return placement
 
     def _final_error(self, call: RoutedCall, error: YokedockError) -> YokedockError:
         """Return the error for the caller; it says "not run" only if that is certain."""
