End a response body by what its caller gains, not by whether bytes arrive

What callers saw: a backend that sends a body without end held its call. At full speed in small pieces there was no answer at all (none 17 s after a deadline of 3 s): each piece moved the time limit, and with it took back an expiry that was already due. Slowly, the answer was 504 (calls) or 503 (prefills) at the deadline, though a sound backend stood by. It lasts until the backend closes; any backend sets it off.

Cause: the limit of a body was between two parts (BackendExchange.read_body, short_call).

Change: BodyProgress decides until when the rest of a body is worth waiting for. A timer asks it when it expires, so that data can no longer move the timer. Before the deadline a body is left, if another attempt is possible, after a pause, or at the last moment at which another backend can still answer, unless its announced length will be complete by then. Bodies of server errors and of prefills are small or of little use and have a limit of their own.

The stand-in plays six shapes of heads and six of bodies, slowly in simulated time and at full speed.

--- /dev/null
+++ b/features/endless_bytes.feature
@@ -0,0 +1,41 @@
+Feature: A backend that sends bytes without end costs only its own requests
+
+  # Guards against calls that are held for as long as bytes of a body arrive.
+  Scenario Outline: A call that may be repeated is answered elsewhere, <kind>, <pace>
+    When the first backend of a call on "repeat" sends <kind> bytes without end, <pace>
+    Then another backend answers before the deadline
+
+    Examples:
+      | kind       | pace          |
+      | head       | slowly        |
+      | body       | slowly        |
+      | error body | slowly        |
+      | head       | at full speed |
+      | body       | at full speed |
+      | error body | at full speed |
+
+  # Guards against calls that outlast their deadline while bytes of a body arrive.
+  Scenario Outline: A call that may run once has its answer by the deadline, <kind>, <pace>
+    When the first backend of a call on "once" sends <kind> bytes without end, <pace>
+    Then the caller has an error when the deadline is over
+
+    Examples:
+      | kind | pace          |
+      | head | slowly        |
+      | body | slowly        |
+      | head | at full speed |
+      | body | at full speed |
+
+  # Guards against streams that wait until their deadline for the response to a prefill.
+  Scenario Outline: The prompt is read at another engine, <kind>, <pace>
+    When the first prefill of a stream on "chat" is answered with <kind> bytes without end, <pace>
+    Then another backend answers before the deadline
+
+    Examples:
+      | kind       | pace          |
+      | head       | slowly        |
+      | body       | slowly        |
+      | error body | slowly        |
+      | head       | at full speed |
+      | body       | at full speed |
+      | error body | at full speed |
--- /dev/null
+++ b/features/steps/endless_bytes_steps.py
@@ -0,0 +1,43 @@
+"""Callers whose backend sends bytes without end, at each place of a response."""
+
+from behave import then, when
+from support.endless_worlds import DEADLINE_S, LATE_S, Endless, play_all, wrong_outcomes
+
+PLAIN = {"a": "", "b": ""}
+DECODE = {"d1": "decode", "d2": "decode"}
+PREFILL = {"p1": "prefill", "p2": "prefill", **DECODE}
+
+
+@when('the first backend of a call on "{route}" sends {kind} bytes without end, {pace}')
+def endless_call(context, route, kind, pace):
+    context.outcomes = play_all(Endless(kind, pace == "slowly"), route, PLAIN)
+
+
+@when('the first decode engine of a stream on "{route}" sends {kind} bytes without end, {pace}')
+def endless_stream(context, route, kind, pace):
+    context.outcomes = play_all(Endless(kind, pace == "slowly"), route, DECODE)
+
+
+@when(
+    'the first prefill of a stream on "{route}" is answered with {kind} bytes without end, {pace}'
+)
+def endless_prefill(context, route, kind, pace):
+    context.outcomes = play_all(Endless(kind, pace == "slowly", True), route, PREFILL)
+
+
+@then("another backend answers before the deadline")
+def answered(context):
+    wrong = wrong_outcomes(
+        context.outcomes,
+        lambda each: each.status == 200 and each.is_whole and each.took_s < DEADLINE_S,
+    )
+    assert not wrong, wrong
+
+
+@then("the caller has an error when the deadline is over")
+def failed_in_time(context):
+    wrong = wrong_outcomes(
+        context.outcomes,
+        lambda each: each.status in (502, 504) and each.took_s < DEADLINE_S + LATE_S,
+    )
+    assert not wrong, wrong
--- /dev/null
+++ b/features/support/endless_worlds.py
@@ -0,0 +1,97 @@
+"""Plays requests whose first backend sends bytes without end, one world for each shape of them."""
+
+import dataclasses
+
+from support.router_world import RawCaller, RouterWorld, request_bytes
+from support.simulated_world import SimulatedRouterWorld
+from yokedock.base.clock import boot_time_s
+from yokedock_emulator.endless_bytes import body_shapes, head_shapes, stream_shapes
+
+DEADLINE_S = 3.0
+LATE_S = 0.5
+"""An answer must have come so long after the deadline."""
+STREAM_HEADERS = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", "ab:50")]
+FIRST_EVENT = b"id: 1\ndata: piece 1\n\n"
+SHAPES = {
+    "head": head_shapes,
+    "body": body_shapes,
+    "error body": lambda headers: body_shapes(headers, 500),
+    "stream": stream_shapes,
+    "stream after its first event": lambda headers: stream_shapes(headers, FIRST_EVENT),
+}
+"""Shapes of each kind, as functions of the headers of the sound response."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Endless:
+    """Which response is replaced by bytes without end, and how."""
+
+    kind: str
+    is_slow: bool
+    is_prefill: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """What a caller got for one shape."""
+
+    shape: str
+    status: int | None
+    body: bytes
+    is_whole: bool
+    took_s: float
+
+
+def play_all(endless, route, backends):
+    """Return the outcome of one request for each shape of a kind."""
+    return [_play(endless, shape, route, backends) for shape in SHAPES[endless.kind]([])]
+
+
+def _play(endless, shape, route, backends):
+    world = SimulatedRouterWorld(f"endless {shape}") if endless.is_slow else RouterWorld()
+    try:
+        return _play_in(world, endless, shape, route, backends)
+    finally:
+        world.close()
+
+
+def _play_in(world, endless, shape, route, backends):
+    met = set()
+
+    def shape_of(arrival, headers):
+        """Return the shape for the first response of its kind to each request."""
+        is_meant = (arrival.header("X-Stage") is not None) == endless.is_prefill
+        request_id = arrival.header("X-Request-Id")
+        if not is_meant or request_id in met:
+            return None
+        met.add(request_id)
+        return SHAPES[endless.kind](headers)[shape]
+
+    for name, role in backends.items():
+        world.add_backend(name, "llm" if role else "plain", role)
+        world.backends[name].endless_shape = shape_of
+        world.backends[name].is_endless_slow = endless.is_slow
+    router = world.start_router(world.snapshot())
+    world.wait_for(lambda: router.is_ready, "ready")
+    caller = RawCaller(world, router.settings.callers.listen)
+    headers = [("X-Deadline-Ms", str(round(DEADLINE_S * 1000)))]
+    headers += STREAM_HEADERS if route in ("chat", "talk") else []
+    since_s = boot_time_s()
+    caller.send(request_bytes(route, body=b"abc", headers=headers))
+    try:
+        status, _, body, is_whole = caller.read_answer()
+    except (EOFError, ConnectionError, TimeoutError):
+        status, body, is_whole = None, b"", False
+    took_s = boot_time_s() - since_s
+    assert met, "no backend has sent bytes without end"
+    return Outcome(shape, status, body, is_whole, took_s)
+
+
+def wrong_outcomes(outcomes, is_right):
+    """Return the outcomes that are wrong, as one text a line."""
+    return "\n".join(
+        f"{each.shape}: {each.status}, {len(each.body)} bytes, whole: {each.is_whole}, "
+        f"after {each.took_s:.2f} s"
+        for each in outcomes
+        if not is_right(each)
+    )
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -46,10 +46,10 @@
         """Record that the call was sent to the backend."""
         self._exchanges.asked.append(self.backend.name)
 
-    async def read_whole(self, patience_s, may_abandon):
+    async def read_whole(self, patience_s, limits):
         """Return the response; raises ``BackendUnresponsive`` if the timeout is too short.
 
-        A timeout of zero marks the read that follows a reservation. ``may_abandon`` is asked only
+        A timeout of zero marks the read that follows a reservation. ``limits`` hold only
         once a body has begun; a slow backend sends nothing.
         """
         if patience_s == 0.0:
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -11,6 +11,7 @@
 import socket
 
 from yokedock.base.clock import boot_time_s
+from yokedock_emulator.endless_bytes import write_without_end
 
 DEFAULT_EVENT_COUNT = 6
 LAST_CHUNK = b"0\r\n\r\n"
@@ -73,6 +74,10 @@
         """Requests per second that all its responses announce as the limit, as text, or None."""
         self.processing_time_s = lambda arrival: 0.0
         """Returns the processing time of a request before its response starts."""
+        self.endless_shape = lambda arrival, headers: None
+        """Returns the bytes without end that a request gets as its response, None for a sound one;
+        ``headers`` are those of the sound response."""
+        self.is_endless_slow = False
         self.crashes_after_break = False
         self.is_unframed = False
         """Whether its streams have neither a length nor chunks, and end with the connection."""
@@ -235,6 +240,9 @@
             return self._write_response(
                 writer, arrival, 500, b"broken", [("X-Signature", self.name)]
             )
+        signed = [("X-Request-Id", arrival.header("X-Request-Id")), ("X-Signature", self.name)]
+        if (shape := self.endless_shape(arrival, signed)) is not None:
+            await write_without_end(writer, shape, self.is_endless_slow)
         if self.holds_midway:
             return await self._hold_midway(arrival, writer)
         await self.gate.wait()
--- a/src/yokedock/base/read_first_timeout.py
+++ b/src/yokedock/base/read_first_timeout.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -20,12 +21,24 @@
 class ReadFirstTimeout:
     """An asynchronous context manager that raises ``TimeoutError`` when its time is over."""
 
-    def __init__(self, delay_s: float, may_expire: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self,
+        delay_s: float,
+        may_expire: Callable[[], bool] = lambda: True,
+        due_s: Callable[[], float] = lambda: -math.inf,
+        latest_s: float = math.inf,
+    ) -> None:
         """Allow ``delay_s`` seconds, counted from entering the context.
 
-        ``may_expire`` is asked at the expiry; while it returns False, the wait goes on.
+        ``due_s`` is asked at the expiry: the time-out is moved to the time that it returns, in the
+        event loop's time, if that is still to come. Data that arrives all the time can therefore
+        not prevent an expiry, as it could if it moved the timer. ``may_expire`` is asked after
+        that; while it returns False, the wait goes on, and it is asked again at ``latest_s`` at the
+        latest (the event loop's time).
         """
+        self._latest_s = latest_s
         self._may_expire = may_expire
+        self._due_s = due_s
         self._delay_s = delay_s
         self._loop = asyncio.get_running_loop()
         self._limit = asyncio.timeout(None)
@@ -58,10 +71,14 @@
 
     def _expire(self) -> None:
         self._handle = None
-        if self._may_expire():
-            self._limit.reschedule(self._loop.time())
+        now_s, due_s = self._loop.time(), self._due_s()
+        if due_s > now_s:
+            self.reschedule(due_s)
+        elif self._may_expire():
+            self._limit.reschedule(now_s)
         else:
-            self.reschedule(self._loop.time() + RECHECK_S)
+            recheck_s = now_s + RECHECK_S
+            self.reschedule(min(recheck_s, self._latest_s) if now_s < self._latest_s else recheck_s)
 
     def _cancel_timer(self) -> None:
         if self._handle is not None:
--- a/src/yokedock/connection/http_heads.py
+++ b/src/yokedock/connection/http_heads.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from yokedock.connection.header_numbers import MAX_DIGITS
+
 Header = tuple[bytes, bytes]
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -89,6 +91,11 @@
         has_length = self.get(b"content-length") is not None
         return has_length or self.has_token(b"transfer-encoding", "chunked")
 
+    def content_length(self) -> int | None:
+        """Return the announced length of the body in bytes, None if it is missing or invalid."""
+        announced = self.get(b"content-length") or ""
+        return int(announced) if announced.isdecimal() and len(announced) <= MAX_DIGITS else None
+
 
 def complete_response(
     status: int, body: bytes, headers: list[tuple[str, str]] | None = None
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -51,6 +51,10 @@
     max_duration_s: float
     """It is aborted this many seconds after the request was sent, even if data arrives."""
 
+    def due_s(self, sent_s: float, now_s: float) -> float:
+        """Return until when to wait for a response of which data has arrived now."""
+        return min(now_s + self.stall_s, sent_s + self.max_duration_s)
+
 
 class CallLimits(msgspec.Struct, frozen=True):
     """Limits for a request and its response; times in seconds."""
@@ -93,13 +97,15 @@
     response was received (``BackendUnresponsive`` if it timed out).
     """
     async with _connection(pool, address, limits) as connection:
-        sent_s = asyncio.get_running_loop().time()
+        clock = asyncio.get_running_loop().time
+        sent_s = clock()
+        due_s = sent_s + limits.response_s
         try:
-            async with ReadFirstTimeout(limits.response_s) as time_limit:
+            async with ReadFirstTimeout(limits.response_s, due_s=lambda: due_s):
                 head = RequestHead((), call.method, call.target)
                 await connection.send(head, [(b"Host", address.encode()), *call.headers], call.body)
                 answer = await connection.read_head(lambda _: True)
-                content_length = _content_length(answer)
+                content_length = answer.content_length() or 0
                 if content_length > limits.max_bytes:
                     message = f"response body of {content_length} bytes exceeds {limits.max_bytes}"
                     raise ResponseTooLarge(f"{address}: {message}")
@@ -109,7 +115,8 @@
                 async for part in connection.body_parts(limits.max_bytes):
                     body += part
                     share.received_bytes += len(part)
-                    _extend_deadline(time_limit, sent_s, limits.progress)
+                    if limits.progress is not None:
+                        due_s = limits.progress.due_s(sent_s, clock())
                 return ShortAnswer(
                     answer.status,
                     bytes(body),
@@ -118,26 +125,11 @@
                     connection.sent_ms,
                 )
         except TimeoutError:
-            took_s = asyncio.get_running_loop().time() - sent_s
+            took_s = clock() - sent_s
             state = f"timed out with {connection.received_bytes} bytes received in {took_s:.1f} s"
             raise BackendUnresponsive(f"{address}: {state}: {call.target.decode()}") from None
 
 
-def _content_length(head: ResponseHead) -> int:
-    """Return the value of Content-Length, 0 if it is missing or invalid."""
-    announced = head.get(b"content-length") or ""
-    return int(announced) if announced.isdecimal() else 0
-
-
-def _extend_deadline(
-    time_limit: ReadFirstTimeout, sent_s: float, progress: TransferLimits | None
-) -> None:
-    """Extend the deadline of a response after it has made progress."""
-    if progress is not None:
-        now_s = asyncio.get_running_loop().time()
-        time_limit.reschedule(min(now_s + progress.stall_s, sent_s + progress.max_duration_s))
-
-
 @contextlib.asynccontextmanager
 async def _connection(
     pool: BackendPool, address: str, limits: CallLimits
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -7,6 +7,8 @@
 import math
 from collections.abc import AsyncIterator, Callable
 
+import msgspec
+
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
@@ -15,6 +17,7 @@
 from yokedock.connection.dialect import Dialect, ForwardingOrder, ResponseMetadata
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.request.backend_incarnation import Backend
+from yokedock.request.body_progress import BodyLimits, BodyProgress
 from yokedock.request.connection_shares import ConnectionShares
 from yokedock.request.crash_records import CrashRecords
 from yokedock.request.poison_parts import PROOF_S
@@ -145,42 +148,45 @@
         return head
 
     async def read_whole(
-        self, patience_s: float, may_abandon: Callable[[], bool] = lambda: True
+        self,
+        patience_s: float,
+        limits: BodyLimits,
+        max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> BufferedResponse:
         """Return the head and the complete body; raises as ``read_head`` and ``read_body``.
 
-        ``patience_s`` limits the time without data, before the head and between two parts of the
-        body, not the total time. A body that has begun is abandoned only if ``may_abandon`` allows
-        it, or at the deadline: while a response is arriving the backend has done the work, and a
-        retry elsewhere would repeat it.
+        ``patience_s`` limits the wait for the head. The body of a server error is of little use,
+        so it may take no longer than another attempt.
         """
         head = await self.read_head(patience_s)
-        return BufferedResponse(head, await self.read_body(head, patience_s, may_abandon))
+        if head.status >= SERVER_ERROR and limits.attempt_s:
+            limits = msgspec.structs.replace(limits, max_s=limits.attempt_s)
+        return BufferedResponse(head, await self.read_body(head, limits, max_bytes))
 
     async def read_body(
         self,
         head: ResponseHead,
-        patience_s: float,
-        may_abandon: Callable[[], bool] = lambda: True,
+        limits: BodyLimits,
+        max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> bytes:
         """Return the complete body.
 
-        Raises ``BackendResponseError`` if it is truncated or too large, or if no data arrives for
-        ``patience_s`` and ``may_abandon`` allows it.
+        Raises ``BackendResponseError`` if it is truncated, or incomplete when ``limits`` end the
+        wait, ``ResponseTooLarge`` if it exceeds ``max_bytes``.
         """
         clock = asyncio.get_running_loop().time
-        deadline_s = clock() + self._call.remaining_s()
         body = bytearray()
-
-        def may_expire() -> bool:
-            return clock() >= deadline_s or may_abandon()
-
-        first_limit_s = min(patience_s, self._call.remaining_s())
+        progress = BodyProgress(limits, head.content_length(), clock())
         try:
-            async with ReadFirstTimeout(first_limit_s, may_expire) as time_limit:
-                async for part in self.body_parts(MAX_BUFFERED_RESPONSE_BYTES):
+            async with ReadFirstTimeout(
+                progress.due_s() - clock(),
+                lambda: progress.may_expire(clock()),
+                progress.due_s,
+                progress.deadline_s,
+            ):
+                async for part in self.body_parts(max_bytes):
                     body += part
-                    time_limit.reschedule(min(clock() + patience_s, deadline_s))
+                    progress.record(len(part), clock())
         except TimeoutError:
             raise BackendResponseError(
                 f"{self.backend.name}: response incomplete at the time limit"
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -13,6 +13,7 @@
 from yokedock.request.backend_exchange import BackendExchange, BackendExchanges
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.body_progress import BodyLimits
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.router_errors import BackendNotAccepting, BackendUnreachable, BackendUnresponsive
@@ -98,7 +99,13 @@
 
         while True:
             try:
-                return await exchange.read_whole(patience_s, may_abandon)
+                limits = BodyLimits(
+                    stall_s=self._idle_timeout_s(call, backend),
+                    deadline_s=call.remaining_s(),
+                    attempt_s=self._registry.patience_s(backend),
+                    may_abandon=may_abandon,
+                )
+                return await exchange.read_whole(patience_s, limits)
             except BackendUnresponsive:
                 if patience_s >= self._registry.patience_s(backend):
                     backend.health.record_silence(boot_time_s())
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -15,6 +15,7 @@
 from yokedock.errors import EngineRejected
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
 from yokedock.request.backend_incarnation import Backend
+from yokedock.request.body_progress import BodyLimits
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import Placement
 from yokedock.request.generation_state import GenerationState, tokens_per_event
@@ -36,6 +37,7 @@
 """Minimum time left for a retry on another engine: connect, prefill and one decode step."""
 HANDLE_TTL_SHARE = 0.8
 """Share of an engine's retention time for a prefill result during which the result is used."""
+MAX_PREFILL_RESULT_BYTES = 65_536
 RELEASE_TIMEOUT_S = 1.0
 """Timeout for connecting and for the response, each: unreleased KV memory expires by itself."""
 
@@ -82,7 +84,9 @@
                 )
                 state.reads.begin(engine.name, tokens)
                 await exchange.send(order)
-                answer = await exchange.read_whole(self._prefill_timeout_s(call, engine))
+                patience_s = self._prefill_timeout_s(call, engine)
+                limits = BodyLimits(patience_s, call.remaining_s(), max_s=patience_s)
+                answer = await exchange.read_whole(patience_s, limits, MAX_PREFILL_RESULT_BYTES)
             if answer.head.status >= SERVER_ERROR:
                 state.prefills_refused += 1
                 raise EngineRejected(
@@ -168,7 +172,7 @@
             head = await stream.within(limit_s, exchange.read_head(call.remaining_s()))
             state.source = None
             if head.status != 200:
-                body = await exchange.read_body(head, limit_s)
+                body = await exchange.read_body(head, self._error_limits(call, state))
                 await self._handle_error_response(
                     call, state, exchange, BufferedResponse(head, body)
                 )
@@ -187,6 +191,15 @@
         await relay.end(head)
         exchange.finish()
 
+    def _error_limits(self, call: RoutedCall, state: GenerationState) -> BodyLimits:
+        """Return the limits for the body of an error response: another engine may do better."""
+        return BodyLimits(
+            STALL_TIMEOUT_S,
+            call.remaining_s(),
+            max_s=STALL_TIMEOUT_S,
+            may_abandon=lambda: state.retries.reserve_retry(call, MIN_ATTEMPT_TIME_S),
+        )
+
     def _silence_limit_s(
         self, call: RoutedCall, state: GenerationState, stream: WatchedStream
     ) -> float:
