Judge a stream by the events it brings its caller, not by its bytes

What callers saw: a stream whose engine sent bytes that are no event, blank lines, comments, events without data or events that had been passed on before got nothing until its deadline (504, or 200 and cut), though a sound engine stood by. The engine went on taking new streams meanwhile, because each byte counted as a sign of life. It lasts until the engine closes; any engine sets it off.

Cause: each part restarted the limit of the wait (WatchedStream.within) and was reported to the SilenceDetector; what a part was worth was not asked. Ruled out: the move itself (streams that fall silent move in the same scenarios).

Change: only a new event with an id or data is progress. Waits since the latest progress count together, and are looked at too where data is always there, so that nothing has to time out. Events without content are passed on as they come, but before the first one with content they are held, so that another engine can still begin the stream. The splitter yields events one by one: other requests have their turns, and events before an invalid one in the same part are not lost.

Two properties take the events with list() now; what they ask is unchanged.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -26,6 +26,22 @@
       | head | at full speed |
       | body | at full speed |
 
+  # Guards against streams that wait for an engine whose bytes bring their caller nothing.
+  Scenario Outline: A stream goes on at another engine, <kind>, <pace>
+    When the first decode engine of a stream on "chat" sends <kind> bytes without end, <pace>
+    Then another backend answers before the deadline
+
+    Examples:
+      | kind                         | pace          |
+      | head                         | slowly        |
+      | error body                   | slowly        |
+      | stream                       | slowly        |
+      | stream after its first event | slowly        |
+      | head                         | at full speed |
+      | error body                   | at full speed |
+      | stream                       | at full speed |
+      | stream after its first event | at full speed |
+
   # Guards against streams that wait until their deadline for the response to a prefill.
   Scenario Outline: The prompt is read at another engine, <kind>, <pace>
     When the first prefill of a stream on "chat" is answered with <kind> bytes without end, <pace>
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -31,7 +31,7 @@
     splitter = EventSplitter()
     began_s = time.thread_time()
     for position in range(0, len(data), part_bytes):
-        splitter.feed(data[position : position + part_bytes])
+        list(splitter.feed(data[position : position + part_bytes]))
     return time.thread_time() - began_s
 
 
@@ -51,11 +51,11 @@
     for part_bytes in (65_536, len(whole)):
         splitter, found = EventSplitter(), []
         for position in range(0, len(whole), part_bytes):
-            found += splitter.feed(whole[position : position + part_bytes])
+            found += list(splitter.feed(whole[position : position + part_bytes]))
         assert [event.data for event in found] == [whole]
     for too_long in (b"x" + whole, b"x" * (MAX_EVENT_BYTES + 1)):
         try:
-            EventSplitter().feed(too_long)
+            list(EventSplitter().feed(too_long))
         except BackendResponseError:
             continue
         raise AssertionError(f"{len(too_long)} bytes were accepted")
@@ -227,7 +227,7 @@
     """An id that is no 64-bit number is a typed error, however many digits it has."""
     for digits in (5_000, 60_000, 20):
         try:
-            EventSplitter().feed(b"id: " + b"1" * digits + b"\n\n")
+            list(EventSplitter().feed(b"id: " + b"1" * digits + b"\n\n"))
         except BackendResponseError:
             continue
         raise AssertionError(f"{digits} digits were accepted")
--- a/features/support/router_properties.py
+++ b/features/support/router_properties.py
@@ -126,7 +126,7 @@
     splitter, found, position, turn = EventSplitter(), [], 0, 0
     while position < len(data):
         step = cuts[turn % len(cuts)]
-        found += splitter.feed(data[position : position + step])
+        found += list(splitter.feed(data[position : position + step]))
         position, turn = position + step, turn + 1
     assert [event.data for event in found] == events
     assert [event.event_id for event in found] == list(range(len(events)))
--- a/src/yokedock/connection/event_stream.py
+++ b/src/yokedock/connection/event_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 
 import msgspec
 
@@ -16,6 +17,7 @@
 _END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = 4
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+_DATA = re.compile(rb"^data", re.MULTILINE)
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -23,10 +25,12 @@
 
     data: bytes
     event_id: int | None
+    has_content: bool
+    """Whether it has an id or data. A reader ignores blank lines and comments."""
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events, in time proportional to the bytes."""
+    """Buffers bytes and yields complete events, in time proportional to the bytes."""
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
@@ -39,28 +43,28 @@
         """Return the bytes of an incomplete event."""
         return bytes(self._buffer)
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that are complete now.
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Append bytes and yield the events that are complete now, which must all be taken.
 
         Raises ``ResponseTooLarge`` if an event exceeds ``MAX_EVENT_BYTES``,
         ``BackendResponseError`` if its id exceeds ``MAX_DIGITS``.
         """
         self._buffer += data
-        events = []
         start = 0
         while (end := _END.search(self._buffer, self._searched_bytes)) is not None:
-            events.append(_event(bytes(self._buffer[start : end.end()])))
+            yield _event(bytes(self._buffer[start : end.end()]))
             start = self._searched_bytes = end.end()
         del self._buffer[:start]
         _require_allowed_size(len(self._buffer))
         self._searched_bytes = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
-        return events
 
 
 def _event(whole: bytes) -> StreamEvent:
     _require_allowed_size(len(whole))
     found = _ID.search(whole)
-    return StreamEvent(whole, _number(found.group(1)) if found else None)
+    if found is not None:
+        return StreamEvent(whole, _number(found.group(1)), has_content=True)
+    return StreamEvent(whole, None, has_content=_DATA.search(whole) is not None)
 
 
 def _number(digits: bytes) -> int:
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -21,7 +21,6 @@
 from yokedock.request.generation_state import GenerationState, tokens_per_event
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector, WatchedStream
-from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendRefused, BackendResponseError, BackendUnreachable
 
@@ -177,14 +176,16 @@
                     call, state, exchange, BufferedResponse(head, body)
                 )
                 return
+            stream.waited_s = 0.0
             parts = exchange.body_parts()
             while (part := await stream.within(limit_s, anext(parts, None))) is not None:
-                self._watch.heard(stream)
-                state.reads.read()
-                state.note_prompt_cached(exchange.backend.name)
+                events = relay.events
                 await relay.feed(head, part)
-                self._record_pause(exchange.backend.name, relay)
-                demand.made = relay.events * tokens_per_event(call)
+                if relay.events > events:
+                    self._record_progress(state, stream)
+                    demand.made = relay.events * tokens_per_event(call)
+                else:
+                    stream.require_progress(limit_s)
                 limit_s = self._silence_limit_s(call, state, stream)
         finally:
             self._watch.close(stream)
@@ -229,11 +230,15 @@
             kept_for_ms=round((state.source_expires_s - boot_time_s()) * 1000),
         )
 
-    def _record_pause(self, engine: str, relay: StreamRelay) -> None:
-        """Record the pause before the latest event, and whether a prefill was in progress."""
+    def _record_progress(self, state: GenerationState, stream: WatchedStream) -> None:
+        """Record that the engine has made an event that was passed on."""
+        engine, pause_s = stream.engine.name, state.relay.pause_s
+        self._watch.heard(stream)
+        state.reads.read()
+        state.note_prompt_cached(engine)
         is_reading = self._ledger.prefill_backlog(engine) > 0
-        if relay.pause_s is not None:
-            self._ledger.pace.note_pause(engine, relay.pause_s, is_reading)
+        if pause_s is not None:
+            self._ledger.pace.note_pause(engine, pause_s, is_reading)
 
     async def _handle_error_response(
         self,
--- a/src/yokedock/request/silence_detector.py
+++ b/src/yokedock/request/silence_detector.py
@@ -38,6 +38,8 @@
 rate. Without this, every engine would be avoided for 1 s once one connection to each falls silent.
 It does not apply to streams that have not started, since engines that lose whole responses show up
 that way."""
+MAX_COUNTED_WAIT_S = 0.3
+"""Time that one wait counts at most once data has ended it: this process may have been stalled."""
 Result = TypeVar("Result")
 
 
@@ -54,24 +56,40 @@
     has_begun: bool = False
     limit: ReadFirstTimeout | None = None
     """Timeout of the current wait, None while nothing is awaited."""
+    waited_s: float = 0.0
+    """Time waited for data since the latest progress."""
 
     async def within(self, patience_s: float, awaited: Awaitable[Result]) -> Result:
         """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long.
 
-        A stream that may move waits on for as long as a move is not possible.
+        ``patience_s`` counts the waits since the latest progress together. A stream that may move
+        waits on for as long as a move is not possible.
         """
-
-        def may_expire() -> bool:
-            return not self.may_move or self._can_move(patience_s)
-
+        left_s = max(0.0, patience_s - self.waited_s)
+        since_s = boot_time_s()
         try:
-            async with ReadFirstTimeout(patience_s, may_expire) as self.limit:
+            async with ReadFirstTimeout(left_s, lambda: self._may_end(patience_s)) as self.limit:
                 return await awaited
         except TimeoutError:
-            self.stalled(self, patience_s)
-            raise BackendUnresponsive(f"{self.engine.name}: the stream stalled") from None
+            raise self._stall_error(patience_s) from None
         finally:
             self.limit = None
+            self.waited_s += min(boot_time_s() - since_s, MAX_COUNTED_WAIT_S)
+
+    def require_progress(self, patience_s: float) -> None:
+        """Raise ``BackendUnresponsive`` if data arrives, but no progress for too long.
+
+        Data that is always there leaves no wait that could time out.
+        """
+        if self.waited_s >= patience_s and self._may_end(patience_s):
+            raise self._stall_error(patience_s)
+
+    def _may_end(self, patience_s: float) -> bool:
+        return not self.may_move or self._can_move(patience_s)
+
+    def _stall_error(self, patience_s: float) -> BackendUnresponsive:
+        self.stalled(self, patience_s)
+        return BackendUnresponsive(f"{self.engine.name}: the stream stalled")
 
     def _can_move(self, silent_s: float) -> bool:
         if self.prepare_move():
@@ -109,8 +127,12 @@
         return stream
 
     def heard(self, stream: WatchedStream) -> None:
-        """Record that data arrived on a stream, and so from its engine."""
+        """Record that a stream, and so its engine, has made progress.
+
+        Bytes alone are no progress: an engine in trouble may send them without end.
+        """
         stream.has_begun = True
+        stream.waited_s = 0.0
         self._heard_s[stream.engine] = self._clock()
 
     def close(self, stream: WatchedStream) -> None:
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -6,10 +6,10 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.work_turns import WorkTurns
-from yokedock.connection.event_stream import EventSplitter, StreamEvent
+from yokedock.connection.event_stream import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.response_writer import ResponseWriter
-from yokedock.router_errors import BackendConnectionClosed, BackendResponseError
+from yokedock.router_errors import BackendConnectionClosed, BackendResponseError, ResponseTooLarge
 
 
 class StreamRelay:
@@ -21,7 +21,7 @@
         self._first_id = last_event_id
         self.last_id = last_event_id
         self.events = 0
-        """Number of events relayed."""
+        """Number of events with content that were relayed."""
         self.first_s: float | None = None
         """When the first event was relayed (boot time, s)."""
         self.longest_gap_s = 0.0
@@ -35,35 +35,60 @@
         self.last_s = 0.0
         """When the latest event was relayed (boot time, s), 0 if none was."""
         self._splitter = EventSplitter()
+        self._held = bytearray()
+        """Events without content that came before the first one with content."""
         self._turns = WorkTurns()
 
     def begin_run(self) -> None:
         """Start reading from another engine; a partial event from the previous one is discarded."""
         self._splitter = EventSplitter()
+        self._held.clear()
         self._is_first_of_run = True
         self.pause_s = None
 
     async def feed(self, head: ResponseHead, data: bytes) -> None:
-        """Relay complete events; the head is sent with the first one.
+        """Relay complete events; the head is sent with the first one that has content.
 
         Raises ``BackendResponseError`` if an event is missing.
         """
         for event in self._splitter.feed(data):
             await self._turns.step()
-            is_first = self._is_first_of_run
-            if is_first:
-                self._is_first_of_run = False
-                self.on_first_event()
-            if not self._is_next(event):
-                continue
-            if not self.events:
-                self.on_begin()
-            if not self._answer.has_started:
-                self._answer.start(head)
-            await self._answer.write(event.data)
-            self._note_time(is_first)
-            if event.event_id is not None:
-                self.last_id = event.event_id
+            if event.has_content:
+                await self._relay_content(head, event)
+            elif self._answer.has_started:
+                await self._answer.write(event.data)
+            else:
+                self._hold(event.data)
+
+    async def _relay_content(self, head: ResponseHead, event: StreamEvent) -> None:
+        is_first = self._is_first_of_run
+        if is_first:
+            self._is_first_of_run = False
+            self.on_first_event()
+        if not self._is_next(event):
+            return
+        if not self.events:
+            self.on_begin()
+        if not self._answer.has_started:
+            self._answer.start(head)
+        await self._answer.write(self._take_held() + event.data)
+        self._note_time(is_first)
+        if event.event_id is not None:
+            self.last_id = event.event_id
+
+    def _hold(self, data: bytes) -> None:
+        """Keep an event without content until the response begins.
+
+        As long as nothing was sent, another engine can begin the stream.
+        """
+        if len(self._held) + len(data) > MAX_EVENT_BYTES:
+            raise ResponseTooLarge(f"over {MAX_EVENT_BYTES} bytes of the stream have no content")
+        self._held += data
+
+    def _take_held(self) -> bytes:
+        held = bytes(self._held)
+        self._held.clear()
+        return held
 
     def _note_time(self, is_first_of_run: bool) -> None:
         now_s = boot_time_s()
@@ -88,6 +113,8 @@
             raise BackendResponseError("the stream ended in the middle of an event")
         if not self._answer.has_started:
             self._answer.start(head)
+        if held := self._take_held():
+            await self._answer.write(held)
         await self._answer.end()
 
     def _is_next(self, event: StreamEvent) -> bool:
