Leave a pausing engine only if another one has a place for the stream

What callers saw: one decode engine, sound, made an event each 0.9 s; the stream was cut after its first event. It was broken off after 0.8 s of silence, another engine was looked for in vain until the caller would give up, and the response ended. It lasts as long as no other engine has room; a busy fleet and any pause of over 0.8 s set it off.

Cause: a move was prepared by reserving a retry alone. Whether any engine could take the stream was not asked. Ruled out: the budget (it had room).

Change: WatchedStream.prepare_move first asks EnginePlacement.has_place, with the silent engine excluded. A stream without a place elsewhere waits for its engine.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -102,6 +102,16 @@
     Then it goes on at another engine
     And every decode engine is still offered new streams
 
+  # Guards against streams cut because no other engine had room, though their own would have gone on.
+  Scenario: A stream whose engine pauses stays there while no other engine has room
+    Given time and network are simulated with the seed "1"
+    And a decode engine "d"
+    And a router that knows them
+    And the decode engines make an event each 0.9 s
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the decode engines ran 1 request
+
   Scenario: What a backend never acknowledges ends a wait in time, and makes no promise
     Given a plain backend "a"
     And backend "a" accepts connections and reads nothing
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -22,6 +22,7 @@
 )
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Placement, Progress
+from yokedock.request.remote_reservations import EngineTotals
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.prompt_homes import PromptHomes
 from yokedock.request.routed_call import RoutedCall
@@ -107,7 +108,7 @@
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
         placement_query = PlacementQuery(terms, progress, traits)
-        needed_tokens = stream_demand("", terms, progress.made).memory_tokens()
+        needed_tokens = placement_query.needed_tokens()
         return sum(
             self._capacity_at(available, traits, needed_tokens)
             for available in self._with_capacity(
@@ -116,6 +117,18 @@
             )
         )
 
+    def has_place(self, call: RoutedCall, progress: Progress) -> bool:
+        """Return whether the generation fits on some engine now."""
+        terms, traits = call.terms.generation, call.service.engine
+        assert terms is not None and traits is not None
+        placement_query = PlacementQuery(terms, progress, traits)
+        engines = self._registry.usable(call.service.name, DECODE_ROLE, progress.version)
+        load_of, needed_tokens = self._ledger.load, placement_query.needed_tokens()
+        return any(
+            self._fits(engine, load_of(engine.name), placement_query, needed_tokens)
+            for engine in engines
+        )
+
     def has_engine(self, call: RoutedCall, progress: Progress) -> bool:
         """Return whether an engine may decode the generation, now or once it has capacity.
 
@@ -208,19 +221,26 @@
         self, decodes: list[Backend], placement_query: PlacementQuery
     ) -> list[AvailableEngine]:
         """Return the decode engines with a free slot and enough memory for another stream."""
-        needed_tokens = stream_demand(
-            "", placement_query.terms, placement_query.progress.made
-        ).memory_tokens()
-        slots = placement_query.traits.slots
-        max_reserved = MAX_MEMORY_FILL * placement_query.traits.memory_tokens - needed_tokens
-        load_of = self._ledger.load
-        available: list[AvailableEngine] = []
-        for backend in decodes:
-            load = load_of(backend.name)
-            has_memory = load.memory_tokens <= max_reserved or load.memory_tokens == 0
-            if has_memory and load.streams < slots and self._is_eligible(backend, placement_query):
-                available.append(AvailableEngine(backend, load))
-        return available
+        loads = ((backend, self._ledger.load(backend.name)) for backend in decodes)
+        needed_tokens = placement_query.needed_tokens()
+        return [
+            AvailableEngine(backend, load)
+            for backend, load in loads
+            if self._fits(backend, load, placement_query, needed_tokens)
+        ]
+
+    def _fits(
+        self,
+        backend: Backend,
+        load: EngineTotals,
+        placement_query: PlacementQuery,
+        needed_tokens: int,
+    ) -> bool:
+        traits = placement_query.traits
+        max_reserved = MAX_MEMORY_FILL * traits.memory_tokens - needed_tokens
+        has_memory = load.memory_tokens <= max_reserved or load.memory_tokens == 0
+        has_room = has_memory and load.streams < traits.slots
+        return has_room and self._is_eligible(backend, placement_query)
 
     def _is_eligible(self, backend: Backend, placement_query: PlacementQuery) -> bool:
         is_avoided = backend.name in placement_query.progress.avoid
--- a/src/yokedock/request/engine_costs.py
+++ b/src/yokedock/request/engine_costs.py
@@ -62,6 +62,10 @@
         """Return the number of tokens to prefill."""
         return self.terms.prompt_tokens + self.progress.made
 
+    def needed_tokens(self) -> int:
+        """Return the tokens of memory that the generation needs at a decode engine."""
+        return stream_demand("", self.terms, self.progress.made).memory_tokens()
+
 
 class AvailableEngine(msgspec.Struct, frozen=True, gc=False):
     """A decode engine with capacity, and the load reserved there."""
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -63,6 +63,10 @@
     def has_other_engine(self, call: RoutedCall, progress: Progress, engine: str) -> bool:
         """Return whether another engine than ``engine`` may decode the generation."""
 
+    @abc.abstractmethod
+    def has_place(self, call: RoutedCall, progress: Progress) -> bool:
+        """Return whether the generation fits on some engine now."""
+
     @abc.abstractmethod
     def gives_up_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return when the caller of a silent stream times out (boot time, s)."""
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -82,7 +82,7 @@
         self._mechanisms = mechanisms
         self._crashes = exchanges.crashes
         watch = SilenceDetector(is_used=mechanisms.silence_watch)
-        self._dispatcher = GenerationDispatcher(ledger, exchanges, watch, pinning)
+        self._dispatcher = GenerationDispatcher(ledger, exchanges, watch, pinning, placement)
 
     async def serve(self, call: RoutedCall) -> None:
         """Serve the request; raised errors are returned to the caller."""
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+import msgspec
+
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
@@ -17,7 +19,7 @@
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.body_progress import BodyLimits
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
-from yokedock.request.engine_placement import Placement
+from yokedock.request.engine_placement import EnginePlacement, Placement
 from yokedock.request.generation_state import GenerationState, tokens_per_event
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector, WatchedStream
@@ -50,8 +52,10 @@
         exchanges: BackendExchanges,
         watch: SilenceDetector,
         pinning: VersionPinning,
+        placement: EnginePlacement,
     ) -> None:
-        """Use the process-wide ledger, connections, detector of silent engines and versions."""
+        """Use the process-wide ledger, connections, detector, versions and placement."""
+        self._placement = placement
         self._pinning = pinning
         self._ledger = ledger
         self._exchanges = exchanges
@@ -165,7 +169,7 @@
         relay.on_begin = lambda: self._pinning.begin(call, exchange.backend)
         exchange.start_silence_timer(STALL_TIMEOUT_S)
         stream = self._watch.open(exchange.backend, may_move=False)
-        stream.prepare_move = lambda: state.retries.try_set_aside(1 + state.is_extra_prefill())
+        stream.prepare_move = lambda: self._prepare_move(call, state, exchange.backend)
         try:
             limit_s = self._silence_limit_s(call, state, stream)
             head = await stream.within(limit_s, exchange.read_head(call.remaining_s()))
@@ -192,6 +196,13 @@
         await relay.end(head)
         exchange.finish()
 
+    def _prepare_move(self, call: RoutedCall, state: GenerationState, engine: Backend) -> bool:
+        """Reserve retry budget to leave a silent engine, if some other engine has a place."""
+        progress = state.progress(call)
+        progress = msgspec.structs.replace(progress, avoid=progress.avoid | {engine.name})
+        has_place = self._placement.has_place(call, progress)
+        return has_place and state.retries.try_set_aside(1 + state.is_extra_prefill())
+
     def _error_limits(self, call: RoutedCall, state: GenerationState) -> BodyLimits:
         """Return the limits for the body of an error response: another engine may do better."""
         return BodyLimits(
--- a/src/yokedock/request/queued_placement.py
+++ b/src/yokedock/request/queued_placement.py
@@ -147,6 +147,10 @@
         without = msgspec.structs.replace(progress, avoid=progress.avoid | {engine})
         return self._engine_choice.has_engine(call, without)
 
+    def has_place(self, call: RoutedCall, progress: Progress) -> bool:
+        """Return whether the generation fits on some engine now."""
+        return self._engine_choice.has_place(call, progress)
+
     # --- Individual waiters ---
 
     def _waiter(self, call: RoutedCall, progress: Progress) -> Waiter:
