Bound long work by time and by its share of the processor

Six responses without end at once: calls of an untouched service take 0.7 to 2.8 s.

Cause: a turn was counted in steps (256), each of them a chunk with its own time limit and relay; a spoiled answer of 128 KB in chunks of 16 bytes cost 270 to 372 ms of processor, and each connection to the faulty backend had a turn of its own per round of the event loop.

Change: chunks that have arrived together are joined before they are handed on. A turn lasts 2 ms; then the task pauses in proportion, longer the more tasks pause, so that long work of all together takes about half of the processor.

The property of tiny events measured calls that blank events no longer make; it measures the writes for them now, with the same bound, and that there are any.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -55,3 +55,14 @@
       | head       | at full speed |
       | body       | at full speed |
       | error body | at full speed |
+
+  # Guards against requests that wait while the router reads what nobody gains from.
+  Scenario Outline: Others are answered soon beside bytes without end, <kind>
+    When <count> requests on "<route>" at once get <kind> bytes without end at full speed
+    Then a call to another service was answered within 0.4 s each time meanwhile
+
+    Examples:
+      | kind   | route | count |
+      | head   | once  | 6     |
+      | body   | once  | 6     |
+      | stream | talk  | 6     |
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -1,7 +1,15 @@
 """Callers whose backend sends bytes without end, at each place of a response."""
 
 from behave import then, when
-from support.endless_worlds import DEADLINE_S, LATE_S, Endless, play_all, wrong_outcomes
+from support.endless_worlds import (
+    DEADLINE_S,
+    LATE_S,
+    SHAPES,
+    Endless,
+    play_all,
+    play_flood,
+    wrong_outcomes,
+)
 
 PLAIN = {"a": "", "b": ""}
 DECODE = {"d1": "decode", "d2": "decode"}
@@ -25,6 +33,11 @@
     context.outcomes = play_all(Endless(kind, pace == "slowly", True), route, PREFILL)
 
 
+@when('{count:d} requests on "{route}" at once get {kind} bytes without end at full speed')
+def endless_together(context, count, route, kind):
+    context.floods = {shape: play_flood(kind, shape, route, count) for shape in SHAPES[kind]([])}
+
+
 @then("another backend answers before the deadline")
 def answered(context):
     wrong = wrong_outcomes(
@@ -41,3 +54,15 @@
         lambda each: each.status in (502, 504) and each.took_s < DEADLINE_S + LATE_S,
     )
     assert not wrong, wrong
+
+
+@then("the process has used less than {most_mb:d} MB of memory for them")
+def little_memory(context, most_mb):
+    used_mb = {shape: flood.peak_bytes / 1e6 for shape, flood in context.floods.items()}
+    assert max(used_mb.values()) < most_mb, used_mb
+
+
+@then("a call to another service was answered within {most_s:g} s each time meanwhile")
+def answered_meanwhile(context, most_s):
+    longest_s = {shape: max(flood.pings_s) for shape, flood in context.floods.items()}
+    assert max(longest_s.values()) < most_s, longest_s
--- a/features/support/endless_worlds.py
+++ b/features/support/endless_worlds.py
@@ -1,6 +1,8 @@
 """Plays requests whose first backend sends bytes without end, one world for each shape of them."""
 
 import dataclasses
+import time
+import tracemalloc
 
 from support.router_world import RawCaller, RouterWorld, request_bytes
 from support.simulated_world import SimulatedRouterWorld
@@ -8,6 +10,8 @@
 from yokedock_emulator.endless_bytes import body_shapes, head_shapes, stream_shapes
 
 DEADLINE_S = 3.0
+FLOOD_S = 1.5
+"""Deadline of requests that many at once get bytes without end."""
 LATE_S = 0.5
 """An answer must have come so long after the deadline."""
 STREAM_HEADERS = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", "ab:50")]
@@ -95,3 +99,64 @@
         for each in outcomes
         if not is_right(each)
     )
+
+
+PLAIN_AND_DECODE = {"a": "", "d": "decode"}
+OTHER_ROUTES = {"once": "chat", "talk": "repeat"}
+"""For the route of the bytes without end, a route to the other service."""
+PING_INTERVAL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Flood:
+    """What happened while several requests at once got bytes without end."""
+
+    peak_bytes: int
+    """Memory allocated meanwhile, beyond what was allocated before."""
+    pings_s: list[float]
+    """How long each call to the other service took."""
+
+
+def play_flood(kind, shape, route, count):
+    """Send ``count`` requests at once, whose responses never end; call another service beside."""
+    world = RouterWorld()
+    try:
+        return _flood(world, kind, shape, route, count)
+    finally:
+        world.close()
+
+
+def _flood(world, kind, shape, route, count):
+    for name, role in PLAIN_AND_DECODE.items():
+        world.add_backend(name, "llm" if role else "plain", role, slots=count)
+    flooding = world.backends["d" if route == "talk" else "a"]
+    router = world.start_router(world.snapshot())
+    world.wait_for(lambda: router.is_ready, "ready")
+    address = router.settings.callers.listen
+    assert _ping(world, address, route) < FLOOD_S
+    flooding.endless_shape = lambda arrival, headers: SHAPES[kind](headers)[shape]
+    callers = [RawCaller(world, address) for _ in range(count)]
+    tracemalloc.start()
+    try:
+        for number, caller in enumerate(callers):
+            headers = [("X-Deadline-Ms", str(round(FLOOD_S * 1000))), *STREAM_HEADERS]
+            caller.send(request_bytes(route, headers=headers, request_id=f"endless-{number}"))
+        world.wait_for(lambda: flooding.arrivals, "bytes without end have begun")
+        pings_s = []
+        until_s = boot_time_s() + FLOOD_S
+        while boot_time_s() < until_s:
+            pings_s.append(_ping(world, address, route))
+            time.sleep(PING_INTERVAL_S)
+        return Flood(tracemalloc.get_traced_memory()[1], pings_s)
+    finally:
+        tracemalloc.stop()
+
+
+def _ping(world, address, route):
+    """Return how long a request to the other service took."""
+    caller, since_s = RawCaller(world, address), boot_time_s()
+    caller.send(request_bytes(OTHER_ROUTES[route], headers=STREAM_HEADERS, request_id="ping"))
+    status, _, _, is_whole = caller.read_answer()
+    assert status == 200 and is_whole, status
+    caller.leave()
+    return boot_time_s() - since_s
--- a/features/support/event_loop_properties.py
+++ b/features/support/event_loop_properties.py
@@ -311,14 +311,14 @@
 def tiny_events_leave_others_their_turns():
     """Many events of one read, relayed or dropped as duplicates, don't hold up other tasks."""
 
-    async def play(event):
+    async def play(event, owner, name):
         relay = StreamRelay(UnlimitedWriter(), 5)
-        meter = TurnMeter(StreamRelay, "_is_next")
+        meter = TurnMeter(owner, name)
         await meter.measure(relay.feed(ResponseHead((), 200), MANY * event))
-        assert meter.longest <= MAX_STEPS, (event, meter.longest)
+        assert 0 < meter.longest <= MAX_STEPS, (event, meter.longest)
 
-    asyncio.run(play(b"\n\n"))
-    asyncio.run(play(b"id:1\n\n"))
+    asyncio.run(play(b"\n\n", UnlimitedWriter, "write"))
+    asyncio.run(play(b"id:1\n\n", StreamRelay, "_is_next"))
 
 
 PIPELINED = REQUEST_LINES + b"Content-Length: 0\r\nX: " + b"x" * 8_000 + b"\r\n\r\n"
--- a/src/yokedock/base/work_turns.py
+++ b/src/yokedock/base/work_turns.py
@@ -2,26 +2,58 @@
 
 Reading from a stream suspends the task only if no data is buffered. A task that handles many small
 pieces of buffered data would hold up all other tasks, and no time-out would expire meanwhile.
+
+Long work of all tasks together takes about half of the processor at most: the more tasks pause, the
+longer each of them does.
 """
 
 from __future__ import annotations
 
 import asyncio
 
+from yokedock.base.clock import boot_time_s
+
 STEPS_PER_TURN = 256
-"""Steps of some 10 to 40 microseconds each, so that a turn takes about 10 ms at most."""
+STEPS_BETWEEN_CHECKS = 8
+"""Steps of some 10 to 40 microseconds each, after which the duration of the turn is looked at."""
+TURN_S = 0.002
+MAX_COUNTED_TURN_S = 0.01
+"""A turn that took longer was interrupted: the process had no processor."""
+MAX_PAUSE_S = 0.2
+
+_pausing = 0
+"""Number of tasks of this process that are pausing."""
 
 
 class WorkTurns:
-    """Counts steps of work, and suspends the task after every ``STEPS_PER_TURN`` of them."""
+    """Counts steps of work, and suspends the task when its turn is over.
+
+    The work of others is part of a turn unless ``begin`` is called when the task resumes.
+    """
 
     def __init__(self) -> None:
-        """Start to count."""
+        """Begin a turn."""
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin a turn, after other tasks have had theirs."""
         self._steps = 0
+        self._since_s = boot_time_s()
 
     async def step(self) -> None:
         """Count one step; if the turn is over, other tasks run first."""
         self._steps += 1
-        if self._steps >= STEPS_PER_TURN:
-            self._steps = 0
-            await asyncio.sleep(0)
+        if self._steps % STEPS_BETWEEN_CHECKS:
+            return
+        took_s = boot_time_s() - self._since_s
+        if took_s >= TURN_S or self._steps >= STEPS_PER_TURN:
+            await self._pause(min(took_s, MAX_COUNTED_TURN_S))
+
+    async def _pause(self, took_s: float) -> None:
+        global _pausing
+        _pausing += 1
+        try:
+            await asyncio.sleep(min(MAX_PAUSE_S, (2 * _pausing - 1) * took_s))
+        finally:
+            _pausing -= 1
+            self.begin()
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -97,8 +97,7 @@
             return False
         if self._reader.at_eof() or self._writer.is_closing():
             return False
-        has_unread_bytes = bool(getattr(self._reader, "_buffer", b""))
-        return not has_unread_bytes and boot_time_s() < self._reusable_until_s
+        return not self._has_unread_bytes() and boot_time_s() < self._reusable_until_s
 
     @property
     def is_open(self) -> bool:
@@ -148,23 +147,37 @@
             await self._discard_unmatched_response()
 
     async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body as they arrive.
+        """Yield the body in parts as they arrive; chunks that have arrived together are joined.
 
         Raises ``BackendConnectionClosed`` if the body is truncated, ``ResponseTooLarge`` if it
         exceeds ``limit`` bytes.
         """
         size = 0
+        part = bytearray()
         while True:
-            event = await self._next_event()
+            await self._turns.step()
+            try:
+                event = self._parse()
+            except BackendResponseError:
+                if part:
+                    yield bytes(part)
+                raise
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if limit is not None and size > limit:
                     raise ResponseTooLarge(f"{self.address}: response body exceeds {limit} bytes")
-                yield bytes(event.data)
+                part += event.data
+                if len(part) < READ_BYTES:
+                    continue
+            if part:
+                yield bytes(part)
+                part.clear()
+            if event is h11.NEED_DATA:
+                await self._receive()
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
                 return
-            else:
+            elif not isinstance(event, h11.Data):
                 raise BackendConnectionClosed(f"{self.address}: response body truncated")
 
     def abort(self) -> None:
@@ -203,42 +216,51 @@
             raise BackendConnectionClosed(f"{self.address}: connection closed before a response")
 
     async def _next_event(self) -> object:
-        assert self._parser is not None
         while True:
             await self._turns.step()
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                if self._peer_closed:
-                    raise BackendConnectionClosed(
-                        f"{self.address}: connection closed in the middle of a response"
-                    ) from None
-                raise BackendResponseError(
-                    f"{self.address}: invalid HTTP response ({error})"
-                ) from None
+            event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._reader.read(READ_BYTES)
-            except TimeoutError:
-                # TCP_USER_TIMEOUT expired: the peer has not acknowledged the data that was sent.
-                raise BackendUnresponsive(
-                    f"{self.address}: peer does not acknowledge sent data"
-                ) from None
-            except OSError as error:
+            await self._receive()
+
+    def _parse(self) -> object:
+        """Return the next event of the data received so far."""
+        assert self._parser is not None
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._peer_closed:
                 raise BackendConnectionClosed(
-                    f"{self.address}: {error.strerror or error}"
-                ) from None
-            self._peer_closed = not data
-            self.received_bytes += len(data)
-            if data:
-                self.heard_s = boot_time_s()
-            try:
-                self._parser.receive_data(data)
-            except (h11.RemoteProtocolError, RuntimeError) as error:
-                raise BackendResponseError(
-                    f"{self.address}: invalid HTTP response ({error})"
+                    f"{self.address}: connection closed in the middle of a response"
                 ) from None
+            raise BackendResponseError(f"{self.address}: invalid HTTP response ({error})") from None
+
+    async def _receive(self) -> None:
+        """Read data, or the end of the connection, into the parser."""
+        assert self._parser is not None
+        is_buffered = self._has_unread_bytes()
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            # TCP_USER_TIMEOUT expired: the peer has not acknowledged the data that was sent.
+            raise BackendUnresponsive(
+                f"{self.address}: peer does not acknowledge sent data"
+            ) from None
+        except OSError as error:
+            raise BackendConnectionClosed(f"{self.address}: {error.strerror or error}") from None
+        if not is_buffered:
+            self._turns.begin()
+        self._peer_closed = not data
+        self.received_bytes += len(data)
+        if data:
+            self.heard_s = boot_time_s()
+        try:
+            self._parser.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            raise BackendResponseError(f"{self.address}: invalid HTTP response ({error})") from None
+
+    def _has_unread_bytes(self) -> bool:
+        return bool(getattr(self._reader, "_buffer", b""))
 
     async def _discard_unmatched_response(self) -> None:
         """Read the response to an earlier request to its end, then parse what follows it."""
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -258,6 +258,7 @@
             return False
         if not data:
             return False
+        self._turns.begin()
         self._parser.receive_data(data)
         return True
 
--- a/src/yokedock/connection/event_stream.py
+++ b/src/yokedock/connection/event_stream.py
@@ -43,6 +43,11 @@
         """Return the bytes of an incomplete event."""
         return bytes(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Append bytes and yield the events that are complete now, which must all be taken.
 
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -39,6 +39,11 @@
         """Events without content that came before the first one with content."""
         self._turns = WorkTurns()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes that were received and not passed on."""
+        return self._splitter.buffered_bytes + len(self._held)
+
     def begin_run(self) -> None:
         """Start reading from another engine; a partial event from the previous one is discarded."""
         self._splitter = EventSplitter()
@@ -51,6 +56,7 @@
 
         Raises ``BackendResponseError`` if an event is missing.
         """
+        self._turns.begin()
         for event in self._splitter.feed(data):
             await self._turns.step()
             if event.has_content:
