Limit the memory of all responses that are buffered together

What callers saw: twelve plain calls at once whose bodies have no end: each is buffered up to 16 MiB, and the process passes 75 MB besides its own (scenario red before). A machine of 128 or 150 MB kills it, with all requests that it serves, of all services. One backend sets it off.

Cause: each response had a limit, all together had none. Ruled out: leaks (memory is free after).

Change: ResponseBuffers counts what plain responses, error bodies, prefill results and incomplete events hold; over 24 MiB in all, a response that grows beyond 256 KiB is broken off.

The bound of 75 MB is what a machine of 128 MB leaves.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -56,6 +56,16 @@
       | body       | at full speed |
       | error body | at full speed |
 
+  # Guards against a process that is killed for its memory while backends send large bodies.
+  Scenario Outline: Many bodies without end at once take little memory, <kind>
+    When <count> requests on "<route>" at once get <kind> bytes without end at full speed
+    Then the process has used less than 75 MB of memory for them
+
+    Examples:
+      | kind   | route | count |
+      | body   | once  | 12    |
+      | stream | talk  | 40    |
+
   # Guards against requests that wait while the router reads what nobody gains from.
   Scenario Outline: Others are answered soon beside bytes without end, <kind>
     When <count> requests on "<route>" at once get <kind> bytes without end at full speed
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -22,6 +22,7 @@
 from yokedock.request.crash_records import CrashRecords
 from yokedock.request.poison_parts import PROOF_S
 from yokedock.request.request_digest import digest_text
+from yokedock.request.response_buffers import ResponseBuffers
 from yokedock.request.routed_call import (
     MS_PER_SECOND,
     NOT_SENT,
@@ -60,9 +61,11 @@
         backend: Backend,
         call: RoutedCall,
         crashes: CrashRecords,
+        buffers: ResponseBuffers,
     ) -> None:
         """Wrap a connection that is ready to send; the outcome is reported to ``crashes``."""
         self.backend = backend
+        self.buffers = buffers
         self.is_whole = False
         self.is_sent = False
         self.on_silence: Callable[[], None] = lambda: None
@@ -177,16 +180,19 @@
         clock = asyncio.get_running_loop().time
         body = bytearray()
         progress = BodyProgress(limits, head.content_length(), clock())
+        time_limit = ReadFirstTimeout(
+            progress.due_s() - clock(),
+            lambda: progress.may_expire(clock()),
+            progress.due_s,
+            progress.deadline_s,
+        )
         try:
-            async with ReadFirstTimeout(
-                progress.due_s() - clock(),
-                lambda: progress.may_expire(clock()),
-                progress.due_s,
-                progress.deadline_s,
-            ):
-                async for part in self.body_parts(max_bytes):
-                    body += part
-                    progress.record(len(part), clock())
+            async with time_limit:
+                with self.buffers.open() as buffer:
+                    async for part in self.body_parts(max_bytes):
+                        body += part
+                        buffer.resize(len(body))
+                        progress.record(len(part), clock())
         except TimeoutError:
             raise BackendResponseError(
                 f"{self.backend.name}: response incomplete at the time limit"
@@ -284,6 +290,7 @@
         self._shares = shares
         self.crashes = crashes
         self.dialect = dialect
+        self._buffers = ResponseBuffers()
 
     @contextlib.asynccontextmanager
     async def open(
@@ -335,7 +342,9 @@
             # A request counts as outstanding while it connects, because other requests select
             # backends meanwhile. It is counted again below once connected.
             backend.outstanding -= 1
-        exchange = BackendExchange(connection, self.dialect, backend, call, self.crashes)
+        exchange = BackendExchange(
+            connection, self.dialect, backend, call, self.crashes, self._buffers
+        )
         exchange.on_silence = lambda: self._drop_silent_connections(connection, call)
         backend.outstanding += 1
         backend.connections.add(connection)
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -22,9 +22,9 @@
 )
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE, Placement, Progress
-from yokedock.request.remote_reservations import EngineTotals
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 from yokedock.request.prompt_homes import PromptHomes
+from yokedock.request.remote_reservations import EngineTotals
 from yokedock.request.routed_call import RoutedCall
 from yokedock.version.route_table import EngineTraits
 
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -13,6 +13,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.dialect import ForwardingOrder
+from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.errors import EngineRejected
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange, BackendExchanges
@@ -21,6 +22,7 @@
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement
 from yokedock.request.generation_state import GenerationState, tokens_per_event
+from yokedock.request.response_buffers import ResponseBuffer
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector, WatchedStream
 from yokedock.request.version_pinning import VersionPinning
@@ -180,22 +182,39 @@
                     call, state, exchange, BufferedResponse(head, body)
                 )
                 return
-            stream.waited_s = 0.0
-            parts = exchange.body_parts()
-            while (part := await stream.within(limit_s, anext(parts, None))) is not None:
-                events = relay.events
-                await relay.feed(head, part)
-                if relay.events > events:
-                    self._record_progress(state, stream)
-                    demand.made = relay.events * tokens_per_event(call)
-                else:
-                    stream.require_progress(limit_s)
-                limit_s = self._silence_limit_s(call, state, stream)
+            with exchange.buffers.open() as buffer:
+                await self._relay_events(call, state, exchange, demand, stream, head, buffer)
         finally:
             self._watch.close(stream)
         await relay.end(head)
         exchange.finish()
 
+    async def _relay_events(
+        self,
+        call: RoutedCall,
+        state: GenerationState,
+        exchange: BackendExchange,
+        demand: StreamDemand,
+        stream: WatchedStream,
+        head: ResponseHead,
+        buffer: ResponseBuffer,
+    ) -> None:
+        """Relay the events of a stream that has begun, up to the end of its body."""
+        relay = state.relay
+        limit_s = self._silence_limit_s(call, state, stream)
+        stream.waited_s = 0.0
+        parts = exchange.body_parts()
+        while (part := await stream.within(limit_s, anext(parts, None))) is not None:
+            events = relay.events
+            await relay.feed(head, part)
+            buffer.resize(relay.buffered_bytes)
+            if relay.events > events:
+                self._record_progress(state, stream)
+                demand.made = relay.events * tokens_per_event(call)
+            else:
+                stream.require_progress(limit_s)
+            limit_s = self._silence_limit_s(call, state, stream)
+
     def _prepare_move(self, call: RoutedCall, state: GenerationState, engine: Backend) -> bool:
         """Reserve retry budget to leave a silent engine, if some other engine has a place."""
         progress = state.progress(call)
