Limit the time and the bytes of responses to agents and gateways

What callers saw: an engine or service that sends bytes without end holds the agent's worker thread for good (nothing after three and six times the time limit), or fills its memory: 742 and 749 MB in 3 s and 0.1 s; an announced length of a terabyte ends the thread with a MemoryError. The step stream took any byte for a sign of life. It lasts until the engine closes; any engine, service, or whoever answers for the configuration service sets it off.

Cause: urllib3's read timeout is that of one read, and a response is read in full before its size is looked at; where a length is announced, memory for it is allocated first.

Change: BoundedSocket covers all reads of a response with one time limit, and 16 MiB. Responses are read in parts of 64 KiB (read_whole); interim responses are none. The step stream's limit begins anew with each step, and a step has at most 1 MiB. A process that was stalled still reads what arrived in time, up to 64 KiB. Engine, service, configuration and machine list clients use it.

--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -1,6 +1,7 @@
 """Callers whose backend sends bytes without end, at each place of a response."""
 
 from behave import then, when
+from support.bounded_http_properties import failures_of, short_timeouts
 from support.endless_worlds import (
     DEADLINE_S,
     LATE_S,
@@ -66,3 +67,14 @@
 def answered_meanwhile(context, most_s):
     longest_s = {shape: max(flood.pings_s) for shape, flood in context.floods.items()}
     assert max(longest_s.values()) < most_s, longest_s
+
+
+@when("the {name} meets bytes without end, {pace}")
+def client_meets(context, name, pace):
+    with short_timeouts():
+        context.failures = failures_of(name, pace == "slowly")
+
+
+@then("it ends with an error in time, and takes little memory")
+def ends_in_time(context):
+    assert not context.failures, "\n".join(context.failures)
--- /dev/null
+++ b/src/yokedock/connection/bounded_http.py
@@ -0,0 +1,74 @@
+"""HTTP requests whose timeouts limit the complete response, and whose memory is limited."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ProtocolError
+
+from yokedock.base.bounded_socket import MAX_RESPONSE_BYTES, BoundedSocket
+
+PART_BYTES = 65_536
+"""Bytes read at once: reading as many as are announced would allocate memory for all of them."""
+MIN_FINAL_STATUS = 200
+
+
+class WholeResponse(msgspec.Struct, frozen=True):
+    """A complete response."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+
+
+class BoundedConnection(HTTPConnection):
+    """A connection whose responses are limited in time and bytes."""
+
+    _bounded: BoundedSocket | None = None
+
+    def connect(self) -> None:
+        """Connect, and limit what is read."""
+        super().connect()
+        self._bounded = self.sock = BoundedSocket.wrap(self.sock)
+
+    def allow_more(self, timeout_s: float) -> None:
+        """Begin new limits within a response that has brought something of use."""
+        if self._bounded is not None:
+            self._bounded.settimeout(timeout_s)
+
+
+class BoundedConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool of bounded connections to one address."""
+
+    ConnectionCls = BoundedConnection
+
+
+def bounded_pool_manager(max_connections: int) -> urllib3.PoolManager:
+    """Return a pool manager without retries; of each address it keeps ``max_connections``."""
+    manager = urllib3.PoolManager(maxsize=max_connections, retries=False, block=False)
+    manager.pool_classes_by_scheme = {
+        **manager.pool_classes_by_scheme,
+        "http": BoundedConnectionPool,
+    }
+    return manager
+
+
+def read_whole(response: urllib3.BaseHTTPResponse) -> WholeResponse:
+    """Read the body and release the connection.
+
+    Raises ``urllib3.exceptions.HTTPError`` if a limit is exceeded or the response is interim.
+    """
+    if response.status < MIN_FINAL_STATUS:
+        response.close()
+        raise ProtocolError(f"interim response {response.status} in place of a final one")
+    data = bytearray()
+    for part in response.stream(PART_BYTES):
+        data += part
+        if len(data) > MAX_RESPONSE_BYTES:
+            response.close()
+            raise ProtocolError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+    response.release_conn()
+    return WholeResponse(response.status, response.headers, bytes(data))
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -10,6 +10,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
+from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
 from yokedock.errors import BundleRejected, PlatformUnavailable
 from yokedock.version.bundle_codec import (
     ENVELOPE_KEY,
@@ -40,7 +41,7 @@
     def __init__(self, url: str) -> None:
         """``url`` is the base URL of the service."""
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=FETCH_THREADS + 1, retries=False)
+        self._pool = bounded_pool_manager(FETCH_THREADS + 1)
 
     def read(self, key: str, after_revision: int = 0, wait_ms: int = 0) -> tuple[int, bytes] | None:
         """Return (revision, value) of ``key``; None if it is unset or unchanged within ``wait_ms``.
@@ -51,11 +52,13 @@
         if wait_ms:
             url += f"?after={after_revision}&wait_ms={wait_ms}"
         try:
-            response = self._pool.request(
+            streamed = self._pool.request(
                 "GET",
                 url,
                 timeout=urllib3.Timeout(connect=1.0, read=READ_TIMEOUT_S + wait_ms / 1000),
+                preload_content=False,
             )
+            response = read_whole(streamed)
         except urllib3.exceptions.HTTPError:
             message = f"the configuration service at {self._url} does not respond; check it"
             raise PlatformUnavailable(message) from None
--- a/src/yokedock/connection/engine_client.py
+++ b/src/yokedock/connection/engine_client.py
@@ -9,6 +9,13 @@
 import msgspec
 import urllib3
 
+from yokedock.connection.bounded_http import (
+    PART_BYTES,
+    BoundedConnection,
+    WholeResponse,
+    bounded_pool_manager,
+    read_whole,
+)
 from yokedock.connection.engine_protocol import (
     FENCING_HEADER,
     CacheEvents,
@@ -29,7 +36,8 @@
 Result = TypeVar("Result")
 _NoneType = type(None)
 STEP_TIMEOUT_S = 3.0
-"""Read timeout for the step stream, on which the engine sends a line at least twice a second."""
+"""Maximum time to a step on the step stream: the engine sends a line at least twice a second."""
+MAX_STEP_BYTES = 1_048_576
 POOL_SIZE = 64
 
 
@@ -92,7 +100,7 @@
         self._headers = {FENCING_HEADER: str(fencing_token), "Content-Type": "application/json"}
         self._connect_timeout_s = connect_timeout_s
         self._order_timeout_s = order_timeout_s
-        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False, block=False)
+        self._pool = bounded_pool_manager(POOL_SIZE)
 
     def prefill(self, order: PrefillOrder, timeout_s: float) -> PrefillResult:
         """Compute a KV cache and wait until it is ready."""
@@ -132,14 +140,19 @@
 
     def steps(self) -> Iterator[Step]:
         """Yield the tokens of each decode step until the connection is lost."""
-        response = self._request("GET", "/v1/steps", b"", STEP_TIMEOUT_S, preload_content=False)
+        response = self._request("GET", "/v1/steps", b"", STEP_TIMEOUT_S)
         decoder = msgspec.json.Decoder(Step)
-        rest = b""
+        rest = bytearray()
         try:
-            for part in response.stream(None):
-                *lines, rest = (rest + part).split(b"\n")
-                for line in lines:
-                    yield decoder.decode(line)
+            for part in response.stream(PART_BYTES):
+                rest += part
+                if b"\n" in part:
+                    *lines, rest = rest.split(b"\n")
+                    _allow_more(response)
+                    for line in lines:
+                        yield decoder.decode(line)
+                if len(rest) > MAX_STEP_BYTES:
+                    raise EngineLost(f"a step exceeds {MAX_STEP_BYTES} bytes; check the engine")
         except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
             raise EngineLost(
                 f"the engine's step stream failed ({error}); check whether it is running"
@@ -149,14 +162,20 @@
         raise EngineLost("the engine closed its step stream; check whether it is running")
 
     def _post(self, path: str, body: Any, kind: type[Result], timeout_s: float) -> Result:
-        response = self._request("POST", path, msgspec.json.encode(body), timeout_s)
-        return self._read(response, kind)
+        return self._read(self._whole("POST", path, msgspec.json.encode(body), timeout_s), kind)
 
     def _get(self, path: str, kind: type[Result]) -> Result:
-        return self._read(self._request("GET", path, b"", self._order_timeout_s), kind)
+        return self._read(self._whole("GET", path, b"", self._order_timeout_s), kind)
+
+    def _whole(self, method: str, path: str, body: bytes, timeout_s: float) -> WholeResponse:
+        response = self._request(method, path, body, timeout_s)
+        try:
+            return read_whole(response)
+        except urllib3.exceptions.HTTPError as error:
+            raise self._lost(error) from None
 
     def _request(
-        self, method: str, path: str, body: bytes, timeout_s: float, preload_content: bool = True
+        self, method: str, path: str, body: bytes, timeout_s: float
     ) -> urllib3.BaseHTTPResponse:
         timeout = urllib3.Timeout(connect=self._connect_timeout_s, read=timeout_s)
         try:
@@ -166,18 +185,19 @@
                 body=body,
                 headers=self._headers,
                 timeout=timeout,
-                preload_content=preload_content,
+                preload_content=False,
             )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise EngineUnavailable(
                 f"cannot connect to the engine at {self._url}; start it"
             ) from None
         except urllib3.exceptions.HTTPError as error:
-            raise EngineLost(
-                f"the connection to the engine at {self._url} was lost ({error})"
-            ) from None
+            raise self._lost(error) from None
+
+    def _lost(self, error: Exception) -> EngineLost:
+        return EngineLost(f"the connection to the engine at {self._url} was lost ({error})")
 
-    def _read(self, response: urllib3.BaseHTTPResponse, kind: type[Result]) -> Result:
+    def _read(self, response: WholeResponse, kind: type[Result]) -> Result:
         if response.status != 200:
             raise EngineRejected(rejection_text(response))
         try:
@@ -186,7 +206,13 @@
             raise EngineLost("the engine's response cannot be decoded; check its version") from None
 
 
-def rejection_text(response: urllib3.BaseHTTPResponse) -> str:
+def _allow_more(response: urllib3.BaseHTTPResponse) -> None:
+    """Wait for the next step as long as for the first one."""
+    if isinstance(response.connection, BoundedConnection):
+        response.connection.allow_more(STEP_TIMEOUT_S)
+
+
+def rejection_text(response: WholeResponse) -> str:
     """Return the message of a backend's error response."""
     try:
         return msgspec.json.decode(response.data, type=ErrorResponse).error.message
--- a/src/yokedock/connection/machine_list.py
+++ b/src/yokedock/connection/machine_list.py
@@ -10,6 +10,7 @@
 
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
+from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
 
 _log = logger("machines")
 
@@ -43,7 +44,7 @@
         self._url = f"{url.rstrip('/')}/v1/machines"
         self._interval_s = interval_s
         self._on_list = on_list
-        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self._pool = bounded_pool_manager(1)
         self._stopping = threading.Event()
         self._random = new_random()
 
@@ -55,7 +56,11 @@
         """Poll at the interval, with jitter so that the readers' requests spread out."""
         while not self._stopping.is_set():
             try:
-                response = self._pool.request("GET", self._url, timeout=READ_TIMEOUT_S)
+                response = read_whole(
+                    self._pool.request(
+                        "GET", self._url, timeout=READ_TIMEOUT_S, preload_content=False
+                    )
+                )
                 machines = msgspec.json.decode(response.data, type=MachineList).machines
                 self._on_list({machine.name: machine for machine in machines})
             except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
--- a/src/yokedock/connection/service_client.py
+++ b/src/yokedock/connection/service_client.py
@@ -4,6 +4,7 @@
 
 import urllib3
 
+from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
 from yokedock.errors import EngineLost, EngineUnavailable
 from yokedock.messages import ServiceAnswer
 
@@ -18,7 +19,7 @@
         """``url`` is the base URL of the service."""
         self._url = url.rstrip("/")
         self._connect_timeout_s = connect_timeout_s
-        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False, block=False)
+        self._pool = bounded_pool_manager(POOL_SIZE)
 
     def call(
         self, service: str, body: bytes, content_type: str, key: str, timeout_s: float
@@ -32,14 +33,16 @@
         if key:
             headers[IDEMPOTENCY_KEY_HEADER] = key
         try:
-            response = self._pool.request(
+            streamed = self._pool.request(
                 "POST",
                 f"{self._url}/{service}",
                 body=body,
                 headers=headers,
                 timeout=urllib3.Timeout(connect=self._connect_timeout_s, read=timeout_s),
                 redirect=False,
+                preload_content=False,
             )
+            response = read_whole(streamed)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise EngineUnavailable(
                 f"cannot connect to the service at {self._url}; start it"
