A reserved retry is not denied because the budget's share has shrunk

It lasts until the window has moved on; fewer requests than ten seconds before set it off.

Cause: RetryAllowance.set_aside asks whether the budget has room for what is reserved beyond the present reservation, also where that is nothing; a share below what has been charged has no room for nothing.

Change: the budget is asked only for more. What is reserved is charged already, so the budget of the fleet is kept as before; the property on breaks, cuts and kills holds.

Red before: 'a reserved retry remains when the share shrinks'; passes now.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -27,6 +27,7 @@
     Examples: the retry budget
       | property                                                         |
       | the fleet keeps the retry budget through breaks, cuts and kills  |
+      | a reserved retry remains when the share shrinks                  |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/budget_properties.py
+++ b/features/support/budget_properties.py
@@ -164,7 +164,25 @@
             fleet.exchange_gossip()
 
 
+# Guards against a stream that is cut because its reserved retry is denied.
+def a_reserved_retry_remains_when_the_share_shrinks():
+    """What was reserved may be used although no further retry would be granted now."""
+    clock = Clock()
+    allowance = RetryAllowance(RetryBounds(1.0, 10.0, 0.0), lambda: 1, False, clock)
+    for _ in range(10):
+        allowance.request("s").__enter__()
+    retries = allowance.request("s")
+    assert retries.set_aside(2)
+    clock.now_s += 11.0
+    assert not allowance.request("s").set_aside(1), "the share has not shrunk"
+    assert retries.set_aside(2) and retries.set_aside(1)
+    assert not retries.set_aside(2), "what was given back must be asked for again"
+
+
 BUDGET_PROPERTIES = {
+    "a reserved retry remains when the share shrinks": (
+        a_reserved_retry_remains_when_the_share_shrinks
+    ),
     "the fleet keeps the retry budget through breaks, cuts and kills": (
         retry_budget_holds_under_failures_partitions_and_crashes
     ),
--- a/src/yokedock/request/retry_allowance.py
+++ b/src/yokedock/request/retry_allowance.py
@@ -82,8 +82,8 @@
     def set_aside(self, arrivals: int) -> bool:
         """Reserve exactly ``arrivals`` further arrivals; return whether the budget suffices.
 
-        An earlier reservation counts towards them. It remains if the budget doesn't suffice: the
-        share may have shrunk while the request waited.
+        An earlier reservation counts towards them, also if the share has shrunk since. It remains
+        if the budget doesn't suffice for more.
         """
         if self.try_set_aside(arrivals):
             return True
@@ -94,7 +94,7 @@
     def try_set_aside(self, arrivals: int) -> bool:
         """Reserve like ``set_aside``, for callers that ask repeatedly: no denial is recorded."""
         more = arrivals - self._set_aside
-        if arrivals and not self._allowance.has_room(self._service, more):
+        if more > 0 and not self._allowance.has_room(self._service, more):
             return False
         self._allowance.counts(self._service).set_aside += more
         self._set_aside = arrivals
