The number of tokens in an event stands once, at the call

It stood in generation_state and in stop_admission, which alone guarded against zero. No change of behaviour but for that: 'tokens per event' of a routes file is at least 1 anyway.

--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -21,7 +21,7 @@
 from yokedock.request.body_progress import BodyLimits
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement, Placement
-from yokedock.request.generation_state import GenerationState, tokens_per_event
+from yokedock.request.generation_state import GenerationState
 from yokedock.request.response_buffers import ResponseBuffer
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector, WatchedStream
@@ -210,7 +210,7 @@
             buffer.resize(relay.buffered_bytes)
             if relay.events > events:
                 self._record_progress(state, stream)
-                demand.made = relay.events * tokens_per_event(call)
+                demand.made = relay.events * call.tokens_per_event()
             else:
                 stream.require_progress(limit_s)
             limit_s = self._silence_limit_s(call, state, stream)
--- a/src/yokedock/request/generation_state.py
+++ b/src/yokedock/request/generation_state.py
@@ -74,7 +74,7 @@
     def progress(self, call: RoutedCall) -> Progress:
         """Return the inputs for the next placement."""
         return Progress(
-            made=self.relay.events * tokens_per_event(call),
+            made=self.relay.events * call.tokens_per_event(),
             avoid=frozenset(self.excluded_engines),
             cached_at=self._cached_at(),
             version=call.version,
@@ -111,11 +111,6 @@
         return self.source if boot_time_s() < self.source_expires_s and not has_ended else None
 
 
-def tokens_per_event(call: RoutedCall) -> int:
-    """Return the number of tokens per stream event."""
-    return call.service.engine.tokens_per_event if call.service.engine else 1
-
-
 def log_placement(call: RoutedCall, state: GenerationState, placement: Placement) -> None:
     """Log the placement up front, so that a stream whose router crashes can still be traced."""
     engine = state.engines[-1]
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -110,6 +110,11 @@
         """Return the target time for a complete response, or for the first event of a stream."""
         return self.arrived_s + self.route.target_s
 
+    def tokens_per_event(self) -> int:
+        """Return the number of tokens in one event of a stream, at least 1."""
+        engine = self.service.engine
+        return max(1, engine.tokens_per_event) if engine is not None else 1
+
     def ms_since_arrival(self) -> int:
         """Return the time since the arrival, in milliseconds."""
         return round((boot_time_s() - self.arrived_s) * MS_PER_SECOND)
--- a/src/yokedock/request/stop_admission.py
+++ b/src/yokedock/request/stop_admission.py
@@ -106,16 +106,11 @@
         tokens = terms.max_output_tokens
         if call.arrived_s - self._stop.since_s < HINT_TRUST_S:
             tokens = terms.output_hint or tokens
-        return max(0, tokens - (call.terms.last_event_id or 0) * _tokens_per_event(call))
+        return max(0, tokens - (call.terms.last_event_id or 0) * call.tokens_per_event())
 
     def _token_s(self, call: RoutedCall) -> float:
         """Return the time to allow for each token, in seconds."""
         pause_s = self._pace.typical_pause_s()
         if pause_s <= 0:
             return INITIAL_TOKEN_ESTIMATE_S
-        return PACE_MARGIN * pause_s / _tokens_per_event(call)
-
-
-def _tokens_per_event(call: RoutedCall) -> int:
-    engine = call.service.engine
-    return max(1, engine.tokens_per_event) if engine is not None else 1
+        return PACE_MARGIN * pause_s / call.tokens_per_event()
