Play the properties of queued placement in simulated time

'whoever can be served late waits' failed once by hand with an assertion without text (KNOWN-RED). Its 0.3 s and 0.75 s were of real time: a process that stands still for 0.6 s as the play begins (a trial: time.sleep put into the loop) gives just that assertion, since the callers then come too late to be served and are truthfully refused.

Its checks and bounds are as they were, and those of its two neighbours with real times; they run on the simulation's clock now, which no load moves.

--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -123,7 +123,7 @@
         else:
             raise AssertionError("queued although its turn would come after the caller timeout")
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def a_late_but_servable_request_is_queued():
@@ -145,7 +145,7 @@
         ledger.close_stream(taken[1])
         assert (await fresh).decode.name == "d"
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def a_queued_request_is_refused_once_unservable():
@@ -172,7 +172,7 @@
         else:
             raise AssertionError("placed although no capacity was free")
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 def a_full_service_delays_no_other_service():
