Bound in bytes what a stream and a head may send for nothing

Found by the soak with endless bytes in simulated time, where data comes without time passing: one play did not end within 200 s. Comments and repeated events of a stream that has begun, interim responses and responses to earlier requests were bounded by time alone. And a body whose announced length is over the limit was read up to the limit first.

Change: over 4 MiB without a new event break a stream off, 16 MiB ahead of a response its connection; an announced length over the limit is an error at once.

--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -36,7 +36,9 @@
 
 @when('{count:d} requests on "{route}" at once get {kind} bytes without end at full speed')
 def endless_together(context, count, route, kind):
-    context.floods = {shape: play_flood(kind, shape, route, count) for shape in SHAPES[kind]([])}
+    context.play_floods = lambda measures_memory: {
+        shape: play_flood(kind, shape, route, count, measures_memory) for shape in SHAPES[kind]([])
+    }
 
 
 @then("another backend answers before the deadline")
@@ -59,13 +61,14 @@
 
 @then("the process has used less than {most_mb:d} MB of memory for them")
 def little_memory(context, most_mb):
-    used_mb = {shape: flood.peak_bytes / 1e6 for shape, flood in context.floods.items()}
+    used_mb = {shape: flood.peak_bytes / 1e6 for shape, flood in context.play_floods(True).items()}
     assert max(used_mb.values()) < most_mb, used_mb
 
 
 @then("a call to another service was answered within {most_s:g} s each time meanwhile")
 def answered_meanwhile(context, most_s):
-    longest_s = {shape: max(flood.pings_s) for shape, flood in context.floods.items()}
+    floods = context.play_floods(False)
+    longest_s = {shape: max(flood.pings_s) for shape, flood in floods.items()}
     assert max(longest_s.values()) < most_s, longest_s
 
 
--- a/features/support/bounded_http_properties.py
+++ b/features/support/bounded_http_properties.py
@@ -15,6 +15,8 @@
 from yokedock.errors import YokedockError
 from yokedock_emulator.endless_bytes import (
     CHUNKED,
+    FULL_SPEED,
+    SLOW,
     EndlessShape,
     answer_head,
     chunk,
@@ -50,7 +52,7 @@
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             await reader.readuntil(b"\r\n\r\n")
-            await write_without_end(writer, self._shape, self._is_slow)
+            await write_without_end(writer, self._shape, SLOW if self._is_slow else FULL_SPEED)
         writer.close()
 
     async def _end(self):
--- a/features/support/endless_worlds.py
+++ b/features/support/endless_worlds.py
@@ -7,7 +7,13 @@
 from support.router_world import RawCaller, RouterWorld, request_bytes
 from support.simulated_world import SimulatedRouterWorld
 from yokedock.base.clock import boot_time_s
-from yokedock_emulator.endless_bytes import body_shapes, head_shapes, stream_shapes
+from yokedock_emulator.endless_bytes import (
+    FULL_SPEED,
+    SLOW,
+    body_shapes,
+    head_shapes,
+    stream_shapes,
+)
 
 DEADLINE_S = 3.0
 FLOOD_S = 1.5
@@ -74,7 +80,7 @@
     for name, role in backends.items():
         world.add_backend(name, "llm" if role else "plain", role)
         world.backends[name].endless_shape = shape_of
-        world.backends[name].is_endless_slow = endless.is_slow
+        world.backends[name].endless_pace = SLOW if endless.is_slow else FULL_SPEED
     router = world.start_router(world.snapshot())
     world.wait_for(lambda: router.is_ready, "ready")
     caller = RawCaller(world, router.settings.callers.listen)
@@ -117,12 +123,18 @@
     """How long each call to the other service took."""
 
 
-def play_flood(kind, shape, route, count):
-    """Send ``count`` requests at once, whose responses never end; call another service beside."""
+def play_flood(kind, shape, route, count, measures_memory):
+    """Send ``count`` requests at once, whose responses never end; call another service beside.
+
+    Measuring the memory slows everything down.
+    """
     world = RouterWorld()
+    if measures_memory:
+        tracemalloc.start()
     try:
         return _flood(world, kind, shape, route, count)
     finally:
+        tracemalloc.stop()
         world.close()
 
 
@@ -136,20 +148,16 @@
     assert _ping(world, address, route) < FLOOD_S
     flooding.endless_shape = lambda arrival, headers: SHAPES[kind](headers)[shape]
     callers = [RawCaller(world, address) for _ in range(count)]
-    tracemalloc.start()
-    try:
-        for number, caller in enumerate(callers):
-            headers = [("X-Deadline-Ms", str(round(FLOOD_S * 1000))), *STREAM_HEADERS]
-            caller.send(request_bytes(route, headers=headers, request_id=f"endless-{number}"))
-        world.wait_for(lambda: flooding.arrivals, "bytes without end have begun")
-        pings_s = []
-        until_s = boot_time_s() + FLOOD_S
-        while boot_time_s() < until_s:
-            pings_s.append(_ping(world, address, route))
-            time.sleep(PING_INTERVAL_S)
-        return Flood(tracemalloc.get_traced_memory()[1], pings_s)
-    finally:
-        tracemalloc.stop()
+    for number, caller in enumerate(callers):
+        headers = [("X-Deadline-Ms", str(round(FLOOD_S * 1000))), *STREAM_HEADERS]
+        caller.send(request_bytes(route, headers=headers, request_id=f"endless-{number}"))
+    world.wait_for(lambda: flooding.arrivals, "bytes without end have begun")
+    pings_s = []
+    until_s = boot_time_s() + FLOOD_S
+    while boot_time_s() < until_s:
+        pings_s.append(_ping(world, address, route))
+        time.sleep(PING_INTERVAL_S)
+    return Flood(tracemalloc.get_traced_memory()[1], pings_s)
 
 
 def _ping(world, address, route):
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -11,7 +11,7 @@
 import socket
 
 from yokedock.base.clock import boot_time_s
-from yokedock_emulator.endless_bytes import write_without_end
+from yokedock_emulator.endless_bytes import FULL_SPEED, write_without_end
 
 DEFAULT_EVENT_COUNT = 6
 LAST_CHUNK = b"0\r\n\r\n"
@@ -77,7 +77,7 @@
         self.endless_shape = lambda arrival, headers: None
         """Returns the bytes without end that a request gets as its response, None for a sound one;
         ``headers`` are those of the sound response."""
-        self.is_endless_slow = False
+        self.endless_pace = FULL_SPEED
         self.crashes_after_break = False
         self.is_unframed = False
         """Whether its streams have neither a length nor chunks, and end with the connection."""
@@ -242,7 +242,7 @@
             )
         signed = [("X-Request-Id", arrival.header("X-Request-Id")), ("X-Signature", self.name)]
         if (shape := self.endless_shape(arrival, signed)) is not None:
-            await write_without_end(writer, shape, self.is_endless_slow)
+            await write_without_end(writer, shape, self.endless_pace)
         if self.holds_midway:
             return await self._hold_midway(arrival, writer)
         await self.gate.wait()
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -34,6 +34,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with zero timeout: a close discards unsent data and sends RST."""
 MAX_HEAD_BYTES = 65_536
+MAX_DISCARDED_BYTES = 16_777_216
+"""Bytes of responses to earlier requests and of interim responses ahead of a response."""
 USER_TIMEOUT_MS = 2_500
 """TCP_USER_TIMEOUT: the kernel drops a connection whose data is unacknowledged for this long."""
 MAX_IDLE_S = 4.0
@@ -207,6 +209,7 @@
     async def _next_head(self) -> ResponseHead:
         while True:
             event = await self._next_event()
+            self._require_little_discarded()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
@@ -266,7 +269,7 @@
         """Read the response to an earlier request to its end, then parse what follows it."""
         assert self._parser is not None
         while not isinstance(await self._next_event(), h11.EndOfMessage):
-            pass
+            self._require_little_discarded()
         rest = self._parser.trailing_data[0]
         if self._parser.their_state is not h11.DONE:
             raise BackendResponseError(
@@ -278,6 +281,10 @@
         parser.receive_data(rest) if rest else None
         self._parser = parser
 
+    def _require_little_discarded(self) -> None:
+        if self.received_bytes > MAX_DISCARDED_BYTES:
+            raise ResponseTooLarge(f"{self.address}: too many bytes ahead of the response")
+
     def _apply_keep_alive(self, headers: tuple[Header, ...]) -> None:
         head = ResponseHead(headers, 0)
         rest_s = MAX_IDLE_S
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -36,6 +36,7 @@
     BackendResponseError,
     BackendUnreachable,
     BackendUnresponsive,
+    ResponseTooLarge,
 )
 
 _log = logger("exchange")
@@ -177,9 +178,13 @@
         Raises ``BackendResponseError`` if it is truncated, or incomplete when ``limits`` end the
         wait, ``ResponseTooLarge`` if it exceeds ``max_bytes``.
         """
+        content_length = head.content_length()
+        if content_length is not None and content_length > max_bytes:
+            message = f"response body of {content_length} bytes exceeds {max_bytes}"
+            raise ResponseTooLarge(f"{self.backend.name}: {message}")
         clock = asyncio.get_running_loop().time
         body = bytearray()
-        progress = BodyProgress(limits, head.content_length(), clock())
+        progress = BodyProgress(limits, content_length, clock())
         time_limit = ReadFirstTimeout(
             progress.due_s() - clock(),
             lambda: progress.may_expire(clock()),
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -36,7 +36,9 @@
         """When the latest event was relayed (boot time, s), 0 if none was."""
         self._splitter = EventSplitter()
         self._held = bytearray()
-        """Events without content that came before the first one with content."""
+        """Events without content that came before the first one with content. As long as nothing
+        was sent, another engine can begin the stream."""
+        self._bytes_since_progress = 0
         self._turns = WorkTurns()
 
     @property
@@ -48,6 +50,7 @@
         """Start reading from another engine; a partial event from the previous one is discarded."""
         self._splitter = EventSplitter()
         self._held.clear()
+        self._bytes_since_progress = 0
         self._is_first_of_run = True
         self.pause_s = None
 
@@ -59,12 +62,14 @@
         self._turns.begin()
         for event in self._splitter.feed(data):
             await self._turns.step()
+            events = self.events
             if event.has_content:
                 await self._relay_content(head, event)
             elif self._answer.has_started:
                 await self._answer.write(event.data)
             else:
-                self._hold(event.data)
+                self._held += event.data
+            self._require_progress(len(event.data), self.events > events)
 
     async def _relay_content(self, head: ResponseHead, event: StreamEvent) -> None:
         is_first = self._is_first_of_run
@@ -82,14 +87,11 @@
         if event.event_id is not None:
             self.last_id = event.event_id
 
-    def _hold(self, data: bytes) -> None:
-        """Keep an event without content until the response begins.
-
-        As long as nothing was sent, another engine can begin the stream.
-        """
-        if len(self._held) + len(data) > MAX_EVENT_BYTES:
-            raise ResponseTooLarge(f"over {MAX_EVENT_BYTES} bytes of the stream have no content")
-        self._held += data
+    def _require_progress(self, size: int, is_progress: bool) -> None:
+        """Raise if the stream has brought nothing new for too many bytes."""
+        self._bytes_since_progress = 0 if is_progress else self._bytes_since_progress + size
+        if self._bytes_since_progress > MAX_EVENT_BYTES:
+            raise ResponseTooLarge(f"{MAX_EVENT_BYTES} bytes of the stream brought nothing new")
 
     def _take_held(self) -> bytes:
         held = bytes(self._held)
--- a/src/yokedock_emulator/endless_bytes.py
+++ b/src/yokedock_emulator/endless_bytes.py
@@ -12,14 +12,26 @@
 from yokedock_emulator.plain_http import answer_head, chunk, complete_response
 
 Headers = list[tuple[str, str]]
-FULL_SPEED_BYTES = 65_536
-"""Bytes in one write at full speed."""
-SLOW_INTERVAL_S = 0.05
-"""Pause between two repetitions at slow pace."""
 HUGE_BYTES = 10**12
 CHUNKED = ("Transfer-Encoding", "chunked")
 
 
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How fast bytes without end come."""
+
+    part_bytes: int
+    """Bytes in one write, at least one repetition."""
+    interval_s: float
+    """Pause between two writes."""
+
+
+SLOW = Pace(1, 0.05)
+FAST = Pace(4_096, 0.01)
+FULL_SPEED = Pace(65_536, 0.0)
+"""As fast as the reader takes them; not for simulated time, which would not pass."""
+
+
 @dataclasses.dataclass(frozen=True)
 class EndlessShape:
     """Bytes to begin with, and bytes that are repeated until the connection is closed."""
@@ -67,23 +79,21 @@
         "blank lines": b"\n\n",
         "comments": b": wait\n\n",
         "empty events": b"event: wait\n\n",
-        "old events": b"id: 1\ndata: old\n\n",
     }
+    if first_event:
+        contents["old events"] = first_event
     return {name: EndlessShape(start, chunk(content)) for name, content in contents.items()}
 
 
-async def write_without_end(
-    writer: asyncio.StreamWriter, shape: EndlessShape, is_slow: bool
-) -> None:
+async def write_without_end(writer: asyncio.StreamWriter, shape: EndlessShape, pace: Pace) -> None:
     """Write a shape until the reader closes the connection.
 
     Raises ``ConnectionError`` then.
     """
     writer.write(shape.start)
-    repetitions = 1 if is_slow else -(-FULL_SPEED_BYTES // len(shape.repeated))
-    part = shape.repeated * repetitions
+    part = shape.repeated * -(-pace.part_bytes // len(shape.repeated))
     while not writer.is_closing():
         writer.write(part)
         await writer.drain()
-        await asyncio.sleep(SLOW_INTERVAL_S if is_slow else 0)
+        await asyncio.sleep(pace.interval_s)
     raise ConnectionResetError("the reader has closed the connection")
