--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -72,3 +72,4 @@
       | 1    | 12      | stops in turn                    |
       | 2    | 8       | silent moments                   |
       | 3    | 12      | stops in turn and silent moments |
+      | 1    | 8       | endless bytes                    |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -108,6 +108,7 @@
     "stops in turn": ["--stops-in-turn"],
     "silent moments": ["--silent-moments"],
     "stops in turn and silent moments": ["--stops-in-turn", "--silent-moments"],
+    "endless bytes": ["--endless-bytes"],
 }
 
 
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -246,6 +246,7 @@
     crashing_parts: bool = False,
     stops_in_turn: bool = False,
     silent_moments: bool = False,
+    endless_bytes: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
@@ -254,12 +255,15 @@
     stories and the logs are then kept in OUT. With TWO_VERSIONS, decode engines of two software
     versions serve side by side; with CRASHING_PARTS, parts of some prompts crash engines; with
     STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit; with
-    SILENT_MOMENTS, sound backends send nothing for a moment and then go on.
+    SILENT_MOMENTS, sound backends send nothing for a moment and then go on; with ENDLESS_BYTES,
+    backends answer some requests with bytes that never end.
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
 
-    options = SoakOptions(two_versions, crashing_parts, stops_in_turn, silent_moments)
+    options = SoakOptions(
+        two_versions, crashing_parts, stops_in_turn, silent_moments, endless_bytes
+    )
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
     print(f"{len(reports) - len(broken)} passed, {len(broken)} failed {broken}")
@@ -276,6 +280,7 @@
     crashing_parts: bool = False,
     stops_in_turn: bool = False,
     silent_moments: bool = False,
+    endless_bytes: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -285,13 +290,16 @@
     With TWO_VERSIONS, decode engines of two software versions serve side by side; with
     CRASHING_PARTS, parts of some prompts crash engines; with STOPS_IN_TURN, routers are stopped in
     series, and get new connections until they exit; with SILENT_MOMENTS, sound backends send
-    nothing for a moment and then go on.
+    nothing for a moment and then go on; with ENDLESS_BYTES, backends answer some requests with
+    bytes that never end.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
 
     ensure_fixed_hash_seed()
-    options = SoakOptions(two_versions, crashing_parts, stops_in_turn, silent_moments)
+    options = SoakOptions(
+        two_versions, crashing_parts, stops_in_turn, silent_moments, endless_bytes
+    )
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
     print(f"{len(results) - len(broken)} passed, {len(broken)} failed {broken}")
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -13,6 +13,15 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
 from yokedock.request.engine_placement import PREFILL_ROLE
+from yokedock_emulator.endless_bytes import (
+    FAST,
+    SLOW,
+    EndlessShape,
+    body_shapes,
+    head_shapes,
+    stream_shapes,
+    write_without_end,
+)
 from yokedock_emulator.plain_http import (
     PlainRequest,
     answer_head,
@@ -45,6 +54,8 @@
 ODD_LIMITS = ("nan", "-1")
 """Limits that a backend names, and those of them that mean nothing."""
 OWN_CALLS = ("GET", "DELETE")
+ENDLESS_SHARE = 0.5
+"""Share of the requests that a backend in trouble answers with bytes without end."""
 BETWEEN_SILENCES_S = 1.0
 """A backend is not silent again so soon: two silences would be one that lasts longer than meant."""
 Headers = list[tuple[str, str]]
@@ -52,7 +63,10 @@
 
 
 class SoakBackend:
-    """One incarnation. ``mode`` is ``normal``, ``errors``, ``refusals`` or ``rest``."""
+    """One incarnation.
+
+    ``mode`` is ``normal``, ``errors``, ``refusals``, ``rest`` or ``endless``.
+    """
 
     def __init__(
         self,
@@ -215,6 +229,10 @@
             await self._send(writer, complete_response(503, [*head, *asked], b""))
             # A late answer may not reach the router, which may wait for it no longer.
             arrival.rest_s = 0.0 if is_late else rest_s
+        elif self.mode == "endless" and not is_wrong_stage and self._is_endless_now():
+            arrival.outcome, arrival.is_own_end = "endless", True
+            shape = self._endless_shape(head if arrival.is_prefill else signed, arrival)
+            await write_without_end(writer, shape, self._choices.choice((SLOW, FAST)))
         elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
@@ -232,6 +250,17 @@
         else:
             await self._whole(answer_body(arrival.request_id, request.target), signed, writer)
 
+    def _is_endless_now(self) -> bool:
+        return self._choices.random() < ENDLESS_SHARE
+
+    def _endless_shape(self, headers: Headers, arrival: Arrival) -> EndlessShape:
+        """Return one of all shapes of bytes without end that fit the request."""
+        bodies = body_shapes(headers, self._choices.choice((200, 500)))
+        shapes = [*head_shapes(headers).values(), *bodies.values()]
+        if self.role and not arrival.is_prefill:
+            shapes += stream_shapes(headers).values()
+        return self._choices.choice(shapes)
+
     def _is_harmful(self, request: PlainRequest) -> bool:
         """Return whether the request ends each backend that begins to run it."""
         parts = request.headers.get(NAMES.parts.lower(), "").split(",")[:-1]
--- a/src/yokedock_emulator/router_soak/soak_losses.py
+++ b/src/yokedock_emulator/router_soak/soak_losses.py
@@ -72,7 +72,8 @@
 
 def is_backends_fault(arrival: Arrival) -> bool:
     """Return whether the backend did not do its work for a request that reached it."""
-    return arrival.outcome in ("failed", "refused", "misdirected") or arrival.is_own_end
+    faults = ("failed", "refused", "misdirected", "endless")
+    return arrival.outcome in faults or arrival.is_own_end
 
 
 def _machine(history: SoakHistory, router: int) -> Machine:
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -209,7 +209,7 @@
     async def strike(self, soak_event: SoakEvent) -> str:
         """Let something happen to a backend; return its name."""
         backend = self.serving[soak_event.target % len(self.serving)]
-        if soak_event.kind in ("errors", "refusals", "rest"):
+        if soak_event.kind in ("errors", "refusals", "rest", "endless bytes"):
             self._fail(backend, soak_event)
             return backend.instance
         if soak_event.kind == "silent moment":
@@ -251,7 +251,12 @@
 
     def _fail(self, backend: SoakBackend, soak_event: SoakEvent) -> None:
         """Let a backend answer errors, refuse or ask for rest, for a while."""
-        modes = {"refusals": "refusals", "rest": "rest", "rest of all": "rest"}
+        modes = {
+            "refusals": "refusals",
+            "rest": "rest",
+            "rest of all": "rest",
+            "endless bytes": "endless",
+        }
         backend.mode = modes.get(soak_event.kind, "errors")
         self._record_engines()
         self._after(soak_event.length_s, self._recover(backend))
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -31,6 +31,8 @@
 """A backend names a limit in its answers, or all of its service do, and their shares."""
 LIMIT_S = (4.0, 9.0)
 SILENT_MOMENT_S = (0.7, 1.5)
+ENDLESS_S = (0.5, 2.5)
+"""How long a backend answers some requests with bytes without end."""
 PAUSES_S = {
     "router": (0.6, 2.2),
     "backend": (0.3, 1.1),
@@ -42,6 +44,7 @@
     "rest": (1.5, 4.0),
     "limit": (2.0, 5.0),
     "silent moment": (0.4, 1.2),
+    "endless bytes": (1.0, 3.0),
 }
 """Shortest and longest time between two events of one sort: several are under way at any time."""
 FREEZE_S = (0.5, 4.0)
@@ -80,6 +83,8 @@
     """Routers are stopped in series that overlap, and callers open connections until they exit."""
     has_silent_moments: bool = False
     """Sound backends send nothing for a moment, and then go on with all that they owe."""
+    has_endless_bytes: bool = False
+    """Backends answer some requests with bytes that never end."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -129,6 +134,9 @@
     if options.has_silent_moments:
         choices = random.Random(f"router-soak-silent-moments-{seed}")
         events += _events_of("silent moment", _silent_moment_event, choices, seconds)
+    if options.has_endless_bytes:
+        choices = random.Random(f"router-soak-endless-bytes-{seed}")
+        events += _events_of("endless bytes", _endless_bytes_event, choices, seconds)
     if options.has_stops_in_turn:
         events = _with_stops_in_turn(events, seed, seconds)
     return sorted(events, key=lambda event: event.at_s)
@@ -217,6 +225,11 @@
     return [SoakEvent(at_s, "silent moment", choices.randrange(1000), length_s)]
 
 
+def _endless_bytes_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    length_s = choices.uniform(*ENDLESS_S)
+    return [SoakEvent(at_s, "endless bytes", choices.randrange(1000), length_s)]
+
+
 def _configuration_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
     events = [SoakEvent(at_s, "configuration")]
     if choices.random() < BURST_SHARE:
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -112,7 +112,8 @@
     is_prefill: bool
     outcome: str = "working"
     """``whole``, ``refused``, ``misdirected`` (421: another one was meant), ``failed`` (a 500) or
-    ``broken`` (the backend ended or was killed, or the connection did)."""
+    ``broken`` (the backend ended or was killed, or the connection did) or ``endless`` (bytes
+    without end)."""
     is_own_end: bool = False
     """The backend itself broke off."""
     backend_incarnation: int = 0
