Look for another backend again while one sends nothing of use

It lasts as long as the deadline; a retry budget that is spent at the one moment sets it off.

Cause: AttemptRunner looked for another backend once. Where the budget had no room or no other backend was usable just then, the patience became the time left. Ruled out: the head's own limit (it held).

Change: as long as the call may be sent to another backend at all, the patience is that of the backend and is asked again. Each retry is still reserved before the backend is left.

Red before: 'a retry is made once the budget has room' (504 at the deadline). The exchange of these properties lets simulated time pass now, so that a wait that is renewed ends; what they ask is as before: a slow backend answers after half of the time.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -283,6 +283,7 @@
     Examples: a backend that is reserved for a repeat
       | property                                                      |
       | a slow backend is kept if the reserved one became unavailable |
+      | a retry is made once the budget has room |
       | a reserved repeat is made though the budget has shrunk        |
 
   # Guards against streams that go on at another software version, or wait for theirs in vain.
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -14,6 +14,7 @@
 from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import BackendUnreachable, BackendUnresponsive
 from yokedock.version.route_table import Route, RouteKind, ServiceSpec, WeightedTarget
+from yokedock_emulator.simulation.simulation import run_simulated
 
 SERVICE = "plain"
 TIME_LEFT_S = 9.0
@@ -30,13 +31,13 @@
 
 
 class ExchangeStub:
-    """An exchange without a connection. A slow backend needs more than half of the call's time."""
+    """An exchange without a connection. A slow backend responds after half of the call's time."""
 
     is_open = True
 
-    def __init__(self, backend, is_slow, exchanges):
+    def __init__(self, backend, work_s, exchanges):
         self.backend = backend
-        self._is_slow = is_slow
+        self._responds_s = boot_time_s() + work_s
         self._exchanges = exchanges
 
     def start_silence_timer(self, max_silence_s):
@@ -54,7 +55,9 @@
         """
         if patience_s == 0.0:
             self._exchanges.after_reservation()
-        if self._is_slow and patience_s < TIME_LEFT_S / 2:
+        left_s = max(0.0, self._responds_s - boot_time_s())
+        await asyncio.sleep(min(patience_s, left_s))
+        if patience_s < left_s:
             raise BackendUnresponsive(f"{self.backend.name} did not respond in time")
         return BufferedResponse(ResponseHead((), 200, b"OK"), self.backend.name.encode())
 
@@ -62,8 +65,9 @@
 class ExchangesStub:
     """Opens exchanges; the first backend that is used is slow."""
 
-    def __init__(self, after_reservation):
+    def __init__(self, after_reservation, work_s):
         self.after_reservation = after_reservation
+        self._work_s = work_s
         self.asked = []
         self._slow = None
 
@@ -74,18 +78,24 @@
         backend.require_accepting(boot_time_s())
         if backend.has_ended:
             raise BackendUnreachable(f"{backend.name} has ended")
-        yield ExchangeStub(backend, backend is self._slow, self)
+        yield ExchangeStub(backend, self._work_s if backend is self._slow else 0.0, self)
 
 
-async def backends_asked(change):
-    """Return the backends that a call is sent to if ``change`` is applied to the reserved one."""
+async def backends_asked(change, budget_after_s=0.0, work_s=TIME_LEFT_S / 2):
+    """Return the backends that a call is sent to if ``change`` is applied to the reserved one.
+
+    The retry budget has room after ``budget_after_s``; the slow backend works for ``work_s``.
+    """
     registry = BackendRegistry("")
     entries = [BackendEntry(name, SERVICE, "127.0.0.1:1", born_ms=1) for name in ("slow", "other")]
     registry.update(entries, ())
     other = registry.get("other@1")
     other.health.record_answer(boot_time_s(), 0.1, is_failure=True)
     allowance = RetryAllowance(RetryBounds(0.2, 10.0, 50.0), lambda: 1, is_first_start=True)
-    exchanges = ExchangesStub(lambda: change(registry, other, allowance))
+    if budget_after_s:
+        from_s = boot_time_s() + budget_after_s
+        allowance.has_room = lambda service, arrivals=1: boot_time_s() >= from_s
+    exchanges = ExchangesStub(lambda: change(registry, other, allowance), work_s)
     calls = UnaryCalls(registry, exchanges, allowance, VersionPinning(registry, None, None))
     targets = (WeightedTarget(SERVICE),)
     kind = RouteKind.REPEATABLE
@@ -124,9 +134,9 @@
 
     The slow request is abandoned for the reserved backend, which has become unavailable meanwhile.
     """
-    assert asyncio.run(backends_asked(no_change)) == ["slow@1", "other@1"]
+    assert run_simulated(backends_asked(no_change)) == ["slow@1", "other@1"]
     for change in (asks_for_rest, restarts_and_asks_for_rest, runs_out_of_connections):
-        asked = asyncio.run(backends_asked(change))
+        asked = run_simulated(backends_asked(change))
         assert asked == ["slow@1"], (change.__name__, asked)
 
 
@@ -137,10 +147,17 @@
 
 def a_reserved_retry_is_sent_after_the_budget_shrinks():
     """Guards against a 502 response although the budget for the reserved retry is set aside."""
-    assert asyncio.run(backends_asked(retry_budget_shrinks)) == ["slow@1", "other@1"]
+    assert run_simulated(backends_asked(retry_budget_shrinks)) == ["slow@1", "other@1"]
+
+
+def a_retry_is_made_once_the_budget_has_room():
+    """Guards against a call held until its deadline because the budget was spent for a moment."""
+    asked = run_simulated(backends_asked(no_change, budget_after_s=2.0, work_s=2 * TIME_LEFT_S))
+    assert asked == ["slow@1", "other@1"], asked
 
 
 RESERVATION_PROPERTIES = {
+    "a retry is made once the budget has room": a_retry_is_made_once_the_budget_has_room,
     "a reserved repeat is made though the budget has shrunk": (
         a_reserved_retry_is_sent_after_the_budget_shrinks
     ),
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -85,7 +85,7 @@
     ) -> BufferedResponse:
         """Read the response, and abandon the attempt on a time-out if a retry has been reserved.
 
-        If no other backend is available, waits for this one until the deadline. A backend that
+        If no other backend is available, waits for this one and looks again. A backend that
         stays silent for the registry's ``patience_s`` is avoided by later calls.
         """
         backend = exchange.backend
@@ -120,7 +120,8 @@
                 if other is not None and retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
                     attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
                 # Read what arrived while the other backend was being connected to.
-                patience_s = call.remaining_s() if attempts.reserved is None else 0.0
+                is_reserved = attempts.reserved is not None
+                patience_s = 0.0 if is_reserved else self._idle_timeout_s(call, backend)
 
     def _is_available(self, call: RoutedCall, backend: Backend) -> bool:
         """Return whether the call can still be sent to a reserved backend.
@@ -172,8 +173,12 @@
         return any(other is not backend for other in usable)
 
     def _idle_timeout_s(self, call: RoutedCall, backend: Backend) -> float:
-        """Return the silence after which to retry; the time left if no retry is possible."""
+        """Return the silence after which to look for another backend.
+
+        It is the time left if the call may not be sent to another one. Whether that is possible now
+        is of no importance: the budget may have room again later, and another backend be back.
+        """
         remaining_s = call.remaining_s()
-        if self._can_retry_elsewhere(call, backend):
-            return min(remaining_s, self._registry.patience_s(backend))
-        return remaining_s
+        if not call.may_run_again():
+            return remaining_s
+        return min(remaining_s, self._registry.patience_s(backend))
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -232,7 +232,11 @@
         elif self.mode == "endless" and not is_wrong_stage and self._is_endless_now():
             arrival.outcome, arrival.is_own_end = "endless", True
             shape = self._endless_shape(head if arrival.is_prefill else signed, arrival)
-            await write_without_end(writer, shape, self._choices.choice((SLOW, FAST)))
+            try:
+                await write_without_end(writer, shape, self._choices.choice((SLOW, FAST)))
+            finally:
+                # A body that ends with its connection is complete unless that is reset.
+                writer.transport.abort()
         elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
