--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -232,11 +232,7 @@
         elif self.mode == "endless" and not is_wrong_stage and self._is_endless_now():
             arrival.outcome, arrival.is_own_end = "endless", True
             shape = self._endless_shape(head if arrival.is_prefill else signed, arrival)
-            try:
-                await write_without_end(writer, shape, self._choices.choice((SLOW, FAST)))
-            finally:
-                # A body that ends with its connection is complete unless that is reset.
-                writer.transport.abort()
+            await write_without_end(writer, shape, self._choices.choice((SLOW, FAST)))
         elif is_wrong_stage or (self.mode == "refusals" and self._choices.random() < 0.5):
             arrival.outcome = "refused"
             status = 421 if is_wrong_stage else 503
@@ -260,6 +256,8 @@
     def _endless_shape(self, headers: Headers, arrival: Arrival) -> EndlessShape:
         """Return one of all shapes of bytes without end that fit the request."""
         bodies = body_shapes(headers, self._choices.choice((200, 500)))
+        # Such a body would be complete when the backend ends.
+        del bodies["end of the connection"]
         shapes = [*head_shapes(headers).values(), *bodies.values()]
         if self.role and not arrival.is_prefill:
             shapes += stream_shapes(headers).values()
