Count the time of useless data that is handled, not only of its wait

Seen once, traced: a part of 64 KB in chunks of two bytes takes 0.7 s to parse and 0.7 s to relay, each paused for as long again, and of a part 0.3 s count at most, so that a process that was stalled accuses no engine.

Change: chunks are joined within one turn (2 ms of work) only, and the time to relay a part without progress counts like the wait for it.

--- a/src/yokedock/base/work_turns.py
+++ b/src/yokedock/base/work_turns.py
@@ -40,14 +40,19 @@
         self._steps = 0
         self._since_s = boot_time_s()
 
-    async def step(self) -> None:
-        """Count one step; if the turn is over, other tasks run first."""
+    async def step(self) -> bool:
+        """Count one step; if the turn is over, other tasks run first.
+
+        Return whether a turn has ended.
+        """
         self._steps += 1
         if self._steps % STEPS_BETWEEN_CHECKS:
-            return
+            return False
         took_s = boot_time_s() - self._since_s
-        if took_s >= TURN_S or self._steps >= STEPS_PER_TURN:
+        is_over = took_s >= TURN_S or self._steps >= STEPS_PER_TURN
+        if is_over:
             await self._pause(min(took_s, MAX_COUNTED_TURN_S))
+        return is_over
 
     async def _pause(self, took_s: float) -> None:
         global _pausing
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -149,7 +149,7 @@
             await self._discard_unmatched_response()
 
     async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
-        """Yield the body in parts as they arrive; chunks that have arrived together are joined.
+        """Yield the body in parts as they arrive; chunks that were parsed in one turn are joined.
 
         Raises ``BackendConnectionClosed`` if the body is truncated, ``ResponseTooLarge`` if it
         exceeds ``limit`` bytes.
@@ -157,7 +157,9 @@
         size = 0
         part = bytearray()
         while True:
-            await self._turns.step()
+            if await self._turns.step() and part:
+                yield bytes(part)
+                part.clear()
             try:
                 event = self._parse()
             except BackendResponseError:
--- a/src/yokedock/request/generation_dispatch.py
+++ b/src/yokedock/request/generation_dispatch.py
@@ -205,14 +205,14 @@
         stream.waited_s = 0.0
         parts = exchange.body_parts()
         while (part := await stream.within(limit_s, anext(parts, None))) is not None:
-            events = relay.events
+            events, received_s = relay.events, boot_time_s()
             await relay.feed(head, part)
             buffer.resize(relay.buffered_bytes)
             if relay.events > events:
                 self._record_progress(state, stream)
                 demand.made = relay.events * call.tokens_per_event()
             else:
-                stream.require_progress(limit_s)
+                stream.require_progress(limit_s, received_s)
             limit_s = self._silence_limit_s(call, state, stream)
 
     def _prepare_move(self, call: RoutedCall, state: GenerationState, engine: Backend) -> bool:
--- a/src/yokedock/request/silence_detector.py
+++ b/src/yokedock/request/silence_detector.py
@@ -57,7 +57,7 @@
     limit: ReadFirstTimeout | None = None
     """Timeout of the current wait, None while nothing is awaited."""
     waited_s: float = 0.0
-    """Time waited for data since the latest progress."""
+    """Time spent on the stream without progress since the latest one."""
 
     async def within(self, patience_s: float, awaited: Awaitable[Result]) -> Result:
         """Wait for ``awaited``; raises ``BackendUnresponsive`` if it takes too long.
@@ -74,16 +74,21 @@
             raise self._stall_error(patience_s) from None
         finally:
             self.limit = None
-            self.waited_s += min(boot_time_s() - since_s, MAX_COUNTED_WAIT_S)
+            self._count_wait(since_s)
 
-    def require_progress(self, patience_s: float) -> None:
+    def require_progress(self, patience_s: float, received_s: float) -> None:
         """Raise ``BackendUnresponsive`` if data arrives, but no progress for too long.
 
-        Data that is always there leaves no wait that could time out.
+        Data that is always there leaves no wait that could time out. The time to handle it, since
+        ``received_s`` (boot time), counts too.
         """
+        self._count_wait(received_s)
         if self.waited_s >= patience_s and self._may_end(patience_s):
             raise self._stall_error(patience_s)
 
+    def _count_wait(self, since_s: float) -> None:
+        self.waited_s += min(boot_time_s() - since_s, MAX_COUNTED_WAIT_S)
+
     def _may_end(self, patience_s: float) -> bool:
         return not self.may_move or self._can_move(patience_s)
 
