--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -22,9 +22,10 @@
 )
 from yokedock.request.backend_exchange import BackendExchanges
 from yokedock.request.cache_lookup import CacheLookup
+from yokedock.request.decode_relay import MIN_ATTEMPT_TIME_S, DecodeServices
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.engine_placement import EnginePlacement, Placement
-from yokedock.request.generation_dispatch import MIN_ATTEMPT_TIME_S, GenerationDispatcher
+from yokedock.request.generation_dispatch import GenerationDispatcher
 from yokedock.request.generation_state import (
     GenerationState,
     log_placement,
@@ -82,7 +83,9 @@
         self._mechanisms = mechanisms
         self._crashes = exchanges.crashes
         watch = SilenceDetector(is_used=mechanisms.silence_watch)
-        self._dispatcher = GenerationDispatcher(ledger, exchanges, watch, pinning, placement)
+        self._dispatcher = GenerationDispatcher(
+            exchanges, DecodeServices(ledger, watch, pinning, placement)
+        )
 
     async def serve(self, call: RoutedCall) -> None:
         """Serve the request; raised errors are returned to the caller."""
