A stream that cannot move is not given up at half of its time

A stream that may not move, or has no engine to move to, whose engine sends comments for longer than the time that is then left, was ended though its engine was about to go on. Caused by: waits since the latest progress are added up, and compared with the time that is left now.

Change: the limit of a stream that cannot move is what it has waited and what is left.

Red before: 'A stream that cannot move waits for its engine through comments' (2.5 s of 3 s); passes now.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -42,6 +42,14 @@
       | stream                       | at full speed |
       | stream after its first event | at full speed |
 
+  # Guards against streams given up at half of their time although nothing else is possible.
+  Scenario: A stream that cannot move waits for its engine through comments
+    Given time and network are simulated with the seed "1"
+    And a decode engine "d"
+    And a router that knows them
+    When a client with 3 s streams on "talk", and its engine sends comments for 2.5 s first
+    Then the client gets 6 events, each once and in order, and a whole end
+
   # Guards against streams that wait until their deadline for the response to a prefill.
   Scenario Outline: The prompt is read at another engine, <kind>, <pace>
     When the first prefill of a stream on "chat" is answered with <kind> bytes without end, <pace>
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -1,6 +1,7 @@
 """Callers whose backend sends bytes without end, at each place of a response."""
 
 from behave import then, when
+from router_steps import STREAM_HEADERS, caller
 from support.bounded_http_properties import failures_of, short_timeouts
 from support.endless_worlds import (
     DEADLINE_S,
@@ -11,6 +12,7 @@
     play_flood,
     wrong_outcomes,
 )
+from support.router_world import request_bytes
 
 PLAIN = {"a": "", "b": ""}
 DECODE = {"d1": "decode", "d2": "decode"}
@@ -41,6 +43,18 @@
     }
 
 
+@when(
+    'a client with {left_s:g} s streams on "{route}", '
+    "and its engine sends comments for {comments_s:g} s first"
+)
+def comments_first(context, left_s, route, comments_s):
+    context.world.backends["d"].faults = [f"comments for {comments_s} s"]
+    headers = [("X-Deadline-Ms", str(round(left_s * 1000))), *STREAM_HEADERS]
+    context.caller = caller(context)
+    context.caller.send(request_bytes(route, headers=headers))
+    context.answer = context.caller.read_answer()
+
+
 @then("another backend answers before the deadline")
 def answered(context):
     wrong = wrong_outcomes(
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -19,6 +19,7 @@
 LONG_ERROR_PART = b"e" * 65_536
 SLOW_BYTE_INTERVAL_S = 0.1
 """Delay before each byte of a slow response body: eleven bytes take 1.1 s."""
+COMMENT_INTERVAL_S = 0.1
 CACHE_PATH = "/cache"
 
 
@@ -339,6 +340,13 @@
         writer.write(LAST_CHUNK)
         return True
 
+    async def _write_comments(self, writer, duration_s):
+        """Write comments, which bring the caller nothing, for some time."""
+        until_s = boot_time_s() + duration_s
+        while boot_time_s() < until_s:
+            writer.write(b"8\r\n: wait\n\n\r\n")
+            await asyncio.sleep(COMMENT_INTERVAL_S)
+
     async def _write_without_end(self, writer):
         """Write bytes that never become an event until the router closes the connection."""
         part = b"x" * 65_536
@@ -370,6 +378,8 @@
                 return await self._write_without_end(writer)
             if fault == f"double event {number}":
                 event += event
+            if fault.startswith("comments for ") and number == first:
+                await self._write_comments(writer, float(fault.split()[2]))
             if writer in self._silent:
                 await asyncio.sleep(3600)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
--- a/src/yokedock/request/decode_relay.py
+++ b/src/yokedock/request/decode_relay.py
@@ -120,7 +120,7 @@
         is_resumable = call.route.resumable and call.runs < call.route.max_attempts
         excluded = frozenset(self._state.excluded_engines | {self._engine.name})
         stream.may_move = is_resumable and self._services.pinning.may_move(call, excluded)
-        return STALL_TIMEOUT_S if stream.may_move else call.remaining_s()
+        return STALL_TIMEOUT_S if stream.may_move else stream.waited_s + call.remaining_s()
 
     def _prepare_move(self) -> bool:
         """Reserve retry budget to leave a silent engine, if some other engine has a place."""
