--- a/src/yokedock/base/clock.py
+++ b/src/yokedock/base/clock.py
@@ -31,6 +31,10 @@
     def wall_clock_ms(self) -> int:
         """Return the wall-clock time in milliseconds since 1970; it may jump."""
 
+    def processor_time_s(self) -> float:
+        """Return the processor time of this thread in seconds, always 0 where none passes."""
+        return 0.0
+
 
 class SystemClock(Clock):
     """Reads the clocks of the operating system."""
@@ -47,6 +51,10 @@
         """Return the wall-clock time in milliseconds since 1970."""
         return time.time_ns() // 1_000_000
 
+    def processor_time_s(self) -> float:
+        """Return the processor time of this thread in seconds."""
+        return time.thread_time()
+
 
 _clock: Clock = SystemClock()
 
@@ -63,6 +71,11 @@
     return _clock.boot_time_s()
 
 
+def processor_time_s() -> float:
+    """Return the processor time of this thread in seconds; a wait for a processor has no part."""
+    return _clock.processor_time_s()
+
+
 def new_event_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop whose timers include the time of a suspension.
 
