--- a/features/support/stop_admission_properties.py
+++ b/features/support/stop_admission_properties.py
@@ -13,6 +13,7 @@
 from yokedock.process.graceful_stop import GracefulStop
 from yokedock.request.engine_performance import EnginePerformance
 from yokedock.request.recent_maximum import RecentMaximum
+from yokedock.request.routed_call import RoutedCall
 from yokedock.request.stop_admission import SILENCE_ALLOWANCE_S, StopAdmission, StopState
 from yokedock.version.route_table import EngineTraits, ServiceSpec
 
@@ -57,6 +58,8 @@
     arrived_s: float
     deadline_s: float = math.inf
 
+    tokens_per_event = RoutedCall.tokens_per_event
+
 
 def admission(left_s, stopping_for_s, latency_s=0.1, pause_s=0.0, slowest_s=0.0):
     """Return the rule of a router that stops in ``left_s``."""
