Matrix cells: a caller refused while its fault is prepared comes back

Cause, shown before: the cell holds what the gateway sends to the decode agents until the fault is prepared; the gateway waits for 1.0 s (0.5 s for each of two agents), then refuses with a time to come back. Beside load the preparation takes longer, so the request isn't at the step any more when the fault strikes.

Ruled out: a longer wait of the gateway, which would hide agents that are gone.

Change: such a caller comes back once, at the time that it was told. Its refusal must be 503, not_run, and no earlier than 1.0 s; the judge checks that no engine started it, as before, and the second request must have the whole answer under the fault. Cells whose fault is of the gateway or the caller stay as they were.

--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -1,3 +1,4 @@
+import time
 import uuid
 
 from behave import given, then, when
@@ -15,7 +16,12 @@
     note_told,
 )
 
+from yokedock.base.clock import boot_time_s
+from yokedock.request.attempt import DECODE_CANDIDATES, RESERVE_TIMEOUT_S
+
 TOKENS = 30
+RESERVE_WAIT_S = RESERVE_TIMEOUT_S * min(DECODE_CANDIDATES, len(DECODE))
+"""How long a gateway waits in all for decode agents that do not reply."""
 PROMPT = "Describe the ridge route between hut 7 and hut 9 for {}. "
 GATEWAY, OTHER_GATEWAY = "gateway-1", "gateway-2"
 MODEL_HOLDS = {
@@ -33,19 +39,27 @@
 def model_request_at(context, step):
     deployment = context.deployment
     context.go_on = lambda: deployment.hold("")
+    context.sent = []
+    context.is_held_at_decode = step == "admitted"
+    context.held_s = boot_time_s()
     if step == "admitted":
         hold_relays(context, deployment.agent_relays, DECODE)
     elif step == "reserved":
         hold_relays(context, deployment.agent_relays, PREFILL)
     else:
         deployment.hold(MODEL_HOLDS[step])
+    caller = send_model_request(context)
+    wait_for_step(context, caller, step)
+    context.cell = MatrixCell(deployment, GATEWAY, caller)
+
+
+def send_model_request(context):
+    """Send a request under a new identifier and return its caller."""
     context.request_id = f"cell-{uuid.uuid4().hex[:12]}"
     prompt = PROMPT.format(context.request_id) * 8
-    url = deployment.urls[GATEWAY]
+    url = context.deployment.urls[GATEWAY]
     headers = {"X-Request-Id": context.request_id}
-    caller = StreamCaller(url, prompt, TOKENS, headers)
-    wait_for_step(context, caller, step)
-    context.cell = MatrixCell(deployment, GATEWAY, caller)
+    return StreamCaller(url, prompt, TOKENS, headers)
 
 
 def hold_relays(context, relays_by_name, names):
@@ -61,6 +75,20 @@
     context.go_on = go_on
 
 
+def refused_while_held_s(context):
+    """Return when the refused caller may come back, in seconds.
+
+    Fails unless it was refused no sooner than the gateway may, as not run.
+    """
+    caller = context.cell.caller
+    held_s = boot_time_s() - context.held_s
+    detail = f"after at most {held_s:.2f} s: {caller.status} {caller.data[-400:]!r} {caller.error}"
+    assert held_s >= RESERVE_WAIT_S, detail
+    assert caller.status == 503 and caller.outcome() == "not_run", detail
+    context.sent.append((caller, context.request_id))
+    return float(caller.headers["Retry-After"])
+
+
 def wait_for_step(context, caller, step):
     deployment = context.deployment
     if step in EVENTS_BEFORE:
@@ -88,18 +116,44 @@
 
 @when("the fault strikes: {fault}")
 def fault_strikes(context, fault):
-    strike(context.cell, fault, context.go_on)
+    strike(context.cell, fault, go_on_after(context, fault))
 
 
 @when("two faults strike: {first} and then {second}")
 def two_faults(context, first, second):
     """Strike the second while the first lasts; the same fault twice comes one after the other."""
     cell = context.cell
+    go_on = go_on_after(context, first, second)
     if first == second:
-        strike(cell, first, context.go_on)
+        strike(cell, first, go_on)
         strike(cell, second, lambda: None)
     else:
-        strike(cell, first, lambda: strike(cell, second, context.go_on))
+        strike(cell, first, lambda: strike(cell, second, go_on))
+
+
+def go_on_after(context, *faults):
+    """Return what releases the step, after which a caller that was refused comes back.
+
+    The gateway waits for decode agents for ``RESERVE_WAIT_S`` and then refuses with a time to come
+    back. If the faults take longer than that to prepare, the request is no longer at the step: its
+    caller sends it again, once, when it was told to. Not where the faults concern the gateway or
+    the caller itself.
+    """
+    reaches_caller = any(f.startswith("caller") or f.endswith(": gateway") for f in faults)
+    if reaches_caller or not context.is_held_at_decode:
+        return context.go_on
+
+    def go_on():
+        cell = context.cell
+        if cell.caller.is_waiting():
+            context.go_on()
+            return
+        retry_after_s = refused_while_held_s(context)
+        context.go_on()
+        time.sleep(retry_after_s)
+        cell.caller = send_model_request(context)
+
+    return go_on
 
 
 @then("the caller has {what}")
@@ -118,10 +172,13 @@
 @then("the judge finds nothing wrong")
 def judge(context):
     deployment = context.deployment
-    note_told(context.cell.caller)
+    context.sent.append((context.cell.caller, context.request_id))
+    for caller, _ in context.sent:
+        note_told(caller)
     assert_nothing_held(deployment)
     assert_nothing_dropped(deployment)
-    assert_not_run_is_true(deployment, context.cell.caller, context.request_id)
+    for caller, request_id in context.sent:
+        assert_not_run_is_true(deployment, caller, request_id)
     assert_version_everywhere(deployment)
     leaving = getattr(context.cell, "leaving", None)
     if leaving:
@@ -150,6 +207,8 @@
     if step in ("executing", "executed"):
         wait_arrived(context, step)
     context.cell = MatrixCell(deployment, GATEWAY, caller)
+    context.sent = []
+    context.is_held_at_decode = False
 
 
 def wait_arrived(context, step):
