Time limits go by all latencies of a backend again, only the choice by the usual one

What callers saw: of a service in which some requests take long, more of these were sent to a second backend while their own worked on them; sound backends counted as silent for 1 s and more. It lasts for as long as such requests come; anyone who sends them sets it off.

Ruled out: the lower median and the single response alone; with one backend and many responses the share rises as much, so it is the filter.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -197,10 +197,11 @@
     Then this holds for generated cases: <property>
 
     Examples: how long backends take
-      | property                                   |
-      | a backend that was late once is used again |
-      | a slow backend gets few requests           |
-      | equal backends get equal shares            |
+      | property                                                 |
+      | a backend that was late once is used again               |
+      | a slow backend gets few requests                         |
+      | a backend with some slow requests is given time for them |
+      | equal backends get equal shares                          |
 
     Examples: what backends say of themselves
       | property                                            |
--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -124,7 +124,8 @@
     async def clear_first_and_stop_third():
         health = context.router._registry.get(first.name).health
         health.suspect_until_s, health.failures = 0.0, 0.0
-        context.router._registry.get(third.name).health.latency_s = 2 * work_s
+        latency = context.router._registry.get(third.name).health.latency
+        latency.mean_s = latency.usual_s = 2 * work_s
         await third.stop()
 
     context.world.run(clear_first_and_stop_third())
--- a/features/support/latency_properties.py
+++ b/features/support/latency_properties.py
@@ -15,6 +15,11 @@
 """How long a backend may stay unused after a single late response."""
 MAX_SLOW_SHARE = 0.03
 """Share of requests that a backend may get which is slow at each, while others have room."""
+SLOW_S = 1.0
+SLOW_SHARE = 0.3
+"""Share of requests that take ``SLOW_S`` at a sound backend."""
+MAX_OUTLASTING_SHARE = 0.3
+"""Share of these requests that may take longer than the time without data allowed to them."""
 
 
 class LatencyFleet:
@@ -27,6 +32,8 @@
         self.registry.update([BackendEntry(n, SERVICE, "", slots=slots) for n in latency_s], ())
         self.sent_s = {name: [] for name in latency_s}
         """By backend: when requests were sent to it, in seconds from the start."""
+        self.patience_s = []
+        """For each request its latency and the time without data that was allowed to it."""
         self._clients = clients
         self._latency_s = latency_s
         """By backend: the latency of its next response, as a function of the number before it."""
@@ -46,9 +53,15 @@
             backend.outstanding += 1
             sent_s = self.sent_s[backend.name]
             latency_s = self._latency_s[backend.name](len(sent_s))
+            self.patience_s.append((latency_s, self.registry.patience_s(backend)))
             sent_s.append(self.clock.now_s - start_s)
             heapq.heappush(ends, (self.clock.now_s + latency_s, next(order), (backend, latency_s)))
 
+    def outlasting_share(self, latency_s):
+        """Return the share of the requests with this latency whose time without data ran out."""
+        allowed_s = [patience_s for took_s, patience_s in self.patience_s if took_s == latency_s]
+        return sum(patience_s < latency_s for patience_s in allowed_s) / len(allowed_s)
+
     def share_of(self, name):
         """Return the share of all requests that were sent to a backend."""
         return len(self.sent_s[name]) / sum(map(len, self.sent_s.values()))
@@ -96,8 +109,25 @@
         assert min(shares.values()) > 0.2, (seed, slots, shares)
 
 
+def a_backend_with_some_slow_requests_is_given_time_for_them():
+    """Ignoring single late responses in the choice must not shorten the time allowed to requests.
+
+    Guards against slow requests that are abandoned and sent again though their backend is sound.
+    """
+    for seed, others in itertools.product(range(5), ("a", "ab", "abc")):
+        chance = random.Random(seed)
+        mixed = lambda number: SLOW_S if chance.random() < SLOW_SHARE else WORK_S  # noqa: E731, B023
+        fleet = LatencyFleet(seed, 4, 4, {name: mixed for name in others})
+        fleet.play()
+        share = fleet.outlasting_share(SLOW_S)
+        assert share <= MAX_OUTLASTING_SHARE, (seed, others, share)
+
+
 LATENCY_PROPERTIES = {
     "a backend that was late once is used again": a_backend_that_was_late_once_is_used_again,
     "a slow backend gets few requests": a_slow_backend_gets_few_requests,
+    "a backend with some slow requests is given time for them": (
+        a_backend_with_some_slow_requests_is_given_time_for_them
+    ),
     "equal backends get equal shares": equal_backends_get_equal_shares,
 }
--- a/src/yokedock/request/backend_incarnation.py
+++ b/src/yokedock/request/backend_incarnation.py
@@ -14,6 +14,7 @@
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.dialect import BackendLoad, ResponseMetadata
 from yokedock.connection.state_source import BackendEntry
+from yokedock.request.backend_latency import BackendLatency
 from yokedock.request.backend_limits import BackendLimits
 from yokedock.request.backend_notices import BackendNotices
 from yokedock.request.poison_requests import incarnation_number
@@ -43,11 +44,6 @@
 """Weight of the latest response in the moving average of failures."""
 FAILURE_HALF_LIFE_S = 4.0
 """Half-life of the failure rate without new responses, so that the backend is tried again."""
-LATENCY_EWMA_WEIGHT = 0.2
-LATENCY_FILTER_LENGTH = 3
-"""Length of the median filter in front of the moving average: a single late response is ignored,
-since any process may stand still for a moment."""
-LATENCY_HALF_LIFE_S = 6.0
 SLOWEST_WINDOW_S = 30.0
 """Minimum time for which the slowest response of a service is remembered."""
 
@@ -56,12 +52,7 @@
     """Failure rate, latency and unresponsiveness of a backend. Times are seconds of boot time."""
 
     failures: float = 0.0
-    latency_s: float | None = None
-    """Moving average of the filtered latencies of responses without failures."""
-    latency_noted_s: float = 0.0
-    """When the latest of these responses arrived."""
-    latest_latencies_s: tuple[float, ...] = ()
-    """Their latest latencies, at most ``LATENCY_FILTER_LENGTH``."""
+    latency: BackendLatency = msgspec.field(default_factory=BackendLatency)
     noted_s: float = 0.0
     suspect_until_s: float = 0.0
     next_suspicion_s: float = INITIAL_SUSPICION_S
@@ -84,15 +75,6 @@
         """Return the failure rate that this process observed, decayed since the last response."""
         return _decayed(self.failures, now_s - self.noted_s) if self.failures else 0.0
 
-    def expected_latency_s(self, now_s: float, typical_s: float) -> float:
-        """Return the expected latency: the measured one, decaying to the service's typical one.
-
-        A single response does not show whether the backend is slow or was late once.
-        """
-        if self.latency_s is None or len(self.latest_latencies_s) == 1:
-            return typical_s
-        return typical_s + (self.latency_s - typical_s) * self._latency_trust(now_s)
-
     def is_suspect(self, now_s: float) -> bool:
         """Return whether the backend was unresponsive recently."""
         return now_s < self.suspect_until_s
@@ -102,29 +84,13 @@
         share = self.local_failure_rate(now_s)
         self.failures = share + FAILURE_EWMA_WEIGHT * (float(is_failure) - share)
         if not is_failure:
-            self._note_latency(now_s, latency_s)
+            self.latency.note(latency_s, now_s)
             self.slowest_s.note(latency_s, now_s)
             self.suspect_until_s = 0.0
             self.next_suspicion_s = INITIAL_SUSPICION_S
             self.told *= 1.0 - FAILURE_EWMA_WEIGHT
         self.noted_s = now_s
 
-    def _note_latency(self, now_s: float, latency_s: float) -> None:
-        """Add a latency to the average, in which earlier ones count less the older they are."""
-        self.latest_latencies_s = (*self.latest_latencies_s, latency_s)[-LATENCY_FILTER_LENGTH:]
-        ordered = sorted(self.latest_latencies_s)
-        filtered_s = ordered[(len(ordered) - 1) // 2]
-        if self.latency_s is None or len(ordered) < LATENCY_FILTER_LENGTH:
-            self.latency_s = filtered_s
-        else:
-            earlier = (1.0 - LATENCY_EWMA_WEIGHT) * self._latency_trust(now_s)
-            self.latency_s = filtered_s + earlier * (self.latency_s - filtered_s)
-        self.latency_noted_s = now_s
-
-    def _latency_trust(self, now_s: float) -> float:
-        """Return the weight (0 to 1) of the measured latency, which falls with its age."""
-        return float(0.5 ** ((now_s - self.latency_noted_s) / LATENCY_HALF_LIFE_S))
-
     def record_broken(self, now_s: float) -> None:
         """Record a response that was cut off or invalid; this is reported to the other routers."""
         self.record_answer(now_s, 0.0, is_failure=True)
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -12,6 +12,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.randomness import new_random
 from yokedock.request.backend_incarnation import Backend
+from yokedock.request.backend_latency import lower_median
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_list import BackendList
 from yokedock.request.service_supply import ServiceSupply
@@ -161,7 +162,9 @@
         now_s = self._clock()
         staying = [b for b in self.members(service, None) if b.leaving_since_s is None]
         typical_s = typical_latency_s(staying)
-        return sum(b.outstanding / b.health.expected_latency_s(now_s, typical_s) for b in staying)
+        return sum(
+            b.outstanding / b.health.latency.expected_mean_s(now_s, typical_s) for b in staying
+        )
 
     def supply(self, service: str) -> ServiceSupply:
         """Return when and at what rate the backends of a service accept requests again."""
@@ -186,7 +189,7 @@
         usable = [b for b in self.usable(service, version=version) if b.name not in without]
         if not usable:
             return None
-        typical_s = typical_latency_s(usable)
+        typical_s = _typical_usual_latency_s(usable)
         return min(usable, key=lambda backend: self._cost(backend, typical_s))
 
     def typical_latency_s(self, service: str) -> float:
@@ -201,7 +204,7 @@
     def patience_s(self, backend: Backend) -> float:
         """Return the time without data after which the response of a backend is given up."""
         typical_s = self.typical_latency_s(backend.entry.service)
-        expected_s = backend.health.expected_latency_s(self._clock(), typical_s)
+        expected_s = backend.health.latency.expected_mean_s(self._clock(), typical_s)
         return max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_FACTOR * expected_s)
 
     def _cost(self, backend: Backend, typical_s: float) -> float:
@@ -212,7 +215,7 @@
             queued = max(queued, backend.load.waiting + backend.load.running)
         rounds = max(1.0, (queued + 1) / max(1, backend.entry.slots))
         contention = 1.0 + 0.3 * queued / max(1, backend.entry.slots)
-        cost = health.expected_latency_s(now_s, typical_s) * rounds * contention
+        cost = health.latency.expected_usual_s(now_s, typical_s) * rounds * contention
         cost *= 1.0 + FAILURE_COST_FACTOR * health.failure_rate(now_s)
         if backend.entry.zone != self._zone:
             cost *= REMOTE_ZONE_COST_FACTOR
@@ -227,9 +230,17 @@
 
 
 def typical_latency_s(backends: list[Backend]) -> float:
-    """Return the median of measured latencies, in seconds; of an even number the lower one.
+    """Return the median of the mean latencies, in seconds."""
+    means_s = [b.health.latency.mean_s for b in backends]
+    measured = sorted(mean_s for mean_s in means_s if mean_s is not None)
+    return measured[len(measured) // 2] if measured else DEFAULT_LATENCY_S
+
+
+def _typical_usual_latency_s(backends: list[Backend]) -> float:
+    """Return the median of the usual latencies, in seconds; of an even number the lower one.
 
-    The latency of a single slow backend, if there are two, would never decay towards the higher.
+    A single slow backend, if there are two, would otherwise be measured by itself.
     """
-    measured = sorted(b.health.latency_s for b in backends if b.health.latency_s is not None)
-    return measured[(len(measured) - 1) // 2] if measured else DEFAULT_LATENCY_S
+    usual_s = [b.health.latency.usual_s for b in backends]
+    measured = [one_s for one_s in usual_s if one_s is not None]
+    return lower_median(measured) if measured else DEFAULT_LATENCY_S
