Calls beside bytes without end are timed by a caller in a process of its own

What callers saw: nothing; the measurement was at fault.

Cause: the call was timed by the test's main thread, in the process of the router. That thread needs the interpreter's lock for each step, and the event loop, which is busy all the time, gives it up and takes it again each millisecond: a thread that is woken by the release and comes too late begins to wait anew. This wait isn't one for a processor, so the stopwatch counted it.

Change: OutsideCaller makes the calls; the processor waits of the router's process and its own are left out as before. The bound is as before.

The router has one thread, so its callers don't meet it.

--- a/features/support/endless_worlds.py
+++ b/features/support/endless_worlds.py
@@ -1,10 +1,10 @@
 """Plays requests whose first backend sends bytes without end, one world for each shape of them."""
 
 import dataclasses
-import time
+import os
 import tracemalloc
 
-from support.processor_wait import Stopwatch
+from support.outside_caller import CallSeries, OutsideCaller
 from support.router_world import RawCaller, RouterWorld, request_bytes
 from support.simulated_world import SimulatedRouterWorld
 from yokedock.base.clock import boot_time_s
@@ -111,7 +111,6 @@
 PLAIN_AND_DECODE = {"a": "", "d": "decode"}
 OTHER_ROUTES = {"once": "chat", "talk": "repeat"}
 """For the route of the bytes without end, a route to the other service."""
-PING_INTERVAL_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,7 +120,7 @@
     peak_bytes: int
     """Memory allocated meanwhile, beyond what was allocated before."""
     pings_s: list[float]
-    """How long each call to the other service took."""
+    """How long each call to the other service took, but for waits for a processor."""
 
 
 def play_flood(kind, shape, route, count, measures_memory):
@@ -146,26 +145,32 @@
     router = world.start_router(world.snapshot())
     world.wait_for(lambda: router.is_ready, "ready")
     address = router.settings.callers.listen
-    assert _ping(world, address, route) < FLOOD_S
+    first_caller = RawCaller(world, address)
+    first_caller.send(_pings(address, route, 0).request.encode())
+    assert first_caller.read_answer()[0] == 200
     flooding.endless_shape = lambda arrival, headers: SHAPES[kind](headers)[shape]
+    outside_caller = OutsideCaller()
+    try:
+        callers = _send_all(world, address, route, count)
+        world.wait_for(lambda: flooding.arrivals, "bytes without end have begun")
+        pings_s = outside_caller.call_times_s(_pings(address, route, FLOOD_S))
+    finally:
+        outside_caller.close()
+    for caller in callers:
+        caller.leave()
+    return Flood(tracemalloc.get_traced_memory()[1], pings_s)
+
+
+def _send_all(world, address, route, count):
+    """Send all requests; return their callers, whose connections last as long as they do."""
     callers = [RawCaller(world, address) for _ in range(count)]
     for number, caller in enumerate(callers):
         headers = [("X-Deadline-Ms", str(round(FLOOD_S * 1000))), *STREAM_HEADERS]
         caller.send(request_bytes(route, headers=headers, request_id=f"endless-{number}"))
-    world.wait_for(lambda: flooding.arrivals, "bytes without end have begun")
-    pings_s = []
-    until_s = boot_time_s() + FLOOD_S
-    while boot_time_s() < until_s:
-        pings_s.append(_ping(world, address, route))
-        time.sleep(PING_INTERVAL_S)
-    return Flood(tracemalloc.get_traced_memory()[1], pings_s)
+    return callers
 
 
-def _ping(world, address, route):
-    """Return how long a request to the other service took, but for waits for a processor."""
-    caller, stopwatch = RawCaller(world, address), Stopwatch()
-    caller.send(request_bytes(OTHER_ROUTES[route], headers=STREAM_HEADERS, request_id="ping"))
-    status, _, _, is_whole = caller.read_answer()
-    assert status == 200 and is_whole, status
-    caller.leave()
-    return stopwatch.elapsed_s()
+def _pings(address, route, duration_s):
+    """Return calls to the other service."""
+    request = request_bytes(OTHER_ROUTES[route], headers=STREAM_HEADERS, request_id="ping")
+    return CallSeries(address, request.decode(), duration_s, os.getpid())
