A caller's body is waited for only as long as its request may be served

Any caller can set it off; it lasts as long as the caller wants.

Cause: the body's only time limit was the idle timeout, which is between two parts. It is the class of bytes without end from backends: a wait was ended by whether bytes come.

Which process knows: the router, once it has the head: the route's time-out and the caller's deadline. The connection didn't ask.

Ruled out: a minimum rate (it ends honest slow bodies and bounds nothing by itself); a setting of its own (the route's time-out says the same).

Change: RequestHandler.time_limit_s tells the connection how long a request may be served, from its first byte; after that the answer is 408, which is true: nothing was sent to a backend. If the route isn't known, the body has the idle timeout in all. The limit is asked for only if a body is waited for.

Conclusion: mended for routers. The gateway's HTTP server (waitress) holds such a connection for as long as bytes come, but no thread; not mended.

--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -189,3 +189,26 @@
       | closes           |
       | resets           |
       | ends its sending |
+
+  # Guards against connections that are held for as long as bytes of a body arrive.
+  Scenario Outline: A body that comes a byte at a time is waited for as long as its request may be served
+    Given time and network are simulated with the seed "1"
+    And a plain backend "a"
+    And a router that knows them
+    When a client with <left> s sends a byte of its body on "<route>" each 0.1 s
+    Then it has the status 408 after <most> s, and no backend was asked for it
+
+    Examples:
+      | route   | left | most |
+      | repeat  | 2.0  | 2.0  |
+      | once    | 2.0  | 2.0  |
+      | brief   | 2.0  | 0.4  |
+      | unknown | 2.0  | 15.0 |
+
+  # Guards against honest slow bodies that a time limit of their own would end.
+  Scenario: A slow body that is complete in time is passed on
+    Given time and network are simulated with the seed "1"
+    And a plain backend "a"
+    And a router that knows them
+    When a client with 4.0 s sends a body of 30 bytes on "repeat", a byte each 0.1 s
+    Then it has the status 200, and one backend has run it once
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -8,6 +8,8 @@
 from router_steps import STREAM_HEADERS, caller, world
 from support.router_world import request_bytes
 
+from yokedock.base.clock import boot_time_s
+
 LEFT_S = 0.5
 """After this time nothing may be at work any more for a caller who left."""
 LATER_S = 0.3
@@ -288,3 +290,47 @@
     assert not at_work, at_work
     time.sleep(LATER_S)
     assert asked(context) == arrivals, asked(context)
+
+
+# --- Slow bodies ---
+
+BYTE_INTERVAL_S = 0.1
+ENDLESS_BYTES = 4_000
+ANSWER_LATE_S = 0.3
+"""An answer must have come so long after the end of the wait."""
+
+
+def send_slowly(context, left_s, route, size):
+    """Send a body a byte at a time until the answer comes; measure the simulated time."""
+    data = request_bytes(
+        route, body=b"x" * size, headers=[("X-Deadline-Ms", str(round(left_s * 1000)))]
+    )
+    context.caller = caller(context)
+    since_s = boot_time_s()
+    context.caller.send(data[:-size])
+
+    context.status = context.caller.send_slowly(data[-size:], BYTE_INTERVAL_S)[0]
+    context.took_s = boot_time_s() - since_s
+
+
+@when('a client with {left_s:g} s sends a byte of its body on "{route}" each 0.1 s')
+def sends_without_end(context, left_s, route):
+    send_slowly(context, left_s, route, ENDLESS_BYTES)
+
+
+@when('a client with {left_s:g} s sends a body of {size:d} bytes on "{route}", a byte each 0.1 s')
+def sends_slowly(context, left_s, size, route):
+    send_slowly(context, left_s, route, size)
+
+
+@then("it has the status {status:d} after {most_s:g} s, and no backend was asked for it")
+def refused_in_time(context, status, most_s):
+    assert context.status == status, (context.status, context.took_s)
+    assert context.took_s <= most_s + ANSWER_LATE_S, context.took_s
+    assert not asked(context), asked(context)
+
+
+@then("it has the status {status:d}, and one backend has run it once")
+def run_once(context, status):
+    assert context.status == status, (context.status, context.took_s)
+    assert len(asked(context)) == 1, asked(context)
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -300,6 +300,10 @@
         """Write ``data`` to the connection."""
         self._world.loop.call_soon_threadsafe(self._writer.write, data)
 
+    def send_slowly(self, data, interval_s):
+        """Write ``data`` a byte at a time until the response comes; return it."""
+        return self._world.run(self._send_slowly(data, interval_s))
+
     def read_answer(self):
         """Return (status, headers, body, is_whole) of one response."""
         return self._world.run(self._read_answer())
@@ -344,6 +348,18 @@
         """Leave received data in the kernel's buffers. Must be called in the event loop."""
         self._writer.transport.pause_reading()
 
+    async def _send_slowly(self, data, interval_s):
+        async def write():
+            for byte in data:
+                await asyncio.sleep(interval_s)
+                self._writer.write(bytes([byte]))
+
+        writing = asyncio.create_task(write())
+        try:
+            return await self._read_answer()
+        finally:
+            writing.cancel()
+
     async def _read_answer(self):
         head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         status = int(head[0].split(" ")[1])
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -43,6 +43,8 @@
 
 
 Handler = Callable[[CallerRequest, ResponseWriter], Awaitable[None]]
+TimeLimit = Callable[[RequestHead], float | None]
+"""Returns how long a request may be served, in s from its first byte; None if that isn't known."""
 
 
 class CallerConnection:
@@ -54,12 +56,18 @@
         writer: asyncio.StreamWriter,
         handler: Handler,
         limits: Callable[[], CallerLimits],
+        time_limit: TimeLimit = lambda head: None,
     ) -> None:
-        """Wrap an accepted connection."""
+        """Wrap an accepted connection.
+
+        A body is waited for no longer than its request may be served, for the idle timeout in all
+        if that isn't known.
+        """
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._limits = limits
+        self._time_limit = time_limit
         self._parser = request_parser(limits().header_bytes)
         self._turns = WorkTurns()
         self._has_request_data = False
@@ -178,7 +186,7 @@
         if head is None:
             return None
         check_head(head, limits)
-        body = await self._read_body(head, limits)
+        body = await self._read_body(head, limits, arrived_s)
         return CallerRequest(head, body, arrived_s)
 
     async def _receive_while_idle(self) -> bool:
@@ -212,13 +220,14 @@
                     "timed out waiting for the request head; send it without delay"
                 )
 
-    async def _read_body(self, head: RequestHead, limits: CallerLimits) -> bytes:
+    async def _read_body(self, head: RequestHead, limits: CallerLimits, arrived_s: float) -> bytes:
         declared = head.get(b"content-length")
         if declared is not None and int(declared) > limits.body_bytes:
             raise PayloadTooLarge(
                 f"the body has {declared} bytes; send at most {limits.body_bytes}"
             )
         body = bytearray()
+        until_s: float | None = None
         while True:
             await self._turns.step()
             event = self._next_event()
@@ -231,12 +240,17 @@
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
-                await self._receive_body(limits)
+                if until_s is None:
+                    limit_s = self._time_limit(head)
+                    until_s = arrived_s + (limits.idle_timeout_s if limit_s is None else limit_s)
+                await self._receive_body(limits, until_s)
 
-    async def _receive_body(self, limits: CallerLimits) -> None:
+    async def _receive_body(self, limits: CallerLimits, until_s: float) -> None:
+        """Receive a part of a body, which is of no use after ``until_s``."""
         if self._parser.they_are_waiting_for_100_continue:
             self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
-        if not await self._receive(limits.idle_timeout_s):
+        timeout_s = min(limits.idle_timeout_s, until_s - boot_time_s())
+        if timeout_s <= 0 or not await self._receive(timeout_s):
             if self._reader.at_eof():
                 raise ConnectionResetError("the caller disconnected in the middle of the request")
             raise RequestTimeout("timed out waiting for the request body; send it without delay")
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -14,6 +14,7 @@
 from yokedock.base.randomness import new_random
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import Dialect
+from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.response_writer import ResponseWriter
 from yokedock.errors import BadRequest, ClientClosedConnection, NotFound, NotReady, YokedockError
 from yokedock.process.router_metrics import NO_ROUTE, RouterMetrics
@@ -22,7 +23,7 @@
 from yokedock.request.quarantine import QuarantineGuard
 from yokedock.request.request_digest import digest_text
 from yokedock.request.request_outcome import ANSWERED, CALLER_GONE, CUT_OFF, ENDED, FAILED
-from yokedock.request.routed_call import RoutedCall
+from yokedock.request.routed_call import RoutedCall, time_limit_s
 from yokedock.request.stop_admission import StopAdmission, StopState
 from yokedock.request.unary_call import UnaryCalls
 from yokedock.request.version_pinning import VersionPinning
@@ -118,6 +119,21 @@
             end = functools.partial(self._log_end, request, answer, call, outcome)
             self._metrics.guard.run("request end", end)
 
+    def time_limit_s(self, head: RequestHead) -> float | None:
+        """Return how long a request may be served, in s from its first byte.
+
+        Returns None if it can't be served; ``answer`` tells the caller why.
+        """
+        index, host = self._follower.index, head.get(b"host")
+        route = None if index is None or host is None else index.find(host, head.path)
+        if route is None:
+            return None
+        try:
+            return time_limit_s(route, self._dialect.request_metadata(head))
+        except BadRequest as error:
+            _log.debug("no time limit", path=head.path, reason=error.message)
+            return None
+
     def refuse_late_calls(self) -> None:
         """Refuse the calls that wait for a backend and can no longer be served in a shutdown."""
         for call, task in list(self._waiting.items()):
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -311,7 +311,10 @@
     async def _accept_caller(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = CallerConnection(reader, writer, self._request_handler.answer, self._limits)
+        handler = self._request_handler
+        connection = CallerConnection(
+            reader, writer, handler.answer, self._limits, handler.time_limit_s
+        )
         connection.is_closing = self._stop.is_stopping
         self._connections.add(connection)
         try:
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -95,10 +95,8 @@
 
     @property
     def limit_s(self) -> float:
-        """Return the time limit: the shorter of the caller's deadline and the route's time-out."""
-        if self.terms.deadline_s is None:
-            return self.route.timeout_s
-        return min(self.route.timeout_s, self.terms.deadline_s)
+        """Return the time limit, in s from the arrival."""
+        return time_limit_s(self.route, self.terms)
 
     @property
     def deadline_s(self) -> float:
@@ -182,3 +180,10 @@
 
     head: ResponseHead
     body: bytes
+
+
+def time_limit_s(route: Route, terms: RequestMetadata) -> float:
+    """Return how long a request may be served: the caller's deadline or the route's time-out."""
+    if terms.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, terms.deadline_s)
