Operators' commands bound the time and memory of what they read

What operators saw: `yokedock status` and `yokedock histograms` wait for good, or end with a MemoryError and a traceback, if the process at an address sends bytes without end or announces a terabyte. Any process that has taken a daemon's address sets it off; it lasts until the command is ended by hand. No caller is touched.

Cause: they were the last reads of the product with urllib3's own time limit, which is that of one read, and with a body read at once. Found by the pattern (urllib3.request); no other such read is left.

Change: bounded_pool_manager and read_whole, as for agents and gateways. The same scenarios play all shapes of heads and bodies against them.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -85,7 +85,8 @@
       | body   | once  | 6     |
       | stream | talk  | 6     |
 
-  # Guards against agents that wait for good, or run out of memory, for bytes of no use.
+  # Guards against processes and operators' commands that wait for good, or run out of memory, for
+  # bytes of no use.
   Scenario Outline: A request of an agent or a gateway ends in time, <name>, <pace>
     When the <name> meets bytes without end, <pace>
     Then it ends with an error in time, and takes little memory
@@ -97,8 +98,10 @@
       | steps of an engine        | slowly        |
       | call of a service         | slowly        |
       | read of the configuration | slowly        |
+      | status of a daemon        | slowly        |
       | order to an engine        | at full speed |
       | report of an engine       | at full speed |
       | steps of an engine        | at full speed |
       | call of a service         | at full speed |
       | read of the configuration | at full speed |
+      | status of a daemon        | at full speed |
--- a/features/support/bounded_http_properties.py
+++ b/features/support/bounded_http_properties.py
@@ -4,6 +4,7 @@
 import contextlib
 import threading
 import tracemalloc
+from unittest import mock
 
 from support.endless_worlds import LATE_S, SHAPES
 from support.processor_wait import Stopwatch
@@ -13,6 +14,8 @@
 from yokedock.connection.engine_protocol import PrefillOrder
 from yokedock.connection.service_client import ServiceClient
 from yokedock.errors import YokedockError
+from yokedock.process import admin_commands
+from yokedock.process.admin_commands import print_status
 from yokedock_emulator.endless_bytes import (
     CHUNKED,
     FULL_SPEED,
@@ -77,6 +80,7 @@
         "s", b"x", "text/plain", "", TIMEOUT_S
     ),
     "read of the configuration": lambda url: ConfigurationClient(url).read("key"),
+    "status of a daemon": lambda url: print_status([url.removeprefix("http://")], json=False),
 }
 VALID_HERE = "responses to somebody else"
 """Responses of this protocol name no request."""
@@ -135,9 +139,12 @@
 @contextlib.contextmanager
 def short_timeouts():
     """Make the fixed time limits of the clients as short as the others."""
-    before = configuration_watch.READ_TIMEOUT_S, engine_client.STEP_TIMEOUT_S
-    configuration_watch.READ_TIMEOUT_S = engine_client.STEP_TIMEOUT_S = TIMEOUT_S
-    try:
+    limits = (
+        (configuration_watch, "READ_TIMEOUT_S"),
+        (engine_client, "STEP_TIMEOUT_S"),
+        (admin_commands, "QUERY_TIMEOUT_S"),
+    )
+    with contextlib.ExitStack() as patches:
+        for module, name in limits:
+            patches.enter_context(mock.patch.object(module, name, TIMEOUT_S))
         yield
-    finally:
-        configuration_watch.READ_TIMEOUT_S, engine_client.STEP_TIMEOUT_S = before
--- a/src/yokedock/process/admin_commands.py
+++ b/src/yokedock/process/admin_commands.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from yokedock.base.histograms import EncodedHistogram, Histograms
+from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
 from yokedock.errors import PlatformUnavailable
 from yokedock.process.admin_http import ProcessStatus
 from yokedock.process.tables import format_table
@@ -77,8 +78,10 @@
     """Fetch and decode one JSON document from a daemon's admin address."""
     url = f"http://{address}{path}"
     try:
-        response = urllib3.request("GET", url, timeout=QUERY_TIMEOUT_S, retries=False)
-        return msgspec.json.decode(response.data, type=kind)
+        response = bounded_pool_manager(1).request(
+            "GET", url, timeout=QUERY_TIMEOUT_S, preload_content=False
+        )
+        return msgspec.json.decode(read_whole(response).data, type=kind)
     except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
         message = f"no daemon responds at {address}; give the [admin] listen address of a daemon"
         raise PlatformUnavailable(message) from None
