A new leader counts how long a prefill engine has been missing before it led

What callers saw: after the last prefill engine of a service is gone, decode engines read the prompts until a replacement is ordered, 8 s after the engine's entry went.

Cause: RoleBalancer looked at the engines only while it led, so that the time for which they were unchanged began with its term.

Ruled out: the pauses of two terms that meet (a lease each) and of the vote (5.5 s twice): they are needed, and by reading they come to 11 s; the 8 s came on top. Shortening the replacement's delay itself: most engines return sooner.

Change: every router observes the roles, its leading decides on orders alone. A change that another router has ordered counts as a change, so that a new leader doesn't order a second replacement beside the last leader's.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -121,9 +121,11 @@
     Then this holds for generated cases: <property>
 
     Examples: roles of engines
-      | property                                   |
-      | roles of a large fleet are set at once     |
-      | few engines change while answers are made  |
+      | property                                     |
+      | roles of a large fleet are set at once       |
+      | a new leader replaces what has been missing  |
+      | a new leader waits for the order of the last |
+      | few engines change while answers are made    |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -21,6 +21,9 @@
 
 _log = logger("roles")
 
+Roles = frozenset[tuple[str, str, bool]]
+"""Engines of one service: name, role, and whether another router has ordered it to change."""
+
 CHECK_S = 0.25
 SETTLED_S = 1.0
 """How long the list of engines and roles must be unchanged before roles are changed."""
@@ -60,7 +63,7 @@
         self._dialect = dialect
         self._token = token
         self._changing: dict[str, tuple[str, float]] = {}
-        self._settled_since: dict[str, tuple[frozenset[tuple[str, str]], float]] = {}
+        self._settled_since: dict[str, tuple[Roles, float]] = {}
         self._paused_until_s = 0.0
 
     def changing(self) -> tuple[str, ...]:
@@ -85,17 +88,23 @@
             for name in removed:
                 del self._settled_since[name]
             for service in current.services.values():
-                if service.engine is not None and self._token() is not None:
+                if service.engine is not None:
                     await self._balance(service)
 
     async def _balance(self, service: ServiceSpec) -> None:
-        """Send the orders for a service that are allowed now."""
+        """Send the orders for a service that are allowed now, if this router leads.
+
+        A router that does not lead observes the roles too: as the next leader it need not wait for
+        what has already lasted long enough.
+        """
         engines = [b for b in self._registry.present(service.name) if b.entry.role]
+        settled_s = self._settled_s(service.name, engines)
+        if self._token() is None:
+            return
         changing = self.changing()
         max_changes = self._max_orders(engines, sum(engine.name in changing for engine in engines))
         if max_changes <= 0:
             return
-        settled_s = self._settled_s(service.name, engines)
         if settled_s < SETTLED_S:
             return
         roles = [self._role(engine) for engine in engines]
@@ -126,15 +135,25 @@
         return EngineRole(engine.name, role, load, engine.version)
 
     def _settled_s(self, service: str, engines: list[Backend]) -> float:
-        """Return for how long the engines and their roles have been unchanged, in seconds."""
+        """Return for how long the engines and their roles have been unchanged, in seconds.
+
+        A change that another router has ordered counts: it may have led until now.
+        """
         now_s = boot_time_s()
-        seen = frozenset((engine.name, engine.entry.role) for engine in engines)
+        seen = frozenset(
+            (engine.name, engine.entry.role, self._is_changed_by_another(engine.name))
+            for engine in engines
+        )
         before, since_s = self._settled_since.get(service, (frozenset(), now_s))
         if before != seen:
             self._settled_since[service] = (seen, now_s)
             return 0.0
         return now_s - since_s
 
+    def _is_changed_by_another(self, name: str) -> bool:
+        """Return whether another router reports that it has ordered a change of an engine."""
+        return self._registry.is_changing(name) and name not in self._changing
+
     async def _order_change(self, change: RoleChange, switch_s: float) -> None:
         backend = self._registry.get(change.name)
         now_s = boot_time_s()
