--- a/src/yokedock/process/role_balancer.py
+++ b/src/yokedock/process/role_balancer.py
@@ -26,7 +26,8 @@
 
 CHECK_S = 0.25
 SETTLED_S = 1.0
-"""How long the list of engines and roles must be unchanged before roles are changed."""
+"""How long the list of engines and roles must be unchanged, and how long this router must have led,
+before roles are changed."""
 PREFILL_REPLACEMENT_DELAY_S = 8.0
 """Delay before a lost prefill engine is replaced: most return sooner."""
 CHANGE_MARGIN_S = 12.0
@@ -65,6 +66,8 @@
         self._changing: dict[str, tuple[str, float]] = {}
         self._settled_since: dict[str, tuple[Roles, float]] = {}
         self._paused_until_s = 0.0
+        self._leads_since_s: float | None = None
+        """When this router began to lead (boot time, s), None if it doesn't."""
 
     def changing(self) -> tuple[str, ...]:
         """Return the engines whose role changes, ordered by this router, are in progress."""
@@ -91,6 +94,12 @@
                 if service.engine is not None:
                     await self._balance(service)
 
+    def _note_leadership(self) -> None:
+        if self._token() is None:
+            self._leads_since_s = None
+        elif self._leads_since_s is None:
+            self._leads_since_s = boot_time_s()
+
     async def _balance(self, service: ServiceSpec) -> None:
         """Send the orders for a service that are allowed now, if this router leads.
 
@@ -99,13 +108,14 @@
         """
         engines = [b for b in self._registry.present(service.name) if b.entry.role]
         settled_s = self._settled_s(service.name, engines)
-        if self._token() is None:
+        self._note_leadership()
+        if self._leads_since_s is None:
             return
         changing = self.changing()
         max_changes = self._max_orders(engines, sum(engine.name in changing for engine in engines))
         if max_changes <= 0:
             return
-        if settled_s < SETTLED_S:
+        if min(settled_s, boot_time_s() - self._leads_since_s) < SETTLED_S:
             return
         roles = [self._role(engine) for engine in engines]
         changes = planned_role_changes(roles, PREFILL_ROLE, DECODE_ROLE, max_changes)
