The runner prints why a scenario failed beside its name

Two failures of landings were known by their names alone ("which printed no more than that it failed" in KNOWN-RED), because the log of the feature, with the assert, was in the part that was cut. Ruled out: shorter logs (they are what a trace needs).

Change: below each FAILED line stands the failed step's assert, or the last line of its traceback, up to 500 characters; known red scenarios are printed with theirs. What fails and what passes is decided as before.

--- a/features/run_features.py
+++ b/features/run_features.py
@@ -22,6 +22,7 @@
 LOGS = HERE.parent / "build" / "test-logs"
 WORKERS = 6
 FEATURE_LIMIT_S = 3000
+MAX_REASON_CHARACTERS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +32,13 @@
     feature: str
     scenario: str
     is_passed: bool
+    reason: str = ""
+    """What the failed step said, shortened."""
+
+    @property
+    def full_name(self):
+        """Return the name as KNOWN-RED.txt gives it."""
+        return f"{self.feature}: {self.scenario}".strip()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,7 +57,7 @@
     @property
     def failed(self):
         """Return the names of all scenarios that did not pass."""
-        return [f"{s.feature}: {s.scenario}".strip() for s in self.scenarios if not s.is_passed]
+        return [s.full_name for s in self.scenarios if not s.is_passed]
 
 
 def run_feature(path, port_blocks):
@@ -95,13 +103,30 @@
     if not report.exists():
         return []
     return [
-        ScenarioResult(feature["name"], element["name"], element.get("status") == "passed")
+        ScenarioResult(
+            feature["name"],
+            element["name"],
+            element.get("status") == "passed",
+            failure_reason(element),
+        )
         for feature in json.loads(report.read_text() or "[]")
         for element in feature.get("elements", [])
         if element["type"] != "background"
     ]
 
 
+def failure_reason(element):
+    """Return the message of an element's failed step, else the last line of its traceback."""
+    for step in element.get("steps", []):
+        text = step.get("result", {}).get("error_message", "")
+        lines = text.splitlines() if isinstance(text, str) else text
+        lines = [line for line in lines if line.strip()]
+        if lines:
+            message = next((line for line in lines if line.startswith("ASSERT")), lines[-1])
+            return message[:MAX_REASON_CHARACTERS]
+    return ""
+
+
 def known_red():
     """Return the scenario names that are known to fail."""
     if not KNOWN_RED.exists():
@@ -120,8 +145,10 @@
         results = list(workers.map(lambda path: run_feature(path, port_blocks), chosen))
     failed = print_failures(results)
     print_matrix(results)
+    reasons = {s.full_name: s.reason for result in results for s in result.scenarios if s.reason}
     for failure in failed:
         print(f"FAILED {failure}")
+        print(f"  {reasons.get(failure, 'no step failed; see the log')}")
     print(f"{sum(result.passed for result in results)} passed, {len(failed)} failed")
     sys.exit(1 if failed else 0)
 
@@ -134,8 +161,9 @@
         failed += fresh
         if fresh:
             print(f"=== {result.name}\n{result.output}")
-        for name in set(result.failed) & set(red):
-            print(f"known red: {name}")
+        for scenario in result.scenarios:
+            if not scenario.is_passed and scenario.full_name in red:
+                print(f"known red: {scenario.full_name}: {scenario.reason}")
     return failed
 
 
