Routers count the bytes on their link and model its queue

Logs and metrics could not tell whether the link was full, by whose bytes, or whether the processor was the bottleneck.

Change: a LinkMeter counts sent and received bytes by peer (callers, backends, routers, source) and models the queue in front of the link at the rate that [machine] link_mbps gives; metrics, and a log line 'link busy' at most once a second. No decision uses it yet.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -16,6 +16,7 @@
 import h11
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.sockets import new_socket
 from yokedock.base.work_turns import WorkTurns
@@ -52,10 +53,17 @@
     """A connection to one backend address."""
 
     def __init__(
-        self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        link: LinkMeter,
+        traffic: Traffic,
     ) -> None:
         """Wrap an open connection; use ``connect`` to open one."""
         self.address = address
+        self._link = link
+        self._traffic = traffic
         self.received_bytes = 0
         """Bytes received since the last request was sent."""
         self.heard_s = boot_time_s()
@@ -82,11 +90,22 @@
         """Whether the peer has closed its sending side."""
 
     @classmethod
-    async def connect(cls, address: str, timeout_s: float) -> BackendConnection:
-        """Open a connection; raises ``BackendUnreachable``, in which case nothing was sent."""
+    async def connect(
+        cls,
+        address: str,
+        timeout_s: float,
+        link: LinkMeter | None = None,
+        traffic: Traffic = Traffic.BACKENDS,
+    ) -> BackendConnection:
+        """Open a connection; raises ``BackendUnreachable``, in which case nothing was sent.
+
+        ``link`` counts its bytes as ``traffic``.
+        """
+        link = link or LinkMeter()
+        link.record_sent(traffic, 0)
         sock = await _connect_socket(address, timeout_s)
         reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
-        return cls(address, reader, writer)
+        return cls(address, reader, writer, link, traffic)
 
     @property
     def is_reusable(self) -> bool:
@@ -131,6 +150,7 @@
         data += parser.send(h11.EndOfMessage()) or b""
         self._parser = parser
         try:
+            self._link.record_sent(self._traffic, len(data))
             self._writer.write(data)
         except (OSError, RuntimeError) as error:
             raise BackendConnectionClosed(f"{self.address}: {error}") from None
@@ -257,6 +277,7 @@
             self._turns.begin()
         self._peer_closed = not data
         self.received_bytes += len(data)
+        self._link.record_received(self._traffic, len(data))
         if data:
             self.heard_s = boot_time_s()
         try:
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -5,14 +5,17 @@
 import math
 from collections.abc import Callable
 
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.connection.backend_connection import MAX_IDLE_S, BackendConnection
 
 
 class BackendPool:
     """Hands out connections: an idle one if it is still usable, otherwise a new one."""
 
-    def __init__(self) -> None:
-        """Create an empty pool."""
+    def __init__(self, link: LinkMeter | None = None, traffic: Traffic = Traffic.BACKENDS) -> None:
+        """Create an empty pool; ``link`` counts the bytes of its connections as ``traffic``."""
+        self._link = link or LinkMeter()
+        self._traffic = traffic
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
 
@@ -42,7 +45,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await BackendConnection.connect(address, timeout_s)
+        return await BackendConnection.connect(address, timeout_s, self._link, self._traffic)
 
     def give_back(self, connection: BackendConnection, most: float = math.inf) -> None:
         """Return a connection to the pool, or close it if unusable or if ``most`` are idle."""
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -15,6 +15,7 @@
 import h11
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.work_turns import WorkTurns
@@ -57,12 +58,16 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         time_limit: TimeLimit = lambda head: None,
+        link: LinkMeter | None = None,
+        traffic: Traffic = Traffic.CALLERS,
     ) -> None:
         """Wrap an accepted connection.
 
         A body is waited for no longer than its request may be served, for the idle timeout in all
-        if that isn't known.
+        if that isn't known. ``link`` counts the bytes of the connection as ``traffic``.
         """
+        self._link = link or LinkMeter()
+        self._traffic = traffic
         self._reader = reader
         self._writer = writer
         self._handler = handler
@@ -120,6 +125,7 @@
         """Serialize one HTTP event and write it."""
         data = self._parser.send(event)
         if data:
+            self._link.record_sent(self._traffic, len(data))
             self._writer.write(data)
 
     def has_disconnected(self) -> bool:
@@ -273,6 +279,7 @@
         if not data:
             return False
         self._turns.begin()
+        self._link.record_received(self._traffic, len(data))
         self._parser.receive_data(data)
         return True
 
@@ -350,6 +357,7 @@
                 if not data:
                     break
                 ahead += len(data)
+                self._link.record_received(self._traffic, len(data))
                 self._parser.receive_data(data)
             else:
                 # A FIN behind unread data cannot be seen by reading, so the TCP state is polled.
--- a/src/yokedock/connection/http_get.py
+++ b/src/yokedock/connection/http_get.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.short_call import (
     MAX_ANSWER_BYTES,
@@ -34,6 +35,10 @@
         self._pool = BackendPool()
         self._share = ReadProgress()
 
+    def use_link(self, link: LinkMeter) -> None:
+        """Have ``link`` count the bytes from now on."""
+        self._pool = BackendPool(link, Traffic.SOURCE)
+
     def received_fraction(self) -> float:
         """Return the received fraction (0 to 1) of the response being read, or of the last one."""
         return self._share.value()
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.datagram_inbox import DatagramInbox
@@ -90,8 +91,13 @@
         make_state: Callable[[int, tuple[str, ...]], RouterState],
         on_state: Callable[[OtherRouter], None],
         on_silent: Callable[[OtherRouter], None],
+        link: LinkMeter | None = None,
     ) -> None:
-        """``make_state`` gets a sequence number and the router addresses to include."""
+        """``make_state`` gets a sequence number and the router addresses to include.
+
+        ``link`` counts the bytes of all datagrams.
+        """
+        self._link = link or LinkMeter()
         self._own_address = own_address
         self._port = port
         self._make_state = make_state
@@ -206,7 +212,7 @@
     def send_stream_origins(self, address: str, data: bytes) -> None:
         """Send records of streams to one router."""
         if self._transport is not None:
-            self._transport.sendto(STREAM_ORIGINS_MARK + data, (address, self._port))
+            self._send_datagram(STREAM_ORIGINS_MARK + data, address)
 
     # --- asyncio.DatagramProtocol ---
 
@@ -235,6 +241,7 @@
 
     def _apply_state(self, data: bytes, address: str, told_s: float) -> None:
         """Apply a router's state as of ``told_s``; data that cannot be decoded is dropped."""
+        self._link.record_received(Traffic.ROUTERS, len(data))
         if data.startswith(STREAM_ORIGINS_MARK):
             self.on_stream_origins(data[len(STREAM_ORIGINS_MARK) :], address)
             return
@@ -301,7 +308,7 @@
             ):
                 continue
             other.last_sent_s = now_s
-            self._transport.sendto(data, (other.address, self._port))
+            self._send_datagram(data, other.address)
 
     def _report_crashes(self, newcomer: OtherRouter) -> None:
         """Report crashes to a router that has just started, as others were told earlier."""
@@ -333,7 +340,12 @@
         if report is not None:
             state.suspects = report.requests or state.suspects
             state.suspect_parts = report.parts or state.suspect_parts
-        self._transport.sendto(self._encoder.encode(state), (other.address, self._port))
+        self._send_datagram(self._encoder.encode(state), other.address)
+
+    def _send_datagram(self, data: bytes, address: str) -> None:
+        assert self._transport is not None
+        self._link.record_sent(Traffic.ROUTERS, len(data))
+        self._transport.sendto(data, (address, self._port))
 
     def _addresses_to_send(self, now_s: float) -> tuple[str, ...]:
         """Return the addresses for the next datagram: some of the live routers, or none."""
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from yokedock.base.link_meter import LinkMeter
 from yokedock.connection.source_position import SourcePosition
 from yokedock.version.route_table import RouteTable
 
@@ -69,6 +70,13 @@
         Raises ``HistoryUnavailable`` if the source no longer has the changes after ``position``.
         """
 
+    def use_link(self, link: LinkMeter) -> None:
+        """Have ``link`` count the bytes that are exchanged with the source.
+
+        A source that uses no network has nothing to count.
+        """
+        del link
+
     def received_fraction(self) -> float:
         """Return the received fraction (0 to 1) of the response in progress; 0 if unknown."""
         return 0.0
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from yokedock.base.link_meter import LinkMeter
 from yokedock.base.logs import logger
 from yokedock.connection.http_get import HttpGetter
 from yokedock.connection.short_call import ShortAnswer
@@ -95,6 +96,10 @@
         self._last_era = ""
         """Value of the Store-Era header in the latest response, empty if it was absent."""
 
+    def use_link(self, link: LinkMeter) -> None:
+        """Have ``link`` count the bytes that are exchanged with the store."""
+        self._getter.use_link(link)
+
     async def read(self) -> StateSnapshot:
         """Read and return the current configuration and all servers."""
         items: dict[str, StoredItem] = {}
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from yokedock.base.early_sockets import BACKLOG
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.backend_pool import BackendPool
@@ -87,6 +88,8 @@
         self._sockets = sockets or {}
         self.settings = settings
         mechanisms = settings.mechanisms
+        link = self._link = LinkMeter(settings.machine.link_mbps)
+        source.use_link(link)
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
         limits = BackendLimits(own_address, lambda: self._gossip.fleet_size())
@@ -99,10 +102,11 @@
             gossip_handler.own_state,
             gossip_handler.apply_state,
             gossip_handler.drop_state_of,
+            link,
         )
         watcher_selection = WatcherSelection(own_address, gossip_handler.source_contacts)
         self._follower = StateFollower(source, self._registry, watcher_selection)
-        self._exchange = StateExchange(self._follower, int(port), self._gossip.alive)
+        self._exchange = StateExchange(self._follower, int(port), self._gossip.alive, link)
         bounds = RetryBounds(
             settings.retries.ratio, settings.retries.window_s, settings.retries.allowance
         )
@@ -110,7 +114,7 @@
         fleet_size = self._gossip.known if mechanisms.retry_shares else lambda: 1
         allowance = RetryAllowance(bounds, fleet_size, settings.fleet.is_first_start)
         self._allowance = allowance
-        self._pool = BackendPool()
+        self._pool = BackendPool(link)
         self._crashes = CrashRecords(
             PoisonRequests(mechanisms.quarantine), PoisonParts(mechanisms.quarantine)
         )
@@ -128,7 +132,7 @@
         self._placement = placement
         lookup = CacheLookup(self._registry, self._pool, dialect)
         self._version_history = VersionHistory()
-        self._origins = StreamOriginExchange(self._gossip, int(port), self._version_history)
+        self._origins = StreamOriginExchange(self._gossip, int(port), self._version_history, link)
         self._pinning = VersionPinning(self._registry, self._origins, lookup)
         self._metrics = RouterMetrics()
         self._stop = StopState()
@@ -180,6 +184,7 @@
                 self._metrics,
                 self._origins,
                 self._version_history,
+                link,
             )
         )
         gossip_handler.attach(
@@ -313,7 +318,7 @@
     ) -> None:
         handler = self._request_handler
         connection = CallerConnection(
-            reader, writer, handler.answer, self._limits, handler.time_limit_s
+            reader, writer, handler.answer, self._limits, handler.time_limit_s, self._link
         )
         connection.is_closing = self._stop.is_stopping
         self._connections.add(connection)
@@ -331,7 +336,15 @@
     async def _accept_router(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await CallerConnection(reader, writer, self._answer_router, CallerLimits).serve()
+        connection = CallerConnection(
+            reader,
+            writer,
+            self._answer_router,
+            CallerLimits,
+            link=self._link,
+            traffic=Traffic.ROUTERS,
+        )
+        await connection.serve()
 
     def _table(self) -> RouteTable | None:
         index = self._follower.index
@@ -369,6 +382,7 @@
         return {
             "active": self._request_handler.active,
             "connections": len(self._connections),
+            **self._link.levels(),
             "waiting_in_time": self._placement.waiting_in_time(),
             "routers_known": self._gossip.known(),
             "routers_heard": self._gossip.fleet_size(),
--- a/src/yokedock/process/router_maintenance.py
+++ b/src/yokedock/process/router_maintenance.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from yokedock.base.link_meter import LinkMeter, Traffic
+from yokedock.base.logs import logger
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.router_gossip import RouterGossip
 from yokedock.process.leadership import Leadership
@@ -25,7 +27,12 @@
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.version_history import VersionHistory
 
+_log = logger("upkeep")
+
 MAINTENANCE_INTERVAL_S = 1.0
+MIN_LOGGED_QUEUE_S = 0.05
+"""A link whose queue is shorter is not logged."""
+MS_PER_SECOND = 1000
 MAX_LIST_AGE_S = 3.0
 """Age of the list of backends from which it may lack some."""
 
@@ -45,6 +52,7 @@
     metrics: RouterMetrics
     origins: StreamOriginExchange
     version_history: VersionHistory
+    link: LinkMeter
 
 
 class RouterMaintenance:
@@ -54,6 +62,9 @@
         """Maintain ``tables``."""
         self._tables = tables
         self._cleaned_table_version = 0
+        self._sent_bytes: dict[Traffic, int] = {}
+        self._received_bytes: dict[Traffic, int] = {}
+        """Bytes that the link had carried at the last maintenance."""
 
     async def run(self) -> None:
         """Clean up periodically, until cancelled."""
@@ -102,6 +113,7 @@
             tables.crashes.parts.drop_old,
             tables.leadership.drop_old_votes,
             tables.origins.drop_expired,
+            self._log_busy_link,
             self._interrupt_history_if_cut_off,
             self._drop_removed_routes,
         )
@@ -124,6 +136,20 @@
         if is_outdated and tables.gossip.known() > tables.gossip.fleet_size():
             tables.version_history.interrupt()
 
+    def _log_busy_link(self) -> None:
+        """Log what the link carried since the last time, if data waits in front of it."""
+        link = self._tables.link
+        sent, received = dict(link.sent_bytes), dict(link.received_bytes)
+        if link.queued_s() >= MIN_LOGGED_QUEUE_S:
+            _log.info(
+                "link busy",
+                queued_ms=round(link.queued_s() * MS_PER_SECOND),
+                received_share=round(link.received_share(), 2),
+                sent={k.value: n - self._sent_bytes.get(k, 0) for k, n in sent.items()},
+                received={k.value: n - self._received_bytes.get(k, 0) for k, n in received.items()},
+            )
+        self._sent_bytes, self._received_bytes = sent, received
+
     def _drop_removed_engines(self) -> None:
         self._tables.ledger.pace.keep_only(self._tables.registry.names())
 
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -75,6 +75,15 @@
     grace_s: float = option("time from SIGTERM to SIGKILL, s", 8.0, between(0.5, 3600))
 
 
+@dataclasses.dataclass(frozen=True)
+class MachineSettings:
+    """Limits of the machine."""
+
+    link_mbps: float = option(
+        "rate of the network link in each direction, Mbit/s; 0: not known", 0.0, between(0, 1e6)
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class RouterLogSettings:
     """Logging, as JSON lines to standard output."""
@@ -97,6 +106,7 @@
     stop: StopSettings
     log: RouterLogSettings
     mechanisms: Mechanisms = ALL_ON
+    machine: MachineSettings = MachineSettings()
 
 
 RELOADED_OPTIONS = ("fleet.seeds", "stop.grace_s")
@@ -105,7 +115,7 @@
 START_OPTIONS = ("fleet.is_first_start",)
 """Options that describe a start; a change of them concerns no running router."""
 
-_OPTIONAL = {"retries", "stop", "log", "mechanisms"}
+_OPTIONAL = {"retries", "stop", "log", "machine", "mechanisms"}
 _KINDS: dict[str, Any] = {
     "process": RouterProcessSettings,
     "callers": RouterCallerSettings,
@@ -114,6 +124,7 @@
     "retries": RetrySettings,
     "stop": StopSettings,
     "log": RouterLogSettings,
+    "machine": MachineSettings,
     "mechanisms": Mechanisms,
 }
 
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.backend_pool import BackendPool
@@ -81,13 +82,17 @@
     """Serves this router's state to other routers, and fetches theirs if it is newer."""
 
     def __init__(
-        self, follower: StateFollower, port: int, alive: Callable[[], list[OtherRouter]]
+        self,
+        follower: StateFollower,
+        port: int,
+        alive: Callable[[], list[OtherRouter]],
+        link: LinkMeter | None = None,
     ) -> None:
         """``alive`` returns the live routers, which all listen on ``port``."""
         self._follower = follower
         self._port = port
         self._alive = alive
-        self._pool = BackendPool()
+        self._pool = BackendPool(link, Traffic.ROUTERS)
         self._random = new_random()
         self._packed = (0, b"")
         """Version and compressed table of the last response that contained a table."""
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.backend_pool import BackendPool
@@ -67,13 +68,19 @@
 class StreamOriginExchange(OriginDirectory):
     """The records of this router, and access to those of the others."""
 
-    def __init__(self, gossip: RouterGossip, port: int, history: VersionHistory) -> None:
+    def __init__(
+        self,
+        gossip: RouterGossip,
+        port: int,
+        history: VersionHistory,
+        link: LinkMeter | None = None,
+    ) -> None:
         """All routers listen on ``port``."""
         self._gossip = gossip
         self._port = port
         self._history = history
         self._origins = StreamOrigins()
-        self._pool = BackendPool()
+        self._pool = BackendPool(link, Traffic.ROUTERS)
         self._started_s = boot_time_s()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(tuple[StreamOrigin, ...])
--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -37,6 +37,7 @@
 POLL_S = 0.05
 MS_PER_SECOND = 1000
 MB = 1_000_000
+LINK_MBPS = 1000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,6 +139,7 @@
             "seedNodes": [],
             "bootstrap": True,
             "platform": {"address": self._operator.store_address},
+            "limits": {"linkMbps": LINK_MBPS},
             "bounds": {
                 "leaseMs": 3000,
                 "retryBudgetRatio": 0.2,
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -23,6 +23,7 @@
 second."""
 MOST_DOWN = 2
 """Routers that are down or frozen at the same time, at most."""
+LINK_MBPS = 1000.0
 RETRY_RATIO = 0.05
 RETRY_WINDOW_S = 10.0
 RETRY_ALLOWANCE = 8
@@ -219,6 +220,7 @@
             "seedNodes": [f"{each}:{fleet}" for each in self._launcher.hosts[:3]],
             "bootstrap": is_first,
             "platform": {"address": self._store},
+            "limits": {"linkMbps": LINK_MBPS},
             "bounds": {
                 "leaseMs": 3000,
                 "retryBudgetRatio": RETRY_RATIO,
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -18,6 +18,7 @@
 from yokedock.process.router import Router
 from yokedock.process.router_settings import (
     FleetSettings,
+    MachineSettings,
     RetrySettings,
     RouterCallerSettings,
     RouterLogSettings,
@@ -156,4 +157,5 @@
         RetrySettings(bounds["retryBudgetRatio"], bounds["retryWindowS"], bounds["retryAllowance"]),
         StopSettings(bounds["graceS"]),
         RouterLogSettings(),
+        machine=MachineSettings(fields["limits"]["linkMbps"]),
     )
