--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -52,6 +52,11 @@
       | a router cut such a stream beside a configuration only                               | LOST   |
       | a stopping router gave up a request that it took 3.2 s after SIGTERM                 | ANSWER |
 
+    Examples: most new connections at one router
+      | fault                                                     | rule    |
+      | a router with most connections served 21 of 30            | RECOVER |
+      | a router with most connections left seven in a row unread | RECOVER |
+
     Examples: resumed streams
       | fault                                                           | rule    |
       | a stream went on at another version                             | ORDER   |
@@ -86,6 +91,9 @@
     Examples:
       | history                                                         |
       | nothing went wrong                                              |
+      | a router with most connections served 24 of 30                  |
+      | a router with most connections served 10, and left 20 unread    |
+      | a router with most connections left six in a row unread         |
       | a stream went on at its version                                 |
       | half of the resumed streams were refused                        |
       | most of eleven resumed streams were refused                     |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -109,6 +109,7 @@
     "silent moments": ["--silent-moments"],
     "stops in turn and silent moments": ["--stops-in-turn", "--silent-moments"],
     "endless bytes": ["--endless-bytes"],
+    "uneven balancing": ["--uneven-balancing"],
 }
 
 
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -377,7 +377,45 @@
     builder.arrival(builder.request(status=502, took_s=took_s), outcome="broken")
 
 
+def most_connections(builder, served, unread=0, is_reset=True):
+    """A router gets most new connections for 8 s; 30 requests before, 30 from 3.1 s on.
+
+    The last ``unread`` of those are cut without an answer, the others beyond ``served`` refused.
+    """
+    builder.history.uneven_spans.append((0, START_S, START_S + 8.0))
+    for number in range(30):
+        builder.arrival(builder.request(at_s=-4.9 + 0.1 * number))
+    for number in range(30):
+        at_s = 3.1 + 0.1 * number
+        if number < served:
+            builder.arrival(builder.request(at_s=at_s))
+        elif number < 30 - unread:
+            builder.request(at_s=at_s, status=503)
+        else:
+            record = builder.request(at_s=at_s, status=None, outcome="cut")
+            record.is_first, record.is_reset = True, is_reset
+
+
+def leaves_all_new_connections(builder, tries):
+    """A router that gets most new connections closes ``tries`` unread within 4 s."""
+    builder.history.uneven_spans.append((0, START_S, START_S + 4.0))
+    for number in range(tries):
+        record = builder.request(at_s=0.1 + 0.3 * number, status=None, outcome="cut")
+        record.is_first = record.is_reset = True
+
+
 HISTORIES = {
+    "a router with most connections served 21 of 30": lambda b: most_connections(b, 21),
+    "a router with most connections served 24 of 30": lambda b: most_connections(b, 24),
+    "a router with most connections served 10, and left 20 unread": lambda b: most_connections(
+        b, 10, 20
+    ),
+    "a router with most connections left seven in a row unread": lambda b: (
+        leaves_all_new_connections(b, 7)
+    ),
+    "a router with most connections left six in a row unread": lambda b: leaves_all_new_connections(
+        b, 6
+    ),
     "nothing went wrong": no_violation,
     "a request that may run once ran at two backends": ran_twice,
     "a refused request had run": refused_request_ran,
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -247,6 +247,7 @@
     stops_in_turn: bool = False,
     silent_moments: bool = False,
     endless_bytes: bool = False,
+    uneven_balancing: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
@@ -256,13 +257,19 @@
     versions serve side by side; with CRASHING_PARTS, parts of some prompts crash engines; with
     STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit; with
     SILENT_MOMENTS, sound backends send nothing for a moment and then go on; with ENDLESS_BYTES,
-    backends answer some requests with bytes that never end.
+    backends answer some requests with bytes that never end; with UNEVEN_BALANCING, most new
+    connections come to one router for some seconds (links are not narrow).
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
 
     options = SoakOptions(
-        two_versions, crashing_parts, stops_in_turn, silent_moments, endless_bytes
+        two_versions,
+        crashing_parts,
+        stops_in_turn,
+        silent_moments,
+        endless_bytes,
+        uneven_balancing,
     )
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
@@ -281,6 +288,7 @@
     stops_in_turn: bool = False,
     silent_moments: bool = False,
     endless_bytes: bool = False,
+    uneven_balancing: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -291,14 +299,20 @@
     CRASHING_PARTS, parts of some prompts crash engines; with STOPS_IN_TURN, routers are stopped in
     series, and get new connections until they exit; with SILENT_MOMENTS, sound backends send
     nothing for a moment and then go on; with ENDLESS_BYTES, backends answer some requests with
-    bytes that never end.
+    bytes that never end; with UNEVEN_BALANCING, most new connections come to one router for some
+    seconds, and links are narrow.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
 
     ensure_fixed_hash_seed()
     options = SoakOptions(
-        two_versions, crashing_parts, stops_in_turn, silent_moments, endless_bytes
+        two_versions,
+        crashing_parts,
+        stops_in_turn,
+        silent_moments,
+        endless_bytes,
+        uneven_balancing,
     )
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -17,6 +17,7 @@
 from yokedock_emulator.router_soak.soak_plan import (
     DEFAULT_OPTIONS,
     LARGE_ROUTES,
+    MOST_CONNECTIONS,
     ROUTER_FAULTS,
     ROUTERS,
     SoakEvent,
@@ -68,7 +69,7 @@
             self._launcher,
             self._operator.store.address,
             self.history,
-            self._options.has_stops_in_turn,
+            self._options,
         )
         try:
             await fleet.start()
@@ -103,6 +104,10 @@
         if event.kind in ("configuration", "large configuration"):
             operator.publish(LARGE_ROUTES if event.kind.startswith("large") else 0)
             return f"{event.kind} {operator.version}"
+        if event.kind == MOST_CONNECTIONS:
+            now_s = boot_time_s()
+            self.history.uneven_spans.append((event.target, now_s, now_s + event.length_s))
+            return f"router {event.target}: {event.kind} {event.length_s:.2f}"
         if event.kind == "store silent":
             operator.silence_store(event.length_s)
             return f"store silent {event.length_s:.2f}"
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.ordered_set import OrderedSet
 from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
 from yokedock_emulator.router_soak.soak_connection import SoakAnswer, SoakConnection
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
@@ -50,6 +52,14 @@
 PATIENCE_S = 10.0
 """Longer than the deadline: a caller sees also what comes late."""
 CONNECT_LIMIT_S = 1.0
+UNEVEN_CALLS_PER_S = 90.0
+"""Rate at which further callers come while the balancer is uneven, whether they are served or
+not; before, at a third of it."""
+UNEVEN_TRIES = 2
+UNEVEN_SHARE = 0.9
+"""Share of new connections at one router while the balancer is uneven."""
+LEAVES_WHEN_UNEVEN_SHARE = 0.3
+"""Share of answers after which a caller opens another connection while the balancer is uneven."""
 GOES_ON_SHARE = 0.8
 """Share of broken streams that may be resumed whose callers take them up again."""
 MOST_BODY_BYTES = 3000
@@ -62,6 +72,16 @@
 CRASHING_PAUSE_S = (0.1, 0.5)
 
 
+@dataclasses.dataclass(frozen=True)
+class ConnectionUse:
+    """How the use of one connection has ended."""
+
+    broken: ClientRecord | None = None
+    """A stream that broke and shall be resumed."""
+    is_unread: bool = False
+    """The router closed the connection without an answer."""
+
+
 class SoakClients:
     """All callers; ``run`` ends when ``stop`` was called and each has its last answer."""
 
@@ -94,22 +114,61 @@
             callers.append(self._call_with_crashing_parts())
         if self._options.has_stops_in_turn:
             callers += [self._call_stopping(number) for number in range(STOP_CALLERS)]
+        if self._options.has_uneven_balancing:
+            callers.append(self._call_steadily())
         await asyncio.gather(*callers)
 
     async def _call(self, number: int) -> None:
         choices = random.Random(f"{self._seed}-{number}")
         keeps = number < CALLERS * KEPT_SHARE
         broken: ClientRecord | None = None
+        avoided: int | None = None
         while not self._is_stopping:
-            router = choices.randrange(ROUTERS)
+            router = self._router_for(choices, avoided)
             connection = await self._connect(router)
             if connection is None:
                 await asyncio.sleep(0.02)
                 continue
             most = 1_000_000 if keeps else choices.randint(*FEW)
-            broken = await self._use(connection, router, most, choices, broken)
+            use = await self._use(connection, router, most, choices, broken)
+            broken, avoided = use.broken, router if use.is_unread else None
             connection.leave()
 
+    async def _call_steadily(self) -> None:
+        """Let callers come at a steady rate, each with one request on a connection of its own."""
+        choices = random.Random(f"{self._seed}-steady")
+        calls: OrderedSet[asyncio.Task[None]] = OrderedSet()
+        while not self._is_stopping:
+            rate = UNEVEN_CALLS_PER_S if self._is_uneven() else UNEVEN_CALLS_PER_S / 3
+            await asyncio.sleep(choices.expovariate(rate))
+            call = asyncio.create_task(self._call_once(random.Random(choices.random())))
+            calls.add(call)
+            call.add_done_callback(calls.discard)
+        await asyncio.gather(*calls)
+
+    async def _call_once(self, choices: random.Random) -> None:
+        """Send one request, and try another router if it is not read."""
+        avoided: int | None = None
+        for _ in range(UNEVEN_TRIES):
+            router = self._router_for(choices, avoided)
+            connection = await self._connect(router)
+            if connection is not None:
+                use = await self._use(connection, router, 1, choices, None)
+                connection.leave()
+                if not use.is_unread:
+                    return
+            avoided = router
+
+    def _router_for(self, choices: random.Random, avoided: int | None) -> int:
+        """Return the router that the balancer chooses; a retry meets another than ``avoided``."""
+        router = choices.randrange(ROUTERS)
+        preferred = self._history.most_connections_at(boot_time_s())
+        if preferred is not None and choices.random() < UNEVEN_SHARE:
+            router = preferred
+        if router == avoided:
+            router = (router + choices.randrange(1, ROUTERS)) % ROUTERS
+        return router
+
     async def _call_stopping(self, number: int) -> None:
         """Open connections to routers that are stopping, until they exit."""
         choices = random.Random(f"{self._seed}-stopping-{number}")
@@ -215,28 +274,35 @@
         most: int,
         choices: random.Random,
         broken: ClientRecord | None,
-    ) -> ClientRecord | None:
-        """Send requests on one connection; return a stream that broke and shall be resumed."""
+    ) -> ConnectionUse:
+        """Send requests on one connection."""
         life = self._fleet.life(router)
-        for _ in range(most):
+        for number in range(most):
             if self._is_stopping:
-                return None
+                return ConnectionUse()
             record = self._next_record(router, life, choices, broken)
+            record.is_first = number == 0
             connection.send(_request(record))
             self._history.records[record.request_id] = record
             await self._answer(connection, record, choices)
             record.end_s = boot_time_s()
             if record.outcome != "answered" or record.closes:
                 goes_on = record.outcome == "cut" and record.events and record.route.kind == "chat"
-                return record if goes_on and choices.random() < GOES_ON_SHARE else None
+                is_resumed = goes_on and choices.random() < GOES_ON_SHARE
+                return ConnectionUse(record if is_resumed else None, record.is_unread)
             broken = None
             stray = await connection.rest(choices.uniform(*THINK_S))
             if stray is None:
-                return None
+                return ConnectionUse()
             if stray:
                 record.problems.append(f"bytes behind the answer: {stray[:60]!r}")
-                return None
-        return None
+                return ConnectionUse()
+            if self._is_uneven() and choices.random() < LEAVES_WHEN_UNEVEN_SHARE:
+                return ConnectionUse()
+        return ConnectionUse()
+
+    def _is_uneven(self) -> bool:
+        return self._history.most_connections_at(boot_time_s()) is not None
 
     def _next_record(
         self, router: int, life: int, choices: random.Random, broken: ClientRecord | None
@@ -287,8 +353,9 @@
             record.outcome = "answered"
         except TimeoutError:
             record.outcome = "left" if leaves else "gave up"
-        except (OSError, EOFError):
+        except (OSError, EOFError) as error:
             record.outcome = "cut"
+            record.is_reset = isinstance(error, ConnectionResetError)
         except ValueError as error:
             record.outcome = "cut"
             record.problems.append(str(error))
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -9,7 +9,12 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.ordered_set import OrderedSet
 from yokedock_emulator.raw_exchange import get_page
-from yokedock_emulator.router_soak.soak_plan import ROUTERS, SoakEvent
+from yokedock_emulator.router_soak.soak_plan import (
+    DEFAULT_OPTIONS,
+    ROUTERS,
+    SoakEvent,
+    SoakOptions,
+)
 from yokedock_emulator.router_soak.soak_processes import RouterLauncher, RouterProcess
 from yokedock_emulator.router_soak.soak_records import ProcessorWait, RouterLife, SoakHistory
 
@@ -23,7 +28,8 @@
 second."""
 MOST_DOWN = 2
 """Routers that are down or frozen at the same time, at most."""
-LINK_MBPS = 1000.0
+NARROW_LINK_MBPS = 10.0
+"""Carries half as much again as a router's share of the callers, but not all of them."""
 RETRY_RATIO = 0.05
 RETRY_WINDOW_S = 10.0
 RETRY_ALLOWANCE = 8
@@ -38,13 +44,15 @@
         launcher: RouterLauncher,
         store: str,
         history: SoakHistory,
-        gets_new_until_exit: bool = False,
+        options: SoakOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Run routers that read their state from the store at address ``store``.
 
-        With ``gets_new_until_exit``, callers open connections to a router until it exits.
+        With ``has_stops_in_turn``, callers open connections to a router until it exits; with
+        ``has_uneven_balancing``, the links of routers are narrow.
         """
-        self._gets_new_until_exit = gets_new_until_exit
+        self._gets_new_until_exit = options.has_stops_in_turn
+        self._link_mbps = NARROW_LINK_MBPS if options.has_uneven_balancing else 0.0
         self._launcher = launcher
         self._store = store
         self._history = history
@@ -220,7 +228,7 @@
             "seedNodes": [f"{each}:{fleet}" for each in self._launcher.hosts[:3]],
             "bootstrap": is_first,
             "platform": {"address": self._store},
-            "limits": {"linkMbps": LINK_MBPS},
+            "limits": {"linkMbps": self._link_mbps},
             "bounds": {
                 "leaseMs": 3000,
                 "retryBudgetRatio": RETRY_RATIO,
--- a/src/yokedock_emulator/router_soak/soak_losses.py
+++ b/src/yokedock_emulator/router_soak/soak_losses.py
@@ -102,6 +102,8 @@
         return False
     if took_s >= DEADLINE_S or not (arrivals or took_s > SLACK_S):
         return False
+    if record.is_unread and not arrivals:
+        return False
     span = record.sent_s - BOUND_S, record.end_s
     if any(_overlap(span, each) for each in machine.unplanned):
         return False
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -69,6 +69,13 @@
 CONFIGURATION_SHARE = 0.6
 """Shares of the stops of a series with a SIGHUP, or a configuration, while the router stops."""
 DURING_STOP_S = 7.0
+MOST_CONNECTIONS = "most connections"
+"""The balancer sends most new connections to one router."""
+CALM_BEFORE_UNEVEN_S = (6.0, 8.0)
+"""Time without uneven balancing before each span of it, which is compared with it."""
+UNEVEN_S = (7.0, 9.0)
+EVENTS_BESIDE_UNEVEN = ("configuration", "hang-up")
+"""Events that must not lessen what is served."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +92,8 @@
     """Sound backends send nothing for a moment, and then go on with all that they owe."""
     has_endless_bytes: bool = False
     """Backends answer some requests with bytes that never end."""
+    has_uneven_balancing: bool = False
+    """The balancer sends most new connections to one router for a while, and links are narrow."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -139,6 +148,8 @@
         events += _events_of("endless bytes", _endless_bytes_event, choices, seconds)
     if options.has_stops_in_turn:
         events = _with_stops_in_turn(events, seed, seconds)
+    if options.has_uneven_balancing:
+        events = _with_uneven_balancing(events, seed, seconds)
     return sorted(events, key=lambda event: event.at_s)
 
 
@@ -187,6 +198,18 @@
     return events
 
 
+def _with_uneven_balancing(events: list[SoakEvent], seed: int, seconds: float) -> list[SoakEvent]:
+    """Add spans of uneven balancing, and remove all events that explain a failed request."""
+    choices = random.Random(f"router-soak-uneven-balancing-{seed}")
+    events = [event for event in events if event.kind in EVENTS_BESIDE_UNEVEN]
+    at_s = choices.uniform(*CALM_BEFORE_UNEVEN_S)
+    while at_s < seconds:
+        length_s = choices.uniform(*UNEVEN_S)
+        events.append(SoakEvent(at_s, MOST_CONNECTIONS, choices.randrange(ROUTERS), length_s))
+        at_s += length_s + choices.uniform(*CALM_BEFORE_UNEVEN_S)
+    return events
+
+
 def _restore_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
     return [SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s)]
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -75,8 +75,12 @@
     status: int | None = None
     events: int = 0
     """Number of the last event that came."""
+    is_first: bool = False
+    """The first request on its connection."""
     closes: bool = False
     """The answer announced that the connection ends."""
+    is_reset: bool = False
+    """Its connection ended with a reset: bytes that were sent have not been read."""
     problems: list[str] = dataclasses.field(default_factory=list)
     """What is wrong with the answer by itself."""
     path: str = ""
@@ -92,6 +96,19 @@
         """Return what is asked for."""
         return f"/{self.route.name}/x?of={self.path or self.request_id}"
 
+    @property
+    def is_unanswered_cut(self) -> bool:
+        """Return whether its connection was closed before any answer."""
+        return self.outcome == "cut" and self.status is None
+
+    @property
+    def is_unread(self) -> bool:
+        """Return whether it was the first on a connection that was reset before any answer.
+
+        A router that has read a request ends its connection without a reset.
+        """
+        return self.is_first and self.is_reset and self.is_unanswered_cut
+
     @property
     def is_poison(self) -> bool:
         """Return whether the request ends the backends that run it."""
@@ -210,6 +227,8 @@
     store_silent_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     restored_s: list[tuple[float, float, float]] = dataclasses.field(default_factory=list)
     """When the backup of each restore was taken, the store went offline, and it had recovered."""
+    uneven_spans: list[tuple[int, float, float]] = dataclasses.field(default_factory=list)
+    """Routers that get most new connections, and from when to when."""
     stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which the soak's own process did not run: nothing is known of them."""
     at_end: dict[int, dict[str, float]] = dataclasses.field(default_factory=dict)
@@ -258,6 +277,14 @@
         before = steps[first - 1][1] if first else 0
         return min([before, *(count for _, count in steps[first:last])])
 
+    def most_connections_at(self, at_s: float) -> int | None:
+        """Return the router that gets most new connections at this time, if one does."""
+        return next((r for r, from_s, to_s in self.uneven_spans if from_s <= at_s < to_s), None)
+
+    def arrived(self) -> frozenset[str]:
+        """Return the ids of all requests that reached a backend."""
+        return frozenset(arrival.request_id for arrival in self.arrivals)
+
     def tell(self, now_s: float, text: str) -> None:
         """Note what was done."""
         self.story.append((now_s, text))
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -11,6 +11,7 @@
 import logbook
 
 from yokedock.base.clock import wall_clock_ms
+from yokedock.base.link_meter import BYTES_PER_S_PER_MBPS
 from yokedock.base.logs import json_line
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.platform.headers import PLATFORM_HEADERS
@@ -109,6 +110,8 @@
 
     def start(self, router: int, fields: dict[str, Any]) -> SimulatedRouter:
         """Start a process of a router."""
+        if link_mbps := fields["limits"]["linkMbps"]:
+            self._loop.network.limit_link(self.hosts[router], link_mbps * BYTES_PER_S_PER_MBPS)
         return self.router_type(self._loop, self.hosts[router], _settings(fields))
 
     def close(self) -> None:
