Connects and answers are not given up for a delay that all peers share

Cause: behind a full link, packets to all backends wait alike.

Ruled out: longer time limits for all; they would delay the first failure of every dark backend.

Change: SharedDelay measures how long connects take at least. While the link is busy, a connect expires only once a later one to another peer was accepted, or 0.6 s later; answers and cache listings get the queue's time and the shared delay on top.

Figures: property 'a connect over a full link is waited for': on a connect behind 0.4 s of queue is given up (assertion), now it is reached, and given up if another peer accepts a later one.

Conclusion: the router's own delay no longer counts against its backends where a connect can tell; silences within streams and measured prefill rates still contain it.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -114,6 +114,7 @@
     Examples: a router on a narrow link
       | property                                  |
       | changes use a small part of a narrow link |
+      | a connect over a full link is waited for  |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -6,8 +6,10 @@
 import msgspec
 
 from support.gossip_properties import CountingTransport, state
-from yokedock.base.link_meter import LinkMeter
+from yokedock.base.link_meter import LinkMeter, Traffic
+from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.router_gossip import RouterGossip
+from yokedock.router_errors import BackendUnreachable
 from yokedock_emulator.simulation.simulation import run_simulated
 
 LINK_MBPS = 5.0
@@ -58,6 +60,45 @@
     assert min(wide, unknown) >= 50, (wide, unknown)
 
 
+async def _connect_over_queue(queue_bytes, is_other_reached):
+    """Connect behind ``queue_bytes`` on a narrow link; return whether the peer was reached."""
+    loop = asyncio.get_running_loop()
+    link = LinkMeter(LINK_MBPS)
+    own = "127.0.0.1"
+    network = loop.network
+    server = await asyncio.start_server(lambda r, w: None, "10.0.0.2", PORT)
+    del server
+    network.limit_link("10.0.0.2", LINK_BYTES_PER_S)
+    network.arrival_s(own, "10.0.0.2", queue_bytes)
+    link.record_sent(Traffic.BACKENDS, queue_bytes)
+    if is_other_reached:
+        other = await asyncio.start_server(lambda r, w: None, "10.0.0.3", PORT)
+        del other
+
+        async def reach_other():
+            await asyncio.sleep(0.01)
+            await BackendConnection.connect(f"10.0.0.3:{PORT}", 0.15, link)
+
+        reaching = asyncio.create_task(reach_other())
+    try:
+        await BackendConnection.connect(f"10.0.0.2:{PORT}", 0.15, link)
+    except BackendUnreachable:
+        return False
+    finally:
+        if is_other_reached:
+            await reaching
+    return True
+
+
+# Guards against sound backends that are given up because the router's own link is full.
+def a_connect_over_a_full_link_is_waited_for():
+    """A connect that waits 0.4 s is given up only if another peer has accepted a later one."""
+    queue_bytes = int(0.4 * LINK_BYTES_PER_S)
+    assert run_simulated(_connect_over_queue(queue_bytes, is_other_reached=False))
+    assert not run_simulated(_connect_over_queue(queue_bytes, is_other_reached=True))
+
+
 LINK_PROPERTIES = {
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
+    "a connect over a full link is waited for": a_connect_over_a_full_link_is_waited_for,
 }
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -43,6 +43,8 @@
 """Connections that were idle for longer are not reused."""
 READ_BEFORE_ABORT_S = 0.05
 """Time in which data that has arrived is read before a connection is aborted."""
+MAX_SHARED_DELAY_S = 0.6
+"""How much longer a connect may take while the link may be what delays it."""
 KEEP_ALIVE_SHARE = 0.7
 """Fraction of the backend's keep-alive timeout for which an idle connection is reused."""
 
@@ -103,7 +105,7 @@
         """
         link = link or LinkMeter()
         link.record_sent(traffic, 0)
-        sock = await _connect_socket(address, timeout_s)
+        sock = await _connect_socket(address, timeout_s, link)
         reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
         return cls(address, reader, writer, link, traffic)
 
@@ -328,22 +330,34 @@
         self._idle_since_s = boot_time_s()
 
 
-async def _connect_socket(address: str, timeout_s: float) -> socket.socket:
+async def _connect_socket(address: str, timeout_s: float, link: LinkMeter) -> socket.socket:
     """Return a socket connected to ``address``; raises ``BackendUnreachable``.
 
+    While the link is busy, the timeout only applies once another peer has accepted a connection
+    that was requested later, or after ``MAX_SHARED_DELAY_S`` more.
+
     The timeout covers only the wait for the peer, and ``ReadFirstTimeout`` lets a connection that
     is already established win over an expired timer: a process that got no CPU time during the
     timeout would otherwise treat healthy backends as unreachable. At a load average of 25 on 8
     cores such backends were avoided for a second each, and 2 to 5 of 20,000 calls were refused.
     """
     host, _, port = address.rpartition(":")
+    clock = asyncio.get_running_loop().time
+    started_s = boot_time_s()
+    latest_s = clock() + timeout_s + MAX_SHARED_DELAY_S
+
+    def may_expire() -> bool:
+        is_own_delay = link.is_busy() and not link.shared_delay.has_connected_since(started_s)
+        return not is_own_delay or clock() >= latest_s
+
     with contextlib.ExitStack() as cleanup:
         sock = cleanup.enter_context(new_socket(socket.SOCK_STREAM))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         try:
-            async with ReadFirstTimeout(timeout_s):
+            async with ReadFirstTimeout(timeout_s, may_expire, latest_s=latest_s):
                 await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+            link.shared_delay.record_connect(started_s)
         except TimeoutError:
             raise BackendUnreachable(
                 f"{address}: connect timed out after {timeout_s:.2f} s"
--- a/src/yokedock/connection/backend_pool.py
+++ b/src/yokedock/connection/backend_pool.py
@@ -14,7 +14,7 @@
 
     def __init__(self, link: LinkMeter | None = None, traffic: Traffic = Traffic.BACKENDS) -> None:
         """Create an empty pool; ``link`` counts the bytes of its connections as ``traffic``."""
-        self._link = link or LinkMeter()
+        self.link = link or LinkMeter()
         self._traffic = traffic
         self._idle: dict[str, list[BackendConnection]] = {}
         self.opened = 0
@@ -45,7 +45,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await BackendConnection.connect(address, timeout_s, self._link, self._traffic)
+        return await BackendConnection.connect(address, timeout_s, self.link, self._traffic)
 
     def give_back(self, connection: BackendConnection, most: float = math.inf) -> None:
         """Return a connection to the pool, or close it if unusable or if ``most`` are idle."""
--- a/src/yokedock/connection/short_call.py
+++ b/src/yokedock/connection/short_call.py
@@ -99,7 +99,7 @@
     async with _connection(pool, address, limits) as connection:
         clock = asyncio.get_running_loop().time
         sent_s = clock()
-        due_s = sent_s + limits.response_s
+        due_s = sent_s + limits.response_s + pool.link.shared_delay.current_s()
         try:
             async with ReadFirstTimeout(limits.response_s, due_s=lambda: due_s):
                 head = RequestHead((), call.method, call.target)
--- a/src/yokedock/process/router_maintenance.py
+++ b/src/yokedock/process/router_maintenance.py
@@ -30,8 +30,6 @@
 _log = logger("upkeep")
 
 MAINTENANCE_INTERVAL_S = 1.0
-MIN_LOGGED_QUEUE_S = 0.05
-"""A link whose queue is shorter is not logged."""
 MS_PER_SECOND = 1000
 MAX_LIST_AGE_S = 3.0
 """Age of the list of backends from which it may lack some."""
@@ -140,11 +138,12 @@
         """Log what the link carried since the last time, if data waits in front of it."""
         link = self._tables.link
         sent, received = dict(link.sent_bytes), dict(link.received_bytes)
-        if link.queued_s() >= MIN_LOGGED_QUEUE_S:
+        if link.is_busy():
             _log.info(
                 "link busy",
                 queued_ms=round(link.queued_s() * MS_PER_SECOND),
-                received_share=round(link.received_share(), 2),
+                used_share=round(link.used_share(), 2),
+                shared_delay_ms=round(link.shared_delay.current_s() * MS_PER_SECOND),
                 sent={k.value: n - self._sent_bytes.get(k, 0) for k, n in sent.items()},
                 received={k.value: n - self._received_bytes.get(k, 0) for k, n in received.items()},
             )
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -80,7 +80,9 @@
     """Limits of the machine."""
 
     link_mbps: float = option(
-        "rate of the network link in each direction, Mbit/s; 0: not known", 0.0, between(0, 1e6)
+        "rate of the network link, both directions together, Mbit/s; 0: not known",
+        0.0,
+        between(0, 1e6),
     )
 
 
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.link_meter import LinkMeter
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.connection.backend_connection import MAX_IDLE_S, BackendConnection
@@ -63,8 +64,13 @@
         call: RoutedCall,
         crashes: CrashRecords,
         buffers: ResponseBuffers,
+        link: LinkMeter,
     ) -> None:
-        """Wrap a connection that is ready to send; the outcome is reported to ``crashes``."""
+        """Wrap a connection that is ready to send; the outcome is reported to ``crashes``.
+
+        Time limits don't count the delay that all connections over ``link`` share.
+        """
+        self._link = link
         self.backend = backend
         self.buffers = buffers
         self.is_whole = False
@@ -127,8 +133,14 @@
         Raises ``BackendRefused`` if the backend states that it does not run the request,
         ``BackendResponseError`` if no valid response arrives within ``timeout_s``.
         """
+        clock = asyncio.get_running_loop().time
+        sent_s = clock()
+
+        def due_s() -> float:
+            return sent_s + timeout_s + self._link.shared_delay.current_s()
+
         try:
-            async with ReadFirstTimeout(timeout_s):
+            async with ReadFirstTimeout(timeout_s + self._link.queued_s(), due_s=due_s):
                 head = await self._connection.read_head(self._matches_request)
         except TimeoutError:
             if timeout_s >= SILENT_S:
@@ -348,7 +360,13 @@
             # backends meanwhile. It is counted again below once connected.
             backend.outstanding -= 1
         exchange = BackendExchange(
-            connection, self.dialect, backend, call, self.crashes, self._buffers
+            connection,
+            self.dialect,
+            backend,
+            call,
+            self.crashes,
+            self._buffers,
+            self.pool.link,
         )
         exchange.on_silence = lambda: self._drop_silent_connections(connection, call)
         backend.outstanding += 1
