A router reads no more requests than its link carries, and refuses the rest unread

Cause: a router reads every request that comes, whatever its machine carries. While most new connections come to one with a narrow link, all requests that it has read wait behind each other, the sound backends' answers among them. The link's rate stands in the platform's settings and was not used.

Ruled out: refusing with 503 after reading (the bytes have used the link already, and the caller waits for nothing); leaving connections unaccepted (a caller that may not repeat waits its whole time).

Change: LinkAdmission takes as many requests per second as fit the link by their mean size, less all other traffic; what the estimate misses shows in the delay that all connects share, which lowers the used share by a fifth each half second. Beyond that the listener is closed: a refused connection costs the link two small packets and its caller tries elsewhere at once; what was accepted meanwhile is reset unread. Answers say 'Connection: close' while the allowance is exceeded, and after a second of refusals the router says for 4 s that it isn't ready. At least two connections a second are taken.

Properties: of arrivals that a link carries all are taken, of 1.5, 3 and 10 times as many 70 to 110% of what it carries, queue under 0.6 s.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -114,6 +114,8 @@
     Examples: a router on a narrow link
       | property                                  |
       | changes use a small part of a narrow link |
+      | a link is used and not overloaded         |
+      | some connections are always accepted      |
       | a connect over a full link is waited for  |
 
   Scenario Outline: <property>
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -1,6 +1,7 @@
 """Properties of a router on a narrow link."""
 
 import asyncio
+import heapq
 import itertools
 
 import msgspec
@@ -9,6 +10,7 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.router_gossip import RouterGossip
+from yokedock.request.link_admission import LinkAdmission
 from yokedock.router_errors import BackendUnreachable
 from yokedock_emulator.simulation.simulation import run_simulated
 
@@ -60,6 +62,77 @@
     assert min(wide, unknown) >= 50, (wide, unknown)
 
 
+class _FakeClock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+SENT_AFTER_S = ((0.0, 5000), (0.3, 5000), *((0.4 + 0.1 * n, 550) for n in range(15)))
+"""What a generation sends, and when after its arrival: the prompt twice, then its events."""
+REQUEST_BYTES = 20_000
+
+
+def _play_arrivals(per_s, seconds=12.0, link_mbps=LINK_MBPS):
+    """Return the accepted share, the longest queue (s) and the bytes per second of the last 6 s."""
+    clock = _FakeClock()
+    link = LinkMeter(link_mbps, clock)
+    admission = LinkAdmission(link, clock)
+    start_s = clock.now_s
+    due = [(start_s + number / per_s, 0) for number in range(int(per_s * seconds))]
+    offered = accepted = 0
+    longest_s, sent_before = 0.0, 0
+    while due:
+        clock.now_s, size = heapq.heappop(due)
+        is_late = clock.now_s > start_s + seconds / 2
+        if not is_late:
+            sent_before = sum(link.sent_bytes.values())
+        if clock.now_s > start_s + seconds:
+            break
+        if size:
+            link.record_sent(Traffic.BACKENDS, size)
+            longest_s = max(longest_s, link.queued_s())
+            continue
+        is_accepted = admission.accept()
+        if is_late:
+            offered += 1
+            accepted += is_accepted
+        if is_accepted:
+            for after_s, part in SENT_AFTER_S:
+                heapq.heappush(due, (clock.now_s + after_s, part))
+    rate = (sum(link.sent_bytes.values()) - sent_before) / (seconds / 2)
+    return accepted / offered, longest_s, rate
+
+
+# Guards against requests that are read by a router whose link can't carry them.
+def a_link_is_used_and_not_overloaded():
+    """Of arrivals that a link can carry all are accepted, of more as many as it carries."""
+    fitting = LINK_BYTES_PER_S / REQUEST_BYTES
+    share, longest_s, _ = _play_arrivals(0.6 * fitting)
+    assert share == 1.0 and longest_s < 0.15, (share, longest_s)
+    for excess in (1.5, 3.0, 10.0):
+        share, longest_s, rate = _play_arrivals(excess * fitting)
+        assert longest_s < 0.6, (excess, longest_s)
+        assert rate > 0.75 * LINK_BYTES_PER_S, (excess, rate)
+        assert 0.7 / excess < share < 1.1 / excess, (excess, share)
+
+
+# Guards against a router that leaves all new connections, whatever its estimates say.
+def some_connections_are_always_accepted():
+    """A router with a full link accepts a connection at least twice a second."""
+    clock = _FakeClock()
+    link = LinkMeter(LINK_MBPS, clock)
+    admission = LinkAdmission(link, clock)
+    link.record_sent(Traffic.BACKENDS, 10_000_000)
+    accepted = 0
+    for _ in range(400):
+        clock.now_s += 0.01
+        accepted += admission.accept()
+    assert 6 <= accepted <= 9, accepted
+
+
 async def _connect_over_queue(queue_bytes, is_other_reached):
     """Connect behind ``queue_bytes`` on a narrow link; return whether the peer was reached."""
     loop = asyncio.get_running_loop()
@@ -100,5 +173,7 @@
 
 LINK_PROPERTIES = {
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
+    "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
+    "some connections are always accepted": some_connections_are_always_accepted,
     "a connect over a full link is waited for": a_connect_over_a_full_link_is_waited_for,
 }
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -81,6 +81,9 @@
         """The response to the request in flight, or to the last one."""
         self.is_closing = False
         """Set by the owner: the next response is the last and says ``Connection: close``."""
+        self.should_close: Callable[[], bool] = lambda: False
+        """Set by the owner: returns whether the caller should use another connection from now on.
+        Asked at the start of each response."""
         self._close_unannounced = False
         self.is_idle = True
         self.caller_has_left = False
@@ -119,6 +122,7 @@
 
     def closes_after_response(self) -> bool:
         """Return whether the response must carry ``Connection: close``."""
+        self.is_closing = self.is_closing or self.should_close()
         return self.is_closing
 
     def send_event(self, event: h11.Event) -> None:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import socket
 from collections.abc import Awaitable, Callable, Coroutine
@@ -12,10 +13,12 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
+from yokedock.connection.backend_connection import RESET_ON_CLOSE
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import Dialect
+from yokedock.connection.gated_listener import GatedListener
 from yokedock.connection.http_heads import complete_response
 from yokedock.connection.response_writer import ResponseWriter
 from yokedock.connection.router_gossip import RouterGossip
@@ -49,6 +52,7 @@
 from yokedock.request.crash_records import CrashRecords
 from yokedock.request.engine_ledger import EngineLedger
 from yokedock.request.generation_call import GenerationCalls
+from yokedock.request.link_admission import LinkAdmission
 from yokedock.request.poison_parts import PoisonParts
 from yokedock.request.poison_requests import PoisonRequests
 from yokedock.request.quarantine import QuarantineGuard
@@ -85,11 +89,12 @@
 
         ``sockets`` are already listening, by address.
         """
-        self._sockets = sockets or {}
+        self._sockets = dict(sockets or {})
         self.settings = settings
         mechanisms = settings.mechanisms
         link = self._link = LinkMeter(settings.machine.link_mbps)
         source.use_link(link)
+        self._link_admission = LinkAdmission(link)
         self._ledger = EngineLedger(mechanisms=mechanisms)
         own_address, _, port = settings.fleet.address.rpartition(":")
         limits = BackendLimits(own_address, lambda: self._gossip.fleet_size())
@@ -156,6 +161,10 @@
             StopAdmission(self._stop, self._registry, self._ledger.pace),
         )
         self._connections: OrderedSet[CallerConnection] = OrderedSet()
+        self._caller_listener = GatedListener(
+            lambda: self._listen(settings.callers.listen, self._accept_caller),
+            self._link_admission.may_resume,
+        )
         self.is_listening = False
         self._tasks: OrderedSet[asyncio.Task[None]] = OrderedSet()
         self._leadership = Leadership(
@@ -228,12 +237,13 @@
         """Serve until ``stop`` is set, then shut down gracefully."""
         await self._gossip.start()
         callers = self.settings.callers
+        await self._caller_listener.start()
         servers = [
-            await self._listen(callers.listen, self._accept_caller),
             await self._listen(callers.ready_listen, self._accept_ready),
             await self._listen(self.settings.fleet.address, self._accept_router),
         ]
         self.is_listening = True
+        self._start_supervised("listener", self._caller_listener.run)
         self._start_supervised("follower", self._follower.run)
         self._start_supervised("gossip", self._gossip.run)
         if self.settings.mechanisms.role_changes:
@@ -243,6 +253,7 @@
         _log.info("started", name=self.settings.process.name, listen=callers.listen)
         await stop.wait()
         await self._shut_down()
+        self._caller_listener.close()
         for server in servers:
             server.close()
         self._exchange.stop()
@@ -268,7 +279,8 @@
     @property
     def is_ready(self) -> bool:
         """Return whether this router accepts new connections."""
-        return self._follower.is_known and not self._stop.is_stopping
+        is_serving = self._follower.is_known and not self._stop.is_stopping
+        return is_serving and self._link_admission.should_get_new()
 
     async def _shut_down(self) -> None:
         """Let other routers lead, and complete the requests in flight."""
@@ -305,7 +317,7 @@
     # --- Listening ---
 
     async def _listen(self, address: str, accept: Accept) -> asyncio.Server:
-        early = self._sockets.get(address)
+        early = self._sockets.pop(address, None)
         if early is not None:
             return await asyncio.start_server(accept, sock=early, backlog=BACKLOG)
         host, _, port = address.rpartition(":")
@@ -316,10 +328,25 @@
     async def _accept_caller(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        admission = self._link_admission
+        is_accepted = admission.accept()
+        if not admission.has_room():
+            self._caller_listener.pause()
+        if not is_accepted:
+            _reset(writer)
+            return
         handler = self._request_handler
+        requests = itertools.count()
+
+        async def answer(request: CallerRequest, response: ResponseWriter) -> None:
+            if next(requests) > 0:
+                admission.take()
+            await handler.answer(request, response)
+
         connection = CallerConnection(
-            reader, writer, handler.answer, self._limits, handler.time_limit_s, self._link
+            reader, writer, answer, self._limits, handler.time_limit_s, self._link
         )
+        connection.should_close = admission.is_exceeded
         connection.is_closing = self._stop.is_stopping
         self._connections.add(connection)
         try:
@@ -382,6 +409,8 @@
         return {
             "active": self._request_handler.active,
             "connections": len(self._connections),
+            "connections_unread": self._link_admission.unread,
+            "listener_pauses": self._caller_listener.pauses,
             **self._link.levels(),
             "waiting_in_time": self._placement.waiting_in_time(),
             "routers_known": self._gossip.known(),
@@ -421,5 +450,12 @@
         self._pool.forget(backend.entry.address)
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, so that its peer knows that nothing was read."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 def _seed_hosts(settings: RouterSettings) -> tuple[str, ...]:
     return tuple(seed.rpartition(":")[0] for seed in settings.fleet.seeds)
--- /dev/null
+++ b/src/yokedock/request/link_admission.py
@@ -0,0 +1,197 @@
+"""Decides which new connections a router accepts, by what its network link can carry.
+
+A caller whose connection is closed before its request was read tries another router at once, and
+loses nothing but the round trip. A request that was read is this router's: on a full link it waits,
+and so do all others. The load is therefore limited by the requests accepted per second, before the
+bytes that each of them causes have reached the link.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Callable
+
+from yokedock.base.clock import boot_time_s
+from yokedock.base.link_meter import LinkMeter, Traffic
+
+MAX_USED_SHARE = 0.9
+"""Fraction of the link's rate that requests and all other traffic may use together."""
+MIN_USED_SHARE = 0.4
+ADAPT_S = 0.5
+"""Interval at which that fraction is adapted to the delay that all connections share."""
+MAX_SHARED_DELAY_S = 0.1
+USED_SHARE_DECREASE = 0.8
+"""Factor after an interval with a longer delay."""
+USED_SHARE_INCREASE = 0.1
+"""Increase after an interval without."""
+BURST_S = 0.25
+"""Requests that arrive together may use the allowance of so many seconds."""
+RESUME_S = 0.05
+"""After a refusal, connections are accepted again once the allowance has so many seconds."""
+MAX_DEBT_S = 0.5
+"""The allowance is exceeded by at most so many seconds of the link."""
+MAX_QUEUED_S = 0.15
+"""With more data in front of the link, no connection is accepted."""
+MAX_REFUSING_S = 0.5
+"""One connection is accepted at least so often, so that the estimates stay current."""
+UNREADY_AFTER_S = 1.0
+"""A router that has refused connections for so long should get none for a while."""
+UNREADY_S = 4.0
+"""How long at least: the balancer asks once a second."""
+PAUSE_BETWEEN_REFUSALS_S = 1.0
+"""Refusals that are further apart belong to different overloads."""
+MEAN_WINDOW_S = 4.0
+"""Time constant of the mean size of requests."""
+INITIAL_REQUEST_BYTES = 4096.0
+REQUEST_TRAFFIC = (Traffic.CALLERS, Traffic.BACKENDS)
+"""Traffic that requests cause, including their retries."""
+
+
+class LinkAdmission:
+    """Limits the requests of one router to what its link carries."""
+
+    def __init__(self, link: LinkMeter, clock: Callable[[], float] = boot_time_s) -> None:
+        """Use the counters of ``link``; a link of unknown rate carries everything."""
+        self._link = link
+        self._clock = clock
+        self._is_limited = not math.isinf(link.bytes_per_s)
+        self._used_share = MAX_USED_SHARE
+        self._adapted_s = clock()
+        self._left_bytes = BURST_S * self._rate
+        """What the requests of this moment may cause."""
+        self._mean = _RequestSizes(link)
+        self._advanced_s = self._accepted_s = clock()
+        self._refusing_since_s = self._refused_s = self._unready_until_s = -math.inf
+        self.unread = 0
+        """Number of connections that were not accepted."""
+
+    def accept(self) -> bool:
+        """Return whether to accept a new connection, and charge its first request."""
+        if not self._is_limited:
+            return True
+        if self.has_room():
+            self._accepted_s = self._clock()
+            self._charge()
+            return True
+        self.unread += 1
+        # What the caller has sent already comes over the link all the same.
+        self._link.record_received(Traffic.UNREAD, round(self._mean.received_bytes))
+        self._link.record_overload()
+        self._note_refusal()
+        return False
+
+    def has_room(self) -> bool:
+        """Return whether another connection can be accepted."""
+        return not self._is_limited or self._has_room(self._mean.bytes)
+
+    def may_resume(self) -> bool:
+        """Return whether to accept connections again after there was no room for any."""
+        return self._has_room(RESUME_S * self._rate)
+
+    def should_get_new(self) -> bool:
+        """Return whether the balancer should send new connections to this router."""
+        return self._clock() >= self._unready_until_s
+
+    def _note_refusal(self) -> None:
+        now_s = self._clock()
+        if now_s - self._refused_s > PAUSE_BETWEEN_REFUSALS_S:
+            self._refusing_since_s = now_s
+        self._refused_s = now_s
+        if now_s - self._refusing_since_s >= UNREADY_AFTER_S:
+            self._unready_until_s = now_s + UNREADY_S
+
+    def _has_room(self, least_bytes: float) -> bool:
+        self._advance()
+        is_due = self._clock() - self._accepted_s >= MAX_REFUSING_S
+        return is_due or (self._left_bytes >= least_bytes and not self._is_queue_long())
+
+    def take(self) -> None:
+        """Charge a further request on a connection."""
+        if self._is_limited:
+            self._advance()
+            self._charge()
+
+    def is_exceeded(self) -> bool:
+        """Return whether connections should end, so that callers can go to other routers."""
+        if not self._is_limited:
+            return False
+        self._advance()
+        return self._left_bytes < 0 or self._is_queue_long()
+
+    @property
+    def _rate(self) -> float:
+        """Bytes per second that requests and all other traffic may use together."""
+        return self._used_share * self._link.bytes_per_s
+
+    def _adapt(self, now_s: float) -> None:
+        """Use less of a link that has less to give than its rate says."""
+        if now_s - self._adapted_s < ADAPT_S:
+            return
+        self._adapted_s = now_s
+        if self._link.shared_delay.current_s() > MAX_SHARED_DELAY_S:
+            self._used_share = max(MIN_USED_SHARE, self._used_share * USED_SHARE_DECREASE)
+        else:
+            self._used_share = min(MAX_USED_SHARE, self._used_share + USED_SHARE_INCREASE)
+
+    def _is_queue_long(self) -> bool:
+        return self._link.queued_s() > MAX_QUEUED_S
+
+    def _charge(self) -> None:
+        self._mean.count()
+        least = -MAX_DEBT_S * self._rate
+        self._left_bytes = max(least, self._left_bytes - self._mean.bytes)
+
+    def _advance(self) -> None:
+        """Update the estimates, and add the allowance for the time since the last call."""
+        now_s = self._clock()
+        elapsed_s, self._advanced_s = now_s - self._advanced_s, now_s
+        self._mean.advance(elapsed_s)
+        self._adapt(now_s)
+        rate = max(0.0, self._rate - self._mean.other_bytes_per_s)
+        self._left_bytes = min(BURST_S * self._rate, self._left_bytes + elapsed_s * rate)
+
+
+class _RequestSizes:
+    """Mean bytes on the link of a request, and the rate of all other traffic."""
+
+    def __init__(self, link: LinkMeter) -> None:
+        self._link = link
+        self._requests = 1.0
+        self._request_bytes = INITIAL_REQUEST_BYTES
+        self._received_bytes = 0.0
+        self._counted: collections.Counter[str] = collections.Counter()
+        self.other_bytes_per_s = 0.0
+
+    @property
+    def bytes(self) -> float:
+        """Return the mean bytes that a request causes in both directions."""
+        return self._request_bytes / self._requests
+
+    @property
+    def received_bytes(self) -> float:
+        """Return the mean size of a request itself."""
+        return self._received_bytes / self._requests
+
+    def count(self) -> None:
+        """Count a request that was taken."""
+        self._requests += 1
+
+    def advance(self, elapsed_s: float) -> None:
+        """Update the estimates by what the link has carried in the last ``elapsed_s``."""
+        sent, received = self._link.sent_bytes, self._link.received_bytes
+        by_requests = sum(sent[kind] + received[kind] for kind in REQUEST_TRAFFIC)
+        total = sum(sent.values()) + sum(received.values())
+        kept = math.exp(-elapsed_s / MEAN_WINDOW_S)
+        self._requests *= kept
+        new = self._count_new("requests", by_requests)
+        self._request_bytes = self._request_bytes * kept + new
+        new = self._count_new("received", received[Traffic.CALLERS])
+        self._received_bytes = self._received_bytes * kept + new
+        new = self._count_new("other", total - by_requests)
+        self.other_bytes_per_s = self.other_bytes_per_s * kept + new / MEAN_WINDOW_S
+
+    def _count_new(self, name: str, total: int) -> int:
+        """Return what has been added to a total since the last time."""
+        new, self._counted[name] = total - self._counted[name], total
+        return new
