Made-up history of a router that leaves connections unread: those it serves are new ones too

Cause: the history 'served 10, and left 20 unread' did not mark the served requests as the first on their connections, so the judge rightly saw 20 new connections left in a row.

--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -377,23 +377,26 @@
     builder.arrival(builder.request(status=502, took_s=took_s), outcome="broken")
 
 
-def most_connections(builder, served, unread=0, is_reset=True):
+def most_connections(builder, served, unread=0):
     """A router gets most new connections for 8 s; 30 requests before, 30 from 3.1 s on.
 
-    The last ``unread`` of those are cut without an answer, the others beyond ``served`` refused.
+    Of those, ``unread`` are cut without an answer, the others beyond ``served`` refused.
     """
     builder.history.uneven_spans.append((0, START_S, START_S + 8.0))
     for number in range(30):
         builder.arrival(builder.request(at_s=-4.9 + 0.1 * number))
+    ends = ["served"] * served + ["refused"] * (30 - served - unread) + ["unread"] * unread
     for number in range(30):
-        at_s = 3.1 + 0.1 * number
-        if number < served:
-            builder.arrival(builder.request(at_s=at_s))
-        elif number < 30 - unread:
+        at_s, end = 3.1 + 0.1 * number, ends[7 * number % 30]
+        if end == "served":
+            record = builder.request(at_s=at_s)
+            record.is_first = True
+            builder.arrival(record)
+        elif end == "refused":
             builder.request(at_s=at_s, status=503)
         else:
             record = builder.request(at_s=at_s, status=None, outcome="cut")
-            record.is_first, record.is_reset = True, is_reset
+            record.is_first = record.is_reset = True
 
 
 def leaves_all_new_connections(builder, tries):
