Large answers at once wait for each other's memory instead of failing

Cause: since the memory of all buffered answers is bounded (24 MB), a router failed each answer that went beyond: of three honest answers of 13 MB at once two callers got 502 for calls that had run once, and calls that may be repeated were run again.

Ruled out: a larger bound alone (any bound is met by one more answer).

Change: an answer that has no room is read no further until others have ended; its backend's socket waits. Meanwhile the silence is not the backend's (BodyProgress.pause); the deadline still ends the wait.

--- a/features/router_callers.feature
+++ b/features/router_callers.feature
@@ -212,3 +212,16 @@
     And a router that knows them
     When a client with 4.0 s sends a body of 30 bytes on "repeat", a byte each 0.1 s
     Then it has the status 200, and one backend has run it once
+
+  # Guards against answers that have run and are thrown away because others are large too.
+  Scenario Outline: Several large answers at once are all delivered whole, <route>
+    Given time and network are simulated with the seed "1"
+    And a plain backend "a"
+    And a router that knows them
+    When 3 clients with 30 s send POST on "<route>" at once, and "a" answers with 13 MB each
+    Then each of them has a whole answer of 13 MB
+
+    Examples:
+      | route  |
+      | once   |
+      | repeat |
--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -108,6 +108,14 @@
       | starting together floods nobody          |
       | a router replaced at once soon hears all |
 
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    Examples: memory for responses
+      | property                            |
+      | large responses wait for each other |
+      | a pause of this process is no stall |
+
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
 
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -7,6 +7,7 @@
 from behave import given, step, then, when
 from router_steps import STREAM_HEADERS, caller, world
 from support.router_world import request_bytes
+from support.stand_in_backend import LARGE_BODY_BYTES
 
 from yokedock.base.clock import boot_time_s
 
@@ -30,6 +31,28 @@
     return [a for b in backends(context) for a in b.arrivals if a.method != "DELETE"]
 
 
+# --- Large answers ---
+
+
+@when(
+    '{count:d} clients with {left_s:g} s send POST on "{route}" at once, '
+    'and "{name}" answers with 13 MB each'
+)
+def large_answers(context, count, left_s, route, name):
+    context.world.backends[name].faults = ["large"] * count
+    headers = [("X-Deadline-Ms", str(round(left_s * 1000)))]
+    callers = [caller(context) for _ in range(count)]
+    for number, each in enumerate(callers):
+        each.send(request_bytes(route, headers=headers, request_id=f"large-{number}"))
+    context.answers = [each.read_answer() for each in callers]
+
+
+@then("each of them has a whole answer of 13 MB")
+def has_large_answer(context):
+    got = [(status, len(body)) for status, _, body, is_whole in context.answers if is_whole]
+    assert got == [(200, LARGE_BODY_BYTES)] * len(context.answers), got
+
+
 # --- Backends ---
 
 
--- a/features/support/stand_in_backend.py
+++ b/features/support/stand_in_backend.py
@@ -20,6 +20,10 @@
 SLOW_BYTE_INTERVAL_S = 0.1
 """Delay before each byte of a slow response body: eleven bytes take 1.1 s."""
 COMMENT_INTERVAL_S = 0.1
+LARGE_BODY_BYTES = 13_000_000
+LARGE_PART_BYTES = 65_536
+LARGE_PART_INTERVAL_S = 0.03
+"""A large body arrives with 2 MB/s."""
 CACHE_PATH = "/cache"
 
 
@@ -302,6 +306,13 @@
                 await asyncio.sleep(SLOW_BYTE_INTERVAL_S)
                 writer.write(bytes([byte]))
             return True
+        if fault == "large":
+            writer.write(self._head(arrival, 200, [("Content-Length", str(LARGE_BODY_BYTES))]))
+            for first in range(0, LARGE_BODY_BYTES, LARGE_PART_BYTES):
+                await writer.drain()
+                await asyncio.sleep(LARGE_PART_INTERVAL_S)
+                writer.write(b"x" * min(LARGE_PART_BYTES, LARGE_BODY_BYTES - first))
+            return True
         if fault == "ends with the connection":
             writer.write(self._head(arrival, 200, [("Connection", "close")]) + body)
             await writer.drain()
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -208,8 +208,10 @@
                 with self.buffers.open() as buffer:
                     async for part in self.body_parts(max_bytes):
                         body += part
-                        buffer.resize(len(body))
                         progress.record(len(part), clock())
+                        progress.pause()
+                        await buffer.grow(len(body))
+                        progress.resume(clock())
         except TimeoutError:
             raise BackendResponseError(
                 f"{self.backend.name}: response incomplete at the time limit"
--- a/src/yokedock/request/body_progress.py
+++ b/src/yokedock/request/body_progress.py
@@ -39,6 +39,7 @@
         self._content_length = content_length
         self._began_s = self._last_s = now_s
         self._received_bytes = 0
+        self._is_paused = False
         self.deadline_s = now_s + limits.deadline_s
         kept_s = min(limits.attempt_s, MAX_ATTEMPT_SHARE * limits.deadline_s)
         self._leave_s = self.deadline_s - kept_s
@@ -50,15 +51,26 @@
         self._received_bytes += size
         self._last_s = now_s
 
+    def pause(self) -> None:
+        """Note that this process reads no further for a while: silence is not the backend's."""
+        self._is_paused = True
+
+    def resume(self, now_s: float) -> None:
+        """Note that the body is being read again."""
+        self._is_paused = False
+        self._last_s = now_s
+
     def due_s(self) -> float:
         """Return from when on ``may_expire`` is to be asked."""
+        if self._is_paused:
+            return self._leave_s
         return min(self._last_s + self._limits.stall_s, self._leave_s)
 
     def may_expire(self, now_s: float) -> bool:
         """Return whether to abandon the body now."""
         if now_s >= self.deadline_s:
             return True
-        is_stalled = now_s >= self._last_s + self._limits.stall_s
+        is_stalled = not self._is_paused and now_s >= self._last_s + self._limits.stall_s
         if not is_stalled and (now_s < self._leave_s or self._ends_in_time(now_s)):
             return False
         return self._limits.may_abandon()
