A router that has stopped exits without its interpreter's shutdown

Ruled out: an earlier end of the stop; it would cost requests.

Change: exit_now after the event loop has ended, as gateways do.

--- a/features/stop_signals.feature
+++ b/features/stop_signals.feature
@@ -8,3 +8,8 @@
       | process  |
       | daemon   |
       | stand-in |
+
+  # Guards against a router that is killed in its interpreter's shutdown after it has stopped.
+  Scenario: A router that has stopped exits at once, however long the interpreter's shutdown takes
+    When a router is stopped whose interpreter needs 5 s to shut down
+    Then it exits within 1 s of the line "stopped", with status 0
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -13,6 +13,7 @@
 from yokedock.base.logs import logger, set_up_logs
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.state_source import StateSource
+from yokedock.process.exit import exit_now
 from yokedock.process.router import Router
 from yokedock.process.router_settings import RouterSettings
 from yokedock.process.settings_reload import SettingsReload
@@ -34,6 +35,8 @@
     set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_run(path, Router(settings, source, dialect, sockets)))
+        # The interpreter's shutdown may outlast the grace time on a busy machine.
+        exit_now(0)
 
 
 async def _run(path: Path, router: Router) -> None:
