Callers that read a large answer slowly are no longer cut

Ruled out: a longer timeout alone; callers that are gone would be noticed later.

Change: once a second a router asks the kernel for the last acknowledgement (TCP_INFO) of callers with pending data and closes after 10 s without one; probes of a closed window are acknowledged, so slow readers stay. The kernel's own timeout is 600 s, for systems that don't tell.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -157,6 +157,8 @@
       | a complete answer is sent although a stop ends                 |
       | a request that is handled is not flushed                       |
       | a caller that leaves before its rejection is no error          |
+      | a caller that reads slowly gets the whole answer               |
+      | a caller without acknowledgements is noticed                   |
       | an error for HEAD keeps the connection                         |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -3,10 +3,14 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import socket
+import struct
 import threading
 import time
 import urllib.request
+from unittest import mock
 
+from yokedock.connection.acknowledgement import TCP_INFO_BYTES, unacknowledged_s
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import RequestHead, complete_response
@@ -20,6 +24,9 @@
 LONG_BODY = b"x" * 16_000_000
 """More than what the kernel buffers for a connection."""
 STALL_THRESHOLD_S = 0.3
+SMALL_BUFFER_BYTES = 4096
+SLOW_READER_S = 13.0
+SLOW_READER_PAUSE_S = 0.3
 
 
 class StoppingServer:
@@ -297,7 +304,70 @@
     assert not was_flushed
 
 
+def a_caller_that_reads_slowly_gets_the_whole_answer():
+    """Guards against callers that are cut because they read a large answer slowly.
+
+    Its receive window stays smaller than a segment for 13 s; then it reads the rest at once.
+    """
+    body = b"x" * 2_400_000
+
+    async def answer(request, answer):
+        await answer.whole(*complete_response(200, body))
+
+    async def accept(reader, writer):
+        connection = CallerConnection(reader, writer, answer, CallerLimits)
+        serving = asyncio.create_task(connection.serve())
+        while not serving.done():
+            connection.abort_if_lost()
+            await asyncio.wait([serving], timeout=0.5)
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            sock.connect(server.sockets[0].getsockname())
+            sock.setblocking(False)
+            received = await _read_slowly(sock)
+        server.close()
+        return received
+
+    assert asyncio.run(play()) > len(body)
+
+
+async def _read_slowly(sock):
+    """Send a request and read its answer; return the number of bytes."""
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, REQUEST.replace(b"Host", b"Connection: close\r\nHost"))
+    until_s = loop.time() + SLOW_READER_S
+    received = 0
+    while data := await asyncio.wait_for(loop.sock_recv(sock, SMALL_BUFFER_BYTES), LIMIT_S):
+        received += len(data)
+        await asyncio.sleep(SLOW_READER_PAUSE_S if loop.time() < until_s else 0)
+    return received
+
+
+def a_caller_without_acknowledgements_is_noticed():
+    """Only a caller that acknowledges nothing although data is pending counts as lost."""
+
+    def silent_s(unacknowledged, unsent, last_ms, size=TCP_INFO_BYTES):
+        info = bytearray(size)
+        for offset, value in ((24, unacknowledged), (56, last_ms), (144, unsent)):
+            if offset < size:
+                struct.pack_into("=I", info, offset, value)
+        return unacknowledged_s(mock.Mock(getsockopt=lambda *_: bytes(info)))
+
+    assert silent_s(0, 0, 60_000) == 0
+    assert silent_s(3, 0, 11_000) == 11.0
+    assert silent_s(0, 500, 12_000) == 12.0
+    assert silent_s(3, 500, 20) < 1
+    assert silent_s(3, 500, 60_000, size=1) == 0
+
+
 CONNECTION_PROPERTIES = {
+    "a caller that reads slowly gets the whole answer": (
+        a_caller_that_reads_slowly_gets_the_whole_answer
+    ),
+    "a caller without acknowledgements is noticed": a_caller_without_acknowledgements_is_noticed,
     "a complete answer is sent although a stop ends": (
         a_complete_answer_is_sent_although_a_stop_ends
     ),
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -19,6 +19,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.work_turns import WorkTurns
+from yokedock.connection.acknowledgement import MS_PER_SECOND, unacknowledged_s
 from yokedock.connection.caller_request import CallerRequest, check_head
 from yokedock.connection.disconnect_detection import has_disconnected
 from yokedock.connection.http_heads import RequestHead
@@ -33,7 +34,11 @@
 READ_BYTES = 65_536
 LINGER_S = 1.0
 """How long incoming data is read after our FIN, so that the caller receives the last response."""
-USER_TIMEOUT_MS = 10_000
+LOST_AFTER_S = 10.0
+"""A caller that acknowledges nothing for this long although data is pending is gone."""
+USER_TIMEOUT_MS = 600_000
+"""TCP_USER_TIMEOUT, for systems that don't tell of acknowledgements. It also ends callers that read
+slowly, so it exceeds any deadline."""
 READ_AHEAD_BYTES = 262_144
 """Maximum number of bytes of pipelined requests that are read while a request is handled."""
 DISCONNECT_POLL_S = 0.1
@@ -151,6 +156,14 @@
         self._is_aborted = True
         self._writer.transport.abort()
 
+    def abort_if_lost(self) -> None:
+        """Close the connection if its caller no longer acknowledges what it is sent."""
+        silent_s = unacknowledged_s(self._writer.get_extra_info("socket"))
+        if silent_s >= LOST_AFTER_S:
+            _log.info("caller lost", unacknowledged_ms=round(silent_s * MS_PER_SECOND))
+            self._note_caller_left()
+            self.abort()
+
     def close_if_idle(self) -> None:
         """Close if no request is being read or handled; otherwise close after the response."""
         self.is_closing = self._close_unannounced = True
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -70,6 +70,7 @@
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 METRICS_PATH = "/metrics"
+LOST_CALLERS_INTERVAL_S = 1.0
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a background task that failed is restarted, so that a persistent error does not
 cause a busy loop."""
@@ -249,6 +250,7 @@
         if self.settings.mechanisms.role_changes:
             self._start_supervised("roles", lambda: self._roles.run(self._table))
         self._start_supervised("upkeep", self._maintenance.run)
+        self._start_supervised("lost callers", self._abort_lost_callers)
         self._start_supervised("wake", self._suspension_monitor.run)
         _log.info("started", name=self.settings.process.name, listen=callers.listen)
         await stop.wait()
@@ -355,6 +357,12 @@
         finally:
             self._connections.discard(connection)
 
+    async def _abort_lost_callers(self) -> None:
+        while True:
+            await asyncio.sleep(LOST_CALLERS_INTERVAL_S)
+            for connection in list(self._connections):
+                connection.abort_if_lost()
+
     async def _accept_ready(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
