A router that refuses connections for much of the time says that it isn't ready

Cause: refusals were noted only where a connection had been accepted and reset; since the listener is closed as soon as there is no room, the balancer was told late that a router takes no more.

Change: readiness goes by the share of time (30% of about a second) in which the listener is closed.

Property 'a router that refuses much should get no new connections'.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -120,11 +120,12 @@
     Then this holds for generated cases: <property>
 
     Examples: a router on a narrow link
-      | property                                  |
-      | changes use a small part of a narrow link |
-      | a link is used and not overloaded         |
-      | some connections are always accepted      |
-      | a connect over a full link is waited for  |
+      | property                                                 |
+      | changes use a small part of a narrow link                |
+      | a link is used and not overloaded                        |
+      | some connections are always accepted                     |
+      | a router that refuses much should get no new connections |
+      | a connect over a full link is waited for                 |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -133,6 +133,32 @@
     assert 6 <= accepted <= 9, accepted
 
 
+# Guards against a balancer that goes on sending connections to a router which refuses most of them.
+def a_router_that_refuses_much_should_get_no_new_connections():
+    """It says so after a second in which it refuses, and again serves all some seconds later."""
+    clock = _FakeClock()
+    link = LinkMeter(LINK_MBPS, clock)
+    admission = LinkAdmission(link, clock)
+
+    def play(seconds, rate_share):
+        ready = []
+        for _ in range(int(seconds / 0.02)):
+            clock.now_s += 0.02
+            link.record_sent(Traffic.BACKENDS, int(rate_share * LINK_BYTES_PER_S * 0.02))
+            if admission.may_resume():
+                admission.accept()
+                if not admission.has_room():
+                    admission.refuse()
+            ready.append(admission.should_get_new())
+        return ready
+
+    assert all(play(5.0, 0.3))
+    ready = play(3.0, 1.5)
+    assert all(ready[:5]) and not any(ready[-50:])
+    ready = play(10.0, 0.0)
+    assert not ready[0] and all(ready[-50:])
+
+
 async def _connect_over_queue(queue_bytes, is_other_reached):
     """Connect behind ``queue_bytes`` on a narrow link; return whether the peer was reached."""
     loop = asyncio.get_running_loop()
@@ -175,5 +201,8 @@
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
     "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
     "some connections are always accepted": some_connections_are_always_accepted,
+    "a router that refuses much should get no new connections": (
+        a_router_that_refuses_much_should_get_no_new_connections
+    ),
     "a connect over a full link is waited for": a_connect_over_a_full_link_is_waited_for,
 }
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -333,6 +333,7 @@
         admission = self._link_admission
         is_accepted = admission.accept()
         if not admission.has_room():
+            admission.refuse()
             self._caller_listener.pause()
         if not is_accepted:
             _reset(writer)
--- a/src/yokedock/request/link_admission.py
+++ b/src/yokedock/request/link_admission.py
@@ -35,12 +35,12 @@
 """With more data in front of the link, no connection is accepted."""
 MAX_REFUSING_S = 0.5
 """One connection is accepted at least so often, so that the estimates stay current."""
-UNREADY_AFTER_S = 1.0
-"""A router that has refused connections for so long should get none for a while."""
+MAX_REFUSING_SHARE = 0.3
+"""A router that refuses connections for more of the time should get none for a while."""
+REFUSING_WINDOW_S = 1.0
+"""Time constant of that share."""
 UNREADY_S = 4.0
-"""How long at least: the balancer asks once a second."""
-PAUSE_BETWEEN_REFUSALS_S = 1.0
-"""Refusals that are further apart belong to different overloads."""
+"""For how long it should get none: the balancer asks once a second."""
 MEAN_WINDOW_S = 4.0
 """Time constant of the mean size of requests."""
 INITIAL_REQUEST_BYTES = 4096.0
@@ -62,7 +62,9 @@
         """What the requests of this moment may cause."""
         self._mean = _RequestSizes(link)
         self._advanced_s = self._accepted_s = clock()
-        self._refusing_since_s = self._refused_s = self._unready_until_s = -math.inf
+        self._is_refusing = False
+        self._refusing_share = 0.0
+        self._unready_until_s = -math.inf
         self.unread = 0
         """Number of connections that were not accepted."""
 
@@ -78,29 +80,27 @@
         # What the caller has sent already comes over the link all the same.
         self._link.record_received(Traffic.UNREAD, round(self._mean.received_bytes))
         self._link.record_overload()
-        self._note_refusal()
         return False
 
     def has_room(self) -> bool:
         """Return whether another connection can be accepted."""
         return not self._is_limited or self._has_room(self._mean.bytes)
 
+    def refuse(self) -> None:
+        """Note that all connections are refused until ``may_resume``."""
+        self._advance()
+        self._is_refusing = True
+
     def may_resume(self) -> bool:
         """Return whether to accept connections again after there was no room for any."""
-        return self._has_room(RESUME_S * self._rate)
+        if self._has_room(RESUME_S * self._rate):
+            self._is_refusing = False
+        return not self._is_refusing
 
     def should_get_new(self) -> bool:
         """Return whether the balancer should send new connections to this router."""
         return self._clock() >= self._unready_until_s
 
-    def _note_refusal(self) -> None:
-        now_s = self._clock()
-        if now_s - self._refused_s > PAUSE_BETWEEN_REFUSALS_S:
-            self._refusing_since_s = now_s
-        self._refused_s = now_s
-        if now_s - self._refusing_since_s >= UNREADY_AFTER_S:
-            self._unready_until_s = now_s + UNREADY_S
-
     def _has_room(self, least_bytes: float) -> bool:
         self._advance()
         is_due = self._clock() - self._accepted_s >= MAX_REFUSING_S
@@ -148,6 +148,10 @@
         elapsed_s, self._advanced_s = now_s - self._advanced_s, now_s
         self._mean.advance(elapsed_s)
         self._adapt(now_s)
+        weight = 1.0 - math.exp(-elapsed_s / REFUSING_WINDOW_S)
+        self._refusing_share += weight * (self._is_refusing - self._refusing_share)
+        if self._refusing_share > MAX_REFUSING_SHARE:
+            self._unready_until_s = now_s + UNREADY_S
         rate = max(0.0, self._rate - self._mean.other_bytes_per_s)
         self._left_bytes = min(BURST_S * self._rate, self._left_bytes + elapsed_s * rate)
 
