The link's rate comes by the environment, so that older settings templates still fill

Cause: the template of the settings got a gap for the link's rate.

Ruled out: a change in review/ (its files stay as they are); leaving the rate out.

Change: the deploy file's env passes YOKEDOCK_LINK_MBPS; empty or unset means not known. It describes the machine, so a reload doesn't report it as a changed option.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -126,6 +126,7 @@
       | some connections are always accepted                     |
       | a router that refuses much should get no new connections |
       | a connect over a full link is waited for                 |
+      | the rate of the link is validated                        |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+from pathlib import Path
 
 import msgspec
 
@@ -10,10 +11,13 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.router_gossip import RouterGossip
+from yokedock.errors import SettingsInvalid
+from yokedock.process.router_settings import changed_options, read_router_settings, with_link_rate
 from yokedock.request.link_admission import LinkAdmission
 from yokedock.router_errors import BackendUnreachable
 from yokedock_emulator.simulation.simulation import run_simulated
 
+EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "router.ini"
 LINK_MBPS = 5.0
 LINK_BYTES_PER_S = LINK_MBPS * 125_000
 OTHER_ROUTERS = 29
@@ -197,7 +201,24 @@
     assert not run_simulated(_connect_over_queue(queue_bytes, is_other_reached=True))
 
 
+def the_rate_of_the_link_is_validated():
+    """The environment's rate is used if it is valid, none if it is empty, else rejected."""
+    settings = read_router_settings(EXAMPLE)
+    assert settings.machine.link_mbps == 0.0
+    assert with_link_rate(settings, "") == settings
+    assert with_link_rate(settings, "5.0").machine.link_mbps == 5.0
+    assert not changed_options(settings, with_link_rate(settings, "5.0"))
+    for wrong in ("wide", "-1", "nan"):
+        try:
+            with_link_rate(settings, wrong)
+        except SettingsInvalid as error:
+            assert "link_mbps" in error.message, error.message
+        else:
+            raise AssertionError(f"{wrong} was accepted")
+
+
 LINK_PROPERTIES = {
+    "the rate of the link is validated": the_rate_of_the_link_is_validated,
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
     "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
     "some connections are always accepted": some_connections_are_always_accepted,
--- a/src/yokedock/platform/settings_variable.py
+++ b/src/yokedock/platform/settings_variable.py
@@ -1,3 +1,6 @@
-"""The environment variable in which the platform passes the path of the settings file."""
+"""The environment variables in which the platform passes settings."""
 
 SETTINGS_VARIABLE = "YOKEDOCK_SETTINGS"
+"""Path of the settings file."""
+LINK_VARIABLE = "YOKEDOCK_LINK_MBPS"
+"""Rate of the machine's network link in Mbit/s; unset or empty if it is not known."""
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -114,8 +114,8 @@
 RELOADED_OPTIONS = ("fleet.seeds", "stop.grace_s")
 """Options that take effect while the router runs. All others take effect at its next start: what
 is bound, connected or shared with other routers depends on them."""
-START_OPTIONS = ("fleet.is_first_start",)
-"""Options that describe a start; a change of them concerns no running router."""
+START_OPTIONS = ("fleet.is_first_start", "machine.link_mbps")
+"""Options that describe a start or its machine; a change of them concerns no running router."""
 
 _OPTIONAL = {"retries", "stop", "log", "machine", "mechanisms"}
 _KINDS: dict[str, Any] = {
@@ -152,6 +152,20 @@
     return RouterSettings(**sections)
 
 
+def with_link_rate(settings: RouterSettings, link_mbps: str) -> RouterSettings:
+    """Return settings with the rate that the environment names; an empty text names none.
+
+    Raises ``SettingsInvalid`` if it is not a valid rate.
+    """
+    if not link_mbps:
+        return settings
+    problems = Problems()
+    machine = read_options(MachineSettings, "machine", {"link_mbps": link_mbps}, problems)
+    if machine is None:
+        raise SettingsInvalid(problems.text())
+    return dataclasses.replace(settings, machine=machine)
+
+
 def changed_options(before: RouterSettings, after: RouterSettings) -> list[str]:
     """Return the options (``section.option``) that differ, without those that describe a start."""
     return [
--- a/src/yokedock_emulator/deployed_router.py
+++ b/src/yokedock_emulator/deployed_router.py
@@ -38,6 +38,7 @@
         role = deploy["roles"]["router"]
         self._run_line: str = role["run"]
         self._template = folder / role["template"]
+        self._variables: dict[str, str] = role.get("env", {})
 
     def build(self) -> None:
         """Run the deploy file's build line; raises ``CalledProcessError`` if it fails."""
@@ -60,6 +61,7 @@
         environment = _environment()
         environment["PYTHONPATH"] = str(self._folder / "target" / "deps")
         environment[SETTINGS_VARIABLE] = str(settings)
+        environment |= {name: fill(text, fields) for name, text in self._variables.items()}
         return subprocess.Popen(
             self._run_line.split(" "), cwd=self._folder, env=environment, stdout=output
         )
