A router that was idle for an hour still accepts connections

Cause: the mean size of requests was a quotient of two decaying sums. After some 50 minutes without a request both are zero, and each new connection ended in ZeroDivisionError: the router would have served nobody until its restart.

Ruled out: a lower bound of the count (the mean would jump).

Change: one typical request is always part of the mean.

Figures: 'a router that was idle for hours accepts' fails with ZeroDivisionError before, passes now.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -124,6 +124,7 @@
       | changes use a small part of a narrow link                |
       | a link is used and not overloaded                        |
       | some connections are always accepted                     |
+      | a router that was idle for hours accepts                 |
       | a router that refuses much should get no new connections |
       | a connect over a full link is waited for                 |
       | the rate of the link is validated                        |
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -137,6 +137,18 @@
     assert 6 <= accepted <= 9, accepted
 
 
+# Guards against a router that serves nobody any more after hours without a request.
+def a_router_that_was_idle_for_hours_accepts():
+    """The mean size of requests is defined however long there were none."""
+    clock = _FakeClock()
+    link = LinkMeter(LINK_MBPS, clock)
+    admission = LinkAdmission(link, clock)
+    for idle_s in (10.0, 4_000.0, 100_000.0):
+        clock.now_s += idle_s
+        assert admission.has_room() and admission.accept(), idle_s
+        link.record_sent(Traffic.CALLERS, 1000)
+
+
 # Guards against a balancer that goes on sending connections to a router which refuses most of them.
 def a_router_that_refuses_much_should_get_no_new_connections():
     """It says so after a second in which it refuses, and again serves all some seconds later."""
@@ -222,6 +234,7 @@
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
     "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
     "some connections are always accepted": some_connections_are_always_accepted,
+    "a router that was idle for hours accepts": a_router_that_was_idle_for_hours_accepts,
     "a router that refuses much should get no new connections": (
         a_router_that_refuses_much_should_get_no_new_connections
     ),
--- a/src/yokedock/request/link_admission.py
+++ b/src/yokedock/request/link_admission.py
@@ -43,7 +43,8 @@
 """For how long it should get none: the balancer asks once a second."""
 MEAN_WINDOW_S = 4.0
 """Time constant of the mean size of requests."""
-INITIAL_REQUEST_BYTES = 4096.0
+TYPICAL_REQUEST_BYTES = 4096.0
+"""Counts as one more request, so that the mean is defined when there were none."""
 REQUEST_TRAFFIC = (Traffic.CALLERS, Traffic.BACKENDS)
 """Traffic that requests cause, including their retries."""
 
@@ -161,8 +162,8 @@
 
     def __init__(self, link: LinkMeter) -> None:
         self._link = link
-        self._requests = 1.0
-        self._request_bytes = INITIAL_REQUEST_BYTES
+        self._requests = 0.0
+        self._request_bytes = 0.0
         self._received_bytes = 0.0
         self._counted: collections.Counter[str] = collections.Counter()
         self.other_bytes_per_s = 0.0
@@ -170,12 +171,12 @@
     @property
     def bytes(self) -> float:
         """Return the mean bytes that a request causes in both directions."""
-        return self._request_bytes / self._requests
+        return (self._request_bytes + TYPICAL_REQUEST_BYTES) / (self._requests + 1.0)
 
     @property
     def received_bytes(self) -> float:
         """Return the mean size of a request itself."""
-        return self._received_bytes / self._requests
+        return self._received_bytes / (self._requests + 1.0)
 
     def count(self) -> None:
         """Count a request that was taken."""
