A router that refuses connections counts its link as busy

Cause: refusals happen in the kernel since the listener is closed, so the model of the link misses their packets, and only resets of accepted connections counted as overload. With the model below half of the rate, each connect was given up after 0.15 s again, one backend after the other, and callers got 503 for requests that the router had read.

Change: refuse() records the overload, so connects expire only on evidence.

--- a/src/yokedock/request/link_admission.py
+++ b/src/yokedock/request/link_admission.py
@@ -90,6 +90,7 @@
     def refuse(self) -> None:
         """Note that all connections are refused until ``may_resume``."""
         self._advance()
+        self._link.record_overload()
         self._is_refusing = True
 
     def may_resume(self) -> bool:
