Silent connections: the prompt meets engines whose roles are settled

Callers saw nothing: the preparation's streams were all answered. Cause, in the test: two prefill engines and one that decodes are one prefill engine too many, and from about 2.5 s after its start the router gives p another role, as it should, and sends it no prompts. The preparation ends before that on a quiet machine and after it on a slow one. Ruled out: connections closed as rested (the preparation repeated up to five times failed in 14 of 30 all the same), a prefill rate learnt wrongly while the process stood still (40000 tokens/s for both). Change: six decode engines, so that two that prefill are as many as the router wants. Bounds and checks are unchanged.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -42,10 +42,17 @@
     Then every answer is 200 with the body of a backend
     And backend "a" accepted 4 connections
 
+  # Eight engines need two that prefill. With fewer the router soon gives one of the two another role,
+  # and sends it no more prompts.
   Scenario: A prompt goes to another engine's connection when the one to the prefill engine is silent
     Given a prefill engine "p"
     And a prefill engine "q"
     And a decode engine "d"
+    And a decode engine "e"
+    And a decode engine "f"
+    And a decode engine "g"
+    And a decode engine "h"
+    And a decode engine "i"
     And a router that knows them
     And clients have used 2 connections to each prefill engine with streams on "talk"
     And the open connections to every prefill engine have gone silent
