A body that has begun is left only for a backend that is reserved

Callers: a call that may be repeated was told 502 although nothing harmed it (router_soak.feature, row 32, once): its answer had begun, stopped for 0.3 s, and the router left it for a retry that found no backend, as one had been killed and one was at its limit. Anybody whose backends pause in the middle of an answer sets it off; the damage is that one call, or a second run of it for nothing. Cause: before the head of an answer has come, another backend is reserved (connected to, retry charged) before the first one is left. In the body the router asked only whether the list knows another usable one, which the list says of a dead one too. Ruled out: the budget (it is reserved at the same moment already). Change: at a stall in the body, and at the last moment for another attempt, a backend is looked for while the body is still being read; the wait ends only once one is reserved. Both ways share the code that reserves. Red before: "A backend that pauses midway is waited for where the only other one cannot be reached" (the request was sent twice to the same backend; the answer given up was sound).

--- a/features/router_patience.feature
+++ b/features/router_patience.feature
@@ -34,6 +34,18 @@
     And the backends let go
     Then all of these clients get 200
 
+  # Guards against answers given up midway when their backend pauses while no other one can be reached.
+  Scenario: A backend that pauses midway is waited for where the only other one cannot be reached
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And the backends hold their answers midway
+    When a client sends POST on "repeat" and the backend without it is gone
+    And 1.5 s pass
+    And the backends let go
+    Then the client that waited gets 200
+    And its request was sent to one backend, once
+
   Scenario: A slow backend is waited for where the only other one cannot be reached
     Given a plain backend "a"
     And a plain backend "b"
--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -132,6 +132,28 @@
     context.answer = context.caller.read_answer()
 
 
+@when('a client sends POST on "{route}" and the backend without it is gone')
+def other_is_gone(context, route):
+    backends = context.world.backends.values()
+    context.caller = caller(context)
+    context.caller.send(request_bytes(route, body=b"abc", request_id="late"))
+    context.world.wait_for(lambda: any(b.arrivals for b in backends), "a backend has it")
+    (other,) = [b for b in backends if not b.arrivals]
+    context.world.run(other.stop())
+
+
+@then("the client that waited gets {status:d}")
+def waiting_client_gets(context, status):
+    found = context.caller.read_answer()[0]
+    assert found == status, found
+
+
+@then("its request was sent to one backend, once")
+def sent_once(context):
+    arrivals = [a for b in context.world.backends.values() for a in b.arrivals]
+    assert len(arrivals) == 1, arrivals
+
+
 @then("its request was sent to two backends")
 def sent_to_two(context):
     arrivals = [a for b in context.world.backends.values() for a in b.arrivals if has_late_id(a)]
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 import msgspec
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
 from yokedock.connection.dialect import ForwardingOrder
+from yokedock.errors import YokedockError
 from yokedock.request.backend_exchange import BackendExchange, BackendExchanges
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
@@ -46,6 +50,33 @@
         return chosen
 
 
+class ReservationSearch:
+    """Looks for a backend for the next attempt while the current response is still being read."""
+
+    def __init__(self, reserve: Callable[[], Awaitable[None]]) -> None:
+        """``reserve`` looks once and stores what it finds."""
+        self._reserve = reserve
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Look once, unless a search is in progress."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._run())
+
+    def cancel(self) -> None:
+        """End a search in progress."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        try:
+            await self._reserve()
+        except YokedockError as error:
+            _log.info("found no retry backend", reason=error.message)
+        except Exception:
+            _log.exception("search for a retry backend failed")
+
+
 class AttemptRunner:
     """Sends single attempts of calls to backends and reads the responses."""
 
@@ -89,14 +120,31 @@
         stays silent for the registry's ``patience_s`` is avoided by later calls.
         """
         backend = exchange.backend
-        patience_s = self._idle_timeout_s(call, backend)
         exchange.start_silence_timer(self._registry.patience_s(backend))
+        search = ReservationSearch(lambda: self._reserve(call, backend, attempts, retries))
 
         def may_abandon() -> bool:
-            return self._can_retry_elsewhere(call, backend) and retries.reserve_retry(
-                call, MIN_ATTEMPT_TIME_S
-            )
+            if self._has_available_reservation(call, attempts):
+                return True
+            search.start()
+            return False
+
+        try:
+            return await self._read_until_abandoned(exchange, call, attempts, retries, may_abandon)
+        finally:
+            search.cancel()
 
+    async def _read_until_abandoned(
+        self,
+        exchange: BackendExchange,
+        call: RoutedCall,
+        attempts: CallAttempts,
+        retries: RequestRetries,
+        may_abandon: Callable[[], bool],
+    ) -> BufferedResponse:
+        """Read the response; ``may_abandon`` is asked at each time-out of a body that has begun."""
+        backend = exchange.backend
+        patience_s = self._idle_timeout_s(call, backend)
         while True:
             try:
                 limits = BodyLimits(
@@ -111,18 +159,30 @@
                     backend.health.record_silence(boot_time_s())
                 if not exchange.is_open or call.remaining_s() <= 0:
                     raise
-                reserved = attempts.reserved
-                if reserved is not None and self._is_available(call, reserved.backend):
+                if self._has_available_reservation(call, attempts):
                     raise
-                # Charge the retry before abandoning this attempt: others may use up the budget.
-                other = await self._find_reachable_backend(call, backend, attempts)
-                attempts.reserved = None
-                if other is not None and retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
-                    attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
+                await self._reserve(call, backend, attempts, retries)
                 # Read what arrived while the other backend was being connected to.
                 is_reserved = attempts.reserved is not None
                 patience_s = 0.0 if is_reserved else self._idle_timeout_s(call, backend)
 
+    async def _reserve(
+        self, call: RoutedCall, backend: Backend, attempts: CallAttempts, retries: RequestRetries
+    ) -> None:
+        """Reserve a backend other than ``backend`` for a retry, if one can be reached now.
+
+        The retry is charged at once: other requests may use up the budget meanwhile.
+        """
+        attempts.reserved = None
+        other = await self._find_reachable_backend(call, backend, attempts)
+        if other is not None and retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
+            attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
+
+    def _has_available_reservation(self, call: RoutedCall, attempts: CallAttempts) -> bool:
+        """Return whether a backend is reserved for the next attempt and can still take it."""
+        reserved = attempts.reserved
+        return reserved is not None and self._is_available(call, reserved.backend)
+
     def _is_available(self, call: RoutedCall, backend: Backend) -> bool:
         """Return whether the call can still be sent to a reserved backend.
 
