The distance of a backend is not taken for a delay of the own link

Callers: where a router with a configured link called only backends of a distant region for half a second (its own were away, or full), it took the 0.1 s and more of the way for a queue in front of its link: it accepted fewer and fewer connections, down to 40% of its link, and waited longer for answers. It lasted as long as no near backend was called. Anyone who moves traffic to another region sets it off. Cause: the delay that all peers share was the fastest recent connect less the fastest connect ever, to whomever. The first connect to a machine only tells its distance; over a busy link one of unknown distance is compared with the nearest, as before, since its connect may have waited.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -122,6 +122,7 @@
     Examples: a router on a narrow link
       | property                                                 |
       | changes use a small part of a narrow link                |
+      | the distance of backends is not a delay of the link      |
       | a link is used and not overloaded                        |
       | some connections are always accepted                     |
       | a router that was idle for hours accepts                 |
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -213,6 +213,30 @@
     assert not run_simulated(_connect_over_queue(queue_bytes, is_other_reached=True))
 
 
+def _connect_to(clock, link, peers, took_s, seconds):
+    """Connect to one of ``peers`` every 50 ms; return the longest delay that they seem to share."""
+    longest_s = 0.0
+    for number in range(int(seconds / 0.05)):
+        clock.now_s += 0.05
+        peer = peers[number % len(peers)]
+        link.shared_delay.record_connect(peer, clock.now_s - took_s, link.is_busy())
+        longest_s = max(longest_s, link.shared_delay.current_s())
+    return longest_s
+
+
+# Guards against a router that uses little of its link as soon as it calls only distant backends.
+def the_distance_of_backends_is_not_a_delay_of_the_link():
+    """Backends in another region are not late, unless a connect takes longer than usual."""
+    clock = _FakeClock()
+    link = LinkMeter(LINK_MBPS, clock)
+    near, far = ["10.0.0.1", "10.0.0.2"], ["10.9.0.1", "10.9.0.2"]
+    assert _connect_to(clock, link, near, 0.001, 5.0) < 0.001
+    assert _connect_to(clock, link, far, 0.12, 5.0) < 0.001
+    assert _connect_to(clock, link, far, 0.5, 5.0) > 0.35
+    link.record_sent(Traffic.BACKENDS, int(LINK_BYTES_PER_S))
+    assert _connect_to(clock, link, ["10.9.0.3"], 0.5, 0.9) > 0.45
+
+
 def the_rate_of_the_link_is_validated():
     """The environment's rate is used if it is valid, none if it is empty, else rejected."""
     settings = read_router_settings(EXAMPLE)
@@ -231,6 +255,9 @@
 
 LINK_PROPERTIES = {
     "the rate of the link is validated": the_rate_of_the_link_is_validated,
+    "the distance of backends is not a delay of the link": (
+        the_distance_of_backends_is_not_a_delay_of_the_link
+    ),
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
     "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
     "some connections are always accepted": some_connections_are_always_accepted,
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -357,7 +357,7 @@
         try:
             async with ReadFirstTimeout(timeout_s, may_expire, latest_s=latest_s):
                 await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-            link.shared_delay.record_connect(started_s)
+            link.shared_delay.record_connect(host, started_s, link.is_busy())
         except TimeoutError:
             raise BackendUnreachable(
                 f"{address}: connect timed out after {timeout_s:.2f} s"
