--- a/features/support/fleet_properties.py
+++ b/features/support/fleet_properties.py
@@ -10,6 +10,7 @@
 from yokedock.request.mechanisms import Mechanisms
 from yokedock.request.queued_placement import QueuedPlacement
 from yokedock.request.waiter import Turn
+from yokedock_emulator.simulation.simulation import run_simulated
 
 MIN_SEND_INTERVAL_S = 0.01
 DATAGRAM_DELAY_S = 0.004
@@ -110,7 +111,7 @@
         await asyncio.gather(*waiting, return_exceptions=True)
         assert sum(promised) <= 12, promised
 
-    asyncio.run(play())
+    run_simulated(play())
 
 
 FLEET_PROPERTIES = {
