A router uses what its link carries, and stays ready when it is alone

Anything that leaves a region few routers sets it off; it lasts until others are back. (2) A router that refuses for 30% of the time says for 4 s that it is not ready, also where no other router is there to take the rest. Change: above its usual 0.9 the allowed share grows by 0.05 each 0.5 s while it is used and connects show less than 20 ms of delay, up to 1.8; with more it shrinks, unused it falls back. The model of the queue empties as fast. A router that hears no other one is always ready. Red before: "a link is used as far as connects are not delayed" (a link that carries twice as much: 0.57 of fitting requests accepted, now all). On one that carries no more the longest queue grows from 0.18 to 0.26 s (1.5 times what fits).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -124,6 +124,7 @@
       | changes use a small part of a narrow link                |
       | the distance of backends is not a delay of the link      |
       | a link is used and not overloaded                        |
+      | a link is used as far as connects are not delayed        |
       | some connections are always accepted                     |
       | a router that was idle for hours accepts                 |
       | a router that refuses much should get no new connections |
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -79,10 +79,14 @@
 REQUEST_BYTES = 20_000
 
 
-def _play_arrivals(per_s, seconds=12.0, link_mbps=LINK_MBPS):
-    """Return the accepted share, the longest queue (s) and the bytes per second of the last 6 s."""
+def _play_arrivals(per_s, seconds=12.0, real_mbps=None):
+    """Return the accepted share, the longest queue (s) and the bytes per second of the last 6 s.
+
+    With ``real_mbps`` the link carries that, whatever its configured rate, and connects show it.
+    """
     clock = _FakeClock()
-    link = LinkMeter(link_mbps, clock)
+    link = LinkMeter(LINK_MBPS, clock)
+    real_link = LinkMeter(real_mbps or LINK_MBPS, clock)
     admission = LinkAdmission(link, clock)
     start_s = clock.now_s
     due = [(start_s + number / per_s, 0) for number in range(int(per_s * seconds))]
@@ -97,7 +101,11 @@
             break
         if size:
             link.record_sent(Traffic.BACKENDS, size)
-            longest_s = max(longest_s, link.queued_s())
+            real_link.record_sent(Traffic.BACKENDS, size)
+            longest_s = max(longest_s, real_link.queued_s())
+            if real_mbps:
+                started_s = clock.now_s - 0.001 - real_link.queued_s()
+                link.shared_delay.record_connect("10.0.0.1", started_s, link.is_busy())
             continue
         is_accepted = admission.accept()
         if is_late:
@@ -123,6 +131,18 @@
         assert 0.7 / excess < share < 1.1 / excess, (excess, share)
 
 
+# Guards against a router that refuses what a link would carry which is wider than configured.
+def a_link_is_used_as_far_as_connects_are_not_delayed():
+    """A link that carries its rate in both directions, or no more than configured, is used."""
+    fitting = LINK_BYTES_PER_S / REQUEST_BYTES
+    for real_share in (1.0, 2.0):
+        for excess in (1.5, 3.0):
+            real_mbps = real_share * LINK_MBPS
+            _, longest_s, rate = _play_arrivals(excess * real_share * fitting, 24.0, real_mbps)
+            assert rate > 0.75 * real_share * LINK_BYTES_PER_S, (real_share, excess, rate)
+            assert longest_s < 0.6, (real_share, excess, longest_s)
+
+
 # Guards against a router that leaves all new connections, whatever its estimates say.
 def some_connections_are_always_accepted():
     """A router with a full link accepts a connection at least twice a second."""
@@ -260,6 +280,9 @@
     ),
     "changes use a small part of a narrow link": changes_use_a_small_part_of_a_narrow_link,
     "a link is used and not overloaded": a_link_is_used_and_not_overloaded,
+    "a link is used as far as connects are not delayed": (
+        a_link_is_used_as_far_as_connects_are_not_delayed
+    ),
     "some connections are always accepted": some_connections_are_always_accepted,
     "a router that was idle for hours accepts": a_router_that_was_idle_for_hours_accepts,
     "a router that refuses much should get no new connections": (
--- a/src/yokedock/base/link_meter.py
+++ b/src/yokedock/base/link_meter.py
@@ -1,9 +1,10 @@
 """Estimates how long data waits in front of this machine's network link.
 
 Data that a process writes waits in buffers which it can't see: in the kernel, in the network card
-or in a device that shapes the traffic. The link is therefore modelled as a queue that empties at a
-fixed rate, which both directions share. Without a configured rate, nothing ever waits in the model,
-and bytes are only counted.
+or in a device that shapes the traffic. The link is therefore modelled as a queue that both
+directions share. It empties at the configured rate, or faster where more was seen to pass without
+delay: some links carry that rate in each direction. Without a configured rate, nothing ever waits
+in the model, and bytes are only counted.
 """
 
 from __future__ import annotations
@@ -54,6 +55,8 @@
         """Bytes received since the start, with the headers of packets."""
         self.shared_delay = SharedDelay(clock)
         """The delay of all connections over this link."""
+        self.rate_factor = 1.0
+        """Set by the owner: the rate at which the queue empties, as a multiple of the link's."""
         self._clock = clock
         self._empty_at_s = -math.inf
         """Boot time at which the link has carried all data so far."""
@@ -104,7 +107,8 @@
 
     def _occupy(self, size: int) -> None:
         now_s = self._clock()
-        self._empty_at_s = max(self._empty_at_s, now_s) + size / self.bytes_per_s
+        sending_s = size / (self.rate_factor * self.bytes_per_s)
+        self._empty_at_s = max(self._empty_at_s, now_s) + sending_s
         self._rate = self._current_rate() + size / RATE_WINDOW_S
         self._rate_at_s = now_s
 
--- a/src/yokedock/base/shared_delay.py
+++ b/src/yokedock/base/shared_delay.py
@@ -57,10 +57,15 @@
 
     def current_s(self) -> float:
         """Return by how much all peers are late, 0 if no connection was established recently."""
+        measured_s = self.measured_s()
+        return 0.0 if measured_s is None else measured_s
+
+    def measured_s(self) -> float | None:
+        """Return by how much all peers are late, None if no connection was established recently."""
         oldest_s = self._clock() - RECENT_S
         while self._recent and self._recent[0][0] < oldest_s:
             self._recent.popleft()
-        return min((delay_s for _, delay_s in self._recent), default=0.0)
+        return min((delay_s for _, delay_s in self._recent), default=None)
 
     def _learn_distance(self, peer: str, took_s: float) -> None:
         self._least_of_peer_s[peer] = min(took_s, self._least_of_peer_s.get(peer, math.inf))
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -280,9 +280,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether this router accepts new connections."""
-        is_serving = self._follower.is_known and not self._stop.is_stopping
-        return is_serving and self._link_admission.should_get_new()
+        """Return whether this router accepts new connections.
+
+        One whose link is full leaves them to the others, if there are any.
+        """
+        if not self._follower.is_known or self._stop.is_stopping:
+            return False
+        is_alone = self._gossip.fleet_size() == 1
+        return is_alone or self._link_admission.should_get_new()
 
     async def _shut_down(self) -> None:
         """Let other routers lead, and complete the requests in flight."""
--- a/src/yokedock/request/link_admission.py
+++ b/src/yokedock/request/link_admission.py
@@ -15,16 +15,24 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.link_meter import LinkMeter, Traffic
 
-MAX_USED_SHARE = 0.9
+USUAL_SHARE = 0.9
 """Fraction of the link's rate that requests and all other traffic may use together."""
-MIN_USED_SHARE = 0.4
+MIN_SHARE = 0.4
+MAX_SHARE = 1.8
+"""As much in each direction, for links that carry their rate in both."""
 ADAPT_S = 0.5
 """Interval at which that fraction is adapted to the delay that all connections share."""
 MAX_SHARED_DELAY_S = 0.1
-USED_SHARE_DECREASE = 0.8
+SHARE_DECREASE = 0.8
 """Factor after an interval with a longer delay."""
-USED_SHARE_INCREASE = 0.1
+SHARE_INCREASE = 0.1
 """Increase after an interval without."""
+PROBING_INCREASE = 0.05
+"""Increase above the usual share."""
+MAX_PROBING_DELAY_S = 0.02
+"""With a longer delay, the link doesn't carry more than usual."""
+MIN_PROBING_USE = 0.8
+"""A limit that is used by less tells nothing of what the link would carry."""
 BURST_S = 0.25
 """Requests that arrive together may use the allowance of so many seconds."""
 RESUME_S = 0.05
@@ -57,7 +65,7 @@
         self._link = link
         self._clock = clock
         self._is_limited = not math.isinf(link.bytes_per_s)
-        self._used_share = MAX_USED_SHARE
+        self._allowed_share = USUAL_SHARE
         self._adapted_s = clock()
         self._left_bytes = BURST_S * self._rate
         """What the requests of this moment may cause."""
@@ -124,17 +132,25 @@
     @property
     def _rate(self) -> float:
         """Bytes per second that requests and all other traffic may use together."""
-        return self._used_share * self._link.bytes_per_s
+        return self._allowed_share * self._link.bytes_per_s
 
     def _adapt(self, now_s: float) -> None:
-        """Use less of a link that has less to give than its rate says."""
+        """Adapt the allowed share to what the link is seen to carry without a delay."""
         if now_s - self._adapted_s < ADAPT_S:
             return
         self._adapted_s = now_s
-        if self._link.shared_delay.current_s() > MAX_SHARED_DELAY_S:
-            self._used_share = max(MIN_USED_SHARE, self._used_share * USED_SHARE_DECREASE)
-        else:
-            self._used_share = min(MAX_USED_SHARE, self._used_share + USED_SHARE_INCREASE)
+        delay_s = self._link.shared_delay.measured_s()
+        if delay_s is not None and delay_s > MAX_SHARED_DELAY_S:
+            self._allowed_share = max(MIN_SHARE, self._allowed_share * SHARE_DECREASE)
+        elif self._allowed_share < USUAL_SHARE:
+            self._allowed_share = min(USUAL_SHARE, self._allowed_share + SHARE_INCREASE)
+        elif self._link.used_share() < MIN_PROBING_USE * self._allowed_share:
+            self._allowed_share = max(USUAL_SHARE, self._allowed_share - SHARE_INCREASE)
+        elif delay_s is not None and delay_s > MAX_PROBING_DELAY_S:
+            self._allowed_share = max(USUAL_SHARE, self._allowed_share * SHARE_DECREASE)
+        elif delay_s is not None:
+            self._allowed_share = min(MAX_SHARE, self._allowed_share + PROBING_INCREASE)
+        self._link.rate_factor = max(1.0, self._allowed_share / USUAL_SHARE)
 
     def _is_queue_long(self) -> bool:
         return self._link.queued_s() > MAX_QUEUED_S
