A router that refuses much stays ready unless half of the others have room

Callers: where the links of all routers of a region were full at once, each said for 4 s that it was not ready, for itself: the balancer had nobody left, though each would have served what its link carries. Any load beyond what the links carry together sets it off; it lasts as long as the load. Change: the state that routers send each other says whether its sender refuses much (is_overloaded, at its end; false from older routers). A router is not ready for that reason only while at least half of all live routers are neither stopping nor overloaded. The rule has a module of its own (readiness.py), and router.py loses it. Red before, by putting the earlier rules back: with the first one a router without others is not ready, with the second none of thirty. After: passes.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -120,17 +120,18 @@
     Then this holds for generated cases: <property>
 
     Examples: a router on a narrow link
-      | property                                                 |
-      | changes use a small part of a narrow link                |
-      | the distance of backends is not a delay of the link      |
-      | connects are forgotten though nobody asks for the delay  |
-      | a link is used and not overloaded                        |
-      | a link is used as far as connects are not delayed        |
-      | some connections are always accepted                     |
-      | a router that was idle for hours accepts                 |
-      | a router that refuses much should get no new connections |
-      | a connect over a full link is waited for                 |
-      | the rate of the link is validated                        |
+      | property                                                      |
+      | changes use a small part of a narrow link                     |
+      | the distance of backends is not a delay of the link           |
+      | connects are forgotten though nobody asks for the delay       |
+      | a link is used and not overloaded                             |
+      | a link is used as far as connects are not delayed             |
+      | some connections are always accepted                          |
+      | a router that was idle for hours accepts                      |
+      | a router that refuses much should get no new connections      |
+      | a router that refuses much is ready unless half can take more |
+      | a connect over a full link is waited for                      |
+      | the rate of the link is validated                             |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 
@@ -11,10 +12,12 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.shared_delay import RECENT_S, SharedDelay
 from yokedock.connection.backend_connection import BackendConnection
-from yokedock.connection.router_gossip import RouterGossip
+from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.errors import SettingsInvalid
+from yokedock.process.readiness import Readiness
 from yokedock.process.router_settings import changed_options, read_router_settings, with_link_rate
 from yokedock.request.link_admission import LinkAdmission
+from yokedock.request.stop_admission import StopState
 from yokedock.router_errors import BackendUnreachable
 from yokedock_emulator.simulation.simulation import run_simulated
 
@@ -196,6 +199,34 @@
     assert not ready[0] and all(ready[-50:])
 
 
+def _readiness(others):
+    """Return the readiness of a router that refuses much, and hears the given other routers.
+
+    ``others`` has a pair for each: whether it leaves, and whether it refuses much too.
+    """
+    heard = []
+    for number, (is_leaving, is_overloaded) in enumerate(others):
+        told = state(f"r{number}", 1)
+        told.is_leaving, told.is_overloaded = is_leaving, is_overloaded
+        heard.append(OtherRouter(f"10.0.0.{number}", state=told))
+    follower = mock.Mock(is_known=True)
+    admission = mock.Mock(should_get_new=lambda: False)
+    return Readiness(follower, StopState(), admission, lambda: heard)
+
+
+# Guards against a region without a ready router, and against one router that is left with all.
+def a_router_that_refuses_much_is_ready_unless_half_can_take_more():
+    """It leaves new connections to others only while at least half of all have room."""
+    leaves, is_full, has_room = (True, False), (False, True), (False, False)
+    assert _readiness([]).is_ready
+    assert _readiness([is_full]).is_ready
+    assert _readiness([leaves]).is_ready
+    assert _readiness([is_full] * 29).is_ready
+    assert _readiness([is_full] * 15 + [has_room] * 14).is_ready
+    assert not _readiness([is_full] * 14 + [has_room] * 15).is_ready
+    assert not _readiness([has_room]).is_ready
+
+
 async def _connect_over_queue(queue_bytes, is_other_reached):
     """Connect behind ``queue_bytes`` on a narrow link; return whether the peer was reached."""
     loop = asyncio.get_running_loop()
@@ -303,5 +334,8 @@
     "a router that refuses much should get no new connections": (
         a_router_that_refuses_much_should_get_no_new_connections
     ),
+    "a router that refuses much is ready unless half can take more": (
+        a_router_that_refuses_much_is_ready_unless_half_can_take_more
+    ),
     "a connect over a full link is waited for": a_connect_over_a_full_link_is_waited_for,
 }
--- a/src/yokedock/connection/router_state.py
+++ b/src/yokedock/connection/router_state.py
@@ -152,6 +152,8 @@
     """Prompt parts that another router suspects, and on which this one saw answers."""
     term: int = 0
     """Fencing token with which it may give orders to engines, or recently could; 0 if none."""
+    is_overloaded: bool = False
+    """Whether it has just refused many connections, and others should get the new ones."""
 
     def source_position(self) -> SourcePosition:
         """Return the position up to which the router knows the source's history."""
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -14,6 +14,7 @@
 from yokedock.connection.router_state import RouterState
 from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership, Vote
+from yokedock.process.readiness import Readiness
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.state_exchange import StateExchange
 from yokedock.process.state_follower import StateFollower
@@ -46,6 +47,7 @@
     remote_queues: RemoteQueues
     crashes: CrashRecords
     stop: StopState
+    readiness: Readiness
 
 
 class GossipHandler:
@@ -92,6 +94,7 @@
             suspect_parts=components.crashes.parts.recent_report(),
             sound_parts=components.crashes.parts.objections(),
             term=components.term.reported(self._leads()),
+            is_overloaded=components.readiness.is_overloaded,
         )
 
     def source_contacts(self) -> list[SourceContact]:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -32,6 +32,7 @@
 from yokedock.process.graceful_stop import GracefulStop
 from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership
+from yokedock.process.readiness import Readiness
 from yokedock.process.request_handler import RequestHandler
 from yokedock.process.role_balancer import RoleBalancer
 from yokedock.process.router_maintenance import MaintainedTables, RouterMaintenance
@@ -142,6 +143,9 @@
         self._pinning = VersionPinning(self._registry, self._origins, lookup)
         self._metrics = RouterMetrics()
         self._stop = StopState()
+        self._readiness = Readiness(
+            self._follower, self._stop, self._link_admission, self._gossip.alive
+        )
         self._request_handler = RequestHandler(
             self._follower,
             dialect,
@@ -213,6 +217,7 @@
                 self._remote_queues,
                 self._crashes,
                 self._stop,
+                self._readiness,
             )
         )
         self._suspension_monitor = SuspensionMonitor(self._pool)
@@ -280,14 +285,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether this router accepts new connections.
-
-        One whose link is full leaves them to the others, if there are any.
-        """
-        if not self._follower.is_known or self._stop.is_stopping:
-            return False
-        is_alone = self._gossip.fleet_size() == 1
-        return is_alone or self._link_admission.should_get_new()
+        """Return whether this router accepts new connections."""
+        return self._readiness.is_ready
 
     async def _shut_down(self) -> None:
         """Let other routers lead, and complete the requests in flight."""
