One name for one limit of time; a docstring without its history

backend_connection and link_admission both had a MAX_SHARED_DELAY_S of different meaning (0.6 s more for a connect; 0.1 s from which less of the link is used): the former is MAX_LINK_DELAY_S now.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -43,7 +43,7 @@
 """Connections that were idle for longer are not reused."""
 READ_BEFORE_ABORT_S = 0.05
 """Time in which data that has arrived is read before a connection is aborted."""
-MAX_SHARED_DELAY_S = 0.6
+MAX_LINK_DELAY_S = 0.6
 """How much longer a connect may take while the link may be what delays it."""
 KEEP_ALIVE_SHARE = 0.7
 """Fraction of the backend's keep-alive timeout for which an idle connection is reused."""
@@ -334,17 +334,16 @@
     """Return a socket connected to ``address``; raises ``BackendUnreachable``.
 
     While the link is busy, the timeout only applies once another peer has accepted a connection
-    that was requested later, or after ``MAX_SHARED_DELAY_S`` more.
+    that was requested later, or after ``MAX_LINK_DELAY_S`` more.
 
     The timeout covers only the wait for the peer, and ``ReadFirstTimeout`` lets a connection that
     is already established win over an expired timer: a process that got no CPU time during the
-    timeout would otherwise treat healthy backends as unreachable. At a load average of 25 on 8
-    cores such backends were avoided for a second each, and 2 to 5 of 20,000 calls were refused.
+    timeout would otherwise treat healthy backends as unreachable.
     """
     host, _, port = address.rpartition(":")
     clock = asyncio.get_running_loop().time
     started_s = boot_time_s()
-    latest_s = clock() + timeout_s + MAX_SHARED_DELAY_S
+    latest_s = clock() + timeout_s + MAX_LINK_DELAY_S
 
     def may_expire() -> bool:
         is_own_delay = link.is_busy() and not link.shared_delay.has_connected_since(started_s)
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -80,7 +80,7 @@
     """Limits of the machine."""
 
     link_mbps: float = option(
-        "rate of the network link, both directions together, Mbit/s; 0: not known",
+        "rate of the network link, Mbit/s; 0: not known",
         0.0,
         between(0, 1e6),
     )
