A listener that is closed while it resumes stays closed

Callers: a router whose link had been full as it stopped could accept connections for the rest of its life that nobody answers; they are reset as the process exits, some milliseconds later. Only a stop at the moment of a resume sets it off. Found by reading; no play has shown it. Cause: the end was looked at before the address is bound, which waits, and not after it. Red before: "a listener that is closed while it resumes stays closed" (one server left open); passes now.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -130,6 +130,7 @@
       | a router that was idle for hours accepts                      |
       | a router that refuses much should get no new connections      |
       | a router that refuses much is ready unless half can take more |
+      | a listener that is closed while it resumes stays closed       |
       | a connect over a full link is waited for                      |
       | the rate of the link is validated                             |
 
--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -12,6 +12,7 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.shared_delay import RECENT_S, SharedDelay
 from yokedock.connection.backend_connection import BackendConnection
+from yokedock.connection.gated_listener import GatedListener
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.errors import SettingsInvalid
 from yokedock.process.readiness import Readiness
@@ -227,6 +228,35 @@
     assert not _readiness([has_room]).is_ready
 
 
+async def _close_while_resuming():
+    """Close a listener that is binding its address again; return the servers that stay open."""
+    servers = []
+    may_bind = asyncio.Event()
+
+    async def listen():
+        if servers:
+            await may_bind.wait()
+        servers.append(mock.Mock())
+        return servers[-1]
+
+    listener = GatedListener(listen, lambda: True)
+    await listener.start()
+    running = asyncio.create_task(listener.run())
+    listener.pause()
+    await asyncio.sleep(0.1)
+    listener.close()
+    may_bind.set()
+    await asyncio.sleep(0.1)
+    running.cancel()
+    return [server for server in servers if not server.close.called]
+
+
+# Guards against connections that a stopped router still accepts and never answers.
+def a_listener_that_is_closed_while_it_resumes_stays_closed():
+    """No server is left open, whenever the close comes."""
+    assert not run_simulated(_close_while_resuming())
+
+
 async def _connect_over_queue(queue_bytes, is_other_reached):
     """Connect behind ``queue_bytes`` on a narrow link; return whether the peer was reached."""
     loop = asyncio.get_running_loop()
@@ -337,5 +367,8 @@
     "a router that refuses much is ready unless half can take more": (
         a_router_that_refuses_much_is_ready_unless_half_can_take_more
     ),
+    "a listener that is closed while it resumes stays closed": (
+        a_listener_that_is_closed_while_it_resumes_stays_closed
+    ),
     "a connect over a full link is waited for": a_connect_over_a_full_link_is_waited_for,
 }
--- a/src/yokedock/connection/gated_listener.py
+++ b/src/yokedock/connection/gated_listener.py
@@ -64,9 +64,13 @@
         if self._is_closed:
             return
         try:
-            self._server = await self._listen()
+            server = await self._listen()
         except OSError as error:
             _log.warning("cannot listen; trying again", reason=repr(error))
             await asyncio.sleep(POLL_S)
-        else:
-            self._paused.clear()
+            return
+        if self._is_closed:
+            server.close()
+            return
+        self._server = server
+        self._paused.clear()
