Streams outlive the loss of all routers: origin stores beside the engines

What callers saw: all routers without power at once, two versions of the engines listed. Each caller that resumed its stream was told 503 (not run) after 10 ms, for good, though engines of its version served.

Cause: the version that began a stream was known to routers alone (the one that serves it and three replicas), so all copies went with one fault. 155 of 155 searches ended without a record. Class: all replicas of a fact in one failure domain.

Ruled out: records that expired or weren't found (no search found one, all routers began anew); a version that had left (it has a reason of its own in the log, which did not occur).

Change: a small process beside each engine, the origin store, keeps records in memory. A record goes to two of them, beside engines of the stream's own version, and to one router in place of three, so the number of messages is as before. Nothing is guessed: without a record the stream is refused. Found by the engines' addresses: no membership, no heartbeat.

--- /dev/null
+++ b/features/origin_stores.feature
@@ -0,0 +1,51 @@
+Feature: Streams outlive all routers where origin stores run beside the engines
+
+  Background:
+    Given version "v1" runs on prefill engine "p"
+    And version "v1" runs on decode engine "d"
+    And version "v1" runs on decode engine "e"
+    And version "v2" runs on decode engine "f"
+    And version "v2" runs on decode engine "g"
+    And an origin store beside the engines
+
+  # Guards against streams that are refused, or mixed, after all routers were lost at once.
+  Scenario Outline: Streams of <count> versions go on after all routers are lost at once
+    Given version "<third>" runs on decode engine "h"
+    And version "<third>" runs on decode engine "i"
+    And a fleet of 3 routers
+    When 24 clients stream on "chat" and lose their connection after 2 events
+    And all engines evict their prompts
+    And all routers are killed and replaced
+    And each client resumes its stream at a new router
+    Then no client holds events of two versions
+    And each client has 6 events, each once and in order
+
+    Examples:
+      | count | third |
+      | two   | v2    |
+      | three | v3    |
+
+  # Guards against a wait for a store that does not respond.
+  Scenario: A client who resumes its stream is refused at once if the stores are lost as well
+    Given a fleet of 3 routers
+    When 8 clients stream on "chat" and lose their connection after 2 events
+    And all routers are killed and replaced
+    And the origin store is lost
+    And each client resumes its stream at a new router
+    Then no client holds events of two versions
+    And each client was refused with 503 within 0.5 s
+    And no engine was asked to run a resumed stream
+
+  # Guards against a process that ends at SIGHUP, at a datagram that it cannot decode, or badly at SIGTERM.
+  Scenario: The origin store as a process keeps its records until it is stopped
+    Given an origin store process
+    When a router records version 7 of stream 5 there
+    And it gets data that it does not understand, and SIGHUP
+    Then it reports version 7 of stream 5
+    And it reports no version of stream 6
+    And it ends with 0 at SIGTERM
+
+  # Guards against records that are gone with the machines of another version, or with one machine.
+  Scenario: A record is kept beside two engines of its version, and found whatever else is listed
+    Then for 200 streams the record is found while one of its two stores is listed
+    And no store of it is at a leaving engine while others of the version stay
--- /dev/null
+++ b/features/steps/origin_store_steps.py
@@ -0,0 +1,128 @@
+import asyncio
+import signal
+import socket
+import subprocess
+import tempfile
+from pathlib import Path
+
+import msgspec
+from behave import given, step, then, when
+from router_steps import world
+from support.router_world import free_address
+
+from yokedock.connection.state_source import BackendEntry
+from yokedock.process.origin_store import OriginStore
+from yokedock.process.origin_store_messages import OriginFinding, OriginLookup, OriginRecord
+from yokedock.request.origin_store_placement import OriginStorePlacement
+from yokedock.request.software_version import stream_number, version_number
+from yokedock.request.stream_origins import StreamOrigin
+from yokedock_emulator.process_group import program
+
+ANSWER_LIMIT_S = 5.0
+MACHINES = 12
+
+
+@given("an origin store beside the engines")
+def beside(context):
+    address = free_address()
+    world(context).origin_store_port = int(address.rpartition(":")[2])
+    context.store = OriginStore()
+    context.world.run(context.store.start(address))
+    context.add_cleanup(context.world.run, close(context.store))
+
+
+async def close(store):
+    store.close()
+    await asyncio.sleep(0)
+
+
+@step("the origin store is lost")
+def lost(context):
+    context.world.run(close(context.store))
+
+
+@given("an origin store process")
+def store_process(context):
+    settings = Path(tempfile.mkdtemp()) / "origin-store.ini"
+    host, _, port = free_address().rpartition(":")
+    context.store_address = (host, int(port))
+    settings.write_text(f"[store]\nlisten = {host}:{port}\n")
+    command = [program("yokedock"), "origin-store", "--settings", str(settings)]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    context.add_cleanup(context.process.kill)
+    assert b"started" in context.process.stdout.readline()
+    context.socket = socket.socket(type=socket.SOCK_DGRAM)
+    context.socket.settimeout(ANSWER_LIMIT_S)
+    context.add_cleanup(context.socket.close)
+
+
+def send(context, data):
+    context.socket.sendto(data, context.store_address)
+
+
+@when("a router records version {version:d} of stream {stream:d} there")
+def record(context, version, stream):
+    origin = StreamOrigin(stream, version, 60_000)
+    send(context, msgspec.msgpack.encode(OriginRecord(origin)))
+
+
+@when("it gets data that it does not understand, and SIGHUP")
+def odd(context):
+    send(context, b"\xc1odd")
+    context.process.send_signal(signal.SIGHUP)
+
+
+def reported(context, stream):
+    send(context, msgspec.msgpack.encode(OriginLookup(3, stream)))
+    finding = msgspec.msgpack.decode(context.socket.recv(100), type=OriginFinding)
+    assert finding.lookup == 3, finding
+    return finding.version
+
+
+@then("it reports version {version:d} of stream {stream:d}")
+def reports(context, version, stream):
+    assert reported(context, stream) == version
+
+
+@then("it reports no version of stream {stream:d}")
+def reports_none(context, stream):
+    assert reported(context, stream) is None
+
+
+@then("it ends with 0 at SIGTERM")
+def ends(context):
+    context.process.send_signal(signal.SIGTERM)
+    assert context.process.wait(ANSWER_LIMIT_S) == 0
+
+
+def entry(number, version, is_leaving=False):
+    name, address = f"e{number}", f"10.0.0.{number}:8000"
+    return BackendEntry(name, "llm", address, role="decode", version=version, is_leaving=is_leaving)
+
+
+def placement(entries):
+    listed = OriginStorePlacement()
+    listed.update(entries)
+    return listed
+
+
+@then("for {count:d} streams the record is found while one of its two stores is listed")
+def found(context, count):
+    before = placement([entry(n, "v1") for n in range(MACHINES)])
+    for number in range(count):
+        stream = stream_number(f"r-{number}")
+        stores = before.for_record(stream, version_number("llm", "v1"))
+        assert len(stores) == 2, stores
+        for left in stores:
+            gone = set(stores) - {left}
+            old = [entry(n, "v1") for n in range(MACHINES) if f"10.0.0.{n}" not in gone]
+            new = [entry(n, "v2") for n in range(MACHINES, 2 * MACHINES)]
+            assert left in placement(old + new).for_lookup(stream)
+
+
+@then("no store of it is at a leaving engine while others of the version stay")
+def staying(context):
+    half = [entry(n, "v1", is_leaving=n % 2 == 0) for n in range(MACHINES)]
+    leaving = {f"10.0.0.{n}" for n in range(0, MACHINES, 2)}
+    stores = placement(half).for_record(1, version_number("llm", "v1"))
+    assert stores and not leaving & set(stores), stores
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -138,6 +138,8 @@
         self.backends = {}
         self.position = 1
         self._started_routers = []
+        self.origin_store_port = 0
+        """Port of the origin stores that routers use, 0 if none run."""
 
     def run(self, work):
         """Run ``work`` in the loop and return its result."""
@@ -191,7 +193,12 @@
         settings = RouterSettings(
             RouterProcessSettings("router"),
             RouterCallerSettings(*callers),
-            FleetSettings(address or free_address(), seeds, is_first_start=is_first_start),
+            FleetSettings(
+                address or free_address(),
+                seeds,
+                is_first_start=is_first_start,
+                origin_store_port=self.origin_store_port,
+            ),
             StateSettings(free_address()),
             retries,
             StopSettings(grace_s),
--- a/src/yokedock/base/sockets.py
+++ b/src/yokedock/base/sockets.py
@@ -30,3 +30,18 @@
     created = _factory(kind)
     created.setblocking(False)
     return created
+
+
+def new_datagram_socket(address: str) -> socket.socket:
+    """Return a non-blocking datagram socket that is bound to ``address``, IP:port.
+
+    Port 0 is any free port. Raises ``OSError`` if the address is in use.
+    """
+    host, _, port = address.rpartition(":")
+    created = new_socket(socket.SOCK_DGRAM)
+    try:
+        created.bind((host, int(port)))
+    except OSError:
+        created.close()
+        raise
+    return created
--- a/src/yokedock/connection/datagram_inbox.py
+++ b/src/yokedock/connection/datagram_inbox.py
@@ -12,7 +12,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
-from yokedock.base.sockets import new_socket
+from yokedock.base.sockets import new_datagram_socket
 
 _log = logger("inbox")
 
@@ -46,8 +46,7 @@
 
     def bind(self, address: str, port: int) -> socket.socket:
         """Bind the socket and return it; raises ``OSError`` if the address is in use."""
-        self._socket = new_socket(socket.SOCK_DGRAM)
-        self._socket.bind((address, port))
+        self._socket = new_datagram_socket(f"{address}:{port}")
         self._last_empty_s = boot_time_s()
         return self._socket
 
--- a/src/yokedock/process/cli.py
+++ b/src/yokedock/process/cli.py
@@ -64,6 +64,15 @@
     run_router(settings, checked, RoutesFile(Path(checked.state.source)), HeaderDialect())
 
 
+@app.command(name="origin-store")
+def origin_store(settings: SettingsOption) -> None:
+    """Run an origin store, which keeps beside an engine what began its streams."""
+    from yokedock.process.origin_store import run_origin_store
+    from yokedock.process.origin_store_settings import read_origin_store_settings
+
+    run_origin_store(read_origin_store_settings(settings))
+
+
 @app.command
 def demo(*, keep: bool = False) -> None:
     """Run all components in one process on loopback, send requests and verify the results."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -32,6 +32,7 @@
 from yokedock.process.graceful_stop import GracefulStop
 from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership
+from yokedock.process.origin_store_client import OriginStoreClient, OriginStores
 from yokedock.process.readiness import Readiness
 from yokedock.process.request_handler import RequestHandler
 from yokedock.process.role_balancer import RoleBalancer
@@ -139,7 +140,13 @@
         self._placement = placement
         lookup = CacheLookup(self._registry, self._pool, dialect)
         self._version_history = VersionHistory()
-        self._origins = StreamOriginExchange(self._gossip, int(port), self._version_history, link)
+        store_port = settings.fleet.origin_store_port
+        self._origin_stores = (
+            OriginStores(OriginStoreClient(own_address, store_port, link)) if store_port else None
+        )
+        self._origins = StreamOriginExchange(
+            self._gossip, int(port), self._version_history, self._origin_stores, link
+        )
         self._pinning = VersionPinning(self._registry, self._origins, lookup)
         self._metrics = RouterMetrics()
         self._stop = StopState()
@@ -242,6 +249,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then shut down gracefully."""
         await self._gossip.start()
+        if self._origin_stores is not None:
+            await self._origin_stores.client.start()
         callers = self.settings.callers
         await self._caller_listener.start()
         servers = [
@@ -264,6 +273,8 @@
         for server in servers:
             server.close()
         self._exchange.stop()
+        if self._origin_stores is not None:
+            self._origin_stores.client.close()
         for task in self._tasks:
             task.cancel()
         _log.info("stopped", name=self.settings.process.name)
@@ -452,7 +463,10 @@
 
     def _on_backends_changed(self) -> None:
         self._version_history.begin(self.settings.fleet.is_first_start)
-        self._version_history.update(self._registry.entries().values())
+        entries = self._registry.entries().values()
+        self._version_history.update(entries)
+        if self._origin_stores is not None:
+            self._origin_stores.placement.update(entries)
         self._ledger.on_capacity_freed()
 
     def _on_backend_restart(self, backend: Backend) -> None:
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -48,6 +48,9 @@
         "minimum time between the terms of two leaders, s", 3.0, between(0.1, 600)
     )
     is_first_start: bool = option("whether the whole system starts for the first time", False)
+    origin_store_port: int = option(
+        "port of the origin stores beside the engines; 0: none run", 0, between(0, 65_535)
+    )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/yokedock/process/settings_commands.py
+++ b/src/yokedock/process/settings_commands.py
@@ -24,6 +24,10 @@
         from yokedock.process.router_settings import read_router_settings
 
         read_router_settings(file)
+    elif "store" in sections:
+        from yokedock.process.origin_store_settings import read_origin_store_settings
+
+        read_origin_store_settings(file)
     else:
         read_daemon_settings(file)
     print(f"{file}: no errors")
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -1,8 +1,10 @@
-"""Keeps the versions that began streams at several routers, so that they outlive a router.
+"""Keeps the versions that began streams at several processes, so that they outlive a router.
 
-Each record is sent to ``REPLICAS`` routers, chosen by rendezvous hashing among the live ones, just
-before the first event goes to the caller. A router without a record asks those that may have it.
-When a router starts, the others send it the records of which it is a replica.
+Each record has ``REPLICAS`` besides the router that serves the stream. They are sent just before
+the first event goes to the caller. Where origin stores run beside the engines, most replicas are
+there, as all routers may be lost at once. The others are routers, chosen by rendezvous hashing
+among the live ones. A router without a record asks all processes that may have it. When a router
+starts, the others send it the records of which it is a replica.
 """
 
 from __future__ import annotations
@@ -21,6 +23,7 @@
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
 from yokedock.errors import BadRequest
+from yokedock.process.origin_store_client import OriginStores
 from yokedock.request.software_version import UNKNOWN_VERSION
 from yokedock.request.stream_origins import (
     MS_PER_SECOND,
@@ -37,7 +40,7 @@
 
 ORIGIN_PATH = "/stream-origin"
 REPLICAS = 3
-"""Routers that hold a record besides the one that serves the stream."""
+"""Processes that hold a record besides the router that serves the stream."""
 MAX_ASKED = 6
 """Routers that are asked for a record: more than the replicas, as some may have joined since."""
 MAX_PER_DATAGRAM = 40
@@ -73,9 +76,11 @@
         gossip: RouterGossip,
         port: int,
         history: VersionHistory,
+        stores: OriginStores | None = None,
         link: LinkMeter | None = None,
     ) -> None:
-        """All routers listen on ``port``."""
+        """All routers listen on ``port``; ``stores`` is None where no origin stores run."""
+        self._stores = stores
         self._gossip = gossip
         self._port = port
         self._history = history
@@ -92,7 +97,8 @@
         """Record the version that begins or continues a stream, here and at the replicas."""
         origin = StreamOrigin(stream, version, round(ttl_s * MS_PER_SECOND))
         self._origins.record(origin)
-        for address in self._order(stream)[:REPLICAS]:
+        in_stores = 0 if self._stores is None else self._stores.record(origin)
+        for address in self._order(stream)[: REPLICAS - in_stores]:
             self._send(address, (origin,))
 
     def receive(self, data: bytes, address: str) -> None:
@@ -139,8 +145,10 @@
         asked_s = boot_time_s()
         while (version := self._conclusion([self._report(question)], question)) is None:
             has_heard_all = self._gossip.has_heard_all()
-            reports = await self._ask_others(question)
-            version = self._conclusion(reports, question)
+            reports, stored = await asyncio.gather(
+                self._ask_others(question), self._ask_stores(question)
+            )
+            version = self._conclusion([*reports, *stored], question)
             is_complete = has_heard_all and len(reports) == self._gossip.fleet_size() - 1
             if version is not None or is_complete or not self._may_learn_more(asked_s):
                 break
@@ -176,6 +184,12 @@
         reports = await asyncio.gather(*(self._ask(address, question) for address in addresses))
         return [report for report in reports if report is not None]
 
+    async def _ask_stores(self, question: OriginQuestion) -> list[OriginReport]:
+        """Return a report for each version that an origin store has recorded."""
+        if self._stores is None or question.stream is None:
+            return []
+        return [OriginReport(version) for version in await self._stores.find(question.stream)]
+
     async def _ask(self, address: str, question: OriginQuestion) -> OriginReport | None:
         """Return the report of one router, None if it gives none."""
         max_age_ms = round(question.max_age_s * MS_PER_SECOND)
--- a/tools/check_deployment.py
+++ b/tools/check_deployment.py
@@ -1,7 +1,7 @@
 """Lint: every library that the deployed program can import is declared for the deployment.
 
-Follows all imports from ``deploy/main.py``, including those inside functions. Each module must
-belong to the standard library, to this repository, or to a distribution that
+Follows all imports from the entry points in ``deploy``, including those inside functions. Each
+module must belong to the standard library, to this repository, or to a distribution that
 deploy/requirements.txt lists with the same version as requirements.lock.
 """
 
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-ENTRY_POINT = "deploy/main.py"
+ENTRY_POINTS = ("deploy/main.py", "deploy/origin_store.py")
 
 
 def imported_modules(source):
@@ -43,7 +43,7 @@
 
 def third_party_imports(root):
     """Return {top-level module: importing file} for the third-party imports of the program."""
-    files, seen, third_party = [root / ENTRY_POINT], set(), {}
+    files, seen, third_party = [root / path for path in ENTRY_POINTS], set(), {}
     while files:
         path = files.pop()
         if path in seen:
