A stream's record is found though its version has grown since

Cause: both streams began as their version was being rolled out, at its first engine; their records went to the store there. 5 s later the version had nine engines, and a router that had just started asked the first three stores of its order, often without that one.

Ruled out: lost datagrams (no line 'no response from origin stores'), a version that had left.

Change: up to eight stores of each version are asked; that is one datagram of some 30 bytes each, for streams alone that this router does not know.

Test: origin_stores.feature, a version that grows from two engines to eight: red before (first stream), green now.

--- a/features/origin_stores.feature
+++ b/features/origin_stores.feature
@@ -48,4 +48,5 @@
   # Guards against records that are gone with the machines of another version, or with one machine.
   Scenario: A record is kept beside two engines of its version, and found whatever else is listed
     Then for 200 streams the record is found while one of its two stores is listed
+    And for 200 streams the record is found after its version has grown from 2 engines to 8
     And no store of it is at a leaving engine while others of the version stay
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -120,6 +120,18 @@
             assert left in placement(old + new).for_lookup(stream)
 
 
+@then(
+    "for {count:d} streams the record is found after its version has grown from {few:d} engines to {many:d}"
+)
+def found_grown(context, count, few, many):
+    before = placement([entry(n, "v1") for n in range(few)])
+    after = placement([entry(n, "v1") for n in range(many)])
+    for number in range(count):
+        stream = stream_number(f"r-{number}")
+        stores = before.for_record(stream, version_number("llm", "v1"))
+        assert set(stores) & after.for_lookup(stream), stores
+
+
 @then("no store of it is at a leaving engine while others of the version stay")
 def staying(context):
     half = [entry(n, "v1", is_leaving=n % 2 == 0) for n in range(MACHINES)]
--- a/src/yokedock/request/origin_store_placement.py
+++ b/src/yokedock/request/origin_store_placement.py
@@ -13,8 +13,9 @@
 from yokedock.version.homes import rendezvous_order
 
 STORES_PER_RECORD = 2
-STORES_ASKED_PER_VERSION = 3
-"""More than the stores of a record: an engine that was listed since then may come before them."""
+STORES_ASKED_PER_VERSION = 8
+"""More than the stores of a record: engines that were listed since then may come before them, and a
+version that is being rolled out grows from one engine to many."""
 
 
 class OriginStorePlacement:
