--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -121,7 +121,8 @@
 
 
 @then(
-    "for {count:d} streams the record is found after its version has grown from {few:d} engines to {many:d}"
+    "for {count:d} streams the record is found after its version has grown"
+    " from {few:d} engines to {many:d}"
 )
 def found_grown(context, count, few, many):
     before = placement([entry(n, "v1") for n in range(few)])
