--- a/src/yokedock/base/options.py
+++ b/src/yokedock/base/options.py
@@ -9,7 +9,7 @@
 
 import configparser
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -99,6 +99,35 @@
     return parser
 
 
+def read_sections(
+    path: Path,
+    kinds: Mapping[str, type[Any]],
+    optional: Collection[str],
+    example: str,
+    problems: Problems,
+) -> dict[str, Any]:
+    """Read an INI file whose sections are named in ``kinds``; one with errors is None.
+
+    A missing section that is ``optional`` has its defaults; ``example`` is a file to look at. If
+    the file cannot be read or parsed, the result is empty.
+    """
+    parser = read_ini(path, problems)
+    if problems.lines:
+        return {}
+    for title in parser.sections():
+        if title not in kinds:
+            remedy = f"use {', '.join(f'[{name}]' for name in kinds)}"
+            problems.add(f"[{title}]", "unknown section", remedy)
+    sections: dict[str, Any] = {}
+    for name, kind in kinds.items():
+        if name not in parser and name not in optional:
+            problems.add(f"[{name}]", "missing section", f"add it; see {example}")
+            continue
+        values = parser[name] if parser.has_section(name) else {}
+        sections[name] = read_section(kind, name, values, problems)
+    return sections
+
+
 def read_section(
     kind: type[Section], name: str, values: Mapping[str, str], problems: Problems
 ) -> Section | None:
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -13,7 +13,7 @@
     between,
     one_of,
     option,
-    read_ini,
+    read_sections,
 )
 from yokedock.base.options import read_section as read_options
 from yokedock.errors import SettingsInvalid
@@ -137,19 +137,7 @@
 def read_router_settings(path: Path) -> RouterSettings:
     """Read and validate a settings file; raises ``SettingsInvalid`` with all errors."""
     problems = Problems()
-    parser = read_ini(path, problems)
-    sections: dict[str, Any] = {}
-    if not problems.lines:
-        for title in parser.sections():
-            if title not in _KINDS:
-                remedy = f"use one of: {', '.join(_KINDS)}"
-                problems.add(f"[{title}]", "unknown section", remedy)
-        for name, kind in _KINDS.items():
-            if name not in parser and name not in _OPTIONAL:
-                problems.add(f"[{name}]", "missing section", "add it; see examples/router.ini")
-                continue
-            values = parser[name] if parser.has_section(name) else {}
-            sections[name] = read_options(kind, name, values, problems)
+    sections = read_sections(path, _KINDS, _OPTIONAL, "examples/router.ini", problems)
     if problems.lines:
         raise SettingsInvalid(problems.text())
     return RouterSettings(**sections)
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -15,8 +15,15 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 
 from yokedock.base.metrics import MetricsSettings
-from yokedock.base.options import Problems, address, between, one_of, option, read_ini
-from yokedock.base.options import read_section as read_options
+from yokedock.base.options import (
+    Problems,
+    address,
+    between,
+    one_of,
+    option,
+    read_ini,
+    read_sections,
+)
 from yokedock.connection.secure_session import KEY_BYTES, LOOPBACK_KEY
 from yokedock.errors import SettingsInvalid
 
@@ -207,20 +214,8 @@
     path: Path, kind: type[GatewaySettings] | type[AgentSettings]
 ) -> GatewaySettings | AgentSettings:
     problems = Problems()
-    parser = read_ini(path, problems)
-    section_names = [field.name for field in dataclasses.fields(kind)]
-    if not problems.lines:
-        for title in parser.sections():
-            if title not in section_names:
-                remedy = f"use {', '.join(f'[{name}]' for name in section_names)}"
-                problems.add(f"[{title}]", "unknown section", remedy)
-    sections: dict[str, Any] = {}
-    for name in section_names:
-        if name not in parser and name not in _OPTIONAL:
-            problems.add(f"[{name}]", "missing section", "add the section; see examples/")
-            continue
-        values = parser[name] if parser.has_section(name) else {}
-        sections[name] = read_options(_SECTIONS[name], name, values, problems)
+    kinds = {field.name: _SECTIONS[field.name] for field in dataclasses.fields(kind)}
+    sections = read_sections(path, kinds, _OPTIONAL, "examples/", problems)
     _check_keys(sections, problems)
     if kind is AgentSettings and sections.get("peers") and not sections["peers"].listen:
         problems.add(
