--- a/src/yokedock_emulator/long_run.py
+++ b/src/yokedock_emulator/long_run.py
@@ -128,14 +128,14 @@
     # --- The router ---
 
     def _start_router(self) -> None:
-        ports = _free_ports(3)
-        self._listen, self._ready, self._fleet = (f"127.0.0.1:{port}" for port in ports)
+        ports = _free_ports(4)
+        self._listen, self._ready, self._fleet = (f"127.0.0.1:{port}" for port in ports[:3])
         fields = {
             "nodeName": "router-1",
             "zone": "zone-1",
             "listenAddrs": {"frontend": self._listen, "ready": self._ready},
             "ipAddress": "127.0.0.1",
-            "internalPortRange": [ports[2], ports[2]],
+            "internalPortRange": [ports[2], ports[3]],
             "seedNodes": [],
             "bootstrap": True,
             "platform": {"address": self._operator.store_address},
