Lookups in origin stores: a busy router reads all queued responses at once

What callers see: after all routers were lost, many streams are resumed at once at routers that are busy starting. Lookups end without a version though the responses lie in the router's socket; the streams are refused for good.

Cause: the event loop reads one datagram of a socket in each turn, and a lookup gets a response from up to eight stores of each version. A router mustn't take its own slowness for the stores'. Router gossip reads all that is queued for the same reason.

Ruled out: slow stores (idle, the same lookup ends after 2 to 5 ms); a receive buffer that is full (240 responses fit).

Change: the client reads what is queued behind a response, 20 ms at most; the read itself is shared with the gossip (base/sockets.py).

--- a/features/origin_stores.feature
+++ b/features/origin_stores.feature
@@ -50,3 +50,9 @@
     Then for 200 streams the record is found while one of its two stores is listed
     And for 200 streams the record is found after its version has grown from 2 engines to 8
     And no store of it is at a leaving engine while others of the version stay
+
+  # Guards against streams refused because a busy router reads one response in each turn of its loop.
+  Scenario: A busy router finds records though the responses of many stores come at once
+    Given 24 origin stores, 2 of which know version 7 of stream 5
+    When a router whose other work takes 200 ms a turn looks stream 5 up 10 times at once
+    Then each lookup found version 7
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -3,6 +3,7 @@
 import socket
 import subprocess
 import tempfile
+import time
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,7 @@
 
 from yokedock.connection.state_source import BackendEntry
 from yokedock.process.origin_store import OriginStore
+from yokedock.process.origin_store_client import OriginStoreClient
 from yokedock.process.origin_store_messages import OriginFinding, OriginLookup, OriginRecord
 from yokedock.request.origin_store_placement import OriginStorePlacement
 from yokedock.request.software_version import stream_number, version_number
@@ -139,3 +141,48 @@
     leaving = {f"10.0.0.{n}" for n in range(0, MACHINES, 2)}
     stores = placement(half).for_record(1, version_number("llm", "v1"))
     assert stores and not leaving & set(stores), stores
+
+
+@given(
+    "{count:d} origin stores, {knowing:d} of which know version {version:d} of stream {stream:d}"
+)
+def many_stores(context, count, knowing, version, stream):
+    context.port = int(free_address().rpartition(":")[2])
+    context.hosts = [f"127.0.0.{n}" for n in range(2, count + 2)]
+    for number, host in enumerate(context.hosts):
+        store = OriginStore()
+        context.world.run(store.start(f"{host}:{context.port}"))
+        context.add_cleanup(context.world.run, close(store))
+        if number >= count - knowing:
+            data = msgspec.msgpack.encode(OriginRecord(StreamOrigin(stream, version, 60_000)))
+            store.datagram_received(data, ("127.0.0.1", 1))
+
+
+@when(
+    "a router whose other work takes {ms:d} ms a turn"
+    " looks stream {stream:d} up {count:d} times at once"
+)
+def busy_lookups(context, ms, stream, count):
+    context.found = asyncio.run(busy_router(context, ms / 1000, stream, count))
+
+
+async def busy_router(context, turn_s, stream, count):
+    client = OriginStoreClient("127.0.0.1", context.port)
+    await client.start()
+    other_work = asyncio.create_task(work_in_turns(turn_s))
+    try:
+        return await asyncio.gather(*(client.find(stream, context.hosts) for _ in range(count)))
+    finally:
+        other_work.cancel()
+        client.close()
+
+
+async def work_in_turns(turn_s):
+    while True:
+        time.sleep(turn_s)
+        await asyncio.sleep(0)
+
+
+@then("each lookup found version {version:d}")
+def each_found(context, version):
+    assert all(found == {version} for found in context.found), context.found
--- a/src/yokedock/base/sockets.py
+++ b/src/yokedock/base/sockets.py
@@ -8,6 +8,14 @@
 import socket
 from collections.abc import Callable
 
+from yokedock.base.logs import logger
+
+_log = logger("sockets")
+
+MAX_DATAGRAM_BYTES = 65_536
+READ_ATTEMPTS = 2
+"""A socket reports the error of an earlier send once, ahead of the queued datagrams."""
+
 SocketFactory = Callable[[socket.SocketKind], socket.socket]
 """Returns an unconnected IPv4 socket of the given kind, ``SOCK_STREAM`` or ``SOCK_DGRAM``."""
 
@@ -45,3 +53,17 @@
         created.close()
         raise
     return created
+
+
+def next_datagram(queue: socket.socket) -> tuple[bytes, str] | None:
+    """Return the next queued datagram and its sender's IP address, None if there is none."""
+    for _ in range(READ_ATTEMPTS):
+        try:
+            data, (host, _) = queue.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            _log.debug("datagram could not be sent", reason=repr(error))
+        else:
+            return data, host
+    return None
--- a/src/yokedock/connection/datagram_inbox.py
+++ b/src/yokedock/connection/datagram_inbox.py
@@ -12,7 +12,7 @@
 
 from yokedock.base.clock import boot_time_s
 from yokedock.base.logs import logger
-from yokedock.base.sockets import new_datagram_socket
+from yokedock.base.sockets import new_datagram_socket, next_datagram
 
 _log = logger("inbox")
 
@@ -20,9 +20,6 @@
 """A process that has not polled the socket for this long was suspended or had no CPU time."""
 MAX_READ_S = 0.02
 """Maximum time to read queued datagrams before other work gets its turn."""
-MAX_DATAGRAM_BYTES = 65_536
-READ_ATTEMPTS = 2
-"""The socket reports the error of an earlier send once, ahead of the queued datagrams."""
 
 
 class DatagramInbox:
@@ -58,27 +55,12 @@
     def read_pending(self) -> None:
         """Read the queued datagrams; must be called more often than every ``STALL_THRESHOLD_S``."""
         until_s = boot_time_s() + MAX_READ_S
-        while (datagram := self._next()) is not None:
+        while self._socket is not None and (datagram := next_datagram(self._socket)) is not None:
             self._on_datagram(*datagram, self._earliest_arrival_s())
             if boot_time_s() >= until_s:
                 return
         self._note_empty()
 
-    def _next(self) -> tuple[bytes, str] | None:
-        """Return the next datagram and its sender's address, or None if there is none."""
-        if self._socket is None:
-            return None
-        for _ in range(READ_ATTEMPTS):
-            try:
-                data, (address, _) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-            except BlockingIOError:
-                return None
-            except OSError as error:
-                _log.debug("datagram could not be sent", reason=repr(error))
-            else:
-                return data, address
-        return None
-
     def _earliest_arrival_s(self) -> float:
         """Return the earliest time at which a datagram that is read now may have arrived."""
         now_s = boot_time_s()
--- a/src/yokedock/process/origin_store_client.py
+++ b/src/yokedock/process/origin_store_client.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Collection
 from typing import cast
 
 import msgspec
 
+from yokedock.base.clock import boot_time_s
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
-from yokedock.base.sockets import new_datagram_socket
+from yokedock.base.sockets import new_datagram_socket, next_datagram
 from yokedock.process.origin_store_messages import OriginFinding, OriginLookup, OriginRecord
 from yokedock.request.origin_store_placement import OriginStorePlacement
 from yokedock.request.stream_origins import StreamOrigin
@@ -22,6 +24,8 @@
 """A datagram may be lost once."""
 ATTEMPT_S = 0.06
 """Time for the responses to one attempt: ten round trips between zones."""
+MAX_READ_S = 0.02
+"""Maximum time to read queued responses before other work gets its turn."""
 
 
 class _Lookup:
@@ -55,12 +59,13 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(OriginFinding)
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
 
     async def start(self) -> None:
         """Open a socket on any free port."""
         loop = asyncio.get_running_loop()
-        sock = new_datagram_socket(f"{self._own_host}:0")
-        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self._socket = new_datagram_socket(f"{self._own_host}:0")
+        await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
 
     def close(self) -> None:
         """Close the socket."""
@@ -114,16 +119,28 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Handle a response, and all that are queued behind it.
+
+        The loop would read only one in each turn: on a busy router, lookups would time out.
+        """
+        self._handle(data, addr[0])
+        until_s = boot_time_s() + MAX_READ_S
+        while self._socket is not None and boot_time_s() < until_s:
+            if (queued := next_datagram(self._socket)) is None:
+                return
+            self._handle(*queued)
+
+    def _handle(self, data: bytes, host: str) -> None:
         """Pass a response to its lookup; one that is late or not understood is dropped."""
         self._link.record_received(Traffic.BACKENDS, len(data))
         try:
             finding = self._decoder.decode(data)
         except msgspec.MsgspecError as error:
-            _log.warning("not understood", address=addr[0], reason=str(error))
+            _log.warning("not understood", address=host, reason=str(error))
             return
         lookup = self._lookups.get(finding.lookup)
         if lookup is not None:
-            lookup.add(addr[0], finding.version)
+            lookup.add(host, finding.version)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be sent: no store runs there at the moment."""
