Lookups in origin stores: a response counts only for the lookup and the host that was asked

What callers might see: a stream that joins events of two versions (ORDER). Each router process numbered its lookups from 0 and took a response from any host. A store that was frozen or cut off answers the lookups of a router that is gone when it is back; the router started anew, at the same port, has lookups of the same numbers in progress, about other streams, and took the version of one for the version of the other. Anybody who reaches the router's port could name a version as well, with a small number.

Change: the first number is random (62 bits), and the response of a host that was not asked is dropped.

Test: origin_stores.feature, a response with another process's number, and one from another host: both lookups took version 7 before, none after.

--- a/features/origin_stores.feature
+++ b/features/origin_stores.feature
@@ -56,3 +56,14 @@
     Given 24 origin stores, 2 of which know version 7 of stream 5
     When a router whose other work takes 200 ms a turn looks stream 5 up 10 times at once
     Then each lookup found version 7
+
+  # Guards against streams that are mixed because a response to another lookup is taken for this one's.
+  Scenario Outline: A response that belongs to another lookup names no version
+    Given an origin store that does not respond
+    When a router looks a stream up and gets a response from <sender> with <number>
+    Then the lookup found no version
+
+    Examples:
+      | sender        | number                                |
+      | the store     | the number of another process's first |
+      | another host  | its own number                        |
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -11,6 +11,7 @@
 from router_steps import world
 from support.router_world import free_address
 
+from yokedock.base.sockets import new_datagram_socket
 from yokedock.connection.state_source import BackendEntry
 from yokedock.process.origin_store import OriginStore
 from yokedock.process.origin_store_client import OriginStoreClient
@@ -186,3 +187,37 @@
 @then("each lookup found version {version:d}")
 def each_found(context, version):
     assert all(found == {version} for found in context.found), context.found
+
+
+@given("an origin store that does not respond")
+def silent_store(context):
+    context.silent = new_datagram_socket(free_address())
+    context.add_cleanup(context.silent.close)
+
+
+@when("a router looks a stream up and gets a response from {sender} with {number}")
+def foreign_response(context, sender, number):
+    is_own = number == "its own number"
+    context.found = [asyncio.run(lookup_with_response(context, sender == "the store", is_own))]
+
+
+async def lookup_with_response(context, is_from_store, is_own):
+    host, port = context.silent.getsockname()
+    client = OriginStoreClient(host, port)
+    await client.start()
+    lookup = asyncio.create_task(client.find(5, [host]))
+    data, router = await asyncio.get_running_loop().sock_recvfrom(context.silent, 100)
+    asked = msgspec.msgpack.decode(data, type=OriginLookup)
+    response = OriginFinding(asked.lookup if is_own else 0, 7)
+    with new_datagram_socket("127.0.0.2:0") as other:
+        sender = context.silent if is_from_store else other
+        sender.sendto(msgspec.msgpack.encode(response), router)
+    try:
+        return await lookup
+    finally:
+        client.close()
+
+
+@then("the lookup found no version")
+def found_none(context):
+    assert context.found == [set()], context.found
--- a/src/yokedock/process/origin_store_client.py
+++ b/src/yokedock/process/origin_store_client.py
@@ -13,6 +13,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
+from yokedock.base.randomness import new_random
 from yokedock.base.sockets import new_datagram_socket, next_datagram
 from yokedock.process.origin_store_messages import OriginFinding, OriginLookup, OriginRecord
 from yokedock.request.origin_store_placement import OriginStorePlacement
@@ -24,6 +25,8 @@
 """A datagram may be lost once."""
 ATTEMPT_S = 0.06
 """Time for the responses to one attempt: ten round trips between zones."""
+LOOKUP_NUMBER_BITS = 62
+"""Bits of the random first number: a response to an earlier process at this port matches none."""
 MAX_READ_S = 0.02
 """Maximum time to read queued responses before other work gets its turn."""
 
@@ -33,12 +36,15 @@
 
     def __init__(self, hosts: Collection[str]) -> None:
         """Await a response from each of ``hosts``."""
+        self._asked = frozenset(hosts)
         self.unanswered = set(hosts)
         self.versions: set[int] = set()
         self.is_answered = asyncio.Event()
 
     def add(self, host: str, version: int | None) -> None:
-        """Add the response of one store."""
+        """Add the response of one store; that of a host that was not asked is dropped."""
+        if host not in self._asked:
+            return
         self.unanswered.discard(host)
         if version is not None:
             self.versions.add(version)
@@ -55,7 +61,7 @@
         self._port = port
         self._link = link or LinkMeter()
         self._lookups: dict[int, _Lookup] = {}
-        self._numbers = itertools.count()
+        self._numbers = itertools.count(new_random().getrandbits(LOOKUP_NUMBER_BITS))
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(OriginFinding)
         self._transport: asyncio.DatagramTransport | None = None
