Lookups in origin stores: the stores of the engines that stay are always asked

What callers see: while most engines of a version say that they leave (a rollout), streams are refused for good after the loss of all routers, though nothing but the routers has changed.

Cause: a record goes to two stores beside engines that stay, a lookup asked the first eight of all listed ones. With 2 of 25 engines staying 46% of the records aren't found, with 5 or 2 of 60 47% and 75% (arithmetic of the placement, 2,000 streams).

Ruled out: a changed list (it is the same one at record and at lookup).

Change: the two that would get the record now are asked as well: at most two more datagrams for each version.

Test: origin_stores.feature, all but 2 of 60 leaving: red before, green after; the three shares above are 0 now.

What remains: records of a version that grows beyond eight engines, and of one of which a part is gone.

--- a/features/origin_stores.feature
+++ b/features/origin_stores.feature
@@ -50,6 +50,7 @@
     Then for 200 streams the record is found while one of its two stores is listed
     And for 200 streams the record is found after its version has grown from 2 engines to 8
     And no store of it is at a leaving engine while others of the version stay
+    And for 200 streams the record is found while all but 2 of 60 engines are leaving
 
   # Guards against streams refused because a busy router reads one response in each turn of its loop.
   Scenario: A busy router finds records though the responses of many stores come at once
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -144,6 +144,19 @@
     assert stores and not leaving & set(stores), stores
 
 
+@then(
+    "for {count:d} streams the record is found"
+    " while all but {few:d} of {many:d} engines are leaving"
+)
+def found_leaving(context, count, few, many):
+    listed = placement([entry(n, "v1", is_leaving=n >= few) for n in range(many)])
+    for number in range(count):
+        stream = stream_number(f"r-{number}")
+        assert set(listed.for_record(stream, version_number("llm", "v1"))) <= listed.for_lookup(
+            stream
+        )
+
+
 @given(
     "{count:d} origin stores, {knowing:d} of which know version {version:d} of stream {stream:d}"
 )
--- a/src/yokedock/request/origin_store_placement.py
+++ b/src/yokedock/request/origin_store_placement.py
@@ -47,6 +47,9 @@
     def for_lookup(self, stream: int) -> set[str]:
         """Return the hosts of the stores that may have a stream's record, whatever its version."""
         asked: set[str] = set()
-        for hosts in self._hosts.values():
-            asked.update(rendezvous_order(str(stream), hosts)[:STORES_ASKED_PER_VERSION])
+        for version, hosts in self._hosts.items():
+            order = rendezvous_order(str(stream), hosts)
+            staying = self._staying.get(version, set())
+            asked.update(order[:STORES_ASKED_PER_VERSION])
+            asked.update([host for host in order if host in staying][:STORES_PER_RECORD])
         return asked
