--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -141,7 +141,7 @@
     # --- Lookup ---
 
     async def find(self, question: OriginQuestion) -> int | None:
-        """Return the version that began a stream, None if no reachable router knows it."""
+        """Return the version that began a stream, None if no reachable process knows it."""
         asked_s = boot_time_s()
         while (version := self._conclusion([self._report(question)], question)) is None:
             has_heard_all = self._gossip.has_heard_all()
--- a/src/yokedock/request/stream_origins.py
+++ b/src/yokedock/request/stream_origins.py
@@ -15,7 +15,7 @@
 
 
 class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
-    """The software version that began a stream, as sent between routers."""
+    """The software version that began a stream, as sent to routers and origin stores."""
 
     stream: int
     """Number of the stream (``stream_number``)."""
@@ -37,15 +37,15 @@
 
 
 class OriginDirectory(abc.ABC):
-    """The records of all routers."""
+    """The records of all routers and origin stores."""
 
     @abc.abstractmethod
     def record(self, stream: int, version: int, ttl_s: float) -> None:
-        """Record the version that begins or continues a stream, here and at other routers."""
+        """Record the version that begins or continues a stream, here and at its replicas."""
 
     @abc.abstractmethod
     async def find(self, question: OriginQuestion) -> int | None:
-        """Return the version that began a stream, None if no reachable router knows it."""
+        """Return the version that began a stream, None if no reachable process knows it."""
 
 
 class _Record(msgspec.Struct):
@@ -57,7 +57,7 @@
 
 
 class StreamOrigins:
-    """The records that one router holds, of its own streams and for other routers.
+    """The records that one router or origin store holds, of its own streams and for others.
 
     Request ids are chosen by callers. If an id is used for streams of two versions, the version of
     both is unknown. The table is bounded.
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -37,7 +37,7 @@
         self.resumed = 0
         """Streams whose version was determined."""
         self.refused_unknown = 0
-        """Streams that were refused because no router knew their version."""
+        """Streams that were refused because no router or origin store knew their version."""
         self.refused_gone = 0
         """Streams that were refused because no backend of their version was listed."""
 
@@ -96,9 +96,9 @@
     async def _version_at_engines(self, call: RoutedCall, service: str) -> int | None:
         """Return the version that began a stream if the engines show it, else None.
 
-        After the loss of all routers no record is left. The only version that is listed, or was a
-        moment ago, began the stream if one of its decode engines has the last part of the prompt,
-        because prompts are processed there for their own streams only.
+        Without origin stores, no record is left after the loss of all routers. The only version
+        that is listed, or was a moment ago, began the stream if one of its decode engines has the
+        last part of the prompt, because prompts are processed there for their own streams only.
         """
         versions = {backend.version for backend in self._registry.members(service)}
         if len(versions) != 1:
