Records of streams follow their version when its engines change

Cause: a record lay at two stores from its first event on. Both machines left in the rollout, before the routers were lost.

Ruled out: stores that did not respond (no such line), lost datagrams (the machines had gone).

Change: when the list changes, each router sends the records that it holds to the stores that should have them by the new list and did not by the one before, for the versions alone whose engines changed, 20 in a turn. The placement is a value for one list now, so that two can be compared.

Test: origin_stores.feature, a version from one engine to 60 and on to 30 others: without the move no record is found, with it 200 of 200.

--- a/features/origin_stores.feature
+++ b/features/origin_stores.feature
@@ -49,6 +49,7 @@
   Scenario: A record is kept beside two engines of its version, and found whatever else is listed
     Then for 200 streams the record is found while one of its two stores is listed
     And for 200 streams the record is found after its version has grown from 2 engines to 8
+    And for 200 streams the record follows its version from 1 engines to 60 and on to 30 others
     And no store of it is at a leaving engine while others of the version stay
     And for 200 streams the record is found while all but 2 of 60 engines are leaving
 
--- a/features/steps/origin_store_steps.py
+++ b/features/steps/origin_store_steps.py
@@ -14,7 +14,7 @@
 from yokedock.base.sockets import new_datagram_socket
 from yokedock.connection.state_source import BackendEntry
 from yokedock.process.origin_store import OriginStore
-from yokedock.process.origin_store_client import OriginStoreClient
+from yokedock.process.origin_store_client import OriginStoreClient, OriginStores
 from yokedock.process.origin_store_messages import OriginFinding, OriginLookup, OriginRecord
 from yokedock.request.origin_store_placement import OriginStorePlacement
 from yokedock.request.software_version import stream_number, version_number
@@ -104,9 +104,7 @@
 
 
 def placement(entries):
-    listed = OriginStorePlacement()
-    listed.update(entries)
-    return listed
+    return OriginStorePlacement(entries)
 
 
 @then("for {count:d} streams the record is found while one of its two stores is listed")
@@ -234,3 +232,31 @@
 @then("the lookup found no version")
 def found_none(context):
     assert context.found == [set()], context.found
+
+
+class RecordingClient:
+    """Keeps, by host, the streams whose records were sent there."""
+
+    def __init__(self):
+        self.streams = {}
+
+    def record(self, origin, hosts):
+        for host in hosts:
+            self.streams.setdefault(host, set()).add(origin.stream)
+
+
+@then(
+    "for {count:d} streams the record follows its version from {few:d} engines to {many:d}"
+    " and on to {last:d} others"
+)
+def follows(context, count, few, many, last):
+    version = version_number("llm", "v1")
+    origins = [StreamOrigin(stream_number(f"r-{n}"), version, 60_000) for n in range(count)]
+    stores = OriginStores(RecordingClient())
+    for numbers in (range(few), range(many), range(many - last, many)):
+        previous, stores.placement = stores.placement, placement([entry(n, "v1") for n in numbers])
+        asyncio.run(stores.move_records(previous, origins))
+    kept = stores.client.streams
+    for origin in origins:
+        asked = stores.placement.for_lookup(origin.stream)
+        assert any(origin.stream in kept.get(host, ()) for host in asked), origin
--- a/src/yokedock/process/origin_store_client.py
+++ b/src/yokedock/process/origin_store_client.py
@@ -25,6 +25,8 @@
 """A datagram may be lost once."""
 ATTEMPT_S = 0.06
 """Time for the responses to one attempt: ten round trips between zones."""
+RECORDS_PER_STEP = 20
+"""Records that are moved before other work gets its turn."""
 LOOKUP_NUMBER_BITS = 62
 """Bits of the random first number: a response to an earlier process at this port matches none."""
 MAX_READ_S = 0.02
@@ -161,6 +163,20 @@
         self.client = client
         self.placement = OriginStorePlacement()
 
+    async def move_records(
+        self, previous: OriginStorePlacement, origins: list[StreamOrigin]
+    ) -> None:
+        """Send records to the stores that keep them now and did not by ``previous``."""
+        placement = self.placement
+        changed = placement.changed_versions(previous)
+        moved = [origin for origin in origins if origin.version in changed]
+        for number, origin in enumerate(moved):
+            before = previous.for_record(origin.stream, origin.version)
+            hosts = placement.for_record(origin.stream, origin.version)
+            self.client.record(origin, [host for host in hosts if host not in before])
+            if number % RECORDS_PER_STEP == 0:
+                await asyncio.sleep(0)
+
     def record(self, origin: StreamOrigin) -> int:
         """Send a record to its stores and return their number."""
         hosts = self.placement.for_record(origin.stream, origin.version)
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -465,8 +465,7 @@
         self._version_history.begin(self.settings.fleet.is_first_start)
         entries = self._registry.entries().values()
         self._version_history.update(entries)
-        if self._origin_stores is not None:
-            self._origin_stores.placement.update(entries)
+        self._origins.use_backends(entries)
         self._ledger.on_capacity_freed()
 
     def _on_backend_restart(self, backend: Backend) -> None:
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
+from typing import Any
 from urllib.parse import parse_qs, quote
 
 import msgspec
@@ -22,8 +23,10 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.connection.state_source import BackendEntry
 from yokedock.errors import BadRequest
 from yokedock.process.origin_store_client import OriginStores
+from yokedock.request.origin_store_placement import OriginStorePlacement
 from yokedock.request.software_version import UNKNOWN_VERSION
 from yokedock.request.stream_origins import (
     MS_PER_SECOND,
@@ -115,9 +118,22 @@
         """Send a router that has started the records of which it is a replica."""
         origins = self._origins.unexpired()
         if origins:
-            task = asyncio.create_task(self._replicate(other.address, origins))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._replicate(other.address, origins))
+
+    def use_backends(self, entries: Iterable[BackendEntry]) -> None:
+        """Keep records at the origin stores that the current list of backends implies."""
+        if self._stores is None:
+            return
+        previous = self._stores.placement
+        self._stores.placement = OriginStorePlacement(entries)
+        if self._stores.placement.changed_versions(previous):
+            self._start(self._stores.move_records(previous, self._origins.unexpired()))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run ``work`` as a task."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _replicate(self, address: str, origins: list[StreamOrigin]) -> None:
         """Send the records in portions, so that other work gets its turn."""
--- a/src/yokedock/request/origin_store_placement.py
+++ b/src/yokedock/request/origin_store_placement.py
@@ -19,17 +19,13 @@
 
 
 class OriginStorePlacement:
-    """The hosts of all origin stores, by the software version of the engines there."""
+    """The hosts of the origin stores for one list of backends, by the engines' software version."""
 
-    def __init__(self) -> None:
-        """Start without hosts."""
+    def __init__(self, entries: Iterable[BackendEntry] = ()) -> None:
+        """Use a list of backends; those without a role have no store beside them."""
         self._hosts: dict[int, set[str]] = {}
         self._staying: dict[int, set[str]] = {}
         """Hosts with an engine that is not leaving."""
-
-    def update(self, entries: Iterable[BackendEntry]) -> None:
-        """Apply the current list of backends; those without a role have no store beside them."""
-        self._hosts, self._staying = {}, {}
         for entry in entries:
             version = version_number(entry.service, entry.version)
             if not entry.role or version == UNKNOWN_VERSION:
@@ -44,6 +40,15 @@
         hosts = self._staying.get(version) or self._hosts.get(version, set())
         return rendezvous_order(str(stream), hosts)[:STORES_PER_RECORD]
 
+    def changed_versions(self, previous: OriginStorePlacement) -> set[int]:
+        """Return the versions for which ``for_record`` may differ from that of ``previous``."""
+        return {
+            version
+            for version in self._hosts
+            if self._hosts[version] != previous._hosts.get(version)
+            or self._staying.get(version) != previous._staying.get(version)
+        }
+
     def for_lookup(self, stream: int) -> set[str]:
         """Return the hosts of the stores that may have a stream's record, whatever its version."""
         asked: set[str] = set()
