A caller that waited long for its answer is no longer taken for lost

Cause: `unacknowledged_s` was the kernel's time since the last acknowledgement of anything, read while data was pending. After a quiet time of over 10 s the first byte of an answer is unacknowledged for one round trip, and a look in that time closed the connection. Found by reading.

Ruled out: the kernel's count of retransmissions alone (one lost first segment would still cut); how far tcpi_bytes_acked advances (the answers to a closed window's probes do not advance it). Looks that compare clocks (a late look after a stall would count what was acknowledged meanwhile): the number of received segments tells exactly whether any came.

Change: `LostPeerDetector` gets a reading a look and tells for how long data has waited without any segment of the peer, from the first look that saw it wait; bounded by the kernel's own time, which stops in a suspension. `read_acknowledgement_state` replaces `unacknowledged_s`. `lost_after_s` can be given to a connection. 'a caller without acknowledgements is noticed' keeps each of its assertions; its 11 and 12 s are now played as looks a second apart, since a single look at 11 s is the fault (asserted too, as 0).

A caller that is gone is noticed up to 1 s later than before at a look a second (10 to 12 s).

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -167,6 +167,9 @@
       | a caller that leaves before its rejection is no error          |
       | a caller that reads slowly gets the whole answer               |
       | a caller without acknowledgements is noticed                   |
+      | a caller that is gone is noticed                               |
+      | a caller that waits long for its answer gets it                |
+      | silence counts only while data waits                           |
       | an error for HEAD keeps the connection                         |
       | a process that stood still reaches who has accepted            |
       | a request that came while the process stood still is read      |
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -10,11 +10,12 @@
 import urllib.request
 from unittest import mock
 
-from yokedock.connection.acknowledgement import TCP_INFO_BYTES, unacknowledged_s
+from yokedock.connection.acknowledgement import TCP_INFO_BYTES, read_acknowledgement_state
 from yokedock.connection.backend_connection import BackendConnection
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.http_heads import RequestHead, complete_response
 from yokedock.connection.http_server import HttpResponse, HttpRouter, HttpServer
+from yokedock.connection.lost_peer_detector import LostPeerDetector
 from yokedock.errors import NotReady
 from yokedock.router_errors import BackendConnectionClosed
 from yokedock.version.route_table import CallerLimits
@@ -349,18 +350,24 @@
 def a_caller_without_acknowledgements_is_noticed():
     """Only a caller that acknowledges nothing although data is pending counts as lost."""
 
-    def silent_s(unacknowledged, unsent, last_ms, size=TCP_INFO_BYTES):
+    def silent_s(unacknowledged, unsent, last_ms, size=TCP_INFO_BYTES, interval_ms=1000):
         info = bytearray(size)
-        for offset, value in ((24, unacknowledged), (56, last_ms), (144, unsent)):
-            if offset < size:
-                struct.pack_into("=I", info, offset, value)
-        return unacknowledged_s(mock.Mock(getsockopt=lambda *_: bytes(info)))
+        sock = mock.Mock(getsockopt=lambda *_: bytes(info))
+        detector, silent_s = LostPeerDetector(), 0
+        for now_ms in range(last_ms % interval_ms, last_ms + 1, interval_ms):
+            for offset, value in ((24, unacknowledged), (56, now_ms), (144, unsent)):
+                if offset < size:
+                    struct.pack_into("=I", info, offset, value)
+            state = read_acknowledgement_state(sock)
+            silent_s = detector.unanswered_s(state, now_ms / 1000) if state else 0
+        return silent_s
 
     assert silent_s(0, 0, 60_000) == 0
     assert silent_s(3, 0, 11_000) == 11.0
     assert silent_s(0, 500, 12_000) == 12.0
     assert silent_s(3, 500, 20) < 1
     assert silent_s(3, 500, 60_000, size=1) == 0
+    assert silent_s(3, 0, 11_000, interval_ms=20_000) == 0
 
 
 CONNECTION_PROPERTIES = {
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -19,11 +19,12 @@
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.work_turns import WorkTurns
-from yokedock.connection.acknowledgement import MS_PER_SECOND, unacknowledged_s
+from yokedock.connection.acknowledgement import MS_PER_SECOND, read_acknowledgement_state
 from yokedock.connection.caller_request import CallerRequest, check_head
 from yokedock.connection.disconnect_detection import has_disconnected
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.http_parser import request_parser
+from yokedock.connection.lost_peer_detector import LostPeerDetector
 from yokedock.connection.response_writer import ResponseWriter
 from yokedock.errors import BadRequest, ClientClosedConnection, PayloadTooLarge, YokedockError
 from yokedock.router_errors import HeaderTooLarge, RequestTimeout
@@ -65,11 +66,13 @@
         time_limit: TimeLimit = lambda head: None,
         link: LinkMeter | None = None,
         traffic: Traffic = Traffic.CALLERS,
+        lost_after_s: float = LOST_AFTER_S,
     ) -> None:
         """Wrap an accepted connection.
 
         A body is waited for no longer than its request may be served, for the idle timeout in all
         if that isn't known. ``link`` counts the bytes of the connection as ``traffic``.
+        ``abort_if_lost`` closes it once the caller owes an acknowledgement for ``lost_after_s``.
         """
         self._link = link or LinkMeter()
         self._traffic = traffic
@@ -77,6 +80,8 @@
         self._writer = writer
         self._handler = handler
         self._limits = limits
+        self._lost_after_s = lost_after_s
+        self._lost_peer_detector = LostPeerDetector()
         self._time_limit = time_limit
         self._parser = request_parser(limits().header_bytes)
         self._turns = WorkTurns()
@@ -157,10 +162,16 @@
         self._writer.transport.abort()
 
     def abort_if_lost(self) -> None:
-        """Close the connection if its caller no longer acknowledges what it is sent."""
-        silent_s = unacknowledged_s(self._writer.get_extra_info("socket"))
-        if silent_s >= LOST_AFTER_S:
-            _log.info("caller lost", unacknowledged_ms=round(silent_s * MS_PER_SECOND))
+        """Close the connection if its caller no longer acknowledges what it is sent.
+
+        To be called about once a second.
+        """
+        state = read_acknowledgement_state(self._writer.get_extra_info("socket"))
+        if state is None:
+            return
+        unanswered_s = self._lost_peer_detector.unanswered_s(state, boot_time_s())
+        if unanswered_s >= self._lost_after_s:
+            _log.info("caller lost", unacknowledged_ms=round(unanswered_s * MS_PER_SECOND))
             self._note_caller_left()
             self.abort()
 
