--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -169,6 +169,8 @@
       | a caller without acknowledgements is noticed                   |
       | a caller that is gone is noticed                               |
       | a caller that waits long for its answer gets it                |
+      | a caller that pauses gets the whole answer                     |
+      | silence counts only while an answer is owed                    |
       | silence counts only while data waits                           |
       | an error for HEAD keeps the connection                         |
       | a process that stood still reaches who has accepted            |
