A simulated router world has no origin stores unless it is told

Its __init__ is its own, so the attribute was missing: seven scenarios of router_callers and one of silent_connections failed with AttributeError since.

--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -131,6 +131,9 @@
 class RouterWorld:
     """Starts and stops backends and routers; ``run`` executes a coroutine in the loop."""
 
+    origin_store_port = 0
+    """Port of the origin stores that routers use, 0 if none run."""
+
     def __init__(self):
         self.loop = new_event_loop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -138,8 +141,6 @@
         self.backends = {}
         self.position = 1
         self._started_routers = []
-        self.origin_store_port = 0
-        """Port of the origin stores that routers use, 0 if none run."""
 
     def run(self, work):
         """Run ``work`` in the loop and return its result."""
