The log tells by what a connection showed that its caller has left

Cause: a request whose run was cut and whose caller's connection closed without an answer is logged `caller gone`, whether a FIN, a reset, missing acknowledgements or this router's own close was seen. The record of a lost request (sent 5.4 s after SIGTERM) can't be told apart by that: a caller that closes its sending side, or its connection, looks the same from outside.

Change: `CallerConnection.departure` (closed, reset, unacknowledged, closed here) in place of `caller_has_left`; the request's line names it where the outcome is `caller gone`. No decision changes: whoever was taken for gone before still is.

Ruled out by reading: no other error or cancellation ends a handler without an answer.

--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -11,6 +11,7 @@
 
 from yokedock.connection import backend_connection
 from yokedock.connection.caller_connection import CallerConnection
+from yokedock.process import request_handler
 from yokedock.process.request_handler import RequestHandler
 from yokedock.request.backend_exchange import BackendExchange
 from yokedock.request.generation_dispatch import GenerationDispatcher
@@ -147,6 +148,42 @@
         connection.cancel_handler()
 
 
+@when('a client streams on "{name}" and, in the middle, {act}')
+def leave_in_the_middle(context, name, act):
+    context.lines = []
+    info = request_handler._log.info
+    patch(
+        context,
+        request_handler._log,
+        "info",
+        lambda event, **fields: (context.lines.append(fields), info(event, **fields)),
+    )
+    caller = RawCaller(context.world, context.router.settings.callers.listen)
+    caller.send(request_bytes(name, headers=STREAM_HEADERS))
+    caller.read_until(b"id: 1\n")
+    context.world.loop.call_soon_threadsafe(ACTS[act], caller, context.router)
+
+
+def close_connections(caller, router):
+    """Close all connections of callers with what is left to send, not by ``abort``."""
+    for connection in list(router._connections):
+        connection._writer.close()
+
+
+ACTS = {
+    "closes its connection": lambda caller, router: caller.close(),
+    "closes only its sending side": lambda caller, router: caller.half_close(),
+    "resets its connection": lambda caller, router: caller.reset(),
+    "its router closes": close_connections,
+}
+
+
+@then('the request\'s line in the log has the departure "{departure}"')
+def logged_departure(context, departure):
+    context.world.wait_for(lambda: context.lines, "the line of the request")
+    assert context.lines[0].get("departure") == departure, context.lines
+
+
 @given("the decode engines make long answers")
 def make_long_answers(context):
     context.world.backends["d"].padding = "x" * EVENT_BYTES
--- a/features/unexpected_errors.feature
+++ b/features/unexpected_errors.feature
@@ -58,6 +58,19 @@
       | the caller | caller gone |
       | the router | cut off     |
 
+  # Guards against logs in which a router that closes a connection looks like a caller that does.
+  Scenario Outline: The log tells by what a connection showed that its caller has left: <act>
+    Given the decode engines make an event each 0.1 s
+    When a client streams on "talk" and, in the middle, <act>
+    Then the request's line in the log has the departure "<departure>"
+
+    Examples:
+      | act                            | departure   |
+      | closes its connection          | closed      |
+      | closes only its sending side   | closed      |
+      | resets its connection          | reset       |
+      | its router closes              | closed here |
+
   # Guards against answers that are cut off because the end of a stop does not wait for slow readers.
   Scenario: A stop waits for answers that are not sent yet, although their requests have ended
     Given the decode engines make long answers
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -21,7 +21,7 @@
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.acknowledgement import MS_PER_SECOND, unacknowledged_s
 from yokedock.connection.caller_request import CallerRequest, check_head
-from yokedock.connection.disconnect_detection import has_disconnected
+from yokedock.connection.disconnect_detection import Departure, has_disconnected
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.http_parser import request_parser
 from yokedock.connection.response_writer import ResponseWriter
@@ -91,8 +91,8 @@
         Asked at the start of each response."""
         self._close_unannounced = False
         self.is_idle = True
-        self.caller_has_left = False
-        """Whether the caller has closed or reset the connection."""
+        self.departure: Departure | None = None
+        """How the caller has left, None as far as it has not."""
         self._is_aborted = False
         self._has_handler_begun = False
         sock = writer.get_extra_info("socket")
@@ -138,8 +138,11 @@
             self._writer.write(data)
 
     def has_disconnected(self) -> bool:
-        """Return whether the caller has disconnected."""
-        return has_disconnected(self._writer.get_extra_info("socket"))
+        """Return whether the caller has disconnected, and note it if so."""
+        if not has_disconnected(self._writer.get_extra_info("socket")):
+            return False
+        self._note_end()
+        return True
 
     async def drain(self) -> None:
         """Wait until the write buffer is below its high-water mark.
@@ -149,6 +152,7 @@
         try:
             await self._writer.drain()
         except OSError as error:
+            self._note_departure(Departure.RESET)
             raise ClientClosedConnection(f"the caller's connection is lost ({error!r})") from None
 
     def abort(self) -> None:
@@ -161,7 +165,7 @@
         silent_s = unacknowledged_s(self._writer.get_extra_info("socket"))
         if silent_s >= LOST_AFTER_S:
             _log.info("caller lost", unacknowledged_ms=round(silent_s * MS_PER_SECOND))
-            self._note_caller_left()
+            self._note_departure(Departure.UNACKNOWLEDGED)
             self.abort()
 
     def close_if_idle(self) -> None:
@@ -331,7 +335,6 @@
             await self._handle(request, answer)
         except ClientClosedConnection as error:
             _log.debug("connection lost", reason=error.message)
-            self._note_caller_left()
             self.abort()
 
     async def _handle(self, request: CallerRequest, answer: ResponseWriter) -> None:
@@ -380,14 +383,21 @@
                 # A FIN behind unread data cannot be seen by reading, so the TCP state is polled.
                 while not self.has_disconnected():
                     await asyncio.sleep(DISCONNECT_POLL_S)
+            self._note_end()
         except OSError as error:
             _log.debug("connection lost", reason=repr(error))
-        self._note_caller_left()
+            self._note_departure(Departure.RESET)
         task.cancel()
 
-    def _note_caller_left(self) -> None:
-        """Note that the caller closed the connection, unless this router did so first."""
-        self.caller_has_left = self.caller_has_left or not self._is_aborted
+    def _note_end(self) -> None:
+        """Note that nothing more can be read from the connection."""
+        is_closed_here = self._writer.is_closing()
+        self._note_departure(Departure.CLOSED_HERE if is_closed_here else Departure.CLOSED)
+
+    def _note_departure(self, departure: Departure) -> None:
+        """Note how the caller has left, unless this router has aborted the connection."""
+        if self.departure is None and not self._is_aborted:
+            self.departure = departure
 
     # --- Closing ---
 
--- a/src/yokedock/connection/disconnect_detection.py
+++ b/src/yokedock/connection/disconnect_detection.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import enum
 import errno
 import socket
 from typing import Any
@@ -17,6 +18,19 @@
 CLOSE_WAIT, LAST_ACK, CLOSING."""
 
 
+class Departure(enum.StrEnum):
+    """The sign by which a connection showed that its caller has left."""
+
+    CLOSED = "closed"
+    """The caller closed the connection, or only its sending side."""
+    RESET = "reset"
+    """The caller reset the connection."""
+    UNACKNOWLEDGED = "unacknowledged"
+    """The caller acknowledged nothing for too long."""
+    CLOSED_HERE = "closed here"
+    """The end of the connection was read after this router had begun to close it."""
+
+
 def has_disconnected(sock: Any) -> bool:
     """Return whether the peer of an accepted connection has closed or reset it.
 
--- a/src/yokedock/connection/response_writer.py
+++ b/src/yokedock/connection/response_writer.py
@@ -7,6 +7,7 @@
 import h11
 import msgspec
 
+from yokedock.connection.disconnect_detection import Departure
 from yokedock.connection.http_heads import ResponseHead, complete_response
 from yokedock.errors import ClientClosedConnection, ErrorResponse, YokedockError
 
@@ -14,8 +15,8 @@
 class ResponseChannel(Protocol):
     """The caller's connection, to which a response is written."""
 
-    caller_has_left: bool
-    """Whether the caller has closed or reset the connection."""
+    departure: Departure | None
+    """How the caller has left, None as far as it has not."""
 
     def closes_after_response(self) -> bool:
         """Return whether the response must carry ``Connection: close``."""
@@ -55,9 +56,9 @@
         return self.status is not None
 
     @property
-    def caller_has_left(self) -> bool:
-        """Return whether the caller has closed or reset the connection."""
-        return self._connection.caller_has_left
+    def departure(self) -> Departure | None:
+        """Return how the caller has left, None as far as it has not."""
+        return self._connection.departure
 
     def start(self, head: ResponseHead, length: int | None = None) -> None:
         """Send the head; without ``length`` the body uses chunked transfer encoding."""
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -210,6 +210,7 @@
         is_late = call is not None and is_served and call.is_late()
         if call is not None and is_late:
             self._metrics.count_late(call.service.name, route, _zone(call))
+        departure = {"departure": answer.departure} if outcome == CALLER_GONE else {}
         _log.info(
             "request",
             request=call.request_id if call else "",
@@ -217,6 +218,7 @@
             parts=list(call.shared_parts) if call else [],
             route=call.route.name if call else request.head.path,
             outcome=outcome,
+            **departure,
             status=answer.status,
             runs=call.runs if call else 0,
             arrivals=call.arrivals if call else 0,
@@ -231,7 +233,7 @@
 
 def _outcome_of_cancellation(answer: ResponseWriter) -> str:
     """Return who ended a request whose handler was cancelled."""
-    if answer.caller_has_left:
+    if answer.departure is not None:
         return CALLER_GONE
     return CUT_OFF if answer.has_started else ENDED
 
