Tests in simulated time know of no origin stores

Cause: the simulated world has its own initializer, which lacks `origin_store_port` since routers take it from the world: 6 of 12 scenarios of stop_admission.feature ended with AttributeError. No check is changed.

--- a/features/support/simulated_world.py
+++ b/features/support/simulated_world.py
@@ -19,6 +19,7 @@
         self.loop = self._simulation.enter_context(simulation(seed))
         self.backends = {}
         self.position = 1
+        self.origin_store_port = 0
         self._started_routers = []
 
     def run(self, work):
