Properties of stops and ports are searched like all others

One run of stop_admission.feature beside load 24 failed: 'Input generation is slow: only 6 valid inputs after 1.97 seconds', all of it in one draw. Traced: hypothesis' health check measures how long its own generation took, and one draw stood still; the product had not been asked yet. Five properties used hypothesis' defaults, all others the project's search (300 cases in place of 100, the same in every run, no time limit for the generation).

--- a/features/support/port_properties.py
+++ b/features/support/port_properties.py
@@ -1,14 +1,16 @@
 """Properties of the port allocation of a test run."""
 
-from hypothesis import given
 from hypothesis import strategies as st
 
 from support.port_blocks import PORTS_PER_BLOCK, PortBlocks, first_ephemeral_port
+from support.search import searched
 
 MAX_WORKERS = 6
 
 
-@given(st.lists(st.integers(min_value=0, max_value=MAX_WORKERS - 1), min_size=80, max_size=200))
+@searched(
+    workers=st.lists(st.integers(min_value=0, max_value=MAX_WORKERS - 1), min_size=80, max_size=200)
+)
 def features_listen_below_the_ephemeral_ports(workers):
     """Guards against listen failures on ports that outgoing connections occupy."""
     end = first_ephemeral_port()
--- a/features/support/stop_admission_properties.py
+++ b/features/support/stop_admission_properties.py
@@ -4,9 +4,9 @@
 import dataclasses
 import math
 
-from hypothesis import given
 from hypothesis import strategies as st
 
+from support.search import searched
 from yokedock.base.clock import boot_time_s
 from yokedock.base.ordered_set import OrderedSet
 from yokedock.connection.dialect import GenerationParameters
@@ -80,7 +80,9 @@
     return Call(Terms(terms), ServiceSpec("llm", engine=ENGINE_TRAITS), boot_time_s())
 
 
-@given(st.floats(0.0, 8.0), st.floats(0.001, 2.0), st.floats(0.0, 3.0))
+@searched(
+    left_s=st.floats(0.0, 8.0), latency_s=st.floats(0.001, 2.0), slowest_s=st.floats(0.0, 3.0)
+)
 def a_stopping_router_takes_no_call_that_it_cannot_answer(left_s, latency_s, slowest_s):
     """Guards against calls that a stopping router takes and cuts off.
 
@@ -94,7 +96,7 @@
         raise AssertionError("refused, although there was time enough")
 
 
-@given(st.lists(st.tuples(st.floats(0.0, 40.0), st.floats(0.0, 9.0)), max_size=40))
+@searched(steps=st.lists(st.tuples(st.floats(0.0, 40.0), st.floats(0.0, 9.0)), max_size=40))
 def a_recent_maximum_covers_its_window(steps):
     """Values of the last window count, values older than two windows do not."""
     window_s = 30.0
@@ -108,7 +110,7 @@
         assert least <= maximum.value(now_s) <= most
 
 
-@given(st.floats(0.0, 8.0), st.integers(1, 3000), st.floats(0.001, 0.5))
+@searched(left_s=st.floats(0.0, 8.0), tokens=st.integers(1, 3000), pause_s=st.floats(0.001, 0.5))
 def a_stopping_router_takes_no_stream_that_it_cannot_finish(left_s, tokens, pause_s):
     """Guards against streams that a stopping router takes by a fixed pace and cuts off.
 
@@ -133,7 +135,7 @@
     assert rule.has_time(resumed) and not rule.has_time(stream(1100))
 
 
-@given(st.floats(0.0, 0.9))
+@searched(left_s=st.floats(0.0, 0.9))
 def the_kind_of_request_decides_when_to_come_back(left_s):
     """A refused request was not run, and its caller is told when to come back."""
     for call in (plain_call(), stream(100)):
