Soaks kill all routers at the same moment beside two versions; origin stores in both worlds

Cause: no soak, simulated or real, ever lost all routers at once (MOST_DOWN spares a fleet), so the judge never met a resumed stream whose record had gone with its routers. The soaks also ran without an origin store, its port being the routers' own.

Callers resume after up to 8 s. Faults that would explain a refusal are left out of such a plan: store silences, rests, limits, errors; routers have no other fault for 8 s after a kill; ten decode engines in place of six. One origin store runs in each soak at the backends' address, its port is no longer the routers' (in the simulation too, whose datagram sockets now take port 0 for any free port).

Judge: LOST if under nine tenths of the judged streams go on. Judged: resumed for the first time since a kill, at a router in touch since then, while two engines of their version serve; ten or more. The rule of a half stays. Four made-up histories (3 of 20 refused: red; 2 of 20, one engine, 2.5 s after the start: not).

--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -61,6 +61,7 @@
       | fault                                                           | rule    |
       | a stream went on at another version                             | ORDER   |
       | two thirds of the resumed streams were refused                  | LOST    |
+      | 3 of 20 streams were refused after the loss of all routers      | LOST    |
 
     Examples: time bounds
       | fault                                                           | rule    |
@@ -97,6 +98,9 @@
       | a stream went on at its version                                 |
       | half of the resumed streams were refused                        |
       | most of eleven resumed streams were refused                     |
+      | 2 of 20 streams were refused after the loss of all routers      |
+      | 3 of 20 were refused after the loss of all routers, with one engine of their version |
+      | 3 of 20 streams were refused 2.5 s after the start of new routers |
       | two thirds of the resumed streams were refused, with one engine of their version |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -19,6 +19,7 @@
 BUSY_PROCESSES = 3
 DIGEST = re.compile(r"digest ([0-9a-f]{16})")
 RESUMED = re.compile(r"of (\d+) resumed streams went on")
+JUDGED_AFTER_ALL_KILLED = re.compile(r"after the loss of all routers \((\d+) judged\)")
 
 
 def simulate(seed, seconds, *options):
@@ -110,6 +111,7 @@
     "stops in turn and silent moments": ["--stops-in-turn", "--silent-moments"],
     "endless bytes": ["--endless-bytes"],
     "uneven balancing": ["--uneven-balancing"],
+    "two software versions and all routers killed": ["--two-versions", "--all-routers-killed"],
 }
 
 
@@ -124,6 +126,12 @@
     assert resumed >= count, context.output
 
 
+@then("at least {count:d} streams were judged that were resumed after the loss of all routers")
+def were_judged_after_all_killed(context, count):
+    judged = int(JUDGED_AFTER_ALL_KILLED.search(context.output)[1])
+    assert judged >= count, context.output
+
+
 @then("clients and backends have seen no rule broken in the simulation")
 def no_rule_broken(context):
     assert context.status == 0, context.output
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -137,6 +137,22 @@
         rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
 
 
+def resumed_after_all_killed(builder, refused, count=20, engines=2, ready_s=3.5):
+    """Callers resume ``count`` streams ``ready_s`` after the start that follows a kill of all."""
+    killed_s = START_S + 5.0
+    builder.life.killed_s = builder.life.ended_s = killed_s
+    builder.history.all_routers_killed_s = [killed_s]
+    builder.history.engines = {"v1": [(START_S - 50.0, engines)]}
+    builder.history.lives[0, 2] = RouterLife(0, 2, killed_s, killed_s + 1.0)
+    for number in range(count):
+        first = builder.request("chat", at_s=4.9, outcome="cut")
+        first.events, first.versions = 3, {"v1"}
+        is_refused = number < refused
+        rest = builder.request("chat", at_s=6.0 + ready_s, status=503 if is_refused else 200)
+        rest.life, rest.first_request, rest.last_event_id = 2, first.request_id, 3
+        rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
+
+
 def ran_twice(builder):
     record = builder.request()
     builder.arrival(record, "i-1", "broken")
@@ -544,6 +560,18 @@
     "most of eleven resumed streams were refused": lambda builder: resumed_streams_refused(
         builder, 2, refused=11, count=11
     ),
+    "3 of 20 streams were refused after the loss of all routers": (
+        lambda builder: resumed_after_all_killed(builder, 3)
+    ),
+    "2 of 20 streams were refused after the loss of all routers": (
+        lambda builder: resumed_after_all_killed(builder, 2)
+    ),
+    "3 of 20 were refused after the loss of all routers, with one engine of their version": (
+        lambda builder: resumed_after_all_killed(builder, 3, engines=1)
+    ),
+    "3 of 20 streams were refused 2.5 s after the start of new routers": (
+        lambda builder: resumed_after_all_killed(builder, 3, ready_s=2.5)
+    ),
     "an old configuration was in force while the store was silent": outdated_while_store_silent,
     "a stopping router cut a stream that one engine had turned away": cut_beside_stop,
     "a stopping router cut such a stream that it took 3.2 s after SIGTERM at its end": (
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -248,6 +248,7 @@
     silent_moments: bool = False,
     endless_bytes: bool = False,
     uneven_balancing: bool = False,
+    all_routers_killed: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
@@ -258,7 +259,8 @@
     STOPS_IN_TURN, routers are stopped in series, and get new connections until they exit; with
     SILENT_MOMENTS, sound backends send nothing for a moment and then go on; with ENDLESS_BYTES,
     backends answer some requests with bytes that never end; with UNEVEN_BALANCING, most new
-    connections come to one router for some seconds (links are not narrow).
+    connections come to one router for some seconds (links are not narrow); with
+    ALL_ROUTERS_KILLED, all routers are killed at the same moment, some times.
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
@@ -270,6 +272,7 @@
         silent_moments,
         endless_bytes,
         uneven_balancing,
+        all_routers_killed,
     )
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
@@ -289,6 +292,7 @@
     silent_moments: bool = False,
     endless_bytes: bool = False,
     uneven_balancing: bool = False,
+    all_routers_killed: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -300,7 +304,8 @@
     series, and get new connections until they exit; with SILENT_MOMENTS, sound backends send
     nothing for a moment and then go on; with ENDLESS_BYTES, backends answer some requests with
     bytes that never end; with UNEVEN_BALANCING, most new connections come to one router for some
-    seconds, and links are narrow.
+    seconds, and links are narrow; with ALL_ROUTERS_KILLED, all routers are killed at the same
+    moment, some times.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
@@ -313,6 +318,7 @@
         silent_moments,
         endless_bytes,
         uneven_balancing,
+        all_routers_killed,
     )
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 
 from yokedock.base.clock import boot_time_s
+from yokedock.process.origin_store import OriginStore
 from yokedock_emulator.deployed_router import DeployedRouter
 from yokedock_emulator.router_soak.soak_clients import SoakClients
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
 from yokedock_emulator.router_soak.soak_judge import judge
 from yokedock_emulator.router_soak.soak_operator import SoakOperator
 from yokedock_emulator.router_soak.soak_plan import (
+    ALL_ROUTERS_KILLED,
     DEFAULT_OPTIONS,
     LARGE_ROUTES,
     MOST_CONNECTIONS,
@@ -24,7 +26,11 @@
     SoakOptions,
     draw_plan,
 )
-from yokedock_emulator.router_soak.soak_processes import DeployedLauncher, RouterLauncher
+from yokedock_emulator.router_soak.soak_processes import (
+    BACKENDS_HOST,
+    DeployedLauncher,
+    RouterLauncher,
+)
 from yokedock_emulator.router_soak.soak_records import SoakHistory
 from yokedock_emulator.router_soak.soak_report import (
     SoakReport,
@@ -59,12 +65,15 @@
         self._options = options
         self.history = SoakHistory()
         self._operator = SoakOperator(self.history, options)
+        self._origin_store = OriginStore()
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
         """Run to the end and judge; raises ``TimeoutError`` if routers do not get ready."""
         ticks = asyncio.create_task(self._tick())
         await self._operator.start()
+        # All backends share an IP address, so that one store is beside all of them.
+        await self._origin_store.start(f"{BACKENDS_HOST}:{self._launcher.origin_store_port}")
         fleet = SoakFleet(
             self._launcher,
             self._operator.store.address,
@@ -78,6 +87,7 @@
             await fleet.stop()
         finally:
             fleet.close()
+            self._origin_store.close()
             self._operator.stop()
             ticks.cancel()
         violations = judge(self.history)
@@ -101,6 +111,8 @@
         operator = self._operator
         if event.kind in ROUTER_FAULTS:
             return fleet.strike(event)
+        if event.kind == ALL_ROUTERS_KILLED:
+            return fleet.kill_all()
         if event.kind in ("configuration", "large configuration"):
             operator.publish(LARGE_ROUTES if event.kind.startswith("large") else 0)
             return f"{event.kind} {operator.version}"
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -62,6 +62,9 @@
 """Share of answers after which a caller opens another connection while the balancer is uneven."""
 GOES_ON_SHARE = 0.8
 """Share of broken streams that may be resumed whose callers take them up again."""
+RESUMES_AFTER_S = (0.0, 8.0)
+"""Where all routers are killed, callers resume broken streams after so long: some at routers that
+have just started, others at routers that are in touch again."""
 MOST_BODY_BYTES = 3000
 POISON_KINDS = ("repeat", "chat")
 POISON_COPIES = (1, 1, 1, 3)
@@ -100,6 +103,7 @@
         self._history = history
         self._options = options
         self._is_stopping = False
+        self._resume_choices = random.Random(f"{seed}-resume")
         self._sent = 0
 
     def stop(self) -> None:
@@ -133,6 +137,8 @@
             use = await self._use(connection, router, most, choices, broken)
             broken, avoided = use.broken, router if use.is_unread else None
             connection.leave()
+            if broken is not None and self._options.has_all_routers_killed:
+                await asyncio.sleep(self._resume_choices.uniform(*RESUMES_AFTER_S))
 
     async def _call_steadily(self) -> None:
         """Let callers come at a steady rate, each with one request on a connection of its own."""
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -10,6 +10,7 @@
 from yokedock.base.ordered_set import OrderedSet
 from yokedock_emulator.raw_exchange import get_page
 from yokedock_emulator.router_soak.soak_plan import (
+    ALL_ROUTERS_KILLED,
     DEFAULT_OPTIONS,
     ROUTERS,
     SoakEvent,
@@ -154,6 +155,17 @@
             return ""
         return f"router {router} life {life.number}: {event.kind} {event.length_s:.2f}"
 
+    def kill_all(self) -> str:
+        """Kill all routers at the same moment, also those that are frozen, stopping or starting."""
+        now_s = boot_time_s()
+        self._history.all_routers_killed_s.append(now_s)
+        for router, process in self._processes.items():
+            life = self._lives[router]
+            if life.ended_s is None and life.killed_s is None:
+                life.killed_s = now_s
+                process.kill()
+        return ALL_ROUTERS_KILLED
+
     def _is_struck(self, router: int) -> bool:
         life = self._lives[router]
         is_frozen = any(until_s > boot_time_s() for _, until_s in life.freezes)
@@ -224,7 +236,7 @@
             "zone": "zone-1",
             "listenAddrs": {"frontend": f"{host}:{callers}", "ready": f"{host}:{ready}"},
             "ipAddress": host,
-            "internalPortRange": [fleet, fleet],
+            "internalPortRange": [fleet, self._launcher.origin_store_port],
             "seedNodes": [f"{each}:{fleet}" for each in self._launcher.hosts[:3]],
             "bootstrap": is_first,
             "platform": {"address": self._store},
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -32,7 +32,11 @@
     RouterLife,
     SoakHistory,
 )
-from yokedock_emulator.router_soak.soak_streams import lost_stream_violations, order_violations
+from yokedock_emulator.router_soak.soak_streams import (
+    all_killed_violations,
+    lost_stream_violations,
+    order_violations,
+)
 from yokedock_emulator.router_soak.soak_uneven import uneven_violations
 from yokedock_emulator.router_soak.soak_versions import version_violations
 
@@ -92,6 +96,7 @@
     found += [Violation("BUDGET", *each) for each in rest_violations(history)]
     found += [Violation("ORDER", *each) for each in order_violations(history)]
     found += [Violation("LOST", text) for text in lost_stream_violations(history)]
+    found += [Violation("LOST", text) for text in all_killed_violations(history)]
     found += [Violation("LIMIT", text) for text in limit_violations(history)]
     found += [Violation("RECOVER", text) for text in uneven_violations(history)]
     found += _processes(history)
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -48,6 +48,8 @@
 """Service, role and number of backends."""
 MIXED_DECODE_ENGINES = 6
 """Number of decode engines where there are two software versions."""
+MORE_DECODE_ENGINES = 10
+"""Number of them where all routers are killed, so that two engines of each version mostly serve."""
 SERVES_ON_S = 8.0
 """A backend that leaves goes on serving for so long: whoever still comes to it is seen."""
 ENDS_S = 4.0
@@ -88,6 +90,9 @@
 
     def __init__(self, history: SoakHistory, options: SoakOptions = DEFAULT_OPTIONS) -> None:
         """Start with nothing; decode engines have two software versions if so asked."""
+        self._mixed_decode_engines = (
+            MORE_DECODE_ENGINES if options.has_all_routers_killed else MIXED_DECODE_ENGINES
+        )
         self._versions = VERSIONS if options.has_two_versions else VERSIONS[:1]
         self._changes_settings = options.has_stops_in_turn
         self._setting_choices = random.Random("soak-settings")
@@ -113,7 +118,7 @@
         await self.store.start()
         for service, role, count in POOLS:
             is_mixed = role == DECODE_ROLE and len(self._versions) > 1
-            for _ in range(MIXED_DECODE_ENGINES if is_mixed else count):
+            for _ in range(self._mixed_decode_engines if is_mixed else count):
                 await self._add(service, role)
         for _ in range(LIVES_IN):
             self.publish()
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -74,6 +74,25 @@
 CALM_BEFORE_UNEVEN_S = (6.0, 8.0)
 """Time without uneven balancing before each span of it, which is compared with it."""
 UNEVEN_S = (7.0, 9.0)
+ALL_ROUTERS_KILLED = "kill of all routers"
+FIRST_ALL_KILLED_S = (3.0, 6.0)
+BETWEEN_ALL_KILLED_S = (9.0, 12.0)
+AFTER_ALL_KILLED_S = 8.0
+"""Routers have no other fault for so long after they were all killed, until most callers have
+resumed their streams."""
+EVENTS_BESIDE_ALL_KILLED = (
+    "configuration",
+    "large configuration",
+    "drain",
+    "remove",
+    "replace",
+    "kill-backend",
+    "restart",
+    "odd entry",
+    "store connection silent",
+)
+"""Events that excuse no refused stream; those of routers may come before a kill, but not soon after
+it."""
 EVENTS_BESIDE_UNEVEN = ("configuration", "hang-up")
 """Events that must not lessen what is served."""
 
@@ -94,6 +113,8 @@
     """Backends answer some requests with bytes that never end."""
     has_uneven_balancing: bool = False
     """The balancer sends most new connections to one router for a while, and links are narrow."""
+    has_all_routers_killed: bool = False
+    """All routers are killed at the same moment, some times, and callers resume their streams."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -140,6 +161,8 @@
     # A generator of its own keeps the other events of each seed.
     choices = random.Random(f"router-soak-restorations-{seed}")
     events += _events_of("store restored", _restore_event, choices, seconds)
+    if options.has_all_routers_killed:
+        events = _with_all_routers_killed(events, seed, seconds)
     if options.has_silent_moments:
         choices = random.Random(f"router-soak-silent-moments-{seed}")
         events += _events_of("silent moment", _silent_moment_event, choices, seconds)
@@ -210,6 +233,20 @@
     return events
 
 
+def _with_all_routers_killed(events: list[SoakEvent], seed: int, seconds: float) -> list[SoakEvent]:
+    """Add kills of all routers, and remove what else would explain that a stream is refused."""
+    choices = random.Random(f"router-soak-all-routers-killed-{seed}")
+    kept = [event for event in events if event.kind in EVENTS_BESIDE_ALL_KILLED]
+    router_faults = [event for event in events if event.kind in ROUTER_FAULTS]
+    at_s = choices.uniform(*FIRST_ALL_KILLED_S)
+    while at_s < seconds:
+        kept.append(SoakEvent(at_s, ALL_ROUTERS_KILLED))
+        free_s = at_s + AFTER_ALL_KILLED_S
+        router_faults = [each for each in router_faults if not at_s <= each.at_s < free_s]
+        at_s += choices.uniform(*BETWEEN_ALL_KILLED_S)
+    return kept + router_faults
+
+
 def _restore_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
     return [SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s)]
--- a/src/yokedock_emulator/router_soak/soak_processes.py
+++ b/src/yokedock_emulator/router_soak/soak_processes.py
@@ -15,6 +15,8 @@
 
 HANDLED_MASKS = ("SigIgn:", "SigCgt:")
 """Lines of a process's status that tell which signals it ignores and catches."""
+BACKENDS_HOST = "127.0.0.1"
+"""IP address of all backends, and so of the origin store beside them."""
 PORTS_PER_ROUTER = 3
 """One each for callers, for readiness, and for other routers and metrics."""
 
@@ -49,6 +51,8 @@
     """IP address of each router."""
     ports: list[int]
     """The ``PORTS_PER_ROUTER`` ports that each router uses on its own IP address."""
+    origin_store_port: int
+    """The port of the origin store at ``BACKENDS_HOST``."""
 
     def start(self, router: int, fields: dict[str, Any]) -> RouterProcess:
         """Start a process of a router; ``fields`` are the settings that the platform fills in."""
@@ -109,6 +113,7 @@
         network = f"127.{64 + os.getpid() % 128}.{seed % 256}"
         self.hosts = [f"{network}.{number + 1}" for number in range(ROUTERS)]
         self.ports = _free_ports(self.hosts[0])
+        self.origin_store_port = _free_datagram_port(BACKENDS_HOST)
         self._started: list[DeployedProcess] = []
         self._logs = [(folder / f"router-{n}.log").open("wb") for n in range(ROUTERS)]
 
@@ -136,3 +141,10 @@
     finally:
         for each in sockets:
             each.close()
+
+
+def _free_datagram_port(host: str) -> int:
+    """Return a port that is free on ``host`` for datagrams."""
+    with socket.socket(type=socket.SOCK_DGRAM) as free:
+        free.bind((host, 0))
+        return int(free.getsockname()[1])
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -229,6 +229,8 @@
     """When the backup of each restore was taken, the store went offline, and it had recovered."""
     uneven_spans: list[tuple[int, float, float]] = dataclasses.field(default_factory=list)
     """Routers that get most new connections, and from when to when."""
+    all_routers_killed_s: list[float] = dataclasses.field(default_factory=list)
+    """When all routers were killed at the same moment."""
     stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which the soak's own process did not run: nothing is known of them."""
     at_end: dict[int, dict[str, float]] = dataclasses.field(default_factory=dict)
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -13,7 +13,11 @@
 from yokedock_emulator.router_soak.soak_parts import blamed_harmless, most_part_crashes
 from yokedock_emulator.router_soak.soak_poison import most_ends
 from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
-from yokedock_emulator.router_soak.soak_streams import resumed_streams
+from yokedock_emulator.router_soak.soak_streams import (
+    ResumedAfterKill,
+    resumed_after_all_killed,
+    resumed_streams,
+)
 
 MOST_STORIES = 12
 NEAR_S = 4.0
@@ -58,9 +62,12 @@
     """Resumed streams that brought another event."""
     given_up: int = 0
     """Requests that a stopping router took and gave up (502, 504), their backends being sound."""
+    after_all_killed: ResumedAfterKill = msgspec.field(default_factory=ResumedAfterKill)
+    """Streams resumed after all routers were killed."""
 
     def summary(self) -> str:
         """Return one line."""
+        after_kill = self.after_all_killed
         return (
             f"seed {self.seed}: {len(self.violations)} violations; {self.requests} requests, "
             f"{self.processes} processes, budget used {self.budget_used:.2f}, "
@@ -68,7 +75,8 @@
             f"{self.most_part_crashes} under one part, {self.blamed} harmless ones refused for it, "
             f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}, "
             f"{self.went_on} of {self.resumed} resumed streams went on, "
-            f"{self.given_up} taken and given up"
+            f"{after_kill.went_on} of {after_kill.resumed} after the loss of all routers "
+            f"({after_kill.judged} judged), {self.given_up} taken and given up"
         )
 
 
@@ -105,6 +113,7 @@
         [f"{at_s - began_s:.3f} {text}" for at_s, text in history.story],
         *resumed_streams(history),
         len(given_up(history)),
+        resumed_after_all_killed(history),
     )
 
 
--- a/src/yokedock_emulator/router_soak/soak_streams.py
+++ b/src/yokedock_emulator/router_soak/soak_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from yokedock_emulator.router_soak.soak_parts import crashing_part
 from yokedock_emulator.router_soak.soak_records import (
@@ -16,6 +17,10 @@
 """Resumed streams from which their share is judged."""
 MIN_SHARE = 0.5
 """Least share of resumed streams that go on, as a part of the share of new ones that begin."""
+MIN_SHARE_AFTER_ALL_KILLED = 0.9
+"""Least share of those resumed after all routers were killed, of all that are judged."""
+MIN_RESUMED_AFTER_ALL_KILLED = 10
+"""Such streams from which their share is judged."""
 MIN_ENGINES = 2
 """Engines of their version that serve, so that a resumed stream counts."""
 HTTP_OK = 200
@@ -38,7 +43,7 @@
     """Return that too few of the resumed streams went on, if so."""
     resumed, fresh = [], []
     for record in history.records.values():
-        if not _is_judged(history, record):
+        if not _is_judged(history, record, record.sent_s - IN_TOUCH_S):
             continue
         if not record.last_event_id:
             fresh.append(record.events > 0)
@@ -52,6 +57,48 @@
     return [f"{went_on:.2f} of {len(resumed)} resumed streams went on, {began:.2f} of new ones"]
 
 
+@dataclasses.dataclass
+class ResumedAfterKill:
+    """Counts of streams that were resumed for the first time after a kill of all routers."""
+
+    resumed: int = 0
+    went_on: int = 0
+    judged: int = 0
+    """Those at a router that was in touch again, while engines of their version served."""
+    judged_went_on: int = 0
+
+
+def all_killed_violations(history: SoakHistory) -> list[str]:
+    """Return that too few of the streams resumed after a kill of all routers went on, if so."""
+    counts = resumed_after_all_killed(history)
+    least = MIN_SHARE_AFTER_ALL_KILLED * counts.judged
+    if counts.judged < MIN_RESUMED_AFTER_ALL_KILLED or counts.judged_went_on >= least:
+        return []
+    return [
+        f"{counts.judged_went_on} of {counts.judged} streams went on "
+        "that were resumed after all routers were killed"
+    ]
+
+
+def resumed_after_all_killed(history: SoakHistory) -> ResumedAfterKill:
+    """Count the streams all of whose earlier attempts were sent before a kill of all routers."""
+    last_sent_s: dict[str, float] = {}
+    counts = ResumedAfterKill()
+    for record in sorted(history.records.values(), key=lambda record: record.sent_s):
+        stream = record.first_request or record.request_id
+        before_s = last_sent_s.get(stream, record.sent_s)
+        last_sent_s[stream] = record.sent_s
+        kills_s = [s for s in history.all_routers_killed_s if before_s < s <= record.sent_s]
+        if not kills_s:
+            continue
+        counts.resumed += 1
+        counts.went_on += _went_on(record)
+        if _is_judged(history, record, kills_s[-1]) and _has_engines(history, record):
+            counts.judged += 1
+            counts.judged_went_on += _went_on(record)
+    return counts
+
+
 def resumed_streams(history: SoakHistory) -> tuple[int, int]:
     """Return how many streams callers resumed, and how many of these went on."""
     resumed = [record for record in history.records.values() if record.last_event_id]
@@ -63,15 +110,15 @@
     return record.events > record.last_event_id or record.status == HTTP_OK
 
 
-def _is_judged(history: SoakHistory, record: ClientRecord) -> bool:
-    """Return whether a router in touch took the request and its caller waited for the end."""
+def _is_judged(history: SoakHistory, record: ClientRecord, since_s: float) -> bool:
+    """Return whether a router took the request that was in touch since, and its caller waited."""
     is_stream = record.route.kind in STREAMS and not (
         record.is_poison or crashing_part(record.parts)
     )
     if not is_stream or record.outcome == "left" or record.status == 404:
         return False
     life = history.lives[record.router, record.life]
-    return history.was_in_touch(life, record.sent_s - IN_TOUCH_S, record.sent_s)
+    return history.was_in_touch(life, since_s, record.sent_s)
 
 
 def _has_engines(history: SoakHistory, record: ClientRecord) -> bool:
--- a/src/yokedock_emulator/simulation/datagrams.py
+++ b/src/yokedock_emulator/simulation/datagrams.py
@@ -37,8 +37,7 @@
 
     def bind(self, address: tuple[str, int]) -> None:
         """Receive datagrams sent to ``address``; raises ``OSError`` if it is in use."""
-        self._network.bind(self, address)
-        self._address = address
+        self._address = self._network.bind(self, address)
 
     def getsockname(self) -> tuple[str, int]:
         """Return IP address and port."""
--- a/src/yokedock_emulator/simulation/network.py
+++ b/src/yokedock_emulator/simulation/network.py
@@ -211,11 +211,16 @@
 
     # --- Datagrams ---
 
-    def bind(self, datagram_socket: SimulatedDatagramSocket, address: Address) -> None:
-        """Deliver datagrams for ``address`` to a socket; raises ``OSError`` if it is in use."""
+    def bind(self, datagram_socket: SimulatedDatagramSocket, address: Address) -> Address:
+        """Deliver datagrams for ``address`` to a socket; raises ``OSError`` if it is in use.
+
+        Return the address; port 0 stands for any free port.
+        """
+        address = (address[0], address[1] or self._free_port())
         if address in self._datagram_sockets:
             raise OSError(errno.EADDRINUSE, f"{address} is in use")
         self._datagram_sockets[address] = datagram_socket
+        return address
 
     def send_datagram(self, source: Address, target: Address, data: bytes) -> None:
         """Deliver a datagram after a delay, unless it is lost."""
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -35,6 +35,7 @@
 STARTUP_S = 0.4
 """Time between the start of a process and the start of its program."""
 PORTS = [7000, 7001, 7002]
+ORIGIN_STORE_PORT = 7003
 MS_PER_SECOND = 1000
 
 
@@ -106,6 +107,7 @@
         self._loop = loop
         self.hosts = [f"10.0.0.{number + 1}" for number in range(ROUTERS)]
         self.ports = PORTS
+        self.origin_store_port = ORIGIN_STORE_PORT
         self.logs = SimulatedLogs(folder, self.hosts)
 
     def start(self, router: int, fields: dict[str, Any]) -> SimulatedRouter:
@@ -146,7 +148,7 @@
 def _settings(fields: dict[str, Any]) -> RouterSettings:
     """Return the settings that the template in the deploy file produces from ``fields``."""
     listen, bounds = fields["listenAddrs"], fields["bounds"]
-    port = fields["internalPortRange"][0]
+    port, origin_store_port = fields["internalPortRange"]
     return RouterSettings(
         RouterProcessSettings(fields["nodeName"], fields["zone"]),
         RouterCallerSettings(listen["frontend"], listen["ready"]),
@@ -155,6 +157,7 @@
             tuple(fields["seedNodes"]),
             bounds["leaseMs"] / MS_PER_SECOND,
             fields["bootstrap"],
+            origin_store_port,
         ),
         StateSettings(fields["platform"]["address"]),
         RetrySettings(bounds["retryBudgetRatio"], bounds["retryWindowS"], bounds["retryAllowance"]),
