--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -101,6 +101,7 @@
       | 2 of 20 streams were refused after the loss of all routers      |
       | 3 of 20 were refused after the loss of all routers, with one engine of their version |
       | 3 of 20 streams were refused 2.5 s after the start of new routers |
+      | 3 of 20 streams came to a process that was killed and had not ended |
       | two thirds of the resumed streams were refused, with one engine of their version |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -137,7 +137,7 @@
         rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
 
 
-def resumed_after_all_killed(builder, refused, count=20, engines=2, ready_s=3.5):
+def resumed_after_all_killed(builder, refused, count=20, engines=2, ready_s=3.5, life=2):
     """Callers resume ``count`` streams ``ready_s`` after the start that follows a kill of all."""
     killed_s = START_S + 5.0
     builder.life.killed_s = builder.life.ended_s = killed_s
@@ -149,7 +149,7 @@
         first.events, first.versions = 3, {"v1"}
         is_refused = number < refused
         rest = builder.request("chat", at_s=6.0 + ready_s, status=503 if is_refused else 200)
-        rest.life, rest.first_request, rest.last_event_id = 2, first.request_id, 3
+        rest.life, rest.first_request, rest.last_event_id = life, first.request_id, 3
         rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
 
 
@@ -569,6 +569,9 @@
     "3 of 20 were refused after the loss of all routers, with one engine of their version": (
         lambda builder: resumed_after_all_killed(builder, 3, engines=1)
     ),
+    "3 of 20 streams came to a process that was killed and had not ended": (
+        lambda builder: resumed_after_all_killed(builder, 3, life=1)
+    ),
     "3 of 20 streams were refused 2.5 s after the start of new routers": (
         lambda builder: resumed_after_all_killed(builder, 3, ready_s=2.5)
     ),
--- a/src/yokedock_emulator/router_soak/soak_streams.py
+++ b/src/yokedock_emulator/router_soak/soak_streams.py
@@ -89,7 +89,8 @@
         before_s = last_sent_s.get(stream, record.sent_s)
         last_sent_s[stream] = record.sent_s
         kills_s = [s for s in history.all_routers_killed_s if before_s < s <= record.sent_s]
-        if not kills_s:
+        # A killed process may take connections until it has ended.
+        if not kills_s or history.lives[record.router, record.life].started_s < kills_s[-1]:
             continue
         counts.resumed += 1
         counts.went_on += _went_on(record)
