A stream leaves its silent engine only once another one has begun

Cause: a begun stream that left an engine silent for 0.8 s closed its response first and then sought another engine. If that one failed, nothing was left, although the silent engine went on.

The silent response stays open while the move runs as a task. If the silent engine sends anything before the other one has begun, the move is cancelled; if no engine takes the stream, it stays and waits as long as its caller. The body of a response can be read on after a cancelled wait. No arrival is added to the attempt.

Streams that have not begun still leave first.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -38,6 +38,7 @@
       | an engine whose streams are all silent is avoided   |
       | streams of two lives of an engine are watched apart |
       | a silent engine keeps its stream until a move is possible |
+      | a stream leaves its silent engine only for one that begins |
       | a process that stood still accuses no engine        |
       | an engine that goes on is spared for one stream     |
       | whoever cannot be served is refused at once         |
--- a/features/router_retries.feature
+++ b/features/router_retries.feature
@@ -47,3 +47,19 @@
     And the prefill engines refuse everything
     When a client streams on "chat"
     Then the engines got at most 2 arrivals beyond the first of the request
+
+  # Guards against streams cut after a pause of their engine because the next one fails.
+  Scenario Outline: A stream whose engine pauses goes on there if the next one fails: <fault>
+    Given a decode engine "d"
+    And a decode engine "e"
+    And a router that knows them and may repeat 2 times in a window
+    And the next faults of the decode engines are "pause 1.6 s after event 2", then "<fault>"
+    When a client streams on "chat"
+    Then the client gets 6 events, each once and in order, and a whole end
+    And the decode engines ran 2 requests
+
+    Examples:
+      | fault  |
+      | error  |
+      | reset  |
+      | silent |
--- a/features/steps/router_retries_steps.py
+++ b/features/steps/router_retries_steps.py
@@ -8,7 +8,7 @@
 import collections
 
 from behave import given, then, when
-from router_steps import STREAM_HEADERS, caller, world
+from router_steps import STREAM_HEADERS, caller, decode_engines, share_faults, world
 from support.router_world import request_bytes
 
 from yokedock.process.router_settings import RetrySettings
@@ -47,6 +47,11 @@
             backend.faults = ["refuse"] * 50
 
 
+@given('the next faults of the decode engines are "{first}", then "{second}"')
+def faults_in_turn(context, first, second):
+    share_faults(decode_engines(context), first, second)
+
+
 @when("all engines have dropped their prompts")
 def prompts_dropped(context):
     for backend in context.world.backends.values():
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -110,7 +110,12 @@
 
 def share_fault(backends, fault):
     """Give all the same list, so that whoever comes first takes the only fault."""
-    shared = [fault]
+    share_faults(backends, fault)
+
+
+def share_faults(backends, *faults):
+    """Give all the same list, so that the first request takes the first fault, and so on."""
+    shared = list(faults)
     for backend in backends:
         backend.faults = shared
 
--- a/features/support/stream_properties.py
+++ b/features/support/stream_properties.py
@@ -21,7 +21,8 @@
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.silence_detector import ENGINE_SILENCE_S, MOVE_SILENCE_S, SilenceDetector
 from yokedock.request.stream_duration import StreamDuration
-from yokedock.router_errors import BackendUnresponsive
+from yokedock.request.stream_move import MoveOutcome, StreamMove
+from yokedock.router_errors import BackendResponseLost, BackendUnresponsive
 from yokedock.version.route_table import EngineTraits, Route, RouteKind, ServiceSpec, WeightedTarget
 from yokedock_emulator.simulation.simulation import run_simulated
 
@@ -341,6 +342,26 @@
     assert run_simulated(play(2.0, 3.0)) is None
 
 
+def a_stream_leaves_its_silent_engine_only_for_one_that_begins():
+    """Guards against streams that are cut because the engine they moved to fails."""
+
+    async def play(begins_after_s, fails_after_s, data_after_s):
+        loop = asyncio.get_running_loop()
+
+        async def serve_elsewhere():
+            loop.call_later(begins_after_s, lambda: move.begin())
+            await asyncio.sleep(fails_after_s)
+            raise BackendResponseLost("lost")
+
+        move = StreamMove(serve_elsewhere())
+        outcome = await move.outcome(asyncio.ensure_future(asyncio.sleep(data_after_s, b"data")))
+        return outcome, move._continuation.done()
+
+    assert run_simulated(play(1.0, 9.0, 2.0)) == (MoveOutcome.LEFT, False)
+    assert run_simulated(play(9.0, 1.0, 2.0)) == (MoveOutcome.NO_OTHER, True)
+    assert run_simulated(play(9.0, 9.0, 2.0)) == (MoveOutcome.WENT_ON, True)
+
+
 async def is_wait_aborted(stream):
     """Wait on a stream; return whether the wait was aborted because the stream is silent."""
     try:
@@ -406,6 +427,9 @@
     "the forecast learns how wrong it was": the_forecast_learns_its_error_factor,
     "room is forecast from how long streams lasted": capacity_is_forecast_from_stream_durations,
     "a stream that broke late waits for room": caller_timeout_counts_from_the_latest_event,
+    "a stream leaves its silent engine only for one that begins": (
+        a_stream_leaves_its_silent_engine_only_for_one_that_begins
+    ),
     "a silent engine keeps its stream until a move is possible": (
         a_silent_engine_keeps_its_stream_until_a_move_is_possible
     ),
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -83,6 +83,8 @@
         self._writer = writer
         self._parser: h11.Connection | None = None
         self._turns = WorkTurns()
+        self._unyielded = bytearray()
+        """Parsed bytes of the body that ``body_parts`` has not yielded yet."""
         self._idle_since_s = boot_time_s()
         self._reusable_until_s = self._idle_since_s + MAX_IDLE_S
         self._can_reuse = True
@@ -173,20 +175,20 @@
     async def body_parts(self, limit: int | None = None) -> AsyncIterator[bytes]:
         """Yield the body in parts as they arrive; chunks that were parsed in one turn are joined.
 
+        If a wait for the next part was cancelled, another call goes on where it ended.
         Raises ``BackendConnectionClosed`` if the body is truncated, ``ResponseTooLarge`` if it
         exceeds ``limit`` bytes.
         """
         size = 0
-        part = bytearray()
+        part = self._unyielded
         while True:
             if await self._turns.step() and part:
-                yield bytes(part)
-                part.clear()
+                yield self._take_unyielded()
             try:
                 event = self._parse()
             except BackendResponseError:
                 if part:
-                    yield bytes(part)
+                    yield self._take_unyielded()
                 raise
             if isinstance(event, h11.Data):
                 size += len(event.data)
@@ -196,8 +198,7 @@
                 if len(part) < READ_BYTES:
                     continue
             if part:
-                yield bytes(part)
-                part.clear()
+                yield self._take_unyielded()
             if event is h11.NEED_DATA:
                 await self._receive()
             elif isinstance(event, h11.EndOfMessage):
@@ -206,6 +207,11 @@
             elif not isinstance(event, h11.Data):
                 raise BackendConnectionClosed(f"{self.address}: response body truncated")
 
+    def _take_unyielded(self) -> bytes:
+        part = bytes(self._unyielded)
+        self._unyielded.clear()
+        return part
+
     def abort(self) -> None:
         """Reset the connection, so that the backend can stop working on the request.
 
--- a/src/yokedock/request/decode_relay.py
+++ b/src/yokedock/request/decode_relay.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncIterator
+
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.logs import logger
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.request.backend_exchange import SERVER_ERROR, BackendExchange
 from yokedock.request.body_progress import BodyLimits
 from yokedock.request.engine_ledger import EngineLedger, StreamDemand
 from yokedock.request.engine_placement import EnginePlacement
 from yokedock.request.generation_state import GenerationState
+from yokedock.request.prefill_tracker import PrefillTracker
 from yokedock.request.response_buffers import ResponseBuffer
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.silence_detector import SilenceDetector
+from yokedock.request.stream_move import MoveOutcome, StreamMove, StreamMoved
+from yokedock.request.stream_relay import RelayedRun
 from yokedock.request.version_pinning import VersionPinning
-from yokedock.router_errors import BackendResponseError
+from yokedock.router_errors import BackendResponseError, BackendUnresponsive
+
+_log = logger("generation")
 
 STALL_TIMEOUT_S = 1.2
 """A resumable stream without progress for this long is continued on another engine."""
@@ -53,6 +62,10 @@
         self._services = services
         self._stream = services.watch.open(self._engine, may_move=False)
         self._stream.prepare_move = self._prepare_move
+        self._serve_elsewhere = state.serve_elsewhere
+        self._parts: AsyncIterator[bytes] = exchange.body_parts()
+        self._last_move: MoveOutcome | None = None
+        """How the latest move since the engine's last progress ended, None if there was none."""
 
     async def run(self) -> None:
         """Relay the engine's events to the caller until the stream is complete.
@@ -88,8 +101,7 @@
         """Relay the events up to the end of the body."""
         relay, stream = self._relay, self._stream
         limit_s = self._silence_limit_s()
-        parts = self._exchange.body_parts()
-        while (part := await stream.within(limit_s, anext(parts, None))) is not None:
+        while (part := await self._next_part(limit_s)) is not None:
             events, received_s = relay.events, boot_time_s()
             await relay.feed(head, part)
             buffer.resize(relay.buffered_bytes)
@@ -99,8 +111,85 @@
                 stream.require_progress(limit_s, received_s)
             limit_s = self._silence_limit_s()
 
+    async def _next_part(self, limit_s: float) -> bytes | None:
+        """Return the next part of the body, None at its end.
+
+        Raises ``StreamMoved`` if another engine has begun instead, ``BackendUnresponsive`` if the
+        engine is left before that.
+        """
+        try:
+            return await self._stream.within(limit_s, anext(self._parts, None))
+        except BackendUnresponsive as error:
+            if not self._may_stay_open():
+                raise
+            return await self._move_or_read(error)
+
+    async def _move_or_read(self, error: BackendUnresponsive) -> bytes | None:
+        """Try to move the stream; if it stays, return what its engine sends next.
+
+        Raises ``error`` if that takes longer than the caller waits.
+        """
+        self._exchange.on_silence()
+        self._parts = self._exchange.body_parts()
+        read = asyncio.ensure_future(anext(self._parts, None))
+        try:
+            await self._move(read, error)
+            return await asyncio.wait_for(read, self._patience_left_s())
+        except TimeoutError:
+            raise error from None
+        finally:
+            if not read.cancel() and not read.cancelled():
+                read.exception()
+
+    def _may_stay_open(self) -> bool:
+        """Return whether the silent engine's response stays open while the stream moves.
+
+        An engine that has sent something in the meantime, but no event, is left at once.
+        """
+        is_first = self._last_move is not MoveOutcome.WENT_ON
+        return self._stream.may_move and self._stream.has_begun and is_first
+
+    async def _move(self, read: asyncio.Future[bytes | None], error: BackendUnresponsive) -> None:
+        """Move the stream; return if it stays at this engine, raise ``StreamMoved`` if not."""
+        state, run, reads = self._state, self._relay.run, self._state.reads
+        assert self._serve_elsewhere is not None
+        state.reads = PrefillTracker(self._call.request_id)
+        move = state.move = StreamMove(self._serve_elsewhere())
+        outcome = MoveOutcome.LEFT
+        try:
+            outcome = self._last_move = await move.outcome(read)
+        finally:
+            if outcome is MoveOutcome.LEFT:
+                reads.lost("answer", error.message)
+                reads.end(is_whole=False)
+        _log.info(
+            "move ended",
+            request=self._call.request_id,
+            engine=self._engine.name,
+            outcome=outcome.value,
+        )
+        if outcome is MoveOutcome.LEFT:
+            raise StreamMoved(error.message, move)
+        self._stay(run, reads)
+
+    def _stay(self, run: RelayedRun, reads: PrefillTracker) -> None:
+        """Go on as before the move."""
+        state = self._state
+        state.reads.end(is_whole=False)
+        state.reads = reads
+        state.move = None
+        state.retries.give_back()
+        state.excluded_engines.discard(self._engine.name)
+        self._relay.resume_run(run)
+
+    def _patience_left_s(self) -> float:
+        """Return how long the caller still waits for the next event."""
+        progress = self._state.progress(self._call)
+        return self._services.placement.gives_up_s(self._call, progress) - boot_time_s()
+
     def _record_progress(self) -> None:
         """Record that the engine has made an event that was passed on."""
+        self._last_move = None
         engine, pause_s = self._engine.name, self._relay.pause_s
         self._services.watch.heard(self._stream)
         self._state.reads.read()
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 import msgspec
 
@@ -37,6 +38,7 @@
 from yokedock.request.retry_allowance import RetryAllowance
 from yokedock.request.routed_call import RoutedCall
 from yokedock.request.silence_detector import SilenceDetector
+from yokedock.request.stream_move import StreamMoved
 from yokedock.request.stream_relay import StreamRelay
 from yokedock.request.version_pinning import VersionPinning
 from yokedock.router_errors import (
@@ -91,8 +93,9 @@
         """Serve the request; raised errors are returned to the caller."""
         relay = StreamRelay(call.answer, call.terms.last_event_id)
         with self._allowance.request(call.service.name, call.request_id) as retries:
-            reads = PrefillTracker(call.request_id)
-            await self._serve_with_deadline(call, GenerationState(relay, retries, reads))
+            state = GenerationState(relay, retries, PrefillTracker(call.request_id))
+            relay.on_continued = state.begin_move
+            await self._serve_with_deadline(call, state)
 
     async def _serve_with_deadline(self, call: RoutedCall, state: GenerationState) -> None:
         """Serve the request within its deadline."""
@@ -139,22 +142,43 @@
                 ):
                     raise self._final_error(call, error) from None
                 _log.info("again", request=call.request_id, reason=error.message)
+            except StreamMoved as moved:
+                await moved.move.finish()
+                return
             except (BackendResponseError, EngineRejected) as error:
-                if isinstance(error, BackendUnresponsive):
-                    state.exclude_silent_engine(placement)
-                elif state.relay.events and self._mechanisms.avoid_broken:
-                    self._exclude_broken(call, state, placement.decode.name)
-                reserve_retry = self._mechanisms.resume or not state.relay.events
-                if not reserve_retry or not state.retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
-                    raise self._final_error(call, error) from None
-                _log.info("again", request=call.request_id, reason=error.message)
-                if state.relay.events:
-                    await self._refresh_prompt_locations(call, state)
-                elif self._crashes.has_suspect_part(call):
-                    await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
+                await self._prepare_retry(call, state, placement, error)
             except (Refused, RetryBudgetExhausted) as error:
                 raise self._final_error(call, error) from None
 
+    async def _prepare_retry(
+        self,
+        call: RoutedCall,
+        state: GenerationState,
+        placement: Placement,
+        error: BackendResponseError | EngineRejected,
+    ) -> None:
+        """Prepare another attempt after ``error``; raises the final error if none is allowed."""
+        if isinstance(error, BackendUnresponsive):
+            state.exclude_silent_engine(placement)
+        elif state.relay.events and self._mechanisms.avoid_broken:
+            self._exclude_broken(call, state, placement.decode.name)
+        reserve_retry = self._mechanisms.resume or not state.relay.events
+        if not reserve_retry or not state.retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
+            raise self._final_error(call, error) from None
+        _log.info("again", request=call.request_id, reason=error.message)
+        if state.relay.events:
+            await self._refresh_prompt_locations(call, state)
+        elif self._crashes.has_suspect_part(call):
+            await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
+
+    async def _serve_elsewhere(
+        self, call: RoutedCall, state: GenerationState, placement: Placement
+    ) -> None:
+        """Serve the rest of a stream whose engine is silent on other engines."""
+        error = BackendUnresponsive(f"{placement.decode.name}: the stream stalled")
+        await self._prepare_retry(call, state, placement, error)
+        await self._serve(call, state)
+
     def _is_reconnecting_over(
         self, call: RoutedCall, state: GenerationState, placement: Placement
     ) -> bool:
@@ -188,6 +212,7 @@
         """Run prefill and decode while the placement's memory reservation is held."""
         try:
             placement = self._affordable(call, state, placement)
+            state.serve_elsewhere = functools.partial(self._serve_elsewhere, call, state, placement)
             state.note_expired_source()
             if state.valid_source() is not None:
                 await self._dispatcher.decode(call, state, placement)
--- a/src/yokedock/request/generation_state.py
+++ b/src/yokedock/request/generation_state.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Coroutine
+from typing import Any
+
 import msgspec
 
 from yokedock.base.clock import boot_time_s
@@ -11,6 +14,7 @@
 from yokedock.request.prefill_tracker import PrefillTracker
 from yokedock.request.retry_allowance import RequestRetries
 from yokedock.request.routed_call import RoutedCall
+from yokedock.request.stream_move import StreamMove
 from yokedock.request.stream_relay import StreamRelay
 
 _log = logger("generation")
@@ -46,6 +50,16 @@
     """When the engine chosen could first not be reached (boot time, s), 0 if it was not tried."""
     placed_s: float = 0.0
     read_s: float = 0.0
+    move: StreamMove | None = None
+    """The move that is under way, None once its engine has begun."""
+    serve_elsewhere: Callable[[], Coroutine[Any, Any, None]] | None = None
+    """Serves the rest of the stream on other engines than that of the current attempt."""
+
+    def begin_move(self) -> None:
+        """Record that the current engine has begun: the one before it is left for good."""
+        if self.move is not None:
+            self.move.begin()
+            self.move = None
 
     def note_placement(self, placement: Placement) -> None:
         """Record a placement for the logs."""
--- a/src/yokedock/request/stream_relay.py
+++ b/src/yokedock/request/stream_relay.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from yokedock.base.clock import boot_time_s
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.event_stream import MAX_EVENT_BYTES, EventSplitter, StreamEvent
@@ -12,6 +14,15 @@
 from yokedock.router_errors import BackendConnectionClosed, BackendResponseError, ResponseTooLarge
 
 
+class RelayedRun(msgspec.Struct, eq=False):
+    """What was read of the stream of one engine."""
+
+    splitter: EventSplitter = msgspec.field(default_factory=EventSplitter)
+    is_first: bool = True
+    """Whether its first event has not come yet."""
+    bytes_since_progress: int = 0
+
+
 class StreamRelay:
     """One caller's stream: the response head, then complete events in order, each exactly once."""
 
@@ -29,29 +40,32 @@
         """Called when the first event of a run arrives."""
         self.on_begin: Callable[[], None] = lambda: None
         """Called before the first event of the stream is relayed."""
-        self._is_first_of_run = True
+        self.on_continued: Callable[[], None] = lambda: None
+        """Called before anything that the first event of a run causes, and before the end."""
+        self.run = RelayedRun()
+        """The engine's stream that is being read."""
         self.pause_s: float | None = None
         """Pause before the latest event of the run, None for its first."""
         self.last_s = 0.0
         """When the latest event was relayed (boot time, s), 0 if none was."""
-        self._splitter = EventSplitter()
         self._held = bytearray()
         """Events without content that came before the first one with content. As long as nothing
         was sent, another engine can begin the stream."""
-        self._bytes_since_progress = 0
         self._turns = WorkTurns()
 
     @property
     def buffered_bytes(self) -> int:
         """Return the number of bytes that were received and not passed on."""
-        return self._splitter.buffered_bytes + len(self._held)
+        return self.run.splitter.buffered_bytes + len(self._held)
 
     def begin_run(self) -> None:
         """Start reading from another engine; a partial event from the previous one is discarded."""
-        self._splitter = EventSplitter()
+        self.resume_run(RelayedRun())
+
+    def resume_run(self, run: RelayedRun) -> None:
+        """Go on reading from an engine whose stream was left in between."""
+        self.run = run
         self._held.clear()
-        self._bytes_since_progress = 0
-        self._is_first_of_run = True
         self.pause_s = None
 
     async def feed(self, head: ResponseHead, data: bytes) -> None:
@@ -60,7 +74,7 @@
         Raises ``BackendResponseError`` if an event is missing.
         """
         self._turns.begin()
-        for event in self._splitter.feed(data):
+        for event in self.run.splitter.feed(data):
             await self._turns.step()
             events = self.events
             if event.has_content:
@@ -72,9 +86,10 @@
             self._require_progress(len(event.data), self.events > events)
 
     async def _relay_content(self, head: ResponseHead, event: StreamEvent) -> None:
-        is_first = self._is_first_of_run
+        is_first = self.run.is_first
         if is_first:
-            self._is_first_of_run = False
+            self.run.is_first = False
+            self.on_continued()
             self.on_first_event()
         if not self._is_next(event):
             return
@@ -89,8 +104,9 @@
 
     def _require_progress(self, size: int, is_progress: bool) -> None:
         """Raise if the stream has brought nothing new for too many bytes."""
-        self._bytes_since_progress = 0 if is_progress else self._bytes_since_progress + size
-        if self._bytes_since_progress > MAX_EVENT_BYTES:
+        run = self.run
+        run.bytes_since_progress = 0 if is_progress else run.bytes_since_progress + size
+        if run.bytes_since_progress > MAX_EVENT_BYTES:
             raise ResponseTooLarge(f"{MAX_EVENT_BYTES} bytes of the stream brought nothing new")
 
     def _take_held(self) -> bytes:
@@ -114,11 +130,12 @@
         That is so if its last event is incomplete. Where only the end of the connection ends a
         stream, one without any event was broken off as well: its engine may have crashed.
         """
-        is_cut = bool(self._splitter.rest.strip())
-        if not head.is_framed and (is_cut or self._is_first_of_run):
+        is_cut = bool(self.run.splitter.rest.strip())
+        if not head.is_framed and (is_cut or self.run.is_first):
             raise BackendConnectionClosed("the connection ended in the middle of the stream")
         if is_cut:
             raise BackendResponseError("the stream ended in the middle of an event")
+        self.on_continued()
         if not self._answer.has_started:
             self._answer.start(head)
         if held := self._take_held():
