--- a/features/simulation.feature
+++ b/features/simulation.feature
@@ -46,7 +46,7 @@
 
     Examples:
       | seed | seconds |
-      | 1    | 16      |
+      | 1    | 20      |
       | 2    | 12      |
 
   # Guards against prompt parts that crash engine after engine, and harmless prompts refused for them.
--- a/features/support/lost_caller_properties.py
+++ b/features/support/lost_caller_properties.py
@@ -9,6 +9,7 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.connection.acknowledgement import AcknowledgementState
 from yokedock.connection.caller_connection import CallerConnection
+from yokedock.connection.disconnect_detection import Departure
 from yokedock.connection.http_heads import ResponseHead
 from yokedock.connection.lost_peer_detector import LostPeerDetector
 from yokedock.version.route_table import CallerLimits
@@ -120,7 +121,7 @@
                     await asyncio.sleep(LOOK_INTERVAL_S)
         assert served, "not noticed"
         connection, ended_s = served[0]
-        assert connection.caller_has_left
+        assert connection.departure is Departure.UNACKNOWLEDGED
         return ended_s - began_s
 
     return asyncio.run(_play(caller, body, wait_s, lost_after_s))
