--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -127,9 +127,6 @@
       | connects are forgotten though nobody asks for the delay       |
       | a link is used and not overloaded                             |
       | a link is used as far as connects are not delayed             |
-      | a link over which no connect passes is full                   |
-      | no connection is accepted while all peers are late            |
-      | a router that refuses finds out what its link carries         |
       | some connections are always accepted                          |
       | a router that was idle for hours accepts                      |
       | a router that refuses much should get no new connections      |
--- a/src/yokedock/base/link_meter.py
+++ b/src/yokedock/base/link_meter.py
@@ -27,8 +27,6 @@
 BUSY_SHARE = 0.5
 """From this fraction of its rate on, bursts of data may wait in front of a link."""
 BUSY_QUEUE_S = 0.02
-BUSY_DELAY_S = 0.1
-"""All peers are late by so much only if data waits, whatever this process has counted."""
 OVERLOAD_S = 1.0
 """For how long an overload is remembered."""
 
@@ -91,9 +89,7 @@
     def is_busy(self) -> bool:
         """Return whether data may wait in front of the link."""
         is_overloaded = self._clock() - self._overloaded_s < OVERLOAD_S
-        is_late = self.shared_delay.certain_s() > BUSY_DELAY_S
-        is_queued = self.queued_s() > BUSY_QUEUE_S
-        return is_overloaded or is_late or is_queued or self.used_share() > BUSY_SHARE
+        return is_overloaded or self.queued_s() > BUSY_QUEUE_S or self.used_share() > BUSY_SHARE
 
     def levels(self) -> dict[str, float]:
         """Return the bytes in each direction, the use of the link and the delays."""
--- a/src/yokedock/base/shared_delay.py
+++ b/src/yokedock/base/shared_delay.py
@@ -16,8 +16,6 @@
 
 RECENT_S = 0.5
 """Connections that were established earlier tell nothing about the current delay."""
-MIN_EXPIRED_PEERS = 3
-"""As many peers rarely stop accepting connections at the same moment as no other accepts one."""
 MAX_PEERS = 4096
 """Peers whose distance is kept; the one that was connected to least recently is removed first."""
 
@@ -33,11 +31,8 @@
         self._least_of_peer_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         """Shortest connect to each peer that was connected to while the link was not busy."""
         self._newest_start_s = -math.inf
-        self._recent: collections.deque[tuple[float, float, bool]] = collections.deque()
-        """Boot times at which connections were established, the delay of each, and whether the
-        distance of its peer was known."""
-        self._expired: dict[str, tuple[float, float]] = {}
-        """Boot time at which the last connect to a peer was given up, with how long it was late."""
+        self._recent: collections.deque[tuple[float, float]] = collections.deque()
+        """Boot times at which connections were established, with the delay of each."""
 
     def record_connect(self, peer: str, started_s: float, is_link_busy: bool) -> None:
         """Record that ``peer`` has accepted a connection which was requested at ``started_s``.
@@ -55,18 +50,7 @@
             self._learn_distance(peer, took_s)
         if is_known or is_link_busy:
             least_s = self._least_of_peer_s.get(peer, self._least_s)
-            self._recent.append((now_s, took_s - least_s, is_known))
-
-    def record_expired(self, peer: str, started_s: float) -> None:
-        """Record that a connect to ``peer``, requested at ``started_s``, was given up.
-
-        It tells nothing of a peer that may simply be distant.
-        """
-        self._drop_old()
-        now_s = self._clock()
-        if peer in self._least_of_peer_s:
-            late_s = now_s - started_s - self._least_of_peer_s[peer]
-            self._expired[peer] = (now_s, late_s)
+            self._recent.append((now_s, took_s - least_s))
 
     def has_connected_since(self, started_s: float) -> bool:
         """Return whether a connection requested after ``started_s`` has been established."""
@@ -78,36 +62,14 @@
         return 0.0 if measured_s is None else measured_s
 
     def measured_s(self) -> float | None:
-        """Return by how much all peers are late, None if no connection was established recently.
-
-        If connects to several peers were given up and no peer has accepted one meanwhile, all are
-        late by at least as long as was waited for one of these.
-        """
+        """Return by how much all peers are late, None if no connection was established recently."""
         self._drop_old()
-        if self._recent:
-            return min(delay_s for _, delay_s, _ in self._recent)
-        return self._expired_s()
-
-    def certain_s(self) -> float:
-        """Return by how much all peers are late whose distance is known, 0 if nothing shows it."""
-        self._drop_old()
-        if self._recent:
-            known = (delay_s for _, delay_s, is_known in self._recent if is_known)
-            return min(self.current_s(), min(known, default=0.0))
-        return self._expired_s() or 0.0
-
-    def _expired_s(self) -> float | None:
-        if len(self._expired) < MIN_EXPIRED_PEERS:
-            return None
-        return max(delay_s for _, delay_s in self._expired.values())
+        return min((delay_s for _, delay_s in self._recent), default=None)
 
     def _drop_old(self) -> None:
         oldest_s = self._clock() - RECENT_S
         while self._recent and self._recent[0][0] < oldest_s:
             self._recent.popleft()
-        for peer, (expired_s, _) in list(self._expired.items()):
-            if expired_s < oldest_s:
-                del self._expired[peer]
 
     def _learn_distance(self, peer: str, took_s: float) -> None:
         self._least_of_peer_s[peer] = min(took_s, self._least_of_peer_s.get(peer, math.inf))
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -364,7 +364,6 @@
                 await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
             link.shared_delay.record_connect(host, started_s, link.is_busy())
         except TimeoutError:
-            link.shared_delay.record_expired(host, started_s)
             raise BackendUnreachable(
                 f"{address}: connect timed out after {timeout_s:.2f} s"
             ) from None
--- a/src/yokedock/request/link_admission.py
+++ b/src/yokedock/request/link_admission.py
@@ -72,8 +72,6 @@
         self._mean = _RequestSizes(link)
         self._advanced_s = self._accepted_s = clock()
         self._is_refusing = False
-        self._has_refused = False
-        """Whether a connection was refused since the last time the share was adapted."""
         self._refusing_share = 0.0
         self._unready_until_s = -math.inf
         self.unread = 0
@@ -88,7 +86,6 @@
             self._charge()
             return True
         self.unread += 1
-        self._has_refused = True
         # What the caller has sent already comes over the link all the same.
         self._link.record_received(Traffic.UNREAD, round(self._mean.received_bytes))
         self._link.record_overload()
@@ -102,7 +99,7 @@
         """Note that all connections are refused until ``may_resume``."""
         self._advance()
         self._link.record_overload()
-        self._is_refusing = self._has_refused = True
+        self._is_refusing = True
 
     def may_resume(self) -> bool:
         """Return whether to accept connections again after there was no room for any."""
@@ -142,13 +139,12 @@
         if now_s - self._adapted_s < ADAPT_S:
             return
         self._adapted_s = now_s
-        is_limiting, self._has_refused = self._is_limiting(), self._is_refusing
         delay_s = self._link.shared_delay.measured_s()
         if delay_s is not None and delay_s > MAX_SHARED_DELAY_S:
             self._allowed_share = max(MIN_SHARE, self._allowed_share * SHARE_DECREASE)
         elif self._allowed_share < USUAL_SHARE:
             self._allowed_share = min(USUAL_SHARE, self._allowed_share + SHARE_INCREASE)
-        elif not is_limiting:
+        elif self._link.used_share() < MIN_PROBING_USE * self._allowed_share:
             self._allowed_share = max(USUAL_SHARE, self._allowed_share - SHARE_INCREASE)
         elif delay_s is not None and delay_s > MAX_PROBING_DELAY_S:
             self._allowed_share = max(USUAL_SHARE, self._allowed_share * SHARE_DECREASE)
@@ -156,14 +152,8 @@
             self._allowed_share = min(MAX_SHARE, self._allowed_share + PROBING_INCREASE)
         self._link.rate_factor = max(1.0, self._allowed_share / USUAL_SHARE)
 
-    def _is_limiting(self) -> bool:
-        """Return whether the link would be used more if the allowed share were larger."""
-        is_used = self._link.used_share() >= MIN_PROBING_USE * self._allowed_share
-        return is_used or self._has_refused
-
     def _is_queue_long(self) -> bool:
-        queued_s = max(self._link.queued_s(), self._link.shared_delay.certain_s())
-        return queued_s > MAX_QUEUED_S
+        return self._link.queued_s() > MAX_QUEUED_S
 
     def _charge(self) -> None:
         self._mean.count()
