A router concludes from its list of backends only if the source confirms it

Cause: StreamOriginExchange.find concluded from VersionHistory.sole_version of this router alone, before it asked anybody. "My list has named one version without interruption" holds only up to the last time at which the source confirmed the list; the router took not having heard of a version for there being none. The history was interrupted only after 3 s without a source, looked at once a second, and only if another router had fallen silent. Another router's sole version counted the same, however stale, and VersionPinning._version_at_engines used the only version listed with no bound on the list's age. Class: an inference from absence without a bound in time.

Ruled out: wrong records (a record of another router wins now and then was there all along, but was not asked for); an answer that ended early (the streams hold events of two versions).

Change: records first, of all processes that may have one. Without a record, the source is asked for its position (ListConfirmation; one small read, shared by all streams that wait), and a sole version counts only if the history that tells it has reached a position of after the question. Reports of other routers carry their position. A list that has advanced meanwhile shows where further origin stores are: these are asked too. The same confirmation is needed before the engines' caches are taken as evidence. _interrupt_history_if_cut_off, an inference from silence itself, is gone. Where the source does not answer, the stream is refused at once, not run.

Weighed: a bound on the list's age (wrong within the bound); asking all routers what they have listed (those that are gone cannot say, hundreds of questions in a large fleet); a read of the whole list (1.4 MB on some).

The log line "stream origin sought" tells where the version came from, the position and the duration.

Conclusion: what is not listed says something only of the time up to which the list is confirmed.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -387,3 +387,9 @@
       | tiny events hold up no other task              |
       | a body of small chunks takes little memory     |
       | requests sent ahead are buffered up to a limit |
+
+    Examples: what follows from the list of backends
+      | property                                       |
+      | questions that wait share a call to the source |
+      | a list that is not confirmed tells nothing     |
+      | only a report of the confirmed list counts     |
--- a/features/steps/engine_versions_steps.py
+++ b/features/steps/engine_versions_steps.py
@@ -57,7 +57,8 @@
 @when('{count:d} clients stream on "{route}" and lose their connection after {last:d} events')
 def stream_and_lose(context, count, route, last):
     set_decode_faults(context, f"wait after event {last}")
-    context.clients = [ResumingClient(context.world, n, route) for n in range(count)]
+    client_type = getattr(context, "client_type", ResumingClient)
+    context.clients = [client_type(context.world, n, route) for n in range(count)]
     for client in context.clients:
         client.begin(context.routers[0], last)
         assert client.has_each_event_once(last), client.events
--- a/features/support/restored_properties.py
+++ b/features/support/restored_properties.py
@@ -67,6 +67,9 @@
     async def wait(self, position, max_duration_s):
         raise NotImplementedError
 
+    async def current_position(self):
+        raise NotImplementedError
+
 
 class RestorableSource(StateSource):
     """A source that loses history in restores. Records the actual states separately."""
@@ -124,6 +127,9 @@
     async def wait(self, position, max_duration_s):
         return StateChanges(self.position)
 
+    async def current_position(self):
+        return self.position
+
 
 writes = st.tuples(
     st.just("write"), st.sampled_from(NAMES), st.sampled_from((READY, LEAVING, GONE))
--- a/features/support/resuming_client.py
+++ b/features/support/resuming_client.py
@@ -12,11 +12,15 @@
 class ResumingClient:
     """One caller; ``events`` holds the number and the engine of each event that it received."""
 
-    def __init__(self, world, number, route):
+    prompt_tokens = 50
+    """Less than an engine's cache lists exactly."""
+
+    def __init__(self, world, number, route, tries=0):
+        """``number`` determines the prompt; the ids of the requests begin after ``tries``."""
         self._world = world
         self._route = route
         self._number = number
-        self._tries = 0
+        self._tries = tries
         self.first_request = ""
         """Id of the request that received the first event."""
         self.events = []
@@ -46,8 +50,9 @@
     def _request(self, router, headers, last_event):
         self._tries += 1
         name = f"c{self._number}-{self._tries}"
-        part = f"part{self._number}:50"
-        headers = [("X-Model", "m"), ("X-Tokens", "50,60"), ("X-Prompt-Parts", part), *headers]
+        part = f"part{self._number}:{self.prompt_tokens}"
+        tokens = f"{self.prompt_tokens},60"
+        headers = [("X-Model", "m"), ("X-Tokens", tokens), ("X-Prompt-Parts", part), *headers]
         caller = RawCaller(self._world, router.settings.callers.listen)
         sent_s = time.monotonic()
         caller.send(request_bytes(self._route, headers=headers, request_id=name))
--- a/features/support/router_world.py
+++ b/features/support/router_world.py
@@ -104,7 +104,10 @@
 
     def __init__(self, first):
         self.snapshot = first
+        self.position = first.position if first is not None else SourcePosition()
         self.is_silent = False
+        self.is_cut = False
+        """Whether calls get no answer at all."""
         self._changes = asyncio.Queue()
 
     async def read(self):
@@ -116,15 +119,25 @@
         if self.is_silent:
             raise PlatformUnavailable("state source does not respond")
         change = await self._changes.get()
+        if self.is_cut:
+            await asyncio.Event().wait()
         if isinstance(change, Exception):
             raise change
         return change
 
+    async def current_position(self):
+        if self.is_cut:
+            await asyncio.Event().wait()
+        if self.is_silent:
+            raise PlatformUnavailable("state source does not respond")
+        return self.position
+
     def fail(self):
         """Make ``wait`` raise an exception that routers do not expect."""
         self._changes.put_nowait(RuntimeError("unexpected error in the state source"))
 
     def tell(self, changes):
+        self.position = changes.position
         self._changes.put_nowait(changes)
 
 
--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -10,8 +10,10 @@
 from yokedock.base.clock import boot_time_s
 from yokedock.connection.router_gossip import OtherRouter
 from yokedock.connection.router_state import QueueShare
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry
-from yokedock.errors import BadRequest, NoDecodeCapacity, StreamNotResumable
+from yokedock.errors import BadRequest, NoDecodeCapacity, PlatformUnavailable, StreamNotResumable
+from yokedock.process.list_confirmation import ListConfirmation
 from yokedock.process.stream_origin_exchange import (
     MAX_ASKED,
     MAX_PER_DATAGRAM,
@@ -297,6 +299,27 @@
     asyncio.run(play())
 
 
+class PositionSource:
+    """A state source that only tells its position, after a delay; None if it refuses to."""
+
+    def __init__(self, revision, delay_s=0.0):
+        self.revision = revision
+        self._delay_s = delay_s
+        self.calls = 0
+
+    async def current_position(self):
+        self.calls += 1
+        await asyncio.sleep(self._delay_s)
+        if self.revision is None:
+            raise PlatformUnavailable("refused")
+        return SourcePosition(0, self.revision)
+
+
+def confirmation(is_answered):
+    """Return the confirmation of a list that has reached its source, if that answers."""
+    return ListConfirmation(PositionSource(0 if is_answered else None), SourcePosition)
+
+
 class StartedExchange(StreamOriginExchange):
     """The exchange of a router that has just started; its questions are answered as told."""
 
@@ -381,11 +404,13 @@
 def engines_show_a_version_only_if_it_was_alone():
     """Guards against a guess after the loss of all routers, when no record is left."""
 
-    async def play(entries, cached, gone=()):
+    async def play(entries, cached, gone=(), is_answered=True):
         registry = BackendRegistry("zone")
         registry.update(entries, ())
         registry.update((), gone)
-        exchange = StreamOriginExchange(GossipStub([]), 1, VersionHistory())
+        exchange = StreamOriginExchange(
+            GossipStub([]), 1, VersionHistory(), confirmation=confirmation(is_answered)
+        )
         exchange._started_s -= 60.0
         call = generation(boot_time_s())
         call.terms = msgspec.structs.replace(call.terms, last_event_id=3, resumes="first")
@@ -401,6 +426,7 @@
     assert asyncio.run(play([p, d], [])) is None, "the prompt is evicted"
     assert asyncio.run(play([p, d, e], ["d"])) is None, "two versions are listed"
     assert asyncio.run(play([p, d, e], ["d"], ["e"])) is None, "another has just left"
+    assert asyncio.run(play([p, d], ["d"], is_answered=False)) is None, "another may have joined"
 
 
 @searched(
--- a/features/support/watch_properties.py
+++ b/features/support/watch_properties.py
@@ -110,6 +110,12 @@
             raise PlatformUnavailable("silent")
         return changes
 
+    async def current_position(self):
+        self._store.calls += 1
+        if self.state != "sound":
+            raise PlatformUnavailable(self.state)
+        return self._store.position
+
 
 class FleetRouter:
     """One router's state, and the reports that it received from the other routers."""
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -141,6 +141,13 @@
             raise PlatformUnavailable(f"{self._path}: {error}") from None
         return StateChanges(position)
 
+    async def current_position(self) -> SourcePosition:
+        """Return the version that the file has now; the file is read, not remembered."""
+        try:
+            return read_routes(self._path).position
+        except (OSError, SettingsInvalid) as error:
+            raise PlatformUnavailable(f"{self._path}: {error}") from None
+
 
 def _check_services(found: dict[str, dict[str, Any]], problems: Problems) -> None:
     for name, options in found["backend"].items():
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -70,6 +70,10 @@
         Raises ``HistoryUnavailable`` if the source no longer has the changes after ``position``.
         """
 
+    @abc.abstractmethod
+    async def current_position(self) -> SourcePosition:
+        """Return the position that the source has reached at a time after the call was made."""
+
     def use_link(self, link: LinkMeter) -> None:
         """Have ``link`` count the bytes that are exchanged with the source.
 
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -36,6 +36,8 @@
 ERA_HEADER = b"store-era"
 Document = TypeVar("Document")
 ALL_KEYS = ""
+NO_KEYS = f"{CONFIGURATION_KEY}/"
+"""Prefix of no key: a range read of it returns the revision alone."""
 OK = 200
 MS_PER_SECOND = 1000
 HISTORY_GONE = 410
@@ -89,6 +91,7 @@
     def __init__(self, address: str) -> None:
         """Create a client of the store at ``address`` (IP:port)."""
         self._getter = HttpGetter(address, CONNECT_TIMEOUT_S)
+        self._position_getter = HttpGetter(address, CONNECT_TIMEOUT_S)
         self._logged: dict[str, int] = {}
         """Revisions of items that could not be decoded, by key, so that each is logged once."""
         self._full_read_bytes = 0
@@ -99,6 +102,7 @@
     def use_link(self, link: LinkMeter) -> None:
         """Have ``link`` count the bytes that are exchanged with the store."""
         self._getter.use_link(link)
+        self._position_getter.use_link(link)
 
     async def read(self) -> StateSnapshot:
         """Read and return the current configuration and all servers."""
@@ -148,6 +152,16 @@
         watched = _decode(answer, WatchAnswer)
         return items_to_changes(watched.events, SourcePosition(era, watched.at), self.is_unreported)
 
+    async def current_position(self) -> SourcePosition:
+        """Return the store's revision; its reads are linearizable."""
+        target = f"{RANGE_PATH}?pathPrefix={quote(NO_KEYS, safe='')}"
+        try:
+            answer = await self._position_getter.get(target, READ_TIMEOUT_S)
+        except ResponseTooLarge as error:
+            raise PlatformUnavailable(error.message) from None
+        era = self._reported_era(answer)
+        return SourcePosition(era, _decode(answer, RangePage).at)
+
     def _reported_era(self, answer: ShortAnswer) -> int:
         """Return the era of a response, ``NO_ERA`` if absent or malformed; log any change."""
         era = answer.head.get(ERA_HEADER) or ""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -32,6 +32,7 @@
 from yokedock.process.graceful_stop import GracefulStop
 from yokedock.process.leader_term import LeaderTerm
 from yokedock.process.leadership import Leadership
+from yokedock.process.list_confirmation import ListConfirmation
 from yokedock.process.origin_store_client import OriginStoreClient, OriginStores
 from yokedock.process.readiness import Readiness
 from yokedock.process.request_handler import RequestHandler
@@ -145,7 +146,13 @@
             OriginStores(OriginStoreClient(own_address, store_port, link)) if store_port else None
         )
         self._origins = StreamOriginExchange(
-            self._gossip, int(port), self._version_history, self._origin_stores, link
+            self._gossip,
+            int(port),
+            self._version_history,
+            self._origin_stores,
+            link,
+            ListConfirmation(source, lambda: self._follower.position),
+            lambda: self._follower.position,
         )
         self._pinning = VersionPinning(self._registry, self._origins, lookup)
         self._metrics = RouterMetrics()
--- a/src/yokedock/process/router_maintenance.py
+++ b/src/yokedock/process/router_maintenance.py
@@ -31,8 +31,6 @@
 
 MAINTENANCE_INTERVAL_S = 1.0
 MS_PER_SECOND = 1000
-MAX_LIST_AGE_S = 3.0
-"""Age of the list of backends from which it may lack some."""
 
 
 class MaintainedTables(msgspec.Struct, frozen=True):
@@ -112,7 +110,6 @@
             tables.leadership.drop_old_votes,
             tables.origins.drop_expired,
             self._log_busy_link,
-            self._interrupt_history_if_cut_off,
             self._drop_removed_routes,
         )
 
@@ -124,16 +121,6 @@
             if not math.isinf(most):
                 self._tables.pool.limit_idle(backend.entry.address, int(most) - backend.outstanding)
 
-    def _interrupt_history_if_cut_off(self) -> None:
-        """Discard the history of versions if other routers may know of backends that this does not.
-
-        While the source responds to no router, no router learns of a backend.
-        """
-        tables = self._tables
-        is_outdated = tables.follower.age_s() > MAX_LIST_AGE_S
-        if is_outdated and tables.gossip.known() > tables.gossip.fleet_size():
-            tables.version_history.interrupt()
-
     def _log_busy_link(self) -> None:
         """Log what the link carried since the last time, if data waits in front of it."""
         link = self._tables.link
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -5,12 +5,16 @@
 there, as all routers may be lost at once. The others are routers, chosen by rendezvous hashing
 among the live ones. A router without a record asks all processes that may have it. When a router
 starts, the others send it the records of which it is a replica.
+
+Where nobody has a record, the only version that was listed while the stream may have begun is the
+one that began it. A router can only say so of a list that has reached a position of the source from
+after the question: otherwise engines may have joined of which it has not heard.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 from urllib.parse import parse_qs, quote
 
@@ -23,8 +27,10 @@
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.short_call import CallLimits, ShortCall, short_call
+from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry
 from yokedock.errors import BadRequest
+from yokedock.process.list_confirmation import ListConfirmation
 from yokedock.process.origin_store_client import OriginStores
 from yokedock.request.origin_store_placement import OriginStorePlacement
 from yokedock.request.software_version import UNKNOWN_VERSION
@@ -69,6 +75,8 @@
     """The recorded version."""
     sole_version: int | None = None
     """The only version of its service that was listed since the stream may have begun."""
+    position: SourcePosition = SourcePosition()
+    """The position of the source up to which ``sole_version`` holds."""
 
 
 class StreamOriginExchange(OriginDirectory):
@@ -81,8 +89,16 @@
         history: VersionHistory,
         stores: OriginStores | None = None,
         link: LinkMeter | None = None,
+        confirmation: ListConfirmation | None = None,
+        position: Callable[[], SourcePosition] = SourcePosition,
     ) -> None:
-        """All routers listen on ``port``; ``stores`` is None where no origin stores run."""
+        """All routers listen on ``port``; ``stores`` is None where no origin stores run.
+
+        ``position`` returns the position of the list that ``history`` has observed. Without
+        ``confirmation``, nothing is concluded from the list.
+        """
+        self._confirmation = confirmation
+        self._position = position
         self._stores = stores
         self._gossip = gossip
         self._port = port
@@ -159,19 +175,64 @@
     async def find(self, question: OriginQuestion) -> int | None:
         """Return the version that began a stream, None if no reachable process knows it."""
         asked_s = boot_time_s()
-        while (version := self._conclusion([self._report(question)], question)) is None:
+        source = "record"
+        while (version := _recorded([self._report(question)])) is None:
             has_heard_all = self._gossip.has_heard_all()
             reports, stored = await asyncio.gather(
                 self._ask_others(question), self._ask_stores(question)
             )
-            version = self._conclusion([*reports, *stored], question)
+            version = _recorded([*reports, *stored])
+            if version is not None:
+                break
             is_complete = has_heard_all and len(reports) == self._gossip.fleet_size() - 1
-            if version is not None or is_complete or not self._may_learn_more(asked_s):
+            if is_complete or not self._may_learn_more(asked_s):
+                source = "list"
+                version = await self._from_list(question, asked_s, reports)
                 break
             await asyncio.sleep(STARTUP_RETRY_S)
-        _log.info("stream origin sought", stream=question.stream, version=version)
+        _log.info(
+            "stream origin sought",
+            stream=question.stream,
+            version=version,
+            source=source,
+            position=self._position().revision,
+            took_ms=round((boot_time_s() - asked_s) * MS_PER_SECOND),
+        )
         return version
 
+    async def _from_list(
+        self, question: OriginQuestion, asked_s: float, reports: list[OriginReport]
+    ) -> int | None:
+        """Return the version that follows from a current list, None if none does.
+
+        The stores are asked again if the list has changed: it shows where they are.
+        """
+        if question.service is None or self._confirmation is None:
+            return None
+        before = self._position()
+        position = await self._confirmation.reached_since(asked_s)
+        if position is None:
+            return None
+        if self._position() > before:
+            version = _recorded(await self._ask_stores(question))
+            if version is not None:
+                return version
+        known = [self._report(question), *reports]
+        sole = {
+            report.sole_version
+            for report in known
+            if report.sole_version is not None and report.position >= position
+        }
+        if len(sole) != 1:
+            return None
+        return sole.pop() if self._history.listed(question.service) <= sole else None
+
+    async def is_list_current_since(self, asked_s: float) -> bool:
+        """Return whether the list of backends is known to be of a time after ``asked_s``."""
+        if self._confirmation is None:
+            return False
+        return await self._confirmation.reached_since(asked_s) is not None
+
     def _may_learn_more(self, asked_s: float) -> bool:
         """Return whether this router may soon hear of others, and there is time to ask again."""
         next_s = boot_time_s() + STARTUP_RETRY_S
@@ -182,17 +243,7 @@
         recorded = None if question.stream is None else self._origins.version_of(question.stream)
         service = question.service
         sole = None if service is None else self._history.sole_version(service, question.max_age_s)
-        return OriginReport(recorded, sole)
-
-    def _conclusion(self, reports: list[OriginReport], question: OriginQuestion) -> int | None:
-        """Return the version that follows from reports, ``UNKNOWN_VERSION`` if they differ."""
-        recorded = {report.version for report in reports if report.version is not None}
-        if recorded:
-            return recorded.pop() if len(recorded) == 1 else UNKNOWN_VERSION
-        sole = {report.sole_version for report in reports if report.sole_version is not None}
-        if question.service is None or len(sole) != 1:
-            return None
-        return sole.pop() if self._history.listed(question.service) <= sole else None
+        return OriginReport(recorded, sole, self._position())
 
     async def _ask_others(self, question: OriginQuestion) -> list[OriginReport]:
         """Return the reports of the routers that may know a stream."""
@@ -248,5 +299,13 @@
         return self._origins.size()
 
 
+def _recorded(reports: list[OriginReport]) -> int | None:
+    """Return the recorded version, None without a record, ``UNKNOWN_VERSION`` if they differ."""
+    recorded = {report.version for report in reports if report.version is not None}
+    if not recorded:
+        return None
+    return recorded.pop() if len(recorded) == 1 else UNKNOWN_VERSION
+
+
 def _is_number(text: str) -> bool:
     return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
--- a/src/yokedock/request/stream_origins.py
+++ b/src/yokedock/request/stream_origins.py
@@ -47,6 +47,10 @@
     async def find(self, question: OriginQuestion) -> int | None:
         """Return the version that began a stream, None if no reachable process knows it."""
 
+    @abc.abstractmethod
+    async def is_list_current_since(self, asked_s: float) -> bool:
+        """Return whether the list of backends is known to be of a time after ``asked_s``."""
+
 
 class _Record(msgspec.Struct):
     """One record of the table."""
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -88,10 +88,13 @@
         stream = stream_number(resumes) if resumes else None
         only_service = services[0] if len(call.route.targets) == 1 else None
         max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s
+        asked_s = boot_time_s()
         version = await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
-        if version is None and only_service is not None:
-            version = await self._version_at_engines(call, only_service)
-        return version
+        if version is not None or only_service is None:
+            return version
+        if not await self._directory.is_list_current_since(asked_s):
+            return None
+        return await self._version_at_engines(call, only_service)
 
     async def _version_at_engines(self, call: RoutedCall, service: str) -> int | None:
         """Return the version that began a stream if the engines show it, else None.
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -156,7 +156,9 @@
         """Return the status and the document of the answer to a request."""
         url = urlsplit(request.target)
         if url.path == RANGE_PATH:
-            return OK, RangePage(tuple(self._items.values()), more=False, at=self._revision)
+            prefix = parse_qs(url.query).get("pathPrefix", [""])[0]
+            found = [item for key, item in self._items.items() if key.startswith(prefix)]
+            return OK, RangePage(tuple(found), more=False, at=self._revision)
         if url.path == WATCH_PATH:
             query = parse_qs(url.query)
             wait_s = int(query[WAIT_FIELD][0]) / MS_PER_SECOND
