A router that has missed changes of its list says nothing of what was listed

Cause: VersionHistory was told of lists, not of changes between positions. A full read after a dropped history, a list taken from another router, or a response in which a backend joins and leaves says nothing of the versions in between.

Change: StateFollower.on_gap is called whenever the list is replaced at another position, or a response of the source omits a version that it has mentioned (StateChanges.omits_versions); the history begins anew then. Such a response is not passed on as news: other routers fetch the list and begin anew as well. A version counts for 30 s longer than a stream may last, since a router that has not heard of it may go on using a backend that was removed.

Ruled out: interrupting at each outage of the source (a watch that goes on from its position misses nothing; the history stays whole).

Where nobody can tell the version, another router whose history is whole and whose list has reached the confirmed position still can.

A property over what one response contains.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -393,3 +393,4 @@
       | questions that wait share a call to the source |
       | a list that is not confirmed tells nothing     |
       | only a report of the confirmed list counts     |
+      | changes tell whether they omit a version       |
--- a/features/stale_routers.feature
+++ b/features/stale_routers.feature
@@ -51,6 +51,16 @@
     Then no client holds events of two versions
     And each client of "v2" was refused with 503 within 0.7 s
 
+  # Guards against a list that names one version after a gap in which there was another one.
+  Scenario: A router that missed a version that came and went resumes no stream of it
+    Given the last router is cut off from the other routers
+    And version "v2" joins on engines "q", "f" and "g" at the other routers, and v1 stays
+    When 10 clients stream on "chat" and lose their connection after 2 events
+    And the last router reads the whole list after "q", "f" and "g" are gone
+    And each client resumes its stream at the last router
+    Then no client holds events of two versions
+    And each client of "v2" was refused with 503 within 0.7 s
+
   # Guards against streams that are refused although their version is on record, in an outage of the source.
   Scenario: Streams go on at another router while no router reaches the source
     Given version "v2" joins on engines "q", "f" and "g" at all routers, and v1 stays
--- a/features/support/list_confirmation_properties.py
+++ b/features/support/list_confirmation_properties.py
@@ -1,13 +1,17 @@
 """Properties of what a router concludes from its list of backends, and of what it has missed."""
 
 import asyncio
+import base64
+import json
 
 from hypothesis import strategies as st
 
+from support.entry_properties import VALID_ENTRY
 from support.search import searched
 from support.version_properties import V1, V2, GossipStub, PositionSource, entry
 from yokedock.base.clock import boot_time_s
 from yokedock.connection.source_position import SourcePosition
+from yokedock.platform.store import StoredItem, items_to_changes
 from yokedock.process.list_confirmation import CATCH_UP_S, SOURCE_TIMEOUT_S, ListConfirmation
 from yokedock.process.stream_origin_exchange import OriginReport, StreamOriginExchange
 from yokedock.request.stream_origins import OriginQuestion
@@ -87,6 +91,28 @@
     asyncio.run(play())
 
 
+def stored(number, instance, version):
+    """Return the item by which an instance states a version, or is gone."""
+    if version == GONE:
+        return StoredItem(f"servers/{instance}", revision=number, gone=True)
+    document = json.dumps({**VALID_ENTRY, "version": version}).encode()
+    return StoredItem(f"servers/{instance}", base64.b64encode(document).decode(), number)
+
+
+@searched(
+    writes=st.lists(
+        st.tuples(st.sampled_from(INSTANCES), st.sampled_from((*VERSIONS, GONE))), max_size=6
+    )
+)
+def changes_tell_whether_they_omit_a_version(writes):
+    """Guards against a version that joins and leaves within one response of the source."""
+    items = tuple(stored(number, *write) for number, write in enumerate(writes, 1))
+    changes = items_to_changes(items, SourcePosition(0, len(items)))
+    listed = {(found.instance, found.version) for found in changes.changed}
+    stated = {(instance, version) for instance, version in writes if version != GONE}
+    assert changes.omits_versions == bool(stated - listed), (changes, stated)
+
+
 LIST_CONFIRMATION_PROPERTIES = {
     "questions that wait share a call to the source": questions_that_wait_share_a_call,
     "a list that is not confirmed tells nothing": (
@@ -95,4 +121,5 @@
     "only a report of the confirmed list counts": (
         only_a_report_of_the_confirmed_list_tells_the_sole_version
     ),
+    "changes tell whether they omit a version": changes_tell_whether_they_omit_a_version,
 }
--- a/features/support/router_cuts.py
+++ b/features/support/router_cuts.py
@@ -23,7 +23,7 @@
 
     def cut():
         gossip = router._gossip
-        gossip.datagram_received = lambda data, address: None
+        gossip._inbox._on_datagram = lambda data, address, arrived_s: None
         gossip._transport = CutTransport()
         router._exchange._port = router._origins._port = UNUSED_PORT
         router._origins._pool.forget_all()
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -214,6 +214,7 @@
     table: RouteTable | None = None
     undecoded: list[str] = []
     last: dict[str, BackendEntry | None] = {}
+    versions: dict[str, set[tuple[str, str]]] = {}
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.gone:
             decoded = _decode_item(route_table, item, is_unreported)
@@ -225,11 +226,17 @@
             read = functools.partial(backend_entry, instance, revision=item.revision)
             entry = None if item.gone else _decode_item(read, item, is_unreported)
             last[instance] = entry
+            if entry is not None:
+                versions.setdefault(instance, set()).add((entry.service, entry.version))
             if entry is None and not item.gone:
                 undecoded.append(instance)
     changed = tuple(entry for entry in last.values() if entry is not None)
     gone = tuple(instance for instance, entry in last.items() if entry is None)
-    return StateChanges(position, table, changed, gone, tuple(undecoded))
+    for entry in changed:
+        versions[entry.instance].discard((entry.service, entry.version))
+    return StateChanges(
+        position, table, changed, gone, tuple(undecoded), omits_versions=any(versions.values())
+    )
 
 
 def _decode_item(
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -145,6 +145,7 @@
         self._origin_stores = (
             OriginStores(OriginStoreClient(own_address, store_port, link)) if store_port else None
         )
+        self._follower.on_gap = self._version_history.interrupt
         self._origins = StreamOriginExchange(
             self._gossip,
             int(port),
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -69,6 +69,9 @@
         self._recent_news = RecentNews()
         self.on_news: Callable[[], None] = lambda: None
         """Called after a change reported by the source that the other routers may not know."""
+        self.on_gap: Callable[[], None] = lambda: None
+        """Called when changes were missed: the list has been replaced, or backends of some software
+        version were listed only in between."""
         self._random = new_random()
         self._last_answer_s = 0.0
         self._last_read_s = 0.0
@@ -268,7 +271,10 @@
         if position < self.position:
             return False
         self._advance(position)
-        if position > before or changes.table is not None:
+        if changes.omits_versions:
+            # The other routers notice that they are behind, and fetch the list.
+            self.on_gap()
+        elif position > before or changes.table is not None:
             self._recent_news.add(before, position, self.version, changes)
             self.on_news()
         if changes.changed or changes.gone:
@@ -316,6 +322,8 @@
         self, position: SourcePosition, backends: dict[str, BackendEntry]
     ) -> bool:
         """Replace all backends; return whether the source was restored from a backup."""
+        if self.position > SourcePosition() and position != self.position:
+            self.on_gap()
         is_restored = self.position > SourcePosition() and position.era > self.position.era
         applied = AppliedHistory(self.position.revision, self._applied_ms)
         self._advance(position)
--- a/src/yokedock/request/version_history.py
+++ b/src/yokedock/request/version_history.py
@@ -34,7 +34,7 @@
             self._since_s = -math.inf if is_first_start else self._clock()
 
     def interrupt(self) -> None:
-        """Begin anew: versions may have been listed that this router did not observe."""
+        """Begin anew: versions may have been listed that this router has missed."""
         if self._since_s != math.inf:
             self._since_s = self._clock()
 
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -18,6 +18,8 @@
 
 MAX_STREAM_AGE_TIMEOUTS = 2.0
 """Upper bound of a stream's age, in time-outs of its route, where the caller does not name it."""
+MAX_UNLISTED_SERVICE_S = 30.0
+"""Upper bound of the time in which routers that have not heard of it may use a removed backend."""
 MIN_TTL_S = 20.0
 """Minimum time for which the version of a stream is recorded."""
 TTL_MARGIN_S = 5.0
@@ -87,7 +89,7 @@
         resumes = call.terms.resumes
         stream = stream_number(resumes) if resumes else None
         only_service = services[0] if len(call.route.targets) == 1 else None
-        max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s
+        max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s + MAX_UNLISTED_SERVICE_S
         asked_s = boot_time_s()
         version = await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
         if version is not None or only_service is None:
