A stale list without versions is no reason to resume a stream anywhere

What callers saw: events of two versions, where engines had stated no version before and those that joined did: a router that had not heard of them found no version in its list and resumed streams at any engine.

Cause: VersionPinning.pin returned before any question where no listed backend of the service states a version. Class: an inference from absence.

Change: the list must be confirmed first (ListConfirmation); then it is looked at again. Where the source does not answer, the stream is refused, not run. A routes file always answers; with a shared source, resuming a stream of a service without versions costs one small read.

--- a/features/stale_routers.feature
+++ b/features/stale_routers.feature
@@ -41,6 +41,16 @@
     Then no client holds events of two versions
     And each client of "v2" was refused with 503 within 0.7 s
 
+  # Guards against a router that goes on anywhere because its list, of before, states no versions.
+  Scenario: A router that is cut off while the first versions are stated resumes no stream elsewhere
+    Given the engines stated no version before
+    And the last router is cut off from its source and the other routers at once
+    And version "v2" joins on engines "q", "f" and "g" at the other routers, and v1 leaves
+    When 10 clients stream on "chat" and lose their connection after 2 events
+    And each client resumes its stream at the last router
+    Then no client holds events of two versions
+    And each client of "v2" was refused with 503 within 0.7 s
+
   # Guards against a router that takes calls up before what waits in its sockets.
   Scenario: A router that has not read the changes yet waits for them
     Given the last router is cut off from the other routers
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -69,7 +69,12 @@
         services = [target.service for target in call.route.targets]
         if not any(self._registry.members(service) for service in services):
             raise self._error(call, "no backend of the stream's service is listed")
-        versioned = [service for service in services if self._registry.states_versions(service)]
+        versioned = self._versioned(services)
+        if not versioned:
+            if not await self._directory.is_list_current_since(boot_time_s()):
+                self.refused_unknown += 1
+                raise self._error(call, "it is not known whether its service states versions now")
+            versioned = self._versioned(services)
         if not versioned:
             return None
         version = await self._find(call, versioned)
@@ -84,6 +89,9 @@
         self.refused_gone += 1
         raise self._error(call, "no backend of the software version that began the stream is left")
 
+    def _versioned(self, services: list[str]) -> list[str]:
+        return [service for service in services if self._registry.states_versions(service)]
+
     async def _find(self, call: RoutedCall, services: list[str]) -> int | None:
         """Return the version that began the stream, None if it is not known."""
         resumes = call.terms.resumes
