--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -32,6 +32,7 @@
 SERVERS_PREFIX = "servers/"
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
+PREFIX_FIELD = "pathPrefix"
 WAIT_FIELD = "waitMs"
 ERA_HEADER = b"store-era"
 Document = TypeVar("Document")
@@ -111,7 +112,7 @@
         size = 0
         after = ""
         while True:
-            target = f"{RANGE_PATH}?pathPrefix={ALL_KEYS}"
+            target = f"{RANGE_PATH}?{PREFIX_FIELD}={ALL_KEYS}"
             if after:
                 target += f"&after={quote(after, safe='')}"
             answer = await self._getter.get(target, READ_TIMEOUT_S)
@@ -137,7 +138,7 @@
         """Return the changes after ``position``, or none if there are none within
         ``max_duration_s``."""
         wait_ms = round(max_duration_s * MS_PER_SECOND)
-        target = f"{WATCH_PATH}?pathPrefix={ALL_KEYS}&after={position.revision}"
+        target = f"{WATCH_PATH}?{PREFIX_FIELD}={ALL_KEYS}&after={position.revision}"
         target += f"&{WAIT_FIELD}={wait_ms}"
         max_bytes = max(MIN_CHANGES_LIMIT_BYTES, round(MAX_CHANGES_RATIO * self._full_read_bytes))
         try:
@@ -154,7 +155,7 @@
 
     async def current_position(self) -> SourcePosition:
         """Return the store's revision; its reads are linearizable."""
-        target = f"{RANGE_PATH}?pathPrefix={quote(NO_KEYS, safe='')}"
+        target = f"{RANGE_PATH}?{PREFIX_FIELD}={quote(NO_KEYS, safe='')}"
         try:
             answer = await self._position_getter.get(target, READ_TIMEOUT_S)
         except ResponseTooLarge as error:
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -18,6 +18,7 @@
     CONFIGURATION_KEY,
     HISTORY_GONE,
     OK,
+    PREFIX_FIELD,
     RANGE_PATH,
     SERVERS_PREFIX,
     WAIT_FIELD,
@@ -156,7 +157,7 @@
         """Return the status and the document of the answer to a request."""
         url = urlsplit(request.target)
         if url.path == RANGE_PATH:
-            prefix = parse_qs(url.query).get("pathPrefix", [""])[0]
+            prefix = parse_qs(url.query).get(PREFIX_FIELD, [""])[0]
             found = [item for key, item in self._items.items() if key.startswith(prefix)]
             return OK, RangePage(tuple(found), more=False, at=self._revision)
         if url.path == WATCH_PATH:
