--- a/features/router_soak.feature
+++ b/features/router_soak.feature
@@ -62,6 +62,7 @@
       | a stream went on at another version                             | ORDER   |
       | two thirds of the resumed streams were refused                  | LOST    |
       | 3 of 20 streams were refused after the loss of all routers      | LOST    |
+      | 3 of 20 streams were refused beside a rollout                   | LOST    |
 
     Examples: time bounds
       | fault                                                           | rule    |
@@ -102,6 +103,11 @@
       | 3 of 20 were refused after the loss of all routers, with one engine of their version |
       | 3 of 20 streams were refused 2.5 s after the start of new routers |
       | 3 of 20 streams came to a process that was killed and had not ended |
+      | 2 of 20 streams were refused beside a rollout |
+      | 3 of 20 streams were refused beside a rollout, with one engine of their version |
+      | 3 of 20 streams were refused beside a rollout by a router that was cut off |
+      | 3 of 20 streams that began at a router cut off were refused beside a rollout |
+      | 3 of 20 streams were refused beside a rollout whose callers did not name them |
       | two thirds of the resumed streams were refused, with one engine of their version |
       | a killed router cut a request                                   |
       | a request that ends its backends was kept from them in time     |
--- a/features/support/soak_histories.py
+++ b/features/support/soak_histories.py
@@ -153,6 +153,23 @@
         rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
 
 
+def resumed_at_rollout(builder, refused, count=20, engines=2, began_cut=(), omits=False, cut_s=0):
+    """Callers resume ``count`` streams after a rollout; their router was cut off for ``cut_s``."""
+    builder.history.rollouts_s = [START_S]
+    builder.history.engines = {"v1": [(START_S - 50.0, engines)]}
+    builder.life.cuts = [(START_S + 9.5, START_S + 9.5 + cut_s)] if cut_s else []
+    builder.history.lives[1, 1] = RouterLife(1, 1, START_S - 100.0, START_S - 99.0)
+    builder.history.lives[1, 1].cuts += began_cut
+    for number in range(count):
+        first = builder.request("chat", at_s=4.9, outcome="left")
+        first.router, first.events, first.versions = 1, 3, {"v1"}
+        is_refused = number < refused
+        rest = builder.request("chat", at_s=10.0, status=503 if is_refused else 200)
+        rest.first_request, rest.last_event_id = first.request_id, 3
+        rest.omits_first_request = omits
+        rest.events, rest.versions = (0, set()) if is_refused else (9, {"v1"})
+
+
 def ran_twice(builder):
     record = builder.request()
     builder.arrival(record, "i-1", "broken")
@@ -575,6 +592,20 @@
     "3 of 20 streams were refused 2.5 s after the start of new routers": (
         lambda builder: resumed_after_all_killed(builder, 3, ready_s=2.5)
     ),
+    "3 of 20 streams were refused beside a rollout": lambda builder: resumed_at_rollout(builder, 3),
+    "2 of 20 streams were refused beside a rollout": lambda builder: resumed_at_rollout(builder, 2),
+    "3 of 20 streams were refused beside a rollout, with one engine of their version": (
+        lambda builder: resumed_at_rollout(builder, 3, engines=1)
+    ),
+    "3 of 20 streams were refused beside a rollout by a router that was cut off": (
+        lambda builder: resumed_at_rollout(builder, 3, cut_s=0.2)
+    ),
+    "3 of 20 streams that began at a router cut off were refused beside a rollout": (
+        lambda builder: resumed_at_rollout(builder, 3, began_cut=[(START_S + 4.0, START_S + 5.0)])
+    ),
+    "3 of 20 streams were refused beside a rollout whose callers did not name them": (
+        lambda builder: resumed_at_rollout(builder, 3, omits=True)
+    ),
     "an old configuration was in force while the store was silent": outdated_while_store_silent,
     "a stopping router cut a stream that one engine had turned away": cut_beside_stop,
     "a stopping router cut such a stream that it took 3.2 s after SIGTERM at its end": (
--- a/src/yokedock_emulator/cli.py
+++ b/src/yokedock_emulator/cli.py
@@ -249,6 +249,7 @@
     endless_bytes: bool = False,
     uneven_balancing: bool = False,
     all_routers_killed: bool = False,
+    version_rollouts: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers in faults for SECONDS, with SEEDS seeds one after another from SEED.
@@ -260,7 +261,8 @@
     SILENT_MOMENTS, sound backends send nothing for a moment and then go on; with ENDLESS_BYTES,
     backends answer some requests with bytes that never end; with UNEVEN_BALANCING, most new
     connections come to one router for some seconds (links are not narrow); with
-    ALL_ROUTERS_KILLED, all routers are killed at the same moment, some times.
+    ALL_ROUTERS_KILLED, all routers are killed at the same moment, some times; with
+    VERSION_ROLLOUTS, engines of new software versions join while one router is frozen.
     """
     from yokedock_emulator.router_soak.router_soak import run_soaks
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
@@ -273,6 +275,7 @@
         endless_bytes,
         uneven_balancing,
         all_routers_killed,
+        version_rollouts,
     )
     reports = run_soaks(range(seed, seed + seeds), seconds, Path.cwd(), out, options)
     broken = [report.seed for report in reports if report.violations]
@@ -293,6 +296,7 @@
     endless_bytes: bool = False,
     uneven_balancing: bool = False,
     all_routers_killed: bool = False,
+    version_rollouts: bool = False,
     out: Path = Path("build/test-logs"),
 ) -> None:
     """Soak four routers for SECONDS in simulated time, with SEEDS seeds one after another.
@@ -305,7 +309,8 @@
     nothing for a moment and then go on; with ENDLESS_BYTES, backends answer some requests with
     bytes that never end; with UNEVEN_BALANCING, most new connections come to one router for some
     seconds, and links are narrow; with ALL_ROUTERS_KILLED, all routers are killed at the same
-    moment, some times.
+    moment, some times; with VERSION_ROLLOUTS, engines of new software versions join while one
+    router is frozen or cut off.
     """
     from yokedock_emulator.router_soak.soak_plan import SoakOptions
     from yokedock_emulator.simulation.simulate import ensure_fixed_hash_seed, simulate_soak
@@ -319,6 +324,7 @@
         endless_bytes,
         uneven_balancing,
         all_routers_killed,
+        version_rollouts,
     )
     results = [simulate_soak(each, seconds, out, options) for each in range(seed, seed + seeds)]
     broken = [result.report.seed for result in results if result.report.violations]
--- a/src/yokedock_emulator/plain_http.py
+++ b/src/yokedock_emulator/plain_http.py
@@ -23,9 +23,9 @@
     body: bytes
 
 
-async def listen(serve: Serve) -> tuple[asyncio.Server, str]:
-    """Serve connections on any free port of the loopback; return the server and its address."""
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+async def listen(serve: Serve, host: str = "127.0.0.1") -> tuple[asyncio.Server, str]:
+    """Serve connections on any free port of ``host``; return the server and its address."""
+    server = await asyncio.start_server(serve, host, 0)
     host, port = server.sockets[0].getsockname()
     return server, f"{host}:{port}"
 
--- a/src/yokedock_emulator/router_soak/router_soak.py
+++ b/src/yokedock_emulator/router_soak/router_soak.py
@@ -14,24 +14,28 @@
 from yokedock_emulator.router_soak.soak_clients import SoakClients
 from yokedock_emulator.router_soak.soak_fleet import SoakFleet
 from yokedock_emulator.router_soak.soak_judge import judge
-from yokedock_emulator.router_soak.soak_operator import SoakOperator
+from yokedock_emulator.router_soak.soak_operator import LOOPBACK, SoakOperator
 from yokedock_emulator.router_soak.soak_plan import (
     ALL_ROUTERS_KILLED,
+    CONNECTIONS_BROKEN,
+    CUT_KINDS,
     DEFAULT_OPTIONS,
     LARGE_ROUTES,
     MOST_CONNECTIONS,
+    ROLLOUT_KINDS,
     ROUTER_FAULTS,
     ROUTERS,
     SoakEvent,
     SoakOptions,
     draw_plan,
+    has_origin_stores,
+    states_first_version,
 )
 from yokedock_emulator.router_soak.soak_processes import (
-    BACKENDS_HOST,
     DeployedLauncher,
     RouterLauncher,
 )
-from yokedock_emulator.router_soak.soak_records import SoakHistory
+from yokedock_emulator.router_soak.soak_records import VERSIONS, SoakHistory
 from yokedock_emulator.router_soak.soak_report import (
     SoakReport,
     keep_report,
@@ -64,16 +68,22 @@
         self._launcher = launcher
         self._options = options
         self.history = SoakHistory()
-        self._operator = SoakOperator(self.history, options)
-        self._origin_store = OriginStore()
+        groups = len(VERSIONS) if options.has_version_rollouts else 1
+        self._backends_hosts = [launcher.backends_host(group) for group in range(groups)]
+        self._operator = SoakOperator(self.history, options, self._backends_hosts)
+        store_hosts = self._backends_hosts if has_origin_stores(seed, options) else []
+        self._origin_stores = {host: OriginStore() for host in store_hosts}
         self._began_s = 0.0
 
     async def run(self) -> SoakReport:
         """Run to the end and judge; raises ``TimeoutError`` if routers do not get ready."""
         ticks = asyncio.create_task(self._tick())
-        await self._operator.start()
-        # All backends share an IP address, so that one store is beside all of them.
-        await self._origin_store.start(f"{BACKENDS_HOST}:{self._launcher.origin_store_port}")
+        is_stated = states_first_version(self._seed, self._options)
+        # Elsewhere the store shares the callers' address, as the histories of fixed seeds assume.
+        store_host = self._launcher.store_host if self._options.has_version_rollouts else LOOPBACK
+        await self._operator.start(store_host, is_stated)
+        for host, origin_store in self._origin_stores.items():
+            await origin_store.start(f"{host}:{self._launcher.origin_store_port}")
         fleet = SoakFleet(
             self._launcher,
             self._operator.store.address,
@@ -87,7 +97,8 @@
             await fleet.stop()
         finally:
             fleet.close()
-            self._origin_store.close()
+            for origin_store in self._origin_stores.values():
+                origin_store.close()
             self._operator.stop()
             ticks.cancel()
         violations = judge(self.history)
@@ -99,18 +110,22 @@
         calls = asyncio.create_task(clients.run())
         for event in draw_plan(self._seed, self._seconds, self._options):
             await asyncio.sleep(self._began_s + event.at_s - boot_time_s())
-            done = await self._strike(fleet, event)
+            done = await self._strike(fleet, clients, event)
             if done:
                 self.history.tell(boot_time_s(), done)
         await asyncio.sleep(self._began_s + self._seconds + CALM_S - boot_time_s())
         clients.stop()
         await calls
 
-    async def _strike(self, fleet: SoakFleet, event: SoakEvent) -> str:
+    async def _strike(self, fleet: SoakFleet, clients: SoakClients, event: SoakEvent) -> str:
         """Do what the plan says; return what was done, empty if it was not possible."""
         operator = self._operator
-        if event.kind in ROUTER_FAULTS:
+        if event.kind in ROUTER_FAULTS or event.kind in CUT_KINDS:
             return fleet.strike(event)
+        if event.kind in ROLLOUT_KINDS:
+            return f"{event.kind} {await operator.roll_out(event)}"
+        if event.kind == CONNECTIONS_BROKEN:
+            return f"{event.kind} {clients.break_streams(event.target)}"
         if event.kind == ALL_ROUTERS_KILLED:
             return fleet.kill_all()
         if event.kind in ("configuration", "large configuration"):
--- a/src/yokedock_emulator/router_soak/soak_backend.py
+++ b/src/yokedock_emulator/router_soak/soak_backend.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.connection.dialect import CachedPart
 from yokedock.platform.headers import PLATFORM_HEADERS as NAMES
 from yokedock.request.engine_placement import PREFILL_ROLE
 from yokedock_emulator.endless_bytes import (
@@ -75,8 +76,15 @@
         role: str,
         history: SoakHistory,
         version: str = VERSIONS[0],
+        lists_parts: bool = False,
     ) -> None:
-        """Prepare; ``start`` listens. What arrives is noted in ``history``."""
+        """Prepare; ``start`` listens. What arrives is noted in ``history``.
+
+        With ``lists_parts`` it lists the parts of the prompts that it has answered.
+        """
+        self._lists_parts = lists_parts
+        self._cached_parts: dict[str, int] = {}
+        """Their tokens."""
         self.version = version
         self.instance = instance
         self.service = service
@@ -181,7 +189,7 @@
             head.append((NAMES.limit, self._limit))
         is_meant = headers.get(NAMES.instance.lower(), self.instance) == self.instance
         if is_meant and (request.method in OWN_CALLS or request.target == NAMES.order_path):
-            await self._send(writer, complete_response(200, head, b'{"held":[]}'))
+            await self._send(writer, complete_response(200, head, self._own_answer(request)))
             return
         is_prefill = headers.get(NAMES.stage.lower()) == NAMES.prefill_stage
         arrival = Arrival(
@@ -209,6 +217,19 @@
         if arrival.outcome == "working":
             arrival.outcome = "whole"
 
+    def _own_answer(self, request: PlainRequest) -> bytes:
+        """Return the answer to a call that belongs to no request."""
+        if not self._lists_parts or request.target != NAMES.cache_list_path:
+            return b'{"held":[]}'
+        parts = [CachedPart("", part, tokens) for part, tokens in self._cached_parts.items()]
+        return msgspec.json.encode({NAMES.cache_list_field: parts})
+
+    def _cache_parts(self, request: PlainRequest) -> None:
+        for part in request.headers.get(NAMES.parts.lower(), "").split(","):
+            name, _, tokens = part.rpartition(":")
+            if name:
+                self._cached_parts[name] = int(tokens)
+
     async def _answer(
         self, request: PlainRequest, arrival: Arrival, head: Headers, writer: asyncio.StreamWriter
     ) -> None:
@@ -245,6 +266,7 @@
             result = {NAMES.handle_field: f"h-{arrival.request_id}", NAMES.tokens_field: 100}
             await self._send(writer, complete_response(200, head, msgspec.json.encode(result)))
         elif self.role:
+            self._cache_parts(request)
             first = int(request.headers.get(NAMES.last_event_id.lower(), "0")) + 1
             await self._stream(request.body, first, signed, writer)
         else:
--- a/src/yokedock_emulator/router_soak/soak_clients.py
+++ b/src/yokedock_emulator/router_soak/soak_clients.py
@@ -65,6 +65,21 @@
 RESUMES_AFTER_S = (0.0, 8.0)
 """Where all routers are killed, callers resume broken streams after so long: some at routers that
 have just started, others at routers that are in touch again."""
+RESUMES_SOON_S = (0.0, 0.6)
+"""Where versions are rolled out, callers resume broken streams after so long."""
+BROKEN_SHARE = 0.7
+"""Share of the streams that lose their connection when connections break."""
+OUT_OF_STEP_SHARE = 0.7
+"""Share of new connections at a router that is out of step, while one is."""
+OMITS_FIRST_SHARE = 0.2
+"""Share of resumptions in which callers do not name the request that had the first event."""
+KIND_WEIGHTS = (0.4, 0.3, 0.1, 0.2)
+ROLLOUT_KIND_WEIGHTS = (0.15, 0.15, 0.1, 0.6)
+"""Weights of ``KINDS``, and those where versions are rolled out: more streams may be resumed."""
+SESSIONS = tuple(f"session-{number}" for number in range(20))
+"""Last parts of prompts that come again, and so are kept by engines of several versions."""
+SESSION_SHARE = 0.5
+END_OF_EVENT = b"\n\n"
 MOST_BODY_BYTES = 3000
 POISON_KINDS = ("repeat", "chat")
 POISON_COPIES = (1, 1, 1, 3)
@@ -104,12 +119,28 @@
         self._options = options
         self._is_stopping = False
         self._resume_choices = random.Random(f"{seed}-resume")
+        self._break_choices = random.Random(f"{seed}-break")
+        self._under_way: dict[SoakConnection, tuple[ClientRecord, SoakAnswer]] = {}
+        """Requests without a complete answer."""
         self._sent = 0
 
     def stop(self) -> None:
         """Send nothing more."""
         self._is_stopping = True
 
+    def break_streams(self, spared_router: int) -> int:
+        """Break connections of streams that have begun at other routers; return their number."""
+        broken = 0
+        for connection, (record, answer) in list(self._under_way.items()):
+            has_begun = END_OF_EVENT in answer.body and record.route.kind == "chat"
+            if record.router == spared_router or not has_begun:
+                continue
+            if self._break_choices.random() < BROKEN_SHARE:
+                record.is_broken_off = True
+                connection.leave()
+                broken += 1
+        return broken
+
     async def run(self) -> None:
         """Call until stopped."""
         callers = [self._call(number) for number in range(CALLERS)]
@@ -139,6 +170,8 @@
             connection.leave()
             if broken is not None and self._options.has_all_routers_killed:
                 await asyncio.sleep(self._resume_choices.uniform(*RESUMES_AFTER_S))
+            elif broken is not None and self._options.has_version_rollouts:
+                await asyncio.sleep(self._resume_choices.uniform(*RESUMES_SOON_S))
 
     async def _call_steadily(self) -> None:
         """Let callers come at a steady rate, each with one request on a connection of its own."""
@@ -171,6 +204,10 @@
         preferred = self._history.most_connections_at(boot_time_s())
         if preferred is not None and choices.random() < UNEVEN_SHARE:
             router = preferred
+        if self._options.has_version_rollouts:
+            out_of_step = self._history.out_of_step_at(boot_time_s())
+            if out_of_step is not None and choices.random() < OUT_OF_STEP_SHARE:
+                router = out_of_step
         if router == avoided:
             router = (router + choices.randrange(1, ROUTERS)) % ROUTERS
         return router
@@ -293,7 +330,8 @@
             await self._answer(connection, record, choices)
             record.end_s = boot_time_s()
             if record.outcome != "answered" or record.closes:
-                goes_on = record.outcome == "cut" and record.events and record.route.kind == "chat"
+                is_broken = record.outcome == "cut" or record.is_broken_off
+                goes_on = is_broken and record.events and record.route.kind == "chat"
                 is_resumed = goes_on and choices.random() < GOES_ON_SHARE
                 return ConnectionUse(record if is_resumed else None, record.is_unread)
             broken = None
@@ -329,11 +367,22 @@
                 broken.events,
                 broken.first_request or broken.request_id,
                 parts=broken.parts,
+                omits_first_request=self._omits_first_request(),
+                last_part=broken.last_part,
             )
         body = f"{request_id} ".encode()
         body += b"x" * choices.randrange(MOST_BODY_BYTES)
         parts = self._shared_parts(route, choices)
-        return ClientRecord(request_id, route, router, life, body, now_s, parts=parts)
+        record = ClientRecord(request_id, route, router, life, body, now_s, parts=parts)
+        if self._options.has_version_rollouts:
+            is_of_session = choices.random() < SESSION_SHARE
+            record.last_part = choices.choice(SESSIONS) if is_of_session else request_id
+        return record
+
+    def _omits_first_request(self) -> bool:
+        if not self._options.has_version_rollouts:
+            return False
+        return self._resume_choices.random() < OMITS_FIRST_SHARE
 
     def _route(self, choices: random.Random) -> SoakRoute:
         """Return a route of the configuration before the newest: any that may be in force has it.
@@ -344,7 +393,8 @@
         version = newest - 1
         if choices.random() < OTHER_ROUTE_SHARE:
             version = choices.choice((newest, newest - LIVES_IN, newest - LIVES_IN - 1))
-        kind = choices.choices(KINDS, (0.4, 0.3, 0.1, 0.2))[0]
+        has_rollouts = self._options.has_version_rollouts
+        kind = choices.choices(KINDS, ROLLOUT_KIND_WEIGHTS if has_rollouts else KIND_WEIGHTS)[0]
         return SoakRoute(kind, max(1, version), choices.randrange(ROUTES_A_KIND))
 
     async def _answer(
@@ -353,6 +403,7 @@
         leaves = choices.random() < LEAVING_SHARE
         patience_s = choices.uniform(*LEAVES_AFTER_S) if leaves else PATIENCE_S
         answer = SoakAnswer()
+        self._under_way[connection] = record, answer
         try:
             async with asyncio.timeout(patience_s):
                 await connection.read(answer)
@@ -365,6 +416,10 @@
         except ValueError as error:
             record.outcome = "cut"
             record.problems.append(str(error))
+        finally:
+            del self._under_way[connection]
+        if record.is_broken_off and record.outcome == "cut":
+            record.outcome = "left"
         _note(record, answer)
 
 
@@ -377,12 +432,13 @@
         f"Content-Length: {len(record.body)}",
     ]
     if record.route.kind in STREAMS:
-        own = f"{record.request_id.encode().hex()}:90"
+        own = f"{(record.last_part or record.request_id).encode().hex()}:90"
         parts = ",".join([*(f"{part}:30" for part in record.parts), own])
         lines += [f"{NAMES.model}: m", f"{NAMES.tokens}: 90,40", f"{NAMES.parts}: {parts}"]
     if record.last_event_id:
         lines.append(f"{NAMES.last_event_id}: {record.last_event_id}")
-        lines.append(f"{NAMES.resumes}: {record.first_request}")
+        if not record.omits_first_request:
+            lines.append(f"{NAMES.resumes}: {record.first_request}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + record.body
 
 
--- a/src/yokedock_emulator/router_soak/soak_fleet.py
+++ b/src/yokedock_emulator/router_soak/soak_fleet.py
@@ -11,6 +11,7 @@
 from yokedock_emulator.raw_exchange import get_page
 from yokedock_emulator.router_soak.soak_plan import (
     ALL_ROUTERS_KILLED,
+    CUT_KINDS,
     DEFAULT_OPTIONS,
     ROUTERS,
     SoakEvent,
@@ -144,7 +145,11 @@
                 life.hung_up_unhandled = True
             life.hang_ups_s.append(boot_time_s())
             process.send_signal(signal.SIGHUP)
-        elif event.kind == "freeze":
+        elif event.kind in CUT_KINDS and self._launcher.can_cut:
+            group = [router] if event.partner is None else [router, event.partner]
+            for each in group:
+                self._after(self._cut(each, group, event))
+        elif event.kind == "freeze" or event.kind in CUT_KINDS:
             self._after(self._freeze(router, event.length_s))
         elif event.kind == "kill":
             life.killed_s = boot_time_s()
@@ -153,7 +158,8 @@
             self._terminate(router)
         else:
             return ""
-        return f"router {router} life {life.number}: {event.kind} {event.length_s:.2f}"
+        partner = "" if event.partner is None else f" with router {event.partner}"
+        return f"router {router} life {life.number}: {event.kind} {event.length_s:.2f}{partner}"
 
     def kill_all(self) -> str:
         """Kill all routers at the same moment, also those that are frozen, stopping or starting."""
@@ -186,6 +192,18 @@
         process.send_signal(signal.SIGCONT)
         life.freezes[-1] = (now_s, boot_time_s())
 
+    async def _cut(self, router: int, group: list[int], event: SoakEvent) -> None:
+        """Cut a router off for a while; those of its group still reach each other."""
+        peers = [] if event.kind == "cut from routers" else [self._launcher.store_host]
+        if event.kind != "cut from store":
+            hosts = enumerate(self._launcher.hosts)
+            peers += [host for number, host in hosts if number not in group]
+        now_s = boot_time_s()
+        self._lives[router].cuts.append((now_s, now_s + event.length_s))
+        self._launcher.cut(router, peers)
+        await asyncio.sleep(event.length_s)
+        self._launcher.heal(router, peers)
+
     # --- Lives ---
 
     def _start(self, router: int, is_first: bool) -> None:
--- a/src/yokedock_emulator/router_soak/soak_judge.py
+++ b/src/yokedock_emulator/router_soak/soak_judge.py
@@ -36,6 +36,7 @@
     all_killed_violations,
     lost_stream_violations,
     order_violations,
+    rollout_violations,
 )
 from yokedock_emulator.router_soak.soak_uneven import uneven_violations
 from yokedock_emulator.router_soak.soak_versions import version_violations
@@ -97,6 +98,7 @@
     found += [Violation("ORDER", *each) for each in order_violations(history)]
     found += [Violation("LOST", text) for text in lost_stream_violations(history)]
     found += [Violation("LOST", text) for text in all_killed_violations(history)]
+    found += [Violation("LOST", text) for text in rollout_violations(history)]
     found += [Violation("LIMIT", text) for text in limit_violations(history)]
     found += [Violation("RECOVER", text) for text in uneven_violations(history)]
     found += _processes(history)
--- a/src/yokedock_emulator/router_soak/soak_operator.py
+++ b/src/yokedock_emulator/router_soak/soak_operator.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any, cast
 
 from yokedock.base.clock import boot_time_s, wall_clock_ms
@@ -25,10 +25,18 @@
 )
 from yokedock.request.engine_placement import DECODE_ROLE, PREFILL_ROLE
 from yokedock_emulator.router_soak.soak_backend import LIMITS, SoakBackend
-from yokedock_emulator.router_soak.soak_plan import DEFAULT_OPTIONS, SoakEvent, SoakOptions
+from yokedock_emulator.router_soak.soak_plan import (
+    DEFAULT_OPTIONS,
+    ROLLOUT_OF_ALL,
+    ROLLOUT_OF_SOME,
+    ROLLOUT_WITHDRAWN,
+    SoakEvent,
+    SoakOptions,
+)
 from yokedock_emulator.router_soak.soak_records import (
     KINDS,
     LIVES_IN,
+    MODEL_SERVICE,
     ROUTES_A_KIND,
     VERSIONS,
     SoakHistory,
@@ -37,6 +45,7 @@
 from yokedock_emulator.router_soak.soak_store import SoakStore
 
 HOST = "soak.example"
+LOOPBACK = "127.0.0.1"
 STORED_KINDS = {
     "once": ONCE_KIND,
     "repeat": REPEATABLE_KIND,
@@ -50,6 +59,12 @@
 """Number of decode engines where there are two software versions."""
 MORE_DECODE_ENGINES = 10
 """Number of them where all routers are killed, so that two engines of each version mostly serve."""
+ROLLOUT_ENGINES = {PREFILL_ROLE: 2, DECODE_ROLE: 5}
+"""Engines of each version where versions are rolled out, by role."""
+LEAVES_AFTER_ROLLOUT_S = (0.0, 0.8)
+"""Engines of the version before leave so long after those of the new one have joined."""
+WITHDRAWN_AFTER_S = (0.4, 1.5)
+"""Engines of a version that is withdrawn leave so long after they have joined."""
 SERVES_ON_S = 8.0
 """A backend that leaves goes on serving for so long: whoever still comes to it is seen."""
 ENDS_S = 4.0
@@ -88,12 +103,24 @@
 class SoakOperator:
     """Writes the store and owns all backends."""
 
-    def __init__(self, history: SoakHistory, options: SoakOptions = DEFAULT_OPTIONS) -> None:
-        """Start with nothing; decode engines have two software versions if so asked."""
+    def __init__(
+        self,
+        history: SoakHistory,
+        options: SoakOptions = DEFAULT_OPTIONS,
+        backends_hosts: Sequence[str] = (LOOPBACK,),
+    ) -> None:
+        """Start with nothing; decode engines have two software versions if so asked.
+
+        With ``has_version_rollouts``, the backends of each version have a host of their own, in the
+        order of ``VERSIONS``.
+        """
+        self._backends_hosts = backends_hosts
+        self._has_rollouts = options.has_version_rollouts
+        self._newest_version = VERSIONS[0]
         self._mixed_decode_engines = (
             MORE_DECODE_ENGINES if options.has_all_routers_killed else MIXED_DECODE_ENGINES
         )
-        self._versions = VERSIONS if options.has_two_versions else VERSIONS[:1]
+        self._versions = VERSIONS[: 2 if options.has_two_versions else 1]
         self._changes_settings = options.has_stops_in_turn
         self._setting_choices = random.Random("soak-settings")
         self._version_choices = random.Random("soak-versions")
@@ -113,11 +140,18 @@
         self._configuration: StoredConfiguration | None = None
         self._later: OrderedSet[asyncio.Task[Any]] = OrderedSet()
 
-    async def start(self) -> None:
-        """Start the store and the backends, and publish what the first requests need."""
-        await self.store.start()
+    async def start(self, store_host: str = LOOPBACK, states_first_version: bool = True) -> None:
+        """Start the store and the backends, and publish what the first requests need.
+
+        Entries of the first version do not name it unless ``states_first_version``.
+        """
+        if not states_first_version:
+            self._history.unstated_versions.add(VERSIONS[0])
+        await self.store.start(store_host)
         for service, role, count in POOLS:
             is_mixed = role == DECODE_ROLE and len(self._versions) > 1
+            if self._has_rollouts and service == MODEL_SERVICE:
+                count = ROLLOUT_ENGINES[role]
             for _ in range(self._mixed_decode_engines if is_mixed else count):
                 await self._add(service, role)
         for _ in range(LIVES_IN):
@@ -238,22 +272,65 @@
         # remove it from the list, and a second removal fails.
         self.serving.remove(backend)
         self._record_engines()
+        version = backend.version if self._has_rollouts else ""
         if soak_event.kind != "replace":
-            await self._add(backend.service, backend.role)
+            await self._add(backend.service, backend.role, version=version)
         if soak_event.kind == "drain":
             self._drain(backend)
         elif soak_event.kind == "remove":
-            self._unlist(backend)
-            backend.is_leaving = True
-            self._after(SERVES_ON_S, backend.end(ENDS_S))
+            self._remove(backend)
         else:
             backend.kill()
             self._history.killed_s.append((backend.service, boot_time_s()))
             self._after(UNLISTED_S, self._unlist_later(backend))
         if soak_event.kind == "replace":
-            await self._add(backend.service, backend.role, backend.address)
+            await self._add(backend.service, backend.role, backend.address, version)
         return backend.instance
 
+    async def roll_out(self, soak_event: SoakEvent) -> str:
+        """Let engines of the next version join and some of those before leave; return the version.
+
+        Those that leave are listed as draining, or are not listed any more, by the event's target.
+        Nothing happens after the last version.
+        """
+        previous = VERSIONS.index(self._newest_version)
+        if previous + 1 == len(VERSIONS):
+            return "is not possible"
+        before = [backend for backend in self.serving if backend.service == MODEL_SERVICE]
+        self._newest_version = VERSIONS[previous + 1]
+        self._history.rollouts_s.append(boot_time_s())
+        for role, count in ROLLOUT_ENGINES.items():
+            for _ in range(count):
+                await self._add(MODEL_SERVICE, role, version=self._newest_version)
+        is_announced = soak_event.target % 2 == 0
+        for backend in _leaving_engines(before, VERSIONS[previous], soak_event.kind):
+            delay_s = self._version_choices.uniform(*LEAVES_AFTER_ROLLOUT_S)
+            self._after(delay_s, self._leave(backend, is_announced))
+        if soak_event.kind == ROLLOUT_WITHDRAWN:
+            delay_s = self._version_choices.uniform(*WITHDRAWN_AFTER_S)
+            self._after(delay_s, self._withdraw(self._newest_version, is_announced))
+        return self._newest_version
+
+    async def _withdraw(self, version: str, is_announced: bool) -> None:
+        for backend in [each for each in self.serving if each.version == version]:
+            await self._leave(backend, is_announced)
+
+    async def _leave(self, backend: SoakBackend, is_announced: bool) -> None:
+        if backend not in self.serving:
+            return
+        self.serving.remove(backend)
+        self._record_engines()
+        if is_announced:
+            self._drain(backend)
+        else:
+            self._remove(backend)
+
+    def _remove(self, backend: SoakBackend) -> None:
+        """Unlist a backend, which goes on serving for a while."""
+        self._unlist(backend)
+        backend.is_leaving = True
+        self._after(SERVES_ON_S, backend.end(ENDS_S))
+
     def _fail(self, backend: SoakBackend, soak_event: SoakEvent) -> None:
         """Let a backend answer errors, refuse or ask for rest, for a while."""
         modes = {
@@ -285,10 +362,15 @@
         backend.name_limit("")
         self._record_engines()
 
-    async def _add(self, service: str, role: str, address: str = "127.0.0.1:0") -> None:
+    async def _add(self, service: str, role: str, address: str = "", version: str = "") -> None:
+        """Start a backend; its address and version are chosen if empty."""
         self._next += 1
-        version = self._next_version(role)
-        backend = SoakBackend(f"i-{self._next}", service, role, self._history, version)
+        version = version or self._next_version(role)
+        group = VERSIONS.index(version) if self._has_rollouts else 0
+        address = address or f"{self._backends_hosts[group]}:0"
+        backend = SoakBackend(
+            f"i-{self._next}", service, role, self._history, version, self._has_rollouts
+        )
         await self._begin(backend, address)
 
     def _next_version(self, role: str) -> str:
@@ -306,12 +388,12 @@
 
     def _record_engines(self) -> None:
         """Record the number of decode engines of each version that serve, if it has changed."""
-        for version in self._versions:
+        for version in VERSIONS:
             steps = self._history.engines.setdefault(version, [])
             count = sum(
                 b.role == DECODE_ROLE and b.version == version and b.takes_all for b in self.serving
             )
-            if not steps or steps[-1][1] != count:
+            if (steps or count) and (not steps or steps[-1][1] != count):
                 steps.append((boot_time_s(), count))
 
     async def _begin(self, backend: SoakBackend, address: str) -> None:
@@ -334,7 +416,12 @@
     async def _start_anew(self, before: SoakBackend) -> None:
         """Start the next life of a backend at the same address, under the same identifier."""
         after = SoakBackend(
-            before.instance, before.service, before.role, self._history, before.version
+            before.instance,
+            before.service,
+            before.role,
+            self._history,
+            before.version,
+            self._has_rollouts,
         )
         await self._begin(after, before.address)
 
@@ -351,13 +438,14 @@
     def _list(self, backend: SoakBackend, state: StoredState) -> None:
         stage = cast(Stage, backend.role)
         born_ms = self._born_ms[backend.instance]
+        is_unstated = backend.version in self._history.unstated_versions
         server = StoredServer(
             backend.service,
             backend.address,
             "zone-1",
             SLOTS,
             state,
-            backend.version,
+            "" if is_unstated else backend.version,
             0.0,
             1,
             stage,
@@ -402,6 +490,23 @@
         task.add_done_callback(self._later.discard)
 
 
+def _leaving_engines(
+    before: list[SoakBackend], previous: str, rollout_kind: str
+) -> list[SoakBackend]:
+    """Return the engines of earlier versions that leave in a rollout.
+
+    Those older than ``previous`` always do, unless the new version will be withdrawn.
+    """
+    if rollout_kind == ROLLOUT_WITHDRAWN:
+        return []
+    share = {ROLLOUT_OF_ALL: 1.0, ROLLOUT_OF_SOME: 0.5}.get(rollout_kind, 0.0)
+    leaving = [engine for engine in before if engine.version != previous]
+    for role in ROLLOUT_ENGINES:
+        engines = [each for each in before if each.version == previous and each.role == role]
+        leaving += engines[: int(share * len(engines))]
+    return leaving
+
+
 def _stored(route: SoakRoute, settings: RouteSettings) -> StoredRoute:
     return StoredRoute(
         name=route.name,
--- a/src/yokedock_emulator/router_soak/soak_plan.py
+++ b/src/yokedock_emulator/router_soak/soak_plan.py
@@ -93,6 +93,47 @@
 )
 """Events that excuse no refused stream; those of routers may come before a kill, but not soon after
 it."""
+OUT_OF_STEP_KINDS = {
+    "freeze": 0.2,
+    "cut off": 0.6,
+    "cut from store": 0.1,
+    "cut from routers": 0.1,
+}
+"""What puts a router out of step as a version joins, and the shares. Where links cannot be cut, it
+is frozen."""
+CUT_KINDS = ("cut off", "cut from store", "cut from routers")
+ROLLOUT_OF_ALL = "rollout in place of all"
+ROLLOUT_OF_SOME = "rollout in place of some"
+ROLLOUT_BESIDE = "rollout beside"
+ROLLOUT_WITHDRAWN = "rollout withdrawn"
+ROLLOUT_KINDS = (ROLLOUT_OF_ALL, ROLLOUT_OF_SOME, ROLLOUT_BESIDE, ROLLOUT_WITHDRAWN)
+"""A new version joins, and all engines of the one before leave, or half of them, or none; or those
+of the new one leave soon."""
+PARTNER_SHARE = 0.25
+"""Share of the routers cut off with which another is cut off; the two reach each other."""
+CONNECTIONS_BROKEN = "connections broken"
+"""Callers lose their connections to all routers but one."""
+FIRST_ROLLOUT_S = (3.0, 4.0)
+BETWEEN_ROLLOUTS_S = (5.0, 7.0)
+OUT_OF_STEP_S = (0.5, 5.0)
+ROLLOUT_AFTER_SHARE = 0.5
+"""The rollout comes within this share of the time in which a router is out of step."""
+BROKEN_AFTER_ROLLOUT_S = ((0.15, 0.5), (0.6, 1.5), (3.3, 4.5))
+BROKEN_AROUND_RETURN_S = (-0.4, 0.2)
+"""When connections break: soon after a rollout, later, and as the router is in step again."""
+ORIGIN_STORES_SHARE = 0.6
+FIRST_VERSION_STATED_SHARE = 0.75
+"""Shares of the soaks with rollouts in which origin stores run, and the first version is stated."""
+EVENTS_BESIDE_ROLLOUTS = (
+    "configuration",
+    "large configuration",
+    "hang-up",
+    "kill-backend",
+    "restart",
+    "odd entry",
+    "store connection silent",
+)
+"""Events that excuse no refused stream."""
 EVENTS_BESIDE_UNEVEN = ("configuration", "hang-up")
 """Events that must not lessen what is served."""
 
@@ -115,6 +156,9 @@
     """The balancer sends most new connections to one router for a while, and links are narrow."""
     has_all_routers_killed: bool = False
     """All routers are killed at the same moment, some times, and callers resume their streams."""
+    has_version_rollouts: bool = False
+    """Engines of new software versions join, one version after another, while one router is out of
+    step and callers lose their connections to the others."""
 
 
 DEFAULT_OPTIONS = SoakOptions()
@@ -132,6 +176,8 @@
     length_s: float = 0.0
     backup_age_s: float = 0.0
     """Age of the restored backup when the store goes offline; only for "store restored"."""
+    partner: int | None = None
+    """Another router that is cut off with the target."""
     is_in_turn: bool = False
     """Part of a series of stops: it strikes however many routers are down already."""
 
@@ -163,6 +209,8 @@
     events += _events_of("store restored", _restore_event, choices, seconds)
     if options.has_all_routers_killed:
         events = _with_all_routers_killed(events, seed, seconds)
+    if options.has_version_rollouts:
+        events = _with_version_rollouts(events, seed, seconds)
     if options.has_silent_moments:
         choices = random.Random(f"router-soak-silent-moments-{seed}")
         events += _events_of("silent moment", _silent_moment_event, choices, seconds)
@@ -247,6 +295,46 @@
     return kept + router_faults
 
 
+def _with_version_rollouts(events: list[SoakEvent], seed: int, seconds: float) -> list[SoakEvent]:
+    """Add rollouts, each beside a router out of step, and remove what would explain a refusal."""
+    choices = random.Random(f"router-soak-version-rollouts-{seed}")
+    kept = [event for event in events if event.kind in EVENTS_BESIDE_ROLLOUTS]
+    at_s = choices.uniform(*FIRST_ROLLOUT_S)
+    while at_s < seconds:
+        kept += _rollout_events(choices, at_s)
+        at_s += choices.uniform(*BETWEEN_ROLLOUTS_S)
+    return [event for event in kept if event.at_s < seconds]
+
+
+def has_origin_stores(seed: int, options: SoakOptions) -> bool:
+    """Return whether origin stores run beside the backends; some soaks with rollouts have none."""
+    choices = random.Random(f"router-soak-origin-stores-{seed}")
+    return not options.has_version_rollouts or choices.random() < ORIGIN_STORES_SHARE
+
+
+def states_first_version(seed: int, options: SoakOptions) -> bool:
+    """Return whether the first engines state their version; in some soaks with rollouts not."""
+    choices = random.Random(f"router-soak-first-version-{seed}")
+    return not options.has_version_rollouts or choices.random() < FIRST_VERSION_STATED_SHARE
+
+
+def _rollout_events(choices: random.Random, at_s: float) -> list[SoakEvent]:
+    """Return what happens around one rollout."""
+    router, length_s = choices.randrange(ROUTERS), choices.uniform(*OUT_OF_STEP_S)
+    kind = choices.choices(list(OUT_OF_STEP_KINDS), list(OUT_OF_STEP_KINDS.values()))[0]
+    rollout_s = at_s + choices.uniform(0.0, ROLLOUT_AFTER_SHARE) * length_s
+    broken_s = [rollout_s + choices.uniform(*span) for span in BROKEN_AFTER_ROLLOUT_S]
+    broken_s.append(at_s + length_s + choices.uniform(*BROKEN_AROUND_RETURN_S))
+    partner = None
+    if kind == "cut off" and choices.random() < PARTNER_SHARE:
+        partner = (router + choices.randrange(1, ROUTERS)) % ROUTERS
+    return [
+        SoakEvent(at_s, kind, router, length_s, partner=partner),
+        SoakEvent(rollout_s, choices.choice(ROLLOUT_KINDS), choices.randrange(1000)),
+        *(SoakEvent(each, CONNECTIONS_BROKEN, router) for each in broken_s),
+    ]
+
+
 def _restore_event(choices: random.Random, at_s: float) -> list[SoakEvent]:
     offline_s, backup_age_s = choices.uniform(*STORE_OFFLINE_S), choices.uniform(*BACKUP_AGE_S)
     return [SoakEvent(at_s, "store restored", 0, offline_s, backup_age_s)]
--- a/src/yokedock_emulator/router_soak/soak_processes.py
+++ b/src/yokedock_emulator/router_soak/soak_processes.py
@@ -16,7 +16,9 @@
 HANDLED_MASKS = ("SigIgn:", "SigCgt:")
 """Lines of a process's status that tell which signals it ignores and catches."""
 BACKENDS_HOST = "127.0.0.1"
-"""IP address of all backends, and so of the origin store beside them."""
+"""IP address of the first group of backends, and so of the origin store beside them."""
+FIRST_BACKENDS_HOST = 100
+"""Last byte of the IP address of the backends of group 0, if it did not have ``BACKENDS_HOST``."""
 PORTS_PER_ROUTER = 3
 """One each for callers, for readiness, and for other routers and metrics."""
 
@@ -51,12 +53,25 @@
     """IP address of each router."""
     ports: list[int]
     """The ``PORTS_PER_ROUTER`` ports that each router uses on its own IP address."""
+    store_host: str
+    """IP address of the store."""
     origin_store_port: int
-    """The port of the origin store at ``BACKENDS_HOST``."""
+    """The port of the origin stores at the hosts of backends."""
+    can_cut: bool
+    """Whether ``cut`` is available."""
 
     def start(self, router: int, fields: dict[str, Any]) -> RouterProcess:
         """Start a process of a router; ``fields`` are the settings that the platform fills in."""
 
+    def backends_host(self, group: int) -> str:
+        """Return the IP address of the backends of a group, counted from 0."""
+
+    def cut(self, router: int, peers: list[str]) -> None:
+        """Lose all packets between a router and the hosts ``peers``."""
+
+    def heal(self, router: int, peers: list[str]) -> None:
+        """Deliver packets between a router and the hosts ``peers`` again."""
+
     def close(self) -> None:
         """Release all resources, once every process has exited or been killed."""
 
@@ -107,11 +122,15 @@
 class DeployedLauncher:
     """Starts routers that are already built, each on its own loopback address."""
 
+    store_host = BACKENDS_HOST
+    can_cut = False
+    """Links of real processes cannot be cut without privileges."""
+
     def __init__(self, router: DeployedRouter, folder: Path, seed: int) -> None:
         """Write the log of each router to a file in ``folder``."""
         self._router = router
-        network = f"127.{64 + os.getpid() % 128}.{seed % 256}"
-        self.hosts = [f"{network}.{number + 1}" for number in range(ROUTERS)]
+        self._network = f"127.{64 + os.getpid() % 128}.{seed % 256}"
+        self.hosts = [f"{self._network}.{number + 1}" for number in range(ROUTERS)]
         self.ports = _free_ports(self.hosts[0])
         self.origin_store_port = _free_datagram_port(BACKENDS_HOST)
         self._started: list[DeployedProcess] = []
@@ -123,6 +142,17 @@
         self._started.append(process)
         return process
 
+    def backends_host(self, group: int) -> str:
+        """Return the IP address of the backends of a group."""
+        return BACKENDS_HOST if group == 0 else f"{self._network}.{FIRST_BACKENDS_HOST + group}"
+
+    def cut(self, router: int, peers: list[str]) -> None:
+        """Raise an error: ``can_cut`` is False."""
+        raise NotImplementedError("links of real processes cannot be cut")
+
+    def heal(self, router: int, peers: list[str]) -> None:
+        """Do nothing: no link is cut."""
+
     def close(self) -> None:
         """Wait for all processes to exit, then close the logs."""
         for process in self._started:
--- a/src/yokedock_emulator/router_soak/soak_records.py
+++ b/src/yokedock_emulator/router_soak/soak_records.py
@@ -16,13 +16,15 @@
 STREAMS = ("talk", "chat")
 SERVICES = {"once": ("plain-a", "plain-b"), "repeat": ("plain-a", "plain-b")}
 MODEL_SERVICE = "model"
-VERSIONS = ("v1", "v2")
-"""Software versions of backends; what they generate differs."""
+VERSIONS = tuple(f"v{number}" for number in range(1, 13))
+"""Software versions of backends, oldest first; what they generate differs."""
 LIVES_IN = 3
 """A route stands in the configuration it is named after and in the two behind it."""
 ROUTES_A_KIND = 2
 POISON_MARK = b"ends whoever runs it "
 """Begins the body of a request that ends each backend which begins to run it."""
+JUST_BACK_S = 0.5
+"""A router that was frozen or cut off may not have caught up for so long."""
 BOUND_S = 3.0
 """A router in touch acts on what the store has confirmed within this time."""
 
@@ -67,6 +69,12 @@
     """Events that the client has had from an earlier attempt."""
     first_request: str = ""
     """Id of the attempt that had the first event, if an earlier one did."""
+    last_part: str = ""
+    """The last part of its prompt, which no other part follows; empty: its own."""
+    omits_first_request: bool = False
+    """The caller resumes a stream without naming ``first_request``."""
+    is_broken_off: bool = False
+    """The network broke its connection; the outcome is then ``left``."""
     versions: set[str] = dataclasses.field(default_factory=set)
     """Software versions of the engines whose events came."""
     end_s: float = 0.0
@@ -184,6 +192,8 @@
     hang_ups_s: list[float] = dataclasses.field(default_factory=list)
     """When it got SIGHUP."""
     freezes: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    cuts: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    """When it was cut off from the store, the other routers or both."""
     processor_waits: list[ProcessorWait] = dataclasses.field(default_factory=list)
     """Readings in order of time."""
 
@@ -231,6 +241,10 @@
     """Routers that get most new connections, and from when to when."""
     all_routers_killed_s: list[float] = dataclasses.field(default_factory=list)
     """When all routers were killed at the same moment."""
+    unstated_versions: set[str] = dataclasses.field(default_factory=set)
+    """Software versions that the entries of their engines do not name."""
+    rollouts_s: list[float] = dataclasses.field(default_factory=list)
+    """When engines of a new software version began to join."""
     stood_still_s: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which the soak's own process did not run: nothing is known of them."""
     at_end: dict[int, dict[str, float]] = dataclasses.field(default_factory=dict)
@@ -244,7 +258,7 @@
         The time that it spent waiting for a processor does not count towards the bound.
         """
         cursor_s = max(since_s, until_s if life.ready_s is None else life.ready_s)
-        struck = [*life.freezes, *self.store_silent_s, *self.stood_still_s]
+        struck = [*life.freezes, *life.cuts, *self.store_silent_s, *self.stood_still_s]
         if life.terminated_s is not None:
             struck.append((life.terminated_s, until_s))
         for start_s, end_s in sorted(struck):
@@ -283,6 +297,14 @@
         """Return the router that gets most new connections at this time, if one does."""
         return next((r for r, from_s, to_s in self.uneven_spans if from_s <= at_s < to_s), None)
 
+    def out_of_step_at(self, at_s: float) -> int | None:
+        """Return the router that is frozen or cut off, or was until a moment ago, if one is."""
+        for life in self.lives.values():
+            for from_s, until_s in (*life.freezes, *life.cuts):
+                if from_s <= at_s < until_s + JUST_BACK_S:
+                    return life.router
+        return None
+
     def arrived(self) -> frozenset[str]:
         """Return the ids of all requests that reached a backend."""
         return frozenset(arrival.request_id for arrival in self.arrivals)
--- a/src/yokedock_emulator/router_soak/soak_report.py
+++ b/src/yokedock_emulator/router_soak/soak_report.py
@@ -15,7 +15,10 @@
 from yokedock_emulator.router_soak.soak_records import RouterLife, SoakHistory
 from yokedock_emulator.router_soak.soak_streams import (
     ResumedAfterKill,
+    ResumedAtRollouts,
+    order_violations,
     resumed_after_all_killed,
+    resumed_at_rollouts,
     resumed_streams,
 )
 
@@ -64,10 +67,15 @@
     """Requests that a stopping router took and gave up (502, 504), their backends being sound."""
     after_all_killed: ResumedAfterKill = msgspec.field(default_factory=ResumedAfterKill)
     """Streams resumed after all routers were killed."""
+    at_rollouts: ResumedAtRollouts = msgspec.field(default_factory=ResumedAtRollouts)
+    """Streams resumed while software versions were rolled out."""
+    mixed: int = 0
+    """Streams with events of several software versions."""
 
     def summary(self) -> str:
         """Return one line."""
         after_kill = self.after_all_killed
+        rollouts = self.at_rollouts
         return (
             f"seed {self.seed}: {len(self.violations)} violations; {self.requests} requests, "
             f"{self.processes} processes, budget used {self.budget_used:.2f}, "
@@ -76,7 +84,11 @@
             f"longest {self.longest_silence_s:.1f} s, stood still {self.stood_still}, "
             f"{self.went_on} of {self.resumed} resumed streams went on, "
             f"{after_kill.went_on} of {after_kill.resumed} after the loss of all routers "
-            f"({after_kill.judged} judged), {self.given_up} taken and given up"
+            f"({after_kill.judged} judged), {self.given_up} taken and given up; "
+            f"{self.mixed} streams mixed; beside rollouts {rollouts.out_of_step_went_on} of "
+            f"{rollouts.out_of_step} went on at routers out of step, "
+            f"{rollouts.served_went_on} of {rollouts.served} whose version was served, "
+            f"{rollouts.judged_went_on} of {rollouts.judged} judged"
         )
 
 
@@ -114,6 +126,8 @@
         *resumed_streams(history),
         len(given_up(history)),
         resumed_after_all_killed(history),
+        resumed_at_rollouts(history),
+        len(order_violations(history)),
     )
 
 
--- a/src/yokedock_emulator/router_soak/soak_streams.py
+++ b/src/yokedock_emulator/router_soak/soak_streams.py
@@ -4,6 +4,9 @@
 
 import collections
 import dataclasses
+import math
+
+import msgspec
 
 from yokedock_emulator.router_soak.soak_parts import crashing_part
 from yokedock_emulator.router_soak.soak_records import (
@@ -21,6 +24,10 @@
 """Least share of those resumed after all routers were killed, of all that are judged."""
 MIN_RESUMED_AFTER_ALL_KILLED = 10
 """Such streams from which their share is judged."""
+MIN_SHARE_AT_ROLLOUTS = 0.9
+"""Least share of those resumed where versions are rolled out, of all that are judged."""
+MIN_RESUMED_AT_ROLLOUTS = 10
+"""Such streams from which their share is judged."""
 MIN_ENGINES = 2
 """Engines of their version that serve, so that a resumed stream counts."""
 HTTP_OK = 200
@@ -100,6 +107,64 @@
     return counts
 
 
+class ResumedAtRollouts(msgspec.Struct):
+    """Counts of streams that were resumed while versions were rolled out."""
+
+    out_of_step: int = 0
+    """Those resumed at a router that was out of step, or not in touch again."""
+    out_of_step_went_on: int = 0
+    served: int = 0
+    """Those whose version was served all the time, whatever had happened to the router."""
+    served_went_on: int = 0
+    judged: int = 0
+    """Those of them that were begun and resumed at routers in touch, by callers that name the first
+    request."""
+    judged_went_on: int = 0
+
+
+def rollout_violations(history: SoakHistory) -> list[str]:
+    """Return that too few of the streams resumed where versions are rolled out went on, if so."""
+    counts = resumed_at_rollouts(history)
+    least = MIN_SHARE_AT_ROLLOUTS * counts.judged
+    if counts.judged < MIN_RESUMED_AT_ROLLOUTS or counts.judged_went_on >= least:
+        return []
+    return [
+        f"{counts.judged_went_on} of {counts.judged} streams went on "
+        "that were resumed while versions were rolled out"
+    ]
+
+
+def resumed_at_rollouts(history: SoakHistory) -> ResumedAtRollouts:
+    """Count the streams resumed after the first rollout; nothing is counted without one."""
+    counts = ResumedAtRollouts()
+    first_s = min(history.rollouts_s, default=math.inf)
+    for record in history.records.values():
+        first = history.records.get(record.first_request)
+        if first is None or record.sent_s < first_s or record.outcome == "left":
+            continue
+        went_on = _went_on(record)
+        is_in_touch = _is_judged(history, record, record.sent_s - IN_TOUCH_S)
+        counts.out_of_step += not is_in_touch
+        counts.out_of_step_went_on += went_on and not is_in_touch
+        if not _has_engines(history, record):
+            continue
+        counts.served += 1
+        counts.served_went_on += went_on
+        if is_in_touch and not record.omits_first_request and _began_in_step(history, first):
+            counts.judged += 1
+            counts.judged_went_on += went_on
+    return counts
+
+
+def _began_in_step(history: SoakHistory, first: ClientRecord) -> bool:
+    """Return whether the router that began a stream was able to record its version elsewhere."""
+    life = history.lives[first.router, first.life]
+    return not any(
+        from_s <= first.end_s and first.sent_s - BOUND_S <= until_s
+        for from_s, until_s in (*life.freezes, *life.cuts)
+    )
+
+
 def resumed_streams(history: SoakHistory) -> tuple[int, int]:
     """Return how many streams callers resumed, and how many of these went on."""
     resumed = [record for record in history.records.values() if record.last_event_id]
@@ -123,9 +188,14 @@
 
 
 def _has_engines(history: SoakHistory, record: ClientRecord) -> bool:
-    """Return whether enough engines of the stream's version served while it was resumed."""
+    """Return whether enough engines of the stream's version served while it was resumed.
+
+    Streams of engines that do not state their version need not go on.
+    """
     first = history.records.get(record.first_request)
     if first is None or len(first.versions) != 1:
         return False
     (version,) = first.versions
+    if version in history.unstated_versions:
+        return False
     return history.least_engines(version, record.sent_s - IN_TOUCH_S, record.end_s) >= MIN_ENGINES
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -30,6 +30,7 @@
 )
 from yokedock_emulator.router_soak.soak_plan import ROUTERS
 from yokedock_emulator.simulation.event_loop import SimulatedLoop
+from yokedock_emulator.simulation.network import EXTERNAL_ADDRESS
 from yokedock_emulator.simulation.processes import SimulatedProcess, current_process
 
 STARTUP_S = 0.4
@@ -101,6 +102,8 @@
     """Starts routers in a simulation and logs them with simulated times."""
 
     router_type: type[SimulatedRouter] = SimulatedRouter
+    store_host = "10.0.1.1"
+    can_cut = True
 
     def __init__(self, loop: SimulatedLoop, folder: Path) -> None:
         """Write the log of each router to a file in ``folder``."""
@@ -116,6 +119,22 @@
             self._loop.network.limit_link(self.hosts[router], link_mbps * BYTES_PER_S_PER_MBPS)
         return self.router_type(self._loop, self.hosts[router], _settings(fields))
 
+    def backends_host(self, group: int) -> str:
+        """Return the IP address of the backends of a group."""
+        return EXTERNAL_ADDRESS if group == 0 else f"10.0.2.{group}"
+
+    def cut(self, router: int, peers: list[str]) -> None:
+        """Lose all packets between a router and the hosts ``peers``."""
+        for peer in peers:
+            self._loop.network.cut(self.hosts[router], peer)
+            self._loop.network.cut(peer, self.hosts[router])
+
+    def heal(self, router: int, peers: list[str]) -> None:
+        """Deliver packets between a router and the hosts ``peers`` again."""
+        for peer in peers:
+            self._loop.network.heal(self.hosts[router], peer)
+            self._loop.network.heal(peer, self.hosts[router])
+
     def close(self) -> None:
         """Close the logs."""
         self.logs.close()
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -51,9 +51,9 @@
         self._server: asyncio.Server | None = None
         self.address = ""
 
-    async def start(self) -> None:
-        """Listen on any free port of the loopback."""
-        self._server, self.address = await listen(self._serve)
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on any free port of ``host``."""
+        self._server, self.address = await listen(self._serve, host)
 
     def stop(self) -> None:
         """Accept no more connections."""
