--- /dev/null
+++ b/features/simulation_version_rollouts.feature
@@ -0,0 +1,13 @@
+Feature: Four routers in simulated time, one of which is out of step as a software version joins
+
+  # Guards against streams that a router which has not heard of their version resumes at another one, and against refusals of those that it could have resumed.
+  Scenario Outline: Streams keep their software version beside a router out of step, seed <seed>
+    When seed <seed> is simulated for 14 s, with version rollouts
+    Then clients and backends have seen no rule broken in the simulation
+    And at least <resumed> streams were resumed at routers out of step, <judged> were judged
+
+    Examples:
+      | seed | resumed | judged |
+      | 1    | 30      | 7      |
+      | 6    | 20      | 5      |
+      | 4    | 20      | 10     |
--- a/features/steps/simulation_steps.py
+++ b/features/steps/simulation_steps.py
@@ -19,6 +19,7 @@
 BUSY_PROCESSES = 3
 DIGEST = re.compile(r"digest ([0-9a-f]{16})")
 RESUMED = re.compile(r"of (\d+) resumed streams went on")
+BESIDE_ROLLOUTS = re.compile(r"of (\d+) went on at routers out of step, .* of (\d+) judged")
 JUDGED_AFTER_ALL_KILLED = re.compile(r"after the loss of all routers \((\d+) judged\)")
 
 
@@ -111,6 +112,7 @@
     "stops in turn and silent moments": ["--stops-in-turn", "--silent-moments"],
     "endless bytes": ["--endless-bytes"],
     "uneven balancing": ["--uneven-balancing"],
+    "version rollouts": ["--version-rollouts"],
     "two software versions and all routers killed": ["--two-versions", "--all-routers-killed"],
 }
 
@@ -132,6 +134,12 @@
     assert judged >= count, context.output
 
 
+@then("at least {resumed:d} streams were resumed at routers out of step, {judged:d} were judged")
+def were_judged_beside_rollouts(context, resumed, judged):
+    found = BESIDE_ROLLOUTS.search(context.output)
+    assert int(found[1]) >= resumed and int(found[2]) >= judged, context.output
+
+
 @then("clients and backends have seen no rule broken in the simulation")
 def no_rule_broken(context):
     assert context.status == 0, context.output
