--- a/features/simulation_version_rollouts.feature
+++ b/features/simulation_version_rollouts.feature
@@ -11,3 +11,8 @@
       | 1    | 30      | 7      |
       | 6    | 20      | 5      |
       | 4    | 20      | 10     |
+
+  # Guards against streams of engines that state no version which a router moves to engines that state one.
+  Scenario: Streams of engines without a version stay with them as the first version joins
+    When seed 3 is simulated for 12 s, with version rollouts
+    Then clients and backends have seen no rule broken in the simulation
