Require a complete head, chunk header and trailer of each response that agents, gateways and commands read

Callers of a service beside an agent got a 200 with an empty or short body, framed as whole, when the service closed in the middle of its response's head; with an idempotency key the empty answer was kept and replayed. The configuration watch took a cut value or revision, or its thread ended with a ValueError.

Cause: http.client ends the head at the end of the connection as at a blank line, and urllib3 does so with chunk headers and trailers. Without the Content-Length that never came, the response ends with its connection. Ruled out: resets (an error before too), bodies with a length, 100 Continue (its own head cut was an error before).

All these clients read through one module: its responses now read lines that the end of the connection does not end.

--- a/src/yokedock/connection/bounded_http.py
+++ b/src/yokedock/connection/bounded_http.py
@@ -1,8 +1,17 @@
-"""HTTP requests whose timeouts limit the complete response, and whose memory is limited."""
+"""HTTP requests whose timeouts limit the complete response, and whose memory is limited.
+
+A response that was cut off is an error wherever that happened. ``http.client`` and ``urllib3`` take
+the end of the connection for the end of the line and of the head or trailers that they are reading:
+a response that was cut off ahead of its Content-Length would be complete, without a body.
+"""
 
 from __future__ import annotations
 
+import http.client
+import io
+import socket
 from collections.abc import Mapping
+from typing import Any
 
 import msgspec
 import urllib3
@@ -24,9 +33,33 @@
     data: bytes
 
 
+class CompleteLineReader(io.BufferedReader):
+    """A reader for which the end of the connection is not the end of a line."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line, or its first ``size`` bytes.
+
+        Raises ``http.client.RemoteDisconnected`` if the connection ends before the line does.
+        """
+        line = super().readline(size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise http.client.RemoteDisconnected("the connection ended before the response did")
+        return line
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """A response whose head, chunk headers and trailers must be complete."""
+
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+        """Read from ``sock``; the other parameters are those of ``http.client.HTTPResponse``."""
+        super().__init__(sock, *args, **options)
+        self.fp = CompleteLineReader(self.fp.detach())
+
+
 class BoundedConnection(HTTPConnection):
-    """A connection whose responses are limited in time and bytes."""
+    """A connection whose responses are limited in time and bytes, and must be complete."""
 
+    response_class = StrictResponse
     _bounded: BoundedSocket | None = None
 
     def connect(self) -> None:
