Reset the connection when an answer to a caller of HTTP/1.0 is broken off

Such a caller gets no chunks: the end of the connection ends the body. When the router broke a stream off, it closed the connection, and two events of six looked like a whole stream.

Cause: an abort of asyncio's transport closes the socket, which sends FIN if nothing unread is left. Ruled out: callers of HTTP/1.1, which get a length or chunks.

abort() asks for a reset where a close would complete the response. The socket option stands in one place now (it stood in three).

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -38,3 +38,17 @@
     When a client streams on "chat" and its engine holds it after event 2
     And that engine starts anew under its identifier
     Then the stream goes on within 0.3 s, each event once and in order
+
+  # Guards against streams that are broken off and end for a caller of HTTP/1.0 as whole ones do.
+  Scenario Outline: A caller without chunks can tell a stream that the router breaks off, <fault>
+    Given a prefill engine "p"
+    And a decode engine "d"
+    And a router that knows them
+    And every backend's next fault is "<fault>"
+    When a caller of HTTP/1.0 streams on "talk"
+    Then it gets <count> events, and its connection is <end>
+
+    Examples:
+      | fault                | count | end    |
+      | break within event 3 | 2     | reset  |
+      | none                 | 6     | closed |
--- a/features/steps/cut_answer_steps.py
+++ b/features/steps/cut_answer_steps.py
@@ -1,7 +1,11 @@
 """Readers of answers that are cut off after each of their bytes."""
 
+import socket
+
 from behave import given, then, when
+from router_steps import STREAM_HEADERS
 from support.cut_answer_properties import cut_answers_taken
+from support.router_world import LIMIT_S, request_bytes
 
 
 @when("the answer to the {name} is cut off after each of its bytes, in each framing")
@@ -26,3 +30,23 @@
     answered, _, body, is_whole = context.caller.read_answer()
     assert (answered, is_whole) == (status, True), (answered, body)
     assert answered != 200 or body == b"answer of a", body
+
+
+@when('a caller of HTTP/1.0 streams on "{route}"')
+def stream_without_chunks(context, route):
+    request = request_bytes(route, headers=STREAM_HEADERS).replace(b"HTTP/1.1", b"HTTP/1.0")
+    host, _, port = context.router.settings.callers.listen.rpartition(":")
+    context.received, context.end = b"", "closed"
+    with socket.create_connection((host, int(port)), LIMIT_S) as connection:
+        connection.sendall(request)
+        try:
+            while part := connection.recv(65_536):
+                context.received += part
+        except ConnectionResetError:
+            context.end = "reset"
+
+
+@then("it gets {count:d} events, and its connection is {end}")
+def gets_events(context, count, end):
+    assert context.received.count(b"\nid: ") == count, context.received
+    assert context.end == end
--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -4,10 +4,10 @@
 import dataclasses
 import itertools
 import socket
-import struct
 import threading
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+from yokedock.base.sockets import reset_on_close
+
 LIMIT_S = 5.0
 HEAD_END = b"\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -121,7 +121,7 @@
         _read_request(connection)
         connection.sendall(self.answer.data)
         if self.answer.is_reset:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(connection)
 
 
 def _read_request(connection):
--- a/src/yokedock/base/sockets.py
+++ b/src/yokedock/base/sockets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from collections.abc import Callable
 
 from yokedock.base.logs import logger
@@ -13,6 +14,8 @@
 _log = logger("sockets")
 
 MAX_DATAGRAM_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER with zero timeout: a close discards unsent data and sends RST."""
 READ_ATTEMPTS = 2
 """A socket reports the error of an earlier send once, ahead of the queued datagrams."""
 
@@ -40,6 +43,11 @@
     return created
 
 
+def reset_on_close(connected: socket.socket) -> None:
+    """Have a connection reset when it is closed, which its peer can tell from a normal end."""
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def new_datagram_socket(address: str) -> socket.socket:
     """Return a non-blocking datagram socket that is bound to ``address``, IP:port.
 
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import AsyncIterator, Callable
 
 import h11
@@ -18,7 +17,7 @@
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.read_first_timeout import ReadFirstTimeout
-from yokedock.base.sockets import new_socket
+from yokedock.base.sockets import new_socket, reset_on_close
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.header_numbers import parse_integer
 from yokedock.connection.http_heads import Header, RequestHead, ResponseHead
@@ -32,8 +31,6 @@
 )
 
 READ_BYTES = 65_536
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with zero timeout: a close discards unsent data and sends RST."""
 MAX_HEAD_BYTES = 65_536
 MAX_DISCARDED_BYTES = 16_777_216
 """Bytes of responses to earlier requests and of interim responses ahead of a response."""
@@ -221,8 +218,7 @@
         """
         self._note_closed_here()
         if not self._writer.transport.is_closing():
-            sock = self._writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
     def abort_after_reading(self) -> None:
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -18,6 +18,7 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
+from yokedock.base.sockets import reset_on_close
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.acknowledgement import MS_PER_SECOND, read_acknowledgement_state
 from yokedock.connection.caller_request import CallerRequest, check_head
@@ -33,6 +34,7 @@
 _log = logger("caller")
 
 READ_BYTES = 65_536
+HTTP_1_0 = b"1.0"
 LINGER_S = 1.0
 """How long incoming data is read after our FIN, so that the caller receives the last response."""
 LOST_AFTER_S = 10.0
@@ -161,8 +163,13 @@
             raise ClientClosedConnection(f"the caller's connection is lost ({error!r})") from None
 
     def abort(self) -> None:
-        """Close the connection immediately, without flushing."""
+        """Close the connection immediately, without flushing.
+
+        It is reset if its end would otherwise complete the response that it cuts off.
+        """
         self._is_aborted = True
+        if self._would_complete_response() and not self._writer.transport.is_closing():
+            reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
     def abort_if_lost(self) -> None:
@@ -208,6 +215,18 @@
         with contextlib.suppress(OSError):
             await self._writer.wait_closed()
 
+    def _would_complete_response(self) -> bool:
+        """Return whether a close would end a response of which a part was not sent.
+
+        Callers of HTTP/1.0 get no chunks: the end of the connection ends the body.
+        """
+        response = self._response
+        if response is None or not response.has_started:
+            return False
+        has_unsent = self._writer.transport.get_write_buffer_size() > 0
+        is_cut = has_unsent or not response.has_ended
+        return is_cut and self._parser.their_http_version == HTTP_1_0
+
     # --- Reading ---
 
     async def _read_request(self) -> CallerRequest | None:
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -13,7 +13,7 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
-from yokedock.connection.backend_connection import RESET_ON_CLOSE
+from yokedock.base.sockets import reset_on_close
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import CallerConnection
 from yokedock.connection.caller_request import CallerRequest
@@ -478,8 +478,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, so that its peer knows that nothing was read."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    reset_on_close(writer.get_extra_info("socket"))
     writer.transport.abort()
 
 
