Cut a response off when its handler fails midway

A gateway's caller got a stream that ended as whole HTTP (last chunk sent, without [DONE]) when the handler failed in a way that nobody expected, once the response had begun.

Cause: the WSGI application returned an empty body then, after which waitress sends the last chunk. Ruled out: an error in an iterated body (cut off before too), typed errors of a stream (sent as its last event).

The application raises ClientDisconnected, for which waitress closes the connection without the last chunk; the error is logged.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -165,6 +165,7 @@
       | a raised idle timeout holds for connections that wait          |
       | a complete answer is sent although a stop ends                 |
       | a request that is handled is not flushed                       |
+      | a response whose handler fails is cut off                      |
       | a caller that leaves before its rejection is no error          |
       | a caller that reads slowly gets the whole answer               |
       | a caller without acknowledgements is noticed                   |
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import contextlib
+import http.client
 import socket
 import struct
 import threading
@@ -312,6 +313,27 @@
     assert not was_flushed
 
 
+def a_response_whose_handler_fails_is_cut_off():
+    """Guards against gateways that end a stream as whole after an error that nobody expected."""
+
+    def fail(request):
+        request.start(200, [])(b"first")
+        raise ValueError
+
+    router = HttpRouter()
+    router.add("GET", "/x", fail)
+    server = HttpServer(router, "127.0.0.1:0", 1)
+    server.start()
+    with contextlib.closing(server):
+        response = urllib.request.urlopen(f"{server.url}/x", timeout=LIMIT_S)
+        try:
+            body = response.read()
+        except http.client.IncompleteRead as error:
+            assert error.partial == b"first", error.partial
+            return
+    raise AssertionError(f"whole: {body!r}")
+
+
 def a_caller_that_reads_slowly_gets_the_whole_answer():
     """Guards against callers that are cut because they read a large answer slowly.
 
@@ -382,6 +404,7 @@
     "a caller that reads slowly gets the whole answer": (
         a_caller_that_reads_slowly_gets_the_whole_answer
     ),
+    "a response whose handler fails is cut off": a_response_whose_handler_fails_is_cut_off,
     "a caller without acknowledgements is noticed": a_caller_without_acknowledgements_is_noticed,
     "a complete answer is sent although a stop ends": (
         a_complete_answer_is_sent_although_a_stop_ends
--- a/src/yokedock/connection/http_server.py
+++ b/src/yokedock/connection/http_server.py
@@ -152,6 +152,15 @@
     return HttpResponse(error.http_status, body, headers=headers)
 
 
+def _failure_response(error: Exception) -> HttpResponse:
+    """Return the response for any error of a handler."""
+    if isinstance(error, YokedockError):
+        return error_response(error)
+    text = "internal error; see the logs for its traceback"
+    body = msgspec.json.encode(ErrorResponse(ErrorBody("internal_error", text, Outcome.UNKNOWN)))
+    return HttpResponse(500, body)
+
+
 class HttpRouter:
     """A WSGI application made of routes. A route ending in ``/`` matches all paths below it."""
 
@@ -170,15 +179,14 @@
         request = HttpRequest(environ, start_response)
         try:
             response = self._find(request)(request)
-        except YokedockError as error:
-            response = error_response(error)
-        except Exception:
-            _log.exception("handler failed", path=request.path)
-            text = "internal error; see the logs for its traceback"
-            body = msgspec.json.encode(
-                ErrorResponse(ErrorBody("internal_error", text, Outcome.UNKNOWN))
-            )
-            response = HttpResponse(500, body)
+        except Exception as error:
+            if not isinstance(error, YokedockError):
+                _log.exception("handler failed", path=request.path)
+            if request.has_responded:
+                _log.warning("response cut off", path=request.path, error=str(error))
+                # Has waitress close the connection without the last chunk of the response.
+                raise ClientDisconnected from None
+            response = _failure_response(error)
         if response is None or request.has_responded:
             return []
         headers = response.headers
