--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import AsyncIterator, Callable
 
 import h11
@@ -18,7 +17,7 @@
 from yokedock.base.clock import boot_time_s, wall_clock_ms
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.read_first_timeout import ReadFirstTimeout
-from yokedock.base.sockets import new_socket
+from yokedock.base.sockets import new_socket, reset_on_close
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.header_numbers import parse_integer
 from yokedock.connection.http_heads import Header, RequestHead, ResponseHead
@@ -32,8 +31,6 @@
 )
 
 READ_BYTES = 65_536
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with zero timeout: a close discards unsent data and sends RST."""
 MAX_HEAD_BYTES = 65_536
 MAX_DISCARDED_BYTES = 16_777_216
 """Bytes of responses to earlier requests and of interim responses ahead of a response."""
@@ -92,6 +89,8 @@
         """Whether ``abort_after_reading`` was called."""
         self._peer_closed = False
         """Whether the peer has closed its sending side."""
+        self._is_cut_here = False
+        """Whether this side has closed the connection before the peer did."""
 
     @classmethod
     async def connect(
@@ -217,10 +216,9 @@
 
         Without the reset the kernel would go on delivering the data it has buffered of a long body.
         """
-        self._can_reuse = False
+        self._note_closed_here()
         if not self._writer.transport.is_closing():
-            sock = self._writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
     def abort_after_reading(self) -> None:
@@ -233,9 +231,14 @@
 
     def close(self) -> None:
         """Close after flushing pending data."""
-        self._can_reuse = False
+        self._note_closed_here()
         self._writer.close()
 
+    def _note_closed_here(self) -> None:
+        self._can_reuse = False
+        if not getattr(self._reader, "_eof", False):
+            self._is_cut_here = True
+
     async def _next_head(self) -> ResponseHead:
         while True:
             event = await self._next_event()
@@ -281,6 +284,9 @@
             ) from None
         except OSError as error:
             raise BackendConnectionClosed(f"{self.address}: {error.strerror or error}") from None
+        if not data and self._is_cut_here:
+            # asyncio reports it like an end that the peer has sent, which may complete a body.
+            raise BackendConnectionClosed(f"{self.address}: connection given up")
         if not is_buffered:
             self._turns.begin()
         self._peer_closed = not data
