An address that nothing can be called at is not taken from other routers

Callers saw: 503 'the router failed; the request was not run' for calls placed on a backend with port 65,536, or a port or host that is none, that the router had been told of by another one (3 to 5 of 12 calls beside two sound ones).

Cause: only the store's documents had their address checked. Converting such an address raised ValueError or OverflowError where only OSError is expected, so the router took its own failure for one of the request.

Change: entry_problem checks the address; the state and the news of other routers pass through it, and an invalid entry costs only itself. Whatever else can't be converted when a connection is made counts as unreachable.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -36,3 +36,17 @@
       | " odd"                |
       | "odd "                |
       | ""                    |
+
+  # Guards against an address that no connection can be made to: calls placed on it got 503.
+  Scenario Outline: An address told by another router that nothing can be called at: <address>
+    When the second router's peer tells of an entry whose address is <address>, in <way>
+    Then 12 calls at the second router get 200
+
+    Examples:
+      | address          | way        |
+      | 127.0.0.1:65536  | a datagram |
+      | 127.0.0.1:65536  | its state  |
+      | 127.0.0.1:0      | its state  |
+      | 127.0.0.1:x      | its state  |
+      | 127.0.0.1        | its state  |
+      | x..y:80          | its state  |
--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -212,6 +212,7 @@
       | property                                       |
       | what the source says can be sent on            |
       | a listed name can stand in a header            |
+      | an odd entry of another router costs only itself |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/odd_entry_properties.py
+++ b/features/support/odd_entry_properties.py
@@ -10,11 +10,12 @@
 
 from support.entry_properties import VALID_ENTRY
 from yokedock.connection.dialect import ForwardingOrder
+from yokedock.connection.entry_validation import without_invalid_entries
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.source_position import SourcePosition
-from yokedock.connection.state_source import StateSnapshot
+from yokedock.connection.state_source import BackendEntry, StateSnapshot
 from yokedock.platform.store import StoredItem, items_to_changes
 from yokedock.process.state_exchange import PackedState, unpack
 
@@ -85,7 +86,41 @@
     assert unpack(packed) == StateSnapshot(SourcePosition(revision=3), None, backends)
 
 
+ODD_ENTRIES = st.builds(
+    BackendEntry,
+    instance=st.text(NAME_CHARACTERS, max_size=4),
+    service=st.just("s"),
+    address=st.builds(
+        "{}:{}".format,
+        st.sampled_from(("127.0.0.1", "", "x..y", "h" * 64, "\0", "host.example", "::1")),
+        ANY_SIZE | st.integers(0, 70_000) | st.sampled_from(("", "x", "8\u00b2", "9" * 5000)),
+    ),
+    slots=st.integers(-1, 200_000),
+    born_ms=st.integers(-(2**63), 2**64 - 1),
+    revision=st.integers(-(2**63), 2**64 - 1),
+)
+
+
+@many_examples(odd=ODD_ENTRIES)
+def an_odd_entry_of_another_router_costs_only_itself(odd):
+    """What another router sends adds no backend that can't be sent on, named or called."""
+    sound = BackendEntry("sound", "s", "10.0.0.1:80")
+    packed = PackedState(3, {odd.instance: odd, "sound": sound})
+    taken = unpack(msgspec.msgpack.encode(packed)).backends
+    news = without_invalid_entries(StateNews(1, 3, 1, (odd, sound), ()))
+    assert taken["sound"] == sound and sound in news.changed
+    assert set(taken.values()) == set(news.changed)
+    assert (odd in news.changed) != (odd.instance in news.gone)
+    for entry in news.changed:
+        host, _, port = entry.address.rpartition(":")
+        assert host.encode("idna") and 0 < int(port) < 65_536
+        assert 1 <= entry.slots <= 100_000 and entry.born_ms >= 0
+
+
 ODD_ENTRY_PROPERTIES = {
+    "an odd entry of another router costs only itself": (
+        an_odd_entry_of_another_router_costs_only_itself
+    ),
     "a listed name can stand in a header": a_listed_name_can_stand_in_a_header,
     "what the source says can be sent on": what_the_source_says_can_be_sent_on,
 }
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -369,5 +369,7 @@
             ) from None
         except OSError as error:
             raise BackendUnreachable(f"{address}: {error.strerror or error}") from None
+        except (ValueError, OverflowError) as error:
+            raise BackendUnreachable(f"{address} is not an address: {error}") from None
         cleanup.pop_all()
     return sock
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -29,7 +29,6 @@
     STREAM_KIND: RouteKind.STREAM,
 }
 DRAINING: Final = "draining"
-MAX_PORT = 65_535
 MAX_ENTRY_BYTES = 65_536
 """An engine's entry has about 250 bytes, with a hundred models and adapters about 10,000."""
 
@@ -152,7 +151,7 @@
     if len(document) > MAX_ENTRY_BYTES:
         raise ValueError(f"the entry has {len(document)} bytes, the maximum is {MAX_ENTRY_BYTES}")
     stored = msgspec.json.decode(document, type=StoredServer)
-    _check_address(stored.address)
+    ipaddress.IPv4Address(stored.address.rpartition(":")[0])
     entry = BackendEntry(
         instance=instance,
         service=stored.service,
@@ -171,15 +170,6 @@
     return entry
 
 
-def _check_address(address: str) -> None:
-    """Raise ``ValueError`` unless ``address`` is an IPv4 address with a port from 1 to 65535."""
-    host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
-    is_numeric = port.isascii() and port.isdigit()
-    if not is_numeric or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"$.address: {port!r} is not a valid port")
-
-
 def _route(stored: StoredRoute) -> Route:
     targets = tuple(WeightedTarget(t.service, t.weight) for t in stored.traffic_split)
     if not targets and stored.service is not None:
--- a/src/yokedock/process/gossip_handler.py
+++ b/src/yokedock/process/gossip_handler.py
@@ -10,6 +10,7 @@
 
 from yokedock.base.clock import wall_clock_ms
 from yokedock.base.logs import logger
+from yokedock.connection.entry_validation import without_invalid_entries
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.connection.router_state import RouterState
 from yokedock.process.leader_term import LeaderTerm
@@ -159,7 +160,8 @@
         self._components.backends.apply_remote_limits(other.address, state.limits, other.heard_s)
 
     def _apply_source_progress(self, other: OtherRouter, state: RouterState) -> None:
-        self._components.follower.apply_news(state.news)
+        news = tuple(without_invalid_entries(changes) for changes in state.news)
+        self._components.follower.apply_news(news)
         self._components.exchange.on_router_state(state)
 
     def fencing_token(self) -> int | None:
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -18,6 +18,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.backend_pool import BackendPool
+from yokedock.connection.entry_validation import valid_entries
 from yokedock.connection.http_get import DOCUMENT_TRANSFER_LIMITS
 from yokedock.connection.router_gossip import OtherRouter
 from yokedock.connection.router_state import RouterState
@@ -214,7 +215,10 @@
 
 
 def unpack(body: bytes) -> StateSnapshot:
-    """Decode the state sent by a router; raises ``MsgspecError`` or ``zlib.error``."""
+    """Decode the state sent by a router, without invalid entries.
+
+    Raises ``MsgspecError`` or ``zlib.error``.
+    """
     packed = msgspec.msgpack.decode(body, type=PackedState)
     table = None
     if packed.packed_table:
@@ -223,4 +227,5 @@
         if decompressor.unconsumed_tail:
             raise zlib.error(f"the decompressed table exceeds {MAX_TABLE_BYTES} bytes")
         table = msgspec.msgpack.decode(encoded, type=RouteTable)
-    return StateSnapshot(SourcePosition(packed.era, packed.position), table, packed.backends)
+    backends = {entry.instance: entry for entry in valid_entries(packed.backends.values())}
+    return StateSnapshot(SourcePosition(packed.era, packed.position), table, backends)
