A configuration with a number out of range is refused

Callers saw (derived from a property; not seen in a fleet): a configuration in the store with an integer over 64 bits (version, connections, memory, priority and others) is taken by the router that reads it; no other router can be sent that table, so the state exchange fails for good. A version of 19 digits can't be asked for at all. Durations below 0 or of 10^300 s, a memory of 0 tokens (divided by) and weights whose sum is infinite reached the decisions.

Cause: the fields had types but no ranges. The store takes only valid configurations, so this takes a fault there, or a table of another router.

Change: table_problem, one rule for all sources of tables; the store's documents and the state of other routers use it. The table in force stays, as with any configuration that can't be decoded.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -213,6 +213,8 @@
       | what the source says can be sent on            |
       | a listed name can stand in a header            |
       | an odd entry of another router costs only itself |
+      | a configuration in force can be used and sent on |
+      | a sound configuration is used                  |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/odd_entry_properties.py
+++ b/features/support/odd_entry_properties.py
@@ -1,7 +1,11 @@
 """Tests that one odd entry of the state source costs only itself, also at other routers."""
 
 import base64
+import copy
+import datetime
 import json
+import math
+import zlib
 
 import h11
 import msgspec
@@ -86,6 +90,91 @@
     assert unpack(packed) == StateSnapshot(SourcePosition(revision=3), None, backends)
 
 
+ODD_NUMBERS = ANY_SIZE | st.floats(allow_nan=False, allow_infinity=False)
+SOUND_CONFIGURATION = {
+    "version": 7,
+    "limits": {"maxHeaderBytes": 1, "headerTimeoutMs": 1.0, "idleTimeoutMs": 1.0},
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "pathPrefix": "/r/",
+            "routeType": "streaming",
+            "timeoutMs": 1000.0,
+            "targetLatencyMs": 100.0,
+            "itlTargetMs": 1.0,
+            "priority": 1,
+            "maxAttempts": 2,
+            "trafficSplit": [{"service": "s", "weight": 1.0}, {"service": "t", "weight": 2.0}],
+        }
+    ],
+    "services": [
+        {
+            "name": "s",
+            "maxConnections": 4,
+            "engine": {
+                "slotCount": 4,
+                "kvCapacity": 1000,
+                "kvTokenBytes": 1.0,
+                "linkMbps": 1.0,
+                "stride": 1,
+                "kvHoldS": 0.5,
+                "stageSwitchS": 0.5,
+                "holdMs": 1.0,
+            },
+        }
+    ],
+}
+
+
+def number_paths(document, path=()):
+    """Return the paths of all numbers in a document."""
+    if isinstance(document, dict):
+        return [p for key, inner in document.items() for p in number_paths(inner, (*path, key))]
+    if isinstance(document, list):
+        return [p for n, inner in enumerate(document) for p in number_paths(inner, (*path, n))]
+    return [path] if isinstance(document, int | float) else []
+
+
+def with_number(path, number):
+    """Return the sound configuration with another number at ``path``."""
+    changed = copy.deepcopy(SOUND_CONFIGURATION)
+    inner = changed
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = number
+    return changed
+
+
+def configuration_changes(document):
+    """Return what follows from a configuration in the store."""
+    value = base64.b64encode(json.dumps(document).encode()).decode()
+    return items_to_changes((StoredItem("op/config", value, 3),), SourcePosition(revision=3))
+
+
+@many_examples(path=st.sampled_from(number_paths(SOUND_CONFIGURATION)), number=ODD_NUMBERS)
+def a_configuration_in_force_can_be_used_and_sent_on(path, number):
+    """A configuration with an odd number is refused, or can be sent on and calculated with."""
+    table = configuration_changes(with_number(path, number)).table
+    if table is None:
+        return
+    packed = zlib.compress(msgspec.msgpack.encode(table))
+    assert unpack(msgspec.msgpack.encode(PackedState(3, {}, packed))).table == table
+    route, engine = table.routes[0], table.services["s"].engine
+    assert len(str(table.version)) <= 18 and table.version >= 0
+    assert 1 / engine.memory_tokens > 0 and 0.9 * engine.memory_tokens > 0
+    weights = [max(0.0, target.weight) for target in route.targets]
+    assert math.isfinite(sum(weights))
+    for duration_s in (route.timeout_s, route.target_s, route.gap_target_s, engine.handle_s):
+        assert duration_s >= 0 and datetime.timedelta(seconds=duration_s) >= datetime.timedelta()
+
+
+def a_sound_configuration_is_used():
+    """The configuration that others are made from is itself valid, and so are its defaults."""
+    assert configuration_changes(SOUND_CONFIGURATION).table.version == 7
+    assert configuration_changes({"version": 1}).table.version == 1
+
+
 ODD_ENTRIES = st.builds(
     BackendEntry,
     instance=st.text(NAME_CHARACTERS, max_size=4),
@@ -118,6 +207,10 @@
 
 
 ODD_ENTRY_PROPERTIES = {
+    "a configuration in force can be used and sent on": (
+        a_configuration_in_force_can_be_used_and_sent_on
+    ),
+    "a sound configuration is used": a_sound_configuration_is_used,
     "an odd entry of another router costs only itself": (
         an_odd_entry_of_another_router_costs_only_itself
     ),
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -18,6 +18,7 @@
     ServiceSpec,
     WeightedTarget,
 )
+from yokedock.version.table_validation import table_problem
 
 SECONDS_PER_MS = 0.001
 REPEATABLE_KIND = "idempotent"
@@ -130,10 +131,10 @@
 
 
 def route_table(document: bytes) -> RouteTable:
-    """Convert the operator's configuration; raises ``msgspec.MsgspecError`` if it is invalid."""
+    """Convert the operator's configuration; raises ``ValueError`` if it is invalid."""
     stored = msgspec.json.decode(document, type=StoredConfiguration)
     limits = stored.limits
-    return RouteTable(
+    table = RouteTable(
         stored.version,
         tuple(_route(route) for route in stored.routes),
         {service.name: _service(service) for service in stored.services},
@@ -144,6 +145,10 @@
             limits.idle_timeout_ms * SECONDS_PER_MS,
         ),
     )
+    problem = table_problem(table)
+    if problem is not None:
+        raise ValueError(problem)
+    return table
 
 
 def backend_entry(instance: str, document: bytes, revision: int = 0) -> BackendEntry:
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -29,6 +29,7 @@
 from yokedock.process.state_follower import CHANGE_BATCHING_S, StateFollower
 from yokedock.router_errors import BackendResponseError, BackendUnreachable
 from yokedock.version.route_table import RouteTable
+from yokedock.version.table_validation import table_problem
 
 _log = logger("exchange")
 
@@ -227,5 +228,8 @@
         if decompressor.unconsumed_tail:
             raise zlib.error(f"the decompressed table exceeds {MAX_TABLE_BYTES} bytes")
         table = msgspec.msgpack.decode(encoded, type=RouteTable)
+        problem = table_problem(table)
+        if problem is not None:
+            raise msgspec.ValidationError(problem)
     backends = {entry.instance: entry for entry in valid_entries(packed.backends.values())}
     return StateSnapshot(SourcePosition(packed.era, packed.position), table, backends)
