An odd value in the routes file is reported, and ends no task

Operators saw: a weight that is no number ('s:x'), a port of a digit that int doesn't know or of thousands of digits ended the task that follows the file with ValueError, again and again, instead of the line that names place and remedy. Not a number, infinite and negative times, a memory of 2^64 tokens, port 0 and names that no header can carry were accepted; a memory of that size could not be told to other routers.

Cause: conversions outside of the checked ones, and options without a range. The check of addresses serves all settings, so those are mended too.

Change: weights and ports are checked; table_problem and entry_problem hold for the file as for any other source.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -215,6 +215,7 @@
       | an odd entry of another router costs only itself |
       | a configuration in force can be used and sent on |
       | a sound configuration is used                  |
+      | a routes file in force can be used and sent on |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/odd_entry_properties.py
+++ b/features/support/odd_entry_properties.py
@@ -1,15 +1,18 @@
 """Tests that one odd entry of the state source costs only itself, also at other routers."""
 
+import asyncio
 import base64
 import copy
 import datetime
 import json
 import math
+import tempfile
 import zlib
+from pathlib import Path
 
 import h11
 import msgspec
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from support.entry_properties import VALID_ENTRY
@@ -18,8 +21,10 @@
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.router_state import StateNews
+from yokedock.connection.routes_file import RoutesFile
 from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
+from yokedock.errors import PlatformUnavailable
 from yokedock.platform.store import StoredItem, items_to_changes
 from yokedock.process.state_exchange import PackedState, unpack
 
@@ -206,7 +211,71 @@
         assert 1 <= entry.slots <= 100_000 and entry.born_ms >= 0
 
 
+ROUTES_FILE = {
+    "table": {"version": "7", "max_body_bytes": "100", "idle_timeout_s": "1"},
+    "route r": {
+        "host": "h",
+        "prefix": "/r/",
+        "kind": "repeatable",
+        "services": "s:0.5",
+        "timeout_s": "1",
+        "target_s": "1",
+        "max_attempts": "1",
+        "pause_s": "0",
+    },
+    "service s": {
+        "memory_tokens": "10",
+        "slots": "1",
+        "tokens_per_event": "1",
+        "handle_s": "1",
+    },
+    "backend b": {"service": "s", "address": "127.0.0.1:80", "zone": "", "slots": "1"},
+}
+OPTIONS = [(section, name) for section, options in ROUTES_FILE.items() for name in options]
+ODD_TEXTS = (
+    ANY_SIZE.map(str)
+    | st.sampled_from(("nan", "inf", "-1", "1e400", "", "x", "9" * 5000, "1e9000", "\u00b2"))
+    | st.sampled_from(("s:x", "s:1:2", "s:nan", "s:inf", "s", ":", "127.0.0.1:8\u00b2"))
+    | st.sampled_from(("127.0.0.1:65536", "127.0.0.1:0", "x..y:80", "127.0.0.1:" + "9" * 5000))
+)
+
+
+def routes_text(section, name, value, backend="b"):
+    """Return a valid routes file with another value of one option, and another backend's name."""
+    changed = {title: dict(options) for title, options in ROUTES_FILE.items()}
+    changed[section][name] = value
+    changed[f"backend {backend}"] = changed.pop("backend b")
+    lines = []
+    for title, options in changed.items():
+        lines += [f"[{title}]", *(f"{key} = {value}" for key, value in options.items())]
+    return "\n".join(lines)
+
+
+@many_examples(
+    place=st.sampled_from(OPTIONS),
+    value=ODD_TEXTS,
+    backend=st.sampled_from(("b", "b", "\x01", "x" * 201)),
+)
+@example(place=("route r", "services"), value="s:x", backend="b")
+@example(place=("backend b", "address"), value="127.0.0.1:8\u00b2", backend="b")
+def a_routes_file_in_force_can_be_used_and_sent_on(place, value, backend):
+    """A routes file is refused with a message that names the place, or can be sent on."""
+    with tempfile.NamedTemporaryFile("w", encoding="utf-8") as file:
+        file.write(routes_text(*place, value, backend))
+        file.flush()
+        try:
+            read = asyncio.run(RoutesFile(Path(file.name)).read())
+        except PlatformUnavailable:
+            return
+    packed = zlib.compress(msgspec.msgpack.encode(read.table))
+    sent = unpack(msgspec.msgpack.encode(PackedState(7, read.backends, packed)))
+    assert sent.table == read.table and sent.backends == read.backends
+
+
 ODD_ENTRY_PROPERTIES = {
+    "a routes file in force can be used and sent on": (
+        a_routes_file_in_force_can_be_used_and_sent_on
+    ),
     "a configuration in force can be used and sent on": (
         a_configuration_in_force_can_be_used_and_sent_on
     ),
--- a/src/yokedock/base/options.py
+++ b/src/yokedock/base/options.py
@@ -9,6 +9,7 @@
 
 import configparser
 import dataclasses
+import re
 from collections.abc import Callable, Collection, Mapping
 from pathlib import Path
 from typing import Any, TypeVar
@@ -17,6 +18,7 @@
 _MISSING = dataclasses.MISSING
 _TRUE_WORDS = frozenset({"yes", "true", "on", "1"})
 _FALSE_WORDS = frozenset({"no", "false", "off", "0"})
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,7 +60,7 @@
 def address(value: Any) -> str | None:
     """Check that the value has the form of an IP address and a port."""
     host, _, port = str(value).rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
+    if not host or _PORT.fullmatch(port) is None or int(port) > 65535:
         return "write an IP address and a port, such as 127.0.0.1:7070"
     return None
 
--- a/src/yokedock/connection/routes_file.py
+++ b/src/yokedock/connection/routes_file.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from yokedock.base.options import Problems, address, between, one_of, option, read_ini, read_section
+from yokedock.connection.entry_validation import entry_problem
 from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import (
     BackendEntry,
@@ -29,10 +30,22 @@
     ServiceSpec,
     WeightedTarget,
 )
+from yokedock.version.table_validation import table_problem
 
 POLL_S = 0.5
 
 
+def _weighted_services(values: Any) -> str | None:
+    """Check that the weight of each service, if it has one, is a number."""
+    for text in values:
+        weight = text.partition(":")[2]
+        try:
+            float(weight or 1)
+        except ValueError:
+            return "write each as NAME or NAME:WEIGHT, with a number such as 0.5 as its weight"
+    return None
+
+
 @dataclasses.dataclass(frozen=True)
 class TableOptions:
     """Section [table]: the version, and the limits for callers."""
@@ -49,7 +62,9 @@
     host: str = option("host name")
     prefix: str = option("path prefix that starts and ends with a slash")
     kind: str = option("which requests may be retried", check=one_of(*RouteKind))
-    services: tuple[str, ...] = option("services, each as NAME or NAME:WEIGHT")
+    services: tuple[str, ...] = option(
+        "services, each as NAME or NAME:WEIGHT", check=_weighted_services
+    )
     timeout_s: float = option("request timeout, s", 60.0, between(0.01, 86_400))
     target_s: float = option("target time to the response or the first event, s", 1.0)
     max_attempts: int = option(
@@ -108,11 +123,12 @@
     _check_services(found, problems)
     if problems.lines or table is None:
         raise SettingsInvalid(problems.text())
-    return StateSnapshot(
-        SourcePosition(revision=table.version),
-        _table(table, found),
-        {name: _backend_entry(name, options) for name, options in found["backend"].items()},
-    )
+    route_table = _table(table, found)
+    backends = {name: _backend_entry(name, options) for name, options in found["backend"].items()}
+    _check_ranges(route_table, backends, problems)
+    if problems.lines:
+        raise SettingsInvalid(problems.text())
+    return StateSnapshot(SourcePosition(revision=table.version), route_table, backends)
 
 
 class RoutesFile(StateSource):
@@ -155,6 +171,15 @@
                 problems.add(f"[route {name}] services", f"unknown service {service}", remedy)
 
 
+def _check_ranges(table: RouteTable, backends: dict[str, BackendEntry], problems: Problems) -> None:
+    """Add what no single option shows: what holds for routes and backends of any source."""
+    if (problem := table_problem(table)) is not None:
+        problems.add("routes and services", problem, "write a number in that range")
+    for name, entry in backends.items():
+        if (problem := entry_problem(entry)) is not None:
+            problems.add(f"[backend {name!r}]", problem, "correct it")
+
+
 def _table(table: TableOptions, found: dict[str, dict[str, Any]]) -> RouteTable:
     limits = CallerLimits(body_bytes=table.max_body_bytes, idle_timeout_s=table.idle_timeout_s)
     routes = tuple(_route(name, options) for name, options in found["route"].items())
