--- a/features/steps/property_steps.py
+++ b/features/steps/property_steps.py
@@ -17,6 +17,7 @@
 from support.list_confirmation_properties import LIST_CONFIRMATION_PROPERTIES
 from support.lost_caller_properties import LOST_CALLER_PROPERTIES
 from support.notice_properties import NOTICE_PROPERTIES
+from support.odd_entry_properties import ODD_ENTRY_PROPERTIES
 from support.placement_cost_properties import PLACEMENT_COST_PROPERTIES
 from support.poison_part_properties import POISON_PART_PROPERTIES
 from support.poison_properties import POISON_PROPERTIES
@@ -29,6 +30,7 @@
 from support.router_properties import ROUTER_PROPERTIES
 from support.simulation_properties import SIMULATION_PROPERTIES
 from support.stop_admission_properties import STOP_ADMISSION_PROPERTIES
+from support.store_answer_properties import STORE_ANSWER_PROPERTIES
 from support.stream_properties import STREAM_PROPERTIES
 from support.suspension_properties import SUSPENSION_PROPERTIES
 from support.unanswered_properties import UNANSWERED_PROPERTIES
@@ -49,6 +51,7 @@
 ALL_PROPERTIES |= LIST_CONFIRMATION_PROPERTIES
 ALL_PROPERTIES |= UNANSWERED_PROPERTIES | VERSION_PROPERTIES | STOP_ADMISSION_PROPERTIES
 ALL_PROPERTIES |= LINK_PROPERTIES | BUFFER_PROPERTIES | LOST_CALLER_PROPERTIES
+ALL_PROPERTIES |= ODD_ENTRY_PROPERTIES | STORE_ANSWER_PROPERTIES
 ALL_PROPERTIES |= EVENT_LOOP_PROPERTIES | LEADER_TERM_PROPERTIES | LATENCY_PROPERTIES
 
 
--- a/src/yokedock/platform/documents.py
+++ b/src/yokedock/platform/documents.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from yokedock.connection.entry_validation import MAX_SLOTS, entry_problem
 from yokedock.connection.state_source import BackendEntry
 from yokedock.version.route_table import (
     CallerLimits,
@@ -17,6 +18,7 @@
     ServiceSpec,
     WeightedTarget,
 )
+from yokedock.version.table_validation import table_problem
 
 SECONDS_PER_MS = 0.001
 REPEATABLE_KIND = "idempotent"
@@ -28,7 +30,6 @@
     STREAM_KIND: RouteKind.STREAM,
 }
 DRAINING: Final = "draining"
-MAX_PORT = 65_535
 MAX_ENTRY_BYTES = 65_536
 """An engine's entry has about 250 bytes, with a hundred models and adapters about 10,000."""
 
@@ -102,8 +103,7 @@
 StoredState = Literal["ready", "draining"]
 Stage = Literal["", "prefill", "decode"]
 Count = Annotated[int, msgspec.Meta(ge=0)]
-SlotCount = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
-"""The upper bound is above the number of connections of any engine; larger values are invalid."""
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class StoredModel(msgspec.Struct, frozen=True):
@@ -131,10 +131,10 @@
 
 
 def route_table(document: bytes) -> RouteTable:
-    """Convert the operator's configuration; raises ``msgspec.MsgspecError`` if it is invalid."""
+    """Convert the operator's configuration; raises ``ValueError`` if it is invalid."""
     stored = msgspec.json.decode(document, type=StoredConfiguration)
     limits = stored.limits
-    return RouteTable(
+    table = RouteTable(
         stored.version,
         tuple(_route(route) for route in stored.routes),
         {service.name: _service(service) for service in stored.services},
@@ -145,6 +145,10 @@
             limits.idle_timeout_ms * SECONDS_PER_MS,
         ),
     )
+    problem = table_problem(table)
+    if problem is not None:
+        raise ValueError(problem)
+    return table
 
 
 def backend_entry(instance: str, document: bytes, revision: int = 0) -> BackendEntry:
@@ -152,8 +156,8 @@
     if len(document) > MAX_ENTRY_BYTES:
         raise ValueError(f"the entry has {len(document)} bytes, the maximum is {MAX_ENTRY_BYTES}")
     stored = msgspec.json.decode(document, type=StoredServer)
-    _check_address(stored.address)
-    return BackendEntry(
+    ipaddress.IPv4Address(stored.address.rpartition(":")[0])
+    entry = BackendEntry(
         instance=instance,
         service=stored.service,
         address=stored.address,
@@ -165,15 +169,10 @@
         revision=revision,
         version=stored.version,
     )
-
-
-def _check_address(address: str) -> None:
-    """Raise ``ValueError`` unless ``address`` is an IPv4 address with a port from 1 to 65535."""
-    host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
-    is_numeric = port.isascii() and port.isdigit()
-    if not is_numeric or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"$.address: {port!r} is not a valid port")
+    problem = entry_problem(entry)
+    if problem is not None:
+        raise ValueError(problem)
+    return entry
 
 
 def _route(stored: StoredRoute) -> Route:
--- a/src/yokedock_emulator/state_store.py
+++ b/src/yokedock_emulator/state_store.py
@@ -24,9 +24,9 @@
     WAIT_FIELD,
     WATCH_PATH,
     RangePage,
-    StoredItem,
     WatchAnswer,
 )
+from yokedock.platform.stored_items import StoredItem, encode_items
 from yokedock_emulator.plain_http import PlainRequest, complete_response, listen, read_request
 
 MS_PER_SECOND = 1000
@@ -159,7 +159,7 @@
         if url.path == RANGE_PATH:
             prefix = parse_qs(url.query).get(PREFIX_FIELD, [""])[0]
             found = [item for key, item in self._items.items() if key.startswith(prefix)]
-            return OK, RangePage(tuple(found), more=False, at=self._revision)
+            return OK, RangePage(encode_items(found), more=False, at=self._revision)
         if url.path == WATCH_PATH:
             query = parse_qs(url.query)
             wait_s = int(query[WAIT_FIELD][0]) / MS_PER_SECOND
@@ -177,4 +177,4 @@
             except TimeoutError:
                 return OK, WatchAnswer((), self._revision)
         newer = tuple(event for event in self._events if event.revision > after)
-        return OK, WatchAnswer(newer, self._revision)
+        return OK, WatchAnswer(encode_items(newer), self._revision)
