--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -16,7 +16,7 @@
 from yokedock.request.backend_limits import BackendLimits, granted_per_s
 from yokedock.request.backend_list import BackendList
 from yokedock.request.service_supply import ServiceSupply
-from yokedock.request.software_version import UNKNOWN_VERSION, UNSTATED_VERSION
+from yokedock.request.software_version import UNKNOWN_VERSION
 
 FAILURE_COST_FACTOR = 8.0
 DEFAULT_LATENCY_S = 0.1
@@ -116,8 +116,8 @@
         Backends named in ``without`` do not count.
         """
         now_s = self._clock()
-        return any(
-            _is_at_version(backend, version)
+        return version != UNKNOWN_VERSION and any(
+            backend.version == version
             and not backend.has_ended
             and backend.name not in without
             and backend.may_take_as_last_resort(now_s)
@@ -136,7 +136,8 @@
         share = self.connection_share(service)
         found = self.members(service, role)
         if version is not None:
-            found = [backend for backend in found if _is_at_version(backend, version)]
+            is_known = version != UNKNOWN_VERSION
+            found = [backend for backend in found if is_known and backend.version == version]
         return _healthiest([b for b in found if b.outstanding < share and b.may_take(now_s)], now_s)
 
     def present(self, service: str) -> list[Backend]:
@@ -221,13 +222,6 @@
         return cost * (1.0 + self._random.random() * COST_JITTER)
 
 
-def _is_at_version(backend: Backend, version: int) -> bool:
-    """Return whether a stream of a software version may go on at a backend."""
-    if version == UNSTATED_VERSION:
-        return backend.version == UNKNOWN_VERSION
-    return version != UNKNOWN_VERSION and backend.version == version
-
-
 def _healthiest(found: list[Backend], now_s: float) -> list[Backend]:
     """Return the healthy backends that stay, else all that stay, else the last resorts."""
     staying = [backend for backend in found if backend.leaving_since_s is None]
--- a/src/yokedock/request/generation_call.py
+++ b/src/yokedock/request/generation_call.py
@@ -82,7 +82,6 @@
         self._ledger = ledger
         self._allowance = allowance
         self._lookup = lookup
-        self._pinning = pinning
         self._mechanisms = mechanisms
         self._crashes = exchanges.crashes
         watch = SilenceDetector(is_used=mechanisms.silence_watch)
@@ -122,7 +121,7 @@
     async def _serve(self, call: RoutedCall, state: GenerationState) -> None:
         while True:
             try:
-                placement = await self._place(call, state)
+                placement = await self._placement.place(call, state.progress(call))
                 state.note_placement(placement)
                 log_placement(call, state, placement)
                 await self._attempt(call, state, placement)
@@ -151,15 +150,6 @@
             except (Refused, RetryBudgetExhausted) as error:
                 raise self._final_error(call, error) from None
 
-    async def _place(self, call: RoutedCall, state: GenerationState) -> Placement:
-        """Return a placement at which the call's stream may still go on after the wait for it."""
-        while True:
-            self._pinning.update(call)
-            placement = await self._placement.place(call, state.progress(call))
-            if self._pinning.may_run_at(call, placement.decode):
-                return placement
-            self._ledger.close_stream(placement.reservation)
-
     async def _prepare_retry(
         self,
         call: RoutedCall,
--- a/src/yokedock/request/software_version.py
+++ b/src/yokedock/request/software_version.py
@@ -12,9 +12,6 @@
 DIGEST_BYTES = 8
 UNKNOWN_VERSION = 0
 """Number of a version that cannot be determined; no stream may be continued at it."""
-UNSTATED_VERSION = -1
-"""Stands for all backends that state no version: a stream that began before any of its service did
-may go on there, and nowhere else."""
 MAX_CACHED_VERSIONS = 1024
 
 
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -10,12 +10,7 @@
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_placement import DECODE_ROLE
 from yokedock.request.routed_call import RoutedCall
-from yokedock.request.software_version import (
-    UNKNOWN_VERSION,
-    UNSTATED_VERSION,
-    stream_number,
-    version_number,
-)
+from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginDirectory, OriginQuestion
 from yokedock.version.route_table import RouteKind
 
@@ -50,8 +45,7 @@
 
     def begin(self, call: RoutedCall, backend: Backend) -> None:
         """Record the backend's version before the first event of the call is passed on."""
-        if call.began_unstated or not self._registry.states_versions(call.service.name):
-            call.began_unstated = True
+        if not self._registry.states_versions(call.service.name):
             return
         call.version = version_number(call.service.name, backend.entry.version)
         request_id = call.terms.resumes if call.terms.last_event_id else call.request_id
@@ -60,20 +54,10 @@
 
     def may_move(self, call: RoutedCall, excluded: frozenset[str]) -> bool:
         """Return whether an engine that is not in ``excluded`` may continue the call's stream."""
-        self.update(call)
         return call.version is None or self._registry.has_version(
             call.service.name, call.version, DECODE_ROLE, excluded
         )
 
-    def update(self, call: RoutedCall) -> None:
-        """Pin a stream that began where no backend stated a version, once one of them does."""
-        if call.began_unstated and self._registry.states_versions(call.service.name):
-            call.version = UNSTATED_VERSION
-
-    def may_run_at(self, call: RoutedCall, backend: Backend) -> bool:
-        """Return whether the call's stream may go on at a backend that was chosen a while ago."""
-        return not call.began_unstated or backend.version == UNKNOWN_VERSION
-
     async def pin(self, call: RoutedCall) -> str | None:
         """Pin a resumed stream to its version and return the service that has it.
 
@@ -92,7 +76,6 @@
                 raise self._error(call, "it is not known whether its service states versions now")
             versioned = self._versioned(services)
         if not versioned:
-            call.began_unstated = True
             return None
         version = await self._find(call, versioned)
         if version is None or version == UNKNOWN_VERSION:
