What engines have cached decides no version where two were listed

What callers saw: a resumed stream, status 200 and whole, of two versions, without any router that is cut off or lost: a version was rolled back, and callers whose prompt had also run at the version before resumed without naming their request, or their record was lost.

Cause: VersionHistory.sole_version told nothing, rightly, as two versions had been listed within the life of the stream. VersionPinning then asked the engines, with only the versions in mind that are still in the registry, which forgets a backend 10 s after it was removed; a stream may be far older. What the history knew was not asked for. Class: knowledge lost against an inference.

Ruled out: a stale list (all routers heard of each change at once).

Change: a report also tells whether several versions were listed since the stream may have begun (OriginReport.has_several; false from routers of before). If this router or one that was asked says so, the version is unknown.

Price: where a version has left within two time-outs of the route and 30 s, streams without a record are refused that engines would have answered for, right or wrong.

--- /dev/null
+++ b/features/stream_evidence.feature
@@ -0,0 +1,23 @@
+Feature: What a router has seen of the listed versions counts against what engines show
+
+  Background:
+    Given version "v1" runs on prefill engine "p"
+    And version "v1" runs on decode engine "d"
+    And version "v1" runs on decode engine "e"
+    And a fleet of 3 routers
+
+  # Guards against a stream of a version that was rolled back, resumed where engines had its prompt before.
+  Scenario Outline: A stream of a version that was rolled back goes on at no engine that had its prompt
+    Given all clients have streamed on "chat" before
+    And version "v2" joins on engines "q", "f" and "g" at all routers, and v1 leaves
+    When 10 clients stream on "chat" and lose their connection after 2 events
+    And version "v1" is listed again and "v2" is gone for <gone> s
+    And <what happens>
+    And each client resumes <how>
+    Then no client holds events of two versions
+    And each client was refused with 503 within 0.7 s
+
+    Examples:
+      | gone | what happens                    | how                                                   |
+      | 11.5 | nothing else happens            | at the last router without naming its first request  |
+      | 11.5 | all records of streams are lost | its stream at the last router                         |
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -77,6 +77,8 @@
     """The only version of its service that was listed since the stream may have begun."""
     position: SourcePosition = SourcePosition()
     """The position of the source up to which ``sole_version`` holds."""
+    has_several: bool = False
+    """Whether several versions were listed since the stream may have begun."""
 
 
 class StreamOriginExchange(OriginDirectory):
@@ -173,7 +175,10 @@
     # --- Lookup ---
 
     async def find(self, question: OriginQuestion) -> int | None:
-        """Return the version that began a stream, None if no reachable process knows it."""
+        """Return the version that began a stream, None if no reachable process knows it.
+
+        Returns ``UNKNOWN_VERSION`` if what is known contradicts itself.
+        """
         asked_s = boot_time_s()
         source = "record"
         while (version := _recorded([self._report(question)])) is None:
@@ -205,7 +210,9 @@
     ) -> int | None:
         """Return the version that follows from a current list, None if none does.
 
-        The stores are asked again if the list has changed: it shows where they are.
+        Returns ``UNKNOWN_VERSION`` if several were listed: what engines have cached tells nothing
+        then, as the prompt may have been processed at each of them. The stores are asked again if
+        the list has changed: it shows where they are.
         """
         if question.service is None or self._confirmation is None:
             return None
@@ -218,6 +225,8 @@
             if version is not None:
                 return version
         known = [self._report(question), *reports]
+        if any(report.has_several for report in known):
+            return UNKNOWN_VERSION
         sole = {
             report.sole_version
             for report in known
@@ -241,9 +250,12 @@
     def _report(self, question: OriginQuestion) -> OriginReport:
         """Return what this router knows."""
         recorded = None if question.stream is None else self._origins.version_of(question.stream)
-        service = question.service
-        sole = None if service is None else self._history.sole_version(service, question.max_age_s)
-        return OriginReport(recorded, sole, self._position())
+        if question.service is None:
+            return OriginReport(recorded, None, self._position())
+        asked = question.service, question.max_age_s
+        sole = self._history.sole_version(*asked)
+        several = self._history.has_listed_several(*asked)
+        return OriginReport(recorded, sole, self._position(), several)
 
     async def _ask_others(self, question: OriginQuestion) -> list[OriginReport]:
         """Return the reports of the routers that may know a stream."""
--- a/src/yokedock/request/version_history.py
+++ b/src/yokedock/request/version_history.py
@@ -52,17 +52,26 @@
 
     def sole_version(self, service: str, max_age_s: float) -> int | None:
         """Return the only version that was listed in the last ``max_age_s``; None if unknown."""
-        first_s = self._clock() - max_age_s
-        if self._since_s > first_s:
+        if self._since_s > self._clock() - max_age_s:
             return None
-        versions = set(self._listed.get(service, ()))
-        for version, last_s in self._last_listed_s.get(service, {}).items():
-            if last_s >= first_s:
-                versions.add(version)
+        versions = self._listed_within(service, max_age_s)
         if len(versions) != 1 or UNKNOWN_VERSION in versions:
             return None
         return versions.pop()
 
+    def has_listed_several(self, service: str, max_age_s: float) -> bool:
+        """Return whether several versions are known to have been listed in the last ``max_age_s``.
+
+        That holds whatever this router has missed.
+        """
+        return len(self._listed_within(service, max_age_s)) > 1
+
+    def _listed_within(self, service: str, max_age_s: float) -> set[int]:
+        first_s = self._clock() - max_age_s
+        last_listed_s = self._last_listed_s.get(service, {})
+        gone = {version for version, last_s in last_listed_s.items() if last_s >= first_s}
+        return gone | self._listed.get(service, set())
+
     def listed(self, service: str) -> frozenset[int]:
         """Return the versions that are listed now."""
         return frozenset(self._listed.get(service, ()))
