A stream that began where no version is stated goes on at no engine that states one

What callers saw: a whole answer with status 200, its first part of engines that state no version, the rest of an engine of the first version that is stated: a release that states versions for the first time, and an engine that breaks off beside it.

Cause: VersionPinning.begin left RoutedCall.version None where no listed engine stated a version, which means "any engine" for as long as the call lasts. The same after VersionPinning.pin, for a resumed stream that waits in the queue while engines join. Class: a conclusion kept for longer than the list that it is of.

Change: such a call is marked (is_unstated); placement, capacity, moves and the refusal look at engines without a version only. As long as none states one, nothing changes, queues included.

--- a/features/stream_evidence.feature
+++ b/features/stream_evidence.feature
@@ -21,3 +21,16 @@
       | gone | what happens                    | how                                                   |
       | 11.5 | nothing else happens            | at the last router without naming its first request  |
       | 11.5 | all records of streams are lost | its stream at the last router                         |
+
+  # Guards against a stream of a service without versions that goes on at the first engine that states one.
+  Scenario: A stream that began where no version is stated goes on at no engine that states one
+    Given the engines stated no version before
+    When 4 clients stream on "chat" and their engines break off once "v2" has joined on "q", "f" and "g" and v1 leaves
+    Then no client holds events of two versions
+
+  # Guards against such a stream that ends although engines without a version are left.
+  Scenario: A stream that began where no version is stated goes on where none is stated
+    Given the engines stated no version before
+    When 4 clients stream on "chat" and their engines break off once "v2" has joined on "q", "f" and "g" and v1 stays
+    Then no client holds events of two versions
+    And each client has 6 events, each once and in order
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -124,13 +124,35 @@
             for backend in self.members(service, role)
         )
 
+    def may_continue_unstated(
+        self, service: str, role: str, without: frozenset[str] = frozenset()
+    ) -> bool:
+        """Return whether a stream that a backend without a stated version began may go on.
+
+        It may go on anywhere until some backend states a version, then where none is stated.
+        Backends named in ``without`` do not count.
+        """
+        now_s = self._clock()
+        return not self.states_versions(service) or any(
+            backend.version == UNKNOWN_VERSION
+            and not backend.has_ended
+            and backend.name not in without
+            and backend.may_take_as_last_resort(now_s)
+            for backend in self.members(service, role)
+        )
+
     def usable(
-        self, service: str, role: str | None = None, version: int | None = None
+        self,
+        service: str,
+        role: str | None = None,
+        version: int | None = None,
+        is_unstated: bool = False,
     ) -> list[Backend]:
         """Return the usable backends of a service, only healthy ones if there are any.
 
         Backends in back-off and those without a free permit or connection are excluded, even if no
-        other is left. If ``version`` is given, only backends of that software version count.
+        other is left. If ``version`` is given, only backends of that software version count; with
+        ``is_unstated``, only those that state none.
         """
         now_s = self._clock()
         share = self.connection_share(service)
@@ -138,6 +160,8 @@
         if version is not None:
             is_known = version != UNKNOWN_VERSION
             found = [backend for backend in found if is_known and backend.version == version]
+        elif is_unstated:
+            found = [backend for backend in found if backend.version == UNKNOWN_VERSION]
         return _healthiest([b for b in found if b.outstanding < share and b.may_take(now_s)], now_s)
 
     def present(self, service: str) -> list[Backend]:
--- a/src/yokedock/request/engine_choice.py
+++ b/src/yokedock/request/engine_choice.py
@@ -65,7 +65,7 @@
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
         service = call.service.name
-        decodes = self._registry.usable(service, DECODE_ROLE, progress.version)
+        decodes = self._decodes(service, progress)
         if awaited_versions and progress.version is None:
             decodes = [engine for engine in decodes if engine.version not in awaited_versions]
         prefills = self._registry.usable(service, PREFILL_ROLE)
@@ -103,6 +103,11 @@
                 return self._open_placement(pair.decode, pair.prefill, placement_query)
         return self._open_placement(colocated.backend, None, placement_query)
 
+    def _decodes(self, service: str, progress: Progress) -> list[Backend]:
+        """Return the engines that may decode the rest of a generation."""
+        version, is_unstated = progress.version, progress.is_unstated
+        return self._registry.usable(service, DECODE_ROLE, version, is_unstated)
+
     def places(self, call: RoutedCall, progress: Progress) -> int:
         """Return how many generations like this one currently fit on all engines together."""
         terms, traits = call.terms.generation, call.service.engine
@@ -112,7 +117,7 @@
         return sum(
             self._capacity_at(available, traits, needed_tokens)
             for available in self._with_capacity(
-                self._registry.usable(call.service.name, DECODE_ROLE, progress.version),
+                self._decodes(call.service.name, progress),
                 placement_query,
             )
         )
@@ -122,7 +127,7 @@
         terms, traits = call.terms.generation, call.service.engine
         assert terms is not None and traits is not None
         placement_query = PlacementQuery(terms, progress, traits)
-        engines = self._registry.usable(call.service.name, DECODE_ROLE, progress.version)
+        engines = self._decodes(call.service.name, progress)
         load_of, needed_tokens = self._ledger.load, placement_query.needed_tokens()
         return any(
             self._fits(engine, load_of(engine.name), placement_query, needed_tokens)
@@ -134,9 +139,11 @@
 
         Only a generation that has to go on at one software version may have none.
         """
+        service = call.service.name
+        if progress.is_unstated:
+            return self._registry.may_continue_unstated(service, DECODE_ROLE, progress.avoid)
         if progress.version is None:
             return True
-        service = call.service.name
         return self._registry.has_version(service, progress.version, DECODE_ROLE, progress.avoid)
 
     def _capacity_at(
--- a/src/yokedock/request/engine_placement.py
+++ b/src/yokedock/request/engine_placement.py
@@ -29,6 +29,8 @@
     """Engines that recently prefilled its prompt and may still hold it in their prefix cache."""
     version: int | None = None
     """Software version of the engines that may generate the rest, None for any."""
+    is_unstated: bool = False
+    """Whether only engines that state no version may generate the rest."""
     silent_since_s: float | None = None
     """When the caller last received anything (boot time, s), None if nothing since its request."""
 
--- a/src/yokedock/request/generation_state.py
+++ b/src/yokedock/request/generation_state.py
@@ -92,6 +92,7 @@
             avoid=frozenset(self.excluded_engines),
             cached_at=self._cached_at(),
             version=call.version,
+            is_unstated=call.is_unstated,
             silent_since_s=self.silent_since_s(call),
         )
 
--- a/src/yokedock/request/queued_placement.py
+++ b/src/yokedock/request/queued_placement.py
@@ -140,7 +140,9 @@
 
     def retry_after_s(self, call: RoutedCall) -> float:
         """Return the randomized retry delay for a caller that is refused now."""
-        return self._retry_after_s(self._waiter(call, Progress(version=call.version)))
+        return self._retry_after_s(
+            self._waiter(call, Progress(version=call.version, is_unstated=call.is_unstated))
+        )
 
     def has_other_engine(self, call: RoutedCall, progress: Progress, engine: str) -> bool:
         """Return whether another engine than ``engine`` may decode the generation."""
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -40,6 +40,8 @@
     service: ServiceSpec
     version: int | None = None
     """Number of the software version at which its stream has to go on, None for any."""
+    is_unstated: bool = False
+    """Whether its stream began where no backend of its service stated a version."""
     runs: int = 0
     """Attempts that may have run, each sent to one backend."""
     arrivals: int = 0
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -46,6 +46,7 @@
     def begin(self, call: RoutedCall, backend: Backend) -> None:
         """Record the backend's version before the first event of the call is passed on."""
         if not self._registry.states_versions(call.service.name):
+            call.is_unstated = True
             return
         call.version = version_number(call.service.name, backend.entry.version)
         request_id = call.terms.resumes if call.terms.last_event_id else call.request_id
@@ -54,8 +55,11 @@
 
     def may_move(self, call: RoutedCall, excluded: frozenset[str]) -> bool:
         """Return whether an engine that is not in ``excluded`` may continue the call's stream."""
+        service = call.service.name
+        if call.is_unstated:
+            return self._registry.may_continue_unstated(service, DECODE_ROLE, excluded)
         return call.version is None or self._registry.has_version(
-            call.service.name, call.version, DECODE_ROLE, excluded
+            service, call.version, DECODE_ROLE, excluded
         )
 
     async def pin(self, call: RoutedCall) -> str | None:
@@ -76,6 +80,7 @@
                 raise self._error(call, "it is not known whether its service states versions now")
             versioned = self._versioned(services)
         if not versioned:
+            call.is_unstated = True
             return None
         version = await self._find(call, versioned)
         if version is None or version == UNKNOWN_VERSION:
