Streams that began where no version is stated go on in an outage of the source

What callers saw: 503 for each resumed stream of a service whose engines state no version, for as long as the source of the list does not answer: 12 of 12.

Cause: such streams were not recorded, so that only a confirmed list could tell that no version is stated. Refusing what cannot be told keeps ORDER, and loses streams that could go on.

Change: the record of a stream names that its service stated none (unstated_number); it costs as much as other records. A resumed stream with such a record goes on where none is stated, without a question to the source, and also beside engines that state one. One with a record of a stated version is refused where the (stale) list states none. Without a record the list must be confirmed as before.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -394,3 +394,4 @@
       | a list that is not confirmed tells nothing     |
       | only a report of the confirmed list counts     |
       | changes tell whether they omit a version       |
+      | a record without a version is heeded           |
--- a/features/stream_evidence.feature
+++ b/features/stream_evidence.feature
@@ -34,3 +34,11 @@
     When 4 clients stream on "chat" and their engines break off once "v2" has joined on "q", "f" and "g" and v1 stays
     Then no client holds events of two versions
     And each client has 6 events, each once and in order
+
+  # Guards against streams of a service without versions that are refused in an outage of the source.
+  Scenario: Streams that began where no version is stated go on in an outage of the source
+    Given the engines stated no version before
+    And no router reaches its source
+    When 12 clients stream on "chat" and lose their connection after 2 events
+    And each client resumes its stream at the last router
+    Then each client has 6 events, each once and in order
--- a/features/support/list_confirmation_properties.py
+++ b/features/support/list_confirmation_properties.py
@@ -4,18 +4,32 @@
 import base64
 import json
 
+import msgspec
 from hypothesis import strategies as st
 
 from support.entry_properties import VALID_ENTRY
 from support.search import searched
-from support.version_properties import V1, V2, GossipStub, PositionSource, entry
+from support.stream_properties import generation
+from support.version_properties import (
+    V1,
+    V2,
+    GossipStub,
+    LookupStub,
+    PositionSource,
+    confirmation,
+    entry,
+)
 from yokedock.base.clock import boot_time_s
 from yokedock.connection.source_position import SourcePosition
+from yokedock.errors import StreamNotResumable
 from yokedock.platform.store import StoredItem, items_to_changes
 from yokedock.process.list_confirmation import CATCH_UP_S, SOURCE_TIMEOUT_S, ListConfirmation
 from yokedock.process.stream_origin_exchange import OriginReport, StreamOriginExchange
+from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.software_version import stream_number, unstated_number
 from yokedock.request.stream_origins import OriginQuestion
 from yokedock.request.version_history import VersionHistory
+from yokedock.request.version_pinning import VersionPinning
 
 SLACK_S = 0.2
 INSTANCES = ("a", "b")
@@ -113,7 +127,37 @@
     assert changes.omits_versions == bool(stated - listed), (changes, stated)
 
 
+def a_record_without_a_version_is_heeded():
+    """Guards against a stream without a version that is refused, or goes on where one is stated."""
+
+    async def pinned(names, recorded, is_answered=False):
+        registry = BackendRegistry("zone")
+        registry.update([entry(name, version) for name, version in names], ())
+        confirmed = confirmation(is_answered)
+        exchange = StreamOriginExchange(GossipStub([]), 1, VersionHistory(), confirmation=confirmed)
+        exchange._started_s -= 60.0
+        call = generation(boot_time_s())
+        call.terms = msgspec.structs.replace(call.terms, last_event_id=3, resumes="first")
+        if recorded is not None:
+            exchange.record(stream_number("first"), recorded, 60.0)
+        try:
+            await VersionPinning(registry, exchange, LookupStub(registry)).pin(call)
+        except StreamNotResumable:
+            return False
+        assert call.is_unstated and call.version is None
+        return True
+
+    unstated, old, new = unstated_number("llm"), [("d", "")], [("e", "v2")]
+    assert asyncio.run(pinned(old, unstated)), "its record is known"
+    assert asyncio.run(pinned(old + new, unstated)), "a backend without a version is left"
+    assert not asyncio.run(pinned(new, unstated)), "none is left"
+    assert not asyncio.run(pinned(old, V2, is_answered=True)), "it began at a version"
+    assert not asyncio.run(pinned(old, None)), "the list may lack a version"
+    assert asyncio.run(pinned(old, None, is_answered=True))
+
+
 LIST_CONFIRMATION_PROPERTIES = {
+    "a record without a version is heeded": a_record_without_a_version_is_heeded,
     "questions that wait share a call to the source": questions_that_wait_share_a_call,
     "a list that is not confirmed tells nothing": (
         a_source_or_list_that_does_not_answer_confirms_nothing
--- a/src/yokedock/request/backend_registry.py
+++ b/src/yokedock/request/backend_registry.py
@@ -125,7 +125,7 @@
         )
 
     def may_continue_unstated(
-        self, service: str, role: str, without: frozenset[str] = frozenset()
+        self, service: str, role: str | None = None, without: frozenset[str] = frozenset()
     ) -> bool:
         """Return whether a stream that a backend without a stated version began may go on.
 
--- a/src/yokedock/request/software_version.py
+++ b/src/yokedock/request/software_version.py
@@ -21,6 +21,11 @@
     return _digest("version", service, version) if version else UNKNOWN_VERSION
 
 
+def unstated_number(service: str) -> int:
+    """Return the number that is recorded for streams of backends that state no version."""
+    return _digest("version", service, "")
+
+
 def stream_number(request_id: str) -> int:
     """Return the number of the stream that the request with this id began."""
     return _digest("stream", request_id)
--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -10,7 +10,12 @@
 from yokedock.request.cache_lookup import CacheLookup
 from yokedock.request.engine_placement import DECODE_ROLE
 from yokedock.request.routed_call import RoutedCall
-from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
+from yokedock.request.software_version import (
+    UNKNOWN_VERSION,
+    stream_number,
+    unstated_number,
+    version_number,
+)
 from yokedock.request.stream_origins import OriginDirectory, OriginQuestion
 from yokedock.version.route_table import RouteKind
 
@@ -45,13 +50,15 @@
 
     def begin(self, call: RoutedCall, backend: Backend) -> None:
         """Record the backend's version before the first event of the call is passed on."""
-        if not self._registry.states_versions(call.service.name):
+        service = call.service.name
+        if self._registry.states_versions(service):
+            version = call.version = version_number(service, backend.entry.version)
+        else:
             call.is_unstated = True
-            return
-        call.version = version_number(call.service.name, backend.entry.version)
+            version = unstated_number(service)
         request_id = call.terms.resumes if call.terms.last_event_id else call.request_id
         if call.route.resumable and request_id:
-            self._directory.record(stream_number(request_id), call.version, _ttl_s(call))
+            self._directory.record(stream_number(request_id), version, _ttl_s(call))
 
     def may_move(self, call: RoutedCall, excluded: frozenset[str]) -> bool:
         """Return whether an engine that is not in ``excluded`` may continue the call's stream."""
@@ -73,35 +80,46 @@
         services = [target.service for target in call.route.targets]
         if not any(self._registry.members(service) for service in services):
             raise self._error(call, "no backend of the stream's service is listed")
-        versioned = self._versioned(services)
-        if not versioned:
-            if not await self._directory.is_list_current_since(boot_time_s()):
-                self.refused_unknown += 1
-                raise self._error(call, "it is not known whether its service states versions now")
-            versioned = self._versioned(services)
-        if not versioned:
+        asked_s = boot_time_s()
+        version = await self._find(call, services)
+        if version is None and await self._is_unstated(services, asked_s):
             call.is_unstated = True
             return None
-        version = await self._find(call, versioned)
         if version is None or version == UNKNOWN_VERSION:
             self.refused_unknown += 1
             raise self._error(call, "the software version that began the stream is not known")
-        for service in versioned:
-            if self._registry.has_version(service, version):
-                call.version = version
+        for service in services:
+            if self._pin_to(call, service, version):
                 self.resumed += 1
                 return service
         self.refused_gone += 1
         raise self._error(call, "no backend of the software version that began the stream is left")
 
-    def _versioned(self, services: list[str]) -> list[str]:
-        return [service for service in services if self._registry.states_versions(service)]
+    def _pin_to(self, call: RoutedCall, service: str, version: int) -> bool:
+        """Pin a call to a service if a backend of the version may be used there."""
+        if version == unstated_number(service):
+            call.is_unstated = self._registry.may_continue_unstated(service)
+            return call.is_unstated
+        if not self._registry.has_version(service, version):
+            return False
+        call.version = version
+        return True
+
+    async def _is_unstated(self, services: list[str], asked_s: float) -> bool:
+        """Return whether no backend states a version, by a list of a time after ``asked_s``."""
+        if self._states_versions(services):
+            return False
+        is_current = await self._directory.is_list_current_since(asked_s)
+        return is_current and not self._states_versions(services)
+
+    def _states_versions(self, services: list[str]) -> bool:
+        return any(self._registry.states_versions(service) for service in services)
 
     async def _find(self, call: RoutedCall, services: list[str]) -> int | None:
         """Return the version that began the stream, None if it is not known."""
         resumes = call.terms.resumes
         stream = stream_number(resumes) if resumes else None
-        only_service = services[0] if len(call.route.targets) == 1 else None
+        only_service = services[0] if len(services) == 1 else None
         max_age_s = MAX_STREAM_AGE_TIMEOUTS * call.route.timeout_s + MAX_UNLISTED_SERVICE_S
         asked_s = boot_time_s()
         version = await self._directory.find(OriginQuestion(stream, only_service, max_age_s))
@@ -109,6 +127,8 @@
             return version
         if not await self._directory.is_list_current_since(asked_s):
             return None
+        if not self._registry.states_versions(only_service):
+            return None
         return await self._version_at_engines(call, only_service)
 
     async def _version_at_engines(self, call: RoutedCall, service: str) -> int | None:
