A history that has dropped a version does not reach back to it

What callers could see: a resumed stream of two versions on a route whose time-out is over 285 s, where a version left more than ten minutes ago.

Cause: VersionHistory drops versions that left 600 s ago and went on to claim that it has observed the list since long before; MAX_STREAM_AGE_TIMEOUTS times the route's time-out may be more than that. Class: an inference from absence.

Change: the observation begins when the dropped version was last listed.

Test: the property failed before (v2 told as the only one for 1,200 s, v1 gone 601 s ago), passes after.

--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -28,7 +28,7 @@
 from yokedock.request.role_plan import EngineRole, planned_role_changes
 from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginQuestion, StreamOrigin, StreamOrigins
-from yokedock.request.version_history import VersionHistory
+from yokedock.request.version_history import RETENTION_S, VersionHistory
 from yokedock.request.version_pinning import VersionPinning
 
 V1, V2 = (version_number("llm", version) for version in ("v1", "v2"))
@@ -221,6 +221,13 @@
     history.update([entry("e", "")])
     clock.now_s += 11.0
     assert history.sole_version("llm", 10.0) is None, "it states no version"
+    clock.now_s += 2 * RETENTION_S
+    history.update([entry("e", "v1")])
+    history.update([entry("e", "v2")])
+    clock.now_s += RETENTION_S + 1.0
+    history.drop_expired()
+    assert history.sole_version("llm", RETENTION_S) == V2
+    assert history.sole_version("llm", 2 * RETENTION_S) is None, "v1 has been dropped, not absent"
     first = VersionHistory(clock)
     first.begin(is_first_start=True)
     first.update([entry("d", "v1")])
--- a/src/yokedock/request/version_history.py
+++ b/src/yokedock/request/version_history.py
@@ -77,11 +77,11 @@
         return frozenset(self._listed.get(service, ()))
 
     def drop_expired(self) -> None:
-        """Remove versions that were last listed long ago."""
+        """Remove versions that were last listed long ago; the observation begins after them."""
         oldest_s = self._clock() - RETENTION_S
         for service, last_listed_s in list(self._last_listed_s.items()):
             for version in [v for v, last_s in last_listed_s.items() if last_s < oldest_s]:
-                del last_listed_s[version]
+                self._since_s = max(self._since_s, last_listed_s.pop(version))
             if not last_listed_s:
                 del self._last_listed_s[service]
 
