A router that gets its first list late does not speak for the time before

What callers could see: a resumed stream of two versions, where a router of a fleet that starts for the first time reached its source only after others had served a version that came and went.

Cause: VersionHistory.begin took the first list, whenever it came, for the list of all time since the fleet's start. Class: an inference from absence.

Change: only a list that comes within 10 s of the start counts so; later ones begin the observation then.

Test: the property failed before, passes after.

--- a/features/support/version_properties.py
+++ b/features/support/version_properties.py
@@ -28,7 +28,11 @@
 from yokedock.request.role_plan import EngineRole, planned_role_changes
 from yokedock.request.software_version import UNKNOWN_VERSION, stream_number, version_number
 from yokedock.request.stream_origins import OriginQuestion, StreamOrigin, StreamOrigins
-from yokedock.request.version_history import RETENTION_S, VersionHistory
+from yokedock.request.version_history import (
+    MAX_FIRST_LIST_S,
+    RETENTION_S,
+    VersionHistory,
+)
 from yokedock.request.version_pinning import VersionPinning
 
 V1, V2 = (version_number("llm", version) for version in ("v1", "v2"))
@@ -232,6 +236,11 @@
     first.begin(is_first_start=True)
     first.update([entry("d", "v1")])
     assert first.sole_version("llm", 1e9) == V1, "no stream is older than the first start"
+    late = VersionHistory(clock)
+    clock.now_s += MAX_FIRST_LIST_S + 1.0
+    late.begin(is_first_start=True)
+    late.update([entry("d", "v1")])
+    assert late.sole_version("llm", 10.0) is None, "others have had lists before"
 
 
 class GossipStub:
--- a/src/yokedock/request/version_history.py
+++ b/src/yokedock/request/version_history.py
@@ -14,6 +14,8 @@
 
 RETENTION_S = 600.0
 """Versions that were last listed longer ago are dropped."""
+MAX_FIRST_LIST_S = 10.0
+"""Time from the first start of the fleet in which no version has been listed and removed again."""
 
 
 class VersionHistory:
@@ -22,6 +24,7 @@
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
         """Start without observations."""
         self._clock = clock
+        self._created_s = clock()
         self._listed: dict[str, set[int]] = {}
         self._last_listed_s: dict[str, dict[int, float]] = {}
         """By service, the versions that are no longer listed, and when they last were."""
@@ -29,9 +32,14 @@
         """Start of the uninterrupted observation (boot time, s)."""
 
     def begin(self, is_first_start: bool) -> None:
-        """Begin the observation; before the first start of the fleet there were no streams."""
-        if math.isinf(self._since_s):
-            self._since_s = -math.inf if is_first_start else self._clock()
+        """Begin the observation; before the first start of the fleet there were no streams.
+
+        A router that gets its first list late has missed what others were told before.
+        """
+        now_s = self._clock()
+        if self._since_s == math.inf:
+            is_whole = is_first_start and now_s - self._created_s <= MAX_FIRST_LIST_S
+            self._since_s = -math.inf if is_whole else now_s
 
     def interrupt(self) -> None:
         """Begin anew: versions may have been listed that this router has missed."""
