An engine that leaves and is gone in one response ends no history

What callers saw: 503 for resumed streams without a record, of every service, for two time-outs of the route and 30 s after any engine that was idle said that it leaves and was gone within the 0.2 s of one batch, although one version had been listed all the time. Each such response also made all other routers fetch the whole list, as it is not passed on as news.

Cause: StateChanges.omits_versions was true for each entry that is not the last one of its backend, whether or not its version is listed anyway.

Change: the response names the versions that it omits; StateFollower begins the history anew only if one of them was neither listed before nor is now. The property over responses compares the versions themselves instead of whether there are any.

--- a/features/steps/stream_evidence_steps.py
+++ b/features/steps/stream_evidence_steps.py
@@ -1,11 +1,17 @@
+import base64
+import json
 import threading
 import time
 
-from behave import step, when
+from behave import given, step, when
 from engine_versions_steps import set_decode_faults
 from stale_router_steps import joins
+from support.entry_properties import VALID_ENTRY
 from support.resuming_client import ResumingClient
 
+from yokedock.connection.source_position import SourcePosition
+from yokedock.platform.store import StoredItem, items_to_changes
+
 
 def named(context, version):
     """Return the names of the backends of a version."""
@@ -43,3 +49,30 @@
         world.loop.call_soon_threadsafe(backend.break_off)
     for caller in callers:
         caller.join()
+
+
+@given('"{name}" leaves and is gone in one response of the source')
+def leaves_at_once(context, name):
+    tell_in_one_response(context, context.routers, name, "draining")
+
+
+@when('the last router hears in one response that "{name}" has joined and is gone')
+def joins_and_leaves(context, name):
+    tell_in_one_response(context, context.routers[-1:], name, "ready")
+
+
+def tell_in_one_response(context, routers, name, state):
+    """Tell routers that a backend was in a state and is gone."""
+    world, key = context.world, f"servers/{name}"
+    backend = world.backends[name]
+    stated = {"address": backend.address, "version": backend.version, "state": state}
+    value = base64.b64encode(json.dumps({**VALID_ENTRY, **stated}).encode()).decode()
+    world.position += 1
+    items = (StoredItem(key, value, 2), StoredItem(key, revision=3, gone=True))
+    changes = items_to_changes(items, SourcePosition(0, world.position))
+    assert changes.gone == (name,) and not changes.undecoded
+    for router in routers:
+        world.loop.call_soon_threadsafe(router.source.tell, changes)
+    for router in routers:
+        reached = lambda r=router: r.position.revision >= world.position  # noqa: E731
+        world.wait_for(reached, "changes applied")
--- a/features/stream_evidence.feature
+++ b/features/stream_evidence.feature
@@ -42,3 +42,21 @@
     When 12 clients stream on "chat" and lose their connection after 2 events
     And each client resumes its stream at the last router
     Then each client has 6 events, each once and in order
+
+  # Guards against a history that ends whenever an idle engine leaves and is gone in one response.
+  Scenario: An engine that says that it leaves and is gone in one response hides no version
+    Given "e" leaves and is gone in one response of the source
+    When 12 clients stream on "chat" and lose their connection after 2 events
+    And all records of streams are lost
+    And each client resumes its stream at the last router
+    Then each client has 6 events, each once and in order
+
+  # Guards against a version that joins and leaves within one response, of which the list shows nothing.
+  Scenario: A router that hears of a version only in between resumes no stream of it
+    Given the last router is cut off from the other routers
+    And version "v2" joins on engines "q", "f" and "g" at the other routers, and v1 stays
+    When 10 clients stream on "chat" and lose their connection after 2 events
+    And the last router hears in one response that "f" has joined and is gone
+    And each client resumes its stream at the last router
+    Then no client holds events of two versions
+    And each client of "v2" was refused with 503 within 0.7 s
--- a/features/support/list_confirmation_properties.py
+++ b/features/support/list_confirmation_properties.py
@@ -124,7 +124,8 @@
     changes = items_to_changes(items, SourcePosition(0, len(items)))
     listed = {(found.instance, found.version) for found in changes.changed}
     stated = {(instance, version) for instance, version in writes if version != GONE}
-    assert changes.omits_versions == bool(stated - listed), (changes, stated)
+    omitted = {("llm", version) for _, version in stated - listed}
+    assert set(changes.omitted) == omitted, (changes, stated)
 
 
 def a_record_without_a_version_is_heeded():
--- a/src/yokedock/connection/state_source.py
+++ b/src/yokedock/connection/state_source.py
@@ -51,8 +51,8 @@
     gone: tuple[str, ...] = ()
     undecoded: tuple[str, ...] = ()
     """Items that could not be decoded: such a backend is removed, a previous table stays."""
-    omits_versions: bool = False
-    """Whether a backend of some software version was listed in between and is in no field."""
+    omitted: tuple[tuple[str, str], ...] = ()
+    """Service and software version of entries that were listed in between and are in no field."""
 
 
 class StateSource(abc.ABC):
--- a/src/yokedock/platform/store.py
+++ b/src/yokedock/platform/store.py
@@ -235,9 +235,8 @@
     gone = tuple(instance for instance, entry in last.items() if entry is None)
     for entry in changed:
         versions[entry.instance].discard((entry.service, entry.version))
-    return StateChanges(
-        position, table, changed, gone, tuple(undecoded), omits_versions=any(versions.values())
-    )
+    omitted = tuple(sorted(set().union(*versions.values())))
+    return StateChanges(position, table, changed, gone, tuple(undecoded), omitted)
 
 
 def _decode_item(
--- a/src/yokedock/process/state_follower.py
+++ b/src/yokedock/process/state_follower.py
@@ -10,7 +10,12 @@
 from yokedock.base.randomness import new_random
 from yokedock.connection.router_state import StateNews
 from yokedock.connection.source_position import NO_ERA, SourcePosition
-from yokedock.connection.state_source import BackendEntry, StateSnapshot, StateSource
+from yokedock.connection.state_source import (
+    BackendEntry,
+    StateChanges,
+    StateSnapshot,
+    StateSource,
+)
 from yokedock.errors import PlatformUnavailable
 from yokedock.process.interruptible_call import InterruptibleCall
 from yokedock.process.state_news import RecentNews
@@ -271,7 +276,7 @@
         if position < self.position:
             return False
         self._advance(position)
-        if changes.omits_versions:
+        if self._has_missed_versions(changes):
             # The other routers notice that they are behind, and fetch the list.
             self.on_gap()
         elif position > before or changes.table is not None:
@@ -287,6 +292,13 @@
             )
         return changes.table is not None or bool(changes.changed or changes.gone)
 
+    def _has_missed_versions(self, changes: StateChanges) -> bool:
+        """Return whether some software version was listed only in between."""
+        if not changes.omitted:
+            return False
+        entries = [*self._registry.entries().values(), *changes.changed]
+        return not {(e.service, e.version) for e in entries}.issuperset(changes.omitted)
+
     def _watch_s(self) -> float:
         """Return the maximum duration of the next watch."""
         if self._is_reconnecting:
