--- a/src/yokedock/request/version_history.py
+++ b/src/yokedock/request/version_history.py
@@ -14,6 +14,8 @@
 
 RETENTION_S = 600.0
 """Versions that were last listed longer ago are dropped."""
+MAX_FIRST_LIST_S = 10.0
+"""Time from the first start of the fleet in which no version has been listed and removed again."""
 
 
 class VersionHistory:
@@ -22,6 +24,7 @@
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
         """Start without observations."""
         self._clock = clock
+        self._created_s = clock()
         self._listed: dict[str, set[int]] = {}
         self._last_listed_s: dict[str, dict[int, float]] = {}
         """By service, the versions that are no longer listed, and when they last were."""
@@ -29,9 +32,14 @@
         """Start of the uninterrupted observation (boot time, s)."""
 
     def begin(self, is_first_start: bool) -> None:
-        """Begin the observation; before the first start of the fleet there were no streams."""
-        if math.isinf(self._since_s):
-            self._since_s = -math.inf if is_first_start else self._clock()
+        """Begin the observation; before the first start of the fleet there were no streams.
+
+        A router that gets its first list late has missed what others were told before.
+        """
+        now_s = self._clock()
+        if self._since_s == math.inf:
+            is_whole = is_first_start and now_s - self._created_s <= MAX_FIRST_LIST_S
+            self._since_s = -math.inf if is_whole else now_s
 
     def interrupt(self) -> None:
         """Begin anew: versions may have been listed that this router has missed."""
@@ -52,27 +60,36 @@
 
     def sole_version(self, service: str, max_age_s: float) -> int | None:
         """Return the only version that was listed in the last ``max_age_s``; None if unknown."""
-        first_s = self._clock() - max_age_s
-        if self._since_s > first_s:
+        if self._since_s > self._clock() - max_age_s:
             return None
-        versions = set(self._listed.get(service, ()))
-        for version, last_s in self._last_listed_s.get(service, {}).items():
-            if last_s >= first_s:
-                versions.add(version)
+        versions = self._listed_within(service, max_age_s)
         if len(versions) != 1 or UNKNOWN_VERSION in versions:
             return None
         return versions.pop()
 
+    def has_listed_several(self, service: str, max_age_s: float) -> bool:
+        """Return whether several versions are known to have been listed in the last ``max_age_s``.
+
+        That holds whatever this router has missed.
+        """
+        return len(self._listed_within(service, max_age_s)) > 1
+
+    def _listed_within(self, service: str, max_age_s: float) -> set[int]:
+        first_s = self._clock() - max_age_s
+        last_listed_s = self._last_listed_s.get(service, {})
+        gone = {version for version, last_s in last_listed_s.items() if last_s >= first_s}
+        return gone | self._listed.get(service, set())
+
     def listed(self, service: str) -> frozenset[int]:
         """Return the versions that are listed now."""
         return frozenset(self._listed.get(service, ()))
 
     def drop_expired(self) -> None:
-        """Remove versions that were last listed long ago."""
+        """Remove versions that were last listed long ago; the observation begins after them."""
         oldest_s = self._clock() - RETENTION_S
         for service, last_listed_s in list(self._last_listed_s.items()):
             for version in [v for v, last_s in last_listed_s.items() if last_s < oldest_s]:
-                del last_listed_s[version]
+                self._since_s = max(self._since_s, last_listed_s.pop(version))
             if not last_listed_s:
                 del self._last_listed_s[service]
 
