A resumed stream without a stated version keeps the record that it has

Where versions began to be stated after it, its router would have recorded the number of no version, and the next resume would have been refused as unknown.

--- a/src/yokedock/request/version_pinning.py
+++ b/src/yokedock/request/version_pinning.py
@@ -51,11 +51,11 @@
     def begin(self, call: RoutedCall, backend: Backend) -> None:
         """Record the backend's version before the first event of the call is passed on."""
         service = call.service.name
-        if self._registry.states_versions(service):
-            version = call.version = version_number(service, backend.entry.version)
-        else:
+        if call.is_unstated or not self._registry.states_versions(service):
             call.is_unstated = True
             version = unstated_number(service)
+        else:
+            version = call.version = version_number(service, backend.entry.version)
         request_id = call.terms.resumes if call.terms.last_event_id else call.request_id
         if call.route.resumable and request_id:
             self._directory.record(stream_number(request_id), version, _ttl_s(call))
