A backend is left only for a connection that is held for the call

Cause: another backend was reserved, an idle connection to it was taken and given back to the pool at once. 59 ms later another call's connect to that backend timed out, and the pool closed all idle connections to it; 56 ms later the slow backend was left for the reserved one, a new connect timed out, and the target time had passed.

Ruled out, with a trace of the pool: another call took the connection (nobody did); the call refused it itself as silent (it had received data 0.08 s before).

Change: BackendExchanges.reserve returns a ReservedConnection. A backend is left only while that connection is open.

A check changed: in reservation_properties.py 'the reserved one runs out of connections' set outstanding to 1 of 1. A reservation is now one of the outstanding requests itself, so the step adds one: another request uses the only connection. The slow backend has to be kept as before; the stand-ins got `reserve`.

Not run: the whole suite.

--- a/features/router_patience.feature
+++ b/features/router_patience.feature
@@ -65,6 +65,18 @@
     Then the client gets 200 with the body of a backend
     And its request was sent to two backends
 
+  # Guards against a call that leaves its backend for a connection which other requests take or close.
+  Scenario: A backend is left only for a connection that no other request can take or close
+    Given a plain backend "a"
+    And a plain backend "b"
+    And a router that knows them
+    And the packets of all its connections are late by 0.4 s
+    And the backends hold their answers
+    When a client sends POST on "repeat" and its router has reserved the backend without it
+    And another request of the router cannot connect to the reserved backend
+    Then the client that waited gets 200
+    And its request was sent to two backends, once each
+
   Scenario: What came while the process itself stood still is read before its sender is given up
     Given a stream whose next event comes while the process stands still
     When the process goes on, later than its patience
--- a/features/steps/router_patience_steps.py
+++ b/features/steps/router_patience_steps.py
@@ -142,6 +142,33 @@
     context.world.run(other.stop())
 
 
+@given("the packets of all its connections are late by {delay_s:g} s")
+def all_packets_late(context, delay_s):
+    exchanges = context.router._request_handler._unary._attempt_runner._exchanges
+    context.pool = exchanges.pool
+    context.pool.link.shared_delay.current_s = lambda: delay_s
+
+
+@when('a client sends POST on "{route}" and its router has reserved the backend without it')
+def other_is_reserved(context, route):
+    backends = context.world.backends.values()
+    context.caller = caller(context)
+    context.caller.send(request_bytes(route, body=b"abc", request_id="late"))
+    context.world.wait_for(lambda: any(b.arrivals for b in backends), "a backend has it")
+    (context.other,) = [b for b in backends if not b.arrivals]
+    context.world.wait_for(lambda: context.other.connections, "a reserved connection")
+
+
+@when("another request of the router cannot connect to the reserved backend")
+def cannot_connect(context):
+    async def refuse_connections():
+        context.other._server.close()
+        context.pool.forget(context.other.address)
+        context.other.gate.set()
+
+    context.world.run(refuse_connections())
+
+
 @then("the client that waited gets {status:d}")
 def waiting_client_gets(context, status):
     found = context.caller.read_answer()[0]
@@ -154,6 +181,12 @@
     assert len(arrivals) == 1, arrivals
 
 
+@then("its request was sent to two backends, once each")
+def sent_to_each_once(context):
+    counts = [len(backend.arrivals) for backend in context.world.backends.values()]
+    assert counts == [1, 1], counts
+
+
 @then("its request was sent to two backends")
 def sent_to_two(context):
     arrivals = [a for b in context.world.backends.values() for a in b.arrivals if has_late_id(a)]
--- a/features/support/reservation_properties.py
+++ b/features/support/reservation_properties.py
@@ -8,6 +8,7 @@
 from yokedock.connection.http_heads import RequestHead, ResponseHead
 from yokedock.connection.state_source import BackendEntry
 from yokedock.request.backend_registry import BackendRegistry
+from yokedock.request.reserved_connection import ReservedConnection
 from yokedock.request.retry_allowance import RetryAllowance, RetryBounds
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.request.unary_call import UnaryCalls
@@ -72,14 +73,37 @@
         self._slow = None
 
     @contextlib.asynccontextmanager
-    async def open(self, backend, call, has_permit=False):
+    async def open(self, backend, call, has_permit=False, reserved=None):
         """Open an exchange; raises if the backend does not accept requests or has ended."""
         self._slow = self._slow or backend
-        backend.require_accepting(boot_time_s())
-        if backend.has_ended:
-            raise BackendUnreachable(f"{backend.name} has ended")
+        require_accepting(backend)
+        if reserved is not None:
+            reserved.take()
         yield ExchangeStub(backend, self._work_s if backend is self._slow else 0.0, self)
 
+    async def reserve(self, backend, call):
+        """Reserve a connection; raises if the backend does not accept requests or has ended."""
+        require_accepting(backend)
+        return ReservedConnection(ConnectionStub(), backend, lambda connection: None)
+
+
+class ConnectionStub:
+    """A connection that is open until its backend has ended."""
+
+    is_reusable = True
+    opened_ms = 0
+
+    def abort_after_reading(self):
+        """Close the connection."""
+        self.is_reusable = False
+
+
+def require_accepting(backend):
+    """Raise if a backend does not accept requests or has ended."""
+    backend.require_accepting(boot_time_s())
+    if backend.has_ended:
+        raise BackendUnreachable(f"{backend.name} has ended")
+
 
 async def backends_asked(change, budget_after_s=0.0, work_s=TIME_LEFT_S / 2):
     """Return the backends that a call is sent to if ``change`` is applied to the reserved one.
@@ -124,9 +148,9 @@
 
 
 def runs_out_of_connections(registry, other, allowance):
-    """Let other requests use all connections to the reserved backend."""
+    """Let another request use the only connection to the reserved backend."""
     registry.connection_share = lambda service: 1
-    other.outstanding = 1
+    other.outstanding += 1
 
 
 def a_slow_backend_is_kept_if_the_reserved_one_is_unavailable():
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -23,6 +23,7 @@
 from yokedock.request.crash_records import CrashRecords
 from yokedock.request.poison_parts import PROOF_S
 from yokedock.request.request_digest import digest_text
+from yokedock.request.reserved_connection import ReservedConnection
 from yokedock.request.response_buffers import ResponseBuffers
 from yokedock.request.routed_call import (
     MS_PER_SECOND,
@@ -313,7 +314,11 @@
 
     @contextlib.asynccontextmanager
     async def open(
-        self, backend: Backend, call: RoutedCall, has_permit: bool = False
+        self,
+        backend: Backend,
+        call: RoutedCall,
+        has_permit: bool = False,
+        reserved: ReservedConnection | None = None,
     ) -> AsyncIterator[BackendExchange]:
         """Connect to a backend; raises ``BackendUnreachable`` if nothing could be sent.
 
@@ -321,46 +326,78 @@
         ``RequestQuarantined`` for a request that crashes backends.
 
         ``has_permit``: a permit of a rate-limited backend has been taken already, or nothing will
-        be sent.
+        be sent. ``reserved``: the connection that ``reserve`` has returned for this call.
 
         Afterwards the connection goes back to the pool if the response was read completely.
         Otherwise it is closed at once, so that the backend stops working on a request without a
         recipient.
         """
+        self._require_usable(backend, call, reserved)
+        if not has_permit:
+            backend.take_permit(boot_time_s())
+        with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
+            async with self._exchange(backend, call, reserved) as exchange:
+                yield exchange
+                if not exchange.is_sent:
+                    visit.outcome = NOT_SENT
+
+    async def reserve(self, backend: Backend, call: RoutedCall) -> ReservedConnection:
+        """Connect to a backend for the next attempt of ``call``; raises as ``open``.
+
+        The caller releases the connection unless it passes it to ``open``.
+        """
+        self._require_usable(backend, call)
+        with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
+            connection = await self._connect(backend, call)
+            visit.outcome = NOT_SENT
+
+        def give_back(connection: BackendConnection) -> None:
+            self._give_back(connection, backend, call)
+
+        return ReservedConnection(connection, backend, give_back)
+
+    def _require_usable(
+        self, backend: Backend, call: RoutedCall, reserved: ReservedConnection | None = None
+    ) -> None:
+        """Raise as ``open`` unless the call may be sent to the backend now."""
         if backend.has_ended:
             raise BackendUnreachable(
                 f"{backend.name} has ended: {backend.entry.instance} was restarted"
             )
         self.crashes.require_not_quarantined(call)
         backend.require_accepting(boot_time_s())
-        if backend.outstanding >= self._shares.most(call.service):
+        has_connection = reserved is not None and reserved.is_usable
+        if not has_connection and backend.outstanding >= self._shares.most(call.service):
             raise BackendNotAccepting(f"all connections to {backend.name} are in use")
-        if not has_permit:
-            backend.take_permit(boot_time_s())
-        rest_s = MAX_IDLE_S if call.route.may_repeat else MAX_IDLE_NOT_REPEATABLE_S
-        timeout_s = min(CONNECT_TIMEOUT_S, call.remaining_s())
-        with call.visit(backend.name, backend.entry.zone, backend.entry.role) as visit:
-            async with self._exchange(backend, call, timeout_s, rest_s) as exchange:
-                yield exchange
-                if not exchange.is_sent:
-                    visit.outcome = NOT_SENT
 
-    @contextlib.asynccontextmanager
-    async def _exchange(
-        self, backend: Backend, call: RoutedCall, timeout_s: float, rest_s: float
-    ) -> AsyncIterator[BackendExchange]:
+    async def _connect(self, backend: Backend, call: RoutedCall) -> BackendConnection:
+        """Return an idle connection to the backend or a new one."""
         address = backend.entry.address
+        rest_s = MAX_IDLE_S if call.route.may_repeat else MAX_IDLE_NOT_REPEATABLE_S
+        timeout_s = min(CONNECT_TIMEOUT_S, call.remaining_s())
         backend.outstanding += 1
         try:
-            connection = await self.pool.take(address, timeout_s, rest_s, call.min_last_receive_s)
+            return await self.pool.take(address, timeout_s, rest_s, call.min_last_receive_s)
         except BackendUnreachable:
             backend.health.record_silence(boot_time_s())
             self.pool.forget(address)
             raise
         finally:
             # A request counts as outstanding while it connects, because other requests select
-            # backends meanwhile. It is counted again below once connected.
+            # backends meanwhile. Whoever uses the connection counts it again.
             backend.outstanding -= 1
+
+    def _give_back(self, connection: BackendConnection, backend: Backend, call: RoutedCall) -> None:
+        """Return a connection to the pool, within the share of the call's service."""
+        self.pool.give_back(connection, self._shares.most(call.service) - backend.outstanding)
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, backend: Backend, call: RoutedCall, reserved: ReservedConnection | None
+    ) -> AsyncIterator[BackendExchange]:
+        connection = reserved.take() if reserved is not None else None
+        if connection is None:
+            connection = await self._connect(backend, call)
         exchange = BackendExchange(
             connection,
             self.dialect,
@@ -394,8 +431,7 @@
             backend.outstanding -= 1
             backend.connections.discard(connection)
             if exchange.is_whole or not exchange.is_sent:
-                most = self._shares.most(call.service) - backend.outstanding
-                self.pool.give_back(connection, most)
+                self._give_back(connection, backend, call)
             else:
                 connection.abort()
 
--- a/src/yokedock/request/call_attempt.py
+++ b/src/yokedock/request/call_attempt.py
@@ -18,6 +18,7 @@
 from yokedock.request.backend_incarnation import Backend
 from yokedock.request.backend_registry import BackendRegistry
 from yokedock.request.body_progress import BodyLimits
+from yokedock.request.reserved_connection import ReservedConnection
 from yokedock.request.retry_allowance import RequestRetries, RetryAllowance
 from yokedock.request.routed_call import BufferedResponse, RoutedCall
 from yokedock.router_errors import BackendNotAccepting, BackendUnreachable, BackendUnresponsive
@@ -34,6 +35,13 @@
     backend: Backend
     has_permit: bool
     """Whether a rate-limit permit of the backend has been taken for the attempt."""
+    reserved: ReservedConnection | None = None
+    """Connection kept for the attempt, if there is one."""
+
+    def release(self) -> None:
+        """Give the reserved connection back unless it is in use."""
+        if self.reserved is not None:
+            self.reserved.release()
 
 
 class CallAttempts(msgspec.Struct):
@@ -49,6 +57,12 @@
         chosen, self.reserved = self.reserved, None
         return chosen
 
+    def release_reserved(self) -> None:
+        """Give the reserved connection back if no attempt has taken it."""
+        chosen = self.take_reserved()
+        if chosen is not None:
+            chosen.release()
+
 
 class ReservationSearch:
     """Looks for a backend for the next attempt while the current response is still being read."""
@@ -96,8 +110,22 @@
         retries: RequestRetries,
     ) -> BufferedResponse:
         """Send the call to the chosen backend once and return the complete response."""
+        try:
+            return await self._run(call, chosen, attempts, retries)
+        finally:
+            chosen.release()
+
+    async def _run(
+        self,
+        call: RoutedCall,
+        chosen: ChosenBackend,
+        attempts: CallAttempts,
+        retries: RequestRetries,
+    ) -> BufferedResponse:
         backend = chosen.backend
-        async with self._exchanges.open(backend, call, chosen.has_permit) as exchange:
+        async with self._exchanges.open(
+            backend, call, chosen.has_permit, chosen.reserved
+        ) as exchange:
             if call.arrivals:
                 retries.record_arrival()
             call.arrivals += 1
@@ -173,24 +201,31 @@
 
         The retry is charged at once: other requests may use up the budget meanwhile.
         """
-        attempts.reserved = None
-        other = await self._find_reachable_backend(call, backend, attempts)
-        if other is not None and retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
-            attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()))
+        attempts.release_reserved()
+        connection = await self._reserve_connection(call, backend, attempts)
+        if connection is None:
+            return
+        if not retries.reserve_retry(call, MIN_ATTEMPT_TIME_S):
+            connection.release()
+            return
+        other = connection.backend
+        attempts.reserved = ChosenBackend(other, other.limit.take(boot_time_s()), connection)
 
     def _has_available_reservation(self, call: RoutedCall, attempts: CallAttempts) -> bool:
         """Return whether a backend is reserved for the next attempt and can still take it."""
         reserved = attempts.reserved
-        return reserved is not None and self._is_available(call, reserved.backend)
+        return reserved is not None and self._is_available(call, reserved)
 
-    def _is_available(self, call: RoutedCall, backend: Backend) -> bool:
+    def _is_available(self, call: RoutedCall, chosen: ChosenBackend) -> bool:
         """Return whether the call can still be sent to a reserved backend.
 
-        Since the reservation, the backend may have ended, started to pause or drain, or run out of
-        connections.
+        Since the reservation, the backend may have ended, started to pause or drain, closed the
+        connection, or the share of connections to it, which counts this one, may have shrunk.
         """
-        share = self._registry.connection_share(call.service.name)
-        if backend.has_ended or backend.outstanding >= share:
+        backend, reserved = chosen.backend, chosen.reserved
+        if backend.has_ended or reserved is None or not reserved.is_usable:
+            return False
+        if backend.outstanding > self._registry.connection_share(call.service.name):
             return False
         try:
             backend.require_accepting(boot_time_s())
@@ -198,14 +233,13 @@
             return False
         return True
 
-    async def _find_reachable_backend(
+    async def _reserve_connection(
         self, call: RoutedCall, backend: Backend, attempts: CallAttempts
-    ) -> Backend | None:
-        """Return another backend that may take the call now and accepts a connection, if any.
+    ) -> ReservedConnection | None:
+        """Return a connection to another backend that may take the call now, if there is one.
 
         The backend list may still name a backend that has ended, so a running attempt is abandoned
-        only after a connection to another one was opened. The connection stays idle in the pool,
-        and the retry uses it.
+        only after a connection to another one was opened.
         """
         refused = {backend.name}
         while self._can_retry_elsewhere(call, backend):
@@ -216,13 +250,15 @@
                 return None
             refused.add(other.name)
             try:
-                async with self._exchanges.open(other, call, has_permit=True):
-                    if other.may_take(boot_time_s()):
-                        return other
+                reserved = await self._exchanges.reserve(other, call)
             except BackendUnreachable as error:
                 _log.info(
                     "retry backend unreachable", request=call.request_id, reason=error.message
                 )
+                continue
+            if other.may_take(boot_time_s()):
+                return reserved
+            reserved.release()
         return None
 
     def _can_retry_elsewhere(self, call: RoutedCall, backend: Backend) -> bool:
--- a/src/yokedock/request/unary_call.py
+++ b/src/yokedock/request/unary_call.py
@@ -91,11 +91,20 @@
         await call.answer.whole(answer.head, answer.body)
 
     async def _serve(self, call: RoutedCall, retries: RequestRetries) -> BufferedResponse:
+        """Try backends until one responds; a connection that is still reserved then is released."""
+        attempts = CallAttempts()
+        try:
+            return await self._try_backends(call, attempts, retries)
+        finally:
+            attempts.release_reserved()
+
+    async def _try_backends(
+        self, call: RoutedCall, attempts: CallAttempts, retries: RequestRetries
+    ) -> BufferedResponse:
         """Try backends until one responds.
 
         A server error is returned only if no retry is allowed or none gets a response.
         """
-        attempts = CallAttempts()
         kept: BufferedResponse | None = None
         while True:
             try:
