Deeply nested bytes are refused by each decoder, and end no task

Seen by a property, not in a fleet: a datagram, a state or a packet of another process, a bundle, a machine list, an engine's response or a line of a log that nests deeply, also in a member that would be skipped, raised RecursionError where only the decoder's own errors are expected. That ended the task or thread that read it: the gossip's (it starts again and reads the next), or the machine list's and the configuration's threads, for good.

Change: DECODING_ERRORS names what decoders raise; it is caught wherever bytes of others are decoded. The state of another router raises a DecodeError. Not changed: the answer to a question for a stream's origin (StreamOriginExchange._ask), and frames of peers, which share a key.

Tests: three properties in deep_answer_properties, 3 of 3 red before.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -230,6 +230,16 @@
       | an odd last item ends no read           |
       | an odd response is no response          |
 
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    # Guards against deeply nested bytes whose RecursionError ended the task that read them.
+    Examples: deeply nested bytes
+      | property                            |
+      | a deep datagram is dropped          |
+      | a deep state is refused             |
+      | a deep packet or bundle is refused  |
+
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
 
--- a/src/yokedock/connection/engine_client.py
+++ b/src/yokedock/connection/engine_client.py
@@ -9,6 +9,7 @@
 import msgspec
 import urllib3
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.connection.bounded_http import (
     PART_BYTES,
     BoundedConnection,
@@ -153,7 +154,7 @@
                         yield decoder.decode(line)
                 if len(rest) > MAX_STEP_BYTES:
                     raise EngineLost(f"a step exceeds {MAX_STEP_BYTES} bytes; check the engine")
-        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, *DECODING_ERRORS) as error:
             raise EngineLost(
                 f"the engine's step stream failed ({error}); check whether it is running"
             ) from None
@@ -202,7 +203,7 @@
             raise EngineRejected(rejection_text(response))
         try:
             return msgspec.json.decode(response.data, type=kind)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             raise EngineLost("the engine's response cannot be decoded; check its version") from None
 
 
@@ -216,5 +217,5 @@
     """Return the message of a backend's error response."""
     try:
         return msgspec.json.decode(response.data, type=ErrorResponse).error.message
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return f"the backend responded with status {response.status}; check its logs"
--- a/src/yokedock/connection/machine_list.py
+++ b/src/yokedock/connection/machine_list.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
@@ -63,6 +64,6 @@
                 )
                 machines = msgspec.json.decode(response.data, type=MachineList).machines
                 self._on_list({machine.name: machine for machine in machines})
-            except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            except (urllib3.exceptions.HTTPError, *DECODING_ERRORS) as error:
                 _log.warning("could not read the machine list", error=str(error))
             self._stopping.wait(self._interval_s * self._random.uniform(0.75, 1.25))
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
@@ -257,7 +258,7 @@
             return
         try:
             state = self._decoder.decode(data)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             _log.warning("not understood", address=address)
             return
         other = self._add_router(address)
--- a/src/yokedock/connection/secure_session.py
+++ b/src/yokedock/connection/secure_session.py
@@ -18,6 +18,7 @@
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives.ciphers.aead import ChaCha20Poly1305
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.errors import PeerNotAuthenticated
 from yokedock.messages import Frame, decode_frame, encode_frame
 
@@ -72,7 +73,7 @@
     """Decode a packet; raises ``PeerNotAuthenticated`` if the data is not one."""
     try:
         packet: Hello | Welcome | Sealed = _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         message = "a peer sent an invalid packet; check what connects to this address"
         raise PeerNotAuthenticated(message) from None
     return packet
--- a/src/yokedock/process/admin_commands.py
+++ b/src/yokedock/process/admin_commands.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.histograms import EncodedHistogram, Histograms
 from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
 from yokedock.errors import PlatformUnavailable
@@ -82,6 +83,6 @@
             "GET", url, timeout=QUERY_TIMEOUT_S, preload_content=False
         )
         return msgspec.json.decode(read_whole(response).data, type=kind)
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+    except (urllib3.exceptions.HTTPError, *DECODING_ERRORS):
         message = f"no daemon responds at {address}; give the [admin] listen address of a daemon"
         raise PlatformUnavailable(message) from None
--- a/src/yokedock/process/log_explain.py
+++ b/src/yokedock/process/log_explain.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.process.tables import format_table
 from yokedock.request.request_outcome import ANSWERED, CALLER_GONE, CUT_OFF, ENDED, FAILED
 
@@ -128,7 +129,7 @@
                 continue
             try:
                 self._parse_line(line[start:].encode())
-            except msgspec.MsgspecError:
+            except DECODING_ERRORS:
                 self.skipped += 1
 
     def explained(self) -> list[ExplainedRequest]:
--- a/src/yokedock/process/origin_store.py
+++ b/src/yokedock/process/origin_store.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from yokedock.base.clock import new_event_loop
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.logs import logger, set_up_logs
 from yokedock.base.sockets import new_datagram_socket
 from yokedock.process.exit import exit_now
@@ -67,7 +68,7 @@
         """Store a record, or answer a lookup; other data is dropped."""
         try:
             message = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             _log.warning("not understood", address=addr[0], reason=str(error))
             return
         if isinstance(message, OriginRecord):
--- a/src/yokedock/process/origin_store_client.py
+++ b/src/yokedock/process/origin_store_client.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
@@ -143,7 +144,7 @@
         self._link.record_received(Traffic.BACKENDS, len(data))
         try:
             finding = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             _log.warning("not understood", address=host, reason=str(error))
             return
         lookup = self._lookups.get(finding.lookup)
--- a/src/yokedock/process/request_trace.py
+++ b/src/yokedock/process/request_trace.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.errors import LogsUnreadable
 from yokedock.process.tables import format_table
 from yokedock.request.request_outcome import ANSWERED, BackendVisit
@@ -106,7 +107,7 @@
         begin = line.find(LINE_PREFIX)
         try:
             entry = msgspec.json.decode(line[max(0, begin) :], type=TraceLine)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             entry = None
         if entry is not None and entry.request == request:
             yield entry
--- a/src/yokedock/process/state_exchange.py
+++ b/src/yokedock/process/state_exchange.py
@@ -220,6 +220,13 @@
 
     Raises ``MsgspecError`` or ``zlib.error``.
     """
+    try:
+        return _unpack(body)
+    except RecursionError:
+        raise msgspec.DecodeError("the state is nested too deeply") from None
+
+
+def _unpack(body: bytes) -> StateSnapshot:
     packed = msgspec.msgpack.decode(body, type=PackedState)
     table = None
     if packed.packed_table:
--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
@@ -108,7 +109,7 @@
         """Store the records that another router has sent."""
         try:
             origins = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             _log.warning("stream origins not understood", address=address, reason=str(error))
             return
         for origin in origins:
--- a/src/yokedock/version/bundle_codec.py
+++ b/src/yokedock/version/bundle_codec.py
@@ -16,6 +16,7 @@
 from cryptography.exceptions import InvalidSignature
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
 
+from yokedock.base.decoding import DECODING_ERRORS
 from yokedock.errors import BundleRejected
 from yokedock.messages import BundleStamp
 from yokedock.version.bundle import (
@@ -134,7 +135,7 @@
     """Return the sections of a pack whose content matches their digest."""
     try:
         sections = msgspec.msgpack.decode(packed, type=dict[str, bytes])
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return {}
     return {digest: c for digest, c in sections.items() if digest_of(c) == digest}
 
@@ -150,7 +151,7 @@
     except InvalidSignature:
         message = "the signature does not match the deployment's key; sign with its private key"
         raise BundleRejected(message) from None
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         message = "the envelope is truncated or altered; publish it again"
         raise BundleRejected(message) from None
     if manifest.version < 1:
@@ -179,7 +180,7 @@
             elif entry.table in _TABLE_KINDS:
                 kind = _TABLE_KINDS[entry.table]
                 tables[entry.table].update(msgspec.json.decode(content, type=dict[str, kind]))  # type: ignore[valid-type]
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             message = f"section {entry.table} cannot be decoded; sign with this version of yokedock"
             raise BundleRejected(message) from None
     return Bundle(
