No odd address and no odd news stops a router's gossip

Seen by properties, not in a fleet. A datagram that names a router by text with NUL, or that can't be encoded as a host, made the next sendto raise TypeError; asyncio then closes the socket for good: the router heard nobody and was heard by nobody, until it was restarted. Names of hosts were looked up in the event loop. And a state whose news can't be encoded was not sent at all, nor any other while the news lasted.

Change: routers named by others are taken only by IP address. News that can't be encoded are logged and left out; the others then fetch the state.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -240,6 +240,15 @@
       | a deep state is refused             |
       | a deep packet or bundle is refused  |
 
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    # Guards against one odd part of a state that keeps a router from sending its own.
+    Examples: datagrams to all others
+      | property                                        |
+      | odd addresses of routers are not used           |
+      | news that cannot be encoded stops no heartbeat  |
+
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
 
--- a/features/support/gossip_properties.py
+++ b/features/support/gossip_properties.py
@@ -9,7 +9,8 @@
     LARGE_FLEET_INTERVAL_S,
     RouterGossip,
 )
-from yokedock.connection.router_state import RouterState
+from yokedock.connection.router_state import RouterState, StateNews
+from yokedock.connection.state_source import BackendEntry
 
 PORT = 1
 SPAN_S = 2.6
@@ -161,7 +162,73 @@
     asyncio.run(play())
 
 
+class QueueingReceiver(asyncio.DatagramProtocol):
+    """Puts each datagram into a queue."""
+
+    def __init__(self, inbox):
+        self._inbox = inbox
+
+    def datagram_received(self, data, address):
+        self._inbox.put_nowait(data)
+
+
+def odd_addresses_of_routers_are_not_used():
+    """A datagram that names routers by anything but an IP address stops no other datagram."""
+
+    async def play():
+        loop = asyncio.get_running_loop()
+        inbox = asyncio.Queue()
+        own, _ = await loop.create_datagram_endpoint(
+            lambda: QueueingReceiver(inbox), local_addr=("127.0.0.3", 0)
+        )
+        port = own.get_extra_info("sockname")[1]
+        gossip = RouterGossip(
+            "127.0.0.4",
+            port,
+            (),
+            lambda sequence, named: state("own", sequence, named),
+            lambda other: None,
+            lambda other: None,
+        )
+        await gossip.start()
+        odd = ("\0", "", "x" * 70, "x..y", "10.0.0.999", "name.invalid", "\u0130" * 64)
+        data = msgspec.msgpack.encode(state("odd", 1, (*odd, "127.0.0.3")))
+        gossip.datagram_received(data, ("127.0.0.5", port))
+        gossip.send_final_state()
+        async with asyncio.timeout(2.0):
+            await inbox.get()
+        assert set(gossip._others) == {"127.0.0.3", "127.0.0.5"}, set(gossip._others)
+        gossip._transport.close()
+        own.close()
+
+    asyncio.run(play())
+
+
+def news_that_cannot_be_encoded_stops_no_heartbeat():
+    """A state whose news cannot be encoded is sent without them."""
+    odd = BackendEntry("odd", "s", "10.0.0.1:80", revision=2**64)
+    news = (StateNews(1, 2, 1, (odd,)),)
+
+    def odd_state(sequence, named):
+        return msgspec.structs.replace(state("own", sequence, named), news=news)
+
+    async def play():
+        transport = CountingTransport()
+        gossip = RouterGossip("10.0.0.1", PORT, (), odd_state, lambda o: None, lambda o: None)
+        gossip.connection_made(transport)
+        data = msgspec.msgpack.encode(state("other", 1))
+        gossip.datagram_received(data, ("10.0.0.2", PORT))
+        gossip.send_final_state()
+        assert [address for _, address in transport.sent] == ["10.0.0.2"]
+
+    asyncio.run(play())
+
+
 GOSSIP_PROPERTIES = {
+    "odd addresses of routers are not used": odd_addresses_of_routers_are_not_used,
+    "news that cannot be encoded stops no heartbeat": (
+        news_that_cannot_be_encoded_stops_no_heartbeat
+    ),
     "news takes the place of a heartbeat": news_takes_the_place_of_a_heartbeat,
     "a large fleet speaks less often": a_large_fleet_speaks_less_often,
     "a router replaced at once soon hears all": a_router_replaced_at_once_soon_hears_all,
--- a/src/yokedock/connection/router_gossip.py
+++ b/src/yokedock/connection/router_gossip.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import math
 from collections.abc import Callable
 from typing import cast
@@ -281,7 +282,8 @@
         if state.is_asking:
             self._send_to(other)
         for named in state.routers:
-            self._add_router(named)
+            if named in self._others or _is_ip_address(named):
+                self._add_router(named)
         if is_new:
             _log.info("router heard", address=other.address, name=state.name)
             self._addresses_sent_s = 0.0
@@ -308,7 +310,7 @@
         self._sequence += 1
         state = self._make_state(self._sequence, self._addresses_to_send(now_s))
         state.is_asking, self._is_resync_pending = self._is_resync_pending, False
-        data = self._encoder.encode(state)
+        data = self._encode(state)
         sent_before = self._link.sent_bytes[Traffic.ROUTERS]
         for other in self._others.values():
             is_silent = other.heard_s < now_s - SILENT_S
@@ -353,7 +355,18 @@
         if report is not None:
             state.suspects = report.requests or state.suspects
             state.suspect_parts = report.parts or state.suspect_parts
-        self._send_datagram(self._encoder.encode(state), other.address)
+        self._send_datagram(self._encode(state), other.address)
+
+    def _encode(self, state: RouterState) -> bytes:
+        """Return the datagram of a state; without the news if these cannot be encoded.
+
+        Sources check what they report, so that is a defect. The others then fetch the state.
+        """
+        try:
+            return self._encoder.encode(state)
+        except Exception:
+            _log.exception("news cannot be encoded", news=len(state.news))
+            return self._encoder.encode(msgspec.structs.replace(state, news=()))
 
     def _send_datagram(self, data: bytes, address: str) -> None:
         assert self._transport is not None
@@ -385,5 +398,14 @@
                 del self._others[other.address]
 
 
+def _is_ip_address(text: str) -> bool:
+    """Return whether a datagram can be sent to ``text`` without a look-up of a name."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _order(state: RouterState) -> tuple[int, int]:
     return (state.incarnation, state.sequence)
