An engine's prefill result is taken only if it can be passed on

Seen by a property, not in a fleet: a handle with a line end, a space or other characters that neither header nor target can carry failed the decode call in the router (502) in place of the prefill; a token count of 2^64 or more, or below 0, was reserved, and a router's state with it could not be sent to any other router as long as the reservation lasted.

Change: the handle is visible ASCII, tokens are from 0 to 2^53 - 1, also in the list of cached parts; anything else is an invalid response of the engine, as a missing handle was.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -216,6 +216,8 @@
       | a configuration in force can be used and sent on |
       | a sound configuration is used                  |
       | a routes file in force can be used and sent on |
+      | a prefill result can be passed on              |
+      | an odd revision ends no watch                  |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
--- a/features/support/odd_entry_properties.py
+++ b/features/support/odd_entry_properties.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 import datetime
 import json
@@ -9,6 +10,7 @@
 import tempfile
 import zlib
 from pathlib import Path
+from unittest import mock
 
 import h11
 import msgspec
@@ -16,15 +18,18 @@
 from hypothesis import strategies as st
 
 from support.entry_properties import VALID_ENTRY
+from yokedock.connection import configuration_watch
+from yokedock.connection.bounded_http import WholeResponse
+from yokedock.connection.configuration_watch import ConfigurationClient
 from yokedock.connection.dialect import ForwardingOrder
 from yokedock.connection.entry_validation import without_invalid_entries
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.connection.http_heads import RequestHead
-from yokedock.connection.router_state import StateNews
+from yokedock.connection.router_state import EngineShare, StateNews
 from yokedock.connection.routes_file import RoutesFile
 from yokedock.connection.source_position import SourcePosition
 from yokedock.connection.state_source import BackendEntry, StateSnapshot
-from yokedock.errors import PlatformUnavailable
+from yokedock.errors import EngineRejected, PlatformUnavailable
 from yokedock.platform.store import items_to_changes
 from yokedock.platform.stored_items import StoredItem
 from yokedock.process.state_exchange import PackedState, unpack
@@ -273,7 +278,43 @@
     assert sent.table == read.table and sent.backends == read.backends
 
 
+@many_examples(
+    handle=st.text(NAME_CHARACTERS, max_size=6) | st.none() | ANY_SIZE,
+    tokens=ANY_SIZE | st.none() | st.booleans() | st.text(max_size=2) | st.floats(),
+)
+@example(handle="h", tokens=2**64)
+@example(handle="h\r\nX-Other: 1", tokens=1)
+def a_prefill_result_can_be_passed_on(handle, tokens):
+    """An engine's result is refused, or can be counted for other routers and passed to a decode."""
+    body = json.dumps({"handle": handle, "tokens": tokens}).encode()
+    try:
+        result = HeaderDialect().prefill_result(body)
+    except EngineRejected:
+        return
+    msgspec.msgpack.encode(EngineShare(prefill_tokens=1000 * result.tokens))
+    order = ForwardingOrder("i-1", kv_source=f"10.0.0.1:80/{result.handle}")
+    headers = HeaderDialect().backend_headers(RequestHead((), b"GET", b"/x"), order)
+    target = HeaderDialect().release_target(result.handle)
+    request = h11.Request(method="DELETE", target=target, headers=[("Host", "h"), *headers])
+    assert result.handle.encode() in h11.Connection(h11.CLIENT).send(request)
+
+
+def an_odd_revision_ends_no_watch():
+    """A revision of the configuration service that is no number is an error of that service."""
+    for revision in ("x", "", "-1", "1e3", "\u00b2", "9" * 5000):
+        client = ConfigurationClient("http://127.0.0.1:1")
+        response = WholeResponse(200, {"X-Revision": revision}, b"{}")
+        with (
+            mock.patch.object(client._pool, "request"),
+            mock.patch.object(configuration_watch, "read_whole", return_value=response),
+            contextlib.suppress(PlatformUnavailable),
+        ):
+            raise AssertionError(f"accepted {client.read('bundle')}")
+
+
 ODD_ENTRY_PROPERTIES = {
+    "a prefill result can be passed on": a_prefill_result_can_be_passed_on,
+    "an odd revision ends no watch": an_odd_revision_ends_no_watch,
     "a routes file in force can be used and sent on": (
         a_routes_file_in_force_can_be_used_and_sent_on
     ),
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from yokedock.base.logs import logger
@@ -61,9 +63,12 @@
     cache_list_field: str = "held"
 
 
+MAX_TOKENS = (1 << 53) - 1
+"""Maximum number of tokens that an engine may report; sums of them can be sent to other routers."""
 MISDIRECTED_STATUS = 421
 """The backend is not the intended one and does not run the request (RFC 9110)."""
 MAX_DEADLINE_MS = 3_600_000
+_HANDLE = re.compile(r"[!-~]+")
 OVERLOADED_STATUS = 503
 """The only status with which ``Retry-After`` is honoured (RFC 9110, section 10.2.3)."""
 RETRY_AFTER = b"retry-after"
@@ -148,7 +153,8 @@
             fields = {}
         handle = fields.get(self._names.handle_field)
         tokens = fields.get(self._names.tokens_field, 0)
-        if not isinstance(handle, str) or not isinstance(tokens, int):
+        is_valid = _is_handle(handle) and _is_token_count(tokens)
+        if not is_valid or not isinstance(handle, str) or not isinstance(tokens, int):
             raise EngineRejected(
                 "invalid prefill response from the engine: expected a handle and a token count"
             )
@@ -182,7 +188,7 @@
             )
         except (msgspec.MsgspecError, RecursionError, KeyError):
             raise EngineRejected("invalid prefix cache listing from the engine") from None
-        return {part.part_id: part.tokens for part in parts}
+        return {part.part_id: part.tokens for part in parts if 0 <= part.tokens <= MAX_TOKENS}
 
     def release_target(self, handle: str) -> bytes:
         """Return the path on which DELETE releases the KV cache that a prefill retains."""
@@ -255,3 +261,12 @@
     def _record_invalid_value(self, what: str, text: str) -> None:
         self.invalid_values += 1
         _log.info("word not understood", what=what, value=text[:MAX_LOGGED_CHARACTERS])
+
+
+def _is_handle(value: object) -> bool:
+    """Return whether a handle can stand in the header and in the target of a request."""
+    return isinstance(value, str) and _HANDLE.fullmatch(value) is not None
+
+
+def _is_token_count(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_TOKENS
