--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -217,6 +217,8 @@
       | a configuration in force can be used and sent on |
       | a sound configuration is used                  |
       | a routes file in force can be used and sent on |
+      | a prefill result can be passed on              |
+      | an odd revision ends no watch                  |
 
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
@@ -231,6 +233,25 @@
       | an odd last item ends no read           |
       | an odd response is no response          |
 
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    # Guards against deeply nested bytes whose RecursionError ended the task that read them.
+    Examples: deeply nested bytes
+      | property                            |
+      | a deep datagram is dropped          |
+      | a deep state is refused             |
+      | a deep packet or bundle is refused  |
+
+  Scenario Outline: <property>
+    Then this holds for generated cases: <property>
+
+    # Guards against one odd part of a state that keeps a router from sending its own.
+    Examples: datagrams to all others
+      | property                                        |
+      | odd addresses of routers are not used           |
+      | news that cannot be encoded stops no heartbeat  |
+
   Scenario Outline: <property>
     Then this holds for generated cases: <property>
 
