Refuse heads that do not say validly where their body ends

An agent took part of a body for a whole answer of a service whose head carried a Content-Length that is no number, an unknown Transfer-Encoding (its framing would have been in the body), or a line without a colon ahead of Content-Length.

Cause: http.client then reads until the end of the connection, as if nothing had been said of the length; urllib3 only logs lines that it can't parse. Ruled out: two lengths that differ, lengths with sign or underscore and too few bytes (errors before too); the router, whose parser refuses all of these.

StrictResponse refuses such heads for all clients of agents, gateways and operators' commands.

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -52,3 +52,18 @@
       | fault                | count | end    |
       | break within event 3 | 2     | reset  |
       | none                 | 6     | closed |
+
+  # Guards against bodies of an unknown length that are whole wherever the connection ends.
+  Scenario Outline: A head that does not say validly where its body ends, <line>
+    When a service answers with the header line "<line>" and a part of its body
+    Then the agent takes it for no answer
+
+    Examples:
+      | line                          |
+      | Content-Length: 20x           |
+      | Content-Length: -1            |
+      | Content-Length:               |
+      | Content-Length : 20           |
+      | no header                     |
+      | Transfer-Encoding: chunked;q  |
+      | Transfer-Encoding: compressed |
--- a/features/steps/cut_answer_steps.py
+++ b/features/steps/cut_answer_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 from router_steps import STREAM_HEADERS
-from support.cut_answer_properties import cut_answers_taken
+from support.cut_answer_properties import cut_answers_taken, is_service_answer_taken
 from support.router_world import LIMIT_S, request_bytes
 
 
@@ -50,3 +50,13 @@
 def gets_events(context, count, end):
     assert context.received.count(b"\nid: ") == count, context.received
     assert context.end == end
+
+
+@when('a service answers with the header line "{line}" and a part of its body')
+def answer_with_line(context, line):
+    context.is_taken = is_service_answer_taken(line.encode())
+
+
+@then("the agent takes it for no answer")
+def not_taken(context):
+    assert not context.is_taken
--- a/features/support/cut_answer_properties.py
+++ b/features/support/cut_answer_properties.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from support.cut_answers import cut_answers, taken_for_whole
+from support.cut_answers import CutAnswer, CuttingServer, Framing, cut_answers, taken_for_whole
 from yokedock.connection.configuration_watch import REVISION_HEADER, ConfigurationClient
 from yokedock.connection.engine_client import HttpEngineClient
 from yokedock.connection.engine_protocol import Load, PrefillOrder, PrefillResult
@@ -90,15 +90,28 @@
 def cut_answers_taken(name):
     """Return (number of cut answers, texts of those that a client took for whole)."""
     request, answer = REQUESTS[name]
+    return taken_for_whole(
+        cut_answers(**answer, interim=BEHIND), lambda address: _is_taken(request, address)
+    )
+
 
-    def read(address):
-        try:
-            with contextlib.redirect_stdout(io.StringIO()):
-                request(address)
-        except YokedockError:
-            return False
-        except ValueError:
-            return True  # No caller expects it: it would end the reader's thread.
-        return True
-
-    return taken_for_whole(cut_answers(**answer, interim=BEHIND), read)
+def is_service_answer_taken(line):
+    """Return whether an agent takes an answer with this line ahead of its header lines."""
+    head = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Type: text/plain\r\n\r\n"
+    server = CuttingServer()
+    server.answer = CutAnswer(Framing("unframed"), "", head, b"part", len(head + b"part"), False)
+    try:
+        return _is_taken(call_service, server.address)
+    finally:
+        server.close()
+
+
+def _is_taken(request, address):
+    try:
+        with contextlib.redirect_stdout(io.StringIO()):
+            request(address)
+    except YokedockError:
+        return False
+    except ValueError:
+        return True  # No caller expects it: it would end the reader's thread.
+    return True
--- a/src/yokedock/connection/bounded_http.py
+++ b/src/yokedock/connection/bounded_http.py
@@ -17,8 +17,10 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ProtocolError
+from urllib3.util.response import assert_header_parsing
 
 from yokedock.base.bounded_socket import MAX_RESPONSE_BYTES, BoundedSocket
+from yokedock.connection.header_numbers import parse_integer
 
 PART_BYTES = 65_536
 """Bytes read at once: reading as many as are announced would allocate memory for all of them."""
@@ -55,6 +57,21 @@
         super().__init__(sock, *args, **options)
         self.fp = CompleteLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises ``http.client.HTTPException`` or ``urllib3.exceptions.HTTPError`` if it leaves open
+        where the body ends: with the connection only if nothing else is said.
+        """
+        super().begin()
+        assert_header_parsing(self.headers)
+        encodings = self.headers.get_all("Transfer-Encoding", [])
+        if encodings and not self.chunked:
+            raise http.client.HTTPException(f"unknown Transfer-Encoding {encodings}")
+        lengths = self.headers.get_all("Content-Length", [])
+        if not all(parse_integer(length) is not None for length in lengths):
+            raise http.client.HTTPException(f"invalid Content-Length {lengths}")
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose responses are limited in time and bytes, and must be complete."""
