Count an invalid revision of the configuration service as its error

A gateway or agent heard of no later configuration once the configuration service had answered with an X-Revision that is no number: the ValueError ended the thread of the watch.

Cause: int() on a header. Ruled out: bodies that are no bundle (rejected with a typed error). The revision is parsed as other numbers in headers are; anything else is PlatformUnavailable, after which the watch goes on.

--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -67,3 +67,14 @@
       | no header                     |
       | Transfer-Encoding: chunked;q  |
       | Transfer-Encoding: compressed |
+
+  # Guards against a watch of the configuration that ends for good at an answer of no use.
+  Scenario Outline: A revision that is no number is an error of the service, <revision>
+    When the configuration service answers with the revision "<revision>"
+    Then it counts as unavailable
+
+    Examples:
+      | revision             |
+      | x                    |
+      | -1                   |
+      | 99999999999999999999 |
--- a/features/steps/cut_answer_steps.py
+++ b/features/steps/cut_answer_steps.py
@@ -4,9 +4,15 @@
 
 from behave import given, then, when
 from router_steps import STREAM_HEADERS
-from support.cut_answer_properties import cut_answers_taken, is_service_answer_taken
+from support.cut_answer_properties import (
+    cut_answers_taken,
+    is_service_answer_taken,
+    read_revision,
+)
 from support.router_world import LIMIT_S, request_bytes
 
+from yokedock.errors import PlatformUnavailable
+
 
 @when("the answer to the {name} is cut off after each of its bytes, in each framing")
 def cut_client_answers(context, name):
@@ -60,3 +66,16 @@
 @then("the agent takes it for no answer")
 def not_taken(context):
     assert not context.is_taken
+
+
+@when('the configuration service answers with the revision "{revision}"')
+def answer_with_revision(context, revision):
+    try:
+        context.error = read_revision(revision)
+    except Exception as error:
+        context.error = error
+
+
+@then("it counts as unavailable")
+def unavailable(context):
+    assert isinstance(context.error, PlatformUnavailable), repr(context.error)
--- a/features/support/cut_answer_properties.py
+++ b/features/support/cut_answer_properties.py
@@ -106,6 +106,18 @@
         server.close()
 
 
+def read_revision(revision):
+    """Return what is read of the configuration with this revision; raises ``YokedockError``."""
+    framing, body = Framing("length"), b"value"
+    head = framing.head(200, [(REVISION_HEADER, revision)], body)
+    server = CuttingServer()
+    server.answer = CutAnswer(framing, "", head, body, len(head + body), False)
+    try:
+        return ConfigurationClient(f"http://{server.address}").read("key")
+    finally:
+        server.close()
+
+
 def _is_taken(request, address):
     try:
         with contextlib.redirect_stdout(io.StringIO()):
--- a/src/yokedock/connection/configuration_watch.py
+++ b/src/yokedock/connection/configuration_watch.py
@@ -11,6 +11,7 @@
 from yokedock.base.logs import logger
 from yokedock.base.randomness import new_random
 from yokedock.connection.bounded_http import bounded_pool_manager, read_whole
+from yokedock.connection.header_numbers import parse_integer
 from yokedock.errors import BundleRejected, PlatformUnavailable
 from yokedock.version.bundle_codec import (
     ENVELOPE_KEY,
@@ -70,7 +71,12 @@
             )
         if len(response.data) > MAX_ENVELOPE_BYTES:
             raise PlatformUnavailable(f"the value of {key} is over 1 MB; publish a smaller one")
-        return int(response.headers.get(REVISION_HEADER, "0")), response.data
+        revision = parse_integer(response.headers.get(REVISION_HEADER, "0"))
+        if revision is None:
+            raise PlatformUnavailable(
+                f"the configuration service sent an invalid {REVISION_HEADER}; check its version"
+            )
+        return revision, response.data
 
     def sections(self, digests: tuple[str, ...]) -> dict[str, bytes]:
         """Return the available sections, by digest."""
