A stream waits once for a list that is behind its source

Cause: ListConfirmation.reached_since waited CATCH_UP_S from each call, also where it used a response of before.

Change: the time counts from the source's response.

Test: the property asks three times; it failed before, passes after.

--- a/features/support/list_confirmation_properties.py
+++ b/features/support/list_confirmation_properties.py
@@ -67,7 +67,8 @@
         ):
             began_s = boot_time_s()
             confirmation = ListConfirmation(source, lambda known=known: SourcePosition(0, known))
-            assert await confirmation.reached_since(began_s) is None
+            for _ in range(3):
+                assert await confirmation.reached_since(began_s) is None
             assert boot_time_s() - began_s < SOURCE_TIMEOUT_S + CATCH_UP_S + SLACK_S
         older = ListConfirmation(PositionSource(3), lambda: SourcePosition(0, 5))
         assert await older.reached_since(boot_time_s()) is None, "its response is older"
--- a/src/yokedock/process/list_confirmation.py
+++ b/src/yokedock/process/list_confirmation.py
@@ -34,6 +34,8 @@
     """When the call was made (boot time, s)."""
     position: SourcePosition | None
     """The position of the source at some time after that, None if it is not known."""
+    ended_s: float = float("-inf")
+    """When the source responded (boot time, s)."""
 
 
 class ListConfirmation:
@@ -55,7 +57,7 @@
         confirmation = await self._confirmation_since(asked_s)
         if confirmation.position is None:
             return None
-        latest_s = boot_time_s() + CATCH_UP_S
+        latest_s = confirmation.ended_s + CATCH_UP_S
         while self._position() < confirmation.position:
             if boot_time_s() > latest_s:
                 _log.info(
@@ -88,4 +90,5 @@
             self._call = None
         position = before.position_of_read(reported)
         # A source that reports an earlier position does not speak for now.
-        return Confirmation(began_s, position if position >= before else None)
+        is_current = position >= before
+        return Confirmation(began_s, position if is_current else None, boot_time_s())
