--- a/src/yokedock/process/stream_origin_exchange.py
+++ b/src/yokedock/process/stream_origin_exchange.py
@@ -285,7 +285,7 @@
             if answer.status != OK:
                 raise BackendResponseError(f"{peer} responded with status {answer.status}")
             return msgspec.msgpack.decode(answer.body, type=OriginReport)
-        except (BackendUnreachable, BackendResponseError, msgspec.MsgspecError) as error:
+        except (BackendUnreachable, BackendResponseError, *DECODING_ERRORS) as error:
             _log.info("no stream origin from router", router=address, reason=str(error))
             return None
 
