A stopping router asks the kernel for unread bytes before it closes an idle connection

What callers saw: nothing that is traced. That this is its cause is not shown.

Cause: idle connections are closed after a sleep that ended on time. If the process stands still between that and the close of the socket, which the transport does in a later turn of the event loop, a request that has arrived meanwhile is reset.

Change: close_if_idle looks for unread bytes in the kernel (FIONREAD) and leaves a connection that has some, so that its request is answered; otherwise it sends FIN in the same step and then closes.

In simulation the kernel's bytes are not modelled (fileno is -1): nothing changes there but the FIN.

Not run: the whole suite, real soaks.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -162,6 +162,7 @@
       | what has arrived is read before an abort |
       | a request behind an answer that announced nothing is answered  |
       | an idle connection is closed late in a stop                    |
+      | a request in the socket at a close is answered                 |
       | a raised idle timeout holds for connections that wait          |
       | a complete answer is sent although a stop ends                 |
       | a request that is handled is not flushed                       |
--- a/features/support/connection_properties.py
+++ b/features/support/connection_properties.py
@@ -98,6 +98,26 @@
     asyncio.run(play())
 
 
+# Guards against requests lost on idle connections that are closed right after a stall.
+def a_request_that_waits_in_the_socket_at_a_close_is_answered():
+    """A request arrives while the process stands still, then its connection is to be closed."""
+
+    async def play():
+        server = StoppingServer()
+        port = await server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST)
+        await read_answer(reader)
+        await asyncio.sleep(0.05)
+        writer.write(REQUEST)
+        time.sleep(0.05)
+        server.connection.close_if_idle()
+        assert b"connection: close" in await read_answer(reader)
+        assert await asyncio.wait_for(reader.read(), LIMIT_S) == b""
+
+    asyncio.run(play())
+
+
 def a_raised_idle_timeout_holds_for_connections_that_wait():
     """Guards against requests lost on connections that are closed by an idle timeout of before.
 
@@ -395,6 +415,9 @@
         a_request_after_an_unannounced_close_is_answered
     ),
     "an idle connection is closed late in a stop": an_idle_connection_is_closed_during_shutdown,
+    "a request in the socket at a close is answered": (
+        a_request_that_waits_in_the_socket_at_a_close_is_answered
+    ),
     "a raised idle timeout holds for connections that wait": (
         a_raised_idle_timeout_holds_for_connections_that_wait
     ),
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -21,7 +21,11 @@
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.acknowledgement import MS_PER_SECOND, read_acknowledgement_state
 from yokedock.connection.caller_request import CallerRequest, check_head
-from yokedock.connection.disconnect_detection import Departure, has_disconnected
+from yokedock.connection.disconnect_detection import (
+    Departure,
+    has_disconnected,
+    has_unread_data,
+)
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.http_parser import request_parser
 from yokedock.connection.lost_peer_detector import LostPeerDetector
@@ -180,10 +184,19 @@
             self.abort()
 
     def close_if_idle(self) -> None:
-        """Close if no request is being read or handled; otherwise close after the response."""
+        """Close if no request has arrived or is handled; otherwise close after the response.
+
+        If this process has just stalled, a request may wait in the socket unread. The close is sent
+        at once: the transport closes the socket later, possibly after another stall.
+        """
         self.is_closing = self._close_unannounced = True
-        if self.is_idle and not self._has_request_data:
-            self._writer.close()
+        if not self.is_idle or self._has_request_data:
+            return
+        if has_unread_data(self._writer.get_extra_info("socket")):
+            return
+        with contextlib.suppress(OSError):  # The caller has reset the connection.
+            self._writer.write_eof()
+        self._writer.close()
 
     def cancel_handler(self) -> None:
         """Cancel the handler of the request in flight.
--- a/src/yokedock/connection/disconnect_detection.py
+++ b/src/yokedock/connection/disconnect_detection.py
@@ -10,13 +10,19 @@
 
 import enum
 import errno
+import fcntl
 import socket
+import sys
+import termios
 from typing import Any
 
 PEER_CLOSED_STATES = frozenset({6, 7, 8, 9, 11})
 """TCP states (Linux, ``tcp_states.h``) in which the peer has sent FIN or RST: TIME_WAIT, CLOSE,
 CLOSE_WAIT, LAST_ACK, CLOSING."""
 
+FIONREAD_BYTES = 4
+"""Size of the number of bytes that ``FIONREAD`` returns, an ``int`` of C."""
+
 
 class Departure(enum.StrEnum):
     """The sign by which a connection showed that its caller has left."""
@@ -42,3 +48,12 @@
         # EBADF: closed locally. On any other error, a disconnect is detected by reading.
         return error.errno == errno.EBADF
     return state in PEER_CLOSED_STATES
+
+
+def has_unread_data(sock: Any) -> bool:
+    """Return whether data of the peer waits in the kernel; False for a closed socket."""
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        return False
+    waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(FIONREAD_BYTES))
+    return int.from_bytes(waiting, sys.byteorder) > 0
--- a/src/yokedock_emulator/simulation/streams.py
+++ b/src/yokedock_emulator/simulation/streams.py
@@ -65,6 +65,10 @@
         """Return the state of the connection, the first byte of ``TCP_INFO``."""
         return bytes([CLOSED if self.stream is None else self.stream.state])
 
+    def fileno(self) -> int:
+        """Return -1: a simulated process reads what arrives at once, unless it stands still."""
+        return -1
+
     def getsockname(self) -> Any:
         """Return IP address and port of this end."""
         return self.stream.own_address
