--- a/features/run_features.py
+++ b/features/run_features.py
@@ -17,6 +17,8 @@
 from support.port_blocks import PortBlocks, first_ephemeral_port
 from support.processes import PORT_BASE_VARIABLE
 
+from yokedock_emulator.simulation.network import FIRST_PORT as FIRST_SIMULATED_PORT
+
 HERE = Path(__file__).resolve().parent
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
@@ -140,7 +142,8 @@
     wanted = [f"{name}.feature" for name in names] or ["*.feature"]
     chosen = [path for path in features if any(path.match(name) for name in wanted)]
     LOGS.mkdir(parents=True, exist_ok=True)
-    port_blocks = PortBlocks(first_ephemeral_port())
+    # A simulated network assigns ports from its own first one on, whatever the kernel has.
+    port_blocks = PortBlocks(min(first_ephemeral_port(), FIRST_SIMULATED_PORT))
     with ThreadPoolExecutor(WORKERS) as workers:
         results = list(workers.map(lambda path: run_feature(path, port_blocks), chosen))
     failed = print_failures(results)
