--- a/src/yokedock/process/list_confirmation.py
+++ b/src/yokedock/process/list_confirmation.py
@@ -21,7 +21,7 @@
 _log = logger("state")
 
 SOURCE_TIMEOUT_S = 0.25
-"""Time limit for the source's response, sixty times the usual one."""
+"""Time limit for the source's response: callers that cannot be served are told soon."""
 CATCH_UP_S = 0.3
 """Time for the changes up to the confirmed position to arrive: they are batched for 0.2 s."""
 CHECK_S = 0.01
