--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -147,6 +147,7 @@
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     def put(self, key: str, value: object) -> None:
+        """Write an item; it is acknowledged on return."""
         self._revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
         made = self._items.get(key, {}).get("made", self._revision)
