--- a/review/standins-3/batch_engine.py
+++ b/review/standins-2/batch_engine.py
@@ -8,7 +8,7 @@
 import json
 from dataclasses import dataclass, field
 
-from model_engine import STRIDE
+from model_service import STRIDE
 from platform_standins import Message, Record, Store, read_message, response
 
 STEP_S = 0.00341
