Review cases 5 and 7: a signal ends with 2 and ends all processes; each run is reported

Looked for: whether each script writes its record, ends within 120 s and exits with 0, 1 or 2, and its runs are reported. Ran: all five without the build's libraries, and with a SIGTERM after 5 s; 5 and 7 five times and with TROUBLE=0 after the mend.

--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -423,9 +423,12 @@
     machines: list[Machine] = []
 
     async def main(scratch: Path) -> None:
+        running = asyncio.ensure_future(case(record, scratch, has_trouble, machines))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, running.cancel)
         try:
-            code = await asyncio.wait_for(case(record, scratch, has_trouble, machines), limit_s)
-        except Exception as error:  # The case could not run.
+            code = await asyncio.wait_for(running, limit_s)
+        except (Exception, asyncio.CancelledError) as error:  # The case could not run.
             record.write(f"the case could not run: {error!r}")
             code = 2
         for machine in machines:
