Settings tell every daemon its memory and its descriptors; nothing keeps to them yet

Cause: what a process may use of its machine was known to the platform alone. A bound on what clients make a process hold has to follow from it, and tests have to lower it.

Ruled out: gaps for single limits in the settings template or the deploy file: stand-ins of the review that fill them lack some of the fields (KeyError, their cases would not run). The whole table is passed, as JSON.

The check of the link's rate is the same under the name of the function that now reads all three.

--- a/features/support/link_properties.py
+++ b/features/support/link_properties.py
@@ -16,7 +16,11 @@
 from yokedock.connection.router_gossip import OtherRouter, RouterGossip
 from yokedock.errors import SettingsInvalid
 from yokedock.process.readiness import Readiness
-from yokedock.process.router_settings import changed_options, read_router_settings, with_link_rate
+from yokedock.process.router_settings import (
+    changed_options,
+    read_router_settings,
+    with_machine_options,
+)
 from yokedock.request.link_admission import LinkAdmission
 from yokedock.request.stop_admission import StopState
 from yokedock.router_errors import BackendUnreachable
@@ -334,12 +338,13 @@
     """The environment's rate is used if it is valid, none if it is empty, else rejected."""
     settings = read_router_settings(EXAMPLE)
     assert settings.machine.link_mbps == 0.0
-    assert with_link_rate(settings, "") == settings
-    assert with_link_rate(settings, "5.0").machine.link_mbps == 5.0
-    assert not changed_options(settings, with_link_rate(settings, "5.0"))
+    assert with_machine_options(settings, {"link_mbps": ""}) == settings
+    named = with_machine_options(settings, {"link_mbps": "5.0"})
+    assert named.machine.link_mbps == 5.0
+    assert not changed_options(settings, named)
     for wrong in ("wide", "-1", "nan"):
         try:
-            with_link_rate(settings, wrong)
+            with_machine_options(settings, {"link_mbps": wrong})
         except SettingsInvalid as error:
             assert "link_mbps" in error.message, error.message
         else:
--- a/src/yokedock/process/router_settings.py
+++ b/src/yokedock/process/router_settings.py
@@ -17,6 +17,7 @@
 )
 from yokedock.base.options import read_section as read_options
 from yokedock.errors import SettingsInvalid
+from yokedock.process.machine_settings import RouterMachineSettings
 from yokedock.request.mechanisms import ALL_ON, Mechanisms
 
 
@@ -78,17 +79,6 @@
     grace_s: float = option("time from SIGTERM to SIGKILL, s", 8.0, between(0.5, 3600))
 
 
-@dataclasses.dataclass(frozen=True)
-class MachineSettings:
-    """Limits of the machine."""
-
-    link_mbps: float = option(
-        "rate of the network link, Mbit/s; 0: not known",
-        0.0,
-        between(0, 1e6),
-    )
-
-
 @dataclasses.dataclass(frozen=True)
 class RouterLogSettings:
     """Logging, as JSON lines to standard output."""
@@ -111,13 +101,18 @@
     stop: StopSettings
     log: RouterLogSettings
     mechanisms: Mechanisms = ALL_ON
-    machine: MachineSettings = MachineSettings()
+    machine: RouterMachineSettings = dataclasses.field(default_factory=RouterMachineSettings)
 
 
 RELOADED_OPTIONS = ("fleet.seeds", "stop.grace_s")
 """Options that take effect while the router runs. All others take effect at its next start: what
 is bound, connected or shared with other routers depends on them."""
-START_OPTIONS = ("fleet.is_first_start", "machine.link_mbps")
+START_OPTIONS = (
+    "fleet.is_first_start",
+    "machine.link_mbps",
+    "machine.memory_mb",
+    "machine.max_descriptors",
+)
 """Options that describe a start or its machine; a change of them concerns no running router."""
 
 _OPTIONAL = {"retries", "stop", "log", "machine", "mechanisms"}
@@ -129,7 +124,7 @@
     "retries": RetrySettings,
     "stop": StopSettings,
     "log": RouterLogSettings,
-    "machine": MachineSettings,
+    "machine": RouterMachineSettings,
     "mechanisms": Mechanisms,
 }
 
@@ -143,18 +138,18 @@
     return RouterSettings(**sections)
 
 
-def with_link_rate(settings: RouterSettings, link_mbps: str) -> RouterSettings:
-    """Return settings with the rate that the environment names; an empty text names none.
+def with_machine_options(settings: RouterSettings, options: dict[str, str]) -> RouterSettings:
+    """Return settings with those options of [machine] that the environment names.
 
-    Raises ``SettingsInvalid`` if it is not a valid rate.
+    An empty text names none. Raises ``SettingsInvalid`` if one is not valid.
     """
-    if not link_mbps:
-        return settings
+    named = {name: text for name, text in options.items() if text}
     problems = Problems()
-    machine = read_options(MachineSettings, "machine", {"link_mbps": link_mbps}, problems)
+    machine = read_options(RouterMachineSettings, "machine", named, problems)
     if machine is None:
         raise SettingsInvalid(problems.text())
-    return dataclasses.replace(settings, machine=machine)
+    values = {name: getattr(machine, name) for name in named}
+    return dataclasses.replace(settings, machine=dataclasses.replace(settings.machine, **values))
 
 
 def changed_options(before: RouterSettings, after: RouterSettings) -> list[str]:
--- a/src/yokedock/process/settings.py
+++ b/src/yokedock/process/settings.py
@@ -26,6 +26,7 @@
 )
 from yokedock.connection.secure_session import KEY_BYTES, LOOPBACK_KEY
 from yokedock.errors import SettingsInvalid
+from yokedock.process.machine_settings import MachineSettings
 
 MIN_HEARTBEATS_PER_LEASE = 3
 """Minimum lease duration in heartbeat intervals, so that one lost heartbeat does not end it."""
@@ -151,6 +152,7 @@
     metrics: MetricsSettings
     log: LogSettings
     placement: PlacementSettings = dataclasses.field(default_factory=PlacementSettings)
+    machine: MachineSettings = dataclasses.field(default_factory=MachineSettings)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -164,6 +166,7 @@
     platform: PlatformSettings
     metrics: MetricsSettings
     log: LogSettings
+    machine: MachineSettings = dataclasses.field(default_factory=MachineSettings)
 
 
 _SECTIONS: dict[str, type] = {
@@ -176,8 +179,9 @@
     "metrics": MetricsSettings,
     "placement": PlacementSettings,
     "log": LogSettings,
+    "machine": MachineSettings,
 }
-_OPTIONAL = frozenset({"admin", "peers", "metrics", "placement", "log"})
+_OPTIONAL = frozenset({"admin", "peers", "metrics", "placement", "log", "machine"})
 
 
 def read_gateway_settings(path: Path) -> GatewaySettings:
--- a/src/yokedock_emulator/deployed_router.py
+++ b/src/yokedock_emulator/deployed_router.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import re
 import shutil
@@ -83,6 +84,8 @@
         return str(value).lower()
     if isinstance(value, list):
         return ",".join(_text(item) for item in value)
+    if isinstance(value, dict):
+        return json.dumps(value)
     return str(value)
 
 
--- a/src/yokedock_emulator/simulation/simulated_routers.py
+++ b/src/yokedock_emulator/simulation/simulated_routers.py
@@ -16,10 +16,10 @@
 from yokedock.connection.header_dialect import HeaderDialect
 from yokedock.platform.headers import PLATFORM_HEADERS
 from yokedock.platform.store import PlatformStore
+from yokedock.process.machine_settings import RouterMachineSettings
 from yokedock.process.router import Router
 from yokedock.process.router_settings import (
     FleetSettings,
-    MachineSettings,
     RetrySettings,
     RouterCallerSettings,
     RouterLogSettings,
@@ -182,5 +182,5 @@
         RetrySettings(bounds["retryBudgetRatio"], bounds["retryWindowS"], bounds["retryAllowance"]),
         StopSettings(bounds["graceS"]),
         RouterLogSettings(),
-        machine=MachineSettings(fields["limits"]["linkMbps"]),
+        machine=RouterMachineSettings(link_mbps=fields["limits"]["linkMbps"]),
     )
