--- a/features/environment.py
+++ b/features/environment.py
@@ -9,12 +9,21 @@
 
 DEPLOYMENT_TAG = "deployment"
 NO_FENCING_TAG = "no-fencing"
+SMALL_MACHINES_TAG = "small-machines"
+SMALL_MACHINE = {"memory_mb": "96", "max_descriptors": "300"}
+LARGE_CALLS = {"max_service_body_bytes": "1000000"}
 
 
 def before_feature(context, feature):
     context.deployment = None
     if DEPLOYMENT_TAG in feature.tags:
-        context.deployment = Deployment(checks_fencing=NO_FENCING_TAG not in feature.tags)
+        context.deployment = new_deployment(feature)
+
+
+def new_deployment(feature):
+    if SMALL_MACHINES_TAG in feature.tags:
+        return Deployment(machine=SMALL_MACHINE, limits=LARGE_CALLS)
+    return Deployment(checks_fencing=NO_FENCING_TAG not in feature.tags)
 
 
 def after_scenario(context, scenario):
--- a/features/run_features.py
+++ b/features/run_features.py
@@ -1,5 +1,7 @@
 """Runs all features in parallel behave processes and ends with ``N passed, N failed``.
 
+Features that measure what a process uses run after the others, one at a time.
+
 Arguments are names of feature files without their ending; ``*`` stands for anything. Scenarios
 named in KNOWN-RED.txt are run and printed, and do not fail the run.
 """
@@ -23,6 +25,7 @@
 KNOWN_RED = HERE.parent / "KNOWN-RED.txt"
 LOGS = HERE.parent / "build" / "test-logs"
 WORKERS = 6
+RUN_ALONE = "crowds_*.feature"
 FEATURE_LIMIT_S = 3000
 MAX_REASON_CHARACTERS = 500
 
@@ -144,8 +147,11 @@
     LOGS.mkdir(parents=True, exist_ok=True)
     # A simulated network assigns ports from its own first one on, whatever the kernel has.
     port_blocks = PortBlocks(min(first_ephemeral_port(), FIRST_SIMULATED_PORT))
+    alone = [path for path in chosen if path.match(RUN_ALONE)]
+    together = [path for path in chosen if path not in alone]
     with ThreadPoolExecutor(WORKERS) as workers:
-        results = list(workers.map(lambda path: run_feature(path, port_blocks), chosen))
+        results = list(workers.map(lambda path: run_feature(path, port_blocks), together))
+    results += [run_feature(path, port_blocks) for path in alone]
     failed = print_failures(results)
     print_matrix(results)
     reasons = {s.full_name: s.reason for result in results for s in result.scenarios if s.reason}
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -48,17 +48,29 @@
 class Deployment:
     """Emulators, agents and gateways of one test worker."""
 
-    def __init__(self, checks_fencing=True, decode_slots=8, lease_s=LEASE_S, idle_heartbeat_s=0):
+    def __init__(
+        self,
+        checks_fencing=True,
+        decode_slots=8,
+        lease_s=LEASE_S,
+        idle_heartbeat_s=0,
+        machine=None,
+        limits=None,
+    ):
+        """``machine`` are options of the section [machine], ``limits`` those of the bundle."""
         self.directory = Path(tempfile.mkdtemp(prefix="yokedock-test-"))
         self.ports = worker_ports()
         self.checks_fencing = checks_fencing
         self.decode_slots = decode_slots
         self.lease_s = lease_s
         self.idle_heartbeat_s = idle_heartbeat_s
+        self.machine = machine or {}
+        self.limits = limits or {}
         self.deployment_key = new_deployment_key()
         self.nodes = {}
         self.urls = {}
         self.admin = {}
+        self.peer_addresses = {}
         self.agent_relays = {}
         self.transfer_relays = {}
         self.engine_relays = {}
@@ -116,6 +128,7 @@
         listen, admin = self.ports.address(), self.ports.address()
         backend = Relay(self.ports.address(), self.urls[f"{kind} {name}"].removeprefix("http://"))
         self.engine_relays[name] = backend
+        self.peer_addresses[name] = listen
         self.agent_relays[name] = Relay(self.ports.address(), listen)
         self.transfer_relays[name] = Relay(self.ports.address(), listen)
         advertised_address = self.transfer_relays[name].address
@@ -142,6 +155,7 @@
 
     def _add_daemon(self, name, kind, sections, admin):
         sections["admin"] = {"listen": admin}
+        sections["machine"] = self.machine
         sections["platform"] = {
             "configuration_url": self.urls["platform"],
             "machine_list_url": self.urls["platform"],
@@ -171,6 +185,7 @@
                 "clock_skew_s": str(CLOCK_SKEW_MS / 1000),
                 "max_attempts": "6",
                 "retry_share": "1",
+                **self.limits,
             },
             "class default": {"first_token_ms": "5000"},
             "tenant tester": {"token_sha256": hashlib.sha256(TOKEN.encode()).hexdigest()},
