A router keeps what callers send within one budget of its memory and descriptors

What callers saw: many bodies of legal size, whole or in pieces, most of them stopping just short of their end, drove the router past its memory. It was killed, and every request that it served was lost. Who can set it off: anyone who reaches the callers' address, and whoever reaches the addresses for readiness and for other routers, with 60 connections.

Cause: a body is limited, all bodies together were not: each connection collected up to maxBodyBytes and kept it until its idle timeout or its deadline. The same for heads, for requests behind the one that is served (256 KB parsed, some 200 KB in the reader, unread bytes in the kernel), and for connections and descriptors, of which nothing was counted. Refused or closed connections kept their bytes until cyclic garbage was collected: tracebacks and responses referred to them. A body was copied whole for its backend.

Ruled out: a guard at each place (they add up to more than the memory); waiting unread for room (a crowd that stays holds it for good, and the bytes in the kernel count too); reserving declared lengths (a head costs nothing to send); first come, first served without eviction (60 slow bodies keep all others out).

Change: base/resource_budget.py counts what is held for each connection of a process: its body, what is read ahead, what waits unread, and the connection itself. With no room, connections that move less than 32 KiB in 3 s are closed, those that hold most first; then the large request that began last is refused with 503, so that others arrive whole. At the limit of connections the idle or stalled one that was waited for longest gives way to a new one. The addresses for readiness and for other routers take bodies of 16 KiB. Large bodies go to the backend in parts of 64 KiB. The allocator unmaps freed blocks of 128 KiB or more at once.

--- a/src/yokedock/base/sockets.py
+++ b/src/yokedock/base/sockets.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
 import socket
 import struct
 from collections.abc import Callable
+from typing import Any
 
 from yokedock.base.logs import logger
 
@@ -16,6 +19,8 @@
 MAX_DATAGRAM_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with zero timeout: a close discards unsent data and sends RST."""
+UNSENT_BYTES = 131_072
+"""Bytes beyond the peer's receive window that the kernel keeps of each connection."""
 READ_ATTEMPTS = 2
 """A socket reports the error of an earlier send once, ahead of the queued datagrams."""
 
@@ -48,6 +53,33 @@
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def limit_buffers(transport: Any, read_bytes: int, unread_bytes: int) -> None:
+    """Have an accepted connection buffer little of what its peer has sent or does not read.
+
+    A read takes up to ``read_bytes`` at once; ``unread_bytes`` may wait in the kernel. What is
+    written waits until the kernel has taken it, which takes little more than the peer's receive
+    window.
+    """
+    transport.max_size = read_bytes
+    transport.set_write_buffer_limits(high=0)
+    connected = transport.get_extra_info("socket")
+    # The kernel doubles the value (``socket(7)``).
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes // 2)
+    with contextlib.suppress(OSError):  # The system has no such option.
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+
+
+def set_backlog(listening: Any, connections: int) -> None:
+    """Set how many connections may wait in the kernel's queue of a listening socket.
+
+    Does nothing for a simulated one. Raises ``OSError`` if no file descriptor is available.
+    """
+    if listening.fileno() < 0:
+        return
+    with socket.socket(fileno=os.dup(listening.fileno())) as duplicate:
+        duplicate.listen(connections)
+
+
 def new_datagram_socket(address: str) -> socket.socket:
     """Return a non-blocking datagram socket that is bound to ``address``, IP:port.
 
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -19,6 +19,7 @@
 from yokedock.base.read_first_timeout import ReadFirstTimeout
 from yokedock.base.sockets import new_socket, reset_on_close
 from yokedock.base.work_turns import WorkTurns
+from yokedock.connection.body_parts import SENT_AT_ONCE_BYTES, parts_of
 from yokedock.connection.header_numbers import parse_integer
 from yokedock.connection.http_heads import Header, RequestHead, ResponseHead
 from yokedock.connection.http_parser import response_parser
@@ -89,6 +90,8 @@
         """Whether ``abort_after_reading`` was called."""
         self._peer_closed = False
         """Whether the peer has closed its sending side."""
+        self._sending: asyncio.Task[None] | None = None
+        """Sends the body of the last request, if that is large."""
         self._is_cut_here = False
         """Whether this side has closed the connection before the peer did."""
 
@@ -137,7 +140,10 @@
         return max(self.sent_s, self.heard_s)
 
     async def send(self, head: RequestHead, headers: list[Header], body: bytes) -> None:
-        """Queue one request for writing; the response may be read before the body is fully sent."""
+        """Begin to send one request; the response may be read before the body is fully sent.
+
+        Of a large body, only what the kernel takes is copied; the rest is sent meanwhile.
+        """
         self.received_bytes = 0
         self.sent_s = boot_time_s()
         self.sent_ms = wall_clock_ms()
@@ -147,11 +153,25 @@
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             request_headers.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=head.method, target=head.target, headers=request_headers)
+        self._parser = parser
+        if len(body) > SENT_AT_ONCE_BYTES:
+            self._write(parser.send(request))
+            self._sending = asyncio.create_task(self._send_parts(parser, body))
+            return
         data = parser.send(request)
         if body:
             data += parser.send(h11.Data(data=body))
-        data += parser.send(h11.EndOfMessage()) or b""
-        self._parser = parser
+        self._write(data + (parser.send(h11.EndOfMessage()) or b""))
+
+    async def _send_parts(self, parser: h11.Connection, body: bytes) -> None:
+        """Send a large body. If the connection is lost, whoever reads the response is told."""
+        with contextlib.suppress(OSError, BackendConnectionClosed, h11.LocalProtocolError):
+            for part in parts_of(body):
+                self._write(parser.send(h11.Data(data=part)))
+                await self._writer.drain()
+            self._write(parser.send(h11.EndOfMessage()) or b"")
+
+    def _write(self, data: bytes) -> None:
         try:
             self._link.record_sent(self._traffic, len(data))
             self._writer.write(data)
@@ -236,6 +256,8 @@
 
     def _note_closed_here(self) -> None:
         self._can_reuse = False
+        if self._sending is not None:
+            self._sending.cancel()
         if not getattr(self._reader, "_eof", False):
             self._is_cut_here = True
 
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -18,7 +18,8 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
-from yokedock.base.sockets import reset_on_close
+from yokedock.base.resource_budget import Stage, unlimited_holding
+from yokedock.base.sockets import limit_buffers, reset_on_close
 from yokedock.base.work_turns import WorkTurns
 from yokedock.connection.acknowledgement import MS_PER_SECOND, read_acknowledgement_state
 from yokedock.connection.caller_request import CallerRequest, check_head
@@ -26,12 +27,19 @@
     Departure,
     has_disconnected,
     has_unread_data,
+    unread_bytes,
 )
 from yokedock.connection.http_heads import RequestHead
 from yokedock.connection.http_parser import request_parser
 from yokedock.connection.lost_peer_detector import LostPeerDetector
 from yokedock.connection.response_writer import ResponseWriter
-from yokedock.errors import BadRequest, ClientClosedConnection, PayloadTooLarge, YokedockError
+from yokedock.errors import (
+    BadRequest,
+    ClientClosedConnection,
+    OutOfMemory,
+    PayloadTooLarge,
+    YokedockError,
+)
 from yokedock.router_errors import HeaderTooLarge, RequestTimeout
 from yokedock.version.route_table import CallerLimits
 
@@ -46,8 +54,13 @@
 USER_TIMEOUT_MS = 600_000
 """TCP_USER_TIMEOUT, for systems that don't tell of acknowledgements. It also ends callers that read
 slowly, so it exceeds any deadline."""
-READ_AHEAD_BYTES = 262_144
+READ_AHEAD_BYTES = 16_384
 """Maximum number of bytes of pipelined requests that are read while a request is handled."""
+BUFFER_LIMIT_BYTES = 8192
+"""``limit`` of the stream reader, which reads while less than twice as much is buffered."""
+MAX_BUFFERED_BYTES = 2 * BUFFER_LIMIT_BYTES + READ_BYTES
+MEMORY_RETRY_AFTER_S = 1.0
+"""Retry-after time for a request that finds no memory: what is held changes within a second."""
 DISCONNECT_POLL_S = 0.1
 """Interval at which the TCP state is polled for a disconnect once the read-ahead limit is reached.
 
@@ -91,6 +104,13 @@
         self._time_limit = time_limit
         self._parser = request_parser(limits().header_bytes)
         self._turns = WorkTurns()
+        self.holding = unlimited_holding()
+        """Set by the owner: what is held for this connection."""
+        self._unparsed_bytes = 0
+        """Bytes that were received and are not part of a request that was read."""
+        self._refusal: YokedockError | None = None
+        """Why the request that is being read is refused, although it has not arrived."""
+        self._serve_task: asyncio.Task[None] | None = None
         self._has_request_data = False
         self._handler_task: asyncio.Task[None] | None = None
         self._response: ResponseWriter | None = None
@@ -105,6 +125,8 @@
         self.departure: Departure | None = None
         """How the caller has left, None as far as it has not."""
         self._is_aborted = False
+        self._has_parse_error = False
+        """Whether what was received is not HTTP."""
         self._has_handler_begun = False
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -112,15 +134,18 @@
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
+        self._serve_task = asyncio.current_task()
         try:
+            limit_buffers(self._writer.transport, READ_BYTES, self.holding.unread_limit_bytes)
             while True:
-                request = await self._read_request()
+                request = await self._read_unless_refused()
                 if request is None:
                     break
                 self.is_idle = False
                 if not await self._answer(request):
                     return
                 self.is_idle = True
+                self.holding.hold_request(self._unparsed_bytes)
                 # After ``Connection: close`` the parser is not in the state DONE. After any other
                 # response the next request may be in flight already, and closing would lose it.
                 if self._parser.our_state is not h11.DONE or self._close_unannounced:
@@ -129,12 +154,15 @@
                     break
                 self._parser.start_next_cycle()
             await self._close_gracefully()
-        except (BadRequest, PayloadTooLarge) as error:
+        except (BadRequest, PayloadTooLarge, OutOfMemory) as error:
             await self._reject(error)
         except OSError as error:
             _log.debug("connection lost", reason=repr(error))
         finally:
-            self._writer.transport.abort() if self._has_parse_error() else self._writer.close()
+            self._note_parse_error()
+            self._writer.transport.abort() if self._has_parse_error else self._writer.close()
+            # What was received is freed now, not once cyclic garbage is collected.
+            self._response = self._handler_task = self._serve_task = None
 
     def closes_after_response(self) -> bool:
         """Return whether the response must carry ``Connection: close``."""
@@ -176,6 +204,12 @@
             reset_on_close(self._writer.get_extra_info("socket"))
         self._writer.transport.abort()
 
+    def abort_unread(self) -> None:
+        """Reset the connection, so that its caller knows that nothing was read."""
+        self._is_aborted = True
+        reset_on_close(self._writer.get_extra_info("socket"))
+        self._writer.transport.abort()
+
     def abort_if_lost(self) -> None:
         """Close the connection if its caller no longer acknowledges what it is sent.
 
@@ -205,6 +239,26 @@
             self._writer.write_eof()
         self._writer.close()
 
+    def evict(self) -> None:
+        """Close the connection, because its memory or its descriptor is needed for others.
+
+        A request that has not arrived whole is refused. An answer that the caller does not read is
+        cut off.
+        """
+        _log.info("caller evicted", stage=self.holding.stage.value)
+        match self.holding.stage:
+            case Stage.IDLE:
+                self.close_if_idle()
+            case Stage.RECEIVING if self._serve_task is not None:
+                self._refusal = OutOfMemory(
+                    "others need the memory that the request takes; send it without delay",
+                    MEMORY_RETRY_AFTER_S,
+                )
+                self._serve_task.cancel()
+            case _:
+                self._note_departure(Departure.EVICTED)
+                self.abort()
+
     def cancel_handler(self) -> None:
         """Cancel the handler of the request in flight.
 
@@ -242,21 +296,40 @@
 
     # --- Reading ---
 
+    async def _read_unless_refused(self) -> CallerRequest | None:
+        """Return the next request, None if the connection was closed between requests.
+
+        Raises the refusal of a request that was evicted while it arrived.
+        """
+        try:
+            return await self._read_request()
+        except asyncio.CancelledError:
+            if self._refusal is None:
+                raise
+        # Not raised while the cancellation is handled: it refers to what has arrived of the body.
+        assert self._serve_task is not None
+        self._serve_task.uncancel()
+        raise self._refusal
+
     async def _read_request(self) -> CallerRequest | None:
-        """Return the next request, None if the connection was closed between requests."""
         limits = self._limits()
-        self._has_request_data = bool(self._parser.trailing_data[0])
+        self._has_request_data = bool(self._unparsed_bytes)
+        self.holding.enter(Stage.RECEIVING if self._has_request_data else Stage.IDLE)
         event = self._next_event()
         is_silent = event is h11.NEED_DATA and not self._has_request_data
         if is_silent and not await self._receive_while_idle():
             return None
         arrived_s = boot_time_s()
         self._has_request_data = True
+        self.holding.enter(Stage.RECEIVING)
         head = await self._read_head(event, arrived_s + limits.header_timeout_s)
         if head is None:
             return None
         check_head(head, limits)
         body = await self._read_body(head, limits, arrived_s)
+        self._unparsed_bytes = len(self._parser.trailing_data[0])
+        self.holding.hold_request(len(body) + self._unparsed_bytes)
+        self.holding.enter(Stage.SERVED)
         return CallerRequest(head, body, arrived_s)
 
     async def _receive_while_idle(self) -> bool:
@@ -275,6 +348,7 @@
 
     async def _read_head(self, event: object, until_s: float) -> RequestHead | None:
         while True:
+            self._require_memory(self.holding.try_hold_request(self._unparsed_bytes))
             if event is h11.NEED_DATA:
                 event = self._next_event()
             if isinstance(event, h11.Request):
@@ -296,6 +370,7 @@
             raise PayloadTooLarge(
                 f"the body has {declared} bytes; send at most {limits.body_bytes}"
             )
+        self._require_memory(self.holding.has_request_room(int(declared or 0)))
         body = bytearray()
         until_s: float | None = None
         while True:
@@ -307,6 +382,7 @@
                     raise PayloadTooLarge(
                         f"the body is too large; send at most {limits.body_bytes} bytes"
                     )
+                self._require_memory(self.holding.try_hold_request(len(body)))
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
@@ -325,6 +401,13 @@
                 raise ConnectionResetError("the caller disconnected in the middle of the request")
             raise RequestTimeout("timed out waiting for the request body; send it without delay")
 
+    def _require_memory(self, has_room: bool) -> None:
+        """Raise ``OutOfMemory`` unless there is room for the request."""
+        if not has_room:
+            raise OutOfMemory(
+                "there is no memory for the request now; retry later", MEMORY_RETRY_AFTER_S
+            )
+
     def _next_event(self) -> object:
         try:
             return self._parser.next_event()
@@ -343,9 +426,15 @@
         if not data:
             return False
         self._turns.begin()
+        self._take(data)
+        return True
+
+    def _take(self, data: bytes) -> None:
+        """Give received data to the parser."""
         self._link.record_received(self._traffic, len(data))
+        self.holding.record_progress(len(data))
+        self._unparsed_bytes += len(data)
         self._parser.receive_data(data)
-        return True
 
     # --- Handling ---
 
@@ -413,25 +502,54 @@
 
     async def _watch_disconnect(self, task: asyncio.Task[None]) -> None:
         """Keep reading while the handler runs; cancel it when the caller disconnects."""
-        ahead = len(self._parser.trailing_data[0])
+        body_bytes = self.holding.request_bytes - self._unparsed_bytes
         try:
-            while ahead < READ_AHEAD_BYTES:
-                data = await self._reader.read(READ_BYTES)
+            while self._may_read_ahead():
+                data = await self._reader.read(READ_AHEAD_BYTES)
                 if not data:
                     break
-                ahead += len(data)
-                self._link.record_received(self._traffic, len(data))
-                self._parser.receive_data(data)
+                self._take(data)
+                self.holding.hold_request(body_bytes + self._unparsed_bytes)
             else:
-                # A FIN behind unread data cannot be seen by reading, so the TCP state is polled.
-                while not self.has_disconnected():
-                    await asyncio.sleep(DISCONNECT_POLL_S)
+                await self._poll_disconnect(body_bytes)
             self._note_end()
         except OSError as error:
             _log.debug("connection lost", reason=repr(error))
             self._note_departure(Departure.RESET)
         task.cancel()
 
+    def _may_read_ahead(self) -> bool:
+        """Return whether to read more of the next requests while one is handled."""
+        if self._unparsed_bytes >= READ_AHEAD_BYTES:
+            return False
+        return self.holding.has_request_room(self.holding.request_bytes + READ_AHEAD_BYTES)
+
+    async def _poll_disconnect(self, body_bytes: int) -> None:
+        """Wait until the caller has disconnected, without reading: its FIN is behind unread data.
+
+        What arrives meanwhile takes memory too, in the kernel or here.
+        """
+        try:
+            while not self.has_disconnected():
+                unread = self._unread_bytes()
+                self.holding.hold_request(body_bytes + self._unparsed_bytes + unread)
+                self.holding.has_unread_requests = unread > 0
+                self.holding.make_room()
+                await asyncio.sleep(DISCONNECT_POLL_S)
+        finally:
+            self.holding.has_unread_requests = False
+
+    def _unread_bytes(self) -> int:
+        """Return how much the data that waits to be read may take: 0, or all that buffers hold.
+
+        Behind as much as is read ahead, more is expected to come.
+        """
+        sock = self._writer.get_extra_info("socket")
+        unread = len(getattr(self._reader, "_buffer", b"")) + unread_bytes(sock)
+        most = MAX_BUFFERED_BYTES + self.holding.unread_limit_bytes
+        is_expected = self._unparsed_bytes >= READ_AHEAD_BYTES
+        return max(unread, most) if unread or is_expected else 0
+
     def _note_end(self) -> None:
         """Note that nothing more can be read from the connection."""
         is_closed_here = self._writer.is_closing()
@@ -448,6 +566,10 @@
         """Send an error for a request that could not be read, and close the connection."""
         _log.info("rejected", code=error.code, error=error.message)
         self.is_closing = True
+        self._refusal = None
+        # The traceback refers to what has arrived of the body.
+        error.__traceback__ = None
+        self.holding.hold_request(0)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         try:
@@ -461,6 +583,7 @@
 
         Closing with unread data would make the kernel send RST, which can destroy the response.
         """
+        self._forget_requests()
         if self._writer.is_closing() or self._reader.at_eof():
             return
         try:
@@ -471,5 +594,12 @@
         except (OSError, TimeoutError):
             return
 
-    def _has_parse_error(self) -> bool:
-        return self._parser.their_state is h11.ERROR
+    def _note_parse_error(self) -> None:
+        self._has_parse_error = self._has_parse_error or self._parser.their_state is h11.ERROR
+
+    def _forget_requests(self) -> None:
+        """Free what was received, as no further request is served."""
+        self._note_parse_error()
+        self._parser = request_parser(self._limits().header_bytes)
+        self._unparsed_bytes = 0
+        self.holding.hold_request(0)
--- a/src/yokedock/connection/disconnect_detection.py
+++ b/src/yokedock/connection/disconnect_detection.py
@@ -33,6 +33,8 @@
     """The caller reset the connection."""
     UNACKNOWLEDGED = "unacknowledged"
     """The caller acknowledged nothing for too long."""
+    EVICTED = "evicted"
+    """This process closed the connection, because others needed what it held."""
     CLOSED_HERE = "closed here"
     """The end of the connection was read after this router had begun to close it."""
 
@@ -50,10 +52,15 @@
     return state in PEER_CLOSED_STATES
 
 
-def has_unread_data(sock: Any) -> bool:
-    """Return whether data of the peer waits in the kernel; False for a closed socket."""
+def unread_bytes(sock: Any) -> int:
+    """Return how many bytes of the peer wait in the kernel; 0 for a closed socket."""
     descriptor = sock.fileno()
     if descriptor < 0:
-        return False
+        return 0
     waiting = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(FIONREAD_BYTES))
-    return int.from_bytes(waiting, sys.byteorder) > 0
+    return int.from_bytes(waiting, sys.byteorder)
+
+
+def has_unread_data(sock: Any) -> bool:
+    """Return whether data of the peer waits in the kernel; False for a closed socket."""
+    return unread_bytes(sock) > 0
--- a/src/yokedock/errors.py
+++ b/src/yokedock/errors.py
@@ -159,6 +159,12 @@
     code = "gateway_full"
 
 
+class OutOfMemory(Refused):
+    """The process holds as much for its clients as its memory allows."""
+
+    code = "out_of_memory"
+
+
 class NoDecodeCapacity(Refused):
     """No decode engine will have a free slot in time, so no prefill was started."""
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -13,9 +13,10 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
-from yokedock.base.sockets import reset_on_close
+from yokedock.base.resource_budget import MIB, ConnectionGroup, ResourceBudget
+from yokedock.base.sockets import reset_on_close, set_backlog
 from yokedock.connection.backend_pool import BackendPool
-from yokedock.connection.caller_connection import CallerConnection
+from yokedock.connection.caller_connection import BUFFER_LIMIT_BYTES, CallerConnection
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import Dialect
 from yokedock.connection.gated_listener import GatedListener
@@ -72,6 +73,16 @@
 
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
+OWN_BYTES = 40 * MIB
+"""Memory of a router that serves nobody."""
+CALLERS_SHARE = 0.6
+ROUTERS_SHARE = 0.1
+READINESS_SHARE = 0.05
+"""Shares of the file descriptors that accepted connections may use; backends get the rest."""
+INTERNAL_LIMITS = CallerLimits(body_bytes=16_384)
+"""Limits at the addresses that are not for callers."""
+ACCEPTED_AT_ONCE = 16
+"""Connections that are accepted before any of them may be refused."""
 METRICS_PATH = "/metrics"
 LOST_CALLERS_INTERVAL_S = 1.0
 TASK_RESTART_DELAY_S = 0.5
@@ -96,6 +107,11 @@
         self._sockets = dict(sockets or {})
         self.settings = settings
         mechanisms = settings.mechanisms
+        machine = settings.machine
+        self._budget = ResourceBudget.of_process(machine.memory_mb * MIB, OWN_BYTES)
+        self._caller_group = self._budget.group(CALLERS_SHARE * machine.descriptors)
+        self._router_group = self._budget.group(ROUTERS_SHARE * machine.descriptors)
+        self._readiness_group = self._budget.group(READINESS_SHARE * machine.descriptors)
         link = self._link = LinkMeter(settings.machine.link_mbps)
         source.use_link(link)
         self._link_admission = LinkAdmission(link)
@@ -344,11 +360,22 @@
     async def _listen(self, address: str, accept: Accept) -> asyncio.Server:
         early = self._sockets.pop(address, None)
         if early is not None:
-            return await asyncio.start_server(accept, sock=early, backlog=BACKLOG)
-        host, _, port = address.rpartition(":")
-        return await asyncio.start_server(
-            accept, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+            server = await asyncio.start_server(
+                accept, sock=early, backlog=ACCEPTED_AT_ONCE, limit=BUFFER_LIMIT_BYTES
+            )
+        else:
+            host, _, port = address.rpartition(":")
+            server = await asyncio.start_server(
+                accept,
+                host,
+                int(port),
+                backlog=ACCEPTED_AT_ONCE,
+                reuse_address=True,
+                limit=BUFFER_LIMIT_BYTES,
+            )
+        for listening in server.sockets:
+            set_backlog(listening, BACKLOG)
+        return server
 
     async def _accept_caller(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -376,8 +403,7 @@
         connection.is_closing = self._stop.is_stopping
         self._connections.add(connection)
         try:
-            await connection.serve()
-            await connection.wait_sent()
+            await _serve(connection, self._caller_group)
         finally:
             self._connections.discard(connection)
 
@@ -390,7 +416,8 @@
     async def _accept_ready(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await CallerConnection(reader, writer, self._answer_ready, CallerLimits).serve()
+        connection = CallerConnection(reader, writer, self._answer_ready, lambda: INTERNAL_LIMITS)
+        await _serve(connection, self._readiness_group)
 
     async def _accept_router(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -399,11 +426,11 @@
             reader,
             writer,
             self._answer_router,
-            CallerLimits,
+            lambda: INTERNAL_LIMITS,
             link=self._link,
             traffic=Traffic.ROUTERS,
         )
-        await connection.serve()
+        await _serve(connection, self._router_group)
 
     def _table(self) -> RouteTable | None:
         index = self._follower.index
@@ -443,6 +470,7 @@
             "connections": len(self._connections),
             "connections_unread": self._link_admission.unread,
             "listener_pauses": self._caller_listener.pauses,
+            **self._budget.levels(),
             **self._link.levels(),
             "waiting_in_time": self._placement.waiting_in_time(),
             "routers_known": self._gossip.known(),
@@ -484,6 +512,20 @@
         self._pool.forget(backend.entry.address)
 
 
+async def _serve(connection: CallerConnection, group: ConnectionGroup) -> None:
+    """Serve a connection until it is closed; reset it if there is no room for it."""
+    holding = group.open(connection.evict)
+    if holding is None:
+        connection.abort_unread()
+        return
+    connection.holding = holding
+    try:
+        await connection.serve()
+        await connection.wait_sent()
+    finally:
+        holding.close()
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, so that its peer knows that nothing was read."""
     reset_on_close(writer.get_extra_info("socket"))
--- a/src/yokedock/process/router_main.py
+++ b/src/yokedock/process/router_main.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from yokedock.base.allocator import return_freed_memory
 from yokedock.base.clock import new_event_loop
 from yokedock.base.logs import logger, set_up_logs
 from yokedock.connection.dialect import Dialect
@@ -33,6 +34,7 @@
     ``settings`` were read from the file at ``path``. ``sockets`` are already listening, by address.
     """
     set_up_logs(settings.log.level, sys.stdout, settings.log.lines_per_s)
+    return_freed_memory()
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_run(path, Router(settings, source, dialect, sockets)))
         # The interpreter's shutdown may outlast the grace time on a busy machine.
--- a/src/yokedock_emulator/simulation/network.py
+++ b/src/yokedock_emulator/simulation/network.py
@@ -62,6 +62,10 @@
         """Return IP address and port."""
         return self.address
 
+    def fileno(self) -> int:
+        """Return -1: connections are accepted as soon as they arrive."""
+        return -1
+
     def close(self) -> None:
         """Stop accepting connections."""
         self._network.close_listener(self)
