Answers take their memory until their callers have read them

What callers saw: a router that was ended for its memory, with all requests that it served. Who can set it off: anyone whose requests have long answers and who does not read them, with 40 connections.

Cause: buffered answers had a bound, but only while they were read from the backend. Then the same bytes waited in the transport of the caller's connection, for up to 600 s, next to the answer itself: 24 MB for an answer of 12, for as many as were asked for. A stream whose caller does not read took some 550 KB in the buffers on both sides.

Ruled out: streaming large answers through (a slow reader would hold a place at its backend, which six of them exhaust); a time limit for slow readers (a sound one alone is to be served); refusing answers that were made.

Change: the buffer of an answer is held, in the budget of the process, until its request has ended. Answers are written in parts of 64 KiB, each when the kernel has taken the one before, which keeps 128 KiB beyond the caller's window. The oldest large answer that is being read finds room that all others leave free; the others wait, as before. Callers that have stalled are cut off when others need the memory. Streams that wait for their caller count what buffers hold, and those buffers are smaller.

--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -32,6 +32,8 @@
 )
 
 READ_BYTES = 65_536
+BUFFER_LIMIT_BYTES = 16_384
+"""``limit`` of the stream reader, which reads while less than twice as much is buffered."""
 MAX_HEAD_BYTES = 65_536
 MAX_DISCARDED_BYTES = 16_777_216
 """Bytes of responses to earlier requests and of interim responses ahead of a response."""
@@ -110,7 +112,8 @@
         link = link or LinkMeter()
         link.record_sent(traffic, 0)
         sock = await _connect_socket(address, timeout_s, link)
-        reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=BUFFER_LIMIT_BYTES)
+        writer.transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         return cls(address, reader, writer, link, traffic)
 
     @property
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import h11
 
@@ -59,6 +59,8 @@
 BUFFER_LIMIT_BYTES = 8192
 """``limit`` of the stream reader, which reads while less than twice as much is buffered."""
 MAX_BUFFERED_BYTES = 2 * BUFFER_LIMIT_BYTES + READ_BYTES
+WAITING_BYTES = 131_072
+"""What buffers hold of a stream whose caller does not read: its engine is not read either."""
 MEMORY_RETRY_AFTER_S = 1.0
 """Retry-after time for a request that finds no memory: what is held changes within a second."""
 DISCONNECT_POLL_S = 0.1
@@ -108,6 +110,8 @@
         """Set by the owner: what is held for this connection."""
         self._unparsed_bytes = 0
         """Bytes that were received and are not part of a request that was read."""
+        self._written_bytes = 0
+        """Bytes written since the last wait for the caller."""
         self._refusal: YokedockError | None = None
         """Why the request that is being read is refused, although it has not arrived."""
         self._serve_task: asyncio.Task[None] | None = None
@@ -175,6 +179,7 @@
         if data:
             self._link.record_sent(self._traffic, len(data))
             self._writer.write(data)
+            self._written_bytes += len(data)
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has disconnected, and note it if so."""
@@ -188,11 +193,33 @@
 
         Raises ``ClientClosedConnection`` if the connection is closed.
         """
+        with self._sending():
+            try:
+                await self._writer.drain()
+            except OSError as error:
+                self._note_departure(Departure.RESET)
+                raise ClientClosedConnection(
+                    f"the caller's connection is lost ({error!r})"
+                ) from None
+
+    @contextlib.contextmanager
+    def _sending(self) -> Iterator[None]:
+        """Note that the caller is waited for, if it has not taken what was written so far."""
+        unsent, self._written_bytes = self._written_bytes, 0
+        if not self._writer.transport.get_write_buffer_size():
+            self.holding.record_progress(unsent)
+            yield
+            return
+        holding, stage = self.holding, self.holding.stage
+        holding.enter(Stage.SENDING)
+        holding.hold_response(holding.response_bytes + unsent + WAITING_BYTES)
+        holding.make_room()
         try:
-            await self._writer.drain()
-        except OSError as error:
-            self._note_departure(Departure.RESET)
-            raise ClientClosedConnection(f"the caller's connection is lost ({error!r})") from None
+            yield
+            holding.record_progress(unsent)
+        finally:
+            holding.hold_response(holding.response_bytes - unsent - WAITING_BYTES)
+            holding.enter(stage)
 
     def abort(self) -> None:
         """Close the connection immediately, without flushing.
--- a/src/yokedock/connection/dialect.py
+++ b/src/yokedock/connection/dialect.py
@@ -137,7 +137,7 @@
         """Return the metadata of a response."""
 
     @abc.abstractmethod
-    def prefill_result(self, body: bytes) -> PrefillResult:
+    def prefill_result(self, body: bytes | bytearray) -> PrefillResult:
         """Parse the response body of a prefill; raises ``EngineRejected`` if it is invalid."""
 
     @abc.abstractmethod
--- a/src/yokedock/connection/header_dialect.py
+++ b/src/yokedock/connection/header_dialect.py
@@ -145,7 +145,7 @@
             is_limit_invalid=limit is not None and limit_per_s is None,
         )
 
-    def prefill_result(self, body: bytes) -> PrefillResult:
+    def prefill_result(self, body: bytes | bytearray) -> PrefillResult:
         """Parse the response body of a prefill; raises ``EngineRejected`` if it is invalid."""
         try:
             fields = msgspec.json.decode(body, type=dict[str, object])
--- a/src/yokedock/connection/response_writer.py
+++ b/src/yokedock/connection/response_writer.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
 from typing import Protocol
 
 import h11
 import msgspec
 
+from yokedock.base.resource_budget import Holding, Stage
+from yokedock.connection.body_parts import SENT_AT_ONCE_BYTES, parts_of
 from yokedock.connection.disconnect_detection import Departure
 from yokedock.connection.http_heads import ResponseHead, complete_response
 from yokedock.errors import ClientClosedConnection, ErrorResponse, YokedockError
@@ -17,6 +21,8 @@
 
     departure: Departure | None
     """How the caller has left, None as far as it has not."""
+    holding: Holding
+    """What is held for the connection."""
 
     def closes_after_response(self) -> bool:
         """Return whether the response must carry ``Connection: close``."""
@@ -83,12 +89,32 @@
         self._connection.send_event(h11.EndOfMessage())
         await self._connection.drain()
 
-    async def whole(self, head: ResponseHead, body: bytes) -> None:
-        """Send a complete response with a known length."""
+    @property
+    def holding(self) -> Holding:
+        """Return what is held for the connection."""
+        return self._connection.holding
+
+    async def whole(self, head: ResponseHead, body: bytes | bytearray) -> None:
+        """Send a complete response with a known length, as fast as the caller reads."""
         self.start(head, len(body))
-        if body and self._has_body:
-            self._connection.send_event(h11.Data(data=body))
-        await self.end()
+        with self._held(len(body)):
+            if self._has_body:
+                for part in parts_of(body):
+                    await self.write(part)
+            await self.end()
+
+    @contextlib.contextmanager
+    def _held(self, size: int) -> Iterator[None]:
+        """Hold a body while it is sent, as far as it is not held as a backend's response."""
+        holding = self.holding
+        more = max(0, size - holding.response_bytes)
+        holding.hold_response(holding.response_bytes + more)
+        if size > SENT_AT_ONCE_BYTES:
+            holding.enter(Stage.SENDING)
+        try:
+            yield
+        finally:
+            holding.hold_response(holding.response_bytes - more)
 
     async def error(self, error: YokedockError) -> None:
         """Send a typed error, with ``Retry-After`` in seconds if a retry may succeed."""
--- a/src/yokedock/process/request_handler.py
+++ b/src/yokedock/process/request_handler.py
@@ -116,6 +116,7 @@
             self.active -= 1
             if call is not None:
                 self._refused.discard(call)
+                call.release_responses()
             end = functools.partial(self._log_end, request, answer, call, outcome)
             self._metrics.guard.run("request end", end)
 
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -145,7 +145,7 @@
         )
         self._shares = ConnectionShares(self._gossip.known)
         self._registry.connection_share = self._connection_share
-        exchanges = BackendExchanges(self._pool, dialect, self._crashes, self._shares)
+        exchanges = BackendExchanges(self._pool, dialect, self._crashes, self._shares, self._budget)
         self._remote_queues = RemoteQueues(own_address)
         placement = QueuedPlacement(
             self._registry,
--- a/src/yokedock/request/backend_exchange.py
+++ b/src/yokedock/request/backend_exchange.py
@@ -13,6 +13,7 @@
 from yokedock.base.link_meter import LinkMeter
 from yokedock.base.logs import logger
 from yokedock.base.read_first_timeout import ReadFirstTimeout
+from yokedock.base.resource_budget import ResourceBudget
 from yokedock.connection.backend_connection import MAX_IDLE_S, BackendConnection
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.dialect import Dialect, ForwardingOrder, ResponseMetadata
@@ -185,8 +186,8 @@
         head: ResponseHead,
         limits: BodyLimits,
         max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
-    ) -> bytes:
-        """Return the complete body.
+    ) -> bytes | bytearray:
+        """Return the complete body, whose memory is held until the request has ended.
 
         Raises ``BackendResponseError`` if it is truncated, or incomplete when ``limits`` end the
         wait, ``ResponseTooLarge`` if it exceeds ``max_bytes``.
@@ -206,19 +207,22 @@
         )
         try:
             async with time_limit:
-                with self.buffers.open() as buffer:
+                with contextlib.ExitStack() as unless_whole:
+                    buffer = unless_whole.enter_context(self.buffers.open(self._call.holding))
                     async for part in self.body_parts(max_bytes):
                         body += part
                         progress.record(len(part), clock())
                         progress.pause()
                         await buffer.grow(len(body))
                         progress.resume(clock())
+                    unless_whole.pop_all()
+                    self._call.keep_response(buffer)
         except TimeoutError:
             raise BackendResponseError(
                 f"{self.backend.name}: response incomplete at the time limit"
             ) from None
         self.finish(is_failure=head.status >= SERVER_ERROR)
-        return bytes(body)
+        return body
 
     async def body_parts(self, max_bytes: int | None = None) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -304,13 +308,14 @@
         dialect: Dialect,
         crashes: CrashRecords,
         shares: ConnectionShares,
+        budget: ResourceBudget | None = None,
     ) -> None:
-        """Use the connection pool, dialect and crash records of the process."""
+        """Use the connection pool, dialect, crash records and memory of the process."""
         self.pool = pool
         self._shares = shares
         self.crashes = crashes
         self.dialect = dialect
-        self._buffers = ResponseBuffers()
+        self._buffers = ResponseBuffers(budget)
 
     @contextlib.asynccontextmanager
     async def open(
--- a/src/yokedock/request/decode_relay.py
+++ b/src/yokedock/request/decode_relay.py
@@ -81,7 +81,7 @@
             if head.status != 200:
                 await self._handle_error_response(head)
                 return
-            with self._exchange.buffers.open() as buffer:
+            with self._exchange.buffers.open(self._call.holding) as buffer:
                 await self._relay_events(head, buffer)
         finally:
             self._services.watch.close(self._stream)
--- a/src/yokedock/request/routed_call.py
+++ b/src/yokedock/request/routed_call.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from yokedock.base.clock import boot_time_s
+from yokedock.base.resource_budget import Holding
 from yokedock.connection.caller_request import CallerRequest
 from yokedock.connection.dialect import RequestMetadata
 from yokedock.connection.http_heads import ResponseHead
@@ -15,6 +16,7 @@
 from yokedock.errors import YokedockError
 from yokedock.request.request_digest import part_key, request_digest
 from yokedock.request.request_outcome import BackendVisit
+from yokedock.request.response_buffers import ResponseBuffer
 from yokedock.router_errors import BackendRefused
 from yokedock.version.route_table import Route, ServiceSpec
 
@@ -52,6 +54,7 @@
     min_last_receive_s: float = 0.0
     """Idle connections are reused only if they received data after this (boot time, s)."""
     visits: list[BackendVisit] = []
+    kept_responses: list[ResponseBuffer] = []
     first_event_s: float | None = None
     """When the first event of a stream was sent to the caller (boot time, s)."""
     max_event_gap_s: float = 0.0
@@ -60,6 +63,21 @@
     cached_part_keys: tuple[int, ...] | None = None
     """Cached value of ``part_keys``."""
 
+    @property
+    def holding(self) -> Holding:
+        """Return what is held for the caller's connection."""
+        return self.answer.holding
+
+    def keep_response(self, buffer: ResponseBuffer) -> None:
+        """Hold the memory of a complete response until the request has ended."""
+        buffer.complete()
+        self.kept_responses.append(buffer)
+
+    def release_responses(self) -> None:
+        """Release the memory of all responses: the request has ended."""
+        for buffer in self.kept_responses:
+            buffer.release()
+
     @property
     def digest(self) -> int:
         """Return a digest that is the same for all attempts of this request."""
@@ -181,7 +199,7 @@
     """A complete, buffered response."""
 
     head: ResponseHead
-    body: bytes
+    body: bytes | bytearray
 
 
 def time_limit_s(route: Route, terms: RequestMetadata) -> float:
