Gateways and agents return the memory of large calls to the system

What callers saw: nothing yet; a gateway that had served eight calls of 900 KB at once kept 183 to 263 MiB, so that a crowd on top of that ends it. Who can set it off: anyone who may send large calls.

Cause: the allocator's threshold for mapped blocks grows to the largest block that was freed, and each of the gateway's threads may have a heap of its own, which shrinks only at its end.

Ruled out: copies that are held (nothing refers to them: a collection frees nothing); fewer threads.

Change: daemons set up the allocator as routers do: blocks of 128 KiB or more are unmapped when they are freed, one heap.

--- a/src/yokedock/process/daemon.py
+++ b/src/yokedock/process/daemon.py
@@ -5,6 +5,7 @@
 import threading
 from typing import Protocol
 
+from yokedock.base.allocator import return_freed_memory
 from yokedock.base.logs import logger
 from yokedock.process.exit import exit_now
 from yokedock.process.stop_signals import StopSignals
@@ -29,6 +30,7 @@
 
 def run_daemon(daemon: Daemon) -> None:
     """Serve until SIGTERM or SIGINT, then drain and stop. A second signal ends the draining."""
+    return_freed_memory()
     signals = StopSignals()
     daemon.start()
     received = signals.wait_for_stop()
