Gateways and admin addresses keep what callers send and don't read within the budget

What callers saw: a gateway that was ended for its memory or out of descriptors, with all that was in flight. Who can set it off: anyone who reaches its address, with or without a token, and anyone who reaches the admin address of a gateway or agent: a body is read before its caller is known, up to 16 MB at an admin address that needs none.

Cause: waitress bounds a request, an answer's buffer was set to 2 GB so that nothing goes to a disk, and 4,000 channels of each stay for 600 s. At the limit of connections it stops accepting, so that idle ones keep all others out.

Ruled out: waitress's own high-water mark (a slow caller would hold up the task of a peer, or a worker thread each); authentication ahead of the body (a token doesn't make a client behave).

Change: HeldChannel counts requests and answers of each channel in the budget of the process, by the same rules as the router's connections. A request without room is refused with 503 and Retry-After, also in the middle of its body; a whole answer waits for room, then is cut off; streams are cut off when memory is short. At the limit of connections the idle or stalled one gives way. Admin addresses take bodies of 16 KiB. A whole answer is sent without being copied.

--- a/src/yokedock/base/resource_budget.py
+++ b/src/yokedock/base/resource_budget.py
@@ -23,7 +23,7 @@
 CONNECTION_BYTES = 16_384
 """Memory of a connection itself, with its tasks and buffers."""
 SMALL_BYTES = 65_536
-"""A request of up to this size may use the reserve."""
+"""A request or an answer of up to this size may use the reserve."""
 LARGEST_RESPONSE_BYTES = 16_777_216
 HELD_SHARE = 0.75
 """Share of the memory beyond the process's own that may be held; the rest is for copies."""
@@ -122,6 +122,12 @@
         """Have stalled connections closed, possibly this one, if more is held than is allowed."""
         self._budget.makes_room(self._budget.limit_bytes, None)
 
+    def has_response_room(self) -> bool:
+        """Return whether what is held of responses fits; a small one always does."""
+        if self.response_bytes <= SMALL_BYTES:
+            return True
+        return self._budget.makes_room(self._budget.large_limit_bytes, self)
+
     def close(self) -> None:
         """Note that the connection is closed."""
         self._budget.remove(self)
@@ -162,6 +168,12 @@
         """
         return self.budget.open(Holding(self, evict))
 
+    def closed(self) -> Holding:
+        """Return the holding of a connection that is not accepted."""
+        holding = Holding(self, _do_nothing)
+        holding.is_evicted = True
+        return holding
+
     def is_full(self) -> bool:
         """Return whether no further connection may be open."""
         return len(self.open_holdings) >= self._max_connections
--- a/src/yokedock/base/sockets.py
+++ b/src/yokedock/base/sockets.py
@@ -56,13 +56,19 @@
 def limit_buffers(transport: Any, read_bytes: int, unread_bytes: int) -> None:
     """Have an accepted connection buffer little of what its peer has sent or does not read.
 
-    A read takes up to ``read_bytes`` at once; ``unread_bytes`` may wait in the kernel. What is
-    written waits until the kernel has taken it, which takes little more than the peer's receive
-    window.
+    A read takes up to ``read_bytes`` at once. What is written waits until the kernel has taken it;
+    see ``limit_kernel_buffers``.
     """
     transport.max_size = read_bytes
     transport.set_write_buffer_limits(high=0)
-    connected = transport.get_extra_info("socket")
+    limit_kernel_buffers(transport.get_extra_info("socket"), unread_bytes)
+
+
+def limit_kernel_buffers(connected: Any, unread_bytes: int) -> None:
+    """Have the kernel keep up to ``unread_bytes`` of what the peer of a connection has sent.
+
+    Of what the peer does not read, it keeps little more than the peer's receive window.
+    """
     # The kernel doubles the value (``socket(7)``).
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes // 2)
     with contextlib.suppress(OSError):  # The system has no such option.
--- a/src/yokedock/connection/http_server.py
+++ b/src/yokedock/connection/http_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+import math
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TypeVar
@@ -13,6 +15,8 @@
 from waitress.channel import ClientDisconnected
 
 from yokedock.base.logs import logger
+from yokedock.base.resource_budget import ConnectionGroup, ResourceBudget
+from yokedock.connection.held_channel import HeldChannel
 from yokedock.errors import (
     BadRequest,
     ClientClosedConnection,
@@ -50,6 +54,9 @@
 BUFFER_OVERFLOW_BYTES = 1 << 31
 """Size above which waitress buffers in a file; set so high because machines have no disks."""
 
+UNLIMITED_CONNECTIONS = 1 << 31
+"""For waitress, which does not accept any more: the group of the connections decides."""
+
 Write = Callable[[bytes], None]
 
 
@@ -193,7 +200,11 @@
         if response.parts is None:
             headers = [*headers, ("Content-Length", str(len(response.body)))]
         start_response(status_line(response.status), headers)
-        return response.parts if response.parts is not None else [response.body]
+        if response.parts is not None:
+            return response.parts
+        # The server sends a file without copying its content first.
+        whole: Iterable[bytes] = environ["wsgi.file_wrapper"](io.BytesIO(response.body))
+        return whole
 
     def _find(self, request: HttpRequest) -> Handler:
         methods = self._exact_routes.get(request.path)
@@ -223,9 +234,12 @@
         address: str,
         threads: int,
         max_body_bytes: int = 1 << 24,
-        connection_limit: int = 4000,
+        group: ConnectionGroup | None = None,
     ) -> None:
-        """Bind ``address`` (port 0: any free port); raises ``SettingsInvalid`` if that fails."""
+        """Bind ``address`` (port 0: any free port); raises ``SettingsInvalid`` if that fails.
+
+        Its connections belong to ``group``, and are unlimited without one.
+        """
         host, _, port = address.rpartition(":")
         try:
             self._server = waitress.server.create_server(
@@ -236,7 +250,7 @@
                 threads=threads,
                 ident="yokedock",
                 max_request_body_size=max_body_bytes,
-                connection_limit=connection_limit,
+                connection_limit=UNLIMITED_CONNECTIONS,
                 channel_timeout=600,
                 channel_request_lookahead=1,
                 inbuf_overflow=BUFFER_OVERFLOW_BYTES,
@@ -248,6 +262,8 @@
         except OSError as error:
             message = f"cannot listen on {address} ({error.strerror}); free it or configure another"
             raise SettingsInvalid(message) from None
+        self._server.channel_class = HeldChannel
+        self._server.connection_group = group or ResourceBudget(math.inf).group()
         self.address = f"{host}:{self._server.effective_port}"
         self.url = f"http://{self.address}"
         self._thread = threading.Thread(target=self._run, name=f"http {self.address}", daemon=True)
--- a/src/yokedock/process/admin_http.py
+++ b/src/yokedock/process/admin_http.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from yokedock.base.histograms import Histograms
+from yokedock.base.resource_budget import ConnectionGroup
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
 from yokedock.errors import NotReady
 
 ADMIN_THREADS = 4
+MAX_BODY_BYTES = 16_384
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
@@ -46,9 +48,16 @@
     """Serves operators on a separate address, so that a load of callers cannot block them."""
 
     def __init__(
-        self, listen: str, status: Callable[[], ProcessStatus], histograms: Histograms
+        self,
+        listen: str,
+        status: Callable[[], ProcessStatus],
+        histograms: Histograms,
+        group: ConnectionGroup,
     ) -> None:
-        """Bind the address; raises ``SettingsInvalid`` if it is already in use."""
+        """Bind the address; raises ``SettingsInvalid`` if it is already in use.
+
+        Its connections belong to ``group``.
+        """
         self._status = status
         self._histograms = histograms
         router = HttpRouter()
@@ -56,7 +65,7 @@
         router.add("GET", "/ready", self._ready)
         router.add("GET", "/status", lambda request: HttpResponse.of(status()))
         router.add("GET", "/histograms", lambda request: HttpResponse.of(histograms.encode()))
-        self._server = HttpServer(router, listen, ADMIN_THREADS)
+        self._server = HttpServer(router, listen, ADMIN_THREADS, MAX_BODY_BYTES, group)
         self.address = self._server.address
 
     def start(self) -> None:
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -13,6 +13,7 @@
 from yokedock.base.histograms import Histograms
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
+from yokedock.base.resource_budget import MIB
 from yokedock.connection.bundle_exchange import BundleExchange
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.engine_client import HttpEngineClient
@@ -55,6 +56,10 @@
 
 _log = logger("agent")
 
+OWN_BYTES = 64 * MIB
+"""Memory of an agent that serves nobody."""
+ADMIN_SHARE = 0.05
+"""Share of the file descriptors that connections of operators may use."""
 LEASE_CHECK_INTERVAL_S = 0.1
 SPARE_WORKERS = 32
 TRANSFER_GRANT_TIMEOUT_S = 2.0
@@ -83,6 +88,7 @@
             2 * settings.backend.slots + SPARE_WORKERS, "order worker"
         )
         self._pause = PauseDetector(settings.peers.lease_ms / 1000, self._handle_pause)
+        budget = settings.machine.budget(OWN_BYTES)
         self._listener = PeerListener(
             settings.peers.listen,
             self.name,
@@ -103,7 +109,12 @@
         self._role_manager: RoleManager | None = None
         self._engine_backend: EngineBackend | None = None
         self.backend: Backend = self._make_backend()
-        self._admin = AdminServer(settings.admin.listen, self.status, Histograms())
+        self._admin = AdminServer(
+            settings.admin.listen,
+            self.status,
+            Histograms(),
+            budget.group(ADMIN_SHARE * settings.machine.descriptors),
+        )
         self.admin_address = self._admin.address
         self.store.on_adopt(self._handle_bundle)
 
--- a/src/yokedock/process/gateway.py
+++ b/src/yokedock/process/gateway.py
@@ -9,6 +9,7 @@
 from yokedock.base.histograms import Histograms
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
+from yokedock.base.resource_budget import MIB
 from yokedock.connection.bundle_exchange import BundleExchange
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.http_server import HttpRequest, HttpResponse, HttpRouter, HttpServer
@@ -41,6 +42,11 @@
 SPARE_THREADS = 32
 """Server threads beyond ``max_in_flight``, so that a full gateway can still send rejections."""
 MAX_BODY_BYTES = 1 << 23
+OWN_BYTES = 64 * MIB
+"""Memory of a gateway that serves nobody."""
+CALLERS_SHARE = 0.6
+ADMIN_SHARE = 0.05
+"""Shares of the file descriptors that accepted connections may use; peers get the rest."""
 VERSION_CHECK_TIMEOUT_S = 2.0
 """Longest time that a new gateway waits for its peers' bundle versions before it serves."""
 READY_CHECK_INTERVAL_S = 0.02
@@ -70,15 +76,15 @@
         identity = PeerIdentity(self.name, self.incarnation_ms, deployment_key(settings.peers))
         timing = peer_timing(settings.peers)
         self.peers = PeerDirectory(identity, timing, self)
-        budget = RetryBudget()
+        retry_budget = RetryBudget()
         services = AttemptServices(
             self.store,
             self._peers_of_model,
             policy or make_policy(settings),
             self.histograms,
         )
-        self.models = ModelRequests(services, budget, self._demand_meter)
-        service_requests = ServiceRequests(self.store, self.peers.find, budget)
+        self.models = ModelRequests(services, retry_budget, self._demand_meter)
+        service_requests = ServiceRequests(self.store, self.peers.find, retry_budget)
         callers = CallerInterface(
             self.store,
             self._admission,
@@ -88,6 +94,8 @@
             self.histograms,
             self.metrics,
         )
+        machine = settings.machine
+        budget = machine.budget(OWN_BYTES)
         router = HttpRouter()
         callers.add_routes(router)
         router.add("GET", "/health", lambda request: HttpResponse.of("alive"))
@@ -97,10 +105,16 @@
             settings.caller.listen,
             settings.caller.max_in_flight + SPARE_THREADS,
             MAX_BODY_BYTES,
+            budget.group(CALLERS_SHARE * machine.descriptors),
         )
         self.address = self._server.address
         self.url = self._server.url
-        self._admin = AdminServer(settings.admin.listen, self.status, self.histograms)
+        self._admin = AdminServer(
+            settings.admin.listen,
+            self.status,
+            self.histograms,
+            budget.group(ADMIN_SHARE * machine.descriptors),
+        )
         self.admin_address = self._admin.address
         client = ConfigurationClient(settings.platform.configuration_url)
         self._watch = ConfigurationWatch(client, self.store, settings.platform.watch_ms)
--- a/src/yokedock/process/machine_settings.py
+++ b/src/yokedock/process/machine_settings.py
@@ -6,6 +6,7 @@
 import resource
 
 from yokedock.base.options import between, option
+from yokedock.base.resource_budget import MIB, ResourceBudget
 
 DEFAULT_MEMORY_MB = 256.0
 MIN_MEMORY_MB = 64.0
@@ -27,6 +28,10 @@
         lambda value: None if value == 0 else between(MIN_DESCRIPTORS, 1e7)(value),
     )
 
+    def budget(self, own_bytes: float) -> ResourceBudget:
+        """Return what a process may hold for its clients that uses ``own_bytes`` without any."""
+        return ResourceBudget.of_process(self.memory_mb * MIB, own_bytes)
+
     @property
     def descriptors(self) -> int:
         """Return the maximum number of open file descriptors."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -13,7 +13,7 @@
 from yokedock.base.link_meter import LinkMeter, Traffic
 from yokedock.base.logs import logger
 from yokedock.base.ordered_set import OrderedSet
-from yokedock.base.resource_budget import MIB, ConnectionGroup, ResourceBudget
+from yokedock.base.resource_budget import MIB, ConnectionGroup
 from yokedock.base.sockets import reset_on_close, set_backlog
 from yokedock.connection.backend_pool import BackendPool
 from yokedock.connection.caller_connection import BUFFER_LIMIT_BYTES, CallerConnection
@@ -108,7 +108,7 @@
         self.settings = settings
         mechanisms = settings.mechanisms
         machine = settings.machine
-        self._budget = ResourceBudget.of_process(machine.memory_mb * MIB, OWN_BYTES)
+        self._budget = machine.budget(OWN_BYTES)
         self._caller_group = self._budget.group(CALLERS_SHARE * machine.descriptors)
         self._router_group = self._budget.group(ROUTERS_SHARE * machine.descriptors)
         self._readiness_group = self._budget.group(READINESS_SHARE * machine.descriptors)
