Responses that are being read keep their own bound beside the budget

Ruled out: a smaller budget (it is for answers that wait to be read, too).

Change: responses that are being read have 24 MB together, as before; complete ones are held in the budget.

--- a/src/yokedock/request/response_buffers.py
+++ b/src/yokedock/request/response_buffers.py
@@ -23,7 +23,8 @@
 from yokedock.router_errors import ResponseTooLarge
 
 MAX_BUFFERED_BYTES = 25_165_824
-"""One response of the maximum size, and half as much for all others: the least that is needed."""
+"""Bytes of all responses that are being read: one of the maximum size, and half as much for all
+others."""
 SMALL_RESPONSE_BYTES = 262_144
 """A response of this size is never refused for the size of others."""
 RECHECK_S = 0.5
@@ -84,6 +85,8 @@
         self._budget = budget or ResourceBudget(MAX_BUFFERED_BYTES / (1.0 - RESERVE_SHARE))
         self._budget.on_release = self._on_release
         self.total_bytes = 0
+        self._reading_bytes = 0
+        """Bytes of responses that are being read."""
         self._small: OrderedSet[ResponseBuffer] = OrderedSet()
         self._large: OrderedSet[ResponseBuffer] = OrderedSet()
         """Responses that are being read, in order of their beginning, or of becoming large."""
@@ -108,6 +111,8 @@
 
     def complete(self, buffer: ResponseBuffer) -> None:
         """Note that nothing more of a response will be read."""
+        if self._is_being_read(buffer):
+            self._reading_bytes -= buffer.size
         self._small.discard(buffer)
         self._large.discard(buffer)
         self._reserve()
@@ -117,6 +122,8 @@
         holding = buffer.holding
         holding.hold_response(holding.response_bytes + size - buffer.size)
         self.total_bytes += size - buffer.size
+        if self._is_being_read(buffer):
+            self._reading_bytes += size - buffer.size
         buffer.size = size
         if size > SMALL_RESPONSE_BYTES and buffer in self._small:
             self._small.discard(buffer)
@@ -133,9 +140,14 @@
         if buffer.size <= SMALL_RESPONSE_BYTES:
             is_oldest = buffer is next(iter(self._small), None)
             return is_oldest or budget.makes_room(budget.limit_bytes, buffer.holding)
-        is_oldest = buffer is next(iter(self._large), None)
-        reserved = 0 if is_oldest else budget.reserved_bytes
-        return budget.makes_room(budget.large_limit_bytes - reserved, buffer.holding)
+        oldest = next(iter(self._large), buffer)
+        if buffer is oldest:
+            return budget.makes_room(budget.large_limit_bytes, buffer.holding)
+        others_bytes = self._reading_bytes - oldest.size
+        if others_bytes > MAX_BUFFERED_BYTES - LARGEST_RESPONSE_BYTES:
+            return False
+        most_bytes = budget.large_limit_bytes - budget.reserved_bytes
+        return budget.makes_room(most_bytes, buffer.holding)
 
     async def wait_for_release(self) -> None:
         """Wait until memory is released, for a limited time."""
@@ -153,6 +165,9 @@
                 f"a response of {size} bytes so far exceeds the memory for all responses"
             )
 
+    def _is_being_read(self, buffer: ResponseBuffer) -> bool:
+        return buffer in self._small or buffer in self._large
+
     def _reserve(self) -> None:
         """Leave free what the oldest large response may still need."""
         oldest = next(iter(self._large), None)
