Agents limit what peers make them hold before they have shown the deployment's key

What callers saw: an agent that was ended for its memory, with the calls that it ran. Who can set it off: anyone who reaches its peers' address, without any key.

Cause: the library takes a packet of up to 16 MB from each connection and any number of connections; a greeting of any peer was kept for as long as its connection. What a peer has sent of a packet is not seen before it is whole.

Ruled out: reading the connections' bytes ourselves in front of the library (a relay for every token); fewer links in all (their number follows from the deployment).

Change: at most 16 connections whose peers have not sent a packet that the key opens, each for 5 s; the oldest gives way to a new one after 0.5 s. The largest packet follows from the budget: 6.7 MiB by default, 16 MiB from 550 MiB on. The system denies the process more than max_descriptors, for connections that have not greeted are in the library's hands. A router logs its limits when it has started.

--- a/src/yokedock/connection/peer_listener.py
+++ b/src/yokedock/connection/peer_listener.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import itertools
 import threading
 from collections.abc import Callable
@@ -31,6 +30,7 @@
     encode_packet,
     new_nonce,
 )
+from yokedock.connection.unproved_peers import UnprovedPeers, close_pipe
 from yokedock.errors import PeerNotAuthenticated, SettingsInvalid
 from yokedock.messages import Frame, Message, PacketsTaken
 
@@ -101,12 +101,6 @@
         close_pipe(self._pipe)
 
 
-def close_pipe(pipe: pynng.nng.Pipe) -> None:
-    """Close a connection that the peer or another thread may already have closed."""
-    with contextlib.suppress(pynng.NNGException):
-        pipe.close()
-
-
 FrameHandler = Callable[[PeerConnection, Frame], None]
 
 
@@ -121,8 +115,12 @@
         key: bytes,
         on_frame: FrameHandler,
         on_closed: Callable[[PeerConnection], None],
+        receive_limit_bytes: int = RECEIVE_LIMIT_BYTES,
     ) -> None:
-        """Bind the address; raises ``SettingsInvalid`` if that fails, such as when it is in use."""
+        """Bind the address; raises ``SettingsInvalid`` if that fails, such as when it is in use.
+
+        A peer that sends a packet of more than ``receive_limit_bytes`` is disconnected.
+        """
         self._name = name
         self._incarnation = incarnation
         self._key = key
@@ -135,10 +133,12 @@
             polyamorous=True,
             send_timeout=SEND_TIMEOUT_MS,
             recv_timeout=STOP_POLL_MS,
-            recv_max_size=RECEIVE_LIMIT_BYTES,
+            recv_max_size=receive_limit_bytes,
             send_buffer_size=MAX_QUEUED_FRAMES,
             recv_buffer_size=MAX_QUEUED_FRAMES,
         )
+        self._unproved = UnprovedPeers()
+        self._socket.add_pre_pipe_connect_cb(self._unproved.admit)
         self._socket.add_post_pipe_remove_cb(self._pipe_removed)
         try:
             self._socket.listen(f"tcp://{address}")
@@ -166,6 +166,7 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
+            self._unproved.close_expired()
             try:
                 message = self._socket.recv_msg()
             except pynng.Timeout:
@@ -189,6 +190,7 @@
         if connection is None or not isinstance(packet, Sealed):
             raise PeerNotAuthenticated("received a packet before the handshake; it was dropped")
         frame = connection.open(packet)
+        self._unproved.forget(pipe.id)
         if isinstance(frame.message, PacketsTaken):
             connection.packets_acknowledged(frame.message.count)
         else:
@@ -201,6 +203,7 @@
         pipe.send(encode_packet(welcome))
 
     def _pipe_removed(self, pipe: pynng.nng.Pipe) -> None:
+        self._unproved.forget(pipe.id)
         connection = self._connections.pop(pipe.id, None)
         if connection is not None:
             connection.close()
--- a/src/yokedock/process/agent.py
+++ b/src/yokedock/process/agent.py
@@ -13,15 +13,17 @@
 from yokedock.base.histograms import Histograms
 from yokedock.base.logs import logger
 from yokedock.base.metrics import Metrics
-from yokedock.base.resource_budget import MIB
+from yokedock.base.resource_budget import MIB, ResourceBudget
 from yokedock.connection.bundle_exchange import BundleExchange
 from yokedock.connection.configuration_watch import ConfigurationClient, ConfigurationWatch
 from yokedock.connection.engine_client import HttpEngineClient
 from yokedock.connection.machine_list import STATE_LEAVING, Machine, MachineWatch
 from yokedock.connection.peer_listener import PeerConnection, PeerListener
+from yokedock.connection.peer_socket import RECEIVE_LIMIT_BYTES
 from yokedock.connection.peer_types import DemandSignal, PeerIdentity
 from yokedock.connection.peer_view import AgentPeerHandle
 from yokedock.connection.service_client import ServiceClient
+from yokedock.connection.unproved_peers import MAX_UNPROVED
 from yokedock.errors import PeerTimeout, YokedockError
 from yokedock.messages import (
     AnyMessage,
@@ -58,6 +60,8 @@
 
 OWN_BYTES = 64 * MIB
 """Memory of an agent that serves nobody."""
+UNPROVED_SHARE = 0.75
+"""Share of what may be held that packets of peers take before the peers have proved themselves."""
 ADMIN_SHARE = 0.05
 """Share of the file descriptors that connections of operators may use."""
 LEASE_CHECK_INTERVAL_S = 0.1
@@ -72,6 +76,7 @@
 
     def __init__(self, settings: AgentSettings) -> None:
         """Bind the addresses; raises ``SettingsInvalid`` if one is already in use."""
+        settings.machine.limit_descriptors()
         self.settings = settings
         self.name = settings.process.name
         self.incarnation_ms = wall_clock_ms()
@@ -96,6 +101,7 @@
             self._key,
             self._handle_frame,
             self._connection_closed,
+            _packet_limit_bytes(budget),
         )
         self.address = self._listener.address
         client = ConfigurationClient(settings.platform.configuration_url)
@@ -370,3 +376,9 @@
         self.backend.set_leaving(leaving or self._stopping.is_set())
         if leaving != was_leaving:
             self._announce()
+
+
+def _packet_limit_bytes(budget: ResourceBudget) -> int:
+    """Return how large a packet from a peer may be, in bytes."""
+    unproved_bytes = UNPROVED_SHARE * budget.limit_bytes
+    return round(min(RECEIVE_LIMIT_BYTES, unproved_bytes / MAX_UNPROVED))
--- a/src/yokedock/process/machine_settings.py
+++ b/src/yokedock/process/machine_settings.py
@@ -32,6 +32,15 @@
         """Return what a process may hold for its clients that uses ``own_bytes`` without any."""
         return ResourceBudget.of_process(self.memory_mb * MIB, own_bytes)
 
+    def limit_descriptors(self) -> None:
+        """Have the system deny the process more descriptors than ``max_descriptors``.
+
+        For what accepts connections in a library, which cannot be told to accept fewer.
+        """
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if self.max_descriptors and (soft == resource.RLIM_INFINITY or soft > self.max_descriptors):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_descriptors, hard))
+
     @property
     def descriptors(self) -> int:
         """Return the maximum number of open file descriptors."""
--- a/src/yokedock/process/router.py
+++ b/src/yokedock/process/router.py
@@ -290,7 +290,14 @@
         self._start_supervised("upkeep", self._maintenance.run)
         self._start_supervised("lost callers", self._abort_lost_callers)
         self._start_supervised("wake", self._suspension_monitor.run)
-        _log.info("started", name=self.settings.process.name, listen=callers.listen)
+        machine = self.settings.machine
+        _log.info(
+            "started",
+            name=self.settings.process.name,
+            listen=callers.listen,
+            memory_mb=machine.memory_mb,
+            descriptors=machine.descriptors,
+        )
         await stop.wait()
         await self._shut_down()
         self._caller_listener.close()
