An answer that was cut while its request was sent is never taken for a whole one

What callers saw: a part of an answer as a complete 200. For how long: whenever a service answers a long upload at once, with a 200 that has no length, and its connection is reset while the upload is written. Who can set it off: a service in trouble.

Cause: a reset is reported once. In an agent the write got it, which the HTTP library passes over in order to read an early answer; what is read then ends like a normal end of the connection. In a router the reader is told of the reset, whoever met it; there a half-close while the upload waited was taken for the end of a 200 without a length.

Ruled out: refusing all answers without a length; refusing early answers (a whole one is passed on, there is a test).

Change: a socket remembers that something could not be sent, and a head without framing behind that is an error of the connection. A router takes a 2xx that only its connection ends for broken off if the request had not been sent whole.

Model engines: the agent's client is the same one; a router's streams and prefills read through the same connection.

--- a/src/yokedock/base/bounded_socket.py
+++ b/src/yokedock/base/bounded_socket.py
@@ -13,7 +13,7 @@
 from yokedock.base.clock import boot_time_s
 
 if TYPE_CHECKING:
-    from _typeshed import WriteableBuffer
+    from _typeshed import ReadableBuffer, WriteableBuffer
 
 MAX_RESPONSE_BYTES = 16_777_216
 MAX_LATE_BYTES = 16_384
@@ -26,6 +26,9 @@
     _due_s = math.inf
     _received_bytes = 0
     _late_bytes = 0
+    has_send_failed = False
+    """Whether something could not be sent; then the peer's reset no longer shows in what is read:
+    the connection seems to end normally."""
 
     @classmethod
     def wrap(cls, connected: socket.socket) -> Self:
@@ -41,6 +44,14 @@
         self._due_s = math.inf if value is None else boot_time_s() + value
         self._received_bytes = self._late_bytes = 0
 
+    def sendall(self, data: ReadableBuffer, flags: int = 0, /) -> None:
+        """Send all bytes; raises ``OSError`` if that fails."""
+        try:
+            super().sendall(data, flags)
+        except OSError:
+            self.has_send_failed = True
+            raise
+
     def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes; raises ``TimeoutError`` or ``OSError`` if a limit is exceeded."""
         left_s = self._due_s - boot_time_s()
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -37,6 +37,7 @@
 MAX_HEAD_BYTES = 65_536
 MAX_DISCARDED_BYTES = 16_777_216
 """Bytes of responses to earlier requests and of interim responses ahead of a response."""
+MIN_REDIRECT_STATUS = 300
 USER_TIMEOUT_MS = 2_500
 """TCP_USER_TIMEOUT: the kernel drops a connection whose data is unacknowledged for this long."""
 MAX_IDLE_S = 4.0
@@ -88,6 +89,8 @@
         self._idle_since_s = boot_time_s()
         self._reusable_until_s = self._idle_since_s + MAX_IDLE_S
         self._can_reuse = True
+        self._status = 0
+        """Status of the last response."""
         self._is_abort_due = False
         """Whether ``abort_after_reading`` was called."""
         self._peer_closed = False
@@ -224,11 +227,24 @@
             if event is h11.NEED_DATA:
                 await self._receive()
             elif isinstance(event, h11.EndOfMessage):
+                self._require_end_after_request()
                 self._finish()
                 return
             elif not isinstance(event, h11.Data):
                 raise BackendConnectionClosed(f"{self.address}: response body truncated")
 
+    def _require_end_after_request(self) -> None:
+        """Raise if a successful response was ended by its connection before the request was sent.
+
+        Where only that ends a body, the backend may have been cut off.
+        """
+        assert self._parser is not None
+        is_request_sent = self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
+        if self._peer_closed and not is_request_sent and self._status < MIN_REDIRECT_STATUS:
+            raise BackendConnectionClosed(
+                f"{self.address}: connection closed while the request was being sent"
+            )
+
     def _take_unyielded(self) -> bytes:
         part = bytes(self._unyielded)
         self._unyielded.clear()
@@ -271,6 +287,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self._status = event.status_code
                 headers = tuple(event.headers.raw_items())
                 self._apply_keep_alive(headers)
                 return ResponseHead(headers, event.status_code, bytes(event.reason))
--- a/src/yokedock/connection/bounded_http.py
+++ b/src/yokedock/connection/bounded_http.py
@@ -56,12 +56,14 @@
         """Read from ``sock``; the other parameters are those of ``http.client.HTTPResponse``."""
         super().__init__(sock, *args, **options)
         self.fp = CompleteLineReader(self.fp.detach())
+        self._is_request_cut = isinstance(sock, BoundedSocket) and sock.has_send_failed
 
     def begin(self) -> None:
         """Read the head.
 
         Raises ``http.client.HTTPException`` or ``urllib3.exceptions.HTTPError`` if it leaves open
-        where the body ends: with the connection only if nothing else is said.
+        where the body ends: with the connection only if nothing else is said, and if that has not
+        ended already while the request was sent.
         """
         super().begin()
         assert_header_parsing(self.headers)
@@ -71,6 +73,8 @@
         lengths = self.headers.get_all("Content-Length", [])
         if not all(parse_integer(length) is not None for length in lengths):
             raise http.client.HTTPException(f"invalid Content-Length {lengths}")
+        if self._is_request_cut and self.length is None and not self.chunked:
+            raise http.client.HTTPException("the connection was cut while the request was sent")
 
 
 class BoundedConnection(HTTPConnection):
