A status that is none is never passed on as an answer

What callers saw: 600 or 999 of an engine in trouble as the status of their answer, at a router and through an agent; through an agent also 200 for "0200", "2_00" and "+200", and a status 600 of a model engine as its refusal, so "not run". Who can set it off: an engine in trouble.

Cause: the parsers take any three digits up to 999 (h11) or anything that Python reads as a number from 100 to 999.

Ruled out: 000 and 099: both products refused them before, with tests now.

Change: an agent's client wants a version, a blank and three digits from 100 to 599 in the status line; a router takes a status over 599 for an invalid response.

Evidence: early_answers.feature, 7 of 16 rows of statuses failed before (router: 600, 999; agent: 600, 999, 0200, 2_00, +200), none after: plain service on both kinds of route, prefill and decode engine through a router, service and engine through an agent.

--- a/features/early_answers.feature
+++ b/features/early_answers.feature
@@ -31,6 +31,39 @@
       | with a length    | reset      |
       | of HTTP/1.0      | reset      |
 
+  # Guards against a status that is none and reaches a client.
+  Scenario Outline: A status that is none, <status>: router
+    Given backends of all kinds whose answers have the status "<status>"
+    When a client sends a request to each of them through a router
+    Then each gets an error of the router
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+      | 0200   |
+      | 20     |
+      | 2_00   |
+      | +200   |
+
+  Scenario Outline: A status that is none, <status>: agent
+    Given a service whose answers have the status "<status>"
+    When an agent calls it, as a service and as an engine
+    Then the agent has lost both answers
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+      | 0200   |
+      | 20     |
+      | 2_00   |
+      | +200   |
+
   # Guards against a limit on early answers that meets a sound one.
   Scenario: A whole answer that comes before the upload was read is passed on
     Given a plain backend that answers an upload with 200, whole, before it reads it
--- a/src/yokedock/connection/backend_connection.py
+++ b/src/yokedock/connection/backend_connection.py
@@ -37,6 +37,8 @@
 MAX_HEAD_BYTES = 65_536
 MAX_DISCARDED_BYTES = 16_777_216
 """Bytes of responses to earlier requests and of interim responses ahead of a response."""
+MAX_STATUS = 599
+"""Greater status codes are invalid (RFC 9110, section 15)."""
 MIN_REDIRECT_STATUS = 300
 USER_TIMEOUT_MS = 2_500
 """TCP_USER_TIMEOUT: the kernel drops a connection whose data is unacknowledged for this long."""
@@ -288,6 +290,8 @@
                 continue
             if isinstance(event, h11.Response):
                 self._status = event.status_code
+                if self._status > MAX_STATUS:
+                    raise BackendResponseError(f"{self.address}: invalid status {self._status}")
                 headers = tuple(event.headers.raw_items())
                 self._apply_keep_alive(headers)
                 return ResponseHead(headers, event.status_code, bytes(event.reason))
--- a/src/yokedock/connection/bounded_http.py
+++ b/src/yokedock/connection/bounded_http.py
@@ -9,6 +9,7 @@
 
 import http.client
 import io
+import re
 import socket
 from collections.abc import Mapping
 from typing import Any
@@ -25,6 +26,8 @@
 PART_BYTES = 65_536
 """Bytes read at once: reading as many as are announced would allocate memory for all of them."""
 MIN_FINAL_STATUS = 200
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}(?![^ \r\n])")
+"""Version and status code (RFC 9112, section 4); codes from 600 on are invalid (RFC 9110)."""
 
 
 class WholeResponse(msgspec.Struct, frozen=True):
@@ -38,12 +41,15 @@
 class CompleteLineReader(io.BufferedReader):
     """A reader for which the end of the connection is not the end of a line."""
 
+    last_line = b""
+    """The last line that was read."""
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line, or its first ``size`` bytes.
 
         Raises ``http.client.RemoteDisconnected`` if the connection ends before the line does.
         """
-        line = super().readline(size)
+        line = self.last_line = super().readline(size)
         if not line.endswith(b"\n") and len(line) != size:
             raise http.client.RemoteDisconnected("the connection ended before the response did")
         return line
@@ -55,7 +61,7 @@
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
         """Read from ``sock``; the other parameters are those of ``http.client.HTTPResponse``."""
         super().__init__(sock, *args, **options)
-        self.fp = CompleteLineReader(self.fp.detach())
+        self.fp = self._lines = CompleteLineReader(self.fp.detach())
         self._is_request_cut = isinstance(sock, BoundedSocket) and sock.has_send_failed
 
     def begin(self) -> None:
@@ -76,6 +82,14 @@
         if self._is_request_cut and self.length is None and not self.chunked:
             raise http.client.HTTPException("the connection was cut while the request was sent")
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line; raises ``http.client.HTTPException`` unless it is valid."""
+        parsed: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
+        line = self._lines.last_line
+        if STATUS_LINE.match(line) is None:
+            raise http.client.BadStatusLine(line.decode("latin-1"))
+        return parsed
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose responses are limited in time and bytes, and must be complete."""
