A stop does not cut an answer that only waits to be sent

Ruled out: waiting for all handlers (a call that waits for its backend must be told).

Change: a response writer tells whether its response is known; a stop cancels only the others. A stand-in of a transport in the properties has the size of its write buffer, which connections ask for now.

--- a/features/support/upkeep_properties.py
+++ b/features/support/upkeep_properties.py
@@ -202,6 +202,9 @@
     def write(self, data):
         self.data.write(data)
 
+    def get_write_buffer_size(self):
+        return 0
+
     async def drain(self):
         return
 
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -290,10 +290,10 @@
         """Cancel the handler of the request in flight.
 
         One that has not begun sees the state of the router when it does, and answers by itself.
-        One whose response is complete only waits until it is sent.
+        One whose response is known only waits until it is sent.
         """
-        is_complete = self._response is not None and self._response.has_ended
-        if self._handler_task is not None and self._has_handler_begun and not is_complete:
+        is_known = self._response is not None and self._response.is_known
+        if self._handler_task is not None and self._has_handler_begun and not is_known:
             self._handler_task.cancel()
 
     def has_unsent_answer(self) -> bool:
--- a/src/yokedock/connection/response_writer.py
+++ b/src/yokedock/connection/response_writer.py
@@ -54,6 +54,8 @@
         self._connection = connection
         self._has_body = has_body
         self.status: int | None = None
+        self.is_known = False
+        """Whether nothing more is needed of the handler but to send the response."""
         self.has_ended = False
 
     @property
@@ -85,7 +87,7 @@
 
     async def end(self) -> None:
         """Finish the response."""
-        self.has_ended = True
+        self.is_known = self.has_ended = True
         self._connection.send_event(h11.EndOfMessage())
         await self._connection.drain()
 
@@ -96,6 +98,7 @@
 
     async def whole(self, head: ResponseHead, body: bytes | bytearray) -> None:
         """Send a complete response with a known length, as fast as the caller reads."""
+        self.is_known = True
         self.start(head, len(body))
         with self._held(len(body)):
             if self._has_body:
