--- a/src/yokedock/base/resource_budget.py
+++ b/src/yokedock/base/resource_budget.py
@@ -106,6 +106,10 @@
         """Return whether ``size`` bytes of requests in all can be held now."""
         return self._budget.has_request_room(self, size)
 
+    def has_spare_room(self, more: int) -> bool:
+        """Return whether ``more`` bytes can be held without closing or refusing anything."""
+        return self._budget.total_bytes + more <= self._budget.large_limit_bytes
+
     def try_hold_request(self, size: int) -> bool:
         """Hold ``size`` bytes of requests in all if there is room; return whether there is."""
         return self._budget.try_hold_request(self, size)
@@ -377,8 +381,9 @@
     """Evict a connection that is closed already."""
 
 
+_UNLIMITED = ResourceBudget(math.inf).group()
+
+
 def unlimited_holding() -> Holding:
     """Return a holding that is limited by nothing."""
-    holding = ResourceBudget(math.inf).group().open(lambda: None)
-    assert holding is not None
-    return holding
+    return Holding(_UNLIMITED, _do_nothing)
--- a/src/yokedock/connection/caller_connection.py
+++ b/src/yokedock/connection/caller_connection.py
@@ -550,7 +550,7 @@
         """Return whether to read more of the next requests while one is handled."""
         if self._unparsed_bytes >= READ_AHEAD_BYTES:
             return False
-        return self.holding.has_request_room(self.holding.request_bytes + READ_AHEAD_BYTES)
+        return self.holding.has_spare_room(READ_AHEAD_BYTES)
 
     async def _poll_disconnect(self, body_bytes: int) -> None:
         """Wait until the caller has disconnected, without reading: its FIN is behind unread data.
