Tests of a large request and of a planned stop beside a crowd

Change: a request of the largest size is answered beside 60 bodies that stop short of their end (the ones that have stalled give way within some seconds), and a router that 40 unread answers wait in ends in order at SIGTERM.

--- a/features/crowds_router.feature
+++ b/features/crowds_router.feature
@@ -65,3 +65,17 @@
     And an answer of 16 MB is read with 2 MB/s
     Then all of them were whole
     And the router has stayed within its memory and descriptors
+
+  # Guards against a crowd that holds all room for large requests for good.
+  Scenario: A request of the largest size is answered beside a crowd that stops short of the end
+    Given a router process that may use 96 MiB and 2600 descriptors
+    When a crowd comes to it: 60 bodies of 4 MB, whole but for one byte
+    Then a request of the largest size is answered
+    And the router has stayed within its memory and descriptors
+
+  # Guards against a stop that a crowd turns into a kill.
+  Scenario: A planned stop ends in order beside a crowd that reads nothing
+    Given a router process that may use 96 MiB and 2600 descriptors
+    When a crowd comes to it: 40 answers of 12 MB that nobody reads
+    And it is stopped by a signal
+    Then it has ended in order, within its memory and descriptors
--- a/features/steps/crowd_router_steps.py
+++ b/features/steps/crowd_router_steps.py
@@ -75,6 +75,8 @@
 ROLES = {f"{role}-{number}": role for role in ("prefill", "decode") for number in range(4)}
 """Each engine accepts a limited number of connections."""
 UNAVAILABLE = 503
+STOP_LIMIT_S = 60.0
+"""Much longer than a planned stop may take: when it ends isn't judged here."""
 LARGEST_ANSWER_BYTES = 16_777_216
 PART_BYTES = 65_536
 
@@ -226,6 +228,24 @@
     ordinary_request(context.listen, "POST", "/calm/x", b"hello")
 
 
+@then("a request of the largest size is answered")
+def largest_request(context):
+    ordinary_request(context.listen, "POST", "/calm/x", BODY)
+
+
+@when("it is stopped by a signal")
+def stop(context):
+    context.process.terminate()
+    context.process.wait(STOP_LIMIT_S)
+
+
+@then("it has ended in order, within its memory and descriptors")
+def ended_in_order(context):
+    assert context.process.returncode == 0, context.process.returncode
+    context.meter.stop()
+    context.meter.assert_within(context.max_bytes, context.max_descriptors)
+
+
 @then("its readiness and its metrics are told")
 def told(context):
     ordinary_request(context.ready, "GET", "/", b"")
