A refused connection leaves nothing behind at a gateway

What callers would see: a gateway or an admin address that slowly runs out of memory, and searches ever longer for connections to close. Who can set it off: anyone who opens connections beyond the limit.

Cause: a refused connection got its empty holding from a new group, which the budget kept for good. Beside it, a request that arrives whole and finds no room is served, and was not counted.

Ruled out: the router's connections (a refused one has no holding); the peers' address of an agent.

Change: the empty holding belongs to the group that refused it; a request that is served is counted.

--- a/features/router_properties.feature
+++ b/features/router_properties.feature
@@ -453,4 +453,5 @@
       | the first large requests arrive whole      |
       | an idle connection gives way to a new one  |
       | small requests find room beside large ones |
+      | a refused connection leaves nothing        |
       | the sums of what is held are right         |
--- a/features/support/memory_properties.py
+++ b/features/support/memory_properties.py
@@ -1,7 +1,9 @@
 """Properties of the budget for what clients make a process hold, over patterns of load."""
 
+import contextlib
 import itertools
 import random
+import socket
 
 from yokedock.base.resource_budget import (
     MAX_HOLD_S,
@@ -11,6 +13,7 @@
     ResourceBudget,
     Stage,
 )
+from yokedock.connection.http_server import HttpRouter, HttpServer
 
 BODY_BYTES = 4 * MIB
 PART_BYTES = 65_536
@@ -144,6 +147,25 @@
             assert budget.request_bytes == sum(h.request_bytes for h in group.open_holdings)
 
 
+# Guards against refused connections that leave something behind for good.
+def a_refused_connection_leaves_nothing():
+    """Connections that find no room are reset, and the budget is as before."""
+    budget, _ = _budget()
+    server = HttpServer(HttpRouter(), "127.0.0.1:0", 1, group=budget.group(0))
+    server.start()
+    host, _, port = server.address.rpartition(":")
+    for _ in range(20):
+        # The reset may come while the connection is still being established.
+        with (
+            contextlib.suppress(ConnectionResetError),
+            socket.create_connection((host, int(port)), 5.0) as connection,
+        ):
+            assert connection.recv(1) == b""
+    server.close()
+    assert len(budget._groups) == 1, len(budget._groups)
+    assert budget.total_bytes == 0 and budget.refusals == 20
+
+
 def _one_step(chance, group, clients):
     """Let a client come, grow, be served or leave."""
     what = chance.choice(("come", "grow", "grow", "grow", "serve", "leave"))
@@ -168,5 +190,6 @@
     "the first large requests arrive whole": the_first_large_requests_arrive_whole,
     "an idle connection gives way to a new one": an_idle_connection_gives_way_to_a_new_one,
     "small requests find room beside large ones": small_requests_find_room_beside_large_ones,
+    "a refused connection leaves nothing": a_refused_connection_leaves_nothing,
     "the sums of what is held are right": the_sums_are_those_of_the_connections,
 }
--- a/src/yokedock/connection/held_channel.py
+++ b/src/yokedock/connection/held_channel.py
@@ -65,7 +65,7 @@
         with the rest."""
         group: ConnectionGroup = server.connection_group
         holding = group.open(self.evict)
-        self._holding: Holding = holding or group.budget.group().closed()
+        self._holding: Holding = holding or group.closed()
         limit_kernel_buffers(sock, self._holding.unread_limit_bytes)
         super().__init__(server, sock, *args, **options)
         if holding is None:
@@ -91,8 +91,10 @@
         if request is not None and request.headers_finished:
             declared = int(request.content_length)
         has_room = self._holding.has_request_room(declared)
-        if not (has_room and self._holding.try_hold_request(self._arrived_bytes())):
-            self._refuse_arriving()
+        is_held = has_room and self._holding.try_hold_request(self._arrived_bytes())
+        if not is_held and not self._refuse_arriving():
+            # It has arrived whole, and is served.
+            self._holding.hold_request(self._arrived_bytes())
         return is_taken
 
     def handle_close(self) -> None:
